--- a/src/bin/brassport/backends.rs
+++ b/src/bin/brassport/backends.rs
@@ -9,6 +9,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,6 +22,8 @@
 /// they say, and a request that crosses that is lost.
 const IDLE_PART: f64 = 0.5;
 const SWEEP: Duration = Duration::from_secs(1);
+/// Sweeps from one report on the connections to the next.
+const REPORT: u32 = 5;
 
 /// A client's request as it goes on to a backend.
 pub struct Message {
@@ -48,6 +51,8 @@
 struct Pooled {
     link: Link,
     since: Instant,
+    /// Exchanges that it has carried.
+    used: u32,
     _descriptor: OwnedSemaphorePermit,
 }
 
@@ -58,11 +63,24 @@
     idle: Vec<Pooled>,
 }
 
+/// What the connections went through since the last report.
+#[derive(Default)]
+struct Tally {
+    exchanges: u32,
+    opened: u32,
+    unopened: u32,
+    /// Broken exchanges on a new connection, and on one that had carried others before.
+    broken_new: u32,
+    broken_used: u32,
+    last_broken: String,
+}
+
 pub struct Backends {
     known: RefCell<HashMap<ServerId, Backend>>,
     descriptors: Arc<Semaphore>,
     connect_timeout: Duration,
     keep_idle: Duration,
+    tally: RefCell<Tally>,
 }
 
 impl Backends {
@@ -72,6 +90,7 @@
             descriptors,
             connect_timeout,
             keep_idle: idle_timeout.mul_f64(IDLE_PART),
+            tally: RefCell::default(),
         }
     }
 
@@ -105,8 +124,11 @@
 
     /// Closes connections that have been idle for long or that the other side has closed.
     pub async fn sweep(&self) {
-        loop {
+        for sweep in 1u32.. {
             sleep(SWEEP).await;
+            if sweep.is_multiple_of(REPORT) {
+                self.report();
+            }
             let parked: Vec<(ServerId, SocketAddr, Vec<Pooled>)> = self
                 .known
                 .borrow_mut()
@@ -123,6 +145,26 @@
         }
     }
 
+    /// Tells staff of failures on the connections, if there were any.
+    fn report(&self) {
+        let tally = self.tally.take();
+        if tally.unopened + tally.broken_new + tally.broken_used == 0 {
+            return;
+        }
+        // A log that nobody takes is no reason to end.
+        let _ = writeln!(
+            io::stderr(),
+            "brassport: connections to backends: {} exchanges, {} opened, {} not opened, broken {} new and {} \
+             used before, the last {}",
+            tally.exchanges,
+            tally.opened,
+            tally.unopened,
+            tally.broken_new,
+            tally.broken_used,
+            tally.last_broken,
+        );
+    }
+
     /// One attempt. It is over, and its socket closed or idle again, when this returns. `wanted` tells
     /// whether the request still waits for an answer, `cancel` calls the attempt off.
     pub async fn attempt(
@@ -172,11 +214,24 @@
             return Outcome::Moot.into();
         }
         written.set(true);
+        let (begun, idle) = (Instant::now(), pooled.since.elapsed());
+        self.tally.borrow_mut().exchanges += 1;
         let answer = match pooled.link.exchange(message.to_send(expire_at), BODY_LIMIT).await {
             Ok(answer) => answer,
             Err(Failure::Unsent) => return Outcome::NoConnection.into(),
-            Err(Failure::Broken) => return Outcome::Reset.into(),
+            Err(Failure::Broken(problem)) => {
+                let tally = &mut *self.tally.borrow_mut();
+                *if pooled.used == 0 { &mut tally.broken_new } else { &mut tally.broken_used } += 1;
+                tally.last_broken = format!(
+                    "to {address} after {} ms, {} ms idle before, {} exchanges: {problem}",
+                    begun.elapsed().as_millis(),
+                    idle.as_millis(),
+                    pooled.used
+                );
+                return Outcome::Reset.into();
+            }
         };
+        pooled.used += 1;
         if pooled.link.is_usable().await {
             pooled.since = Instant::now();
             self.park(id, address, pooled);
@@ -207,8 +262,10 @@
             }
         };
         // Guards against a machine that is cut off: its connections never come up.
-        let link = timeout(self.connect_timeout, Link::open(address)).await.ok()?.ok()?;
-        Some(Pooled { link, since: Instant::now(), _descriptor: descriptor })
+        let link = timeout(self.connect_timeout, Link::open(address)).await.ok().and_then(Result::ok);
+        let tally = &mut *self.tally.borrow_mut();
+        *if link.is_some() { &mut tally.opened } else { &mut tally.unopened } += 1;
+        Some(Pooled { link: link?, since: Instant::now(), used: 0, _descriptor: descriptor })
     }
 
     fn park(&self, id: ServerId, address: SocketAddr, pooled: Pooled) {
--- a/src/bin/brassport/link.rs
+++ b/src/bin/brassport/link.rs
@@ -18,8 +18,9 @@
 pub enum Failure {
     /// No byte of the request was written.
     Unsent,
-    /// The connection broke, or the answer is not one of HTTP, after some of it may have been written.
-    Broken,
+    /// The connection broke, or the answer is not one of HTTP, after some of it may have been written; and
+    /// what was wrong, for the log.
+    Broken(String),
 }
 
 pub struct Link {
@@ -47,12 +48,12 @@
         let answer = sender.try_send_request(request);
         let answer = drive(connection, answer).await.map_err(|mut error| match error.take_message() {
             Some(_) => Failure::Unsent,
-            None => Failure::Broken,
+            None => Failure::Broken(error.error().to_string()),
         })?;
         let (head, body) = answer.into_parts();
         let body = drive(connection, Limited::new(body, most).collect()).await;
         // Guards against serving a body that was cut short: an error of the body is a broken connection.
-        let body = body.map_err(|_| Failure::Broken)?.to_bytes();
+        let body = body.map_err(|error| Failure::Broken(error.to_string()))?.to_bytes();
         Ok(Response::from_parts(head, body))
     }
 
