Follow discovery to its new address on SIGHUP instead of ending

The configuration is read again and the watch goes on at the address it names; what cannot be read changes nothing. Both new tests fail without the handler.

--- a/src/bin/brassport/backends.rs
+++ b/src/bin/brassport/backends.rs
@@ -1,5 +1,6 @@
 //! The backends: where they are, the idle connections to them, and the attempts.
 
+use crate::door::log;
 use crate::link::{Failure, Link};
 use http_body_util::Full;
 use hyper::body::Bytes;
@@ -9,7 +10,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
-use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -126,7 +126,7 @@
     pub async fn sweep(&self) {
         for sweep in 1u32.. {
             sleep(SWEEP).await;
-            if sweep.is_multiple_of(REPORT) {
+            if sweep % REPORT == 0 {
                 self.report();
             }
             let parked: Vec<(ServerId, SocketAddr, Vec<Pooled>)> = self
@@ -151,18 +151,16 @@
         if tally.unopened + tally.broken_new + tally.broken_used == 0 {
             return;
         }
-        // A log that nobody takes is no reason to end.
-        let _ = writeln!(
-            io::stderr(),
-            "brassport: connections to backends: {} exchanges, {} opened, {} not opened, broken {} new and {} \
-             used before, the last {}",
+        log(&format!(
+            "connections to backends: {} exchanges, {} opened, {} not opened, broken {} new and {} used \
+             before, the last {}",
             tally.exchanges,
             tally.opened,
             tally.unopened,
             tally.broken_new,
             tally.broken_used,
             tally.last_broken,
-        );
+        ));
     }
 
     /// One attempt. It is over, and its socket closed or idle again, when this returns. `wanted` tells
--- a/src/bin/brassport/config.rs
+++ b/src/bin/brassport/config.rs
@@ -143,17 +143,38 @@
 /// # Errors
 /// One plain line on what is missing or makes no sense.
 pub fn read() -> Result<Config, String> {
+    parse(&text()?, |name| env::var(name).ok())
+}
+
+/// Reads where discovery is from a configuration that was replaced. The environment, which is still that of
+/// the start, has no say in it.
+///
+/// # Errors
+/// One plain line on what is missing or makes no sense.
+pub fn discovery() -> Result<SocketAddr, String> {
+    #[derive(Deserialize)]
+    struct Replaced {
+        discovery: String,
+    }
+    let Replaced { discovery } =
+        serde_json::from_str(&text()?).map_err(|error| format!("configuration: {error}"))?;
+    address("discovery", &discovery)
+}
+
+fn text() -> Result<String, String> {
     let path = env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set".to_string())?;
-    let text = fs::read_to_string(&path).map_err(|error| format!("cannot read {path}: {error}"))?;
-    parse(&text, |name| env::var(name).ok())
+    fs::read_to_string(&path).map_err(|error| format!("cannot read {path}: {error}"))
+}
+
+fn address(name: &str, text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{name}: '{text}' is no address with a port"))
 }
 
 /// The environment, where it says something, goes before the file.
 fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
     let file: File = serde_json::from_str(text).map_err(|error| format!("configuration: {error}"))?;
-    let address = |name: &str, written: Option<String>| {
-        let text = variable(name).or(written).ok_or_else(|| format!("{name} is not set"))?;
-        text.parse::<SocketAddr>().map_err(|_| format!("{name}: '{text}' is no address with a port"))
+    let named = |name: &str, written: Option<String>| {
+        address(name, &variable(name).or(written).ok_or_else(|| format!("{name} is not set"))?)
     };
     let seed = u64::from_str_radix(&file.seed, 16)
         .map_err(|_| format!("seed: '{}' is no number in hexadecimal", file.seed))?;
@@ -190,8 +211,8 @@
         _ => Err(format!("setting {name}: {ms} is no length of time")),
     };
     Ok(Config {
-        listen: address("BALANCER_LISTEN", file.listen)?,
-        discovery: address("BALANCER_DISCOVERY", file.discovery)?,
+        listen: named("BALANCER_LISTEN", file.listen)?,
+        discovery: named("BALANCER_DISCOVERY", file.discovery)?,
         seed,
         sockets: file.limits.sockets,
         known: file.known,
--- a/src/bin/brassport/discovery.rs
+++ b/src/bin/brassport/discovery.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 /// How long a watch may wait for news, and how long its answer may take beyond that.
@@ -58,14 +59,27 @@
     Unknown,
 }
 
-/// Watches for ever. Whatever the agent does, the list held stays in force.
-pub async fn watch(address: SocketAddr, door: Rc<Door>) {
+/// Watches for ever, at the latest of `addresses`. Whatever the agent does, the list held stays in force.
+pub async fn watch(mut addresses: watch::Receiver<SocketAddr>, door: Rc<Door>) {
     let mut link = None;
     let mut last = None;
     let mut back_off = FIRST_BACK_OFF;
     loop {
+        // What came meanwhile from an agent that has been replaced counts no more: the list is asked anew.
+        if addresses.has_changed().unwrap_or(false) {
+            (link, last, back_off) = (None, None, FIRST_BACK_OFF);
+        }
+        let address = *addresses.borrow_and_update();
         // Guards against an agent that is silent: a call is given up and its connection closed.
-        match timeout(WAIT + OVERDUE, ask(&mut link, address, last)).await {
+        let answer = tokio::select! {
+            biased;
+            Ok(()) = addresses.changed() => {
+                addresses.mark_changed();
+                continue;
+            }
+            answer = timeout(WAIT + OVERDUE, ask(&mut link, address, last)) => answer,
+        };
+        match answer {
             Ok(Some(list)) => {
                 last = Some(list.rev);
                 back_off = FIRST_BACK_OFF;
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -235,8 +235,7 @@
             }
             // The program follows the list from its start, whoever asks.
             Action::FollowServers => {}
-            // A log that nobody takes is no reason to end.
-            Action::Log(text) => drop(writeln!(io::stderr(), "brassport: {text}")),
+            Action::Log(text) => log(&text),
         }
     }
 
@@ -275,6 +274,11 @@
     }
 }
 
+/// Writes a line for staff. A log that nobody takes is no reason to end.
+pub fn log(text: &str) {
+    let _ = writeln!(io::stderr(), "brassport: {text}");
+}
+
 impl Inner {
     /// Passes the final answer on, unless there was one before.
     fn answer(&mut self, request: RequestId, answer: Answer) {
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -62,6 +62,8 @@
     let descriptors = Arc::new(Semaphore::new(spare.min(Semaphore::MAX_PERMITS)));
     let mut terminate =
         signal(SignalKind::terminate()).map_err(|error| format!("cannot take signals: {error}"))?;
+    let mut hang_up =
+        signal(SignalKind::hangup()).map_err(|error| format!("cannot take signals: {error}"))?;
     let listener = TcpListener::bind(config.listen)
         .await
         .map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
@@ -74,7 +76,8 @@
         .map_err(|error| error.to_string())?;
     door.servers(ListKind::Cached, config.known);
     spawn_local(door.clone().keep_time());
-    spawn_local(discovery::watch(config.discovery, door.clone()));
+    let (agent, agents) = watch::channel(config.discovery);
+    spawn_local(discovery::watch(agents, door.clone()));
     let sweeper = backends.clone();
     spawn_local(async move { sweeper.sweep().await });
 
@@ -88,7 +91,16 @@
     });
     let mut serving = spawn_local(clients::serve(listener, desk, descriptors));
 
-    terminate.recv().await;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            Some(()) = hang_up.recv() => match config::discovery() {
+                Ok(address) => drop(agent.send_replace(address)),
+                // Guards against a file that cannot be read: what was known before stays in force.
+                Err(problem) => door::log(&format!("the configuration is not taken over: {problem}")),
+            },
+        }
+    }
     phase.send_replace(Phase::Leaving);
     sleep(LEAVING).await;
     phase.send_replace(Phase::Closing);
--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -247,6 +247,7 @@
 struct Front {
     child: Child,
     address: SocketAddr,
+    config: PathBuf,
 }
 
 impl Front {
@@ -256,13 +257,14 @@
     }
     fn start_with(config: &Value, errors: Stdio) -> Front {
         let address = config["listen"].as_str().expect("an address").parse().expect("an address");
-        let child = spawn(config, errors);
+        let config = write(config);
+        let child = spawn(&config, errors);
         let until = Instant::now() + PATIENCE;
         while TcpStream::connect(address).is_err() {
             assert!(Instant::now() < until, "the front door does not listen");
             thread::sleep(Duration::from_millis(5));
         }
-        Front { child, address }
+        Front { child, address, config }
     }
     /// One in front of these backends, known to it from its start, with discovery dead.
     fn before(backends: &[SocketAddr]) -> Front {
@@ -278,10 +280,18 @@
         stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
         Client { stream }
     }
-    fn terminate(&self) {
-        let status = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+    fn signal(&self, name: &str) {
+        let status = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
         assert!(status.expect("kill runs").success());
     }
+    fn terminate(&self) {
+        self.signal("-TERM");
+    }
+    /// Replaces the configuration and says so.
+    fn replace_config(&self, text: &str) {
+        std::fs::write(&self.config, text).expect("the configuration is written");
+        self.signal("-HUP");
+    }
 }
 
 impl Drop for Front {
@@ -291,13 +301,18 @@
     }
 }
 
-fn spawn(config: &Value, errors: Stdio) -> Child {
+/// Writes a configuration to a file of its own.
+fn write(config: &Value) -> PathBuf {
     static COUNT: AtomicU8 = AtomicU8::new(0);
     let name = format!("config-{}-{}.json", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config.to_string()).expect("the configuration is written");
+    path
+}
+
+fn spawn(config: &PathBuf, errors: Stdio) -> Child {
     Command::new(env!("CARGO_BIN_EXE_brassport"))
-        .env("BALANCER_CONFIG", path)
+        .env("BALANCER_CONFIG", config)
         .env_remove("BALANCER_LISTEN")
         .env_remove("BALANCER_DISCOVERY")
         .stderr(errors)
@@ -616,6 +631,54 @@
     assert_eq!(client.send(&get("")).read().status(), 429, "no backend is left");
 }
 
+#[test]
+fn sighup_moves_the_watch_to_the_address_in_the_replaced_configuration() {
+    let backends = [Peer::start(), Peer::start()];
+    let (old, new) = (Peer::start(), Peer::start());
+    let known = list(&[target("s-00000001", backends[0].address, "ready")]);
+    let mut config = config(old.address, known.clone());
+    let front = Front::start(&config);
+    old.next().ok(&known.to_string());
+    let mut watch = old.next();
+    let mut client = front.client();
+    client.send(&get(""));
+    let in_hand = backends[0].next();
+
+    config["discovery"] = json!(new.address.to_string());
+    front.replace_config(&config.to_string());
+    let call = new.next();
+    assert_eq!(call.request.line, "GET /v1/servers HTTP/1.1", "the whole list is asked for");
+    watch.wait_for_close();
+    call.ok(&list(&[target("s-00000002", backends[1].address, "ready")]).to_string());
+    assert_eq!(new.next().request.line, "GET /v1/servers?after=1&wait_ms=1000 HTTP/1.1");
+    in_hand.ok("begun before");
+    assert_eq!(client.read().body, b"begun before", "what was in hand is not disturbed");
+    client.send(&get(""));
+    backends[1].next().ok("from the new list");
+    assert_eq!(client.read().body, b"from the new list");
+}
+
+#[test]
+fn sighup_with_an_unreadable_configuration_changes_nothing() {
+    let backend = Peer::start();
+    let agent = Peer::start();
+    let known = list(&[target("s-00000001", backend.address, "ready")]);
+    let mut config = config(agent.address, known.clone());
+    let front = Front::start(&config);
+    agent.next().ok(&known.to_string());
+    let mut client = front.client();
+    config["discovery"] = json!("nowhere");
+    for text in ["", "{\"discovery\":", "{}", &config.to_string()] {
+        let watch = agent.next();
+        front.replace_config(text);
+        client.send(&get(""));
+        backend.next().ok("");
+        assert_eq!(client.read().status(), 200, "after {text:?}");
+        watch.ok(&json!({"rev": 1, "all": false, "targets": []}).to_string());
+    }
+    assert!(agent.next().request.line.contains("after=1"), "the watch goes on");
+}
+
 #[test]
 fn sigterm_ends_it_in_order() {
     let backend = Peer::start();
@@ -705,7 +768,7 @@
 fn bad_configuration_ends_with_one_plain_line() {
     let mut bad = config(closed_port(), list(&[]));
     bad["settings"]["plans"][0]["unitsPerS"] = json!(-1.0);
-    let output = spawn(&bad, Stdio::piped()).wait_with_output().expect("it ends");
+    let output = spawn(&write(&bad), Stdio::piped()).wait_with_output().expect("it ends");
     assert!(!output.status.success());
     let said = String::from_utf8(output.stderr).expect("text");
     assert_eq!(said, "brassport: setting plans[0].rate: must be a finite number, not below 0\n");
