--- a/src/control.rs
+++ b/src/control.rs
@@ -411,8 +411,7 @@
         self.servers.values().map(young).sum::<usize>() as f64
     }
 
-    /// Once a second: reports refusals that are not the coin's, and forgets customers that have been idle
-    /// long enough for every store of theirs to be full again.
+    /// Once a second: reports refusals that are not the coin's, and forgets customers whose stores are full.
     fn sweep(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
         if now < self.swept + 1000.0 {
@@ -594,13 +593,14 @@
 
     // ---- Attempts. ----
 
-    /// Sends a first attempt, or holds the request while its customer has all the attempts out it may have.
+    /// Sends a first attempt, or holds the request while its customer has all attempts out that it may have.
     fn dispatch(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let request = self.requests[&id].request;
         let plan = self.settings.plans[request.plan];
         let aim = self.settings.classes[request.class].aim;
         let Some(customer) = self.customers.get_mut(&request.customer) else { return };
-        if plan.open > 0 && customer.open >= plan.open {
+        // Guards the cap over all gateways: each keeps to its part of it, with no word from the others.
+        if plan.open > 0 && f64::from(customer.open) >= (f64::from(plan.open) / customer.spread).ceil() {
             customer.held.push_back(id);
             if let Some(open) = self.requests.get_mut(&id) {
                 open.held = true;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -136,11 +136,23 @@
 fn requests_beyond_the_open_cap_wait_for_an_attempt_to_end() {
     let mut host = Host::new(settings(), &[server(1), server(2), server(3), server(4), server(5)]);
     let (first, _) = host.ask(1, 2, 0);
-    host.ask(1, 2, 0);
-    let (third, actions) = host.ask(1, 2, 0);
+    let (second, actions) = host.ask(1, 2, 0);
     assert!(sends(&actions).is_empty() && !refused(&actions));
     let actions = host.end(first, 0, Outcome::Ok, None);
-    assert!(actions.iter().any(|action| matches!(action, Action::Send { request, .. } if *request == third)));
+    assert!(actions
+        .iter()
+        .any(|action| matches!(action, Action::Send { request, .. } if *request == second)));
+}
+
+#[test]
+fn the_open_cap_holds_over_all_gateways_of_the_customer() {
+    let fleet: Vec<_> = (0..8).map(server).collect();
+    let sent = |ordinal| {
+        let mut host = Host::new(Settings { ordinal, ..settings() }, &fleet);
+        (0..4).map(|_| sends(&host.ask(1, 2, 0).1).len()).sum::<usize>()
+    };
+    // Neither knows of the other, and both are asked for more than the plan lets a customer have out.
+    assert_eq!((settings().plans[2].open, sent(0) + sent(1)), (2, 2));
 }
 
 #[test]
