Let go of idle and unfinished client connections after 2 s, not 60 s

What a peer owes within 3 s it now gets: the new test of unfinished requests fails without the change.

--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -2,7 +2,7 @@
 
 use crate::backends::{Backends, Message, BODY_LIMIT};
 use crate::config::Names;
-use crate::door::{Answer, Door};
+use crate::door::{log, Answer, Door};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -30,9 +30,10 @@
 /// idle connections are closed and new clients told to come back.
 const RESERVE: usize = 64;
 const RESERVE_PART: usize = 4;
-/// How long a client may take over a request, or leave its connection idle.
-const PATIENCE: Duration = Duration::from_secs(60);
-const BODY_PATIENCE: Duration = Duration::from_secs(10);
+/// How long a client may take over a request's head, or leave its connection idle, and then over the body:
+/// anyone may connect, and a peer that sends nothing of use is owed an end within 3 s.
+const PATIENCE: Duration = Duration::from_millis(2000);
+const BODY_PATIENCE: Duration = Duration::from_millis(800);
 /// After a failed accept.
 const BACK_OFF: Duration = Duration::from_millis(20);
 /// Customers are numbers below this.
@@ -86,6 +87,7 @@
     };
     let mut phase = desk.phase.clone();
     let mut connections = JoinSet::new();
+    let mut turned_away = 0;
     loop {
         // The next connection once there is a descriptor for it; until then it waits in the backlog.
         let next = async {
@@ -100,6 +102,12 @@
             next = next => match next {
                 Ok((stream, descriptor)) => {
                     let crowded = !spare(reserve);
+                    if crowded {
+                        turned_away += 1;
+                    } else if turned_away > 0 {
+                        log(&format!("descriptors ran short: {turned_away} connections turned away"));
+                        turned_away = 0;
+                    }
                     let shed = shed.subscribe();
                     connections.spawn_local(connection(stream, descriptor, desk.clone(), crowded, shed));
                 }
--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -606,6 +606,33 @@
     assert_eq!(client.read().body.len(), long.len());
 }
 
+/// Each of these peers waits for an end of its own accord far longer than it takes here.
+#[test]
+fn peers_that_do_not_finish_a_request_are_let_go() {
+    let backend = Peer::start();
+    let front = Front::before(&[backend.address]);
+    let healthz = "GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n";
+    let short = post("a job").replace("a job", "a");
+    let unfinished = ["", "GET /preview-fetch HT", healthz, &short];
+    let asked = Instant::now();
+    let mut peers: Vec<Client> = unfinished.iter().map(|_| front.client()).collect();
+    for (peer, sent) in peers.iter_mut().zip(unfinished) {
+        peer.send(sent);
+    }
+    let ends: Vec<String> = peers
+        .iter_mut()
+        .map(|peer| {
+            let mut answer = String::new();
+            peer.stream.read_to_string(&mut answer).expect("an orderly end");
+            answer.lines().next().unwrap_or_default().to_string()
+        })
+        .collect();
+    assert_eq!(ends, ["", "", "HTTP/1.1 200 OK", "HTTP/1.1 408 Request Timeout"]);
+    // The end is owed within 3 s; the rest is for a slow machine.
+    assert!(asked.elapsed() < Duration::from_millis(8000), "it took {:?}", asked.elapsed());
+    assert!(backend.exchanges.try_recv().is_err(), "none of that reaches a backend");
+}
+
 #[test]
 fn a_silent_discovery_disturbs_nothing_and_is_asked_anew() {
     let backend = Peer::start();
