Guard the quota's store within a meter period

The coin and its period stay; a try that the estimated store cannot hold meets the floor, unless the plan pays for it beyond the quota. The new test fails without the guard: 80 of 80 sent on.

--- a/src/control.rs
+++ b/src/control.rs
@@ -238,7 +238,7 @@
             Event::AttemptEnd(end) => self.attempt_ended(end, actions),
             Event::Started(request) | Event::ClientGone(request) => self.close(request),
             Event::Timer(token) => match (token % 4, token / 4) {
-                (DEADLINE, request) => self.deadline(request, actions),
+                (DEADLINE, request) => self.give_up(request, actions),
                 (REVIEW, request) => self.review(request, actions),
                 _ => actions.push(Action::FollowServers),
             },
@@ -343,7 +343,9 @@
         }
         // Counted after the chance is set: that a request came says nothing of how many others did.
         customer.offered_here += request.units;
-        customer.chance
+        // Guards against a burst that spends the store within a period: what it cannot hold would only cost.
+        let spent = customer.store < request.units && plan.over_cost > plan.over_worth;
+        customer.chance.min(if spent { CHANCE_FLOOR } else { 1.0 })
     }
 
     /// Takes a reading of the meter. Readings carry no number: one is new if its figure differs from the
@@ -756,15 +758,9 @@
         }
     }
 
-    fn deadline(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        if self.requests.get(&id).is_some_and(|open| !open.done) {
-            self.give_up(id, actions);
-        }
-    }
-
     /// Final answer without an answer of a server: a refusal where nothing can have run, else a failure.
     fn give_up(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(open) = self.requests.get(&id) else { return };
+        let Some(open) = self.requests.get(&id).filter(|open| !open.done) else { return };
         if open.attempts.iter().all(|attempt| !attempt.may_have_run) {
             self.refuse(id, 0.0, actions);
         } else {
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -51,6 +51,15 @@
     assert!((150.0..220.0).contains(&sent), "{sent} of 800 sent on, the quota is 200");
 }
 
+#[test]
+fn a_burst_that_spends_the_store_within_a_period_goes_no_further() {
+    let mut host = Host::new(settings(), &[server(1)]);
+    assert_eq!(ask_for(&mut host, 2.0, 20.0, 0, 0.2), 40.0);
+    // The store holds 20 units and gets 4 more meanwhile; the meter tells of this only after its period.
+    let sent = ask_for(&mut host, 200.0, 0.4, 0, 0.2);
+    assert!((18.0..30.0).contains(&sent), "{sent} of 80 sent on");
+}
+
 #[test]
 fn what_others_send_counts_against_the_quota() {
     let mut host = Host::new(settings(), &[server(1)]);
