Do not charge the retry budget for attempts whose connection broke

A broken connection says nothing of load. The new test fails without the change: 5 of 20 broken attempts were not replaced.

--- a/src/control.rs
+++ b/src/control.rs
@@ -477,8 +477,7 @@
         self.answer_time.iter().zip(&self.class_mix).map(|(time, share)| time * share).sum()
     }
 
-    /// Time taken against the fleet's mean; it fades to that of the others, so that a server passed over is
-    /// tried again.
+    /// Time taken against the fleet's mean; it fades to the others', so that one passed over is tried again.
     fn slowness(&self, server: &Server) -> f64 {
         let age = (self.now - server.judged).max(0.0) / self.mean_answer().max(1.0);
         1.0 + (server.slowness - 1.0) * (-age / FADE).exp()
@@ -738,6 +737,10 @@
         if let Some(used) = end.used {
             self.read_meter(request.customer, used);
         }
+        // A connection that broke says nothing of load: what replaces the attempt is not charged.
+        if matches!(end.outcome, Outcome::Reset | Outcome::NoConnection) {
+            self.retry_budget += 1.0;
+        }
         let open = &self.requests[&end.request];
         let out = open.attempts.iter().any(|attempt| attempt.out);
         if open.done {
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -102,3 +102,20 @@
     let sent = run(&mut host, 3000, |_, _| Some(Outcome::Ok));
     assert!(sent[&1] > 100, "{sent:?}");
 }
+
+#[test]
+fn broken_connections_do_not_use_up_the_retry_budget() {
+    // One attempt in five breaks, on a network that does that to all servers alike.
+    let mut host = fleet();
+    let mut failed_for_good = 0;
+    for n in 0..100 {
+        host.now += 20.0;
+        let (id, _) = host.ask(1, 3, 0);
+        let outcome = if n % 5 == 0 { Outcome::Reset } else { Outcome::Ok };
+        if outcome == Outcome::Reset {
+            failed_for_good += u32::from(sends(&host.end(id, 0, outcome, None)).is_empty());
+        }
+        host.end(id, u8::from(outcome == Outcome::Reset), Outcome::Ok, None);
+    }
+    assert_eq!(failed_for_good, 0);
+}
