Take each gateway's part of a quota from the meter, and guard it within a period

Now each gateway learns its part of what all send from its own sends in the period that the reading speaks of, runs that part of the store, and sets the coin's chance once a period to its part of the quota over its own offered rate, which is the quota over the global one. Before a first reading the part is an even one, as the design has it. A try that the part of the store does not hold is not sent, which replaces the guard on the whole store.

--- a/src/control.rs
+++ b/src/control.rs
@@ -12,21 +12,18 @@
 
 /// Lowest chance of admission: at nought no answer would bring a reading, and the chance would stay there.
 const CHANCE_FLOOR: f64 = 0.05;
-/// Age of the sends that a reading speaks of, in meter periods: a period is summed up, then told late.
-const METER_LAG: f64 = 2.0;
-/// What the chance leaves in the store, in standard deviations of what may be sent unseen until the next
-/// reading, times what a try beyond the quota costs: at an empty store every second coin would land beyond.
-const RESERVE: f64 = 2.0;
-/// Units over which a rate is averaged: fewer counts say little about a rate.
-const RATE_UNITS: f64 = 4.0;
-/// Units that what is known of a plan counts for beside the readings of one of its customers.
-const PRIOR_UNITS: f64 = 0.3;
-/// Part of its quota that a customer is taken to ask for until readings tell of its plan.
-const CALM_USE: f64 = 0.5;
-/// Own evidence fades over so many units of an even share of the quota.
-const OWN_UNITS: f64 = 2.0;
-/// Weight of a new gap between readings in their mean.
+/// Time from the end of a period to when the meter tells of it, in periods.
+const METER_LAG: f64 = 0.4;
+/// Periods for which own sends are kept: until the meter has told of them, or will no more.
+const KEPT: f64 = 4.0;
+/// Part of its store that a gateway's chance leaves for what comes unforeseen until it is set again.
+const RESERVE: f64 = 0.25;
+/// Own offered rate is averaged over so many units of an even share of the quota, or a period if that is more.
+const OWN_UNITS: f64 = 4.0;
+/// Weight of a reading in what is thought of this gateway's part ...
 const LEARN: f64 = 0.3;
+/// ... and periods at the quota, evenly split, that stand beside the readings.
+const EVEN: f64 = 0.25;
 /// A customer idle for so many times its burst's filling time is forgotten.
 const IDLE_FILLS: f64 = 20.0;
 /// Weight of a new sample in averages over requests and answers: about the last 20 of them.
@@ -94,34 +91,43 @@
     done: bool,
 }
 
+/// A token bucket.
+#[derive(Debug, Default)]
+struct Bucket {
+    units: f64,
+    at: Millis,
+}
+
+impl Bucket {
+    fn fill(&mut self, rate: f64, most: f64, now: Millis) {
+        self.units = (self.units + (now - self.at).max(0.0) / 1000.0 * rate).min(most);
+        self.at = now;
+    }
+}
+
 #[derive(Debug, Default)]
 struct Customer {
     plan: usize,
     spread: f64,
     seen: Millis,
-    /// Estimated content of the global token bucket.
-    store: f64,
-    store_at: Millis,
+    /// This gateway's part of what all send on for the customer, and what it and all sent in recent periods.
+    part: f64,
+    mine: f64,
+    all: f64,
+    /// Its part of the quota's store, and an even one of the ceiling's.
+    share: Bucket,
+    ceiling: Bucket,
     chance: f64,
     chance_set: Millis,
-    chances: VecDeque<(Millis, f64)>,
-    /// Own sends that the meter may not have counted yet.
+    /// Own sends that the meter may not have told of yet.
     sends: VecDeque<(Millis, f64)>,
     /// Own requests, fading: units, and the seconds that they came in.
-    offered_here: f64,
+    offered: f64,
     heard: f64,
     heard_at: Millis,
-    /// Evidence of the other gateways, fading: seconds that readings covered, units sent and offered in them.
-    watched: f64,
-    sent_elsewhere: f64,
-    offered_elsewhere: f64,
     reading: f64,
-    reading_at: Option<Millis>,
-    /// Usual time between readings, seconds; at first what an even share of the quota would give.
-    reading_gap: f64,
-    /// This gateway's share of the ceiling's store.
-    ceiling: f64,
-    ceiling_at: Millis,
+    read_at: Millis,
+    told_to: Millis,
     open: u32,
     held: VecDeque<RequestId>,
 }
@@ -147,8 +153,8 @@
     born: Millis,
     now: Millis,
     customers: BTreeMap<CustomerId, Customer>,
-    /// What customers of each plan send and offer, in parts of the quota, as far as readings tell.
-    plan_use: Vec<(f64, f64)>,
+    /// A moment at which the meter told of a new period, as near as answers show.
+    tick: Option<Millis>,
     swept: Millis,
     /// Refusals since then for want of room, and for want of a server.
     no_room: u32,
@@ -208,7 +214,7 @@
             born: now,
             now,
             customers: BTreeMap::new(),
-            plan_use: vec![(CALM_USE, CALM_USE); settings.plans.len()],
+            tick: None,
             swept: now,
             no_room: 0,
             pressed_before: false,
@@ -316,13 +322,14 @@
         let (now, born, period) = (self.now, self.born, self.settings.meter_period);
         let plan = self.settings.plans[request.plan];
         let customer = self.customers.entry(request.customer).or_insert_with(|| Customer {
-            store: plan.burst / 2.0,
-            store_at: now,
+            part: 1.0 / f64::from(request.spread.max(1)),
+            share: Bucket { units: plan.burst, at: now },
+            ceiling: Bucket { units: 0.0, at: born },
             chance: 1.0,
             chance_set: f64::NEG_INFINITY,
-            heard_at: born,
-            reading_gap: f64::from(request.spread.max(1)) / plan.rate.max(f64::MIN_POSITIVE),
-            ceiling_at: born,
+            heard_at: now - period,
+            read_at: f64::NEG_INFINITY,
+            told_to: f64::NEG_INFINITY,
             ..Customer::default()
         });
         customer.seen = now;
@@ -332,24 +339,32 @@
             return 1.0;
         }
         let seconds = (now - customer.heard_at) / 1000.0;
-        let fade = (-seconds * plan.rate / (OWN_UNITS * customer.spread)).exp();
-        customer.offered_here *= fade;
-        customer.heard = customer.heard * fade + seconds;
+        let memory = (OWN_UNITS * customer.spread / plan.rate).max(period / 1000.0);
+        let fade = (-seconds / memory).exp();
+        customer.offered *= fade;
+        customer.heard = customer.heard * fade + memory * (1.0 - fade);
         customer.heard_at = now;
-        let usual = self.plan_use[request.plan];
-        customer.refill(&plan, usual, now, period);
+        while customer.sends.front().is_some_and(|(at, _)| *at < now - KEPT * period) {
+            customer.sends.pop_front();
+        }
+        customer.refill(&plan, self.settings.max_units, now);
         if now >= customer.chance_set + period {
-            customer.set_chance(&plan, usual, now, period);
+            customer.set_chance(&plan, self.settings.max_units, now, period);
         }
         // Counted after the chance is set: that a request came says nothing of how many others did.
-        customer.offered_here += request.units;
-        // Guards against a burst that spends the store within a period: what it cannot hold would only cost.
-        let spent = customer.store < request.units && plan.over_cost > plan.over_worth;
-        customer.chance.min(if spent { CHANCE_FLOOR } else { 1.0 })
+        customer.offered += request.units;
+        // Guards against a burst within a period: what this gateway's part of the store does not hold would
+        // only cost.
+        let spent = customer.share.units < request.units && plan.over_cost > plan.over_worth;
+        if spent {
+            0.0
+        } else {
+            customer.chance
+        }
     }
 
-    /// Takes a reading of the meter. Readings carry no number: one is new if its figure differs from the
-    /// last, or if a whole period has passed since that one was first seen.
+    /// Takes a reading of the meter. Readings carry no number: periods are told apart by when the figures
+    /// change, which they do for all customers at once.
     fn read_meter(&mut self, customer: CustomerId, used: f64) {
         let (now, period) = (self.now, self.settings.meter_period);
         let Some(customer) = self.customers.get_mut(&customer) else { return };
@@ -357,33 +372,26 @@
         if plan.rate <= 0.0 || period <= 0.0 || !used.is_finite() {
             return;
         }
-        if customer.reading_at.is_some_and(|at| now < at + period && used == customer.reading) {
-            return;
+        let mut tick = self.tick.map_or(now, |tick| now - (now - tick).rem_euclid(period));
+        let changed = used != customer.reading && customer.read_at.is_finite();
+        if changed && (self.tick.is_none() || tick <= customer.read_at) {
+            tick = now;
+            self.tick = Some(now);
         }
-        let usual = &mut self.plan_use[customer.plan];
-        customer.refill(&plan, *usual, now, period);
-        if let Some(at) = customer.reading_at {
-            blend(&mut customer.reading_gap, (now - at) / 1000.0, LEARN);
+        customer.read_at = now;
+        let end = tick - METER_LAG * period;
+        if end < customer.told_to + period / 2.0 {
+            return;
         }
-        let fade = customer.fade(&plan, now);
         customer.reading = used;
-        customer.reading_at = Some(now);
-        let (from, to) = (now - (METER_LAG + 1.0) * period, now - METER_LAG * period);
-        let own: f64 =
-            customer.sends.iter().filter(|(at, _)| *at > from && *at <= to).map(|(_, units)| units).sum();
-        let held = customer.chances.iter().rev().find(|(at, _)| *at <= to).or(customer.chances.front());
-        let chance = held.map_or(1.0, |held| held.1);
-        let seconds = period / 1000.0;
-        let elsewhere = used * plan.rate * seconds - own;
-        let (expected, _, known, _) = customer.elsewhere(&plan, *usual, fade);
-        customer.store = (customer.store - elsewhere + expected * seconds).clamp(0.0, plan.burst);
-        customer.watched = customer.watched * fade + seconds;
-        customer.sent_elsewhere = (customer.sent_elsewhere * fade + elsewhere).max(0.0);
-        customer.offered_elsewhere = (customer.offered_elsewhere * fade + elsewhere / chance).max(0.0);
-        let weight = SAMPLE * (1.0 - known);
-        blend(&mut usual.0, used, weight);
-        blend(&mut usual.1, used / chance, weight);
-        customer.set_chance(&plan, *usual, now, period);
+        customer.told_to = end;
+        let (from, quota) = (end - period, plan.rate * period / 1000.0);
+        let own =
+            customer.sends.iter().filter(|(at, _)| *at > from && *at <= end).map(|(_, units)| units).sum();
+        blend(&mut customer.mine, own, LEARN);
+        blend(&mut customer.all, (used * quota).max(own), LEARN);
+        customer.part = (customer.mine + EVEN * quota / customer.spread) / (customer.all + EVEN * quota);
+        customer.set_chance(&plan, self.settings.max_units, now, period);
     }
 
     /// Adapts the room to one answer, or one overdue: additive growth, multiplicative cut, in proportion to
@@ -448,14 +456,12 @@
         if plan.ceiling_rate <= 0.0 {
             return true;
         }
-        let filled = (self.now - customer.ceiling_at).max(0.0) / 1000.0 * plan.ceiling_rate / customer.spread;
         let most = (plan.ceiling_burst + plan.ceiling_slack) / customer.spread;
-        customer.ceiling = (customer.ceiling + filled).min(most);
-        customer.ceiling_at = self.now;
-        if customer.ceiling < request.units {
+        customer.ceiling.fill(plan.ceiling_rate / customer.spread, most, self.now);
+        if customer.ceiling.units < request.units {
             return false;
         }
-        customer.ceiling -= request.units;
+        customer.ceiling.units -= request.units;
         true
     }
 
@@ -622,7 +628,7 @@
                 if let Some(customer) = self.customers.get_mut(&request.customer).filter(|_| plan.rate > 0.0)
                 {
                     customer.sends.push_back((self.now, request.units));
-                    customer.store -= request.units;
+                    customer.share.units -= request.units;
                 }
                 self.retry_budget = (self.retry_budget + RETRY_SHARE).min(self.servers.len() as f64);
                 self.send(id, server, actions);
@@ -846,52 +852,20 @@
 }
 
 impl Customer {
-    /// Rates at which the other gateways send and are offered, and the part of that which rests on readings
-    /// of this customer. What they do not tell is filled up with what its plan's customers usually do.
-    fn elsewhere(&self, plan: &Plan, usual: (f64, f64), fade: f64) -> (f64, f64, f64, f64) {
-        let prior = PRIOR_UNITS / plan.rate;
-        // One of n gateways sees one part in n of the time that all see together.
-        let own = self.heard / (self.spread - 1.0).max(f64::MIN_POSITIVE);
-        let seconds = prior + self.watched * fade;
-        let sent = (PRIOR_UNITS * usual.0 + self.sent_elsewhere * fade) / seconds;
-        let offers = PRIOR_UNITS * usual.1 + self.offered_elsewhere * fade + self.offered_here;
-        let offered = offers / (seconds + own);
-        (sent, offered, 1.0 - prior / seconds, offers.sqrt() / (seconds + own))
-    }
-
-    /// How much of the readings still counts: they fade over some units of the quota, or some gaps between
-    /// readings if those are longer.
-    fn fade(&self, plan: &Plan, now: Millis) -> f64 {
-        let memory = RATE_UNITS * (1.0 / plan.rate).max(self.reading_gap);
-        self.reading_at.map_or(0.0, |at| (-(now - at) / 1000.0 / memory).exp())
-    }
-
-    /// Brings the store up to now: the quota flows in, what other gateways are thought to send flows out.
-    fn refill(&mut self, plan: &Plan, usual: (f64, f64), now: Millis, period: Millis) {
-        let seconds = (now - self.store_at).max(0.0) / 1000.0;
-        self.store_at = now;
-        let keep = now - (METER_LAG + 2.0) * period;
-        while self.sends.front().is_some_and(|(at, _)| *at < keep) {
-            self.sends.pop_front();
-        }
-        while self.chances.len() > 1 && self.chances[1].0 < keep {
-            self.chances.pop_front();
-        }
-        let flow = plan.rate - self.elsewhere(plan, usual, self.fade(plan, now)).0;
-        self.store = (self.store + flow * seconds).clamp(0.0, plan.burst);
-    }
-
-    fn set_chance(&mut self, plan: &Plan, usual: (f64, f64), now: Millis, period: Millis) {
-        let (_, elsewhere, _, doubt) = self.elsewhere(plan, usual, self.fade(plan, now));
-        let risk = (plan.over_cost - plan.over_worth).max(0.0);
-        let offered = self.offered_here / self.heard.max(RATE_UNITS / plan.rate) + elsewhere + risk * doubt;
-        let horizon = (METER_LAG + 1.0) * period / 1000.0;
-        let reserve = (RESERVE * risk * (plan.rate * horizon).sqrt()).min(plan.burst / 2.0);
-        let spare = self.store - reserve;
-        let span = if spare > 0.0 { period / 1000.0 } else { horizon };
-        let allowed = plan.rate + spare / span.max(self.reading_gap);
+    /// Brings this gateway's part of the store up to now, and returns what it holds at the most: a request of
+    /// the largest kind at the least, which would be refused for ever else.
+    fn refill(&mut self, plan: &Plan, largest: f64, now: Millis) -> f64 {
+        let most = (plan.burst * self.part).max(largest);
+        self.share.fill(plan.rate * self.part, most, now);
+        most
+    }
+
+    /// The quota over the offered rate, both in this gateway's part, and what its store can spare meanwhile.
+    fn set_chance(&mut self, plan: &Plan, largest: f64, now: Millis, period: Millis) {
+        let reserve = RESERVE * self.refill(plan, largest, now);
+        let allowed = plan.rate * self.part + (self.share.units - reserve) / (period.max(1.0) / 1000.0);
+        let offered = self.offered / self.heard.max(f64::MIN_POSITIVE);
         self.chance = if offered > allowed { (allowed / offered).max(CHANCE_FLOOR) } else { 1.0 };
         self.chance_set = now;
-        self.chances.push_back((now, self.chance));
     }
 }
