--- a/src/control.rs
+++ b/src/control.rs
@@ -18,7 +18,7 @@
 const KEPT: f64 = 4.0;
 /// Part of its store that a gateway's chance leaves for what comes unforeseen until it is set again.
 const RESERVE: f64 = 0.25;
-/// Own offered rate is averaged over so many units of an even share of the quota, or a period if that is more.
+/// Own offered rate is averaged over so many units of an even share of the quota, or a period if longer.
 const OWN_UNITS: f64 = 4.0;
 /// Weight of a reading in what is thought of this gateway's part ...
 const LEARN: f64 = 0.3;
@@ -852,8 +852,8 @@
 }
 
 impl Customer {
-    /// Brings this gateway's part of the store up to now, and returns what it holds at the most: a request of
-    /// the largest kind at the least, which would be refused for ever else.
+    /// Brings this gateway's part of the store up to now, and returns what it can hold: a request of the
+    /// largest kind at the least, which would be refused for ever else.
     fn refill(&mut self, plan: &Plan, largest: f64, now: Millis) -> f64 {
         let most = (plan.burst * self.part).max(largest);
         self.share.fill(plan.rate * self.part, most, now);
