Cut the chance only when the readings show the burst spent

The chance was cut as soon as this gateway's part of the store ran low, though the meter showed the customer far under its quota: ticket7115 was refused 40% with 0.5% of the price beyond quota. The store is now followed from the readings as well, and the chance falls only when that one is spent too, as the design has it; until then the part of the store bounds the burst, its last half for the higher worth. The new test fails without the change.

--- a/src/control.rs
+++ b/src/control.rs
@@ -114,6 +114,7 @@
     part: f64,
     mine: f64,
     all: f64,
+    store: f64,
     /// Its part of the quota's store, and an even one of the ceiling's.
     share: Bucket,
     ceiling: Bucket,
@@ -324,6 +325,7 @@
         let customer = self.customers.entry(request.customer).or_insert_with(|| Customer {
             part: 1.0 / f64::from(request.spread.max(1)),
             share: Bucket { units: plan.burst, at: now },
+            store: plan.burst,
             ceiling: Bucket { units: 0.0, at: born },
             chance: 1.0,
             chance_set: f64::NEG_INFINITY,
@@ -347,20 +349,18 @@
         while customer.sends.front().is_some_and(|(at, _)| *at < now - KEPT * period) {
             customer.sends.pop_front();
         }
-        customer.refill(&plan, self.settings.max_units, now);
+        let most = customer.refill(&plan, self.settings.max_units, now);
         if now >= customer.chance_set + period {
             customer.set_chance(&plan, self.settings.max_units, now, period);
         }
         // Counted after the chance is set: that a request came says nothing of how many others did.
         customer.offered += request.units;
         // Guards against a burst within a period: what this gateway's part of the store does not hold would
-        // only cost.
-        let spent = customer.share.units < request.units && plan.over_cost > plan.over_worth;
-        if spent {
-            0.0
-        } else {
-            customer.chance
-        }
+        // only cost. The last half of it is for the higher worth.
+        let rank = self.class_order.iter().position(|class| *class == request.class).unwrap_or(0) as f64;
+        let kept = (most / 2.0 * rank / (self.class_order.len() - 1).max(1) as f64).min(most - request.units);
+        let spent = customer.share.units < request.units + kept && plan.over_cost > plan.over_worth;
+        customer.chance * f64::from(u8::from(!spent))
     }
 
     /// Takes a reading of the meter. Readings carry no number: periods are told apart by when the figures
@@ -383,9 +383,13 @@
         if end < customer.told_to + period / 2.0 {
             return;
         }
+        let (from, quota) = (end - period, plan.rate * period / 1000.0);
+        // Periods that no answer told of are taken to be like those before them.
+        let missed = ((end - customer.told_to) / period - 1.0).clamp(0.0, KEPT);
+        customer.store = (customer.store + missed * (quota - customer.all)).clamp(0.0, plan.burst);
+        customer.store = (customer.store + quota * (1.0 - used)).clamp(0.0, plan.burst);
         customer.reading = used;
         customer.told_to = end;
-        let (from, quota) = (end - period, plan.rate * period / 1000.0);
         let own =
             customer.sends.iter().filter(|(at, _)| *at > from && *at <= end).map(|(_, units)| units).sum();
         blend(&mut customer.mine, own, LEARN);
@@ -863,7 +867,8 @@
     /// The quota over the offered rate, both in this gateway's part, and what its store can spare meanwhile.
     fn set_chance(&mut self, plan: &Plan, largest: f64, now: Millis, period: Millis) {
         let reserve = RESERVE * self.refill(plan, largest, now);
-        let allowed = plan.rate * self.part + (self.share.units - reserve) / (period.max(1.0) / 1000.0);
+        let spare = (self.share.units - reserve).max(self.store * self.part);
+        let allowed = plan.rate * self.part + spare / (period.max(1.0) / 1000.0);
         let offered = self.offered / self.heard.max(f64::MIN_POSITIVE);
         self.chance = if offered > allowed { (allowed / offered).max(CHANCE_FLOOR) } else { 1.0 };
         self.chance_set = now;
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -61,6 +61,17 @@
     assert!((14.0..25.0).contains(&sent), "{sent} of 80 sent on");
 }
 
+#[test]
+fn the_chance_is_not_cut_while_the_readings_show_the_burst_unspent() {
+    let mut host = Host::new(settings(), &[server(1)]);
+    for _ in 0..5 {
+        assert_eq!(ask_for(&mut host, 2.0, 20.0, 0, 0.2), 40.0);
+        // Six times the quota for a moment, then some more: in all what this gateway's part of the store holds.
+        assert_eq!(ask_for(&mut host, 60.0, 0.2, 0, 0.2), 12.0);
+        assert_eq!(ask_for(&mut host, 6.0, 1.0, 0, 0.2), 6.0);
+    }
+}
+
 #[test]
 fn before_a_first_reading_a_local_store_of_the_split_quota_lets_in() {
     let mut host = Host::new(settings(), &[server(1)]);
