Give the cap's remainder to the first gateways of a customer's set

Quota-Info and the wire name the first gateway of the set, which the interface now passes on, so that each knows its place and the parts add up. The test of the cap over all gateways fails without the change: 2 and 2 out instead of 2 and 1.

--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -246,7 +246,7 @@
     let most = Duration::from_secs_f64(desk.settings.classes[class].deadline / 1000.0);
     let patience = field("x-deadline").and_then(span).ok_or("X-Deadline is no length of time")?.min(most);
     let quota = field("quota-info").and_then(|text| quota(text, &desk.settings));
-    let (units, spread) = quota.ok_or("Quota-Info makes no sense")?;
+    let (units, spread, first) = quota.ok_or("Quota-Info makes no sense")?;
     let target = head.uri.path_and_query().ok_or("the request has no path")?;
     let request = springusher::Request {
         id: 0,
@@ -255,6 +255,7 @@
         class,
         units,
         spread,
+        first,
         expires_in: 0.0,
         repeat: field("x-retry") == Some("1"),
     };
@@ -279,8 +280,8 @@
     Duration::try_from_secs_f64(number / in_second).ok()
 }
 
-/// The units and the number of front doors in the customer's set.
-fn quota(text: &str, settings: &Settings) -> Option<(f64, u32)> {
+/// The units, and the customer's set: the number of its front doors and the first of them.
+fn quota(text: &str, settings: &Settings) -> Option<(f64, u32, u32)> {
     let value = |name: &str| {
         text.split(',').find_map(|pair| pair.trim().strip_prefix(name)?.strip_prefix('=')).map(str::trim)
     };
@@ -291,5 +292,5 @@
         && units <= settings.max_units
         && (1..=settings.gateways).contains(&spread)
         && first < settings.gateways;
-    sensible.then_some((units, spread))
+    sensible.then_some((units, spread, first))
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -610,8 +610,12 @@
         let plan = self.settings.plans[request.plan];
         let aim = self.settings.classes[request.class].aim;
         let Some(customer) = self.customers.get_mut(&request.customer) else { return };
-        // Guards the cap over all gateways: each keeps to its part of it, with no word from the others.
-        if plan.open > 0 && f64::from(customer.open) >= (f64::from(plan.open) / customer.spread).ceil() {
+        // Guards the cap over all gateways: each keeps to its part of it, with no word from the others. The
+        // first of the customer's set take what does not go even, and each has one at the least.
+        let place = (self.settings.ordinal + self.settings.gateways).wrapping_sub(request.first);
+        let (even, odd) = (plan.open / request.spread.max(1), plan.open % request.spread.max(1));
+        let part = (even + u32::from(place % self.settings.gateways < odd)).max(1);
+        if plan.open > 0 && customer.open >= part {
             customer.held.push_back(id);
             if let Some(open) = self.requests.get_mut(&id) {
                 open.held = true;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -271,6 +271,8 @@
     pub units: f64,
     /// Number of gateways through which this customer's requests may come.
     pub spread: u32,
+    /// The first of these gateways; the others follow in a row, and after the last gateway comes 0.
+    pub first: u32,
     /// Time left before the client gives this try up.
     pub expires_in: Millis,
     /// Whether the client marked it as a further try of its own; false where clients mark nothing.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 //!     class: 0,
 //!     units: 1.0,
 //!     spread: 1,
+//!     first: 0,
 //!     expires_in: 2000.0,
 //!     repeat: false,
 //! };
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -175,6 +175,7 @@
             class: usize::from(record.u16(40)),
             units: finite(record.f32(42), "ACCEPT weight")?,
             spread: finite(record.f32(11), "ACCEPT spread")?.round() as u32,
+            first: finite(record.f32(36), "ACCEPT setFrom")?.round() as u32,
             expires_in: finite(record.f64(28), "ACCEPT expiresIn")?,
             repeat: record.u8(27) & 2 != 0,
         })),
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -112,7 +112,8 @@
 /// Such a customer asks once, and is answered at once if let in; tells whether it was.
 fn let_in(host: &mut Host, id: RequestId, customer: CustomerId, used: Option<f64>) -> bool {
     let (units, expires_in) = (1.0, 4000.0);
-    let request = Request { id, customer, plan: 0, class: 0, units, spread: 50, expires_in, repeat: false };
+    let request =
+        Request { id, customer, plan: 0, class: 0, units, spread: 50, first: 0, expires_in, repeat: false };
     let out = !sends(&host.event(Event::Request(request))).is_empty();
     if out {
         host.end(id, 0, Outcome::Ok, used);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -89,7 +89,8 @@
         repeat: bool,
         id: RequestId,
     ) -> Vec<Action> {
-        let request = Request { id, customer, plan, class, units: 1.0, spread: 2, expires_in, repeat };
+        let request =
+            Request { id, customer, plan, class, units: 1.0, spread: 2, first: 0, expires_in, repeat };
         self.event(Event::Request(request))
     }
 
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -204,7 +204,8 @@
                     Known { plan, class, customer, units, deadline, answers: 0, over: false, attempts };
                 self.requests.insert(id, known);
                 let repeat = id % 3 == 0;
-                let request = Request { id, customer, plan, class, units, spread: 2, expires_in, repeat };
+                let request =
+                    Request { id, customer, plan, class, units, spread: 2, first: 0, expires_in, repeat };
                 self.event(Event::Request(request));
             }
             Step::End { pick, outcome, used } if !self.out.is_empty() => {
@@ -298,6 +299,7 @@
             class: 0,
             units: 1.0,
             spread: 2,
+            first: 0,
             expires_in: 4000.0,
             repeat: false,
         };
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -121,6 +121,7 @@
         class: 1,
         units: 1.0,
         spread: 2,
+        first: 0,
         expires_in: 4000.0,
         repeat: false,
     };
@@ -146,13 +147,32 @@
 
 #[test]
 fn the_open_cap_holds_over_all_gateways_of_the_customer() {
+    // Four gateways, of which the last and the first are the customer's: neither knows of the other, and both
+    // are asked for more than the plan lets a customer have out.
     let fleet: Vec<_> = (0..8).map(server).collect();
+    let mut plans = settings().plans;
+    plans[2].open = 3;
     let sent = |ordinal| {
-        let mut host = Host::new(Settings { ordinal, ..settings() }, &fleet);
-        (0..4).map(|_| sends(&host.ask(1, 2, 0).1).len()).sum::<usize>()
+        let mut host =
+            Host::new(Settings { ordinal, gateways: 4, plans: plans.clone(), ..settings() }, &fleet);
+        let (customer, plan, class, units, spread, first) = (1, 2, 0, 1.0, 2, 3);
+        let ask = |id| {
+            let request = Request {
+                id,
+                customer,
+                plan,
+                class,
+                units,
+                spread,
+                first,
+                expires_in: 4000.0,
+                repeat: false,
+            };
+            sends(&host.event(Event::Request(request))).len()
+        };
+        (1..=4).map(ask).sum::<usize>()
     };
-    // Neither knows of the other, and both are asked for more than the plan lets a customer have out.
-    assert_eq!((settings().plans[2].open, sent(0) + sent(1)), (2, 2));
+    assert_eq!((sent(3), sent(0)), (2, 1));
 }
 
 #[test]
@@ -182,7 +202,7 @@
         for id in 1..=5 {
             let (customer, plan, class, units, spread) = (id, 3, 0, 1.0, 200);
             let (expires_in, repeat) = (4000.0, false);
-            let request = Request { id, customer, plan, class, units, spread, expires_in, repeat };
+            let request = Request { id, customer, plan, class, units, spread, first: 0, expires_in, repeat };
             gateway.handle(100.0, Event::Request(request), &mut actions);
         }
         let targets = sends(&actions);
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -92,6 +92,7 @@
         .put(19, &12345u64.to_be_bytes())
         .put(27, &[6])
         .put(28, &1250.5f64.to_be_bytes())
+        .put(36, &3f32.to_be_bytes())
         .put(40, &4u16.to_be_bytes())
         .put(42, &1.5f32.to_be_bytes());
     let request = Request {
@@ -101,6 +102,7 @@
         class: 4,
         units: 1.5,
         spread: 2,
+        first: 3,
         expires_in: 1250.5,
         repeat: true,
     };
