Judge an answer's time by the size of its request

Pace, patience and lateness now go by the units, the billed ones once they are known: the interface passes on what the wire and Billed-Units tell.

--- a/src/bin/brassport/backends.rs
+++ b/src/bin/brassport/backends.rs
@@ -38,13 +38,15 @@
     pub outcome: Outcome,
     /// The customer's use in the meter's last period, as a share of its rate.
     pub used: Option<f64>,
+    /// The request's true units.
+    pub billed: Option<f64>,
     /// The answer, if the backend served the request.
     pub answer: Option<Response<Bytes>>,
 }
 
 impl From<Outcome> for End {
     fn from(outcome: Outcome) -> End {
-        End { outcome, used: None, answer: None }
+        End { outcome, used: None, billed: None, answer: None }
     }
 }
 
@@ -293,15 +295,38 @@
 /// What an answer says of its attempt.
 fn judge(answer: Response<Bytes>) -> End {
     let header = |name| answer.headers().get(name).and_then(|value| value.to_str().ok());
-    let used = header("usage-percent").and_then(|text| text.trim().parse::<f64>().ok());
-    let used = used.filter(|percent| percent.is_finite() && *percent >= 0.0).map(|percent| percent / 100.0);
+    let figure = |name| {
+        let figure = header(name).and_then(|text| text.trim().parse::<f64>().ok());
+        figure.filter(|figure| figure.is_finite() && *figure >= 0.0)
+    };
+    let (used, billed) = (figure("usage-percent").map(|percent| percent / 100.0), figure("billed-units"));
     let turned_away = header("x-not-run").is_some_and(|text| text.trim() == "1");
     match answer.status() {
-        StatusCode::OK => End { outcome: Outcome::Ok, used, answer: Some(answer) },
+        StatusCode::OK => End { outcome: Outcome::Ok, used, billed, answer: Some(answer) },
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => {
-            End { outcome: Outcome::Full, used, answer: None }
+            End { outcome: Outcome::Full, used, billed, answer: None }
         }
         // Anything else may have run.
-        _ => End { outcome: Outcome::Error, used, answer: None },
+        _ => End { outcome: Outcome::Error, used, billed, answer: None },
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_answers_figures_are_read_if_they_make_sense() {
+        let figures = |used: &str, billed: &str| {
+            let mut answer = Response::new(Bytes::new());
+            answer.headers_mut().insert("usage-percent", HeaderValue::from_str(used).expect("a value"));
+            answer.headers_mut().insert("billed-units", HeaderValue::from_str(billed).expect("a value"));
+            let End { used, billed, .. } = judge(answer);
+            (used, billed)
+        };
+        assert_eq!(figures("140", "3"), (Some(1.4), Some(3.0)));
+        for nonsense in ["", "many", "-1", "NaN", "inf", "1e999"] {
+            assert_eq!(figures(nonsense, nonsense), (None, None), "{nonsense:?}");
+        }
     }
 }
--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -39,7 +39,7 @@
 /// Customers are numbers below this.
 const CUSTOMERS: u64 = 1 << 33;
 /// Headers that speak of one connection, or of this front door's own business, and go no further.
-const NOT_PASSED_ON: [HeaderName; 11] = [
+const NOT_PASSED_ON: [HeaderName; 12] = [
     header::CONNECTION,
     HeaderName::from_static("keep-alive"),
     HeaderName::from_static("proxy-connection"),
@@ -51,6 +51,7 @@
     header::CONTENT_LENGTH,
     HeaderName::from_static("usage-percent"),
     HeaderName::from_static("x-load"),
+    HeaderName::from_static("billed-units"),
 ];
 
 /// How far a shutdown has come.
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -256,7 +256,7 @@
                 std::future::pending::<()>().await;
             }
         };
-        let End { outcome, used, answer } =
+        let End { outcome, used, billed, answer } =
             self.backends.attempt(server, &message, expire_at, cancel, wanted).await;
         let mut inner = self.inner.borrow_mut();
         if let Some(answer) = answer {
@@ -270,7 +270,8 @@
         inner.forget_if_over(request);
         drop(inner);
         let elapsed = self.clock.now() - sent;
-        self.handle(Event::AttemptEnd(AttemptEnd { request, attempt, outcome, elapsed, finished, used }));
+        let end = AttemptEnd { request, attempt, outcome, elapsed, finished, used, billed };
+        self.handle(Event::AttemptEnd(end));
     }
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -53,6 +53,8 @@
 const SILENCE: f64 = 4.0;
 /// Mean answer times after which what was learned of a server's pace has faded to a third.
 const FADE: f64 = 20.0;
+/// Most that a request's size, against the mean one, bears on the time that it is given.
+const MOST_SIZE: f64 = 4.0;
 /// Failures in a row that eject a server.
 const STRIKES: u32 = 3;
 /// An attempt out for so many mean answer times may get a further one.
@@ -168,6 +170,8 @@
     class_order: Vec<usize>,
     /// Mean time of an answer for each class.
     answer_time: Vec<f64>,
+    /// Mean size of a request of each class.
+    mean_units: Vec<f64>,
     /// Share of what the quotas admit that the servers have room for, and when it was last set.
     room: f64,
     room_at: Millis,
@@ -225,6 +229,7 @@
             class_mix: vec![1.0 / classes.max(1) as f64; classes],
             class_order,
             answer_time: settings.classes.iter().map(|class| class.aim / (2.0 * PATIENCE)).collect(),
+            mean_units: vec![1.0; classes],
             room: START_ROOM,
             room_at: now,
             idle_part: 0.0,
@@ -279,7 +284,8 @@
             blend(share, f64::from(u8::from(class == request.class)), SAMPLE / 2.0);
         }
         let share = self.within_quota(&request);
-        let (class, answer) = (self.settings.classes[request.class], self.answer_time[request.class]);
+        blend(&mut self.mean_units[request.class], request.units, SAMPLE / 5.0);
+        let (class, answer) = (self.settings.classes[request.class], self.usual_time(&request));
         let full = self.now < self.full_at + class.aim;
         let flight = self.young(class.aim);
         let idle = !full && self.rng.rand_float() < self.idle_part - self.young(f64::INFINITY);
@@ -487,6 +493,17 @@
         self.answer_time.iter().zip(&self.class_mix).map(|(time, share)| time * share).sum()
     }
 
+    /// Size of a request against the mean one of its class: work goes by the units, and so does its time.
+    fn size(&self, request: &Request, billed: Option<f64>) -> f64 {
+        let units = billed.filter(|units| units.is_finite()).unwrap_or(request.units);
+        (units / self.mean_units[request.class].max(f64::MIN_POSITIVE)).clamp(1.0 / MOST_SIZE, MOST_SIZE)
+    }
+
+    /// Usual time of an answer to a request of this class and size.
+    fn usual_time(&self, request: &Request) -> Millis {
+        self.answer_time[request.class] * self.size(request, None)
+    }
+
     /// Time taken against the fleet's mean; it fades to the others', so that one passed over is tried again.
     fn slowness(&self, server: &Server) -> f64 {
         let age = (self.now - server.judged).max(0.0) / self.mean_answer().max(1.0);
@@ -549,10 +566,12 @@
     }
 
     /// Learns from the end of an attempt.
-    fn judge(&mut self, class: usize, id: ServerId, end: &AttemptEnd, actions: &mut Vec<Action>) {
-        let now = self.now;
+    fn judge(&mut self, request: &Request, id: ServerId, end: &AttemptEnd, actions: &mut Vec<Action>) {
+        let (now, class) = (self.now, request.class);
         let mean = self.answer_time[class].max(1.0);
+        // As if it had been a request of the mean size.
         let elapsed = if end.elapsed.is_finite() { end.elapsed.max(0.0) } else { 0.0 };
+        let elapsed = elapsed / self.size(request, end.billed);
         match end.outcome {
             Outcome::Ok => {
                 let aim = self.settings.classes[class].aim;
@@ -654,8 +673,9 @@
             customer.open += 1;
         }
         actions.push(Action::Send { request: id, server: to, expire_at: None });
-        let class = open.request.class;
-        let patience = (PATIENCE * self.answer_time[class]).min(USEFUL * self.settings.classes[class].aim);
+        let request = open.request;
+        let patience = PATIENCE * self.usual_time(&request);
+        let patience = patience.min(USEFUL * self.settings.classes[request.class].aim);
         actions.push(Action::Timer { at: self.now + patience, token: (id << 2) + REVIEW });
     }
 
@@ -680,12 +700,10 @@
 
     /// An attempt has been out for long, or a request held: tries another server, or gives up in time.
     fn review(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(class) = self.requests.get(&id).filter(|open| !open.done).map(|open| open.request.class)
-        else {
-            return;
-        };
+        let Some(open) = self.requests.get(&id).filter(|open| !open.done) else { return };
+        let class = open.request.class;
         let due = self.now - LATE * self.settings.classes[class].aim;
-        if self.requests[&id].attempts.last().is_some_and(|last| last.out && last.sent <= due) {
+        if open.attempts.last().is_some_and(|last| last.out && last.sent <= due) {
             self.adapt(class, false);
         }
         let open = &self.requests[&id];
@@ -743,7 +761,7 @@
                 self.servers.remove(&attempt.to.id);
             }
         }
-        self.judge(request.class, server, &end, actions);
+        self.judge(&request, server, &end, actions);
         let next = self.customers.get_mut(&request.customer).and_then(|customer| {
             customer.open = customer.open.saturating_sub(1);
             customer.held.pop_front()
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -322,6 +322,8 @@
     pub finished: bool,
     /// The customer's use over all gateways in the meter's last finished period, as a share of its rate.
     pub used: Option<f64>,
+    /// The request's true units, where its units were a guess; on its first good answer.
+    pub billed: Option<f64>,
 }
 
 /// What happens to a gateway.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -166,6 +166,7 @@
             elapsed: finite(record.f64(11), "ATTEMPT_END duration")?,
             finished: record.u8(19) != 0,
             used: record.u16(22).checked_sub(1).map(|percent| f64::from(percent) / 100.0),
+            billed: Some(f64::from(record.u16(20))).filter(|units| *units > 0.0),
         })),
         17 => WireEvent::Event(Event::Timer(record.u64(3))),
         18 => WireEvent::Event(Event::Request(Request {
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -226,6 +226,7 @@
                     elapsed,
                     finished,
                     used,
+                    billed: used,
                 }));
             }
             Step::Leave { pick } if !self.requests.is_empty() => {
@@ -247,6 +248,7 @@
                         elapsed: f64::NAN,
                         finished: false,
                         used: Some(f64::INFINITY),
+                        billed: Some(f64::NAN),
                     };
                     self.event(Event::AttemptEnd(noise));
                 }
@@ -311,6 +313,7 @@
             elapsed: 9.0,
             finished: true,
             used: None,
+            billed: None,
         };
         gateway.handle(now, Event::AttemptEnd(end), &mut actions);
         actions.clear();
