--- a/src/bin/brassport/backends.rs
+++ b/src/bin/brassport/backends.rs
@@ -8,9 +8,10 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use springusher::{Outcome, ServerId};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::future::Future;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -79,6 +80,10 @@
 
 pub struct Backends {
     known: RefCell<HashMap<ServerId, Backend>>,
+    /// Those that staff have taken out, known or not.
+    out: RefCell<HashSet<ServerId>>,
+    /// Attempts whose last byte was written.
+    attempts: Rc<Cell<u64>>,
     descriptors: Arc<Semaphore>,
     connect_timeout: Duration,
     keep_idle: Duration,
@@ -86,9 +91,16 @@
 }
 
 impl Backends {
-    pub fn new(descriptors: Arc<Semaphore>, connect_timeout: Duration, idle_timeout: Duration) -> Backends {
+    pub fn new(
+        descriptors: Arc<Semaphore>,
+        attempts: Rc<Cell<u64>>,
+        connect_timeout: Duration,
+        idle_timeout: Duration,
+    ) -> Backends {
         Backends {
             known: RefCell::default(),
+            out: RefCell::default(),
+            attempts,
             descriptors,
             connect_timeout,
             keep_idle: idle_timeout.mul_f64(IDLE_PART),
@@ -111,8 +123,30 @@
         self.known.borrow_mut().retain(|id, _| keep(*id));
     }
 
+    /// Takes a backend out or back in, whatever the list says of it.
+    pub fn take_out(&self, id: ServerId, out: bool) {
+        if !out {
+            self.out.borrow_mut().remove(&id);
+            return;
+        }
+        self.out.borrow_mut().insert(id);
+        if let Some(backend) = self.known.borrow_mut().get_mut(&id) {
+            backend.idle.clear();
+        }
+    }
+
     pub fn any_ready(&self) -> bool {
-        self.known.borrow().values().any(|backend| backend.ready)
+        let out = self.out.borrow();
+        self.known.borrow().iter().any(|(id, backend)| backend.ready && !out.contains(id))
+    }
+
+    pub fn lists(&self, id: ServerId) -> bool {
+        self.known.borrow().contains_key(&id)
+    }
+
+    /// How many backends the list holds.
+    pub fn count(&self) -> usize {
+        self.known.borrow().len()
     }
 
     /// Closes the idle connection that has been so for the longest time; false if there is none.
@@ -240,6 +274,9 @@
     }
 
     fn ready_at(&self, id: ServerId) -> Option<SocketAddr> {
+        if self.out.borrow().contains(&id) {
+            return None;
+        }
         self.known.borrow().get(&id).filter(|backend| backend.ready).map(|backend| backend.address)
     }
 
@@ -262,17 +299,20 @@
             }
         };
         // Guards against a machine that is cut off: its connections never come up.
-        let link = timeout(self.connect_timeout, Link::open(address)).await.ok().and_then(Result::ok);
+        let link = timeout(self.connect_timeout, Link::open(address, self.attempts.clone()))
+            .await
+            .ok()
+            .and_then(Result::ok);
         let tally = &mut *self.tally.borrow_mut();
         *if link.is_some() { &mut tally.opened } else { &mut tally.unopened } += 1;
         Some(Pooled { link: link?, since: Instant::now(), used: 0, _descriptor: descriptor })
     }
 
     fn park(&self, id: ServerId, address: SocketAddr, pooled: Pooled) {
-        let mut known = self.known.borrow_mut();
-        if let Some(backend) =
-            known.get_mut(&id).filter(|backend| backend.ready && backend.address == address)
-        {
+        if self.ready_at(id) != Some(address) {
+            return;
+        }
+        if let Some(backend) = self.known.borrow_mut().get_mut(&id) {
             backend.idle.push(pooled);
         }
     }
--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -3,6 +3,8 @@
 use crate::backends::{Backends, Message, BODY_LIMIT};
 use crate::config::Names;
 use crate::door::{log, Answer, Door};
+use crate::shift::{Phase, Shift};
+use crate::stats::{Answered, Entry, Fate, Stats};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -54,23 +56,14 @@
     HeaderName::from_static("billed-units"),
 ];
 
-/// How far a shutdown has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Phase {
-    Serving,
-    /// Clients still come; each answer closes its connection.
-    Leaving,
-    /// No more are accepted, and idle connections are closed.
-    Closing,
-}
-
 /// What every connection needs.
 pub struct Desk {
     pub door: Rc<Door>,
     pub backends: Rc<Backends>,
     pub names: Names,
     pub settings: Settings,
-    pub phase: watch::Receiver<Phase>,
+    pub shift: Rc<Shift>,
+    pub stats: Rc<Stats>,
 }
 
 /// Accepts clients until the shutdown closes the door, then returns once every connection has ended.
@@ -86,7 +79,7 @@
         }
         spare
     };
-    let mut phase = desk.phase.clone();
+    let mut phase = desk.shift.watch();
     let mut connections = JoinSet::new();
     let mut turned_away = 0;
     loop {
@@ -130,13 +123,13 @@
     mut shed: watch::Receiver<()>,
 ) {
     let _ = stream.set_nodelay(true);
-    let mut phase = desk.phase.clone();
+    let mut phase = desk.shift.watch();
+    let late = desk.shift.phase() == Phase::Emptying;
     let service = service_fn(|request| {
         let desk = desk.clone();
         async move {
-            let mut response =
-                if crowded { refusal(desk.settings.max_retry_after) } else { answer(&desk, request).await };
-            if crowded || *desk.phase.borrow() != Phase::Serving {
+            let mut response = if crowded { turn_away(&desk, request) } else { answer(&desk, request).await };
+            if crowded || desk.shift.phase() != Phase::Serving {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response)
@@ -148,7 +141,13 @@
     // A connection's error is its client's: it has gone, or what it sent is no HTTP.
     tokio::select! {
         _ = serving.as_mut() => return,
-        _ = phase.wait_for(|phase| *phase == Phase::Closing) => {}
+        () = async {
+            // Who came while the door was being emptied is served before it goes.
+            if late {
+                let _ = phase.wait_for(|phase| *phase != Phase::Emptying).await;
+            }
+            let _ = phase.wait_for(|phase| matches!(phase, Phase::Emptying | Phase::Closing)).await;
+        } => {}
         _ = shed.changed() => {}
     }
     // An idle one closes now, a busy one behind its answer.
@@ -156,45 +155,59 @@
     let _ = serving.await;
 }
 
-async fn answer(desk: &Desk, request: Request<Incoming>) -> Response<Full<Bytes>> {
+type Body = Answered<Full<Bytes>>;
+
+async fn answer(desk: &Desk, request: Request<Incoming>) -> Response<Body> {
     let came = Instant::now();
     if request.method() == Method::GET && request.uri().path() == "/healthz" {
-        let up = *desk.phase.borrow() == Phase::Serving && desk.backends.any_ready();
-        return text(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
+        let up = desk.shift.phase() == Phase::Serving && desk.backends.any_ready();
+        return text(None, if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
     }
     let (head, body) = request.into_parts();
     let asked = match check(&head, desk) {
         Ok(asked) => asked,
-        Err(problem) => return text(StatusCode::BAD_REQUEST, problem),
+        Err(problem) => return text(None, StatusCode::BAD_REQUEST, problem),
     };
+    let mut entry = desk.stats.enter(asked.request.class);
     let body = match timeout(BODY_PATIENCE, Limited::new(body, BODY_LIMIT).collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(_)) => return text(StatusCode::BAD_REQUEST, "the body is broken, or longer than 64 KiB"),
-        Err(_) => return text(StatusCode::REQUEST_TIMEOUT, "the body did not come"),
+        Ok(Err(_)) => {
+            return text(Some(entry), StatusCode::BAD_REQUEST, "the body is broken, or longer than 64 KiB")
+        }
+        Err(_) => return text(Some(entry), StatusCode::REQUEST_TIMEOUT, "the body did not come"),
     };
+    entry.taken();
     let deadline = came + asked.patience.saturating_sub(MARGIN);
     let message = Message { method: head.method, uri: asked.uri, headers: pass_on(head.headers), body };
     match desk.door.admit(asked.request, message, deadline).answer(deadline).await {
         Answer::Served(served) => {
             let (head, body) = served.into_parts();
-            let mut response = Response::new(Full::new(body));
+            let mut response = Response::new(Answered::new(Full::new(body), Some(entry), Fate::Served));
             *response.headers_mut() = pass_on(head.headers);
             response
         }
-        Answer::Refused(wait) => refusal(wait),
-        Answer::Failed => text(StatusCode::GATEWAY_TIMEOUT, "no answer of a backend"),
+        Answer::Refused(wait) => refusal(Some(entry), wait),
+        Answer::Failed => text(Some(entry), StatusCode::GATEWAY_TIMEOUT, "no answer of a backend"),
     }
 }
 
-fn text(status: StatusCode, line: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(line.as_bytes())));
+/// Refuses what came while descriptors were short.
+fn turn_away(desk: &Desk, request: Request<Incoming>) -> Response<Body> {
+    let entry = check(&request.into_parts().0, desk).ok().map(|asked| desk.stats.enter(asked.request.class));
+    refusal(entry, desk.settings.max_retry_after)
+}
+
+fn text(entry: Option<Entry>, status: StatusCode, line: &'static str) -> Response<Body> {
+    let fate = if status == StatusCode::TOO_MANY_REQUESTS { Fate::Refused } else { Fate::Failed };
+    let body = Full::new(Bytes::from_static(line.as_bytes()));
+    let mut response = Response::new(Answered::new(body, entry, fate));
     *response.status_mut() = status;
     response
 }
 
 /// A refusal, with advice on when to come back if there is any, in milliseconds.
-fn refusal(wait: f64) -> Response<Full<Bytes>> {
-    let mut response = text(StatusCode::TOO_MANY_REQUESTS, "");
+fn refusal(entry: Option<Entry>, wait: f64) -> Response<Body> {
+    let mut response = text(entry, StatusCode::TOO_MANY_REQUESTS, "");
     if wait > 0.0 {
         if let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", wait / 1000.0)) {
             response.headers_mut().insert(header::RETRY_AFTER, seconds);
--- a/src/bin/brassport/config.rs
+++ b/src/bin/brassport/config.rs
@@ -10,6 +10,8 @@
 /// All that a front door is told at its start.
 pub struct Config {
     pub listen: SocketAddr,
+    /// Where staff call, if anywhere.
+    pub admin: Option<SocketAddr>,
     pub discovery: SocketAddr,
     pub seed: u64,
     pub sockets: usize,
@@ -30,6 +32,7 @@
 #[derive(Deserialize)]
 struct File {
     listen: Option<String>,
+    admin_addr: Option<String>,
     discovery: Option<String>,
     seed: String,
     limits: Limits,
@@ -176,6 +179,7 @@
     let named = |name: &str, written: Option<String>| {
         address(name, &variable(name).or(written).ok_or_else(|| format!("{name} is not set"))?)
     };
+    let admin = variable("BALANCER_ADMIN_ADDR").or(file.admin_addr).filter(|text| !text.is_empty());
     let seed = u64::from_str_radix(&file.seed, 16)
         .map_err(|_| format!("seed: '{}' is no number in hexadecimal", file.seed))?;
     let told = file.settings;
@@ -212,6 +216,7 @@
     };
     Ok(Config {
         listen: named("BALANCER_LISTEN", file.listen)?,
+        admin: admin.map(|text| address("admin_addr", &text)).transpose()?,
         discovery: named("BALANCER_DISCOVERY", file.discovery)?,
         seed,
         sockets: file.limits.sockets,
--- a/src/bin/brassport/discovery.rs
+++ b/src/bin/brassport/discovery.rs
@@ -109,7 +109,7 @@
     }
     let open = match link {
         Some(open) => open,
-        None => link.insert(Link::open(address).await.ok()?),
+        None => link.insert(Link::open(address, Rc::default()).await.ok()?),
     };
     let answer = open.exchange(request, LIST_LIMIT).await.ok()?;
     if answer.status() != StatusCode::OK {
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -2,6 +2,7 @@
 //! requests in hand, hands events in, and carries actions out in order. It decides nothing.
 
 use crate::backends::{Backends, End, Message};
+use crate::bans::{Bans, Standing, NAME_LIMIT};
 use crate::discovery::{List, State, Target};
 use hyper::body::Bytes;
 use hyper::Response;
@@ -15,7 +16,10 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
+
+/// How often the other process's bans are looked for: both must know within half a second.
+const FOLLOW: Duration = Duration::from_millis(100);
 
 /// The final answer to a client.
 pub enum Answer {
@@ -67,12 +71,15 @@
     alarms: BinaryHeap<Reverse<(Instant, u64)>>,
     /// Names of the backends by the number that stands for each.
     uids: HashMap<ServerId, String>,
+    /// What staff took out and gave back, as last carried out.
+    standing: Standing,
 }
 
 pub struct Door {
     clock: Clock,
     zones: Vec<String>,
     backends: Rc<Backends>,
+    bans: Bans,
     inner: RefCell<Inner>,
     sooner: Notify,
 }
@@ -83,6 +90,7 @@
         seed: u64,
         zones: Vec<String>,
         backends: Rc<Backends>,
+        bans: Bans,
     ) -> Result<Rc<Door>, InvalidSetting> {
         let clock = Clock::new();
         let inner = Inner {
@@ -91,8 +99,9 @@
             last: 0,
             alarms: BinaryHeap::new(),
             uids: HashMap::new(),
+            standing: Standing::default(),
         };
-        Ok(Rc::new(Door { clock, zones, backends, inner: RefCell::new(inner), sooner: Notify::new() }))
+        Ok(Rc::new(Door { clock, zones, backends, bans, inner: RefCell::new(inner), sooner: Notify::new() }))
     }
 
     /// Takes a request in; `expires_in` and the id are filled in here.
@@ -136,7 +145,8 @@
         if kind != ListKind::Delta {
             let listed = |id| entries.iter().any(|entry| entry.id == id);
             self.backends.retain(listed);
-            self.inner.borrow_mut().uids.retain(|id, _| listed(*id));
+            let inner = &mut *self.inner.borrow_mut();
+            inner.uids.retain(|id, uid| listed(*id) || inner.standing.out.contains(uid));
         }
         self.handle(Event::Servers { kind, entries });
     }
@@ -174,6 +184,93 @@
         id
     }
 
+    /// How many backends the list holds, and how many of them get nothing.
+    pub fn backends(&self) -> (usize, usize) {
+        (self.backends.count(), self.inner.borrow().gateway.excluded(self.clock.now()))
+    }
+
+    /// Takes a backend out at the word of staff, whatever the list will say of it.
+    ///
+    /// # Errors
+    /// What is to be told to the caller: nobody has that name, or another process could not learn of it.
+    pub fn take_out(self: &Rc<Self>, uid: &str) -> Result<(), String> {
+        if !self.knows(uid) {
+            return Err("no backend has this ID".into());
+        }
+        let kept = self.bans.take_out(uid);
+        let mut standing = self.inner.borrow().standing.clone();
+        standing.out.insert(uid.to_string());
+        self.follow(standing);
+        kept.map_err(|error| format!("out here, but it cannot be kept for the next process: {error}"))
+    }
+
+    /// Gives a backend back, however often it was taken out.
+    ///
+    /// # Errors
+    /// As for [`Door::take_out`].
+    pub fn give_back(self: &Rc<Self>, uid: &str) -> Result<(), String> {
+        if !self.knows(uid) {
+            return Err("no backend has this ID".into());
+        }
+        let mut standing = self.inner.borrow().standing.clone();
+        if !standing.out.remove(uid) {
+            return Ok(());
+        }
+        let kept = self.bans.give_back(uid);
+        standing.back.insert(uid.to_string(), SystemTime::now());
+        self.follow(standing);
+        kept.map_err(|error| format!("back here, but it cannot be kept for the next process: {error}"))
+    }
+
+    fn knows(&self, uid: &str) -> bool {
+        let inner = self.inner.borrow();
+        let listed = inner.uids.iter().any(|(id, known)| known == uid && self.backends.lists(*id));
+        uid.len() <= NAME_LIMIT && (listed || inner.standing.out.contains(uid))
+    }
+
+    /// Follows what the other process of this front door was told.
+    pub async fn follow_bans(self: Rc<Self>) {
+        let mut read = Standing::default();
+        loop {
+            if let Ok(now) = self.bans.read() {
+                // What this process could not write to the folder holds for it all the same: only what
+                // changed there is taken over.
+                if now != read {
+                    let mut standing = self.inner.borrow().standing.clone();
+                    standing.out.extend(now.out.iter().cloned());
+                    standing.out.retain(|uid| now.out.contains(uid) || !read.out.contains(uid));
+                    standing.back.extend(now.back.iter().map(|(uid, at)| (uid.clone(), *at)));
+                    read = now;
+                    self.follow(standing);
+                }
+            }
+            sleep(FOLLOW).await;
+        }
+    }
+
+    /// Carries out what differs from what stands.
+    fn follow(self: &Rc<Self>, standing: Standing) {
+        let before = std::mem::replace(&mut self.inner.borrow_mut().standing, standing.clone());
+        for uid in standing.out.difference(&before.out) {
+            let id = self.id(uid);
+            log(&format!("backend {uid} is taken out"));
+            self.backends.take_out(id, true);
+            self.handle(Event::TakenOut(id));
+        }
+        for uid in before.out.union(&standing.back.keys().cloned().collect()) {
+            let new = before.out.contains(uid) || !before.back.contains_key(uid);
+            if standing.out.contains(uid) || !new {
+                continue;
+            }
+            let server = self.id(uid);
+            let at = standing.back.get(uid).copied().unwrap_or_else(SystemTime::now);
+            let at = at.duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
+            log(&format!("backend {uid} is back"));
+            self.backends.take_out(server, false);
+            self.handle(Event::GivenBack { server, at: self.clock.of_unix(at) });
+        }
+    }
+
     /// Wakes the module when its timers are due.
     pub async fn keep_time(self: Rc<Self>) {
         loop {
--- a/src/bin/brassport/link.rs
+++ b/src/bin/brassport/link.rs
@@ -4,13 +4,16 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
+use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use std::cell::Cell;
 use std::future::{poll_fn, Future};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
-use std::task::Poll;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
 use tokio::net::TcpStream;
 
 /// Why an exchange brought no whole answer.
@@ -23,18 +26,86 @@
     Broken(String),
 }
 
+/// The requests that a connection has written whole.
+#[derive(Default)]
+struct Progress {
+    /// Where they are counted.
+    written: Rc<Cell<u64>>,
+    /// Whether a request is being written, has begun to be, and has all gone to the connection.
+    writing: Cell<bool>,
+    begun: Cell<bool>,
+    all_there: Cell<bool>,
+}
+
+/// The connection's socket, which tells when a request's last byte has gone out.
+struct Socket {
+    stream: TokioIo<TcpStream>,
+    progress: Rc<Progress>,
+}
+
+impl Read for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl Write for Socket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write(context, bytes));
+        self.progress.begun.set(true);
+        Poll::Ready(written)
+    }
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, slices));
+        self.progress.begun.set(true);
+        Poll::Ready(written)
+    }
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+    /// hyper flushes once its own buffer is written out.
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.stream).poll_flush(context))?;
+        let progress = &self.progress;
+        if progress.writing.get() && progress.begun.get() && progress.all_there.get() {
+            progress.writing.set(false);
+            progress.written.set(progress.written.get() + 1);
+        }
+        Poll::Ready(Ok(()))
+    }
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
 pub struct Link {
     sender: SendRequest<Full<Bytes>>,
     /// `None` once it is over.
-    connection: Option<Connection<TokioIo<TcpStream>, Full<Bytes>>>,
+    connection: Option<Connection<Socket, Full<Bytes>>>,
+    progress: Rc<Progress>,
 }
 
 impl Link {
-    pub async fn open(address: SocketAddr) -> io::Result<Link> {
+    /// Requests are counted in `written` once their last byte is.
+    pub async fn open(address: SocketAddr, written: Rc<Cell<u64>>) -> io::Result<Link> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
-        Ok(Link { sender, connection: Some(connection) })
+        let progress = Rc::new(Progress { written, ..Progress::default() });
+        let socket = Socket { stream: TokioIo::new(stream), progress: progress.clone() };
+        let (sender, connection) = http1::handshake(socket).await.map_err(io::Error::other)?;
+        Ok(Link { sender, connection: Some(connection), progress })
     }
 
     /// Sends one request and waits for its whole answer, of `most` bytes at the most.
@@ -43,7 +114,10 @@
         request: Request<Full<Bytes>>,
         most: usize,
     ) -> Result<Response<Bytes>, Failure> {
-        let Link { sender, connection } = self;
+        let Link { sender, connection, progress } = self;
+        progress.begun.set(false);
+        progress.all_there.set(true);
+        progress.writing.set(true);
         // hyper hands a request back only if it never began to write it.
         let answer = sender.try_send_request(request);
         let answer = drive(connection, answer).await.map_err(|mut error| match error.take_message() {
@@ -75,7 +149,7 @@
 
 /// Waits for `work`, which the connection has to be driven for.
 async fn drive<T>(
-    connection: &mut Option<Connection<TokioIo<TcpStream>, Full<Bytes>>>,
+    connection: &mut Option<Connection<Socket, Full<Bytes>>>,
     work: impl Future<Output = T>,
 ) -> T {
     let mut work = pin!(work);
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -1,18 +1,27 @@
 //! The front door: one program on real sockets round the decision module of the crate `springusher`.
 #![forbid(unsafe_code)]
 
+mod admin;
 mod backends;
+mod bans;
 mod clients;
 mod config;
 mod discovery;
 mod door;
 mod link;
+mod shift;
+mod staff;
+mod stats;
 
 use backends::Backends;
-use clients::{Desk, Phase};
+use bans::Bans;
+use clients::Desk;
 use config::Config;
 use door::Door;
+use shift::Shift;
 use springusher::ListKind;
+use staff::Staff;
+use stats::Stats;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -23,8 +32,9 @@
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout};
 
-/// Descriptors that are neither a client's nor a backend's: streams, event queue, listener, discovery.
-const OWN_DESCRIPTORS: usize = 32;
+/// Descriptors that are neither a client's nor a backend's: streams, event queue, listeners, discovery,
+/// files, and the operators' callers.
+const OWN_DESCRIPTORS: usize = 16 + admin::CALLERS + 8;
 /// After SIGTERM clients still come for up to 0.4 s; the listener stays open for longer than that. What is
 /// in hand then may take as long as a client waits, 3 s at the most, before it fails, and such failures so
 /// long to be written: with what came last, the end is due before SIGKILL, 0.7 s after the longest wait.
@@ -71,9 +81,19 @@
     let longest = config.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
     let closing = Duration::try_from_secs_f64(longest / 1000.0).unwrap_or(CLOSING).min(CLOSING);
 
-    let backends = Rc::new(Backends::new(descriptors.clone(), config.connect_timeout, config.idle_timeout));
-    let door = Door::new(config.settings.clone(), config.seed, config.names.zones.clone(), backends.clone())
+    let stats = Stats::new(config.names.classes.len());
+    let backends = Rc::new(Backends::new(
+        descriptors.clone(),
+        stats.attempts.clone(),
+        config.connect_timeout,
+        config.idle_timeout,
+    ));
+    let bans = Bans::new(&bans::shared_folder());
+    bans.tidy();
+    let zones = config.names.zones.clone();
+    let door = Door::new(config.settings.clone(), config.seed, zones, backends.clone(), bans)
         .map_err(|error| error.to_string())?;
+    spawn_local(door.clone().follow_bans());
     door.servers(ListKind::Cached, config.known);
     spawn_local(door.clone().keep_time());
     let (agent, agents) = watch::channel(config.discovery);
@@ -81,13 +101,27 @@
     let sweeper = backends.clone();
     spawn_local(async move { sweeper.sweep().await });
 
-    let (phase, seen) = watch::channel(Phase::Serving);
+    let shift = Shift::new();
+    if let Some(address) = config.admin {
+        let calls = TcpListener::bind(address)
+            .await
+            .map_err(|error| format!("cannot listen on {address}: {error}"))?;
+        let staff = Staff {
+            door: door.clone(),
+            backends: backends.clone(),
+            stats: stats.clone(),
+            shift: shift.clone(),
+            classes: config.names.classes.clone(),
+        };
+        spawn_local(admin::serve(calls, Rc::new(staff)));
+    }
     let desk = Rc::new(Desk {
         door: door.clone(),
         backends,
         names: config.names,
         settings: config.settings,
-        phase: seen,
+        shift: shift.clone(),
+        stats: stats.clone(),
     });
     let mut serving = spawn_local(clients::serve(listener, desk, descriptors));
 
@@ -95,15 +129,21 @@
         tokio::select! {
             _ = terminate.recv() => break,
             Some(()) = hang_up.recv() => match config::discovery() {
-                Ok(address) => drop(agent.send_replace(address)),
+                Ok(address) => {
+                    stats.reloads_ok.set(stats.reloads_ok.get() + 1);
+                    agent.send_replace(address);
+                }
                 // Guards against a file that cannot be read: what was known before stays in force.
-                Err(problem) => door::log(&format!("the configuration is not taken over: {problem}")),
+                Err(problem) => {
+                    stats.reloads_failed.set(stats.reloads_failed.get() + 1);
+                    door::log(&format!("the configuration is not taken over: {problem}"));
+                }
             },
         }
     }
-    phase.send_replace(Phase::Leaving);
+    shift.end();
     sleep(LEAVING).await;
-    phase.send_replace(Phase::Closing);
+    shift.close();
     if timeout(closing.saturating_sub(LAST_WORDS), &mut serving).await.is_err() {
         door.fail_all();
         let _ = timeout(LAST_WORDS, &mut serving).await;
--- /dev/null
+++ b/src/bin/brassport/shift.rs
@@ -0,0 +1,139 @@
+//! Whether the door takes clients: serving, sending them away at the word of staff, or ending.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// After `standby` clients still come for 0.3 s, and use the connections that they have: each answer closes
+/// its own. What is idle after so long is closed, so that nothing that came in the last 2 s is open at 4 s.
+const EMPTY_AFTER: Duration = Duration::from_millis(1500);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    Serving,
+    /// Clients still come; each answer closes its connection.
+    Leaving,
+    /// Idle connections are closed. Who comes nonetheless is served and sent off.
+    Emptying,
+    /// No more are accepted, and idle connections are closed. From here there is no way back.
+    Closing,
+}
+
+impl Phase {
+    /// As staff read it.
+    pub fn word(self) -> &'static str {
+        match self {
+            Phase::Serving => "serving",
+            Phase::Leaving | Phase::Emptying => "sending clients away",
+            Phase::Closing => "ending",
+        }
+    }
+}
+
+pub struct Shift {
+    phase: watch::Sender<Phase>,
+    /// Counts the changes: a timer of an earlier one has no say.
+    turn: Cell<u64>,
+    ending: Cell<bool>,
+}
+
+impl Shift {
+    pub fn new() -> Rc<Shift> {
+        Rc::new(Shift {
+            phase: watch::Sender::new(Phase::Serving),
+            turn: Cell::new(0),
+            ending: Cell::new(false),
+        })
+    }
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+    pub fn watch(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    /// Sends clients away. A second call while that goes on changes nothing.
+    pub fn stand_by(self: &Rc<Self>) {
+        if self.phase() != Phase::Serving {
+            return;
+        }
+        let turn = self.change(Phase::Leaving);
+        let shift = self.clone();
+        spawn_local(async move {
+            sleep(EMPTY_AFTER).await;
+            if shift.turn.get() == turn {
+                shift.change(Phase::Emptying);
+            }
+        });
+    }
+
+    /// Takes clients again.
+    ///
+    /// # Errors
+    /// The process is ending, which nothing takes back.
+    pub fn take_up(&self) -> Result<(), String> {
+        if self.ending.get() {
+            return Err("this process is ending".into());
+        }
+        if self.phase() != Phase::Serving {
+            self.change(Phase::Serving);
+        }
+        Ok(())
+    }
+
+    /// The process is told to end. What `standby` has closed already stays so.
+    pub fn end(&self) {
+        self.ending.set(true);
+        if self.phase() != Phase::Emptying {
+            self.change(Phase::Leaving);
+        }
+    }
+    pub fn close(&self) {
+        self.change(Phase::Closing);
+    }
+
+    fn change(&self, phase: Phase) -> u64 {
+        self.turn.set(self.turn.get() + 1);
+        self.phase.send_replace(phase);
+        self.turn.get()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::task::LocalSet;
+
+    /// Under a paused clock, which leaps to the next timer.
+    fn run(test: impl std::future::Future<Output = ()>) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+        LocalSet::new().block_on(&runtime.expect("a runtime"), test);
+    }
+
+    #[test]
+    fn standby_empties_the_door_unless_active_comes_first() {
+        run(async {
+            let shift = Shift::new();
+            shift.stand_by();
+            sleep(EMPTY_AFTER / 2).await;
+            shift.stand_by();
+            assert_eq!(shift.phase(), Phase::Leaving);
+            shift.take_up().expect("it goes on");
+            assert_eq!(shift.phase(), Phase::Serving);
+            shift.stand_by();
+            sleep(EMPTY_AFTER * 3 / 4).await;
+            assert_eq!(shift.phase(), Phase::Leaving, "the first call's timer has no say");
+            sleep(EMPTY_AFTER / 2).await;
+            assert_eq!(shift.phase(), Phase::Emptying);
+            shift.end();
+            assert_eq!(shift.phase(), Phase::Emptying);
+            assert!(shift.take_up().is_err());
+            shift.close();
+            sleep(EMPTY_AFTER * 2).await;
+            assert_eq!(shift.phase(), Phase::Closing);
+        });
+    }
+}
--- /dev/null
+++ b/src/bin/brassport/staff.rs
@@ -0,0 +1,36 @@
+//! What staff can ask of this process, for the operators' door.
+
+use crate::admin::{Call, Operations};
+use crate::backends::Backends;
+use crate::door::Door;
+use crate::shift::Shift;
+use crate::stats::Stats;
+use std::rc::Rc;
+
+pub struct Staff {
+    pub door: Rc<Door>,
+    pub backends: Rc<Backends>,
+    pub stats: Rc<Stats>,
+    pub shift: Rc<Shift>,
+    pub classes: Vec<String>,
+}
+
+impl Operations for Staff {
+    async fn carry_out(&self, call: Call<'_>) -> Result<String, String> {
+        match call {
+            Call::Status if !self.backends.any_ready() => Err("no backend to send to".into()),
+            Call::Status => Ok(format!("done {}", self.shift.phase().word())),
+            Call::Stats => {
+                let (known, excluded) = self.door.backends();
+                Ok(format!("{}\nend", self.stats.line(&self.classes, known, excluded)))
+            }
+            Call::TakeOut(uid) => self.door.take_out(uid).map(|()| format!("done {uid} is out")),
+            Call::GiveBack(uid) => self.door.give_back(uid).map(|()| format!("done {uid} may serve")),
+            Call::Standby => {
+                self.shift.stand_by();
+                Ok("done".into())
+            }
+            Call::Active => self.shift.take_up().map(|()| "done".into()),
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/brassport/stats.rs
@@ -0,0 +1,178 @@
+//! What staff read of the front door: how many requests ended how, and how many are in hand.
+
+use hyper::body::{Body, Bytes, Frame, SizeHint};
+use serde_json::{json, Map, Value};
+use std::cell::{Cell, RefCell};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    Served,
+    Refused,
+    Failed,
+}
+
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+struct Ended {
+    served: u64,
+    refused: u64,
+    failed: u64,
+}
+
+/// All counts are from this process's start.
+#[derive(Default)]
+pub struct Stats {
+    ended: RefCell<Vec<Ended>>,
+    /// Attempts whose last byte was written.
+    pub attempts: Rc<Cell<u64>>,
+    in_flight: Cell<u64>,
+    pub reloads_ok: Cell<u64>,
+    pub reloads_failed: Cell<u64>,
+}
+
+impl Stats {
+    pub fn new(classes: usize) -> Rc<Stats> {
+        Rc::new(Stats { ended: vec![Ended::default(); classes].into(), ..Stats::default() })
+    }
+
+    /// A request of this class, from here until the entry is dropped.
+    pub fn enter(self: &Rc<Self>, class: usize) -> Entry {
+        Entry { stats: self.clone(), class, taken: false, fate: Fate::Failed }
+    }
+
+    /// One line of JSON.
+    pub fn line(&self, classes: &[String], known: usize, excluded: usize) -> String {
+        let by_class = |count: fn(&Ended) -> u64| -> Map<String, Value> {
+            let ended = self.ended.borrow();
+            classes.iter().cloned().zip(ended.iter().map(|ended| count(ended).into())).collect()
+        };
+        json!({
+            "served": by_class(|ended| ended.served),
+            "refused": by_class(|ended| ended.refused),
+            "failed": by_class(|ended| ended.failed),
+            "attempts": self.attempts.get(),
+            "in_flight": self.in_flight.get(),
+            "backends_known": known,
+            "backends_excluded": excluded,
+            "reloads_ok": self.reloads_ok.get(),
+            "reloads_failed": self.reloads_failed.get(),
+        })
+        .to_string()
+    }
+}
+
+/// Stands for one request. Dropped, it counts how that ended: as a failure, unless something else came about.
+pub struct Entry {
+    stats: Rc<Stats>,
+    class: usize,
+    taken: bool,
+    fate: Fate,
+}
+
+impl Entry {
+    /// The request is here to its last byte.
+    pub fn taken(&mut self) {
+        if !std::mem::replace(&mut self.taken, true) {
+            self.stats.in_flight.set(self.stats.in_flight.get() + 1);
+        }
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        if self.taken {
+            self.stats.in_flight.set(self.stats.in_flight.get() - 1);
+        }
+        let ended = &mut self.stats.ended.borrow_mut()[self.class];
+        *match self.fate {
+            Fate::Served => &mut ended.served,
+            Fate::Refused => &mut ended.refused,
+            Fate::Failed => &mut ended.failed,
+        } += 1;
+    }
+}
+
+/// An answer's body. The request that it answers ends with it: as `fate` says if all of it was taken to be
+/// written, else as a failure.
+pub struct Answered<B> {
+    body: B,
+    entry: Option<Entry>,
+    fate: Fate,
+}
+
+impl<B: Body> Answered<B> {
+    pub fn new(body: B, entry: Option<Entry>, fate: Fate) -> Answered<B> {
+        let mut answered = Answered { body, entry, fate };
+        answered.note_end();
+        answered
+    }
+    fn note_end(&mut self) {
+        if let Some(entry) = self.entry.as_mut().filter(|_| self.body.is_end_stream()) {
+            entry.fate = self.fate;
+        }
+    }
+}
+
+impl<B: Body<Data = Bytes> + Unpin> Body for Answered<B> {
+    type Data = Bytes;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        if frame.is_none() {
+            let fate = self.fate;
+            if let Some(entry) = &mut self.entry {
+                entry.fate = fate;
+            }
+        }
+        self.note_end();
+        Poll::Ready(frame)
+    }
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use http_body_util::{BodyExt, Full};
+
+    fn figures(stats: &Rc<Stats>) -> Value {
+        serde_json::from_str(&stats.line(&["a".into()], 3, 1)).expect("JSON")
+    }
+
+    #[tokio::test]
+    async fn each_request_counts_once_and_leaves_nothing_in_flight() {
+        let stats = Stats::new(1);
+        for fate in [Fate::Served, Fate::Refused, Fate::Failed] {
+            let mut entry = stats.enter(0);
+            entry.taken();
+            entry.taken();
+            assert_eq!(figures(&stats)["in_flight"], 1);
+            let body = Answered::new(Full::new(Bytes::from_static(b"answer")), Some(entry), fate);
+            body.collect().await.expect("a body");
+        }
+        // Its client left before the answer's end.
+        let mut entry = stats.enter(0);
+        entry.taken();
+        drop(Answered::new(Full::new(Bytes::from_static(b"answer")), Some(entry), Fate::Served));
+        // One that never came whole.
+        drop(stats.enter(0));
+        let figures = figures(&stats);
+        assert_eq!(figures["served"]["a"], 1);
+        assert_eq!(figures["refused"]["a"], 1);
+        assert_eq!(figures["failed"]["a"], 3);
+        assert_eq!(figures["in_flight"], 0);
+        assert_eq!((&figures["backends_known"], &figures["backends_excluded"]), (&json!(3), &json!(1)));
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -5,26 +5,12 @@
 //! rate of all gateways is taken from the meter, and the class of the lowest worth goes first.
 
 use crate::interface::*;
+use crate::quota::{Customer, CHANCE_FLOOR, METER_LAG};
 use oorandom::Rand64;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 // ---- Constants. All are dimensionless; times and rates come from the settings. ----
 
-/// Lowest chance of admission: at nought no answer would bring a reading, and the chance would stay there.
-const CHANCE_FLOOR: f64 = 0.05;
-/// Time from the end of a period to when the meter tells of it, in periods.
-const METER_LAG: f64 = 0.4;
-/// Periods for which own sends are kept: until the meter has told of them, or will no more.
-const KEPT: f64 = 4.0;
-/// Part of its store that a gateway's chance leaves for what comes unforeseen until it is set again.
-const RESERVE: f64 = 0.25;
-/// Own offered rate is averaged over so many units of an even share of the quota, or a period if longer.
-const OWN_UNITS: f64 = 4.0;
-/// Weight of a reading in this gateway's part, and periods at the quota, evenly split, that stand beside it.
-const LEARN: f64 = 0.5;
-const EVEN: f64 = 0.5;
-/// Part of what the meter shows unused that a gateway takes which ran short of its own meanwhile.
-const LEND: f64 = 0.5;
 /// A customer idle for so many times its burst's filling time is forgotten.
 const IDLE_FILLS: f64 = 20.0;
 /// Weight of a new sample in averages over requests and answers: about the last 20 of them.
@@ -94,47 +80,6 @@
     done: bool,
 }
 
-/// A token bucket.
-#[derive(Debug, Default)]
-struct Bucket {
-    units: f64,
-    at: Millis,
-}
-
-impl Bucket {
-    fn fill(&mut self, rate: f64, most: f64, now: Millis) {
-        self.units = (self.units + (now - self.at).max(0.0) / 1000.0 * rate).min(most);
-        self.at = now;
-    }
-}
-
-#[derive(Debug, Default)]
-struct Customer {
-    plan: usize,
-    spread: f64,
-    seen: Millis,
-    /// This gateway's part of what all send on for the customer, and whether that ran short since it was set.
-    part: f64,
-    short: bool,
-    store: f64,
-    /// Its part of the quota's store, and an even one of the ceiling's.
-    share: Bucket,
-    ceiling: Bucket,
-    chance: f64,
-    chance_set: Millis,
-    /// Own sends that the meter may not have told of yet.
-    sends: VecDeque<(Millis, f64)>,
-    /// Own requests, fading: units, and the seconds that they came in.
-    offered: f64,
-    heard: f64,
-    heard_at: Millis,
-    reading: f64,
-    read_at: Millis,
-    told_to: Millis,
-    open: u32,
-    held: VecDeque<RequestId>,
-}
-
 #[derive(Debug)]
 struct Server {
     entry: ServerEntry,
@@ -165,6 +110,9 @@
     no_server: u32,
     requests: BTreeMap<RequestId, Open>,
     servers: BTreeMap<ServerId, Server>,
+    /// Servers that staff have taken out, whatever the list says, and when they gave them back. Such a one is
+    /// cold from then on, for it is restarted meanwhile, and the list may not tell.
+    taken_out: BTreeMap<ServerId, Option<Millis>>,
     /// Recent share of each class in the offered units, and the classes from the highest worth down.
     class_mix: Vec<f64>,
     class_order: Vec<usize>,
@@ -187,7 +135,7 @@
 }
 
 /// Moves an average towards a sample.
-fn blend(average: &mut f64, sample: f64, weight: f64) {
+pub(crate) fn blend(average: &mut f64, sample: f64, weight: f64) {
     *average += weight * (sample - *average);
 }
 
@@ -226,6 +174,7 @@
             no_server: 0,
             requests: BTreeMap::new(),
             servers: BTreeMap::new(),
+            taken_out: BTreeMap::new(),
             class_mix: vec![1.0 / classes.max(1) as f64; classes],
             class_order,
             answer_time: settings.classes.iter().map(|class| class.aim / (2.0 * PATIENCE)).collect(),
@@ -255,6 +204,8 @@
                 _ => actions.push(Action::FollowServers),
             },
             Event::Servers { kind, entries } => self.roster(kind, entries, actions),
+            Event::TakenOut(id) => self.take_out(id, None),
+            Event::GivenBack { server, at } => self.take_out(server, Some(at.min(self.now))),
         }
     }
 
@@ -328,33 +279,15 @@
     fn within_quota(&mut self, request: &Request) -> f64 {
         let (now, born, period) = (self.now, self.born, self.settings.meter_period);
         let plan = self.settings.plans[request.plan];
-        let customer = self.customers.entry(request.customer).or_insert_with(|| Customer {
-            part: 1.0 / f64::from(request.spread.max(1)),
-            share: Bucket { units: plan.burst, at: now },
-            store: plan.burst,
-            ceiling: Bucket { units: 0.0, at: born },
-            chance: 1.0,
-            chance_set: f64::NEG_INFINITY,
-            heard_at: now - period,
-            read_at: f64::NEG_INFINITY,
-            told_to: f64::NEG_INFINITY,
-            ..Customer::default()
-        });
+        let customer = self.customers.entry(request.customer);
+        let customer = customer.or_insert_with(|| Customer::new(&plan, request.spread, born, now, period));
         customer.seen = now;
         customer.plan = request.plan;
         customer.spread = f64::from(request.spread.max(1));
         if plan.rate <= 0.0 {
             return 1.0;
         }
-        let seconds = (now - customer.heard_at) / 1000.0;
-        let memory = (OWN_UNITS * customer.spread / plan.rate).max(period / 1000.0);
-        let fade = (-seconds / memory).exp();
-        customer.offered *= fade;
-        customer.heard = customer.heard * fade + memory * (1.0 - fade);
-        customer.heard_at = now;
-        while customer.sends.front().is_some_and(|(at, _)| *at < now - KEPT * period) {
-            customer.sends.pop_front();
-        }
+        customer.fade(&plan, now, period);
         let most = customer.refill(&plan, self.settings.max_units, now);
         if now >= customer.chance_set + period {
             customer.set_chance(&plan, self.settings.max_units, now, period);
@@ -389,19 +322,7 @@
         if end < customer.told_to + period / 2.0 {
             return;
         }
-        let (from, quota) = (end - period, plan.rate * period / 1000.0);
-        // Periods that no answer told of are taken to be like those before them.
-        let missed = ((end - customer.told_to) / period - 1.0).clamp(0.0, KEPT);
-        let unused = missed * (1.0 - customer.reading) + 1.0 - used;
-        customer.store = (customer.store + quota * unused).clamp(0.0, plan.burst);
-        customer.reading = used;
-        customer.told_to = end;
-        let told = customer.sends.iter().filter(|(at, _)| *at > from && *at <= end);
-        let own: f64 = told.map(|(_, units)| units).sum();
-        let part = (own + EVEN * quota / customer.spread) / ((used * quota).max(own) + EVEN * quota);
-        let lent = if customer.short { LEND * (1.0 - used).max(0.0) } else { 0.0 };
-        blend(&mut customer.part, (part + lent).min(1.0), LEARN);
-        customer.short = false;
+        customer.read(&plan, used, end, period);
         customer.set_chance(&plan, self.settings.max_units, now, period);
     }
 
@@ -480,8 +401,9 @@
 
     /// Share of its full capacity that a server has at least.
     fn warmth(&self, server: &Server) -> f64 {
-        match server.entry.launched {
-            Some(at) if self.settings.cold_for > 0.0 && self.now < at + self.settings.cold_for => {
+        let back = self.taken_out.get(&server.entry.id).copied().flatten().unwrap_or(f64::NEG_INFINITY);
+        match server.entry.launched.unwrap_or(f64::NEG_INFINITY).max(back) {
+            at if self.settings.cold_for > 0.0 && self.now < at + self.settings.cold_for => {
                 let ramp = ((self.now - at) / self.settings.cold_for).clamp(0.0, 1.0);
                 self.settings.cold_from + (1.0 - self.settings.cold_from) * ramp
             }
@@ -489,6 +411,23 @@
         }
     }
 
+    /// Whether a server takes new requests, as far as the list and staff say.
+    fn serves(&self, server: &Server) -> bool {
+        server.entry.lifecycle == Lifecycle::Ready && self.taken_out.get(&server.entry.id) != Some(&None)
+    }
+
+    /// Whether a server has failed so often that it is passed over for now.
+    fn ejected(&self, server: &Server, now: Millis) -> bool {
+        now < server.ejected_until || (server.strikes >= STRIKES && !server.out.is_empty())
+    }
+
+    /// How many servers of the list get nothing, by order of staff or for their failures.
+    pub fn excluded(&self, now: Millis) -> usize {
+        let listed = self.servers.values().filter(|server| server.entry.lifecycle != Lifecycle::Gone);
+        let by_hand = |server: &Server| self.taken_out.get(&server.entry.id) == Some(&None);
+        listed.filter(|server| by_hand(server) || self.ejected(server, now)).count()
+    }
+
     /// Mean time of an answer over the classes, by their recent mix.
     fn mean_answer(&self) -> f64 {
         self.answer_time.iter().zip(&self.class_mix).map(|(time, share)| time * share).sum()
@@ -528,7 +467,7 @@
         // whatever its answers, so that all gateways, however many, send it no more for its capacity than a
         // warm one; with few warm ones left, the rest is refused. Hurts where warmth is understated.
         let (mut ready, mut capacity) = (0.0, 0.0);
-        for server in self.servers.values().filter(|server| server.entry.lifecycle == Lifecycle::Ready) {
+        for server in self.servers.values().filter(|server| self.serves(server)) {
             let warmth = self.warmth(server);
             ready += 1.0;
             capacity += warmth;
@@ -541,7 +480,7 @@
                 (Effect::Keyed { scope: Scope::Cell, .. }, Some(home)) => home.cell == server.entry.cell,
                 _ => true,
             };
-            if !same_group || server.entry.lifecycle != Lifecycle::Ready {
+            if !same_group || !self.serves(server) {
                 continue;
             }
             let warmth = self.warmth(server);
@@ -550,8 +489,7 @@
                 continue;
             }
             let silence = self.silence(server);
-            let ejected =
-                self.now < server.ejected_until || (server.strikes >= STRIKES && !server.out.is_empty());
+            let ejected = self.ejected(server, self.now);
             let tried = open.attempts.iter().any(|attempt| attempt.to.id == id);
             let size = if server.entry.share > 0.0 { server.entry.share } else { 1.0 };
             let far = if server.entry.zone == self.settings.zone { 1.0 } else { FAR };
@@ -872,28 +810,24 @@
             server.entry = entry;
         }
         self.servers.retain(|_, server| server.entry.lifecycle != Lifecycle::Gone || !server.out.is_empty());
-        let ready = self.servers.values().filter(|server| server.entry.lifecycle == Lifecycle::Ready).count();
-        self.idle_part = IDLE * ready as f64 / f64::from(self.settings.gateways);
-        self.limit = self.limit.max(self.idle_part);
+        self.count_ready();
     }
-}
 
-impl Customer {
-    /// Brings this gateway's part of the store up to now, and returns what it can hold: a request of the
-    /// largest kind at the least, which would be refused for ever else.
-    fn refill(&mut self, plan: &Plan, largest: f64, now: Millis) -> f64 {
-        let most = (plan.burst * self.part).max(largest);
-        self.share.fill(plan.rate * self.part, most, now);
-        most
-    }
-
-    /// The quota over the offered rate, both in this gateway's part, and what its store can spare meanwhile.
-    fn set_chance(&mut self, plan: &Plan, largest: f64, now: Millis, period: Millis) {
-        let reserve = RESERVE * self.refill(plan, largest, now);
-        let spare = (self.share.units - reserve).max(self.store * self.part);
-        let allowed = plan.rate * self.part + spare / (period.max(1.0) / 1000.0);
-        let offered = self.offered / self.heard.max(f64::MIN_POSITIVE);
-        self.chance = if offered > allowed { (allowed / offered).max(CHANCE_FLOOR) } else { 1.0 };
-        self.chance_set = now;
+    /// Takes a server out by order of staff, or back in from a moment on. Another start of it is another server.
+    fn take_out(&mut self, id: ServerId, back: Option<Millis>) {
+        self.taken_out.insert(id, back);
+        let (now, cold_for) = (self.now, self.settings.cold_for);
+        self.taken_out.retain(|_, back| back.is_none_or(|back| now < back + cold_for));
+        if let Some(server) = self.servers.get_mut(&id).filter(|_| back.is_some()) {
+            (server.strikes, server.ejected_until, server.slowness) = (0, 0.0, 1.0);
+        }
+        self.count_ready();
+    }
+
+    /// Sets what follows from the number of servers that take requests.
+    fn count_ready(&mut self) {
+        let ready = self.servers.values().filter(|server| self.serves(server)).count();
+        self.idle_part = IDLE * ready as f64 / f64::from(self.settings.gateways);
+        self.limit = self.limit.max(self.idle_part);
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -346,6 +346,15 @@
     ClientGone(RequestId),
     /// A timer that this gateway set.
     Timer(u64),
+    /// Staff took a server out: nothing new may be sent to it, whatever the list says.
+    TakenOut(ServerId),
+    /// Staff gave a server back. It may have been restarted meanwhile.
+    GivenBack {
+        /// The server.
+        server: ServerId,
+        /// When.
+        at: Millis,
+    },
 }
 
 /// What a gateway asks of its host.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 
 pub mod control;
 pub mod interface;
+mod quota;
 pub mod wire;
 
 pub use control::Gateway;
--- /dev/null
+++ b/src/quota.rs
@@ -0,0 +1,129 @@
+//! What one gateway knows of one customer: its part of the quota's store, of the ceiling's and of the offered
+//! rate, and the chance that follows from them and the meter.
+
+use crate::control::blend;
+use crate::interface::*;
+use std::collections::VecDeque;
+
+/// Lowest chance of admission: at nought no answer would bring a reading, and the chance would stay there.
+pub(crate) const CHANCE_FLOOR: f64 = 0.05;
+/// Time from the end of a period to when the meter tells of it, in periods.
+pub(crate) const METER_LAG: f64 = 0.4;
+/// Periods for which own sends are kept: until the meter has told of them, or will no more.
+const KEPT: f64 = 4.0;
+/// Part of its store that a gateway's chance leaves for what comes unforeseen until it is set again.
+const RESERVE: f64 = 0.25;
+/// Own offered rate is averaged over so many units of an even share of the quota, or a period if longer.
+const OWN_UNITS: f64 = 4.0;
+/// Weight of a reading in this gateway's part, and periods at the quota, evenly split, that stand beside it.
+const LEARN: f64 = 0.5;
+const EVEN: f64 = 0.5;
+/// Part of what the meter shows unused that a gateway takes which ran short of its own meanwhile.
+const LEND: f64 = 0.5;
+
+/// A token bucket.
+#[derive(Debug, Default)]
+pub(crate) struct Bucket {
+    pub(crate) units: f64,
+    pub(crate) at: Millis,
+}
+
+impl Bucket {
+    pub(crate) fn fill(&mut self, rate: f64, most: f64, now: Millis) {
+        self.units = (self.units + (now - self.at).max(0.0) / 1000.0 * rate).min(most);
+        self.at = now;
+    }
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Customer {
+    pub(crate) plan: usize,
+    pub(crate) spread: f64,
+    pub(crate) seen: Millis,
+    /// This gateway's part of what all send on for the customer, and whether that ran short since it was set.
+    pub(crate) part: f64,
+    pub(crate) short: bool,
+    pub(crate) store: f64,
+    /// Its part of the quota's store, and an even one of the ceiling's.
+    pub(crate) share: Bucket,
+    pub(crate) ceiling: Bucket,
+    pub(crate) chance: f64,
+    pub(crate) chance_set: Millis,
+    /// Own sends that the meter may not have told of yet.
+    pub(crate) sends: VecDeque<(Millis, f64)>,
+    /// Own requests, fading: units, and the seconds that they came in.
+    pub(crate) offered: f64,
+    pub(crate) heard: f64,
+    pub(crate) heard_at: Millis,
+    pub(crate) reading: f64,
+    pub(crate) read_at: Millis,
+    pub(crate) told_to: Millis,
+    pub(crate) open: u32,
+    pub(crate) held: VecDeque<RequestId>,
+}
+
+impl Customer {
+    /// One that has sent nothing yet, at a gateway born at `born`.
+    pub(crate) fn new(plan: &Plan, spread: u32, born: Millis, now: Millis, period: Millis) -> Customer {
+        Customer {
+            part: 1.0 / f64::from(spread.max(1)),
+            share: Bucket { units: plan.burst, at: now },
+            store: plan.burst,
+            ceiling: Bucket { units: 0.0, at: born },
+            chance: 1.0,
+            chance_set: f64::NEG_INFINITY,
+            heard_at: now - period,
+            read_at: f64::NEG_INFINITY,
+            told_to: f64::NEG_INFINITY,
+            ..Customer::default()
+        }
+    }
+
+    /// Brings the averages over own requests up to now, and forgets what the meter tells of no more.
+    pub(crate) fn fade(&mut self, plan: &Plan, now: Millis, period: Millis) {
+        let seconds = (now - self.heard_at) / 1000.0;
+        let memory = (OWN_UNITS * self.spread / plan.rate).max(period / 1000.0);
+        let fade = (-seconds / memory).exp();
+        self.offered *= fade;
+        self.heard = self.heard * fade + memory * (1.0 - fade);
+        self.heard_at = now;
+        while self.sends.front().is_some_and(|(at, _)| *at < now - KEPT * period) {
+            self.sends.pop_front();
+        }
+    }
+
+    /// Takes in the use in the period that ended at `end`.
+    pub(crate) fn read(&mut self, plan: &Plan, used: f64, end: Millis, period: Millis) {
+        let (from, quota) = (end - period, plan.rate * period / 1000.0);
+        // Periods that no answer told of are taken to be like those before them.
+        let missed = ((end - self.told_to) / period - 1.0).clamp(0.0, KEPT);
+        let unused = missed * (1.0 - self.reading) + 1.0 - used;
+        self.store = (self.store + quota * unused).clamp(0.0, plan.burst);
+        self.reading = used;
+        self.told_to = end;
+        let told = self.sends.iter().filter(|(at, _)| *at > from && *at <= end);
+        let own: f64 = told.map(|(_, units)| units).sum();
+        let part = (own + EVEN * quota / self.spread) / ((used * quota).max(own) + EVEN * quota);
+        let lent = if self.short { LEND * (1.0 - used).max(0.0) } else { 0.0 };
+        blend(&mut self.part, (part + lent).min(1.0), LEARN);
+        self.short = false;
+    }
+
+    /// Brings this gateway's part of the store up to now, and returns what it can hold: a request of the
+    /// largest kind at the least, which would be refused for ever else.
+    pub(crate) fn refill(&mut self, plan: &Plan, largest: f64, now: Millis) -> f64 {
+        let most = (plan.burst * self.part).max(largest);
+        self.share.fill(plan.rate * self.part, most, now);
+        most
+    }
+
+    /// The quota over the offered rate, both in this gateway's part, and what its store can spare meanwhile.
+    pub(crate) fn set_chance(&mut self, plan: &Plan, largest: f64, now: Millis, period: Millis) {
+        let reserve = RESERVE * self.refill(plan, largest, now);
+        let spare = (self.share.units - reserve).max(self.store * self.part);
+        let allowed = plan.rate * self.part + spare / (period.max(1.0) / 1000.0);
+        let offered = self.offered / self.heard.max(f64::MIN_POSITIVE);
+        self.chance = if offered > allowed { (allowed / offered).max(CHANCE_FLOOR) } else { 1.0 };
+        self.chance_set = now;
+    }
+}
--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -223,8 +223,9 @@
         json!({"name": name, "semantics": semantics, "group": "all", "dedupWindow": 5000.0, "worth": 1.0,
                "slo": 1000.0, "deadline": 4000.0, "lateShare": 0.0, "stream": false})
     };
+    let admin = TcpListener::bind((own, 0)).and_then(|listener| listener.local_addr()).expect("a port");
     json!({
-        "name": "n0", "listen": listen.to_string(), "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
+        "name": "n0", "listen": listen.to_string(), "admin_addr": admin.to_string(), "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "counter": "127.0.0.1:9",
         "known": known,
@@ -247,6 +248,7 @@
 struct Front {
     child: Child,
     address: SocketAddr,
+    admin: SocketAddr,
     config: PathBuf,
 }
 
@@ -256,7 +258,8 @@
         Front::start_with(config, Stdio::inherit())
     }
     fn start_with(config: &Value, errors: Stdio) -> Front {
-        let address = config["listen"].as_str().expect("an address").parse().expect("an address");
+        let named = |name: &str| config[name].as_str().expect("an address").parse().expect("an address");
+        let (address, admin): (SocketAddr, SocketAddr) = (named("listen"), named("admin_addr"));
         let config = write(config);
         let child = spawn(&config, errors);
         let until = Instant::now() + PATIENCE;
@@ -264,7 +267,7 @@
             assert!(Instant::now() < until, "the front door does not listen");
             thread::sleep(Duration::from_millis(5));
         }
-        Front { child, address, config }
+        Front { child, address, admin, config }
     }
     /// One in front of these backends, known to it from its start, with discovery dead.
     fn before(backends: &[SocketAddr]) -> Front {
@@ -280,6 +283,21 @@
         stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
         Client { stream }
     }
+    /// Calls the operators' door and returns the whole answer.
+    fn call(&self, line: &str) -> String {
+        let mut caller = TcpStream::connect(self.admin).expect("the operators' door accepts");
+        caller.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        caller.write_all(line.as_bytes()).and_then(|()| caller.write_all(b"\n")).expect("the call goes out");
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).expect("an answer comes");
+        answer
+    }
+    fn stats(&self) -> Value {
+        let answer = self.call("stats");
+        let (figures, end) = answer.trim_end().rsplit_once('\n').expect("two lines");
+        assert_eq!(end, "end");
+        serde_json::from_str(figures).expect("JSON")
+    }
     fn signal(&self, name: &str) {
         let status = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
         assert!(status.expect("kill runs").success());
@@ -306,13 +324,18 @@
     static COUNT: AtomicU8 = AtomicU8::new(0);
     let name = format!("config-{}-{}.json", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(path.with_extension("shared"));
     std::fs::write(&path, config.to_string()).expect("the configuration is written");
     path
 }
 
 fn spawn(config: &PathBuf, errors: Stdio) -> Child {
+    let shared = config.with_extension("shared");
+    std::fs::create_dir_all(&shared).expect("a folder");
     Command::new(env!("CARGO_BIN_EXE_brassport"))
         .env("BALANCER_CONFIG", config)
+        .env("TMPDIR", shared)
+        .env_remove("BALANCER_ADMIN_ADDR")
         .env_remove("BALANCER_LISTEN")
         .env_remove("BALANCER_DISCOVERY")
         .stderr(errors)
@@ -802,3 +825,140 @@
     let said = String::from_utf8(output.stderr).expect("text");
     assert_eq!(said, "brassport: setting plans[0].rate: must be a finite number, not below 0\n");
 }
+
+#[test]
+fn the_operators_door_answers_whole_calls_and_no_others() {
+    let backend = Peer::start();
+    let front = Front::before(&[backend.address]);
+    // Callers who say nothing, or half a call, hold up no one.
+    let mut holding: Vec<TcpStream> = Vec::new();
+    for _ in 0..40 {
+        let mut caller = TcpStream::connect(front.admin).expect("the operators' door accepts");
+        caller.write_all(b"stat").expect("half a call goes out");
+        holding.push(caller);
+    }
+    assert!(front.call("status").starts_with("done"));
+    let long = "x".repeat(100_000);
+    for wrong in ["", "hello", "status please", "maint-on", "maint-on nobody", "maint-off nobody", &long] {
+        assert!(front.call(wrong).starts_with("error"), "{wrong:.20}");
+    }
+    assert!(front.call("status").starts_with("done"), "it goes on after that");
+}
+
+#[test]
+fn status_says_no_while_there_is_no_backend_to_send_to() {
+    let front = Front::start(&config(closed_port(), list(&[])));
+    assert!(front.call("status").starts_with("error"));
+}
+
+#[test]
+fn the_numbers_count_each_request_where_it_ends() {
+    let backend = Peer::start();
+    let front = Front::before(&[backend.address]);
+    let mut client = front.client();
+    client.send(&get("/a"));
+    let exchange = backend.next();
+    let class = "preview-fetch";
+    let during = front.stats();
+    assert_eq!((&during["in_flight"], &during["attempts"]), (&json!(1), &json!(1)), "{during}");
+    exchange.ok("a");
+    client.read();
+    client.send(&post("once"));
+    backend.next().break_off("");
+    assert_eq!(client.read().status(), 504);
+    client.send("GET /nothing HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert_eq!(client.read().status(), 400);
+    // A client that goes while its request runs.
+    let mut gone = front.client();
+    gone.send(&get("/b"));
+    let running = backend.next();
+    drop(gone);
+    let until = Instant::now() + PATIENCE;
+    while front.stats()["in_flight"] != 0 {
+        assert!(Instant::now() < until, "a request whose client has gone is over");
+    }
+    running.ok("b");
+    let after = front.stats();
+    assert_eq!(after["served"][class], 1, "{after}");
+    assert_eq!(after["failed"]["job-submit"], 1, "{after}");
+    assert_eq!(after["refused"], json!({class: 0, "job-submit": 0}), "{after}");
+    assert_eq!((&after["in_flight"], &after["attempts"]), (&json!(0), &json!(3)), "{after}");
+    assert_eq!((&after["backends_known"], &after["backends_excluded"]), (&json!(1), &json!(0)));
+    assert!(front.call("maint-on s-00000000").starts_with("done"));
+    assert_eq!(front.stats()["backends_excluded"], 1);
+    assert_eq!(client.send(&get("/c")).read().status(), 429);
+    assert_eq!(front.stats()["refused"][class], 1);
+}
+
+#[test]
+fn a_backend_that_is_taken_out_gets_nothing_whatever_the_list_says() {
+    let peers = [Peer::start(), Peer::start()];
+    let targets =
+        [target("s-00000001", peers[0].address, "ready"), target("s-00000002", peers[1].address, "ready")];
+    let discovery = Discovery::start(list(&targets));
+    let front = Front::start(&config(discovery.address, list(&targets)));
+    let mut client = front.client();
+    // Both get an idle connection that a request could take.
+    for path in ["/0", "/1", "/2", "/3"] {
+        client.send(&get(path));
+        next_of(&peers).0.ok("");
+        client.read();
+    }
+    assert!(front.call("maint-on s-00000001").starts_with("done"));
+    assert!(front.call("maint-on s-00000001").starts_with("done"), "twice is once");
+    let none_to_the_first = |client: &mut Client| {
+        for _ in 0..6 {
+            client.send(&get("/x"));
+            peers[1].next().ok("");
+            assert_eq!(client.read().status(), 200);
+        }
+    };
+    none_to_the_first(&mut client);
+    discovery.tell(json!([target("s-00000001", peers[0].address, "gone")]));
+    discovery.tell(json!([target("s-00000001", peers[0].address, "ready")]));
+    none_to_the_first(&mut client);
+    assert!(front.call("maint-off s-00000001").starts_with("done"));
+    let until = Instant::now() + PATIENCE;
+    loop {
+        client.send(&get("/y"));
+        let (exchange, which) = next_of(&peers);
+        exchange.ok("");
+        client.read();
+        if which == 0 {
+            break;
+        }
+        assert!(Instant::now() < until, "it is used again");
+    }
+}
+
+#[test]
+fn standby_sends_clients_away_and_active_takes_them_again() {
+    let backend = Peer::start();
+    let front = Front::before(&[backend.address]);
+    let ask = "GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n";
+    let serve = |client: &mut Client| {
+        client.send(&get(""));
+        backend.next().ok("served");
+        client.read()
+    };
+    let (mut busy, mut idle) = (front.client(), front.client());
+    assert_eq!(serve(&mut busy).header("connection"), "");
+    assert_eq!(serve(&mut idle).header("connection"), "");
+    assert!(front.call("standby").starts_with("done"));
+    assert_eq!(front.client().send(ask).read().status(), 503);
+    let mut late = front.client();
+    assert_eq!(serve(&mut late).header("connection"), "close", "who still comes is served");
+    assert_eq!(serve(&mut busy).header("connection"), "close");
+    assert!(front.call("standby").starts_with("done"));
+    assert!(read_message(&idle.stream).expect("a close").is_none(), "what is idle is closed in time");
+    assert_eq!(front.client().send(ask).read().status(), 503);
+    assert_eq!(serve(&mut front.client()).body, b"served", "none is turned away even then");
+    assert!(front.call("active").starts_with("done"));
+    assert_eq!(front.client().send(ask).read().status(), 200);
+    assert_eq!(serve(&mut front.client()).header("connection"), "");
+    // An end in the middle of it is an end like any other.
+    let mut front = front;
+    front.call("standby");
+    front.terminate();
+    assert!(front.child.wait().expect("it ends").success());
+}
