--- a/src/control.rs
+++ b/src/control.rs
@@ -813,7 +813,7 @@
         self.count_ready();
     }
 
-    /// Takes a server out by order of staff, or back in from a moment on. Another start of it is another server.
+    /// Takes a server out by order of staff, or back in from a moment on.
     fn take_out(&mut self, id: ServerId, back: Option<Millis>) {
         self.taken_out.insert(id, back);
         let (now, cold_for) = (self.now, self.settings.cold_for);
