Hand the listening socket and the module's knowledge to a second process

Before, the second process ended at the taken address. The new tests fail without the part: the second process cannot bind.

--- a/src/bin/brassport/backends.rs
+++ b/src/bin/brassport/backends.rs
@@ -82,6 +82,8 @@
     known: RefCell<HashMap<ServerId, Backend>>,
     /// Those that staff have taken out, known or not.
     out: RefCell<HashSet<ServerId>>,
+    /// Whether connections are closed after use: another process needs the descriptors.
+    keep_none: Cell<bool>,
     /// Attempts whose last byte was written.
     attempts: Rc<Cell<u64>>,
     descriptors: Arc<Semaphore>,
@@ -100,6 +102,7 @@
         Backends {
             known: RefCell::default(),
             out: RefCell::default(),
+            keep_none: Cell::new(false),
             attempts,
             descriptors,
             connect_timeout,
@@ -135,6 +138,12 @@
         }
     }
 
+    /// Closes idle connections, now and from here on, or no longer does.
+    pub fn keep_no_more(&self, none: bool) {
+        self.keep_none.set(none);
+        while none && self.shed_idle() {}
+    }
+
     pub fn any_ready(&self) -> bool {
         let out = self.out.borrow();
         self.known.borrow().iter().any(|(id, backend)| backend.ready && !out.contains(id))
@@ -309,7 +318,7 @@
     }
 
     fn park(&self, id: ServerId, address: SocketAddr, pooled: Pooled) {
-        if self.ready_at(id) != Some(address) {
+        if self.keep_none.get() || self.ready_at(id) != Some(address) {
             return;
         }
         if let Some(backend) = self.known.borrow_mut().get_mut(&id) {
--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -14,6 +14,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use springusher::{Effect, Settings};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
 use std::pin::pin;
@@ -21,8 +22,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
-use tokio::task::JoinSet;
+use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::task::{yield_now, JoinSet};
 use tokio::time::{sleep, timeout, Instant};
 
 /// A client's time runs from when it sent the request to when it has the whole answer: so much is kept back
@@ -91,9 +92,13 @@
             Ok::<_, io::Error>((stream, descriptor))
         };
         tokio::select! {
-            _ = phase.wait_for(|phase| *phase == Phase::Closing) => break,
+            changed = phase.changed() => match desk.shift.phase() {
+                _ if changed.is_err() => break,
+                Phase::Closing => break,
+                _ => {}
+            },
             Some(_) = connections.join_next() => {}
-            next = next => match next {
+            next = next, if desk.shift.phase() != Phase::HandedOver => match next {
                 Ok((stream, descriptor)) => {
                     let crowded = !spare(reserve);
                     if crowded {
@@ -125,8 +130,11 @@
     let _ = stream.set_nodelay(true);
     let mut phase = desk.shift.watch();
     let late = desk.shift.phase() == Phase::Emptying;
+    let (asked, first) = (Cell::new(false), Notify::new());
     let service = service_fn(|request| {
         let desk = desk.clone();
+        asked.set(true);
+        first.notify_one();
         async move {
             let mut response = if crowded { turn_away(&desk, request) } else { answer(&desk, request).await };
             if crowded || desk.shift.phase() != Phase::Serving {
@@ -146,10 +154,20 @@
             if late {
                 let _ = phase.wait_for(|phase| *phase != Phase::Emptying).await;
             }
-            let _ = phase.wait_for(|phase| matches!(phase, Phase::Emptying | Phase::Closing)).await;
+            let _ = phase.wait_for(|phase| matches!(phase, Phase::Emptying | Phase::HandedOver | Phase::Closing)).await;
+            // One that has just come brings a request, which has nowhere else to go.
+            while !asked.get() {
+                first.notified().await;
+            }
         } => {}
         _ = shed.changed() => {}
     }
+    // Guards against closing on a request that has come in but was not read yet.
+    tokio::select! {
+        biased;
+        _ = serving.as_mut() => return,
+        () = yield_now() => {}
+    }
     // An idle one closes now, a busy one behind its answer.
     serving.as_mut().graceful_shutdown();
     let _ = serving.await;
@@ -160,7 +178,9 @@
 async fn answer(desk: &Desk, request: Request<Incoming>) -> Response<Body> {
     let came = Instant::now();
     if request.method() == Method::GET && request.uri().path() == "/healthz" {
-        let up = desk.shift.phase() == Phase::Serving && desk.backends.any_ready();
+        // One that has been taken over from speaks for both.
+        let up =
+            matches!(desk.shift.phase(), Phase::Serving | Phase::HandedOver) && desk.backends.any_ready();
         return text(None, if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
     }
     let (head, body) = request.into_parts();
--- a/src/bin/brassport/discovery.rs
+++ b/src/bin/brassport/discovery.rs
@@ -5,7 +5,7 @@
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use springusher::ListKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -32,7 +32,7 @@
     pub targets: Vec<Target>,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, Deserialize, Serialize)]
 pub struct Target {
     pub uid: String,
     pub endpoint: String,
@@ -48,7 +48,7 @@
     pub boot_ms: f64,
 }
 
-#[derive(Deserialize, Clone, Copy, PartialEq, Eq)]
+#[derive(Deserialize, Serialize, Clone, Copy, PartialEq, Eq)]
 #[serde(rename_all = "snake_case")]
 pub enum State {
     Ready,
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -6,11 +6,13 @@
 use crate::discovery::{List, State, Target};
 use hyper::body::Bytes;
 use hyper::Response;
-use springusher::{Action, AttemptEnd, Event, Gateway, InvalidSetting, Lifecycle, ListKind, Millis};
+use springusher::{
+    Action, AttemptEnd, CustomerId, Estate, Event, Gateway, InvalidSetting, Lifecycle, ListKind, Millis,
+};
 use springusher::{Request, RequestId, ServerEntry, ServerId, Settings};
 use std::cell::RefCell;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -37,9 +39,15 @@
 }
 
 impl Clock {
-    fn new() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), start_unix: unix.as_secs_f64() * 1000.0 }
+    /// One that began at `epoch`, in Unix time, or begins now.
+    fn new(epoch: Option<Millis>) -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
+        let start = epoch.and_then(|epoch| {
+            let ago = Duration::try_from_secs_f64((unix - epoch) / 1000.0).ok()?;
+            Some((Instant::now().checked_sub(ago)?, epoch))
+        });
+        let (start, start_unix) = start.unwrap_or((Instant::now(), unix));
+        Clock { start, start_unix }
     }
     fn now(&self) -> Millis {
         self.start.elapsed().as_secs_f64() * 1000.0
@@ -71,6 +79,8 @@
     alarms: BinaryHeap<Reverse<(Instant, u64)>>,
     /// Names of the backends by the number that stands for each.
     uids: HashMap<ServerId, String>,
+    /// The list as it was last told.
+    targets: BTreeMap<String, Target>,
     /// What staff took out and gave back, as last carried out.
     standing: Standing,
 }
@@ -91,14 +101,16 @@
         zones: Vec<String>,
         backends: Rc<Backends>,
         bans: Bans,
+        epoch: Option<Millis>,
     ) -> Result<Rc<Door>, InvalidSetting> {
-        let clock = Clock::new();
+        let clock = Clock::new(epoch);
         let inner = Inner {
             gateway: Gateway::new(settings, seed, clock.now())?,
             requests: HashMap::new(),
             last: 0,
             alarms: BinaryHeap::new(),
             uids: HashMap::new(),
+            targets: BTreeMap::new(),
             standing: Standing::default(),
         };
         Ok(Rc::new(Door { clock, zones, backends, bans, inner: RefCell::new(inner), sooner: Notify::new() }))
@@ -129,6 +141,7 @@
 
     /// Takes in the list of backends or a change to it, for itself and for the module.
     pub fn servers(self: &Rc<Self>, kind: ListKind, list: List) {
+        self.inner.borrow_mut().note(kind, &list);
         let mut entries = Vec::with_capacity(list.targets.len());
         for target in &list.targets {
             let id = self.id(&target.uid);
@@ -271,6 +284,34 @@
         }
     }
 
+    /// What a successor is told: the list, and when the clock began.
+    pub fn targets(&self) -> Vec<Target> {
+        self.inner.borrow().targets.values().cloned().collect()
+    }
+    pub fn epoch(&self) -> Millis {
+        self.clock.start_unix
+    }
+    /// What it is left, and what this process still has out.
+    pub fn bequeath(&self) -> Estate {
+        self.backends.keep_no_more(true);
+        self.inner.borrow_mut().gateway.bequeath()
+    }
+    pub fn open(&self) -> BTreeMap<CustomerId, u32> {
+        self.inner.borrow().gateway.open()
+    }
+    /// The successor is gone.
+    pub fn alone(self: &Rc<Self>) {
+        self.backends.keep_no_more(false);
+        self.handle(Event::Alone);
+    }
+    /// What the predecessor leaves, and what it still has out.
+    pub fn inherit(&self, estate: Estate) {
+        self.inner.borrow_mut().gateway.inherit(self.clock.now(), estate);
+    }
+    pub fn elsewhere(self: &Rc<Self>, open: BTreeMap<CustomerId, u32>) {
+        self.handle(Event::Elsewhere(open));
+    }
+
     /// Wakes the module when its timers are due.
     pub async fn keep_time(self: Rc<Self>) {
         loop {
@@ -378,6 +419,19 @@
 }
 
 impl Inner {
+    /// Keeps the list as it was told, for a successor.
+    fn note(&mut self, kind: ListKind, list: &List) {
+        if kind != ListKind::Delta {
+            self.targets.clear();
+        }
+        for target in &list.targets {
+            match target.state {
+                State::Gone => drop(self.targets.remove(&target.uid)),
+                _ => drop(self.targets.insert(target.uid.clone(), target.clone())),
+            }
+        }
+    }
+
     /// Passes the final answer on, unless there was one before.
     fn answer(&mut self, request: RequestId, answer: Answer) {
         let Some(hand) = self.requests.get_mut(&request) else { return };
--- /dev/null
+++ b/src/bin/brassport/handover.rs
@@ -0,0 +1,243 @@
+//! How one process takes over from another: a Unix socket in the folder that both share, over which the
+//! listening socket goes, then what the first one knows, and last what it still has in hand.
+//!
+//! The listening socket itself changes hands: there is one queue all the time, and no close resets what waits in it.
+
+use crate::discovery::{List, Target};
+use crate::door::{log, Door};
+use crate::shift::Shift;
+use rustix::net::{
+    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags,
+};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use springusher::{CustomerId, Estate};
+use std::collections::BTreeMap;
+use std::io::{self, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::{AsFd, AsRawFd, OwnedFd};
+use std::os::unix::net::UnixStream as StdUnixStream;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{UnixListener, UnixStream};
+use tokio::time::{sleep, timeout};
+
+const NAME: &str = "brassport.sock";
+/// How long either side may take over a step that needs no wait.
+const STEP: Duration = Duration::from_millis(1000);
+/// How long a successor may take until it could serve.
+const READY_WITHIN: Duration = Duration::from_secs(10);
+/// How often the first tells the second what it has out.
+const TELL: Duration = Duration::from_millis(10);
+const BACK_OFF: Duration = Duration::from_millis(200);
+/// Clients whose connections the system keeps until they are accepted.
+const BACKLOG: i32 = 1024;
+
+/// What the first process says with its listening socket.
+#[derive(Serialize, Deserialize)]
+pub struct Introduction {
+    /// Unix time at which its clock began, in milliseconds: both go by one clock.
+    pub epoch: f64,
+    pub targets: Vec<Target>,
+    /// Whether staff have clients sent away.
+    pub standby: bool,
+}
+
+/// The second process's way to the first.
+pub struct Predecessor {
+    pub introduction: Introduction,
+    stream: BufReader<UnixStream>,
+}
+
+/// Listens for clients. Another process that does so at the same address is no obstacle.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let domain = socket2::Domain::for_address(address);
+    let socket = socket2::Socket::new(domain, socket2::Type::STREAM, Some(socket2::Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
+}
+
+/// The path of a file in a folder, short enough for a socket's name however long the folder's is.
+fn short(folder: &std::fs::File, name: &str) -> String {
+    format!("/proc/self/fd/{}/{name}", folder.as_raw_fd())
+}
+
+/// Asks the running process, if there is one, for its listening socket. `None` if there is none, or if it does not answer.
+pub fn join(shared: &Path, address: SocketAddr) -> Option<(TcpListener, Predecessor)> {
+    let folder = std::fs::File::open(shared).ok()?;
+    let stream = StdUnixStream::connect(short(&folder, NAME)).ok()?;
+    stream.set_read_timeout(Some(STEP)).ok()?;
+    let joined = (|| {
+        let listener = receive(&stream)?;
+        if listener.local_addr()? != address {
+            return Err(io::Error::other("it listens at another address"));
+        }
+        listener.set_nonblocking(true)?;
+        let mut line = String::new();
+        let mut reader = std::io::BufReader::new(&stream);
+        std::io::BufRead::read_line(&mut reader, &mut line)?;
+        let introduction = serde_json::from_str(&line)?;
+        stream.set_nonblocking(true)?;
+        let stream = BufReader::new(UnixStream::from_std(stream.try_clone()?)?);
+        Ok((listener, Predecessor { introduction, stream }))
+    })();
+    joined.map_err(|error: io::Error| log(&format!("the running process cannot be joined: {error}"))).ok()
+}
+
+fn receive(stream: &StdUnixStream) -> io::Result<TcpListener> {
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let mut control = RecvAncillaryBuffer::new(&mut space);
+    let mut byte = [0];
+    recvmsg(stream, &mut [IoSliceMut::new(&mut byte)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
+    let fds = control.drain().filter_map(|message| match message {
+        RecvAncillaryMessage::ScmRights(fds) => Some(fds.collect::<Vec<OwnedFd>>()),
+        _ => None,
+    });
+    let fd = fds.flatten().next().ok_or_else(|| io::Error::other("no listening socket came"))?;
+    Ok(TcpListener::from(fd))
+}
+
+async fn send(stream: &UnixStream, listener: &TcpListener) -> io::Result<()> {
+    stream.writable().await?;
+    let fds = [listener.as_fd()];
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let mut control = SendAncillaryBuffer::new(&mut space);
+    if !control.push(SendAncillaryMessage::ScmRights(&fds)) {
+        return Err(io::Error::other("no room for a descriptor"));
+    }
+    sendmsg(stream, &[IoSlice::new(b"L")], &mut control, SendFlags::empty())?;
+    Ok(())
+}
+
+impl Predecessor {
+    /// Takes over: from here on clients are this process's.
+    pub async fn take_over(&mut self, door: &Rc<Door>) -> io::Result<()> {
+        let taken = async {
+            self.stream.get_mut().write_all(b"take\n").await?;
+            read::<Estate>(&mut self.stream).await
+        };
+        let estate = timeout(STEP, taken).await??;
+        door.inherit(estate.ok_or(io::ErrorKind::UnexpectedEof)?);
+        Ok(())
+    }
+
+    /// Follows what the first process has out until it has ended.
+    pub async fn follow(mut self, door: Rc<Door>) {
+        while let Ok(Some(open)) = read::<BTreeMap<CustomerId, u32>>(&mut self.stream).await {
+            door.elsewhere(open);
+        }
+        door.elsewhere(BTreeMap::new());
+    }
+}
+
+/// One message, a line of JSON; `None` once the other side has gone.
+async fn read<T: DeserializeOwned>(stream: &mut BufReader<UnixStream>) -> io::Result<Option<T>> {
+    let mut line = String::new();
+    // A line without an end was cut off: there is no more to come.
+    if stream.read_line(&mut line).await? == 0 || !line.ends_with('\n') {
+        return Ok(None);
+    }
+    Ok(Some(serde_json::from_str(&line)?))
+}
+
+async fn write(stream: &mut BufReader<UnixStream>, message: &impl Serialize) -> io::Result<()> {
+    let line = serde_json::to_string(message)? + "\n";
+    stream.get_mut().write_all(line.as_bytes()).await
+}
+
+/// Waits for successors, for as long as this process runs. `listener` is what a successor is handed.
+pub async fn host(shared: std::path::PathBuf, listener: TcpListener, door: Rc<Door>, shift: Rc<Shift>) {
+    loop {
+        match bind(&shared) {
+            Ok(socket) => loop {
+                let Ok((stream, _)) = socket.accept().await else { break };
+                let mut stream = BufReader::new(stream);
+                match introduce(&mut stream, &listener, &door, &shift).await {
+                    Ok(()) => {
+                        hand_over(&mut stream, &door, &shift).await;
+                        // The successor may have put its own socket in this one's place.
+                        break;
+                    }
+                    Err(error) => log(&format!("a second process came and went: {error}")),
+                }
+            },
+            Err(error) => {
+                log(&format!("no second process can take over: {error}"));
+                return;
+            }
+        }
+        sleep(BACK_OFF).await;
+    }
+}
+
+/// Another that stood there, alive or dead, is replaced whole.
+fn bind(shared: &Path) -> io::Result<UnixListener> {
+    let folder = std::fs::File::open(shared)?;
+    let own = format!("{NAME}.{}", std::process::id());
+    let _ = std::fs::remove_file(shared.join(&own));
+    let socket = UnixListener::bind(short(&folder, &own))?;
+    std::fs::rename(shared.join(&own), shared.join(NAME))?;
+    Ok(socket)
+}
+
+/// Hands out the listening socket, and waits until the second process could serve.
+async fn introduce(
+    stream: &mut BufReader<UnixStream>,
+    listener: &TcpListener,
+    door: &Rc<Door>,
+    shift: &Rc<Shift>,
+) -> io::Result<()> {
+    timeout(STEP, send(stream.get_ref(), listener)).await??;
+    let targets = door.targets();
+    let introduction = Introduction { epoch: door.epoch(), targets, standby: shift.stands_by() };
+    timeout(STEP, write(stream, &introduction)).await??;
+    let mut line = String::new();
+    timeout(READY_WITHIN, stream.read_line(&mut line)).await??;
+    if line != "take\n" {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    Ok(())
+}
+
+/// Hands over, and tells what is still out until the end of this process. If that of the other comes first,
+/// this one goes on as before.
+async fn hand_over(stream: &mut BufReader<UnixStream>, door: &Rc<Door>, shift: &Rc<Shift>) {
+    shift.hand_over();
+    // The connections that are idle close now, before the other process opens the door.
+    tokio::task::yield_now().await;
+    log("a second process takes over");
+    let estate = door.bequeath();
+    if timeout(STEP, write(stream, &estate)).await.is_ok_and(|written| written.is_ok()) {
+        let mut told = None;
+        loop {
+            let open = door.open();
+            if told.as_ref() != Some(&open) {
+                if write(stream, &open).await.is_err() {
+                    break;
+                }
+                told = Some(open);
+            }
+            // Nothing more comes from there but the end.
+            let mut line = String::new();
+            if timeout(TELL, stream.read_line(&mut line)).await.is_ok() {
+                break;
+            }
+        }
+    }
+    log("the second process is gone: this one goes on");
+    door.alone();
+    shift.resume();
+}
+
+/// The list as the first process has it.
+pub fn as_list(targets: Vec<Target>) -> List {
+    List { rev: 0, all: true, targets }
+}
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -8,6 +8,7 @@
 mod config;
 mod discovery;
 mod door;
+mod handover;
 mod link;
 mod shift;
 mod staff;
@@ -22,6 +23,7 @@
 use springusher::ListKind;
 use staff::Staff;
 use stats::Stats;
+use std::cell::Cell;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -42,6 +44,12 @@
 const CLOSING: Duration = Duration::from_millis(3000);
 const LAST_WORDS: Duration = Duration::from_millis(100);
 
+/// How long to wait for a backend to send to before taking over, and how often to look.
+const READY_WITHIN: Duration = Duration::from_secs(8);
+const LOOK: Duration = Duration::from_millis(10);
+/// Part of the descriptors that is left to a predecessor until it has ended.
+const PREDECESSORS_PART: usize = 4;
+
 fn main() -> ExitCode {
     // Guards against requests stranded by a task that is no more: a panic anywhere ends the process.
     let report = std::panic::take_hook();
@@ -74,9 +82,15 @@
         signal(SignalKind::terminate()).map_err(|error| format!("cannot take signals: {error}"))?;
     let mut hang_up =
         signal(SignalKind::hangup()).map_err(|error| format!("cannot take signals: {error}"))?;
-    let listener = TcpListener::bind(config.listen)
-        .await
-        .map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
+    let shared = bans::shared_folder();
+    let (listener, predecessor) = match handover::join(&shared, config.listen) {
+        Some((listener, predecessor)) => (listener, Some(predecessor)),
+        None => {
+            let listener = handover::listen(config.listen)
+                .map_err(|error| format!("cannot listen on {}: {error}", config.listen))?;
+            (listener, None)
+        }
+    };
 
     let longest = config.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
     let closing = Duration::try_from_secs_f64(longest / 1000.0).unwrap_or(CLOSING).min(CLOSING);
@@ -88,20 +102,28 @@
         config.connect_timeout,
         config.idle_timeout,
     ));
-    let bans = Bans::new(&bans::shared_folder());
+    let bans = Bans::new(&shared);
     bans.tidy();
     let zones = config.names.zones.clone();
-    let door = Door::new(config.settings.clone(), config.seed, zones, backends.clone(), bans)
+    let epoch = predecessor.as_ref().map(|predecessor| predecessor.introduction.epoch);
+    let door = Door::new(config.settings.clone(), config.seed, zones, backends.clone(), bans, epoch)
         .map_err(|error| error.to_string())?;
     spawn_local(door.clone().follow_bans());
     door.servers(ListKind::Cached, config.known);
+    let shift = Shift::new();
+    if let Some(predecessor) = &predecessor {
+        door.servers(ListKind::Full, handover::as_list(predecessor.introduction.targets.clone()));
+        if predecessor.introduction.standby {
+            shift.stand_by();
+        }
+    }
     spawn_local(door.clone().keep_time());
     let (agent, agents) = watch::channel(config.discovery);
     spawn_local(discovery::watch(agents, door.clone()));
     let sweeper = backends.clone();
     spawn_local(async move { sweeper.sweep().await });
 
-    let shift = Shift::new();
+    let open = Rc::new(Cell::new(false));
     if let Some(address) = config.admin {
         let calls = TcpListener::bind(address)
             .await
@@ -112,9 +134,35 @@
             stats: stats.clone(),
             shift: shift.clone(),
             classes: config.names.classes.clone(),
+            open: open.clone(),
         };
         spawn_local(admin::serve(calls, Rc::new(staff)));
     }
+    if let Some(mut predecessor) = predecessor {
+        let ready = async {
+            while !backends.any_ready() {
+                sleep(LOOK).await;
+            }
+        };
+        let _ = timeout(READY_WITHIN, ready).await;
+        match predecessor.take_over(&door).await {
+            Ok(()) => {
+                // The two share the limit on descriptors until the first has ended.
+                let part = (spare / PREDECESSORS_PART) as u32;
+                let held = descriptors.clone().acquire_many_owned(part).await;
+                let door = door.clone();
+                spawn_local(async move {
+                    predecessor.follow(door).await;
+                    drop(held);
+                });
+            }
+            Err(problem) => door::log(&format!("the running process did not hand over: {problem}")),
+        }
+    }
+    open.set(true);
+    let handed = listener.try_clone().map_err(|error| format!("cannot listen: {error}"))?;
+    let listener = TcpListener::from_std(listener).map_err(|error| format!("cannot listen: {error}"))?;
+    spawn_local(handover::host(shared, handed, door.clone(), shift.clone()));
     let desk = Rc::new(Desk {
         door: door.clone(),
         backends,
@@ -142,7 +190,9 @@
         }
     }
     shift.end();
-    sleep(LEAVING).await;
+    if shift.phase() != shift::Phase::HandedOver {
+        sleep(LEAVING).await;
+    }
     shift.close();
     if timeout(closing.saturating_sub(LAST_WORDS), &mut serving).await.is_err() {
         door.fail_all();
--- a/src/bin/brassport/shift.rs
+++ b/src/bin/brassport/shift.rs
@@ -18,6 +18,8 @@
     Leaving,
     /// Idle connections are closed. Who comes nonetheless is served and sent off.
     Emptying,
+    /// Another process has taken over. None is accepted here, and idle connections are closed.
+    HandedOver,
     /// No more are accepted, and idle connections are closed. From here there is no way back.
     Closing,
 }
@@ -28,6 +30,7 @@
         match self {
             Phase::Serving => "serving",
             Phase::Leaving | Phase::Emptying => "sending clients away",
+            Phase::HandedOver => "handed over to another process",
             Phase::Closing => "ending",
         }
     }
@@ -78,16 +81,34 @@
         if self.ending.get() {
             return Err("this process is ending".into());
         }
+        if self.phase() == Phase::HandedOver {
+            return Err("another process has taken over".into());
+        }
         if self.phase() != Phase::Serving {
             self.change(Phase::Serving);
         }
         Ok(())
     }
 
+    pub fn stands_by(&self) -> bool {
+        matches!(self.phase(), Phase::Leaving | Phase::Emptying)
+    }
+
+    /// Another process takes clients from here on.
+    pub fn hand_over(&self) {
+        self.change(Phase::HandedOver);
+    }
+    /// There is no other process any more.
+    pub fn resume(&self) {
+        if !self.ending.get() && self.phase() == Phase::HandedOver {
+            self.change(Phase::Serving);
+        }
+    }
+
     /// The process is told to end. What `standby` has closed already stays so.
     pub fn end(&self) {
         self.ending.set(true);
-        if self.phase() != Phase::Emptying {
+        if self.phase() == Phase::Serving {
             self.change(Phase::Leaving);
         }
     }
--- a/src/bin/brassport/staff.rs
+++ b/src/bin/brassport/staff.rs
@@ -5,6 +5,7 @@
 use crate::door::Door;
 use crate::shift::Shift;
 use crate::stats::Stats;
+use std::cell::Cell;
 use std::rc::Rc;
 
 pub struct Staff {
@@ -13,11 +14,14 @@
     pub stats: Rc<Stats>,
     pub shift: Rc<Shift>,
     pub classes: Vec<String>,
+    /// Whether clients are taken.
+    pub open: Rc<Cell<bool>>,
 }
 
 impl Operations for Staff {
     async fn carry_out(&self, call: Call<'_>) -> Result<String, String> {
         match call {
+            Call::Status if !self.open.get() => Err("this process has not taken over yet".into()),
             Call::Status if !self.backends.any_ready() => Err("no backend to send to".into()),
             Call::Status => Ok(format!("done {}", self.shift.phase().word())),
             Call::Stats => {
--- a/src/control.rs
+++ b/src/control.rs
@@ -5,7 +5,8 @@
 //! rate of all gateways is taken from the meter, and the class of the lowest worth goes first.
 
 use crate::interface::*;
-use crate::quota::{Customer, CHANCE_FLOOR, METER_LAG};
+pub use crate::quota::Estate;
+use crate::quota::{Customer, CHANCE_FLOOR, METER_LAG, NEVER};
 use oorandom::Rand64;
 use std::collections::BTreeMap;
 
@@ -101,6 +102,8 @@
     born: Millis,
     now: Millis,
     customers: BTreeMap<CustomerId, Customer>,
+    /// Whether another has taken this one's place: its stores fill no more.
+    succeeded: bool,
     /// A moment at which the meter told of a new period, as near as answers show.
     tick: Option<Millis>,
     swept: Millis,
@@ -167,6 +170,7 @@
             born: now,
             now,
             customers: BTreeMap::new(),
+            succeeded: false,
             tick: None,
             swept: now,
             no_room: 0,
@@ -205,6 +209,8 @@
             },
             Event::Servers { kind, entries } => self.roster(kind, entries, actions),
             Event::TakenOut(id) => self.take_out(id, None),
+            Event::Elsewhere(open) => self.count_elsewhere(&open, actions),
+            Event::Alone => self.succeeded = false,
             Event::GivenBack { server, at } => self.take_out(server, Some(at.min(self.now))),
         }
     }
@@ -312,7 +318,7 @@
             return;
         }
         let mut tick = self.tick.map_or(now, |tick| now - (now - tick).rem_euclid(period));
-        let changed = used != customer.reading && customer.read_at.is_finite();
+        let changed = used != customer.reading && customer.read_at > NEVER;
         if changed && (self.tick.is_none() || tick <= customer.read_at) {
             tick = now;
             self.tick = Some(now);
@@ -370,10 +376,7 @@
         }
         (self.no_room, self.no_server) = (0, 0);
         self.customers.retain(|_, customer| {
-            let plan = &self.settings.plans[customer.plan];
-            let fill = |burst: f64, rate: f64| if rate > 0.0 { burst / rate * 1000.0 } else { 0.0 };
-            let fills =
-                fill(plan.burst, plan.rate).max(fill(plan.ceiling_burst, plan.ceiling_rate)).max(1000.0);
+            let fills = Customer::filled_within(&self.settings.plans[customer.plan]);
             customer.open > 0 || !customer.held.is_empty() || now < customer.seen + IDLE_FILLS * fills
         });
     }
@@ -384,25 +387,22 @@
     /// from others. It fills from the gateway's birth, for what an earlier life spent is not known.
     fn under_ceiling(&mut self, request: &Request) -> bool {
         let plan = &self.settings.plans[request.plan];
+        if self.succeeded && plan.ceiling_rate > 0.0 {
+            return false;
+        }
         let Some(customer) = self.customers.get_mut(&request.customer) else { return false };
         if plan.ceiling_rate <= 0.0 {
             return true;
         }
-        let most = (plan.ceiling_burst + plan.ceiling_slack) / customer.spread;
-        customer.ceiling.fill(plan.ceiling_rate / customer.spread, most, self.now);
-        if customer.ceiling.units < request.units {
-            return false;
-        }
-        customer.ceiling.units -= request.units;
-        true
+        customer.take_from_ceiling(plan, request.units, self.now)
     }
 
     // ---- Balancing and health. ----
 
     /// Share of its full capacity that a server has at least.
     fn warmth(&self, server: &Server) -> f64 {
-        let back = self.taken_out.get(&server.entry.id).copied().flatten().unwrap_or(f64::NEG_INFINITY);
-        match server.entry.launched.unwrap_or(f64::NEG_INFINITY).max(back) {
+        let back = self.taken_out.get(&server.entry.id).copied().flatten().unwrap_or(NEVER);
+        match server.entry.launched.unwrap_or(NEVER).max(back) {
             at if self.settings.cold_for > 0.0 && self.now < at + self.settings.cold_for => {
                 let ramp = ((self.now - at) / self.settings.cold_for).clamp(0.0, 1.0);
                 self.settings.cold_from + (1.0 - self.settings.cold_from) * ramp
@@ -573,7 +573,11 @@
         let place = (self.settings.ordinal + self.settings.gateways).wrapping_sub(request.first);
         let (even, odd) = (plan.open / request.spread.max(1), plan.open % request.spread.max(1));
         let part = (even + u32::from(place % self.settings.gateways < odd)).max(1);
-        if plan.open > 0 && customer.open >= part {
+        if plan.open > 0 && self.succeeded {
+            self.refuse(id, self.settings.max_retry_after, actions);
+            return;
+        }
+        if plan.open > 0 && customer.open + customer.elsewhere >= part {
             customer.held.push_back(id);
             if let Some(open) = self.requests.get_mut(&id) {
                 open.held = true;
@@ -772,6 +776,71 @@
         }
     }
 
+    // ---- Taking over from another gateway. ----
+
+    /// Leaves all but a rest of the stores to the gateway that takes this one's place.
+    pub fn bequeath(&mut self) -> Estate {
+        self.succeeded = true;
+        let servers = self
+            .servers
+            .iter()
+            .map(|(id, server)| (*id, server.slowness, server.judged, server.strikes, server.ejected_until));
+        Estate {
+            born: self.born,
+            tick: self.tick,
+            customers: self.customers.iter_mut().map(|(id, customer)| (*id, customer.bequeath())).collect(),
+            class_mix: self.class_mix.clone(),
+            answer_time: self.answer_time.clone(),
+            mean_units: self.mean_units.clone(),
+            first_wait: self.first_wait.clone(),
+            room: self.room,
+            limit: self.limit,
+            slow_start: self.slow_start,
+            servers: servers.collect(),
+        }
+    }
+
+    /// Takes the place of the gateway that left this. An estate of other plans or classes is left alone.
+    pub fn inherit(&mut self, now: Millis, estate: Estate) {
+        let classes = self.settings.classes.len();
+        let averages = [&estate.class_mix, &estate.answer_time, &estate.mean_units, &estate.first_wait];
+        let plans = self.settings.plans.len();
+        if averages.iter().any(|average| average.len() != classes)
+            || estate.customers.iter().any(|(_, customer)| customer.plan >= plans)
+        {
+            return;
+        }
+        (self.now, self.born, self.tick) = (self.now.max(now), estate.born, estate.tick);
+        self.customers = estate.customers.into_iter().collect();
+        (self.class_mix, self.answer_time) = (estate.class_mix, estate.answer_time);
+        (self.mean_units, self.first_wait) = (estate.mean_units, estate.first_wait);
+        (self.room, self.room_at) = (estate.room, self.now);
+        (self.limit, self.slow_start) = (estate.limit, estate.slow_start);
+        for (id, slowness, judged, strikes, ejected_until) in estate.servers {
+            if let Some(server) = self.servers.get_mut(&id) {
+                (server.slowness, server.judged) = (slowness, judged);
+                (server.strikes, server.ejected_until) = (strikes, ejected_until);
+            }
+        }
+    }
+
+    /// Own attempts out, by customer.
+    pub fn open(&self) -> BTreeMap<CustomerId, u32> {
+        let open = self.customers.iter().filter(|(_, customer)| customer.open > 0);
+        open.map(|(id, customer)| (*id, customer.open)).collect()
+    }
+
+    /// Takes in what the predecessor still has out. What that leaves room for goes on.
+    fn count_elsewhere(&mut self, open: &BTreeMap<CustomerId, u32>, actions: &mut Vec<Action>) {
+        let mut next = Vec::new();
+        for (id, customer) in &mut self.customers {
+            next.extend(customer.free(open.get(id).copied().unwrap_or(0)));
+        }
+        for id in next {
+            self.dispatch(id, actions);
+        }
+    }
+
     // ---- Roster. ----
 
     /// Follows the server list. A server that drains or is gone gets nothing from this moment on.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,5 +1,6 @@
 //! The interface of the decision module: settings, events, actions and outcomes. It decides nothing.
 
+use std::collections::BTreeMap;
 use std::fmt;
 
 /// A moment of the host's monotonic clock, or a span of it, in milliseconds.
@@ -346,6 +347,10 @@
     ClientGone(RequestId),
     /// A timer that this gateway set.
     Timer(u64),
+    /// What the gateway that this one took over from still has out, by customer.
+    Elsewhere(BTreeMap<CustomerId, u32>),
+    /// The gateway that was to take this one's place is gone.
+    Alone,
     /// Staff took a server out: nothing new may be sent to it, whatever the list says.
     TakenOut(ServerId),
     /// Staff gave a server back. It may have been restarted meanwhile.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,5 +46,5 @@
 mod quota;
 pub mod wire;
 
-pub use control::Gateway;
+pub use control::{Estate, Gateway};
 pub use interface::*;
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -3,6 +3,7 @@
 
 use crate::control::blend;
 use crate::interface::*;
+use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
 /// Lowest chance of admission: at nought no answer would bring a reading, and the chance would stay there.
@@ -21,8 +22,13 @@
 /// Part of what the meter shows unused that a gateway takes which ran short of its own meanwhile.
 const LEND: f64 = 0.5;
 
+/// A moment before all others.
+pub(crate) const NEVER: Millis = -1e15;
+/// Part of the stores that a gateway keeps for what is on its way to it when another takes over.
+const REST: f64 = 0.05;
+
 /// A token bucket.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone, Serialize, Deserialize)]
 pub(crate) struct Bucket {
     pub(crate) units: f64,
     pub(crate) at: Millis,
@@ -35,7 +41,7 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone, Serialize, Deserialize)]
 pub(crate) struct Customer {
     pub(crate) plan: usize,
     pub(crate) spread: f64,
@@ -58,10 +64,30 @@
     pub(crate) reading: f64,
     pub(crate) read_at: Millis,
     pub(crate) told_to: Millis,
+    /// Own attempts out, and those of the gateway that this one takes over from.
     pub(crate) open: u32,
+    pub(crate) elsewhere: u32,
+    #[serde(skip)]
     pub(crate) held: VecDeque<RequestId>,
 }
 
+/// What a gateway leaves to the one that takes its place. Moments are by the clock that both go by.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Estate {
+    pub(crate) born: Millis,
+    pub(crate) tick: Option<Millis>,
+    pub(crate) customers: Vec<(CustomerId, Customer)>,
+    pub(crate) class_mix: Vec<f64>,
+    pub(crate) answer_time: Vec<f64>,
+    pub(crate) mean_units: Vec<f64>,
+    pub(crate) first_wait: Vec<f64>,
+    pub(crate) room: f64,
+    pub(crate) limit: f64,
+    pub(crate) slow_start: bool,
+    /// Of each server its slowness, when that was judged, its strikes and the end of its ejection.
+    pub(crate) servers: Vec<(ServerId, f64, Millis, u32, Millis)>,
+}
+
 impl Customer {
     /// One that has sent nothing yet, at a gateway born at `born`.
     pub(crate) fn new(plan: &Plan, spread: u32, born: Millis, now: Millis, period: Millis) -> Customer {
@@ -71,10 +97,10 @@
             store: plan.burst,
             ceiling: Bucket { units: 0.0, at: born },
             chance: 1.0,
-            chance_set: f64::NEG_INFINITY,
+            chance_set: NEVER,
             heard_at: now - period,
-            read_at: f64::NEG_INFINITY,
-            told_to: f64::NEG_INFINITY,
+            read_at: NEVER,
+            told_to: NEVER,
             ..Customer::default()
         }
     }
@@ -109,6 +135,42 @@
         self.short = false;
     }
 
+    /// Takes units from an even part of the ceiling's store, if it holds them.
+    pub(crate) fn take_from_ceiling(&mut self, plan: &Plan, units: f64, now: Millis) -> bool {
+        let most = (plan.ceiling_burst + plan.ceiling_slack) / self.spread;
+        self.ceiling.fill(plan.ceiling_rate / self.spread, most, now);
+        if self.ceiling.units < units {
+            return false;
+        }
+        self.ceiling.units -= units;
+        true
+    }
+
+    /// Notes what another gateway has out, and returns the requests that this leaves room for.
+    pub(crate) fn free(&mut self, elsewhere: u32) -> Vec<RequestId> {
+        let freed = self.elsewhere.saturating_sub(elsewhere) as usize;
+        self.elsewhere = elsewhere;
+        self.held.drain(..freed.min(self.held.len())).collect()
+    }
+
+    /// Time after which one that sends nothing has full stores.
+    pub(crate) fn filled_within(plan: &Plan) -> Millis {
+        let fill = |burst: f64, rate: f64| if rate > 0.0 { burst / rate * 1000.0 } else { 0.0 };
+        fill(plan.burst, plan.rate).max(fill(plan.ceiling_burst, plan.ceiling_rate)).max(1000.0)
+    }
+
+    /// Leaves another what this gateway has of the customer's stores, but for a rest.
+    pub(crate) fn bequeath(&mut self) -> Customer {
+        let mut left = self.clone();
+        (left.elsewhere, left.open) = (self.open, 0);
+        left.held.clear();
+        for (own, left) in [(&mut self.share, &mut left.share), (&mut self.ceiling, &mut left.ceiling)] {
+            own.units = REST * own.units.max(0.0);
+            left.units -= own.units;
+        }
+        left
+    }
+
     /// Brings this gateway's part of the store up to now, and returns what it can hold: a request of the
     /// largest kind at the least, which would be refused for ever else.
     pub(crate) fn refill(&mut self, plan: &Plan, largest: f64, now: Millis) -> f64 {
--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -283,6 +283,20 @@
         stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
         Client { stream }
     }
+    /// Starts a second process beside this one, and waits until it says yes.
+    fn successor(&self) -> Front {
+        let admin = TcpListener::bind((self.admin.ip(), 0)).and_then(|listener| listener.local_addr());
+        let admin = admin.expect("a port");
+        let mut command = command(&self.config);
+        let child = command.env("BALANCER_ADMIN_ADDR", admin.to_string()).spawn().expect("it starts");
+        let front = Front { child, address: self.address, admin, config: self.config.clone() };
+        let until = Instant::now() + PATIENCE;
+        while TcpStream::connect(admin).is_err() || !front.call("status").starts_with("done") {
+            assert!(Instant::now() < until, "the second process does not say yes");
+            thread::sleep(Duration::from_millis(5));
+        }
+        front
+    }
     /// Calls the operators' door and returns the whole answer.
     fn call(&self, line: &str) -> String {
         let mut caller = TcpStream::connect(self.admin).expect("the operators' door accepts");
@@ -330,17 +344,20 @@
 }
 
 fn spawn(config: &PathBuf, errors: Stdio) -> Child {
+    command(config).stderr(errors).spawn().expect("the program starts")
+}
+
+fn command(config: &PathBuf) -> Command {
     let shared = config.with_extension("shared");
     std::fs::create_dir_all(&shared).expect("a folder");
-    Command::new(env!("CARGO_BIN_EXE_brassport"))
+    let mut command = Command::new(env!("CARGO_BIN_EXE_brassport"));
+    command
         .env("BALANCER_CONFIG", config)
         .env("TMPDIR", shared)
         .env_remove("BALANCER_ADMIN_ADDR")
         .env_remove("BALANCER_LISTEN")
-        .env_remove("BALANCER_DISCOVERY")
-        .stderr(errors)
-        .spawn()
-        .expect("the program starts")
+        .env_remove("BALANCER_DISCOVERY");
+    command
 }
 
 struct Client {
@@ -962,3 +979,99 @@
     front.terminate();
     assert!(front.child.wait().expect("it ends").success());
 }
+
+/// Serves a request of this client at whichever backend gets it, and returns which that is.
+fn served(client: &mut Client, peers: &[Peer; 2]) -> usize {
+    client.send(&get("/served"));
+    let (exchange, which) = next_of(peers);
+    exchange.ok("served");
+    assert_eq!(client.read().body, b"served");
+    which
+}
+
+/// Asks until this backend, the only one to send to, is no longer too cold for the request.
+fn served_cold(client: &mut Client, peers: &[Peer; 2], wanted: usize) {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        client.send(&get("/cold"));
+        let mut answer = [0; 12];
+        client.stream.set_read_timeout(Some(Duration::from_millis(200))).expect("a time-out");
+        let refused = client.stream.peek(&mut answer).is_ok();
+        client.stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        if !refused {
+            let (exchange, which) = next_of(peers);
+            exchange.ok("");
+            assert_eq!((which, client.read().status()), (wanted, 200));
+            return;
+        }
+        assert_eq!(client.read().status(), 429);
+        assert!(Instant::now() < until, "it is used again");
+    }
+}
+
+#[test]
+fn a_second_process_takes_over_and_no_client_is_turned_away() {
+    let peers = [Peer::start(), Peer::start()];
+    let mut first = Front::before(&[peers[0].address, peers[1].address]);
+    let (mut busy, mut idle) = (first.client(), first.client());
+    let mut fresh = first.client();
+    served(&mut idle, &peers);
+    busy.send(&get("/busy"));
+    let (running, _) = next_of(&peers);
+    assert!(first.call("maint-on s-00000000").starts_with("done"));
+
+    // Clients come one after the other all the time, each on a connection of its own.
+    let (address, stop) = (first.address, std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false)));
+    let coming = {
+        let stop = stop.clone();
+        thread::spawn(move || {
+            let mut count = 0;
+            while !stop.load(Ordering::Relaxed) {
+                let mut stream = TcpStream::connect(address).expect("it is let in");
+                stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+                let ask = b"GET /healthz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+                stream.write_all(ask).expect("it is read");
+                let answer = read_message(&stream).expect("no reset").expect("an answer");
+                assert_eq!(answer.status(), 200, "the door is open all the time");
+                count += 1;
+            }
+            count
+        })
+    };
+    let mut second = first.successor();
+    assert!(read_message(&idle.stream).expect("a close").is_none(), "what is idle goes to the second one");
+    assert_eq!(served(&mut fresh, &peers), 1, "one that had not asked yet is served");
+    let mut client = second.client();
+    assert_eq!(served(&mut client, &peers), 1, "the ban holds in the second one");
+    assert!(second.call("maint-off s-00000000").starts_with("done"));
+    assert!(first.call("maint-on s-00000001").starts_with("done"));
+    thread::sleep(Duration::from_millis(500));
+    // It comes back cold; the other is out at the word of the first process.
+    served_cold(&mut client, &peers, 0);
+    running.ok("busy");
+    assert_eq!(busy.read().body, b"busy");
+    first.terminate();
+    assert!(first.child.wait().expect("it ends").success());
+    served_cold(&mut client, &peers, 0);
+    stop.store(true, Ordering::Relaxed);
+    assert!(coming.join().expect("none was turned away") > 0);
+
+    // The second one is replaced like the first, in an end without a word.
+    second.child.kill().expect("it is killed");
+    second.child.wait().expect("it ends");
+    let third = second.successor();
+    assert_eq!(third.stats()["backends_excluded"], 1, "the ban outlives it");
+    served_cold(&mut third.client(), &peers, 0);
+}
+
+#[test]
+fn a_successor_that_dies_leaves_the_door_open() {
+    let peers = [Peer::start(), Peer::start()];
+    let first = Front::before(&[peers[0].address, peers[1].address]);
+    let mut second = first.successor();
+    second.child.kill().expect("it is killed");
+    second.child.wait().expect("it ends");
+    served(&mut first.client(), &peers);
+    let third = first.successor();
+    served(&mut third.client(), &peers);
+}
