--- a/src/bin/brassport/backends.rs
+++ b/src/bin/brassport/backends.rs
@@ -1,10 +1,11 @@
 //! The backends: where they are, the idle connections to them, and the attempts.
 
 use crate::door::log;
+use crate::flow::{flow, Flow, Upload};
 use crate::link::{Failure, Link};
-use http_body_util::Full;
-use hyper::body::Bytes;
+use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{HeaderMap, HeaderValue};
+use hyper::http::response::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use springusher::{Outcome, ServerId};
 use std::cell::{Cell, RefCell};
@@ -15,10 +16,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
-/// Most bytes of a body, either way.
+/// Most bytes of a body that are gathered before it goes on, either way, and the longest that this may hold back the
+/// answer's beginning where its length is not known.
 pub const BODY_LIMIT: usize = 64 * 1024;
+const HOLD: Duration = Duration::from_millis(50);
+/// How long a body that goes on as it comes may bring nothing, or its reader take nothing.
+const STALL: Duration = Duration::from_secs(10);
 /// Part of the backends' idle time after which a connection is closed: they may close theirs earlier than
 /// they say, and a request that crosses that is lost.
 const IDLE_PART: f64 = 0.5;
@@ -31,7 +36,13 @@
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
+    /// The body, or what is here of it.
     pub body: Bytes,
+    /// The rest, of a body that is too large to be kept: it goes on once.
+    pub rest: RefCell<Option<Incoming>>,
+    pub is_kept: bool,
+    /// What the kept bytes take of the room for all.
+    pub _room: Option<OwnedSemaphorePermit>,
 }
 
 /// How an attempt ended.
@@ -217,16 +228,29 @@
         expire_at: Instant,
         cancel: impl Future,
         wanted: impl Fn() -> bool,
+        begin: impl FnOnce(Response<Flow>, &End),
     ) -> End {
-        let written = Cell::new(false);
-        let exchange = self.exchange(id, message, expire_at, wanted, &written);
+        let (written, begun) = (Cell::new(false), Cell::new(false));
+        let exchange = self.exchange(id, message, expire_at, wanted, begin, (&written, &begun));
+        // What has begun to reach its client is not called off any more.
+        let unless_begun = || async {
+            if begun.get() {
+                std::future::pending::<()>().await;
+            }
+        };
         // The exchange owns the connection: whichever branch ends first, the others are dropped, and the
         // socket closed, before this returns and the module hears of it.
         let ended = tokio::select! {
             biased;
-            _ = cancel => Outcome::Cancelled,
+            () = async {
+                cancel.await;
+                unless_begun().await;
+            } => Outcome::Cancelled,
             end = exchange => return end,
-            () = sleep_until(expire_at) => Outcome::TimedOut,
+            () = async {
+                sleep_until(expire_at).await;
+                unless_begun().await;
+            } => Outcome::TimedOut,
         };
         match (written.get(), ended) {
             (true, ended) => ended.into(),
@@ -241,7 +265,8 @@
         message: &Message,
         expire_at: Instant,
         wanted: impl Fn() -> bool,
-        written: &Cell<bool>,
+        begin: impl FnOnce(Response<Flow>, &End),
+        (written, begun): (&Cell<bool>, &Cell<bool>),
     ) -> End {
         let Some(address) = self.ready_at(id) else { return Outcome::Moot.into() };
         let mut pooled = match self.idle(id).await {
@@ -256,18 +281,20 @@
         if self.ready_at(id) != Some(address) || !wanted() {
             return Outcome::Moot.into();
         }
+        // What went on as it came is not there for a further attempt.
+        let Some(request) = message.to_send(expire_at) else { return Outcome::Moot.into() };
         written.set(true);
-        let (begun, idle) = (Instant::now(), pooled.since.elapsed());
+        let (sent, idle) = (Instant::now(), pooled.since.elapsed());
         self.tally.borrow_mut().exchanges += 1;
-        let answer = match pooled.link.exchange(message.to_send(expire_at), BODY_LIMIT).await {
-            Ok(answer) => answer,
+        let end = match self.receive(&mut pooled.link, request, wanted, begin, begun).await {
+            Ok(end) => end,
             Err(Failure::Unsent) => return Outcome::NoConnection.into(),
             Err(Failure::Broken(problem)) => {
                 let tally = &mut *self.tally.borrow_mut();
                 *if pooled.used == 0 { &mut tally.broken_new } else { &mut tally.broken_used } += 1;
                 tally.last_broken = format!(
                     "to {address} after {} ms, {} ms idle before, {} exchanges: {problem}",
-                    begun.elapsed().as_millis(),
+                    sent.elapsed().as_millis(),
                     idle.as_millis(),
                     pooled.used
                 );
@@ -279,7 +306,79 @@
             pooled.since = Instant::now();
             self.park(id, address, pooled);
         }
-        judge(answer)
+        end
+    }
+
+    /// Sends a request and takes its answer in: whole, or as it comes once `begin` has it.
+    async fn receive(
+        &self,
+        link: &mut Link,
+        request: Request<Upload>,
+        wanted: impl Fn() -> bool,
+        begin: impl FnOnce(Response<Flow>, &End),
+        begun: &Cell<bool>,
+    ) -> Result<End, Failure> {
+        let (head, mut body) = link.send(request).await?.into_parts();
+        let length = body.size_hint().exact();
+        let served = head.status == StatusCode::OK;
+        let mut gathered: Vec<Bytes> = Vec::new();
+        let mut size = 0;
+        let hold = Instant::now() + HOLD;
+        while length.is_none_or(|length| length <= BODY_LIMIT as u64) && size <= BODY_LIMIT {
+            let piece = if length.is_some() || !served {
+                link.piece(&mut body).await
+            } else {
+                match timeout_at(hold, link.piece(&mut body)).await {
+                    Ok(piece) => piece,
+                    Err(_) => break,
+                }
+            };
+            match piece {
+                Some(piece) => {
+                    let piece = piece?;
+                    size += piece.len();
+                    gathered.push(piece);
+                }
+                None => return Ok(judge(Response::from_parts(head, gathered.concat().into()))),
+            }
+        }
+        if !served {
+            // What it says at such length is for nobody. Dropped unread, it takes the connection along.
+            return Ok(judge(Response::from_parts(head, Bytes::new())));
+        }
+        if !wanted() {
+            return Ok(Outcome::Cancelled.into());
+        }
+        let end = figures(&head, Outcome::Ok);
+        let (source, flow) = flow(length);
+        begun.set(true);
+        begin(Response::from_parts(head, flow), &end);
+        let pass_on = async {
+            for piece in gathered {
+                source.send(piece).await.map_err(|_| Outcome::Cancelled)?;
+            }
+            while let Some(piece) = timeout(STALL, link.piece(&mut body)).await.unwrap_or(Some(stalled())) {
+                let piece = piece.map_err(|_| Outcome::Reset)?;
+                match timeout(STALL, source.send(piece)).await {
+                    Ok(Ok(())) => {}
+                    _ => return Err(Outcome::Cancelled),
+                }
+            }
+            Ok(())
+        };
+        let passed = tokio::select! {
+            biased;
+            passed = pass_on => passed,
+            () = source.closed() => Err(Outcome::Cancelled),
+        };
+        // Another attempt's place is not taken: what the meter told with the head was heard then.
+        match passed {
+            Ok(()) => {
+                source.end().await;
+                Ok(Outcome::Ok.into())
+            }
+            Err(outcome) => Ok(outcome.into()),
+        }
     }
 
     fn ready_at(&self, id: ServerId) -> Option<SocketAddr> {
@@ -328,8 +427,13 @@
 }
 
 impl Message {
-    fn to_send(&self, expire_at: Instant) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    /// `None` if it has gone on as it came already.
+    fn to_send(&self, expire_at: Instant) -> Option<Request<Upload>> {
+        let rest = self.rest.take();
+        if rest.is_none() && !self.is_kept {
+            return None;
+        }
+        let mut request = Request::new(Upload::new(self.body.clone(), rest));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
@@ -337,26 +441,40 @@
         if let Ok(left) = HeaderValue::from_str(&format!("{left}u")) {
             request.headers_mut().insert("x-deadline", left);
         }
-        request
+        Some(request)
     }
 }
 
-/// What an answer says of its attempt.
-fn judge(answer: Response<Bytes>) -> End {
-    let header = |name| answer.headers().get(name).and_then(|value| value.to_str().ok());
+fn stalled() -> Result<Bytes, Failure> {
+    Err(Failure::Broken("nothing more came".into()))
+}
+
+/// What an answer's head says of the customer's use.
+fn figures(head: &Parts, outcome: Outcome) -> End {
     let figure = |name| {
-        let figure = header(name).and_then(|text| text.trim().parse::<f64>().ok());
+        let text = head.headers.get(name).and_then(|value| value.to_str().ok());
+        let figure = text.and_then(|text| text.trim().parse::<f64>().ok());
         figure.filter(|figure| figure.is_finite() && *figure >= 0.0)
     };
-    let (used, billed) = (figure("usage-percent").map(|percent| percent / 100.0), figure("billed-units"));
-    let turned_away = header("x-not-run").is_some_and(|text| text.trim() == "1");
-    match answer.status() {
-        StatusCode::OK => End { outcome: Outcome::Ok, used, billed, answer: Some(answer) },
+    let used = figure("usage-percent").map(|percent| percent / 100.0);
+    End { outcome, used, billed: figure("billed-units"), answer: None }
+}
+
+/// What an answer says of its attempt.
+fn judge(answer: Response<Bytes>) -> End {
+    let (head, body) = answer.into_parts();
+    let not_run = head.headers.get("x-not-run").and_then(|value| value.to_str().ok());
+    let turned_away = not_run.is_some_and(|text| text.trim() == "1");
+    match head.status {
+        StatusCode::OK => {
+            let end = figures(&head, Outcome::Ok);
+            End { answer: Some(Response::from_parts(head, body)), ..end }
+        }
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => {
-            End { outcome: Outcome::Full, used, billed, answer: None }
+            figures(&head, Outcome::Full)
         }
         // Anything else may have run.
-        _ => End { outcome: Outcome::Error, used, billed, answer: None },
+        _ => figures(&head, Outcome::Error),
     }
 }
 
--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -3,18 +3,21 @@
 use crate::backends::{Backends, Message, BODY_LIMIT};
 use crate::config::Names;
 use crate::door::{log, Answer, Door};
+use crate::flow::{whole, Outgoing};
+use crate::link::BUFFER;
+use crate::pulse::{Due, Felt, Pulse};
 use crate::shift::{Phase, Shift};
 use crate::stats::{Answered, Entry, Fate, Stats};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Bytes, Incoming};
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper_util::rt::TokioTimer;
 use springusher::{Effect, Settings};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io;
 use std::pin::pin;
@@ -33,10 +36,16 @@
 /// idle connections are closed and new clients told to come back.
 const RESERVE: usize = 64;
 const RESERVE_PART: usize = 4;
-/// How long a client may take over a request's head, or leave its connection idle, and then over the body:
-/// anyone may connect, and a peer that sends nothing of use is owed an end within 3 s.
-const PATIENCE: Duration = Duration::from_millis(2000);
-const BODY_PATIENCE: Duration = Duration::from_millis(800);
+/// How long a body that is gathered may bring nothing. After the longer time it has to have come at this many bytes
+/// a second: four times as many are honest, and a peer that sends nothing of use is owed an end.
+const BODY_STALL: Duration = Duration::from_millis(1000);
+const BODY_GRACE: Duration = Duration::from_millis(2000);
+const BODY_RATE: f64 = 16.0 * 1024.0;
+/// Bytes a second at which a body that goes on as it comes is taken to come: it has no deadline of its own.
+const UPLOAD_RATE: f64 = 64e3;
+const UPLOAD_MOST: Duration = Duration::from_secs(600);
+/// How long a connection that is to close may take over what was written to it, with nobody reading.
+const LAST_WORDS: Duration = Duration::from_secs(120);
 /// After a failed accept.
 const BACK_OFF: Duration = Duration::from_millis(20);
 /// Customers are numbers below this.
@@ -65,6 +74,8 @@
     pub settings: Settings,
     pub shift: Rc<Shift>,
     pub stats: Rc<Stats>,
+    /// Bytes of bodies that may be kept for further attempts, over all requests.
+    pub room: Arc<Semaphore>,
 }
 
 /// Accepts clients until the shutdown closes the door, then returns once every connection has ended.
@@ -131,24 +142,30 @@
     let mut phase = desk.shift.watch();
     let late = desk.shift.phase() == Phase::Emptying;
     let (asked, first) = (Cell::new(false), Notify::new());
+    let pulse = Pulse::new();
     let service = service_fn(|request| {
         let desk = desk.clone();
         asked.set(true);
         first.notify_one();
+        let busy = pulse.asked();
         async move {
             let mut response = if crowded { turn_away(&desk, request) } else { answer(&desk, request).await };
             if crowded || desk.shift.phase() != Phase::Serving {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
+            response.body_mut().busy = Some(busy);
             Ok::<_, Infallible>(response)
         }
     });
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(PATIENCE).max_buf_size(BODY_LIMIT);
-    let mut serving = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    builder.timer(TokioTimer::new()).header_read_timeout(None).max_buf_size(BUFFER);
+    let mut serving = pin!(builder.serve_connection(Felt::new(stream, pulse.clone()), service));
     // A connection's error is its client's: it has gone, or what it sent is no HTTP.
     tokio::select! {
         _ = serving.as_mut() => return,
+        due = pulse.overdue() => if due == Due::Head {
+            return;
+        },
         () = async {
             // Who came while the door was being emptied is served before it goes.
             if late {
@@ -170,13 +187,83 @@
     }
     // An idle one closes now, a busy one behind its answer.
     serving.as_mut().graceful_shutdown();
-    let _ = serving.await;
+    // Guards against a client that reads no more: its connection would stand for ever.
+    let _ = timeout(LAST_WORDS, serving).await;
 }
 
-type Body = Answered<Full<Bytes>>;
+type Body = Answered<Outgoing>;
+
+/// What is here of a request's body.
+struct Gathered {
+    body: Bytes,
+    /// The rest, if there is more than is kept.
+    rest: Option<Incoming>,
+    room: Option<OwnedSemaphorePermit>,
+}
+
+impl Gathered {
+    fn into_message(self, method: Method, uri: Uri, headers: HeaderMap) -> Message {
+        let is_kept = self.rest.is_none();
+        let rest = RefCell::new(self.rest);
+        Message { method, uri, headers, body: self.body, rest, is_kept, _room: self.room }
+    }
+}
+
+impl Message {
+    /// How long the rest of the body may take to come.
+    fn time_to_come(&self) -> Duration {
+        self.rest.borrow().as_ref().map_or(Duration::ZERO, |rest| {
+            let seconds = rest.size_hint().exact().map(|left| left as f64 / UPLOAD_RATE);
+            let time = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+            time.map_or(UPLOAD_MOST, |time| time.min(UPLOAD_MOST))
+        })
+    }
+}
+
+/// Gathers a body while it is small enough to be kept for a further attempt.
+async fn gather(mut body: Incoming, desk: &Desk) -> Result<Gathered, (StatusCode, &'static str)> {
+    let began = Instant::now();
+    let mut pieces: Vec<Bytes> = Vec::new();
+    let mut room: Option<OwnedSemaphorePermit> = None;
+    let mut size = 0;
+    let more = loop {
+        if body.is_end_stream() {
+            break false;
+        }
+        if body.size_hint().exact().is_some_and(|left| left > (BODY_LIMIT - size) as u64) {
+            break true;
+        }
+        let frame = match timeout(BODY_STALL, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) => break false,
+            Ok(Some(Err(_))) => return Err((StatusCode::BAD_REQUEST, "the body is broken")),
+            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come")),
+        };
+        // Trailers speak of this connection alone.
+        let Ok(piece) = frame.into_data() else { continue };
+        size += piece.len();
+        let kept = desk.room.clone().try_acquire_many_owned(piece.len() as u32).ok();
+        pieces.push(piece);
+        match (kept, &mut room) {
+            (Some(kept), Some(room)) => room.merge(kept),
+            (Some(kept), none) => *none = Some(kept),
+            (None, _) => break true,
+        }
+        if size >= BODY_LIMIT && !body.is_end_stream() {
+            break true;
+        }
+        let elapsed = began.elapsed();
+        if elapsed > BODY_GRACE && (size as f64) < BODY_RATE * elapsed.as_secs_f64() {
+            return Err((StatusCode::REQUEST_TIMEOUT, "the body comes too slowly"));
+        }
+    };
+    let body_here = if pieces.len() == 1 { pieces.remove(0) } else { pieces.concat().into() };
+    // What is not kept takes no room of what is.
+    let room = room.filter(|_| !more);
+    Ok(Gathered { body: body_here, rest: more.then_some(body), room })
+}
 
 async fn answer(desk: &Desk, request: Request<Incoming>) -> Response<Body> {
-    let came = Instant::now();
     if request.method() == Method::GET && request.uri().path() == "/healthz" {
         // One that has been taken over from speaks for both.
         let up =
@@ -189,20 +276,18 @@
         Err(problem) => return text(None, StatusCode::BAD_REQUEST, problem),
     };
     let mut entry = desk.stats.enter(asked.request.class);
-    let body = match timeout(BODY_PATIENCE, Limited::new(body, BODY_LIMIT).collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(_)) => {
-            return text(Some(entry), StatusCode::BAD_REQUEST, "the body is broken, or longer than 64 KiB")
-        }
-        Err(_) => return text(Some(entry), StatusCode::REQUEST_TIMEOUT, "the body did not come"),
+    let (headers, method) = (pass_on(head.headers), head.method);
+    let message = match gather(body, desk).await {
+        Ok(gathered) => gathered.into_message(method, asked.uri, headers),
+        Err((status, problem)) => return text(Some(entry), status, problem),
     };
     entry.taken();
-    let deadline = came + asked.patience.saturating_sub(MARGIN);
-    let message = Message { method: head.method, uri: asked.uri, headers: pass_on(head.headers), body };
+    // The client's time runs from the request's last byte.
+    let deadline = Instant::now() + asked.patience.saturating_sub(MARGIN) + message.time_to_come();
     match desk.door.admit(asked.request, message, deadline).answer(deadline).await {
         Answer::Served(served) => {
             let (head, body) = served.into_parts();
-            let mut response = Response::new(Answered::new(Full::new(body), Some(entry), Fate::Served));
+            let mut response = Response::new(Answered::new(body, Some(entry), Fate::Served));
             *response.headers_mut() = pass_on(head.headers);
             response
         }
@@ -219,7 +304,7 @@
 
 fn text(entry: Option<Entry>, status: StatusCode, line: &'static str) -> Response<Body> {
     let fate = if status == StatusCode::TOO_MANY_REQUESTS { Fate::Refused } else { Fate::Failed };
-    let body = Full::new(Bytes::from_static(line.as_bytes()));
+    let body = whole(Bytes::from_static(line.as_bytes()));
     let mut response = Response::new(Answered::new(body, entry, fate));
     *response.status_mut() = status;
     response
--- a/src/bin/brassport/config.rs
+++ b/src/bin/brassport/config.rs
@@ -15,6 +15,8 @@
     pub discovery: SocketAddr,
     pub seed: u64,
     pub sockets: usize,
+    /// In bytes.
+    pub memory: usize,
     pub known: List,
     pub names: Names,
     pub settings: Settings,
@@ -43,6 +45,7 @@
 #[derive(Deserialize)]
 struct Limits {
     sockets: usize,
+    memory_mb: f64,
 }
 
 #[derive(Deserialize)]
@@ -220,6 +223,7 @@
         discovery: named("BALANCER_DISCOVERY", file.discovery)?,
         seed,
         sockets: file.limits.sockets,
+        memory: (file.limits.memory_mb * f64::from(1 << 20)) as usize,
         known: file.known,
         names,
         settings,
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -4,7 +4,8 @@
 use crate::backends::{Backends, End, Message};
 use crate::bans::{Bans, Standing, NAME_LIMIT};
 use crate::discovery::{List, State, Target};
-use hyper::body::Bytes;
+use crate::flow::{whole, Flow, Outgoing};
+use http_body_util::Either;
 use hyper::Response;
 use springusher::{
     Action, AttemptEnd, CustomerId, Estate, Event, Gateway, InvalidSetting, Lifecycle, ListKind, Millis,
@@ -25,7 +26,7 @@
 
 /// The final answer to a client.
 pub enum Answer {
-    Served(Response<Bytes>),
+    Served(Response<Outgoing>),
     /// Trying again is harmless; after so long, if that is not nought.
     Refused(Millis),
     Failed,
@@ -394,11 +395,18 @@
                 std::future::pending::<()>().await;
             }
         };
+        let begin = |answer: Response<Flow>, end: &End| {
+            self.inner.borrow_mut().answer(request, Answer::Served(answer.map(Either::Right)));
+            let (outcome, used, billed) = (end.outcome, end.used, end.billed);
+            let elapsed = self.clock.now() - sent;
+            let end = AttemptEnd { request, attempt, outcome, elapsed, finished: true, used, billed };
+            self.handle(Event::Begun(end));
+        };
         let End { outcome, used, billed, answer } =
-            self.backends.attempt(server, &message, expire_at, cancel, wanted).await;
+            self.backends.attempt(server, &message, expire_at, cancel, wanted, begin).await;
         let mut inner = self.inner.borrow_mut();
         if let Some(answer) = answer {
-            inner.answer(request, Answer::Served(answer));
+            inner.answer(request, Answer::Served(answer.map(whole)));
         }
         let mut finished = true;
         if let Some(hand) = inner.requests.get_mut(&request) {
--- a/src/bin/brassport/handover.rs
+++ b/src/bin/brassport/handover.rs
@@ -5,6 +5,7 @@
 
 use crate::discovery::{List, Target};
 use crate::door::{log, Door};
+use crate::link::KERNEL_BUFFER;
 use crate::shift::Shift;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
@@ -59,6 +60,9 @@
     let socket = socket2::Socket::new(domain, socket2::Type::STREAM, Some(socket2::Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.set_reuse_port(true)?;
+    // The connections that it accepts take these over.
+    socket.set_send_buffer_size(KERNEL_BUFFER as usize)?;
+    socket.set_recv_buffer_size(KERNEL_BUFFER as usize)?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
     socket.set_nonblocking(true)?;
--- a/src/bin/brassport/link.rs
+++ b/src/bin/brassport/link.rs
@@ -1,8 +1,9 @@
 //! One HTTP/1.1 connection to a peer. Whoever holds it drives it: no task of its own stands behind it, so
 //! dropping it has closed the socket.
 
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Bytes;
+use crate::flow::Upload;
+use http_body_util::{BodyExt, Collected, Full, Limited};
+use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Request, Response};
@@ -14,7 +15,11 @@
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
+
+/// What is read ahead of its reader, or written ahead of it, on one connection: by the program, and by the system.
+pub const BUFFER: usize = 32 * 1024;
+pub const KERNEL_BUFFER: u32 = 64 * 1024;
 
 /// Why an exchange brought no whole answer.
 #[derive(Debug, PartialEq, Eq)]
@@ -90,21 +95,53 @@
     }
 }
 
+/// A request's body that tells when all of it has gone to the connection.
+struct Tracked {
+    body: Upload,
+    progress: Rc<Progress>,
+}
+
+impl Body for Tracked {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        if frame.is_none() || self.body.is_end_stream() {
+            self.progress.all_there.set(true);
+        }
+        Poll::Ready(frame)
+    }
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 pub struct Link {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Tracked>,
     /// `None` once it is over.
-    connection: Option<Connection<Socket, Full<Bytes>>>,
+    connection: Option<Connection<Socket, Tracked>>,
     progress: Rc<Progress>,
 }
 
 impl Link {
     /// Requests are counted in `written` once their last byte is.
     pub async fn open(address: SocketAddr, written: Rc<Cell<u64>>) -> io::Result<Link> {
-        let stream = TcpStream::connect(address).await?;
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.set_recv_buffer_size(KERNEL_BUFFER)?;
+        socket.set_send_buffer_size(KERNEL_BUFFER)?;
+        let stream = socket.connect(address).await?;
         stream.set_nodelay(true)?;
         let progress = Rc::new(Progress { written, ..Progress::default() });
         let socket = Socket { stream: TokioIo::new(stream), progress: progress.clone() };
-        let (sender, connection) = http1::handshake(socket).await.map_err(io::Error::other)?;
+        let (sender, connection) =
+            http1::Builder::new().max_buf_size(BUFFER).handshake(socket).await.map_err(io::Error::other)?;
         Ok(Link { sender, connection: Some(connection), progress })
     }
 
@@ -114,21 +151,43 @@
         request: Request<Full<Bytes>>,
         most: usize,
     ) -> Result<Response<Bytes>, Failure> {
+        let (head, body) = request.into_parts();
+        let body = body.collect().await.map(Collected::to_bytes).unwrap_or_default();
+        let answer = self.send(Request::from_parts(head, Upload::new(body, None))).await?;
+        let (head, body) = answer.into_parts();
+        let body = drive(&mut self.connection, Limited::new(body, most).collect()).await;
+        // Guards against serving a body that was cut short: an error of the body is a broken connection.
+        let body = body.map_err(|error| Failure::Broken(error.to_string()))?.to_bytes();
+        Ok(Response::from_parts(head, body))
+    }
+
+    /// Sends one request and waits until its answer begins.
+    pub async fn send(&mut self, request: Request<Upload>) -> Result<Response<Incoming>, Failure> {
         let Link { sender, connection, progress } = self;
         progress.begun.set(false);
-        progress.all_there.set(true);
+        progress.all_there.set(request.body().is_end_stream());
         progress.writing.set(true);
+        let request = request.map(|body| Tracked { body, progress: progress.clone() });
         // hyper hands a request back only if it never began to write it.
         let answer = sender.try_send_request(request);
-        let answer = drive(connection, answer).await.map_err(|mut error| match error.take_message() {
+        drive(connection, answer).await.map_err(|mut error| match error.take_message() {
             Some(_) => Failure::Unsent,
             None => Failure::Broken(error.error().to_string()),
-        })?;
-        let (head, body) = answer.into_parts();
-        let body = drive(connection, Limited::new(body, most).collect()).await;
-        // Guards against serving a body that was cut short: an error of the body is a broken connection.
-        let body = body.map_err(|error| Failure::Broken(error.to_string()))?.to_bytes();
-        Ok(Response::from_parts(head, body))
+        })
+    }
+
+    /// The next piece of an answer that has begun; `None` at its end.
+    pub async fn piece(&mut self, body: &mut Incoming) -> Option<Result<Bytes, Failure>> {
+        loop {
+            match drive(&mut self.connection, body.frame()).await? {
+                Ok(frame) => match frame.into_data() {
+                    Ok(data) => return Some(Ok(data)),
+                    // Trailers, which speak of this connection alone.
+                    Err(_) => continue,
+                },
+                Err(error) => return Some(Err(Failure::Broken(error.to_string()))),
+            }
+        }
     }
 
     /// Whether the connection stands and can take a request. Guards against sending into a connection
@@ -148,10 +207,7 @@
 }
 
 /// Waits for `work`, which the connection has to be driven for.
-async fn drive<T>(
-    connection: &mut Option<Connection<Socket, Full<Bytes>>>,
-    work: impl Future<Output = T>,
-) -> T {
+async fn drive<T>(connection: &mut Option<Connection<Socket, Tracked>>, work: impl Future<Output = T>) -> T {
     let mut work = pin!(work);
     poll_fn(|context| {
         if let Some(running) = connection {
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -8,8 +8,10 @@
 mod config;
 mod discovery;
 mod door;
+mod flow;
 mod handover;
 mod link;
+mod pulse;
 mod shift;
 mod staff;
 mod stats;
@@ -44,6 +46,10 @@
 const CLOSING: Duration = Duration::from_millis(3000);
 const LAST_WORDS: Duration = Duration::from_millis(100);
 
+/// Part of the memory that bodies kept for further attempts may take.
+const KEPT_PART: usize = 8;
+/// How long answers that have begun may go on when all else has ended.
+const REST: Duration = Duration::from_secs(60);
 /// How long to wait for a backend to send to before taking over, and how often to look.
 const READY_WITHIN: Duration = Duration::from_secs(8);
 const LOOK: Duration = Duration::from_millis(10);
@@ -170,6 +176,7 @@
         settings: config.settings,
         shift: shift.clone(),
         stats: stats.clone(),
+        room: Arc::new(Semaphore::new((config.memory / KEPT_PART).min(Semaphore::MAX_PERMITS))),
     });
     let mut serving = spawn_local(clients::serve(listener, desk, descriptors));
 
@@ -196,7 +203,8 @@
     shift.close();
     if timeout(closing.saturating_sub(LAST_WORDS), &mut serving).await.is_err() {
         door.fail_all();
-        let _ = timeout(LAST_WORDS, &mut serving).await;
+        // What has begun to reach its client goes on until it is whole, or the platform ends this process.
+        let _ = timeout(REST, &mut serving).await;
     }
     Ok(())
 }
--- a/src/bin/brassport/stats.rs
+++ b/src/bin/brassport/stats.rs
@@ -1,5 +1,6 @@
 //! What staff read of the front door: how many requests ended how, and how many are in hand.
 
+use crate::pulse::Busy;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use serde_json::{json, Map, Value};
 use std::cell::{Cell, RefCell};
@@ -101,11 +102,13 @@
     body: B,
     entry: Option<Entry>,
     fate: Fate,
+    /// The client's connection is held busy until the answer's end.
+    pub busy: Option<Busy>,
 }
 
 impl<B: Body> Answered<B> {
     pub fn new(body: B, entry: Option<Entry>, fate: Fate) -> Answered<B> {
-        let mut answered = Answered { body, entry, fate };
+        let mut answered = Answered { body, entry, fate, busy: None };
         answered.note_end();
         answered
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -6,7 +6,7 @@
 
 use crate::interface::*;
 pub use crate::quota::Estate;
-use crate::quota::{Customer, CHANCE_FLOOR, METER_LAG, NEVER};
+use crate::quota::{ordered_chance, Customer, CHANCE_FLOOR, METER_LAG, NEVER};
 use oorandom::Rand64;
 use std::collections::BTreeMap;
 
@@ -69,6 +69,8 @@
     to: ServerEntry,
     sent: Millis,
     out: bool,
+    /// Whether its answer has begun, by which it was judged.
+    begun: bool,
     may_have_run: bool,
 }
 
@@ -142,19 +144,6 @@
     *average += weight * (sample - *average);
 }
 
-/// The chance of one kind when a share of the whole is admitted, the kinds in `order` first.
-fn ordered_chance(share: f64, mix: &[f64], order: &[usize], kind: usize) -> f64 {
-    let total: f64 = mix.iter().sum();
-    let mut left = share * total;
-    for &other in order {
-        if other == kind {
-            return if mix[kind] > 0.0 { (left / mix[kind]).clamp(0.0, 1.0) } else { share };
-        }
-        left = (left - mix[other]).max(0.0);
-    }
-    share
-}
-
 impl Gateway {
     /// A gateway that starts at `now` with an empty server list.
     ///
@@ -200,7 +189,8 @@
         self.now = self.now.max(now);
         match event {
             Event::Request(request) => self.arrive(request, actions),
-            Event::AttemptEnd(end) => self.attempt_ended(end, actions),
+            Event::AttemptEnd(end) => self.attempt_ended(end, false, actions),
+            Event::Begun(end) => self.attempt_ended(end, true, actions),
             Event::Started(request) | Event::ClientGone(request) => self.close(request),
             Event::Timer(token) => match (token % 4, token / 4) {
                 (DEADLINE, request) => self.give_up(request, actions),
@@ -611,7 +601,13 @@
         let Some(server) = self.servers.get_mut(&to) else { return };
         server.out.push(self.now);
         open.held = false;
-        open.attempts.push(Attempt { to: server.entry, sent: self.now, out: true, may_have_run: true });
+        open.attempts.push(Attempt {
+            to: server.entry,
+            sent: self.now,
+            out: true,
+            begun: false,
+            may_have_run: true,
+        });
         if let Some(customer) = self.customers.get_mut(&open.request.customer) {
             customer.open += 1;
         }
@@ -684,19 +680,21 @@
         true
     }
 
-    fn attempt_ended(&mut self, end: AttemptEnd, actions: &mut Vec<Action>) {
+    /// An attempt has ended, or its answer has begun and there is `more` to come.
+    fn attempt_ended(&mut self, end: AttemptEnd, more: bool, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get_mut(&end.request) else { return };
         let Some(attempt) = open.attempts.get_mut(usize::from(end.attempt)) else { return };
         if !attempt.out {
             return;
         }
-        attempt.out = false;
+        attempt.out = more;
+        let judged = std::mem::replace(&mut attempt.begun, more);
         attempt.may_have_run = !end.outcome.never_ran();
         let (server, sent, request) = (attempt.to.id, attempt.sent, open.request);
         if end.finished {
             open.done = true;
         }
-        if let Some(server) = self.servers.get_mut(&server) {
+        if let Some(server) = self.servers.get_mut(&server).filter(|_| !judged) {
             if let Some(place) = server.out.iter().position(|at| *at == sent) {
                 server.out.remove(place);
             }
@@ -704,8 +702,10 @@
                 self.servers.remove(&attempt.to.id);
             }
         }
-        self.judge(&request, server, &end, actions);
-        let next = self.customers.get_mut(&request.customer).and_then(|customer| {
+        if !judged {
+            self.judge(&request, server, &end, actions);
+        }
+        let next = self.customers.get_mut(&request.customer).filter(|_| !more).and_then(|customer| {
             customer.open = customer.open.saturating_sub(1);
             customer.held.pop_front()
         });
@@ -713,14 +713,14 @@
             self.read_meter(request.customer, used);
         }
         // A connection that broke says nothing of load: what replaces the attempt is not charged.
-        if matches!(end.outcome, Outcome::Reset | Outcome::NoConnection) {
+        if !judged && matches!(end.outcome, Outcome::Reset | Outcome::NoConnection) {
             self.retry_budget += 1.0;
         }
         let open = &self.requests[&end.request];
         let out = open.attempts.iter().any(|attempt| attempt.out);
         if open.done {
             if self.settings.may_cancel && end.outcome == Outcome::Ok {
-                let losers = open.attempts.iter().enumerate().filter(|(_, attempt)| attempt.out);
+                let losers = open.attempts.iter().enumerate().filter(|(_, other)| other.out && !other.begun);
                 actions
                     .extend(losers.map(|(n, _)| Action::Cancel { request: end.request, attempt: n as u8 }));
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -341,6 +341,9 @@
     Request(Request),
     /// An attempt ended.
     AttemptEnd(AttemptEnd),
+    /// A good answer began that is passed on as it comes: the request is finished, and its attempt is judged
+    /// by this moment. It stays out until its end is told as well.
+    Begun(AttemptEnd),
     /// A streamed answer began; the attempt is the client's from here.
     Started(RequestId),
     /// The client left; no answer is owed any more.
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -189,3 +189,16 @@
         self.chance_set = now;
     }
 }
+
+/// The chance of one kind when a share of the whole is admitted, the kinds in `order` first.
+pub(crate) fn ordered_chance(share: f64, mix: &[f64], order: &[usize], kind: usize) -> f64 {
+    let total: f64 = mix.iter().sum();
+    let mut left = share * total;
+    for &other in order {
+        if other == kind {
+            return if mix[kind] > 0.0 { (left / mix[kind]).clamp(0.0, 1.0) } else { share };
+        }
+        left = (left - mix[other]).max(0.0);
+    }
+    share
+}
