--- a/src/bin/brassport/backends.rs
+++ b/src/bin/brassport/backends.rs
@@ -98,6 +98,8 @@
     /// Attempts whose last byte was written.
     attempts: Rc<Cell<u64>>,
     descriptors: Arc<Semaphore>,
+    /// Bytes of large answers that may be here before their clients take them.
+    ahead: Arc<Semaphore>,
     connect_timeout: Duration,
     keep_idle: Duration,
     tally: RefCell<Tally>,
@@ -106,6 +108,7 @@
 impl Backends {
     pub fn new(
         descriptors: Arc<Semaphore>,
+        ahead: usize,
         attempts: Rc<Cell<u64>>,
         connect_timeout: Duration,
         idle_timeout: Duration,
@@ -115,6 +118,7 @@
             out: RefCell::default(),
             keep_none: Cell::new(false),
             attempts,
+            ahead: Arc::new(Semaphore::new(ahead.min(Semaphore::MAX_PERMITS))),
             descriptors,
             connect_timeout,
             keep_idle: idle_timeout.mul_f64(IDLE_PART),
@@ -350,7 +354,7 @@
             return Ok(Outcome::Cancelled.into());
         }
         let end = figures(&head, Outcome::Ok);
-        let (source, flow) = flow(length);
+        let (source, flow) = flow(length, self.ahead.clone());
         begun.set(true);
         begin(Response::from_parts(head, flow), &end);
         let pass_on = async {
@@ -374,7 +378,7 @@
         // Another attempt's place is not taken: what the meter told with the head was heard then.
         match passed {
             Ok(()) => {
-                source.end().await;
+                source.end();
                 Ok(Outcome::Ok.into())
             }
             Err(outcome) => Ok(outcome.into()),
--- a/src/bin/brassport/flow.rs
+++ b/src/bin/brassport/flow.rs
@@ -1,11 +1,16 @@
-//! Bodies that pass through as they come, one piece at a time: a slow reader slows the writer.
+//! Bodies that pass through as they come. What is read ahead of a slow reader is bounded over all of them, and
+//! beyond that by one piece for each: then the reader slows the writer.
 
 use http_body_util::{Either, Full};
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use std::fmt;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{ready, Context, Poll};
-use tokio::sync::mpsc::{self, error::SendError};
+use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
+
+/// Pieces below this are copied.
+const SMALL: usize = 4096;
 
 /// An answer on its way to a client.
 pub type Outgoing = Either<Full<Bytes>, Flow>;
@@ -15,7 +20,11 @@
 }
 
 enum Piece {
-    Data(Bytes),
+    /// With the room that it takes, in the bytes for all or as this body's one piece.
+    Data {
+        data: Bytes,
+        _room: OwnedSemaphorePermit,
+    },
     End,
 }
 
@@ -32,33 +41,46 @@
 impl std::error::Error for Cut {}
 
 /// The writer's side. Dropped without a word, it cuts the body short.
-pub struct Source(mpsc::Sender<Piece>);
+pub struct Source {
+    pieces: mpsc::UnboundedSender<Piece>,
+    /// Bytes that all bodies may be read ahead together.
+    ahead: Arc<Semaphore>,
+    /// This one's own piece.
+    own: Arc<Semaphore>,
+}
 
 /// The reader's side.
 pub struct Flow {
-    pieces: mpsc::Receiver<Piece>,
+    pieces: mpsc::UnboundedReceiver<Piece>,
     /// Bytes still to come, where that is known.
     left: Option<u64>,
     ended: bool,
 }
 
 /// A body of this length, if it is known.
-pub fn flow(length: Option<u64>) -> (Source, Flow) {
-    let (sender, pieces) = mpsc::channel(1);
-    (Source(sender), Flow { pieces, left: length, ended: false })
+pub fn flow(length: Option<u64>, ahead: Arc<Semaphore>) -> (Source, Flow) {
+    let (sender, pieces) = mpsc::unbounded_channel();
+    let source = Source { pieces: sender, ahead, own: Arc::new(Semaphore::new(1)) };
+    (source, Flow { pieces, left: length, ended: false })
 }
 
 impl Source {
     /// Passes a piece on once there is room for it; an error if nobody reads any more.
     pub async fn send(&self, data: Bytes) -> Result<(), Cut> {
-        self.0.send(Piece::Data(data)).await.map_err(|SendError(_)| Cut)
+        // A small piece must not hold the large buffer that it was read into.
+        let data = if data.len() < SMALL { Bytes::copy_from_slice(&data) } else { data };
+        let room = match self.ahead.clone().try_acquire_many_owned(data.len() as u32) {
+            Ok(room) => room,
+            Err(_) => self.own.clone().acquire_owned().await.map_err(|_| Cut)?,
+        };
+        self.pieces.send(Piece::Data { data, _room: room }).map_err(|_| Cut)
     }
-    pub async fn end(self) {
-        let _ = self.0.send(Piece::End).await;
+    pub fn end(self) {
+        let _ = self.pieces.send(Piece::End);
     }
     /// Waits until nobody reads any more.
     pub async fn closed(&self) {
-        self.0.closed().await;
+        self.pieces.closed().await;
     }
 }
 
@@ -74,7 +96,7 @@
             return Poll::Ready(None);
         }
         match ready!(self.pieces.poll_recv(context)) {
-            Some(Piece::Data(data)) => {
+            Some(Piece::Data { data, .. }) => {
                 self.left = self.left.map(|left| left.saturating_sub(data.len() as u64));
                 Poll::Ready(Some(Ok(Frame::data(data))))
             }
@@ -147,15 +169,34 @@
             (None, 4, true, true),
             (None, 4, false, false),
         ] {
-            let (source, flow) = flow(length);
+            let (source, flow) = flow(length, Arc::new(Semaphore::new(0)));
             let writing = async {
                 source.send(Bytes::from(vec![0; sent])).await.expect("it is read");
                 if ended {
-                    source.end().await;
+                    source.end();
                 }
             };
             let ((), read) = tokio::join!(writing, flow.collect());
             assert_eq!(read.is_ok(), whole, "{length:?} {sent} {ended}");
         }
     }
+
+    #[tokio::test]
+    async fn what_is_read_ahead_is_bounded_and_its_room_comes_back() {
+        let ahead = Arc::new(Semaphore::new(10_000));
+        let (source, mut flow) = flow(None, ahead.clone());
+        let piece = Bytes::from(vec![0; 5000]);
+        for _ in 0..3 {
+            source.send(piece.clone()).await.expect("there is room for two, and one of its own");
+        }
+        tokio::select! {
+            biased;
+            _ = source.send(piece.clone()) => panic!("the fourth has to wait for the reader"),
+            () = tokio::task::yield_now() => {}
+        }
+        flow.frame().await.expect("a piece").expect("whole");
+        source.send(piece).await.expect("there is room again");
+        drop((source, flow));
+        assert_eq!(ahead.available_permits(), 10_000);
+    }
 }
