Judge an answer of a cold server as if it had been warm

The room was cut by answers that are slow for coldness alone. Ruled out: a lack of any server (nothing in the log).

--- a/src/control.rs
+++ b/src/control.rs
@@ -475,9 +475,8 @@
                 continue;
             }
             let warmth = self.warmth(server);
-            let before = lot;
+            let drawn = warmth < 1.0 && (0.0..warmth).contains(&lot);
             lot -= if warmth < 1.0 { warmth } else { 0.0 };
-            let drawn = before >= 0.0 && lot < 0.0;
             if warmth < 1.0 && !drawn {
                 continue;
             }
@@ -503,7 +502,8 @@
         let mean = self.answer_time[class].max(1.0);
         // As if it had been a request of the mean size.
         let elapsed = if end.elapsed.is_finite() { end.elapsed.max(0.0) } else { 0.0 };
-        let elapsed = elapsed / self.size(request, end.billed);
+        let warmth = self.servers.get(&id).map_or(1.0, |server| self.warmth(server));
+        let elapsed = elapsed * warmth / self.size(request, end.billed);
         match end.outcome {
             Outcome::Ok => {
                 let aim = self.settings.classes[class].aim;
@@ -805,12 +805,7 @@
 
     /// Takes the place of the gateway that left this. An estate of other plans or classes is left alone.
     pub fn inherit(&mut self, now: Millis, estate: Estate) {
-        let classes = self.settings.classes.len();
-        let averages = [&estate.class_mix, &estate.answer_time, &estate.mean_units, &estate.first_wait];
-        let plans = self.settings.plans.len();
-        if averages.iter().any(|average| average.len() != classes)
-            || estate.customers.iter().any(|(_, customer)| customer.plan >= plans)
-        {
+        if !estate.fits(&self.settings) {
             return;
         }
         (self.now, self.born, self.tick) = (self.now.max(now), estate.born, estate.tick);
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -88,6 +88,15 @@
     pub(crate) servers: Vec<(ServerId, f64, Millis, u32, Millis)>,
 }
 
+impl Estate {
+    /// Whether it is of a gateway with as many classes and plans.
+    pub(crate) fn fits(&self, settings: &Settings) -> bool {
+        let averages = [&self.class_mix, &self.answer_time, &self.mean_units, &self.first_wait];
+        averages.iter().all(|average| average.len() == settings.classes.len())
+            && self.customers.iter().all(|(_, customer)| customer.plan < settings.plans.len())
+    }
+}
+
 impl Customer {
     /// One that has sent nothing yet, at a gateway born at `born`.
     pub(crate) fn new(plan: &Plan, spread: u32, born: Millis, now: Millis, period: Millis) -> Customer {
