Read only answers of plans with a cap ahead of slow clients

Cause, from a play with chain's stores logged each second: in most seconds nearly all of chain's requests are held at the cap while its stores are full. Ruled out: the coin (chance 1.00), the spent store, the ceiling (full) and the room (1.00 from 6 s on). The module says with each send whether it holds a place under a cap.

--- a/src/bin/brassport/backends.rs
+++ b/src/bin/brassport/backends.rs
@@ -45,6 +45,15 @@
     pub _room: Option<OwnedSemaphorePermit>,
 }
 
+/// An attempt that is to be made.
+pub struct Order {
+    pub server: ServerId,
+    pub message: Rc<Message>,
+    pub expire_at: Instant,
+    /// Whether a long answer is read ahead of its client.
+    pub capped: bool,
+}
+
 /// How an attempt ended.
 pub struct End {
     pub outcome: Outcome,
@@ -95,6 +104,8 @@
     out: RefCell<HashSet<ServerId>>,
     /// Whether connections are closed after use: another process needs the descriptors.
     keep_none: Cell<bool>,
+    /// Bytes of `ahead` that are not this process's any more.
+    given: Cell<usize>,
     /// Attempts whose last byte was written.
     attempts: Rc<Cell<u64>>,
     descriptors: Arc<Semaphore>,
@@ -117,6 +128,7 @@
             known: RefCell::default(),
             out: RefCell::default(),
             keep_none: Cell::new(false),
+            given: Cell::new(0),
             attempts,
             ahead: Arc::new(Semaphore::new(ahead.min(Semaphore::MAX_PERMITS))),
             descriptors,
@@ -156,6 +168,12 @@
     /// Closes idle connections, now and from here on, or no longer does.
     pub fn keep_no_more(&self, none: bool) {
         self.keep_none.set(none);
+        // The room for reading ahead goes to the other process as well.
+        if none {
+            self.given.set(self.given.get() + self.ahead.forget_permits(Semaphore::MAX_PERMITS));
+        } else {
+            self.ahead.add_permits(self.given.take());
+        }
         while none && self.shed_idle() {}
     }
 
@@ -227,15 +245,13 @@
     /// whether the request still waits for an answer, `cancel` calls the attempt off.
     pub async fn attempt(
         &self,
-        id: ServerId,
-        message: &Message,
-        expire_at: Instant,
+        order: &Order,
         cancel: impl Future,
         wanted: impl Fn() -> bool,
         begin: impl FnOnce(Response<Flow>, &End),
     ) -> End {
         let (written, begun) = (Cell::new(false), Cell::new(false));
-        let exchange = self.exchange(id, message, expire_at, wanted, begin, (&written, &begun));
+        let exchange = self.exchange(order, wanted, begin, (&written, &begun));
         // What has begun to reach its client is not called off any more.
         let unless_begun = || async {
             if begun.get() {
@@ -252,7 +268,7 @@
             } => Outcome::Cancelled,
             end = exchange => return end,
             () = async {
-                sleep_until(expire_at).await;
+                sleep_until(order.expire_at).await;
                 unless_begun().await;
             } => Outcome::TimedOut,
         };
@@ -265,13 +281,12 @@
 
     async fn exchange(
         &self,
-        id: ServerId,
-        message: &Message,
-        expire_at: Instant,
+        order: &Order,
         wanted: impl Fn() -> bool,
         begin: impl FnOnce(Response<Flow>, &End),
         (written, begun): (&Cell<bool>, &Cell<bool>),
     ) -> End {
+        let id = order.server;
         let Some(address) = self.ready_at(id) else { return Outcome::Moot.into() };
         let mut pooled = match self.idle(id).await {
             Some(pooled) => pooled,
@@ -286,11 +301,11 @@
             return Outcome::Moot.into();
         }
         // What went on as it came is not there for a further attempt.
-        let Some(request) = message.to_send(expire_at) else { return Outcome::Moot.into() };
+        let Some(request) = order.message.to_send(order.expire_at) else { return Outcome::Moot.into() };
         written.set(true);
         let (sent, idle) = (Instant::now(), pooled.since.elapsed());
         self.tally.borrow_mut().exchanges += 1;
-        let end = match self.receive(&mut pooled.link, request, wanted, begin, begun).await {
+        let end = match self.receive(&mut pooled.link, request, order.capped, wanted, begin, begun).await {
             Ok(end) => end,
             Err(Failure::Unsent) => return Outcome::NoConnection.into(),
             Err(Failure::Broken(problem)) => {
@@ -318,6 +333,7 @@
         &self,
         link: &mut Link,
         request: Request<Upload>,
+        capped: bool,
         wanted: impl Fn() -> bool,
         begin: impl FnOnce(Response<Flow>, &End),
         begun: &Cell<bool>,
@@ -354,7 +370,8 @@
             return Ok(Outcome::Cancelled.into());
         }
         let end = figures(&head, Outcome::Ok);
-        let (source, flow) = flow(length, self.ahead.clone());
+        let (source, flow) =
+            flow(length, if capped { self.ahead.clone() } else { Arc::new(Semaphore::new(0)) });
         begun.set(true);
         begin(Response::from_parts(head, flow), &end);
         let pass_on = async {
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -1,7 +1,7 @@
 //! The door: the single owner of the decision module. It keeps the module's clock and timers and the
 //! requests in hand, hands events in, and carries actions out in order. It decides nothing.
 
-use crate::backends::{Backends, End, Message};
+use crate::backends::{Backends, End, Message, Order};
 use crate::bans::{Bans, Standing, NAME_LIMIT};
 use crate::discovery::{List, State, Target};
 use crate::flow::{whole, Flow, Outgoing};
@@ -345,16 +345,16 @@
     /// What an action names and is no longer in hand was answered meanwhile: it is passed over.
     fn carry_out(self: &Rc<Self>, inner: &mut Inner, action: Action) {
         match action {
-            Action::Send { request, server, expire_at } => {
+            Action::Send { request, server, expire_at, capped } => {
                 let Some(hand) = inner.requests.get_mut(&request) else { return };
                 let expire_at =
                     expire_at.map_or(hand.deadline, |at| self.clock.instant(at).min(hand.deadline));
                 let (cancel, cancelled) = oneshot::channel();
                 let number = hand.attempts.len() as u8;
                 hand.attempts.push(Some(cancel));
-                let attempt =
-                    self.clone().attempt(request, number, server, hand.message.clone(), expire_at, cancelled);
-                tokio::task::spawn_local(attempt);
+                let message = hand.message.clone();
+                let order = Order { server, message, expire_at, capped };
+                tokio::task::spawn_local(self.clone().attempt(request, number, order, cancelled));
             }
             Action::Refuse { request, retry_after } => inner.answer(request, Answer::Refused(retry_after)),
             Action::Fail(request) => inner.answer(request, Answer::Failed),
@@ -382,9 +382,7 @@
         self: Rc<Self>,
         request: RequestId,
         attempt: u8,
-        server: ServerId,
-        message: Rc<Message>,
-        expire_at: Instant,
+        order: Order,
         cancelled: oneshot::Receiver<()>,
     ) {
         let sent = self.clock.now();
@@ -403,7 +401,7 @@
             self.handle(Event::Begun(end));
         };
         let End { outcome, used, billed, answer } =
-            self.backends.attempt(server, &message, expire_at, cancel, wanted, begin).await;
+            self.backends.attempt(&order, cancel, wanted, begin).await;
         let mut inner = self.inner.borrow_mut();
         if let Some(answer) = answer {
             inner.answer(request, Answer::Served(answer.map(whole)));
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -49,8 +49,8 @@
 /// Part of the memory that bodies kept for further attempts may take.
 const KEPT_PART: usize = 8;
 /// Part of it that large answers may take before their clients read them: a backend that is done with a
-/// request sooner takes others. Two processes that follow each other have it twice.
-const AHEAD_PART: usize = 4;
+/// request sooner takes others. A process that is taken over from gives up what of it is free.
+const AHEAD_PART: usize = 3;
 /// How long answers that have begun may go on when all else has ended.
 const REST: Duration = Duration::from_secs(60);
 /// How long to wait for a backend to send to before taking over, and how often to look.
--- a/src/control.rs
+++ b/src/control.rs
@@ -620,7 +620,8 @@
         if let Some(customer) = self.customers.get_mut(&open.request.customer) {
             customer.open += 1;
         }
-        actions.push(Action::Send { request: id, server: to, expire_at: None });
+        let capped = self.settings.plans[open.request.plan].open > 0;
+        actions.push(Action::Send { request: id, server: to, expire_at: None, capped });
         let request = open.request;
         let patience = PATIENCE * self.usual_time(&request);
         let patience = patience.min(USEFUL * self.settings.classes[request.class].aim);
@@ -662,10 +663,7 @@
             return;
         }
         let free = self.settings.classes[open.request.class].effect == Effect::Free;
-        let Some(last) = open.attempts.last() else { return };
-        if !last.out {
-            return;
-        }
+        let Some(last) = open.attempts.last().filter(|last| last.out) else { return };
         if self.may_try_again(open) {
             self.further(id, actions);
         } else if free && !self.settings.may_duplicate && self.settings.may_cancel {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -376,6 +376,8 @@
         server: ServerId,
         /// When to give the attempt up; `None`: when the client does.
         expire_at: Option<Millis>,
+        /// Whether it holds one of few places until its answer is read, so that reading early is of use.
+        capped: bool,
     },
     /// Final answer: refused; trying again is harmless.
     Refuse {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -358,7 +358,7 @@
     /// Adds an action of an instance.
     pub fn push(&mut self, instance: u16, action: &Action) {
         match action {
-            Action::Send { request, server, expire_at } => self.record(91, instance, |out| {
+            Action::Send { request, server, expire_at, .. } => self.record(91, instance, |out| {
                 out.extend(request.to_be_bytes());
                 out.extend(server.to_be_bytes());
                 out.extend(expire_at.unwrap_or(0.0).to_be_bytes());
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -170,3 +170,13 @@
     let sent = spread(&mut host, 600);
     assert!(sent[&2] < sent[&1], "a third is what it is drawn for: {sent:?}");
 }
+
+#[test]
+fn a_send_tells_whether_it_holds_a_place_under_a_cap() {
+    let mut host = Host::new(settings(), &[server(1)]);
+    for (plan, wanted) in [(2, true), (3, false)] {
+        let (_, actions) = host.ask(1 + plan as u64, plan, 0);
+        let told = |action: &Action| matches!(action, Action::Send { capped, .. } if *capped == wanted);
+        assert!(actions.iter().any(told), "plan {plan}");
+    }
+}
