Keep the shared files of each front door apart, and refuse standby once handed over

Where several front doors are given one $TMPDIR, a ban told to one took the backend out at all, and a successor could find the wrong predecessor. A process that is ending no longer hands its end on as a standby.

--- a/src/bin/brassport/bans.rs
+++ b/src/bin/brassport/bans.rs
@@ -5,6 +5,7 @@
 //! two writers cannot undo each other's. A backend that was given back leaves a file whose age tells when.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
 use std::{env, fs, io};
@@ -30,7 +31,7 @@
 impl Bans {
     /// The bans under this folder, which the processes share.
     pub fn new(shared: &Path) -> Bans {
-        Bans { folder: shared.join("brassport-bans") }
+        Bans { folder: shared.join("bans") }
     }
 
     pub fn read(&self) -> io::Result<Standing> {
@@ -81,9 +82,13 @@
     }
 }
 
-/// Where the processes of one front door meet.
-pub fn shared_folder() -> PathBuf {
-    env::temp_dir()
+/// Where the processes of one front door meet. It bears the clients' address: where several front doors are given one
+/// `$TMPDIR`, they stay apart.
+pub fn shared_folder(listen: SocketAddr) -> PathBuf {
+    let folder = env::temp_dir().join(format!("brassport-{listen}").replace([':', '[', ']'], "-"));
+    // What cannot be made is missed, and reported, where it is used.
+    let _ = fs::create_dir_all(&folder);
+    folder
 }
 
 fn hex(uid: &str) -> String {
--- a/src/bin/brassport/handover.rs
+++ b/src/bin/brassport/handover.rs
@@ -27,7 +27,7 @@
 use tokio::net::{UnixListener, UnixStream};
 use tokio::time::{sleep, timeout};
 
-const NAME: &str = "brassport.sock";
+const NAME: &str = "handover.sock";
 /// How long either side may take over a step that needs no wait.
 const STEP: Duration = Duration::from_millis(1000);
 /// How long a successor may take until it could serve.
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -91,7 +91,7 @@
         signal(SignalKind::terminate()).map_err(|error| format!("cannot take signals: {error}"))?;
     let mut hang_up =
         signal(SignalKind::hangup()).map_err(|error| format!("cannot take signals: {error}"))?;
-    let shared = bans::shared_folder();
+    let shared = bans::shared_folder(config.listen);
     let (listener, predecessor) = match handover::join(&shared, config.listen) {
         Some((listener, predecessor)) => (listener, Some(predecessor)),
         None => {
@@ -124,7 +124,8 @@
     if let Some(predecessor) = &predecessor {
         door.servers(ListKind::Full, handover::as_list(predecessor.introduction.targets.clone()));
         if predecessor.introduction.standby {
-            shift.stand_by();
+            // It serves: nothing has been told to it yet.
+            let _ = shift.stand_by();
         }
     }
     spawn_local(door.clone().keep_time());
--- a/src/bin/brassport/shift.rs
+++ b/src/bin/brassport/shift.rs
@@ -59,9 +59,14 @@
     }
 
     /// Sends clients away. A second call while that goes on changes nothing.
-    pub fn stand_by(self: &Rc<Self>) {
-        if self.phase() != Phase::Serving {
-            return;
+    ///
+    /// # Errors
+    /// Clients are another process's already.
+    pub fn stand_by(self: &Rc<Self>) -> Result<(), String> {
+        match self.phase() {
+            Phase::HandedOver => return Err("another process has taken over".into()),
+            Phase::Serving => {}
+            Phase::Leaving | Phase::Emptying | Phase::Closing => return Ok(()),
         }
         let turn = self.change(Phase::Leaving);
         let shift = self.clone();
@@ -71,6 +76,7 @@
                 shift.change(Phase::Emptying);
             }
         });
+        Ok(())
     }
 
     /// Takes clients again.
@@ -90,8 +96,9 @@
         Ok(())
     }
 
+    /// Whether staff have clients sent away, and no end is under way.
     pub fn stands_by(&self) -> bool {
-        matches!(self.phase(), Phase::Leaving | Phase::Emptying)
+        !self.ending.get() && matches!(self.phase(), Phase::Leaving | Phase::Emptying)
     }
 
     /// Another process takes clients from here on.
@@ -138,23 +145,41 @@
     fn standby_empties_the_door_unless_active_comes_first() {
         run(async {
             let shift = Shift::new();
-            shift.stand_by();
+            shift.stand_by().expect("it serves");
             sleep(EMPTY_AFTER / 2).await;
-            shift.stand_by();
+            shift.stand_by().expect("twice is once");
             assert_eq!(shift.phase(), Phase::Leaving);
             shift.take_up().expect("it goes on");
             assert_eq!(shift.phase(), Phase::Serving);
-            shift.stand_by();
+            shift.stand_by().expect("it serves");
+            assert!(shift.stands_by());
             sleep(EMPTY_AFTER * 3 / 4).await;
             assert_eq!(shift.phase(), Phase::Leaving, "the first call's timer has no say");
             sleep(EMPTY_AFTER / 2).await;
             assert_eq!(shift.phase(), Phase::Emptying);
             shift.end();
             assert_eq!(shift.phase(), Phase::Emptying);
+            assert!(!shift.stands_by(), "a successor is to serve");
             assert!(shift.take_up().is_err());
             shift.close();
             sleep(EMPTY_AFTER * 2).await;
             assert_eq!(shift.phase(), Phase::Closing);
         });
     }
+
+    #[test]
+    fn one_that_has_handed_over_takes_no_clients_until_it_is_alone_again() {
+        run(async {
+            let shift = Shift::new();
+            shift.hand_over();
+            assert!(shift.stand_by().is_err() && shift.take_up().is_err());
+            assert_eq!(shift.phase(), Phase::HandedOver);
+            shift.resume();
+            assert_eq!(shift.phase(), Phase::Serving);
+            shift.hand_over();
+            shift.end();
+            shift.resume();
+            assert_eq!(shift.phase(), Phase::HandedOver, "it is ending all the same");
+        });
+    }
 }
--- a/src/bin/brassport/staff.rs
+++ b/src/bin/brassport/staff.rs
@@ -30,10 +30,7 @@
             }
             Call::TakeOut(uid) => self.door.take_out(uid).map(|()| format!("done {uid} is out")),
             Call::GiveBack(uid) => self.door.give_back(uid).map(|()| format!("done {uid} may serve")),
-            Call::Standby => {
-                self.shift.stand_by();
-                Ok("done".into())
-            }
+            Call::Standby => self.shift.stand_by().map(|()| "done".into()),
             Call::Active => self.shift.take_up().map(|()| "done".into()),
         }
     }
