Close a head that never ends also on a connection that is being closed

Once a connection was told to close, nothing bounded a head that had begun: it could hold its descriptor for two minutes. The new assertion fails without the change.

--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -171,7 +171,8 @@
             if late {
                 let _ = phase.wait_for(|phase| *phase != Phase::Emptying).await;
             }
-            let _ = phase.wait_for(|phase| matches!(phase, Phase::Emptying | Phase::HandedOver | Phase::Closing)).await;
+            let closes = |phase: &Phase| matches!(phase, Phase::Emptying | Phase::HandedOver | Phase::Closing);
+            let _ = phase.wait_for(closes).await;
             // One that has just come brings a request, which has nowhere else to go.
             while !asked.get() {
                 first.notified().await;
@@ -187,8 +188,12 @@
     }
     // An idle one closes now, a busy one behind its answer.
     serving.as_mut().graceful_shutdown();
-    // Guards against a client that reads no more: its connection would stand for ever.
-    let _ = timeout(LAST_WORDS, serving).await;
+    // Guards against a client that reads no more, or a head that never ends: either would hold the connection.
+    tokio::select! {
+        _ = serving.as_mut() => {}
+        () = pulse.head_overdue() => {}
+        () = sleep(LAST_WORDS) => {}
+    }
 }
 
 type Body = Answered<Outgoing>;
--- a/src/bin/brassport/pulse.rs
+++ b/src/bin/brassport/pulse.rs
@@ -9,7 +9,7 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 /// How long a client may take over a head: 2 s are honest, and a peer that sends nothing proper is owed an
 /// end within 3 s of connecting.
@@ -60,6 +60,12 @@
             State::Busy => None,
         }
     }
+    /// Waits until a head is overdue, on a connection that takes no further one.
+    pub async fn head_overdue(&self) {
+        while self.overdue().await != Due::Head {
+            sleep(LOOK).await;
+        }
+    }
     /// Waits until something is overdue.
     pub async fn overdue(&self) -> Due {
         loop {
@@ -133,7 +139,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use tokio::time::sleep;
 
     #[tokio::test(start_paused = true)]
     async fn a_pause_is_not_taken_from_the_time_for_the_next_head() {
@@ -153,5 +158,9 @@
         assert_eq!(start.elapsed(), HEAD);
         drop(pulse.asked());
         assert_eq!(pulse.overdue().await, Due::Idle);
+        let start = Instant::now();
+        pulse.bytes_came();
+        pulse.head_overdue().await;
+        assert_eq!(start.elapsed(), HEAD);
     }
 }
