Size the room for reading ahead by what memory is left beyond the process's own

For small machines: a third of 32 MB, with pieces that hold more than they count, came near the limit when many answers stand at once.

--- a/src/bin/brassport/flow.rs
+++ b/src/bin/brassport/flow.rs
@@ -9,8 +9,8 @@
 use std::task::{ready, Context, Poll};
 use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
 
-/// Pieces below this are copied.
-const SMALL: usize = 4096;
+/// Pieces below this are copied: what a piece holds of the buffer that it was read into is not counted.
+const SMALL: usize = 16 * 1024;
 
 /// An answer on its way to a client.
 pub type Outgoing = Either<Full<Bytes>, Flow>;
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -48,9 +48,11 @@
 
 /// Part of the memory that bodies kept for further attempts may take.
 const KEPT_PART: usize = 8;
-/// Part of it that large answers may take before their clients read them: a backend that is done with a
-/// request sooner takes others. A process that is taken over from gives up what of it is free.
-const AHEAD_PART: usize = 3;
+/// Memory for all else, and the part of the rest that large answers may take before their clients read them: a
+/// backend that is done with a request sooner takes others. A process that is taken over from gives up what
+/// of it is free.
+const OWN_MEMORY: usize = 12 << 20;
+const AHEAD_PART: usize = 2;
 /// How long answers that have begun may go on when all else has ended.
 const REST: Duration = Duration::from_secs(60);
 /// How long to wait for a backend to send to before taking over, and how often to look.
@@ -107,7 +109,7 @@
     let stats = Stats::new(config.names.classes.len());
     let backends = Rc::new(Backends::new(
         descriptors.clone(),
-        config.memory / AHEAD_PART,
+        config.memory.saturating_sub(OWN_MEMORY) / AHEAD_PART,
         stats.attempts.clone(),
         config.connect_timeout,
         config.idle_timeout,
