--- a/src/bin/brassport/config.rs
+++ b/src/bin/brassport/config.rs
@@ -7,6 +7,9 @@
 use std::time::Duration;
 use std::{env, fs};
 
+/// What the platform gives at the least, in MB: for a file that does not say.
+const LEAST_MEMORY_MB: f64 = 32.0;
+
 /// All that a front door is told at its start.
 pub struct Config {
     pub listen: SocketAddr,
@@ -45,7 +48,7 @@
 #[derive(Deserialize)]
 struct Limits {
     sockets: usize,
-    memory_mb: f64,
+    memory_mb: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -223,7 +226,7 @@
         discovery: named("BALANCER_DISCOVERY", file.discovery)?,
         seed,
         sockets: file.limits.sockets,
-        memory: (file.limits.memory_mb * f64::from(1 << 20)) as usize,
+        memory: (file.limits.memory_mb.unwrap_or(LEAST_MEMORY_MB) * f64::from(1 << 20)) as usize,
         known: file.known,
         names,
         settings,
--- a/src/bin/brassport/handover.rs
+++ b/src/bin/brassport/handover.rs
@@ -15,12 +15,13 @@
 use serde::{Deserialize, Serialize};
 use springusher::{CustomerId, Estate};
 use std::collections::BTreeMap;
+use std::fs::File;
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::{AsFd, AsRawFd, OwnedFd};
 use std::os::unix::net::UnixStream as StdUnixStream;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
@@ -28,6 +29,8 @@
 use tokio::time::{sleep, timeout};
 
 const NAME: &str = "handover.sock";
+/// Most bytes of a socket's path, with its end.
+const PATH_LIMIT: usize = 108;
 /// How long either side may take over a step that needs no wait.
 const STEP: Duration = Duration::from_millis(1000);
 /// How long a successor may take until it could serve.
@@ -70,14 +73,18 @@
 }
 
 /// The path of a file in a folder, short enough for a socket's name however long the folder's is.
-fn short(folder: &std::fs::File, name: &str) -> String {
-    format!("/proc/self/fd/{}/{name}", folder.as_raw_fd())
+fn short(shared: &Path, folder: &File, name: &str) -> PathBuf {
+    let path = shared.join(name);
+    if path.as_os_str().len() < PATH_LIMIT {
+        return path;
+    }
+    PathBuf::from(format!("/proc/self/fd/{}/{name}", folder.as_raw_fd()))
 }
 
 /// Asks the running process, if there is one, for its listening socket. `None` if there is none, or if it does not answer.
 pub fn join(shared: &Path, address: SocketAddr) -> Option<(TcpListener, Predecessor)> {
-    let folder = std::fs::File::open(shared).ok()?;
-    let stream = StdUnixStream::connect(short(&folder, NAME)).ok()?;
+    let folder = File::open(shared).ok()?;
+    let stream = StdUnixStream::connect(short(shared, &folder, NAME)).ok()?;
     stream.set_read_timeout(Some(STEP)).ok()?;
     let joined = (|| {
         let listener = receive(&stream)?;
@@ -158,7 +165,7 @@
 }
 
 /// Waits for successors, for as long as this process runs. `listener` is what a successor is handed.
-pub async fn host(shared: std::path::PathBuf, listener: TcpListener, door: Rc<Door>, shift: Rc<Shift>) {
+pub async fn host(shared: PathBuf, listener: TcpListener, door: Rc<Door>, shift: Rc<Shift>) {
     loop {
         match bind(&shared) {
             Ok(socket) => loop {
@@ -184,10 +191,10 @@
 
 /// Another that stood there, alive or dead, is replaced whole.
 fn bind(shared: &Path) -> io::Result<UnixListener> {
-    let folder = std::fs::File::open(shared)?;
+    let folder = File::open(shared)?;
     let own = format!("{NAME}.{}", std::process::id());
     let _ = std::fs::remove_file(shared.join(&own));
-    let socket = UnixListener::bind(short(&folder, &own))?;
+    let socket = UnixListener::bind(short(shared, &folder, &own))?;
     std::fs::rename(shared.join(&own), shared.join(NAME))?;
     Ok(socket)
 }
@@ -245,3 +252,48 @@
 pub fn as_list(targets: Vec<Target>) -> List {
     List { rev: 0, all: true, targets }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::net::UnixListener;
+
+    #[tokio::test]
+    async fn a_listening_socket_changes_hands_with_what_waits_in_its_queue() {
+        let listener = listen("127.0.0.1:0".parse().expect("an address")).expect("it listens");
+        let address = listener.local_addr().expect("an address");
+        let waiting = std::net::TcpStream::connect(address).expect("it waits in the queue");
+        let folder = std::env::temp_dir().join(format!("{}-{}", "x".repeat(120), std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder with a long name");
+        let socket: UnixListener = bind(&folder).expect("it is bound");
+        // One that died there before is no obstacle.
+        drop(socket);
+        let socket = bind(&folder).expect("it is bound again");
+        let path = folder.clone();
+        let joining = tokio::task::spawn_blocking(move || {
+            let folder = File::open(&path).expect("a folder");
+            let stream = StdUnixStream::connect(short(&path, &folder, NAME)).expect("it is there");
+            receive(&stream).expect("a listening socket comes")
+        });
+        let (stream, _) = socket.accept().await.expect("it is joined");
+        send(&stream, &listener).await.expect("it goes out");
+        let handed = joining.await.expect("it came");
+        drop(listener);
+        handed.set_nonblocking(false).expect("a plain one");
+        let (_, from) = handed.accept().expect("nothing was reset");
+        assert_eq!(from, waiting.local_addr().expect("an address"));
+        std::fs::remove_dir_all(&folder).expect("removed");
+    }
+
+    #[tokio::test]
+    async fn a_message_that_was_cut_off_is_none() {
+        let (one, other) = UnixStream::pair().expect("a pair");
+        let (mut writer, mut reader) = (BufReader::new(one), BufReader::new(other));
+        write(&mut writer, &BTreeMap::from([(7_u64, 2_u32)])).await.expect("it goes out");
+        writer.get_mut().write_all(b"{\"8\":").await.expect("half of one");
+        drop(writer);
+        let whole = read::<BTreeMap<CustomerId, u32>>(&mut reader).await.expect("readable");
+        assert_eq!(whole, Some(BTreeMap::from([(7, 2)])));
+        assert_eq!(read::<BTreeMap<CustomerId, u32>>(&mut reader).await.expect("no error"), None);
+    }
+}
