--- /dev/null
+++ b/src/balance.rs
@@ -0,0 +1,317 @@
+//! What one gateway knows of the servers, and which it picks: the list and the orders of staff, own attempts in
+//! hand, the pace and the failures that answers show, and the warmth of those that started lately.
+
+use crate::control::blend;
+use crate::interface::*;
+use crate::quota::NEVER;
+use oorandom::Rand64;
+use std::collections::BTreeMap;
+
+/// Weight of a new sample in a server's pace: about its last ten.
+const SAMPLE: f64 = 0.1;
+/// A server silent for so many mean answer times, with work of ours in hand, is taken to hang.
+const SILENCE: f64 = 4.0;
+/// Mean answer times after which what was learned of a server's pace has faded to a third.
+const FADE: f64 = 20.0;
+/// Failures in a row that eject a server.
+const STRIKES: u32 = 3;
+/// Mean answer times that it is ejected for at first.
+const EJECTED: f64 = 3.0;
+/// Part of the allowance for a cold server that is used: the rest covers unlike requests and gateways.
+const COLD_MARGIN: f64 = 0.7;
+/// Cost of a server in another zone, as a factor: breaks near ties only.
+const FAR: f64 = 1.1;
+/// Pace of a server below which being faster counts no more: a lucky run must not draw all the work.
+const LEAST_PACE: f64 = 0.2;
+/// Spread of the random part of a cost: enough to part equals, too little to overrule a difference.
+const TIE: f64 = 0.1;
+
+#[derive(Debug)]
+struct Server {
+    entry: ServerEntry,
+    /// When own attempts in hand were sent, the oldest first.
+    out: Vec<Millis>,
+    /// Time taken against the fleet's mean.
+    slowness: f64,
+    judged: Millis,
+    answered: Millis,
+    strikes: u32,
+    ejected_until: Millis,
+}
+
+impl Server {
+    /// Whether it has failed so often that it is passed over for now.
+    fn ejected(&self, now: Millis) -> bool {
+        now < self.ejected_until || (self.strikes >= STRIKES && !self.out.is_empty())
+    }
+
+    /// Time taken against the fleet's mean; it fades to the others', so that one passed over is tried again.
+    fn slowness(&self, now: Millis, mean: Millis) -> f64 {
+        let age = (now - self.judged).max(0.0) / mean.max(1.0);
+        1.0 + (self.slowness - 1.0) * (-age / FADE).exp()
+    }
+
+    /// Whether it holds work of ours and has said nothing for long. Hung, paused, slow, cut off or lying: from
+    /// here it looks the same, and the answer is the same.
+    fn silence(&self, now: Millis, mean: Millis) -> f64 {
+        let Some(oldest) = self.out.first() else { return 0.0 };
+        (now - oldest.max(self.answered)) / mean.max(1.0)
+    }
+}
+
+/// What a successor is left of each server: its slowness, when that was judged, its strikes and the end of its
+/// ejection.
+pub(crate) type Learned = (ServerId, f64, Millis, u32, Millis);
+
+/// What a server is picked for.
+pub(crate) struct Errand<'a> {
+    pub(crate) settings: &'a Settings,
+    pub(crate) now: Millis,
+    /// Mean time of an answer.
+    pub(crate) mean: Millis,
+    pub(crate) effect: Effect,
+    /// Where an attempt of the request may have run.
+    pub(crate) home: Option<ServerEntry>,
+    /// Where attempts of it have been.
+    pub(crate) tried: Vec<ServerId>,
+}
+
+/// How an attempt went.
+pub(crate) struct Report {
+    pub(crate) now: Millis,
+    pub(crate) outcome: Outcome,
+    /// Its time as if for a request of the mean size, and the mean one of its class.
+    pub(crate) elapsed: Millis,
+    pub(crate) mean_of_class: Millis,
+    pub(crate) mean: Millis,
+}
+
+/// The servers as one gateway knows them.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    servers: BTreeMap<ServerId, Server>,
+    /// Servers that staff have taken out, whatever the list says, and when they gave them back. Such a one is
+    /// cold from then on, for it is restarted meanwhile, and the list may not tell.
+    taken_out: BTreeMap<ServerId, Option<Millis>>,
+}
+
+impl Fleet {
+    // ---- The list. ----
+
+    /// Follows the server list. A server that drains or is gone gets nothing from this moment on.
+    pub(crate) fn list(&mut self, kind: ListKind, entries: Vec<ServerEntry>, now: Millis) {
+        if kind != ListKind::Delta {
+            for server in self.servers.values_mut() {
+                server.entry.lifecycle = Lifecycle::Gone;
+            }
+        }
+        for entry in entries {
+            let fresh = Server {
+                entry,
+                out: Vec::new(),
+                slowness: 1.0,
+                judged: now,
+                answered: now,
+                strikes: 0,
+                ejected_until: 0.0,
+            };
+            let server = self.servers.entry(entry.id).or_insert(fresh);
+            if entry.launched.is_some() && entry.launched != server.entry.launched {
+                server.strikes = 0;
+                server.ejected_until = 0.0;
+                server.slowness = 1.0;
+            }
+            server.entry = entry;
+        }
+        self.servers.retain(|_, server| server.entry.lifecycle != Lifecycle::Gone || !server.out.is_empty());
+    }
+
+    /// Takes a server out by order of staff, or back in from a moment on.
+    pub(crate) fn take_out(&mut self, id: ServerId, back: Option<Millis>, now: Millis, cold_for: Millis) {
+        self.taken_out.insert(id, back);
+        self.taken_out.retain(|_, back| back.is_none_or(|back| now < back + cold_for));
+        if let Some(server) = self.servers.get_mut(&id).filter(|_| back.is_some()) {
+            (server.strikes, server.ejected_until, server.slowness) = (0, 0.0, 1.0);
+        }
+    }
+
+    /// Whether a server takes new requests, as far as the list and staff say.
+    fn serves(&self, server: &Server) -> bool {
+        server.entry.lifecycle == Lifecycle::Ready && self.taken_out.get(&server.entry.id) != Some(&None)
+    }
+
+    /// How many take new requests.
+    pub(crate) fn ready(&self) -> usize {
+        self.servers.values().filter(|server| self.serves(server)).count()
+    }
+
+    pub(crate) fn knows(&self, id: ServerId) -> bool {
+        self.servers.contains_key(&id)
+    }
+
+    /// How many are known, in the list or with work in hand.
+    pub(crate) fn known(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// How many servers of the list get nothing, by order of staff or for their failures.
+    pub(crate) fn excluded(&self, now: Millis) -> usize {
+        let listed = self.servers.values().filter(|server| server.entry.lifecycle != Lifecycle::Gone);
+        let by_hand = |server: &Server| self.taken_out.get(&server.entry.id) == Some(&None);
+        listed.filter(|server| by_hand(server) || server.ejected(now)).count()
+    }
+
+    // ---- Attempts in hand. ----
+
+    /// Notes an attempt; `None` if the server is not known any more.
+    pub(crate) fn sent(&mut self, id: ServerId, now: Millis) -> Option<ServerEntry> {
+        let server = self.servers.get_mut(&id)?;
+        server.out.push(now);
+        Some(server.entry)
+    }
+
+    /// Notes the end of an attempt that was sent at `sent`.
+    pub(crate) fn ended(&mut self, id: ServerId, sent: Millis) {
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        if let Some(place) = server.out.iter().position(|at| *at == sent) {
+            server.out.remove(place);
+        }
+        if server.out.is_empty() && server.entry.lifecycle == Lifecycle::Gone {
+            self.servers.remove(&id);
+        }
+    }
+
+    /// Own attempts in hand that were sent after `since`.
+    pub(crate) fn out_since(&self, since: Millis) -> usize {
+        let young = |server: &Server| server.out.iter().filter(|at| **at > since).count();
+        self.servers.values().map(young).sum()
+    }
+
+    /// Whether a server is gone or has said nothing for so long that it seems to hang.
+    pub(crate) fn hangs(&self, id: ServerId, now: Millis, mean: Millis) -> bool {
+        self.servers.get(&id).is_none_or(|server| server.silence(now, mean) > SILENCE)
+    }
+
+    // ---- Choice. ----
+
+    /// Share of its full capacity that a server has at least.
+    fn warmth_of(&self, server: &Server, settings: &Settings, now: Millis) -> f64 {
+        let back = self.taken_out.get(&server.entry.id).copied().flatten().unwrap_or(NEVER);
+        match server.entry.launched.unwrap_or(NEVER).max(back) {
+            at if settings.cold_for > 0.0 && now < at + settings.cold_for => {
+                let ramp = ((now - at) / settings.cold_for).clamp(0.0, 1.0);
+                settings.cold_from + (1.0 - settings.cold_from) * ramp
+            }
+            _ => 1.0,
+        }
+    }
+
+    pub(crate) fn warmth(&self, id: ServerId, settings: &Settings, now: Millis) -> f64 {
+        self.servers.get(&id).map_or(1.0, |server| self.warmth_of(server, settings, now))
+    }
+
+    /// Picks the server with the least expected wait, as far as own work and answers tell.
+    pub(crate) fn choose(&self, errand: &Errand, rng: &mut Rand64) -> Option<ServerId> {
+        let Errand { settings, now, mean, .. } = *errand;
+        // Guards against tipping a cold server over: one lot gives each its part of the fleet,
+        // whatever its answers, so that all gateways, however many, send it no more for its capacity than a
+        // warm one; with few warm ones left, the rest is refused. Hurts where warmth is understated.
+        let (mut ready, mut capacity) = (0.0, 0.0);
+        for server in self.servers.values().filter(|server| self.serves(server)) {
+            ready += 1.0;
+            capacity += self.warmth_of(server, settings, now);
+        }
+        let capacity = f64::max(capacity, ready / (COLD_MARGIN * settings.tip_multiple).max(1.0));
+        let mut lot = capacity * rng.rand_float();
+        let mut best: [Option<(f64, ServerId)>; 2] = [None, None];
+        for (&id, server) in &self.servers {
+            let same_group = match (errand.effect, errand.home) {
+                (Effect::Keyed { scope: Scope::Zone, .. }, Some(home)) => home.zone == server.entry.zone,
+                (Effect::Keyed { scope: Scope::Cell, .. }, Some(home)) => home.cell == server.entry.cell,
+                _ => true,
+            };
+            if !same_group || !self.serves(server) {
+                continue;
+            }
+            let (warmth, slowness) = (self.warmth_of(server, settings, now), server.slowness(now, mean));
+            let drawn = warmth < 1.0 && (0.0..warmth).contains(&lot);
+            lot -= if warmth < 1.0 { warmth } else { 0.0 };
+            // Whether a cold server may have one more: with one out of each gateway it is sent no more than it
+            // does, and what it is sent at once, even if it had one core, stays below what it bears beyond that.
+            let beyond = (settings.tip_multiple - 1.0) * warmth * settings.tip_after;
+            let bears_one = server.out.is_empty() && f64::from(settings.gateways) * mean * slowness < beyond;
+            if warmth < 1.0 && !drawn && !bears_one {
+                continue;
+            }
+            let size = if server.entry.share > 0.0 { server.entry.share } else { 1.0 };
+            let far = if server.entry.zone == settings.zone { 1.0 } else { FAR };
+            let pace = slowness.max(server.silence(now, mean) / 2.0).max(LEAST_PACE);
+            let wait = (server.out.len() as f64 + 1.0) * pace / warmth;
+            let cost = if drawn { 0.0 } else { wait } * far / size * (1.0 + TIE * rng.rand_float());
+            let rank = &mut best[usize::from(server.ejected(now) || errand.tried.contains(&id))];
+            if rank.is_none_or(|(least, _)| cost < least) {
+                *rank = Some((cost, id));
+            }
+        }
+        best[0].or(best[1]).map(|(_, id)| id)
+    }
+
+    /// Learns from the end of an attempt. Returns a line for staff if the server is ejected or answers again.
+    pub(crate) fn judge(&mut self, id: ServerId, report: &Report) -> Option<String> {
+        let now = report.now;
+        let server = self.servers.get_mut(&id)?;
+        server.slowness = server.slowness(now, report.mean);
+        server.judged = now;
+        let worst = 2.0 * SILENCE;
+        let pace = (report.elapsed / report.mean_of_class).min(worst);
+        let mut told = None;
+        match report.outcome {
+            Outcome::Ok => {
+                if server.strikes >= STRIKES {
+                    told = Some(format!("server {id} answers again"));
+                }
+                server.strikes = 0;
+                server.ejected_until = 0.0;
+                server.answered = now;
+                blend(&mut server.slowness, pace, SAMPLE);
+            }
+            Outcome::Cancelled => blend(&mut server.slowness, pace, SAMPLE),
+            Outcome::Moot => {}
+            // Guards against a server that fails some or all of what it gets, at once or late: each failure
+            // weighs as a very slow answer, and some in a row eject it. Hurts if the fault is the request's.
+            _ => {
+                server.strikes += 1;
+                blend(&mut server.slowness, worst, SAMPLE);
+                if matches!(report.outcome, Outcome::Full | Outcome::Error) {
+                    server.answered = now;
+                }
+            }
+        }
+        if server.strikes >= STRIKES {
+            if server.strikes == STRIKES {
+                told = Some(format!("server {id} ejected: {STRIKES} failures in a row"));
+            }
+            let doublings = (server.strikes - STRIKES).min(4);
+            server.ejected_until = now + EJECTED * report.mean_of_class * f64::from(1u32 << doublings);
+        }
+        told
+    }
+
+    // ---- Taking over from another gateway. ----
+
+    pub(crate) fn learned(&self) -> Vec<Learned> {
+        let learned = |(id, server): (&ServerId, &Server)| {
+            (*id, server.slowness, server.judged, server.strikes, server.ejected_until)
+        };
+        self.servers.iter().map(learned).collect()
+    }
+
+    pub(crate) fn inherit(&mut self, learned: Vec<Learned>) {
+        for (id, slowness, judged, strikes, ejected_until) in learned {
+            if let Some(server) = self.servers.get_mut(&id) {
+                (server.slowness, server.judged) = (slowness, judged);
+                (server.strikes, server.ejected_until) = (strikes, ejected_until);
+            }
+        }
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -4,6 +4,7 @@
 //! system": each gateway refuses a customer's requests with chance 1 - quota / offered, where the offered
 //! rate of all gateways is taken from the meter, and the class of the lowest worth goes first.
 
+use crate::balance::{Errand, Fleet, Report};
 use crate::interface::*;
 pub use crate::quota::Estate;
 use crate::quota::{ordered_chance, Customer, CHANCE_FLOOR, METER_LAG, NEVER};
@@ -37,29 +38,14 @@
 const SHRINK: f64 = 0.95;
 const STEP: f64 = 0.05;
 const CREW: f64 = 5.0;
-/// A server silent for so many mean answer times, with work of ours in hand, is taken to hang.
-const SILENCE: f64 = 4.0;
-/// Mean answer times after which what was learned of a server's pace has faded to a third.
-const FADE: f64 = 20.0;
 /// Most that a request's size, against the mean one, bears on the time that it is given.
 const MOST_SIZE: f64 = 4.0;
-/// Failures in a row that eject a server.
-const STRIKES: u32 = 3;
 /// An attempt out for so many mean answer times may get a further one.
 const PATIENCE: f64 = 3.0;
 /// Further attempts for each first one: the retry budget.
 const RETRY_SHARE: f64 = 0.15;
 /// The part of the wanted time within which a further attempt or a held request must start to be of use.
 const USEFUL: f64 = 0.5;
-/// Part of the allowance for a cold server that is used: the rest covers unlike requests and gateways.
-const COLD_MARGIN: f64 = 0.7;
-/// Cost of a server in another zone, as a factor: breaks near ties only.
-const FAR: f64 = 1.1;
-/// Pace of a server below which being faster counts no more: a lucky run must not draw all the work.
-const LEAST_PACE: f64 = 0.2;
-/// Spread of the random part of a cost: enough to part equals, too little to overrule a difference.
-const TIE: f64 = 0.1;
-
 const DEADLINE: u64 = 0;
 const REVIEW: u64 = 1;
 const LIST: u64 = 2;
@@ -83,19 +69,6 @@
     done: bool,
 }
 
-#[derive(Debug)]
-struct Server {
-    entry: ServerEntry,
-    /// When own attempts in hand were sent, the oldest first.
-    out: Vec<Millis>,
-    /// Time taken against the fleet's mean.
-    slowness: f64,
-    judged: Millis,
-    answered: Millis,
-    strikes: u32,
-    ejected_until: Millis,
-}
-
 /// The decisions of one gateway.
 #[derive(Debug)]
 pub struct Gateway {
@@ -114,10 +87,7 @@
     pressed_before: bool,
     no_server: u32,
     requests: BTreeMap<RequestId, Open>,
-    servers: BTreeMap<ServerId, Server>,
-    /// Servers that staff have taken out, whatever the list says, and when they gave them back. Such a one is
-    /// cold from then on, for it is restarted meanwhile, and the list may not tell.
-    taken_out: BTreeMap<ServerId, Option<Millis>>,
+    fleet: Fleet,
     /// Recent share of each class in the offered units, and the classes from the highest worth down.
     class_mix: Vec<f64>,
     class_order: Vec<usize>,
@@ -166,8 +136,7 @@
             pressed_before: false,
             no_server: 0,
             requests: BTreeMap::new(),
-            servers: BTreeMap::new(),
-            taken_out: BTreeMap::new(),
+            fleet: Fleet::default(),
             class_mix: vec![1.0 / classes.max(1) as f64; classes],
             class_order,
             answer_time: settings.classes.iter().map(|class| class.aim / (2.0 * PATIENCE)).collect(),
@@ -345,8 +314,7 @@
     /// Own attempts in hand that can still be in time: hung servers must not close the door.
     fn young(&self, aim: Millis) -> f64 {
         let since = self.now - aim;
-        let young = |server: &Server| server.out.iter().filter(|at| **at > since).count();
-        self.servers.values().map(young).sum::<usize>() as f64
+        self.fleet.out_since(since) as f64
     }
 
     /// Once a second: reports refusals that are not the coin's, and forgets customers whose stores are full.
@@ -386,35 +354,6 @@
 
     // ---- Balancing and health. ----
 
-    /// Share of its full capacity that a server has at least.
-    fn warmth(&self, server: &Server) -> f64 {
-        let back = self.taken_out.get(&server.entry.id).copied().flatten().unwrap_or(NEVER);
-        match server.entry.launched.unwrap_or(NEVER).max(back) {
-            at if self.settings.cold_for > 0.0 && self.now < at + self.settings.cold_for => {
-                let ramp = ((self.now - at) / self.settings.cold_for).clamp(0.0, 1.0);
-                self.settings.cold_from + (1.0 - self.settings.cold_from) * ramp
-            }
-            _ => 1.0,
-        }
-    }
-
-    /// Whether a server takes new requests, as far as the list and staff say.
-    fn serves(&self, server: &Server) -> bool {
-        server.entry.lifecycle == Lifecycle::Ready && self.taken_out.get(&server.entry.id) != Some(&None)
-    }
-
-    /// Whether a server has failed so often that it is passed over for now.
-    fn ejected(&self, server: &Server, now: Millis) -> bool {
-        now < server.ejected_until || (server.strikes >= STRIKES && !server.out.is_empty())
-    }
-
-    /// How many servers of the list get nothing, by order of staff or for their failures.
-    pub fn excluded(&self, now: Millis) -> usize {
-        let listed = self.servers.values().filter(|server| server.entry.lifecycle != Lifecycle::Gone);
-        let by_hand = |server: &Server| self.taken_out.get(&server.entry.id) == Some(&None);
-        listed.filter(|server| by_hand(server) || self.ejected(server, now)).count()
-    }
-
     /// Mean time of an answer over the classes, by their recent mix.
     fn mean_answer(&self) -> f64 {
         self.answer_time.iter().zip(&self.class_mix).map(|(time, share)| time * share).sum()
@@ -431,132 +370,48 @@
         self.answer_time[request.class] * self.size(request, None)
     }
 
-    /// Time taken against the fleet's mean; it fades to the others', so that one passed over is tried again.
-    fn slowness(&self, server: &Server) -> f64 {
-        let age = (self.now - server.judged).max(0.0) / self.mean_answer().max(1.0);
-        1.0 + (server.slowness - 1.0) * (-age / FADE).exp()
-    }
-
-    /// Whether a server holds work of ours and has said nothing for long. Hung, paused, slow, cut off or
-    /// lying: from here it looks the same, and the answer is the same.
-    fn silence(&self, server: &Server) -> f64 {
-        let Some(oldest) = server.out.first() else { return 0.0 };
-        (self.now - oldest.max(server.answered)) / self.mean_answer().max(1.0)
-    }
-
-    /// Whether a cold server may have one more: with one out of each gateway it is sent no more than it does,
-    /// and what it is sent at once, even if it had one core, stays below what it bears beyond that.
-    fn bears_one(&self, server: &Server, warmth: f64) -> bool {
-        let beyond = (self.settings.tip_multiple - 1.0) * warmth * self.settings.tip_after;
-        let usual = self.mean_answer() * self.slowness(server);
-        server.out.is_empty() && f64::from(self.settings.gateways) * usual < beyond
+    /// How many servers of the list get nothing, by order of staff or for their failures.
+    pub fn excluded(&self, now: Millis) -> usize {
+        self.fleet.excluded(now)
     }
 
-    /// Picks the server with the least expected wait, as far as own work and answers tell.
     fn choose(&mut self, request: RequestId) -> Option<ServerId> {
         let open = &self.requests[&request];
-        let class = self.settings.classes[open.request.class];
-        let ran = open.attempts.iter().find(|attempt| attempt.may_have_run);
-        let home = ran.map(|attempt| attempt.to);
-        // Guards against tipping a cold server over: one lot gives each its part of the fleet,
-        // whatever its answers, so that all gateways, however many, send it no more for its capacity than a
-        // warm one; with few warm ones left, the rest is refused. Hurts where warmth is understated.
-        let (mut ready, mut capacity) = (0.0, 0.0);
-        for server in self.servers.values().filter(|server| self.serves(server)) {
-            let warmth = self.warmth(server);
-            ready += 1.0;
-            capacity += warmth;
-        }
-        let capacity = f64::max(capacity, ready / (COLD_MARGIN * self.settings.tip_multiple).max(1.0));
-        let mut lot = capacity * self.rng.rand_float();
-        let mut best: [Option<(f64, ServerId)>; 2] = [None, None];
-        for (&id, server) in &self.servers {
-            let same_group = match (class.effect, home) {
-                (Effect::Keyed { scope: Scope::Zone, .. }, Some(home)) => home.zone == server.entry.zone,
-                (Effect::Keyed { scope: Scope::Cell, .. }, Some(home)) => home.cell == server.entry.cell,
-                _ => true,
-            };
-            if !same_group || !self.serves(server) {
-                continue;
-            }
-            let warmth = self.warmth(server);
-            let drawn = warmth < 1.0 && (0.0..warmth).contains(&lot);
-            lot -= if warmth < 1.0 { warmth } else { 0.0 };
-            if warmth < 1.0 && !drawn && !self.bears_one(server, warmth) {
-                continue;
-            }
-            let silence = self.silence(server);
-            let ejected = self.ejected(server, self.now);
-            let tried = open.attempts.iter().any(|attempt| attempt.to.id == id);
-            let size = if server.entry.share > 0.0 { server.entry.share } else { 1.0 };
-            let far = if server.entry.zone == self.settings.zone { 1.0 } else { FAR };
-            let wait = (server.out.len() as f64 + 1.0)
-                * self.slowness(server).max(silence / 2.0).max(LEAST_PACE)
-                / warmth;
-            let cost = if drawn { 0.0 } else { wait } * far / size * (1.0 + TIE * self.rng.rand_float());
-            let rank = &mut best[usize::from(ejected || tried)];
-            if rank.is_none_or(|(least, _)| cost < least) {
-                *rank = Some((cost, id));
-            }
-        }
-        best[0].or(best[1]).map(|(_, id)| id)
+        let errand = Errand {
+            settings: &self.settings,
+            now: self.now,
+            mean: self.mean_answer(),
+            effect: self.settings.classes[open.request.class].effect,
+            home: open.attempts.iter().find(|attempt| attempt.may_have_run).map(|attempt| attempt.to),
+            tried: open.attempts.iter().map(|attempt| attempt.to.id).collect(),
+        };
+        self.fleet.choose(&errand, &mut self.rng)
     }
 
     /// Learns from the end of an attempt.
     fn judge(&mut self, request: &Request, id: ServerId, end: &AttemptEnd, actions: &mut Vec<Action>) {
-        let (now, class) = (self.now, request.class);
-        let mean = self.answer_time[class].max(1.0);
+        let (now, class, outcome) = (self.now, request.class, end.outcome);
         // As if it had been a request of the mean size.
         let elapsed = if end.elapsed.is_finite() { end.elapsed.max(0.0) } else { 0.0 };
-        let warmth = self.servers.get(&id).map_or(1.0, |server| self.warmth(server));
+        let warmth = self.fleet.warmth(id, &self.settings, now);
         let elapsed = elapsed * warmth / self.size(request, end.billed);
-        match end.outcome {
+        match outcome {
             Outcome::Ok => {
                 let aim = self.settings.classes[class].aim;
                 self.adapt(class, elapsed <= LATE * aim);
             }
             Outcome::Full | Outcome::TimedOut => {
-                self.full_at = if end.outcome == Outcome::Full { now } else { self.full_at };
+                self.full_at = if outcome == Outcome::Full { now } else { self.full_at };
                 self.adapt(class, false);
             }
             _ => {}
         }
-        let Some(server) = self.servers.get(&id) else { return };
-        let slowness = self.slowness(server);
-        let Some(server) = self.servers.get_mut(&id) else { return };
-        server.slowness = slowness;
-        server.judged = now;
-        let worst = 2.0 * SILENCE;
-        match end.outcome {
-            Outcome::Ok => {
-                if server.strikes >= STRIKES {
-                    actions.push(Action::Log(format!("server {id} answers again")));
-                }
-                server.strikes = 0;
-                server.ejected_until = 0.0;
-                server.answered = now;
-                blend(&mut server.slowness, (elapsed / mean).min(worst), SAMPLE);
-                blend(&mut self.answer_time[class], elapsed, SAMPLE / 5.0);
-            }
-            Outcome::Cancelled => blend(&mut server.slowness, (elapsed / mean).min(worst), SAMPLE),
-            Outcome::Moot => {}
-            // Guards against a server that fails some or all of what it gets, at once or late: each failure
-            // weighs as a very slow answer, and some in a row eject it. Hurts if the fault is the request's.
-            _ => {
-                server.strikes += 1;
-                blend(&mut server.slowness, worst, SAMPLE);
-                if matches!(end.outcome, Outcome::Full | Outcome::Error) {
-                    server.answered = now;
-                }
-            }
-        }
-        if server.strikes >= STRIKES {
-            if server.strikes == STRIKES {
-                actions.push(Action::Log(format!("server {id} ejected: {STRIKES} failures in a row")));
-            }
-            let doublings = (server.strikes - STRIKES).min(4);
-            server.ejected_until = now + PATIENCE * mean * f64::from(1u32 << doublings);
+        let (mean, mean_of_class) = (self.mean_answer(), self.answer_time[class].max(1.0));
+        if outcome == Outcome::Ok && self.fleet.knows(id) {
+            blend(&mut self.answer_time[class], elapsed, SAMPLE / 5.0);
         }
+        let told = self.fleet.judge(id, &Report { now, outcome, elapsed, mean_of_class, mean });
+        actions.extend(told.map(Action::Log));
     }
 
     // ---- Attempts. ----
@@ -599,7 +454,7 @@
                     customer.sends.push_back((self.now, request.units));
                     customer.share.units -= request.units;
                 }
-                self.retry_budget = (self.retry_budget + RETRY_SHARE).min(self.servers.len() as f64);
+                self.retry_budget = (self.retry_budget + RETRY_SHARE).min(self.fleet.known() as f64);
                 self.send(id, server, actions);
             }
         }
@@ -607,21 +462,14 @@
 
     fn send(&mut self, id: RequestId, to: ServerId, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get_mut(&id) else { return };
-        let Some(server) = self.servers.get_mut(&to) else { return };
-        server.out.push(self.now);
+        let Some(to) = self.fleet.sent(to, self.now) else { return };
         open.held = false;
-        open.attempts.push(Attempt {
-            to: server.entry,
-            sent: self.now,
-            out: true,
-            begun: false,
-            may_have_run: true,
-        });
+        open.attempts.push(Attempt { to, sent: self.now, out: true, begun: false, may_have_run: true });
         if let Some(customer) = self.customers.get_mut(&open.request.customer) {
             customer.open += 1;
         }
         let capped = self.settings.plans[open.request.plan].open > 0;
-        actions.push(Action::Send { request: id, server: to, expire_at: None, capped });
+        actions.push(Action::Send { request: id, server: to.id, expire_at: None, capped });
         let request = open.request;
         let patience = PATIENCE * self.usual_time(&request);
         let patience = patience.min(USEFUL * self.settings.classes[request.class].aim);
@@ -668,7 +516,7 @@
             self.further(id, actions);
         } else if free && !self.settings.may_duplicate && self.settings.may_cancel {
             // One copy at a time: the attempt is given up first, and its end brings the next one.
-            let silent = self.servers.get(&last.to.id).is_none_or(|server| self.silence(server) > SILENCE);
+            let silent = self.fleet.hangs(last.to.id, self.now, self.mean_answer());
             let useful = self.now < open.arrived + self.settings.classes[open.request.class].aim;
             let more = open.attempts.len() < self.settings.max_attempts as usize && self.retry_budget >= 1.0;
             if silent && useful && more {
@@ -699,15 +547,8 @@
         attempt.may_have_run = !end.outcome.never_ran();
         let (server, sent, request) = (attempt.to.id, attempt.sent, open.request);
         open.done |= end.finished;
-        if let Some(server) = self.servers.get_mut(&server).filter(|_| !judged) {
-            if let Some(place) = server.out.iter().position(|at| *at == sent) {
-                server.out.remove(place);
-            }
-            if server.out.is_empty() && server.entry.lifecycle == Lifecycle::Gone {
-                self.servers.remove(&attempt.to.id);
-            }
-        }
         if !judged {
+            self.fleet.ended(server, sent);
             self.judge(&request, server, &end, actions);
         }
         let next = self.customers.get_mut(&request.customer).filter(|_| !more).and_then(|customer| {
@@ -786,10 +627,6 @@
     /// Leaves all but a rest of the stores to the gateway that takes this one's place.
     pub fn bequeath(&mut self) -> Estate {
         self.succeeded = true;
-        let servers = self
-            .servers
-            .iter()
-            .map(|(id, server)| (*id, server.slowness, server.judged, server.strikes, server.ejected_until));
         Estate {
             born: self.born,
             tick: self.tick,
@@ -801,7 +638,7 @@
             room: self.room,
             limit: self.limit,
             slow_start: self.slow_start,
-            servers: servers.collect(),
+            servers: self.fleet.learned(),
         }
     }
 
@@ -816,12 +653,7 @@
         (self.mean_units, self.first_wait) = (estate.mean_units, estate.first_wait);
         (self.room, self.room_at) = (estate.room, self.now);
         (self.limit, self.slow_start) = (estate.limit, estate.slow_start);
-        for (id, slowness, judged, strikes, ejected_until) in estate.servers {
-            if let Some(server) = self.servers.get_mut(&id) {
-                (server.slowness, server.judged) = (slowness, judged);
-                (server.strikes, server.ejected_until) = (strikes, ejected_until);
-            }
-        }
+        self.fleet.inherit(estate.servers);
     }
 
     /// Own attempts out, by customer.
@@ -855,48 +687,19 @@
         if kind == ListKind::Failed {
             return;
         }
-        if kind != ListKind::Delta {
-            for server in self.servers.values_mut() {
-                server.entry.lifecycle = Lifecycle::Gone;
-            }
-        }
-        for entry in entries {
-            let fresh = Server {
-                entry,
-                out: Vec::new(),
-                slowness: 1.0,
-                judged: self.now,
-                answered: self.now,
-                strikes: 0,
-                ejected_until: 0.0,
-            };
-            let server = self.servers.entry(entry.id).or_insert(fresh);
-            if entry.launched.is_some() && entry.launched != server.entry.launched {
-                server.strikes = 0;
-                server.ejected_until = 0.0;
-                server.slowness = 1.0;
-            }
-            server.entry = entry;
-        }
-        self.servers.retain(|_, server| server.entry.lifecycle != Lifecycle::Gone || !server.out.is_empty());
+        self.fleet.list(kind, entries, self.now);
         self.count_ready();
     }
 
     /// Takes a server out by order of staff, or back in from a moment on.
     fn take_out(&mut self, id: ServerId, back: Option<Millis>) {
-        self.taken_out.insert(id, back);
-        let (now, cold_for) = (self.now, self.settings.cold_for);
-        self.taken_out.retain(|_, back| back.is_none_or(|back| now < back + cold_for));
-        if let Some(server) = self.servers.get_mut(&id).filter(|_| back.is_some()) {
-            (server.strikes, server.ejected_until, server.slowness) = (0, 0.0, 1.0);
-        }
+        self.fleet.take_out(id, back, self.now, self.settings.cold_for);
         self.count_ready();
     }
 
     /// Sets what follows from the number of servers that take requests.
     fn count_ready(&mut self) {
-        let ready = self.servers.values().filter(|server| self.serves(server)).count();
-        self.idle_part = IDLE * ready as f64 / f64::from(self.settings.gateways);
+        self.idle_part = IDLE * self.fleet.ready() as f64 / f64::from(self.settings.gateways);
         self.limit = self.limit.max(self.idle_part);
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod balance;
 pub mod control;
 pub mod interface;
 mod quota;
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -1,6 +1,7 @@
 //! What one gateway knows of one customer: its part of the quota's store, of the ceiling's and of the offered
 //! rate, and the chance that follows from them and the meter.
 
+use crate::balance::Learned;
 use crate::control::blend;
 use crate::interface::*;
 use serde::{Deserialize, Serialize};
@@ -84,8 +85,7 @@
     pub(crate) room: f64,
     pub(crate) limit: f64,
     pub(crate) slow_start: bool,
-    /// Of each server its slowness, when that was judged, its strikes and the end of its ejection.
-    pub(crate) servers: Vec<(ServerId, f64, Millis, u32, Millis)>,
+    pub(crate) servers: Vec<Learned>,
 }
 
 impl Estate {
