--- a/src/balance.rs
+++ b/src/balance.rs
@@ -56,8 +56,8 @@
         1.0 + (self.slowness - 1.0) * (-age / FADE).exp()
     }
 
-    /// Whether it holds work of ours and has said nothing for long. Hung, paused, slow, cut off or lying: from
-    /// here it looks the same, and the answer is the same.
+    /// Whether it holds work of ours and has said nothing for long. Hung, paused, slow, cut off or lying:
+    /// from here it looks the same, and the answer is the same.
     fn silence(&self, now: Millis, mean: Millis) -> f64 {
         let Some(oldest) = self.out.first() else { return 0.0 };
         (now - oldest.max(self.answered)) / mean.max(1.0)
