Keep the version when discovery fails, and spread the doors' calls for it

Found with a trace of each call: a failed call dropped the version and asked for the whole list, 60 lines, every 0.8 s from 100 doors at one beat (discovery.rs, watch()), which kept discovery overbooked for good. Now a failed call keeps the version, the first call asks for what is newer than the known list, calls that are work for discovery are spread over 40 ms for each front door, at the start and after failures, and a watch waits for 4 s, as a call that stands in the queue for 2 s was given up just when it was answered. The module is untouched.

--- a/src/bin/brassport/discovery.rs
+++ b/src/bin/brassport/discovery.rs
@@ -5,6 +5,7 @@
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
+use oorandom::Rand32;
 use serde::{Deserialize, Serialize};
 use springusher::ListKind;
 use std::net::SocketAddr;
@@ -13,14 +14,19 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-/// How long a watch may wait for news, and how long its answer may take beyond that.
-const WAIT: Duration = Duration::from_millis(1000);
+/// How long a watch may wait for news, and how long its answer may take beyond that. What is told binds two
+/// seconds after the wait at the latest.
+const WAIT: Duration = Duration::from_millis(4000);
 const OVERDUE: Duration = Duration::from_millis(1000);
 /// Between an answer and the next call: a watch goes on if the call comes within 200 ms, and an agent that
 /// answers at once, whatever it is asked, must not keep the door busy.
 const PACE: Duration = Duration::from_millis(20);
-const FIRST_BACK_OFF: Duration = Duration::from_millis(100);
-const LAST_BACK_OFF: Duration = Duration::from_millis(800);
+/// Back-off after a call that failed, at the first, and how many times that it grows to.
+const BACK_OFF: Duration = Duration::from_millis(100);
+const GROWTH: u32 = 4;
+/// Where each call is work for a discovery that serves all front doors, their calls are spread over so much for
+/// each of them: those that start or are turned away together must not come together.
+const TURN: Duration = Duration::from_millis(40);
 /// Most bytes of a list.
 const LIST_LIMIT: usize = 1 << 20;
 
@@ -59,15 +65,62 @@
     Unknown,
 }
 
-/// Watches for ever, at the latest of `addresses`. Whatever the agent does, the list held stays in force.
-pub async fn watch(mut addresses: watch::Receiver<SocketAddr>, door: Rc<Door>) {
+/// Why a call brought no list.
+enum Problem {
+    /// It was turned away, or broke, or took too long: what is held is as good as before.
+    Unanswered,
+    /// The answer makes no sense after what is held.
+    Unreadable,
+}
+
+/// When discovery is called.
+pub struct Pace {
+    rng: Rand32,
+    spread: Duration,
+    first: Duration,
+    back_off: Duration,
+}
+
+impl Pace {
+    /// `callers` is how many front doors there are whose calls are work for discovery.
+    pub fn new(callers: u32, seed: u64) -> Pace {
+        let spread = TURN * callers;
+        let first = spread.max(BACK_OFF);
+        Pace { rng: Rand32::new(seed), spread, first, back_off: first }
+    }
+    /// How long to wait before the first call.
+    fn start(&mut self) -> Duration {
+        self.spread.mul_f32(self.rng.rand_float())
+    }
+    /// How long to wait after a call that failed.
+    fn failed(&mut self) -> Duration {
+        let wait = self.back_off.mul_f32(0.5 + self.rng.rand_float());
+        self.back_off = (2 * self.back_off).min(GROWTH * self.first);
+        wait
+    }
+    fn answered(&mut self) {
+        self.back_off = self.first;
+    }
+}
+
+/// Watches for ever, at the latest of `addresses`, from the version `last` on if one is held. Whatever the agent
+/// does, the list held stays in force.
+pub async fn watch(
+    mut addresses: watch::Receiver<SocketAddr>,
+    door: Rc<Door>,
+    mut last: Option<u64>,
+    mut pace: Pace,
+) {
     let mut link = None;
-    let mut last = None;
-    let mut back_off = FIRST_BACK_OFF;
+    // Who holds nothing cannot wait.
+    if last.is_some() {
+        sleep(pace.start()).await;
+    }
     loop {
         // What came meanwhile from an agent that has been replaced counts no more: the list is asked anew.
         if addresses.has_changed().unwrap_or(false) {
-            (link, last, back_off) = (None, None, FIRST_BACK_OFF);
+            (link, last) = (None, None);
+            pace.answered();
         }
         let address = *addresses.borrow_and_update();
         // Guards against an agent that is silent: a call is given up and its connection closed.
@@ -80,28 +133,33 @@
             answer = timeout(WAIT + OVERDUE, ask(&mut link, address, last)) => answer,
         };
         match answer {
-            Ok(Some(list)) => {
+            Ok(Ok(list)) => {
                 last = Some(list.rev);
-                back_off = FIRST_BACK_OFF;
+                pace.answered();
                 door.servers(if list.all { ListKind::Full } else { ListKind::Delta }, list);
                 sleep(PACE).await;
             }
-            _ => {
-                (link, last) = (None, None);
-                sleep(back_off).await;
-                back_off = (2 * back_off).min(LAST_BACK_OFF);
+            failed => {
+                link = None;
+                // The version is kept where it can be: a whole list is the dearest of calls, and after a failure all
+                // would ask for it at once.
+                if matches!(failed, Ok(Err(Problem::Unreadable))) {
+                    last = None;
+                }
+                sleep(pace.failed()).await;
             }
         }
     }
 }
 
 /// One call: the whole list, or what is newer than the version `after`.
-async fn ask(link: &mut Option<Link>, address: SocketAddr, after: Option<u64>) -> Option<List> {
+async fn ask(link: &mut Option<Link>, address: SocketAddr, after: Option<u64>) -> Result<List, Problem> {
     let path = match after {
         None => "/v1/servers".to_string(),
         Some(rev) => format!("/v1/servers?after={rev}&wait_ms={}", WAIT.as_millis()),
     };
-    let request = Request::get(path).header(HOST, address.to_string()).body(Full::default()).ok()?;
+    let request = Request::get(path).header(HOST, address.to_string()).body(Full::default());
+    let request = request.map_err(|_| Problem::Unanswered)?;
     if let Some(open) = link {
         if !open.is_usable().await {
             *link = None;
@@ -109,12 +167,42 @@
     }
     let open = match link {
         Some(open) => open,
-        None => link.insert(Link::open(address, Rc::default()).await.ok()?),
+        None => link.insert(Link::open(address, Rc::default()).await.map_err(|_| Problem::Unanswered)?),
     };
-    let answer = open.exchange(request, LIST_LIMIT).await.ok()?;
+    let answer = open.exchange(request, LIST_LIMIT).await.map_err(|_| Problem::Unanswered)?;
     if answer.status() != StatusCode::OK {
-        return None;
+        return Err(Problem::Unanswered);
+    }
+    let list: List = serde_json::from_slice(answer.body()).map_err(|_| Problem::Unreadable)?;
+    (list.all || after.is_some()).then_some(list).ok_or(Problem::Unreadable)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// When each of a hundred calls, the first one or the first after a failure.
+    fn calls(wait: impl Fn(&mut Pace) -> Duration) -> Vec<u128> {
+        let mut calls: Vec<_> = (0..100).map(|seed| wait(&mut Pace::new(100, seed)).as_millis()).collect();
+        calls.sort_unstable();
+        calls
+    }
+
+    #[test]
+    fn those_that_start_or_are_turned_away_together_do_not_call_together() {
+        for calls in [calls(Pace::start), calls(Pace::failed)] {
+            let most = calls.windows(25).map(|some| some[24] - some[0]).min();
+            assert!(most >= Some(500), "a quarter of a hundred calls within {most:?} ms");
+        }
+    }
+
+    #[test]
+    fn waits_grow_until_a_call_is_answered() {
+        let mut pace = Pace::new(0, 7);
+        assert_eq!(pace.start(), Duration::ZERO, "an agent that is told all by itself is asked at once");
+        let waits: Vec<_> = (0..6).map(|_| pace.failed().as_millis()).collect();
+        assert!(waits[0] <= 150 && (200..=600).contains(&waits[4]) && waits[5] <= 600, "{waits:?}");
+        pace.answered();
+        assert!(pace.failed().as_millis() <= 150);
     }
-    let list: List = serde_json::from_slice(answer.body()).ok()?;
-    (list.all || after.is_some()).then_some(list)
 }
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -20,6 +20,7 @@
 use bans::Bans;
 use clients::Desk;
 use config::Config;
+use discovery::Pace;
 use door::Door;
 use shift::Shift;
 use springusher::ListKind;
@@ -121,6 +122,7 @@
     let door = Door::new(config.settings.clone(), config.seed, zones, backends.clone(), bans, epoch)
         .map_err(|error| error.to_string())?;
     spawn_local(door.clone().follow_bans());
+    let held = (!config.known.targets.is_empty()).then_some(config.known.rev);
     door.servers(ListKind::Cached, config.known);
     let shift = Shift::new();
     if let Some(predecessor) = &predecessor {
@@ -132,7 +134,8 @@
     }
     spawn_local(door.clone().keep_time());
     let (agent, agents) = watch::channel(config.discovery);
-    spawn_local(discovery::watch(agents, door.clone()));
+    let callers = if config.settings.list_on_request { config.settings.gateways } else { 0 };
+    spawn_local(discovery::watch(agents, door.clone(), held, Pace::new(callers, config.seed)));
     let sweeper = backends.clone();
     spawn_local(async move { sweeper.sweep().await });
 
--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -678,7 +678,8 @@
     let front =
         Front::start(&config(silent.address, list(&[target("s-00000001", backend.address, "ready")])));
     let mut call = silent.next();
-    assert_eq!(call.request.line, "GET /v1/servers HTTP/1.1");
+    let watch = "GET /v1/servers?after=1&wait_ms=4000 HTTP/1.1";
+    assert_eq!(call.request.line, watch, "what is newer than the list that the configuration holds");
     // Each asks on a connection of its own: one that stands idle is closed.
     let serve = || {
         let mut client = front.client();
@@ -688,13 +689,19 @@
     };
     serve();
     call.wait_for_close();
+    // Turned away: the list held is as good as before, and the whole one would be the dearest of calls.
+    let call = silent.next();
+    assert_eq!(call.request.line, watch);
+    call.answer("503 Service Unavailable", "Connection: close\r\n", "");
     // What makes no sense is no list, and the list held stays in force.
-    silent.next().ok("{\"rev\":");
+    let call = silent.next();
+    assert_eq!(call.request.line, watch);
+    call.ok("{\"rev\":");
     let call = silent.next();
     assert_eq!(call.request.line, "GET /v1/servers HTTP/1.1");
     serve();
     call.ok(&list(&[]).to_string());
-    assert_eq!(silent.next().request.line, "GET /v1/servers?after=1&wait_ms=1000 HTTP/1.1");
+    assert_eq!(silent.next().request.line, watch);
     assert_eq!(front.client().send(&get("")).read().status(), 429, "no backend is left");
 }
 
@@ -705,7 +712,6 @@
     let known = list(&[target("s-00000001", backends[0].address, "ready")]);
     let mut config = config(old.address, known.clone());
     let front = Front::start(&config);
-    old.next().ok(&known.to_string());
     let mut watch = old.next();
     let mut client = front.client();
     client.send(&get(""));
@@ -717,7 +723,7 @@
     assert_eq!(call.request.line, "GET /v1/servers HTTP/1.1", "the whole list is asked for");
     watch.wait_for_close();
     call.ok(&list(&[target("s-00000002", backends[1].address, "ready")]).to_string());
-    assert_eq!(new.next().request.line, "GET /v1/servers?after=1&wait_ms=1000 HTTP/1.1");
+    assert_eq!(new.next().request.line, "GET /v1/servers?after=1&wait_ms=4000 HTTP/1.1");
     in_hand.ok("begun before");
     assert_eq!(client.read().body, b"begun before", "what was in hand is not disturbed");
     client.send(&get(""));
