Pass a backend over at its first failed connection, and try it as a fleet

A backend was passed over only after three failures in a row, for 0.6 s, and each of the 25 doors that have it in their part went back to it by itself (balance.rs judge()). Checked in a trace of sends and ends by backend. Ruled out: the retry budget (connections that fail are not charged to it). Now a connection that does not come up passes its backend over at once, and the time until the next trial grows with the doors that share the backend, so that all together try it as often as two do.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -98,6 +98,8 @@
     /// Servers that staff have taken out, whatever the list says, and when they gave them back. Such a one is
     /// cold from then on, for it is restarted meanwhile, and the list may not tell.
     taken_out: BTreeMap<ServerId, Option<Millis>>,
+    /// Gateways that have a server in their part.
+    doors: f64,
 }
 
 impl Fleet {
@@ -154,6 +156,7 @@
         let power = |least: u32| 1 << least.max(1).ilog2();
         let most: u32 = power(settings.gateways / DOORS);
         let parts = power(self.ready() as u32 / LEAST_PART).min(most);
+        self.doors = f64::from(settings.gateways) / f64::from(parts);
         let (order, own) = (u64::from(settings.ordinal / most), settings.ordinal % most * parts / most);
         let mut zones: BTreeMap<u16, Vec<(u64, ServerId)>> = BTreeMap::new();
         for server in self.servers.values().filter(|server| self.serves(server)) {
@@ -314,7 +317,9 @@
             // Guards against a server that fails some or all of what it gets, at once or late: each failure
             // weighs as a very slow answer, and some in a row eject it. Hurts if the fault is the request's.
             _ => {
-                server.strikes += 1;
+                // A process that answers nothing at all is not one that fails now and then.
+                let gone = report.outcome == Outcome::NoConnection;
+                server.strikes = (server.strikes + 1).max(if gone { STRIKES } else { 0 });
                 blend(&mut server.slowness, worst, SAMPLE);
                 if matches!(report.outcome, Outcome::Full | Outcome::Error) {
                     server.answered = now;
@@ -326,7 +331,9 @@
                 told = Some(format!("server {id} ejected: {STRIKES} failures in a row"));
             }
             let doublings = (server.strikes - STRIKES).min(4);
-            server.ejected_until = now + EJECTED * report.mean_of_class * f64::from(1u32 << doublings);
+            // All gateways together try it as often as two do.
+            let trial = EJECTED * report.mean_of_class * (self.doors / 2.0).max(1.0);
+            server.ejected_until = now + trial * f64::from(1u32 << doublings);
         }
         told
     }
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -81,3 +81,40 @@
     }
     assert!(served > 300, "{served} of 400 served");
 }
+
+/// A gateway that has learned the usual time of an answer, 50 ms.
+fn seasoned(gateways: u32) -> Host {
+    let mut host = gateway(0, gateways, &fleet(60));
+    for _ in 0..400 {
+        host.now += 10.0;
+        let (id, _) = host.ask(1, 3, 0);
+        host.end(id, 0, Outcome::Ok, None);
+    }
+    host
+}
+
+#[test]
+fn a_server_to_which_no_connection_comes_up_is_passed_over_at_once() {
+    let mut host = seasoned(2);
+    let (id, actions) = host.ask(1, 3, 0);
+    assert_eq!(sends(&actions).len(), 1);
+    host.end(id, 0, Outcome::NoConnection, None);
+    assert_eq!(host.gateway.excluded(host.now), 1);
+}
+
+#[test]
+fn many_gateways_together_try_a_failing_server_as_seldom_as_few() {
+    let mut passed_over = Vec::new();
+    for gateways in [2, 100] {
+        let mut host = seasoned(gateways);
+        let (id, _) = host.ask(1, 3, 0);
+        host.end(id, 0, Outcome::NoConnection, None);
+        let until = (1..2000).find(|n| host.gateway.excluded(host.now + f64::from(*n) * 10.0) == 0);
+        passed_over.push(until.expect("it is tried again"));
+    }
+    // Of the hundred, 25 have it in their part.
+    assert!(
+        (10..15).contains(&(passed_over[1] / passed_over[0])),
+        "passed over for {passed_over:?} times 10 ms"
+    );
+}
