--- a/src/balance.rs
+++ b/src/balance.rs
@@ -81,16 +81,6 @@
     pub(crate) tried: Vec<ServerId>,
 }
 
-/// How an attempt went.
-pub(crate) struct Report {
-    pub(crate) now: Millis,
-    pub(crate) outcome: Outcome,
-    /// Its time as if for a request of the mean size, and the mean one of its class.
-    pub(crate) elapsed: Millis,
-    pub(crate) mean_of_class: Millis,
-    pub(crate) mean: Millis,
-}
-
 /// The servers as one gateway knows them.
 #[derive(Debug, Default)]
 pub(crate) struct Fleet {
@@ -293,16 +283,24 @@
         best[0].or(best[1]).or(best[2]).map(|(_, id)| id)
     }
 
-    /// Learns from the end of an attempt. Returns a line for staff if the server is ejected or answers again.
-    pub(crate) fn judge(&mut self, id: ServerId, report: &Report) -> Option<String> {
-        let now = report.now;
+    /// Learns from the end of an attempt: `pace` is its time against `mean_of_class`, as if of the mean size.
+    /// Returns a line for staff if the server is ejected or answers again.
+    pub(crate) fn judge(
+        &mut self,
+        id: ServerId,
+        now: Millis,
+        outcome: Outcome,
+        pace: f64,
+        mean_of_class: Millis,
+        mean: Millis,
+    ) -> Option<String> {
         let server = self.servers.get_mut(&id)?;
-        server.slowness = server.slowness(now, report.mean);
+        server.slowness = server.slowness(now, mean);
         server.judged = now;
         let worst = 2.0 * SILENCE;
-        let pace = (report.elapsed / report.mean_of_class).min(worst);
+        let pace = pace.min(worst);
         let mut told = None;
-        match report.outcome {
+        match outcome {
             Outcome::Ok => {
                 if server.strikes >= STRIKES {
                     told = Some(format!("server {id} answers again"));
@@ -318,10 +316,10 @@
             // weighs as a very slow answer, and some in a row eject it. Hurts if the fault is the request's.
             _ => {
                 // A process that answers nothing at all is not one that fails now and then.
-                let gone = report.outcome == Outcome::NoConnection;
+                let gone = outcome == Outcome::NoConnection;
                 server.strikes = (server.strikes + 1).max(if gone { STRIKES } else { 0 });
                 blend(&mut server.slowness, worst, SAMPLE);
-                if matches!(report.outcome, Outcome::Full | Outcome::Error) {
+                if matches!(outcome, Outcome::Full | Outcome::Error) {
                     server.answered = now;
                 }
             }
@@ -332,7 +330,7 @@
             }
             let doublings = (server.strikes - STRIKES).min(4);
             // All gateways together try it as often as two do.
-            let trial = EJECTED * report.mean_of_class * (self.doors / 2.0).max(1.0);
+            let trial = EJECTED * mean_of_class * (self.doors / 2.0).max(1.0);
             server.ejected_until = now + trial * f64::from(1u32 << doublings);
         }
         told
--- a/src/control.rs
+++ b/src/control.rs
@@ -4,11 +4,11 @@
 //! system": each gateway refuses a customer's requests with chance 1 - quota / offered, where the offered
 //! rate of all gateways is taken from the meter, and the class of the lowest worth goes first.
 
-use crate::balance::{Errand, Fleet, Report};
+use crate::balance::{Errand, Fleet, Learned};
 use crate::interface::*;
-pub use crate::quota::Estate;
-use crate::quota::{ordered_chance, Customer, CHANCE_FLOOR, METER_LAG, NEVER};
+use crate::quota::{Customer, CHANCE_FLOOR, METER_LAG, NEVER};
 use oorandom::Rand64;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 // ---- Constants. All are dimensionless; times and rates come from the settings. ----
@@ -69,6 +69,43 @@
     done: bool,
 }
 
+/// What a gateway has learned that its successor goes on from.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Lore {
+    /// Recent share of each class in the offered units, mean time of an answer and mean size of a request.
+    class_mix: Vec<f64>,
+    answer_time: Vec<f64>,
+    mean_units: Vec<f64>,
+    /// Longest time that first tries of each class are given.
+    first_wait: Vec<f64>,
+    /// Share of what the quotas admit that the servers have room for.
+    room: f64,
+    /// Learned limit on own work in flight, and whether it still doubles as at the start.
+    limit: f64,
+    slow_start: bool,
+}
+
+/// What a gateway leaves to the one that takes its place. Moments are by the clock that both go by.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Estate {
+    born: Millis,
+    tick: Option<Millis>,
+    customers: Vec<(CustomerId, Customer)>,
+    #[serde(flatten)]
+    lore: Lore,
+    servers: Vec<Learned>,
+}
+
+impl Estate {
+    /// Whether it is of a gateway with as many classes and plans.
+    fn fits(&self, settings: &Settings) -> bool {
+        let Lore { class_mix, answer_time, mean_units, first_wait, .. } = &self.lore;
+        let averages = [class_mix, answer_time, mean_units, first_wait];
+        averages.iter().all(|average| average.len() == settings.classes.len())
+            && self.customers.iter().all(|(_, customer)| customer.plan < settings.plans.len())
+    }
+}
+
 /// The decisions of one gateway.
 #[derive(Debug)]
 pub struct Gateway {
@@ -88,24 +125,13 @@
     no_server: u32,
     requests: BTreeMap<RequestId, Open>,
     fleet: Fleet,
-    /// Recent share of each class in the offered units, and the classes from the highest worth down.
-    class_mix: Vec<f64>,
+    /// The classes from the highest worth down.
     class_order: Vec<usize>,
-    /// Mean time of an answer for each class.
-    answer_time: Vec<f64>,
-    /// Mean size of a request of each class.
-    mean_units: Vec<f64>,
-    /// Share of what the quotas admit that the servers have room for, and when it was last set.
-    room: f64,
+    lore: Lore,
     room_at: Millis,
     /// Own part of what leaves the servers idle, and when one was last turned away.
     idle_part: f64,
     full_at: Millis,
-    /// Learned limit on own work in flight, and whether it still doubles as at the start.
-    limit: f64,
-    slow_start: bool,
-    /// Longest time that first tries of each class are given.
-    first_wait: Vec<f64>,
     retry_budget: f64,
 }
 
@@ -114,6 +140,19 @@
     *average += weight * (sample - *average);
 }
 
+/// The chance of one kind when a share of the whole is admitted, the kinds in `order` first.
+fn ordered_chance(share: f64, mix: &[f64], order: &[usize], kind: usize) -> f64 {
+    let total: f64 = mix.iter().sum();
+    let mut left = share * total;
+    for &other in order {
+        if other == kind {
+            return if mix[kind] > 0.0 { (left / mix[kind]).clamp(0.0, 1.0) } else { share };
+        }
+        left = (left - mix[other]).max(0.0);
+    }
+    share
+}
+
 impl Gateway {
     /// A gateway that starts at `now` with an empty server list.
     ///
@@ -137,17 +176,19 @@
             no_server: 0,
             requests: BTreeMap::new(),
             fleet: Fleet::default(),
-            class_mix: vec![1.0 / classes.max(1) as f64; classes],
             class_order,
-            answer_time: settings.classes.iter().map(|class| class.aim / (2.0 * PATIENCE)).collect(),
-            mean_units: vec![1.0; classes],
-            room: START_ROOM,
+            lore: Lore {
+                class_mix: vec![1.0 / classes.max(1) as f64; classes],
+                answer_time: settings.classes.iter().map(|class| class.aim / (2.0 * PATIENCE)).collect(),
+                mean_units: vec![1.0; classes],
+                first_wait: vec![0.0; classes],
+                room: START_ROOM,
+                limit: 1.0,
+                slow_start: true,
+            },
             room_at: now,
             idle_part: 0.0,
             full_at: f64::NEG_INFINITY,
-            limit: 1.0,
-            slow_start: true,
-            first_wait: vec![0.0; classes],
             retry_budget: 1.0,
             settings,
         })
@@ -196,20 +237,21 @@
         if let Some(open) = self.requests.get_mut(&request.id) {
             open.arrived -= waited;
         }
-        for (class, share) in self.class_mix.iter_mut().enumerate() {
+        for (class, share) in self.lore.class_mix.iter_mut().enumerate() {
             blend(share, f64::from(u8::from(class == request.class)), SAMPLE / 2.0);
         }
         let share = self.within_quota(&request);
-        blend(&mut self.mean_units[request.class], request.units, SAMPLE / 5.0);
+        blend(&mut self.lore.mean_units[request.class], request.units, SAMPLE / 5.0);
         let (class, answer) = (self.settings.classes[request.class], self.usual_time(&request));
         let full = self.now < self.full_at + class.aim;
         let flight = self.young(class.aim);
         let idle = !full && self.rng.rand_float() < self.idle_part - self.young(f64::INFINITY);
         // Guards against a surge that is in before its late answers are: beyond the limit on work in flight
         // the chance falls, to nothing at two deviations more, so that few in hand are not refused by chance.
-        let slack = 2.0 * self.limit.sqrt() + 1.0;
-        let open = if idle { 1.0 } else { ((self.limit + slack - flight) / slack).clamp(0.0, self.room) };
-        let (mix, order) = (&self.class_mix, &self.class_order);
+        let slack = 2.0 * self.lore.limit.sqrt() + 1.0;
+        let open =
+            if idle { 1.0 } else { ((self.lore.limit + slack - flight) / slack).clamp(0.0, self.lore.room) };
+        let (mix, order) = (&self.lore.class_mix, &self.class_order);
         // The floor shrinks with the room: of thousands of retries a second, a fixed part would feed a jam.
         let chance =
             |open: f64| ordered_chance(share * open, mix, order, request.class).max(CHANCE_FLOOR * open);
@@ -230,7 +272,7 @@
     /// How long a client has been trying before this try, where it shows: a further try with less time left
     /// than first tries get is bounded by what remains of the class's deadline.
     fn waited(&mut self, request: &Request, expires_in: Millis) -> Millis {
-        let most = &mut self.first_wait[request.class];
+        let most = &mut self.lore.first_wait[request.class];
         if !request.repeat {
             *most = most.max(expires_in);
         } else if expires_in < *most - self.settings.tick {
@@ -300,14 +342,15 @@
         let weight = ((self.now - self.room_at) / aim).min(MOST_WEIGHT);
         self.room_at = self.now;
         if timely {
-            self.room = (self.room + GROWTH * (self.room + PROBE) * weight).min(1.0);
-            if 2.0 * (self.young(aim) + 1.0) >= self.limit {
-                self.limit += if self.slow_start { 1.0 } else { STEP * (1.0 + self.limit / CREW) };
+            self.lore.room = (self.lore.room + GROWTH * (self.lore.room + PROBE) * weight).min(1.0);
+            if 2.0 * (self.young(aim) + 1.0) >= self.lore.limit {
+                self.lore.limit +=
+                    if self.lore.slow_start { 1.0 } else { STEP * (1.0 + self.lore.limit / CREW) };
             }
         } else {
-            self.slow_start = false;
-            self.limit = (self.limit * SHRINK).max(self.idle_part).max(1.0);
-            self.room = (self.room * (1.0 - CUT * weight)).max(LEAST_ROOM);
+            self.lore.slow_start = false;
+            self.lore.limit = (self.lore.limit * SHRINK).max(self.idle_part).max(1.0);
+            self.lore.room = (self.lore.room * (1.0 - CUT * weight)).max(LEAST_ROOM);
         }
     }
 
@@ -327,7 +370,10 @@
         if (self.no_room > 0) != self.pressed_before {
             self.pressed_before = self.no_room > 0;
             let text = if self.pressed_before { "pressed" } else { "pressed no more" };
-            actions.push(Action::Log(format!("{text}: room for {:.2} of what the quotas admit", self.room)));
+            actions.push(Action::Log(format!(
+                "{text}: room for {:.2} of what the quotas admit",
+                self.lore.room
+            )));
         }
         if self.no_server > 0 {
             actions.push(Action::Log(format!("no server to send to: {} refused", self.no_server)));
@@ -356,18 +402,18 @@
 
     /// Mean time of an answer over the classes, by their recent mix.
     fn mean_answer(&self) -> f64 {
-        self.answer_time.iter().zip(&self.class_mix).map(|(time, share)| time * share).sum()
+        self.lore.answer_time.iter().zip(&self.lore.class_mix).map(|(time, share)| time * share).sum()
     }
 
     /// Size of a request against the mean one of its class: work goes by the units, and so does its time.
     fn size(&self, request: &Request, billed: Option<f64>) -> f64 {
         let units = billed.filter(|units| units.is_finite()).unwrap_or(request.units);
-        (units / self.mean_units[request.class].max(f64::MIN_POSITIVE)).clamp(1.0 / MOST_SIZE, MOST_SIZE)
+        (units / self.lore.mean_units[request.class].max(f64::MIN_POSITIVE)).clamp(1.0 / MOST_SIZE, MOST_SIZE)
     }
 
     /// Usual time of an answer to a request of this class and size.
     fn usual_time(&self, request: &Request) -> Millis {
-        self.answer_time[request.class] * self.size(request, None)
+        self.lore.answer_time[request.class] * self.size(request, None)
     }
 
     /// How many servers of the list get nothing, by order of staff or for their failures.
@@ -406,11 +452,11 @@
             }
             _ => {}
         }
-        let (mean, mean_of_class) = (self.mean_answer(), self.answer_time[class].max(1.0));
+        let (mean, mean_of_class) = (self.mean_answer(), self.lore.answer_time[class].max(1.0));
         if outcome == Outcome::Ok && self.fleet.knows(id) {
-            blend(&mut self.answer_time[class], elapsed, SAMPLE / 5.0);
+            blend(&mut self.lore.answer_time[class], elapsed, SAMPLE / 5.0);
         }
-        let told = self.fleet.judge(id, &Report { now, outcome, elapsed, mean_of_class, mean });
+        let told = self.fleet.judge(id, now, outcome, elapsed / mean_of_class, mean_of_class, mean);
         actions.extend(told.map(Action::Log));
     }
 
@@ -631,13 +677,7 @@
             born: self.born,
             tick: self.tick,
             customers: self.customers.iter_mut().map(|(id, customer)| (*id, customer.bequeath())).collect(),
-            class_mix: self.class_mix.clone(),
-            answer_time: self.answer_time.clone(),
-            mean_units: self.mean_units.clone(),
-            first_wait: self.first_wait.clone(),
-            room: self.room,
-            limit: self.limit,
-            slow_start: self.slow_start,
+            lore: self.lore.clone(),
             servers: self.fleet.learned(),
         }
     }
@@ -649,10 +689,7 @@
         }
         (self.now, self.born, self.tick) = (self.now.max(now), estate.born, estate.tick);
         self.customers = estate.customers.into_iter().collect();
-        (self.class_mix, self.answer_time) = (estate.class_mix, estate.answer_time);
-        (self.mean_units, self.first_wait) = (estate.mean_units, estate.first_wait);
-        (self.room, self.room_at) = (estate.room, self.now);
-        (self.limit, self.slow_start) = (estate.limit, estate.slow_start);
+        (self.lore, self.room_at) = (estate.lore, self.now);
         self.fleet.inherit(estate.servers);
     }
 
@@ -701,6 +738,6 @@
     fn count_ready(&mut self) {
         self.fleet.part(&self.settings);
         self.idle_part = IDLE * self.fleet.ready() as f64 / f64::from(self.settings.gateways);
-        self.limit = self.limit.max(self.idle_part);
+        self.lore.limit = self.lore.limit.max(self.idle_part);
     }
 }
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -1,7 +1,6 @@
 //! What one gateway knows of one customer: its part of the quota's store, of the ceiling's and of the offered
 //! rate, and the chance that follows from them and the meter.
 
-use crate::balance::Learned;
 use crate::control::blend;
 use crate::interface::*;
 use serde::{Deserialize, Serialize};
@@ -72,31 +71,6 @@
     pub(crate) held: VecDeque<RequestId>,
 }
 
-/// What a gateway leaves to the one that takes its place. Moments are by the clock that both go by.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct Estate {
-    pub(crate) born: Millis,
-    pub(crate) tick: Option<Millis>,
-    pub(crate) customers: Vec<(CustomerId, Customer)>,
-    pub(crate) class_mix: Vec<f64>,
-    pub(crate) answer_time: Vec<f64>,
-    pub(crate) mean_units: Vec<f64>,
-    pub(crate) first_wait: Vec<f64>,
-    pub(crate) room: f64,
-    pub(crate) limit: f64,
-    pub(crate) slow_start: bool,
-    pub(crate) servers: Vec<Learned>,
-}
-
-impl Estate {
-    /// Whether it is of a gateway with as many classes and plans.
-    pub(crate) fn fits(&self, settings: &Settings) -> bool {
-        let averages = [&self.class_mix, &self.answer_time, &self.mean_units, &self.first_wait];
-        averages.iter().all(|average| average.len() == settings.classes.len())
-            && self.customers.iter().all(|(_, customer)| customer.plan < settings.plans.len())
-    }
-}
-
 impl Customer {
     /// One that has sent nothing yet, at a gateway born at `born`.
     pub(crate) fn new(plan: &Plan, spread: u32, born: Millis, now: Millis, period: Millis) -> Customer {
@@ -198,16 +172,3 @@
         self.chance_set = now;
     }
 }
-
-/// The chance of one kind when a share of the whole is admitted, the kinds in `order` first.
-pub(crate) fn ordered_chance(share: f64, mix: &[f64], order: &[usize], kind: usize) -> f64 {
-    let total: f64 = mix.iter().sum();
-    let mut left = share * total;
-    for &other in order {
-        if other == kind {
-            return if mix[kind] > 0.0 { (left / mix[kind]).clamp(0.0, 1.0) } else { share };
-        }
-        left = (left - mix[other]).max(0.0);
-    }
-    share
-}
