Let the room grow by how early answers come

Lines at fault: control.rs adapt(), where a timely answer gives the same whether it took a tenth of the bound or all of it, 0.3 of the room in a wanted time of 2.6 s, so that a door at a third of its room needs 8 s to open. Now growth goes by how early the answer is, up to 1.2 in a wanted time.

--- a/src/control.rs
+++ b/src/control.rs
@@ -27,8 +27,8 @@
 const LATE: f64 = 0.35;
 /// Part of the room that a wanted time full of late answers takes away ...
 const CUT: f64 = 0.7;
-/// ... and that one of timely answers gives, with `PROBE` more: one late answer in three is borne.
-const GROWTH: f64 = 0.3;
+/// ... and that one of answers that come at once gives, with `PROBE` more; nearly late ones give nothing.
+const GROWTH: f64 = 1.2;
 const PROBE: f64 = 0.1;
 /// Attempts a server, of all gateways, that make no queue whatever the answers take: up to an own part of
 /// that the room is not asked, for idle servers tell nothing and a door once shut would stay shut.
@@ -334,15 +334,17 @@
     }
 
     /// Adapts the room to one answer, or one overdue: additive growth, multiplicative cut, in proportion to
-    /// the time since the last, so that few gateways and many move alike. Guards against overload within the
-    /// quotas, from a surge or from lost or slow servers: the paper's coin, with the servers' limit for the
-    /// quota's, ends it in early refusals of the cheap. Hurts if answers are slow without a queue.
-    fn adapt(&mut self, class: usize, timely: bool) {
+    /// the time since the last, so that few gateways and many move alike; and growth by the answer's ease, so
+    /// that idle servers are found out soon. Guards against overload within the quotas, from a surge or from
+    /// lost or slow servers: the paper's coin, with the servers' limit for the quota's, ends it in early
+    /// refusals of the cheap. Hurts if answers are slow without a queue.
+    fn adapt(&mut self, class: usize, elapsed: Millis) {
         let aim = self.settings.classes[class].aim;
         let weight = ((self.now - self.room_at) / aim).min(MOST_WEIGHT);
         self.room_at = self.now;
-        if timely {
-            self.lore.room = (self.lore.room + GROWTH * (self.lore.room + PROBE) * weight).min(1.0);
+        let ease = 1.0 - elapsed / (LATE * aim);
+        if ease >= 0.0 {
+            self.lore.room = (self.lore.room + GROWTH * ease * (self.lore.room + PROBE) * weight).min(1.0);
             if 2.0 * (self.young(aim) + 1.0) >= self.lore.limit {
                 self.lore.limit +=
                     if self.lore.slow_start { 1.0 } else { STEP * (1.0 + self.lore.limit / CREW) };
@@ -442,13 +444,10 @@
         let warmth = self.fleet.warmth(id, &self.settings, now);
         let elapsed = elapsed * warmth / self.size(request, end.billed);
         match outcome {
-            Outcome::Ok => {
-                let aim = self.settings.classes[class].aim;
-                self.adapt(class, elapsed <= LATE * aim);
-            }
+            Outcome::Ok => self.adapt(class, elapsed),
             Outcome::Full | Outcome::TimedOut => {
                 self.full_at = if outcome == Outcome::Full { now } else { self.full_at };
-                self.adapt(class, false);
+                self.adapt(class, f64::INFINITY);
             }
             _ => {}
         }
@@ -547,7 +546,7 @@
         let class = open.request.class;
         let due = self.now - LATE * self.settings.classes[class].aim;
         if open.attempts.last().is_some_and(|last| last.out && last.sent <= due) {
-            self.adapt(class, false);
+            self.adapt(class, f64::INFINITY);
         }
         let open = &self.requests[&id];
         if open.held {
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -154,3 +154,28 @@
     // Two gateways, eight servers: an own part of eight attempts makes no queue.
     assert!(burst(&mut host, 50, 0).0 >= 6);
 }
+
+#[test]
+fn a_door_opens_again_within_some_aims_once_answers_come_at_once() {
+    // One of many: three requests a second, one in hand at a time.
+    let servers: Vec<_> = (1..=20).map(server).collect();
+    let mut host = Host::new(Settings { gateways: 100, ..settings() }, &servers);
+    let let_in = |host: &mut Host, seconds: u32, elapsed: f64| {
+        let mut out = 0;
+        for _ in 0..3 * seconds {
+            let (id, actions) = host.ask(1, 3, 1);
+            host.now += 333.0;
+            if !sends(&actions).is_empty() {
+                out += 1;
+                answer(host, id, elapsed);
+            }
+        }
+        out
+    };
+    let_in(&mut host, 10, 900.0);
+    let out = let_in(&mut host, 10, 900.0);
+    assert!(out <= 18, "{out} of 30 let in while all answers are late");
+    let_in(&mut host, 4, 50.0);
+    let out = let_in(&mut host, 10, 50.0);
+    assert!(out >= 24, "{out} of 30 let in from the fifth second on");
+}
