Let the coin go by the meter where own requests are few

A customer of 11 units a second asks each of 78 doors once in 15 s, so nothing a door counts by itself is near the truth. Lines at fault, quota.rs: set_chance() spared what the local store holds, and that is never less than a request of the largest kind, so that the chance was 1 whatever the meter told; read() took periods that no answer told of to be like the one before the first reading, unused, so that the store was full; one request moved a door's part by half of what it showed. Now the offered rate is the meter's, over the chance held in that period as the design has it, beside own requests with a weight of half a request; missed periods are like the told one; the spare is the meter's store; an even part weighs as half the largest request at the least. An estate written before is still read.

--- a/src/control.rs
+++ b/src/control.rs
@@ -329,7 +329,7 @@
         if end < customer.told_to + period / 2.0 {
             return;
         }
-        customer.read(&plan, used, end, period);
+        customer.read(&plan, used, end, period, self.settings.max_units);
         customer.set_chance(&plan, self.settings.max_units, now, period);
     }
 
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -12,8 +12,6 @@
 pub(crate) const METER_LAG: f64 = 0.4;
 /// Periods for which own sends are kept: until the meter has told of them, or will no more.
 const KEPT: f64 = 4.0;
-/// Part of its store that a gateway's chance leaves for what comes unforeseen until it is set again.
-const RESERVE: f64 = 0.25;
 /// Own offered rate is averaged over so many units of an even share of the quota, or a period if longer.
 const OWN_UNITS: f64 = 4.0;
 /// Weight of a reading in this gateway's part, and periods at the quota, evenly split, that stand beside it.
@@ -21,6 +19,11 @@
 const EVEN: f64 = 0.5;
 /// Part of what the meter shows unused that a gateway takes which ran short of its own meanwhile.
 const LEND: f64 = 0.5;
+/// Weight of what the meter shows of the offered rate beside own requests, and of an even part beside what
+/// own sends show, in units of the largest request; and periods after which a reading has faded to a third.
+const WORD: f64 = 1.0 / 6.0;
+const LEAST_EVEN: f64 = 0.5;
+const FRESH: f64 = 5.0;
 
 /// A moment before all others.
 pub(crate) const NEVER: Millis = -1e15;
@@ -42,6 +45,7 @@
 }
 
 #[derive(Debug, Default, Clone, Serialize, Deserialize)]
+#[serde(default)]
 pub(crate) struct Customer {
     pub(crate) plan: usize,
     pub(crate) spread: f64,
@@ -55,6 +59,9 @@
     pub(crate) ceiling: Bucket,
     pub(crate) chance: f64,
     pub(crate) chance_set: Millis,
+    /// The chance before that one, and what the meter shows that all were asked for, units a second.
+    pub(crate) chance_before: f64,
+    pub(crate) asked: f64,
     /// Own sends that the meter may not have told of yet.
     pub(crate) sends: VecDeque<(Millis, f64)>,
     /// Own requests, fading: units, and the seconds that they came in.
@@ -80,7 +87,9 @@
             store: plan.burst,
             ceiling: Bucket { units: 0.0, at: born },
             chance: 1.0,
+            chance_before: 1.0,
             chance_set: NEVER,
+            asked: plan.rate,
             heard_at: now - period,
             read_at: NEVER,
             told_to: NEVER,
@@ -102,17 +111,21 @@
     }
 
     /// Takes in the use in the period that ended at `end`.
-    pub(crate) fn read(&mut self, plan: &Plan, used: f64, end: Millis, period: Millis) {
+    pub(crate) fn read(&mut self, plan: &Plan, used: f64, end: Millis, period: Millis, largest: f64) {
         let (from, quota) = (end - period, plan.rate * period / 1000.0);
-        // Periods that no answer told of are taken to be like those before them.
+        // Periods that no answer told of are taken to be like this one.
         let missed = ((end - self.told_to) / period - 1.0).clamp(0.0, KEPT);
-        let unused = missed * (1.0 - self.reading) + 1.0 - used;
+        let unused = (missed + 1.0) * (1.0 - used);
         self.store = (self.store + quota * unused).clamp(0.0, plan.burst);
         self.reading = used;
         self.told_to = end;
+        let held = ((end - self.chance_set) / period).clamp(0.0, 1.0);
+        let chance = held * self.chance + (1.0 - held) * self.chance_before;
+        self.asked = used * plan.rate / chance.max(CHANCE_FLOOR);
         let told = self.sends.iter().filter(|(at, _)| *at > from && *at <= end);
         let own: f64 = told.map(|(_, units)| units).sum();
-        let part = (own + EVEN * quota / self.spread) / ((used * quota).max(own) + EVEN * quota);
+        let even = (EVEN * quota / self.spread).max(LEAST_EVEN * largest);
+        let part = (own + even) / ((used * quota).max(own) + even * self.spread);
         let lent = if self.short { LEND * (1.0 - used).max(0.0) } else { 0.0 };
         blend(&mut self.part, (part + lent).min(1.0), LEARN);
         self.short = false;
@@ -162,12 +175,15 @@
         most
     }
 
-    /// The quota over the offered rate, both in this gateway's part, and what its store can spare meanwhile.
+    /// The quota, with what the store can spare, over the offered rate, both in this gateway's part.
     pub(crate) fn set_chance(&mut self, plan: &Plan, largest: f64, now: Millis, period: Millis) {
-        let reserve = RESERVE * self.refill(plan, largest, now);
-        let spare = (self.share.units - reserve).max(self.store * self.part);
-        let allowed = plan.rate * self.part + spare / (period.max(1.0) / 1000.0);
-        let offered = self.offered / self.heard.max(f64::MIN_POSITIVE);
+        let allowed = self.part * (plan.rate + self.store / (period.max(1.0) / 1000.0));
+        // Few own requests tell little: the meter's word stands beside them, until it is old.
+        let fresh = (-(now - self.told_to) / (FRESH * period.max(1.0))).exp();
+        let asked = (plan.rate + (self.asked - plan.rate) * fresh).max(CHANCE_FLOOR * plan.rate) * self.part;
+        let weight = WORD * largest;
+        let offered = (weight + self.offered) / (weight / asked + self.heard);
+        self.chance_before = self.chance;
         self.chance = if offered > allowed { (allowed / offered).max(CHANCE_FLOOR) } else { 1.0 };
         self.chance_set = now;
     }
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -131,7 +131,7 @@
 /// A gateway of fifty, through all of which its customers' requests come.
 fn one_of_fifty() -> Host {
     let servers: Vec<_> = (1..=40).map(server).collect();
-    Host::new(Settings { gateways: 50, ..settings() }, &servers)
+    Host::new(Settings { gateways: 50, max_units: 6.0, ..settings() }, &servers)
 }
 
 /// Such a customer asks once, and is answered at once if let in; tells whether it was.
@@ -197,3 +197,20 @@
     let sent = ask_for(&mut host, 10.0, 20.0, 0, 4.0);
     assert!(sent < 100.0, "{sent} of 200 sent on though others use four times the quota");
 }
+
+#[test]
+fn one_reading_tells_a_gateway_of_many_that_a_customer_is_beyond_its_quota() {
+    let mut host = one_of_fifty();
+    let mut again = [0, 0];
+    for customer in 1..=400 {
+        // Half of them use four times their quota over all gateways, half of them a half.
+        let heavy = customer % 2 == 0;
+        let used = Some(if heavy { 4.0 } else { 0.5 });
+        host.now += 50.0;
+        assert!(let_in(&mut host, 2 * customer, customer, used));
+        host.now += 700.0;
+        again[usize::from(heavy)] += u32::from(let_in(&mut host, 2 * customer + 1, customer, used));
+    }
+    assert!((30..90).contains(&again[1]), "{} of 200 heavy ones let in again", again[1]);
+    assert!(again[0] >= 190, "{} of 200 light ones let in again", again[0]);
+}
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -95,6 +95,25 @@
     assert!(spend(&mut second, 1) <= 17, "a ceiling's part of 22, less 5");
 }
 
+#[test]
+fn an_estate_of_a_version_that_knew_less_of_a_customer_is_read() {
+    let mut first = Host::new(settings(), &[server(1)]);
+    let (id, _) = first.ask(7, 0, 0);
+    first.end(id, 0, Outcome::Ok, Some(2.0));
+    let mut left = serde_json::to_value(first.gateway.bequeath()).expect("it can be written");
+    let customer = left["customers"][0][1].as_object_mut().expect("a customer");
+    assert!(customer.remove("asked").is_some() && customer.remove("chance_before").is_some());
+    let estate: Estate = serde_json::from_value(left).expect("it can be read");
+    let mut second = Host::new(settings(), &[server(1)]);
+    second.gateway.inherit(first.now, estate);
+    for _ in 0..20 {
+        second.now += 400.0;
+        let (id, actions) = second.ask(7, 0, 0);
+        assert_eq!(sends(&actions).len(), 1);
+        second.end(id, 0, Outcome::Ok, Some(0.2));
+    }
+}
+
 #[test]
 fn what_the_first_has_out_counts_under_the_cap_of_the_second() {
     let mut first = Host::new(settings(), &[server(1)]);
