Send no second copy where a plan caps what is out at once

Lines at fault: control.rs review() and may_try_again(), where a request that is long out gets a second copy: a copy holds a place under the cap like any attempt, and nothing counted it against the door's part. Ruled out: the units' store of that plan, which was never empty (0 of its sends beyond it). Now a request of a capped plan has one attempt out at a time: a silent one is called off before the next, as where no copies are allowed.

--- a/src/control.rs
+++ b/src/control.rs
@@ -534,12 +534,17 @@
             }
         };
         licensed
-            && (self.settings.may_duplicate || !out)
+            && (self.may_copy(&open.request) || !out)
             && open.attempts.len() < self.settings.max_attempts as usize
             && self.retry_budget >= 1.0
             && self.now < open.arrived + class.aim
     }
 
+    /// Whether a second copy may be out: not where it takes a place under a cap besides.
+    fn may_copy(&self, request: &Request) -> bool {
+        self.settings.may_duplicate && self.settings.plans[request.plan].open == 0
+    }
+
     /// An attempt has been out for long, or a request held: tries another server, or gives up in time.
     fn review(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get(&id).filter(|open| !open.done) else { return };
@@ -559,7 +564,7 @@
         let Some(last) = open.attempts.last().filter(|last| last.out) else { return };
         if self.may_try_again(open) {
             self.further(id, actions);
-        } else if free && !self.settings.may_duplicate && self.settings.may_cancel {
+        } else if free && !self.may_copy(&open.request) && self.settings.may_cancel {
             // One copy at a time: the attempt is given up first, and its end brings the next one.
             let silent = self.fleet.hangs(last.to.id, self.now, self.mean_answer());
             let useful = self.now < open.arrived + self.settings.classes[open.request.class].aim;
