--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -242,10 +242,7 @@
         host.end(id, 0, Outcome::Ok, None);
         (sends(&actions).len(), sends(&late).len())
     };
+    let why = "the first attempt holds one of two places, a copy would hold both";
+    assert_eq!(copies(&mut host, 2), (1, 0), "{why}");
     assert_eq!(copies(&mut host, 3), (1, 1), "a plan without a cap gets its second copy");
-    assert_eq!(
-        copies(&mut host, 2),
-        (1, 0),
-        "the first attempt holds one of two places, a copy would hold both"
-    );
 }
