Leave an attempt alone while its server answers, in place of second copies

An attempt got a copy after three mean answer times (control.rs review()), and the mean follows 50 answers of one door, 10 s and more of a slow spell. The aim is ten times a request's time, so that a copy of a request that still queues is rarely what makes it timely. Now an attempt is left alone while its server answers others, and called off once that is silent; a copy goes out only where the site lets nothing be called off.

--- a/src/control.rs
+++ b/src/control.rs
@@ -534,17 +534,12 @@
             }
         };
         licensed
-            && (self.may_copy(&open.request) || !out)
+            && (self.settings.may_duplicate || !out)
             && open.attempts.len() < self.settings.max_attempts as usize
             && self.retry_budget >= 1.0
             && self.now < open.arrived + class.aim
     }
 
-    /// Whether a second copy may be out: not where it takes a place under a cap besides.
-    fn may_copy(&self, request: &Request) -> bool {
-        self.settings.may_duplicate && self.settings.plans[request.plan].open == 0
-    }
-
     /// An attempt has been out for long, or a request held: tries another server, or gives up in time.
     fn review(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get(&id).filter(|open| !open.done) else { return };
@@ -560,21 +555,20 @@
             }
             return;
         }
-        let free = self.settings.classes[open.request.class].effect == Effect::Free;
         let Some(last) = open.attempts.last().filter(|last| last.out) else { return };
-        if self.may_try_again(open) {
+        let useful = self.now < open.arrived + self.settings.classes[class].aim;
+        let more = open.attempts.len() < self.settings.max_attempts as usize && self.retry_budget >= 1.0;
+        let free = self.settings.classes[class].effect == Effect::Free;
+        // An attempt is left alone while its server says something: a copy is work for one that is no
+        // less pressed, and rarely the first. Then it is given up first, and its end brings the next one.
+        if !useful || !more {
+        } else if !self.fleet.hangs(last.to.id, self.now, self.mean_answer()) {
+            let again = self.now + PATIENCE * self.mean_answer() / 2.0;
+            actions.push(Action::Timer { at: again, token: (id << 2) + REVIEW });
+        } else if free && self.settings.may_cancel {
+            actions.push(Action::Cancel { request: id, attempt: (open.attempts.len() - 1) as u8 });
+        } else if self.may_try_again(open) {
             self.further(id, actions);
-        } else if free && !self.may_copy(&open.request) && self.settings.may_cancel {
-            // One copy at a time: the attempt is given up first, and its end brings the next one.
-            let silent = self.fleet.hangs(last.to.id, self.now, self.mean_answer());
-            let useful = self.now < open.arrived + self.settings.classes[open.request.class].aim;
-            let more = open.attempts.len() < self.settings.max_attempts as usize && self.retry_budget >= 1.0;
-            if silent && useful && more {
-                actions.push(Action::Cancel { request: id, attempt: (open.attempts.len() - 1) as u8 });
-            } else if useful && more {
-                let again = self.now + PATIENCE * self.mean_answer() / 2.0;
-                actions.push(Action::Timer { at: again, token: (id << 2) + REVIEW });
-            }
         }
     }
 
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -119,3 +119,39 @@
     }
     assert_eq!(failed_for_good, 0);
 }
+
+/// Asks once of a single server, then every 50 ms of it for a while; `answers` tells whether these are answered.
+/// Returns how often the first one was sent again, and whether it was called off.
+fn what_becomes_of_a_long_one(settings: Settings, answers: bool) -> (usize, bool) {
+    let mut host = Host::new(settings, &[server(1)]);
+    for _ in 0..100 {
+        host.now += 50.0;
+        let (id, _) = host.ask(1, 3, 0);
+        host.end(id, 0, Outcome::Ok, None);
+    }
+    let (long, _) = host.ask(1, 3, 0);
+    let mut seen = Vec::new();
+    for _ in 0..16 {
+        seen.extend(host.run_timers(host.now + 50.0));
+        let (id, _) = host.ask(1, 3, 0);
+        if answers {
+            host.end(id, 0, Outcome::Ok, None);
+        }
+    }
+    let sent = |action: &&Action| matches!(action, Action::Send { request, .. } if *request == long);
+    let off = |action: &Action| matches!(action, Action::Cancel { request, .. } if *request == long);
+    (seen.iter().filter(sent).count(), seen.iter().any(off))
+}
+
+#[test]
+fn an_attempt_is_left_alone_while_its_server_answers_others_and_called_off_once_that_is_silent() {
+    for may_duplicate in [false, true] {
+        let settings = Settings { gateways: 1, may_duplicate, ..settings() };
+        assert_eq!(what_becomes_of_a_long_one(settings.clone(), true), (0, false));
+        assert_eq!(what_becomes_of_a_long_one(settings, false), (0, true));
+    }
+    // Where nothing may be called off, a copy is the way out.
+    let settings = Settings { gateways: 1, may_duplicate: true, may_cancel: false, ..settings() };
+    assert_eq!(what_becomes_of_a_long_one(settings.clone(), true), (0, false));
+    assert!(what_becomes_of_a_long_one(settings, false).0 > 0);
+}
