Refuse cheaper plans more for want of room, and none altogether

The coin puts low worth last by class, and this site has one class: arrive() in control.rs knew the plans' price of worth and did not use it for the room. Now the room's chance is taken to the power of the mean price over the plan's.

--- a/src/control.rs
+++ b/src/control.rs
@@ -251,6 +251,10 @@
         let slack = 2.0 * self.lore.limit.sqrt() + 1.0;
         let open =
             if idle { 1.0 } else { ((self.lore.limit + slack - flight) / slack).clamp(0.0, self.lore.room) };
+        // Of what there is room for the dearer plans get more, though none goes empty.
+        let prices: f64 = self.settings.plans.iter().map(|plan| plan.price).sum();
+        let price = self.settings.plans[request.plan].price * self.settings.plans.len() as f64;
+        let open = if price > 0.0 { open.powf(prices / price) } else { open };
         let (mix, order) = (&self.lore.class_mix, &self.class_order);
         // The floor shrinks with the room: of thousands of retries a second, a fixed part would feed a jam.
         let chance =
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -179,3 +179,25 @@
     let out = let_in(&mut host, 10, 50.0);
     assert!(out >= 24, "{out} of 30 let in from the fifth second on");
 }
+
+#[test]
+fn for_want_of_room_dearer_plans_are_refused_less_and_none_goes_empty() {
+    let plan = |price| Plan { price, ..Plan::default() };
+    let plans = vec![plan(0.5), plan(1.0), plan(2.0)];
+    let mut host = Host::new(Settings { plans, ..settings() }, &[server(1), server(2)]);
+    let (mut out, mut hand) = ([0; 3], std::collections::VecDeque::new());
+    for step in 0..6000 {
+        host.now += 10.0;
+        while hand.front().is_some_and(|(_, at)| *at <= host.now) {
+            let (id, _) = hand.pop_front().expect("not empty");
+            // Every second answer is late, so that the room stays between all and nothing.
+            answer(&mut host, id, if id % 2 == 0 { 500.0 } else { 100.0 });
+        }
+        let (id, actions) = host.ask(1, step % 3, 0);
+        if !sends(&actions).is_empty() {
+            out[step % 3] += 1;
+            hand.push_back((id, host.now + 300.0));
+        }
+    }
+    assert!(out[0] > 20 && out[1] > out[0] * 5 / 4 && out[2] > out[1] * 5 / 4, "{out:?} of 2000 each");
+}
