Tell staff what the process costs: time, memory, descriptors by purpose, wake-ups

What a request costs in processor time, memory and descriptors could not be read anywhere. The operators' call cost tells it, in the form of stats: the system's figures out of /proc when asked, and left out where they are missing or odd; connections counted by guards, so that a count cannot drift however one ends. stats keeps its form. Test: after a client that goes, half a head, a timed-out, a broken and a half-open attempt the counts are back where they were; with a guard that is never dropped it fails (not 0 clients). Nothing is read or kept while nobody asks.

--- a/src/bin/brassport/admin.rs
+++ b/src/bin/brassport/admin.rs
@@ -27,6 +27,7 @@
 pub enum Call<'a> {
     Status,
     Stats,
+    Cost,
     TakeOut(&'a str),
     GiveBack(&'a str),
     Standby,
@@ -125,13 +126,14 @@
     let call = match (name, id) {
         ("status", None) => Call::Status,
         ("stats", None) => Call::Stats,
+        ("cost", None) => Call::Cost,
         ("standby", None) => Call::Standby,
         ("active", None) => Call::Active,
         ("maint-on", Some(id)) => Call::TakeOut(id),
         ("maint-off", Some(id)) => Call::GiveBack(id),
         ("maint-on" | "maint-off", None) => return Err("the backend's ID is missing"),
-        ("status" | "stats" | "standby" | "active", Some(_)) => return Err("too many words"),
-        _ => return Err("unknown call: status, stats, maint-on ID, maint-off ID, standby, active"),
+        ("status" | "stats" | "cost" | "standby" | "active", Some(_)) => return Err("too many words"),
+        _ => return Err("unknown call: status, stats, cost, maint-on ID, maint-off ID, standby, active"),
     };
     if more.is_some() {
         return Err("too many words");
@@ -148,8 +150,18 @@
         assert_eq!(parse(b"status\r"), Ok(Call::Status));
         assert_eq!(parse(b"maint-on s-1"), Ok(Call::TakeOut("s-1")));
         assert_eq!(parse(b" maint-off  s-1 "), Ok(Call::GiveBack("s-1")));
-        let wrong: [&[u8]; 8] =
-            [b"", b" \r", b"STATUS", b"status now", b"maint-on", b"maint-off a b", b"\xff\xfe", b"stat\0us"];
+        assert_eq!(parse(b"cost"), Ok(Call::Cost));
+        let wrong: [&[u8]; 9] = [
+            b"",
+            b" \r",
+            b"STATUS",
+            b"status now",
+            b"cost all",
+            b"maint-on",
+            b"maint-off a b",
+            b"\xff\xfe",
+            b"stat\0us",
+        ];
         for line in wrong {
             assert!(parse(line).is_err(), "{line:?}");
         }
--- a/src/bin/brassport/backends.rs
+++ b/src/bin/brassport/backends.rs
@@ -1,5 +1,6 @@
 //! The backends: where they are, the idle connections to them, and the attempts.
 
+use crate::cost::{Gauge, Held};
 use crate::door::log;
 use crate::flow::{flow, Flow, Upload};
 use crate::link::{Failure, Link};
@@ -77,6 +78,7 @@
     /// Exchanges that it has carried.
     used: u32,
     _descriptor: OwnedSemaphorePermit,
+    _open: Held,
 }
 
 struct Backend {
@@ -109,6 +111,8 @@
     /// Attempts whose last byte was written.
     attempts: Rc<Cell<u64>>,
     descriptors: Arc<Semaphore>,
+    /// Connections, on their way ones too.
+    open: Gauge,
     /// Bytes of large answers that may be here before their clients take them.
     ahead: Arc<Semaphore>,
     connect_timeout: Duration,
@@ -132,6 +136,7 @@
             attempts,
             ahead: Arc::new(Semaphore::new(ahead.min(Semaphore::MAX_PERMITS))),
             descriptors,
+            open: Gauge::default(),
             connect_timeout,
             keep_idle: idle_timeout.mul_f64(IDLE_PART),
             tally: RefCell::default(),
@@ -191,6 +196,12 @@
         self.known.borrow().len()
     }
 
+    /// The connections that are idle, and those that carry an exchange or are on their way.
+    pub fn connections(&self) -> (usize, usize) {
+        let idle = self.known.borrow().values().map(|backend| backend.idle.len()).sum();
+        (idle, self.open.get().saturating_sub(idle))
+    }
+
     /// Closes the idle connection that has been so for the longest time; false if there is none.
     pub fn shed_idle(&self) -> bool {
         let mut known = self.known.borrow_mut();
@@ -427,6 +438,7 @@
                 Err(_) => return None,
             }
         };
+        let open = self.open.hold();
         // Guards against a machine that is cut off: its connections never come up.
         let link = timeout(self.connect_timeout, Link::open(address, self.attempts.clone()))
             .await
@@ -434,7 +446,7 @@
             .and_then(Result::ok);
         let tally = &mut *self.tally.borrow_mut();
         *if link.is_some() { &mut tally.opened } else { &mut tally.unopened } += 1;
-        Some(Pooled { link: link?, since: Instant::now(), used: 0, _descriptor: descriptor })
+        Some(Pooled { link: link?, since: Instant::now(), used: 0, _descriptor: descriptor, _open: open })
     }
 
     fn park(&self, id: ServerId, address: SocketAddr, pooled: Pooled) {
--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -138,6 +138,7 @@
     crowded: bool,
     mut shed: watch::Receiver<()>,
 ) {
+    let _held = desk.stats.clients.hold();
     let _ = stream.set_nodelay(true);
     let mut phase = desk.shift.watch();
     let late = desk.shift.phase() == Phase::Emptying;
--- a/src/bin/brassport/discovery.rs
+++ b/src/bin/brassport/discovery.rs
@@ -1,5 +1,6 @@
 //! Discovery: follows the list of backends and tells the door of each change.
 
+use crate::cost::{Gauge, Held};
 use crate::door::Door;
 use crate::link::Link;
 use http_body_util::Full;
@@ -110,6 +111,7 @@
     door: Rc<Door>,
     mut last: Option<u64>,
     mut pace: Pace,
+    open: Gauge,
 ) {
     let mut link = None;
     // Who holds nothing cannot wait.
@@ -130,7 +132,7 @@
                 addresses.mark_changed();
                 continue;
             }
-            answer = timeout(WAIT + OVERDUE, ask(&mut link, address, last)) => answer,
+            answer = timeout(WAIT + OVERDUE, ask(&mut link, address, last, &open)) => answer,
         };
         match answer {
             Ok(Ok(list)) => {
@@ -153,21 +155,30 @@
 }
 
 /// One call: the whole list, or what is newer than the version `after`.
-async fn ask(link: &mut Option<Link>, address: SocketAddr, after: Option<u64>) -> Result<List, Problem> {
+async fn ask(
+    link: &mut Option<(Link, Held)>,
+    address: SocketAddr,
+    after: Option<u64>,
+    gauge: &Gauge,
+) -> Result<List, Problem> {
     let path = match after {
         None => "/v1/servers".to_string(),
         Some(rev) => format!("/v1/servers?after={rev}&wait_ms={}", WAIT.as_millis()),
     };
     let request = Request::get(path).header(HOST, address.to_string()).body(Full::default());
     let request = request.map_err(|_| Problem::Unanswered)?;
-    if let Some(open) = link {
+    if let Some((open, _)) = link {
         if !open.is_usable().await {
             *link = None;
         }
     }
-    let open = match link {
+    let (open, _) = match link {
         Some(open) => open,
-        None => link.insert(Link::open(address, Rc::default()).await.map_err(|_| Problem::Unanswered)?),
+        None => {
+            let held = gauge.hold();
+            let open = Link::open(address, Rc::default()).await.map_err(|_| Problem::Unanswered)?;
+            link.insert((open, held))
+        }
     };
     let answer = open.exchange(request, LIST_LIMIT).await.map_err(|_| Problem::Unanswered)?;
     if answer.status() != StatusCode::OK {
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -6,6 +6,7 @@
 mod bans;
 mod clients;
 mod config;
+mod cost;
 mod discovery;
 mod door;
 mod flow;
@@ -135,7 +136,13 @@
     spawn_local(door.clone().keep_time());
     let (agent, agents) = watch::channel(config.discovery);
     let callers = if config.settings.list_on_request { config.settings.gateways } else { 0 };
-    spawn_local(discovery::watch(agents, door.clone(), held, Pace::new(callers, config.seed)));
+    spawn_local(discovery::watch(
+        agents,
+        door.clone(),
+        held,
+        Pace::new(callers, config.seed),
+        stats.discovery.clone(),
+    ));
     let sweeper = backends.clone();
     spawn_local(async move { sweeper.sweep().await });
 
--- a/src/bin/brassport/staff.rs
+++ b/src/bin/brassport/staff.rs
@@ -2,11 +2,13 @@
 
 use crate::admin::{Call, Operations};
 use crate::backends::Backends;
+use crate::cost::{self, Counted, Descriptors};
 use crate::door::Door;
 use crate::shift::Shift;
 use crate::stats::Stats;
 use std::cell::Cell;
 use std::rc::Rc;
+use tokio::runtime::Handle;
 
 pub struct Staff {
     pub door: Rc<Door>,
@@ -18,6 +20,25 @@
     pub open: Rc<Cell<bool>>,
 }
 
+impl Staff {
+    fn counted(&self) -> Counted {
+        let (backends_idle, backends_busy) = self.backends.connections();
+        let descriptors = Descriptors {
+            clients: self.stats.clients.get(),
+            backends_idle,
+            backends_busy,
+            discovery: self.stats.discovery.get(),
+        };
+        Counted {
+            descriptors,
+            requests: self.stats.requests(),
+            attempts: self.stats.attempts.get(),
+            // One thread does all the work.
+            wake_ups: Handle::current().metrics().worker_park_count(0),
+        }
+    }
+}
+
 impl Operations for Staff {
     async fn carry_out(&self, call: Call<'_>) -> Result<String, String> {
         match call {
@@ -28,6 +49,7 @@
                 let (known, excluded) = self.door.backends();
                 Ok(format!("{}\nend", self.stats.line(&self.classes, known, excluded)))
             }
+            Call::Cost => Ok(format!("{}\nend", cost::line(&self.counted()))),
             Call::TakeOut(uid) => self.door.take_out(uid).map(|()| format!("done {uid} is out")),
             Call::GiveBack(uid) => self.door.give_back(uid).map(|()| format!("done {uid} may serve")),
             Call::Standby => self.shift.stand_by().map(|()| "done".into()),
--- a/src/bin/brassport/stats.rs
+++ b/src/bin/brassport/stats.rs
@@ -1,5 +1,6 @@
 //! What staff read of the front door: how many requests ended how, and how many are in hand.
 
+use crate::cost::Gauge;
 use crate::pulse::Busy;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use serde_json::{json, Map, Value};
@@ -30,6 +31,9 @@
     /// Attempts whose last byte was written.
     pub attempts: Rc<Cell<u64>>,
     in_flight: Cell<u64>,
+    /// Connections of clients, and to discovery.
+    pub clients: Gauge,
+    pub discovery: Gauge,
     pub reloads_ok: Cell<u64>,
     pub reloads_failed: Cell<u64>,
 }
@@ -44,6 +48,13 @@
         Entry { stats: self.clone(), class, taken: false, fate: Fate::Failed }
     }
 
+    /// How many requests have come, those in hand too.
+    pub fn requests(&self) -> u64 {
+        let ended = self.ended.borrow();
+        self.in_flight.get()
+            + ended.iter().map(|ended| ended.served + ended.refused + ended.failed).sum::<u64>()
+    }
+
     /// One line of JSON.
     pub fn line(&self, classes: &[String], known: usize, excluded: usize) -> String {
         let by_class = |count: fn(&Ended) -> u64| -> Map<String, Value> {
@@ -162,6 +173,7 @@
             entry.taken();
             entry.taken();
             assert_eq!(figures(&stats)["in_flight"], 1);
+            assert_eq!(stats.requests(), 1 + fate as u64, "one in hand counts as well");
             let body = Answered::new(Full::new(Bytes::from_static(b"answer")), Some(entry), fate);
             body.collect().await.expect("a body");
         }
@@ -175,7 +187,7 @@
         assert_eq!(figures["served"]["a"], 1);
         assert_eq!(figures["refused"]["a"], 1);
         assert_eq!(figures["failed"]["a"], 3);
-        assert_eq!(figures["in_flight"], 0);
+        assert_eq!((&figures["in_flight"], stats.requests()), (&json!(0), 5));
         assert_eq!((&figures["backends_known"], &figures["backends_excluded"]), (&json!(3), &json!(1)));
     }
 }
--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -911,6 +911,84 @@
     assert_eq!(front.stats()["refused"][class], 1);
 }
 
+/// What `cost` tells.
+fn cost(front: &Front) -> Value {
+    let answer = front.call("cost");
+    let (figures, end) = answer.trim_end().rsplit_once('\n').expect("two lines");
+    assert_eq!(end, "end");
+    serde_json::from_str(figures).expect("JSON")
+}
+
+/// Waits until `cost` says so many descriptors of clients, of idle and of busy connections to backends.
+fn wait_for_descriptors(front: &Front, clients: usize, idle: usize, busy: usize) -> Value {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        let cost = cost(front);
+        let open = &cost["descriptors"];
+        if (&open["clients"], &open["backends_idle"], &open["backends_busy"])
+            == (&json!(clients), &json!(idle), &json!(busy))
+        {
+            return cost;
+        }
+        assert!(Instant::now() < until, "not {clients} clients, {idle} idle and {busy} busy: {cost}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn descriptors_come_back_after_each_odd_ending() {
+    let (backend, stuck) = (Peer::start(), Stuck::start());
+    let known = list(&[target("s-00000001", backend.address, "ready")]);
+    let front = Front::start(&config(closed_port(), known));
+    let before = wait_for_descriptors(&front, 0, 0, 0);
+    // A client that goes while its request runs.
+    let mut gone = front.client();
+    gone.send(&get("/gone"));
+    let mut running = backend.next();
+    wait_for_descriptors(&front, 1, 0, 1);
+    drop(gone);
+    // A client that never sends, one that sends half a head, and one that resets.
+    let silent = front.client();
+    let mut half = front.client();
+    half.send("GET /preview-fetch HTTP/1.1\r\nHost:");
+    drop((silent, half));
+    running.wait_for_close();
+    wait_for_descriptors(&front, 0, 0, 0);
+    // An attempt that runs out of time, and one whose backend breaks off.
+    let mut client = front.client();
+    client.send(&get("/late").replace("X-Deadline: 4000m", "X-Deadline: 60m"));
+    let late = backend.next();
+    assert_eq!(client.read().status(), 504);
+    client.send(&post("broken"));
+    backend.next().break_off("HTTP/1.1 200 OK\r\n");
+    assert_eq!(client.read().status(), 504);
+    wait_for_descriptors(&front, 1, 0, 0);
+    drop(late);
+    // One that ends well leaves its connection, and one that is on its way leaves none once it is given up.
+    client.send(&get("/well"));
+    backend.next().ok("");
+    client.read();
+    wait_for_descriptors(&front, 1, 1, 0);
+    drop(client);
+    let mut config = config(closed_port(), list(&[target("s-00000001", stuck.address, "ready")]));
+    config["settings"]["bounds"]["connectTimeout"] = json!(20_000.0);
+    let other = Front::start(&config);
+    let mut client = other.client();
+    client.send(&get("/on-its-way").replace("X-Deadline: 4000m", "X-Deadline: 300m"));
+    wait_for_descriptors(&other, 1, 0, 1);
+    assert_eq!(client.read().status(), 504);
+    drop(client);
+    wait_for_descriptors(&other, 0, 0, 0);
+    // Nothing of the program's own has come to stay.
+    let after = wait_for_descriptors(&front, 0, 1, 0);
+    assert_eq!(after["descriptors"]["own"], before["descriptors"]["own"], "{before} {after}");
+    assert_eq!((&after["requests"], &after["attempts"]), (&json!(4), &json!(4)), "{after}");
+    let counts = [&after["wake_ups"], &after["memory_kib"]["resident"], &after["memory_kib"]["peak"]];
+    assert!(counts.iter().all(|count| count.as_u64().is_some_and(|count| count > 0)), "{after}");
+    assert!(after["processor_ms"]["user"].is_u64() && after["processor_ms"]["system"].is_u64(), "{after}");
+    assert!(front.call("cost of it").starts_with("error"));
+}
+
 #[test]
 fn a_backend_that_is_taken_out_gets_nothing_whatever_the_list_says() {
     let peers = [Peer::start(), Peer::start()];
