--- /dev/null
+++ b/benches/cost/main.rs
@@ -0,0 +1,330 @@
+//! What a request costs: the release program between stand-ins on loopback, a fixed number of requests.
+//!
+//!     cargo bench --bench cost                            # this build
+//!     cargo bench --bench cost -- --vs OTHER/brassport    # and its ratio to another, run by run in turn
+//!     cargo bench --bench cost -- --rounds 9 --only kept
+//!
+//! Times differ from machine to machine and from day to day: the ratios, and the counts, are what tells.
+
+mod calls;
+mod door;
+mod standins;
+
+use calls::Calls;
+use door::{Door, Used};
+use springusher::{
+    Action, AttemptEnd, Class, Effect, Event, Gateway, Lifecycle, ListKind, Outcome, Plan, Request,
+    ServerEntry, Settings,
+};
+use standins::{fleet, load, request, run, Client, Fleet};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use std::{env, thread};
+use tokio::time::sleep;
+
+/// Requests that go before those that count.
+const WARM_UP: usize = 25;
+const IDLE_CONNECTIONS: usize = 1000;
+const CUSTOMERS: usize = 10_000;
+/// The idle program is watched for so long, after so long a rest.
+const WATCHED: Duration = Duration::from_secs(3);
+const REST: Duration = Duration::from_secs(5);
+
+/// A figure's name and what it is for one run.
+type Figures = Vec<(&'static str, f64)>;
+
+struct Scenario {
+    name: &'static str,
+    backends: usize,
+    size: usize,
+    gateways: u32,
+    play: fn(&Door) -> Figures,
+    /// Requests of a run under trace, and how they are made; none where calls are not counted.
+    traced: Option<Traced>,
+}
+
+type Traced = (usize, fn(&Door, usize));
+
+const KEPT: Scenario = Scenario {
+    name: "kept",
+    backends: 20,
+    size: 1024,
+    gateways: 1,
+    play: |door| loaded(door, 8, 1500, true, "ample"),
+    traced: Some((200, |door, requests| plain(door, requests, true, "ample"))),
+};
+
+const SCENARIOS: [Scenario; 8] = [
+    KEPT,
+    Scenario {
+        name: "fresh",
+        play: |door| loaded(door, 8, 600, false, "ample"),
+        traced: Some((200, |door, requests| plain(door, requests, false, "ample"))),
+        ..KEPT
+    },
+    Scenario { name: "many-idle", play: many_idle, traced: None, ..KEPT },
+    Scenario {
+        name: "refused",
+        play: |door| loaded(door, 8, 4000, true, "scant"),
+        traced: Some((200, |door, requests| plain(door, requests, true, "scant"))),
+        ..KEPT
+    },
+    Scenario { name: "idle", play: idle, traced: None, ..KEPT },
+    Scenario { name: "fleet", backends: 200, gateways: 300, play: one_of_many, ..KEPT },
+    Scenario {
+        name: "large",
+        size: 1 << 20,
+        play: |door| loaded(door, 4, 75, true, "ample"),
+        traced: Some((20, |door, requests| plain(door, requests, true, "ample"))),
+        ..KEPT
+    },
+    Scenario { name: "customers", play: customers, traced: None, ..KEPT },
+];
+
+/// What so many requests took, each.
+fn per_request(before: Used, after: Used, requests: usize) -> Figures {
+    let each = |figure: fn(&Used) -> f64| (figure(&after) - figure(&before)) / requests as f64;
+    vec![
+        ("processor us/request", each(|used| used.processor)),
+        ("  of it user", each(|used| used.user)),
+        ("wake-ups/request", each(|used| used.wake_ups)),
+        ("descriptors", after.descriptors),
+    ]
+}
+
+fn loaded(door: &Door, connections: usize, each: usize, keep: bool, plan: &str) -> Figures {
+    let status = if plan == "ample" { 200 } else { 429 };
+    run(async {
+        // The least that a plan lets through comes before the refusals.
+        load(door.address, connections, WARM_UP, keep, plan, status).await;
+        let before = door.used();
+        let wrong = load(door.address, connections, each, keep, plan, status).await;
+        let figures = per_request(before, door.used(), connections * each);
+        assert_eq!(wrong, 0, "answers that are not {status}");
+        figures
+    })
+}
+
+/// A door that sees little of a large fleet's traffic, once its room has grown from that of a start.
+fn one_of_many(door: &Door) -> Figures {
+    run(async {
+        load(door.address, 2, 500, true, "ample", 200).await;
+        let before = door.used();
+        let refused = load(door.address, 2, 1500, true, "ample", 200).await;
+        let mut figures = per_request(before, door.used(), 3000);
+        figures.push(("refused/request", refused as f64 / 3000.0));
+        figures
+    })
+}
+
+/// One request after the other, as a trace counts them.
+fn plain(door: &Door, requests: usize, keep: bool, plan: &str) {
+    run(async { load(door.address, 1, requests, keep, plan, 0).await });
+}
+
+/// Clients that hold a connection and ask for nothing, or have asked once.
+fn many_idle(door: &Door) -> Figures {
+    run(async {
+        load(door.address, 4, WARM_UP, true, "ample", 200).await;
+        let before = door.used();
+        let mut silent = Vec::new();
+        for _ in 0..IDLE_CONNECTIONS {
+            silent.push(Client::connect(door.address).await);
+        }
+        sleep(Duration::from_millis(100)).await;
+        let with_silent = door.used();
+        let asked = request("ample", 1);
+        for client in &mut silent {
+            client.ask(&asked).await;
+        }
+        let with_asked = door.used();
+        load(door.address, 4, 100, true, "ample", 200).await;
+        let after = door.used();
+        let each = |more: Used, less: Used| (more.resident_kib - less.resident_kib) / IDLE_CONNECTIONS as f64;
+        vec![
+            ("KiB/silent connection", each(with_silent, before)),
+            ("KiB/idle connection that has asked", each(with_asked, before)),
+            ("processor us/request beside them", (after.processor - with_asked.processor) / 400.0),
+            ("descriptors", with_asked.descriptors),
+        ]
+    })
+}
+
+/// A program that has served and has nothing to do.
+fn idle(door: &Door) -> Figures {
+    run(load(door.address, 8, 50, true, "ample", 200));
+    let watched = |door: &Door| {
+        let before = door.used();
+        thread::sleep(WATCHED);
+        let after = door.used();
+        let seconds = WATCHED.as_secs_f64();
+        ((after.wake_ups - before.wake_ups) / seconds, (after.processor - before.processor) / seconds)
+    };
+    // With the connections to backends still open, and later on.
+    let (soon, _) = watched(door);
+    thread::sleep(REST);
+    let (wake_ups, processor) = watched(door);
+    vec![("wake-ups/s after load", soon), ("wake-ups/s", wake_ups), ("processor us/s", processor)]
+}
+
+fn customers(door: &Door) -> Figures {
+    run(async {
+        let mut client = Client::connect(door.address).await;
+        for _ in 0..WARM_UP {
+            client.ask(&request("ample", 1)).await;
+        }
+        let before = door.used();
+        for customer in 0..CUSTOMERS {
+            client.ask(&request("ample", customer as u64)).await;
+        }
+        let after = door.used();
+        vec![
+            ("KiB/customer", (after.resident_kib - before.resident_kib) / CUSTOMERS as f64),
+            ("processor us/request", (after.processor - before.processor) / CUSTOMERS as f64),
+        ]
+    })
+}
+
+/// System calls for each request of a scenario.
+fn traced(program: &Path, scenario: &Scenario, fleet: &Fleet) -> Option<Figures> {
+    let (requests, play) = scenario.traced?;
+    let door = Door::start(program, fleet, scenario.gateways);
+    play(&door, WARM_UP);
+    let (tracing, done) = (AtomicBool::new(false), AtomicBool::new(false));
+    let calls = thread::scope(|scope| {
+        let counting = scope.spawn(|| calls::count(door.pid(), &tracing, &done));
+        while !tracing.load(Ordering::Acquire) && !counting.is_finished() {
+            thread::yield_now();
+        }
+        play(&door, requests);
+        done.store(true, Ordering::Release);
+        // The call that ends the trace.
+        while !counting.is_finished() {
+            play(&door, 1);
+        }
+        counting.join().ok().flatten()
+    });
+    let Calls { reads, writes, others } = calls?;
+    let each = |count: u64| count as f64 / requests as f64;
+    Some(vec![
+        ("reads/request", each(reads)),
+        ("writes/request", each(writes)),
+        ("other calls/request", each(others)),
+    ])
+}
+
+/// Allocations of the module for each event, at 200 backends and 300 front doors.
+fn allocations() {
+    let class = Class { worth: 1.0, aim: 1000.0, deadline: 4000.0, late_share: 0.0, effect: Effect::Free };
+    let plan = Plan { rate: 1e6, burst: 2e6, price: 1.0, ..Plan::default() };
+    let settings = Settings { gateways: 300, classes: vec![class], plans: vec![plan], ..Settings::default() };
+    let mut gateway = Gateway::new(settings, 7, 0.0).expect("the settings make sense");
+    let server =
+        |id| ServerEntry { id, zone: 0, cell: 0, share: 1.0, lifecycle: Lifecycle::Ready, launched: None };
+    let mut actions = Vec::new();
+    let entries = (0..200).map(server).collect();
+    gateway.handle(0.0, Event::Servers { kind: ListKind::Full, entries }, &mut actions);
+    let events = 2000;
+    let mut counts = [0; 2];
+    for id in 0..events {
+        actions.clear();
+        let now = id as f64;
+        let request = Request {
+            id,
+            customer: id % 50,
+            plan: 0,
+            class: 0,
+            units: 1.0,
+            spread: 1,
+            first: 0,
+            expires_in: 4000.0,
+            repeat: false,
+        };
+        let count =
+            allocation_counter::measure(|| gateway.handle(now, Event::Request(request), &mut actions));
+        counts[0] += count.count_total;
+        if actions.iter().any(|action| matches!(action, Action::Send { .. })) {
+            let outcome = Outcome::Ok;
+            let end = AttemptEnd {
+                request: id,
+                attempt: 0,
+                outcome,
+                elapsed: 50.0,
+                finished: true,
+                used: None,
+                billed: None,
+            };
+            let event = Event::AttemptEnd(end);
+            counts[1] += allocation_counter::measure(|| gateway.handle(now, event, &mut actions)).count_total;
+        }
+    }
+    let each = |count: u64| count as f64 / events as f64;
+    println!("module: {:.2} allocations a request, {:.2} an attempt's end", each(counts[0]), each(counts[1]));
+}
+
+fn median(mut figures: Vec<f64>) -> f64 {
+    figures.sort_by(f64::total_cmp);
+    figures.get(figures.len() / 2).copied().unwrap_or(f64::NAN)
+}
+
+fn main() {
+    let mut other: Option<PathBuf> = None;
+    let (mut rounds, mut only) = (5, None);
+    let mut words = env::args().skip(1);
+    while let Some(word) = words.next() {
+        match word.as_str() {
+            "--vs" => other = words.next().map(PathBuf::from),
+            "--rounds" => {
+                rounds = words.next().and_then(|word| word.parse().ok()).unwrap_or(rounds).clamp(1, 50)
+            }
+            "--only" => only = words.next(),
+            // What cargo adds.
+            "--bench" => {}
+            _ => {
+                eprintln!("unknown word {word}: --vs PROGRAM, --rounds N, --only SCENARIO");
+                std::process::exit(2);
+            }
+        }
+    }
+    let own = PathBuf::from(env!("CARGO_BIN_EXE_brassport"));
+    let programs: Vec<&Path> = [Some(own.as_path()), other.as_deref()].into_iter().flatten().collect();
+    println!("medians of {rounds} runs in turn; ratios are this build's to the other's, run by run: median (least to most)");
+    allocations();
+    for scenario in
+        SCENARIOS.iter().filter(|scenario| only.as_deref().is_none_or(|only| only == scenario.name))
+    {
+        let fleet = fleet(scenario.backends, scenario.size);
+        // The figures of each program, run by run.
+        let mut runs: Vec<Vec<Figures>> = vec![Vec::new(); programs.len()];
+        for _ in 0..rounds {
+            for (program, runs) in programs.iter().zip(&mut runs) {
+                runs.push((scenario.play)(&Door::start(program, &fleet, scenario.gateways)));
+            }
+        }
+        let counted = programs.iter().map(|program| traced(program, scenario, &fleet));
+        for (calls, runs) in counted.collect::<Vec<_>>().into_iter().zip(&mut runs) {
+            if let Some(calls) = calls {
+                runs.iter_mut().for_each(|run| run.extend(calls.clone()));
+            }
+        }
+        println!("{}", scenario.name);
+        for (at, (name, _)) in runs[0][0].iter().enumerate() {
+            let column = |runs: &[Figures]| -> Vec<f64> {
+                runs.iter().filter_map(|run| run.get(at)).map(|(_, figure)| *figure).collect()
+            };
+            let columns: Vec<Vec<f64>> = runs.iter().map(|runs| column(runs)).collect();
+            let medians = columns.iter().map(|column| format!("{:>12.2}", median(column.clone())));
+            let mut line = format!("  {name:<36}{}", medians.collect::<String>());
+            if let [own, other] = columns.as_slice() {
+                let mut ratios: Vec<f64> = own.iter().zip(other).map(|(own, other)| own / other).collect();
+                ratios.sort_by(f64::total_cmp);
+                if ratios.iter().all(|ratio| ratio.is_finite()) {
+                    let (least, most) = (ratios[0], ratios[ratios.len() - 1]);
+                    line += &format!("   {:.3} ({least:.3} to {most:.3})", median(ratios));
+                }
+            }
+            println!("{line}");
+        }
+    }
+}
