Let the system tell of changed bans, in place of reading their folder ten times a second

Seen in a trace of the idle program: of 21 wake-ups a second 20 were the look for the other process's bans, each an open of the folder, a timer due before all others and so a write to the program's own queue, and a wait more. Now the folder is watched through inotify, one descriptor of the program's own; where that is not to be had, or the folder is gone, it is looked at every 0.1 s as before. Test: changes are told at once under a paused clock, and an hour without any wakes nothing; with the watch passed over it fails.

--- a/src/bin/brassport/bans.rs
+++ b/src/bin/brassport/bans.rs
@@ -4,16 +4,22 @@
 //! A ban is a file that bears the backend's name; that it is there says all. Nothing in it can be torn, and
 //! two writers cannot undo each other's. A backend that was given back leaves a file whose age tells when.
 
+use rustix::fs::inotify::{self, CreateFlags, WatchFlags};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
 use std::{env, fs, io};
+use tokio::net::unix::pipe;
+use tokio::time::sleep;
 
 /// Most bytes of a backend's name: in hexadecimal it has to fit a file's name.
 pub const NAME_LIMIT: usize = 100;
 /// For how long it is kept that a backend came back: it is warm by then.
 const KEPT: Duration = Duration::from_secs(120);
+/// How often the files are looked at where the system cannot tell of changes: both processes must know of each
+/// within half a second.
+const LOOK: Duration = Duration::from_millis(100);
 const OUT: &str = "out-";
 const BACK: &str = "back-";
 
@@ -72,6 +78,17 @@
         }
     }
 
+    /// Tells of changes to the files from here on.
+    pub fn changes(&self) -> Changes {
+        let made = fs::create_dir_all(&self.folder);
+        let flags = CreateFlags::CLOEXEC | CreateFlags::NONBLOCK;
+        // The system's queue of changes is read as a pipe is.
+        let events = made.and_then(|()| pipe::Receiver::from_owned_fd_unchecked(inotify::init(flags)?)).ok();
+        let mut changes = Changes { folder: self.folder.clone(), events, watched: false };
+        changes.watch();
+        changes
+    }
+
     /// Removes what is of no use any more.
     pub fn tidy(&self) {
         for (uid, at) in self.read().unwrap_or_default().back {
@@ -82,6 +99,52 @@
     }
 }
 
+/// Changes to the files, as the system tells of them: a program with nothing to do is not woken to look.
+pub struct Changes {
+    folder: PathBuf,
+    events: Option<pipe::Receiver>,
+    /// Whether the system was last found to watch the folder.
+    watched: bool,
+}
+
+impl Changes {
+    /// The folder may have been removed and made again: then it is another one for the system.
+    fn watch(&mut self) {
+        let kinds = WatchFlags::CREATE
+            | WatchFlags::CLOSE_WRITE
+            | WatchFlags::DELETE
+            | WatchFlags::MOVED_FROM
+            | WatchFlags::MOVED_TO
+            | WatchFlags::DELETE_SELF
+            | WatchFlags::MOVE_SELF;
+        let watch = |events: &pipe::Receiver| inotify::add_watch(events, &self.folder, kinds);
+        self.watched = self.events.as_ref().is_some_and(|events| watch(events).is_ok());
+    }
+
+    /// Waits until something may have changed since the last call.
+    pub async fn next(&mut self) {
+        match self.events.as_ref().filter(|_| self.watched) {
+            Some(events) if take(events).await.is_ok() => {}
+            _ => sleep(LOOK).await,
+        }
+        self.watch();
+    }
+}
+
+/// Waits for events and takes all there are. What they say does not matter: the files do.
+async fn take(events: &pipe::Receiver) -> io::Result<()> {
+    events.readable().await?;
+    let mut some = [0; 4096];
+    loop {
+        match events.try_read(&mut some) {
+            Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok(_) => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) => return Err(error),
+        }
+    }
+}
+
 /// Where the processes of one front door meet. It bears the clients' address: where several front doors are given one
 /// `$TMPDIR`, they stay apart.
 pub fn shared_folder(listen: SocketAddr) -> PathBuf {
@@ -107,6 +170,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use tokio::time::{timeout, Instant};
 
     #[test]
     fn what_one_process_was_told_another_reads() {
@@ -128,4 +192,33 @@
         assert!(!standing.out.contains("s-1/../x") && standing.back.contains_key("s-1/../x"));
         fs::remove_dir_all(&folder).expect("removed");
     }
+
+    #[tokio::test(start_paused = true)]
+    async fn changes_are_told_and_nothing_wakes_the_program_while_there_are_none() {
+        let folder = env::temp_dir().join(format!("changes-{}", std::process::id()));
+        let (one, other) = (Bans::new(&folder), Bans::new(&folder));
+        let mut changes = one.changes();
+        let (take_out, give_back) = (|| other.take_out("s-1"), || other.give_back("s-1"));
+        let begun = Instant::now();
+        for change in [&take_out as &dyn Fn() -> io::Result<()>, &give_back, &give_back] {
+            change().expect("writable");
+            changes.next().await;
+        }
+        assert_eq!(begun.elapsed(), Duration::ZERO, "they were told, not looked for");
+        // The clock leaps to the next moment at which anything is due.
+        let hour = Duration::from_secs(3600);
+        assert!(timeout(hour, changes.next()).await.is_err(), "woken for nothing");
+        // Without the folder it is looked for, and found when it is there again.
+        fs::remove_dir_all(&folder).expect("removed");
+        changes.next().await;
+        changes.next().await;
+        assert!(begun.elapsed() < hour + 2 * LOOK);
+        other.take_out("s-2").expect("writable");
+        changes.next().await;
+        let watched = Instant::now();
+        other.take_out("s-3").expect("writable");
+        changes.next().await;
+        assert_eq!(watched.elapsed(), Duration::ZERO, "told again");
+        fs::remove_dir_all(&folder).expect("removed");
+    }
 }
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -19,10 +19,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
-use tokio::time::{sleep, sleep_until, Instant};
-
-/// How often the other process's bans are looked for: both must know within half a second.
-const FOLLOW: Duration = Duration::from_millis(100);
+use tokio::time::{sleep_until, Instant};
 
 /// The final answer to a client.
 pub enum Answer {
@@ -244,7 +241,7 @@
 
     /// Follows what the other process of this front door was told.
     pub async fn follow_bans(self: Rc<Self>) {
-        let mut read = Standing::default();
+        let (mut read, mut changes) = (Standing::default(), self.bans.changes());
         loop {
             if let Ok(now) = self.bans.read() {
                 // What this process could not write to the folder holds for it all the same: only what
@@ -258,7 +255,7 @@
                     self.follow(standing);
                 }
             }
-            sleep(FOLLOW).await;
+            changes.next().await;
         }
     }
 
