Let no timer of a request that is over wake the program

Seen in traces: each request sets two timers or more, a look at its attempt and its deadline, and nearly all come due after the request is over: a wake-up each, and before that a write to the program's own queue and a wait more, as the timer was due before all others. The door now passes over timers whose request is over (Gateway::request_of tells which it is) and drops them in bulk once they are half of what is kept.

--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -1,6 +1,7 @@
 //! The door: the single owner of the decision module. It keeps the module's clock and timers and the
 //! requests in hand, hands events in, and carries actions out in order. It decides nothing.
 
+use crate::alarms::Alarms;
 use crate::backends::{Backends, End, Message, Order};
 use crate::bans::{Bans, Standing, NAME_LIMIT};
 use crate::discovery::{List, State, Target};
@@ -12,8 +13,7 @@
 };
 use springusher::{Request, RequestId, ServerEntry, ServerId, Settings};
 use std::cell::RefCell;
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -74,7 +74,7 @@
     gateway: Gateway,
     requests: HashMap<RequestId, InHand>,
     last: RequestId,
-    alarms: BinaryHeap<Reverse<(Instant, u64)>>,
+    alarms: Alarms,
     /// Names of the backends by the number that stands for each.
     uids: HashMap<ServerId, String>,
     /// The list as it was last told.
@@ -106,7 +106,7 @@
             gateway: Gateway::new(settings, seed, clock.now())?,
             requests: HashMap::new(),
             last: 0,
-            alarms: BinaryHeap::new(),
+            alarms: Alarms::new(),
             uids: HashMap::new(),
             targets: BTreeMap::new(),
             standing: Standing::default(),
@@ -313,7 +313,10 @@
     /// Wakes the module when its timers are due.
     pub async fn keep_time(self: Rc<Self>) {
         loop {
-            let next = self.inner.borrow().alarms.peek().map(|Reverse((at, _))| *at);
+            let next = {
+                let Inner { alarms, requests, .. } = &mut *self.inner.borrow_mut();
+                alarms.next(|request| requests.contains_key(&request))
+            };
             match next {
                 None => self.sooner.notified().await,
                 Some(at) if at > Instant::now() => tokio::select! {
@@ -321,8 +324,8 @@
                     () = self.sooner.notified() => {}
                 },
                 Some(_) => {
-                    let due = self.inner.borrow_mut().alarms.pop();
-                    if let Some(Reverse((_, token))) = due {
+                    let due = self.inner.borrow_mut().alarms.take();
+                    if let Some(token) = due {
                         self.handle(Event::Timer(token));
                     }
                 }
@@ -364,10 +367,10 @@
             }
             Action::Timer { at, token } => {
                 let at = self.clock.instant(at);
-                if inner.alarms.peek().is_none_or(|Reverse((first, _))| at < *first) {
+                let Inner { alarms, requests, .. } = inner;
+                if alarms.set(at, token, |request| requests.contains_key(&request)) {
                     self.sooner.notify_one();
                 }
-                inner.alarms.push(Reverse((at, token)));
             }
             // The program follows the list from its start, whoever asks.
             Action::FollowServers => {}
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 mod admin;
+mod alarms;
 mod backends;
 mod bans;
 mod clients;
--- a/src/control.rs
+++ b/src/control.rs
@@ -194,6 +194,11 @@
         })
     }
 
+    /// The request that a timer is for: once that is over, its timers need not come back.
+    pub fn request_of(token: u64) -> Option<RequestId> {
+        (token % 4 != LIST).then_some(token / 4)
+    }
+
     /// Takes one event and appends what is to be done, in order.
     pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -362,8 +367,7 @@
 
     /// Own attempts in hand that can still be in time: hung servers must not close the door.
     fn young(&self, aim: Millis) -> f64 {
-        let since = self.now - aim;
-        self.fleet.out_since(since) as f64
+        self.fleet.out_since(self.now - aim) as f64
     }
 
     /// Once a second: reports refusals that are not the coin's, and forgets customers whose stores are full.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,8 @@
 //! the gateway four things:
 //!
 //! * **clock**: time never runs backwards between two calls;
-//! * **timers**: each [`Action::Timer`] comes back as one [`Event::Timer`] at or soon after its time;
+//! * **timers**: each [`Action::Timer`] comes back as one [`Event::Timer`] at or soon after its time, unless the
+//!   request that it is for ([`Gateway::request_of`]) is answered and its attempts have ended;
 //! * **order**: events are handed over in the order in which they happened, and every
 //!   [`Action::Send`] is answered by exactly one [`Event::AttemptEnd`];
 //! * **isolation**: one gateway a process; gateways share nothing and learn of each other from the
