--- a/src/bin/brassport/backends.rs
+++ b/src/bin/brassport/backends.rs
@@ -11,12 +11,13 @@
 use springusher::{Outcome, ServerId};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
-use std::future::Future;
+use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
 /// Most bytes of a body that are gathered before it goes on, either way, and the longest that this may hold back the
@@ -29,8 +30,8 @@
 /// they say, and a request that crosses that is lost.
 const IDLE_PART: f64 = 0.5;
 const SWEEP: Duration = Duration::from_secs(1);
-/// Sweeps from one report on the connections to the next.
-const REPORT: u32 = 5;
+/// The least time from one report on the connections to the next.
+const REPORT: Duration = Duration::from_secs(5);
 
 /// A client's request as it goes on to a backend.
 pub struct Message {
@@ -100,6 +101,12 @@
     last_broken: String,
 }
 
+impl Tally {
+    fn has_failures(&self) -> bool {
+        self.unopened + self.broken_new + self.broken_used > 0
+    }
+}
+
 pub struct Backends {
     known: RefCell<HashMap<ServerId, Backend>>,
     /// Those that staff have taken out, known or not.
@@ -118,6 +125,9 @@
     connect_timeout: Duration,
     keep_idle: Duration,
     tally: RefCell<Tally>,
+    /// Ends the sweep's rest.
+    stir: Notify,
+    resting: Cell<bool>,
 }
 
 impl Backends {
@@ -140,6 +150,8 @@
             connect_timeout,
             keep_idle: idle_timeout.mul_f64(IDLE_PART),
             tally: RefCell::default(),
+            stir: Notify::new(),
+            resting: Cell::new(false),
         }
     }
 
@@ -211,35 +223,58 @@
         true
     }
 
-    /// Closes connections that have been idle for long or that the other side has closed.
+    /// Closes connections that have been idle for long or that the other side has closed, and reports on failures.
+    /// It rests while nothing of that is due: a connection that is closed ends its rest, or one more that is idle.
     pub async fn sweep(&self) {
-        for sweep in 1u32.. {
-            sleep(SWEEP).await;
-            if sweep % REPORT == 0 {
+        let mut reported = Instant::now();
+        loop {
+            let mut report_at = self.tally.borrow().has_failures().then_some(reported + REPORT);
+            if report_at.take_if(|at| *at <= Instant::now()).is_some() {
+                reported = Instant::now();
                 self.report();
             }
-            let parked: Vec<(ServerId, SocketAddr, Vec<Pooled>)> = self
-                .known
-                .borrow_mut()
-                .iter_mut()
-                .map(|(id, backend)| (*id, backend.address, std::mem::take(&mut backend.idle)))
-                .collect();
-            for (id, address, idle) in parked {
-                for mut pooled in idle {
-                    if pooled.since.elapsed() < self.keep_idle && pooled.link.is_usable().await {
-                        self.park(id, address, pooled);
+            self.resting.set(true);
+            tokio::select! {
+                biased;
+                // Each look asks the idle connections to wake this task when something comes in.
+                () = poll_fn(|context| self.look(context)) => {}
+                () = async {
+                    match self.first_overdue().into_iter().chain(report_at).min() {
+                        Some(due) => sleep_until(due).await,
+                        None => std::future::pending().await,
                     }
-                }
+                } => {}
+                () = self.stir.notified() => sleep(SWEEP).await,
             }
         }
     }
 
-    /// Tells staff of failures on the connections, if there were any.
+    /// Looks at all idle connections, again each time that one of them wakes the task.
+    fn look(&self, context: &mut Context<'_>) -> Poll<()> {
+        for backend in self.known.borrow_mut().values_mut() {
+            backend.idle.retain_mut(|pooled| {
+                pooled.since.elapsed() < self.keep_idle && pooled.link.poll_usable(context)
+            });
+        }
+        Poll::Pending
+    }
+
+    /// When the first of the idle connections will have been so for long.
+    fn first_overdue(&self) -> Option<Instant> {
+        let known = self.known.borrow();
+        known.values().filter_map(|backend| Some(backend.idle.first()?.since + self.keep_idle)).min()
+    }
+
+    /// Ends the sweep's rest.
+    fn stir(&self) {
+        if self.resting.replace(false) {
+            self.stir.notify_one();
+        }
+    }
+
+    /// Tells staff of failures on the connections.
     fn report(&self) {
         let tally = self.tally.take();
-        if tally.unopened + tally.broken_new + tally.broken_used == 0 {
-            return;
-        }
         log(&format!(
             "connections to backends: {} exchanges, {} opened, {} not opened, broken {} new and {} used \
              before, the last {}",
@@ -328,6 +363,7 @@
                     idle.as_millis(),
                     pooled.used
                 );
+                self.stir();
                 return Outcome::Reset.into();
             }
         };
@@ -446,6 +482,9 @@
             .and_then(Result::ok);
         let tally = &mut *self.tally.borrow_mut();
         *if link.is_some() { &mut tally.opened } else { &mut tally.unopened } += 1;
+        if link.is_none() {
+            self.stir();
+        }
         Some(Pooled { link: link?, since: Instant::now(), used: 0, _descriptor: descriptor, _open: open })
     }
 
@@ -455,6 +494,7 @@
         }
         if let Some(backend) = self.known.borrow_mut().get_mut(&id) {
             backend.idle.push(pooled);
+            self.stir();
         }
     }
 }
@@ -514,6 +554,62 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::net::{Ipv4Addr, TcpListener};
+    use std::pin::pin;
+
+    #[tokio::test(start_paused = true)]
+    async fn the_sweep_is_woken_only_for_what_is_due() {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let descriptors = Arc::new(Semaphore::new(100));
+        let backends = Backends::new(
+            descriptors.clone(),
+            0,
+            Rc::default(),
+            Duration::from_secs(1),
+            Duration::from_secs(1000),
+        );
+        backends.put(7, address, true);
+        let mut looks = 0;
+        let mut sweep = pin!(backends.sweep());
+        let mut sweep_for = async |time| {
+            let sweeping = poll_fn(|context| {
+                looks += 1;
+                sweep.as_mut().poll(context)
+            });
+            let _ = timeout(time, sweeping).await;
+            std::mem::take(&mut looks)
+        };
+        let second = Duration::from_secs(1);
+        assert!(sweep_for(400 * second).await <= 3, "woken with nothing to look after");
+        for _ in 0..20 {
+            let pooled = backends.connect(address).await.expect("it comes up");
+            backends.park(7, address, pooled);
+        }
+        assert_eq!(backends.connections(), (20, 0));
+        let looks = sweep_for(400 * second).await;
+        assert!(looks <= 6, "woken {looks} times while nothing happens");
+        // What the other side closes gives its descriptor back at once.
+        drop(listener);
+        sweep_for(second).await;
+        assert_eq!((backends.connections(), descriptors.available_permits()), ((0, 0), 100));
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn the_sweep_closes_what_has_been_idle_for_long() {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let idle = Duration::from_secs(10);
+        let backends = Backends::new(Arc::new(Semaphore::new(1)), 0, Rc::default(), idle, idle);
+        backends.put(7, address, true);
+        let pooled = backends.connect(address).await.expect("it comes up");
+        backends.park(7, address, pooled);
+        let half = idle.mul_f64(IDLE_PART);
+        let _ = timeout(half - SWEEP, backends.sweep()).await;
+        assert_eq!(backends.connections(), (1, 0));
+        let _ = timeout(SWEEP * 2, backends.sweep()).await;
+        assert_eq!(backends.connections(), (0, 0));
+    }
 
     #[test]
     fn an_answers_figures_are_read_if_they_make_sense() {
--- a/src/bin/brassport/link.rs
+++ b/src/bin/brassport/link.rs
@@ -193,15 +193,16 @@
     /// Whether the connection stands and can take a request. Guards against sending into a connection
     /// that the peer has closed while it was idle: polling it sees the end that has come in meanwhile.
     pub async fn is_usable(&mut self) -> bool {
-        poll_fn(|context| {
-            if let Some(connection) = &mut self.connection {
-                if Pin::new(connection).poll(context).is_ready() {
-                    self.connection = None;
-                }
+        poll_fn(|context| Poll::Ready(self.poll_usable(context))).await
+    }
+
+    /// The same, for a task that is to be woken when something comes in on the connection.
+    pub fn poll_usable(&mut self, context: &mut Context<'_>) -> bool {
+        if let Some(connection) = &mut self.connection {
+            if Pin::new(connection).poll(context).is_ready() {
+                self.connection = None;
             }
-            Poll::Ready(())
-        })
-        .await;
+        }
         self.connection.is_some() && self.sender.is_ready()
     }
 }
--- a/src/bin/brassport/pulse.rs
+++ b/src/bin/brassport/pulse.rs
@@ -9,6 +9,7 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::{sleep, sleep_until, Instant};
 
 /// How long a client may take over a head: 2 s are honest, and a peer that sends nothing proper is owed an
@@ -16,7 +17,7 @@
 const HEAD: Duration = Duration::from_millis(2600);
 /// How long a connection may stand with no byte of a next head.
 const IDLE: Duration = Duration::from_millis(2000);
-/// How often a busy connection is looked at.
+/// How often a connection that is closing is looked at.
 const LOOK: Duration = Duration::from_millis(500);
 
 #[derive(Clone, Copy)]
@@ -36,25 +37,29 @@
     Idle,
 }
 
-pub struct Pulse(Cell<State>);
+pub struct Pulse {
+    state: Cell<State>,
+    /// Told when a request has been answered: until then there is nothing to look for.
+    answered: Notify,
+}
 
 impl Pulse {
     /// Of a connection that has just come: its first head is due.
     pub fn new() -> Rc<Pulse> {
-        Rc::new(Pulse(Cell::new(State::Head(Instant::now()))))
+        Rc::new(Pulse { state: Cell::new(State::Head(Instant::now())), answered: Notify::new() })
     }
     fn bytes_came(&self) {
-        if let State::Idle(_) = self.0.get() {
-            self.0.set(State::Head(Instant::now()));
+        if let State::Idle(_) = self.state.get() {
+            self.state.set(State::Head(Instant::now()));
         }
     }
     /// A request is here, until what this returns is dropped.
     pub fn asked(self: &Rc<Self>) -> Busy {
-        self.0.set(State::Busy);
+        self.state.set(State::Busy);
         Busy(self.clone())
     }
     fn due(&self) -> Option<(Instant, Due)> {
-        match self.0.get() {
+        match self.state.get() {
             State::Head(since) => Some((since + HEAD, Due::Head)),
             State::Idle(since) => Some((since + IDLE, Due::Idle)),
             State::Busy => None,
@@ -71,7 +76,8 @@
         loop {
             match self.due() {
                 Some((at, due)) if at <= Instant::now() => return due,
-                due => sleep_until(due.map_or_else(|| Instant::now() + LOOK, |(at, _)| at)).await,
+                Some((at, _)) => sleep_until(at).await,
+                None => self.answered.notified().await,
             }
         }
     }
@@ -82,7 +88,8 @@
 
 impl Drop for Busy {
     fn drop(&mut self) {
-        self.0 .0.set(State::Idle(Instant::now()));
+        self.0.state.set(State::Idle(Instant::now()));
+        self.0.answered.notify_one();
     }
 }
 
@@ -139,6 +146,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::future::Future;
+    use tokio::time::timeout;
 
     #[tokio::test(start_paused = true)]
     async fn a_pause_is_not_taken_from_the_time_for_the_next_head() {
@@ -158,6 +167,17 @@
         assert_eq!(start.elapsed(), HEAD);
         drop(pulse.asked());
         assert_eq!(pulse.overdue().await, Due::Idle);
+        let busy = pulse.asked();
+        let mut looks = 0;
+        let mut overdue = std::pin::pin!(pulse.overdue());
+        let looking = std::future::poll_fn(|context| {
+            looks += 1;
+            overdue.as_mut().poll(context)
+        });
+        assert!(timeout(100 * HEAD, looking).await.is_err());
+        assert!(looks <= 3, "a request that takes long is looked at {looks} times");
+        drop(busy);
+        assert_eq!(overdue.await, Due::Idle);
         let start = Instant::now();
         pulse.bytes_came();
         pulse.head_overdue().await;
