Close idle connections that are overdue within a second of each other together

Now the first one overdue waits up to a second for the others, as it did when each second was looked at; none is used once it is overdue.

--- a/src/bin/brassport/backends.rs
+++ b/src/bin/brassport/backends.rs
@@ -259,10 +259,10 @@
         Poll::Pending
     }
 
-    /// When the first of the idle connections will have been so for long.
+    /// When idle connections are to be closed next: what is due within a second of each other goes together.
     fn first_overdue(&self) -> Option<Instant> {
         let known = self.known.borrow();
-        known.values().filter_map(|backend| Some(backend.idle.first()?.since + self.keep_idle)).min()
+        known.values().filter_map(|backend| Some(backend.idle.first()?.since + self.keep_idle + SWEEP)).min()
     }
 
     /// Ends the sweep's rest.
@@ -607,7 +607,7 @@
         let half = idle.mul_f64(IDLE_PART);
         let _ = timeout(half - SWEEP, backends.sweep()).await;
         assert_eq!(backends.connections(), (1, 0));
-        let _ = timeout(SWEEP * 2, backends.sweep()).await;
+        let _ = timeout(SWEEP * 3, backends.sweep()).await;
         assert_eq!(backends.connections(), (0, 0));
     }
 
--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -335,10 +335,9 @@
         .filter_map(|value| value.to_str().ok())
         .flat_map(|names| names.split(',').filter_map(|name| name.trim().parse().ok()))
         .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    for name in NOT_PASSED_ON {
+    // Few of them are there at all: a look at each header is cheaper than a search for each name.
+    let present: Vec<HeaderName> = headers.keys().filter(|name| NOT_PASSED_ON.contains(name)).cloned().collect();
+    for name in named.iter().chain(&present) {
         headers.remove(name);
     }
     headers
