--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients.rs
@@ -84,7 +84,7 @@
     let (shed, _) = watch::channel(());
     // Guards against connections that stand idle and hold all descriptors.
     let spare = |least: usize| {
-        while descriptors.available_permits() < least && desk.backends.shed_idle() {}
+        while descriptors.available_permits() < least && desk.backends.pool.shed_idle() {}
         let spare = descriptors.available_permits() >= least;
         if !spare {
             shed.send_replace(());
@@ -283,8 +283,8 @@
 async fn answer(desk: &Desk, request: Request<Incoming>) -> Response<Body> {
     if request.method() == Method::GET && request.uri().path() == "/healthz" {
         // One that has been taken over from speaks for both.
-        let up =
-            matches!(desk.shift.phase(), Phase::Serving | Phase::HandedOver) && desk.backends.any_ready();
+        let up = matches!(desk.shift.phase(), Phase::Serving | Phase::HandedOver)
+            && desk.backends.pool.any_ready();
         return text(None, if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
     }
     let (head, body) = request.into_parts();
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -150,15 +150,15 @@
             let entry = self.entry(id, target, address);
             match address {
                 Some(at) if entry.lifecycle != Lifecycle::Gone => {
-                    self.backends.put(id, at, entry.lifecycle == Lifecycle::Ready);
+                    self.backends.pool.put(id, at, entry.lifecycle == Lifecycle::Ready);
                 }
-                _ => self.backends.retain(|other| other != id),
+                _ => self.backends.pool.retain(|other| other != id),
             }
             entries.push(entry);
         }
         if kind != ListKind::Delta {
             let listed = |id| entries.iter().any(|entry| entry.id == id);
-            self.backends.retain(listed);
+            self.backends.pool.retain(listed);
             let inner = &mut *self.inner.borrow_mut();
             inner.uids.retain(|id, uid| listed(*id) || inner.standing.out.contains(uid));
         }
@@ -200,7 +200,7 @@
 
     /// How many backends the list holds, and how many of them get nothing.
     pub fn backends(&self) -> (usize, usize) {
-        (self.backends.count(), self.inner.borrow().gateway.excluded(self.clock.now()))
+        (self.backends.pool.count(), self.inner.borrow().gateway.excluded(self.clock.now()))
     }
 
     /// Takes a backend out at the word of staff, whatever the list will say of it.
@@ -238,7 +238,7 @@
 
     fn knows(&self, uid: &str) -> bool {
         let inner = self.inner.borrow();
-        let listed = inner.uids.iter().any(|(id, known)| known == uid && self.backends.lists(*id));
+        let listed = inner.uids.iter().any(|(id, known)| known == uid && self.backends.pool.lists(*id));
         uid.len() <= NAME_LIMIT && (listed || inner.standing.out.contains(uid))
     }
 
@@ -268,7 +268,7 @@
         for uid in standing.out.difference(&before.out) {
             let id = self.id(uid);
             log(&format!("backend {uid} is taken out"));
-            self.backends.take_out(id, true);
+            self.backends.pool.take_out(id, true);
             self.handle(Event::TakenOut(id));
         }
         for uid in before.out.union(&standing.back.keys().cloned().collect()) {
@@ -280,7 +280,7 @@
             let at = standing.back.get(uid).copied().unwrap_or_else(SystemTime::now);
             let at = at.duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
             log(&format!("backend {uid} is back"));
-            self.backends.take_out(server, false);
+            self.backends.pool.take_out(server, false);
             self.handle(Event::GivenBack { server, at: self.clock.of_unix(at) });
         }
     }
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -13,6 +13,7 @@
 mod flow;
 mod handover;
 mod link;
+mod pool;
 mod pulse;
 mod shift;
 mod staff;
@@ -24,6 +25,7 @@
 use config::Config;
 use discovery::Pace;
 use door::Door;
+use pool::Pool;
 use shift::Shift;
 use springusher::ListKind;
 use staff::Staff;
@@ -110,13 +112,10 @@
     let closing = Duration::try_from_secs_f64(longest / 1000.0).unwrap_or(CLOSING).min(CLOSING);
 
     let stats = Stats::new(config.names.classes.len());
-    let backends = Rc::new(Backends::new(
-        descriptors.clone(),
-        config.memory.saturating_sub(OWN_MEMORY) / AHEAD_PART,
-        stats.attempts.clone(),
-        config.connect_timeout,
-        config.idle_timeout,
-    ));
+    let (connect_timeout, idle_timeout) = (config.connect_timeout, config.idle_timeout);
+    let pool = Pool::new(descriptors.clone(), stats.attempts.clone(), connect_timeout, idle_timeout);
+    let ahead = config.memory.saturating_sub(OWN_MEMORY) / AHEAD_PART;
+    let backends = Rc::new(Backends::new(pool, ahead));
     let bans = Bans::new(&shared);
     bans.tidy();
     let zones = config.names.zones.clone();
@@ -145,7 +144,7 @@
         stats.discovery.clone(),
     ));
     let sweeper = backends.clone();
-    spawn_local(async move { sweeper.sweep().await });
+    spawn_local(async move { sweeper.pool.sweep().await });
 
     let open = Rc::new(Cell::new(false));
     if let Some(address) = config.admin {
@@ -164,7 +163,7 @@
     }
     if let Some(mut predecessor) = predecessor {
         let ready = async {
-            while !backends.any_ready() {
+            while !backends.pool.any_ready() {
                 sleep(LOOK).await;
             }
         };
--- a/src/bin/brassport/staff.rs
+++ b/src/bin/brassport/staff.rs
@@ -22,7 +22,7 @@
 
 impl Staff {
     fn counted(&self) -> Counted {
-        let (backends_idle, backends_busy) = self.backends.connections();
+        let (backends_idle, backends_busy) = self.backends.pool.connections();
         let descriptors = Descriptors {
             clients: self.stats.clients.get(),
             backends_idle,
@@ -43,7 +43,7 @@
     async fn carry_out(&self, call: Call<'_>) -> Result<String, String> {
         match call {
             Call::Status if !self.open.get() => Err("this process has not taken over yet".into()),
-            Call::Status if !self.backends.any_ready() => Err("no backend to send to".into()),
+            Call::Status if !self.backends.pool.any_ready() => Err("no backend to send to".into()),
             Call::Status => Ok(format!("done {}", self.shift.phase().word())),
             Call::Stats => {
                 let (known, excluded) = self.door.backends();
