End a backend's connections with its life, spread their closing, and heed Keep-Alive

Three ways in which a link could be stale: one that an old exchange parked after its backend drained and came back, was banned and given back, left and returned or started anew under the same address was kept (only the address was compared); all links lived for the same time, so a fleet that opened them together closed and opened them together; and what a backend says in Keep-Alive: timeout= was not read. Each life of a backend now has a number of its own and a link is parked only in the life that it was opened in; a link's idle time is cut by up to a quarter at random, from the door's seed; a told time is heeded by half, as the settings' own is, nought means not to keep it, and what is absurd or unreadable says nothing. Connection: close was honoured before, by the HTTP library.

--- a/src/bin/brassport/backends.rs
+++ b/src/bin/brassport/backends.rs
@@ -1,8 +1,8 @@
 //! Attempts: one exchange with a backend each, over a connection of the pool.
 
 use crate::flow::{flow, Flow, Upload};
-use crate::link::{Failure, Link};
-use crate::pool::Pool;
+use crate::link::Failure;
+use crate::pool::{Pool, Pooled};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
@@ -135,18 +135,18 @@
         (written, begun): (&Cell<bool>, &Cell<bool>),
     ) -> End {
         let id = order.server;
-        let Some(address) = self.pool.ready_at(id) else { return Outcome::Moot.into() };
+        let Some(place) = self.pool.ready_at(id) else { return Outcome::Moot.into() };
         let mut pooled = match self.pool.idle(id).await {
             Some(pooled) => pooled,
             // Few attempts dial: the others need no room for it.
-            None => match Box::pin(self.pool.connect(address)).await {
+            None => match Box::pin(self.pool.connect(place)).await {
                 Some(pooled) => pooled,
                 None => return Outcome::NoConnection.into(),
             },
         };
         // Guards against sending to a backend that began to drain, went or moved while the connection came
         // up, and against sending for a request that was answered meanwhile.
-        if self.pool.ready_at(id) != Some(address) || !wanted() {
+        if self.pool.ready_at(id) != Some(place) || !wanted() {
             return Outcome::Moot.into();
         }
         // What went on as it came is not there for a further attempt.
@@ -154,14 +154,15 @@
         written.set(true);
         let (sent, idle) = (Instant::now(), pooled.since.elapsed());
         self.pool.tally.borrow_mut().exchanges += 1;
-        let end = match self.receive(&mut pooled.link, request, order.capped, wanted, begin, begun).await {
+        let end = match self.receive(&mut pooled, request, order.capped, wanted, begin, begun).await {
             Ok(end) => end,
             Err(Failure::Unsent) => return Outcome::NoConnection.into(),
             Err(Failure::Broken(problem)) => {
                 let tally = &mut *self.pool.tally.borrow_mut();
                 *if pooled.used == 0 { &mut tally.broken_new } else { &mut tally.broken_used } += 1;
                 tally.last_broken = format!(
-                    "to {address} after {} ms, {} ms idle before, {} exchanges: {problem}",
+                    "to {} after {} ms, {} ms idle before, {} exchanges: {problem}",
+                    place.address,
                     sent.elapsed().as_millis(),
                     idle.as_millis(),
                     pooled.used
@@ -172,8 +173,7 @@
         };
         pooled.used += 1;
         if pooled.link.is_usable().await {
-            pooled.since = Instant::now();
-            self.pool.park(id, address, pooled);
+            self.pool.park(id, pooled);
         }
         end
     }
@@ -181,14 +181,16 @@
     /// Sends a request and takes its answer in: whole, or as it comes once `begin` has it.
     async fn receive(
         &self,
-        link: &mut Link,
+        pooled: &mut Pooled,
         request: Request<Upload>,
         capped: bool,
         wanted: impl Fn() -> bool,
         begin: impl FnOnce(Response<Flow>, &End),
         begun: &Cell<bool>,
     ) -> Result<End, Failure> {
-        let (head, mut body) = link.send(request).await?.into_parts();
+        let (head, mut body) = pooled.link.send(request).await?.into_parts();
+        pooled.heed(&head.headers);
+        let link = &mut pooled.link;
         let length = body.size_hint().exact();
         let served = head.status == StatusCode::OK;
         let mut gathered: Vec<Bytes> = Vec::new();
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -150,7 +150,7 @@
             let entry = self.entry(id, target, address);
             match address {
                 Some(at) if entry.lifecycle != Lifecycle::Gone => {
-                    self.backends.pool.put(id, at, entry.lifecycle == Lifecycle::Ready);
+                    self.backends.pool.put(id, at, target.boot_ms, entry.lifecycle == Lifecycle::Ready);
                 }
                 _ => self.backends.pool.retain(|other| other != id),
             }
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -113,7 +113,8 @@
 
     let stats = Stats::new(config.names.classes.len());
     let (connect_timeout, idle_timeout) = (config.connect_timeout, config.idle_timeout);
-    let pool = Pool::new(descriptors.clone(), stats.attempts.clone(), connect_timeout, idle_timeout);
+    let pool =
+        Pool::new(descriptors.clone(), stats.attempts.clone(), connect_timeout, idle_timeout, config.seed);
     let ahead = config.memory.saturating_sub(OWN_MEMORY) / AHEAD_PART;
     let backends = Rc::new(Backends::new(pool, ahead));
     let bans = Bans::new(&shared);
