Put the front door's files into folders by concern and cut the two circles

Need: the parts that talk between front doors come next, and two circles (pool -> door -> backends -> pool, by the log function, and discovery <-> door, by handing lists on) would have grown with each of them.

Change: src/bin/brassport/ holds clients/, backends/, operators/ and life/; the log function has a file of its own; discovery hands each list to a function that it is given and knows no door. Nothing else differs.

--- a/src/bin/brassport/backends.rs
+++ b/src/bin/brassport/backends/attempts.rs
@@ -1,8 +1,8 @@
 //! Attempts: one exchange with a backend each, over a connection of the pool.
 
-use crate::flow::{flow, Flow, Upload};
-use crate::link::Failure;
-use crate::pool::{Pool, Pooled};
+use crate::backends::link::Failure;
+use crate::backends::pool::{Pool, Pooled};
+use crate::clients::flow::{flow, Flow, Upload};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
--- a/src/bin/brassport/discovery.rs
+++ b/src/bin/brassport/backends/discovery.rs
@@ -1,8 +1,7 @@
-//! Discovery: follows the list of backends and tells the door of each change.
+//! Discovery: follows the list of backends and hands each change on.
 
-use crate::cost::{Gauge, Held};
-use crate::door::Door;
-use crate::link::Link;
+use crate::backends::link::Link;
+use crate::operators::cost::{Gauge, Held};
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
@@ -104,11 +103,11 @@
     }
 }
 
-/// Watches for ever, at the latest of `addresses`, from the version `last` on if one is held. Whatever the agent
-/// does, the list held stays in force.
+/// Watches for ever, at the latest of `addresses`, from the version `last` on if one is held, and hands what it is
+/// told to `told`. Whatever the agent does, the list held stays in force.
 pub async fn watch(
     mut addresses: watch::Receiver<SocketAddr>,
-    door: Rc<Door>,
+    told: impl Fn(ListKind, List),
     mut last: Option<u64>,
     mut pace: Pace,
     open: Gauge,
@@ -138,7 +137,7 @@
             Ok(Ok(list)) => {
                 last = Some(list.rev);
                 pace.answered();
-                door.servers(if list.all { ListKind::Full } else { ListKind::Delta }, list);
+                told(if list.all { ListKind::Full } else { ListKind::Delta }, list);
                 sleep(PACE).await;
             }
             failed => {
--- a/src/bin/brassport/link.rs
+++ b/src/bin/brassport/backends/link.rs
@@ -1,7 +1,7 @@
 //! One HTTP/1.1 connection to a peer. Whoever holds it drives it: no task of its own stands behind it, so
 //! dropping it has closed the socket.
 
-use crate::flow::Upload;
+use crate::clients::flow::Upload;
 use http_body_util::{BodyExt, Collected, Full, Limited};
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
--- /dev/null
+++ b/src/bin/brassport/backends/mod.rs
@@ -0,0 +1,6 @@
+//! What faces the backends: the list of them, the connections to them, and the attempts on those.
+
+pub mod attempts;
+pub mod discovery;
+pub mod link;
+pub mod pool;
--- a/src/bin/brassport/pool.rs
+++ b/src/bin/brassport/backends/pool.rs
@@ -1,8 +1,8 @@
 //! The connections to the backends: where each backend is, which connections stand idle, and how one is had.
 
-use crate::cost::{Gauge, Held};
-use crate::door::log;
-use crate::link::Link;
+use crate::backends::link::Link;
+use crate::log::log;
+use crate::operators::cost::{Gauge, Held};
 use hyper::header::HeaderMap;
 use oorandom::Rand32;
 use springusher::ServerId;
--- a/src/bin/brassport/clients.rs
+++ b/src/bin/brassport/clients/desk.rs
@@ -1,13 +1,14 @@
 //! The clients' side: accepts connections, reads requests, checks them and writes the answers.
 
-use crate::backends::{Backends, Message, BODY_LIMIT};
-use crate::config::Names;
-use crate::door::{log, Answer, Door};
-use crate::flow::{whole, Outgoing};
-use crate::link::BUFFER;
-use crate::pulse::{Due, Felt, Pulse};
-use crate::shift::{Phase, Shift};
-use crate::stats::{Answered, Entry, Fate, Stats};
+use crate::backends::attempts::{Backends, Message, BODY_LIMIT};
+use crate::backends::link::BUFFER;
+use crate::clients::flow::{whole, Outgoing};
+use crate::clients::pulse::{Due, Felt, Pulse};
+use crate::clients::shift::{Phase, Shift};
+use crate::clients::stats::{Answered, Entry, Fate, Stats};
+use crate::door::{Answer, Door};
+use crate::life::config::Names;
+use crate::log::log;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
--- /dev/null
+++ b/src/bin/brassport/clients/mod.rs
@@ -0,0 +1,7 @@
+//! What faces the clients: their connections, how they are sent away, and what became of their requests.
+
+pub mod desk;
+pub mod flow;
+pub mod pulse;
+pub mod shift;
+pub mod stats;
--- a/src/bin/brassport/stats.rs
+++ b/src/bin/brassport/clients/stats.rs
@@ -1,7 +1,7 @@
 //! What staff read of the front door: how many requests ended how, and how many are in hand.
 
-use crate::cost::Gauge;
-use crate::pulse::Busy;
+use crate::clients::pulse::Busy;
+use crate::operators::cost::Gauge;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use serde_json::{json, Map, Value};
 use std::cell::{Cell, RefCell};
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -1,11 +1,12 @@
 //! The door: the single owner of the decision module. It keeps the module's clock and timers and the
 //! requests in hand, hands events in, and carries actions out in order. It decides nothing.
 
-use crate::alarms::Alarms;
-use crate::backends::{Backends, End, Message, Order};
-use crate::bans::{Bans, Standing, NAME_LIMIT};
-use crate::discovery::{List, State, Target};
-use crate::flow::{whole, Flow, Outgoing};
+use crate::backends::attempts::{Backends, End, Message, Order};
+use crate::backends::discovery::{List, State, Target};
+use crate::clients::flow::{whole, Flow, Outgoing};
+use crate::life::alarms::Alarms;
+use crate::log::log;
+use crate::operators::bans::{Bans, Standing, NAME_LIMIT};
 use http_body_util::Either;
 use hyper::Response;
 use springusher::{
@@ -14,7 +15,6 @@
 use springusher::{Request, RequestId, ServerEntry, ServerId, Settings};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -423,11 +423,6 @@
     }
 }
 
-/// Writes a line for staff. A log that nobody takes is no reason to end.
-pub fn log(text: &str) {
-    let _ = writeln!(io::stderr(), "brassport: {text}");
-}
-
 impl Inner {
     /// Keeps the list as it was told, for a successor.
     fn note(&mut self, kind: ListKind, list: &List) {
--- a/src/bin/brassport/config.rs
+++ b/src/bin/brassport/life/config.rs
@@ -1,6 +1,6 @@
 //! Configuration: the environment and the JSON file it names, checked and turned into the module's terms.
 
-use crate::discovery::List;
+use crate::backends::discovery::List;
 use serde::Deserialize;
 use springusher::{Class, Effect, Plan, Scope, Settings};
 use std::net::SocketAddr;
--- a/src/bin/brassport/handover.rs
+++ b/src/bin/brassport/life/handover.rs
@@ -3,10 +3,11 @@
 //!
 //! The listening socket itself changes hands: there is one queue all the time, and no close resets what waits in it.
 
-use crate::discovery::{List, Target};
-use crate::door::{log, Door};
-use crate::link::KERNEL_BUFFER;
-use crate::shift::Shift;
+use crate::backends::discovery::{List, Target};
+use crate::backends::link::KERNEL_BUFFER;
+use crate::clients::shift::Shift;
+use crate::door::Door;
+use crate::log::log;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
--- /dev/null
+++ b/src/bin/brassport/life/mod.rs
@@ -0,0 +1,5 @@
+//! One process's life: what it is told at the start, its timers, and how it takes over from another.
+
+pub mod alarms;
+pub mod config;
+pub mod handover;
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -1,35 +1,27 @@
 //! The front door: one program on real sockets round the decision module of the crate `springusher`.
 #![forbid(unsafe_code)]
 
-mod admin;
-mod alarms;
 mod backends;
-mod bans;
 mod clients;
-mod config;
-mod cost;
-mod discovery;
 mod door;
-mod flow;
-mod handover;
-mod link;
-mod pool;
-mod pulse;
-mod shift;
-mod staff;
-mod stats;
+mod life;
+mod log;
+mod operators;
 
-use backends::Backends;
-use bans::Bans;
-use clients::Desk;
-use config::Config;
-use discovery::Pace;
+use backends::attempts::Backends;
+use backends::discovery::{self, Pace};
+use backends::pool::Pool;
+use clients::desk::{self, Desk};
+use clients::shift::{Phase, Shift};
+use clients::stats::Stats;
 use door::Door;
-use pool::Pool;
-use shift::Shift;
+use life::config::{self, Config};
+use life::handover;
+use log::log;
+use operators::admin;
+use operators::bans::{self, Bans};
+use operators::staff::Staff;
 use springusher::ListKind;
-use staff::Staff;
-use stats::Stats;
 use std::cell::Cell;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -137,9 +129,10 @@
     spawn_local(door.clone().keep_time());
     let (agent, agents) = watch::channel(config.discovery);
     let callers = if config.settings.list_on_request { config.settings.gateways } else { 0 };
+    let told = door.clone();
     spawn_local(discovery::watch(
         agents,
-        door.clone(),
+        move |kind, list| told.servers(kind, list),
         held,
         Pace::new(callers, config.seed),
         stats.discovery.clone(),
@@ -180,7 +173,7 @@
                     drop(held);
                 });
             }
-            Err(problem) => door::log(&format!("the running process did not hand over: {problem}")),
+            Err(problem) => log(&format!("the running process did not hand over: {problem}")),
         }
     }
     open.set(true);
@@ -196,7 +189,7 @@
         stats: stats.clone(),
         room: Arc::new(Semaphore::new((config.memory / KEPT_PART).min(Semaphore::MAX_PERMITS))),
     });
-    let mut serving = spawn_local(clients::serve(listener, desk, descriptors));
+    let mut serving = spawn_local(desk::serve(listener, desk, descriptors));
 
     loop {
         tokio::select! {
@@ -209,13 +202,13 @@
                 // Guards against a file that cannot be read: what was known before stays in force.
                 Err(problem) => {
                     stats.reloads_failed.set(stats.reloads_failed.get() + 1);
-                    door::log(&format!("the configuration is not taken over: {problem}"));
+                    log(&format!("the configuration is not taken over: {problem}"));
                 }
             },
         }
     }
     shift.end();
-    if shift.phase() != shift::Phase::HandedOver {
+    if shift.phase() != Phase::HandedOver {
         sleep(LEAVING).await;
     }
     shift.close();
--- a/src/bin/brassport/admin.rs
+++ b/src/bin/brassport/operators/admin.rs
@@ -1,6 +1,6 @@
 //! The operators' door: one line in, one answer out, on descriptors that clients do not compete for.
 
-use crate::door::log;
+use crate::log::log;
 use std::collections::VecDeque;
 use std::future::Future;
 use std::io;
--- a/src/bin/brassport/staff.rs
+++ b/src/bin/brassport/operators/staff.rs
@@ -1,11 +1,11 @@
 //! What staff can ask of this process, for the operators' door.
 
-use crate::admin::{Call, Operations};
-use crate::backends::Backends;
-use crate::cost::{self, Counted, Descriptors};
+use crate::backends::attempts::Backends;
+use crate::clients::shift::Shift;
+use crate::clients::stats::Stats;
 use crate::door::Door;
-use crate::shift::Shift;
-use crate::stats::Stats;
+use crate::operators::admin::{Call, Operations};
+use crate::operators::cost::{self, Counted, Descriptors};
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::runtime::Handle;
