Log through tracing, name what SIGHUP leaves, and take a command line by clap

Need: several processes are to be told apart by their logs, staff are to see what a replaced file does not change, and a file is to be checked before it is rolled out. Until now a changed plan was passed over in silence and counted as a good reload, and a pipe that nobody read would have stopped the whole process at the next line (a blocking write).

Change: each line is an event of tracing with a name and fields, plain by default as it was, JSON with the key log. A line is written only where standard error takes it at once, cut at PIPE_BUF; others are lost and counted, and the count is told.

Result: four new cases of tests/front_door.rs; with the check of standard error taken out (log.rs, poll) the case of the full log fails, as the process hangs.

--- a/src/bin/brassport/backends/pool.rs
+++ b/src/bin/brassport/backends/pool.rs
@@ -1,7 +1,6 @@
 //! The connections to the backends: where each backend is, which connections stand idle, and how one is had.
 
 use crate::backends::link::Link;
-use crate::log::log;
 use crate::operators::cost::{Gauge, Held};
 use hyper::header::HeaderMap;
 use oorandom::Rand32;
@@ -16,6 +15,7 @@
 use std::time::Duration;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tracing::warn;
 
 /// Part of the backends' idle time after which a connection is closed: they may close theirs earlier than
 /// they say, and a request that crosses that is lost.
@@ -270,17 +270,18 @@
 
     /// Tells staff of failures on the connections.
     fn report(&self) {
-        let tally = self.tally.take();
-        log(&format!(
-            "connections to backends: {} exchanges, {} opened, {} not opened, broken {} new and {} used \
-             before, the last {}",
-            tally.exchanges,
-            tally.opened,
-            tally.unopened,
-            tally.broken_new,
-            tally.broken_used,
-            tally.last_broken,
-        ));
+        let Tally { exchanges, opened, unopened, broken_new, broken_used, last_broken } = self.tally.take();
+        warn!(
+            event = "broken_connections",
+            exchanges,
+            opened,
+            unopened,
+            broken_new,
+            broken_used,
+            last_broken,
+            "connections to backends: {exchanges} exchanges, {opened} opened, {unopened} not opened, broken \
+             {broken_new} new and {broken_used} used before, the last {last_broken}"
+        );
     }
 
     /// Where a backend is that takes new requests.
--- a/src/bin/brassport/clients/desk.rs
+++ b/src/bin/brassport/clients/desk.rs
@@ -8,7 +8,6 @@
 use crate::clients::stats::{Answered, Entry, Fate, Stats};
 use crate::door::{Answer, Door};
 use crate::life::config::Names;
-use crate::log::log;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -29,6 +28,7 @@
 use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::{yield_now, JoinSet};
 use tokio::time::{sleep, timeout, Instant};
+use tracing::warn;
 
 /// A client's time runs from when it sent the request to when it has the whole answer: so much is kept back
 /// for the way here and back.
@@ -116,7 +116,11 @@
                     if crowded {
                         turned_away += 1;
                     } else if turned_away > 0 {
-                        log(&format!("descriptors ran short: {turned_away} connections turned away"));
+                        warn!(
+                            event = "descriptors_short",
+                            turned_away,
+                            "descriptors ran short: {turned_away} connections turned away"
+                        );
                         turned_away = 0;
                     }
                     let shed = shed.subscribe();
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -5,7 +5,6 @@
 use crate::backends::discovery::{List, State, Target};
 use crate::clients::flow::{whole, Flow, Outgoing};
 use crate::life::alarms::Alarms;
-use crate::log::log;
 use crate::operators::bans::{Bans, Standing, NAME_LIMIT};
 use http_body_util::Either;
 use hyper::Response;
@@ -20,6 +19,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
 use tokio::time::{sleep_until, Instant};
+use tracing::{info, warn};
 
 /// The final answer to a client.
 pub enum Answer {
@@ -267,7 +267,7 @@
         let before = std::mem::replace(&mut self.inner.borrow_mut().standing, standing.clone());
         for uid in standing.out.difference(&before.out) {
             let id = self.id(uid);
-            log(&format!("backend {uid} is taken out"));
+            info!(event = "backend_out", backend = %uid, "backend {uid} is taken out");
             self.backends.pool.take_out(id, true);
             self.handle(Event::TakenOut(id));
         }
@@ -279,7 +279,7 @@
             let server = self.id(uid);
             let at = standing.back.get(uid).copied().unwrap_or_else(SystemTime::now);
             let at = at.duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
-            log(&format!("backend {uid} is back"));
+            info!(event = "backend_back", backend = %uid, "backend {uid} is back");
             self.backends.pool.take_out(server, false);
             self.handle(Event::GivenBack { server, at: self.clock.of_unix(at) });
         }
@@ -378,7 +378,7 @@
             }
             // The program follows the list from its start, whoever asks.
             Action::FollowServers => {}
-            Action::Log(text) => log(&text),
+            Action::Log(text) => warn!(event = "decisions", "{text}"),
         }
     }
 
--- a/src/bin/brassport/life/config.rs
+++ b/src/bin/brassport/life/config.rs
@@ -1,9 +1,12 @@
 //! Configuration: the environment and the JSON file it names, checked and turned into the module's terms.
 
 use crate::backends::discovery::List;
+use crate::life::reload::differences;
+use crate::log::Form;
 use serde::Deserialize;
 use springusher::{Class, Effect, Plan, Scope, Settings};
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 use std::{env, fs};
 
@@ -12,6 +15,8 @@
 
 /// All that a front door is told at its start.
 pub struct Config {
+    /// The form of the log's lines.
+    pub log: Form,
     pub listen: SocketAddr,
     /// Where staff call, if anywhere.
     pub admin: Option<SocketAddr>,
@@ -36,6 +41,8 @@
 
 #[derive(Deserialize)]
 struct File {
+    #[serde(default)]
+    log: Form,
     listen: Option<String>,
     admin_addr: Option<String>,
     discovery: Option<String>,
@@ -147,39 +154,68 @@
     tolerance: f64,
 }
 
-/// Reads the configuration.
-///
-/// # Errors
-/// One plain line on what is missing or makes no sense.
-pub fn read() -> Result<Config, String> {
-    parse(&text()?, |name| env::var(name).ok())
+/// The file that holds the configuration, and what stood there at the start.
+pub struct Source {
+    path: PathBuf,
+    text: String,
 }
 
-/// Reads where discovery is from a configuration that was replaced. The environment, which is still that of
-/// the start, has no say in it.
-///
-/// # Errors
-/// One plain line on what is missing or makes no sense.
-pub fn discovery() -> Result<SocketAddr, String> {
-    #[derive(Deserialize)]
-    struct Replaced {
-        discovery: String,
+/// What is taken over from a configuration that was replaced, and the keys that are not before the next start.
+pub struct Replaced {
+    pub discovery: SocketAddr,
+    pub left: Vec<String>,
+}
+
+/// What is taken over while the program runs.
+const TAKEN_OVER: [&str; 1] = ["discovery"];
+
+impl Source {
+    /// Reads the file, by default the one that the environment names.
+    ///
+    /// # Errors
+    /// One plain line on what is missing.
+    pub fn open(path: Option<PathBuf>) -> Result<Source, String> {
+        let path = path.or_else(|| env::var_os("BALANCER_CONFIG").map(PathBuf::from));
+        let path = path.ok_or("BALANCER_CONFIG is not set")?;
+        let text = read(&path)?;
+        Ok(Source { path, text })
+    }
+
+    /// What the program starts from. The environment, where it says something, goes before the file.
+    ///
+    /// # Errors
+    /// One plain line on what is missing or makes no sense.
+    pub fn config(&self) -> Result<Config, String> {
+        parse(&self.text, |name| env::var(name).ok())
+    }
+
+    /// Reads the file that was replaced. The environment, which is still that of the start, has no say in it.
+    ///
+    /// # Errors
+    /// One plain line on what is missing or makes no sense.
+    pub fn reload(&self) -> Result<Replaced, String> {
+        #[derive(Deserialize)]
+        struct Told {
+            discovery: String,
+        }
+        let text = read(&self.path)?;
+        let problem = |error| format!("configuration: {error}");
+        let Told { discovery } = serde_json::from_str(&text).map_err(problem)?;
+        let discovery = address("discovery", &discovery)?;
+        let [before, after] = [&self.text, &text].map(|text| serde_json::from_str(text));
+        let left = differences(&before.map_err(problem)?, &after.map_err(problem)?, &TAKEN_OVER);
+        Ok(Replaced { discovery, left })
     }
-    let Replaced { discovery } =
-        serde_json::from_str(&text()?).map_err(|error| format!("configuration: {error}"))?;
-    address("discovery", &discovery)
 }
 
-fn text() -> Result<String, String> {
-    let path = env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set".to_string())?;
-    fs::read_to_string(&path).map_err(|error| format!("cannot read {path}: {error}"))
+fn read(path: &Path) -> Result<String, String> {
+    fs::read_to_string(path).map_err(|error| format!("cannot read {}: {error}", path.display()))
 }
 
 fn address(name: &str, text: &str) -> Result<SocketAddr, String> {
     text.parse().map_err(|_| format!("{name}: '{text}' is no address with a port"))
 }
 
-/// The environment, where it says something, goes before the file.
 fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
     let file: File = serde_json::from_str(text).map_err(|error| format!("configuration: {error}"))?;
     let named = |name: &str, written: Option<String>| {
@@ -221,6 +257,7 @@
         _ => Err(format!("setting {name}: {ms} is no length of time")),
     };
     Ok(Config {
+        log: file.log,
         listen: named("BALANCER_LISTEN", file.listen)?,
         admin: admin.map(|text| address("admin_addr", &text)).transpose()?,
         discovery: named("BALANCER_DISCOVERY", file.discovery)?,
--- a/src/bin/brassport/life/handover.rs
+++ b/src/bin/brassport/life/handover.rs
@@ -7,7 +7,6 @@
 use crate::backends::link::KERNEL_BUFFER;
 use crate::clients::shift::Shift;
 use crate::door::Door;
-use crate::log::log;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -28,6 +27,7 @@
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::time::{sleep, timeout};
+use tracing::{info, warn};
 
 const NAME: &str = "handover.sock";
 /// Most bytes of a socket's path, with its end.
@@ -101,7 +101,11 @@
         let stream = BufReader::new(UnixStream::from_std(stream.try_clone()?)?);
         Ok((listener, Predecessor { introduction, stream }))
     })();
-    joined.map_err(|error: io::Error| log(&format!("the running process cannot be joined: {error}"))).ok()
+    joined
+        .map_err(|error: io::Error| {
+            warn!(event = "not_joined", %error, "the running process cannot be joined: {error}");
+        })
+        .ok()
 }
 
 fn receive(stream: &StdUnixStream) -> io::Result<TcpListener> {
@@ -178,11 +182,13 @@
                         // The successor may have put its own socket in this one's place.
                         break;
                     }
-                    Err(error) => log(&format!("a second process came and went: {error}")),
+                    Err(error) => {
+                        warn!(event = "successor_left", %error, "a second process came and went: {error}");
+                    }
                 }
             },
             Err(error) => {
-                log(&format!("no second process can take over: {error}"));
+                warn!(event = "no_successor", %error, "no second process can take over: {error}");
                 return;
             }
         }
@@ -225,7 +231,7 @@
     shift.hand_over();
     // The connections that are idle close now, before the other process opens the door.
     tokio::task::yield_now().await;
-    log("a second process takes over");
+    info!(event = "handed_over", "a second process takes over");
     let estate = door.bequeath();
     if timeout(STEP, write(stream, &estate)).await.is_ok_and(|written| written.is_ok()) {
         let mut told = None;
@@ -244,7 +250,7 @@
             }
         }
     }
-    log("the second process is gone: this one goes on");
+    warn!(event = "successor_gone", "the second process is gone: this one goes on");
     door.alone();
     shift.resume();
 }
--- a/src/bin/brassport/life/mod.rs
+++ b/src/bin/brassport/life/mod.rs
@@ -3,3 +3,4 @@
 pub mod alarms;
 pub mod config;
 pub mod handover;
+pub mod reload;
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -11,18 +11,19 @@
 use backends::attempts::Backends;
 use backends::discovery::{self, Pace};
 use backends::pool::Pool;
+use clap::Parser;
 use clients::desk::{self, Desk};
 use clients::shift::{Phase, Shift};
 use clients::stats::Stats;
 use door::Door;
-use life::config::{self, Config};
-use life::handover;
-use log::log;
+use life::config::{Config, Replaced, Source};
+use life::{handover, reload};
 use operators::admin;
 use operators::bans::{self, Bans};
 use operators::staff::Staff;
 use springusher::ListKind;
 use std::cell::Cell;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -32,6 +33,7 @@
 use tokio::sync::{watch, Semaphore};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout};
+use tracing::{info, warn};
 
 /// Descriptors that are neither a client's nor a backend's: streams, event queue, listeners, discovery,
 /// files, and the operators' callers.
@@ -58,14 +60,29 @@
 /// Part of the descriptors that is left to a predecessor until it has ended.
 const PREDECESSORS_PART: usize = 4;
 
+/// A front door: admits clients' requests by quota and spreads them over backends. What it serves, and where, is in
+/// a file of JSON that BALANCER_CONFIG names; BALANCER_LISTEN, BALANCER_DISCOVERY and BALANCER_ADMIN_ADDR go before
+/// what the file says.
+#[derive(Parser)]
+#[command(name = "brassport", version)]
+struct Arguments {
+    /// Take the configuration from this file, whatever BALANCER_CONFIG names
+    #[arg(long, value_name = "FILE")]
+    config: Option<PathBuf>,
+    /// Read and check the configuration as a start would, say what it holds, and end: 0 if it is good, 1 if not
+    #[arg(long)]
+    check: bool,
+}
+
 fn main() -> ExitCode {
+    let arguments = Arguments::parse();
     // Guards against requests stranded by a task that is no more: a panic anywhere ends the process.
     let report = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |panic| {
         report(panic);
         std::process::abort();
     }));
-    match config::read().and_then(run) {
+    match start(arguments) {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
             eprintln!("brassport: {problem}");
@@ -74,17 +91,46 @@
     }
 }
 
-fn run(config: Config) -> Result<(), String> {
+fn start(arguments: Arguments) -> Result<(), String> {
+    let source = Source::open(arguments.config)?;
+    let config = source.config()?;
+    if !arguments.check {
+        return run(config, source);
+    }
+    spare_descriptors(&config)?;
+    let admin = config.admin.map_or("none".to_string(), |admin| admin.to_string());
+    println!(
+        "the configuration is good: listens on {}, operators' door {admin}, discovery {}, {} classes, {} plans, {} \
+         front doors, {} backends known, {} descriptors, {} MB",
+        config.listen,
+        config.discovery,
+        config.names.classes.len(),
+        config.names.plans.len(),
+        config.settings.gateways,
+        config.known.targets.len(),
+        config.sockets,
+        config.memory >> 20,
+    );
+    Ok(())
+}
+
+/// The descriptors that clients and backends may have.
+fn spare_descriptors(config: &Config) -> Result<usize, String> {
+    let spare = config.sockets.checked_sub(OWN_DESCRIPTORS).filter(|spare| *spare > 0);
+    spare.ok_or_else(|| format!("limits.sockets: {} are too few", config.sockets))
+}
+
+fn run(config: Config, source: Source) -> Result<(), String> {
+    log::start(config.log);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|error| format!("cannot start: {error}"))?;
-    LocalSet::new().block_on(&runtime, front_door(config))
+    LocalSet::new().block_on(&runtime, front_door(config, source))
 }
 
-async fn front_door(config: Config) -> Result<(), String> {
-    let spare = config.sockets.checked_sub(OWN_DESCRIPTORS).filter(|spare| *spare > 0);
-    let spare = spare.ok_or_else(|| format!("limits.sockets: {} are too few", config.sockets))?;
+async fn front_door(config: Config, source: Source) -> Result<(), String> {
+    let spare = spare_descriptors(&config)?;
     let descriptors = Arc::new(Semaphore::new(spare.min(Semaphore::MAX_PERMITS)));
     let mut terminate =
         signal(SignalKind::terminate()).map_err(|error| format!("cannot take signals: {error}"))?;
@@ -173,7 +219,9 @@
                     drop(held);
                 });
             }
-            Err(problem) => log(&format!("the running process did not hand over: {problem}")),
+            Err(problem) => {
+                warn!(event = "not_handed_over", %problem, "the running process did not hand over: {problem}");
+            }
         }
     }
     open.set(true);
@@ -194,15 +242,27 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            Some(()) = hang_up.recv() => match config::discovery() {
-                Ok(address) => {
+            Some(()) = hang_up.recv() => match source.reload() {
+                Ok(Replaced { discovery, left }) => {
                     stats.reloads_ok.set(stats.reloads_ok.get() + 1);
-                    agent.send_replace(address);
+                    agent.send_replace(discovery);
+                    if !left.is_empty() {
+                        let keys = reload::phrase(&left);
+                        warn!(
+                            event = "reload_left",
+                            %discovery,
+                            keys,
+                            "the configuration is taken over as far as discovery goes; before the next start it is \
+                             not in: {keys}"
+                        );
+                    } else {
+                        info!(event = "reloaded", %discovery, "the configuration is taken over");
+                    }
                 }
                 // Guards against a file that cannot be read: what was known before stays in force.
                 Err(problem) => {
                     stats.reloads_failed.set(stats.reloads_failed.get() + 1);
-                    log(&format!("the configuration is not taken over: {problem}"));
+                    warn!(event = "not_reloaded", %problem, "the configuration is not taken over: {problem}");
                 }
             },
         }
--- a/src/bin/brassport/operators/admin.rs
+++ b/src/bin/brassport/operators/admin.rs
@@ -1,6 +1,5 @@
 //! The operators' door: one line in, one answer out, on descriptors that clients do not compete for.
 
-use crate::log::log;
 use std::collections::VecDeque;
 use std::future::Future;
 use std::io;
@@ -11,6 +10,7 @@
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
+use tracing::warn;
 
 /// Most callers that are waited for. One more pushes out the one who has kept silent for the longest time.
 pub const CALLERS: usize = 16;
@@ -47,7 +47,7 @@
             Ok((stream, _)) => stream,
             Err(error) => {
                 // Guards against a spin where the system is out of descriptors or the like.
-                log(&format!("operators' door: {error}"));
+                warn!(event = "operators_door", %error, "operators' door: {error}");
                 sleep(BACK_OFF).await;
                 continue;
             }
--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -4,6 +4,8 @@
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -837,6 +839,100 @@
     }
 }
 
+#[test]
+fn a_log_that_is_full_blocks_nothing_and_tells_what_was_lost() {
+    let known = list(&[target("s-00000001", closed_port(), "draining")]);
+    let config = config(closed_port(), known);
+    let (errors, mut reader) = UnixStream::pair().expect("a pair of sockets");
+    errors.set_nonblocking(true).expect("it does not wait");
+    while (&errors).write(&[b'x'; 1000]).is_ok() {}
+    errors.set_nonblocking(false).expect("it waits");
+    let front = Front::start_with(&config, OwnedFd::from(errors).into());
+    // Each of these is a line of the log.
+    for _ in 0..20 {
+        assert!(front.call("maint-on s-00000001").starts_with("done"));
+        assert!(front.call("maint-off s-00000001").starts_with("done"));
+    }
+    let (taken, lines) = channel();
+    thread::spawn(move || {
+        let mut text = Vec::new();
+        let mut piece = [0; 4096];
+        while let Ok(length @ 1..) = reader.read(&mut piece) {
+            text.extend_from_slice(&piece[..length]);
+            if text.ends_with(b"\n") && taken.send(String::from_utf8_lossy(&text).into_owned()).is_err() {
+                break;
+            }
+        }
+    });
+    let until = Instant::now() + PATIENCE;
+    loop {
+        assert!(Instant::now() < until, "no line tells what was lost");
+        assert!(front.call("maint-on s-00000001").starts_with("done"));
+        assert!(front.call("maint-off s-00000001").starts_with("done"));
+        if lines.try_iter().any(|text| text.contains(" lines of the log were lost")) {
+            break;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn lines_of_json_have_the_events_name_and_fields() {
+    let known = list(&[target("s-00000001", closed_port(), "ready")]);
+    let mut config = config(closed_port(), known);
+    config["log"] = json!("json");
+    let mut front = Front::start_with(&config, Stdio::piped());
+    let errors = BufReader::new(front.child.stderr.take().expect("it is piped"));
+    assert!(front.call("maint-on s-00000001").starts_with("done"));
+    let line = errors.lines().map_while(Result::ok).find(|line| line.contains("taken out"));
+    let told: Value = serde_json::from_str(&line.expect("a line")).expect("JSON");
+    assert_eq!((&told["event"], &told["backend"]), (&json!("backend_out"), &json!("s-00000001")));
+    assert_eq!(told["message"], "backend s-00000001 is taken out");
+}
+
+#[test]
+fn sighup_names_each_key_that_differs_and_is_not_taken_over() {
+    let mut config = config(closed_port(), list(&[]));
+    let mut front = Front::start_with(&config, Stdio::piped());
+    let mut errors = BufReader::new(front.child.stderr.take().expect("it is piped"));
+    config["settings"]["plans"][0]["unitsPerS"] = json!(7.0);
+    config["limits"]["sockets"] = json!(2048);
+    config["discovery"] = json!(closed_port().to_string());
+    front.replace_config(&config.to_string());
+    let mut said = String::new();
+    while !said.contains("taken over") {
+        said.clear();
+        assert!(errors.read_line(&mut said).expect("the log goes on") > 0, "the log ended");
+    }
+    assert!(said.ends_with("it is not in: limits.sockets, settings.plans[starter].unitsPerS\n"), "{said}");
+}
+
+#[test]
+fn check_says_what_a_start_would_find() {
+    let mut config = config(closed_port(), list(&[]));
+    let check = |config: &Value| {
+        let path = write(config);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_brassport"));
+        let output = command.arg("--check").arg("--config").arg(path).env_remove("BALANCER_CONFIG").output();
+        let output = output.expect("it ends");
+        let text = |bytes| String::from_utf8(bytes).expect("text");
+        (output.status.code(), text(output.stdout), text(output.stderr))
+    };
+    let (code, said, _) = check(&config);
+    assert_eq!(code, Some(0));
+    assert!(
+        said.starts_with("the configuration is good: ") && said.contains(" 2 classes, 1 plans,"),
+        "{said}"
+    );
+    config["limits"]["sockets"] = json!(5);
+    let (code, _, said) = check(&config);
+    assert_eq!((code, said.as_str()), (Some(1), "brassport: limits.sockets: 5 are too few\n"));
+    config["settings"]["plans"][0]["unitsPerS"] = json!(-1.0);
+    let (code, said, problem) = check(&config);
+    assert_eq!((code, said.as_str()), (Some(1), ""));
+    assert!(problem.contains("plans[0].rate"), "{problem}");
+}
+
 #[test]
 fn bad_configuration_ends_with_one_plain_line() {
     let mut bad = config(closed_port(), list(&[]));
