Build a lab: front doors as processes among emulated parties, faults, checks, reports

Change: the crate lab/ (springusher-lab, a library and a program) in a workspace; the root package stays as it is. Front doors are real processes, ended with who started them also when that is killed (a keeper asks the system for it and becomes the front door by exec). Backends have a model without I/O (cores, queue, cold start, falling over, meter); one agent for each door tells the list late; clients send what was drawn ahead, whatever the answers take; every directed link to backends and agents goes through a relay with delay, loss, cuts one way, stalls and resets, and a cut lets no new connection come up. Seven checks judge the record alone; a machine that cannot keep up gives no verdict. Eight scenarios ship; a run leaves a record in JSON lines, a summary, and an HTML page with plots.

--- /dev/null
+++ b/lab/src/run.rs
@@ -0,0 +1,540 @@
+//! One run: everything is started, the scenario's faults are carried out, and all that happens is written down.
+
+use crate::agent::{Agent, List, Manner, Target};
+use crate::backend::{Backend, Mode, Site};
+use crate::check::{figures, findings, verdict, Figures, Finding, Verdict};
+use crate::client::{customers, plan, Clients};
+use crate::fleet::{backend_name, Facts};
+use crate::ground::Ground;
+use crate::http::call_staff;
+use crate::model::Meter;
+use crate::net::{Condition, Net};
+use crate::process::{Launcher, Process};
+use crate::record::{self, Event, Life, Micros, Recorder};
+use crate::report;
+use crate::scenario::{Change, Deed, Scenario, State, Step};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use rustix::process::Signal;
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, sleep_until, Instant};
+
+/// How long front doors may take to say yes at first, all together.
+const START: Duration = Duration::from_secs(30);
+/// How often processes are looked at, and how often the lab measures how late it wakes.
+const LOOK: Duration = Duration::from_millis(50);
+/// How long after SIGTERM a front door may take to end by itself: the longest deadline and what DEPLOY adds.
+const ENDING: Duration = Duration::from_millis(4500);
+/// How long staff wait for an answer.
+const STAFF: Duration = Duration::from_secs(2);
+/// The names of a run's files.
+pub const RECORD: &str = "record.jsonl";
+pub const FACTS: &str = "facts.json";
+pub const SUMMARY: &str = "summary.json";
+pub const REPORT: &str = "report.html";
+
+/// What one run comes to, as it is kept in the file `summary.json`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Summary {
+    pub scenario: String,
+    pub seed: u64,
+    pub verdict: Verdict,
+    pub findings: Vec<Finding>,
+    pub figures: Figures,
+}
+
+/// A front door of the run.
+struct Post {
+    folder: PathBuf,
+    config: Value,
+    /// The life that runs, and how it is expected to end.
+    process: Option<Process>,
+    leaving: Option<Instant>,
+    stopped: bool,
+}
+
+/// A run that is going on.
+pub struct Run {
+    scenario: Scenario,
+    facts: Facts,
+    pub net: Net,
+    list: List,
+    backends: Vec<Backend>,
+    manners: Vec<watch::Sender<Manner>>,
+    agents: Vec<Arc<Agent>>,
+    posts: Vec<Post>,
+    clients: Arc<Clients>,
+    recorder: Recorder,
+    ground: Arc<Ground>,
+    launcher: Launcher,
+    tasks: JoinSet<()>,
+    ready: Arc<Mutex<HashMap<usize, bool>>>,
+    versions: u64,
+}
+
+fn seeded(seed: u64, part: u64) -> u64 {
+    Pcg64Mcg::seed_from_u64(seed ^ (part << 56)).random()
+}
+
+fn unix_ms() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0
+}
+
+impl Run {
+    /// Starts backends, agents, relays and front doors, and waits until each front door says yes.
+    ///
+    /// # Errors
+    /// What could not be had, in one line. All that was started ends.
+    pub async fn start(
+        scenario: &Scenario,
+        seed: u64,
+        folder: &Path,
+        launcher: &Launcher,
+        recorder: Recorder,
+    ) -> io::Result<Run> {
+        let facts = scenario.facts(seed);
+        let ground = Arc::new(Ground::claim(facts.doors)?);
+        let net = Net::new(ground.own(), seeded(seed, 1), Some(recorder.clone()));
+        for door in 0..facts.doors {
+            net.party(&format!("d{door}"), ground.door(door));
+        }
+        net.party("clients", ground.clients());
+        let mut tasks = JoinSet::new();
+        let site = Arc::new(Site {
+            facts: facts.clone(),
+            meter: Mutex::new(Meter::new(facts.rules.meter_period_ms, scenario.backends.meter_late_ms)),
+            recorder: recorder.clone(),
+            ground: ground.clone(),
+        });
+        let (mut backends, mut places) = (Vec::new(), Vec::new());
+        for number in 0..facts.backends {
+            let listener = TcpListener::bind(SocketAddr::new(ground.own(), 0)).await?;
+            places.push(listener.local_addr()?);
+            let seed = seeded(seed, 2).wrapping_add(number as u64);
+            let backend = Backend::new(number, scenario.machine(), seed, site.clone());
+            let serving = backend.clone();
+            tasks.spawn(async move { drop(serving.run(listener).await) });
+            backends.push(backend);
+        }
+        let targets = (0..facts.backends)
+            .map(|backend| Target { backend, zone: facts.zone(backend), state: "ready", boot_ms: 0.0 })
+            .collect();
+        let list = List::new(targets, recorder.clone());
+        let mut lags = Pcg64Mcg::seed_from_u64(seeded(seed, 3));
+        let (mut manners, mut agents, mut posts, mut entrances) =
+            (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+        for door in 0..facts.doors {
+            let name = format!("d{door}");
+            let mut endpoints = Vec::new();
+            for (backend, place) in places.iter().enumerate() {
+                endpoints.push(net.tcp(&name, &format!("b{backend}"), *place).await?);
+            }
+            let [least, most] = scenario.fleet.list_late_ms;
+            let lag = Duration::from_millis(lags.random_range(least..=most));
+            let manner = watch::Sender::new(Manner { lag, silent: false });
+            let listener = TcpListener::bind(SocketAddr::new(ground.own(), 0)).await?;
+            let discovery = net.tcp(&name, &format!("a{door}"), listener.local_addr()?).await?;
+            let agent = || Agent {
+                door,
+                list: list.clone(),
+                endpoints: endpoints.clone(),
+                manner: manner.subscribe(),
+                recorder: recorder.clone(),
+            };
+            let config = json!({
+                "name": format!("n{door}"), "listen": ground.listen(door).to_string(),
+                "admin_addr": ground.staff(door).to_string(), "discovery": discovery.to_string(),
+                "seed": "0", "limits": {"cores": 1.0, "memory_mb": scenario.fleet.memory_mb,
+                                        "sockets": scenario.fleet.sockets},
+                "known": {"rev": 0, "all": true, "targets": []},
+                "settings": facts.settings(door, None),
+            });
+            tasks.spawn(agent().run(listener));
+            agents.push(Arc::new(agent()));
+            manners.push(manner);
+            entrances.push(match scenario.relays_clients() {
+                true => net.tcp("clients", &name, ground.listen(door)).await?,
+                false => ground.listen(door),
+            });
+            let folder = folder.join(&name);
+            fs::create_dir_all(&folder)?;
+            posts.push(Post { folder, config, process: None, leaving: None, stopped: false });
+        }
+        let customers = customers(&facts, seeded(seed, 4));
+        let own = (recorder.clone(), ground.clone(), seeded(seed, 5));
+        let clients = Clients::new(facts.clone(), scenario.habits(), customers, &entrances, own);
+        let mut run = Run {
+            scenario: scenario.clone(),
+            facts,
+            net,
+            list,
+            backends,
+            manners,
+            agents,
+            posts,
+            clients,
+            recorder,
+            ground,
+            launcher: launcher.clone(),
+            tasks,
+            ready: Arc::default(),
+            versions: 0,
+        };
+        run.start_doors().await?;
+        Ok(run)
+    }
+
+    async fn start_doors(&mut self) -> io::Result<()> {
+        for door in 0..self.facts.doors {
+            self.start_door(door)?;
+            let (clients, ready, recorder) =
+                (self.clients.clone(), self.ready.clone(), self.recorder.clone());
+            let first_yes = move || {
+                let mut ready = ready.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+                if ready.insert(door, true) == Some(false) {
+                    recorder.tell(Event::Door { door, life: Life::Ready });
+                }
+            };
+            self.tasks.spawn(clients.watch(door, first_yes));
+        }
+        let until = Instant::now() + START;
+        while let Some(door) = (0..self.facts.doors).find(|door| !self.clients.takes(*door)) {
+            self.look();
+            let post = &self.posts[door];
+            let said = || post.process.as_ref().map_or_else(|| last_words(&post.folder), Process::last_words);
+            if post.process.is_none() {
+                return Err(io::Error::other(format!("d{door} ended at its start: {}", said())));
+            }
+            if Instant::now() > until {
+                return Err(io::Error::other(format!("d{door} does not say yes: {}", said())));
+            }
+            sleep(LOOK).await;
+        }
+        Ok(())
+    }
+
+    /// Starts a front door from nothing, under its name.
+    fn start_door(&mut self, door: usize) -> io::Result<()> {
+        let post = &mut self.posts[door];
+        post.config["known"] = self.agents[door].known();
+        post.config["seed"] =
+            json!(format!("{:016x}", seeded(self.facts.seed, 6).wrapping_add(self.recorder.now())));
+        fs::write(post.folder.join("config.json"), post.config.to_string())?;
+        self.ready.lock().unwrap_or_else(std::sync::PoisonError::into_inner).insert(door, false);
+        post.process = Some(Process::start(&self.launcher, &post.folder)?);
+        (post.leaving, post.stopped) = (None, false);
+        self.recorder.tell(Event::Door { door, life: Life::Started });
+        Ok(())
+    }
+
+    /// Looks after the processes: those that ended are written down, those that were to leave are started anew.
+    fn look(&mut self) {
+        for door in 0..self.posts.len() {
+            let post = &mut self.posts[door];
+            let Some(process) = &mut post.process else { continue };
+            let overdue = post.leaving.is_some_and(|since| since.elapsed() > ENDING);
+            if overdue {
+                let _ = process.kill();
+            }
+            if process.ended().is_ok_and(|ended| ended.is_none()) {
+                continue;
+            }
+            let leaving = post.leaving.take().is_some();
+            post.process = None;
+            let life = match (leaving, overdue) {
+                (true, true) => Life::Killed,
+                (true, false) => Life::Ended,
+                (false, _) => Life::Crashed,
+            };
+            self.recorder.tell(Event::Door { door, life });
+            if leaving {
+                // A front door that cannot be started is written down as crashed by the next look.
+                let _ = self.start_door(door);
+            }
+        }
+    }
+
+    fn signal(&mut self, door: usize, signal: Signal, life: Life) {
+        let Some(process) = &mut self.posts[door].process else { return };
+        if process.signal(signal).is_ok() {
+            self.recorder.tell(Event::Door { door, life });
+        }
+    }
+
+    /// Carries out one step of the scenario.
+    async fn carry_out(&mut self, deed: &Deed) -> io::Result<()> {
+        match deed {
+            Deed::Kill(doors) => {
+                // All first, then all are waited for: they die together.
+                for door in doors {
+                    self.signal(*door, Signal::KILL, Life::Killed);
+                }
+                for door in doors {
+                    self.posts[*door].process = None;
+                }
+            }
+            Deed::Start(doors) => {
+                for door in doors {
+                    if self.posts[*door].process.is_none() {
+                        self.start_door(*door)?;
+                    }
+                }
+            }
+            Deed::Stop(doors) => {
+                for door in doors {
+                    self.signal(*door, Signal::STOP, Life::Stopped);
+                    self.posts[*door].stopped = true;
+                }
+            }
+            Deed::Continue(doors) => {
+                for door in doors {
+                    if std::mem::take(&mut self.posts[*door].stopped) {
+                        self.signal(*door, Signal::CONT, Life::Continued);
+                    }
+                }
+            }
+            Deed::Restart(doors) => {
+                for door in doors {
+                    if self.posts[*door].process.is_some() {
+                        self.signal(*door, Signal::TERM, Life::Terminated);
+                        self.posts[*door].leaving = Some(Instant::now());
+                    }
+                }
+            }
+            Deed::Link { from, to, both, change } => {
+                for (a, b) in from.iter().flat_map(|a| to.iter().map(move |b| (a, b))) {
+                    self.change_link(a, b, change);
+                    if *both {
+                        self.change_link(b, a, change);
+                    }
+                }
+            }
+            Deed::Backend { backends, state, much, begins } => {
+                for backend in backends {
+                    self.trouble(*backend, *state, *much, *begins);
+                }
+            }
+            Deed::Call { doors, line } => {
+                let words: Vec<String> = line.split(' ').map(|word| self.name(word)).collect();
+                for door in doors {
+                    self.call(*door, &words.join(" ")).await;
+                }
+            }
+            Deed::Withdraw { doors, plan } => {
+                self.versions += 1;
+                for door in doors {
+                    let settings = self.facts.settings(*door, Some(plan));
+                    self.replace(*door, |config| config["settings"] = settings)?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// `b0` stands for the name that the list gives that backend.
+    fn name(&self, word: &str) -> String {
+        let backend = word.strip_prefix('b').and_then(|number| number.parse().ok());
+        backend
+            .filter(|backend| *backend < self.facts.backends)
+            .map_or_else(|| word.to_string(), backend_name)
+    }
+
+    fn change_link(&self, from: &str, to: &str, change: &Change) {
+        self.net.change(from, to, |condition| {
+            let resets = condition.resets;
+            *condition = match change {
+                Change::Set(new, reset) => Condition { resets: resets + u32::from(*reset), ..*new },
+                Change::Whole => Condition { resets, ..Condition::default() },
+            };
+        });
+    }
+
+    fn trouble(&self, number: usize, state: State, much: f64, begins: bool) {
+        let backend = &self.backends[number];
+        match (state, begins) {
+            (State::Slow, true) => backend.set_slow(much.max(0.01)),
+            (State::Slow, false) => backend.set_slow(1.0),
+            (State::Failing, true) => backend.set_mode(Mode::Failing(much)),
+            (State::Silent, true) => backend.set_mode(Mode::Silent),
+            (State::Gone | State::Restart, true) => {
+                backend.set_mode(Mode::Gone);
+                self.list.change(number, "gone", None);
+            }
+            (State::Draining, _) => {
+                backend.set_draining(begins);
+                self.list.change(number, if begins { "draining" } else { "ready" }, None);
+            }
+            (State::Failing | State::Silent, false) => backend.set_mode(Mode::Up),
+            (State::Gone | State::Restart, false) => {
+                backend.restart();
+                self.list.change(number, "ready", Some(unix_ms()));
+            }
+        }
+    }
+
+    /// Calls a front door's staff, and writes the answer down.
+    pub async fn call(&self, door: usize, line: &str) -> String {
+        let answer = call_staff(self.ground.staff(door), line, STAFF).await;
+        let answer = answer.unwrap_or_else(|error| format!("error no answer: {error}"));
+        self.recorder.tell(Event::Call { door, line: line.into(), answer: answer.clone() });
+        answer
+    }
+
+    /// Replaces a front door's configuration and sends SIGHUP.
+    ///
+    /// # Errors
+    /// The file cannot be written.
+    pub fn replace(&mut self, door: usize, change: impl FnOnce(&mut Value)) -> io::Result<()> {
+        let post = &mut self.posts[door];
+        change(&mut post.config);
+        fs::write(post.folder.join("config.json"), post.config.to_string())?;
+        if let Some(process) = &mut post.process {
+            process.signal(Signal::HUP)?;
+            self.recorder.tell(Event::Configured { door, version: self.versions });
+        }
+        Ok(())
+    }
+
+    /// The ids of the processes that run.
+    pub fn processes(&self) -> Vec<u32> {
+        self.posts.iter().filter_map(|post| post.process.as_ref().map(Process::id)).collect()
+    }
+
+    /// Changes how an agent tells its front door of the list.
+    pub fn set_manner(&self, door: usize, change: impl FnOnce(&mut Manner)) {
+        self.manners[door].send_modify(change);
+    }
+
+    /// Sends what the clients have planned, carries the scenario's steps out, and ends when each request has ended.
+    ///
+    /// # Errors
+    /// What could not be done, in one line.
+    pub async fn play(&mut self, mut progress: impl FnMut(f64, usize)) -> io::Result<()> {
+        let seed = self.facts.seed;
+        let requests = plan(&self.facts, &customers(&self.facts, seeded(seed, 4)), seeded(seed, 7));
+        let mut steps = self.scenario.steps(seeded(seed, 8)).into_iter().peekable();
+        let start = self.recorder.now() + 200_000;
+        let (_stop, stopped) = watch::channel(false);
+        let mut clients = tokio::spawn(self.clients.clone().run(requests, start, stopped));
+        let lateness = tokio::spawn(lateness(self.recorder.clone()));
+        let mut look = tokio::time::interval(LOOK);
+        let moment = |step: &Step| start + step.at_ms * 1000;
+        loop {
+            let next: Option<Micros> = steps.peek().map(moment);
+            let next = next.map(|at| Instant::from_std(self.recorder.instant(at)));
+            tokio::select! {
+                ended = &mut clients => {
+                    ended.map_err(io::Error::other)?;
+                    break;
+                }
+                () = sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() => {
+                    let Some(Step { deed, fault, text, begins, .. }) = steps.next() else { continue };
+                    self.recorder.tell(Event::Fault { number: fault, text, begins });
+                    self.carry_out(&deed).await?;
+                }
+                _ = look.tick() => {
+                    self.look();
+                    progress(self.recorder.now().saturating_sub(start) as f64 / 1e6, self.clients.out());
+                }
+            }
+        }
+        lateness.abort();
+        Ok(())
+    }
+}
+
+/// Tells each second how late the lab's own timers woke at most.
+async fn lateness(recorder: Recorder) {
+    let (mut worst, mut told) = (0, recorder.now());
+    loop {
+        let due = recorder.now() + 5_000;
+        sleep_until(Instant::from_std(recorder.instant(due))).await;
+        worst = recorder.now().saturating_sub(due).max(worst);
+        if recorder.now() > told + 1_000_000 {
+            recorder.tell(Event::Lateness { worst_us: worst });
+            (worst, told) = (0, recorder.now());
+        }
+    }
+}
+
+fn last_words(folder: &Path) -> String {
+    let text = fs::read_to_string(folder.join("log.txt")).unwrap_or_default();
+    text.lines().next_back().unwrap_or("it said nothing").to_string()
+}
+
+/// How often a run is begun anew that could not get its ports.
+const TRIES: usize = 3;
+
+/// Carries a scenario out with one seed and writes its files into `folder`.
+///
+/// # Errors
+/// What could not be done, in one line. No process is left behind.
+pub async fn carry_out(
+    scenario: &Scenario,
+    seed: u64,
+    folder: &Path,
+    launcher: &Launcher,
+    progress: impl FnMut(f64, usize),
+) -> io::Result<Summary> {
+    fs::create_dir_all(folder)?;
+    let facts = scenario.facts(seed);
+    fs::write(folder.join(FACTS), serde_json::to_vec_pretty(&facts)?)?;
+    let path = folder.join(RECORD);
+    let (mut run, writer) = {
+        let mut tries = 1;
+        loop {
+            let (recorder, writer) = Recorder::create(&path)?;
+            match Run::start(scenario, seed, folder, launcher, recorder).await {
+                Ok(run) => break (run, writer),
+                // Another program may have taken a port meanwhile: the next ground has others.
+                Err(error) if tries < TRIES && error.to_string().contains("cannot listen") => tries += 1,
+                Err(error) => return Err(error),
+            }
+        }
+    };
+    let played = run.play(progress).await;
+    run.net.close();
+    run.tasks.shutdown().await;
+    drop(run);
+    // Whatever still holds the record ends with its task; those of connections may need a moment.
+    let finished = tokio::task::spawn_blocking(|| writer.finish()).await.map_err(io::Error::other)?;
+    played?;
+    finished?;
+    judge(folder)
+}
+
+/// Judges a run by the files in `folder` alone, and writes summary and report there.
+///
+/// # Errors
+/// A file is not there or makes no sense.
+pub fn judge(folder: &Path) -> io::Result<Summary> {
+    let facts_path = folder.join(FACTS);
+    let told = |error: io::Error| io::Error::new(error.kind(), format!("{}: {error}", facts_path.display()));
+    let facts: Facts = serde_json::from_slice(&fs::read(&facts_path).map_err(told)?)?;
+    let path = folder.join(RECORD);
+    let told = |error: io::Error| io::Error::new(error.kind(), format!("{}: {error}", path.display()));
+    let entries = record::read(&path).map_err(told)?;
+    let findings = findings(&facts, &entries);
+    let summary = Summary {
+        scenario: facts.scenario.clone(),
+        seed: facts.seed,
+        verdict: verdict(&facts, &entries, &findings),
+        findings,
+        figures: figures(&facts, &entries),
+    };
+    fs::write(folder.join(SUMMARY), serde_json::to_vec_pretty(&summary)?)?;
+    fs::write(folder.join("summary.txt"), report::text(&summary))?;
+    fs::write(folder.join(REPORT), report::html(&facts, &entries, &summary))?;
+    Ok(summary)
+}
