Move the scripted peers of the front door's tests into the lab's library

Change: they are lab/src/scripted.rs, used from there; a test names its program once. The 38 cases keep their text.

--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -1,402 +1,26 @@
 //! The front door over loopback sockets: the built program against small scripted peers.
 
 use serde_json::{json, Value};
-use std::collections::HashMap;
-use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use springusher_lab::scripted::{
+    closed_port, config, get, list, post, read_message, target, Client, Discovery, Exchange, Front, Peer,
+    Program, Stuck, PATIENCE,
+};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
-use std::sync::mpsc::{channel, Receiver, Sender};
+use std::process::{Command, Stdio};
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::channel;
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Nothing here takes that long unless it fails.
-const PATIENCE: Duration = Duration::from_secs(20);
-
-/// One message of HTTP: its first line, its headers (names in lower case) and its body.
-struct Message {
-    line: String,
-    headers: HashMap<String, String>,
-    body: Vec<u8>,
-}
-
-impl Message {
-    fn header(&self, name: &str) -> &str {
-        self.headers.get(name).map_or("", String::as_str)
-    }
-    fn status(&self) -> u16 {
-        self.line.split(' ').nth(1).and_then(|word| word.parse().ok()).expect("a status")
-    }
-}
-
-/// `None` when the other side has closed between two messages.
-fn read_message(stream: &TcpStream) -> io::Result<Option<Message>> {
-    let mut reader = BufReader::new(stream);
-    let mut line = String::new();
-    if reader.read_line(&mut line)? == 0 {
-        return Ok(None);
-    }
-    let mut headers = HashMap::new();
-    loop {
-        let mut header = String::new();
-        if reader.read_line(&mut header)? == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-        let Some((name, value)) = header.trim_end().split_once(':') else { break };
-        headers.insert(name.to_ascii_lowercase(), value.trim().to_string());
-    }
-    let length = headers.get("content-length").map_or(0, |length| length.parse().expect("a length"));
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body)?;
-    Ok(Some(Message { line: line.trim_end().to_string(), headers, body }))
-}
-
-/// A request that a scripted peer has read and not answered yet.
-struct Exchange {
-    request: Message,
-    stream: TcpStream,
-    next: Sender<Exchange>,
-}
-
-impl Exchange {
-    /// Answers and goes on reading from the connection.
-    fn answer(mut self, status: &str, headers: &str, body: &str) {
-        let length = body.len();
-        let answer = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n{body}");
-        self.stream.write_all(answer.as_bytes()).expect("the answer goes out");
-        read_on(self.stream, self.next);
-    }
-    fn ok(self, body: &str) {
-        self.answer("200 OK", "", body);
-    }
-    /// Writes this and closes.
-    fn break_off(mut self, bytes: &str) {
-        self.stream.write_all(bytes.as_bytes()).expect("the bytes go out");
-        self.stream.shutdown(Shutdown::Both).expect("the connection closes");
-    }
-    /// Waits until the other side has closed.
-    fn wait_for_close(&mut self) {
-        let mut byte = [0];
-        match self.stream.read(&mut byte) {
-            Ok(0) => {}
-            Err(error) if error.kind() == io::ErrorKind::ConnectionReset => {}
-            other => panic!("expected the connection to close, got {other:?}"),
-        }
-    }
-}
-
-fn read_on(stream: TcpStream, next: Sender<Exchange>) {
-    thread::spawn(move || {
-        if let Ok(Some(request)) = read_message(&stream) {
-            // A test that has ended listens no more.
-            let _ = next.send(Exchange { request, stream, next: next.clone() });
-        }
-    });
-}
-
-/// A peer that the test answers for: a backend, or discovery.
-struct Peer {
-    address: SocketAddr,
-    exchanges: Receiver<Exchange>,
-}
-
-impl Peer {
-    fn start() -> Peer {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        let (sender, exchanges) = channel();
-        thread::spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
-                stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-                read_on(stream, sender.clone());
-            }
-        });
-        Peer { address, exchanges }
-    }
-    fn next(&self) -> Exchange {
-        self.exchanges.recv_timeout(PATIENCE).expect("a request comes")
-    }
-}
-
-/// Discovery that tells the list it was given, and changes when the test says so.
-struct Discovery {
-    address: SocketAddr,
-    changes: Sender<Value>,
-    watches: Receiver<()>,
-}
-
-impl Discovery {
-    fn start(list: Value) -> Discovery {
-        let peer = Peer::start();
-        let address = peer.address;
-        let (changes, told) = channel::<Value>();
-        let (watching, watches) = channel();
-        thread::spawn(move || {
-            while let Ok(call) = peer.exchanges.recv() {
-                if !call.request.line.contains("after=") {
-                    call.ok(&list.to_string());
-                    continue;
-                }
-                let _ = watching.send(());
-                match told.recv_timeout(Duration::from_millis(500)) {
-                    Ok(change) => call.ok(&change.to_string()),
-                    Err(_) => call.ok(&json!({"rev": list["rev"], "all": false, "targets": []}).to_string()),
-                }
-            }
-        });
-        Discovery { address, changes, watches }
-    }
-    /// Tells a change, and waits for the watch that follows: the front door has taken the change in by then.
-    fn tell(&self, targets: Value) {
-        self.wait_for_watch();
-        self.changes.send(json!({"rev": 2, "all": false, "targets": targets})).expect("discovery runs");
-        self.wait_for_watch();
-        self.wait_for_watch();
-    }
-    fn wait_for_watch(&self) {
-        self.watches.recv_timeout(PATIENCE).expect("a watch comes");
-    }
-}
-
-fn target(uid: &str, address: SocketAddr, state: &str) -> Value {
-    json!({"uid": uid, "endpoint": address.to_string(), "az": "a", "model": "m", "pod_group": 0,
-           "state": state, "capacity_hint": 1.0, "boot_ms": 0})
-}
-
-fn list(targets: &[Value]) -> Value {
-    json!({"rev": 1, "all": true, "targets": targets})
-}
-
-/// An address where nothing listens.
-fn closed_port() -> SocketAddr {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).and_then(|listener| listener.local_addr()).expect("a port")
-}
-
-/// A backend to which connections come up only once `open` is called: its backlog is full.
-struct Stuck {
-    listener: TcpListener,
-    address: SocketAddr,
-    _filling: TcpStream,
-}
-
-impl Stuck {
-    fn start() -> Stuck {
-        let socket =
-            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-        socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).expect("a port");
-        socket.listen(0).expect("it listens");
-        let listener = TcpListener::from(socket);
-        let address = listener.local_addr().expect("an address");
-        let filling = TcpStream::connect(address).expect("the backlog holds one");
-        Stuck { listener, address, _filling: filling }
-    }
-    /// Waits until a connection is on its way that does not come up.
-    fn wait_for_connect(&self) {
-        let until = Instant::now() + PATIENCE;
-        let (a, port) = (u32::from_le_bytes([127, 0, 0, 1]), self.address.port());
-        let wanted = format!("{a:08X}:{port:04X} 02");
-        while !std::fs::read_to_string("/proc/net/tcp").expect("the system's sockets").contains(&wanted) {
-            assert!(Instant::now() < until, "no connection is attempted");
-            thread::sleep(Duration::from_millis(5));
-        }
-    }
-    /// Lets the connection come up, and returns all that was written to it until it closed.
-    fn open(self) -> Vec<u8> {
-        let _filling = self.listener.accept().expect("the one that filled the backlog");
-        let (mut stream, _) = self.listener.accept().expect("the front door's");
-        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-        let mut bytes = Vec::new();
-        stream.read_to_end(&mut bytes).expect("the front door closes the connection");
-        bytes
-    }
-}
-
-/// The configuration of a front door of its own, under an address of its own.
-fn config(discovery: SocketAddr, known: Value) -> Value {
-    static COUNT: AtomicU8 = AtomicU8::new(1);
-    let [high, low] = (std::process::id() as u16).to_be_bytes();
-    // Other sockets of the system get their ports at 127.0.0.1: here nothing takes this one meanwhile.
-    let own = Ipv4Addr::new(127, COUNT.fetch_add(1, Ordering::Relaxed), high, low.max(1));
-    let listen = TcpListener::bind((own, 0)).and_then(|listener| listener.local_addr()).expect("a port");
-    let class = |name, semantics| {
-        json!({"name": name, "semantics": semantics, "group": "all", "dedupWindow": 5000.0, "worth": 1.0,
-               "slo": 1000.0, "deadline": 4000.0, "lateShare": 0.0, "stream": false})
-    };
-    let admin = TcpListener::bind((own, 0)).and_then(|listener| listener.local_addr()).expect("a port");
-    json!({
-        "name": "n0", "listen": listen.to_string(), "admin_addr": admin.to_string(), "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "counter": "127.0.0.1:9",
-        "known": known,
-        "settings": {
-            "areas": ["a", "b"], "balancers": 1, "ordinal": 0, "zone": 0, "tick": 4.0, "registryMode": "pushed",
-            "bounds": {"cancel": true, "connIdle": 15000.0, "connectTimeout": 250.0, "maxAttempts": 4,
-                       "maxRetryAfter": 500.0, "mayDuplicate": false, "retryAfter": true},
-            "rules": {"cold": 18000.0, "coldFrom": 0.24, "fall": 3000.0, "stopSendingWithin": 500.0,
-                      "tipMultiple": 2.0},
-            "familyInfo": {"mostUnits": 1, "usePeriod": 500.0},
-            "classes": [class("preview-fetch", "free"), class("job-submit", "single_shot")],
-            "plans": [{"name": "starter", "unitsPerS": 1000.0, "storeSize": 2000.0, "concurrency": 0,
-                       "price": 1.0, "excessWorth": 0.0, "overrunCost": 0.8, "neverOverRate": 0.0,
-                       "capDepth": 0.0, "tolerance": 0.0}],
-        },
-    })
-}
-
-/// The program. It is killed when the test ends.
-struct Front {
-    child: Child,
-    address: SocketAddr,
-    admin: SocketAddr,
-    config: PathBuf,
-}
-
-impl Front {
-    /// Starts the program and waits until it listens.
-    fn start(config: &Value) -> Front {
-        Front::start_with(config, Stdio::inherit())
-    }
-    fn start_with(config: &Value, errors: Stdio) -> Front {
-        let named = |name: &str| config[name].as_str().expect("an address").parse().expect("an address");
-        let (address, admin): (SocketAddr, SocketAddr) = (named("listen"), named("admin_addr"));
-        let config = write(config);
-        let child = spawn(&config, errors);
-        let until = Instant::now() + PATIENCE;
-        while TcpStream::connect(address).is_err() {
-            assert!(Instant::now() < until, "the front door does not listen");
-            thread::sleep(Duration::from_millis(5));
-        }
-        Front { child, address, admin, config }
-    }
-    /// One in front of these backends, known to it from its start, with discovery dead.
-    fn before(backends: &[SocketAddr]) -> Front {
-        let targets: Vec<Value> = backends
-            .iter()
-            .enumerate()
-            .map(|(n, at)| target(&format!("s-0000000{n}"), *at, "ready"))
-            .collect();
-        Front::start(&config(closed_port(), list(&targets)))
-    }
-    fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.address).expect("the front door accepts");
-        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-        Client { stream }
-    }
-    /// Starts a second process beside this one, and waits until it says yes.
-    fn successor(&self) -> Front {
-        let admin = TcpListener::bind((self.admin.ip(), 0)).and_then(|listener| listener.local_addr());
-        let admin = admin.expect("a port");
-        let mut command = command(&self.config);
-        let child = command.env("BALANCER_ADMIN_ADDR", admin.to_string()).spawn().expect("it starts");
-        let front = Front { child, address: self.address, admin, config: self.config.clone() };
-        let until = Instant::now() + PATIENCE;
-        while TcpStream::connect(admin).is_err() || !front.call("status").starts_with("done") {
-            assert!(Instant::now() < until, "the second process does not say yes");
-            thread::sleep(Duration::from_millis(5));
-        }
-        front
-    }
-    /// Calls the operators' door and returns the whole answer.
-    fn call(&self, line: &str) -> String {
-        let mut caller = TcpStream::connect(self.admin).expect("the operators' door accepts");
-        caller.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-        caller.write_all(line.as_bytes()).and_then(|()| caller.write_all(b"\n")).expect("the call goes out");
-        let mut answer = String::new();
-        caller.read_to_string(&mut answer).expect("an answer comes");
-        answer
-    }
-    fn stats(&self) -> Value {
-        let answer = self.call("stats");
-        let (figures, end) = answer.trim_end().rsplit_once('\n').expect("two lines");
-        assert_eq!(end, "end");
-        serde_json::from_str(figures).expect("JSON")
-    }
-    fn signal(&self, name: &str) {
-        let status = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
-        assert!(status.expect("kill runs").success());
-    }
-    fn terminate(&self) {
-        self.signal("-TERM");
-    }
-    /// Replaces the configuration and says so.
-    fn replace_config(&self, text: &str) {
-        std::fs::write(&self.config, text).expect("the configuration is written");
-        self.signal("-HUP");
-    }
-}
-
-impl Drop for Front {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-/// Writes a configuration to a file of its own.
-fn write(config: &Value) -> PathBuf {
-    static COUNT: AtomicU8 = AtomicU8::new(0);
-    let name = format!("config-{}-{}.json", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
-    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
-    let _ = std::fs::remove_dir_all(path.with_extension("shared"));
-    std::fs::write(&path, config.to_string()).expect("the configuration is written");
-    path
-}
-
-fn spawn(config: &PathBuf, errors: Stdio) -> Child {
-    command(config).stderr(errors).spawn().expect("the program starts")
-}
-
-fn command(config: &PathBuf) -> Command {
-    let shared = config.with_extension("shared");
-    std::fs::create_dir_all(&shared).expect("a folder");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_brassport"));
-    command
-        .env("BALANCER_CONFIG", config)
-        .env("TMPDIR", shared)
-        .env_remove("BALANCER_ADMIN_ADDR")
-        .env_remove("BALANCER_LISTEN")
-        .env_remove("BALANCER_DISCOVERY");
-    command
-}
-
-struct Client {
-    stream: TcpStream,
-}
-
-const HEADERS: &str = "Host: backend.local\r\nX-Request-Id: 9b1f03aa5c7e2d41\r\nPlan: starter\r\n\
-                       Cookie: client=00000000b4d65521\r\nQuota-Info: units=1,spread=1,first=0\r\n";
-
-fn get(path: &str) -> String {
-    format!(
-        "GET /preview-fetch{path} HTTP/1.1\r\n{HEADERS}X-Class: preview-fetch\r\nX-Deadline: 4000m\r\n\r\n"
-    )
-}
-
-fn post(body: &str) -> String {
-    let length = body.len();
-    format!(
-        "POST /job-submit HTTP/1.1\r\n{HEADERS}X-Class: job-submit\r\nX-Deadline: 4000m\r\n\
-         Content-Length: {length}\r\n\r\n{body}"
-    )
-}
-
-impl Client {
-    fn send(&mut self, request: &str) -> &mut Client {
-        self.stream.write_all(request.as_bytes()).expect("the request goes out");
-        self
-    }
-    fn read(&mut self) -> Message {
-        read_message(&self.stream).expect("an answer comes").expect("the connection stays until then")
-    }
-}
+const FRONT: Program = Program { path: env!("CARGO_BIN_EXE_brassport"), folder: env!("CARGO_TARGET_TMPDIR") };
 
 #[test]
 fn serves_the_backends_answer_unchanged() {
     let backend = Peer::start();
-    let front = Front::before(&[backend.address]);
+    let front = FRONT.before(&[backend.address]);
     let mut client = front.client();
     let job = post("a job").replace("/job-submit", "/job-submit/7?a=b%20c");
     client.send(&job.replace("Plan:", "Connection: X-Hop\r\nX-Hop: 1\r\nPlan:"));
@@ -425,7 +49,7 @@
 fn healthz_tells_whether_it_can_serve() {
     let discovery = Discovery::start(list(&[]));
     let backend = Peer::start();
-    let front = Front::start(&config(discovery.address, list(&[])));
+    let front = FRONT.start(&config(discovery.address, list(&[])));
     let ask = "GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n";
     assert_eq!(front.client().send(ask).read().status(), 503);
     discovery.tell(json!([target("s-00000001", backend.address, "ready")]));
@@ -436,7 +60,7 @@
 fn refuses_at_once_and_says_when_to_come_back() {
     let backend = Peer::start();
     let known = list(&[target("s-00000001", backend.address, "draining")]);
-    let front = Front::start(&config(closed_port(), known));
+    let front = FRONT.start(&config(closed_port(), known));
     let asked = Instant::now();
     let answer = front.client().send(&get("")).read();
     assert_eq!(answer.status(), 429);
@@ -452,7 +76,7 @@
         "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
     ] {
         let backends = [Peer::start(), Peer::start()];
-        let front = Front::before(&[backends[0].address, backends[1].address]);
+        let front = FRONT.before(&[backends[0].address, backends[1].address]);
         let mut client = front.client();
         client.send(&post("once"));
         let first = next_of(&backends).0;
@@ -483,7 +107,7 @@
 #[test]
 fn what_was_turned_away_goes_elsewhere() {
     let backends = [Peer::start(), Peer::start()];
-    let front = Front::before(&[backends[0].address, backends[1].address]);
+    let front = FRONT.before(&[backends[0].address, backends[1].address]);
     let mut client = front.client();
     client.send(&post("a job"));
     let (exchange, first) = next_of(&backends);
@@ -497,7 +121,7 @@
 
 #[test]
 fn what_could_not_connect_was_never_sent() {
-    let front = Front::before(&[closed_port()]);
+    let front = FRONT.before(&[closed_port()]);
     // Only a refusal, and no failure, says that nothing ran.
     assert_eq!(front.client().send(&post("a job")).read().status(), 429);
 }
@@ -505,7 +129,7 @@
 #[test]
 fn an_idle_connection_that_the_backend_closed_costs_no_request() {
     let backend = Peer::start();
-    let front = Front::before(&[backend.address]);
+    let front = FRONT.before(&[backend.address]);
     let mut client = front.client();
     for _ in 0..3 {
         client.send(&post("a job"));
@@ -522,7 +146,7 @@
         target("s-00000002", backends[1].address, "ready"),
     ]);
     let discovery = Discovery::start(both.clone());
-    let front = Front::start(&config(discovery.address, both));
+    let front = FRONT.start(&config(discovery.address, both));
     discovery.tell(json!([target("s-00000001", backends[0].address, "draining")]));
     let mut client = front.client();
     for _ in 0..6 {
@@ -541,7 +165,7 @@
     let discovery = Discovery::start(known.clone());
     let mut config = config(discovery.address, known);
     config["settings"]["bounds"]["connectTimeout"] = json!(30_000.0);
-    let front = Front::start(&config);
+    let front = FRONT.start(&config);
     let mut client = front.client();
     client.send(&post("a job"));
     stuck.wait_for_connect();
@@ -556,7 +180,7 @@
     let stuck = Stuck::start();
     let mut config = config(closed_port(), list(&[target("s-00000001", stuck.address, "ready")]));
     config["settings"]["bounds"]["connectTimeout"] = json!(30_000.0);
-    let front = Front::start(&config);
+    let front = FRONT.start(&config);
     let mut client = front.client();
     client.send(&post("a job"));
     stuck.wait_for_connect();
@@ -567,7 +191,7 @@
 #[test]
 fn a_client_that_goes_while_its_request_runs_disturbs_no_other() {
     let backend = Peer::start();
-    let front = Front::before(&[backend.address]);
+    let front = FRONT.before(&[backend.address]);
     let mut gone = front.client();
     gone.send(&post("gone"));
     let exchange = backend.next();
@@ -583,7 +207,7 @@
 #[test]
 fn at_the_deadline_the_client_is_told_and_the_attempts_socket_closed() {
     let backend = Peer::start();
-    let front = Front::before(&[backend.address]);
+    let front = FRONT.before(&[backend.address]);
     let mut client = front.client();
     let asked = Instant::now();
     client.send(&post("a job").replace("4000m", "300000u"));
@@ -596,7 +220,7 @@
 #[test]
 fn an_attempts_socket_is_closed_before_the_next_attempt_goes_out() {
     let backends = [Peer::start(), Peer::start()];
-    let front = Front::before(&[backends[0].address, backends[1].address]);
+    let front = FRONT.before(&[backends[0].address, backends[1].address]);
     let mut client = front.client();
     client.send(&get(""));
     let (mut silent, first) = next_of(&backends);
@@ -612,7 +236,7 @@
 #[test]
 fn malformed_input_gets_400_and_reaches_no_backend() {
     let backend = Peer::start();
-    let front = Front::before(&[backend.address]);
+    let front = FRONT.before(&[backend.address]);
     let good = get("");
     let spoilt = [
         ("X-Class: preview-fetch", "X-Class: nothing"),
@@ -650,7 +274,7 @@
 #[test]
 fn peers_that_do_not_finish_a_request_are_let_go() {
     let backend = Peer::start();
-    let front = Front::before(&[backend.address]);
+    let front = FRONT.before(&[backend.address]);
     let healthz = "GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n";
     let short = post("a job").replace("a job", "a");
     let unfinished = ["", "GET /preview-fetch HT", healthz, &short];
@@ -677,8 +301,7 @@
 fn a_silent_discovery_disturbs_nothing_and_is_asked_anew() {
     let backend = Peer::start();
     let silent = Peer::start();
-    let front =
-        Front::start(&config(silent.address, list(&[target("s-00000001", backend.address, "ready")])));
+    let front = FRONT.start(&config(silent.address, list(&[target("s-00000001", backend.address, "ready")])));
     let mut call = silent.next();
     let watch = "GET /v1/servers?after=1&wait_ms=4000 HTTP/1.1";
     assert_eq!(call.request.line, watch, "what is newer than the list that the configuration holds");
@@ -713,7 +336,7 @@
     let (old, new) = (Peer::start(), Peer::start());
     let known = list(&[target("s-00000001", backends[0].address, "ready")]);
     let mut config = config(old.address, known.clone());
-    let front = Front::start(&config);
+    let front = FRONT.start(&config);
     let mut watch = old.next();
     let mut client = front.client();
     client.send(&get(""));
@@ -739,7 +362,7 @@
     let agent = Peer::start();
     let known = list(&[target("s-00000001", backend.address, "ready")]);
     let mut config = config(agent.address, known.clone());
-    let front = Front::start(&config);
+    let front = FRONT.start(&config);
     agent.next().ok(&known.to_string());
     let mut client = front.client();
     config["discovery"] = json!("nowhere");
@@ -757,7 +380,7 @@
 #[test]
 fn sigterm_ends_it_in_order() {
     let backend = Peer::start();
-    let mut front = Front::before(&[backend.address]);
+    let mut front = FRONT.before(&[backend.address]);
     let mut idle = front.client();
     idle.send(&get(""));
     backend.next().ok("");
@@ -792,7 +415,7 @@
     let backend = Peer::start();
     let mut config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
     config["settings"]["classes"][1]["deadline"] = json!(12_000.0);
-    let mut front = Front::start(&config);
+    let mut front = FRONT.start(&config);
     let mut client = front.client();
     client.send(&post("a job").replace("4000m", "12000m"));
     let _silent = backend.next();
@@ -809,7 +432,7 @@
     let backend = Peer::start();
     let mut config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
     config["limits"]["sockets"] = json!(48);
-    let front = Front::start(&config);
+    let front = FRONT.start(&config);
     let _idle: Vec<Client> = (0..60).map(|_| front.client()).collect();
     let served = thread::spawn(move || backend.next().ok("served"));
     let until = Instant::now() + PATIENCE;
@@ -828,7 +451,7 @@
 fn a_log_that_nobody_takes_ends_nothing() {
     let known = list(&[target("s-00000001", closed_port(), "draining")]);
     let config = config(closed_port(), known);
-    let mut front = Front::start_with(&config, Stdio::piped());
+    let mut front = FRONT.start_with(&config, Stdio::piped());
     drop(front.child.stderr.take());
     let mut client = front.client();
     // The module reports once a second that it has no server.
@@ -847,7 +470,7 @@
     errors.set_nonblocking(true).expect("it does not wait");
     while (&errors).write(&[b'x'; 1000]).is_ok() {}
     errors.set_nonblocking(false).expect("it waits");
-    let front = Front::start_with(&config, OwnedFd::from(errors).into());
+    let front = FRONT.start_with(&config, OwnedFd::from(errors).into());
     // Each of these is a line of the log.
     for _ in 0..20 {
         assert!(front.call("maint-on s-00000001").starts_with("done"));
@@ -881,7 +504,7 @@
     let known = list(&[target("s-00000001", closed_port(), "ready")]);
     let mut config = config(closed_port(), known);
     config["log"] = json!("json");
-    let mut front = Front::start_with(&config, Stdio::piped());
+    let mut front = FRONT.start_with(&config, Stdio::piped());
     let errors = BufReader::new(front.child.stderr.take().expect("it is piped"));
     assert!(front.call("maint-on s-00000001").starts_with("done"));
     let line = errors.lines().map_while(Result::ok).find(|line| line.contains("taken out"));
@@ -893,7 +516,7 @@
 #[test]
 fn sighup_names_each_key_that_differs_and_is_not_taken_over() {
     let mut config = config(closed_port(), list(&[]));
-    let mut front = Front::start_with(&config, Stdio::piped());
+    let mut front = FRONT.start_with(&config, Stdio::piped());
     let mut errors = BufReader::new(front.child.stderr.take().expect("it is piped"));
     config["settings"]["plans"][0]["unitsPerS"] = json!(7.0);
     config["limits"]["sockets"] = json!(2048);
@@ -911,8 +534,8 @@
 fn check_says_what_a_start_would_find() {
     let mut config = config(closed_port(), list(&[]));
     let check = |config: &Value| {
-        let path = write(config);
-        let mut command = Command::new(env!("CARGO_BIN_EXE_brassport"));
+        let path = FRONT.write(config);
+        let mut command = Command::new(FRONT.path);
         let output = command.arg("--check").arg("--config").arg(path).env_remove("BALANCER_CONFIG").output();
         let output = output.expect("it ends");
         let text = |bytes| String::from_utf8(bytes).expect("text");
@@ -937,7 +560,7 @@
 fn bad_configuration_ends_with_one_plain_line() {
     let mut bad = config(closed_port(), list(&[]));
     bad["settings"]["plans"][0]["unitsPerS"] = json!(-1.0);
-    let output = spawn(&write(&bad), Stdio::piped()).wait_with_output().expect("it ends");
+    let output = FRONT.spawn(&FRONT.write(&bad), Stdio::piped()).wait_with_output().expect("it ends");
     assert!(!output.status.success());
     let said = String::from_utf8(output.stderr).expect("text");
     assert_eq!(said, "brassport: setting plans[0].rate: must be a finite number, not below 0\n");
@@ -946,7 +569,7 @@
 #[test]
 fn the_operators_door_answers_whole_calls_and_no_others() {
     let backend = Peer::start();
-    let front = Front::before(&[backend.address]);
+    let front = FRONT.before(&[backend.address]);
     // Callers who say nothing, or half a call, hold up no one.
     let mut holding: Vec<TcpStream> = Vec::new();
     for _ in 0..40 {
@@ -964,14 +587,14 @@
 
 #[test]
 fn status_says_no_while_there_is_no_backend_to_send_to() {
-    let front = Front::start(&config(closed_port(), list(&[])));
+    let front = FRONT.start(&config(closed_port(), list(&[])));
     assert!(front.call("status").starts_with("error"));
 }
 
 #[test]
 fn the_numbers_count_each_request_where_it_ends() {
     let backend = Peer::start();
-    let front = Front::before(&[backend.address]);
+    let front = FRONT.before(&[backend.address]);
     let mut client = front.client();
     client.send(&get("/a"));
     let exchange = backend.next();
@@ -1035,7 +658,7 @@
 fn descriptors_come_back_after_each_odd_ending() {
     let (backend, stuck) = (Peer::start(), Stuck::start());
     let known = list(&[target("s-00000001", backend.address, "ready")]);
-    let front = Front::start(&config(closed_port(), known));
+    let front = FRONT.start(&config(closed_port(), known));
     let before = wait_for_descriptors(&front, 0, 0, 0);
     // A client that goes while its request runs.
     let mut gone = front.client();
@@ -1068,7 +691,7 @@
     drop(client);
     let mut config = config(closed_port(), list(&[target("s-00000001", stuck.address, "ready")]));
     config["settings"]["bounds"]["connectTimeout"] = json!(20_000.0);
-    let other = Front::start(&config);
+    let other = FRONT.start(&config);
     let mut client = other.client();
     client.send(&get("/on-its-way").replace("X-Deadline: 4000m", "X-Deadline: 300m"));
     wait_for_descriptors(&other, 1, 0, 1);
@@ -1091,7 +714,7 @@
     let targets =
         [target("s-00000001", peers[0].address, "ready"), target("s-00000002", peers[1].address, "ready")];
     let discovery = Discovery::start(list(&targets));
-    let front = Front::start(&config(discovery.address, list(&targets)));
+    let front = FRONT.start(&config(discovery.address, list(&targets)));
     let mut client = front.client();
     // Both get an idle connection that a request could take.
     for path in ["/0", "/1", "/2", "/3"] {
@@ -1129,7 +752,7 @@
 #[test]
 fn standby_sends_clients_away_and_active_takes_them_again() {
     let backend = Peer::start();
-    let front = Front::before(&[backend.address]);
+    let front = FRONT.before(&[backend.address]);
     let ask = "GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n";
     let serve = |client: &mut Client| {
         client.send(&get(""));
@@ -1193,7 +816,7 @@
 #[test]
 fn a_second_process_takes_over_and_no_client_is_turned_away() {
     let peers = [Peer::start(), Peer::start()];
-    let mut first = Front::before(&[peers[0].address, peers[1].address]);
+    let mut first = FRONT.before(&[peers[0].address, peers[1].address]);
     let (mut busy, mut idle) = (first.client(), first.client());
     let mut fresh = first.client();
     served(&mut idle, &peers);
@@ -1251,7 +874,7 @@
 #[test]
 fn a_successor_that_dies_leaves_the_door_open() {
     let peers = [Peer::start(), Peer::start()];
-    let first = Front::before(&[peers[0].address, peers[1].address]);
+    let first = FRONT.before(&[peers[0].address, peers[1].address]);
     let mut second = first.successor();
     second.child.kill().expect("it is killed");
     second.child.wait().expect("it ends");
@@ -1268,7 +891,7 @@
 #[test]
 fn a_long_answer_reaches_its_client_while_the_backend_still_writes_it() {
     let backend = Peer::start();
-    let front = Front::before(&[backend.address]);
+    let front = FRONT.before(&[backend.address]);
     let body = pattern(3 << 20);
     for chunked in [false, true] {
         let mut client = front.client();
@@ -1353,7 +976,7 @@
 #[test]
 fn a_long_answer_that_breaks_off_is_seen_to_be_cut() {
     let backend = Peer::start();
-    let front = Front::before(&[backend.address]);
+    let front = FRONT.before(&[backend.address]);
     let mut client = front.client();
     client.send(&get("/long"));
     let long = "x".repeat(100_000);
@@ -1371,7 +994,7 @@
 #[test]
 fn a_long_body_goes_on_as_it_comes() {
     let backend = Peer::start();
-    let front = Front::before(&[backend.address]);
+    let front = FRONT.before(&[backend.address]);
     let mut client = front.client();
     let body = pattern(2 << 20);
     let head = post("").replace("Content-Length: 0", &format!("Content-Length: {}", body.len()));
