Let the lab's front follow planned restarts, and measure units over quota

Checked: the record shows d0 told to end at 4.418 s and taken out by the front at 4.493 s, and the requests sent to it at 5.02 s and later, when both front doors of their customer were leaving. Ruled out: the front door itself, which closed its listener 0.6 s after SIGTERM as PROTOCOL lets it. To blame was the lab (client.rs, attempt: a front that knew of no door tried one that was leaving, on a new connection).

Change: the lab's front opens no new connection 0.3 s after SIGTERM, clients go on with those that stand, and what a close crosses goes on to another front door, unless the process was killed.

--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -4,7 +4,7 @@
 use crate::fleet::{backend_name, Facts, Plan, Semantics};
 use crate::record::{Ending, Entry, Event, Life, Micros, Ran};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 /// The checks by name.
 pub const NAMES: [&str; 7] = ["answers", "lost", "duplicates", "drains", "ceilings", "cold", "crashes"];
@@ -13,6 +13,8 @@
 const SLACK: Micros = 50_000;
 /// A ceiling's slack is what its rate gives in this time, beside its tolerance.
 const CEILING_SLACK_S: f64 = 0.15;
+/// How long before and after the first fault is looked at for units beyond limits.
+const AFTER: Micros = 10_000_000;
 /// Examples that a finding names.
 const EXAMPLES: usize = 5;
 
@@ -168,8 +170,10 @@
                 let one = Try { sent: entry.us, door: *door, class: *class, ended: None };
                 tries.insert(id, one);
             }
-            Event::Ended { id, ending, .. } => {
+            Event::Ended { id, ending, door, .. } => {
                 if let Some(one) = tries.get_mut(id.as_str()) {
+                    // A request that a close has crossed may have gone on to another one.
+                    one.door = *door;
                     one.ended.get_or_insert((entry.us, *ending));
                 }
             }
@@ -319,33 +323,49 @@
     Some((call, (0..facts.backends).find(|backend| backend_name(*backend) == name)?))
 }
 
-/// Units beyond a ceiling, each time that some are sent on.
-fn beyond(facts: &Facts, entries: &[Entry]) -> (usize, Vec<(Micros, u64, f64)>) {
-    struct Bucket {
-        level: f64,
-        at: Micros,
-    }
-    let (mut buckets, mut seen) = (HashMap::<u64, Bucket>::new(), BTreeSet::new());
+/// A limit on a customer's units: a second, at once, and how much more is let pass as slack of its level.
+struct Limit {
+    per_s: f64,
+    most: f64,
+}
+
+/// The hard ceiling of a plan, with its slack.
+fn ceiling(facts: &Facts, plan: &Plan) -> Option<Limit> {
+    let depth = plan.ceiling_burst + plan.ceiling_per_s * CEILING_SLACK_S;
+    let most = (depth * (1.0 + plan.tolerance)).max(depth + f64::from(facts.rules.most_units));
+    let per_s = plan.ceiling_per_s * (1.0 + plan.tolerance);
+    (plan.ceiling_per_s > 0.0).then_some(Limit { per_s, most })
+}
+
+/// The quota of a plan, without any slack: it is kept by chance and on the whole.
+fn quota(_: &Facts, plan: &Plan) -> Option<Limit> {
+    Some(Limit { per_s: plan.units_per_s, most: plan.burst_units })
+}
+
+/// Units beyond a limit, each time that some are sent on: when, for whom, and how many.
+fn beyond(
+    facts: &Facts,
+    entries: &[Entry],
+    limit: impl Fn(&Facts, &Plan) -> Option<Limit>,
+) -> (usize, Vec<(Micros, u64, f64)>) {
+    // By customer: the level of its bucket, and when that was.
+    let (mut buckets, mut seen) = (HashMap::<u64, (f64, Micros)>::new(), HashSet::new());
     let (mut cases, mut over) = (0, Vec::new());
     for entry in entries {
         let Event::Arrived { id, customer, plan, units, .. } = &entry.event else { continue };
-        let plan: &Plan = &facts.plans[*plan];
+        let Some(Limit { per_s, most }) = limit(facts, &facts.plans[*plan]) else { continue };
         // A try takes its units when its first attempt reaches a backend.
-        if plan.ceiling_per_s <= 0.0 || !seen.insert(id.as_str()) {
+        if !seen.insert(id.as_str()) {
             continue;
         }
         cases += 1;
-        let bucket = buckets.entry(*customer).or_insert(Bucket { level: 0.0, at: entry.us });
-        let rate = plan.ceiling_per_s * (1.0 + plan.tolerance);
-        bucket.level = (bucket.level - (entry.us - bucket.at) as f64 / 1e6 * rate).max(0.0);
-        bucket.at = entry.us;
-        let depth = plan.ceiling_burst + plan.ceiling_per_s * CEILING_SLACK_S;
-        let most = (depth * (1.0 + plan.tolerance)).max(depth + f64::from(facts.rules.most_units));
-        bucket.level += f64::from(*units);
-        let excess = bucket.level - most;
+        let (level, at) = buckets.entry(*customer).or_insert((0.0, entry.us));
+        *level = (*level - (entry.us - *at) as f64 / 1e6 * per_s).max(0.0) + f64::from(*units);
+        *at = entry.us;
+        let excess = *level - most;
         if excess > 0.0 {
             // Counted once: what is beyond does not make the next one be beyond.
-            bucket.level = most;
+            *level = most;
             over.push((entry.us, *customer, excess));
         }
     }
@@ -355,7 +375,7 @@
 /// All front doors together keep each customer's ceiling, in rate and in attempts out at once.
 fn ceilings(facts: &Facts, entries: &[Entry], _: &Faults) -> Finding {
     let mut finding = Finding::new("ceilings");
-    let (cases, over) = beyond(facts, entries);
+    let (cases, over) = beyond(facts, entries, ceiling);
     finding.cases = cases;
     for (at, customer, units) in over {
         finding
@@ -446,6 +466,10 @@
     /// Units sent on beyond ceilings in all, and in the 10 s after the first fault.
     pub beyond_units: f64,
     pub beyond_units_after_fault: f64,
+    /// Units sent on beyond quotas, rate and store, over all front doors, in the 10 s before the first fault (or what
+    /// there is of them) and after it.
+    pub over_quota_units_before_fault: f64,
+    pub over_quota_units_after_fault: f64,
     /// From the first fault until as much is served, in each second for 3 s, as 0.9 of the mean of the 3 s before it.
     /// `None`: never, or there was no fault.
     pub whole_after_ms: Option<f64>,
@@ -511,12 +535,18 @@
     (figures.late_p99_ms, figures.late_worst_ms) = lateness(entries);
     let fault = entries.iter().find(|entry| matches!(entry.event, Event::Fault { begins: true, .. }));
     let fault = fault.map(|entry| entry.us);
-    let (_, over) = beyond(facts, entries);
-    figures.beyond_units = over.iter().map(|(.., units)| units).sum::<f64>() + 0.0;
+    let first = fault.unwrap_or(Micros::MAX);
+    let units = |over: &[(Micros, u64, f64)], from: Micros, to: Micros| {
+        over.iter().filter(|(at, ..)| (from..to).contains(at)).fold(0.0, |sum, (.., units)| sum + units)
+    };
+    let after = (first, first.saturating_add(AFTER));
+    let (_, over) = beyond(facts, entries, ceiling);
+    figures.beyond_units = units(&over, 0, Micros::MAX);
+    figures.beyond_units_after_fault = units(&over, after.0, after.1);
+    let (_, over) = beyond(facts, entries, quota);
+    figures.over_quota_units_before_fault = units(&over, first.saturating_sub(AFTER), first);
+    figures.over_quota_units_after_fault = units(&over, after.0, after.1);
     if let Some(fault) = fault {
-        let after = |at: &Micros| (fault..fault + 10_000_000).contains(at);
-        figures.beyond_units_after_fault =
-            over.iter().filter(|(at, ..)| after(at)).map(|(.., units)| units).sum();
         recovery(&mut figures, &served_in, fault.saturating_sub(start), facts.seconds as u64);
     }
     bans(facts, entries, &mut figures);
--- a/lab/src/client.rs
+++ b/lab/src/client.rs
@@ -21,6 +21,8 @@
 
 /// How long beyond its deadline a client waits before a request counts as never answered.
 pub const BEYOND: Duration = Duration::from_millis(500);
+/// How long after SIGTERM new connections still come: PROTOCOL says 0.2 to 0.4 s.
+const LEAVING: Duration = Duration::from_millis(300);
 /// How often the front asks each front door, and how long it waits for the answer.
 const ASK: Duration = Duration::from_millis(200);
 /// Clients' connections that one front door is left with while they are idle.
@@ -118,6 +120,10 @@
 struct Entrance {
     address: SocketAddr,
     taken: AtomicBool,
+    /// It was told to end: connections that stand may be used, no new ones are opened.
+    leaves: AtomicBool,
+    /// It was killed: what was written to it may have run.
+    killed: AtomicBool,
     idle: Mutex<Vec<(Instant, SendRequest<Body>)>>,
 }
 
@@ -162,6 +168,8 @@
         let entrance = |address: &SocketAddr| Entrance {
             address: *address,
             taken: AtomicBool::new(false),
+            leaves: AtomicBool::new(false),
+            killed: AtomicBool::new(false),
             idle: Mutex::default(),
         };
         Arc::new(Clients {
@@ -181,6 +189,26 @@
         self.entrances[door].taken.load(Ordering::Relaxed)
     }
 
+    /// A front door was told to end: the front opens connections to it for a moment more, as PROTOCOL has it, and clients
+    /// go on with those that they have.
+    pub async fn leaves(self: Arc<Self>, door: usize) {
+        sleep(LEAVING).await;
+        self.entrances[door].leaves.store(true, Ordering::Relaxed);
+    }
+
+    /// A front door was killed.
+    pub fn killed(&self, door: usize) {
+        self.entrances[door].killed.store(true, Ordering::Relaxed);
+    }
+
+    /// A front door begins a new life.
+    pub fn begins(&self, door: usize) {
+        let entrance = &self.entrances[door];
+        entrance.leaves.store(false, Ordering::Relaxed);
+        entrance.killed.store(false, Ordering::Relaxed);
+        entrance.taken.store(false, Ordering::Relaxed);
+    }
+
     /// Requests that have no end yet.
     pub fn out(&self) -> usize {
         self.out.load(Ordering::Relaxed)
@@ -250,8 +278,9 @@
         let doors = self.entrances.len();
         let ways =
             (0..customer.spread).map(|way| (customer.first + (request.way + way) % customer.spread) % doors);
-        // A front that knows of none tries one all the same.
-        let door = ways.clone().find(|door| self.takes(*door)).or_else(|| ways.clone().next())?;
+        let ways: Vec<usize> = ways.collect();
+        let chosen = self.choose(&ways, true);
+        let door = chosen.or(ways.first().copied())?;
         // Below 2^60, as ids are numbers elsewhere.
         let id = format!("{:016x}", lock(&self.ids).random::<u64>() >> 4);
         let class = &self.facts.classes[request.class];
@@ -284,19 +313,48 @@
             due,
             retry,
         });
-        let tried = timeout(deadline + BEYOND, self.exchange(door, &id, message)).await;
+        if chosen.is_none() {
+            self.recorder.tell(Event::Ended { id, door, ending: Ending::NotTaken, status: 0 });
+            return None;
+        }
+        let last = AtomicUsize::new(door);
+        let tried = timeout(deadline + BEYOND, self.exchange(&last, &ways, &id, message)).await;
         let tried = tried.unwrap_or(Tried::as_ending(Ending::GaveUp));
+        let door = last.into_inner();
         self.recorder.tell(Event::Ended { id, door, ending: tried.ending, status: tried.status });
         tried.again
     }
 
-    async fn exchange(&self, door: usize, id: &str, message: impl Fn() -> Option<Request<Body>>) -> Tried {
-        let entrance = &self.entrances[door];
-        let mut used = self.idle(entrance);
+    /// The first of these front doors that the front deals to; `kept` if a connection that stands will do. A front that
+    /// knows of none tries one that was not told to end all the same.
+    fn choose(&self, ways: &[usize], kept: bool) -> Option<usize> {
+        let takes = |door: &&usize| {
+            let entrance = &self.entrances[**door];
+            let leaves = entrance.leaves.load(Ordering::Relaxed);
+            if leaves {
+                kept && self.has_idle(entrance)
+            } else {
+                self.takes(**door)
+            }
+        };
+        let stays = |door: &&usize| !self.entrances[**door].leaves.load(Ordering::Relaxed);
+        ways.iter().find(takes).or_else(|| ways.iter().find(stays)).copied()
+    }
+
+    async fn exchange(
+        &self,
+        door: &AtomicUsize,
+        ways: &[usize],
+        id: &str,
+        message: impl Fn() -> Option<Request<Body>>,
+    ) -> Tried {
+        let mut used = self.idle(&self.entrances[door.load(Ordering::Relaxed)]);
         loop {
+            let entrance = &self.entrances[door.load(Ordering::Relaxed)];
             let was_used = used.is_some();
             let mut sender = match used.take() {
                 Some(sender) => sender,
+                None if entrance.leaves.load(Ordering::Relaxed) => return Tried::as_ending(Ending::NotTaken),
                 None => match open(Some(self.ground.clients()), entrance.address).await {
                     Ok(sender) => sender,
                     Err(_) => return Tried::as_ending(Ending::NotTaken),
@@ -304,6 +362,7 @@
             };
             if sender.ready().await.is_err() {
                 if was_used {
+                    self.elsewhere(door, ways);
                     continue;
                 }
                 // It came up and was closed before anything was written.
@@ -311,8 +370,15 @@
             }
             let Some(message) = message() else { return Tried::as_ending(Ending::NotTaken) };
             match sender.send_request(message).await {
-                // A close that crosses a request on a kept connection: it is sent once more on a new one.
-                Err(error) if was_used && (error.is_canceled() || error.is_incomplete_message()) => continue,
+                // A close that crosses a request on a kept connection: it is sent once more. What a process had that was
+                // killed may have run.
+                Err(error)
+                    if was_used
+                        && (error.is_canceled()
+                            || error.is_incomplete_message() && !entrance.killed.load(Ordering::Relaxed)) =>
+                {
+                    self.elsewhere(door, ways);
+                }
                 Err(_) => return Tried::as_ending(Ending::Cut),
                 Ok(answer) => {
                     let status = answer.status().as_u16();
@@ -337,13 +403,25 @@
         }
     }
 
-    /// A connection that stands idle.
-    fn idle(&self, entrance: &Entrance) -> Option<SendRequest<Body>> {
+    /// Goes on with a new connection, to where the front opens such.
+    fn elsewhere(&self, door: &AtomicUsize, ways: &[usize]) {
+        if let Some(next) = self.choose(ways, false) {
+            door.store(next, Ordering::Relaxed);
+        }
+    }
+
+    fn has_idle(&self, entrance: &Entrance) -> bool {
         let mut idle = lock(&entrance.idle);
         idle.retain(|(since, sender)| !sender.is_closed() && since.elapsed() < KEEP);
         let over = idle.len().saturating_sub(IDLE);
         idle.drain(..over);
-        idle.pop().map(|(_, sender)| sender)
+        !idle.is_empty()
+    }
+
+    /// A connection that stands idle.
+    fn idle(&self, entrance: &Entrance) -> Option<SendRequest<Body>> {
+        self.has_idle(entrance);
+        lock(&entrance.idle).pop().map(|(_, sender)| sender)
     }
 }
 
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -232,6 +232,7 @@
             json!(format!("{:016x}", seeded(self.facts.seed, 6).wrapping_add(self.recorder.now())));
         fs::write(post.folder.join("config.json"), post.config.to_string())?;
         self.ready.lock().unwrap_or_else(std::sync::PoisonError::into_inner).insert(door, false);
+        self.clients.begins(door);
         post.process = Some(Process::start(&self.launcher, &post.folder)?);
         (post.leaving, post.stopped) = (None, false);
         self.recorder.tell(Event::Door { door, life: Life::Started });
@@ -278,6 +279,7 @@
             Deed::Kill(doors) => {
                 // All first, then all are waited for: they die together.
                 for door in doors {
+                    self.clients.killed(*door);
                     self.signal(*door, Signal::KILL, Life::Killed);
                 }
                 for door in doors {
@@ -309,6 +311,7 @@
                     if self.posts[*door].process.is_some() {
                         self.signal(*door, Signal::TERM, Life::Terminated);
                         self.posts[*door].leaving = Some(Instant::now());
+                        self.tasks.spawn(self.clients.clone().leaves(*door));
                     }
                 }
             }
