Begin the fleet's crate: a seeded simulation of 300 doors, and foca measured in it

Need: the view of the fleet has bounds at 300 doors, and which engine can bear them is to be measured before it is chosen.

Change: the crate fleet/ with what an engine is to its surroundings, and a simulation that follows from a seed: loss, doubling, delay, cuts one way, partitions, kills, stops, new starts. An example measures an engine by the bounds; the first one is foca. Nothing of it is in run.

Three tests of the simulation pass.

--- /dev/null
+++ b/fleet/examples/engines.rs
@@ -0,0 +1,253 @@
+//! Measures an engine of the view in the simulation, by the bounds that the view is to reach:
+//! `cargo run --release -p springusher-fleet --example engines [SEEDS]`.
+//!
+//! The engine here is `foca` with the settings that come nearest to those bounds.
+
+use foca::{Config, Foca, Identity, Member, PeriodicParams, PostcardCodec, Runtime, Timer};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+use springusher_fleet::engine::{Birth, Engine, Micros, Send, State};
+use springusher_fleet::sim::{Sim, Weather};
+use std::collections::BTreeMap;
+use std::num::{NonZeroU8, NonZeroUsize};
+use std::time::Duration;
+
+const PROBE: Micros = 500_000;
+const SECOND: Micros = 1_000_000;
+/// Doors that a new life asks for the others.
+const JOINS: usize = 3;
+
+/// A name of the roster and one of its lives.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Name {
+    place: u16,
+    life: u64,
+}
+
+impl Identity for Name {
+    type Addr = u16;
+    fn renew(&self) -> Option<Name> {
+        Some(Name { life: self.life + 1, ..self.clone() })
+    }
+    fn addr(&self) -> u16 {
+        self.place
+    }
+    fn win_addr_conflict(&self, other: &Name) -> bool {
+        self.life > other.life
+    }
+}
+
+/// What the engine asks for while it handles one input.
+#[derive(Default)]
+struct Asked {
+    sends: Vec<Send>,
+    timers: Vec<(Duration, Timer<Name>)>,
+}
+
+impl Runtime<Name> for &mut Asked {
+    fn notify(&mut self, _: foca::Notification<'_, Name>) {}
+    fn send_to(&mut self, to: Name, data: &[u8]) {
+        self.sends.push(Send { to: usize::from(to.place), bytes: data.to_vec() });
+    }
+    fn submit_after(&mut self, event: Timer<Name>, after: Duration) {
+        self.timers.push((after, event));
+    }
+}
+
+struct Swim {
+    foca: Foca<Name, PostcardCodec, Pcg64Mcg, foca::NoCustomBroadcast>,
+    timers: BTreeMap<(Micros, u64), Timer<Name>>,
+    count: u64,
+    birth: Birth,
+}
+
+impl Swim {
+    fn with(&mut self, now: Micros, sends: &mut Vec<Send>, act: impl FnOnce(&mut Self, &mut Asked)) {
+        let mut asked = Asked::default();
+        act(self, &mut asked);
+        sends.append(&mut asked.sends);
+        for (after, timer) in asked.timers {
+            self.count += 1;
+            self.timers.insert((now + after.as_micros() as Micros, self.count), timer);
+        }
+    }
+}
+
+fn config(birth: &Birth) -> Config {
+    let period = Duration::from_micros(birth.probe);
+    let every = |periods: u32, members| {
+        Some(PeriodicParams {
+            frequency: period * periods,
+            num_members: NonZeroUsize::new(members).expect("some"),
+        })
+    };
+    let mut config = Config::new_lan(std::num::NonZeroU32::new(birth.roster.max(2) as u32).expect("some"));
+    config.probe_period = period;
+    config.probe_rtt = period / 3;
+    config.num_indirect_probes = NonZeroUsize::new(3).expect("some");
+    config.max_transmissions = NonZeroU8::new(10).expect("some");
+    // What is left of the 4 s once a killed door has been probed and everybody has heard.
+    config.suspect_to_down_after = period * 4;
+    config.max_packet_size = NonZeroUsize::new(1400).expect("some");
+    config.notify_down_members = true;
+    config.remove_down_after = Duration::from_secs(86_400);
+    config.periodic_announce = None;
+    config.periodic_announce_to_down_members = every(4, 1);
+    config.periodic_gossip = every(1, 2);
+    config
+}
+
+impl Engine for Swim {
+    fn born(now: Micros, birth: Birth, sends: &mut Vec<Send>) -> Swim {
+        let me = Name { place: birth.me as u16, life: birth.unix };
+        let rng = Pcg64Mcg::seed_from_u64(birth.seed);
+        let foca = Foca::new(me, config(&birth), rng, PostcardCodec);
+        let mut swim = Swim { foca, timers: BTreeMap::new(), count: 0, birth };
+        swim.with(now, sends, |swim, asked| {
+            // The roster is known: its names are taken for alive under any life.
+            let others = (0..birth.roster).filter(|place| *place != birth.me);
+            let members = others.map(|place| Member::alive(Name { place: place as u16, life: 0 }));
+            let _ = swim.foca.apply_many(members, false, &mut *asked);
+            // Their true lives are learned from those who answer.
+            for step in 1..=JOINS.min(birth.roster - 1) {
+                let place = (birth.me + step * 7 % birth.roster) % birth.roster;
+                let _ = swim.foca.announce(Name { place: place as u16, life: 0 }, &mut *asked);
+            }
+        });
+        swim
+    }
+    fn receive(&mut self, now: Micros, bytes: &[u8], sends: &mut Vec<Send>) {
+        // What makes no sense to it is dropped.
+        self.with(now, sends, |swim, asked| drop(swim.foca.handle_data(bytes, asked)));
+    }
+    fn due(&self) -> Option<Micros> {
+        self.timers.keys().next().map(|(at, _)| *at)
+    }
+    fn wake(&mut self, now: Micros, sends: &mut Vec<Send>) {
+        while let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().0 <= now) {
+            let timer = entry.remove();
+            self.with(now, sends, |swim, asked| drop(swim.foca.handle_timer(timer, asked)));
+        }
+    }
+    fn view(&self) -> Vec<State> {
+        let mut view = vec![State::Dead; self.birth.roster];
+        view[self.birth.me] = State::Alive;
+        for member in self.foca.iter_members() {
+            let suspect = member.state() == foca::State::Suspect;
+            view[usize::from(member.id().place)] = if suspect { State::Suspect } else { State::Alive };
+        }
+        view
+    }
+}
+
+type Fleet = Sim<Swim>;
+
+/// A fleet that has run for a while.
+fn fleet(doors: usize, seed: u64, weather: Weather) -> Fleet {
+    let mut sim = Sim::new(doors, PROBE, seed);
+    sim.weather = weather;
+    (0..doors).for_each(|door| sim.start(door, SECOND));
+    sim.run_until(20 * SECOND);
+    sim
+}
+
+/// Ordered pairs of running doors of which one holds the other for dead.
+fn wrong(sim: &Fleet) -> usize {
+    let views = (0..sim.roster()).filter_map(|door| sim.view(door));
+    let dead = |view: Vec<State>| {
+        view.iter().enumerate().filter(|(door, state)| **state == State::Dead && sim.runs(*door)).count()
+    };
+    views.map(dead).sum()
+}
+
+fn seconds(at: Option<Micros>, since: Micros) -> String {
+    at.map_or("never".into(), |at| format!("{:.2} s", (at - since) as f64 / 1e6))
+}
+
+fn main() {
+    let seeds: u64 = std::env::args().nth(1).and_then(|seeds| seeds.parse().ok()).unwrap_or(3);
+    for doors in [3, 30, 300] {
+        for seed in 1..=seeds {
+            let calm = Weather::default();
+            let lossy = Weather { loss: 0.1, jitter: 50_000, ..calm };
+            let dead = |sim: &Fleet| {
+                (1..sim.roster()).filter_map(|door| sim.view(door)).all(|view| view[0] == State::Dead)
+            };
+            for (name, weather) in [("no loss", calm), ("10% loss", lossy)] {
+                let mut sim = fleet(doors, seed, weather);
+                let (since, settled) = (sim.now(), sim.is_settled());
+                sim.kill(0);
+                let at = sim.run_until_true(since + 60 * SECOND, dead);
+                println!("{doors:>3} doors, seed {seed}, {name}: settled before {settled}, a killed one is dead after {}",
+                    seconds(at, since));
+            }
+            let mut sim = fleet(doors, seed, lossy);
+            let (mut most, mut samples) = (0, 0);
+            for _ in 0..60 {
+                sim.run_until(sim.now() + SECOND);
+                let now = wrong(&sim);
+                most = most.max(now);
+                samples += usize::from(now > 0);
+            }
+            println!("{doors:>3} doors, seed {seed}, 10% loss for 60 s: {samples} of 60 seconds with a live door held for dead, \
+                      {most} pairs at most");
+            for (name, shape) in [("halves", 2), ("thirds", 3)] {
+                let mut sim = fleet(doors, seed, calm);
+                sim.partition(|door| door % shape);
+                sim.run_until(sim.now() + 30 * SECOND);
+                sim.partition(|_| 0);
+                let since = sim.now();
+                let at = sim.run_until_true(since + 120 * SECOND, Fleet::is_settled);
+                println!(
+                    "{doors:>3} doors, seed {seed}, {name} for 30 s: all views are right {} after healing",
+                    seconds(at, since)
+                );
+            }
+            let mut sim = fleet(doors, seed, calm);
+            (0..doors).for_each(|door| sim.stop(door, door % 3 == 0));
+            sim.run_until(sim.now() + 10 * SECOND);
+            (0..doors).for_each(|door| {
+                if door % 3 == 0 {
+                    sim.stop(door, false)
+                }
+            });
+            sim.run_until(sim.now() + SECOND / 10);
+            let flaps = (0..doors).filter(|door| door % 3 == 0).filter_map(|door| sim.view(door));
+            let flaps: usize =
+                flaps.map(|view| view.iter().filter(|state| **state == State::Dead).count()).sum();
+            let since = sim.now();
+            let at = sim.run_until_true(since + 120 * SECOND, Fleet::is_settled);
+            println!("{doors:>3} doors, seed {seed}, a third stopped for 10 s: on waking they hold {flaps} live ones for dead, \
+                      right after {}", seconds(at, since));
+            let mut sim = fleet(doors, seed, calm);
+            let quiet: Vec<_> = (0..doors).map(|door| sim.take_sent(door)).collect();
+            (0..doors).for_each(|door| {
+                if door % 10 < 7 {
+                    sim.kill(door)
+                }
+            });
+            for door in 0..doors {
+                sim.take_sent(door);
+            }
+            sim.run_until(sim.now() + 10 * SECOND);
+            let storm = (0..doors).filter(|door| sim.runs(*door)).collect::<Vec<_>>();
+            let storm: Vec<_> = storm.into_iter().map(|door| sim.take_sent(door)).collect();
+            let rate = |all: &[springusher_fleet::sim::Sent], seconds: f64| {
+                let bytes = all.iter().map(|sent| sent.bytes).max().unwrap_or(0) as f64 / seconds;
+                let messages = all.iter().map(|sent| sent.messages).max().unwrap_or(0) as f64 / seconds;
+                format!("{bytes:.0} bytes and {messages:.1} messages a second")
+            };
+            println!("{doors:>3} doors, seed {seed}, sent by the busiest: calm {}, after seven in ten were killed {}",
+                rate(&quiet, 20.0), rate(&storm, 10.0));
+            let mut sim = fleet(doors, seed, calm);
+            sim.kill(0);
+            sim.run_until(sim.now() + SECOND / 5);
+            sim.start(0, 0);
+            let since = sim.now();
+            let at = sim.run_until_true(since + 120 * SECOND, Fleet::is_settled);
+            println!("{doors:>3} doors, seed {seed}, killed and back with the clock set back: all views are right after {}",
+                seconds(at, since));
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/lib.rs
@@ -0,0 +1,8 @@
+//! What front doors tell each other, as state machines: no sockets, no clock, no threads. Time and chance are passed
+//! in, so that the same code runs in the program and in a simulation of hundreds of front doors that follows from a
+//! seed alone.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod engine;
+pub mod sim;
--- /dev/null
+++ b/fleet/src/sim.rs
@@ -0,0 +1,367 @@
+//! A network of front doors in one thread: all that happens follows from the seed.
+//!
+//! Datagrams are lost, doubled, delayed and so overtaken; links are cut one way; doors are killed, stopped and started
+//! anew. A stopped door receives what its socket's buffer holds once it goes on, and its timers are late.
+
+use crate::engine::{Birth, Engine, Micros, Place, Send, State};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+/// Datagrams that a stopped door's socket holds. More are lost.
+const BUFFERED: usize = 256;
+/// Bytes that IP and UDP put before a datagram's payload.
+const HEADERS: u64 = 28;
+
+/// What the network does to every datagram.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Weather {
+    /// Least time on the way, and by how much it varies at most.
+    pub delay: Micros,
+    /// Up to so much more.
+    pub jitter: Micros,
+    /// The chance that a datagram is lost.
+    pub loss: f64,
+    /// The chance that it comes twice.
+    pub double: f64,
+}
+
+impl Default for Weather {
+    fn default() -> Weather {
+        Weather { delay: 500, jitter: 500, loss: 0.0, double: 0.0 }
+    }
+}
+
+/// What a door has sent.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Sent {
+    /// Datagrams.
+    pub messages: u64,
+    /// Bytes, with the headers of IP and UDP.
+    pub bytes: u64,
+    /// The largest payload.
+    pub largest: usize,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive {
+        to: Place,
+        bytes: Vec<u8>,
+    },
+    /// Of the life with this number.
+    Wake {
+        door: Place,
+        life: u32,
+    },
+}
+
+struct Door<E> {
+    engine: Option<E>,
+    life: u32,
+    stopped: bool,
+    buffer: VecDeque<Vec<u8>>,
+    sent: Sent,
+    /// When the engine is woken next.
+    wakes: Option<Micros>,
+}
+
+/// The simulated fleet.
+pub struct Sim<E> {
+    now: Micros,
+    doors: Vec<Door<E>>,
+    queue: BinaryHeap<Reverse<(Micros, u64, Event)>>,
+    count: u64,
+    rng: Pcg64Mcg,
+    /// Whether nothing passes from one door to another, by `from * doors + to`.
+    cut: Vec<bool>,
+    probe: Micros,
+    /// What happens to datagrams that are sent from now on.
+    pub weather: Weather,
+    sends: Vec<Send>,
+}
+
+impl<E: Engine> Sim<E> {
+    /// A fleet of which nobody runs yet.
+    pub fn new(doors: usize, probe: Micros, seed: u64) -> Sim<E> {
+        let door = || Door {
+            engine: None,
+            life: 0,
+            stopped: false,
+            buffer: VecDeque::new(),
+            sent: Sent::default(),
+            wakes: None,
+        };
+        Sim {
+            now: 0,
+            doors: (0..doors).map(|_| door()).collect(),
+            queue: BinaryHeap::new(),
+            count: 0,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            cut: vec![false; doors * doors],
+            probe,
+            weather: Weather::default(),
+            sends: Vec::new(),
+        }
+    }
+
+    /// The time.
+    pub fn now(&self) -> Micros {
+        self.now
+    }
+
+    /// Names in the roster.
+    pub fn roster(&self) -> usize {
+        self.doors.len()
+    }
+
+    /// Whether a process of this door runs, stopped or not.
+    pub fn runs(&self, door: Place) -> bool {
+        self.doors[door].engine.is_some()
+    }
+
+    /// Starts a door from nothing. Its wall clock says `unix`.
+    pub fn start(&mut self, door: Place, unix: Micros) {
+        let seed = self.rng.random();
+        let birth = Birth { me: door, roster: self.doors.len(), unix, probe: self.probe, seed };
+        let engine = E::born(self.now, birth, &mut self.sends);
+        let place = &mut self.doors[door];
+        (place.engine, place.stopped, place.wakes) = (Some(engine), false, None);
+        place.life += 1;
+        place.buffer.clear();
+        self.after(door);
+    }
+
+    /// Kills a door.
+    pub fn kill(&mut self, door: Place) {
+        self.doors[door].engine = None;
+    }
+
+    /// Stops a door's process, or lets it go on.
+    pub fn stop(&mut self, door: Place, stopped: bool) {
+        self.doors[door].stopped = stopped;
+        if !stopped {
+            // What was due goes first, as a program's timers may: the harder order.
+            self.wake(door);
+            while let Some(bytes) = self.doors[door].buffer.pop_front() {
+                self.deliver(door, bytes);
+            }
+        }
+    }
+
+    /// Cuts the link from one door to another, or makes it whole.
+    pub fn cut(&mut self, from: Place, to: Place, cut: bool) {
+        let at = from * self.doors.len() + to;
+        self.cut[at] = cut;
+    }
+
+    /// Cuts all links between doors for which this differs, in both directions.
+    pub fn partition(&mut self, side: impl Fn(Place) -> usize) {
+        for from in 0..self.doors.len() {
+            for to in 0..self.doors.len() {
+                self.cut(from, to, side(from) != side(to));
+            }
+        }
+    }
+
+    /// Goes on to this time.
+    pub fn run_until(&mut self, until: Micros) {
+        while let Some(Reverse((at, ..))) = self.queue.peek() {
+            if *at > until {
+                break;
+            }
+            let Some(Reverse((at, _, event))) = self.queue.pop() else { break };
+            self.now = at;
+            match event {
+                Event::Arrive { to, bytes } => self.deliver(to, bytes),
+                Event::Wake { door, life } => {
+                    let place = &self.doors[door];
+                    if place.life == life && place.wakes == Some(at) && !place.stopped {
+                        self.wake(door);
+                    }
+                }
+            }
+        }
+        self.now = until;
+    }
+
+    /// What a door holds of the others; `None` while it does not run.
+    pub fn view(&self, door: Place) -> Option<Vec<State>> {
+        self.doors[door].engine.as_ref().map(E::view)
+    }
+
+    /// Whether each door that runs holds exactly those for alive that run.
+    pub fn is_settled(&self) -> bool {
+        let truth: Vec<bool> = (0..self.doors.len()).map(|door| self.runs(door)).collect();
+        let right = |view: Vec<State>| {
+            view.iter()
+                .zip(&truth)
+                .all(|(state, runs)| *state == if *runs { State::Alive } else { State::Dead })
+        };
+        (0..self.doors.len()).filter_map(|door| self.view(door)).all(right)
+    }
+
+    /// Goes on in steps of 50 ms until `done`, at most until this time. Returns when that was.
+    pub fn run_until_true(&mut self, until: Micros, done: impl Fn(&Sim<E>) -> bool) -> Option<Micros> {
+        while self.now < until {
+            if done(self) {
+                return Some(self.now);
+            }
+            self.run_until((self.now + 50_000).min(until));
+        }
+        done(self).then_some(self.now)
+    }
+
+    /// What a door has sent since this was last asked.
+    pub fn take_sent(&mut self, door: Place) -> Sent {
+        std::mem::take(&mut self.doors[door].sent)
+    }
+
+    fn deliver(&mut self, to: Place, bytes: Vec<u8>) {
+        let door = &mut self.doors[to];
+        if door.stopped {
+            if door.buffer.len() < BUFFERED {
+                door.buffer.push_back(bytes);
+            }
+            return;
+        }
+        if let Some(engine) = &mut door.engine {
+            engine.receive(self.now, &bytes, &mut self.sends);
+            self.after(to);
+        }
+    }
+
+    fn wake(&mut self, door: Place) {
+        let now = self.now;
+        let Some(engine) = &mut self.doors[door].engine else { return };
+        if engine.due().is_some_and(|due| due <= now) {
+            engine.wake(now, &mut self.sends);
+        }
+        self.doors[door].wakes = None;
+        self.after(door);
+    }
+
+    /// Puts what a door sent on its way, and notes when it is to be woken.
+    fn after(&mut self, from: Place) {
+        let doors = self.doors.len();
+        for Send { to, bytes } in std::mem::take(&mut self.sends) {
+            let sent = &mut self.doors[from].sent;
+            sent.messages += 1;
+            sent.bytes += bytes.len() as u64 + HEADERS;
+            sent.largest = sent.largest.max(bytes.len());
+            if to >= doors || self.cut[from * doors + to] || self.rng.random_bool(self.weather.loss) {
+                continue;
+            }
+            let copies = 1 + usize::from(self.rng.random_bool(self.weather.double));
+            for _ in 0..copies {
+                let late = self.rng.random_range(0..=self.weather.jitter);
+                let at = self.now + self.weather.delay + late;
+                self.put(at, Event::Arrive { to, bytes: bytes.clone() });
+            }
+        }
+        let door = &mut self.doors[from];
+        let due = door.engine.as_ref().and_then(E::due).map(|due| due.max(self.now));
+        if due != door.wakes {
+            door.wakes = due;
+            let life = door.life;
+            if let Some(at) = due {
+                self.put(at, Event::Wake { door: from, life });
+            }
+        }
+    }
+
+    fn put(&mut self, at: Micros, event: Event) {
+        self.count += 1;
+        self.queue.push(Reverse((at, self.count, event)));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Tells everybody twice a second that it lives, and counts whom it hears.
+    struct Shout {
+        birth: Birth,
+        next: Micros,
+        heard: Vec<u64>,
+    }
+
+    impl Engine for Shout {
+        fn born(now: Micros, birth: Birth, _: &mut Vec<Send>) -> Shout {
+            Shout { birth, next: now, heard: vec![0; birth.roster] }
+        }
+        fn receive(&mut self, _: Micros, bytes: &[u8], _: &mut Vec<Send>) {
+            self.heard[usize::from(bytes[0])] += 1;
+        }
+        fn due(&self) -> Option<Micros> {
+            Some(self.next)
+        }
+        fn wake(&mut self, now: Micros, sends: &mut Vec<Send>) {
+            self.next = now + self.birth.probe;
+            let others = (0..self.birth.roster).filter(|to| *to != self.birth.me);
+            sends.extend(others.map(|to| Send { to, bytes: vec![self.birth.me as u8] }));
+        }
+        fn view(&self) -> Vec<State> {
+            self.heard.iter().map(|heard| if *heard > 0 { State::Alive } else { State::Dead }).collect()
+        }
+    }
+
+    fn fleet(seed: u64) -> Sim<Shout> {
+        let mut sim = Sim::new(4, 500_000, seed);
+        (0..4).for_each(|door| sim.start(door, 0));
+        sim
+    }
+
+    fn heard(sim: &Sim<Shout>, by: Place, of: Place) -> u64 {
+        sim.doors[by].engine.as_ref().map_or(0, |engine| engine.heard[of])
+    }
+
+    #[test]
+    fn a_seed_gives_the_same_run_again_and_another_gives_another() {
+        let run = |seed| {
+            let mut sim = fleet(seed);
+            sim.weather = Weather { loss: 0.3, double: 0.2, jitter: 50_000, ..Weather::default() };
+            sim.run_until(60_000_000);
+            (0..16).map(|n| heard(&sim, n / 4, n % 4)).collect::<Vec<u64>>()
+        };
+        assert_eq!(run(1), run(1));
+        assert_ne!(run(1), run(2));
+    }
+
+    #[test]
+    fn datagrams_are_lost_and_doubled_as_often_as_told() {
+        let mut sim = fleet(1);
+        sim.weather = Weather { loss: 0.25, double: 0.5, ..Weather::default() };
+        sim.run_until(1_000_000_000);
+        let came = heard(&sim, 0, 1) as f64 / 2000.0;
+        assert!((came - 0.75 * 1.5).abs() < 0.1, "{came} for each that was sent");
+        assert_eq!(sim.take_sent(0), Sent { messages: 6003, bytes: 6003 * 29, largest: 1 });
+    }
+
+    #[test]
+    fn a_cut_is_one_way_and_what_is_killed_or_stopped_is_silent() {
+        let mut sim = fleet(1);
+        sim.cut(0, 1, true);
+        sim.kill(2);
+        sim.stop(3, true);
+        sim.run_until(10_000_000);
+        assert_eq!((heard(&sim, 1, 0), heard(&sim, 0, 2), heard(&sim, 0, 3)), (0, 0, 0));
+        assert!(heard(&sim, 0, 1) > 15);
+        assert_eq!(heard(&sim, 3, 0), 0);
+        sim.stop(3, false);
+        assert!(heard(&sim, 3, 0) > 15, "its socket held what came meanwhile");
+        let before = heard(&sim, 0, 3);
+        sim.run_until(11_000_000);
+        assert!(
+            (1..=4).contains(&(heard(&sim, 0, 3) - before)),
+            "its timers do not make up for what they missed"
+        );
+        sim.start(2, 0);
+        sim.partition(|door| door % 2);
+        let before = [heard(&sim, 0, 1), heard(&sim, 0, 2)];
+        sim.run_until(20_000_000);
+        assert!(heard(&sim, 0, 1) <= before[0] + 1 && heard(&sim, 0, 2) > before[1] + 10);
+    }
+}
