--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -72,7 +72,7 @@
     let start =
         entries.iter().find(|entry| matches!(entry.event, Event::Sent { .. })).map_or(0, |entry| entry.us);
     let second = |us: u64| us.saturating_sub(start) / 1_000_000;
-    let seconds = facts.seconds.ceil() as u64 + 1;
+    let seconds = facts.seconds.ceil() as u64;
     let mut ends: BTreeMap<Ending, BTreeMap<u64, f64>> = BTreeMap::new();
     let (mut doors, mut backends) = (BTreeMap::new(), BTreeMap::new());
     let (mut due, mut took) = (BTreeMap::new(), BTreeMap::<u64, Vec<u64>>::new());
