--- a/fleet/src/view.rs
+++ b/fleet/src/view.rs
@@ -10,7 +10,7 @@
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 /// Parts of the probe period: the step of all that is periodic, a second ping, the call for help, a helper's second
 /// ping and its report, and the verdict of a probe.
@@ -210,8 +210,7 @@
     relays: BTreeMap<u32, Relay>,
     /// Those to probe at random, each once before the first comes again.
     round: Vec<Place>,
-    /// Dead ones to call, hinted ones first.
-    hinted: VecDeque<Place>,
+    /// Dead ones to call, each once before the first is called again.
     calls: Vec<Place>,
     healing_until: u64,
     messages: Bucket,
@@ -287,7 +286,6 @@
             probes: BTreeMap::new(),
             relays: BTreeMap::new(),
             round: Vec::new(),
-            hinted: VecDeque::new(),
             calls: Vec::new(),
             healing_until: 0,
             messages: MESSAGES,
@@ -732,11 +730,6 @@
     }
 
     fn call_a_dead_one(&mut self, now: Micros, sends: &mut Vec<Send>) {
-        while let Some(place) = self.hinted.pop_front() {
-            if self.members[place].dead {
-                return self.call(now, place, sends);
-            }
-        }
         if self.calls.is_empty() {
             self.calls = (0..self.members.len()).filter(|place| self.members[*place].dead).collect();
             self.calls.shuffle(&mut self.rng);
@@ -903,13 +896,6 @@
         sends.push(Send { to, bytes });
         true
     }
-
-    /// Those that the view holds for dead, by name, and are to be called first: somebody knows better.
-    pub fn hint(&mut self, names: &BTreeSet<String>) {
-        let dead = (0..self.members.len()).filter(|place| self.members[*place].dead);
-        let hinted: Vec<Place> = dead.filter(|place| names.contains(&self.names[*place])).collect();
-        self.hinted.extend(hinted);
-    }
 }
 
 impl Member {
--- a/lab/src/agent.rs
+++ b/lab/src/agent.rs
@@ -2,13 +2,14 @@
 
 use crate::fleet::backend_name;
 use crate::http::{serve, Body};
+use crate::lock;
 use crate::record::{Event, Micros, Recorder};
 use hyper::body::Bytes;
 use hyper::{Request, Response};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -50,7 +51,7 @@
     }
 
     fn changes(&self) -> MutexGuard<'_, Vec<Change>> {
-        self.changes.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.changes)
     }
 
     /// A backend is in another state from now on.
--- a/lab/src/backend.rs
+++ b/lab/src/backend.rs
@@ -3,6 +3,7 @@
 use crate::fleet::Facts;
 use crate::ground::Ground;
 use crate::http::{serve, Body};
+use crate::lock;
 use crate::model::{Arrival, Machine, Meter, Server};
 use crate::record::{Event, Ran, Recorder};
 use hyper::body::Bytes;
@@ -11,7 +12,7 @@
 use rand_pcg::Pcg64Mcg;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
@@ -39,10 +40,6 @@
     pub ground: Arc<Ground>,
 }
 
-fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
-    of.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// One backend. Clones are the same.
 #[derive(Clone)]
 pub struct Backend {
--- a/lab/src/client.rs
+++ b/lab/src/client.rs
@@ -3,6 +3,7 @@
 use crate::fleet::{Facts, Semantics};
 use crate::ground::Ground;
 use crate::http::{open, status, Body};
+use crate::lock;
 use crate::record::{Ending, Event, Micros, Recorder};
 use http_body_util::BodyExt;
 use hyper::client::conn::http1::SendRequest;
@@ -13,7 +14,7 @@
 use rand_pcg::Pcg64Mcg;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -139,10 +140,6 @@
     out: AtomicUsize,
 }
 
-fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
-    of.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// How one try ended, and when to come again.
 struct Tried {
     ending: Ending,
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -20,3 +20,10 @@
 pub mod run;
 pub mod scenario;
 pub mod scripted;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// What a mutex holds, also after a task has ended while it held it: all of it is whole between two statements.
+pub(crate) fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+    of.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/lab/src/net.rs
+++ b/lab/src/net.rs
@@ -6,6 +6,7 @@
 //! it again, and goes on when the link is whole; a connection that is opened meanwhile does not come up, as the
 //! listener's queue is full. Datagrams are lost, doubled, delayed and overtaken.
 
+use crate::lock;
 use crate::record::{Event, Recorder};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -15,7 +16,7 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
@@ -121,10 +122,6 @@
     recorder: Option<Recorder>,
 }
 
-fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
-    of.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Net {
     /// A network whose relays stand at `own`; all chance in it follows from the seed.
     pub fn new(own: IpAddr, seed: u64, recorder: Option<Recorder>) -> Net {
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -12,6 +12,9 @@
 /// The word by which the lab's program is started as a keeper; the id of its parent and the program follow.
 pub const KEEPER: &str = "keep";
 
+/// Where a front door's log goes on from life to life, in its folder.
+const LOG: &str = "log.txt";
+
 /// How the front doors' program is started.
 #[derive(Debug, Clone)]
 pub struct Launcher {
@@ -78,7 +81,6 @@
 pub struct Process {
     child: Child,
     ended: Option<ExitStatus>,
-    log: PathBuf,
 }
 
 impl Process {
@@ -93,15 +95,14 @@
             Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
             _ => fs::create_dir_all(&shared)?,
         }
-        let log = folder.join("log.txt");
-        let errors = File::options().create(true).append(true).open(&log)?;
+        let errors = File::options().create(true).append(true).open(folder.join(LOG))?;
         let child = launcher
             .command(&folder.join("config.json"), &shared)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(errors)
             .spawn()?;
-        Ok(Process { child, ended: None, log })
+        Ok(Process { child, ended: None })
     }
 
     /// Its id in the system.
@@ -140,13 +141,6 @@
         self.ended = Some(self.child.wait()?);
         Ok(())
     }
-
-    /// The last line of its log.
-    pub fn last_words(&self) -> String {
-        let text = fs::read(&self.log).unwrap_or_default();
-        let text = String::from_utf8_lossy(&text);
-        text.lines().next_back().unwrap_or("it said nothing").to_string()
-    }
 }
 
 impl Drop for Process {
@@ -155,6 +149,13 @@
     }
 }
 
+/// The last line of the log that front doors have written in this folder.
+pub fn last_words(folder: &Path) -> String {
+    let text = fs::read(folder.join(LOG)).unwrap_or_default();
+    let text = String::from_utf8_lossy(&text);
+    text.lines().next_back().unwrap_or("it said nothing").to_string()
+}
+
 /// Sends a signal to a process that the caller has started and not waited for.
 ///
 /// # Errors
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -39,8 +39,8 @@
     if let Ok(serde_json::Value::Object(figures)) = serde_json::to_value(figures) {
         for (name, figure) in figures {
             let _ = match figure.as_f64().filter(|_| figure.is_f64()) {
-                Some(number) => writeln!(text, "  {name:<26}{number:.3}"),
-                None => writeln!(text, "  {name:<26}{figure}"),
+                Some(number) => writeln!(text, "  {name:<30}{number:.3}"),
+                None => writeln!(text, "  {name:<30}{figure}"),
             };
         }
     }
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -7,9 +7,10 @@
 use crate::fleet::{backend_name, Facts};
 use crate::ground::Ground;
 use crate::http::call_staff;
+use crate::lock;
 use crate::model::Meter;
 use crate::net::{Condition, Net};
-use crate::process::{Launcher, Process};
+use crate::process::{last_words, Launcher, Process};
 use crate::record::{self, Event, Life, Micros, Recorder};
 use crate::report;
 use crate::scenario::{Change, Deed, Scenario, State, Step};
@@ -201,8 +202,7 @@
             let (clients, ready, recorder) =
                 (self.clients.clone(), self.ready.clone(), self.recorder.clone());
             let first_yes = move || {
-                let mut ready = ready.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-                if ready.insert(door, true) == Some(false) {
+                if lock(&ready).insert(door, true) == Some(false) {
                     recorder.tell(Event::Door { door, life: Life::Ready });
                 }
             };
@@ -212,7 +212,7 @@
         while let Some(door) = (0..self.facts.doors).find(|door| !self.clients.takes(*door)) {
             self.look();
             let post = &self.posts[door];
-            let said = || post.process.as_ref().map_or_else(|| last_words(&post.folder), Process::last_words);
+            let said = || last_words(&post.folder);
             if post.process.is_none() {
                 return Err(io::Error::other(format!("d{door} ended at its start: {}", said())));
             }
@@ -231,7 +231,7 @@
         post.config["seed"] =
             json!(format!("{:016x}", seeded(self.facts.seed, 6).wrapping_add(self.recorder.now())));
         fs::write(post.folder.join("config.json"), post.config.to_string())?;
-        self.ready.lock().unwrap_or_else(std::sync::PoisonError::into_inner).insert(door, false);
+        lock(&self.ready).insert(door, false);
         self.clients.begins(door);
         post.process = Some(Process::start(&self.launcher, &post.folder)?);
         (post.leaving, post.stopped) = (None, false);
@@ -471,11 +471,6 @@
     }
 }
 
-fn last_words(folder: &Path) -> String {
-    let text = fs::read_to_string(folder.join("log.txt")).unwrap_or_default();
-    text.lines().next_back().unwrap_or("it said nothing").to_string()
-}
-
 /// How often a run is begun anew that could not get its ports.
 const TRIES: usize = 3;
 
