Wait for both doors of a process before a test of the front door begins

Three cases that call staff at once, eight at a time: 5 of 48 runs fail with this message. Ruled out: the test's own changes and the log, as the process had just begun.

--- a/lab/src/scripted.rs
+++ b/lab/src/scripted.rs
@@ -275,8 +275,10 @@
         let (address, admin): (SocketAddr, SocketAddr) = (named("listen"), named("admin_addr"));
         let config = self.write(config);
         let child = self.spawn(&config, errors);
-        let listens = wait_for(PATIENCE, || TcpStream::connect(address).ok());
-        listens.expect("the front door listens");
+        // The operators' door opens later than the clients', as connections of those wait in a queue meanwhile.
+        for place in [address, admin] {
+            wait_for(PATIENCE, || TcpStream::connect(place).ok()).expect("the front door listens");
+        }
         Front { child, address, admin, config, program: self }
     }
     /// One in front of these backends, known to it from its start, with discovery dead.
