Ask the budget before a datagram is made, and say each of the view's steps once

Need: the view encoded a datagram and computed its digest before it asked whether it may be sent, cloned a name for each claim that it heard, and had the count of living doors, the sound ones among them, and a burial written out two and three times.

Change: the message budget is asked first; the cause of a change is a place until the change is kept; living, sound and bury stand once.

--- a/fleet/src/view.rs
+++ b/fleet/src/view.rs
@@ -113,6 +113,14 @@
     NotRefuted,
 }
 
+/// The same with a place for the name, which is looked up when a change is kept.
+#[derive(Debug, Clone, Copy)]
+enum Cause {
+    NoAnswer,
+    ToldBy(Place),
+    NotRefuted,
+}
+
 /// A change of the view.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Change {
@@ -327,10 +335,14 @@
         &self.names
     }
 
+    /// Doors that are not dead, this one too.
+    fn living(&self) -> usize {
+        self.members.iter().filter(|member| !member.dead).count()
+    }
+
     /// Of which part of the roster this door can speak.
     pub fn side(&self) -> Side {
-        let alive = self.members.iter().filter(|member| !member.dead).count();
-        match alive {
+        match self.living() {
             alive if alive == self.members.len() => Side::Whole,
             1 => Side::Alone,
             alive if 2 * alive > self.members.len() => Side::Majority,
@@ -382,9 +394,8 @@
         self.go_on_with_relays(now, sends);
         self.end_doubts(now);
         if self.step % SUCCESSOR_STEPS == 0 {
-            if let Some(place) =
-                self.ring.iter().copied().find(|place| self.members[*place].state() == State::Alive)
-            {
+            let successor = self.sound().next();
+            if let Some(place) = successor {
                 self.begin_probe(now, place, sends);
             }
         }
@@ -525,7 +536,7 @@
                 _ => 1,
             };
             if let Some(probe) = self.probes.get_mut(&number) {
-                probe.pinged = stage.max(pinged);
+                probe.pinged = stage;
             }
             if age >= self.part(VERDICT) {
                 self.probes.remove(&number);
@@ -586,7 +597,7 @@
 
     /// A probe had no answer: the doubt is strong if helpers missed the door too, and if this door can hear them.
     fn doubt(&mut self, now: Micros, target: Place, missed: usize) {
-        let alone = self.members.iter().filter(|member| !member.dead).count() <= 1 + STRONG;
+        let alone = self.living() <= 1 + STRONG;
         let again = self.members[target].doubt.is_some();
         if missed == 0 && !alone && !again {
             // Not even the helpers were heard: the fault may be here.
@@ -598,12 +609,12 @@
             return;
         }
         let held = member.doubt.as_ref().map_or(0, |doubt| doubt.weight);
-        let weight = if held == 0 { own } else { own.max(held + 1) }.min(3);
-        self.weigh(now, target, weight, Why::NoAnswer);
+        let weight = own.max(held + 1).min(3);
+        self.weigh(now, target, weight, Cause::NoAnswer);
     }
 
     /// A doubt of this weight is held of a door from now on, or has grown.
-    fn weigh(&mut self, now: Micros, place: Place, weight: u8, why: Why) {
+    fn weigh(&mut self, now: Micros, place: Place, weight: u8, cause: Cause) {
         let wait = |weight: u8| DOUBT[usize::from(weight.clamp(1, 3)) - 1] * f64::from(1 + self.health);
         let wait = self.part(wait(weight));
         let before = self.members[place].state();
@@ -619,7 +630,7 @@
             // A weak doubt is this door's own until it is a strong one, or refuted.
             (member.sent, member.pressing) = (Some(0), true);
         }
-        self.note(now, place, before, why);
+        self.note(now, place, before, cause);
     }
 
     fn end_doubts(&mut self, now: Micros) {
@@ -627,13 +638,13 @@
             let member = &mut self.members[place];
             if member.doubt.as_ref().is_some_and(|doubt| doubt.until <= now) {
                 let before = member.state();
-                (member.doubt, member.dead, member.sent, member.pressing) = (None, true, Some(1), true);
-                self.note(now, place, before, Why::NotRefuted);
+                member.bury(1);
+                self.note(now, place, before, Cause::NotRefuted);
             }
         }
     }
 
-    fn note(&mut self, now: Micros, place: Place, before: State, why: Why) {
+    fn note(&mut self, now: Micros, place: Place, before: State, cause: Cause) {
         let after = self.members[place].state();
         if before == after {
             return;
@@ -641,6 +652,11 @@
         self.changed = now;
         if self.changes.len() < MOST_CHANGES {
             let name = self.names[place].clone();
+            let why = match cause {
+                Cause::NoAnswer => Why::NoAnswer,
+                Cause::ToldBy(place) => Why::ToldBy(self.names[place].clone()),
+                Cause::NotRefuted => Why::NotRefuted,
+            };
             self.changes.push_back(Change { name, from: before, to: after, why });
         }
     }
@@ -657,7 +673,7 @@
         if update.incarnation < member.incarnation {
             return false;
         }
-        let told = || Why::ToldBy(self.names[from].clone());
+        let cause = Cause::ToldBy(from);
         if update.incarnation > member.incarnation {
             let returned = member.dead;
             // Only what refutes something is worth telling: that it lives is held of each from the beginning.
@@ -673,25 +689,23 @@
             };
             // Who was dead and is told to be so again, in a later incarnation, never came back here.
             member.dead = returned && update.claim == Claim::Dead;
-            let why = told();
-            self.note(now, place, before, why);
+            self.note(now, place, before, cause);
             if returned && update.claim != Claim::Dead {
                 self.healing_until = self.step + HEALING;
             }
         }
-        let why = Why::ToldBy(self.names[from].clone());
         let member = &mut self.members[place];
         match update.claim {
             Claim::Alive => !member.dead,
             Claim::Suspect(_) if member.dead => false,
             Claim::Suspect(weight) => {
-                self.weigh(now, place, weight.clamp(1, 3), why);
+                self.weigh(now, place, weight.clamp(1, 3), cause);
                 true
             }
             Claim::Dead if member.dead => true,
             Claim::Dead if member.doubt.as_ref().is_some_and(|doubt| doubt.weight >= 3) => {
-                (member.doubt, member.dead, member.sent, member.pressing) = (None, true, Some(0), true);
-                self.note(now, place, before, why);
+                member.bury(0);
+                self.note(now, place, before, cause);
                 true
             }
             Claim::Dead => {
@@ -724,8 +738,8 @@
 
     /// Dead doors are called as often however many call them: each about twice in the time of one call at the most.
     fn is_its_turn(&mut self) -> bool {
-        let dead = self.members.iter().filter(|member| member.dead).count();
-        let chance = CALLS * dead as f64 / (self.members.len() - dead) as f64;
+        let living = self.living();
+        let chance = CALLS * (self.members.len() - living) as f64 / living as f64;
         self.rng.random_bool(chance.min(1.0))
     }
 
@@ -761,19 +775,19 @@
         }
     }
 
-    /// Somebody who is not dead.
+    /// The others that are neither dead nor doubted, in the order of the ring.
+    fn sound(&self) -> impl Iterator<Item = Place> + '_ {
+        self.ring.iter().copied().filter(|place| self.members[*place].state() == State::Alive)
+    }
+
+    /// One of them.
     fn anybody(&mut self) -> Option<Place> {
-        let lives = |place: &Place| self.members[*place].state() == State::Alive;
-        let alive: Vec<Place> = self.ring.iter().copied().filter(lives).collect();
+        let alive: Vec<Place> = self.sound().collect();
         (!alive.is_empty()).then(|| alive[self.rng.random_range(0..alive.len())])
     }
 
     fn helpers(&mut self, target: Place) -> Vec<Place> {
-        let able = |place: &Place| {
-            let member = &self.members[*place];
-            *place != target && !member.dead && member.doubt.is_none()
-        };
-        let mut able: Vec<Place> = self.ring.iter().copied().filter(able).collect();
+        let mut able: Vec<Place> = self.sound().filter(|place| *place != target).collect();
         let (some, _) = able.partial_shuffle(&mut self.rng, HELPERS);
         some.to_vec()
     }
@@ -868,6 +882,15 @@
         self.filled = self.filled.max(now);
         self.messages.fill(seconds);
         self.bytes.fill(seconds);
+        let kept = match class {
+            Class::Answer => 0.0,
+            Class::Question => KEPT_FOR_ANSWERS,
+            Class::News => KEPT_FOR_QUESTIONS,
+            Class::Call => KEPT_FOR_NEWS,
+        };
+        if self.superseded || self.messages.level < 1.0 + kept * self.messages.most {
+            return false;
+        }
         let bytes = Datagram {
             version: VERSION,
             roster: self.roster,
@@ -879,14 +902,7 @@
         }
         .encode();
         let size = (bytes.len() + HEADERS) as f64;
-        let kept = match class {
-            Class::Answer => 0.0,
-            Class::Question => KEPT_FOR_ANSWERS,
-            Class::News => KEPT_FOR_QUESTIONS,
-            Class::Call => KEPT_FOR_NEWS,
-        };
-        let kept = (kept * self.messages.most, kept * self.bytes.most);
-        if self.superseded || self.messages.level < 1.0 + kept.0 || self.bytes.level < size + kept.1 {
+        if self.bytes.level < size + kept * self.bytes.most {
             return false;
         }
         self.messages.level -= 1.0;
@@ -907,6 +923,11 @@
         }
     }
 
+    /// It is dead from now on, and that counts as having been sent on so often.
+    fn bury(&mut self, sent: u8) {
+        (self.doubt, self.dead, self.sent, self.pressing) = (None, true, Some(sent), true);
+    }
+
     /// Whether others are to hear of it soon: a weak doubt has the time to wait for other datagrams.
     fn presses(&self) -> bool {
         self.pressing && self.sent.is_some_and(|sent| sent < PRESSING)
