Index a record's requests once for all checks, and drop what the lab had twice

Need: three checks each built the same index of all requests, two wrote the same excuse, relays and clients each had the same connect, a link was healed in two places, customers were drawn twice, an agent was made twice, a flag of first answers stood outside the front that asks, and a channel to stop the clients had no user.

Change: the checks share one index and one excuse; one connect, Condition::healed, one draw, one agent; the front itself notes a life's first yes. Behaviour is as it was, and no check, bound or expectation is touched.

--- a/lab/src/agent.rs
+++ b/lab/src/agent.rs
@@ -108,12 +108,11 @@
 
 impl Agent {
     /// Answers for ever.
-    pub async fn run(self, listener: TcpListener) {
-        let agent = Arc::new(self);
+    pub async fn run(self: Arc<Self>, listener: TcpListener) {
         let mut connections = JoinSet::new();
         while let Ok((stream, _)) = listener.accept().await {
             while connections.try_join_next().is_some() {}
-            let agent = agent.clone();
+            let agent = self.clone();
             connections.spawn(async move { serve(stream, |request| agent.answer(request)).await });
         }
     }
--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -90,8 +90,10 @@
         Faults { doors, links }
     }
 
-    fn door(&self, door: usize, from: Micros, to: Micros) -> bool {
-        self.doors.get(&door).is_some_and(|spans| overlaps(spans, from, to))
+    /// Whether the front door of a try, or its link to clients, was at fault before the try's end.
+    fn excuse(&self, one: &Try, until: Micros) -> bool {
+        let stood = |spans: &Vec<Span>| overlaps(spans, one.sent, until);
+        self.doors.get(&one.door).is_some_and(stood) || self.link("clients", &door(one.door), one.sent, until)
     }
 
     /// Whether the link between two parties was at fault in either direction.
@@ -109,11 +111,19 @@
     }
 }
 
-type Check = fn(&Facts, &[Entry], &Faults) -> Finding;
+/// What all checks look at.
+struct Case<'a> {
+    facts: &'a Facts,
+    entries: &'a [Entry],
+    tries: HashMap<&'a str, Try>,
+    faults: Faults,
+}
+
+type Check = fn(&Case<'_>) -> Finding;
 
 /// All checks that the run is to pass.
 pub fn findings(facts: &Facts, entries: &[Entry]) -> Vec<Finding> {
-    let faults = Faults::of(entries);
+    let case = Case { facts, entries, tries: tries(entries), faults: Faults::of(entries) };
     let all: [(&str, Check); 7] = [
         ("answers", answers),
         ("lost", lost),
@@ -124,7 +134,7 @@
         ("crashes", crashes),
     ];
     let asked = all.iter().filter(|(name, _)| facts.checks.iter().any(|check| check == name));
-    asked.map(|(_, check)| check(facts, entries, &faults)).collect()
+    asked.map(|(_, check)| check(&case)).collect()
 }
 
 /// What the findings come to. A run of a machine that could not keep up has no verdict.
@@ -184,7 +194,7 @@
 }
 
 /// Each request has one answer, and one in time.
-fn answers(facts: &Facts, entries: &[Entry], faults: &Faults) -> Finding {
+fn answers(&Case { facts, entries, ref tries, ref faults }: &Case<'_>) -> Finding {
     let mut finding = Finding::new("answers");
     let mut ends: HashMap<&str, usize> = HashMap::new();
     for entry in entries {
@@ -192,7 +202,7 @@
             *ends.entry(id).or_default() += 1;
         }
     }
-    for (id, one) in tries(entries) {
+    for (id, one) in tries {
         finding.cases += 1;
         let limit = (facts.classes[one.class].deadline_ms * 1000.0) as Micros + SLACK;
         let until = one.ended.map_or(Micros::MAX, |(at, _)| at);
@@ -202,9 +212,7 @@
         if ends.get(id).is_some_and(|ends| *ends > 1) {
             finding.break_rule(|| format!("{id} ended more than once"));
         } else if late || never {
-            if faults.door(one.door, one.sent, until)
-                || faults.link("clients", &door(one.door), one.sent, until)
-            {
+            if faults.excuse(one, until) {
                 finding.excused += 1;
             } else {
                 let how = if late { "late" } else { "never" };
@@ -222,12 +230,12 @@
 }
 
 /// No front door that runs closes on a request that it has taken.
-fn lost(_: &Facts, entries: &[Entry], faults: &Faults) -> Finding {
+fn lost(Case { tries, faults, .. }: &Case<'_>) -> Finding {
     let mut finding = Finding::new("lost");
-    for (id, one) in tries(entries) {
+    for (id, one) in tries {
         finding.cases += 1;
         let Some((at, Ending::Cut)) = one.ended else { continue };
-        if faults.door(one.door, one.sent, at) || faults.link("clients", &door(one.door), one.sent, at) {
+        if faults.excuse(one, at) {
             finding.excused += 1;
         } else {
             finding
@@ -238,9 +246,8 @@
 }
 
 /// What may not run twice does not, and backends get nothing that no client sent.
-fn duplicates(facts: &Facts, entries: &[Entry], _: &Faults) -> Finding {
+fn duplicates(&Case { facts, entries, ref tries, .. }: &Case<'_>) -> Finding {
     let mut finding = Finding::new("duplicates");
-    let tries = tries(entries);
     // By id: when each attempt that may have run came, and those that were turned away at which backend.
     let mut arrived: BTreeMap<&str, Vec<(Micros, usize)>> = BTreeMap::new();
     for entry in entries {
@@ -277,7 +284,7 @@
 }
 
 /// Nothing new goes to a backend that the front door was told to leave alone, once the grace is over.
-fn drains(facts: &Facts, entries: &[Entry], faults: &Faults) -> Finding {
+fn drains(&Case { facts, entries, ref faults, .. }: &Case<'_>) -> Finding {
     let mut finding = Finding::new("drains");
     let grace = (facts.rules.grace_ms * 1000.0) as Micros + SLACK;
     // By front door and backend: since when the list, or staff, have it out.
@@ -373,7 +380,7 @@
 }
 
 /// All front doors together keep each customer's ceiling, in rate and in attempts out at once.
-fn ceilings(facts: &Facts, entries: &[Entry], _: &Faults) -> Finding {
+fn ceilings(&Case { facts, entries, .. }: &Case<'_>) -> Finding {
     let mut finding = Finding::new("ceilings");
     let (cases, over) = beyond(facts, entries, ceiling);
     finding.cases = cases;
@@ -407,7 +414,7 @@
 }
 
 /// No cold backend is pushed over.
-fn cold(_: &Facts, entries: &[Entry], _: &Faults) -> Finding {
+fn cold(&Case { entries, .. }: &Case<'_>) -> Finding {
     let mut finding = Finding::new("cold");
     for entry in entries {
         match &entry.event {
@@ -422,7 +429,7 @@
 }
 
 /// No front door ends by itself, and each that is started says yes.
-fn crashes(_: &Facts, entries: &[Entry], _: &Faults) -> Finding {
+fn crashes(&Case { entries, .. }: &Case<'_>) -> Finding {
     let mut finding = Finding::new("crashes");
     let mut starting: BTreeMap<usize, Micros> = BTreeMap::new();
     for entry in entries {
--- a/lab/src/client.rs
+++ b/lab/src/client.rs
@@ -4,7 +4,7 @@
 use crate::ground::Ground;
 use crate::http::{open, status, Body};
 use crate::lock;
-use crate::record::{Ending, Event, Micros, Recorder};
+use crate::record::{Ending, Event, Life, Micros, Recorder};
 use http_body_util::BodyExt;
 use hyper::client::conn::http1::SendRequest;
 use hyper::Request;
@@ -16,7 +16,6 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
@@ -121,6 +120,8 @@
 struct Entrance {
     address: SocketAddr,
     taken: AtomicBool,
+    /// It has said yes in this life.
+    ready: AtomicBool,
     /// It was told to end: connections that stand may be used, no new ones are opened.
     leaves: AtomicBool,
     /// It was killed: what was written to it may have run.
@@ -165,6 +166,7 @@
         let entrance = |address: &SocketAddr| Entrance {
             address: *address,
             taken: AtomicBool::new(false),
+            ready: AtomicBool::new(false),
             leaves: AtomicBool::new(false),
             killed: AtomicBool::new(false),
             idle: Mutex::default(),
@@ -201,9 +203,9 @@
     /// A front door begins a new life.
     pub fn begins(&self, door: usize) {
         let entrance = &self.entrances[door];
-        entrance.leaves.store(false, Ordering::Relaxed);
-        entrance.killed.store(false, Ordering::Relaxed);
-        entrance.taken.store(false, Ordering::Relaxed);
+        for told in [&entrance.taken, &entrance.ready, &entrance.leaves, &entrance.killed] {
+            told.store(false, Ordering::Relaxed);
+        }
     }
 
     /// Requests that have no end yet.
@@ -213,7 +215,7 @@
 
     /// Asks a front door for ever whether it takes clients: in at the first yes, out at a no, and out when it has
     /// not answered for the time that the front needs to notice.
-    pub async fn watch(self: Arc<Self>, door: usize, first_yes: impl Fn()) {
+    pub async fn watch(self: Arc<Self>, door: usize) {
         let entrance = &self.entrances[door];
         let mut last = Instant::now();
         loop {
@@ -229,28 +231,25 @@
             if entrance.taken.swap(taken, Ordering::Relaxed) != taken {
                 self.recorder.tell(Event::Front { door, taken });
             }
-            if matches!(asked, Ok(Ok(200))) {
-                first_yes();
+            if matches!(asked, Ok(Ok(200))) && !entrance.ready.swap(true, Ordering::Relaxed) {
+                self.recorder.tell(Event::Door { door, life: Life::Ready });
             }
             sleep(ASK).await;
         }
     }
 
-    /// Sends all that is planned, each when it is due after `start`, until `stop` says so. Returns once each has ended.
-    pub async fn run(
-        self: Arc<Self>,
-        requests: Vec<Planned>,
-        start: Micros,
-        mut stop: watch::Receiver<bool>,
-    ) {
+    /// Who they are.
+    pub fn customers(&self) -> &[Customer] {
+        &self.customers
+    }
+
+    /// Sends all that is planned, each when it is due after `start`. Returns once each has ended.
+    pub async fn run(self: Arc<Self>, requests: Vec<Planned>, start: Micros) {
         let mut tasks = JoinSet::new();
         for request in requests {
             while tasks.try_join_next().is_some() {}
             let due = start + request.due;
-            tokio::select! {
-                () = sleep_until(Instant::from_std(self.recorder.instant(due))) => {}
-                _ = stop.wait_for(|stop| *stop) => break,
-            }
+            sleep_until(Instant::from_std(self.recorder.instant(due))).await;
             self.out.fetch_add(1, Ordering::Relaxed);
             let clients = self.clone();
             tasks.spawn(async move {
--- a/lab/src/http.rs
+++ b/lab/src/http.rs
@@ -35,16 +35,21 @@
     let _ = hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
 }
 
+/// Connects from this address, at a port that the system gives.
+pub(crate) async fn connect(from: Option<IpAddr>, to: SocketAddr) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    if let Some(from) = from {
+        socket.bind(SocketAddr::new(from, 0))?;
+    }
+    socket.connect(to).await
+}
+
 /// Opens a connection from this address. What drives it ends with the sender.
 ///
 /// # Errors
 /// No connection comes up.
 pub async fn open(from: Option<IpAddr>, to: SocketAddr) -> io::Result<SendRequest<Body>> {
-    let socket = TcpSocket::new_v4()?;
-    if let Some(from) = from {
-        socket.bind(SocketAddr::new(from, 0))?;
-    }
-    let stream = socket.connect(to).await?;
+    let stream = connect(from, to).await?;
     let _ = stream.set_nodelay(true);
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
     tokio::spawn(connection);
--- a/lab/src/net.rs
+++ b/lab/src/net.rs
@@ -6,6 +6,7 @@
 //! it again, and goes on when the link is whole; a connection that is opened meanwhile does not come up, as the
 //! listener's queue is full. Datagrams are lost, doubled, delayed and overtaken.
 
+use crate::http::connect;
 use crate::lock;
 use crate::record::{Event, Recorder};
 use rand::{Rng, SeedableRng};
@@ -97,6 +98,11 @@
         }
     }
 
+    /// A whole link after this one, whose connections have been reset as often.
+    pub fn healed(self) -> Condition {
+        Condition { resets: self.resets, ..Condition::default() }
+    }
+
     /// The later moment at which a piece that comes now is let on.
     fn due(&self, rng: &mut Pcg64Mcg) -> Instant {
         Instant::now() + self.delay + self.jitter.mul_f64(rng.random())
@@ -178,11 +184,9 @@
     pub fn heal(&self) {
         let pairs: Vec<(String, String)> = lock(&self.inner.links).keys().cloned().collect();
         for (from, to) in pairs {
-            let resets = self.condition(&from, &to).resets;
-            if self.condition(&from, &to) != (Condition { resets, ..Condition::default() }) {
-                self.change(&from, &to, |condition| {
-                    *condition = Condition { resets, ..Condition::default() }
-                });
+            let condition = self.condition(&from, &to);
+            if condition != condition.healed() {
+                self.change(&from, &to, |condition| *condition = condition.healed());
             }
         }
     }
@@ -341,13 +345,12 @@
     let _counted = Counted::one();
     // A reset counts from here on, also while the onward connection is on its way.
     let (reset_there, reset_back) = (was_reset(there.clone()), was_reset(back.clone()));
-    let Ok(Ok(mut far)) = timeout(CONNECT, connect(target, source)).await else {
+    let Ok(Ok(mut far)) = timeout(CONNECT, connect(source, target)).await else {
         reset(&near);
         return;
     };
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
-    let rngs = [0; 2].map(|_| Pcg64Mcg::seed_from_u64(rng.random()));
-    let [one, other] = rngs;
+    let [one, other] = [0; 2].map(|_| Pcg64Mcg::seed_from_u64(rng.random()));
     let broken = {
         let (near_read, near_write) = near.split();
         let (far_read, far_write) = far.split();
@@ -367,14 +370,6 @@
     }
 }
 
-async fn connect(target: SocketAddr, source: Option<IpAddr>) -> io::Result<TcpStream> {
-    let socket = TcpSocket::new_v4()?;
-    if let Some(source) = source {
-        socket.bind(SocketAddr::new(source, 0))?;
-    }
-    socket.connect(target).await
-}
-
 /// Waits for the next reset after this call.
 fn was_reset(mut link: watch::Receiver<Condition>) -> impl Future<Output = ()> {
     let before = link.borrow().resets;
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -168,7 +168,7 @@
 fn plot(lines: &[Line], bands: &[(f64, f64, String)], seconds: f64) -> String {
     let mut svg = String::new();
     let most = lines.iter().flat_map(|(_, points)| points).map(|point| point.1).fold(1.0, f64::max) * 1.05;
-    let drawn = || -> Result<(), Box<dyn std::error::Error + '_>> {
+    let mut drawn = || -> Result<(), Box<dyn std::error::Error + '_>> {
         let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
         area.fill(&WHITE)?;
         let mut chart = ChartBuilder::on(&area)
@@ -195,12 +195,8 @@
         area.present()?;
         Ok(())
     };
-    let problem = drawn_problem(drawn);
-    problem.unwrap_or(svg)
-}
-
-fn drawn_problem<'a>(draw: impl FnOnce() -> Result<(), Box<dyn std::error::Error + 'a>>) -> Option<String> {
-    draw().err().map(|error| format!("<p>this plot cannot be drawn: {}</p>", escape(&error.to_string())))
+    let problem = drawn().err().map(|error| error.to_string());
+    problem.map_or(svg, |problem| format!("<p>this plot cannot be drawn: {}</p>", escape(&problem)))
 }
 
 /// A strip for each front door: green while the front deals to it, grey while its process is gone, orange while it
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -7,7 +7,6 @@
 use crate::fleet::{backend_name, Facts};
 use crate::ground::Ground;
 use crate::http::call_staff;
-use crate::lock;
 use crate::model::Meter;
 use crate::net::{Condition, Net};
 use crate::process::{last_words, Launcher, Process};
@@ -19,7 +18,6 @@
 use rustix::process::Signal;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
-use std::collections::HashMap;
 use std::fs;
 use std::io;
 use std::net::SocketAddr;
@@ -80,7 +78,6 @@
     ground: Arc<Ground>,
     launcher: Launcher,
     tasks: JoinSet<()>,
-    ready: Arc<Mutex<HashMap<usize, bool>>>,
     versions: u64,
 }
 
@@ -146,13 +143,13 @@
             let manner = watch::Sender::new(Manner { lag, silent: false });
             let listener = TcpListener::bind(SocketAddr::new(ground.own(), 0)).await?;
             let discovery = net.tcp(&name, &format!("a{door}"), listener.local_addr()?).await?;
-            let agent = || Agent {
+            let agent = Arc::new(Agent {
                 door,
                 list: list.clone(),
-                endpoints: endpoints.clone(),
+                endpoints,
                 manner: manner.subscribe(),
                 recorder: recorder.clone(),
-            };
+            });
             let config = json!({
                 "name": format!("n{door}"), "listen": ground.listen(door).to_string(),
                 "admin_addr": ground.staff(door).to_string(), "discovery": discovery.to_string(),
@@ -161,8 +158,8 @@
                 "known": {"rev": 0, "all": true, "targets": []},
                 "settings": facts.settings(door, None),
             });
-            tasks.spawn(agent().run(listener));
-            agents.push(Arc::new(agent()));
+            tasks.spawn(agent.clone().run(listener));
+            agents.push(agent);
             manners.push(manner);
             entrances.push(match scenario.relays_clients() {
                 true => net.tcp("clients", &name, ground.listen(door)).await?,
@@ -189,7 +186,6 @@
             ground,
             launcher: launcher.clone(),
             tasks,
-            ready: Arc::default(),
             versions: 0,
         };
         run.start_doors().await?;
@@ -199,27 +195,21 @@
     async fn start_doors(&mut self) -> io::Result<()> {
         for door in 0..self.facts.doors {
             self.start_door(door)?;
-            let (clients, ready, recorder) =
-                (self.clients.clone(), self.ready.clone(), self.recorder.clone());
-            let first_yes = move || {
-                if lock(&ready).insert(door, true) == Some(false) {
-                    recorder.tell(Event::Door { door, life: Life::Ready });
-                }
-            };
-            self.tasks.spawn(clients.watch(door, first_yes));
+            self.tasks.spawn(self.clients.clone().watch(door));
         }
         let until = Instant::now() + START;
         while let Some(door) = (0..self.facts.doors).find(|door| !self.clients.takes(*door)) {
             self.look();
             let post = &self.posts[door];
-            let said = || last_words(&post.folder);
-            if post.process.is_none() {
-                return Err(io::Error::other(format!("d{door} ended at its start: {}", said())));
-            }
-            if Instant::now() > until {
-                return Err(io::Error::other(format!("d{door} does not say yes: {}", said())));
-            }
-            sleep(LOOK).await;
+            let problem = match &post.process {
+                None => "ended at its start",
+                Some(_) if Instant::now() > until => "does not say yes",
+                Some(_) => {
+                    sleep(LOOK).await;
+                    continue;
+                }
+            };
+            return Err(io::Error::other(format!("d{door} {problem}: {}", last_words(&post.folder))));
         }
         Ok(())
     }
@@ -231,7 +221,6 @@
         post.config["seed"] =
             json!(format!("{:016x}", seeded(self.facts.seed, 6).wrapping_add(self.recorder.now())));
         fs::write(post.folder.join("config.json"), post.config.to_string())?;
-        lock(&self.ready).insert(door, false);
         self.clients.begins(door);
         post.process = Some(Process::start(&self.launcher, &post.folder)?);
         (post.leaving, post.stopped) = (None, false);
@@ -355,10 +344,9 @@
 
     fn change_link(&self, from: &str, to: &str, change: &Change) {
         self.net.change(from, to, |condition| {
-            let resets = condition.resets;
             *condition = match change {
-                Change::Set(new, reset) => Condition { resets: resets + u32::from(*reset), ..*new },
-                Change::Whole => Condition { resets, ..Condition::default() },
+                Change::Set(new, reset) => Condition { resets: condition.resets + u32::from(*reset), ..*new },
+                Change::Whole => condition.healed(),
             };
         });
     }
@@ -425,11 +413,10 @@
     /// What could not be done, in one line.
     pub async fn play(&mut self, mut progress: impl FnMut(f64, usize)) -> io::Result<()> {
         let seed = self.facts.seed;
-        let requests = plan(&self.facts, &customers(&self.facts, seeded(seed, 4)), seeded(seed, 7));
+        let requests = plan(&self.facts, self.clients.customers(), seeded(seed, 7));
         let mut steps = self.scenario.steps(seeded(seed, 8)).into_iter().peekable();
         let start = self.recorder.now() + 200_000;
-        let (_stop, stopped) = watch::channel(false);
-        let mut clients = tokio::spawn(self.clients.clone().run(requests, start, stopped));
+        let mut clients = tokio::spawn(self.clients.clone().run(requests, start));
         let lateness = tokio::spawn(lateness(self.recorder.clone()));
         let mut look = tokio::time::interval(LOOK);
         let moment = |step: &Step| start + step.at_ms * 1000;
--- a/lab/src/scripted.rs
+++ b/lab/src/scripted.rs
@@ -13,7 +13,7 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Nothing here takes that long unless it fails.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -197,13 +197,11 @@
     }
     /// Waits until a connection is on its way that does not come up.
     pub fn wait_for_connect(&self) {
-        let until = Instant::now() + PATIENCE;
         let (a, port) = (u32::from_le_bytes([127, 0, 0, 1]), self.address.port());
         let wanted = format!("{a:08X}:{port:04X} 02");
-        while !std::fs::read_to_string("/proc/net/tcp").expect("the system's sockets").contains(&wanted) {
-            assert!(Instant::now() < until, "no connection is attempted");
-            thread::sleep(Duration::from_millis(5));
-        }
+        let sockets = || std::fs::read_to_string("/proc/net/tcp").expect("the system's sockets");
+        let attempted = wait_for(PATIENCE, || sockets().contains(&wanted).then_some(()));
+        attempted.expect("a connection is attempted");
     }
     /// Lets the connection come up, and returns all that was written to it until it closed.
     pub fn open(self) -> Vec<u8> {
