Put the view of the fleet on sockets, behind the key `fleet`, and prove it with processes

Need: the view was a state machine in a simulation; no front door knew which others live.

Change: `src/bin/brassport/fleet/` reads the key (one plain line for each way in which a roster can be wrong), sends and receives datagrams, answers the operators' call `fleet`, logs each change with its cause, takes a changed `peers` over at SIGHUP, tells a leaving at SIGTERM, gives the port to a process that takes over, tries a port again that is taken, and tells the side by a channel with versions. Reading rests where more than 400 datagrams come at once and 1,000 a second. In the lab `fleet.view` lays a relay on each directed link between front doors, asks each for its view four times a second, writes it down and shows it as a strip; `[[roster]]` changes the members; the scenario `view` ships.

Without the key there is no socket and no task.

--- /dev/null
+++ b/fleet/examples/bounds.rs
@@ -0,0 +1,117 @@
+//! The view's bounds over seeds, on all processors:
+//! `cargo run --release -p springusher-fleet --example bounds heal [DOORS [SEEDS]]`, how long views take to be right
+//! again after partitions of several shapes and lengths; `... bounds loss [DOORS [SEEDS [SECONDS [PERCENT]]]]`, how
+//! often a door that lives is held for dead while datagrams are lost.
+
+use springusher_fleet::engine::{Micros, State};
+use springusher_fleet::sim::{Sim, Weather};
+use springusher_fleet::view::View;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+
+const PROBE: Micros = 500_000;
+const SECOND: Micros = 1_000_000;
+const SHAPES: [&str; 5] = ["halves", "thirds", "one", "tenth", "bridge"];
+
+fn side(shape: &str, door: usize) -> usize {
+    match shape {
+        "halves" => door % 2,
+        "thirds" => door % 3,
+        "tenth" => usize::from(door % 10 == 0),
+        _ => usize::from(door == 0),
+    }
+}
+
+/// Seconds from healing to all views right; `None` if that takes more than a minute.
+fn heal(doors: usize, shape: &str, long: u64, seed: u64) -> Option<f64> {
+    let mut sim = Sim::<View>::new(doors, PROBE, seed);
+    sim.weather = Weather::default();
+    (0..doors).for_each(|door| sim.start(door, 1_700_000_000 * SECOND + door as u64 * 77 * SECOND));
+    sim.run_until(20 * SECOND);
+    if shape == "bridge" {
+        for (a, b) in (0..doors).flat_map(|a| (0..doors).map(move |b| (a, b))) {
+            sim.cut(a, b, a != 0 && b != 0 && a % 2 != b % 2);
+        }
+    } else {
+        sim.partition(|door| side(shape, door));
+    }
+    sim.run_until(sim.now() + long * SECOND);
+    sim.partition(|_| 0);
+    let since = sim.now();
+    let at = sim.run_until_true(since + 60 * SECOND, Sim::is_settled);
+    at.map(|at| (at - since) as f64 / 1e6)
+}
+
+/// In how many seconds some door that lives was held for dead, over so many of them at this loss and 50 ms jitter, and
+/// the verdicts that were wrong.
+fn false_verdicts(doors: usize, seconds: u64, loss: f64, seed: u64) -> (u64, usize) {
+    let mut sim = Sim::<View>::new(doors, PROBE, seed);
+    sim.weather = Weather { loss, jitter: 50_000, double: 0.05, ..Weather::default() };
+    (0..doors).for_each(|door| sim.start(door, 1_700_000_000 * SECOND + door as u64 * 77 * SECOND));
+    let (mut wrong, mut verdicts) = (0, 0);
+    for _ in 0..seconds {
+        sim.run_until(sim.now() + SECOND);
+        let mut any = false;
+        for door in 0..doors {
+            let Some(view) = sim.engine(door) else { continue };
+            any |= view.states().contains(&State::Dead);
+            while let Some(change) = view.take_change() {
+                verdicts += usize::from(change.to == State::Dead);
+            }
+        }
+        wrong += u64::from(any);
+    }
+    (wrong, verdicts)
+}
+
+/// Runs this for each seed, on all processors.
+fn over_seeds<T: Send>(seeds: u64, run: impl Fn(u64) -> T + Sync) -> Vec<(u64, T)> {
+    let (next, found) = (AtomicU64::new(1), Mutex::new(Vec::new()));
+    std::thread::scope(|scope| {
+        for _ in 0..std::thread::available_parallelism().map_or(4, usize::from) {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed > seeds {
+                    return;
+                }
+                let took = run(seed);
+                if let Ok(mut found) = found.lock() {
+                    found.push((seed, took));
+                }
+            });
+        }
+    });
+    found.into_inner().unwrap_or_default()
+}
+
+fn main() {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let number =
+        |at: usize, otherwise: u64| words.get(at).and_then(|word| word.parse().ok()).unwrap_or(otherwise);
+    let (doors, seeds) = (number(1, 300) as usize, number(2, 6));
+    if words.first().is_some_and(|word| word == "loss") {
+        let (seconds, percent) = (number(3, 3600), number(4, 10));
+        let found = over_seeds(seeds, |seed| false_verdicts(doors, seconds, percent as f64 / 100.0, seed));
+        let wrong: u64 = found.iter().map(|(_, (wrong, _))| wrong).sum();
+        let verdicts: usize = found.iter().map(|(_, (_, verdicts))| verdicts).sum();
+        let bad: Vec<u64> = found.iter().filter(|(_, found)| found.1 > 0).map(|(seed, _)| *seed).collect();
+        println!(
+            "{doors:>3} doors, {percent}% loss, {seeds} seeds of {seconds} s: {wrong} seconds with a door that lives \
+             held for dead, {verdicts} wrong verdicts, in seeds {bad:?}"
+        );
+        return;
+    }
+    for shape in SHAPES {
+        for long in [3, 8, 30, 90] {
+            let found = over_seeds(seeds, |seed| heal(doors, shape, long, seed).unwrap_or(f64::INFINITY));
+            let mut times: Vec<f64> = found.iter().map(|(_, took)| *took).collect();
+            times.sort_by(f64::total_cmp);
+            let over = found.iter().filter(|(_, took)| *took > 5.0).count();
+            println!(
+                "{doors:>3} doors, {shape:>6} for {long:>2} s, {seeds} seeds: median {:.2} s, worst {:.2} s, over 5 s {over}",
+                times[times.len() / 2],
+                times[times.len() - 1]
+            );
+        }
+    }
+}
--- a/fleet/src/view.rs
+++ b/fleet/src/view.rs
@@ -303,6 +303,7 @@
     /// Doubts that another was asked to confirm, by the question's number.
     confirming: BTreeMap<u32, Vec<Place>>,
     superseded: bool,
+    superseded_told: bool,
     /// It has told that it goes, and says nothing more.
     left: bool,
     /// What was received and dropped.
@@ -401,6 +402,7 @@
             watching: now,
             confirming: BTreeMap::new(),
             superseded: false,
+            superseded_told: false,
             left: false,
             dropped: Dropped::default(),
             sent: (0, 0),
@@ -498,6 +500,11 @@
         self.superseded
     }
 
+    /// True once, after a later life was heard of.
+    pub fn take_superseded(&mut self) -> bool {
+        self.superseded && !std::mem::replace(&mut self.superseded_told, true)
+    }
+
     /// This door's incarnation.
     pub fn incarnation(&self) -> Incarnation {
         self.members[self.me].incarnation
--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -77,6 +77,26 @@
     Ended,
 }
 
+/// A front door's view of the fleet, as the call `fleet` tells it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct View {
+    pub name: String,
+    pub roster: usize,
+    pub alive: Vec<String>,
+    pub suspect: Vec<String>,
+    pub dead: Vec<String>,
+    pub side: String,
+    pub digest: String,
+    pub sent: Traffic,
+}
+
+/// Messages and bytes since a process began, with the headers of IP and UDP.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Traffic {
+    pub messages: u64,
+    pub bytes: u64,
+}
+
 /// What happened.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -106,6 +126,8 @@
     Told { door: usize, rev: u64, whole: bool, states: Vec<(usize, String)> },
     /// A call of staff was answered.
     Call { door: usize, line: String, answer: String },
+    /// What a front door answered to the call `fleet`.
+    View { door: usize, view: View },
     /// A front door's configuration was replaced by this version and SIGHUP was sent.
     Configured { door: usize, version: u64 },
     /// A front door's process.
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -142,6 +142,9 @@
         let _ = write!(page, "<h2>{}</h2>{}", escape(title), plot(lines, &bands, facts.seconds));
     }
     let _ = write!(page, "<h2>Front doors</h2>{}", strips(facts, entries, start));
+    if entries.iter().any(|entry| matches!(entry.event, Event::View { .. })) {
+        let _ = write!(page, "<h2>Views of the fleet</h2>{}", views(facts, entries, start));
+    }
     let _ = write!(page, "<h2>Checks and figures</h2><pre>{}</pre></html>", escape(&text(summary)));
     page
 }
@@ -199,6 +202,47 @@
     problem.map_or(svg, |problem| format!("<p>this plot cannot be drawn: {}</p>", escape(&problem)))
 }
 
+/// A strip for each front door with what its view held: one colour for each state of the whole.
+fn views(facts: &Facts, entries: &[Entry], start: u64) -> String {
+    let (width, height) = (900.0, 14.0);
+    let x = |us: u64| 60.0 + us.saturating_sub(start) as f64 / 1e6 / facts.seconds * width;
+    let mut svg = String::new();
+    let tall = facts.doors as f64 * height + 10.0;
+    let _ = write!(
+        svg,
+        "<svg viewBox=\"0 0 1000 {tall}\" xmlns=\"http://www.w3.org/2000/svg\" font-size=\"10\">"
+    );
+    let wide = width * 0.26 / facts.seconds;
+    for door in 0..facts.doors {
+        let y = door as f64 * height;
+        let _ = write!(svg, "<text x=\"20\" y=\"{}\">d{door}</text>", y + 10.0);
+        for entry in entries {
+            let Event::View { door: of, view } = &entry.event else { continue };
+            if *of != door || entry.us < start {
+                continue;
+            }
+            let colour = match (view.side.as_str(), view.suspect.is_empty()) {
+                ("whole", true) => "#2ca02c",
+                ("whole", false) => "#dbdb8d",
+                ("majority", _) => "#1f77b4",
+                ("minority", _) => "#ff7f0e",
+                _ => "#d62728",
+            };
+            let dead = escape(&view.dead.join(" "));
+            let _ = write!(
+                svg,
+                "<rect x=\"{:.1}\" y=\"{y}\" width=\"{wide:.2}\" height=\"11\" fill=\"{colour}\"><title>\
+                 {:.2} s, gone: {dead}; doubted: {}</title></rect>",
+                x(entry.us),
+                entry.us.saturating_sub(start) as f64 / 1e6,
+                escape(&view.suspect.join(" "))
+            );
+        }
+    }
+    svg + "</svg><p>Green: all live; yellow: all live and one is doubted; blue: more than half; orange: half or less; red: \
+           alone; nothing: it did not answer. Each piece tells who is gone.</p>"
+}
+
 /// A strip for each front door: green while the front deals to it, grey while its process is gone, orange while it
 /// stands still.
 fn strips(facts: &Facts, entries: &[Entry], start: u64) -> String {
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -10,7 +10,7 @@
 use crate::model::Meter;
 use crate::net::{Condition, Net};
 use crate::process::{last_words, Launcher, Process};
-use crate::record::{self, Event, Life, Micros, Recorder};
+use crate::record::{self, Event, Life, Micros, Recorder, View};
 use crate::report;
 use crate::scenario::{Change, Deed, Scenario, State, Step};
 use rand::{Rng, SeedableRng};
@@ -37,6 +37,9 @@
 const ENDING: Duration = Duration::from_millis(4500);
 /// How long staff wait for an answer.
 const STAFF: Duration = Duration::from_secs(2);
+/// How often each front door is asked for its view of the fleet, and how long it may take.
+const VIEWS: Duration = Duration::from_millis(250);
+const VIEW_ANSWER: Duration = Duration::from_millis(200);
 /// The names of a run's files.
 pub const RECORD: &str = "record.jsonl";
 pub const FACTS: &str = "facts.json";
@@ -79,6 +82,8 @@
     launcher: Launcher,
     tasks: JoinSet<()>,
     versions: u64,
+    /// Where each front door reaches each other one, if they keep a view of the fleet.
+    reaches: Vec<Vec<SocketAddr>>,
 }
 
 fn seeded(seed: u64, part: u64) -> u64 {
@@ -187,11 +192,63 @@
             launcher: launcher.clone(),
             tasks,
             versions: 0,
+            reaches: Vec::new(),
         };
+        if scenario.fleet.view {
+            run.lay_links().await?;
+        }
         run.start_doors().await?;
         Ok(run)
     }
 
+    /// A relay for each directed link between front doors, and the key `fleet` with its addresses.
+    async fn lay_links(&mut self) -> io::Result<()> {
+        for from in 0..self.facts.doors {
+            let mut reaches = Vec::new();
+            for to in 0..self.facts.doors {
+                let relay =
+                    self.net.udp(&format!("d{from}"), &format!("d{to}"), self.ground.fleet(to)).await?;
+                reaches.push(relay);
+            }
+            self.reaches.push(reaches);
+        }
+        let all: Vec<usize> = (0..self.facts.doors).collect();
+        for door in 0..self.facts.doors {
+            self.posts[door].config["fleet"] = self.fleet(door, &all);
+        }
+        Ok(())
+    }
+
+    /// What a front door's configuration says of a fleet with these members.
+    fn fleet(&self, door: usize, members: &[usize]) -> Value {
+        let others = members.iter().filter(|member| **member != door);
+        let peer =
+            |to: &usize| json!({"name": format!("n{to}"), "address": self.reaches[door][*to].to_string()});
+        json!({
+            "listen": self.ground.fleet(door).to_string(), "probe_ms": self.scenario.fleet.probe_ms,
+            "peers": others.map(peer).collect::<Vec<_>>(),
+        })
+    }
+
+    /// Asks each front door that runs for its view, and writes down what it tells.
+    fn ask_for_views(&mut self) {
+        for door in 0..self.posts.len() {
+            let post = &self.posts[door];
+            if post.process.is_none() || post.stopped || post.leaving.is_some() {
+                continue;
+            }
+            let (staff, recorder) = (self.ground.staff(door), self.recorder.clone());
+            self.tasks.spawn(async move {
+                // One that does not answer is told by the gap.
+                let Ok(answer) = call_staff(staff, "fleet", VIEW_ANSWER).await else { return };
+                let line = answer.lines().next().unwrap_or_default();
+                if let Ok(view) = serde_json::from_str::<View>(line) {
+                    recorder.tell(Event::View { door, view });
+                }
+            });
+        }
+    }
+
     async fn start_doors(&mut self) -> io::Result<()> {
         for door in 0..self.facts.doors {
             self.start_door(door)?;
@@ -330,6 +387,13 @@
                     self.replace(*door, |config| config["settings"] = settings)?;
                 }
             }
+            Deed::Roster { doors, members } => {
+                self.versions += 1;
+                for door in doors {
+                    let fleet = self.fleet(*door, members);
+                    self.replace(*door, |config| config["fleet"] = fleet)?;
+                }
+            }
         }
         Ok(())
     }
@@ -419,6 +483,7 @@
         let mut clients = tokio::spawn(self.clients.clone().run(requests, start));
         let lateness = tokio::spawn(lateness(self.recorder.clone()));
         let mut look = tokio::time::interval(LOOK);
+        let mut views = tokio::time::interval(VIEWS);
         let moment = |step: &Step| start + step.at_ms * 1000;
         loop {
             let next: Option<Micros> = steps.peek().map(moment);
@@ -433,6 +498,7 @@
                     self.recorder.tell(Event::Fault { number: fault, text, begins });
                     self.carry_out(&deed).await?;
                 }
+                _ = views.tick(), if self.scenario.fleet.view => self.ask_for_views(),
                 _ = look.tick() => {
                     self.look();
                     progress(self.recorder.now().saturating_sub(start) as f64 / 1e6, self.clients.out());
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -15,7 +15,7 @@
 use toml::Spanned;
 
 /// The scenarios that ship: name and text.
-pub const SHIPPED: [(&str, &str); 8] = [
+pub const SHIPPED: [(&str, &str); 9] = [
     ("calm", include_str!("../scenarios/calm.toml")),
     ("kill", include_str!("../scenarios/kill.toml")),
     ("stall", include_str!("../scenarios/stall.toml")),
@@ -24,6 +24,7 @@
     ("settings", include_str!("../scenarios/settings.toml")),
     ("lists", include_str!("../scenarios/lists.toml")),
     ("rolling", include_str!("../scenarios/rolling.toml")),
+    ("view", include_str!("../scenarios/view.toml")),
 ];
 
 /// Bounds of a run, so that each ends and fits a machine.
@@ -71,6 +72,8 @@
     calls: Vec<Call>,
     #[serde(default, rename = "settings")]
     settings: Vec<Replace>,
+    #[serde(default, rename = "roster")]
+    rosters: Vec<Members>,
 }
 
 fn once() -> u32 {
@@ -93,6 +96,15 @@
     /// Each agent learns of changes so late, drawn between the two.
     #[serde(default)]
     pub list_late_ms: [u64; 2],
+    /// The front doors keep a view of the fleet, over relays on every directed link, with this probe period.
+    #[serde(default)]
+    pub view: bool,
+    #[serde(default = "probe")]
+    pub probe_ms: u64,
+}
+
+fn probe() -> u64 {
+    500
 }
 
 fn one() -> usize {
@@ -375,6 +387,16 @@
     withdraw: Spanned<String>,
 }
 
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Members {
+    at_ms: Spanned<u64>,
+    /// Who is told.
+    doors: Spanned<Selection>,
+    /// The front doors that the fleet has from then on.
+    members: Spanned<Selection>,
+}
+
 /// What is done at a moment.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Deed {
@@ -404,6 +426,11 @@
         doors: Vec<usize>,
         plan: String,
     },
+    /// These are told that the fleet has those members.
+    Roster {
+        doors: Vec<usize>,
+        members: Vec<usize>,
+    },
 }
 
 /// What happens to links.
@@ -462,6 +489,7 @@
         within("repeats", self.repeats.into(), 1.0, MOST_REPEATS.into())?;
         within("fleet.doors", self.fleet.doors as f64, 1.0, MOST_DOORS as f64)?;
         within("fleet.zones", self.fleet.zones as f64, 1.0, 16.0)?;
+        within("fleet.probe_ms", self.fleet.probe_ms as f64, 50.0, 60_000.0)?;
         within("backends.count", self.backends.count as f64, 1.0, MOST_BACKENDS as f64)?;
         within("backends.cores", self.backends.cores as f64, 1.0, 1024.0)?;
         within("backends.spread", self.backends.spread, 0.0, 4.0)?;
@@ -655,6 +683,17 @@
             let text = format!("withdraw {plan} at {}", replace.doors.get_ref().text);
             add(at, Deed::Withdraw { doors, plan }, &text, true, true);
         }
+        for roster in &self.rosters {
+            let (at, doors) = (at(&roster.at_ms)?, doors(&roster.doors)?);
+            let members = roster.members.get_ref().numbers(Kind::Door, self, seed);
+            let members = members.map_err(|problem| (roster.members.span(), "members", problem))?;
+            if !self.fleet.view {
+                let problem = "the front doors have no view of the fleet (fleet.view)".to_string();
+                return Err((roster.members.span(), "members", problem));
+            }
+            let text = format!("roster {} at {}", roster.members.get_ref().text, roster.doors.get_ref().text);
+            add(at, Deed::Roster { doors, members }, &text, true, true);
+        }
         steps.sort_by_key(|step| step.at_ms);
         Ok(steps)
     }
@@ -685,6 +724,7 @@
         for (more, offset, word) in [
             ("[[kill]]\nat_ms = 1000\ndoors = \"d99\"\n", 3, "doors: there is no d99"),
             ("[[kill]]\nat_ms = 9000000\ndoors = \"d1\"\n", 2, "at_ms: 9000000 is not before the end"),
+            ("[[roster]]\nat_ms = 1\ndoors = \"d1\"\nmembers = \"d0\"\n", 4, "no view of the fleet"),
             ("[[kill]]\nat_ms = 1\ndoors = \"b1\"\n", 3, "doors: b1 is not what this is done to"),
             ("[[kill]]\nat_ms = 1\ndoors = \"4/3 doors\"\n", 3, "'4/3 doors' is none of"),
             ("[[kill]]\nat_ms = 1\ndoors = \"d1\"\nfor = 3\n", 4, "unknown field `for`"),
--- /dev/null
+++ b/src/bin/brassport/fleet/roster.rs
@@ -0,0 +1,190 @@
+//! The key `fleet` of the configuration: which front doors there are, and where this one reaches them.
+
+use serde::Deserialize;
+use springusher_fleet::wire::{id_of, MOST_NAMES};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::time::Duration;
+
+/// Most bytes of a name.
+const NAME_LIMIT: usize = 64;
+/// The probe period where the file does not say, and the bounds of one that it says, in milliseconds.
+const PROBE_MS: u64 = 500;
+const LEAST_PROBE_MS: u64 = 50;
+const MOST_PROBE_MS: u64 = 60_000;
+
+/// What the file says.
+#[derive(Deserialize)]
+pub struct Told {
+    listen: String,
+    peers: Vec<Peer>,
+    probe_ms: Option<u64>,
+    /// Where this front door stands, for what it tells of servers.
+    #[allow(dead_code)]
+    zone: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Peer {
+    name: String,
+    address: String,
+}
+
+/// What is made of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Roster {
+    pub name: String,
+    pub listen: SocketAddrV4,
+    /// Every other name of the roster, and the address at which this front door reaches it.
+    pub peers: BTreeMap<String, SocketAddrV4>,
+    pub probe: Duration,
+}
+
+impl Roster {
+    /// Checks what the file says.
+    ///
+    /// # Errors
+    /// One plain line: the key and what is wrong there.
+    pub fn read(name: Option<&str>, told: &Told) -> Result<Roster, String> {
+        let name = name.ok_or("name is not set, and fleet needs it")?;
+        check_name("name", name)?;
+        let probe_ms = told.probe_ms.unwrap_or(PROBE_MS);
+        if !(LEAST_PROBE_MS..=MOST_PROBE_MS).contains(&probe_ms) {
+            return Err(format!(
+                "fleet.probe_ms: {probe_ms} is not between {LEAST_PROBE_MS} and {MOST_PROBE_MS}"
+            ));
+        }
+        if told.peers.is_empty() {
+            return Err("fleet.peers: there are none".into());
+        }
+        if told.peers.len() >= MOST_NAMES {
+            return Err(format!(
+                "fleet.peers: there are {}, and {} are the most",
+                told.peers.len(),
+                MOST_NAMES - 1
+            ));
+        }
+        let mut peers = BTreeMap::new();
+        let mut ids = BTreeMap::from([(id_of(name), name)]);
+        for peer in &told.peers {
+            let key = format!("fleet.peers[{}]", shown(&peer.name));
+            check_name(&key, &peer.name)?;
+            if peer.name == name {
+                return Err(format!("{key}: this is the front door's own name"));
+            }
+            let address = address(&key, &peer.address)?;
+            if address.ip().is_unspecified() || address.ip().is_multicast() || address.ip().is_broadcast() {
+                return Err(format!("{key}: {address} is no front door's address"));
+            }
+            if peers.insert(peer.name.clone(), address).is_some() {
+                return Err(format!("{key}: the name is there twice"));
+            }
+            if let Some(other) = ids.insert(id_of(&peer.name), &peer.name) {
+                return Err(format!(
+                    "{key}: the name cannot be told apart from '{other}'; one of them has to change"
+                ));
+            }
+        }
+        Ok(Roster {
+            name: name.to_string(),
+            listen: address("fleet.listen", &told.listen)?,
+            peers,
+            probe: Duration::from_millis(probe_ms),
+        })
+    }
+
+    /// All names, this front door's too.
+    pub fn names(&self) -> Vec<String> {
+        self.peers.keys().cloned().chain([self.name.clone()]).collect()
+    }
+}
+
+fn shown(name: &str) -> String {
+    name.chars().take(NAME_LIMIT).collect()
+}
+
+fn check_name(key: &str, name: &str) -> Result<(), String> {
+    if name.is_empty()
+        || name.len() > NAME_LIMIT
+        || name.chars().any(|char| char.is_whitespace() || char.is_control())
+    {
+        return Err(format!("{key}: a name has 1 to {NAME_LIMIT} bytes and no spaces"));
+    }
+    Ok(())
+}
+
+fn address(key: &str, text: &str) -> Result<SocketAddrV4, String> {
+    match text.parse() {
+        Ok(SocketAddr::V4(address)) if address.port() != 0 => Ok(address),
+        Ok(SocketAddr::V6(_)) => Err(format!("{key}: '{}' is not of IPv4", shown(text))),
+        _ => Err(format!("{key}: '{}' is no address with a port", shown(text))),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::{json, Value};
+
+    fn read(name: Option<&str>, told: &Value) -> Result<Roster, String> {
+        Roster::read(name, &serde_json::from_value(told.clone()).expect("its shape is right"))
+    }
+
+    fn peers(peers: &[(&str, &str)]) -> Value {
+        let peers: Vec<Value> = peers.iter().map(|(name, at)| json!({"name": name, "address": at})).collect();
+        json!({"listen": "127.0.0.1:7946", "peers": peers})
+    }
+
+    #[test]
+    fn a_roster_is_read_with_its_defaults() {
+        let roster =
+            read(Some("n0"), &peers(&[("n1", "10.0.0.1:7"), ("n2", "10.0.0.2:7")])).expect("it is good");
+        assert_eq!(
+            (roster.names(), roster.probe.as_millis()),
+            (vec!["n1".into(), "n2".into(), "n0".into()], 500)
+        );
+    }
+
+    #[test]
+    fn what_makes_no_sense_is_one_line_that_says_where() {
+        let many: Vec<(String, String)> =
+            (0..10_000).map(|n| (format!("m{n}"), "10.0.0.1:7".into())).collect();
+        let many: Vec<(&str, &str)> = many.iter().map(|(name, at)| (name.as_str(), at.as_str())).collect();
+        let good = ("n1", "10.0.0.1:7");
+        for (name, told, problem) in [
+            (None, peers(&[good]), "name is not set, and fleet needs it"),
+            (Some("n 0"), peers(&[good]), "name: a name has 1 to 64 bytes and no spaces"),
+            (Some("n0"), peers(&[]), "fleet.peers: there are none"),
+            (Some("n0"), peers(&many), "fleet.peers: there are 10000, and 999 are the most"),
+            (Some("n1"), peers(&[good]), "fleet.peers[n1]: this is the front door's own name"),
+            (Some("n0"), peers(&[good, ("n1", "10.0.0.2:7")]), "fleet.peers[n1]: the name is there twice"),
+            (
+                Some("n0"),
+                peers(&[("", "10.0.0.1:7")]),
+                "fleet.peers[]: a name has 1 to 64 bytes and no spaces",
+            ),
+            (
+                Some("n0"),
+                peers(&[("n1", "10.0.0.1")]),
+                "fleet.peers[n1]: '10.0.0.1' is no address with a port",
+            ),
+            (
+                Some("n0"),
+                peers(&[("n1", "10.0.0.1:0")]),
+                "fleet.peers[n1]: '10.0.0.1:0' is no address with a port",
+            ),
+            (Some("n0"), peers(&[("n1", "[::1]:7")]), "fleet.peers[n1]: '[::1]:7' is not of IPv4"),
+            (
+                Some("n0"),
+                peers(&[("n1", "0.0.0.0:7")]),
+                "fleet.peers[n1]: 0.0.0.0:7 is no front door's address",
+            ),
+        ] {
+            let found = read(name, &told).expect_err(problem);
+            assert_eq!(found, problem);
+        }
+        let mut hasty = peers(&[good]);
+        hasty["probe_ms"] = json!(1);
+        assert_eq!(read(Some("n0"), &hasty), Err("fleet.probe_ms: 1 is not between 50 and 60000".into()));
+    }
+}
--- a/src/bin/brassport/life/config.rs
+++ b/src/bin/brassport/life/config.rs
@@ -1,9 +1,11 @@
 //! Configuration: the environment and the JSON file it names, checked and turned into the module's terms.
 
 use crate::backends::discovery::List;
+use crate::fleet::roster::{self, Roster};
 use crate::life::reload::differences;
 use crate::log::Form;
 use serde::Deserialize;
+use serde_json::Value;
 use springusher::{Class, Effect, Plan, Scope, Settings};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -30,6 +32,8 @@
     pub settings: Settings,
     pub connect_timeout: Duration,
     pub idle_timeout: Duration,
+    /// The other front doors, if this one is to know them.
+    pub fleet: Option<Roster>,
 }
 
 /// Names that stand on the sockets, each at the index by which the module knows it.
@@ -41,6 +45,8 @@
 
 #[derive(Deserialize)]
 struct File {
+    name: Option<String>,
+    fleet: Option<roster::Told>,
     #[serde(default)]
     log: Form,
     listen: Option<String>,
@@ -163,11 +169,13 @@
 /// What is taken over from a configuration that was replaced, and the keys that are not before the next start.
 pub struct Replaced {
     pub discovery: SocketAddr,
+    pub roster: Option<Roster>,
     pub left: Vec<String>,
 }
 
-/// What is taken over while the program runs.
+/// What is taken over while the program runs, at the top and below that.
 const TAKEN_OVER: [&str; 1] = ["discovery"];
+const TAKEN_OVER_BELOW: &str = "fleet.peers";
 
 impl Source {
     /// Reads the file, by default the one that the environment names.
@@ -197,14 +205,22 @@
         #[derive(Deserialize)]
         struct Told {
             discovery: String,
+            fleet: Option<roster::Told>,
         }
         let text = read(&self.path)?;
         let problem = |error| format!("configuration: {error}");
-        let Told { discovery } = serde_json::from_str(&text).map_err(problem)?;
+        let Told { discovery, fleet } = serde_json::from_str(&text).map_err(problem)?;
         let discovery = address("discovery", &discovery)?;
         let [before, after] = [&self.text, &text].map(|text| serde_json::from_str(text));
-        let left = differences(&before.map_err(problem)?, &after.map_err(problem)?, &TAKEN_OVER);
-        Ok(Replaced { discovery, left })
+        let (before, after): (Value, Value) = (before.map_err(problem)?, after.map_err(problem)?);
+        // Who this front door is follows from the start; who the others are may change.
+        let name = before.get("name").and_then(Value::as_str);
+        let had = before.get("fleet").is_some_and(|fleet| !fleet.is_null());
+        let fleet = fleet.filter(|_| had);
+        let roster = fleet.map(|told| Roster::read(name, &told)).transpose()?;
+        let mut left = differences(&before, &after, &TAKEN_OVER);
+        left.retain(|key| !key.starts_with(TAKEN_OVER_BELOW));
+        Ok(Replaced { discovery, roster, left })
     }
 }
 
@@ -224,6 +240,7 @@
     let admin = variable("BALANCER_ADMIN_ADDR").or(file.admin_addr).filter(|text| !text.is_empty());
     let seed = u64::from_str_radix(&file.seed, 16)
         .map_err(|_| format!("seed: '{}' is no number in hexadecimal", file.seed))?;
+    let fleet = file.fleet.map(|told| Roster::read(file.name.as_deref(), &told)).transpose()?;
     let told = file.settings;
     let names = Names {
         classes: told.classes.iter().map(|class| class.name.clone()).collect(),
@@ -269,6 +286,7 @@
         settings,
         connect_timeout: time("bounds.connectTimeout", bounds.connect_timeout)?,
         idle_timeout: time("bounds.connIdle", bounds.conn_idle)?,
+        fleet,
     })
 }
 
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -4,6 +4,7 @@
 mod backends;
 mod clients;
 mod door;
+mod fleet;
 mod life;
 mod log;
 mod operators;
@@ -16,6 +17,7 @@
 use clients::shift::{Phase, Shift};
 use clients::stats::Stats;
 use door::Door;
+use fleet::driver::Fleet;
 use life::config::{Config, Replaced, Source};
 use life::{handover, reload};
 use operators::admin;
@@ -116,7 +118,8 @@
 
 /// The descriptors that clients and backends may have.
 fn spare_descriptors(config: &Config) -> Result<usize, String> {
-    let spare = config.sockets.checked_sub(OWN_DESCRIPTORS).filter(|spare| *spare > 0);
+    let own = OWN_DESCRIPTORS + usize::from(config.fleet.is_some());
+    let spare = config.sockets.checked_sub(own).filter(|spare| *spare > 0);
     spare.ok_or_else(|| format!("limits.sockets: {} are too few", config.sockets))
 }
 
@@ -186,6 +189,7 @@
     let sweeper = backends.clone();
     spawn_local(async move { sweeper.pool.sweep().await });
 
+    let fleet = config.fleet.map(|roster| Fleet::start(roster, config.seed, &shift));
     let open = Rc::new(Cell::new(false));
     if let Some(address) = config.admin {
         let calls = TcpListener::bind(address)
@@ -198,6 +202,7 @@
             shift: shift.clone(),
             classes: config.names.classes.clone(),
             open: open.clone(),
+            fleet: fleet.clone(),
         };
         spawn_local(admin::serve(calls, Rc::new(staff)));
     }
@@ -243,17 +248,20 @@
         tokio::select! {
             _ = terminate.recv() => break,
             Some(()) = hang_up.recv() => match source.reload() {
-                Ok(Replaced { discovery, left }) => {
+                Ok(Replaced { discovery, roster, left }) => {
                     stats.reloads_ok.set(stats.reloads_ok.get() + 1);
                     agent.send_replace(discovery);
+                    if let (Some(fleet), Some(roster)) = (&fleet, roster) {
+                        fleet.replace(roster);
+                    }
                     if !left.is_empty() {
                         let keys = reload::phrase(&left);
                         warn!(
                             event = "reload_left",
                             %discovery,
                             keys,
-                            "the configuration is taken over as far as discovery goes; before the next start it is \
-                             not in: {keys}"
+                            "the configuration is taken over as far as discovery and the fleet's peers go; before the \
+                             next start it is not in: {keys}"
                         );
                     } else {
                         info!(event = "reloaded", %discovery, "the configuration is taken over");
@@ -267,6 +275,9 @@
             },
         }
     }
+    if let Some(fleet) = fleet.filter(|_| shift.phase() != Phase::HandedOver) {
+        fleet.leave();
+    }
     shift.end();
     if shift.phase() != Phase::HandedOver {
         sleep(LEAVING).await;
--- a/src/bin/brassport/operators/admin.rs
+++ b/src/bin/brassport/operators/admin.rs
@@ -28,6 +28,7 @@
     Status,
     Stats,
     Cost,
+    Fleet,
     TakeOut(&'a str),
     GiveBack(&'a str),
     Standby,
@@ -127,13 +128,20 @@
         ("status", None) => Call::Status,
         ("stats", None) => Call::Stats,
         ("cost", None) => Call::Cost,
+        ("fleet", None) => Call::Fleet,
         ("standby", None) => Call::Standby,
         ("active", None) => Call::Active,
         ("maint-on", Some(id)) => Call::TakeOut(id),
         ("maint-off", Some(id)) => Call::GiveBack(id),
         ("maint-on" | "maint-off", None) => return Err("the backend's ID is missing"),
-        ("status" | "stats" | "cost" | "standby" | "active", Some(_)) => return Err("too many words"),
-        _ => return Err("unknown call: status, stats, cost, maint-on ID, maint-off ID, standby, active"),
+        ("status" | "stats" | "cost" | "fleet" | "standby" | "active", Some(_)) => {
+            return Err("too many words")
+        }
+        _ => {
+            return Err(
+                "unknown call: status, stats, cost, fleet, maint-on ID, maint-off ID, standby, active",
+            )
+        }
     };
     if more.is_some() {
         return Err("too many words");
@@ -151,12 +159,14 @@
         assert_eq!(parse(b"maint-on s-1"), Ok(Call::TakeOut("s-1")));
         assert_eq!(parse(b" maint-off  s-1 "), Ok(Call::GiveBack("s-1")));
         assert_eq!(parse(b"cost"), Ok(Call::Cost));
-        let wrong: [&[u8]; 9] = [
+        assert_eq!(parse(b"fleet"), Ok(Call::Fleet));
+        let wrong: [&[u8]; 10] = [
             b"",
             b" \r",
             b"STATUS",
             b"status now",
             b"cost all",
+            b"fleet n1",
             b"maint-on",
             b"maint-off a b",
             b"\xff\xfe",
--- a/src/bin/brassport/operators/staff.rs
+++ b/src/bin/brassport/operators/staff.rs
@@ -4,6 +4,7 @@
 use crate::clients::shift::Shift;
 use crate::clients::stats::Stats;
 use crate::door::Door;
+use crate::fleet::driver::Fleet;
 use crate::operators::admin::{Call, Operations};
 use crate::operators::cost::{self, Counted, Descriptors};
 use std::cell::Cell;
@@ -18,6 +19,8 @@
     pub classes: Vec<String>,
     /// Whether clients are taken.
     pub open: Rc<Cell<bool>>,
+    /// What this process has to do with other front doors, if anything.
+    pub fleet: Option<Rc<Fleet>>,
 }
 
 impl Staff {
@@ -50,6 +53,10 @@
                 Ok(format!("{}\nend", self.stats.line(&self.classes, known, excluded)))
             }
             Call::Cost => Ok(format!("{}\nend", cost::line(&self.counted()))),
+            Call::Fleet => match &self.fleet {
+                Some(fleet) => Ok(format!("{}\nend", fleet.line()?)),
+                None => Err("the configuration has no key 'fleet'".into()),
+            },
             Call::TakeOut(uid) => self.door.take_out(uid).map(|()| format!("done {uid} is out")),
             Call::GiveBack(uid) => self.door.give_back(uid).map(|()| format!("done {uid} may serve")),
             Call::Standby => self.shift.stand_by().map(|()| "done".into()),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,74 +1,15 @@
 //! Several processes of the program with faults between them. Verdicts come from the records; times are generous.
 
-use springusher_lab::check::{Finding, NAMES};
-use springusher_lab::process::{raise_descriptor_limit, Launcher};
-use springusher_lab::record::{self, Ending, Entry, Event, Life};
-use springusher_lab::run::{carry_out, Summary, RECORD};
-use springusher_lab::scenario::Scenario;
-use std::path::{Path, PathBuf};
+mod stage;
 
-/// A fleet with little to do, so that a busy machine is not mistaken for a fault of the program.
-const SMALL: &str = r#"
-name = "small"
-about = "for tests"
-seconds = 5
-lateness_ms = 2000
-
-[fleet]
-doors = 4
-
-[backends]
-count = 3
-cores = 4
-
-[[class]]
-name = "read"
-service_ms = 10
-deadline_ms = 4000
-
-[[class]]
-name = "write"
-semantics = "single_shot"
-share = 0.3
-service_ms = 10
-deadline_ms = 4000
-
-[[plan]]
-name = "p"
-customers = 12
-units_per_s = 10
-burst_units = 20
-offered = 0.5
-spread = 3
-"#;
-
-fn folder(name: &str) -> PathBuf {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    let _ = std::fs::remove_dir_all(&folder);
-    folder
-}
+use springusher_lab::record::{Ending, Entry, Event, Life};
+use springusher_lab::run::Summary;
+use stage::{carry, kept, SMALL};
 
 /// Runs the small fleet with these faults for so many seconds: what the checks find, and the record.
 fn play(name: &str, seconds: u32, faults: &str) -> (Summary, Vec<Entry>) {
-    let text = SMALL.replace("seconds = 5", &format!("seconds = {seconds}")) + faults;
-    let scenario = Scenario::parse(name, &text).expect("it makes sense");
-    let launcher = Launcher::new(env!("CARGO_BIN_EXE_brassport"));
-    let folder = folder(name);
-    raise_descriptor_limit();
-    // Processes end with the thread that starts them: this one lives until the run is over.
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime");
-    let summary = runtime.block_on(carry_out(&scenario, 7, &folder, &launcher, |_, _| {}));
-    let summary = summary.expect("it runs");
-    assert_eq!(summary.findings.len(), NAMES.len());
-    (summary, record::read(&folder.join(RECORD)).expect("a record"))
-}
-
-/// All checks are kept; returns the named one.
-fn kept(summary: &Summary, check: &str) -> Finding {
-    for finding in &summary.findings {
-        assert_eq!(finding.broken, 0, "{finding:?}");
-    }
-    summary.findings.iter().find(|finding| finding.check == check).expect("it was checked").clone()
+    let small = SMALL.replace("seconds = 5", &format!("seconds = {seconds}"));
+    carry(name, &(small + faults))
 }
 
 fn lives(entries: &[Entry], wanted: Life) -> usize {
