--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -43,8 +43,13 @@
 spread = 3
 "#;
 
+/// Where a run's files are.
+pub fn folder_of(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_TARGET_TMPDIR")).join(name)
+}
+
 fn folder(name: &str) -> PathBuf {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let folder = folder_of(name);
     let _ = std::fs::remove_dir_all(&folder);
     folder
 }
--- a/tests/view.rs
+++ b/tests/view.rs
@@ -85,10 +85,18 @@
 
 #[test]
 fn a_door_that_stood_still_holds_nobody_for_gone_when_it_wakes() {
-    let (_, entries) = run("view-stall", 7, 18, "[[stop]]\nat_ms = 2000\ndoors = \"d3\"\nfor_ms = 8000\n");
-    let [_, woke] = moments(&entries)[..] else { panic!("one fault") };
+    // It is stopped while it doubts one that was killed, and wakes when that is back: the verdict is long overdue.
+    let faults = "[[kill]]\nat_ms = 2000\ndoors = \"d1\"\nback_ms = 5000\n\
+                  [[stop]]\nat_ms = 4200\ndoors = \"d3\"\nfor_ms = 8000\n";
+    let (_, entries) = run("view-stall", 7, 20, faults);
+    let [_, stopped, back, woke] = moments(&entries)[..] else { panic!("two faults") };
+    assert!(stopped < back && back + 4 * SECOND < woke);
     settled(&entries, (woke - SECOND, woke), &[0, 1, 2, 4, 5, 6], &[3]);
-    never_gone(&entries, (0, u64::MAX), &[3]);
+    never_gone(&entries, (0, u64::MAX), &[1, 3]);
+    // Its log has each change, also those between two answers.
+    let log = stage::folder_of("view-stall").join("d3").join("log.txt");
+    let log = std::fs::read_to_string(log).expect("it has a log");
+    assert!(!log.contains("now dead"), "{log}");
     let own = views(&entries, woke, u64::MAX).iter().filter(|(door, _)| *door == 3).count();
     assert!(own > 0, "it told its view");
     settled(&entries, (woke + 6 * SECOND, u64::MAX), &[0, 1, 2, 3, 4, 5, 6], &[]);
@@ -129,6 +137,11 @@
                   loss = 0.2\njitter_ms = 20\ndouble = 0.1\nreorder = 0.1\n";
     let (_, entries) = run("view-one-way", 8, 17, faults);
     never_gone(&entries, (0, u64::MAX), &[]);
+    // Who does not hear an answer has others ask: there is no doubt, and nobody is told of one.
+    for (door, view) in views(&entries, 0, u64::MAX) {
+        assert!(!view.suspect.contains(&"n0".to_string()), "d{door}: {view:?}");
+        assert!(!view.suspect.contains(&"n2".to_string()), "d{door}: {view:?}");
+    }
     let end = moments(&entries).into_iter().max().expect("faults");
     settled(&entries, (end + SECOND, u64::MAX), &[0, 1, 2, 3, 4, 5, 6, 7], &[]);
 }
