Show that a flood of datagrams is read no faster than stated

Need: the bound on what a front door reads from the fleet's port (400 at once, 1,000 a second) was stated and not tested.

--- a/tests/view.rs
+++ b/tests/view.rs
@@ -328,3 +328,24 @@
     let plain = PROGRAM.start(&config(closed_port(), list(&[])));
     assert_eq!(plain.call("fleet"), "error the configuration has no key 'fleet'\n");
 }
+
+#[test]
+fn a_flood_of_datagrams_is_read_no_faster_than_stated() {
+    let [one, _] = two();
+    let at = one["fleet"]["listen"].as_str().expect("text").to_string();
+    let front = PROGRAM.start(&one);
+    until(&front, "its view", |view| view.roster == 2);
+    let begin = Instant::now();
+    let stranger = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    for _ in 0..50_000 {
+        // What the system has no room for is lost, as anywhere on the way.
+        let _ = stranger.send_to(&[1; 100], &at);
+    }
+    assert!(front.call("stats").ends_with("end\n"), "it answers meanwhile");
+    let line = front.call("fleet");
+    let line: serde_json::Value = serde_json::from_str(line.lines().next().expect("a line")).expect("JSON");
+    let read = line["received"]["messages"].as_u64().expect("a count");
+    // 400 at once, 1,000 a second, and what was read before.
+    let most = 500 + (begin.elapsed().as_secs_f64() * 1000.0) as u64;
+    assert!(read > 100 && read <= most, "{read} were read, {most} at most");
+}
