Say once how a fleet starts, how an answer is read and where a strip stands

Need: read over once more, three pieces stood twice: the start of a simulated fleet in `bounds.rs` (three times), the reading of the answer to `fleet` in `tests/view.rs` (four times), and the frame of the strips in the lab's report.

Change: `started` and `fleet`, `told`, `strip_frame` and `strip_x` serve all of them. Nothing that `run` is built from is touched, and each assertion stays.

--- a/fleet/examples/bounds.rs
+++ b/fleet/examples/bounds.rs
@@ -25,10 +25,7 @@
 
 /// Seconds from healing to all views right; `None` if that takes more than a minute.
 fn heal(doors: usize, shape: &str, long: u64, seed: u64) -> Option<f64> {
-    let mut sim = Sim::<View>::new(doors, PROBE, seed);
-    sim.weather = Weather::default();
-    (0..doors).for_each(|door| sim.start(door, 1_700_000_000 * SECOND + door as u64 * 77 * SECOND));
-    sim.run_until(20 * SECOND);
+    let mut sim = fleet(doors, 0.0, seed);
     if shape == "bridge" {
         for (a, b) in (0..doors).flat_map(|a| (0..doors).map(move |b| (a, b))) {
             sim.cut(a, b, a != 0 && b != 0 && a % 2 != b % 2);
@@ -43,13 +40,20 @@
     at.map(|at| (at - since) as f64 / 1e6)
 }
 
-fn fleet(doors: usize, loss: f64, seed: u64) -> Sim<View> {
+/// A fleet that starts now. With loss there are jitter and doubled datagrams too.
+fn started(doors: usize, loss: f64, seed: u64) -> Sim<View> {
     let mut sim = Sim::<View>::new(doors, PROBE, seed);
     sim.weather = match loss > 0.0 {
         true => Weather { loss, jitter: 50_000, double: 0.05, ..Weather::default() },
         false => Weather::default(),
     };
     (0..doors).for_each(|door| sim.start(door, 1_700_000_000 * SECOND + door as u64 * 77 * SECOND));
+    sim
+}
+
+/// One that has run for a while.
+fn fleet(doors: usize, loss: f64, seed: u64) -> Sim<View> {
+    let mut sim = started(doors, loss, seed);
     sim.run_until(20 * SECOND);
     sim
 }
@@ -90,9 +94,7 @@
 /// In how many seconds some door that lives was held for dead, over so many of them at this loss and 50 ms jitter, and
 /// the verdicts that were wrong.
 fn false_verdicts(doors: usize, seconds: u64, loss: f64, seed: u64) -> (u64, usize) {
-    let mut sim = Sim::<View>::new(doors, PROBE, seed);
-    sim.weather = Weather { loss, jitter: 50_000, double: 0.05, ..Weather::default() };
-    (0..doors).for_each(|door| sim.start(door, 1_700_000_000 * SECOND + door as u64 * 77 * SECOND));
+    let mut sim = started(doors, loss, seed);
     let (mut wrong, mut verdicts) = (0, 0);
     for _ in 0..seconds {
         sim.run_until(sim.now() + SECOND);
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -202,19 +202,27 @@
     problem.map_or(svg, |problem| format!("<p>this plot cannot be drawn: {}</p>", escape(&problem)))
 }
 
+/// The width of a strip, and the height that it takes with the space below it.
+const STRIP: (f64, f64) = (900.0, 14.0);
+
+/// Where a moment stands on a strip.
+fn strip_x(facts: &Facts, start: u64, us: u64) -> f64 {
+    60.0 + us.saturating_sub(start) as f64 / 1e6 / facts.seconds * STRIP.0
+}
+
+/// The beginning of a picture with a strip for each front door.
+fn strip_frame(facts: &Facts) -> String {
+    let tall = facts.doors as f64 * STRIP.1 + 10.0;
+    format!("<svg viewBox=\"0 0 1000 {tall}\" xmlns=\"http://www.w3.org/2000/svg\" font-size=\"10\">")
+}
+
 /// A strip for each front door with what its view held: one colour for each state of the whole.
 fn views(facts: &Facts, entries: &[Entry], start: u64) -> String {
-    let (width, height) = (900.0, 14.0);
-    let x = |us: u64| 60.0 + us.saturating_sub(start) as f64 / 1e6 / facts.seconds * width;
-    let mut svg = String::new();
-    let tall = facts.doors as f64 * height + 10.0;
-    let _ = write!(
-        svg,
-        "<svg viewBox=\"0 0 1000 {tall}\" xmlns=\"http://www.w3.org/2000/svg\" font-size=\"10\">"
-    );
-    let wide = width * 0.26 / facts.seconds;
+    let x = |us| strip_x(facts, start, us);
+    let mut svg = strip_frame(facts);
+    let wide = STRIP.0 * 0.26 / facts.seconds;
     for door in 0..facts.doors {
-        let y = door as f64 * height;
+        let y = door as f64 * STRIP.1;
         let _ = write!(svg, "<text x=\"20\" y=\"{}\">d{door}</text>", y + 10.0);
         for entry in entries {
             let Event::View { door: of, view } = &entry.event else { continue };
@@ -246,17 +254,11 @@
 /// A strip for each front door: green while the front deals to it, grey while its process is gone, orange while it
 /// stands still.
 fn strips(facts: &Facts, entries: &[Entry], start: u64) -> String {
-    let (width, height) = (900.0, 14.0);
-    let x = |us: u64| 60.0 + us.saturating_sub(start) as f64 / 1e6 / facts.seconds * width;
+    let x = |us| strip_x(facts, start, us);
     let end = start + (facts.seconds * 1e6) as u64;
-    let mut svg = String::new();
-    let tall = facts.doors as f64 * height + 10.0;
-    let _ = write!(
-        svg,
-        "<svg viewBox=\"0 0 1000 {tall}\" xmlns=\"http://www.w3.org/2000/svg\" font-size=\"10\">"
-    );
+    let mut svg = strip_frame(facts);
     for door in 0..facts.doors {
-        let y = door as f64 * height;
+        let y = door as f64 * STRIP.1;
         let _ = write!(svg, "<text x=\"20\" y=\"{}\">d{door}</text>", y + 10.0);
         let (mut since, mut colour) = (start, "#cccccc");
         let mut change = |at: u64, next: &'static str| {
--- a/tests/view.rs
+++ b/tests/view.rs
@@ -216,10 +216,15 @@
     both
 }
 
-fn view(front: &Front) -> Option<View> {
+/// The answer to the call `fleet`, if it is one.
+fn told(front: &Front) -> Option<serde_json::Value> {
     serde_json::from_str(front.call("fleet").lines().next()?).ok()
 }
 
+fn view(front: &Front) -> Option<View> {
+    serde_json::from_value(told(front)?).ok()
+}
+
 /// Waits until a front door's view is like this.
 fn until(front: &Front, what: &str, like: impl Fn(&View) -> bool) {
     let begin = Instant::now();
@@ -235,10 +240,7 @@
     let (one, other) = (PROGRAM.start(&one), PROGRAM.start(&other));
     until(&other, "both live", |view| view.side == "whole");
     let first = view(&one).expect("a view").digest;
-    let incarnation = |front: &Front| {
-        let line: serde_json::Value = serde_json::from_str(front.call("fleet").lines().next()?).ok()?;
-        line["incarnation"].as_u64()
-    };
+    let incarnation = |front: &Front| told(front)?["incarnation"].as_u64();
     let before = incarnation(&one).expect("one");
     let never_gone = || {
         let view = view(&other).expect("a view");
@@ -290,12 +292,7 @@
         stranger.send_to(bytes, &at).expect("it goes out");
     }
     let begin = Instant::now();
-    let malformed = || {
-        let line = one.call("fleet");
-        let line: serde_json::Value =
-            serde_json::from_str(line.lines().next().expect("a line")).expect("JSON");
-        line["dropped"]["malformed"].as_u64().expect("a count")
-    };
+    let malformed = || told(&one).expect("a view")["dropped"]["malformed"].as_u64().expect("a count");
     while malformed() < 5 {
         assert!(begin.elapsed() < Duration::from_secs(10), "{} were counted", malformed());
         sleep(Duration::from_millis(20));
@@ -342,9 +339,7 @@
         let _ = stranger.send_to(&[1; 100], &at);
     }
     assert!(front.call("stats").ends_with("end\n"), "it answers meanwhile");
-    let line = front.call("fleet");
-    let line: serde_json::Value = serde_json::from_str(line.lines().next().expect("a line")).expect("JSON");
-    let read = line["received"]["messages"].as_u64().expect("a count");
+    let read = told(&front).expect("a view")["received"]["messages"].as_u64().expect("a count");
     // 400 at once, 1,000 a second, and what was read before.
     let most = 500 + (begin.elapsed().as_secs_f64() * 1000.0) as u64;
     assert!(read > 100 && read <= most, "{read} were read, {most} at most");
