Ask the system itself before an idle connection is used again

Seen: a_second_answer_that_comes_late_is_never_the_answer_to_the_next_request failed once in some 2,500 runs, though each second answer was there 15 ms after the first at the latest and a connection rests for 20 ms.

Cause: Pool::idle_that asked Link::is_usable, whose read goes by tokio's readiness. That is as old as the reactor's last look. A process that stood still between its look and the check, or that served the timer of the rest after an epoll_wait that a signal had interrupted, found the connection silent though the second answer lay in the system's buffer, wrote the next customer's request and took the second answer for its own. A close or reset that had come went unseen in the same way.

Ruled out: the order of events and timers within one look (tokio hands out events first), bytes that hyper holds itself (an idle connection with any is ended), and the length of the rest.

Change: Link::is_silent asks the system, by a peek that does not wait, in the same poll in which the request is written.

Measured: the new test, in which the reactor has no turn between the bytes and the check, fails without the change ("a second answer: it would have been used") and holds 200 times of 200 with it.

--- a/src/bin/brassport/backends/link.rs
+++ b/src/bin/brassport/backends/link.rs
@@ -8,9 +8,11 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::cell::Cell;
 use std::future::{poll_fn, Future};
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
@@ -40,6 +42,8 @@
     writing: Cell<bool>,
     begun: Cell<bool>,
     all_there: Cell<bool>,
+    /// Whether the next read asks the system first.
+    asks_system: Cell<bool>,
 }
 
 /// The connection's socket, which tells when a request's last byte has gone out.
@@ -54,10 +58,19 @@
         context: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.progress.asks_system.take() && !is_silent(self.stream.inner()) {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         Pin::new(&mut self.stream).poll_read(context, buffer)
     }
 }
 
+/// Whether nothing is here to be read, no byte, no end and no reset, by the system's own word.
+fn is_silent(stream: &TcpStream) -> bool {
+    let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+}
+
 impl Write for Socket {
     fn poll_write(
         mut self: Pin<&mut Self>,
@@ -198,7 +211,17 @@
         poll_fn(|context| Poll::Ready(self.poll_usable(context))).await
     }
 
-    /// The same, for a task that is to be woken when something comes in on the connection.
+    /// The same by the system's own word: to be asked last before a request is written. Guards against what has come
+    /// in since the reactor last looked, be it the process that stood still or the timer that was served first: a
+    /// read that waits for the reactor's word misses it.
+    pub async fn is_silent(&mut self) -> bool {
+        self.progress.asks_system.set(true);
+        let usable = self.is_usable().await;
+        self.progress.asks_system.set(false);
+        usable
+    }
+
+    /// As [`Link::is_usable`], for a task that is to be woken when something comes in on the connection.
     pub fn poll_usable(&mut self, context: &mut Context<'_>) -> bool {
         if let Some(connection) = &mut self.connection {
             if Pin::new(connection).poll(context).is_ready() {
--- a/src/bin/brassport/backends/pool.rs
+++ b/src/bin/brassport/backends/pool.rs
@@ -371,7 +371,7 @@
             }
             // What came in meanwhile ends it here: nobody else looked at it.
             let mut pooled = claim.pooled.take()?;
-            if !pooled.is_overdue() && pooled.link.is_usable().await {
+            if !pooled.is_overdue() && pooled.link.is_silent().await {
                 return Some(pooled);
             }
         }
--- a/src/bin/brassport/backends/pool/tests.rs
+++ b/src/bin/brassport/backends/pool/tests.rs
@@ -1,8 +1,9 @@
 use super::*;
 use crate::backends::sessions::{Attempt, MOST};
+use socket2::SockRef;
 use std::future::Future;
 use std::io::Write;
-use std::net::{Ipv4Addr, TcpListener};
+use std::net::{Ipv4Addr, TcpListener, TcpStream};
 use std::pin::pin;
 use std::task::Waker;
 
@@ -426,3 +427,40 @@
     pool.end(ID, 1, Conn::Kept, true, Some(Outcome::Fine));
     assert!(pool.watched.get().is_none() && pool.private() == (0, 0));
 }
+
+/// Time goes on, and the reactor has no turn: as for a process that stood still, or served a timer first.
+#[tokio::test(start_paused = true)]
+async fn what_the_reactor_has_not_told_of_ends_an_idle_connection_all_the_same() {
+    type Say<'a> = &'a dyn Fn(TcpStream) -> Option<TcpStream>;
+    let said: [(&str, Say); 4] = [
+        ("a second answer", &|mut end| {
+            end.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("it goes out");
+            Some(end)
+        }),
+        ("half a line", &|mut end| {
+            end.write_all(b"HTT").expect("it goes out");
+            Some(end)
+        }),
+        ("a close", &|_| None),
+        ("a reset", &|end| {
+            SockRef::from(&end).set_linger(Some(Duration::ZERO)).expect("an option");
+            None
+        }),
+    ];
+    for (name, say) in said {
+        let (listener, _, pool) = pool(1, 100 * SECOND, 7);
+        let mut used = open(&pool).await;
+        used.used = 1;
+        let (end, _) = listener.accept().expect("it is there");
+        assert!(used.link.is_usable().await);
+        pool.park(ID, used);
+        // The reactor looks for the last time, and finds nothing.
+        sleep(REST).await;
+        let mut context = Context::from_waker(Waker::noop());
+        let mut idle = pin!(pool.idle(ID, Instant::now() + SECOND));
+        let _end = say(end);
+        let Poll::Ready(pooled) = idle.as_mut().poll(&mut context) else { panic!("it has rested") };
+        assert!(pooled.is_none(), "{name}: it would have been used");
+        assert_eq!((pool.connections(), pool.descriptors.available_permits()), ((0, 0), 1), "{name}");
+    }
+}
