Take in one operators' caller more only when a descriptor is free for it

Cause: the operators' door accepted all callers of a burst before any of them had a turn, and those that it pushed out for one more closed only then (operators/admin.rs, serve: the sender was dropped, nobody waited for the task). 64 callers at once had 64 descriptors where 16 are set aside, so they came out of those of clients and attempts, or the process had none left. Seen by a test that lets the process have 20 more: eight times 'Too many open files'. Ruled out that a whole line goes unanswered for it: what a new caller has written is read at its task's first turn. One whose line comes between the system's last word and its push is looked at once more now. Change: who is to make room has gone before the next is accepted, after one more look for its line.

--- a/src/bin/brassport/operators/admin.rs
+++ b/src/bin/brassport/operators/admin.rs
@@ -13,11 +13,12 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now, JoinHandle};
 use tokio::time::{sleep, timeout};
 use tracing::warn;
 
-/// Most callers that are waited for. One more pushes out the one who has kept silent for the longest time.
+/// Most callers that are waited for. One more pushes out the one who has kept silent for the longest time, and is
+/// taken in once that one's descriptor is free.
 pub const CALLERS: usize = 16;
 /// Most bytes of a line, and the time that it may take to come.
 const LINE_LIMIT: usize = 256;
@@ -95,9 +96,15 @@
     fn carry_out(&self, call: Call<'_>) -> impl Future<Output = Result<String, CallError>>;
 }
 
+/// A caller that is waited for. It is told to go by the end of `stay`.
+struct Caller {
+    stay: oneshot::Sender<()>,
+    task: JoinHandle<()>,
+}
+
 /// Answers callers for ever.
 pub async fn serve(listener: TcpListener, operations: Rc<impl Operations + 'static>) {
-    let mut callers: VecDeque<oneshot::Sender<()>> = VecDeque::new();
+    let mut callers: VecDeque<Caller> = VecDeque::new();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -110,20 +117,27 @@
                 continue;
             }
         };
-        callers.retain(|caller| !caller.is_closed());
+        callers.retain(|caller| !caller.task.is_finished());
         while callers.len() >= CALLERS {
-            callers.pop_front();
+            let Some(Caller { stay, task }) = callers.pop_front() else { break };
+            drop(stay);
+            // Guards against a burst that would have more descriptors than are set aside.
+            let _ = task.await;
         }
-        let (stay, pushed_out) = oneshot::channel();
-        callers.push_back(stay);
+        let (stay, pushed_out) = oneshot::channel::<()>();
         let operations = operations.clone();
-        spawn_local(async move {
+        let task = spawn_local(async move {
             tokio::select! {
                 biased;
                 answered = answer(stream, &*operations) => drop(answered),
-                _ = pushed_out => {}
+                () = async {
+                    let _ = pushed_out.await;
+                    // The system is asked once more before: a line that is there already is answered.
+                    yield_now().await;
+                } => {}
             }
         });
+        callers.push_back(Caller { stay, task });
     }
 }
 
