Read a configuration while serving only if it is a plain file of some MiB

Cause: SIGHUP read whatever stood at the configuration's path, on the thread that serves clients (life/config.rs, reload). A pipe there kept the whole front door waiting for its writer; a device or a wrong file without end was read until the memory was used up. Change: while serving, the file is opened without waiting, has to be a plain one, and 4 MiB of it are read at the most. The line in the log is the one that staff know, 'cannot read ...', and the former state stays in force. A start reads as before: it may be given a pipe. Test: tests/hand_over.rs, sighup_over_what_is_no_plain_file_holds_up_nothing: a pipe, a device, 300 MB and a folder.

--- a/src/bin/brassport/life/config.rs
+++ b/src/bin/brassport/life/config.rs
@@ -5,11 +5,13 @@
 use crate::fleet::roster::{self, Roster, RosterError};
 use crate::life::reload::differences;
 use crate::log::Form;
+use rustix::fs::OFlags;
 use serde::Deserialize;
 use serde_json::Value;
 use springusher::{Class, Effect, InvalidSetting, Plan, Scope, Settings};
-use std::io;
+use std::io::{self, Read};
 use std::net::SocketAddr;
+use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use std::{env, fs};
@@ -18,6 +20,9 @@
 /// What the platform gives at the least, in MB: for a file that does not say.
 const LEAST_MEMORY_MB: f64 = 32.0;
 
+/// Most bytes of a file that is read while clients are served: many times what the longest list, roster and map take.
+const RELOAD_LIMIT: u64 = 4 << 20;
+
 /// What keeps a configuration from being taken.
 #[derive(Error, Debug)]
 pub enum ConfigError {
@@ -237,7 +242,7 @@
             discovery: String,
             fleet: Option<roster::Told>,
         }
-        let text = read(&self.path)?;
+        let text = read_while_serving(&self.path)?;
         let Told { discovery, fleet } = serde_json::from_str(&text).map_err(ConfigError::Malformed)?;
         let discovery = address("discovery", &discovery)?;
         let [before, after] = [&self.text, &text].map(|text| serde_json::from_str(text));
@@ -258,6 +263,24 @@
     fs::read_to_string(path).map_err(|error| ConfigError::Unreadable { path: path.to_path_buf(), error })
 }
 
+/// As [`read`], where it may neither wait nor take more memory than there is: a pipe keeps its reader waiting, and a
+/// device or a wrong file may have no end.
+fn read_while_serving(path: &Path) -> Result<String, ConfigError> {
+    let plain = || {
+        let no_wait = OFlags::NONBLOCK.bits() as i32;
+        let file = fs::File::options().read(true).custom_flags(no_wait).open(path)?;
+        let mut text = String::new();
+        if !file.metadata()?.is_file() {
+            return Err(io::Error::other("it is no plain file"));
+        }
+        if file.take(RELOAD_LIMIT + 1).read_to_string(&mut text)? as u64 > RELOAD_LIMIT {
+            return Err(io::Error::other("it is longer than 4 MiB"));
+        }
+        Ok(text)
+    };
+    plain().map_err(|error| ConfigError::Unreadable { path: path.to_path_buf(), error })
+}
+
 fn address(key: &'static str, written: &str) -> Result<SocketAddr, ConfigError> {
     written.parse().map_err(|_| ConfigError::NoAddress { key, written: written.to_string() })
 }
--- a/tests/hand_over.rs
+++ b/tests/hand_over.rs
@@ -4,20 +4,75 @@
 use rustix::process::{Resource, Rlimit, Signal};
 use serde_json::Value;
 use springusher_lab::process::{send_signal, wait_for};
-use springusher_lab::scripted::{closed_port, config, list, target, Front, Peer, Program, PATIENCE};
+use springusher_lab::scripted::{closed_port, config, list, target, Peer, Program, PATIENCE};
 use std::fs::File;
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
 
 const DOOR: Program = Program { path: env!("CARGO_BIN_EXE_brassport"), folder: env!("CARGO_TARGET_TMPDIR") };
 
-/// Starts the program with its log going to a file.
-fn logged(config: &Value) -> (PathBuf, Front) {
-    let name = config["listen"].as_str().expect("an address").replace(':', "-");
-    let path = Path::new(DOOR.folder).join(format!("hand-over-{name}.log"));
-    let log = File::create(&path).expect("a file");
-    (path, DOOR.start_with(config, log.into()))
+/// A process of the program with its log in a file. Its configuration's file and folder are the test's to change.
+struct Process {
+    child: Child,
+    admin: SocketAddr,
+    file: PathBuf,
+    log: PathBuf,
+}
+
+impl Process {
+    fn start(config: &Value) -> Process {
+        Process::beside(&DOOR.write(config), config)
+    }
+    /// A further one with this file and its folder, at an operators' door of its own.
+    fn beside(file: &Path, config: &Value) -> Process {
+        let address: SocketAddr = config["listen"].as_str().expect("an address").parse().expect("an address");
+        let admin = TcpListener::bind((address.ip(), 0)).and_then(|listener| listener.local_addr());
+        let admin = admin.expect("a port");
+        let log = file.with_extension(format!("{}.log", admin.port()));
+        let shared = file.with_extension("shared");
+        std::fs::create_dir_all(&shared).expect("a folder");
+        let mut command = Command::new(DOOR.path);
+        command.env("BALANCER_CONFIG", file).env("TMPDIR", shared);
+        command.env("BALANCER_ADMIN_ADDR", admin.to_string());
+        let child = command.stderr(File::create(&log).expect("a file")).spawn().expect("it starts");
+        let process = Process { child, admin, file: file.to_path_buf(), log };
+        wait_for(PATIENCE, || TcpStream::connect(admin).ok()).expect("the operators' door opens");
+        process
+    }
+    fn signal(&self, signal: Signal) {
+        send_signal(self.child.id(), signal).expect("the process is there");
+    }
+    fn call(&self, line: &str) -> String {
+        let mut caller = TcpStream::connect(self.admin).expect("the operators' door accepts");
+        caller.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        caller.write_all(format!("{line}\n").as_bytes()).expect("the call goes out");
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).expect("an answer comes");
+        answer
+    }
+    fn figures(&self, call: &str) -> Value {
+        let answer = self.call(call);
+        let (figures, end) = answer.trim_end().rsplit_once('\n').expect("two lines");
+        assert_eq!(end, "end");
+        serde_json::from_str(figures).expect("JSON")
+    }
+    /// Waits until a call is answered so.
+    fn wait_to_say(&self, call: &str, wanted: &str) {
+        let says = || self.call(call).starts_with(wanted).then_some(());
+        wait_for(PATIENCE, says).unwrap_or_else(|| panic!("{call}: {}", self.call(call)));
+    }
+    fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).expect("a log")
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
 }
 
 /// Stops a process, and waits until it stands still.
@@ -28,6 +83,11 @@
     wait_for(PATIENCE, || stopped().then_some(())).expect("it stands still");
 }
 
+/// The configuration of a front door that knows this backend, with discovery dead.
+fn before(backend: &Peer) -> Value {
+    config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]))
+}
+
 /// Keeps a process to so many more descriptors than it has.
 fn allow_descriptors(id: u32, more: usize) {
     let open = std::fs::read_dir(format!("/proc/{id}/fd")).expect("its descriptors").count();
@@ -39,9 +99,8 @@
 #[test]
 fn callers_who_come_all_at_once_take_no_more_descriptors_than_are_set_aside() {
     let backend = Peer::start();
-    let (log, front) =
-        logged(&config(closed_port(), list(&[target("s-00000001", backend.address, "ready")])));
-    assert!(front.call("status").starts_with("done"));
+    let front = Process::start(&before(&backend));
+    front.wait_to_say("status", "done");
     stop(front.child.id());
     // 16 callers, one who is to take the place of the first of them, and a few that the system may want meanwhile.
     allow_descriptors(front.child.id(), 20);
@@ -59,8 +118,7 @@
         caller.read_to_string(&mut answer).expect("an answer comes");
         assert!(answer.starts_with("done"), "{answer:?}");
     }
-    let log = std::fs::read_to_string(log).expect("a log");
-    assert!(!log.contains("operators' door"), "{log}");
+    assert!(!front.log().contains("operators' door"), "{}", front.log());
 }
 
 #[test]
@@ -76,3 +134,28 @@
     }
     assert!(front.call("status").starts_with("done"));
 }
+
+#[test]
+fn sighup_over_what_is_no_plain_file_holds_up_nothing() {
+    let backend = Peer::start();
+    let front = Process::start(&before(&backend));
+    front.wait_to_say("status", "done");
+    let path = front.file.clone();
+    let pipe = || assert!(Command::new("mkfifo").arg(&path).status().expect("mkfifo runs").success());
+    let endless = || std::os::unix::fs::symlink("/dev/zero", &path).expect("a link");
+    let long = || File::create(&path).and_then(|file| file.set_len(300 << 20)).expect("a long file");
+    let folder = || std::fs::create_dir(&path).expect("a folder");
+    let cases: [(&str, &dyn Fn()); 4] =
+        [("a pipe", &pipe), ("a device", &endless), ("a long file", &long), ("a folder", &folder)];
+    for (n, (what, make)) in cases.into_iter().enumerate() {
+        std::fs::remove_file(&path).expect("it was there");
+        make();
+        front.signal(Signal::HUP);
+        let failed = || (front.figures("stats")["reloads_failed"] == n + 1).then_some(());
+        wait_for(PATIENCE, failed).unwrap_or_else(|| panic!("{what}: {}", front.log()));
+    }
+    let peak = front.figures("cost")["memory_kib"]["peak"].as_u64().expect("a figure");
+    assert!(peak < 100 << 10, "{peak} KiB");
+    assert!(front.call("status").starts_with("done serving"), "what was known stays in force");
+    assert!(front.log().contains("it is no plain file; check the path"), "{}", front.log());
+}
