Look once more before a request that has waited goes out

Seen, with the process held still by SIGSTOP so that the order is the same each time: a client closes while its request's dial is on its way, the connection comes up right before that close, and the whole request is written to it. A client closes, and a timer that is due at once afterwards gives the first attempt up: a further one is written to another backend. In both the close lies in the system's buffer.

Cause: Backends::exchange asks `wanted` of the door, which knows what the client's connection has read. In one look of the reactor the dial's event may stand before the close, and after an epoll_wait that a signal ended the timers are served with no look at all: the attempt runs first. An answer that a client waits for through a dial, a rest, a held place or another attempt can be late by any time.

Ruled out: a further attempt that follows the end of one in the same look (it is queued behind the client's connection), a request that goes out in the turn in which it came, and a client that came, wrote and left before the process looked (the close is read with the request).

Change: before a request goes out on a new connection, or 5 ms after it came, the attempt yields: the reactor looks, and what it finds is served first. Then the place, the door and, by the system's word, the connection are asked, with no wait between that and the first byte. An idle connection that has ended meanwhile gives way to another; one that had just come up was never written to.

--- a/lab/src/scripted.rs
+++ b/lab/src/scripted.rs
@@ -203,12 +203,16 @@
         let attempted = wait_for(PATIENCE, || sockets().contains(&wanted).then_some(()));
         attempted.expect("a connection is attempted");
     }
-    /// Lets the connection come up, and returns all that was written to it until it closed.
-    pub fn open(self) -> Vec<u8> {
+    /// Lets the connection come up.
+    pub fn accept(&self) -> TcpStream {
         let _filling = self.listener.accept().expect("the one that filled the backlog");
-        let (mut stream, _) = self.listener.accept().expect("the front door's");
+        let (stream, _) = self.listener.accept().expect("the front door's");
         stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-        let mut bytes = Vec::new();
+        stream
+    }
+    /// Lets the connection come up, and returns all that was written to it until it closed.
+    pub fn open(self) -> Vec<u8> {
+        let (mut stream, mut bytes) = (self.accept(), Vec::new());
         stream.read_to_end(&mut bytes).expect("the front door closes the connection");
         bytes
     }
--- a/src/bin/brassport/backends/attempts.rs
+++ b/src/bin/brassport/backends/attempts.rs
@@ -17,6 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::yield_now;
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
 /// Most bytes of a body that are gathered before it goes on, either way, and the longest that this may hold back the
@@ -25,6 +26,9 @@
 const HOLD: Duration = Duration::from_millis(50);
 /// How long a body that goes on as it comes may bring nothing, or its reader take nothing.
 const STALL: Duration = Duration::from_secs(10);
+/// From this age on a request has waited for something.
+const WAITED: Duration = Duration::from_millis(5);
+
 /// A client's request as it goes on to a backend.
 pub struct Message {
     pub method: Method,
@@ -43,6 +47,8 @@
 pub struct Order {
     pub server: ServerId,
     pub message: Rc<Message>,
+    /// When the request was here.
+    pub came: Instant,
     pub expire_at: Instant,
     /// Whether a long answer is read ahead of its client.
     pub capped: bool,
@@ -174,34 +180,51 @@
     ) -> End {
         let id = order.server;
         let Some(place) = self.pool.ready_at(id) else { return Outcome::Moot.into() };
-        let mut pooled = if let Some(customer) = self.watched(order) {
-            match Box::pin(self.pool.have(id, place, customer, order.expire_at)).await {
-                Some(pooled) => pooled,
-                None => return Outcome::NoConnection.into(),
-            }
-        } else {
-            match self.pool.idle(id, order.expire_at).await {
-                Some(pooled) => pooled,
-                // Few attempts dial: the others need no room for it.
-                None => match Box::pin(self.pool.connect(place)).await {
+        let (mut pooled, now) = loop {
+            let mut pooled = if let Some(customer) = self.watched(order) {
+                match Box::pin(self.pool.have(id, place, customer, order.expire_at)).await {
                     Some(pooled) => pooled,
                     None => return Outcome::NoConnection.into(),
-                },
+                }
+            } else {
+                match self.pool.idle(id, order.expire_at).await {
+                    Some(pooled) => pooled,
+                    // Few attempts dial: the others need no room for it.
+                    None => match Box::pin(self.pool.connect(place)).await {
+                        Some(pooled) => pooled,
+                        None => return Outcome::NoConnection.into(),
+                    },
+                }
+            };
+            let mut now = Instant::now();
+            // Guards against sending for a client that went meanwhile: what the reactor finds when it looks once more is
+            // served before this goes on. A request that has just come goes on at once.
+            let waited = pooled.used == 0 || now.duration_since(order.came) >= WAITED;
+            if waited {
+                yield_now().await;
+                now = Instant::now();
             }
-        };
-        // Guards against sending to a backend that began to drain, went or moved while the connection rested or came
-        // up, and against sending for a request that was answered meanwhile.
-        if self.pool.ready_at(id) != Some(place) || !wanted() {
-            if pooled.used > 0 {
-                self.pool.put_back(id, pooled);
+            // Guards against sending to a backend that began to drain, went or moved while the connection rested or
+            // came up, and against sending for a request that was answered meanwhile.
+            if self.pool.ready_at(id) != Some(place) || !wanted() {
+                if pooled.used > 0 {
+                    self.pool.put_back(id, pooled);
+                }
+                return Outcome::Moot.into();
             }
-            return Outcome::Moot.into();
-        }
+            if !waited || pooled.link.is_silent().await {
+                break (pooled, now);
+            }
+            // Another idle one may do, but none is opened anew for one that has just come up.
+            if pooled.used == 0 {
+                return Outcome::NoConnection.into();
+            }
+        };
         // What went on as it came is not there for a further attempt.
-        let Some(request) = order.message.to_send(order.expire_at) else { return Outcome::Moot.into() };
+        let Some(request) = order.message.to_send(order.expire_at, now) else { return Outcome::Moot.into() };
         let conn = self.watched(order).and_then(|customer| self.pool.begin(id, customer, &mut pooled));
         written.set(conn.map_or(Sent::Unwatched, Sent::On));
-        let (sent, idle) = (Instant::now(), pooled.since.elapsed());
+        let idle = now.duration_since(pooled.since);
         self.pool.tally.borrow_mut().exchanges += 1;
         let end = match self.receive(&mut pooled, request, order.capped, wanted, begin, begun).await {
             Ok(end) => end,
@@ -215,7 +238,7 @@
                 tally.last_broken = format!(
                     "to {} after {} ms, {} ms idle before, {} exchanges: {problem}",
                     place.address,
-                    sent.elapsed().as_millis(),
+                    now.elapsed().as_millis(),
                     idle.as_millis(),
                     pooled.used
                 );
@@ -312,7 +335,7 @@
 
 impl Message {
     /// `None` if it has gone on as it came already.
-    fn to_send(&self, expire_at: Instant) -> Option<Request<Upload>> {
+    fn to_send(&self, expire_at: Instant, now: Instant) -> Option<Request<Upload>> {
         let rest = self.rest.take();
         if rest.is_none() && !self.is_kept {
             return None;
@@ -321,7 +344,7 @@
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
-        let left = expire_at.saturating_duration_since(Instant::now()).as_micros();
+        let left = expire_at.saturating_duration_since(now).as_micros();
         if let Ok(left) = HeaderValue::from_str(&format!("{left}u")) {
             request.headers_mut().insert("x-deadline", left);
         }
--- a/src/bin/brassport/backends/attempts/tests.rs
+++ b/src/bin/brassport/backends/attempts/tests.rs
@@ -79,7 +79,8 @@
         };
         let wait = Duration::from_millis(if answer.is_some() { 10_000 } else { 300 });
         let expire_at = Instant::now() + wait;
-        let order = Order { server: 3, message: Rc::new(message), expire_at, capped: false };
+        let came = Instant::now();
+        let order = Order { server: 3, message: Rc::new(message), came, expire_at, capped: false };
         let backends = Backends::new(pool, 0);
         let cancel = async {
             match called_off {
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -62,6 +62,7 @@
 /// A request that awaits its answer or the ends of its attempts.
 struct InHand {
     message: Rc<Message>,
+    came: Instant,
     /// When its client gives up.
     deadline: Instant,
     /// `None` once it is answered or its client has gone.
@@ -123,8 +124,10 @@
         let mut inner = self.inner.borrow_mut();
         inner.last += 1;
         request.id = inner.last;
-        request.expires_in = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0;
-        let hand = InHand { message: Rc::new(message), deadline, answer: Some(answer), attempts: Vec::new() };
+        let came = Instant::now();
+        request.expires_in = deadline.saturating_duration_since(came).as_secs_f64() * 1000.0;
+        let message = Rc::new(message);
+        let hand = InHand { message, came, deadline, answer: Some(answer), attempts: Vec::new() };
         inner.requests.insert(request.id, hand);
         drop(inner);
         self.handle(Event::Request(request));
@@ -356,8 +359,8 @@
                 let (cancel, cancelled) = oneshot::channel();
                 let number = hand.attempts.len() as u8;
                 hand.attempts.push(Some(cancel));
-                let message = hand.message.clone();
-                let order = Order { server, message, expire_at, capped };
+                let (message, came) = (hand.message.clone(), hand.came);
+                let order = Order { server, message, came, expire_at, capped };
                 tokio::task::spawn_local(self.clone().attempt(request, number, order, cancelled));
             }
             Action::Refuse { request, retry_after } => inner.answer(request, Answer::Refused(retry_after)),
