Send no attempt whose window or time is over when its connection comes up

Seen: a request of a class whose repeats are dropped for a window broke off, a further attempt was decided on within that window (0.6 s of 2.5 s), its dial came up after it was over, and the whole request went out: the backends may run it twice. An attempt whose time was over when its connection came up in the same look was written too, and closed at once: it counts as one that may have run.

Cause: Gateway::may_try_again asks for the window where it decides; nothing asks where the first byte goes out, a dial, a rest or a pause of the process later. Backends::attempt polls the exchange before the clock.

Change: Action::Send carries `start_by`, the end of the window for an attempt that may be a repeat, nothing for others; the check before the first byte asks for it, and for the attempt's end in any case. An attempt that is too late was never sent. What is out in time is not cut at the window's end.

One that is called off as its connection comes up was right before: its test stands beside them.

--- a/src/bin/brassport/backends/attempts.rs
+++ b/src/bin/brassport/backends/attempts.rs
@@ -49,6 +49,8 @@
     pub message: Rc<Message>,
     /// When the request was here.
     pub came: Instant,
+    /// From then on it may not begin any more; from then on it is given up.
+    pub start_by: Instant,
     pub expire_at: Instant,
     /// Whether a long answer is read ahead of its client.
     pub capped: bool,
@@ -205,8 +207,8 @@
                 now = Instant::now();
             }
             // Guards against sending to a backend that began to drain, went or moved while the connection rested or
-            // came up, and against sending for a request that was answered meanwhile.
-            if self.pool.ready_at(id) != Some(place) || !wanted() {
+            // came up, against sending for a request that was answered meanwhile, and against sending too late.
+            if self.pool.ready_at(id) != Some(place) || !wanted() || order.start_by <= now {
                 if pooled.used > 0 {
                     self.pool.put_back(id, pooled);
                 }
--- a/src/bin/brassport/backends/attempts/tests.rs
+++ b/src/bin/brassport/backends/attempts/tests.rs
@@ -1,8 +1,10 @@
 use super::*;
 use crate::backends::sessions::{Attempt, Hold, Sessions};
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::task::{Context, Waker};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 
 #[test]
 fn an_answers_figures_are_read_if_they_make_sense() {
@@ -46,6 +48,37 @@
     }
 }
 
+/// Those of a pool that knows one backend, and an attempt there that has so long.
+fn backends(address: SocketAddr) -> Backends {
+    let (second, idle) = (Duration::from_secs(1), Duration::from_secs(100));
+    let pool = Pool::new(Arc::new(Semaphore::new(9)), Rc::default(), second, idle, 7);
+    pool.put(3, address, 0.0, true);
+    Backends::new(pool, 0)
+}
+
+fn order(wait: Duration) -> Order {
+    let mut headers = HeaderMap::new();
+    headers.insert(header::COOKIE, HeaderValue::from_static("client=00000000000000a1"));
+    let message = Message {
+        method: Method::GET,
+        uri: Uri::from_static("/"),
+        headers,
+        body: Bytes::new(),
+        rest: RefCell::new(None),
+        is_kept: true,
+        _room: None,
+    };
+    let came = Instant::now();
+    let expire_at = came + wait;
+    Order { server: 3, message: Rc::new(message), came, start_by: expire_at, expire_at, capped: false }
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    (listener, address)
+}
+
 #[tokio::test]
 async fn what_became_of_an_attempt_is_told_of_its_customer() {
     use evidence::{Failure, Outcome::*};
@@ -59,29 +92,13 @@
         (None, true, Some(CustomersOwn)),
     ];
     for (answer, called_off, wanted) in cases {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        let (second, idle) = (Duration::from_secs(1), Duration::from_secs(100));
-        let pool = Pool::new(Arc::new(Semaphore::new(9)), Rc::default(), second, idle, 7);
-        pool.put(3, address, 0.0, true);
+        let (listener, address) = listen().await;
+        let backends = backends(address);
         let told = Rc::new(Told::default());
-        pool.watch(told.clone());
-        let mut headers = HeaderMap::new();
-        headers.insert(header::COOKIE, HeaderValue::from_static("client=00000000000000a1"));
-        let message = Message {
-            method: Method::GET,
-            uri: Uri::from_static("/"),
-            headers,
-            body: Bytes::new(),
-            rest: RefCell::new(None),
-            is_kept: true,
-            _room: None,
-        };
+        backends.pool.watch(told.clone());
         let wait = Duration::from_millis(if answer.is_some() { 10_000 } else { 300 });
-        let expire_at = Instant::now() + wait;
-        let came = Instant::now();
-        let order = Order { server: 3, message: Rc::new(message), came, expire_at, capped: false };
-        let backends = Backends::new(pool, 0);
+        let order = order(wait);
+        let expire_at = order.expire_at;
         let cancel = async {
             match called_off {
                 true => sleep_until(expire_at - wait / 2).await,
@@ -96,3 +113,35 @@
         assert_eq!(told.0.take(), Vec::from_iter(wanted.map(note)), "{answer:?}");
     }
 }
+
+/// What came of an attempt that was on its way to connect when this was done, and how many bytes reached the backend.
+async fn meanwhile(order: Order, cancel: Rc<Notify>, act: impl FnOnce()) -> (Outcome, usize) {
+    let (listener, address) = listen().await;
+    let backends = backends(address);
+    let mut attempt = Box::pin(backends.attempt(&order, cancel.notified(), || true, |_, _| {}));
+    assert!(attempt.as_mut().poll(&mut Context::from_waker(Waker::noop())).is_pending());
+    // The connection has come up, and nobody has looked.
+    let (mut stream, _) = listener.accept().await.expect("it comes up");
+    act();
+    let end = tokio::time::timeout(Duration::from_millis(300), attempt).await;
+    let outcome = end.expect("it is over").outcome;
+    assert_eq!(backends.pool.connections(), (0, 0));
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).await.expect("it closes");
+    (outcome, bytes.len())
+}
+
+#[tokio::test]
+async fn an_attempt_that_is_called_off_as_its_connection_comes_up_writes_nothing() {
+    let cancel = Rc::new(Notify::new());
+    let came_of_it = meanwhile(order(Duration::from_secs(9)), cancel.clone(), || cancel.notify_one()).await;
+    assert_eq!(came_of_it, (Outcome::Moot, 0));
+}
+
+#[tokio::test]
+async fn an_attempt_whose_time_is_over_as_its_connection_comes_up_writes_nothing() {
+    let wait = Duration::from_millis(100);
+    let late = || std::thread::sleep(wait);
+    let (outcome, bytes) = meanwhile(order(wait), Rc::default(), late).await;
+    assert!(outcome.never_ran() && bytes == 0, "{outcome:?}, {bytes} bytes");
+}
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -352,15 +352,16 @@
     /// What an action names and is no longer in hand was answered meanwhile: it is passed over.
     fn carry_out(self: &Rc<Self>, inner: &mut Inner, action: Action) {
         match action {
-            Action::Send { request, server, expire_at, capped } => {
+            Action::Send { request, server, start_by, expire_at, capped } => {
                 let Some(hand) = inner.requests.get_mut(&request) else { return };
-                let expire_at =
-                    expire_at.map_or(hand.deadline, |at| self.clock.instant(at).min(hand.deadline));
+                let until = |at: Option<Millis>, most| at.map_or(most, |at| self.clock.instant(at).min(most));
+                let expire_at = until(expire_at, hand.deadline);
+                let start_by = until(start_by, expire_at);
                 let (cancel, cancelled) = oneshot::channel();
                 let number = hand.attempts.len() as u8;
                 hand.attempts.push(Some(cancel));
                 let (message, came) = (hand.message.clone(), hand.came);
-                let order = Order { server, message, came, expire_at, capped };
+                let order = Order { server, message, came, start_by, expire_at, capped };
                 tokio::task::spawn_local(self.clone().attempt(request, number, order, cancelled));
             }
             Action::Refuse { request, retry_after } => inner.answer(request, Answer::Refused(retry_after)),
--- a/src/control.rs
+++ b/src/control.rs
@@ -514,6 +514,7 @@
     }
 
     fn send(&mut self, id: RequestId, to: ServerId, actions: &mut Vec<Action>) {
+        let start_by = self.requests.get(&id).and_then(|open| self.forbidden_from(open));
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(to) = self.fleet.sent(to, self.now) else { return };
         open.held = false;
@@ -522,26 +523,28 @@
             customer.open += 1;
         }
         let capped = self.settings.plans[open.request.plan].open > 0;
-        actions.push(Action::Send { request: id, server: to.id, expire_at: None, capped });
+        actions.push(Action::Send { request: id, server: to.id, start_by, expire_at: None, capped });
         let request = open.request;
         let patience = PATIENCE * self.usual_time(&request);
         let patience = patience.min(USEFUL * self.settings.classes[request.class].aim);
         actions.push(Action::Timer { at: self.now + patience, token: (id << 2) + REVIEW });
     }
 
+    /// From when on the class forbids that a further attempt begins.
+    fn forbidden_from(&self, open: &Open) -> Option<Millis> {
+        let ran = open.attempts.iter().find(|attempt| attempt.may_have_run)?;
+        match self.settings.classes[open.request.class].effect {
+            Effect::Free => None,
+            Effect::Once => Some(NEVER),
+            Effect::Keyed { window, .. } => Some(ran.sent + window - 2.0 * self.settings.tick),
+        }
+    }
+
     /// Whether a further attempt is allowed by the class, the settings and the retry budget, and of use.
     fn may_try_again(&self, open: &Open) -> bool {
         let class = &self.settings.classes[open.request.class];
-        let ran = open.attempts.iter().find(|attempt| attempt.may_have_run);
         let out = open.attempts.iter().any(|attempt| attempt.out);
-        let licensed = match (class.effect, ran) {
-            (_, None) | (Effect::Free, _) => true,
-            (Effect::Once, Some(_)) => false,
-            (Effect::Keyed { window, .. }, Some(first)) => {
-                self.now < first.sent + window - 2.0 * self.settings.tick
-            }
-        };
-        licensed
+        self.forbidden_from(open).is_none_or(|from| self.now < from)
             && (self.settings.may_duplicate || !out)
             && open.attempts.len() < self.settings.max_attempts as usize
             && self.retry_budget >= 1.0
@@ -622,11 +625,8 @@
                 actions
                     .extend(losers.map(|(n, _)| Action::Cancel { request: end.request, attempt: n as u8 }));
             }
-        } else if !out {
-            let again = self.may_try_again(open);
-            if !(again && self.further(end.request, actions)) {
-                self.give_up(end.request, actions);
-            }
+        } else if !(out || self.may_try_again(open) && self.further(end.request, actions)) {
+            self.give_up(end.request, actions);
         }
         self.forget_if_over(end.request);
         if let Some(next) = next.filter(|next| self.requests.contains_key(next)) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -374,6 +374,8 @@
         request: RequestId,
         /// The server.
         server: ServerId,
+        /// When it may not begin any more, if it has not by then; `None`: when it is given up.
+        start_by: Option<Millis>,
         /// When to give the attempt up; `None`: when the client does.
         expire_at: Option<Millis>,
         /// Whether it holds one of few places until its answer is read, so that reading early is of use.
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -1,10 +1,15 @@
-//! Attempts whose moment has passed, or whose client has: the built program, held still where the bad order needs it.
+//! Attempts whose moment has passed, or whose client has gone: the module's word on it, and the built program, held
+//! still where the bad order needs that.
 
+mod common;
+
+use common::{server, settings, Host};
 use rustix::process::Signal;
 use serde_json::{json, Value};
+use springusher::{Action, Millis, Outcome};
 use springusher_lab::process::wait_for;
 use springusher_lab::scripted::{
-    closed_port, config, get, list, post, target, Front, Peer, Program, Stuck, PATIENCE,
+    closed_port, config, get, list, post, target, Discovery, Front, Peer, Program, Stuck, PATIENCE,
 };
 use std::io::Read;
 use std::net::SocketAddr;
@@ -94,3 +99,67 @@
     stream.read_to_end(&mut bytes).expect("the front door closes the connection");
     assert_eq!(String::from_utf8_lossy(&bytes), "");
 }
+
+#[test]
+fn a_connection_that_comes_up_after_the_window_for_repeats_carries_nothing() {
+    let (backend, stuck) = (Peer::start(), Stuck::start());
+    let known = list(&[target("s-00000001", backend.address, "ready")]);
+    let discovery = Discovery::start(known.clone());
+    // A busy machine has long enough to decide within it.
+    let window = Duration::from_secs(6);
+    let guarded = [
+        ("semantics", json!("guarded")),
+        ("dedupWindow", json!(window.as_millis() as f64)),
+        ("slo", json!(20_000.0)),
+        ("deadline", json!(20_000.0)),
+    ];
+    let front = DOOR.start(&with_classes(discovery.address, known, &guarded));
+    let mut client = front.client();
+    let began = Instant::now();
+    client.send(&post("a job").replace("X-Deadline: 4000m", "X-Deadline: 18000m"));
+    let exchange = backend.next();
+    discovery.tell(json!([
+        target("s-00000001", backend.address, "draining"),
+        target("s-00000002", stuck.address, "ready")
+    ]));
+    // It may have run; the further attempt is decided on within the window.
+    exchange.break_off("");
+    stuck.wait_for_connect();
+    let decided = began.elapsed();
+    thread::sleep(window.saturating_sub(decided));
+    assert_eq!(String::from_utf8_lossy(&stuck.open()), "", "decided on after {decided:?}");
+    assert_eq!(client.read().status(), 504);
+}
+
+/// By when each attempt sent has to begin.
+fn starts(actions: &[Action]) -> Vec<Option<Millis>> {
+    let start = |action: &Action| match action {
+        Action::Send { start_by, .. } => Some(*start_by),
+        _ => None,
+    };
+    actions.iter().filter_map(start).collect()
+}
+
+#[test]
+fn an_attempt_that_may_be_a_repeat_is_sent_with_the_end_of_its_window() {
+    let [free, once, keyed] = [0, 1, 2];
+    // Two calls of the host before the window of 1500 ms from the first attempt that may have run is over.
+    let over = Some(1500.0 - 8.0);
+    for (class, first, after_the_first, after_the_next) in [
+        (free, Outcome::Reset, vec![None], vec![None]),
+        (once, Outcome::NoConnection, vec![None], vec![None]),
+        (once, Outcome::Reset, vec![], vec![]),
+        (keyed, Outcome::NoConnection, vec![None], vec![None]),
+        (keyed, Outcome::Reset, vec![over], vec![over]),
+    ] {
+        let mut host = Host::new(settings(), &[server(1), server(2), server(3)]);
+        let (id, sent) = host.ask(1, 3, class);
+        assert_eq!(starts(&sent), [None], "class {class}");
+        host.now = 50.0;
+        let next = host.end(id, 0, first, None);
+        assert_eq!(starts(&next), after_the_first, "class {class} after {first:?}");
+        host.now = 300.0;
+        let next = host.end(id, 1, Outcome::NoConnection, None);
+        assert_eq!(starts(&next), after_the_next, "class {class} after {first:?} and no connection");
+    }
+}
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -204,7 +204,10 @@
 #[test]
 fn actions_are_encoded() {
     let mut reply = Reply::default();
-    reply.push(3, &Action::Send { request: 9, server: 7, expire_at: Some(2.0), capped: false });
+    reply.push(
+        3,
+        &Action::Send { request: 9, server: 7, start_by: None, expire_at: Some(2.0), capped: false },
+    );
     reply.push(3, &Action::Timer { at: 4.0, token: 11 });
     reply.push(3, &Action::Refuse { request: 9, retry_after: 8.0 });
     reply.push(3, &Action::Fail(9));
