Take a request whose last byte was not written for one that never ran

Need: a connection that breaks before the request's last byte is written is one that could not connect, and the request has never run, says the protocol. Link::send told so only where hyper handed the request back, before its first byte: after part of a long body it said that the request may have run, an unsafe one failed and a keyed one spent its window.

Change: what the socket's own count knows decides. A request counts as written once hyper has given the system its last byte (Progress, in poll_flush); up to then it never ran. What the system took over whole may have arrived, and stays a reset.

Checked: with 32 MB to a peer that reads nothing, or some, and resets, the test fails without the change (Broken("connection error") with nothing counted as written). Short requests to a peer that has read some or all of them stay Broken.

--- a/src/bin/brassport/backends/link.rs
+++ b/src/bin/brassport/backends/link.rs
@@ -26,10 +26,9 @@
 /// Why an exchange brought no whole answer.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Failure {
-    /// No byte of the request was written.
+    /// The request's last byte was not written: it never ran.
     Unsent,
-    /// The connection broke, or the answer is not one of HTTP, after some of it may have been written; and
-    /// what was wrong, for the log.
+    /// The connection broke, or the answer is not one of HTTP, after that; and what was wrong, for the log.
     Broken(String),
 }
 
@@ -183,11 +182,10 @@
         progress.all_there.set(request.body().is_end_stream());
         progress.writing.set(true);
         let request = request.map(|body| Tracked { body, progress: progress.clone() });
-        // hyper hands a request back only if it never began to write it.
-        let answer = sender.try_send_request(request);
-        drive(connection, answer).await.map_err(|mut error| match error.take_message() {
-            Some(_) => Failure::Unsent,
-            None => Failure::Broken(error.error().to_string()),
+        let answer = drive(connection, sender.try_send_request(request)).await;
+        answer.map_err(|error| match progress.writing.get() {
+            true => Failure::Unsent,
+            false => Failure::Broken(error.error().to_string()),
         })
     }
 
@@ -245,3 +243,6 @@
     })
     .await
 }
+
+#[cfg(test)]
+mod tests;
