Hold by tests what answers and clients in a hurry already come to

Suspected and right as it is, each in an order that is the same every time: an answer of no length that is reset, before or after it began to reach its client; one shorter or longer than it says, with two lengths, with 1xx before it, or of a connection that says it closes; bytes behind an answer, which end the connection before it is kept; a client that wrote and left, by close or reset, while the process stood still.

--- a/src/bin/brassport/backends/attempts/tests.rs
+++ b/src/bin/brassport/backends/attempts/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::backends::sessions::{Attempt, Hold, Sessions};
+use http_body_util::BodyExt;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::task::{Context, Waker};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -145,3 +146,78 @@
     let (outcome, bytes) = meanwhile(order(wait), Rc::default(), late).await;
     assert!(outcome.never_ran() && bytes == 0, "{outcome:?}, {bytes} bytes");
 }
+/// How a backend ends what it has said.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Close {
+    Not,
+    InOrder,
+    Reset,
+    /// Once the answer has begun to reach its client.
+    ResetOnceBegun,
+}
+
+#[tokio::test]
+async fn what_is_no_whole_answer_is_never_taken_for_one() {
+    use Close::*;
+    const HEAD: &str = "HTTP/1.1 200 OK\r\n";
+    let whole = Some(Ok::<_, ()>("ok"));
+    let cut = Some(Err(()));
+    let cases = [
+        // Of no length: an end is its end, and a reset is none.
+        ("\r\nok", InOrder, Outcome::Ok, whole, false),
+        ("\r\nok", Reset, Outcome::Reset, None, false),
+        ("\r\nok", ResetOnceBegun, Outcome::Reset, cut, false),
+        ("transfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", Not, Outcome::Ok, whole, true),
+        ("transfer-encoding: chunked\r\n\r\n2\r\nok\r\n", InOrder, Outcome::Reset, None, false),
+        ("transfer-encoding: chunked\r\n\r\n2\r\nok\r\n", ResetOnceBegun, Outcome::Reset, cut, false),
+        // Shorter and longer than it says.
+        ("content-length: 3\r\n\r\nok", InOrder, Outcome::Reset, None, false),
+        ("content-length: 3\r\n\r\nok", Reset, Outcome::Reset, None, false),
+        ("content-length: 2\r\n\r\nok!", Not, Outcome::Ok, whole, false),
+        ("content-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n", Not, Outcome::Ok, whole, false),
+        // A head that is none.
+        ("content-length: 2\r\n", InOrder, Outcome::Reset, None, false),
+        ("content-length: 2\r\ncontent-length: 3\r\n\r\nok!", Not, Outcome::Reset, None, false),
+        // What the next request may go on, and what not.
+        ("content-length: 2\r\n\r\nok", Not, Outcome::Ok, whole, true),
+        ("connection: close\r\ncontent-length: 2\r\n\r\nok", Not, Outcome::Ok, whole, false),
+    ];
+    let informed = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nlink: a\r\n\r\n";
+    for ((answer, close, wanted, body, kept), before) in
+        cases.iter().copied().flat_map(|case| [(case, ""), (case, informed)])
+    {
+        let (listener, address) = listen().await;
+        let backends = backends(address);
+        let (told, begun, order) = (RefCell::new(None), Notify::new(), order(Duration::from_secs(9)));
+        let begin = |answer: Response<Flow>, _: &End| {
+            told.replace(Some(answer));
+            begun.notify_one();
+        };
+        let serve = async {
+            let (mut stream, _) = listener.accept().await.expect("it comes up");
+            let _ = stream.read(&mut [0; 4096]).await;
+            let said = format!("{before}{HEAD}{answer}");
+            stream.write_all(said.as_bytes()).await.expect("it goes out");
+            if close == ResetOnceBegun {
+                begun.notified().await;
+            }
+            if matches!(close, Reset | ResetOnceBegun) {
+                socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("an option");
+            }
+            (close == Not).then_some(stream)
+        };
+        let attempt = backends.attempt(&order, std::future::pending::<()>(), || true, begin);
+        let (end, _stream) = tokio::join!(attempt, serve);
+        let case = format!("{before:?} {answer:?} {close:?}");
+        assert_eq!(end.outcome, wanted, "{case}");
+        assert_eq!(backends.pool.connections(), (usize::from(kept), 0), "{case}");
+        let got = match (end.answer, told.take()) {
+            (Some(answer), None) => Some(Ok(answer.into_body())),
+            (None, Some(flow)) => Some(flow.into_body().collect().await.map(|all| all.to_bytes())),
+            (None, None) => None,
+            (Some(_), Some(_)) => panic!("{case}: two answers"),
+        };
+        let got = got.as_ref().map(|got| got.as_ref().map(|got| &got[..]).map_err(drop));
+        assert_eq!(got, body.map(|body| body.map(str::as_bytes)), "{case}");
+    }
+}
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -83,6 +83,36 @@
     assert_eq!(wait_until_idle(&front)["attempts"], 3, "none after the client had gone");
 }
 
+#[test]
+fn a_client_that_wrote_and_left_while_the_process_stood_still_is_sent_nothing_for() {
+    let backend = Peer::start();
+    let front = DOOR.before(&[backend.address]);
+    for (request, close) in [(get("/gone"), "close"), (get("/gone"), "reset"), (post("gone"), "close")] {
+        let mut gone = front.client();
+        // An idle connection on either side: nothing has to be waited for.
+        gone.send(&get("/warm"));
+        backend.next().ok("warm");
+        assert_eq!(gone.read().status(), 200);
+        let before = wait_until_idle(&front)["attempts"].clone();
+        hold(&front);
+        gone.send(&request);
+        if close == "reset" {
+            socket2::SockRef::from(&gone.stream).set_linger(Some(Duration::ZERO)).expect("an option");
+        }
+        drop(gone);
+        front.signal(Signal::CONT);
+        // Who comes after it is served after it.
+        let mut client = front.client();
+        client.send(&get("/marker"));
+        let exchange = backend.next();
+        assert_eq!(exchange.request.line, "GET /preview-fetch/marker HTTP/1.1", "{request} {close}");
+        exchange.ok("marker");
+        assert_eq!(client.read().status(), 200);
+        let after = wait_until_idle(&front)["attempts"].clone();
+        assert_eq!(after.as_u64(), before.as_u64().map(|n| n + 1), "{request} {close}");
+    }
+}
+
 #[test]
 fn a_connection_that_comes_up_right_before_the_clients_close_carries_nothing() {
     let stuck = Stuck::start();
