--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -1,5 +1,5 @@
 //! The door: the single owner of the decision module. It keeps the module's clock and timers and the
-//! requests in hand, hands events in, and carries actions out in order. It decides nothing.
+//! requests in flight, hands events in, and carries actions out in order. It decides nothing.
 
 use crate::backends::attempts::{Backends, End, Message, Order};
 use crate::backends::discovery::{List, State, Target};
@@ -60,7 +60,7 @@
 }
 
 /// A request that awaits its answer or the ends of its attempts.
-struct InHand {
+struct InFlight {
     message: Rc<Message>,
     came: Instant,
     /// When its client gives up.
@@ -73,7 +73,7 @@
 
 struct Inner {
     gateway: Gateway,
-    requests: BTreeMap<RequestId, InHand>,
+    requests: BTreeMap<RequestId, InFlight>,
     last: RequestId,
     alarms: Alarms,
     /// Names of the backends by the number that stands for each.
@@ -119,7 +119,12 @@
     }
 
     /// Takes a request in; `expires_in` and the id are filled in here.
-    pub fn admit(self: &Rc<Self>, mut request: Request, message: Message, deadline: Instant) -> Ticket {
+    pub fn admit(
+        self: &Rc<Self>,
+        mut request: Request,
+        message: Message,
+        deadline: Instant,
+    ) -> RequestHandle {
         let (answer, receiver) = oneshot::channel();
         let mut inner = self.inner.borrow_mut();
         inner.last += 1;
@@ -127,17 +132,17 @@
         let came = Instant::now();
         request.expires_in = deadline.saturating_duration_since(came).as_secs_f64() * 1000.0;
         let message = Rc::new(message);
-        let hand = InHand { message, came, deadline, answer: Some(answer), attempts: Vec::new() };
-        inner.requests.insert(request.id, hand);
+        let entry = InFlight { message, came, deadline, answer: Some(answer), attempts: Vec::new() };
+        inner.requests.insert(request.id, entry);
         drop(inner);
         self.handle(Event::Request(request));
-        Ticket { door: self.clone(), id: request.id, answer: receiver }
+        RequestHandle { door: self.clone(), id: request.id, answer: receiver }
     }
 
-    /// Fails all that is still in hand, as the program has to end.
+    /// Fails all that is still in flight, as the program has to end.
     pub fn fail_all(self: &Rc<Self>) {
         let answers: Vec<_> =
-            self.inner.borrow_mut().requests.values_mut().filter_map(|hand| hand.answer.take()).collect();
+            self.inner.borrow_mut().requests.values_mut().filter_map(|entry| entry.answer.take()).collect();
         for answer in answers {
             let _ = answer.send(Answer::Failed);
         }
@@ -349,26 +354,26 @@
         inner.actions = actions;
     }
 
-    /// What an action names and is no longer in hand was answered meanwhile: it is passed over.
+    /// What an action names and is no longer in flight was answered meanwhile: it is passed over.
     fn carry_out(self: &Rc<Self>, inner: &mut Inner, action: Action) {
         match action {
             Action::Send { request, server, start_by, expire_at, capped } => {
-                let Some(hand) = inner.requests.get_mut(&request) else { return };
+                let Some(entry) = inner.requests.get_mut(&request) else { return };
                 let until = |at: Option<Millis>, most| at.map_or(most, |at| self.clock.instant(at).min(most));
-                let expire_at = until(expire_at, hand.deadline);
+                let expire_at = until(expire_at, entry.deadline);
                 let start_by = until(start_by, expire_at);
                 let (cancel, cancelled) = oneshot::channel();
-                let number = hand.attempts.len() as u8;
-                hand.attempts.push(Some(cancel));
-                let (message, came) = (hand.message.clone(), hand.came);
+                let number = entry.attempts.len() as u8;
+                entry.attempts.push(Some(cancel));
+                let (message, came) = (entry.message.clone(), entry.came);
                 let order = Order { server, message, came, start_by, expire_at, capped };
                 tokio::task::spawn_local(self.clone().attempt(request, number, order, cancelled));
             }
             Action::Refuse { request, retry_after } => inner.answer(request, Answer::Refused(retry_after)),
             Action::Fail(request) => inner.answer(request, Answer::Failed),
             Action::Cancel { request, attempt } => {
-                let hand = inner.requests.get_mut(&request);
-                let attempt = hand.and_then(|hand| hand.attempts.get_mut(usize::from(attempt))?.take());
+                let entry = inner.requests.get_mut(&request);
+                let attempt = entry.and_then(|entry| entry.attempts.get_mut(usize::from(attempt))?.take());
                 if let Some(cancel) = attempt {
                     let _ = cancel.send(());
                 }
@@ -394,7 +399,8 @@
         cancelled: oneshot::Receiver<()>,
     ) {
         let sent = self.clock.now();
-        let wanted = || self.inner.borrow().requests.get(&request).is_some_and(|hand| hand.answer.is_some());
+        let wanted =
+            || self.inner.borrow().requests.get(&request).is_some_and(|entry| entry.answer.is_some());
         // A sender that is dropped without a word cancels nothing.
         let cancel = async {
             if cancelled.await.is_err() {
@@ -415,9 +421,9 @@
             inner.answer(request, Answer::Served(answer.map(whole)));
         }
         let mut finished = true;
-        if let Some(hand) = inner.requests.get_mut(&request) {
-            hand.attempts[usize::from(attempt)] = None;
-            finished = hand.answer.is_none();
+        if let Some(entry) = inner.requests.get_mut(&request) {
+            entry.attempts[usize::from(attempt)] = None;
+            finished = entry.answer.is_none();
         }
         inner.forget_if_over(request);
         drop(inner);
@@ -443,29 +449,29 @@
 
     /// Passes the final answer on, unless there was one before.
     fn answer(&mut self, request: RequestId, answer: Answer) {
-        let Some(hand) = self.requests.get_mut(&request) else { return };
-        if let Some(client) = hand.answer.take() {
+        let Some(entry) = self.requests.get_mut(&request) else { return };
+        if let Some(client) = entry.answer.take() {
             let _ = client.send(answer);
         }
         self.forget_if_over(request);
     }
 
     fn forget_if_over(&mut self, request: RequestId) {
-        let over = |hand: &InHand| hand.answer.is_none() && hand.attempts.iter().all(Option::is_none);
+        let over = |entry: &InFlight| entry.answer.is_none() && entry.attempts.iter().all(Option::is_none);
         if self.requests.get(&request).is_some_and(over) {
             self.requests.remove(&request);
         }
     }
 }
 
-/// A client's claim to its answer. Dropped before that has come, it tells the module that the client left.
-pub struct Ticket {
+/// A client's handle on its request. Dropped before that has come, it tells the module that the client left.
+pub struct RequestHandle {
     door: Rc<Door>,
     id: RequestId,
     answer: oneshot::Receiver<Answer>,
 }
 
-impl Ticket {
+impl RequestHandle {
     /// The final answer. Guards against a request that nothing answers: it fails at `deadline`.
     pub async fn answer(mut self, deadline: Instant) -> Answer {
         tokio::select! {
@@ -476,11 +482,11 @@
     }
 }
 
-impl Drop for Ticket {
+impl Drop for RequestHandle {
     fn drop(&mut self) {
         let mut inner = self.door.inner.borrow_mut();
-        let Some(hand) = inner.requests.get_mut(&self.id) else { return };
-        if hand.answer.take().is_none() {
+        let Some(entry) = inner.requests.get_mut(&self.id) else { return };
+        if entry.answer.take().is_none() {
             return;
         }
         inner.forget_if_over(self.id);
