Hear a refusal or an error by its head when its body does not end

Seen: a backend that turns a request away (503, X-Not-Run: 1) and never ends the answer's body kept the attempt to the request's deadline, where it became one that may have run: an unsafe request failed late that no backend had begun. An error of 500 with such a body took as long to become a further attempt.

Cause: Backends::receive let only answers of 200 and unknown length go after 50 ms, and waited for the end of all others, though nobody reads what an error says.

Change: what is not served is judged by its head once its body has taken 50 ms, as it was already where that is too long. The connection is closed with it.

--- a/src/bin/brassport/backends/attempts.rs
+++ b/src/bin/brassport/backends/attempts.rs
@@ -21,7 +21,7 @@
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
 /// Most bytes of a body that are gathered before it goes on, either way, and the longest that this may hold back the
-/// answer's beginning where its length is not known.
+/// answer's beginning where its length is not known, or what a refusal or an error says by its head.
 pub const BODY_LIMIT: usize = 64 * 1024;
 const HOLD: Duration = Duration::from_millis(50);
 /// How long a body that goes on as it comes may bring nothing, or its reader take nothing.
@@ -277,7 +277,7 @@
         let mut size = 0;
         let hold = Instant::now() + HOLD;
         while length.is_none_or(|length| length <= BODY_LIMIT as u64) && size <= BODY_LIMIT {
-            let piece = if length.is_some() || !served {
+            let piece = if served && length.is_some() {
                 link.piece(&mut body).await
             } else {
                 match timeout_at(hold, link.piece(&mut body)).await {
@@ -295,7 +295,7 @@
             }
         }
         if !served {
-            // What it says at such length is for nobody. Dropped unread, it takes the connection along.
+            // What it says at such length, or so slowly, is for nobody. Dropped unread, it takes the connection along.
             return Ok(judge(Response::from_parts(head, Bytes::new())));
         }
         if !wanted() {
--- a/src/bin/brassport/backends/attempts/tests.rs
+++ b/src/bin/brassport/backends/attempts/tests.rs
@@ -221,3 +221,28 @@
         assert_eq!(got, body.map(|body| body.map(str::as_bytes)), "{case}");
     }
 }
+
+#[tokio::test]
+async fn a_refusal_that_never_ends_is_heard_all_the_same() {
+    let cases = [
+        ("503 Full\r\nx-not-run: 1\r\ncontent-length: 9\r\n\r\n", Outcome::Full),
+        ("503 Full\r\nx-not-run: 1\r\n\r\nfor now", Outcome::Full),
+        ("500 Oh\r\ncontent-length: 9\r\n\r\nno", Outcome::Error),
+    ];
+    for (answer, wanted) in cases {
+        let (listener, address) = listen().await;
+        let backends = backends(address);
+        let serve = async {
+            let (mut stream, _) = listener.accept().await.expect("it comes up");
+            let _ = stream.read(&mut [0; 4096]).await;
+            stream.write_all(format!("HTTP/1.1 {answer}").as_bytes()).await.expect("it goes out");
+            // The rest never comes, and the other side is the one that closes.
+            stream.read(&mut [0]).await
+        };
+        let order = order(Duration::from_secs(9));
+        let attempt = backends.attempt(&order, std::future::pending::<()>(), || true, |_, _| {});
+        let (end, _) = tokio::join!(attempt, serve);
+        assert_eq!(end.outcome, wanted, "{answer:?}");
+        assert_eq!((backends.pool.connections(), backends.pool.any_ready()), ((0, 0), true));
+    }
+}
