--- a/src/bin/brassport/backends/attempts/tests.rs
+++ b/src/bin/brassport/backends/attempts/tests.rs
@@ -1,8 +1,11 @@
 use super::*;
 use crate::backends::sessions::{Attempt, Hold, Sessions};
-use std::net::Ipv4Addr;
+use http_body_util::BodyExt;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::task::{Context, Waker};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 
 #[test]
 fn an_answers_figures_are_read_if_they_make_sense() {
@@ -46,6 +49,37 @@
     }
 }
 
+/// Those of a pool that knows one backend, and an attempt there that has so long.
+fn backends(address: SocketAddr) -> Backends {
+    let (second, idle) = (Duration::from_secs(1), Duration::from_secs(100));
+    let pool = Pool::new(Arc::new(Semaphore::new(9)), Rc::default(), second, idle, 7);
+    pool.put(3, address, 0.0, true);
+    Backends::new(pool, 0)
+}
+
+fn order(wait: Duration) -> Order {
+    let mut headers = HeaderMap::new();
+    headers.insert(header::COOKIE, HeaderValue::from_static("client=00000000000000a1"));
+    let message = Message {
+        method: Method::GET,
+        uri: Uri::from_static("/"),
+        headers,
+        body: Bytes::new(),
+        rest: RefCell::new(None),
+        is_kept: true,
+        _room: None,
+    };
+    let came = Instant::now();
+    let expire_at = came + wait;
+    Order { server: 3, message: Rc::new(message), came, start_by: expire_at, expire_at, capped: false }
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    (listener, address)
+}
+
 #[tokio::test]
 async fn what_became_of_an_attempt_is_told_of_its_customer() {
     use evidence::{Failure, Outcome::*};
@@ -59,28 +93,13 @@
         (None, true, Some(CustomersOwn)),
     ];
     for (answer, called_off, wanted) in cases {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        let (second, idle) = (Duration::from_secs(1), Duration::from_secs(100));
-        let pool = Pool::new(Arc::new(Semaphore::new(9)), Rc::default(), second, idle, 7);
-        pool.put(3, address, 0.0, true);
+        let (listener, address) = listen().await;
+        let backends = backends(address);
         let told = Rc::new(Told::default());
-        pool.watch(told.clone());
-        let mut headers = HeaderMap::new();
-        headers.insert(header::COOKIE, HeaderValue::from_static("client=00000000000000a1"));
-        let message = Message {
-            method: Method::GET,
-            uri: Uri::from_static("/"),
-            headers,
-            body: Bytes::new(),
-            rest: RefCell::new(None),
-            is_kept: true,
-            _room: None,
-        };
+        backends.pool.watch(told.clone());
         let wait = Duration::from_millis(if answer.is_some() { 10_000 } else { 300 });
-        let expire_at = Instant::now() + wait;
-        let order = Order { server: 3, message: Rc::new(message), expire_at, capped: false };
-        let backends = Backends::new(pool, 0);
+        let order = order(wait);
+        let expire_at = order.expire_at;
         let cancel = async {
             match called_off {
                 true => sleep_until(expire_at - wait / 2).await,
@@ -95,3 +114,135 @@
         assert_eq!(told.0.take(), Vec::from_iter(wanted.map(note)), "{answer:?}");
     }
 }
+
+/// What came of an attempt that was on its way to connect when this was done, and how many bytes reached the backend.
+async fn meanwhile(order: Order, cancel: Rc<Notify>, act: impl FnOnce()) -> (Outcome, usize) {
+    let (listener, address) = listen().await;
+    let backends = backends(address);
+    let mut attempt = Box::pin(backends.attempt(&order, cancel.notified(), || true, |_, _| {}));
+    assert!(attempt.as_mut().poll(&mut Context::from_waker(Waker::noop())).is_pending());
+    // The connection has come up, and nobody has looked.
+    let (mut stream, _) = listener.accept().await.expect("it comes up");
+    act();
+    let end = tokio::time::timeout(Duration::from_millis(300), attempt).await;
+    let outcome = end.expect("it is over").outcome;
+    assert_eq!(backends.pool.connections(), (0, 0));
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).await.expect("it closes");
+    (outcome, bytes.len())
+}
+
+#[tokio::test]
+async fn an_attempt_that_is_called_off_as_its_connection_comes_up_writes_nothing() {
+    let cancel = Rc::new(Notify::new());
+    let came_of_it = meanwhile(order(Duration::from_secs(9)), cancel.clone(), || cancel.notify_one()).await;
+    assert_eq!(came_of_it, (Outcome::Moot, 0));
+}
+
+#[tokio::test]
+async fn an_attempt_whose_time_is_over_as_its_connection_comes_up_writes_nothing() {
+    let wait = Duration::from_millis(100);
+    let late = || std::thread::sleep(wait);
+    let (outcome, bytes) = meanwhile(order(wait), Rc::default(), late).await;
+    assert!(outcome.never_ran() && bytes == 0, "{outcome:?}, {bytes} bytes");
+}
+/// How a backend ends what it has said.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Close {
+    Not,
+    InOrder,
+    Reset,
+    /// Once the answer has begun to reach its client.
+    ResetOnceBegun,
+}
+
+#[tokio::test]
+async fn what_is_no_whole_answer_is_never_taken_for_one() {
+    use Close::*;
+    const HEAD: &str = "HTTP/1.1 200 OK\r\n";
+    let whole = Some(Ok::<_, ()>("ok"));
+    let cut = Some(Err(()));
+    let cases = [
+        // Of no length: an end is its end, and a reset is none.
+        ("\r\nok", InOrder, Outcome::Ok, whole, false),
+        ("\r\nok", Reset, Outcome::Reset, None, false),
+        ("\r\nok", ResetOnceBegun, Outcome::Reset, cut, false),
+        ("transfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", Not, Outcome::Ok, whole, true),
+        ("transfer-encoding: chunked\r\n\r\n2\r\nok\r\n", InOrder, Outcome::Reset, None, false),
+        ("transfer-encoding: chunked\r\n\r\n2\r\nok\r\n", ResetOnceBegun, Outcome::Reset, cut, false),
+        // Shorter and longer than it says.
+        ("content-length: 3\r\n\r\nok", InOrder, Outcome::Reset, None, false),
+        ("content-length: 3\r\n\r\nok", Reset, Outcome::Reset, None, false),
+        ("content-length: 2\r\n\r\nok!", Not, Outcome::Ok, whole, false),
+        ("content-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n", Not, Outcome::Ok, whole, false),
+        // A head that is none.
+        ("content-length: 2\r\n", InOrder, Outcome::Reset, None, false),
+        ("content-length: 2\r\ncontent-length: 3\r\n\r\nok!", Not, Outcome::Reset, None, false),
+        // What the next request may go on, and what not.
+        ("content-length: 2\r\n\r\nok", Not, Outcome::Ok, whole, true),
+        ("connection: close\r\ncontent-length: 2\r\n\r\nok", Not, Outcome::Ok, whole, false),
+    ];
+    let informed = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nlink: a\r\n\r\n";
+    for ((answer, close, wanted, body, kept), before) in
+        cases.iter().copied().flat_map(|case| [(case, ""), (case, informed)])
+    {
+        let (listener, address) = listen().await;
+        let backends = backends(address);
+        let (told, begun, order) = (RefCell::new(None), Notify::new(), order(Duration::from_secs(9)));
+        let begin = |answer: Response<Flow>, _: &End| {
+            told.replace(Some(answer));
+            begun.notify_one();
+        };
+        let serve = async {
+            let (mut stream, _) = listener.accept().await.expect("it comes up");
+            let _ = stream.read(&mut [0; 4096]).await;
+            let said = format!("{before}{HEAD}{answer}");
+            stream.write_all(said.as_bytes()).await.expect("it goes out");
+            if close == ResetOnceBegun {
+                begun.notified().await;
+            }
+            if matches!(close, Reset | ResetOnceBegun) {
+                socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("an option");
+            }
+            (close == Not).then_some(stream)
+        };
+        let attempt = backends.attempt(&order, std::future::pending::<()>(), || true, begin);
+        let (end, _stream) = tokio::join!(attempt, serve);
+        let case = format!("{before:?} {answer:?} {close:?}");
+        assert_eq!(end.outcome, wanted, "{case}");
+        assert_eq!(backends.pool.connections(), (usize::from(kept), 0), "{case}");
+        let got = match (end.answer, told.take()) {
+            (Some(answer), None) => Some(Ok(answer.into_body())),
+            (None, Some(flow)) => Some(flow.into_body().collect().await.map(|all| all.to_bytes())),
+            (None, None) => None,
+            (Some(_), Some(_)) => panic!("{case}: two answers"),
+        };
+        let got = got.as_ref().map(|got| got.as_ref().map(|got| &got[..]).map_err(drop));
+        assert_eq!(got, body.map(|body| body.map(str::as_bytes)), "{case}");
+    }
+}
+
+#[tokio::test]
+async fn a_refusal_that_never_ends_is_heard_all_the_same() {
+    let cases = [
+        ("503 Full\r\nx-not-run: 1\r\ncontent-length: 9\r\n\r\n", Outcome::Full),
+        ("503 Full\r\nx-not-run: 1\r\n\r\nfor now", Outcome::Full),
+        ("500 Oh\r\ncontent-length: 9\r\n\r\nno", Outcome::Error),
+    ];
+    for (answer, wanted) in cases {
+        let (listener, address) = listen().await;
+        let backends = backends(address);
+        let serve = async {
+            let (mut stream, _) = listener.accept().await.expect("it comes up");
+            let _ = stream.read(&mut [0; 4096]).await;
+            stream.write_all(format!("HTTP/1.1 {answer}").as_bytes()).await.expect("it goes out");
+            // The rest never comes, and the other side is the one that closes.
+            stream.read(&mut [0]).await
+        };
+        let order = order(Duration::from_secs(9));
+        let attempt = backends.attempt(&order, std::future::pending::<()>(), || true, |_, _| {});
+        let (end, _) = tokio::join!(attempt, serve);
+        assert_eq!(end.outcome, wanted, "{answer:?}");
+        assert_eq!((backends.pool.connections(), backends.pool.any_ready()), ((0, 0), true));
+    }
+}
