End a successor that has not taken over at SIGTERM, and its wait with its predecessor

Cause: while a second process waits for a backend to send to, up to 8 s, it looked at nothing else (main.rs, the wait before take_over). SIGTERM was heard only behind the hand-over: the process took clients over and then ended, and nobody accepted from 0.6 s after until it was gone. A first process that died meanwhile was noticed only after the 8 s, in which clients waited in a queue that nobody served. Seen by tests: the first one's log says 'a second process takes over' after the second one had SIGTERM; with the other end closed the wait went on for 8 s more. Change: the wait is the hand-over's own, ends with the first process, and SIGTERM ends the second one at once. The tests of the hand-over's inner parts stand in a file of their own, as they were. Test: tests/hand_over.rs, a_successor_that_is_told_to_end_before_it_takes_over_leaves_clients_where_they_are; life/handover/tests.rs, a_successor_waits_for_a_backend_only_while_there_is_a_predecessor, on a paused clock.

--- a/src/bin/brassport/life/handover.rs
+++ b/src/bin/brassport/life/handover.rs
@@ -17,6 +17,7 @@
 use springusher::{CustomerId, Estate};
 use std::collections::BTreeMap;
 use std::fs::File;
+use std::future::Future;
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener};
@@ -39,6 +40,8 @@
 const STEP: Duration = Duration::from_millis(1000);
 /// How long a successor may take until it could serve.
 const READY_WITHIN: Duration = Duration::from_secs(10);
+/// How long a successor waits for a backend to send to before it takes over all the same.
+const SERVES_WITHIN: Duration = Duration::from_secs(8);
 /// How often the first tells the second what it has out.
 const TELL: Duration = Duration::from_millis(10);
 const BACK_OFF: Duration = Duration::from_millis(200);
@@ -188,6 +191,15 @@
         Ok(())
     }
 
+    /// Waits until this process is `ready` to serve, but for no longer than clients can wait, and not at all once the
+    /// first process has gone: it says nothing before it is asked to hand over.
+    pub async fn wait(&mut self, ready: impl Future) {
+        tokio::select! {
+            _ = self.stream.fill_buf() => {}
+            _ = timeout(SERVES_WITHIN, ready) => {}
+        }
+    }
+
     /// Follows what the first process has out until it has ended.
     pub async fn follow(mut self, door: Rc<Door>) {
         while let Ok(Some(open)) = read::<BTreeMap<CustomerId, u32>>(&mut self.stream).await {
@@ -304,46 +316,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use tokio::net::UnixListener;
-
-    #[tokio::test]
-    async fn a_listening_socket_changes_hands_with_what_waits_in_its_queue() {
-        let listener = listen("127.0.0.1:0".parse().expect("an address")).expect("it listens");
-        let address = listener.local_addr().expect("an address");
-        let waiting = std::net::TcpStream::connect(address).expect("it waits in the queue");
-        let folder = std::env::temp_dir().join(format!("{}-{}", "x".repeat(120), std::process::id()));
-        std::fs::create_dir_all(&folder).expect("a folder with a long name");
-        let socket: UnixListener = bind(&folder).expect("it is bound");
-        // One that died there before is no obstacle.
-        drop(socket);
-        let socket = bind(&folder).expect("it is bound again");
-        let path = folder.clone();
-        let joining = tokio::task::spawn_blocking(move || {
-            let folder = File::open(&path).expect("a folder");
-            let stream = StdUnixStream::connect(short(&path, &folder, NAME)).expect("it is there");
-            receive(&stream).expect("a listening socket comes")
-        });
-        let (stream, _) = socket.accept().await.expect("it is joined");
-        send(&stream, &listener).await.expect("it goes out");
-        let handed = joining.await.expect("it came");
-        drop(listener);
-        handed.set_nonblocking(false).expect("a plain one");
-        let (_, from) = handed.accept().expect("nothing was reset");
-        assert_eq!(from, waiting.local_addr().expect("an address"));
-        std::fs::remove_dir_all(&folder).expect("removed");
-    }
-
-    #[tokio::test]
-    async fn a_message_that_was_cut_off_is_none() {
-        let (one, other) = UnixStream::pair().expect("a pair");
-        let (mut writer, mut reader) = (BufReader::new(one), BufReader::new(other));
-        write(&mut writer, &BTreeMap::from([(7_u64, 2_u32)])).await.expect("it goes out");
-        writer.get_mut().write_all(b"{\"8\":").await.expect("half of one");
-        drop(writer);
-        let whole = read::<BTreeMap<CustomerId, u32>>(&mut reader).await.expect("readable");
-        assert_eq!(whole, Some(BTreeMap::from([(7, 2)])));
-        assert_eq!(read::<BTreeMap<CustomerId, u32>>(&mut reader).await.expect("no error"), None);
-    }
-}
+mod tests;
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -62,8 +62,7 @@
 const AHEAD_PART: usize = 2;
 /// How long answers that have begun may go on when all else has ended.
 const REST: Duration = Duration::from_secs(60);
-/// How long to wait for a backend to send to before taking over, and how often to look.
-const READY_WITHIN: Duration = Duration::from_secs(8);
+/// How often to look for a backend to send to before taking over.
 const LOOK: Duration = Duration::from_millis(10);
 /// Part of the descriptors that is left to a predecessor until it has ended.
 const PREDECESSORS_PART: usize = 4;
@@ -257,7 +256,12 @@
                 sleep(LOOK).await;
             }
         };
-        let _ = timeout(READY_WITHIN, ready).await;
+        tokio::select! {
+            biased;
+            // Clients are the other's, and it goes on: there is nothing here to end in order.
+            _ = terminate.recv() => return Ok(()),
+            () = predecessor.wait(ready) => {}
+        }
         match predecessor.take_over(&door).await {
             Ok(()) => {
                 // The two share the limit on descriptors until the first has ended.
--- a/tests/hand_over.rs
+++ b/tests/hand_over.rs
@@ -159,3 +159,17 @@
     assert!(front.call("status").starts_with("done serving"), "what was known stays in force");
     assert!(front.log().contains("it is no plain file; check the path"), "{}", front.log());
 }
+
+#[test]
+fn a_successor_that_is_told_to_end_before_it_takes_over_leaves_clients_where_they_are() {
+    // Without a backend to send to, the second one waits.
+    let config = config(closed_port(), list(&[]));
+    let first = Process::start(&config);
+    first.wait_to_say("status", "error no backend");
+    let mut second = Process::beside(&first.file, &config);
+    second.wait_to_say("status", "error this process has not taken over yet");
+    second.signal(Signal::TERM);
+    assert!(second.child.wait().expect("it ends").success());
+    assert!(first.call("standby").starts_with("done"), "it has clients: {}", first.log());
+    assert!(!first.log().contains("takes over"), "{}", first.log());
+}
