Give clients back to the first process as soon as its successor takes no more

Cause: a successor that is told to end, as when a replacement is taken back, closes its listener after 0.6 s but held the link to the first process until its last answer was over, and only the end of that link made the first one accept again (life/handover.rs, follow and hand_over). In between, up to 3 s and with a long answer up to 63 s, clients waited in a queue that nobody served. After that the first one opened its own socket for a successor only 0.2 s later, so that one started meanwhile found none and shared the address instead. Seen by a test: the first one said 'handed over' until the other's long answer had ended. Change: when it closes, the successor says what it still has out and goes on telling that, as the first one does otherwise. Where a third process has clients already nothing is given back. Test: tests/hand_over.rs, a_successor_that_ends_gives_clients_back_while_an_answer_goes_on. It failed without the change, first as the second process had ended before the first one served, then as the third could not join.

--- a/src/bin/brassport/life/handover.rs
+++ b/src/bin/brassport/life/handover.rs
@@ -5,7 +5,7 @@
 
 use crate::backends::discovery::{List, Target};
 use crate::backends::link::KERNEL_BUFFER;
-use crate::clients::shift::Shift;
+use crate::clients::shift::{Phase, Shift};
 use crate::door::Door;
 use crate::errors::text;
 use rustix::net::{
@@ -29,6 +29,7 @@
 use thiserror::Error;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{UnixListener, UnixStream};
+use tokio::task::spawn_local;
 use tokio::time::error::Elapsed;
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
@@ -200,12 +201,47 @@
         }
     }
 
-    /// Follows what the first process has out until it has ended.
-    pub async fn follow(mut self, door: Rc<Door>) {
-        while let Ok(Some(open)) = read::<BTreeMap<CustomerId, u32>>(&mut self.stream).await {
-            door.elsewhere(open);
+    /// Follows what the first process has out until it has ended. If this one is to end before, clients are the first
+    /// one's again as soon as this one takes no more, and not only when the last answer here is over.
+    pub async fn follow(mut self, door: Rc<Door>, shift: Rc<Shift>) {
+        let mut phase = shift.watch();
+        let closing = async {
+            let left = phase.wait_for(|phase| matches!(phase, Phase::HandedOver | Phase::Closing)).await;
+            // Where a third process has clients, they are not to go back.
+            if !left.is_ok_and(|phase| *phase == Phase::Closing) {
+                std::future::pending::<()>().await;
+            }
+        };
+        tokio::select! {
+            () = hear(&mut self.stream, &door) => {}
+            () = closing => drop(tell(&mut self.stream, &door).await),
+        }
+    }
+}
+
+/// Follows what the other process has out, until it has ended.
+async fn hear(stream: &mut BufReader<UnixStream>, door: &Rc<Door>) {
+    while let Ok(Some(open)) = read::<BTreeMap<CustomerId, u32>>(stream).await {
+        door.elsewhere(open);
+    }
+    door.elsewhere(BTreeMap::new());
+}
+
+/// Tells the other process what this one has out, until the other says something, which is what it has out itself, or
+/// is gone.
+async fn tell(stream: &mut BufReader<UnixStream>, door: &Rc<Door>) -> Option<BTreeMap<CustomerId, u32>> {
+    let (mut told, mut said) = (None, Vec::new());
+    loop {
+        let open = door.open();
+        if told.as_ref() != Some(&open) {
+            write(stream, &open).await.ok()?;
+            told = Some(open);
+        }
+        // What came of a line by the end of this time is kept in `said`.
+        if let Ok(line) = timeout(TELL, stream.read_until(b'\n', &mut said)).await {
+            line.ok()?;
+            return serde_json::from_slice(&said).ok();
         }
-        door.elsewhere(BTreeMap::new());
     }
 }
 
@@ -226,28 +262,37 @@
 
 /// Waits for successors, for as long as this process runs. `listener` is what a successor is handed.
 pub async fn host(shared: PathBuf, listener: TcpListener, door: Rc<Door>, shift: Rc<Shift>) {
+    // A successor may have put its own socket in this one's place: each time it is bound anew.
+    let mut past = None;
     loop {
-        match bind(&shared) {
-            Ok(socket) => loop {
-                let Ok((stream, _)) = socket.accept().await else { break };
-                let mut stream = BufReader::new(stream);
-                match introduce(&mut stream, &listener, &door, &shift).await {
-                    Ok(()) => {
-                        hand_over(&mut stream, &door, &shift).await;
-                        // The successor may have put its own socket in this one's place.
-                        break;
-                    }
-                    Err(error) => {
-                        warn!(event = "successor_left", %error, "a second process came and went: {error}");
-                    }
-                }
-            },
+        let bound = bind(&shared);
+        // Who sees that it serves again finds the socket there.
+        if let Some((stream, open)) = past.take() {
+            go_on(stream, open, &door, &shift);
+        }
+        let socket = match bound {
+            Ok(socket) => socket,
             Err(error) => {
                 warn!(event = "no_successor", %error, "no second process can take over: {error}");
                 return;
             }
+        };
+        while past.is_none() {
+            let Ok((stream, _)) = socket.accept().await else { break };
+            let mut stream = BufReader::new(stream);
+            match introduce(&mut stream, &listener, &door, &shift).await {
+                Ok(()) => {
+                    let open = hand_over(&mut stream, &door, &shift).await;
+                    past = Some((stream, open));
+                }
+                Err(error) => {
+                    warn!(event = "successor_left", %error, "a second process came and went: {error}");
+                }
+            }
+        }
+        if past.is_none() {
+            sleep(BACK_OFF).await;
         }
-        sleep(BACK_OFF).await;
     }
 }
 
@@ -280,34 +325,37 @@
     Ok(())
 }
 
-/// Hands over, and tells what is still out until the end of this process. If that of the other comes first,
-/// this one goes on as before.
-async fn hand_over(stream: &mut BufReader<UnixStream>, door: &Rc<Door>, shift: &Rc<Shift>) {
+/// Hands over, and tells what is still out until the end of this process. If the other one ends before, or says that it
+/// will, this one is to go on: what the other has out is returned.
+async fn hand_over(
+    stream: &mut BufReader<UnixStream>,
+    door: &Rc<Door>,
+    shift: &Rc<Shift>,
+) -> Option<BTreeMap<CustomerId, u32>> {
     shift.hand_over();
     // The connections that are idle close now, before the other process opens the door.
     tokio::task::yield_now().await;
     info!(event = "handed_over", "a second process takes over");
     let estate = door.bequeath();
-    if timeout(STEP, write(stream, &estate)).await.is_ok_and(|written| written.is_ok()) {
-        let mut told = None;
-        loop {
-            let open = door.open();
-            if told.as_ref() != Some(&open) {
-                if write(stream, &open).await.is_err() {
-                    break;
-                }
-                told = Some(open);
-            }
-            // Nothing more comes from there but the end.
-            let mut line = String::new();
-            if timeout(TELL, stream.read_line(&mut line)).await.is_ok() {
-                break;
-            }
-        }
-    }
+    timeout(STEP, write(stream, &estate)).await.ok()?.ok()?;
+    tell(stream, door).await
+}
+
+/// Takes clients again, as before, and follows what the other process has out if it told.
+fn go_on(
+    mut stream: BufReader<UnixStream>,
+    open: Option<BTreeMap<CustomerId, u32>>,
+    door: &Rc<Door>,
+    shift: &Rc<Shift>,
+) {
     warn!(event = "successor_gone", "the second process is gone: this one goes on");
     door.alone();
     shift.resume();
+    if let Some(open) = open {
+        door.elsewhere(open);
+        let door = door.clone();
+        spawn_local(async move { hear(&mut stream, &door).await });
+    }
 }
 
 /// The list as the first process has it.
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -267,9 +267,9 @@
                 // The two share the limit on descriptors until the first has ended.
                 let part = (spare / PREDECESSORS_PART) as u32;
                 let held = descriptors.clone().acquire_many_owned(part).await;
-                let door = door.clone();
+                let (door, shift) = (door.clone(), shift.clone());
                 spawn_local(async move {
-                    predecessor.follow(door).await;
+                    predecessor.follow(door, shift).await;
                     drop(held);
                 });
             }
--- a/tests/hand_over.rs
+++ b/tests/hand_over.rs
@@ -4,7 +4,7 @@
 use rustix::process::{Resource, Rlimit, Signal};
 use serde_json::Value;
 use springusher_lab::process::{send_signal, wait_for};
-use springusher_lab::scripted::{closed_port, config, list, target, Peer, Program, PATIENCE};
+use springusher_lab::scripted::{closed_port, config, get, list, target, Client, Peer, Program, PATIENCE};
 use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -16,6 +16,7 @@
 /// A process of the program with its log in a file. Its configuration's file and folder are the test's to change.
 struct Process {
     child: Child,
+    address: SocketAddr,
     admin: SocketAddr,
     file: PathBuf,
     log: PathBuf,
@@ -37,7 +38,7 @@
         command.env("BALANCER_CONFIG", file).env("TMPDIR", shared);
         command.env("BALANCER_ADMIN_ADDR", admin.to_string());
         let child = command.stderr(File::create(&log).expect("a file")).spawn().expect("it starts");
-        let process = Process { child, admin, file: file.to_path_buf(), log };
+        let process = Process { child, address, admin, file: file.to_path_buf(), log };
         wait_for(PATIENCE, || TcpStream::connect(admin).ok()).expect("the operators' door opens");
         process
     }
@@ -63,6 +64,11 @@
         let says = || self.call(call).starts_with(wanted).then_some(());
         wait_for(PATIENCE, says).unwrap_or_else(|| panic!("{call}: {}", self.call(call)));
     }
+    fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.address).expect("it waits in the queue at least");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        Client { stream }
+    }
     fn log(&self) -> String {
         std::fs::read_to_string(&self.log).expect("a log")
     }
@@ -173,3 +179,39 @@
     assert!(first.call("standby").starts_with("done"), "it has clients: {}", first.log());
     assert!(!first.log().contains("takes over"), "{}", first.log());
 }
+
+#[test]
+fn a_successor_that_ends_gives_clients_back_while_an_answer_goes_on() {
+    let backend = Peer::start();
+    let config = before(&backend);
+    let first = Process::start(&config);
+    first.wait_to_say("status", "done serving");
+    let mut second = Process::beside(&first.file, &config);
+    second.wait_to_say("status", "done serving");
+    first.wait_to_say("status", "done handed over");
+    // The answer has begun, as it is longer than what is gathered: the second one does not end before it is whole.
+    let mut reading = second.client();
+    reading.send(&get("/long"));
+    let mut long = backend.next();
+    let (begins, goes_on) = (vec![b'x'; 2 << 10], vec![b'x'; 68 << 10]);
+    let length = begins.len() + goes_on.len();
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+    long.stream.write_all(head.as_bytes()).and_then(|()| long.stream.write_all(&begins)).expect("it begins");
+    reading.stream.read_exact(&mut [0; 1000]).expect("it has begun");
+    second.signal(Signal::TERM);
+    first.wait_to_say("status", "done serving");
+    let mut client = first.client();
+    client.send(&get(""));
+    backend.next().ok("");
+    assert_eq!(client.read().status(), 200);
+    assert!(second.child.try_wait().expect("it can be asked").is_none(), "it goes on");
+    long.stream.write_all(&goes_on).expect("it goes on");
+    let mut rest = Vec::new();
+    reading.stream.read_to_end(&mut rest).expect("all of it");
+    assert!(rest.len() > length - 1000, "{}", rest.len());
+    assert!(second.child.wait().expect("it ends").success());
+    // It has a successor again.
+    let third = Process::beside(&first.file, &config);
+    third.wait_to_say("status", "done serving");
+    first.wait_to_say("status", "done handed over");
+}
