Leave alone what a predecessor knows under other plans or classes

Cause: what one process hands to the next names plans and classes by their numbers in its own configuration, and the next one looked only at how many there are (src/control.rs, Estate::fits, by way of handover.rs, take_over). A successor whose file lists as many in another order had each customer under another's plan until its next request, so that it was kept or forgotten by that plan's times, and each class with another's time of answers. Seen by a test: two plans that had changed places were taken over without a word. Change: the introduction names them in order. Where a number stands for something else in the second process, its state is left alone, as that of other counts was, and the log says so; plans added at the end change nothing. A version that does not tell its names is taken over from as before. To translate the numbers would keep more, but needs the module. Test: tests/hand_over.rs, what_a_customer_has_is_not_taken_over_under_another_plans_or_classs_number: six processes in a row, the same, plans turned, turned back, classes turned, turned back, one plan more. It failed without the change, at the turned plans.

--- a/src/bin/brassport/life/handover.rs
+++ b/src/bin/brassport/life/handover.rs
@@ -8,6 +8,7 @@
 use crate::clients::shift::{Phase, Shift};
 use crate::door::Door;
 use crate::errors::text;
+use crate::life::config::Names;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -95,6 +96,26 @@
     pub targets: Vec<Target>,
     /// Whether staff have clients sent away.
     pub standby: bool,
+    /// A version that does not tell it goes by what its successor has.
+    #[serde(default)]
+    numbers: Option<Numbers>,
+}
+
+/// The names of what a process speaks of by number, each at its number.
+#[derive(Clone, Serialize, Deserialize)]
+pub struct Numbers {
+    classes: Vec<String>,
+    plans: Vec<String>,
+}
+
+impl Numbers {
+    pub fn of(names: &Names) -> Numbers {
+        Numbers { classes: names.classes.clone(), plans: names.plans.clone() }
+    }
+    /// Whether each number stands for the same in `other`, which may have further plans.
+    fn hold_in(&self, other: &Numbers) -> bool {
+        self.classes == other.classes && other.plans.starts_with(&self.plans)
+    }
 }
 
 /// The second process's way to the first.
@@ -181,14 +202,23 @@
 }
 
 impl Predecessor {
-    /// Takes over: from here on clients are this process's.
-    pub async fn take_over(&mut self, door: &Rc<Door>) -> Result<(), HandoverError> {
+    /// Takes over: from here on clients are this process's. What the first one knows is left alone where its numbers
+    /// stand for something else here: a customer would have what is another plan's.
+    pub async fn take_over(&mut self, door: &Rc<Door>, numbers: &Numbers) -> Result<(), HandoverError> {
         let taken = async {
             self.stream.get_mut().write_all(b"take\n").await?;
             read::<Estate>(&mut self.stream).await
         };
         let estate = timeout(STEP, taken).await??;
-        door.inherit(estate.ok_or(HandoverError::Gone)?);
+        let estate = estate.ok_or(HandoverError::Gone)?;
+        if self.introduction.numbers.as_ref().is_none_or(|theirs| theirs.hold_in(numbers)) {
+            door.inherit(estate);
+        } else {
+            warn!(
+                event = "other_names",
+                "the first process has other classes or plans, or in another order: quotas start anew"
+            );
+        }
         Ok(())
     }
 
@@ -261,7 +291,13 @@
 }
 
 /// Waits for successors, for as long as this process runs. `listener` is what a successor is handed.
-pub async fn host(shared: PathBuf, listener: TcpListener, door: Rc<Door>, shift: Rc<Shift>) {
+pub async fn host(
+    shared: PathBuf,
+    listener: TcpListener,
+    numbers: Numbers,
+    door: Rc<Door>,
+    shift: Rc<Shift>,
+) {
     // A successor may have put its own socket in this one's place: each time it is bound anew.
     let mut past = None;
     loop {
@@ -280,7 +316,7 @@
         while past.is_none() {
             let Ok((stream, _)) = socket.accept().await else { break };
             let mut stream = BufReader::new(stream);
-            match introduce(&mut stream, &listener, &door, &shift).await {
+            match introduce(&mut stream, &listener, &numbers, &door, &shift).await {
                 Ok(()) => {
                     let open = hand_over(&mut stream, &door, &shift).await;
                     past = Some((stream, open));
@@ -310,12 +346,13 @@
 async fn introduce(
     stream: &mut BufReader<UnixStream>,
     listener: &TcpListener,
+    numbers: &Numbers,
     door: &Rc<Door>,
     shift: &Rc<Shift>,
 ) -> Result<(), HandoverError> {
     timeout(STEP, send(stream.get_ref(), listener)).await??;
-    let targets = door.targets();
-    let introduction = Introduction { epoch: door.epoch(), targets, standby: shift.stands_by() };
+    let (epoch, targets, standby) = (door.epoch(), door.targets(), shift.stands_by());
+    let introduction = Introduction { epoch, targets, standby, numbers: Some(numbers.clone()) };
     timeout(STEP, write(stream, &introduction)).await??;
     let mut line = String::new();
     timeout(READY_WITHIN, stream.read_line(&mut line)).await??;
--- a/src/bin/brassport/life/handover/tests.rs
+++ b/src/bin/brassport/life/handover/tests.rs
@@ -46,7 +46,7 @@
 /// The way to a first process, and that one's end of it.
 fn predecessor() -> (Predecessor, UnixStream) {
     let (one, other) = UnixStream::pair().expect("a pair");
-    let introduction = Introduction { epoch: 0.0, targets: Vec::new(), standby: false };
+    let introduction = Introduction { epoch: 0.0, targets: Vec::new(), standby: false, numbers: None };
     (Predecessor { introduction, stream: BufReader::new(one) }, other)
 }
 
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -22,7 +22,8 @@
 use fleet::driver::Fleet;
 use fleet::roster::Roster;
 use life::config::{Config, ConfigError, Replaced, Source};
-use life::{handover, reload};
+use life::handover::{self, Numbers};
+use life::reload;
 use operators::admin;
 use operators::bans::{self, Bans};
 use operators::staff::Staff;
@@ -250,6 +251,7 @@
         };
         spawn_local(admin::serve(calls, Rc::new(staff)));
     }
+    let numbers = Numbers::of(&config.names);
     if let Some(mut predecessor) = predecessor {
         let ready = async {
             while !backends.pool.any_ready() {
@@ -262,7 +264,7 @@
             _ = terminate.recv() => return Ok(()),
             () = predecessor.wait(ready) => {}
         }
-        match predecessor.take_over(&door).await {
+        match predecessor.take_over(&door, &numbers).await {
             Ok(()) => {
                 // The two share the limit on descriptors until the first has ended.
                 let part = (spare / PREDECESSORS_PART) as u32;
@@ -281,7 +283,7 @@
     open.set(true);
     let handed = listener.try_clone().map_err(StartError::Listener)?;
     let listener = TcpListener::from_std(listener).map_err(StartError::Listener)?;
-    spawn_local(handover::host(shared, handed, door.clone(), shift.clone()));
+    spawn_local(handover::host(shared, handed, numbers, door.clone(), shift.clone()));
     let desk = Rc::new(Desk {
         door: door.clone(),
         backends,
--- a/tests/hand_over.rs
+++ b/tests/hand_over.rs
@@ -2,7 +2,7 @@
 //! built program, with each signal and each byte at the step where it matters.
 
 use rustix::process::{Resource, Rlimit, Signal};
-use serde_json::Value;
+use serde_json::{json, Value};
 use springusher_lab::process::{send_signal, wait_for};
 use springusher_lab::scripted::{closed_port, config, get, list, target, Client, Peer, Program, PATIENCE};
 use std::fs::File;
@@ -215,3 +215,38 @@
     third.wait_to_say("status", "done serving");
     first.wait_to_say("status", "done handed over");
 }
+
+#[test]
+fn what_a_customer_has_is_not_taken_over_under_another_plans_or_classs_number() {
+    let backend = Peer::start();
+    let plain = before(&backend);
+    let plan = |name: &str| {
+        let mut plan = plain["settings"]["plans"][0].clone();
+        plan["name"] = json!(name);
+        plan
+    };
+    let mut told = plain.clone();
+    told["settings"]["plans"] = json!([plan("starter"), plan("team")]);
+    let (mut turned, mut more, mut classes) = (told.clone(), told.clone(), told.clone());
+    turned["settings"]["plans"] = json!([plan("team"), plan("starter")]);
+    more["settings"]["plans"] = json!([plan("starter"), plan("team"), plan("new")]);
+    classes["settings"]["classes"].as_array_mut().expect("a list").reverse();
+    // What each leaves the next stands under the same numbers, or not.
+    let mut first = Process::start(&told);
+    first.wait_to_say("status", "done serving");
+    for (config, same) in
+        [(&told, true), (&turned, false), (&told, false), (&classes, false), (&told, false), (&more, true)]
+    {
+        std::fs::write(&first.file, config.to_string()).expect("it is written");
+        let second = Process::beside(&first.file, config);
+        second.wait_to_say("status", "done serving");
+        first.wait_to_say("status", "done handed over");
+        let log = second.log();
+        assert_eq!(!log.contains("quotas start anew"), same, "{log} {config}");
+        let mut client = second.client();
+        client.send(&get(""));
+        backend.next().ok("");
+        assert_eq!(client.read().status(), 200);
+        first = second;
+    }
+}
