Trust nobody on the successors' way for bytes or time

Cause: the running process waited for one caller's word at its Unix socket at a time, for 10 s, and read what came up to a line's end, however long (life/handover.rs, host and introduce). Whoever opened the socket and kept silent, a successor that had been stopped, say, kept the next one out: it gave up after 1 s and shared the address, with quotas anew. Who wrote on without a line's end filled the memory for 10 s. On the other side a predecessor's introduction was read with a time for each piece and none for the whole, on a blocked thread. Seen by tests: 'cannot be joined: it did not answer in time' beside a silent caller; more than 64 MB taken from an endless one. Change: four may be on their way at once, the first that says 'take' does; that word is read for its own length and no more, any other message up to 64 MiB; a successor joins within 1 s in all, and not on a blocked thread. Test: tests/hand_over.rs, who_opens_the_successors_way_and_keeps_silent_holds_up_no_successor and who_writes_on_and_on_to_the_successors_way_is_let_go. Both failed without the change, as told above. The test of the listening socket that changes hands joins as the program does now; what it asserts is as it was.

--- a/src/bin/brassport/life/handover.rs
+++ b/src/bin/brassport/life/handover.rs
@@ -23,14 +23,13 @@
 use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::{AsFd, AsRawFd, OwnedFd};
-use std::os::unix::net::UnixStream as StdUnixStream;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Interest};
 use tokio::net::{UnixListener, UnixStream};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, JoinSet};
 use tokio::time::error::Elapsed;
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
@@ -44,8 +43,14 @@
 const READY_WITHIN: Duration = Duration::from_secs(10);
 /// How long a successor waits for a backend to send to before it takes over all the same.
 const SERVES_WITHIN: Duration = Duration::from_secs(8);
+/// Most that may be on their way to take over. One of them does; the others may be anything that opened the socket.
+const SUCCESSORS: usize = 4;
+/// The word by which one does, and most bytes of a message: no process has room for more.
+const TAKE: &[u8] = b"take\n";
+const MESSAGE_LIMIT: u64 = 64 << 20;
 /// How often the first tells the second what it has out.
 const TELL: Duration = Duration::from_millis(10);
+/// After a failed accept.
 const BACK_OFF: Duration = Duration::from_millis(200);
 /// Clients whose connections the system keeps until they are accepted.
 const BACKLOG: i32 = 1024;
@@ -149,25 +154,21 @@
 }
 
 /// Asks the running process, if there is one, for its listening socket. `None` if there is none, or if it does not answer.
-pub fn join(shared: &Path, address: SocketAddr) -> Option<(TcpListener, Predecessor)> {
+pub async fn join(shared: &Path, address: SocketAddr) -> Option<(TcpListener, Predecessor)> {
     let folder = File::open(shared).ok()?;
-    let stream = StdUnixStream::connect(short(shared, &folder, NAME)).ok()?;
-    stream.set_read_timeout(Some(STEP)).ok()?;
-    let joined = (|| {
-        let listener = receive(&stream)?;
+    let stream = UnixStream::connect(short(shared, &folder, NAME)).await.ok()?;
+    let joining = async {
+        let listener = receive(&stream).await?;
         let listens = listener.local_addr()?;
         if listens != address {
             return Err(HandoverError::OtherAddress { listens });
         }
         listener.set_nonblocking(true)?;
-        let mut line = String::new();
-        let mut reader = std::io::BufReader::new(&stream);
-        std::io::BufRead::read_line(&mut reader, &mut line)?;
-        let introduction = serde_json::from_str(&line)?;
-        stream.set_nonblocking(true)?;
-        let stream = BufReader::new(UnixStream::from_std(stream.try_clone()?)?);
+        let mut stream = BufReader::new(stream);
+        let introduction = read(&mut stream).await?.ok_or(HandoverError::Gone)?;
         Ok((listener, Predecessor { introduction, stream }))
-    })();
+    };
+    let joined = timeout(STEP, joining).await.unwrap_or_else(|late| Err(late.into()));
     joined
         .map_err(|error: HandoverError| {
             warn!(event = "not_joined", %error, "the running process cannot be joined: {error}");
@@ -175,12 +176,15 @@
         .ok()
 }
 
-fn receive(stream: &StdUnixStream) -> Result<TcpListener, HandoverError> {
+async fn receive(stream: &UnixStream) -> Result<TcpListener, HandoverError> {
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
     let mut control = RecvAncillaryBuffer::new(&mut space);
-    let mut byte = [0];
-    recvmsg(stream, &mut [IoSliceMut::new(&mut byte)], &mut control, RecvFlags::CMSG_CLOEXEC)
-        .map_err(io::Error::from)?;
+    let message = || {
+        let mut byte = [0];
+        let mut bytes = [IoSliceMut::new(&mut byte)];
+        Ok(recvmsg(stream, &mut bytes, &mut control, RecvFlags::CMSG_CLOEXEC)?)
+    };
+    stream.async_io(Interest::READABLE, message).await?;
     let fds = control.drain().filter_map(|message| match message {
         RecvAncillaryMessage::ScmRights(fds) => Some(fds.collect::<Vec<OwnedFd>>()),
         _ => None,
@@ -206,7 +210,7 @@
     /// stand for something else here: a customer would have what is another plan's.
     pub async fn take_over(&mut self, door: &Rc<Door>, numbers: &Numbers) -> Result<(), HandoverError> {
         let taken = async {
-            self.stream.get_mut().write_all(b"take\n").await?;
+            self.stream.get_mut().write_all(TAKE).await?;
             read::<Estate>(&mut self.stream).await
         };
         let estate = timeout(STEP, taken).await??;
@@ -277,12 +281,19 @@
 
 /// One message, a line of JSON; `None` once the other side has gone.
 async fn read<T: DeserializeOwned>(stream: &mut BufReader<UnixStream>) -> Result<Option<T>, HandoverError> {
-    let mut line = String::new();
+    let line = line(stream, MESSAGE_LIMIT).await?;
     // A line without an end was cut off: there is no more to come.
-    if stream.read_line(&mut line).await? == 0 || !line.ends_with('\n') {
+    if !line.ends_with(b"\n") && (line.len() as u64) < MESSAGE_LIMIT {
         return Ok(None);
     }
-    Ok(Some(serde_json::from_str(&line)?))
+    Ok(Some(serde_json::from_slice(&line)?))
+}
+
+/// The bytes up to a line's end, so many at the most: it may be anything that speaks there.
+async fn line(stream: &mut BufReader<UnixStream>, most: u64) -> io::Result<Vec<u8>> {
+    let mut line = Vec::new();
+    stream.take(most).read_until(b'\n', &mut line).await?;
+    Ok(line)
 }
 
 async fn write(stream: &mut BufReader<UnixStream>, message: &impl Serialize) -> Result<(), HandoverError> {
@@ -298,6 +309,7 @@
     door: Rc<Door>,
     shift: Rc<Shift>,
 ) {
+    let (listener, numbers) = (Rc::new(listener), Rc::new(numbers));
     // A successor may have put its own socket in this one's place: each time it is bound anew.
     let mut past = None;
     loop {
@@ -313,22 +325,30 @@
                 return;
             }
         };
+        let mut coming = JoinSet::new();
         while past.is_none() {
-            let Ok((stream, _)) = socket.accept().await else { break };
-            let mut stream = BufReader::new(stream);
-            match introduce(&mut stream, &listener, &numbers, &door, &shift).await {
-                Ok(()) => {
-                    let open = hand_over(&mut stream, &door, &shift).await;
-                    past = Some((stream, open));
-                }
-                Err(error) => {
-                    warn!(event = "successor_left", %error, "a second process came and went: {error}");
-                }
+            tokio::select! {
+                accepted = socket.accept(), if coming.len() < SUCCESSORS => match accepted {
+                    Ok((stream, _)) => {
+                        let (door, shift) = (door.clone(), shift.clone());
+                        let (listener, numbers) = (listener.clone(), numbers.clone());
+                        coming.spawn_local(introduce(BufReader::new(stream), listener, numbers, door, shift));
+                    }
+                    // Guards against a spin where the system is out of descriptors or the like.
+                    Err(_) => sleep(BACK_OFF).await,
+                },
+                Some(Ok(introduced)) = coming.join_next() => match introduced {
+                    Ok(mut stream) => {
+                        coming.shutdown().await;
+                        let open = hand_over(&mut stream, &door, &shift).await;
+                        past = Some((stream, open));
+                    }
+                    Err(error) => {
+                        warn!(event = "successor_left", %error, "a second process came and went: {error}");
+                    }
+                },
             }
         }
-        if past.is_none() {
-            sleep(BACK_OFF).await;
-        }
     }
 }
 
@@ -344,22 +364,20 @@
 
 /// Hands out the listening socket, and waits until the second process could serve.
 async fn introduce(
-    stream: &mut BufReader<UnixStream>,
-    listener: &TcpListener,
-    numbers: &Numbers,
-    door: &Rc<Door>,
-    shift: &Rc<Shift>,
-) -> Result<(), HandoverError> {
-    timeout(STEP, send(stream.get_ref(), listener)).await??;
+    mut stream: BufReader<UnixStream>,
+    listener: Rc<TcpListener>,
+    numbers: Rc<Numbers>,
+    door: Rc<Door>,
+    shift: Rc<Shift>,
+) -> Result<BufReader<UnixStream>, HandoverError> {
+    timeout(STEP, send(stream.get_ref(), &listener)).await??;
     let (epoch, targets, standby) = (door.epoch(), door.targets(), shift.stands_by());
-    let introduction = Introduction { epoch, targets, standby, numbers: Some(numbers.clone()) };
-    timeout(STEP, write(stream, &introduction)).await??;
-    let mut line = String::new();
-    timeout(READY_WITHIN, stream.read_line(&mut line)).await??;
-    if line != "take\n" {
+    let introduction = Introduction { epoch, targets, standby, numbers: Some((*numbers).clone()) };
+    timeout(STEP, write(&mut stream, &introduction)).await??;
+    if timeout(READY_WITHIN, line(&mut stream, TAKE.len() as u64)).await?? != TAKE {
         return Err(HandoverError::Gone);
     }
-    Ok(())
+    Ok(stream)
 }
 
 /// Hands over, and tells what is still out until the end of this process. If the other one ends before, or says that it
--- a/src/bin/brassport/life/handover/tests.rs
+++ b/src/bin/brassport/life/handover/tests.rs
@@ -16,10 +16,10 @@
     drop(socket);
     let socket = bind(&folder).expect("it is bound again");
     let path = folder.clone();
-    let joining = tokio::task::spawn_blocking(move || {
+    let joining = tokio::spawn(async move {
         let folder = File::open(&path).expect("a folder");
-        let stream = StdUnixStream::connect(short(&path, &folder, NAME)).expect("it is there");
-        receive(&stream).expect("a listening socket comes")
+        let stream = UnixStream::connect(short(&path, &folder, NAME)).await.expect("it is there");
+        receive(&stream).await.expect("a listening socket comes")
     });
     let (stream, _) = socket.accept().await.expect("it is joined");
     send(&stream, &listener).await.expect("it goes out");
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -183,7 +183,7 @@
     let spare = spare_descriptors(&config)?;
     let descriptors = Arc::new(Semaphore::new(spare.min(Semaphore::MAX_PERMITS)));
     let shared = bans::shared_folder(config.listen);
-    let (listener, predecessor) = match handover::join(&shared, config.listen) {
+    let (listener, predecessor) = match handover::join(&shared, config.listen).await {
         Some((listener, predecessor)) => (listener, Some(predecessor)),
         None => {
             let listener = handover::listen(config.listen)
--- a/tests/hand_over.rs
+++ b/tests/hand_over.rs
@@ -8,6 +8,8 @@
 use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 
@@ -64,6 +66,17 @@
         let says = || self.call(call).starts_with(wanted).then_some(());
         wait_for(PATIENCE, says).unwrap_or_else(|| panic!("{call}: {}", self.call(call)));
     }
+    /// A connection to where successors come.
+    fn successors_way(&self) -> UnixStream {
+        let name = format!("brassport-{}", self.address).replace(':', "-");
+        let folder = self.file.with_extension("shared").join(name);
+        // Its whole path may be longer than a socket's name can be.
+        let folder = File::open(folder).expect("a folder");
+        let path = format!("/proc/self/fd/{}/handover.sock", folder.as_raw_fd());
+        let stream = wait_for(PATIENCE, || UnixStream::connect(&path).ok()).expect("it is there");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        stream
+    }
     fn client(&self) -> Client {
         let stream = TcpStream::connect(self.address).expect("it waits in the queue at least");
         stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
@@ -250,3 +263,31 @@
         first = second;
     }
 }
+
+#[test]
+fn who_opens_the_successors_way_and_keeps_silent_holds_up_no_successor() {
+    let backend = Peer::start();
+    let config = before(&backend);
+    let first = Process::start(&config);
+    first.wait_to_say("status", "done serving");
+    let mut silent = first.successors_way();
+    silent.read_exact(&mut [0; 2]).expect("it is introduced");
+    let second = Process::beside(&first.file, &config);
+    second.wait_to_say("status", "done serving");
+    assert!(!second.log().contains("cannot be joined"), "{}", second.log());
+    first.wait_to_say("status", "done handed over");
+}
+
+#[test]
+fn who_writes_on_and_on_to_the_successors_way_is_let_go() {
+    let backend = Peer::start();
+    let first = Process::start(&before(&backend));
+    first.wait_to_say("status", "done serving");
+    let mut endless = first.successors_way();
+    let (piece, mut written) = (vec![b'x'; 1 << 16], 0);
+    while endless.write_all(&piece).is_ok() {
+        written += piece.len();
+        assert!(written < 64 << 20, "it goes on reading");
+    }
+    assert!(first.call("status").starts_with("done serving"));
+}
