--- a/src/bin/brassport/life/handover.rs
+++ b/src/bin/brassport/life/handover.rs
@@ -156,7 +156,8 @@
 /// Asks the running process, if there is one, for its listening socket. `None` if there is none, or if it does not answer.
 pub async fn join(shared: &Path, address: SocketAddr) -> Option<(TcpListener, Predecessor)> {
     let folder = File::open(shared).ok()?;
-    let stream = UnixStream::connect(short(shared, &folder, NAME)).await.ok()?;
+    let connecting = UnixStream::connect(short(shared, &folder, NAME));
+    let stream = timeout(STEP, connecting).await.ok()?.ok()?;
     let joining = async {
         let listener = receive(&stream).await?;
         let listens = listener.local_addr()?;
