--- a/src/bin/brassport/life/handover.rs
+++ b/src/bin/brassport/life/handover.rs
@@ -5,9 +5,10 @@
 
 use crate::backends::discovery::{List, Target};
 use crate::backends::link::KERNEL_BUFFER;
-use crate::clients::shift::Shift;
+use crate::clients::shift::{Phase, Shift};
 use crate::door::Door;
 use crate::errors::text;
+use crate::life::config::Names;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -17,17 +18,18 @@
 use springusher::{CustomerId, Estate};
 use std::collections::BTreeMap;
 use std::fs::File;
+use std::future::Future;
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::{AsFd, AsRawFd, OwnedFd};
-use std::os::unix::net::UnixStream as StdUnixStream;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Interest};
 use tokio::net::{UnixListener, UnixStream};
+use tokio::task::{spawn_local, JoinSet};
 use tokio::time::error::Elapsed;
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
@@ -39,8 +41,16 @@
 const STEP: Duration = Duration::from_millis(1000);
 /// How long a successor may take until it could serve.
 const READY_WITHIN: Duration = Duration::from_secs(10);
+/// How long a successor waits for a backend to send to before it takes over all the same.
+const SERVES_WITHIN: Duration = Duration::from_secs(8);
+/// Most that may be on their way to take over. One of them does; the others may be anything that opened the socket.
+const SUCCESSORS: usize = 4;
+/// The word by which one does, and most bytes of a message: no process has room for more.
+const TAKE: &[u8] = b"take\n";
+const MESSAGE_LIMIT: u64 = 64 << 20;
 /// How often the first tells the second what it has out.
 const TELL: Duration = Duration::from_millis(10);
+/// After a failed accept.
 const BACK_OFF: Duration = Duration::from_millis(200);
 /// Clients whose connections the system keeps until they are accepted.
 const BACKLOG: i32 = 1024;
@@ -91,6 +101,26 @@
     pub targets: Vec<Target>,
     /// Whether staff have clients sent away.
     pub standby: bool,
+    /// A version that does not tell it goes by what its successor has.
+    #[serde(default)]
+    numbers: Option<Numbers>,
+}
+
+/// The names of what a process speaks of by number, each at its number.
+#[derive(Clone, Serialize, Deserialize)]
+pub struct Numbers {
+    classes: Vec<String>,
+    plans: Vec<String>,
+}
+
+impl Numbers {
+    pub fn of(names: &Names) -> Numbers {
+        Numbers { classes: names.classes.clone(), plans: names.plans.clone() }
+    }
+    /// Whether each number stands for the same in `other`, which may have further plans.
+    fn hold_in(&self, other: &Numbers) -> bool {
+        self.classes == other.classes && other.plans.starts_with(&self.plans)
+    }
 }
 
 /// The second process's way to the first.
@@ -124,25 +154,22 @@
 }
 
 /// Asks the running process, if there is one, for its listening socket. `None` if there is none, or if it does not answer.
-pub fn join(shared: &Path, address: SocketAddr) -> Option<(TcpListener, Predecessor)> {
+pub async fn join(shared: &Path, address: SocketAddr) -> Option<(TcpListener, Predecessor)> {
     let folder = File::open(shared).ok()?;
-    let stream = StdUnixStream::connect(short(shared, &folder, NAME)).ok()?;
-    stream.set_read_timeout(Some(STEP)).ok()?;
-    let joined = (|| {
-        let listener = receive(&stream)?;
+    let connecting = UnixStream::connect(short(shared, &folder, NAME));
+    let stream = timeout(STEP, connecting).await.ok()?.ok()?;
+    let joining = async {
+        let listener = receive(&stream).await?;
         let listens = listener.local_addr()?;
         if listens != address {
             return Err(HandoverError::OtherAddress { listens });
         }
         listener.set_nonblocking(true)?;
-        let mut line = String::new();
-        let mut reader = std::io::BufReader::new(&stream);
-        std::io::BufRead::read_line(&mut reader, &mut line)?;
-        let introduction = serde_json::from_str(&line)?;
-        stream.set_nonblocking(true)?;
-        let stream = BufReader::new(UnixStream::from_std(stream.try_clone()?)?);
+        let mut stream = BufReader::new(stream);
+        let introduction = read(&mut stream).await?.ok_or(HandoverError::Gone)?;
         Ok((listener, Predecessor { introduction, stream }))
-    })();
+    };
+    let joined = timeout(STEP, joining).await.unwrap_or_else(|late| Err(late.into()));
     joined
         .map_err(|error: HandoverError| {
             warn!(event = "not_joined", %error, "the running process cannot be joined: {error}");
@@ -150,12 +177,15 @@
         .ok()
 }
 
-fn receive(stream: &StdUnixStream) -> Result<TcpListener, HandoverError> {
+async fn receive(stream: &UnixStream) -> Result<TcpListener, HandoverError> {
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
     let mut control = RecvAncillaryBuffer::new(&mut space);
-    let mut byte = [0];
-    recvmsg(stream, &mut [IoSliceMut::new(&mut byte)], &mut control, RecvFlags::CMSG_CLOEXEC)
-        .map_err(io::Error::from)?;
+    let message = || {
+        let mut byte = [0];
+        let mut bytes = [IoSliceMut::new(&mut byte)];
+        Ok(recvmsg(stream, &mut bytes, &mut control, RecvFlags::CMSG_CLOEXEC)?)
+    };
+    stream.async_io(Interest::READABLE, message).await?;
     let fds = control.drain().filter_map(|message| match message {
         RecvAncillaryMessage::ScmRights(fds) => Some(fds.collect::<Vec<OwnedFd>>()),
         _ => None,
@@ -177,34 +207,94 @@
 }
 
 impl Predecessor {
-    /// Takes over: from here on clients are this process's.
-    pub async fn take_over(&mut self, door: &Rc<Door>) -> Result<(), HandoverError> {
+    /// Takes over: from here on clients are this process's. What the first one knows is left alone where its numbers
+    /// stand for something else here: a customer would have what is another plan's.
+    pub async fn take_over(&mut self, door: &Rc<Door>, numbers: &Numbers) -> Result<(), HandoverError> {
         let taken = async {
-            self.stream.get_mut().write_all(b"take\n").await?;
+            self.stream.get_mut().write_all(TAKE).await?;
             read::<Estate>(&mut self.stream).await
         };
         let estate = timeout(STEP, taken).await??;
-        door.inherit(estate.ok_or(HandoverError::Gone)?);
+        let estate = estate.ok_or(HandoverError::Gone)?;
+        if self.introduction.numbers.as_ref().is_none_or(|theirs| theirs.hold_in(numbers)) {
+            door.inherit(estate);
+        } else {
+            warn!(
+                event = "other_names",
+                "the first process has other classes or plans, or in another order: quotas start anew"
+            );
+        }
         Ok(())
     }
 
-    /// Follows what the first process has out until it has ended.
-    pub async fn follow(mut self, door: Rc<Door>) {
-        while let Ok(Some(open)) = read::<BTreeMap<CustomerId, u32>>(&mut self.stream).await {
-            door.elsewhere(open);
+    /// Waits until this process is `ready` to serve, but for no longer than clients can wait, and not at all once the
+    /// first process has gone: it says nothing before it is asked to hand over.
+    pub async fn wait(&mut self, ready: impl Future) {
+        tokio::select! {
+            _ = self.stream.fill_buf() => {}
+            _ = timeout(SERVES_WITHIN, ready) => {}
+        }
+    }
+
+    /// Follows what the first process has out until it has ended. If this one is to end before, clients are the first
+    /// one's again as soon as this one takes no more, and not only when the last answer here is over.
+    pub async fn follow(mut self, door: Rc<Door>, shift: Rc<Shift>) {
+        let mut phase = shift.watch();
+        let closing = async {
+            let left = phase.wait_for(|phase| matches!(phase, Phase::HandedOver | Phase::Closing)).await;
+            // Where a third process has clients, they are not to go back.
+            if !left.is_ok_and(|phase| *phase == Phase::Closing) {
+                std::future::pending::<()>().await;
+            }
+        };
+        tokio::select! {
+            () = hear(&mut self.stream, &door) => {}
+            () = closing => drop(tell(&mut self.stream, &door).await),
+        }
+    }
+}
+
+/// Follows what the other process has out, until it has ended.
+async fn hear(stream: &mut BufReader<UnixStream>, door: &Rc<Door>) {
+    while let Ok(Some(open)) = read::<BTreeMap<CustomerId, u32>>(stream).await {
+        door.elsewhere(open);
+    }
+    door.elsewhere(BTreeMap::new());
+}
+
+/// Tells the other process what this one has out, until the other says something, which is what it has out itself, or
+/// is gone.
+async fn tell(stream: &mut BufReader<UnixStream>, door: &Rc<Door>) -> Option<BTreeMap<CustomerId, u32>> {
+    let (mut told, mut said) = (None, Vec::new());
+    loop {
+        let open = door.open();
+        if told.as_ref() != Some(&open) {
+            write(stream, &open).await.ok()?;
+            told = Some(open);
+        }
+        // What came of a line by the end of this time is kept in `said`.
+        if let Ok(line) = timeout(TELL, stream.read_until(b'\n', &mut said)).await {
+            line.ok()?;
+            return serde_json::from_slice(&said).ok();
         }
-        door.elsewhere(BTreeMap::new());
     }
 }
 
 /// One message, a line of JSON; `None` once the other side has gone.
 async fn read<T: DeserializeOwned>(stream: &mut BufReader<UnixStream>) -> Result<Option<T>, HandoverError> {
-    let mut line = String::new();
+    let line = line(stream, MESSAGE_LIMIT).await?;
     // A line without an end was cut off: there is no more to come.
-    if stream.read_line(&mut line).await? == 0 || !line.ends_with('\n') {
+    if !line.ends_with(b"\n") && (line.len() as u64) < MESSAGE_LIMIT {
         return Ok(None);
     }
-    Ok(Some(serde_json::from_str(&line)?))
+    Ok(Some(serde_json::from_slice(&line)?))
+}
+
+/// The bytes up to a line's end, so many at the most: it may be anything that speaks there.
+async fn line(stream: &mut BufReader<UnixStream>, most: u64) -> io::Result<Vec<u8>> {
+    let mut line = Vec::new();
+    stream.take(most).read_until(b'\n', &mut line).await?;
+    Ok(line)
 }
 
 async fn write(stream: &mut BufReader<UnixStream>, message: &impl Serialize) -> Result<(), HandoverError> {
@@ -213,29 +303,53 @@
 }
 
 /// Waits for successors, for as long as this process runs. `listener` is what a successor is handed.
-pub async fn host(shared: PathBuf, listener: TcpListener, door: Rc<Door>, shift: Rc<Shift>) {
+pub async fn host(
+    shared: PathBuf,
+    listener: TcpListener,
+    numbers: Numbers,
+    door: Rc<Door>,
+    shift: Rc<Shift>,
+) {
+    let (listener, numbers) = (Rc::new(listener), Rc::new(numbers));
+    // A successor may have put its own socket in this one's place: each time it is bound anew.
+    let mut past = None;
     loop {
-        match bind(&shared) {
-            Ok(socket) => loop {
-                let Ok((stream, _)) = socket.accept().await else { break };
-                let mut stream = BufReader::new(stream);
-                match introduce(&mut stream, &listener, &door, &shift).await {
-                    Ok(()) => {
-                        hand_over(&mut stream, &door, &shift).await;
-                        // The successor may have put its own socket in this one's place.
-                        break;
+        let bound = bind(&shared);
+        // Who sees that it serves again finds the socket there.
+        if let Some((stream, open)) = past.take() {
+            go_on(stream, open, &door, &shift);
+        }
+        let socket = match bound {
+            Ok(socket) => socket,
+            Err(error) => {
+                warn!(event = "no_successor", %error, "no second process can take over: {error}");
+                return;
+            }
+        };
+        let mut coming = JoinSet::new();
+        while past.is_none() {
+            tokio::select! {
+                accepted = socket.accept(), if coming.len() < SUCCESSORS => match accepted {
+                    Ok((stream, _)) => {
+                        let (door, shift) = (door.clone(), shift.clone());
+                        let (listener, numbers) = (listener.clone(), numbers.clone());
+                        coming.spawn_local(introduce(BufReader::new(stream), listener, numbers, door, shift));
+                    }
+                    // Guards against a spin where the system is out of descriptors or the like.
+                    Err(_) => sleep(BACK_OFF).await,
+                },
+                Some(Ok(introduced)) = coming.join_next() => match introduced {
+                    Ok(mut stream) => {
+                        coming.shutdown().await;
+                        let open = hand_over(&mut stream, &door, &shift).await;
+                        past = Some((stream, open));
                     }
                     Err(error) => {
                         warn!(event = "successor_left", %error, "a second process came and went: {error}");
                     }
-                }
-            },
-            Err(error) => {
-                warn!(event = "no_successor", %error, "no second process can take over: {error}");
-                return;
+                },
             }
         }
-        sleep(BACK_OFF).await;
     }
 }
 
@@ -251,51 +365,53 @@
 
 /// Hands out the listening socket, and waits until the second process could serve.
 async fn introduce(
-    stream: &mut BufReader<UnixStream>,
-    listener: &TcpListener,
-    door: &Rc<Door>,
-    shift: &Rc<Shift>,
-) -> Result<(), HandoverError> {
-    timeout(STEP, send(stream.get_ref(), listener)).await??;
-    let targets = door.targets();
-    let introduction = Introduction { epoch: door.epoch(), targets, standby: shift.stands_by() };
-    timeout(STEP, write(stream, &introduction)).await??;
-    let mut line = String::new();
-    timeout(READY_WITHIN, stream.read_line(&mut line)).await??;
-    if line != "take\n" {
+    mut stream: BufReader<UnixStream>,
+    listener: Rc<TcpListener>,
+    numbers: Rc<Numbers>,
+    door: Rc<Door>,
+    shift: Rc<Shift>,
+) -> Result<BufReader<UnixStream>, HandoverError> {
+    timeout(STEP, send(stream.get_ref(), &listener)).await??;
+    let (epoch, targets, standby) = (door.epoch(), door.targets(), shift.stands_by());
+    let introduction = Introduction { epoch, targets, standby, numbers: Some((*numbers).clone()) };
+    timeout(STEP, write(&mut stream, &introduction)).await??;
+    if timeout(READY_WITHIN, line(&mut stream, TAKE.len() as u64)).await?? != TAKE {
         return Err(HandoverError::Gone);
     }
-    Ok(())
+    Ok(stream)
 }
 
-/// Hands over, and tells what is still out until the end of this process. If that of the other comes first,
-/// this one goes on as before.
-async fn hand_over(stream: &mut BufReader<UnixStream>, door: &Rc<Door>, shift: &Rc<Shift>) {
+/// Hands over, and tells what is still out until the end of this process. If the other one ends before, or says that it
+/// will, this one is to go on: what the other has out is returned.
+async fn hand_over(
+    stream: &mut BufReader<UnixStream>,
+    door: &Rc<Door>,
+    shift: &Rc<Shift>,
+) -> Option<BTreeMap<CustomerId, u32>> {
     shift.hand_over();
     // The connections that are idle close now, before the other process opens the door.
     tokio::task::yield_now().await;
     info!(event = "handed_over", "a second process takes over");
     let estate = door.bequeath();
-    if timeout(STEP, write(stream, &estate)).await.is_ok_and(|written| written.is_ok()) {
-        let mut told = None;
-        loop {
-            let open = door.open();
-            if told.as_ref() != Some(&open) {
-                if write(stream, &open).await.is_err() {
-                    break;
-                }
-                told = Some(open);
-            }
-            // Nothing more comes from there but the end.
-            let mut line = String::new();
-            if timeout(TELL, stream.read_line(&mut line)).await.is_ok() {
-                break;
-            }
-        }
-    }
+    timeout(STEP, write(stream, &estate)).await.ok()?.ok()?;
+    tell(stream, door).await
+}
+
+/// Takes clients again, as before, and follows what the other process has out if it told.
+fn go_on(
+    mut stream: BufReader<UnixStream>,
+    open: Option<BTreeMap<CustomerId, u32>>,
+    door: &Rc<Door>,
+    shift: &Rc<Shift>,
+) {
     warn!(event = "successor_gone", "the second process is gone: this one goes on");
     door.alone();
     shift.resume();
+    if let Some(open) = open {
+        door.elsewhere(open);
+        let door = door.clone();
+        spawn_local(async move { hear(&mut stream, &door).await });
+    }
 }
 
 /// The list as the first process has it.
@@ -304,46 +420,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use tokio::net::UnixListener;
-
-    #[tokio::test]
-    async fn a_listening_socket_changes_hands_with_what_waits_in_its_queue() {
-        let listener = listen("127.0.0.1:0".parse().expect("an address")).expect("it listens");
-        let address = listener.local_addr().expect("an address");
-        let waiting = std::net::TcpStream::connect(address).expect("it waits in the queue");
-        let folder = std::env::temp_dir().join(format!("{}-{}", "x".repeat(120), std::process::id()));
-        std::fs::create_dir_all(&folder).expect("a folder with a long name");
-        let socket: UnixListener = bind(&folder).expect("it is bound");
-        // One that died there before is no obstacle.
-        drop(socket);
-        let socket = bind(&folder).expect("it is bound again");
-        let path = folder.clone();
-        let joining = tokio::task::spawn_blocking(move || {
-            let folder = File::open(&path).expect("a folder");
-            let stream = StdUnixStream::connect(short(&path, &folder, NAME)).expect("it is there");
-            receive(&stream).expect("a listening socket comes")
-        });
-        let (stream, _) = socket.accept().await.expect("it is joined");
-        send(&stream, &listener).await.expect("it goes out");
-        let handed = joining.await.expect("it came");
-        drop(listener);
-        handed.set_nonblocking(false).expect("a plain one");
-        let (_, from) = handed.accept().expect("nothing was reset");
-        assert_eq!(from, waiting.local_addr().expect("an address"));
-        std::fs::remove_dir_all(&folder).expect("removed");
-    }
-
-    #[tokio::test]
-    async fn a_message_that_was_cut_off_is_none() {
-        let (one, other) = UnixStream::pair().expect("a pair");
-        let (mut writer, mut reader) = (BufReader::new(one), BufReader::new(other));
-        write(&mut writer, &BTreeMap::from([(7_u64, 2_u32)])).await.expect("it goes out");
-        writer.get_mut().write_all(b"{\"8\":").await.expect("half of one");
-        drop(writer);
-        let whole = read::<BTreeMap<CustomerId, u32>>(&mut reader).await.expect("readable");
-        assert_eq!(whole, Some(BTreeMap::from([(7, 2)])));
-        assert_eq!(read::<BTreeMap<CustomerId, u32>>(&mut reader).await.expect("no error"), None);
-    }
-}
+mod tests;
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -22,7 +22,8 @@
 use fleet::driver::Fleet;
 use fleet::roster::Roster;
 use life::config::{Config, ConfigError, Replaced, Source};
-use life::{handover, reload};
+use life::handover::{self, Numbers};
+use life::reload;
 use operators::admin;
 use operators::bans::{self, Bans};
 use operators::staff::Staff;
@@ -62,8 +63,7 @@
 const AHEAD_PART: usize = 2;
 /// How long answers that have begun may go on when all else has ended.
 const REST: Duration = Duration::from_secs(60);
-/// How long to wait for a backend to send to before taking over, and how often to look.
-const READY_WITHIN: Duration = Duration::from_secs(8);
+/// How often to look for a backend to send to before taking over.
 const LOOK: Duration = Duration::from_millis(10);
 /// Part of the descriptors that is left to a predecessor until it has ended.
 const PREDECESSORS_PART: usize = 4;
@@ -183,7 +183,7 @@
     let spare = spare_descriptors(&config)?;
     let descriptors = Arc::new(Semaphore::new(spare.min(Semaphore::MAX_PERMITS)));
     let shared = bans::shared_folder(config.listen);
-    let (listener, predecessor) = match handover::join(&shared, config.listen) {
+    let (listener, predecessor) = match handover::join(&shared, config.listen).await {
         Some((listener, predecessor)) => (listener, Some(predecessor)),
         None => {
             let listener = handover::listen(config.listen)
@@ -251,21 +251,27 @@
         };
         spawn_local(admin::serve(calls, Rc::new(staff)));
     }
+    let numbers = Numbers::of(&config.names);
     if let Some(mut predecessor) = predecessor {
         let ready = async {
             while !backends.pool.any_ready() {
                 sleep(LOOK).await;
             }
         };
-        let _ = timeout(READY_WITHIN, ready).await;
-        match predecessor.take_over(&door).await {
+        tokio::select! {
+            biased;
+            // Clients are the other's, and it goes on: there is nothing here to end in order.
+            _ = terminate.recv() => return Ok(()),
+            () = predecessor.wait(ready) => {}
+        }
+        match predecessor.take_over(&door, &numbers).await {
             Ok(()) => {
                 // The two share the limit on descriptors until the first has ended.
                 let part = (spare / PREDECESSORS_PART) as u32;
                 let held = descriptors.clone().acquire_many_owned(part).await;
-                let door = door.clone();
+                let (door, shift) = (door.clone(), shift.clone());
                 spawn_local(async move {
-                    predecessor.follow(door).await;
+                    predecessor.follow(door, shift).await;
                     drop(held);
                 });
             }
@@ -277,7 +283,7 @@
     open.set(true);
     let handed = listener.try_clone().map_err(StartError::Listener)?;
     let listener = TcpListener::from_std(listener).map_err(StartError::Listener)?;
-    spawn_local(handover::host(shared, handed, door.clone(), shift.clone()));
+    spawn_local(handover::host(shared, handed, numbers, door.clone(), shift.clone()));
     let desk = Rc::new(Desk {
         door: door.clone(),
         backends,
--- a/tests/hand_over.rs
+++ b/tests/hand_over.rs
@@ -2,12 +2,14 @@
 //! built program, with each signal and each byte at the step where it matters.
 
 use rustix::process::{Resource, Rlimit, Signal};
-use serde_json::Value;
+use serde_json::{json, Value};
 use springusher_lab::process::{send_signal, wait_for};
-use springusher_lab::scripted::{closed_port, config, list, target, Peer, Program, PATIENCE};
+use springusher_lab::scripted::{closed_port, config, list, post, target, Client, Peer, Program, PATIENCE};
 use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 
@@ -16,6 +18,7 @@
 /// A process of the program with its log in a file. Its configuration's file and folder are the test's to change.
 struct Process {
     child: Child,
+    address: SocketAddr,
     admin: SocketAddr,
     file: PathBuf,
     log: PathBuf,
@@ -37,7 +40,7 @@
         command.env("BALANCER_CONFIG", file).env("TMPDIR", shared);
         command.env("BALANCER_ADMIN_ADDR", admin.to_string());
         let child = command.stderr(File::create(&log).expect("a file")).spawn().expect("it starts");
-        let process = Process { child, admin, file: file.to_path_buf(), log };
+        let process = Process { child, address, admin, file: file.to_path_buf(), log };
         wait_for(PATIENCE, || TcpStream::connect(admin).ok()).expect("the operators' door opens");
         process
     }
@@ -63,6 +66,22 @@
         let says = || self.call(call).starts_with(wanted).then_some(());
         wait_for(PATIENCE, says).unwrap_or_else(|| panic!("{call}: {}", self.call(call)));
     }
+    /// A connection to where successors come.
+    fn successors_way(&self) -> UnixStream {
+        let name = format!("brassport-{}", self.address).replace(':', "-");
+        let folder = self.file.with_extension("shared").join(name);
+        // Its whole path may be longer than a socket's name can be.
+        let folder = File::open(folder).expect("a folder");
+        let path = format!("/proc/self/fd/{}/handover.sock", folder.as_raw_fd());
+        let stream = wait_for(PATIENCE, || UnixStream::connect(&path).ok()).expect("it is there");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        stream
+    }
+    fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.address).expect("it waits in the queue at least");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        Client { stream }
+    }
     fn log(&self) -> String {
         std::fs::read_to_string(&self.log).expect("a log")
     }
@@ -159,3 +178,116 @@
     assert!(front.call("status").starts_with("done serving"), "what was known stays in force");
     assert!(front.log().contains("it is no plain file; check the path"), "{}", front.log());
 }
+
+#[test]
+fn a_successor_that_is_told_to_end_before_it_takes_over_leaves_clients_where_they_are() {
+    // Without a backend to send to, the second one waits.
+    let config = config(closed_port(), list(&[]));
+    let first = Process::start(&config);
+    first.wait_to_say("status", "error no backend");
+    let mut second = Process::beside(&first.file, &config);
+    second.wait_to_say("status", "error this process has not taken over yet");
+    second.signal(Signal::TERM);
+    assert!(second.child.wait().expect("it ends").success());
+    assert!(first.call("standby").starts_with("done"), "it has clients: {}", first.log());
+    assert!(!first.log().contains("takes over"), "{}", first.log());
+}
+
+#[test]
+fn a_successor_that_ends_gives_clients_back_while_an_answer_goes_on() {
+    let backend = Peer::start();
+    let config = before(&backend);
+    let first = Process::start(&config);
+    first.wait_to_say("status", "done serving");
+    let mut second = Process::beside(&first.file, &config);
+    second.wait_to_say("status", "done serving");
+    first.wait_to_say("status", "done handed over");
+    // What a busy machine answers late is sent to nobody else: the class is not safe to repeat. The answer has begun, as it is longer than what is gathered: the second one does not end before it is whole.
+    let mut reading = second.client();
+    reading.send(&post("a long job"));
+    let mut long = backend.next();
+    let (begins, goes_on) = (vec![b'x'; 2 << 10], vec![b'x'; 68 << 10]);
+    let length = begins.len() + goes_on.len();
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+    long.stream.write_all(head.as_bytes()).and_then(|()| long.stream.write_all(&begins)).expect("it begins");
+    reading.stream.read_exact(&mut [0; 1000]).expect("it has begun");
+    second.signal(Signal::TERM);
+    first.wait_to_say("status", "done serving");
+    let mut client = first.client();
+    client.send(&post("a job"));
+    backend.next().ok("");
+    assert_eq!(client.read().status(), 200);
+    assert!(second.child.try_wait().expect("it can be asked").is_none(), "it goes on");
+    long.stream.write_all(&goes_on).expect("it goes on");
+    let mut rest = Vec::new();
+    reading.stream.read_to_end(&mut rest).expect("all of it");
+    assert!(rest.len() > length - 1000, "{}", rest.len());
+    assert!(second.child.wait().expect("it ends").success());
+    // It has a successor again.
+    let third = Process::beside(&first.file, &config);
+    third.wait_to_say("status", "done serving");
+    first.wait_to_say("status", "done handed over");
+}
+
+#[test]
+fn what_a_customer_has_is_not_taken_over_under_another_plans_or_classs_number() {
+    let backend = Peer::start();
+    let plain = before(&backend);
+    let plan = |name: &str| {
+        let mut plan = plain["settings"]["plans"][0].clone();
+        plan["name"] = json!(name);
+        plan
+    };
+    let mut told = plain.clone();
+    told["settings"]["plans"] = json!([plan("starter"), plan("team")]);
+    let (mut turned, mut more, mut classes) = (told.clone(), told.clone(), told.clone());
+    turned["settings"]["plans"] = json!([plan("team"), plan("starter")]);
+    more["settings"]["plans"] = json!([plan("starter"), plan("team"), plan("new")]);
+    classes["settings"]["classes"].as_array_mut().expect("a list").reverse();
+    // What each leaves the next stands under the same numbers, or not.
+    let mut first = Process::start(&told);
+    first.wait_to_say("status", "done serving");
+    for (config, same) in
+        [(&told, true), (&turned, false), (&told, false), (&classes, false), (&told, false), (&more, true)]
+    {
+        std::fs::write(&first.file, config.to_string()).expect("it is written");
+        let second = Process::beside(&first.file, config);
+        second.wait_to_say("status", "done serving");
+        first.wait_to_say("status", "done handed over");
+        let log = second.log();
+        assert_eq!(!log.contains("quotas start anew"), same, "{log} {config}");
+        let mut client = second.client();
+        client.send(&post("a job"));
+        backend.next().ok("");
+        assert_eq!(client.read().status(), 200);
+        first = second;
+    }
+}
+
+#[test]
+fn who_opens_the_successors_way_and_keeps_silent_holds_up_no_successor() {
+    let backend = Peer::start();
+    let config = before(&backend);
+    let first = Process::start(&config);
+    first.wait_to_say("status", "done serving");
+    let mut silent = first.successors_way();
+    silent.read_exact(&mut [0; 2]).expect("it is introduced");
+    let second = Process::beside(&first.file, &config);
+    second.wait_to_say("status", "done serving");
+    assert!(!second.log().contains("cannot be joined"), "{}", second.log());
+    first.wait_to_say("status", "done handed over");
+}
+
+#[test]
+fn who_writes_on_and_on_to_the_successors_way_is_let_go() {
+    let backend = Peer::start();
+    let first = Process::start(&before(&backend));
+    first.wait_to_say("status", "done serving");
+    let mut endless = first.successors_way();
+    let (piece, mut written) = (vec![b'x'; 1 << 16], 0);
+    while endless.write_all(&piece).is_ok() {
+        written += piece.len();
+        assert!(written < 64 << 20, "it goes on reading");
+    }
+    assert!(first.call("status").starts_with("done serving"));
+}
