Send cold servers no more than servers were seen to do, however few are left

To blame: balance.rs choose(). The lot gives each cold server its part of the requests that come, so where the servers fall away under the same traffic the part of the one that is left grows with the loss; the share of the list was left out of the part; and a place of "one more at a time" was free again as soon as a client left or a server turned it away, so that it bounded nothing. Now each gateway counts the good answers that it gets for each unit of the capacity of its part, and saves up from that what a cold server may get, for the time since its last request or 0.4 windows; until it has seen any it takes half of one core for sure, shared among the gateways. The lot is cut to what is saved. A gateway sees what its own traffic makes a server do, so that unlike traffic adds up to what the server does. The size in the list makes a part smaller, never larger, as it may be a size of the moment. One more at a time only where less than half is refused and the server's last end was an answer. The size of a quiet part is as before while traffic is steady: what is saved grows 1.4 times as fast as the lot takes. Two tests of tests/rules.rs had gateways that had seen nothing send five requests each at once; that is what is bounded now, so they see the servers work for 5 s first; their bounds are unchanged. What a gateway leaves to its successor is laid out in interface.rs, with the other types that gateways speak in, and the fading average over own requests is one type for both uses.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -3,7 +3,7 @@
 
 use crate::control::blend;
 use crate::interface::*;
-use crate::quota::NEVER;
+use crate::quota::{Bucket, Pace, NEVER};
 use oorandom::Rand64;
 use std::collections::BTreeMap;
 
@@ -17,8 +17,12 @@
 const STRIKES: u32 = 3;
 /// Mean answer times that it is ejected for at first.
 const EJECTED: f64 = 3.0;
-/// Part of the allowance for a cold server that is used: the rest covers unlike requests and gateways.
+/// Part of the allowance for a cold server that is used: the rest covers unlike requests and gateways; the
+/// windows for which it is saved up and good answers are remembered; and the part of one core taken for sure.
 const COLD_MARGIN: f64 = 0.7;
+const SAVED: f64 = 0.4;
+const REMEMBERED: f64 = 4.0;
+const LEAST_BORNE: f64 = 0.5;
 /// Cost of a server in another zone, as a factor: breaks near ties only.
 const FAR: f64 = 1.1;
 /// Pace of a server below which being faster counts no more: a lucky run must not draw all the work.
@@ -90,9 +94,20 @@
     taken_out: BTreeMap<ServerId, Option<Millis>>,
     /// Gateways that have a server in their part.
     doors: f64,
+    /// Capacity of this gateway's part, in warm servers, the good answers for each of these, and the requests
+    /// that a cold server may get for each unit of its capacity.
+    capacity: f64,
+    borne: Pace,
+    due: Bucket,
 }
 
 impl Fleet {
+    /// One that knows of no server yet.
+    pub(crate) fn new(settings: &Settings, now: Millis) -> Fleet {
+        let borne = Pace { units: 0.0, seconds: settings.tip_after / 4000.0, at: now };
+        Fleet { borne, due: Bucket { units: 0.0, at: now }, ..Fleet::default() }
+    }
+
     // ---- The list. ----
 
     /// Follows the server list. A server that drains or is gone gets nothing from this moment on.
@@ -102,7 +117,8 @@
                 server.entry.lifecycle = Lifecycle::Gone;
             }
         }
-        for entry in entries {
+        for mut entry in entries {
+            entry.share = if entry.share > 0.0 { entry.share } else { 1.0 };
             let fresh = Server {
                 entry,
                 out: Vec::new(),
@@ -168,10 +184,6 @@
         self.servers.values().filter(|server| self.serves(server)).count()
     }
 
-    pub(crate) fn knows(&self, id: ServerId) -> bool {
-        self.servers.contains_key(&id)
-    }
-
     /// How many are known, in the list or with work in hand.
     pub(crate) fn known(&self) -> usize {
         self.servers.len()
@@ -229,23 +241,29 @@
         }
     }
 
-    pub(crate) fn warmth(&self, id: ServerId, settings: &Settings, now: Millis) -> f64 {
-        self.servers.get(&id).map_or(1.0, |server| self.warmth_of(server, settings, now))
+    pub(crate) fn warmth(&self, id: ServerId, settings: &Settings, now: Millis) -> Option<f64> {
+        self.servers.get(&id).map(|server| self.warmth_of(server, settings, now))
     }
 
     /// Picks the server with the least expected wait, as far as own work and answers tell.
-    pub(crate) fn choose(&self, errand: &Errand, rng: &mut Rand64) -> Option<ServerId> {
+    pub(crate) fn choose(&mut self, errand: &Errand, rng: &mut Rand64) -> Option<ServerId> {
         let Errand { settings, now, mean, .. } = *errand;
-        // Guards against tipping a cold server over: one lot gives each its part of the fleet,
-        // whatever its answers, so that all gateways, however many, send it no more for its capacity than a
-        // warm one; with few warm ones left, the rest is refused. Hurts where warmth is understated.
-        let (mut ready, mut capacity) = (0.0, 0.0);
-        for server in self.servers.values().filter(|server| self.serves(server) && server.near) {
-            ready += 1.0;
-            capacity += self.warmth_of(server, settings, now);
-        }
-        let capacity = f64::max(capacity, ready / (COLD_MARGIN * settings.tip_multiple).max(1.0));
-        let mut lot = capacity * rng.rand_float();
+        // Guards against tipping a cold server over: by one lot all gateways, however many, send it no more
+        // for its capacity than a warm one, nor than servers were seen to do; with few left, the rest is
+        // refused. A size in the list may be one of the moment: it only makes a part smaller.
+        let near = || self.servers.values().filter(|server| self.serves(server) && server.near);
+        let ready = near().count().max(1) as f64;
+        let mean_size = near().map(|server| server.entry.share).sum::<f64>() / ready;
+        self.capacity = near().map(|server| self.warmth_of(server, settings, now)).sum();
+        self.capacity = self.capacity.max(ready / (COLD_MARGIN * settings.tip_multiple).max(1.0));
+        let saved = (now - self.due.at).max(SAVED * settings.tip_after) / 1000.0;
+        self.borne.fade(REMEMBERED * settings.tip_after, now);
+        let least = 1000.0 * LEAST_BORNE / (self.doors * mean).max(1.0);
+        let rate = COLD_MARGIN * settings.tip_multiple * least.max(self.borne.units / self.borne.seconds);
+        self.due.fill(rate, rate * saved, now);
+        let part = self.due.units.min(1.0 / self.capacity);
+        self.due.units -= part;
+        let mut lot = rng.rand_float();
         let mut best: [Option<(f64, ServerId)>; 3] = [None; 3];
         for (&id, server) in &self.servers {
             let same_group = match (errand.effect, errand.home) {
@@ -260,16 +278,22 @@
             if warmth < 1.0 && !server.near {
                 continue;
             }
-            let drawn = warmth < 1.0 && (0.0..warmth).contains(&lot);
-            lot -= if warmth < 1.0 { warmth } else { 0.0 };
+            let size = server.entry.share;
+            let able = warmth * (size / mean_size).min(1.0);
+            let drawn = warmth < 1.0 && (0.0..able * part).contains(&lot);
+            lot -= if warmth < 1.0 { able * part } else { 0.0 };
             // Whether a cold server may have one more: with one out of each gateway it is sent no more than
-            // it does, and what comes at once, even if it had one core, stays below what it bears beyond.
-            let beyond = (settings.tip_multiple - 1.0) * warmth * settings.tip_after;
-            let bears_one = server.out.is_empty() && f64::from(settings.gateways) * mean * slowness < beyond;
+            // it does, and what comes at once, even if it had one core, stays below what it bears beyond. Not
+            // so where most is refused, or where it failed last or may hold what was given up.
+            let beyond = (settings.tip_multiple - 1.0) * able * settings.tip_after;
+            let bears_one = server.out.is_empty()
+                && 2.0 * part * self.capacity > 1.0
+                && server.strikes == 0
+                && server.answered >= server.judged
+                && f64::from(settings.gateways) * mean * slowness.max(1.0) < beyond;
             if warmth < 1.0 && !drawn && !bears_one {
                 continue;
             }
-            let size = if server.entry.share > 0.0 { server.entry.share } else { 1.0 };
             let far = if server.entry.zone == settings.zone { 1.0 } else { FAR };
             let pace = slowness.max(server.silence(now, mean) / 2.0).max(LEAST_PACE);
             let wait = (server.out.len() as f64 + 1.0) * pace / warmth;
@@ -302,6 +326,7 @@
         let mut told = None;
         match outcome {
             Outcome::Ok => {
+                self.borne.units += 1.0 / self.capacity;
                 if server.strikes >= STRIKES {
                     told = Some(format!("server {id} answers again"));
                 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -4,11 +4,10 @@
 //! system": each gateway refuses a customer's requests with chance 1 - quota / offered, where the offered
 //! rate of all gateways is taken from the meter, and the class of the lowest worth goes first.
 
-use crate::balance::{Errand, Fleet, Learned};
+use crate::balance::{Errand, Fleet};
 use crate::interface::*;
 use crate::quota::{Customer, CHANCE_FLOOR, METER_LAG, NEVER};
 use oorandom::Rand64;
-use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 // ---- Constants. All are dimensionless; times and rates come from the settings. ----
@@ -69,43 +68,6 @@
     done: bool,
 }
 
-/// What a gateway has learned that its successor goes on from.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-struct Lore {
-    /// Recent share of each class in the offered units, mean time of an answer and mean size of a request.
-    class_mix: Vec<f64>,
-    answer_time: Vec<f64>,
-    mean_units: Vec<f64>,
-    /// Longest time that first tries of each class are given.
-    first_wait: Vec<f64>,
-    /// Share of what the quotas admit that the servers have room for.
-    room: f64,
-    /// Learned limit on own work in flight, and whether it still doubles as at the start.
-    limit: f64,
-    slow_start: bool,
-}
-
-/// What a gateway leaves to the one that takes its place. Moments are by the clock that both go by.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct Estate {
-    born: Millis,
-    tick: Option<Millis>,
-    customers: Vec<(CustomerId, Customer)>,
-    #[serde(flatten)]
-    lore: Lore,
-    servers: Vec<Learned>,
-}
-
-impl Estate {
-    /// Whether it is of a gateway with as many classes and plans.
-    fn fits(&self, settings: &Settings) -> bool {
-        let Lore { class_mix, answer_time, mean_units, first_wait, .. } = &self.lore;
-        let averages = [class_mix, answer_time, mean_units, first_wait];
-        averages.iter().all(|average| average.len() == settings.classes.len())
-            && self.customers.iter().all(|(_, customer)| customer.plan < settings.plans.len())
-    }
-}
-
 /// The decisions of one gateway.
 #[derive(Debug)]
 pub struct Gateway {
@@ -175,7 +137,7 @@
             pressed_before: false,
             no_server: 0,
             requests: BTreeMap::new(),
-            fleet: Fleet::default(),
+            fleet: Fleet::new(&settings, now),
             class_order,
             lore: Lore {
                 class_mix: vec![1.0 / classes.max(1) as f64; classes],
@@ -309,7 +271,7 @@
             customer.set_chance(&plan, self.settings.max_units, now, period);
         }
         // Counted after the chance is set: that a request came says nothing of how many others did.
-        customer.offered += request.units;
+        customer.offered.units += request.units;
         // Guards against a burst within a period, which would only cost; the last half is for high worth.
         let rank = self.class_order.iter().position(|class| *class == request.class).unwrap_or(0) as f64;
         let kept = (most / 2.0 * rank / (self.class_order.len() - 1).max(1) as f64).min(most - request.units);
@@ -450,7 +412,7 @@
         // As if it had been a request of the mean size.
         let elapsed = if end.elapsed.is_finite() { end.elapsed.max(0.0) } else { 0.0 };
         let warmth = self.fleet.warmth(id, &self.settings, now);
-        let elapsed = elapsed * warmth / self.size(request, end.billed);
+        let elapsed = elapsed * warmth.unwrap_or(1.0) / self.size(request, end.billed);
         match outcome {
             Outcome::Ok => self.adapt(class, elapsed),
             Outcome::Full | Outcome::TimedOut => {
@@ -460,7 +422,7 @@
             _ => {}
         }
         let (mean, mean_of_class) = (self.mean_answer(), self.lore.answer_time[class].max(1.0));
-        if outcome == Outcome::Ok && self.fleet.knows(id) {
+        if outcome == Outcome::Ok && warmth.is_some() {
             blend(&mut self.lore.answer_time[class], elapsed, SAMPLE / 5.0);
         }
         let told = self.fleet.judge(id, now, outcome, elapsed / mean_of_class, mean_of_class, mean);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,5 +1,8 @@
 //! The interface of the decision module: settings, events, actions and outcomes. It decides nothing.
 
+use crate::balance::Learned;
+use crate::quota::Customer;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt;
 
@@ -407,3 +410,40 @@
     /// A line for staff.
     Log(String),
 }
+
+/// What a gateway has learned that its successor goes on from.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Lore {
+    /// Recent share of each class in the offered units, mean time of an answer and mean size of a request.
+    pub(crate) class_mix: Vec<f64>,
+    pub(crate) answer_time: Vec<f64>,
+    pub(crate) mean_units: Vec<f64>,
+    /// Longest time that first tries of each class are given.
+    pub(crate) first_wait: Vec<f64>,
+    /// Share of what the quotas admit that the servers have room for.
+    pub(crate) room: f64,
+    /// Learned limit on own work in flight, and whether it still doubles as at the start.
+    pub(crate) limit: f64,
+    pub(crate) slow_start: bool,
+}
+
+/// What a gateway leaves to the one that takes its place. Moments are by the clock that both go by.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Estate {
+    pub(crate) born: Millis,
+    pub(crate) tick: Option<Millis>,
+    pub(crate) customers: Vec<(CustomerId, Customer)>,
+    #[serde(flatten)]
+    pub(crate) lore: Lore,
+    pub(crate) servers: Vec<Learned>,
+}
+
+impl Estate {
+    /// Whether it is of a gateway with as many classes and plans.
+    pub(crate) fn fits(&self, settings: &Settings) -> bool {
+        let Lore { class_mix, answer_time, mean_units, first_wait, .. } = &self.lore;
+        let averages = [class_mix, answer_time, mean_units, first_wait];
+        averages.iter().all(|average| average.len() == settings.classes.len())
+            && self.customers.iter().all(|(_, customer)| customer.plan < settings.plans.len())
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,5 +48,5 @@
 mod quota;
 pub mod wire;
 
-pub use control::{Estate, Gateway};
+pub use control::Gateway;
 pub use interface::*;
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -44,6 +44,24 @@
     }
 }
 
+/// Units lately, fading, and the seconds that they came in.
+#[derive(Debug, Default, Clone, Serialize, Deserialize)]
+pub(crate) struct Pace {
+    pub(crate) units: f64,
+    pub(crate) seconds: f64,
+    pub(crate) at: Millis,
+}
+
+impl Pace {
+    /// Fades what is longer ago than `memory`.
+    pub(crate) fn fade(&mut self, memory: Millis, now: Millis) {
+        let fade = (-(now - self.at) / memory.max(1.0)).exp();
+        self.units *= fade;
+        self.seconds = self.seconds * fade + memory / 1000.0 * (1.0 - fade);
+        self.at = now;
+    }
+}
+
 #[derive(Debug, Default, Clone, Serialize, Deserialize)]
 #[serde(default)]
 pub(crate) struct Customer {
@@ -64,10 +82,8 @@
     pub(crate) asked: f64,
     /// Own sends that the meter may not have told of yet.
     pub(crate) sends: VecDeque<(Millis, f64)>,
-    /// Own requests, fading: units, and the seconds that they came in.
-    pub(crate) offered: f64,
-    pub(crate) heard: f64,
-    pub(crate) heard_at: Millis,
+    /// Own requests.
+    pub(crate) offered: Pace,
     pub(crate) reading: f64,
     pub(crate) read_at: Millis,
     pub(crate) told_to: Millis,
@@ -90,7 +106,7 @@
             chance_before: 1.0,
             chance_set: NEVER,
             asked: plan.rate,
-            heard_at: now - period,
+            offered: Pace { at: now - period, ..Pace::default() },
             read_at: NEVER,
             told_to: NEVER,
             ..Customer::default()
@@ -99,12 +115,7 @@
 
     /// Brings the averages over own requests up to now, and forgets what the meter tells of no more.
     pub(crate) fn fade(&mut self, plan: &Plan, now: Millis, period: Millis) {
-        let seconds = (now - self.heard_at) / 1000.0;
-        let memory = (OWN_UNITS * self.spread / plan.rate).max(period / 1000.0);
-        let fade = (-seconds / memory).exp();
-        self.offered *= fade;
-        self.heard = self.heard * fade + memory * (1.0 - fade);
-        self.heard_at = now;
+        self.offered.fade((1000.0 * OWN_UNITS * self.spread / plan.rate).max(period), now);
         while self.sends.front().is_some_and(|(at, _)| *at < now - KEPT * period) {
             self.sends.pop_front();
         }
@@ -182,7 +193,7 @@
         let fresh = (-(now - self.told_to) / (FRESH * period.max(1.0))).exp();
         let asked = (plan.rate + (self.asked - plan.rate) * fresh).max(CHANCE_FLOOR * plan.rate) * self.part;
         let weight = WORD * largest;
-        let offered = (weight + self.offered) / (weight / asked + self.heard);
+        let offered = (weight + self.offered.units) / (weight / asked + self.offered.seconds);
         self.chance_before = self.chance;
         self.chance = if offered > allowed { (allowed / offered).max(CHANCE_FLOOR) } else { 1.0 };
         self.chance_set = now;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -53,7 +53,11 @@
 
 impl Host {
     pub fn new(settings: Settings, servers: &[ServerEntry]) -> Host {
-        let gateway = Gateway::new(settings, 7, 0.0).expect("the settings make sense");
+        Host::with_seed(settings, servers, 7)
+    }
+
+    pub fn with_seed(settings: Settings, servers: &[ServerEntry], seed: u64) -> Host {
+        let gateway = Gateway::new(settings, seed, 0.0).expect("the settings make sense");
         let mut host = Host { gateway, now: 0.0, actions: Vec::new(), next: 1 };
         host.event(Event::Servers { kind: ListKind::Full, entries: servers.to_vec() });
         host
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -193,26 +193,29 @@
     }
 }
 
-/// Two hundred gateways, each with five requests in hand for a fleet of ten of which `cold` just started;
-/// returns how many went to cold servers and to warm ones.
+/// Two hundred gateways, each of which has seen what ten warm servers do, and then has five requests in hand for a
+/// fleet of ten of which `cold` just started; returns how many went to cold servers and to warm ones.
 fn sends_of_two_hundred(cold: u32) -> (usize, usize) {
-    let fleet: Vec<_> =
-        (0..10).map(|id| ServerEntry { launched: (id < cold).then_some(100.0), ..server(id) }).collect();
+    let warm: Vec<_> = (0..10).map(server).collect();
     let (mut to_cold, mut to_warm) = (0, 0);
     for ordinal in 0..200 {
         let settings = Settings { gateways: 200, ordinal, ..settings() };
-        let mut gateway = Gateway::new(settings, u64::from(ordinal), 0.0).expect("the settings make sense");
-        let mut actions = Vec::new();
-        gateway.handle(100.0, Event::Servers { kind: ListKind::Full, entries: fleet.clone() }, &mut actions);
-        for id in 1..=5 {
-            let (customer, plan, class, units, spread) = (id, 3, 0, 1.0, 200);
-            let (expires_in, repeat) = (4000.0, false);
-            let request = Request { id, customer, plan, class, units, spread, first: 0, expires_in, repeat };
-            gateway.handle(100.0, Event::Request(request), &mut actions);
+        let mut host = Host::with_seed(settings, &warm, u64::from(ordinal));
+        for _ in 0..50 {
+            host.now += 100.0;
+            let (id, _) = host.ask(1, 3, 0);
+            host.end(id, 0, Outcome::Ok, None);
+        }
+        host.now += 100.0;
+        let launched = |id: ServerId| (id < cold).then_some(host.now);
+        let entries: Vec<_> =
+            (0..10).map(|id| ServerEntry { launched: launched(id), ..server(id) }).collect();
+        host.event(Event::Servers { kind: ListKind::Full, entries });
+        for customer in 1..=5 {
+            let targets = sends(&host.ask(customer, 3, 0).1);
+            to_cold += targets.iter().filter(|id| **id < cold).count();
+            to_warm += targets.iter().filter(|id| **id >= cold).count();
         }
-        let targets = sends(&actions);
-        to_cold += targets.iter().filter(|id| **id < cold).count();
-        to_warm += targets.iter().filter(|id| **id >= cold).count();
     }
     (to_cold, to_warm)
 }
