Keep what is known of a customer apart by plan, so that no plan uses another's stores

Seen in tests/customers.rs: with requests of one number under two plans, the state found by the number was used under the plan of whoever asked last: a ceiling's store filled at the other plan's rate and was passed (0.25 units beyond within a few steps), or was found drained; a meter's figure for the one was read as a share of the other's rate (30 of 39 refused far inside their quota); the place under a cap that the one held kept the other out. To blame: control.rs within_quota() with `customer.plan = request.plan` over stores, part, chance and readings of the plan before, and read_meter(), which took that plan. Now the state is found by customer and plan. Of a gateway that takes over, the estate is laid out as before (each entry names its plan), and what a predecessor has out is told for the number, all plans together, which is the strict side. A change of plan starts with that plan's own stores: the ceiling's filled from the gateway's birth as for any new customer. Ruled out: stores rebuilt at each change of plan, which grants a full one to whoever changes to and fro. A customer is forgotten once its stores are full again; the ceiling's slack was left out of that time, so that one with a slack of 99 times its burst came back after 20 s to all of it. The slack counts now (same test, third plan). All four tests fail without the change, at the lines named above.

--- a/src/control.rs
+++ b/src/control.rs
@@ -75,7 +75,7 @@
     rng: Rand64,
     born: Millis,
     now: Millis,
-    customers: BTreeMap<CustomerId, Customer>,
+    customers: BTreeMap<Account, Customer>,
     /// Whether another has taken this one's place: its stores fill no more.
     succeeded: bool,
     /// A moment at which the meter told of a new period, as near as answers show.
@@ -257,10 +257,9 @@
     fn within_quota(&mut self, request: &Request) -> f64 {
         let (now, born, period) = (self.now, self.born, self.settings.meter_period);
         let plan = self.settings.plans[request.plan];
-        let customer = self.customers.entry(request.customer);
-        let customer = customer.or_insert_with(|| Customer::new(&plan, request.spread, born, now, period));
+        let customer = self.customers.entry(request.account());
+        let customer = customer.or_insert_with(|| Customer::new(&plan, request, born, now, period));
         customer.seen = now;
-        customer.plan = request.plan;
         customer.spread = f64::from(request.spread.max(1));
         if plan.rate <= 0.0 {
             return 1.0;
@@ -271,7 +270,7 @@
             customer.set_chance(&plan, self.settings.max_units, now, period);
         }
         // Counted after the chance is set: that a request came says nothing of how many others did.
-        customer.offered.units += request.units;
+        customer.own.units += request.units;
         // Guards against a burst within a period, which would only cost; the last half is for high worth.
         let rank = self.class_order.iter().position(|class| *class == request.class).unwrap_or(0) as f64;
         let kept = (most / 2.0 * rank / (self.class_order.len() - 1).max(1) as f64).min(most - request.units);
@@ -282,9 +281,9 @@
     }
 
     /// Takes a reading of the meter. Periods are told apart by when figures change, all customers' at once.
-    fn read_meter(&mut self, customer: CustomerId, used: f64) {
+    fn read_meter(&mut self, account: Account, used: f64) {
         let (now, period) = (self.now, self.settings.meter_period);
-        let Some(customer) = self.customers.get_mut(&customer) else { return };
+        let Some(customer) = self.customers.get_mut(&account) else { return };
         let plan = self.settings.plans[customer.plan];
         if plan.rate <= 0.0 || period <= 0.0 || !used.is_finite() {
             return;
@@ -342,10 +341,8 @@
         if (self.no_room > 0) != self.pressed_before {
             self.pressed_before = self.no_room > 0;
             let text = if self.pressed_before { "pressed" } else { "pressed no more" };
-            actions.push(Action::Log(format!(
-                "{text}: room for {:.2} of what the quotas admit",
-                self.lore.room
-            )));
+            let room = self.lore.room;
+            actions.push(Action::Log(format!("{text}: room for {room:.2} of what the quotas admit")));
         }
         if self.no_server > 0 {
             actions.push(Action::Log(format!("no server to send to: {} refused", self.no_server)));
@@ -366,7 +363,7 @@
         if plan.ceiling_rate <= 0.0 {
             return true;
         }
-        let customer = self.customers.get_mut(&request.customer).filter(|_| !self.succeeded);
+        let customer = self.customers.get_mut(&request.account()).filter(|_| !self.succeeded);
         customer.is_some_and(|customer| customer.take_from_ceiling(plan, request.units, self.now))
     }
 
@@ -436,7 +433,7 @@
         let request = self.requests[&id].request;
         let plan = self.settings.plans[request.plan];
         let aim = self.settings.classes[request.class].aim;
-        let Some(customer) = self.customers.get_mut(&request.customer) else { return };
+        let Some(customer) = self.customers.get_mut(&request.account()) else { return };
         // Guards the cap over all gateways: each keeps to its part of it, with no word from the others. The
         // first of the customer's set take what does not go even, and each has one at the least.
         let place = (self.settings.ordinal + self.settings.gateways).wrapping_sub(request.first);
@@ -464,7 +461,7 @@
             }
             Some(server) => {
                 // Without a rate nothing reads these, and nothing would take them off again.
-                if let Some(customer) = self.customers.get_mut(&request.customer).filter(|_| plan.rate > 0.0)
+                if let Some(customer) = self.customers.get_mut(&request.account()).filter(|_| plan.rate > 0.0)
                 {
                     customer.sends.push_back((self.now, request.units));
                     customer.share.units -= request.units;
@@ -480,7 +477,7 @@
         let Some(to) = self.fleet.sent(to, self.now) else { return };
         open.held = false;
         open.attempts.push(Attempt { to, sent: self.now, out: true, begun: false, may_have_run: true });
-        if let Some(customer) = self.customers.get_mut(&open.request.customer) {
+        if let Some(customer) = self.customers.get_mut(&open.request.account()) {
             customer.open += 1;
         }
         let capped = self.settings.plans[open.request.plan].open > 0;
@@ -565,12 +562,12 @@
             self.fleet.ended(server, sent);
             self.judge(&request, server, &end, actions);
         }
-        let next = self.customers.get_mut(&request.customer).filter(|_| !more).and_then(|customer| {
+        let next = self.customers.get_mut(&request.account()).filter(|_| !more).and_then(|customer| {
             customer.open = customer.open.saturating_sub(1);
             customer.held.pop_front()
         });
         if let Some(used) = end.used {
-            self.read_meter(request.customer, used);
+            self.read_meter(request.account(), used);
         }
         // A connection that broke says nothing of load: what replaces the attempt is not charged.
         if !judged && matches!(end.outcome, Outcome::Reset | Outcome::NoConnection) {
@@ -612,10 +609,8 @@
     }
 
     fn refuse(&mut self, id: RequestId, wait: Millis, actions: &mut Vec<Action>) {
-        actions.push(Action::Refuse {
-            request: id,
-            retry_after: wait.clamp(0.0, self.settings.max_retry_after),
-        });
+        let retry_after = wait.clamp(0.0, self.settings.max_retry_after);
+        actions.push(Action::Refuse { request: id, retry_after });
         self.close(id);
     }
 
@@ -623,7 +618,7 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         open.done = true;
         if open.held {
-            if let Some(customer) = self.customers.get_mut(&open.request.customer) {
+            if let Some(customer) = self.customers.get_mut(&open.request.account()) {
                 customer.held.retain(|other| *other != id);
             }
         }
@@ -644,7 +639,11 @@
         Estate {
             born: self.born,
             tick: self.tick,
-            customers: self.customers.iter_mut().map(|(id, customer)| (*id, customer.bequeath())).collect(),
+            customers: self
+                .customers
+                .iter_mut()
+                .map(|((id, _), customer)| (*id, customer.bequeath()))
+                .collect(),
             lore: self.lore.clone(),
             servers: self.fleet.learned(),
         }
@@ -656,21 +655,24 @@
             return;
         }
         (self.now, self.born, self.tick) = (self.now.max(now), estate.born, estate.tick);
-        self.customers = estate.customers.into_iter().collect();
+        self.customers = estate.customers.into_iter().map(|(id, own)| ((id, own.plan), own)).collect();
         (self.lore, self.room_at) = (estate.lore, self.now);
         self.fleet.inherit(estate.servers);
     }
 
     /// Own attempts out, by customer.
     pub fn open(&self) -> BTreeMap<CustomerId, u32> {
-        let open = self.customers.iter().filter(|(_, customer)| customer.open > 0);
-        open.map(|(id, customer)| (*id, customer.open)).collect()
+        let mut open = BTreeMap::new();
+        for ((id, _), customer) in self.customers.iter().filter(|(_, customer)| customer.open > 0) {
+            *open.entry(*id).or_default() += customer.open;
+        }
+        open
     }
 
     /// Takes in what the predecessor still has out. What that leaves room for goes on.
     fn count_elsewhere(&mut self, open: &BTreeMap<CustomerId, u32>, actions: &mut Vec<Action>) {
         let mut next = Vec::new();
-        for (id, customer) in &mut self.customers {
+        for ((id, _), customer) in &mut self.customers {
             next.extend(customer.free(open.get(id).copied().unwrap_or(0)));
         }
         for id in next {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -283,6 +283,15 @@
     pub repeat: bool,
 }
 
+/// A customer under one of its plans: what is known of one of these is of no other.
+pub(crate) type Account = (CustomerId, usize);
+
+impl Request {
+    pub(crate) fn account(&self) -> Account {
+        (self.customer, self.plan)
+    }
+}
+
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -83,7 +83,7 @@
     /// Own sends that the meter may not have told of yet.
     pub(crate) sends: VecDeque<(Millis, f64)>,
     /// Own requests.
-    pub(crate) offered: Pace,
+    pub(crate) own: Pace,
     pub(crate) reading: f64,
     pub(crate) read_at: Millis,
     pub(crate) told_to: Millis,
@@ -96,9 +96,10 @@
 
 impl Customer {
     /// One that has sent nothing yet, at a gateway born at `born`.
-    pub(crate) fn new(plan: &Plan, spread: u32, born: Millis, now: Millis, period: Millis) -> Customer {
+    pub(crate) fn new(plan: &Plan, request: &Request, born: Millis, now: Millis, period: Millis) -> Customer {
         Customer {
-            part: 1.0 / f64::from(spread.max(1)),
+            plan: request.plan,
+            part: 1.0 / f64::from(request.spread.max(1)),
             share: Bucket { units: plan.burst, at: now },
             store: plan.burst,
             ceiling: Bucket { units: 0.0, at: born },
@@ -106,7 +107,7 @@
             chance_before: 1.0,
             chance_set: NEVER,
             asked: plan.rate,
-            offered: Pace { at: now - period, ..Pace::default() },
+            own: Pace { at: now - period, ..Pace::default() },
             read_at: NEVER,
             told_to: NEVER,
             ..Customer::default()
@@ -115,7 +116,7 @@
 
     /// Brings the averages over own requests up to now, and forgets what the meter tells of no more.
     pub(crate) fn fade(&mut self, plan: &Plan, now: Millis, period: Millis) {
-        self.offered.fade((1000.0 * OWN_UNITS * self.spread / plan.rate).max(period), now);
+        self.own.fade((1000.0 * OWN_UNITS * self.spread / plan.rate).max(period), now);
         while self.sends.front().is_some_and(|(at, _)| *at < now - KEPT * period) {
             self.sends.pop_front();
         }
@@ -146,11 +147,9 @@
     pub(crate) fn take_from_ceiling(&mut self, plan: &Plan, units: f64, now: Millis) -> bool {
         let most = (plan.ceiling_burst + plan.ceiling_slack) / self.spread;
         self.ceiling.fill(plan.ceiling_rate / self.spread, most, now);
-        if self.ceiling.units < units {
-            return false;
-        }
-        self.ceiling.units -= units;
-        true
+        let held = self.ceiling.units >= units;
+        self.ceiling.units -= if held { units } else { 0.0 };
+        held
     }
 
     /// Notes what another gateway has out, and returns the requests that this leaves room for.
@@ -163,7 +162,9 @@
     /// Time after which one that sends nothing has full stores.
     pub(crate) fn filled_within(plan: &Plan) -> Millis {
         let fill = |burst: f64, rate: f64| if rate > 0.0 { burst / rate * 1000.0 } else { 0.0 };
-        fill(plan.burst, plan.rate).max(fill(plan.ceiling_burst, plan.ceiling_rate)).max(1000.0)
+        fill(plan.burst, plan.rate)
+            .max(fill(plan.ceiling_burst + plan.ceiling_slack, plan.ceiling_rate))
+            .max(1000.0)
     }
 
     /// Leaves another what this gateway has of the customer's stores, but for a rest.
@@ -193,7 +194,7 @@
         let fresh = (-(now - self.told_to) / (FRESH * period.max(1.0))).exp();
         let asked = (plan.rate + (self.asked - plan.rate) * fresh).max(CHANCE_FLOOR * plan.rate) * self.part;
         let weight = WORD * largest;
-        let offered = (weight + self.offered.units) / (weight / asked + self.offered.seconds);
+        let offered = (weight + self.own.units) / (weight / asked + self.own.seconds);
         self.chance_before = self.chance;
         self.chance = if offered > allowed { (allowed / offered).max(CHANCE_FLOOR) } else { 1.0 };
         self.chance_set = now;
