--- a/src/quota.rs
+++ b/src/quota.rs
@@ -44,6 +44,24 @@
     }
 }
 
+/// Units lately, fading, and the seconds that they came in.
+#[derive(Debug, Default, Clone, Serialize, Deserialize)]
+pub(crate) struct Pace {
+    pub(crate) units: f64,
+    pub(crate) seconds: f64,
+    pub(crate) at: Millis,
+}
+
+impl Pace {
+    /// Fades what is longer ago than `memory`.
+    pub(crate) fn fade(&mut self, memory: Millis, now: Millis) {
+        let fade = (-(now - self.at) / memory.max(1.0)).exp();
+        self.units *= fade;
+        self.seconds = self.seconds * fade + memory / 1000.0 * (1.0 - fade);
+        self.at = now;
+    }
+}
+
 #[derive(Debug, Default, Clone, Serialize, Deserialize)]
 #[serde(default)]
 pub(crate) struct Customer {
@@ -64,10 +82,8 @@
     pub(crate) asked: f64,
     /// Own sends that the meter may not have told of yet.
     pub(crate) sends: VecDeque<(Millis, f64)>,
-    /// Own requests, fading: units, and the seconds that they came in.
-    pub(crate) offered: f64,
-    pub(crate) heard: f64,
-    pub(crate) heard_at: Millis,
+    /// Own requests.
+    pub(crate) own: Pace,
     pub(crate) reading: f64,
     pub(crate) read_at: Millis,
     pub(crate) told_to: Millis,
@@ -80,9 +96,10 @@
 
 impl Customer {
     /// One that has sent nothing yet, at a gateway born at `born`.
-    pub(crate) fn new(plan: &Plan, spread: u32, born: Millis, now: Millis, period: Millis) -> Customer {
+    pub(crate) fn new(plan: &Plan, request: &Request, born: Millis, now: Millis, period: Millis) -> Customer {
         Customer {
-            part: 1.0 / f64::from(spread.max(1)),
+            plan: request.plan,
+            part: 1.0 / f64::from(request.spread.max(1)),
             share: Bucket { units: plan.burst, at: now },
             store: plan.burst,
             ceiling: Bucket { units: 0.0, at: born },
@@ -90,7 +107,7 @@
             chance_before: 1.0,
             chance_set: NEVER,
             asked: plan.rate,
-            heard_at: now - period,
+            own: Pace { at: now - period, ..Pace::default() },
             read_at: NEVER,
             told_to: NEVER,
             ..Customer::default()
@@ -99,12 +116,7 @@
 
     /// Brings the averages over own requests up to now, and forgets what the meter tells of no more.
     pub(crate) fn fade(&mut self, plan: &Plan, now: Millis, period: Millis) {
-        let seconds = (now - self.heard_at) / 1000.0;
-        let memory = (OWN_UNITS * self.spread / plan.rate).max(period / 1000.0);
-        let fade = (-seconds / memory).exp();
-        self.offered *= fade;
-        self.heard = self.heard * fade + memory * (1.0 - fade);
-        self.heard_at = now;
+        self.own.fade((1000.0 * OWN_UNITS * self.spread / plan.rate).max(period), now);
         while self.sends.front().is_some_and(|(at, _)| *at < now - KEPT * period) {
             self.sends.pop_front();
         }
@@ -135,11 +147,9 @@
     pub(crate) fn take_from_ceiling(&mut self, plan: &Plan, units: f64, now: Millis) -> bool {
         let most = (plan.ceiling_burst + plan.ceiling_slack) / self.spread;
         self.ceiling.fill(plan.ceiling_rate / self.spread, most, now);
-        if self.ceiling.units < units {
-            return false;
-        }
-        self.ceiling.units -= units;
-        true
+        let held = self.ceiling.units >= units;
+        self.ceiling.units -= if held { units } else { 0.0 };
+        held
     }
 
     /// Notes what another gateway has out, and returns the requests that this leaves room for.
@@ -152,7 +162,9 @@
     /// Time after which one that sends nothing has full stores.
     pub(crate) fn filled_within(plan: &Plan) -> Millis {
         let fill = |burst: f64, rate: f64| if rate > 0.0 { burst / rate * 1000.0 } else { 0.0 };
-        fill(plan.burst, plan.rate).max(fill(plan.ceiling_burst, plan.ceiling_rate)).max(1000.0)
+        fill(plan.burst, plan.rate)
+            .max(fill(plan.ceiling_burst + plan.ceiling_slack, plan.ceiling_rate))
+            .max(1000.0)
     }
 
     /// Leaves another what this gateway has of the customer's stores, but for a rest.
@@ -182,7 +194,7 @@
         let fresh = (-(now - self.told_to) / (FRESH * period.max(1.0))).exp();
         let asked = (plan.rate + (self.asked - plan.rate) * fresh).max(CHANCE_FLOOR * plan.rate) * self.part;
         let weight = WORD * largest;
-        let offered = (weight + self.offered) / (weight / asked + self.heard);
+        let offered = (weight + self.own.units) / (weight / asked + self.own.seconds);
         self.chance_before = self.chance;
         self.chance = if offered > allowed { (allowed / offered).max(CHANCE_FLOOR) } else { 1.0 };
         self.chance_set = now;
