Answer what waits in the queue at a shutdown, and hold no silent connection up to SIGKILL

Seen: where a process stood still or had no descriptor free as it stopped accepting, the connections in the listener's queue were reset with the requests on them, which the machine had accepted. New connections that said nothing stayed open past the earliest SIGKILL, 0.7 s and the longest deadline after SIGTERM: a request on one in that moment was lost. A phase Over takes the place of is_over: silent connections close in order, what comes on any other is refused.

--- a/src/bin/brassport/clients/desk.rs
+++ b/src/bin/brassport/clients/desk.rs
@@ -14,8 +14,9 @@
 use hyper::http::request::Parts;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
+use socket2::SockRef;
 use springusher::{Effect, Settings};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::io;
 use std::rc::Rc;
@@ -72,8 +73,6 @@
     pub stats: Rc<Stats>,
     /// Bytes of bodies that may be kept for further attempts, over all requests.
     pub room: Arc<Semaphore>,
-    /// Whether the process's last words are said: nobody would answer what comes after them.
-    pub is_over: Cell<bool>,
 }
 
 /// Accepts clients until the shutdown closes the door, then returns once every connection has ended.
@@ -92,46 +91,63 @@
     let mut phase = desk.shift.watch();
     let mut connections = JoinSet::new();
     let mut turned_away = 0;
+    let mut take = |stream: TcpStream, descriptor: OwnedSemaphorePermit, connections: &mut JoinSet<()>| {
+        let crowded = !spare(reserve);
+        if crowded {
+            turned_away += 1;
+        } else if turned_away > 0 {
+            warn!(
+                event = "descriptors_short",
+                turned_away, "descriptors ran short: {turned_away} connections turned away"
+            );
+            turned_away = 0;
+        }
+        let shed = shed.subscribe();
+        connections.spawn_local(connection(stream, descriptor, desk.clone(), crowded, shed));
+    };
+    // Room for the next connection; until there is a descriptor for it, it waits in the backlog.
+    let room = || async {
+        spare(1);
+        descriptors.clone().acquire_owned().await.map_err(io::Error::other)
+    };
     loop {
-        // The next connection once there is a descriptor for it; until then it waits in the backlog.
         let next = async {
-            spare(1);
-            let descriptor = descriptors.clone().acquire_owned().await.map_err(io::Error::other)?;
+            let descriptor = room().await?;
             let (stream, _) = listener.accept().await?;
             Ok::<_, io::Error>((stream, descriptor))
         };
         tokio::select! {
             changed = phase.changed() => match desk.shift.phase() {
                 _ if changed.is_err() => break,
-                Phase::Closing => break,
+                Phase::Closing | Phase::Over => break,
                 _ => {}
             },
             Some(_) = connections.join_next() => {}
             next = next, if desk.shift.phase() != Phase::HandedOver => match next {
-                Ok((stream, descriptor)) => {
-                    let crowded = !spare(reserve);
-                    if crowded {
-                        turned_away += 1;
-                    } else if turned_away > 0 {
-                        warn!(
-                            event = "descriptors_short",
-                            turned_away,
-                            "descriptors ran short: {turned_away} connections turned away"
-                        );
-                        turned_away = 0;
-                    }
-                    let shed = shed.subscribe();
-                    connections.spawn_local(connection(stream, descriptor, desk.clone(), crowded, shed));
-                }
+                Ok((stream, descriptor)) => take(stream, descriptor, &mut connections),
                 // Guards against a spin where the system is out of descriptors or the like.
                 Err(_) => sleep(BACK_OFF).await,
             },
         }
     }
-    drop(listener);
+    // What waits in the backlog has come in time and would be reset: it is taken in, unless another process does that.
+    if let Some(backlog) = listener.into_std().ok().filter(|_| !desk.shift.is_succeeded()) {
+        while let Ok(descriptor) = room().await {
+            match backlog.accept().and_then(|(stream, _)| adopt(stream)) {
+                Ok(stream) => take(stream, descriptor, &mut connections),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(_) => sleep(BACK_OFF).await,
+            }
+        }
+    }
     while connections.join_next().await.is_some() {}
 }
 
+fn adopt(stream: std::net::TcpStream) -> io::Result<TcpStream> {
+    SockRef::from(&stream).set_nonblocking(true)?;
+    TcpStream::from_std(stream)
+}
+
 /// Serves one client's connection to its end. One that came while descriptors were short gets refusals.
 async fn connection(
     stream: TcpStream,
@@ -147,6 +163,8 @@
     // Buffers are made once something comes: many connections stand silent, up to the time for their first head.
     // A look at the first byte, as the system's word that there is one may be early.
     let mut first_byte = [0];
+    let mut phase = desk.shift.watch();
+    let over = phase.wait_for(|phase| *phase == Phase::Over);
     let has_begun = tokio::select! {
         biased;
         looked = stream.peek(&mut first_byte) => match looked {
@@ -154,6 +172,8 @@
             _ => return,
         },
         _ = pulse.overdue() => !connection::is_empty(&stream),
+        // A request that came at the very end of the process would find nobody to answer it.
+        _ = over => !connection::is_empty(&stream),
     };
     if has_begun {
         let service = service_fn(|request| {
@@ -170,12 +190,10 @@
                 Ok::<_, Infallible>(response)
             })
         });
-        let mut phase = desk.shift.watch();
         let close = async {
-            let closes =
-                |phase: &Phase| matches!(phase, Phase::Emptying | Phase::HandedOver | Phase::Closing);
+            let stays = |phase: &Phase| matches!(phase, Phase::Serving | Phase::Leaving);
             tokio::select! {
-                _ = phase.wait_for(closes) => {}
+                _ = phase.wait_for(|phase| !stays(phase)) => {}
                 _ = shed.changed() => {}
             }
         };
@@ -280,7 +298,8 @@
         Ok(gathered) => gathered.into_message(method, asked.uri, headers),
         Err((status, problem)) => return text(Some(entry), status, problem),
     };
-    if desk.is_over.get() {
+    // Nobody would answer it any more.
+    if desk.shift.phase() == Phase::Over {
         return refusal(Some(entry), desk.settings.max_retry_after);
     }
     entry.taken();
--- a/tests/closing.rs
+++ b/tests/closing.rs
@@ -8,6 +8,8 @@
     closed_port, config, get, list, post, read_message, target, Front, Peer, Program, Stuck, PATIENCE,
 };
 use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
 
 const FRONT: Program = Program { path: env!("CARGO_BIN_EXE_brassport"), folder: env!("CARGO_TARGET_TMPDIR") };
 const HEALTHZ: &str = "GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n";
@@ -114,3 +116,61 @@
     assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
     assert!(front.child.wait().expect("it ends").success());
 }
+
+/// The marker answers only to a process that has been told to end.
+fn wait_until_ending(front: &Front) {
+    let ending = || {
+        let answer = front.client().send(HEALTHZ).read();
+        (answer.header("connection") == "close").then_some(())
+    };
+    wait_for(PATIENCE, ending).expect("the signal comes");
+}
+
+#[test]
+fn what_waits_in_the_queue_when_a_process_stops_accepting_is_answered() {
+    let mut front = FRONT.before(&[closed_port()]);
+    front.terminate();
+    wait_until_ending(&front);
+    front.signal(Signal::STOP);
+    let mut waiting: Vec<_> = (0..24).map(|_| front.client()).collect();
+    for client in &mut waiting {
+        client.send(HEALTHZ);
+    }
+    // Long enough for the process to find, when it goes on, that it is time to accept no more.
+    thread::sleep(Duration::from_millis(800));
+    front.signal(Signal::CONT);
+    for client in &mut waiting {
+        let answer = client.read();
+        assert_eq!((answer.status(), answer.header("connection")), (503, "close"));
+    }
+    let refused = || std::net::TcpStream::connect(front.address).is_err().then_some(());
+    wait_for(PATIENCE, refused).expect("none is let in to wait for nobody");
+    assert!(front.child.wait().expect("it ends").success());
+}
+
+/// SIGKILL may come 0.7 s and the longest deadline after SIGTERM, here after 1.7 s.
+#[test]
+fn before_it_may_be_killed_a_process_has_closed_silent_connections_and_refuses_what_comes_late() {
+    let backend = Peer::start();
+    let known = list(&[target("s-00000001", backend.address, "ready")]);
+    let mut config = config(closed_port(), known);
+    for class in config["settings"]["classes"].as_array_mut().expect("classes") {
+        class["deadline"] = json!(1000.0);
+    }
+    let mut front = FRONT.start(&config);
+    front.terminate();
+    wait_until_ending(&front);
+    let mut late = front.client();
+    let request = get("");
+    let (half, rest) = request.split_at(30);
+    late.send(half);
+    // Left alone, this one would be closed for its silence only when the time for the half head is over.
+    thread::sleep(Duration::from_millis(50));
+    let silent = front.client();
+    assert!(read_message(&silent.stream).expect("a close in order").is_none());
+    late.send(rest);
+    let answer = late.read();
+    assert_eq!((answer.status(), answer.header("connection")), (429, "close"));
+    assert!(backend.exchanges.try_recv().is_err(), "it went on to nobody");
+    assert!(front.child.wait().expect("it ends").success());
+}
