Keep descriptors for attempts from silent clients, and let these give way

Seen: with as many silent connections as there are descriptors, the reserve for attempts went to connections that were only to be told to come back, and each free one to the next in the queue: no attempt got through, and who came behind them, a probe of /healthz too, waited for the whole time of a head, or was told 429 at /healthz. To blame: acquire_owned in serve() of clients/desk.rs took the last descriptor, the first select of connection() did not hear of a shortage, and turn_away() made no difference between requests. Change: clients have places of their own, half of the reserve fewer than there are descriptors. While these are short, a connection that has said nothing for 0.25 s closes, in order. /healthz is answered on every connection.

--- a/src/bin/brassport/clients/desk.rs
+++ b/src/bin/brassport/clients/desk.rs
@@ -35,6 +35,10 @@
 /// idle connections are closed and new clients told to come back.
 const RESERVE: usize = 64;
 const RESERVE_PART: usize = 4;
+/// Part of the reserve that no client gets, not even one that is only told to come back.
+const ATTEMPTS_PART: usize = 2;
+/// How long a client may say nothing while descriptors are short: an honest one has its request ready.
+const SILENCE: Duration = Duration::from_millis(250);
 /// How long a body that is gathered may bring nothing. After the longer time it has to have come at this many bytes
 /// a second: four times as many are honest, and a peer that sends nothing of use is owed an end.
 const BODY_STALL: Duration = Duration::from_millis(1000);
@@ -75,14 +79,21 @@
     pub room: Arc<Semaphore>,
 }
 
-/// Accepts clients until the shutdown closes the door, then returns once every connection has ended.
-pub async fn serve(listener: TcpListener, desk: Rc<Desk>, descriptors: Arc<Semaphore>) {
-    let reserve = RESERVE.min(descriptors.available_permits() / RESERVE_PART);
+/// A client's place among the clients, and its descriptor.
+type Descriptor = (OwnedSemaphorePermit, OwnedSemaphorePermit);
+
+/// Accepts clients until the shutdown closes the door, then returns once every connection has ended. Of the descriptors
+/// there are `most`, some of which a predecessor may still hold.
+pub async fn serve(listener: TcpListener, desk: Rc<Desk>, descriptors: Arc<Semaphore>, most: usize) {
+    let reserve = RESERVE.min(most / RESERVE_PART);
+    let kept = reserve / ATTEMPTS_PART;
+    let places = Arc::new(Semaphore::new((most - kept).min(Semaphore::MAX_PERMITS)));
     let (shed, _) = watch::channel(());
     // Guards against connections that stand idle and hold all descriptors.
     let spare = |least: usize| {
         while descriptors.available_permits() < least && desk.backends.pool.shed_idle() {}
-        let spare = descriptors.available_permits() >= least;
+        let free = descriptors.available_permits().min(places.available_permits() + kept);
+        let spare = free >= least;
         if !spare {
             shed.send_replace(());
         }
@@ -91,7 +102,7 @@
     let mut phase = desk.shift.watch();
     let mut connections = JoinSet::new();
     let mut turned_away = 0;
-    let mut take = |stream: TcpStream, descriptor: OwnedSemaphorePermit, connections: &mut JoinSet<()>| {
+    let mut take = |stream: TcpStream, descriptor: Descriptor, connections: &mut JoinSet<()>| {
         let crowded = !spare(reserve);
         if crowded {
             turned_away += 1;
@@ -107,8 +118,10 @@
     };
     // Room for the next connection; until there is a descriptor for it, it waits in the backlog.
     let room = || async {
-        spare(1);
-        descriptors.clone().acquire_owned().await.map_err(io::Error::other)
+        spare(1 + kept);
+        let place = places.clone().acquire_owned().await.map_err(io::Error::other)?;
+        let descriptor = descriptors.clone().acquire_owned().await.map_err(io::Error::other)?;
+        Ok::<_, io::Error>((place, descriptor))
     };
     loop {
         let next = async {
@@ -151,7 +164,7 @@
 /// Serves one client's connection to its end. One that came while descriptors were short gets refusals.
 async fn connection(
     stream: TcpStream,
-    _descriptor: OwnedSemaphorePermit,
+    _descriptor: Descriptor,
     desk: Rc<Desk>,
     crowded: bool,
     mut shed: watch::Receiver<()>,
@@ -165,6 +178,11 @@
     let mut first_byte = [0];
     let mut phase = desk.shift.watch();
     let over = phase.wait_for(|phase| *phase == Phase::Over);
+    let silence = sleep(SILENCE);
+    let wanted = async {
+        let _ = shed.changed().await;
+        silence.await;
+    };
     let has_begun = tokio::select! {
         biased;
         looked = stream.peek(&mut first_byte) => match looked {
@@ -174,6 +192,7 @@
         _ = pulse.overdue() => !connection::is_empty(&stream),
         // A request that came at the very end of the process would find nobody to answer it.
         _ = over => !connection::is_empty(&stream),
+        () = wanted => !connection::is_empty(&stream),
     };
     if has_begun {
         let service = service_fn(|request| {
@@ -280,12 +299,20 @@
     Ok(Gathered { body: body_here, rest: more.then_some(body), room })
 }
 
+/// The answer to who asks whether this process can serve.
+fn health(desk: &Desk, request: &Request<Incoming>) -> Option<Response<Body>> {
+    if request.method() != Method::GET || request.uri().path() != "/healthz" {
+        return None;
+    }
+    // One that has been taken over from speaks for both.
+    let up =
+        matches!(desk.shift.phase(), Phase::Serving | Phase::HandedOver) && desk.backends.pool.any_ready();
+    Some(text(None, if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, ""))
+}
+
 async fn answer(desk: &Desk, request: Request<Incoming>) -> Response<Body> {
-    if request.method() == Method::GET && request.uri().path() == "/healthz" {
-        // One that has been taken over from speaks for both.
-        let up = matches!(desk.shift.phase(), Phase::Serving | Phase::HandedOver)
-            && desk.backends.pool.any_ready();
-        return text(None, if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
+    if let Some(health) = health(desk, &request) {
+        return health;
     }
     let (head, body) = request.into_parts();
     let asked = match check(&head, desk) {
@@ -317,8 +344,11 @@
     }
 }
 
-/// Refuses what came while descriptors were short.
+/// Refuses what came while descriptors were short, but for who asks after the process itself.
 fn turn_away(desk: &Desk, request: Request<Incoming>) -> Response<Body> {
+    if let Some(health) = health(desk, &request) {
+        return health;
+    }
     let entry = check(&request.into_parts().0, desk).ok().map(|asked| desk.stats.enter(asked.request.class));
     refusal(entry, desk.settings.max_retry_after)
 }
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -287,7 +287,7 @@
         stats: stats.clone(),
         room: Arc::new(Semaphore::new((config.memory / KEPT_PART).min(Semaphore::MAX_PERMITS))),
     });
-    let mut serving = spawn_local(desk::serve(listener, desk.clone(), descriptors));
+    let mut serving = spawn_local(desk::serve(listener, desk.clone(), descriptors, spare));
 
     loop {
         tokio::select! {
--- a/tests/closing.rs
+++ b/tests/closing.rs
@@ -174,3 +174,29 @@
     assert!(backend.exchanges.try_recv().is_err(), "it went on to nobody");
     assert!(front.child.wait().expect("it ends").success());
 }
+
+#[test]
+fn silent_clients_that_hold_all_descriptors_leave_some_for_attempts_and_give_way_to_others() {
+    let backend = Peer::start();
+    let mut config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
+    config["limits"]["sockets"] = json!(56);
+    let front = FRONT.start(&config);
+    let mut early = front.client();
+    let request = get("/early");
+    let (half, rest) = request.split_at(30);
+    early.send(half);
+    let silent: Vec<_> = (0..60).map(|_| front.client()).collect();
+    let full = || {
+        let answer = front.call("cost");
+        let cost: serde_json::Value = serde_json::from_str(answer.lines().next()?).ok()?;
+        (cost["descriptors"]["clients"].as_u64()? >= 14).then_some(())
+    };
+    wait_for(PATIENCE, full).expect("the clients have all that they get");
+    early.send(rest);
+    let exchange = backend.next();
+    assert!(exchange.request.line.contains("/early"));
+    exchange.ok("");
+    assert_eq!(early.read().status(), 200);
+    assert_eq!(front.client().send(HEALTHZ).read().status(), 200, "behind 60 that say nothing");
+    drop(silent);
+}
