Keep what a test leaves at a configuration's path from other tests

Cause: the test of SIGHUP over what is no plain file ended with a folder at the path of its configuration, whose name holds the process's number; nine of 400 runs of other tests, whose process had that number again, could not write theirs. Change: it has a name of its own, and takes the folder away.

--- a/tests/hand_over.rs
+++ b/tests/hand_over.rs
@@ -159,9 +159,13 @@
 #[test]
 fn sighup_over_what_is_no_plain_file_holds_up_nothing() {
     let backend = Peer::start();
-    let front = Process::start(&before(&backend));
+    // What is left there is no other test's to find under its own file's name.
+    let path = Path::new(DOOR.folder).join(format!("replaced-{}.json", std::process::id()));
+    let _ = std::fs::remove_file(&path).or_else(|_| std::fs::remove_dir(&path));
+    let config = before(&backend);
+    std::fs::write(&path, config.to_string()).expect("it is written");
+    let front = Process::beside(&path, &config);
     front.wait_to_say("status", "done");
-    let path = front.file.clone();
     let pipe = || assert!(Command::new("mkfifo").arg(&path).status().expect("mkfifo runs").success());
     let endless = || std::os::unix::fs::symlink("/dev/zero", &path).expect("a link");
     let long = || File::create(&path).and_then(|file| file.set_len(300 << 20)).expect("a long file");
@@ -175,6 +179,7 @@
         let failed = || (front.figures("stats")["reloads_failed"] == n + 1).then_some(());
         wait_for(PATIENCE, failed).unwrap_or_else(|| panic!("{what}: {}", front.log()));
     }
+    std::fs::remove_dir(&path).expect("it was there");
     let peak = front.figures("cost")["memory_kib"]["peak"].as_u64().expect("a figure");
     assert!(peak < 100 << 10, "{peak} KiB");
     assert!(front.call("status").starts_with("done serving"), "what was known stays in force");
