Hold the bound on what is told through every sequence of failed calls to discovery

To blame: Pace::failed() took back-offs of up to 5.7 s without what the call itself had taken, and Pace::call() let a call after a failure, after the start's spread and after SIGHUP wait for 4 s and be silent for 5 s. Now the schedule is told the time and keeps by when a call that is not silent is due: 5.7 s from the beginning of each watch, pause or process, 3.7 s from SIGHUP. Two calls fit into that: who has no answer to go by asks with the short wait (1.2 s with what is overdue), and the first pause leaves room for it. Who is turned away has not reached discovery, so its next pause may be long again, except after a start or SIGHUP. The answer's beginning and its end have a limit each: what begins in time may drip until the call's end. The inline tests are in a file of their own. Link::exchange() had no other user and is gone.

--- a/src/bin/brassport/backends/discovery.rs
+++ b/src/bin/brassport/backends/discovery.rs
@@ -1,8 +1,9 @@
 //! Discovery: follows the list of backends and hands each change on.
 
 use crate::backends::link::Link;
+use crate::clients::flow::Upload;
 use crate::operators::cost::{Gauge, Held};
-use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use oorandom::Rand32;
@@ -12,19 +13,34 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 
-/// How long a watch may wait for news, and how long its answer may take beyond that. What it misses if it falls
-/// silent binds 6 s after its beginning at the earliest: two seconds after the wait. So the next call goes out
-/// `AGAIN` after the beginning at the latest, and 0.3 s are left for its answer. `AGAIN - WAIT - OVERDUE` = 0.7 s
-/// is what the next calls are spread over; a shorter `OVERDUE` would give up answers that stand in a queue.
+/// How long a watch may wait for news, and how long its answer may take beyond that; a shorter `OVERDUE` would give up
+/// answers that stand in a queue.
 const WAIT: Duration = Duration::from_millis(4000);
 const OVERDUE: Duration = Duration::from_millis(1000);
+/// What there is to tell binds 6 s after discovery had it and could be reached, and 4 s after SIGHUP: calls go out
+/// `AGAIN` and `MOVED` after that at the latest, which leaves their answers 0.3 s. So the worst case is
+///
+/// - `AGAIN` + the answer's time from the beginning of any call, watch or pause on, as well if the call after the pause
+///   falls silent: a pause lasts `AGAIN - SHORT - ROOM` at the most, the silent call `SHORT`, and `ROOM` is left for
+///   the pause before the one that is answered;
+/// - the same from the process's start on, as the first calls are spread over less than the longest pause;
+/// - `MOVED` + the answer's time after SIGHUP, with one silent call as well;
+/// - `GLANCE_LASTS` + 1.5 x `BACK_OFF` + the answer's time where no call is work for discovery, once one has failed.
+///
+/// After a watch that fell silent, `AGAIN - WAIT - OVERDUE` = 0.7 s is what the next calls are spread over.
 const AGAIN: Duration = Duration::from_millis(5700);
-/// An agent on the door's own machine answers at no cost, and what it has binds whether or not a watch is open. Who
-/// has no answer to go by asks it with a wait that is short, and once more before half a second is over: `GLANCE_LASTS`
-/// and the longest back-off. What cannot be so quick is given `OVERDUE` as ever: a whole list, and a process's start.
+const MOVED: Duration = Duration::from_millis(3700);
+/// Who has no answer to go by asks with a wait that is short, so that silence is found out soon, and there is time for
+/// a second call. Such a call takes so long at the most.
 const GLANCE: Duration = Duration::from_millis(200);
+const SHORT: Duration = GLANCE.saturating_add(OVERDUE);
+/// The least that is left for the pause after a call that fell silent after a pause.
+const ROOM: Duration = Duration::from_millis(200);
+/// An agent on the door's own machine answers at no cost, and what it has binds whether or not a watch is open: after
+/// a failure its answer has to begin so soon, and half a second at the most passes from one call to the next. What
+/// cannot be so quick has `SHORT`: an answer that has begun, a whole list, and a process's start.
 const GLANCE_LASTS: Duration = Duration::from_millis(350);
 /// Between an answer and the next call: a watch goes on if the call comes within 200 ms, and an agent that
 /// answers at once, whatever it is asked, must not keep the door busy.
@@ -77,6 +93,7 @@
 }
 
 /// Why a call brought no list.
+#[derive(Clone, Copy, PartialEq, Eq)]
 enum Problem {
     /// The answer is a refusal: who asks again soon makes it worse.
     TurnedAway,
@@ -94,56 +111,87 @@
     Failure,
 }
 
-/// When discovery is called, and how long it may take.
+/// When discovery is called, and how long it may take. It is told the time.
 pub struct Pace {
     rng: Rand32,
     spread: Duration,
     first: Duration,
     back_off: Duration,
     past: Past,
+    /// By when a call has to have begun that is not silent, and how many may still be made by then, of two.
+    due: Instant,
+    left: u8,
+    /// Whether that holds even if the calls are turned away: since a start or a move.
+    is_firm: bool,
+    /// When the last pause began.
+    paused: Instant,
 }
 
 impl Pace {
     /// `callers` is how many front doors there are whose calls are work for discovery.
-    pub fn new(callers: u32, seed: u64) -> Pace {
+    pub fn new(callers: u32, seed: u64, now: Instant) -> Pace {
         let spread = TURN * callers;
         let first = spread.max(BACK_OFF);
-        Pace { rng: Rand32::new(seed), spread, first, back_off: first, past: Past::Nothing }
+        Pace {
+            rng: Rand32::new(seed),
+            spread,
+            first,
+            back_off: first,
+            past: Past::Nothing,
+            due: now + AGAIN,
+            left: 2,
+            is_firm: true,
+            paused: now,
+        }
     }
     /// Whether calls are work for discovery, and not for an agent that is told all by itself.
     fn is_shared(&self) -> bool {
         !self.spread.is_zero()
     }
-    /// How long the next call may wait for news, and how long it may take in all, where a version is held or not.
-    fn call(&self, holds: bool) -> (Duration, Duration) {
+    /// How long the next call may wait for news, until its answer has to have begun, and until it has to be whole, where
+    /// a version is held or not.
+    fn call(&self, holds: bool) -> (Duration, Duration, Duration) {
         match self.past {
-            _ if self.is_shared() => (WAIT, WAIT + OVERDUE),
-            Past::Answer if holds => (WAIT, WAIT + OVERDUE),
-            Past::Failure if holds => (GLANCE, GLANCE_LASTS),
-            _ => (GLANCE, GLANCE + OVERDUE),
+            Past::Answer if holds => (WAIT, WAIT + OVERDUE, WAIT + OVERDUE),
+            Past::Failure if holds && !self.is_shared() => (GLANCE, GLANCE_LASTS, SHORT),
+            _ => (GLANCE, SHORT, SHORT),
         }
     }
     /// How long to wait before the first call.
     fn start(&mut self) -> Duration {
         self.spread.min(START_SPREAD).mul_f32(self.rng.rand_float())
     }
-    /// How long to wait after a call that failed `elapsed` after its beginning. The first silence or broken
-    /// connection after an answer says nothing against asking again, and what was missed binds soon. After a refusal,
-    /// or what fails again, the wait grows, to `AGAIN` at the most: what there is to tell binds 6 s later whatever
-    /// happens, and spread over that the calls are about as many as those of a fleet whose watches wait.
-    fn failed(&mut self, elapsed: Duration, turned_away: bool) -> Duration {
-        let is_first = self.past != Past::Failure && !turned_away;
-        let passed = if is_first { elapsed } else { Duration::ZERO };
-        let longest = self.back_off.mul_f32(1.5).min(AGAIN.saturating_sub(passed));
-        self.past = Past::Failure;
+    /// Another address is asked from now on.
+    fn moved(&mut self, now: Instant) {
+        self.answered(now);
+        (self.past, self.due, self.is_firm) = (Past::Nothing, now + MOVED, true);
+    }
+    /// How long to wait after a call that began at `began` and failed at `now`: longer each time, as far as what is due
+    /// allows. The first pause leaves time for a second call should the next one be silent. Who is turned away has not
+    /// reached discovery: what it had before its call is due anew.
+    fn failed(&mut self, began: Instant, now: Instant, turned_away: bool) -> Duration {
+        if self.left == 0 {
+            (self.due, self.left, self.is_firm) = (self.paused + AGAIN, 2, false);
+        }
+        if turned_away && !self.is_firm {
+            (self.due, self.left) = (self.due.max(began + AGAIN), 2);
+        }
+        let early = self.due - SHORT - ROOM;
+        let leaves_time = self.left == 2 && now < early;
+        let until = if leaves_time { early } else { self.due };
+        self.left = u8::from(leaves_time);
+        let longest = self.back_off.mul_f32(1.5).min(AGAIN - SHORT - ROOM);
+        let longest = longest.min(until.saturating_duration_since(now));
         if self.is_shared() {
             self.back_off = (2 * self.back_off).min(GROWTH * self.first);
         }
+        (self.past, self.paused) = (Past::Failure, now);
         longest.mul_f32((1.0 + 2.0 * self.rng.rand_float()) / 3.0)
     }
-    fn answered(&mut self) {
+    fn answered(&mut self, now: Instant) {
         self.back_off = self.first;
-        self.past = Past::Answer;
+        (self.due, self.left, self.is_firm) = (now + AGAIN, 2, false);
+        (self.past, self.paused) = (Past::Answer, now);
     }
 }
 
@@ -156,16 +204,36 @@
     }
 }
 
+/// Who is asked for the list.
+trait Source {
+    /// Asks for the whole list, or for what is newer than the version `after`, which may wait for it, and waits until
+    /// the answer begins.
+    async fn ask(&mut self, at: SocketAddr, after: Option<u64>, wait: Duration) -> Result<(), Problem>;
+    /// The rest of the answer that has begun.
+    async fn list(&mut self) -> Result<List, Problem>;
+    /// What is still out is given up.
+    fn hang_up(&mut self);
+}
+
 /// Watches for ever, at the latest of `addresses`, from the version `last` on if one is held, and hands what it is
 /// told to `told`. Whatever the agent does, the list held stays in force.
 pub async fn watch(
+    addresses: watch::Receiver<SocketAddr>,
+    told: impl Fn(ListKind, List),
+    last: Option<u64>,
+    pace: Pace,
+    open: Gauge,
+) {
+    follow(addresses, told, last, pace, Caller { gauge: open, link: None, answer: None }).await;
+}
+
+async fn follow(
     mut addresses: watch::Receiver<SocketAddr>,
     told: impl Fn(ListKind, List),
     mut last: Option<u64>,
     mut pace: Pace,
-    open: Gauge,
+    mut source: impl Source,
 ) {
-    let mut link = None;
     // Who holds nothing cannot wait.
     if last.is_some() {
         rest(&mut addresses, pace.start()).await;
@@ -173,138 +241,102 @@
     loop {
         // What came meanwhile from an agent that has been replaced counts no more: the list is asked anew.
         if addresses.has_changed().unwrap_or(false) {
-            (link, last) = (None, None);
-            pace.answered();
+            source.hang_up();
+            last = None;
+            pace.moved(Instant::now());
         }
         let address = *addresses.borrow_and_update();
         let began = Instant::now();
-        let (wait, lasts) = pace.call(last.is_some());
+        let (wait, begins, lasts) = pace.call(last.is_some());
         // Guards against an agent that is silent: a call is given up and its connection closed.
+        let call = async {
+            timeout_at(began + begins, source.ask(address, last, wait))
+                .await
+                .unwrap_or(Err(Problem::Unanswered))?;
+            timeout_at(began + lasts, source.list()).await.unwrap_or(Err(Problem::Unanswered))
+        };
         let answer = tokio::select! {
             biased;
             Ok(()) = addresses.changed() => {
                 addresses.mark_changed();
                 continue;
             }
-            answer = timeout(lasts, ask(&mut link, address, last, wait, &open)) => answer,
+            answer = call => answer,
         };
+        let answer =
+            answer.and_then(|list| (list.all || last.is_some()).then_some(list).ok_or(Problem::Unreadable));
         match answer {
-            Ok(Ok(list)) => {
+            Ok(list) => {
                 last = Some(list.rev);
-                pace.answered();
+                pace.answered(Instant::now());
                 told(if list.all { ListKind::Full } else { ListKind::Delta }, list);
                 sleep(PACE).await;
             }
-            failed => {
-                link = None;
+            Err(problem) => {
+                source.hang_up();
                 // The version is kept where it can be: a whole list is the dearest of calls, and after a failure all
                 // would ask for it at once.
-                if matches!(failed, Ok(Err(Problem::Unreadable))) {
+                if problem == Problem::Unreadable {
                     last = None;
                 }
-                let turned_away = matches!(failed, Ok(Err(Problem::TurnedAway)));
-                rest(&mut addresses, pace.failed(began.elapsed(), turned_away)).await;
+                let pause = pace.failed(began, Instant::now(), problem == Problem::TurnedAway);
+                rest(&mut addresses, pause).await;
             }
         }
     }
 }
 
-/// One call: the whole list, or what is newer than the version `after`, which it may wait for.
-async fn ask(
-    link: &mut Option<(Link, Held)>,
-    address: SocketAddr,
-    after: Option<u64>,
-    wait: Duration,
-    gauge: &Gauge,
-) -> Result<List, Problem> {
-    let path = match after {
-        None => "/v1/servers".to_string(),
-        Some(rev) => format!("/v1/servers?after={rev}&wait_ms={}", wait.as_millis()),
-    };
-    let request = Request::get(path).header(HOST, address.to_string()).body(Full::default());
-    let request = request.map_err(|_| Problem::Unanswered)?;
-    if let Some((open, _)) = link {
-        if !open.is_usable().await {
-            *link = None;
-        }
-    }
-    let (open, _) = match link {
-        Some(open) => open,
-        None => {
-            let held = gauge.hold();
-            let open = Link::open(address, Rc::default()).await.map_err(|_| Problem::Unanswered)?;
-            link.insert((open, held))
-        }
-    };
-    let answer = open.exchange(request, LIST_LIMIT).await.map_err(|_| Problem::Unanswered)?;
-    if answer.status() != StatusCode::OK {
-        return Err(Problem::TurnedAway);
-    }
-    let list: List = serde_json::from_slice(answer.body()).map_err(|_| Problem::Unreadable)?;
-    (list.all || after.is_some()).then_some(list).ok_or(Problem::Unreadable)
+/// Asks discovery over one connection, as long as that stands.
+struct Caller {
+    gauge: Gauge,
+    link: Option<(Link, Held)>,
+    answer: Option<Incoming>,
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// When each of a hundred calls, the first one or the first after a failure.
-    fn calls(wait: impl Fn(&mut Pace) -> Duration) -> Vec<u128> {
-        let mut calls: Vec<_> = (0..100).map(|seed| wait(&mut Pace::new(100, seed)).as_millis()).collect();
-        calls.sort_unstable();
-        calls
-    }
-
-    #[test]
-    fn those_that_start_or_are_turned_away_together_do_not_call_together() {
-        for calls in [calls(Pace::start), calls(|pace| pace.failed(Duration::ZERO, true))] {
-            let most = calls.windows(25).map(|some| some[24] - some[0]).min();
-            assert!(most >= Some(500), "a quarter of a hundred calls within {most:?} ms");
+impl Source for Caller {
+    async fn ask(&mut self, at: SocketAddr, after: Option<u64>, wait: Duration) -> Result<(), Problem> {
+        let path = match after {
+            None => "/v1/servers".to_string(),
+            Some(rev) => format!("/v1/servers?after={rev}&wait_ms={}", wait.as_millis()),
+        };
+        let request = Request::get(path).header(HOST, at.to_string()).body(Upload::new(Bytes::new(), None));
+        let request = request.map_err(|_| Problem::Unanswered)?;
+        if let Some((open, _)) = &mut self.link {
+            if !open.is_usable().await {
+                self.link = None;
+            }
         }
+        let (open, _) = match &mut self.link {
+            Some(open) => open,
+            None => {
+                let held = self.gauge.hold();
+                let open = Link::open(at, Rc::default()).await.map_err(|_| Problem::Unanswered)?;
+                self.link.insert((open, held))
+            }
+        };
+        let (head, body) = open.send(request).await.map_err(|_| Problem::Unanswered)?.into_parts();
+        self.answer = Some(body);
+        (head.status == StatusCode::OK).then_some(()).ok_or(Problem::TurnedAway)
     }
 
-    #[test]
-    fn waits_grow_until_a_call_is_answered() {
-        let mut pace = Pace::new(2, 7);
-        assert_eq!(
-            Pace::new(0, 7).start(),
-            Duration::ZERO,
-            "an agent that is told all by itself is asked at once"
-        );
-        let waits: Vec<_> = (0..6).map(|_| pace.failed(Duration::ZERO, true).as_millis()).collect();
-        assert!(waits[0] <= 150 && (200..=600).contains(&waits[4]) && waits[5] <= 600, "{waits:?}");
-        pace.answered();
-        assert!(pace.failed(Duration::ZERO, true).as_millis() <= 150);
-    }
-
-    #[test]
-    fn a_large_fleet_asks_again_before_what_it_missed_binds() {
-        for seed in 0..1000 {
-            let mut pace = Pace::new(300, seed);
-            assert!(pace.start() <= WAIT);
-            for elapsed in [Duration::ZERO, WAIT / 2, WAIT + OVERDUE] {
-                pace.answered();
-                let wait = pace.failed(elapsed, false);
-                assert!(elapsed + wait <= AGAIN, "silent for {elapsed:?}, asked {wait:?} later");
-                // From then on it is discovery that is down, and the doors' calls are not to come together.
-                for _ in 0..5 {
-                    let wait = pace.failed(elapsed, false);
-                    assert!(wait >= AGAIN / 4 && wait <= AGAIN, "{wait:?}");
-                }
+    async fn list(&mut self) -> Result<List, Problem> {
+        let (Some((open, _)), Some(mut body)) = (&mut self.link, self.answer.take()) else {
+            return Err(Problem::Unanswered);
+        };
+        let mut bytes = Vec::new();
+        while let Some(piece) = open.piece(&mut body).await {
+            bytes.extend_from_slice(&piece.map_err(|_| Problem::Unanswered)?);
+            if bytes.len() > LIST_LIMIT {
+                return Err(Problem::Unanswered);
             }
         }
+        serde_json::from_slice(&bytes).map_err(|_| Problem::Unreadable)
     }
 
-    #[test]
-    fn an_agent_that_is_told_all_by_itself_is_asked_again_within_half_a_second() {
-        let mut pace = Pace::new(0, 7);
-        assert_eq!(pace.start(), Duration::ZERO, "it is asked at once");
-        assert_eq!(pace.call(true).0, GLANCE, "nothing says that it speaks");
-        for _ in 0..100 {
-            let pause = pace.failed(GLANCE_LASTS, false);
-            assert!(pause >= BACK_OFF / 2 && pace.call(true).1 + pause <= Duration::from_millis(500));
-        }
-        pace.answered();
-        assert_eq!(pace.call(true).0, WAIT);
+    fn hang_up(&mut self) {
+        (self.link, self.answer) = (None, None);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/bin/brassport/backends/link.rs
+++ b/src/bin/brassport/backends/link.rs
@@ -2,7 +2,7 @@
 //! dropping it has closed the socket.
 
 use crate::clients::flow::Upload;
-use http_body_util::{BodyExt, Collected, Full, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::rt::{Read, ReadBufCursor, Write};
@@ -147,22 +147,6 @@
         Ok(Link { sender, connection: Some(Box::new(connection)), progress })
     }
 
-    /// Sends one request and waits for its whole answer, of `most` bytes at the most.
-    pub async fn exchange(
-        &mut self,
-        request: Request<Full<Bytes>>,
-        most: usize,
-    ) -> Result<Response<Bytes>, Failure> {
-        let (head, body) = request.into_parts();
-        let body = body.collect().await.map(Collected::to_bytes).unwrap_or_default();
-        let answer = self.send(Request::from_parts(head, Upload::new(body, None))).await?;
-        let (head, body) = answer.into_parts();
-        let body = drive(&mut self.connection, Limited::new(body, most).collect()).await;
-        // Guards against serving a body that was cut short: an error of the body is a broken connection.
-        let body = body.map_err(|error| Failure::Broken(error.to_string()))?.to_bytes();
-        Ok(Response::from_parts(head, body))
-    }
-
     /// Sends one request and waits until its answer begins.
     pub async fn send(&mut self, request: Request<Upload>) -> Result<Response<Incoming>, Failure> {
         let Link { sender, connection, progress } = self;
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -40,7 +40,7 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{watch, Semaphore};
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 use tracing::{info, warn};
 
 /// Descriptors that are neither a client's nor a backend's: streams, event queue, listeners, discovery,
@@ -226,7 +226,7 @@
         agents,
         move |kind, list| told.servers(kind, list),
         held,
-        Pace::new(callers, config.seed),
+        Pace::new(callers, config.seed, Instant::now()),
         stats.discovery.clone(),
     ));
     let sweeper = backends.clone();
