Let an agent that lags after SIGHUP give no drained backend back

To blame: Inner::note() and Door::servers(), which took every whole list in whatever its version. Now the list in force is kept by a catalog that knows the newest version. While an agent's is older, its list may take away and not give back; once it has caught up, or after 30 s (a discovery may count anew from a lower number for good), its whole list holds. What a predecessor hands over is taken as a list that was held before, which leaves the version as it is known.

--- a/src/bin/brassport/backends/mod.rs
+++ b/src/bin/brassport/backends/mod.rs
@@ -1,6 +1,7 @@
 //! What faces the backends: the list of them, the connections to them, and the attempts on those.
 
 pub mod attempts;
+pub mod catalog;
 pub mod discovery;
 pub mod link;
 pub mod pool;
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -2,6 +2,7 @@
 //! requests in hand, hands events in, and carries actions out in order. It decides nothing.
 
 use crate::backends::attempts::{Backends, End, Message, Order};
+use crate::backends::catalog::Catalog;
 use crate::backends::discovery::{List, State, Target};
 use crate::clients::flow::{whole, Flow, Outgoing};
 use crate::life::alarms::Alarms;
@@ -78,7 +79,7 @@
     /// Names of the backends by the number that stands for each.
     uids: BTreeMap<ServerId, String>,
     /// The list as it was last told.
-    targets: BTreeMap<String, Target>,
+    catalog: Catalog,
     /// What staff took out and gave back, as last carried out.
     standing: Standing,
     /// Empty between two events, kept for its room.
@@ -110,7 +111,7 @@
             last: 0,
             alarms: Alarms::new(),
             uids: BTreeMap::new(),
-            targets: BTreeMap::new(),
+            catalog: Catalog::default(),
             standing: Standing::default(),
             actions: Vec::new(),
         };
@@ -142,7 +143,8 @@
 
     /// Takes in the list of backends or a change to it, for itself and for the module.
     pub fn servers(self: &Rc<Self>, kind: ListKind, list: List) {
-        self.inner.borrow_mut().note(kind, &list);
+        let now = self.clock.start_unix + self.clock.now();
+        let (kind, list) = self.inner.borrow_mut().catalog.take_in(kind, list, now);
         let mut entries = Vec::with_capacity(list.targets.len());
         for target in &list.targets {
             let id = self.id(&target.uid);
@@ -287,7 +289,7 @@
 
     /// What a successor is told: the list, and when the clock began.
     pub fn targets(&self) -> Vec<Target> {
-        self.inner.borrow().targets.values().cloned().collect()
+        self.inner.borrow().catalog.targets()
     }
     pub fn epoch(&self) -> Millis {
         self.clock.start_unix
@@ -424,19 +426,6 @@
 }
 
 impl Inner {
-    /// Keeps the list as it was told, for a successor.
-    fn note(&mut self, kind: ListKind, list: &List) {
-        if kind != ListKind::Delta {
-            self.targets.clear();
-        }
-        for target in &list.targets {
-            match target.state {
-                State::Gone => drop(self.targets.remove(&target.uid)),
-                _ => drop(self.targets.insert(target.uid.clone(), target.clone())),
-            }
-        }
-    }
-
     /// Passes the final answer on, unless there was one before.
     fn answer(&mut self, request: RequestId, answer: Answer) {
         let Some(hand) = self.requests.get_mut(&request) else { return };
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -212,7 +212,7 @@
     door.servers(ListKind::Cached, config.known);
     let shift = Shift::new();
     if let Some(predecessor) = &predecessor {
-        door.servers(ListKind::Full, handover::as_list(predecessor.introduction.targets.clone()));
+        door.servers(ListKind::Cached, handover::as_list(predecessor.introduction.targets.clone()));
         if predecessor.introduction.standby {
             // It serves: nothing has been told to it yet.
             let _ = shift.stand_by();
