--- /dev/null
+++ b/tests/closing.rs
@@ -0,0 +1,200 @@
+//! Connections that close while something is on its way: the built program against small scripted peers, with the bad
+//! order made to happen.
+
+use rustix::process::Signal;
+use serde_json::json;
+use springusher_lab::process::wait_for;
+use springusher_lab::scripted::{
+    closed_port, config, get, list, post, read_message, target, Front, Peer, Program, Stuck, PATIENCE,
+};
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+const FRONT: Program = Program { path: env!("CARGO_BIN_EXE_brassport"), folder: env!("CARGO_TARGET_TMPDIR") };
+const HEALTHZ: &str = "GET /healthz HTTP/1.1\r\nHost: backend.local\r\n\r\n";
+
+/// A front door whose requests wait for so long that no time of theirs ends what a test looks at.
+fn patient(backend: SocketAddr) -> Front {
+    let mut config = config(closed_port(), list(&[target("s-00000001", backend, "ready")]));
+    for class in config["settings"]["classes"].as_array_mut().expect("classes") {
+        class["deadline"] = json!(600_000.0);
+    }
+    config["settings"]["bounds"]["connectTimeout"] = json!(600_000.0);
+    FRONT.start(&config)
+}
+
+/// A request that waits for long.
+fn long(request: &str) -> String {
+    request.replace("X-Deadline: 4000m", "X-Deadline: 600000m")
+}
+
+fn wait_until_nothing_is_in_hand(front: &Front) {
+    let over = || (front.stats()["in_flight"] == 0).then_some(());
+    wait_for(PATIENCE, over).expect("a request whose client has gone is over");
+}
+
+/// Waits until the front door has a request in hand.
+fn wait_until_in_hand(front: &Front) {
+    wait_for(PATIENCE, || (front.stats()["in_flight"] == 1).then_some(())).expect("a request is in hand");
+}
+
+#[test]
+fn a_client_that_goes_behind_bytes_that_nobody_reads_has_gone() {
+    let upload = "x".repeat(20_000);
+    let head = post("").replace("Content-Length: 0", "Content-Length: 4000000");
+    for (behind, request) in [("half a request", get("")), ("an upload", head + &upload)] {
+        let stuck = Stuck::start();
+        let front = patient(stuck.address);
+        let mut client = front.client();
+        client.send(&long(&request));
+        if behind == "half a request" {
+            client.send("GET /preview-fetch HT");
+        }
+        wait_until_in_hand(&front);
+        stuck.wait_for_connect();
+        drop(client);
+        wait_until_nothing_is_in_hand(&front);
+        assert_eq!(stuck.open().len(), 0, "nothing is sent for it, behind {behind}");
+    }
+}
+
+#[test]
+fn a_client_is_seen_to_go_behind_a_pipelined_request_while_its_attempt_runs() {
+    let backend = Peer::start();
+    let front = patient(backend.address);
+    let mut client = front.client();
+    client.send(&long(&get("/gone"))).send(&get("/next"));
+    let _running = backend.next();
+    drop(client);
+    wait_until_nothing_is_in_hand(&front);
+    assert_eq!(front.stats()["attempts"], 1, "nothing is sent for the next one");
+}
+
+#[test]
+fn nothing_is_sent_for_a_client_that_came_and_went_while_the_process_stood_still() {
+    for behind in ["", "GET /preview-fetch HT"] {
+        let backend = Peer::start();
+        let front = patient(backend.address);
+        front.signal(Signal::STOP);
+        let mut client = front.client();
+        client.send(&long(&get("/gone"))).send(behind);
+        drop(client);
+        front.signal(Signal::CONT);
+        wait_until_nothing_is_in_hand(&front);
+        let mut marker = front.client();
+        marker.send(&get("/marker"));
+        let exchange = backend.next();
+        assert!(exchange.request.line.contains("/marker"), "{} behind {behind:?}", exchange.request.line);
+        exchange.ok("");
+        assert_eq!(marker.read().status(), 200);
+        assert_eq!(front.stats()["attempts"], 1);
+    }
+}
+
+#[test]
+fn a_head_that_is_half_there_when_a_process_closes_its_connections_is_waited_for() {
+    let backend = Peer::start();
+    let mut front = FRONT.before(&[backend.address]);
+    let (mut idle, mut halfway) = (front.client(), front.client());
+    for client in [&mut idle, &mut halfway] {
+        client.send(HEALTHZ);
+        assert_eq!(client.read().status(), 200);
+    }
+    let request = get("/halfway");
+    let (half, rest) = request.split_at(30);
+    front.terminate();
+    halfway.send(half);
+    assert!(read_message(&idle.stream).expect("a close in order").is_none());
+    halfway.send(rest);
+    let exchange = backend.next();
+    assert!(exchange.request.line.contains("/halfway"));
+    exchange.ok("served");
+    let answer = halfway.read();
+    assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+    assert!(front.child.wait().expect("it ends").success());
+}
+
+/// The marker answers only to a process that has been told to end.
+fn wait_until_ending(front: &Front) {
+    let ending = || {
+        let answer = front.client().send(HEALTHZ).read();
+        (answer.header("connection") == "close").then_some(())
+    };
+    wait_for(PATIENCE, ending).expect("the signal comes");
+}
+
+#[test]
+fn what_waits_in_the_queue_when_a_process_stops_accepting_is_answered() {
+    let mut front = FRONT.before(&[closed_port()]);
+    front.terminate();
+    wait_until_ending(&front);
+    front.signal(Signal::STOP);
+    let mut waiting: Vec<_> = (0..24).map(|_| front.client()).collect();
+    for client in &mut waiting {
+        client.send(HEALTHZ);
+    }
+    // Long enough for the process to find, when it goes on, that it is time to accept no more.
+    thread::sleep(Duration::from_millis(800));
+    front.signal(Signal::CONT);
+    for client in &mut waiting {
+        let answer = client.read();
+        assert_eq!((answer.status(), answer.header("connection")), (503, "close"));
+    }
+    let refused = || std::net::TcpStream::connect(front.address).is_err().then_some(());
+    wait_for(PATIENCE, refused).expect("none is let in to wait for nobody");
+    assert!(front.child.wait().expect("it ends").success());
+}
+
+/// SIGKILL may come 0.7 s and the longest deadline after SIGTERM, here after 1.7 s.
+#[test]
+fn before_it_may_be_killed_a_process_has_closed_silent_connections_and_refuses_what_comes_late() {
+    let backend = Peer::start();
+    let known = list(&[target("s-00000001", backend.address, "ready")]);
+    let mut config = config(closed_port(), known);
+    for class in config["settings"]["classes"].as_array_mut().expect("classes") {
+        class["deadline"] = json!(1000.0);
+    }
+    let mut front = FRONT.start(&config);
+    front.terminate();
+    wait_until_ending(&front);
+    let mut late = front.client();
+    let request = get("");
+    let (half, rest) = request.split_at(30);
+    late.send(half);
+    // Left alone, this one would be closed for its silence only when the time for the half head is over.
+    thread::sleep(Duration::from_millis(50));
+    let silent = front.client();
+    assert!(read_message(&silent.stream).expect("a close in order").is_none());
+    late.send(rest);
+    let answer = late.read();
+    assert_eq!((answer.status(), answer.header("connection")), (429, "close"));
+    assert!(backend.exchanges.try_recv().is_err(), "it went on to nobody");
+    assert!(front.child.wait().expect("it ends").success());
+}
+
+#[test]
+fn silent_clients_that_hold_all_descriptors_leave_some_for_attempts_and_give_way_to_others() {
+    let backend = Peer::start();
+    let mut config = config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]));
+    config["limits"]["sockets"] = json!(56);
+    let front = FRONT.start(&config);
+    let mut early = front.client();
+    let request = get("/early");
+    let (half, rest) = request.split_at(30);
+    early.send(half);
+    let silent: Vec<_> = (0..60).map(|_| front.client()).collect();
+    let full = || {
+        let answer = front.call("cost");
+        let cost: serde_json::Value = serde_json::from_str(answer.lines().next()?).ok()?;
+        (cost["descriptors"]["clients"].as_u64()? >= 14).then_some(())
+    };
+    wait_for(PATIENCE, full).expect("the clients have all that they get");
+    early.send(rest);
+    let exchange = backend.next();
+    assert!(exchange.request.line.contains("/early"));
+    exchange.ok("");
+    assert_eq!(early.read().status(), 200);
+    assert_eq!(front.client().send(HEALTHZ).read().status(), 200, "behind 60 that say nothing");
+    drop(silent);
+}
