Ask the system itself before discovery's connection is used again

Cause: discovery's calls went by the reactor's last word on their connection, as those to backends did before: what had come in since was taken for the next call's answer (discovery.rs, ask). Change: the same look at the system as before a request to a backend. The test of a request whose last byte was not written goes by Link::send, as Link::exchange has gone.

--- a/src/bin/brassport/backends/discovery.rs
+++ b/src/bin/brassport/backends/discovery.rs
@@ -302,7 +302,7 @@
         let request = Request::get(path).header(HOST, at.to_string()).body(Upload::new(Bytes::new(), None));
         let request = request.map_err(|_| Problem::Unanswered)?;
         if let Some((open, _)) = &mut self.link {
-            if !open.is_usable().await {
+            if !open.is_silent().await {
                 self.link = None;
             }
         }
--- a/src/bin/brassport/backends/link/tests.rs
+++ b/src/bin/brassport/backends/link/tests.rs
@@ -17,9 +17,8 @@
         }
         SockRef::from(&stream).set_linger(Some(std::time::Duration::ZERO)).expect("an option");
     };
-    let body = Bytes::from(vec![b'x'; size]);
-    let (answer, ()) =
-        tokio::join!(link.exchange(Request::post("/").body(Full::new(body)).unwrap(), 99), peer);
+    let body = Upload::new(Bytes::from(vec![b'x'; size]), None);
+    let (answer, ()) = tokio::join!(link.send(Request::post("/").body(body).expect("a request")), peer);
     let failure = answer.expect_err("there is no answer");
     assert_eq!(written.get(), u64::from(failure != Failure::Unsent), "{failure:?}");
     assert!(!link.is_usable().await);
