--- a/src/bin/brassport/clients/desk.rs
+++ b/src/bin/brassport/clients/desk.rs
@@ -1,9 +1,9 @@
 //! The clients' side: accepts connections, reads requests, checks them and writes the answers.
 
 use crate::backends::attempts::{Backends, Message, BODY_LIMIT};
-use crate::clients::connection;
+use crate::backends::link::BUFFER;
 use crate::clients::flow::{whole, Outgoing};
-use crate::clients::pulse::Pulse;
+use crate::clients::pulse::{Due, Felt, Pulse};
 use crate::clients::shift::{Phase, Shift};
 use crate::clients::stats::{Answered, Entry, Fate, Stats};
 use crate::door::{Answer, Door};
@@ -12,19 +12,21 @@
 use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
+use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use socket2::SockRef;
+use hyper_util::rt::TokioTimer;
 use springusher::{Effect, Settings};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
-use tokio::task::JoinSet;
+use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::task::{yield_now, JoinSet};
 use tokio::time::{sleep, timeout, Instant};
 use tracing::warn;
 
@@ -35,10 +37,6 @@
 /// idle connections are closed and new clients told to come back.
 const RESERVE: usize = 64;
 const RESERVE_PART: usize = 4;
-/// Part of the reserve that no client gets, not even one that is only told to come back.
-const ATTEMPTS_PART: usize = 2;
-/// How long a client may say nothing while descriptors are short: an honest one has its request ready.
-const SILENCE: Duration = Duration::from_millis(250);
 /// How long a body that is gathered may bring nothing. After the longer time it has to have come at this many bytes
 /// a second: four times as many are honest, and a peer that sends nothing of use is owed an end.
 const BODY_STALL: Duration = Duration::from_millis(1000);
@@ -47,6 +45,8 @@
 /// Bytes a second at which a body that goes on as it comes is taken to come: it has no deadline of its own.
 const UPLOAD_RATE: f64 = 64e3;
 const UPLOAD_MOST: Duration = Duration::from_secs(600);
+/// How long a connection that is to close may take over what was written to it, with nobody reading.
+const LAST_WORDS: Duration = Duration::from_secs(120);
 /// After a failed accept.
 const BACK_OFF: Duration = Duration::from_millis(20);
 /// Customers are numbers below this.
@@ -77,23 +77,18 @@
     pub stats: Rc<Stats>,
     /// Bytes of bodies that may be kept for further attempts, over all requests.
     pub room: Arc<Semaphore>,
+    /// Whether the process's last words are said: nobody would answer what comes after them.
+    pub is_over: Cell<bool>,
 }
 
-/// A client's place among the clients, and its descriptor.
-type Descriptor = (OwnedSemaphorePermit, OwnedSemaphorePermit);
-
-/// Accepts clients until the shutdown closes the door, then returns once every connection has ended. Of the descriptors
-/// there are `most`, some of which a predecessor may still hold.
-pub async fn serve(listener: TcpListener, desk: Rc<Desk>, descriptors: Arc<Semaphore>, most: usize) {
-    let reserve = RESERVE.min(most / RESERVE_PART);
-    let kept = reserve / ATTEMPTS_PART;
-    let places = Arc::new(Semaphore::new((most - kept).min(Semaphore::MAX_PERMITS)));
+/// Accepts clients until the shutdown closes the door, then returns once every connection has ended.
+pub async fn serve(listener: TcpListener, desk: Rc<Desk>, descriptors: Arc<Semaphore>) {
+    let reserve = RESERVE.min(descriptors.available_permits() / RESERVE_PART);
     let (shed, _) = watch::channel(());
     // Guards against connections that stand idle and hold all descriptors.
     let spare = |least: usize| {
         while descriptors.available_permits() < least && desk.backends.pool.shed_idle() {}
-        let free = descriptors.available_permits().min(places.available_permits() + kept);
-        let spare = free >= least;
+        let spare = descriptors.available_permits() >= least;
         if !spare {
             shed.send_replace(());
         }
@@ -102,128 +97,121 @@
     let mut phase = desk.shift.watch();
     let mut connections = JoinSet::new();
     let mut turned_away = 0;
-    let mut take = |stream: TcpStream, descriptor: Descriptor, connections: &mut JoinSet<()>| {
-        let crowded = !spare(reserve);
-        if crowded {
-            turned_away += 1;
-        } else if turned_away > 0 {
-            warn!(
-                event = "descriptors_short",
-                turned_away, "descriptors ran short: {turned_away} connections turned away"
-            );
-            turned_away = 0;
-        }
-        let shed = shed.subscribe();
-        connections.spawn_local(connection(stream, descriptor, desk.clone(), crowded, shed));
-    };
-    // Room for the next connection; until there is a descriptor for it, it waits in the backlog.
-    let room = || async {
-        spare(1 + kept);
-        let place = places.clone().acquire_owned().await.map_err(io::Error::other)?;
-        let descriptor = descriptors.clone().acquire_owned().await.map_err(io::Error::other)?;
-        Ok::<_, io::Error>((place, descriptor))
-    };
     loop {
+        // The next connection once there is a descriptor for it; until then it waits in the backlog.
         let next = async {
-            let descriptor = room().await?;
+            spare(1);
+            let descriptor = descriptors.clone().acquire_owned().await.map_err(io::Error::other)?;
             let (stream, _) = listener.accept().await?;
             Ok::<_, io::Error>((stream, descriptor))
         };
         tokio::select! {
             changed = phase.changed() => match desk.shift.phase() {
                 _ if changed.is_err() => break,
-                Phase::Closing | Phase::Over => break,
+                Phase::Closing => break,
                 _ => {}
             },
             Some(_) = connections.join_next() => {}
             next = next, if desk.shift.phase() != Phase::HandedOver => match next {
-                Ok((stream, descriptor)) => take(stream, descriptor, &mut connections),
+                Ok((stream, descriptor)) => {
+                    let crowded = !spare(reserve);
+                    if crowded {
+                        turned_away += 1;
+                    } else if turned_away > 0 {
+                        warn!(
+                            event = "descriptors_short",
+                            turned_away,
+                            "descriptors ran short: {turned_away} connections turned away"
+                        );
+                        turned_away = 0;
+                    }
+                    let shed = shed.subscribe();
+                    connections.spawn_local(connection(stream, descriptor, desk.clone(), crowded, shed));
+                }
                 // Guards against a spin where the system is out of descriptors or the like.
                 Err(_) => sleep(BACK_OFF).await,
             },
         }
     }
-    // What waits in the backlog has come in time and would be reset: it is taken in, unless another process does that.
-    if let Some(backlog) = listener.into_std().ok().filter(|_| !desk.shift.is_succeeded()) {
-        while let Ok(descriptor) = room().await {
-            match backlog.accept().and_then(|(stream, _)| adopt(stream)) {
-                Ok(stream) => take(stream, descriptor, &mut connections),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-                Err(_) => sleep(BACK_OFF).await,
-            }
-        }
-    }
+    drop(listener);
     while connections.join_next().await.is_some() {}
 }
 
-fn adopt(stream: std::net::TcpStream) -> io::Result<TcpStream> {
-    SockRef::from(&stream).set_nonblocking(true)?;
-    TcpStream::from_std(stream)
-}
-
 /// Serves one client's connection to its end. One that came while descriptors were short gets refusals.
 async fn connection(
     stream: TcpStream,
-    _descriptor: Descriptor,
+    _descriptor: OwnedSemaphorePermit,
     desk: Rc<Desk>,
     crowded: bool,
     mut shed: watch::Receiver<()>,
 ) {
     let _held = desk.stats.clients.hold();
     let _ = stream.set_nodelay(true);
-    let stream = Rc::new(stream);
+    let mut phase = desk.shift.watch();
+    let late = desk.shift.phase() == Phase::Emptying;
+    let (asked, first) = (Cell::new(false), Notify::new());
     let pulse = Pulse::new();
+    let service = service_fn(|request| {
+        let desk = desk.clone();
+        asked.set(true);
+        first.notify_one();
+        let busy = pulse.asked();
+        // Boxed, or each connection would hold room for it all the time.
+        Box::pin(async move {
+            let mut response = if crowded { turn_away(&desk, request) } else { answer(&desk, request).await };
+            if crowded || desk.shift.phase() != Phase::Serving {
+                response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
+            response.body_mut().busy = Some(busy);
+            Ok::<_, Infallible>(response)
+        })
+    });
     // Buffers are made once something comes: many connections stand silent, up to the time for their first head.
     // A look at the first byte, as the system's word that there is one may be early.
     let mut first_byte = [0];
-    let mut phase = desk.shift.watch();
-    let over = phase.wait_for(|phase| *phase == Phase::Over);
-    let silence = sleep(SILENCE);
-    let wanted = async {
-        let _ = shed.changed().await;
-        silence.await;
-    };
-    let has_begun = tokio::select! {
+    tokio::select! {
         biased;
-        looked = stream.peek(&mut first_byte) => match looked {
-            Ok(1) => true,
-            _ => return,
+        looked = stream.peek(&mut first_byte) => if !matches!(looked, Ok(1)) {
+            return;
         },
-        _ = pulse.overdue() => !connection::is_empty(&stream),
-        // A request that came at the very end of the process would find nobody to answer it.
-        _ = over => !connection::is_empty(&stream),
-        () = wanted => !connection::is_empty(&stream),
-    };
-    if has_begun {
-        let service = service_fn(|request| {
-            let (desk, pulse) = (desk.clone(), pulse.clone());
-            let busy = pulse.asked();
-            // Boxed, or each connection would hold room for it all the time.
-            Box::pin(async move {
-                let mut response =
-                    if crowded { turn_away(&desk, request) } else { answer(&desk, request).await };
-                if crowded || pulse.is_closing() || desk.shift.phase() != Phase::Serving {
-                    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-                }
-                response.body_mut().busy = Some(busy);
-                Ok::<_, Infallible>(response)
-            })
-        });
-        let close = async {
-            let stays = |phase: &Phase| matches!(phase, Phase::Serving | Phase::Leaving);
-            tokio::select! {
-                _ = phase.wait_for(|phase| !stays(phase)) => {}
-                _ = shed.changed() => {}
+        _ = pulse.overdue() => return,
+    }
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(None).max_buf_size(BUFFER);
+    let mut serving = pin!(builder.serve_connection(Felt::new(stream, pulse.clone()), service));
+    // A connection's error is its client's: it has gone, or what it sent is no HTTP.
+    tokio::select! {
+        _ = serving.as_mut() => return,
+        due = pulse.overdue() => if due == Due::Head {
+            return;
+        },
+        () = async {
+            // Who came while the door was being emptied is served before it goes.
+            if late {
+                let _ = phase.wait_for(|phase| *phase != Phase::Emptying).await;
             }
-        };
-        connection::drive(&stream, &pulse, service, close).await;
+            let closes = |phase: &Phase| matches!(phase, Phase::Emptying | Phase::HandedOver | Phase::Closing);
+            let _ = phase.wait_for(closes).await;
+            // One that has just come brings a request, which has nowhere else to go.
+            while !asked.get() {
+                first.notified().await;
+            }
+        } => {}
+        _ = shed.changed() => {}
     }
-    if !pulse.has_ended() {
-        tokio::select! {
-            () = connection::close(&stream) => {}
-            // Others need its descriptor.
-            _ = shed.changed() => {}
-        }
+    // Guards against closing on a request that has come in but was not read yet.
+    tokio::select! {
+        biased;
+        _ = serving.as_mut() => return,
+        () = yield_now() => {}
+    }
+    // An idle one closes now, a busy one behind its answer.
+    serving.as_mut().graceful_shutdown();
+    // Guards against a client that reads no more, or a head that never ends: either would hold the connection.
+    tokio::select! {
+        _ = serving.as_mut() => {}
+        () = pulse.head_overdue() => {}
+        () = sleep(LAST_WORDS) => {}
     }
 }
 
@@ -299,20 +287,12 @@
     Ok(Gathered { body: body_here, rest: more.then_some(body), room })
 }
 
-/// The answer to who asks whether this process can serve.
-fn health(desk: &Desk, request: &Request<Incoming>) -> Option<Response<Body>> {
-    if request.method() != Method::GET || request.uri().path() != "/healthz" {
-        return None;
-    }
-    // One that has been taken over from speaks for both.
-    let up =
-        matches!(desk.shift.phase(), Phase::Serving | Phase::HandedOver) && desk.backends.pool.any_ready();
-    Some(text(None, if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, ""))
-}
-
 async fn answer(desk: &Desk, request: Request<Incoming>) -> Response<Body> {
-    if let Some(health) = health(desk, &request) {
-        return health;
+    if request.method() == Method::GET && request.uri().path() == "/healthz" {
+        // One that has been taken over from speaks for both.
+        let up = matches!(desk.shift.phase(), Phase::Serving | Phase::HandedOver)
+            && desk.backends.pool.any_ready();
+        return text(None, if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
     }
     let (head, body) = request.into_parts();
     let asked = match check(&head, desk) {
@@ -325,8 +305,7 @@
         Ok(gathered) => gathered.into_message(method, asked.uri, headers),
         Err((status, problem)) => return text(Some(entry), status, problem),
     };
-    // Nobody would answer it any more.
-    if desk.shift.phase() == Phase::Over {
+    if desk.is_over.get() {
         return refusal(Some(entry), desk.settings.max_retry_after);
     }
     entry.taken();
@@ -344,11 +323,8 @@
     }
 }
 
-/// Refuses what came while descriptors were short, but for who asks after the process itself.
+/// Refuses what came while descriptors were short.
 fn turn_away(desk: &Desk, request: Request<Incoming>) -> Response<Body> {
-    if let Some(health) = health(desk, &request) {
-        return health;
-    }
     let entry = check(&request.into_parts().0, desk).ok().map(|asked| desk.stats.enter(asked.request.class));
     refusal(entry, desk.settings.max_retry_after)
 }
--- a/src/bin/brassport/clients/pulse.rs
+++ b/src/bin/brassport/clients/pulse.rs
@@ -1,19 +1,20 @@
 //! How long a client's connection may stand without a request: told by when bytes come and answers end.
 
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
 use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{sleep, sleep_until, Instant};
 
 /// How long a client may take over a head: 2 s are honest, and a peer that sends nothing proper is owed an
 /// end within 3 s of connecting.
-pub const HEAD: Duration = Duration::from_millis(2600);
+const HEAD: Duration = Duration::from_millis(2600);
 /// How long a connection may stand with no byte of a next head.
 const IDLE: Duration = Duration::from_millis(2000);
 /// How often a connection that is closing is looked at.
@@ -40,24 +41,12 @@
     state: Cell<State>,
     /// Told when a request has been answered: until then there is nothing to look for.
     answered: Notify,
-    /// Whether what reads the connection waits for more since it was last driven.
-    watched: Cell<bool>,
-    /// Whether the client's end was read.
-    ended: Cell<bool>,
-    /// Whether the connection takes no further request than the one that is on its way.
-    closing: Cell<bool>,
 }
 
 impl Pulse {
     /// Of a connection that has just come: its first head is due.
     pub fn new() -> Rc<Pulse> {
-        Rc::new(Pulse {
-            state: Cell::new(State::Head(Instant::now())),
-            answered: Notify::new(),
-            watched: Cell::new(false),
-            ended: Cell::new(false),
-            closing: Cell::new(false),
-        })
+        Rc::new(Pulse { state: Cell::new(State::Head(Instant::now())), answered: Notify::new() })
     }
     fn bytes_came(&self) {
         if let State::Idle(_) = self.state.get() {
@@ -69,30 +58,6 @@
         self.state.set(State::Busy);
         Busy(self.clone())
     }
-    /// The connection is driven anew.
-    pub fn driven(&self) {
-        self.watched.set(false);
-    }
-    /// Whether a request is in work and nobody waits for more of the connection, so that its end would not be seen.
-    pub fn is_blind(&self) -> bool {
-        matches!(self.state.get(), State::Busy) && !self.watched.get()
-    }
-    pub fn is_busy(&self) -> bool {
-        matches!(self.state.get(), State::Busy)
-    }
-    /// Whether no byte of a next request has come.
-    pub fn is_idle(&self) -> bool {
-        matches!(self.state.get(), State::Idle(_))
-    }
-    pub fn close(&self) {
-        self.closing.set(true);
-    }
-    pub fn is_closing(&self) -> bool {
-        self.closing.get()
-    }
-    pub fn has_ended(&self) -> bool {
-        self.ended.get()
-    }
     fn due(&self) -> Option<(Instant, Due)> {
         match self.state.get() {
             State::Head(since) => Some((since + HEAD, Due::Head)),
@@ -128,83 +93,53 @@
     }
 }
 
-/// A client's socket, which tells when bytes come and whether anybody waits for more.
+/// A client's socket, which tells when bytes come.
 pub struct Felt {
-    stream: Rc<TcpStream>,
+    stream: TokioIo<TcpStream>,
     pulse: Rc<Pulse>,
 }
 
 impl Felt {
-    pub fn new(stream: Rc<TcpStream>, pulse: Rc<Pulse>) -> Felt {
-        Felt { stream, pulse }
+    pub fn new(stream: TcpStream, pulse: Rc<Pulse>) -> Felt {
+        Felt { stream: TokioIo::new(stream), pulse }
     }
 }
 
-impl AsyncRead for Felt {
+impl Read for Felt {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
+        buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let Felt { stream, pulse } = &*self;
-        let room = buffer.remaining();
-        pulse.watched.set(true);
-        loop {
-            ready!(stream.poll_read_ready(context))?;
-            let read = stream.try_read_buf(buffer);
-            match read {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
-                // The system had no more: it need not be asked again before it says that more has come.
-                Ok(length) if 0 < length && length < room => {
-                    let nothing = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
-                    let _ = stream.try_io(Interest::READABLE, nothing);
-                }
-                Ok(0) | Err(_) => pulse.ended.set(true),
-                Ok(_) => {}
-            }
-            pulse.watched.set(false);
-            pulse.bytes_came();
-            return Poll::Ready(read.map(drop));
-        }
+        let read = ready!(Pin::new(&mut self.stream).poll_read(context, buffer));
+        self.pulse.bytes_came();
+        Poll::Ready(read)
     }
 }
 
-impl AsyncWrite for Felt {
-    fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        self.write(context, |stream| stream.try_write(bytes))
+impl Write for Felt {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
     }
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.write(context, |stream| stream.try_write_vectored(slices))
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
     }
     fn is_write_vectored(&self) -> bool {
-        true
-    }
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
+        self.stream.is_write_vectored()
     }
-    /// Its owner ends the connection, once nothing drives it any more.
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
     }
-}
-
-impl Felt {
-    fn write(
-        &self,
-        context: &mut Context<'_>,
-        write: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_write_ready(context))?;
-            match write(&self.stream) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
-            }
-        }
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
 
--- a/src/bin/brassport/life/handover.rs
+++ b/src/bin/brassport/life/handover.rs
@@ -241,10 +241,9 @@
     pub async fn follow(mut self, door: Rc<Door>, shift: Rc<Shift>) {
         let mut phase = shift.watch();
         let closing = async {
-            let leaves = |phase: &Phase| matches!(phase, Phase::HandedOver | Phase::Closing | Phase::Over);
-            let left = phase.wait_for(leaves).await;
+            let left = phase.wait_for(|phase| matches!(phase, Phase::HandedOver | Phase::Closing)).await;
             // Where a third process has clients, they are not to go back.
-            if !left.is_ok_and(|phase| *phase != Phase::HandedOver) {
+            if !left.is_ok_and(|phase| *phase == Phase::Closing) {
                 std::future::pending::<()>().await;
             }
         };
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -283,7 +283,7 @@
     open.set(true);
     let handed = listener.try_clone().map_err(StartError::Listener)?;
     let listener = TcpListener::from_std(listener).map_err(StartError::Listener)?;
-    let host = spawn_local(handover::host(shared, handed, numbers, door.clone(), shift.clone()));
+    spawn_local(handover::host(shared, handed, numbers, door.clone(), shift.clone()));
     let desk = Rc::new(Desk {
         door: door.clone(),
         backends,
@@ -292,8 +292,9 @@
         shift: shift.clone(),
         stats: stats.clone(),
         room: Arc::new(Semaphore::new((config.memory / KEPT_PART).min(Semaphore::MAX_PERMITS))),
+        is_over: Cell::new(false),
     });
-    let mut serving = spawn_local(desk::serve(listener, desk.clone(), descriptors, spare));
+    let mut serving = spawn_local(desk::serve(listener, desk.clone(), descriptors));
 
     loop {
         tokio::select! {
@@ -333,13 +334,9 @@
     if shift.phase() != Phase::HandedOver {
         sleep(LEAVING).await;
     }
-    // The queue is to end with this process's hold on it, unless another one has it.
-    if !shift.is_succeeded() {
-        host.abort();
-    }
     shift.close();
     if timeout(closing.saturating_sub(LAST_WORDS), &mut serving).await.is_err() {
-        shift.finish();
+        desk.is_over.set(true);
         door.fail_all();
         // What has begun to reach its client goes on until it is whole, or the platform ends this process.
         let _ = timeout(REST, &mut serving).await;
--- a/tests/standing.rs
+++ b/tests/standing.rs
@@ -144,6 +144,25 @@
     panic!("this machine is too slow to tell");
 }
 
+#[test]
+fn what_comes_after_the_last_words_of_a_closing_process_is_refused_at_once() {
+    let backend = Peer::start();
+    let known = list(&[target("s-00000001", backend.address, "ready")]);
+    let mut config = config(closed_port(), known);
+    for class in config["settings"]["classes"].as_array_mut().expect("classes") {
+        class["deadline"] = json!(1000.0);
+    }
+    let front = DOOR.start(&config);
+    front.terminate();
+    let mut late = front.client();
+    // New ones are taken for 0.6 s, what is in hand fails 0.9 s later, and a silent connection stays for 2.6 s.
+    thread::sleep(Duration::from_millis(2000));
+    late.send(&get(""));
+    let answer = late.read();
+    assert_eq!((answer.status(), answer.header("connection")), (429, "close"));
+    assert!(backend.exchanges.try_recv().is_err(), "it went on to nobody");
+}
+
 #[test]
 fn sigterm_while_the_configuration_is_read_ends_it_in_order() {
     let config = config(closed_port(), list(&[]));
