Give the tests a closed port that no other test's peer can take

Cause: closed_port() in lab/src/scripted.rs freed a port at 127.0.0.1, and the system could give it to another test's peer, which then got calls for the list. Change: it binds at an address of its own.

--- a/lab/src/scripted.rs
+++ b/lab/src/scripted.rs
@@ -172,9 +172,10 @@
     json!({"rev": 1, "all": true, "targets": targets})
 }
 
-/// An address where nothing listens.
+/// An address where nothing listens. Peers get their ports at 127.0.0.1, and none of them takes this one meanwhile.
 pub fn closed_port() -> SocketAddr {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).and_then(|listener| listener.local_addr()).expect("a port")
+    let nobody = Ipv4Addr::new(127, 255, 0, 1);
+    TcpListener::bind((nobody, 0)).and_then(|listener| listener.local_addr()).expect("a port")
 }
 
 /// A backend to which connections come up only once `open` is called: its backlog is full.
