Close a client's connection only when nothing of a request is on it, and in order

Seen: a kept connection was closed at a shutdown, a takeover, its idle time or a shortage of descriptors though half of a next head had been read, and the request whose rest came then was lost. Between the last look at the socket and the close there was one yield: a request that came behind it was dropped unread, and a head that had just become whole was cut off where its time was over. A connection was closed over what its client had still sent, so the system reset it. Ruled out: a request that lies there when the process is woken is read first, as before. To blame: in connection() of clients/desk.rs the yield_now before graceful_shutdown, the return at Due::Head, and the drop of the socket behind hyper's shutdown of it. Change: clients/connection.rs drives a connection. Told to close, it closes in the step in which it stands between two requests and the system itself says that nothing is to be read; a head on its way is waited for and answered with Connection: close, within the time for heads. Then the sending side ends, and what still comes is thrown away and never sent on, for 0.3 s at the most, or until others need the descriptor. The socket is shared for that, and reads no more often. Result: with the old lines the half head's client gets no answer; with the look taken out the request in the closing step and the rest of the overdue head get none, and without the lingering the crossing request is reset.

--- a/src/bin/brassport/clients/desk.rs
+++ b/src/bin/brassport/clients/desk.rs
@@ -1,9 +1,9 @@
 //! The clients' side: accepts connections, reads requests, checks them and writes the answers.
 
 use crate::backends::attempts::{Backends, Message, BODY_LIMIT};
-use crate::backends::link::BUFFER;
+use crate::clients::connection;
 use crate::clients::flow::{whole, Outgoing};
-use crate::clients::pulse::{Due, Felt, Pulse};
+use crate::clients::pulse::Pulse;
 use crate::clients::shift::{Phase, Shift};
 use crate::clients::stats::{Answered, Entry, Fate, Stats};
 use crate::door::{Answer, Door};
@@ -12,21 +12,18 @@
 use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use hyper_util::rt::TokioTimer;
 use springusher::{Effect, Settings};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io;
-use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
-use tokio::task::{yield_now, JoinSet};
+use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, Instant};
 use tracing::warn;
 
@@ -45,8 +42,6 @@
 /// Bytes a second at which a body that goes on as it comes is taken to come: it has no deadline of its own.
 const UPLOAD_RATE: f64 = 64e3;
 const UPLOAD_MOST: Duration = Duration::from_secs(600);
-/// How long a connection that is to close may take over what was written to it, with nobody reading.
-const LAST_WORDS: Duration = Duration::from_secs(120);
 /// After a failed accept.
 const BACK_OFF: Duration = Duration::from_millis(20);
 /// Customers are numbers below this.
@@ -147,71 +142,51 @@
 ) {
     let _held = desk.stats.clients.hold();
     let _ = stream.set_nodelay(true);
-    let mut phase = desk.shift.watch();
-    let late = desk.shift.phase() == Phase::Emptying;
-    let (asked, first) = (Cell::new(false), Notify::new());
+    let stream = Rc::new(stream);
     let pulse = Pulse::new();
-    let service = service_fn(|request| {
-        let desk = desk.clone();
-        asked.set(true);
-        first.notify_one();
-        let busy = pulse.asked();
-        // Boxed, or each connection would hold room for it all the time.
-        Box::pin(async move {
-            let mut response = if crowded { turn_away(&desk, request) } else { answer(&desk, request).await };
-            if crowded || desk.shift.phase() != Phase::Serving {
-                response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-            }
-            response.body_mut().busy = Some(busy);
-            Ok::<_, Infallible>(response)
-        })
-    });
     // Buffers are made once something comes: many connections stand silent, up to the time for their first head.
     // A look at the first byte, as the system's word that there is one may be early.
     let mut first_byte = [0];
-    tokio::select! {
+    let has_begun = tokio::select! {
         biased;
-        looked = stream.peek(&mut first_byte) => if !matches!(looked, Ok(1)) {
-            return;
+        looked = stream.peek(&mut first_byte) => match looked {
+            Ok(1) => true,
+            _ => return,
         },
-        _ = pulse.overdue() => return,
-    }
-    let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(None).max_buf_size(BUFFER);
-    let mut serving = pin!(builder.serve_connection(Felt::new(stream, pulse.clone()), service));
-    // A connection's error is its client's: it has gone, or what it sent is no HTTP.
-    tokio::select! {
-        _ = serving.as_mut() => return,
-        due = pulse.overdue() => if due == Due::Head {
-            return;
-        },
-        () = async {
-            // Who came while the door was being emptied is served before it goes.
-            if late {
-                let _ = phase.wait_for(|phase| *phase != Phase::Emptying).await;
-            }
-            let closes = |phase: &Phase| matches!(phase, Phase::Emptying | Phase::HandedOver | Phase::Closing);
-            let _ = phase.wait_for(closes).await;
-            // One that has just come brings a request, which has nowhere else to go.
-            while !asked.get() {
-                first.notified().await;
+        _ = pulse.overdue() => !connection::is_empty(&stream),
+    };
+    if has_begun {
+        let service = service_fn(|request| {
+            let (desk, pulse) = (desk.clone(), pulse.clone());
+            let busy = pulse.asked();
+            // Boxed, or each connection would hold room for it all the time.
+            Box::pin(async move {
+                let mut response =
+                    if crowded { turn_away(&desk, request) } else { answer(&desk, request).await };
+                if crowded || pulse.is_closing() || desk.shift.phase() != Phase::Serving {
+                    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+                }
+                response.body_mut().busy = Some(busy);
+                Ok::<_, Infallible>(response)
+            })
+        });
+        let mut phase = desk.shift.watch();
+        let close = async {
+            let closes =
+                |phase: &Phase| matches!(phase, Phase::Emptying | Phase::HandedOver | Phase::Closing);
+            tokio::select! {
+                _ = phase.wait_for(closes) => {}
+                _ = shed.changed() => {}
             }
-        } => {}
-        _ = shed.changed() => {}
-    }
-    // Guards against closing on a request that has come in but was not read yet.
-    tokio::select! {
-        biased;
-        _ = serving.as_mut() => return,
-        () = yield_now() => {}
+        };
+        connection::drive(&stream, &pulse, service, close).await;
     }
-    // An idle one closes now, a busy one behind its answer.
-    serving.as_mut().graceful_shutdown();
-    // Guards against a client that reads no more, or a head that never ends: either would hold the connection.
-    tokio::select! {
-        _ = serving.as_mut() => {}
-        () = pulse.head_overdue() => {}
-        () = sleep(LAST_WORDS) => {}
+    if !pulse.has_ended() {
+        tokio::select! {
+            () = connection::close(&stream) => {}
+            // Others need its descriptor.
+            _ = shed.changed() => {}
+        }
     }
 }
 
--- a/src/bin/brassport/clients/pulse.rs
+++ b/src/bin/brassport/clients/pulse.rs
@@ -1,20 +1,19 @@
 //! How long a client's connection may stand without a request: told by when bytes come and answers end.
 
-use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper_util::rt::TokioIo;
 use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{sleep, sleep_until, Instant};
 
 /// How long a client may take over a head: 2 s are honest, and a peer that sends nothing proper is owed an
 /// end within 3 s of connecting.
-const HEAD: Duration = Duration::from_millis(2600);
+pub const HEAD: Duration = Duration::from_millis(2600);
 /// How long a connection may stand with no byte of a next head.
 const IDLE: Duration = Duration::from_millis(2000);
 /// How often a connection that is closing is looked at.
@@ -41,12 +40,21 @@
     state: Cell<State>,
     /// Told when a request has been answered: until then there is nothing to look for.
     answered: Notify,
+    /// Whether the client's end was read.
+    ended: Cell<bool>,
+    /// Whether the connection takes no further request than the one that is on its way.
+    closing: Cell<bool>,
 }
 
 impl Pulse {
     /// Of a connection that has just come: its first head is due.
     pub fn new() -> Rc<Pulse> {
-        Rc::new(Pulse { state: Cell::new(State::Head(Instant::now())), answered: Notify::new() })
+        Rc::new(Pulse {
+            state: Cell::new(State::Head(Instant::now())),
+            answered: Notify::new(),
+            ended: Cell::new(false),
+            closing: Cell::new(false),
+        })
     }
     fn bytes_came(&self) {
         if let State::Idle(_) = self.state.get() {
@@ -58,6 +66,22 @@
         self.state.set(State::Busy);
         Busy(self.clone())
     }
+    pub fn is_busy(&self) -> bool {
+        matches!(self.state.get(), State::Busy)
+    }
+    /// Whether no byte of a next request has come.
+    pub fn is_idle(&self) -> bool {
+        matches!(self.state.get(), State::Idle(_))
+    }
+    pub fn close(&self) {
+        self.closing.set(true);
+    }
+    pub fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+    pub fn has_ended(&self) -> bool {
+        self.ended.get()
+    }
     fn due(&self) -> Option<(Instant, Due)> {
         match self.state.get() {
             State::Head(since) => Some((since + HEAD, Due::Head)),
@@ -95,51 +119,79 @@
 
 /// A client's socket, which tells when bytes come.
 pub struct Felt {
-    stream: TokioIo<TcpStream>,
+    stream: Rc<TcpStream>,
     pulse: Rc<Pulse>,
 }
 
 impl Felt {
-    pub fn new(stream: TcpStream, pulse: Rc<Pulse>) -> Felt {
-        Felt { stream: TokioIo::new(stream), pulse }
+    pub fn new(stream: Rc<TcpStream>, pulse: Rc<Pulse>) -> Felt {
+        Felt { stream, pulse }
     }
 }
 
-impl Read for Felt {
+impl AsyncRead for Felt {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
+        buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let read = ready!(Pin::new(&mut self.stream).poll_read(context, buffer));
-        self.pulse.bytes_came();
-        Poll::Ready(read)
+        let Felt { stream, pulse } = &*self;
+        let room = buffer.remaining();
+        loop {
+            ready!(stream.poll_read_ready(context))?;
+            let read = stream.try_read_buf(buffer);
+            match read {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
+                // The system had no more: it need not be asked again before it says that more has come.
+                Ok(length) if 0 < length && length < room => {
+                    let nothing = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
+                    let _ = stream.try_io(Interest::READABLE, nothing);
+                }
+                Ok(0) | Err(_) => pulse.ended.set(true),
+                Ok(_) => {}
+            }
+            pulse.bytes_came();
+            return Poll::Ready(read.map(drop));
+        }
     }
 }
 
-impl Write for Felt {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+impl AsyncWrite for Felt {
+    fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.write(context, |stream| stream.try_write(bytes))
     }
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        self.write(context, |stream| stream.try_write_vectored(slices))
     }
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    /// Its owner ends the connection, once nothing drives it any more.
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Felt {
+    fn write(
+        &self,
+        context: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(context))?;
+            match write(&self.stream) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
     }
 }
 
