Notice a client that goes behind bytes that nobody reads

Seen: a client that sent more than its request (half of a next one, a whole one, an upload that waits) and left was taken to be there up to its deadline, and attempts were begun for it; so was one that had come and gone while the process stood still. Looked at: without such bytes its end is read and all is dropped at once. An end behind a full window has not come yet. Change: where nobody waits to read while a request is in work, the connection waits for the system's word that the client's side is closed. It is looked at in the same step in which the request is taken in, before any attempt has run. A half-close ends the request behind such bytes as it did without them.

--- a/src/bin/brassport/clients/connection.rs
+++ b/src/bin/brassport/clients/connection.rs
@@ -12,10 +12,11 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
-use std::pin::pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
@@ -31,7 +32,7 @@
 
 /// What becomes of a connection.
 enum Step {
-    /// It has ended.
+    /// It has ended, or its client has gone.
     Ended,
     /// It is told to end, and nothing is on it that would be lost, or a request that is answered first.
     Closable,
@@ -53,9 +54,10 @@
     let socket = TokioIo::new(Felt::new(stream.clone(), pulse.clone()));
     let mut serving = pin!(builder.serve_connection(socket, service));
     let mut close = pin!(close);
+    let mut left = pin!(stream.ready(Interest::PRIORITY));
     loop {
         let step = poll_fn(|context| {
-            if serving.as_mut().poll(context).is_ready() {
+            if poll_end(serving.as_mut(), left.as_mut(), pulse, context).is_ready() {
                 return Poll::Ready(Step::Ended);
             }
             // Asked of the system itself, in the same step as the close: a request may have come since it last spoke.
@@ -90,12 +92,30 @@
     // Guards against a client that reads no more, or a head that never ends: either would hold the connection.
     tokio::select! {
         biased;
-        _ = serving.as_mut() => {}
+        () = poll_fn(|context| poll_end(serving.as_mut(), left.as_mut(), pulse, context)) => {}
         () = pulse.head_overdue() => {}
         () = sleep(LAST_WORDS) => {}
     }
 }
 
+/// Drives a connection to its end. While a request is in work, bytes that wait behind it keep the client's end from
+/// being read: the system tells that one apart from them.
+fn poll_end(
+    serving: Pin<&mut impl Future>,
+    left: Pin<&mut impl Future>,
+    pulse: &Pulse,
+    context: &mut Context<'_>,
+) -> Poll<()> {
+    pulse.driven();
+    if serving.poll(context).is_ready() {
+        return Poll::Ready(());
+    }
+    if pulse.is_blind() {
+        return left.poll(context).map(drop);
+    }
+    Poll::Pending
+}
+
 /// Whether nothing that was sent on a connection is still to be read.
 pub fn is_empty(stream: &TcpStream) -> bool {
     !matches!(SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]), Ok(1..))
--- a/src/bin/brassport/clients/pulse.rs
+++ b/src/bin/brassport/clients/pulse.rs
@@ -40,6 +40,8 @@
     state: Cell<State>,
     /// Told when a request has been answered: until then there is nothing to look for.
     answered: Notify,
+    /// Whether what reads the connection waits for more since it was last driven.
+    watched: Cell<bool>,
     /// Whether the client's end was read.
     ended: Cell<bool>,
     /// Whether the connection takes no further request than the one that is on its way.
@@ -52,6 +54,7 @@
         Rc::new(Pulse {
             state: Cell::new(State::Head(Instant::now())),
             answered: Notify::new(),
+            watched: Cell::new(false),
             ended: Cell::new(false),
             closing: Cell::new(false),
         })
@@ -66,6 +69,14 @@
         self.state.set(State::Busy);
         Busy(self.clone())
     }
+    /// The connection is driven anew.
+    pub fn driven(&self) {
+        self.watched.set(false);
+    }
+    /// Whether a request is in work and nobody waits for more of the connection, so that its end would not be seen.
+    pub fn is_blind(&self) -> bool {
+        matches!(self.state.get(), State::Busy) && !self.watched.get()
+    }
     pub fn is_busy(&self) -> bool {
         matches!(self.state.get(), State::Busy)
     }
@@ -117,7 +128,7 @@
     }
 }
 
-/// A client's socket, which tells when bytes come.
+/// A client's socket, which tells when bytes come and whether anybody waits for more.
 pub struct Felt {
     stream: Rc<TcpStream>,
     pulse: Rc<Pulse>,
@@ -137,6 +148,7 @@
     ) -> Poll<io::Result<()>> {
         let Felt { stream, pulse } = &*self;
         let room = buffer.remaining();
+        pulse.watched.set(true);
         loop {
             ready!(stream.poll_read_ready(context))?;
             let read = stream.try_read_buf(buffer);
@@ -150,6 +162,7 @@
                 Ok(0) | Err(_) => pulse.ended.set(true),
                 Ok(_) => {}
             }
+            pulse.watched.set(false);
             pulse.bytes_came();
             return Poll::Ready(read.map(drop));
         }
