Wait until the process stands still before its client comes and goes

Cause: in 200 runs the test once saw the request sent on; the signal had not been seen to take hold before the client wrote, so the order was not the one that the test is about. Change: it waits for the state of the process, as the tests of attempts do. Whether the one failure had another cause is not known.

--- a/tests/closing.rs
+++ b/tests/closing.rs
@@ -69,6 +69,14 @@
     assert_eq!(front.stats()["attempts"], 1, "nothing is sent for the next one");
 }
 
+/// Holds the process still: a signal may take its time.
+fn hold(front: &Front) {
+    front.signal(Signal::STOP);
+    let status = format!("/proc/{}/status", front.child.id());
+    let stopped = || std::fs::read_to_string(&status).expect("the process is there").contains("State:\tT");
+    wait_for(PATIENCE, || stopped().then_some(())).expect("the process stops");
+}
+
 #[test]
 fn nothing_is_sent_for_a_client_that_came_and_went_while_the_process_stood_still() {
     for behind in ["", "GET /preview-fetch HT"] {
@@ -77,7 +85,7 @@
         let mut marker = front.client();
         marker.send(HEALTHZ);
         assert_eq!(marker.read().status(), 200);
-        front.signal(Signal::STOP);
+        hold(&front);
         let mut client = front.client();
         client.send(&long(&get("/gone"))).send(behind);
         drop(client);
