Hold a process still by one function in the tests

Cause: the tests of attempts, of closing connections and of hand-overs each had their own way to stop a process and to wait until it stands. Change: one function among the scripted peers serves all three; the assertions are as they were.

--- a/lab/src/scripted.rs
+++ b/lab/src/scripted.rs
@@ -368,6 +368,14 @@
     }
 }
 
+/// Holds a process still, and waits until it stands. What its sockets get from here on it has not seen when it goes on.
+pub fn hold(id: u32) {
+    send_signal(id, Signal::STOP).expect("the process is there");
+    let status = format!("/proc/{id}/status");
+    let stopped = || std::fs::read_to_string(&status).expect("the process is there").contains("State:\tT");
+    wait_for(PATIENCE, || stopped().then_some(())).expect("the process stops");
+}
+
 /// A client's connection.
 pub struct Client {
     pub stream: TcpStream,
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -7,9 +7,8 @@
 use rustix::process::Signal;
 use serde_json::{json, Value};
 use springusher::{Action, Millis, Outcome};
-use springusher_lab::process::wait_for;
 use springusher_lab::scripted::{
-    closed_port, config, get, list, post, target, Discovery, Front, Peer, Program, Stuck, PATIENCE,
+    closed_port, config, get, hold, list, post, target, Discovery, Front, Peer, Program, Stuck, PATIENCE,
 };
 use std::io::Read;
 use std::net::SocketAddr;
@@ -27,14 +26,6 @@
     config
 }
 
-/// Holds the process still. What its sockets get from here on it has not seen when it goes on.
-fn hold(front: &Front) {
-    front.signal(Signal::STOP);
-    let status = format!("/proc/{}/status", front.child.id());
-    let stopped = || std::fs::read_to_string(&status).expect("the process is there").contains("State:\tT");
-    wait_for(PATIENCE, || stopped().then_some(())).expect("the process stops");
-}
-
 /// Waits until no request is in the front door's hands.
 fn wait_until_idle(front: &Front) -> Value {
     let until = Instant::now() + PATIENCE;
@@ -75,7 +66,7 @@
         assert!(Instant::now() < until, "no request comes");
     };
     // What stands still, goes on and is told of a signal serves its timers before it looks at its sockets.
-    hold(&front);
+    hold(front.child.id());
     drop(gone);
     thread::sleep(Duration::from_millis(2200));
     front.signal(Signal::CONT);
@@ -94,7 +85,7 @@
         backend.next().ok("warm");
         assert_eq!(gone.read().status(), 200);
         let before = wait_until_idle(&front)["attempts"].clone();
-        hold(&front);
+        hold(front.child.id());
         gone.send(&request);
         if close == "reset" {
             socket2::SockRef::from(&gone.stream).set_linger(Some(Duration::ZERO)).expect("an option");
@@ -122,7 +113,7 @@
     client.send(&post("a job"));
     stuck.wait_for_connect();
     // Both are there when the process next looks, the connection first.
-    hold(&front);
+    hold(front.child.id());
     let (mut stream, mut bytes) = (stuck.accept(), Vec::new());
     drop(client);
     front.signal(Signal::CONT);
--- a/tests/closing.rs
+++ b/tests/closing.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 use springusher_lab::process::wait_for;
 use springusher_lab::scripted::{
-    closed_port, config, get, list, post, read_message, target, Front, Peer, Program, Stuck, PATIENCE,
+    closed_port, config, get, hold, list, post, read_message, target, Front, Peer, Program, Stuck, PATIENCE,
 };
 use std::net::SocketAddr;
 
@@ -69,14 +69,6 @@
     assert_eq!(front.stats()["attempts"], 1, "nothing is sent for the next one");
 }
 
-/// Holds the process still: a signal may take its time.
-fn hold(front: &Front) {
-    front.signal(Signal::STOP);
-    let status = format!("/proc/{}/status", front.child.id());
-    let stopped = || std::fs::read_to_string(&status).expect("the process is there").contains("State:\tT");
-    wait_for(PATIENCE, || stopped().then_some(())).expect("the process stops");
-}
-
 #[test]
 fn nothing_is_sent_for_a_client_that_came_and_went_while_the_process_stood_still() {
     for behind in ["", "GET /preview-fetch HT"] {
@@ -85,7 +77,7 @@
         let mut marker = front.client();
         marker.send(HEALTHZ);
         assert_eq!(marker.read().status(), 200);
-        hold(&front);
+        hold(front.child.id());
         let mut client = front.client();
         client.send(&long(&get("/gone"))).send(behind);
         drop(client);
--- a/tests/hand_over.rs
+++ b/tests/hand_over.rs
@@ -5,7 +5,7 @@
 use serde_json::{json, Value};
 use springusher_lab::process::{send_signal, wait_for};
 use springusher_lab::scripted::{
-    closed_port, config, list, post, target, Client, Exchange, Peer, Program, PATIENCE,
+    closed_port, config, hold, list, post, target, Client, Exchange, Peer, Program, PATIENCE,
 };
 use std::fs::File;
 use std::io::{Read, Write};
@@ -96,14 +96,6 @@
     }
 }
 
-/// Stops a process, and waits until it stands still.
-fn stop(id: u32) {
-    send_signal(id, Signal::STOP).expect("the process is there");
-    let state = || std::fs::read_to_string(format!("/proc/{id}/stat")).expect("the process is there");
-    let stopped = || state().rsplit_once(") ").is_some_and(|(_, rest)| rest.starts_with('T'));
-    wait_for(PATIENCE, || stopped().then_some(())).expect("it stands still");
-}
-
 /// The configuration of a front door that knows this backend, with discovery dead.
 fn before(backend: &Peer) -> Value {
     config(closed_port(), list(&[target("s-00000001", backend.address, "ready")]))
@@ -122,7 +114,7 @@
     let backend = Peer::start();
     let front = Process::start(&before(&backend));
     front.wait_to_say("status", "done");
-    stop(front.child.id());
+    hold(front.child.id());
     // 16 callers, one who is to take the place of the first of them, and a few that the system may want meanwhile.
     allow_descriptors(front.child.id(), 20);
     let mut callers: Vec<TcpStream> = (0..64)
