--- /dev/null
+++ b/model/src/identity.rs
@@ -0,0 +1,84 @@
+//! Names of the tier's own processes, disks and places.
+
+use minicbor::{Decode, Encode};
+use std::fmt;
+use std::net::SocketAddr;
+
+/// Identity of one disk, drawn at random when its folder is first used. A machine whose disk was lost comes back with
+/// another one: it is a new member, which never votes nor answers as the one whose disk is gone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub struct DiskId(#[n(0)] pub u64);
+
+impl fmt::Display for DiskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// One life of a process: drawn at random at its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub struct LifeId(#[n(0)] pub u64);
+
+/// Which role a process plays.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub enum Role {
+    /// Serves clients and operators.
+    #[n(0)]
+    Door,
+    /// Keeps batch jobs.
+    #[n(1)]
+    Store,
+}
+
+/// What a process tells the others of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct NodeInfo {
+    /// Name of its machine, from the settings.
+    #[n(0)]
+    pub node: String,
+    /// Its role.
+    #[n(1)]
+    pub role: Role,
+    /// Its zone.
+    #[n(2)]
+    pub zone: String,
+    /// This life of it.
+    #[n(3)]
+    pub life: LifeId,
+    /// Its disk, where it has one.
+    #[n(4)]
+    pub disk: Option<DiskId>,
+    /// Where it takes the tier's own messages.
+    #[n(5)]
+    pub internal: Address,
+    /// Where operators call it, where they do.
+    #[n(6)]
+    pub control: Option<Address>,
+}
+
+/// An address as it goes over the wire.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Address(pub SocketAddr);
+
+impl fmt::Display for Address {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl<C> Encode<C> for Address {
+    fn encode<W: minicbor::encode::Write>(
+        &self,
+        encoder: &mut minicbor::Encoder<W>,
+        _: &mut C,
+    ) -> Result<(), minicbor::encode::Error<W::Error>> {
+        encoder.str(&self.0.to_string())?.ok()
+    }
+}
+
+impl<'b, C> Decode<'b, C> for Address {
+    fn decode(decoder: &mut minicbor::Decoder<'b>, _: &mut C) -> Result<Self, minicbor::decode::Error> {
+        let text = decoder.str()?;
+        text.parse().map(Address).map_err(|_| minicbor::decode::Error::message("not an address"))
+    }
+}
--- /dev/null
+++ b/storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
