Add the tier's own protocol and the distribution of tables

Processes need calls with an end between each other, and a way to hold the newest tables. Frames with a fixed head carry minicbor payloads of several services over one connection to each peer; long-polls bring what is newer, only while the primary holds its lease. A frame format without a head of our own was weighed (minicbor for all): the length must be known before the payload is read.

--- /dev/null
+++ b/alderhollow/src/distribution/server.rs
@@ -0,0 +1,187 @@
+//! Answers polls: with what is newer while this process is the primary and holds its lease, else with directions.
+
+use super::directory::Directory;
+use super::message::{
+    Answer, CoreMember, Directions, EncodedControl, HeldVersions, Poll, Request, Stamp, StampedSenders,
+    Update,
+};
+use super::senders::SenderTracker;
+use super::signal::ChangeSignal;
+use crate::clock::SteadyClock;
+use crate::internal::server::HandlerFuture;
+use crate::internal::{Handler, Refusal};
+use crate::SnapshotReceiver;
+use alderhollow_model::backend::BackendList;
+use alderhollow_model::identity::NodeInfo;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// Longest time that an answer is held, whatever the asker says.
+const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
+
+/// The core's member in this process, as the distribution sees it. All is to be asked at the moment of use.
+pub trait Authority {
+    /// The epoch of which this process is the primary, if it holds the lease now.
+    fn leased_epoch(&self) -> Option<u64>;
+    /// The committed control state.
+    fn control(&self) -> EncodedControl;
+    /// The core's members and its primary, as far as known.
+    fn directions(&self) -> Directions;
+    /// Takes note of a poll.
+    fn heard(&self, poll: &Poll);
+}
+
+/// Backends as the primary's reader publishes them.
+#[derive(Debug, Clone)]
+pub struct PublishedBackends {
+    /// The list.
+    pub list: Rc<BackendList>,
+    /// When it was read, on the process's clock.
+    pub read_at_ms: u64,
+}
+
+impl PublishedBackends {
+    /// The list with cold times counted from now instead of from the reading.
+    fn aged(&self, now_ms: u64) -> BackendList {
+        let age = now_ms.saturating_sub(self.read_at_ms);
+        let mut list = BackendList::clone(&self.list);
+        for backend in &mut list.backends {
+            backend.cold_remaining_ms = backend.cold_remaining_ms.saturating_sub(age);
+        }
+        list
+    }
+}
+
+/// Serves [`ServiceId::Distribution`](crate::internal::ServiceId) in every process.
+pub struct Distributor {
+    /// This process.
+    pub node: NodeInfo,
+    /// What it knows of the core.
+    pub directory: Directory,
+    /// The core's member in this process; `None` where it has no disk.
+    pub authority: Option<Rc<dyn Authority>>,
+    /// What the reader of the platform's list publishes.
+    pub backends: watch::Receiver<Option<PublishedBackends>>,
+    /// The process's own tables: a new primary takes the senders over from them.
+    pub snapshots: SnapshotReceiver,
+    /// Tells of changes of all that answers rest on.
+    pub changes: ChangeSignal,
+    /// The process's clock.
+    pub clock: SteadyClock,
+    /// Who polled, in the epoch of which this process is the primary.
+    pub senders: RefCell<SenderTracker>,
+}
+
+impl Distributor {
+    /// What is known of the core's place.
+    pub fn directions(&self) -> Directions {
+        match &self.authority {
+            Some(authority) => {
+                let mut directions = authority.directions();
+                if directions.primary.is_none() {
+                    directions.primary = self.directory.directions().primary;
+                }
+                directions
+            }
+            None => self.directory.directions(),
+        }
+    }
+
+    /// Answers a poll, perhaps after waiting for something newer.
+    pub async fn poll(&self, poll: Poll) -> Answer {
+        let wait = Duration::from_millis(u64::from(poll.wait_ms)).min(LONGEST_WAIT);
+        let until = tokio::time::Instant::now() + wait;
+        let mut changes = self.changes.subscribe();
+        let mut noted = false;
+        loop {
+            let Some((authority, epoch)) = self.leased_authority() else {
+                return Answer::NotPrimary(self.directions());
+            };
+            if !std::mem::replace(&mut noted, true) {
+                self.note(&poll, epoch);
+                authority.heard(&poll);
+            }
+            let update = self.newer_than(&poll.held, authority.as_ref(), epoch);
+            if !update.is_empty() || tokio::time::Instant::now() >= until {
+                return Answer::Update(update);
+            }
+            let _ = tokio::time::timeout_at(until, changes.changed()).await;
+        }
+    }
+
+    fn leased_authority(&self) -> Option<(&Rc<dyn Authority>, u64)> {
+        let authority = self.authority.as_ref()?;
+        let epoch = authority.leased_epoch()?;
+        Some((authority, epoch))
+    }
+
+    fn note(&self, poll: &Poll, epoch: u64) {
+        let now_ms = self.clock.now_ms();
+        let mut senders = self.senders.borrow_mut();
+        if senders.epoch() != epoch {
+            let known = self.snapshots.borrow().senders.clone();
+            *senders = SenderTracker::begin(epoch, &known, now_ms);
+        }
+        let came = senders.heard(&poll.node.node, now_ms);
+        let went = senders.prune(now_ms);
+        drop(senders);
+        if came || went {
+            self.changes.notify();
+        }
+    }
+
+    fn newer_than(&self, held: &HeldVersions, authority: &dyn Authority, epoch: u64) -> Update {
+        let control = Some(authority.control()).filter(|control| control.version > held.control);
+        let mut update = Update {
+            control,
+            backends: self.newer_backends(held.backends),
+            senders: self.newer_senders(held.senders, epoch),
+            members: None,
+        };
+        if !update.is_empty() {
+            update.members = Some(authority.directions().members);
+        }
+        update
+    }
+
+    fn newer_backends(&self, held: Stamp) -> Option<BackendList> {
+        let published = self.backends.borrow();
+        let published = published.as_ref()?;
+        let (epoch, sequence) = published.list.version();
+        (Stamp { epoch, sequence } > held).then(|| published.aged(self.clock.now_ms()))
+    }
+
+    fn newer_senders(&self, held: Stamp, epoch: u64) -> Option<StampedSenders> {
+        let senders = self.senders.borrow();
+        let current = senders.current();
+        (senders.epoch() == epoch && current.stamp > held).then(|| current.clone())
+    }
+
+    async fn serve(&self, request: Request) -> Answer {
+        match request {
+            Request::Hello => Answer::Hello(self.node.clone(), self.directions()),
+            Request::Poll(poll) => self.poll(*poll).await,
+        }
+    }
+}
+
+/// The members' part of [`Directions`], as internal addresses.
+pub fn internal_addresses(members: &[CoreMember]) -> Vec<std::net::SocketAddr> {
+    members.iter().map(|member| member.internal.0).collect()
+}
+
+/// Puts a [`Distributor`] on the internal port.
+pub struct DistributionHandler(pub Rc<Distributor>);
+
+impl Handler for DistributionHandler {
+    fn request(&self, payload: Vec<u8>) -> HandlerFuture {
+        let distributor = self.0.clone();
+        Box::pin(async move {
+            let request: Request = minicbor::decode(&payload).map_err(|_| Refusal::Malformed)?;
+            let answer = distributor.serve(request).await;
+            minicbor::to_vec(&answer).map_err(|_| Refusal::Busy)
+        })
+    }
+}
--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -4,6 +4,9 @@
 #![warn(missing_docs)]
 
 pub mod balance;
+pub mod clock;
+pub mod distribution;
+pub mod internal;
 pub mod routing;
 
 use alderhollow_model::snapshot::Snapshot;
