--- /dev/null
+++ b/storage/src/disk.rs
@@ -0,0 +1,136 @@
+//! What the journal needs of a disk, and the real one.
+
+use std::fs::{File, OpenOptions};
+use std::io::{self, Read, Seek, SeekFrom, Write};
+use std::path::{Path, PathBuf};
+
+/// A folder of files.
+pub trait Disk: Send {
+    /// Opens `name` to read and write, as it is, and makes it empty if there is none.
+    fn open(&mut self, name: &'static str) -> io::Result<Box<dyn DiskFile>>;
+}
+
+/// One open file. What was written counts as durable only after the next [`DiskFile::sync`] that succeeds.
+pub trait DiskFile: Send {
+    /// Current length.
+    fn length(&mut self) -> io::Result<u64>;
+    /// Reads at most `buffer.len()` bytes from `offset` on; 0 at the end of the file.
+    fn read_at(&mut self, offset: u64, buffer: &mut [u8]) -> io::Result<usize>;
+    /// Writes all of `bytes` from `offset` on. After an error any part of them may have been written.
+    fn write_at(&mut self, offset: u64, bytes: &[u8]) -> io::Result<()>;
+    /// Cuts the file, or extends it by zeros.
+    fn set_length(&mut self, length: u64) -> io::Result<()>;
+    /// Makes all that was written so far durable.
+    fn sync(&mut self) -> io::Result<()>;
+}
+
+/// Size of the pieces in which files are read.
+const READ_PIECE: usize = 256 * 1024;
+
+/// Reads `length` bytes from `offset` on in pieces, and passes each piece on; `false` if the file ends before.
+pub(crate) fn read_pieces(
+    file: &mut dyn DiskFile,
+    offset: u64,
+    length: u64,
+    mut take: impl FnMut(&[u8]),
+) -> io::Result<bool> {
+    let mut buffer = vec![0; READ_PIECE.min(usize::try_from(length).unwrap_or(READ_PIECE))];
+    let mut done = 0;
+    while done < length {
+        let wanted = usize::try_from(length - done).map_or(buffer.len(), |left| left.min(buffer.len()));
+        let count = file.read_at(offset + done, buffer.get_mut(..wanted).unwrap_or_default())?;
+        if count == 0 {
+            return Ok(false);
+        }
+        take(buffer.get(..count).unwrap_or_default());
+        done += count as u64;
+    }
+    Ok(true)
+}
+
+/// A folder of the real file system.
+pub struct FolderDisk {
+    folder: PathBuf,
+}
+
+impl FolderDisk {
+    /// The disk in `folder`, which is made if it is missing.
+    pub fn new(folder: &Path) -> io::Result<FolderDisk> {
+        std::fs::create_dir_all(folder)?;
+        Ok(FolderDisk { folder: folder.to_path_buf() })
+    }
+
+    /// Opens `name` only to read, without making it.
+    pub(crate) fn open_to_read(folder: &Path, name: &str) -> io::Result<Option<FolderFile>> {
+        match File::open(folder.join(name)) {
+            Ok(file) => Ok(Some(FolderFile { file, position: None })),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+}
+
+impl Disk for FolderDisk {
+    fn open(&mut self, name: &'static str) -> io::Result<Box<dyn DiskFile>> {
+        let path = self.folder.join(name);
+        let is_new = !path.exists();
+        let file = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)?;
+        if is_new {
+            File::open(&self.folder)?.sync_all()?;
+        }
+        Ok(Box::new(FolderFile { file, position: None }))
+    }
+}
+
+/// A file of a [`FolderDisk`].
+pub(crate) struct FolderFile {
+    file: File,
+    /// Where the system stands in the file, if known: spares a seek where reads or writes follow each other.
+    position: Option<u64>,
+}
+
+impl FolderFile {
+    fn seek(&mut self, offset: u64) -> io::Result<()> {
+        if self.position != Some(offset) {
+            self.position = None;
+            self.file.seek(SeekFrom::Start(offset))?;
+            self.position = Some(offset);
+        }
+        Ok(())
+    }
+}
+
+impl DiskFile for FolderFile {
+    fn length(&mut self) -> io::Result<u64> {
+        Ok(self.file.metadata()?.len())
+    }
+
+    fn read_at(&mut self, offset: u64, buffer: &mut [u8]) -> io::Result<usize> {
+        self.seek(offset)?;
+        self.position = None;
+        let count = loop {
+            match self.file.read(buffer) {
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                other => break other?,
+            }
+        };
+        self.position = Some(offset + count as u64);
+        Ok(count)
+    }
+
+    fn write_at(&mut self, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        self.seek(offset)?;
+        self.position = None;
+        self.file.write_all(bytes)?;
+        self.position = Some(offset + bytes.len() as u64);
+        Ok(())
+    }
+
+    fn set_length(&mut self, length: u64) -> io::Result<()> {
+        self.file.set_len(length)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.file.sync_data()
+    }
+}
--- /dev/null
+++ b/storage/src/journal.rs
@@ -0,0 +1,234 @@
+//! The journal: snapshots in two slots in turn, and the log of the newest snapshot's generation.
+//!
+//! The slot that is being written is never the one in force, and becomes so with its sync. Names never change, so that
+//! no rename or removal has to be made durable.
+
+use crate::disk::{Disk, DiskFile};
+use crate::error::StorageError;
+use crate::identity;
+use crate::log::{self, Log};
+use crate::slot::{self, WriteFailure};
+
+/// What a disk held.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Recovered {
+    /// Identity of the disk.
+    pub identity: u64,
+    /// Newest snapshot, if one was ever written.
+    pub snapshot: Option<Vec<u8>>,
+    /// Records appended since, in order.
+    pub records: Vec<Vec<u8>>,
+}
+
+/// Durable state on one disk: a snapshot, and the records appended since.
+///
+/// A write that failed may still be there after a restart, as may its successors of the same sync; a write whose sync
+/// succeeded is there.
+pub struct Journal {
+    slots: [Box<dyn DiskFile>; 2],
+    logs: [Log; 2],
+    /// Place of the snapshot in force and of its log.
+    current: Side,
+    /// Highest generation that was ever begun.
+    generation: u64,
+    /// Whether the slot out of force may be whole with a newer generation, because its sync failed.
+    is_unsettled: bool,
+}
+
+/// One of the two places.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Side {
+    A,
+    B,
+}
+
+impl Side {
+    fn other(self) -> Side {
+        match self {
+            Side::A => Side::B,
+            Side::B => Side::A,
+        }
+    }
+
+    fn of<T>(self, pair: &mut [T; 2]) -> &mut T {
+        let [a, b] = pair;
+        match self {
+            Side::A => a,
+            Side::B => b,
+        }
+    }
+}
+
+/// The newest whole snapshot of a disk.
+struct Newest {
+    side: Side,
+    generation: u64,
+    snapshot: Option<Vec<u8>>,
+    /// Highest generation that either slot names.
+    highest: u64,
+}
+
+impl Journal {
+    /// Opens the journal on `disk`. A disk that was never used gets `fresh_identity`, which the caller draws at random.
+    pub fn open(disk: &mut dyn Disk, fresh_identity: u64) -> Result<(Journal, Recovered), StorageError> {
+        let mut open = |name| disk.open(name).map_err(StorageError::on(name));
+        let [slot_a, slot_b] = slot::FILES;
+        let [log_a, log_b] = log::FILES;
+        let mut identity_file = open(identity::FILE)?;
+        let mut slots = [open(slot_a)?, open(slot_b)?];
+        let mut log_files = [open(log_a)?, open(log_b)?];
+        let lengths = Lengths::read(&mut slots, &mut log_files)?;
+        let identity = settle_identity(identity_file.as_mut(), fresh_identity, lengths.has_data())?;
+
+        let newest = newest_snapshot(&mut slots)?;
+        if newest.snapshot.is_none() && lengths.had_snapshots() {
+            return Err(StorageError::DamagedSnapshots);
+        }
+        // What a process wrote before it was killed can be read, yet is durable only after a sync.
+        newest.side.of(&mut slots).sync().map_err(StorageError::on(slot_name(newest.side)))?;
+        let [file_a, file_b] = log_files;
+        let mut logs = [Log::unused(file_a, log_a), Log::unused(file_b, log_b)];
+        let records = newest.side.of(&mut logs).recover(newest.generation)?;
+        newest.side.other().of(&mut logs).free();
+
+        let journal =
+            Journal { slots, logs, current: newest.side, generation: newest.highest, is_unsettled: false };
+        Ok((journal, Recovered { identity, snapshot: newest.snapshot, records }))
+    }
+
+    /// Appends a record; it is durable after the next [`Journal::sync`] that succeeds. After an error all records since
+    /// the last sync count as failed.
+    pub fn append(&mut self, record: &[u8]) -> Result<(), StorageError> {
+        self.settle()?;
+        self.current.of(&mut self.logs).append(record)
+    }
+
+    /// Makes all appended records durable. After an error all records since the last sync count as failed.
+    pub fn sync(&mut self) -> Result<(), StorageError> {
+        self.current.of(&mut self.logs).sync()
+    }
+
+    /// Replaces the snapshot and all records, synced or not, by `snapshot`, durably. After an error the snapshot and the
+    /// records before it stand as they were.
+    pub fn compact(&mut self, snapshot: &[u8]) -> Result<(), StorageError> {
+        let target = self.current.other();
+        self.generation += 1;
+        let name = slot_name(target);
+        match slot::write(target.of(&mut self.slots).as_mut(), name, self.generation, snapshot) {
+            Ok(()) => {
+                self.is_unsettled = false;
+                target.of(&mut self.logs).restart(self.generation);
+                self.current.of(&mut self.logs).free();
+                self.current = target;
+                Ok(())
+            }
+            Err(WriteFailure::Without(error)) => {
+                // Frees the space; harmless if it fails.
+                let _ = target.of(&mut self.slots).set_length(0);
+                Err(error)
+            }
+            Err(WriteFailure::Unknown(error)) => {
+                self.is_unsettled = true;
+                let _ = self.settle();
+                Err(error)
+            }
+        }
+    }
+
+    /// Bytes of the log since the last snapshot.
+    pub fn log_bytes(&self) -> u64 {
+        let [a, b] = &self.logs;
+        match self.current {
+            Side::A => a.bytes(),
+            Side::B => b.bytes(),
+        }
+    }
+
+    /// Empties a slot whose sync failed: were it found whole after a restart, records appended since would be lost.
+    fn settle(&mut self) -> Result<(), StorageError> {
+        if self.is_unsettled {
+            let target = self.current.other();
+            slot::clear(target.of(&mut self.slots).as_mut(), slot_name(target))?;
+            self.is_unsettled = false;
+        }
+        Ok(())
+    }
+}
+
+fn slot_name(side: Side) -> &'static str {
+    let [a, b] = slot::FILES;
+    match side {
+        Side::A => a,
+        Side::B => b,
+    }
+}
+
+/// Lengths of the files as they were found.
+struct Lengths {
+    slots: [u64; 2],
+    logs: [u64; 2],
+}
+
+impl Lengths {
+    fn read(
+        slots: &mut [Box<dyn DiskFile>; 2],
+        logs: &mut [Box<dyn DiskFile>; 2],
+    ) -> Result<Lengths, StorageError> {
+        Ok(Lengths { slots: lengths(slots, slot::FILES)?, logs: lengths(logs, log::FILES)? })
+    }
+
+    fn has_data(&self) -> bool {
+        self.slots.iter().chain(&self.logs).any(|length| *length > 0)
+    }
+
+    /// Whether a snapshot was once in force. The first one is written to slot B; slot A is written, and log B begun, only
+    /// behind it.
+    fn had_snapshots(&self) -> bool {
+        let [slot_a, _] = self.slots;
+        let [_, log_b] = self.logs;
+        slot_a > 0 || log_b > 0
+    }
+}
+
+fn lengths(files: &mut [Box<dyn DiskFile>; 2], names: [&'static str; 2]) -> Result<[u64; 2], StorageError> {
+    let [a, b] = files;
+    let [name_a, name_b] = names;
+    let length_a = a.length().map_err(StorageError::on(name_a))?;
+    let length_b = b.length().map_err(StorageError::on(name_b))?;
+    Ok([length_a, length_b])
+}
+
+/// Reads the identity, or gives the disk one if it holds nothing yet.
+fn settle_identity(file: &mut dyn DiskFile, fresh: u64, has_data: bool) -> Result<u64, StorageError> {
+    let on = StorageError::on(identity::FILE);
+    match identity::read(file).map_err(&on)? {
+        identity::Stored::Whole(identity) => {
+            file.sync().map_err(&on)?;
+            Ok(identity)
+        }
+        identity::Stored::Empty | identity::Stored::Damaged if has_data => Err(StorageError::DamagedIdentity),
+        identity::Stored::Empty | identity::Stored::Damaged => {
+            identity::write(file, fresh)?;
+            Ok(fresh)
+        }
+    }
+}
+
+/// Finds the newest whole snapshot. A disk without one stands at generation 0 in place A.
+fn newest_snapshot(slots: &mut [Box<dyn DiskFile>; 2]) -> Result<Newest, StorageError> {
+    let mut headers = Vec::new();
+    for side in [Side::A, Side::B] {
+        let header = slot::read_header(side.of(slots).as_mut()).map_err(StorageError::on(slot_name(side)))?;
+        headers.extend(header.map(|header| (side, header)));
+    }
+    headers.sort_by_key(|(_, header)| std::cmp::Reverse(header.generation));
+    let highest = headers.first().map_or(0, |(_, header)| header.generation);
+    for (side, header) in headers {
+        let file = side.of(slots).as_mut();
+        let snapshot = slot::read_snapshot(file, &header).map_err(StorageError::on(slot_name(side)))?;
+        if snapshot.is_some() {
+            return Ok(Newest { side, generation: header.generation, snapshot, highest });
+        }
+    }
+    Ok(Newest { side: Side::A, generation: 0, snapshot: None, highest })
+}
