--- a/alderhollow/src/distribution/finder.rs
+++ b/alderhollow/src/distribution/finder.rs
@@ -25,7 +25,10 @@
     random: Rand32,
     confirmed: Option<SocketAddr>,
     hint: Option<SocketAddr>,
+    wait_for_hint: bool,
     hints_in_a_row: u32,
+    avoided: Option<SocketAddr>,
+    turns_avoided: usize,
     turn: usize,
     pause: Duration,
     wait: bool,
@@ -40,7 +43,10 @@
             random,
             confirmed: None,
             hint: None,
+            wait_for_hint: false,
             hints_in_a_row: 0,
+            avoided: None,
+            turns_avoided: 0,
             turn,
             pause: SHORTEST_PAUSE,
             wait: false,
@@ -53,13 +59,10 @@
             return Some(NextPoll { to, pause: Duration::ZERO });
         }
         if let Some(to) = self.hint.take() {
-            return Some(NextPoll { to, pause: Duration::ZERO });
-        }
-        if candidates.is_empty() {
-            return None;
+            let pause = if std::mem::take(&mut self.wait_for_hint) { SHORTEST_PAUSE } else { Duration::ZERO };
+            return Some(NextPoll { to, pause });
         }
-        self.turn = self.turn.wrapping_add(1);
-        let to = *candidates.get(self.turn % candidates.len())?;
+        let to = self.take_turn(candidates)?;
         Some(NextPoll { to, pause: self.draw_pause() })
     }
 
@@ -68,27 +71,44 @@
         self.confirmed = Some(by);
         self.hint = None;
         self.hints_in_a_row = 0;
+        self.avoided = None;
         self.pause = SHORTEST_PAUSE;
         self.wait = false;
     }
 
-    /// The process is not the primary, and perhaps says who is.
+    /// The process is not the primary with a lease, and perhaps says who is.
     pub fn redirect(&mut self, by: SocketAddr, primary: Option<SocketAddr>) {
         self.confirmed = None;
         self.wait = true;
-        self.hint = primary.filter(|primary| *primary != by && self.hints_in_a_row < MAX_HINTS_IN_A_ROW);
+        let may_follow = self.hints_in_a_row < MAX_HINTS_IN_A_ROW;
+        self.hint = primary.filter(|primary| may_follow && self.avoided != Some(*primary));
+        self.wait_for_hint = self.hint == Some(by);
         self.hints_in_a_row = if self.hint.is_some() { self.hints_in_a_row + 1 } else { 0 };
     }
 
-    /// The process did not answer in time or can't be reached.
+    /// The process did not answer in time or can't be reached: others may still take it for the primary.
     pub fn fail(&mut self, by: SocketAddr) {
-        if self.hint == Some(by) {
-            self.hint = None;
-        }
         self.confirmed = None;
+        self.avoided = Some(by);
+        self.turns_avoided = 0;
         self.wait = true;
     }
 
+    /// The next candidate in turn; the one that failed last is passed over for two rounds if there are others.
+    fn take_turn(&mut self, candidates: &[SocketAddr]) -> Option<SocketAddr> {
+        self.turns_avoided += 1;
+        if self.turns_avoided > 2 * candidates.len() {
+            self.avoided = None;
+        }
+        self.turn = self.turn.wrapping_add(1);
+        let first = *candidates.get(self.turn.checked_rem(candidates.len())?)?;
+        if self.avoided != Some(first) || candidates.len() == 1 {
+            return Some(first);
+        }
+        self.turn = self.turn.wrapping_add(1);
+        candidates.get(self.turn.checked_rem(candidates.len())?).copied()
+    }
+
     fn draw_pause(&mut self) -> Duration {
         if !std::mem::replace(&mut self.wait, true) {
             return Duration::ZERO;
--- a/alderhollow/src/distribution/server.rs
+++ b/alderhollow/src/distribution/server.rs
@@ -136,7 +136,7 @@
         let control = Some(authority.control()).filter(|control| control.version > held.control);
         let mut update = Update {
             control,
-            backends: self.newer_backends(held.backends),
+            backends: self.newer_backends(held.backends, epoch),
             senders: self.newer_senders(held.senders, epoch),
             members: None,
         };
@@ -146,10 +146,11 @@
         update
     }
 
-    fn newer_backends(&self, held: Stamp) -> Option<BackendList> {
+    /// The list, if it was read in this epoch: one that this process read in an earlier part as primary may be old.
+    fn newer_backends(&self, held: Stamp, epoch: u64) -> Option<BackendList> {
         let published = self.backends.borrow();
-        let published = published.as_ref()?;
-        let (epoch, sequence) = published.list.version();
+        let published = published.as_ref().filter(|published| published.list.epoch == epoch)?;
+        let sequence = published.list.sequence;
         (Stamp { epoch, sequence } > held).then(|| published.aged(self.clock.now_ms()))
     }
 
--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod balance;
 pub mod clock;
+pub mod core;
+pub mod discovery;
 pub mod distribution;
 pub mod internal;
 pub mod routing;
