Serve readiness and the operators' calls over HTTP; test the protocol and the list

Operators and the platform call fixed paths; bodies, limits and errors are to be the tier's own, not a library's defaults.

--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod discovery;
 pub mod distribution;
 pub mod internal;
+pub mod operator_api;
+pub mod ready;
 pub mod routing;
 
 use alderhollow_model::snapshot::Snapshot;
