Read the settings file and the operators' configuration, with all findings at once

A process needs typed settings, and the core needs to tell a valid configuration from an invalid one. Settings are read by toml with its spans, so that each finding names its line; configurations by schematic, part by part, so that one wrong part does not hide the next. Ruled out: schematic's loader for whole documents, as it ends at the first wrong type.

--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -4,7 +4,10 @@
 #![warn(missing_docs)]
 
 pub mod balance;
+pub mod configuration;
+pub mod finding;
 pub mod routing;
+pub mod settings;
 
 use alderhollow_model::snapshot::Snapshot;
 use std::sync::Arc;
