Add the replicated control state: configurations, evacuations, retirements, stores

The core needs a state that tells a resent order from another one with the same number, and that decides each order against the newest committed state. An order's digest covers its method, what it builds on and its document. Ruled out: a digest of the document alone, as a document that comes again on top of a later version would then be acknowledged though its number is not above the current one.

--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod balance;
 pub mod configuration;
+pub mod control_state;
 pub mod finding;
 pub mod routing;
 pub mod settings;
