--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -5,13 +5,17 @@
 
 pub mod balance;
 pub mod clock;
+pub mod configuration;
+pub mod control_state;
 pub mod core;
 pub mod discovery;
 pub mod distribution;
+pub mod finding;
 pub mod internal;
 pub mod operator_api;
 pub mod ready;
 pub mod routing;
+pub mod settings;
 
 use alderhollow_model::snapshot::Snapshot;
 use std::sync::Arc;
