--- /dev/null
+++ b/alderhollow/src/core/authority.rs
@@ -0,0 +1,98 @@
+//! The core's member as the distribution, the operators' calls and the batch group's upkeep see it.
+
+use super::driver::Core;
+use super::store_watch::StoreWatch;
+use crate::clock::SteadyClock;
+use crate::control_state::group_policy::{GroupSight, StoreReport};
+use crate::control_state::view::encode_view;
+use crate::control_state::ControlState;
+use crate::distribution::message::{Directions, EncodedControl, Poll};
+use crate::distribution::server::Authority;
+use alderhollow_model::identity::Role;
+use std::cell::RefCell;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// The member of this process, with what it sees of the stores while it is the primary.
+pub struct ControlAuthority {
+    core: Rc<Core<ControlState>>,
+    clock: SteadyClock,
+    tolerate_machines: usize,
+    stores: RefCell<StoreWatch>,
+    stores_changed: Notify,
+    encoded: RefCell<EncodedControl>,
+}
+
+impl ControlAuthority {
+    /// Puts a member to use. `tolerate_machines` is from the settings.
+    pub fn new(
+        core: Rc<Core<ControlState>>,
+        clock: SteadyClock,
+        tolerate_machines: usize,
+    ) -> ControlAuthority {
+        ControlAuthority {
+            core,
+            clock,
+            tolerate_machines,
+            stores: RefCell::default(),
+            stores_changed: Notify::new(),
+            encoded: RefCell::new(EncodedControl { version: 0, bytes: Vec::new().into() }),
+        }
+    }
+
+    /// The member.
+    pub fn core(&self) -> &Rc<Core<ControlState>> {
+        &self.core
+    }
+
+    /// What the primary sees of the stores; `None` without a lease.
+    pub fn group_sight(&self) -> Option<GroupSight> {
+        let now_ms = self.clock.now_ms();
+        let mut stores = self.stores.borrow_mut();
+        stores.note_lease(self.core.leased_epoch(), now_ms);
+        stores.sight(now_ms, self.tolerate_machines)
+    }
+
+    /// Waits until a store said something new.
+    pub async fn stores_changed(&self) {
+        self.stores_changed.notified().await;
+    }
+}
+
+impl Authority for ControlAuthority {
+    fn leased_epoch(&self) -> Option<u64> {
+        self.core.leased_epoch()
+    }
+
+    fn control(&self) -> EncodedControl {
+        let state = self.core.state();
+        let mut encoded = self.encoded.borrow_mut();
+        if encoded.version != state.version() {
+            let bytes = encode_view(&state.view()).into();
+            *encoded = EncodedControl { version: state.version(), bytes };
+        }
+        encoded.clone()
+    }
+
+    fn control_version(&self) -> u64 {
+        self.core.state().version()
+    }
+
+    fn directions(&self) -> Directions {
+        self.core.directions()
+    }
+
+    fn heard(&self, poll: &Poll) {
+        if poll.node.role != Role::Store {
+            return;
+        }
+        let mut report = StoreReport::from_bytes(&poll.batch_status).unwrap_or_default();
+        report.leaving |= poll.leaving;
+        let now_ms = self.clock.now_ms();
+        let mut stores = self.stores.borrow_mut();
+        stores.note_lease(self.core.leased_epoch(), now_ms);
+        if stores.heard(&poll.node, report, now_ms) {
+            self.stores_changed.notify_one();
+        }
+    }
+}
--- /dev/null
+++ b/alderhollow/src/core/group_upkeep.rs
@@ -0,0 +1,36 @@
+//! Keeps the batch group in order: proposes what the group's policy says, while this process is the core's primary.
+
+use super::authority::ControlAuthority;
+use crate::control_state::group_policy::next_request;
+use alderhollow_coordination::replica::interface::Outcome;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The policy is asked this often, and when a store says something new.
+const INTERVAL: Duration = Duration::from_millis(200);
+/// Pause after a proposal that brought no change.
+const FAILURE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Keeps the group in order until the future is dropped.
+pub async fn run(authority: Rc<ControlAuthority>) {
+    loop {
+        let Some(sight) = authority.group_sight() else {
+            tokio::time::sleep(INTERVAL).await;
+            continue;
+        };
+        let request = next_request(&authority.core().state(), &sight);
+        let Some(request) = request else {
+            let _ = tokio::time::timeout(INTERVAL, authority.stores_changed()).await;
+            continue;
+        };
+        log::info!("batch group: {request:?}");
+        match authority.core().propose(request.to_bytes()).await {
+            Ok(Outcome::Committed(_)) => (),
+            Ok(Outcome::Answered(_)) => tokio::time::sleep(FAILURE_PAUSE).await,
+            Err(error) => {
+                log::warn!("batch group: {error}");
+                tokio::time::sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/alderhollow/src/core/store_watch.rs
@@ -0,0 +1,61 @@
+//! What the core's primary sees of the stores, from their polls. No I/O and no clock.
+
+use crate::control_state::group_policy::{GroupSight, StoreReport, StoreSight};
+use alderhollow_model::identity::{DiskId, NodeInfo};
+use std::collections::BTreeMap;
+
+/// Counts for one unbroken lease of this process: what was seen under another one says nothing of silences.
+#[derive(Debug, Default)]
+pub struct StoreWatch {
+    lease: Option<LeasedEpoch>,
+    stores: BTreeMap<DiskId, SeenStore>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct LeasedEpoch {
+    epoch: u64,
+    since_ms: u64,
+}
+
+#[derive(Debug)]
+struct SeenStore {
+    node: NodeInfo,
+    report: StoreReport,
+    heard_at_ms: u64,
+}
+
+impl StoreWatch {
+    /// Notes whether this process is the primary with a lease, and of which epoch. To be told often.
+    pub fn note_lease(&mut self, epoch: Option<u64>, now_ms: u64) {
+        if self.lease.map(|lease| lease.epoch) == epoch {
+            return;
+        }
+        self.stores.clear();
+        self.lease = epoch.map(|epoch| LeasedEpoch { epoch, since_ms: now_ms });
+    }
+
+    /// Notes a poll of a store. Tells whether it said something new.
+    pub fn heard(&mut self, node: &NodeInfo, report: StoreReport, now_ms: u64) -> bool {
+        let Some(disk) = node.disk else { return false };
+        let seen = SeenStore { node: node.clone(), report, heard_at_ms: now_ms };
+        match self.stores.insert(disk, seen) {
+            Some(former) => former.report != report || former.node != *node,
+            None => true,
+        }
+    }
+
+    /// What the group's policy rests on; `None` without a lease.
+    pub fn sight(&self, now_ms: u64, tolerate_machines: usize) -> Option<GroupSight> {
+        let lease = self.lease?;
+        let stores = self.stores.values().map(|seen| StoreSight {
+            node: seen.node.clone(),
+            silent_for_ms: now_ms.saturating_sub(seen.heard_at_ms),
+            report: seen.report,
+        });
+        Some(GroupSight {
+            primary_for_ms: now_ms.saturating_sub(lease.since_ms),
+            tolerate_machines,
+            stores: stores.collect(),
+        })
+    }
+}
--- a/alderhollow/src/distribution/server.rs
+++ b/alderhollow/src/distribution/server.rs
@@ -27,6 +27,8 @@
     fn leased_epoch(&self) -> Option<u64>;
     /// The committed control state.
     fn control(&self) -> EncodedControl;
+    /// Version of the committed control state.
+    fn control_version(&self) -> u64;
     /// The core's members and its primary, as far as known.
     fn directions(&self) -> Directions;
     /// Takes note of a poll.
@@ -133,9 +135,8 @@
     }
 
     fn newer_than(&self, held: &HeldVersions, authority: &dyn Authority, epoch: u64) -> Update {
-        let control = Some(authority.control()).filter(|control| control.version > held.control);
         let mut update = Update {
-            control,
+            control: (authority.control_version() > held.control).then(|| authority.control()),
             backends: self.newer_backends(held.backends, epoch),
             senders: self.newer_senders(held.senders, epoch),
             members: None,
--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod distribution;
 pub mod finding;
 pub mod internal;
+pub mod node;
 pub mod operator_api;
 pub mod ready;
 pub mod routing;
