Add the group policy, the command line and logs

The core's primary needs to know when the stores that keep batch jobs are to change, without I/O, so that it can be tested. A learner that was just promoted does not yet hold what was acknowledged since it was found in sync: the state notes which members hold everything, and only these may lead.

--- /dev/null
+++ b/alderhollow/src/cli/mod.rs
@@ -0,0 +1,126 @@
+//! The command line: roles, checks of files, and a look into folders and processes.
+
+mod check;
+mod inspect;
+mod status;
+
+use crate::settings::{Settings, SettingsError};
+use crate::{door, logging, store};
+use alderhollow_model::identity::Role;
+use clap::{Parser, Subcommand};
+use log::LevelFilter;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use thiserror::Error;
+
+/// Exit status where the command line, the settings or a checked file are wrong.
+const EXIT_WRONG_INPUT: u8 = 2;
+/// Exit status where something else failed.
+const EXIT_FAILED: u8 = 1;
+
+/// A serving tier with a batch interface.
+#[derive(Debug, Parser)]
+#[command(name = "alderhollow")]
+pub struct CommandLine {
+    /// Lowest level of log entries: off, error, warn, info, debug or trace. Goes before the settings' `log-level`.
+    #[arg(long, global = true, value_name = "LEVEL")]
+    log_level: Option<LevelFilter>,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Serve clients and operators, with the settings file that ALDERHOLLOW_BOOT names.
+    Door,
+    /// Keep batch jobs, with the settings file that ALDERHOLLOW_BOOT names.
+    Store,
+    /// Check a settings file or a configuration, and print all that is wrong.
+    Check(check::Arguments),
+    /// Print what a data folder holds.
+    Inspect {
+        /// The folder.
+        folder: PathBuf,
+    },
+    /// Print what a process tells of itself.
+    Status {
+        /// Its control address.
+        address: SocketAddr,
+    },
+}
+
+/// Why a command failed.
+#[derive(Debug, Error)]
+pub enum CommandError {
+    /// The settings are wrong.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// A checked file is wrong; it was said why.
+    #[error("{0} findings")]
+    Findings(usize),
+    /// A file can't be read.
+    #[error("{path}: can't be read ({source}): check that the file exists and may be read")]
+    NoFile {
+        /// Its path.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// Logs can't be set up.
+    #[error("logs can't be set up: {0}")]
+    Logs(#[from] log::SetLoggerError),
+    /// The process can't go on.
+    #[error("the process can't go on: {0}")]
+    Io(#[from] std::io::Error),
+    /// Not there yet.
+    #[error("`{0}` is not available in this version")]
+    NotAvailable(&'static str),
+}
+
+impl CommandError {
+    fn exit_code(&self) -> ExitCode {
+        match self {
+            CommandError::Settings(_) | CommandError::Findings(_) | CommandError::NoFile { .. } => {
+                ExitCode::from(EXIT_WRONG_INPUT)
+            }
+            CommandError::Logs(_) | CommandError::Io(_) | CommandError::NotAvailable(_) => {
+                ExitCode::from(EXIT_FAILED)
+            }
+        }
+    }
+}
+
+/// Runs what the command line says.
+pub fn main() -> ExitCode {
+    let command_line = CommandLine::parse();
+    match run(command_line) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            error.exit_code()
+        }
+    }
+}
+
+fn run(command_line: CommandLine) -> Result<(), CommandError> {
+    match command_line.command {
+        Command::Door => run_role(Role::Door, command_line.log_level),
+        Command::Store => run_role(Role::Store, command_line.log_level),
+        Command::Check(arguments) => check::run(&arguments),
+        Command::Inspect { folder } => inspect::run(&folder),
+        Command::Status { address } => status::run(address),
+    }
+}
+
+fn run_role(role: Role, log_level: Option<LevelFilter>) -> Result<(), CommandError> {
+    let settings = Settings::from_environment(role)?;
+    logging::start(log_level.or(settings.log_level).unwrap_or(logging::DEFAULT_LEVEL))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = tokio::task::LocalSet::new();
+    let result = match role {
+        Role::Door => local.block_on(&runtime, door::run(settings)),
+        Role::Store => local.block_on(&runtime, store::run(settings)),
+    };
+    Ok(result?)
+}
--- a/alderhollow/src/control_state/decide.rs
+++ b/alderhollow/src/control_state/decide.rs
@@ -22,7 +22,7 @@
             Request::RegisterStore(store) if self.stores.is_news(store) => {
                 Decision::Commit(Command::RegisterStore(store.clone()))
             }
-            Request::SetGroup { previous_epoch, group } if self.may_follow(*previous_epoch, group.epoch) => {
+            Request::SetGroup { previous_epoch, group } if self.may_follow(*previous_epoch, group) => {
                 Decision::Commit(Command::SetGroup { previous_epoch: *previous_epoch, group: group.clone() })
             }
             Request::GroupActive { epoch } if self.becomes_active(*epoch) => {
--- a/alderhollow/src/control_state/group_policy.rs
+++ b/alderhollow/src/control_state/group_policy.rs
@@ -1,1 +1,316 @@
 //! Which stores keep batch jobs: the next step from the present group, if one is due.
+//!
+//! The primary of the core asks for it every now and then, with what it sees of the stores, and proposes what comes out.
+//! Each step is a new epoch. What holds over all steps:
+//!
+//! - Only a member that holds everything that was acknowledged ([`ControlState::complete_members`]) becomes the primary.
+//! - A dead member leaves only if `tolerate + 1` others remain that are alive; one that is to be emptied only if as many
+//!   remain that also hold everything. A group that never had as many keeps what it has.
+//! - A store becomes a member only from a learner that says it is in sync.
+
+use super::request::Request;
+use super::ControlState;
+use alderhollow_model::identity::{DiskId, NodeInfo};
+use alderhollow_model::snapshot::{BatchGroup, GroupMember};
+use minicbor::{Decode, Encode};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A store that was not heard of for so long is dead.
+pub const DEAD_AFTER_MS: u64 = 2_000;
+/// A store that was not heard of for so long does not count as there when one is to be retired.
+pub const GONE_AFTER_MS: u64 = 30_000;
+/// How long the first stores may take to come before the first group is made of those that are there.
+pub const FOUNDING_WAIT_MS: u64 = 1_500;
+/// How much longer that takes where fewer than `tolerate + 1` stores are there.
+pub const FOUNDING_PATIENCE_MS: u64 = 5_000;
+
+/// What a store reports of itself with each poll.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Encode, Decode)]
+pub struct StoreReport {
+    /// Epoch of the group that it acts under; 0: none.
+    #[n(0)]
+    pub epoch: u64,
+    /// As the group's primary: all members of that epoch hold everything, so that it may acknowledge.
+    #[n(1)]
+    pub active: bool,
+    /// As a learner of that epoch: it has everything that was there when it asked, and gets what is new.
+    #[n(2)]
+    pub in_sync: bool,
+    /// The process is about to end.
+    #[n(3)]
+    pub leaving: bool,
+}
+
+impl StoreReport {
+    /// The bytes of this report.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        super::codec::encode(self)
+    }
+
+    /// Reads a report from its bytes.
+    pub fn from_bytes(bytes: &[u8]) -> Result<StoreReport, super::codec::CodecError> {
+        super::codec::decode(bytes)
+    }
+}
+
+/// What the core's primary sees of one store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreSight {
+    /// The store as it said in its newest poll.
+    pub node: NodeInfo,
+    /// Time since that poll.
+    pub silent_for_ms: u64,
+    /// What it reported then.
+    pub report: StoreReport,
+}
+
+/// What the core's primary sees.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct GroupSight {
+    /// How long it has been the primary. What it has not heard in a shorter time says nothing.
+    pub primary_for_ms: u64,
+    /// `tolerate.machines` of the settings.
+    pub tolerate_machines: usize,
+    /// The stores that it has heard of since it became the primary.
+    pub stores: Vec<StoreSight>,
+}
+
+/// What is to be proposed next, if anything. One thing at a time: ask again when it is committed.
+pub fn next_request(state: &ControlState, sight: &GroupSight) -> Option<Request> {
+    if let Some(store) = sight.stores.iter().find(|store| state.stores().is_news(&store.node)) {
+        return Some(Request::RegisterStore(store.node.clone()));
+    }
+    let planner = Planner::new(state, sight);
+    let Some(group) = state.group() else {
+        return planner.found();
+    };
+    if planner.reports_active(group) && !state.group_is_active() {
+        return Some(Request::GroupActive { epoch: group.epoch });
+    }
+    planner.next_group(group)
+}
+
+/// Machines of stores that don't count as there any more, for [`super::request::OrderContext`].
+pub fn gone_stores(state: &ControlState, sight: &GroupSight) -> BTreeSet<String> {
+    if sight.primary_for_ms < GONE_AFTER_MS {
+        return BTreeSet::new();
+    }
+    let here = |node: &str| {
+        sight.stores.iter().any(|store| store.node.node == node && store.silent_for_ms < GONE_AFTER_MS)
+    };
+    state.stores().iter().map(|store| store.node.clone()).filter(|node| !here(node)).collect()
+}
+
+/// What is known of the stores, by their disks.
+struct Planner<'a> {
+    state: &'a ControlState,
+    sight: &'a GroupSight,
+    by_disk: BTreeMap<DiskId, &'a StoreSight>,
+}
+
+impl<'a> Planner<'a> {
+    fn new(state: &'a ControlState, sight: &'a GroupSight) -> Planner<'a> {
+        let by_disk = sight.stores.iter().filter_map(|store| Some((store.node.disk?, store))).collect();
+        Planner { state, sight, by_disk }
+    }
+
+    /// Copies that each acknowledgement needs.
+    fn copies(&self) -> usize {
+        self.sight.tolerate_machines.saturating_add(1)
+    }
+
+    /// Members that a group should have.
+    fn target(&self) -> usize {
+        self.sight.tolerate_machines.saturating_add(2)
+    }
+
+    /// Heard of lately, with the machine's present disk.
+    fn is_alive(&self, disk: DiskId) -> bool {
+        let heard = self
+            .by_disk
+            .get(&disk)
+            .is_some_and(|store| store.silent_for_ms < DEAD_AFTER_MS && !store.report.leaving);
+        heard && self.state.stores().has_disk(disk)
+    }
+
+    /// Surely not serving: replaced, about to end, or silent for long enough of this primary's own time.
+    fn is_dead(&self, disk: DiskId) -> bool {
+        if !self.state.stores().has_disk(disk) {
+            return true;
+        }
+        match self.by_disk.get(&disk) {
+            Some(store) => store.report.leaving || store.silent_for_ms >= DEAD_AFTER_MS,
+            None => self.sight.primary_for_ms >= DEAD_AFTER_MS,
+        }
+    }
+
+    fn is_retiring(&self, member: &GroupMember) -> bool {
+        self.state.stores().is_retiring(&member.node.node)
+    }
+
+    fn is_complete(&self, disk: DiskId) -> bool {
+        self.state.complete_members().contains(&disk)
+    }
+
+    fn reports_active(&self, group: &BatchGroup) -> bool {
+        self.by_disk
+            .get(&group.primary)
+            .is_some_and(|store| store.report.active && store.report.epoch == group.epoch)
+    }
+
+    fn reports_in_sync(&self, group: &BatchGroup, disk: DiskId) -> bool {
+        self.by_disk.get(&disk).is_some_and(|store| store.report.in_sync && store.report.epoch == group.epoch)
+    }
+
+    /// Stores that could join a group, sorted by their disks.
+    fn candidates(&self, taken: &BTreeSet<DiskId>) -> Vec<GroupMember> {
+        let usable = self.by_disk.iter().filter(|(disk, store)| {
+            self.is_alive(**disk)
+                && !taken.contains(disk)
+                && !self.state.stores().is_retiring(&store.node.node)
+        });
+        usable.map(|(disk, store)| GroupMember { disk: *disk, node: store.node.clone() }).collect()
+    }
+
+    /// The first group.
+    fn found(&self) -> Option<Request> {
+        if self.sight.primary_for_ms < FOUNDING_WAIT_MS {
+            return None;
+        }
+        let members = spread_over_zones(&[], self.candidates(&BTreeSet::new()), self.target());
+        let patience_is_over = self.sight.primary_for_ms >= FOUNDING_WAIT_MS + FOUNDING_PATIENCE_MS;
+        if members.len() < self.copies() && !patience_is_over {
+            return None;
+        }
+        let primary = members.first()?.disk;
+        let group = BatchGroup { epoch: 1, primary, members, learners: Vec::new() };
+        Some(Request::SetGroup { previous_epoch: 0, group })
+    }
+
+    /// The group that is to follow, if it differs from the present one.
+    fn next_group(&self, group: &BatchGroup) -> Option<Request> {
+        let mut next = group.clone();
+        self.refresh_addresses(&mut next);
+        self.promote_learners(group, &mut next);
+        self.drop_learners(&mut next);
+        self.replace_primary(&mut next);
+        self.drop_dead(&mut next);
+        self.drop_retiring(&mut next);
+        self.add_learners(&mut next);
+        if next == *group {
+            return None;
+        }
+        next.epoch = group.epoch + 1;
+        Some(Request::SetGroup { previous_epoch: group.epoch, group: next })
+    }
+
+    /// A store that came back at another address is to be found there.
+    fn refresh_addresses(&self, next: &mut BatchGroup) {
+        for member in next.members.iter_mut().chain(&mut next.learners) {
+            let known = self.state.stores().get(&member.node.node);
+            if let Some(known) = known.filter(|known| known.disk == Some(member.disk)) {
+                if known.internal != member.node.internal {
+                    member.node = known.clone();
+                }
+            }
+        }
+    }
+
+    /// A learner in sync becomes a member. It is complete only once the epoch that follows is active.
+    fn promote_learners(&self, group: &BatchGroup, next: &mut BatchGroup) {
+        let (in_sync, others): (Vec<_>, Vec<_>) = next.learners.drain(..).partition(|learner| {
+            self.is_alive(learner.disk)
+                && !self.is_retiring(learner)
+                && self.reports_in_sync(group, learner.disk)
+        });
+        next.learners = others;
+        next.members.extend(in_sync);
+    }
+
+    fn drop_learners(&self, next: &mut BatchGroup) {
+        next.learners.retain(|learner| !self.is_dead(learner.disk) && !self.is_retiring(learner));
+    }
+
+    /// A dead or retiring primary gives its place to a member that is alive and holds everything.
+    fn replace_primary(&self, next: &mut BatchGroup) {
+        let Some(primary) = next.primary_member() else {
+            return;
+        };
+        let is_retiring = self.is_retiring(primary);
+        if !self.is_dead(primary.disk) && !is_retiring {
+            return;
+        }
+        let can_follow = |member: &&GroupMember| {
+            member.disk != next.primary
+                && self.is_alive(member.disk)
+                && self.is_complete(member.disk)
+                && !self.is_retiring(member)
+        };
+        if let Some(successor) = next.members.iter().find(can_follow) {
+            next.primary = successor.disk;
+        }
+    }
+
+    /// Dead members leave if enough others are alive.
+    fn drop_dead(&self, next: &mut BatchGroup) {
+        let stays = |member: &GroupMember| member.disk == next.primary || !self.is_dead(member.disk);
+        let remaining: Vec<_> = next.members.iter().filter(|member| stays(member)).cloned().collect();
+        let alive = remaining.iter().filter(|member| self.is_alive(member.disk)).count();
+        if alive >= self.copies() {
+            next.members = remaining;
+        }
+    }
+
+    /// Retiring members leave when their successors are in, or where there are none, if enough others are alive.
+    fn drop_retiring(&self, next: &mut BatchGroup) {
+        let stays = |member: &GroupMember| member.disk == next.primary || !self.is_retiring(member);
+        let remaining: Vec<_> = next.members.iter().filter(|member| stays(member)).cloned().collect();
+        let holds_all = |member: &&GroupMember| self.is_alive(member.disk) && self.is_complete(member.disk);
+        let holding = remaining.iter().filter(holds_all).count();
+        let successors_may_come = remaining.len() < self.target()
+            && (!next.learners.is_empty() || !self.candidates(&disks_of(next)).is_empty());
+        let successors_are_in = holding >= self.target() || !successors_may_come;
+        if holding >= self.copies() && successors_are_in {
+            next.members = remaining;
+        }
+    }
+
+    /// Missing members are brought up as learners.
+    fn add_learners(&self, next: &mut BatchGroup) {
+        let lasting =
+            next.members.iter().filter(|member| !self.is_retiring(member) && !self.is_dead(member.disk));
+        let lasting: Vec<GroupMember> = lasting.chain(&next.learners).cloned().collect();
+        let missing = self.target().saturating_sub(lasting.len());
+        let candidates = self.candidates(&disks_of(next));
+        next.learners.extend(spread_over_zones(&lasting, candidates, missing));
+    }
+}
+
+/// The disks of a group's members and learners.
+fn disks_of(group: &BatchGroup) -> BTreeSet<DiskId> {
+    group.members.iter().chain(&group.learners).map(|member| member.disk).collect()
+}
+
+/// Picks up to `count` candidates, those first whose zones have the fewest members.
+fn spread_over_zones(
+    present: &[GroupMember],
+    mut candidates: Vec<GroupMember>,
+    count: usize,
+) -> Vec<GroupMember> {
+    let mut by_zone: BTreeMap<String, usize> = BTreeMap::new();
+    for member in present {
+        *by_zone.entry(member.node.zone.clone()).or_default() += 1;
+    }
+    let mut picked = Vec::new();
+    while picked.len() < count {
+        let members_in_zone = |member: &GroupMember| by_zone.get(&member.node.zone).copied().unwrap_or(0);
+        let best = candidates.iter().enumerate().min_by_key(|(_, member)| members_in_zone(member));
+        let Some(at) = best.map(|(at, _)| at) else {
+            break;
+        };
+        let member = candidates.swap_remove(at);
+        *by_zone.entry(member.node.zone.clone()).or_default() += 1;
+        picked.push(member);
+    }
+    picked
+}
--- a/alderhollow/src/control_state/mod.rs
+++ b/alderhollow/src/control_state/mod.rs
@@ -175,12 +175,15 @@
         changed
     }
 
-    fn may_follow(&self, previous_epoch: u64, epoch: u64) -> bool {
-        previous_epoch == self.group_epoch() && epoch > previous_epoch
+    /// Whether a group may take the present one's place: nothing that was acknowledged is lost by it.
+    fn may_follow(&self, previous_epoch: u64, group: &BatchGroup) -> bool {
+        let is_next = previous_epoch == self.group_epoch() && group.epoch > previous_epoch;
+        let primary_holds_all = self.group.is_none() || self.complete.contains(&group.primary);
+        is_next && group.primary_member().is_some() && primary_holds_all
     }
 
     fn set_group(&mut self, previous_epoch: u64, group: BatchGroup) -> bool {
-        if !self.may_follow(previous_epoch, group.epoch) {
+        if !self.may_follow(previous_epoch, &group) {
             return false;
         }
         let members: BTreeSet<DiskId> = group.members.iter().map(|member| member.disk).collect();
--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -4,11 +4,16 @@
 #![warn(missing_docs)]
 
 pub mod balance;
+pub mod cli;
 pub mod configuration;
 pub mod control_state;
+pub mod door;
 pub mod finding;
+pub mod logging;
 pub mod routing;
 pub mod settings;
+pub mod store;
+pub mod termination;
 
 use alderhollow_model::snapshot::Snapshot;
 use std::sync::Arc;
--- a/alderhollow/src/settings/mod.rs
+++ b/alderhollow/src/settings/mod.rs
@@ -191,7 +191,7 @@
         reading::read(text, Some(role))
     }
 
-    /// Reads the text of a settings file for whatever role it may be for.
+    /// Reads the text of a settings file for the role that its `serves` tells.
     pub fn parse_for_any_role(text: &str) -> Result<Settings, Vec<Finding>> {
         reading::read(text, None)
     }
--- a/alderhollow/src/settings/reading.rs
+++ b/alderhollow/src/settings/reading.rs
@@ -13,6 +13,8 @@
 const EDGE: &str = "edge";
 /// Party that operators are, in `serves`.
 const CONTROL_PLANE: &str = "control_plane";
+/// Party that nobody outside is, in `serves`: the role keeps data.
+const STORAGE: &str = "storage";
 /// Calls a second to the platform's list where the file does not tell.
 const DEFAULT_RATE_PER_S: f64 = 10.0;
 
@@ -27,7 +29,9 @@
             return Err(findings.into_vec());
         }
     };
-    let settings = read_top(Keys::top(table.get_ref()), role, &mut findings);
+    let top = Keys::top(table.get_ref());
+    let role = role.or_else(|| role_by_parties(&top.text_list(&mut Findings::new(text), "serves")));
+    let settings = read_top(top, role, &mut findings);
     let found = findings.into_vec();
     match settings {
         Some(settings) if found.is_empty() => Ok(settings),
@@ -35,6 +39,14 @@
     }
 }
 
+/// The role that a file is for, by the parties that it serves.
+fn role_by_parties(serves: &[String]) -> Option<Role> {
+    if serves.iter().any(|party| party == EDGE || party == CONTROL_PLANE) {
+        return Some(Role::Door);
+    }
+    serves.iter().any(|party| party == STORAGE).then_some(Role::Store)
+}
+
 /// `None` only together with findings.
 fn read_top(top: Keys, role: Option<Role>, findings: &mut Findings) -> Option<Settings> {
     let node = top.required_text(findings, "node", "the name of this machine");
