--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -4,19 +4,25 @@
 #![warn(missing_docs)]
 
 pub mod balance;
+pub mod cli;
 pub mod clock;
 pub mod configuration;
 pub mod control_state;
 pub mod core;
 pub mod discovery;
 pub mod distribution;
+pub mod door;
 pub mod finding;
 pub mod internal;
+pub mod logging;
 pub mod node;
 pub mod operator_api;
 pub mod ready;
+pub mod role;
 pub mod routing;
 pub mod settings;
+pub mod store;
+pub mod termination;
 
 use alderhollow_model::snapshot::Snapshot;
 use std::sync::Arc;
--- a/alderhollow/src/operator_api/service.rs
+++ b/alderhollow/src/operator_api/service.rs
@@ -77,11 +77,9 @@
         let context = self.order_context(authority);
         let request = Request::Order { order, context };
         match authority.core().propose(request.to_bytes()).await {
-            Ok(Outcome::Committed(_)) => Reply::Decided {
-                status: StatusCode::OK,
-                body: b"{}".to_vec(),
-                valid_until: None,
-            },
+            Ok(Outcome::Committed(_)) => {
+                Reply::Decided { status: StatusCode::OK, body: b"{}".to_vec(), valid_until: None }
+            }
             Ok(Outcome::Answered(answer)) => self.answered(authority, &answer),
             Err(ProposeError::NotPrimary) => self.elsewhere(),
             Err(ProposeError::Overloaded) => Reply::Unavailable,
--- /dev/null
+++ b/alderhollow/src/role.rs
@@ -0,0 +1,37 @@
+//! Why a role can't go on.
+
+use alderhollow_coordination::replica::interface::RecoveryError;
+use alderhollow_storage::StorageError;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use thiserror::Error;
+
+/// Why a role can't go on.
+#[derive(Debug, Error)]
+pub enum RoleError {
+    /// A socket or a signal failed.
+    #[error("the process can't go on: {0}")]
+    Io(#[from] std::io::Error),
+    /// An address can't be listened on.
+    #[error("can't listen on {address}: {reason}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        reason: String,
+    },
+    /// The data folder can't be used.
+    #[error("the data folder {path} can't be used: {source}")]
+    Folder {
+        /// The folder.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// What is in the data folder can't be used.
+    #[error("the data folder can't be used: {0}")]
+    Storage(#[from] StorageError),
+    /// The core's state can't be recovered.
+    #[error(transparent)]
+    Recovery(#[from] RecoveryError),
+}
