Write the replica's engine: elections, leases, commands, members, hand-over

Each record names the one it follows. Without that, a record that was passed over because it never was active could hide the active one under it from a later candidate.

--- /dev/null
+++ b/coordination/src/replica/campaign.rs
@@ -0,0 +1,411 @@
+//! How a new epoch begins: a candidate canvasses the witnesses, prepares them, and installs the epoch's record. A primary
+//! that changes its own epoch does the same without the canvass.
+
+use super::base::{choose_base, Base};
+use super::durable::Entry;
+use super::interface::{Epoch, EpochRecord, Member, MemberId, Millis, StateMachine, Version};
+use super::message::{Canvass, Install, Installed, Message, Prepare, Promise, Refusal, Standing, StateCopy};
+use super::settings::Timings;
+use super::Replica;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A canvass ends after so long.
+const CANVASS_MS: Millis = 150;
+/// A candidate that failed comes back after so long at least.
+const SETBACK_MS: Millis = 30;
+
+/// An attempt to begin an epoch.
+#[derive(Debug)]
+pub(super) enum Campaign {
+    /// Asks whether the witnesses would promise.
+    Canvassing(Canvassing),
+    /// Asks them to promise.
+    Preparing(Preparing),
+    /// Has the new record (and state) written.
+    Installing(Box<Installing>),
+}
+
+/// A canvass.
+#[derive(Debug)]
+pub(super) struct Canvassing {
+    attempt: u64,
+    started: Millis,
+    standings: BTreeMap<MemberId, Standing>,
+}
+
+/// Promises being collected.
+#[derive(Debug)]
+pub(super) struct Preparing {
+    number: Epoch,
+    purpose: Purpose,
+    started: Millis,
+    next_send: Millis,
+    /// Since when the promises suffice; others may follow that make more replicas.
+    enough_since: Option<Millis>,
+    asked: BTreeMap<MemberId, Member>,
+    promises: BTreeMap<MemberId, Promise>,
+}
+
+/// A record being written by its members.
+#[derive(Debug)]
+pub(super) struct Installing {
+    pub record: EpochRecord,
+    base: Base,
+    state: StateCopy,
+    started: Millis,
+    next_send: Millis,
+    sent_before: bool,
+    pub installed: BTreeSet<MemberId>,
+}
+
+/// Why an epoch is to begin.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Purpose {
+    /// There is no primary.
+    TakeOver,
+    /// The primary of all epochs since some time, up to this one, stopped and named this member.
+    Succeed(Epoch),
+    /// The primary changes replicas or members, or needs a higher number.
+    Reconfigure,
+}
+
+impl Campaign {
+    /// When it has something to do.
+    pub fn next_wakeup(&self, timings: &Timings) -> Millis {
+        match self {
+            Campaign::Canvassing(canvassing) => canvassing.started + CANVASS_MS,
+            Campaign::Preparing(preparing) => {
+                let gathered = preparing.enough_since.map_or(Millis::MAX, |since| since + timings.gather_ms);
+                preparing.next_send.min(preparing.started + timings.attempt_ms).min(gathered)
+            }
+            Campaign::Installing(installing) => {
+                installing.next_send.min(installing.started + timings.attempt_ms)
+            }
+        }
+    }
+}
+
+impl Preparing {
+    /// All whom the new epoch may name have answered.
+    fn is_complete(&self, base: &EpochRecord) -> bool {
+        base.everyone().all(|member| self.promises.contains_key(&member.id))
+    }
+}
+
+impl Installing {
+    /// All up to here is committed once the record is active.
+    pub fn version(&self) -> Version {
+        self.base.version
+    }
+
+    /// The record is in force: all its replicas have it with the state, and a majority of the witnesses of both records.
+    fn is_active(&self) -> bool {
+        let installed = |id| self.installed.contains(&id);
+        self.record.replicas.iter().all(|id| installed(*id))
+            && self.record.has_quorum(installed)
+            && self.base.record.has_quorum(installed)
+    }
+
+    fn recipients(&self) -> BTreeMap<MemberId, Member> {
+        let everyone = self.record.everyone().chain(self.base.record.everyone());
+        everyone.map(|member| (member.id, member.clone())).collect()
+    }
+
+    /// The message for one member. Who holds the state already is sent it only with a repetition.
+    fn message_for(&self, id: MemberId) -> Message {
+        let holds_it = self.base.holders.contains(&id) && !self.sent_before;
+        let needs_it = self.record.is_replica(id) && !holds_it;
+        Message::Install(Install {
+            record: self.record.clone(),
+            state_epoch: self.base.record.number,
+            version: self.base.version,
+            state: needs_it.then(|| self.state.clone()),
+        })
+    }
+}
+
+impl<S: StateMachine> Replica<S> {
+    /// It may become a candidate once its time has come.
+    pub(super) fn may_campaign(&self) -> bool {
+        let is_witness = self.my_record().is_some_and(|record| record.is_witness(self.me.id));
+        let idle = self.campaign.is_none() && self.primary.is_none();
+        is_witness && idle && !self.outside && !self.leaving && !self.disk_is_stalled()
+    }
+
+    pub(super) fn on_found(&mut self, witnesses: Vec<Member>) {
+        let founds = witnesses.iter().any(|member| member.id == self.me.id);
+        if founds && self.may_found() {
+            let record = EpochRecord::founding(witnesses);
+            self.log(Entry::Installed { record, state: None });
+            self.resume_as_witness();
+        }
+    }
+
+    pub(super) fn begin_canvass(&mut self) {
+        let Some(record) = self.durable.record.clone() else { return };
+        if let Some(epoch) = self.succeeds {
+            return self.begin_prepare(Purpose::Succeed(epoch));
+        }
+        let attempt = self.chance.rand_u64();
+        let canvassing = Canvassing { attempt, started: self.now, standings: BTreeMap::new() };
+        self.campaign = Some(Campaign::Canvassing(canvassing));
+        for member in record.everyone() {
+            self.send(member.clone(), Message::Canvass(Canvass { attempt }));
+        }
+    }
+
+    pub(super) fn begin_prepare(&mut self, purpose: Purpose) {
+        let Some(record) = self.durable.record.clone() else { return };
+        self.highest_seen = self.highest_seen.max(self.durable.promised) + 1;
+        let mut preparing = Preparing {
+            number: self.highest_seen,
+            purpose,
+            started: self.now,
+            next_send: self.now,
+            enough_since: None,
+            asked: BTreeMap::new(),
+            promises: BTreeMap::new(),
+        };
+        preparing.asked.extend(record.everyone().map(|member| (member.id, member.clone())));
+        self.campaign = Some(Campaign::Preparing(preparing));
+        self.check_campaign();
+    }
+
+    pub(super) fn on_standing(&mut self, from: &Member, standing: Standing) {
+        self.saw_epoch(standing.promised);
+        if let Some(record) = &standing.record {
+            self.learn_of_record(record);
+        }
+        let Some(Campaign::Canvassing(canvassing)) = &mut self.campaign else { return };
+        if canvassing.attempt != standing.attempt {
+            return;
+        }
+        canvassing.standings.insert(from.id, standing);
+        if self.outside {
+            self.campaign = None;
+        } else if self.canvass_is_won() {
+            self.begin_prepare(Purpose::TakeOver);
+        }
+    }
+
+    pub(super) fn on_promise(&mut self, from: &Member, promise: Promise) {
+        self.learn_of_record(&promise.record);
+        let Some(Campaign::Preparing(preparing)) = &mut self.campaign else { return };
+        if preparing.number != promise.number {
+            return;
+        }
+        let others = promise.record.everyone().filter(|member| !preparing.asked.contains_key(&member.id));
+        let others: Vec<Member> = others.cloned().collect();
+        if !others.is_empty() {
+            preparing.asked.extend(others.into_iter().map(|member| (member.id, member)));
+            preparing.next_send = self.now;
+        }
+        preparing.promises.insert(from.id, promise);
+        if self.outside {
+            return self.fail_campaign();
+        }
+        self.check_promises();
+    }
+
+    pub(super) fn on_refusal(&mut self, _from: &Member, refusal: Refusal) {
+        self.saw_epoch(refusal.promised);
+        if let Some(record) = &refusal.record {
+            self.learn_of_record(record);
+        }
+        let number = match &self.campaign {
+            Some(Campaign::Preparing(preparing)) => preparing.number,
+            Some(Campaign::Installing(installing)) => installing.record.number,
+            _ => return,
+        };
+        if number == refusal.number && refusal.promised >= number {
+            self.fail_campaign();
+        }
+    }
+
+    pub(super) fn on_installed(&mut self, from: &Member, installed: Installed) {
+        let Some(Campaign::Installing(installing)) = &mut self.campaign else { return };
+        if installing.record.number != installed.number {
+            return;
+        }
+        installing.installed.insert(from.id);
+        if !installing.is_active() {
+            return;
+        }
+        if let Some(Campaign::Installing(installing)) = self.campaign.take() {
+            self.activate(*installing);
+        }
+    }
+
+    /// Does what is due in a campaign: messages sent again, its end.
+    pub(super) fn check_campaign(&mut self) {
+        let attempt_ms = self.settings.timings.attempt_ms;
+        let ends_at = match &self.campaign {
+            None => return,
+            Some(Campaign::Canvassing(canvassing)) => canvassing.started + CANVASS_MS,
+            Some(Campaign::Preparing(preparing)) => preparing.started + attempt_ms,
+            Some(Campaign::Installing(installing)) => installing.started + attempt_ms,
+        };
+        if self.now >= ends_at {
+            return self.fail_campaign();
+        }
+        self.send_prepares();
+        self.send_installs();
+        self.check_promises();
+    }
+
+    /// A campaign failed: a candidate comes back after a pause by chance; the primary plans anew.
+    pub(super) fn fail_campaign(&mut self) {
+        let failed = self.campaign.take();
+        if self.primary.is_some() {
+            return self.reconfiguration_failed(failed);
+        }
+        if self.succeeds.is_some() {
+            self.election_at = self.now + SETBACK_MS;
+            return;
+        }
+        let wait = match &failed {
+            Some(Campaign::Canvassing(canvassing)) => canvassing.shortest_wait(),
+            _ => 0,
+        };
+        self.election_at = self.election_moment_after(self.now + wait.max(SETBACK_MS));
+    }
+
+    /// A newer record that does not name this member ends its membership, as far as it knows.
+    fn learn_of_record(&mut self, record: &EpochRecord) {
+        self.saw_epoch(record.number);
+        let is_newer = self.my_record().is_some_and(|mine| record.number > mine.number);
+        if is_newer {
+            self.outside = !record.is_witness(self.me.id);
+        }
+    }
+
+    fn canvass_is_won(&self) -> bool {
+        let Some(Campaign::Canvassing(canvassing)) = &self.campaign else { return false };
+        let would_promise = |id| canvassing.standings.get(&id).is_some_and(|standing| standing.would_promise);
+        let records = canvassing.standings.values().filter_map(|standing| standing.record.as_ref());
+        let mut records = records.chain(self.my_record());
+        records.any(|record| record.has_quorum(would_promise))
+    }
+
+    fn send_prepares(&mut self) {
+        let resend_ms = self.settings.timings.resend_ms;
+        let Some(Campaign::Preparing(preparing)) = &mut self.campaign else { return };
+        if self.now < preparing.next_send {
+            return;
+        }
+        preparing.next_send = self.now + resend_ms;
+        let prepare = Prepare {
+            number: preparing.number,
+            handed_over: match preparing.purpose {
+                Purpose::Succeed(epoch) => Some(epoch),
+                Purpose::TakeOver | Purpose::Reconfigure => None,
+            },
+            state_epoch: self.durable.state_epoch(),
+            version: self.durable.accepted_version(),
+        };
+        let unanswered =
+            preparing.asked.values().filter(|member| !preparing.promises.contains_key(&member.id));
+        for member in unanswered.cloned().collect::<Vec<_>>() {
+            self.send(member, Message::Prepare(prepare.clone()));
+        }
+    }
+
+    /// Goes on to the installation once the promises suffice, and enough time was left for more.
+    fn check_promises(&mut self) {
+        let Some(Campaign::Preparing(preparing)) = &mut self.campaign else { return };
+        let Some(base) = choose_base(&preparing.promises) else { return };
+        let since = *preparing.enough_since.get_or_insert(self.now);
+        if !preparing.is_complete(&base.record) && self.now < since + self.settings.timings.gather_ms {
+            return;
+        }
+        let Some(Campaign::Preparing(mut preparing)) = self.campaign.take() else { return };
+        match self.next_record(&preparing, &base) {
+            Ok(record) => self.begin_install(preparing, base, record),
+            Err(CantBegin::TooFewCopies) => {
+                preparing.enough_since = Some(self.now);
+                self.campaign = Some(Campaign::Preparing(preparing));
+            }
+            Err(CantBegin::Superseded) => self.step_down(),
+        }
+    }
+
+    fn next_record(&self, preparing: &Preparing, base: &Base) -> Result<EpochRecord, CantBegin> {
+        let record = match preparing.purpose {
+            Purpose::Reconfigure => self.reconfigured(&base.record).ok_or(CantBegin::Superseded)?,
+            Purpose::TakeOver => self.taken_over(preparing, base, None),
+            Purpose::Succeed(epoch) => {
+                let predecessor = (base.record.number <= epoch).then_some(base.record.primary);
+                self.taken_over(preparing, base, predecessor)
+            }
+        };
+        if record.replicas.len() < self.copies_needed(record.witnesses.len()) {
+            return Err(CantBegin::TooFewCopies);
+        }
+        let follows = base.record.number;
+        Ok(EpochRecord { number: preparing.number, primary: self.me.id, follows, ..record })
+    }
+
+    /// A candidate changes no members: those who promised are the replicas, a predecessor that leaves only if need be.
+    fn taken_over(&self, preparing: &Preparing, base: &Base, predecessor: Option<MemberId>) -> EpochRecord {
+        let promised = |member: &&Member| preparing.promises.contains_key(&member.id);
+        let mut replicas: Vec<MemberId> =
+            base.record.witnesses.iter().filter(promised).map(|member| member.id).collect();
+        let copies_needed = self.copies_needed(base.record.witnesses.len());
+        if replicas.len() > copies_needed {
+            replicas.retain(|id| Some(*id) != predecessor);
+        }
+        EpochRecord { replicas, ..base.record.clone() }
+    }
+
+    fn begin_install(&mut self, mut preparing: Preparing, base: Base, record: EpochRecord) {
+        let holder = base.holders.first().and_then(|id| preparing.promises.get_mut(id));
+        let copy = match base.holders.contains(&self.me.id) {
+            true => Some(self.durable.copy_state()),
+            false => holder.and_then(|promise| promise.state.take()),
+        };
+        let Some(state) = copy else { return self.fail_campaign() };
+        self.campaign = Some(Campaign::Installing(Box::new(Installing {
+            record,
+            base,
+            state,
+            started: self.now,
+            next_send: self.now,
+            sent_before: false,
+            installed: BTreeSet::new(),
+        })));
+        self.send_installs();
+    }
+
+    fn send_installs(&mut self) {
+        let resend_ms = self.settings.timings.resend_ms;
+        let Some(Campaign::Installing(installing)) = &mut self.campaign else { return };
+        if self.now < installing.next_send {
+            return;
+        }
+        installing.next_send = self.now + resend_ms;
+        let recipients = installing.recipients().into_values();
+        let unanswered = recipients.filter(|member| !installing.installed.contains(&member.id));
+        let messages: Vec<(Member, Message)> =
+            unanswered.map(|member| (member.clone(), installing.message_for(member.id))).collect();
+        installing.sent_before = true;
+        for (member, message) in messages {
+            self.send(member, message);
+        }
+    }
+}
+
+impl Canvassing {
+    /// After so long, somebody who put this candidate off might vote for it.
+    fn shortest_wait(&self) -> Millis {
+        let waits = self.standings.values().filter(|standing| !standing.would_promise);
+        waits.map(|standing| standing.wait_ms).min().unwrap_or_default()
+    }
+}
+
+/// Why an epoch can't begin from the promises that came.
+enum CantBegin {
+    /// Too few members could hold the state.
+    TooFewCopies,
+    /// Another primary's epoch came between.
+    Superseded,
+}
--- a/coordination/src/replica/interface.rs
+++ b/coordination/src/replica/interface.rs
@@ -50,6 +50,9 @@
     /// While the members change: those before the change, a majority of whom is needed as well. Else empty.
     #[n(4)]
     pub former_witnesses: Vec<Member>,
+    /// Number of the record from whose state it began.
+    #[n(5)]
+    pub follows: Epoch,
 }
 
 /// What a state machine makes of a request.
--- a/coordination/src/replica/message.rs
+++ b/coordination/src/replica/message.rs
@@ -1,6 +1,7 @@
 //! Messages between members. Each may be lost, doubled, reordered or late.
 
 use super::interface::{Epoch, EpochRecord, Member, MemberId, Millis, Version};
+use minicbor::bytes::ByteVec;
 use minicbor::{Decode, Encode};
 
 /// A message with its ends, as a host sends it.
@@ -31,7 +32,7 @@
     Prepare(#[n(0)] Prepare),
     /// Answer to [`Message::Prepare`]; the promise is on disk.
     #[n(3)]
-    Promise(#[n(0)] Promise),
+    Promise(#[n(0)] Box<Promise>),
     /// Answer to any request that came too late or too early: what stands in its way.
     #[n(4)]
     Refusal(#[n(0)] Refusal),
@@ -61,6 +62,34 @@
     Leaving,
 }
 
+/// A state on its way from one member to another.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct StateCopy {
+    /// So far the sender knows it as committed.
+    #[n(0)]
+    pub version: Version,
+    /// The state at that version.
+    #[n(1)]
+    pub snapshot: ByteVec,
+    /// The command after it, written but not known as committed.
+    #[n(2)]
+    pub pending: Option<ByteVec>,
+}
+
+impl Promise {
+    /// Number of the record to which its state belongs.
+    pub fn state_epoch(&self) -> Option<Epoch> {
+        self.state_record.as_ref().map(|record| record.number)
+    }
+}
+
+impl StateCopy {
+    /// Version with the pending command.
+    pub fn accepted_version(&self) -> Version {
+        self.version.saturating_add(Version::from(self.pending.is_some()))
+    }
+}
+
 /// Would you promise?
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub struct Canvass {
@@ -115,13 +144,15 @@
     /// The witness's newest record.
     #[n(1)]
     pub record: EpochRecord,
-    /// Version of its state, a command that it wrote but does not know as committed included. It counts where the witness is
-    /// a replica of its record.
+    /// The newest record in which it is or was a replica: where its state belongs.
     #[n(2)]
+    pub state_record: Option<EpochRecord>,
+    /// Version of its state, a command that it wrote but does not know as committed included.
+    #[n(3)]
     pub version: Version,
     /// That state, where it is newer than the candidate's.
-    #[cbor(n(3), with = "minicbor::bytes")]
-    pub state: Option<Vec<u8>>,
+    #[n(4)]
+    pub state: Option<StateCopy>,
 }
 
 /// What stands in a request's way.
@@ -144,15 +175,15 @@
     /// What it is.
     #[n(0)]
     pub record: EpochRecord,
-    /// Number of the record that it follows.
+    /// Number of the record to which the state belongs with which it begins.
     #[n(1)]
-    pub base: Epoch,
-    /// Version of the state with which it begins.
+    pub state_epoch: Epoch,
+    /// Version of that state.
     #[n(2)]
     pub version: Version,
-    /// That state; none for those who hold it (record `base` at `version`) or are no replica.
-    #[cbor(n(3), with = "minicbor::bytes")]
-    pub state: Option<Vec<u8>>,
+    /// That state; none for those who hold it already or are no replica.
+    #[n(3)]
+    pub state: Option<StateCopy>,
 }
 
 /// An epoch's record (and state) is on disk.
@@ -219,7 +250,10 @@
     pub promised: Epoch,
     /// Number of the newest record that it has on disk.
     #[n(4)]
-    pub record_number: Epoch,
+    pub record_number: Option<Epoch>,
+    /// Its process is about to end.
+    #[n(5)]
+    pub leaving: bool,
 }
 
 /// Take over now.
--- /dev/null
+++ b/coordination/src/replica/primary.rs
@@ -0,0 +1,295 @@
+//! The primary of an active epoch: heartbeats, the lease, what it knows of the members.
+
+use super::campaign::{Campaign, Installing, Purpose};
+use super::interface::{Epoch, EpochRecord, Member, MemberId, Millis, ProposeError, StateMachine};
+use super::message::{Heartbeat, HeartbeatAnswer, Install, Message};
+use super::proposals::{PendingWrite, QueuedProposal};
+use super::Replica;
+use std::collections::{BTreeMap, VecDeque};
+
+/// A disk that no longer asks to join is forgotten after so long.
+const JOINER_PATIENCE_MS: Millis = 1_500;
+/// After a change of the epoch failed, the next is tried after so long.
+const RECONFIGURATION_PAUSE_MS: Millis = 50;
+/// A member that did not write a record in time is left out for so long.
+const BLOCKED_MS: Millis = 500;
+
+/// The primary's side of an active epoch.
+#[derive(Debug)]
+pub(super) struct Primary {
+    /// The active record.
+    pub record: EpochRecord,
+    /// Since when.
+    pub activated_at: Millis,
+    /// What it knows of the other members.
+    pub peers: BTreeMap<MemberId, Peer>,
+    /// Disks that ask to be members.
+    pub joiners: BTreeMap<MemberId, Joiner>,
+    /// The command under way.
+    pub write: Option<PendingWrite>,
+    /// Those that wait.
+    pub queue: VecDeque<QueuedProposal>,
+    /// It hands over: it uses its lease no more, and begins nothing.
+    pub handing_over: Option<HandingOver>,
+    /// Sending moment of the newest heartbeat that each member granted, itself included.
+    granted: BTreeMap<MemberId, Millis>,
+    next_heartbeat: Millis,
+    reconfigure_at: Millis,
+}
+
+/// Another member, as the primary sees it.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Peer {
+    /// When it last answered.
+    pub heard_at: Millis,
+    /// Since when it has answered without a long pause.
+    pub steady_since: Millis,
+    /// The newest record that it has on disk.
+    pub record_number: Option<Epoch>,
+    /// Its promise.
+    pub promised: Epoch,
+    /// Its process is about to end.
+    pub leaving: bool,
+    /// Until then it is not counted on.
+    pub blocked_until: Millis,
+}
+
+/// A disk that asks to be a member.
+#[derive(Debug, Clone)]
+pub(super) struct Joiner {
+    pub member: Member,
+    /// When it last asked.
+    pub asked_at: Millis,
+    /// It answered a heartbeat since it asked: the request is no late message of a disk that is gone.
+    pub answers: bool,
+}
+
+/// A hand-over under way.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct HandingOver {
+    /// Since when.
+    pub since: Millis,
+    /// When the successor is told (again).
+    pub next_send: Millis,
+    /// So many times somebody was told.
+    pub told: usize,
+}
+
+impl Primary {
+    fn new(record: EpochRecord, now: Millis) -> Self {
+        Primary {
+            record,
+            activated_at: now,
+            peers: BTreeMap::new(),
+            joiners: BTreeMap::new(),
+            write: None,
+            queue: VecDeque::new(),
+            handing_over: None,
+            granted: BTreeMap::new(),
+            next_heartbeat: now,
+            reconfigure_at: now,
+        }
+    }
+
+    /// End of the lease.
+    pub fn lease_until(&self, lease_ms: Millis) -> Millis {
+        if self.handing_over.is_some() {
+            return 0;
+        }
+        let granted = self.record.quorum_moment(|id| self.granted.get(&id).copied());
+        granted.map_or(0, |sent_at| sent_at + lease_ms)
+    }
+
+    fn heard_from(&mut self, id: MemberId, now: Millis, longest_pause: Millis) -> &mut Peer {
+        let peer = self.peers.entry(id).or_default();
+        if peer.heard_at + longest_pause <= now {
+            peer.steady_since = now;
+        }
+        peer.heard_at = now;
+        peer
+    }
+}
+
+impl<S: StateMachine> Replica<S> {
+    /// The epoch of a finished installation begins.
+    pub(super) fn activate(&mut self, installing: Installing) {
+        let now = self.now;
+        self.durable.commit_up_to(installing.version());
+        self.succeeds = None;
+        let silence = self.settings.timings.replica_silence_ms;
+        let mut primary = self.primary.take().unwrap_or_else(|| Primary::new(EpochRecord::default(), now));
+        primary.record = installing.record;
+        primary.activated_at = now;
+        primary.next_heartbeat = now;
+        primary.reconfigure_at = now;
+        for id in installing.installed {
+            primary.heard_from(id, now, silence).record_number = Some(primary.record.number);
+        }
+        let is_witness = |id: &MemberId| primary.record.is_witness(*id);
+        primary.joiners.retain(|id, _| !is_witness(id));
+        self.primary = Some(primary);
+        self.finish_write_of_former_epoch();
+    }
+
+    /// The part of the primary is over, and so is every attempt at it.
+    pub(super) fn step_down(&mut self) {
+        self.campaign = None;
+        self.succeeds = None;
+        let Some(primary) = self.primary.take() else { return };
+        if let Some(write) = primary.write {
+            self.give_back(write.token, ProposeError::Unknown);
+        }
+        for proposal in primary.queue {
+            self.give_back(proposal.token, ProposeError::NotPrimary);
+        }
+        let retry = self.election_moment_after(self.now + self.settings.timings.grant_ms);
+        if self.election_at <= self.now {
+            self.election_at = retry;
+        }
+    }
+
+    pub(super) fn on_join(&mut self, member: Member) {
+        let now = self.now;
+        let Some(primary) = &mut self.primary else { return };
+        if primary.record.is_witness(member.id) || primary.handing_over.is_some() {
+            return;
+        }
+        let joiner =
+            primary.joiners.entry(member.id).or_insert(Joiner { member, asked_at: now, answers: false });
+        joiner.asked_at = now;
+        if !joiner.answers {
+            primary.next_heartbeat = now;
+        }
+    }
+
+    pub(super) fn on_heartbeat_answer(&mut self, from: &Member, answer: HeartbeatAnswer) {
+        self.saw_epoch(answer.promised);
+        let (now, silence) = (self.now, self.settings.timings.replica_silence_ms);
+        let Some(primary) = &mut self.primary else { return };
+        if let Some(joiner) = primary.joiners.get_mut(&from.id) {
+            joiner.answers = true;
+        }
+        let peer = primary.heard_from(from.id, now, silence);
+        peer.record_number = answer.record_number;
+        peer.promised = answer.promised;
+        peer.leaving = answer.leaving;
+        if answer.granted && answer.epoch == primary.record.number {
+            let newest = primary.granted.entry(from.id).or_default();
+            *newest = (*newest).max(answer.sent_at);
+        } else {
+            self.bring_record(from);
+        }
+    }
+
+    pub(super) fn on_member_leaving(&mut self, from: &Member) {
+        if let Some(peer) = self.primary.as_mut().and_then(|primary| primary.peers.get_mut(&from.id)) {
+            peer.leaving = true;
+        }
+    }
+
+    /// Does what is due for the primary.
+    pub(super) fn check_primary(&mut self) {
+        if self.primary.is_none() {
+            return;
+        }
+        self.check_fitness();
+        self.check_hand_over();
+        self.send_heartbeats();
+        self.forget_joiners();
+        self.resend_write();
+        self.expire_proposals();
+        self.check_epoch();
+    }
+
+    /// When the primary has something to do.
+    pub(super) fn primary_wakeup(&self, primary: &Primary) -> Millis {
+        let stall = self.writes.stalls_at(self.settings.timings.disk_stall_ms);
+        let write = primary.write.as_ref().map(|write| write.next_send);
+        let hand_over = primary.handing_over.map(|hand_over| hand_over.next_send);
+        let later = [stall.filter(|at| *at > self.now), write, hand_over];
+        let heartbeat = primary.handing_over.is_none().then_some(primary.next_heartbeat);
+        later.into_iter().chain([heartbeat]).flatten().min().unwrap_or(Millis::MAX)
+    }
+
+    /// A change of the epoch failed: who did not write the record in time is not counted on for a while.
+    pub(super) fn reconfiguration_failed(&mut self, failed: Option<Campaign>) {
+        let (now, me) = (self.now, self.me.id);
+        let Some(primary) = &mut self.primary else { return };
+        primary.reconfigure_at = now + RECONFIGURATION_PAUSE_MS;
+        let Some(Campaign::Installing(installing)) = failed else { return };
+        for id in installing.record.replicas {
+            if id != me && !installing.installed.contains(&id) {
+                primary.joiners.remove(&id);
+                primary.peers.entry(id).or_default().blocked_until = now + BLOCKED_MS;
+            }
+        }
+    }
+
+    /// A majority has not answered for so long that others may be about to take over.
+    pub(super) fn is_cut_off(&self) -> bool {
+        let timings = self.settings.timings;
+        let Some(primary) = &self.primary else { return false };
+        let lease_until = primary.lease_until(timings.lease_ms).max(primary.activated_at + timings.lease_ms);
+        primary.handing_over.is_none() && self.now >= lease_until + timings.resign_ms
+    }
+
+    fn send_heartbeats(&mut self) {
+        let heartbeat_ms = self.settings.timings.heartbeat_ms;
+        let committed = self.durable.version();
+        let Some(primary) = &mut self.primary else { return };
+        if self.now < primary.next_heartbeat || primary.handing_over.is_some() {
+            return;
+        }
+        primary.next_heartbeat = self.now + heartbeat_ms;
+        let heartbeat = Heartbeat { epoch: primary.record.number, sent_at: self.now, committed };
+        let joiners = primary.joiners.values().map(|joiner| &joiner.member);
+        let recipients: Vec<Member> = primary.record.everyone().chain(joiners).cloned().collect();
+        for member in recipients {
+            self.send(member, Message::Heartbeat(heartbeat.clone()));
+        }
+    }
+
+    /// A witness that was away gets the record. As a replica it counts only after the next change of the epoch.
+    fn bring_record(&mut self, to: &Member) {
+        let Some(primary) = &self.primary else { return };
+        let record = &primary.record;
+        let is_behind =
+            primary.peers.get(&to.id).is_some_and(|peer| peer.record_number < Some(record.number));
+        if is_behind && record.is_witness(to.id) && !record.is_replica(to.id) {
+            let install = Install {
+                record: record.clone(),
+                state_epoch: record.number,
+                version: self.durable.accepted_version(),
+                state: None,
+            };
+            self.send(to.clone(), Message::Install(install));
+        }
+    }
+
+    fn forget_joiners(&mut self) {
+        let now = self.now;
+        if let Some(primary) = &mut self.primary {
+            primary.joiners.retain(|_, joiner| now < joiner.asked_at + JOINER_PATIENCE_MS);
+        }
+    }
+
+    /// Begins the next command, or changes the epoch first if that is wanted.
+    fn check_epoch(&mut self) {
+        let holds_lease = self.holds_lease(self.now);
+        let silence = self.settings.timings.replica_silence_ms;
+        let Some(primary) = &self.primary else { return };
+        if self.campaign.is_some() || !holds_lease {
+            return;
+        }
+        let number_lost = self.durable.promised != primary.record.number;
+        if self.now >= primary.reconfigure_at && self.wants_reconfiguration() {
+            let write_is_stuck =
+                primary.write.as_ref().is_some_and(|write| self.now >= write.since + silence);
+            if primary.write.is_none() || write_is_stuck || number_lost {
+                self.begin_prepare(Purpose::Reconfigure);
+            }
+        } else if !number_lost {
+            self.begin_next_command();
+        }
+    }
+}
