--- a/alderhollow/src/operator_api/server.rs
+++ b/alderhollow/src/operator_api/server.rs
@@ -127,7 +127,11 @@
         Ok(()) => end.await.unwrap_or(Reply::Unknown),
         Err(_) => Reply::Unavailable,
     };
-    respond(reply, &path_and_query, Instant::now())
+    let response = respond(reply, &path_and_query, Instant::now());
+    if let Ok(response) = &response {
+        log::debug!("operators' call {path_and_query}: {}", response.status());
+    }
+    response
 }
 
 /// The HTTP answer to a call, as given at `now`.
--- a/alderhollow/src/operator_api/service.rs
+++ b/alderhollow/src/operator_api/service.rs
@@ -74,10 +74,12 @@
     }
 
     async fn order(&self, authority: &Rc<ControlAuthority>, order: Order) -> Reply {
+        let name = order_name(&order);
         let context = self.order_context(authority);
         let request = Request::Order { order, context };
         match authority.core().propose(request.to_bytes()).await {
-            Ok(Outcome::Committed(_)) => {
+            Ok(Outcome::Committed(version)) => {
+                log::info!("{name} is taken, in version {version} of the core's state");
                 Reply::Decided { status: StatusCode::OK, body: b"{}".to_vec(), valid_until: None }
             }
             Ok(Outcome::Answered(answer)) => self.answered(authority, &answer),
@@ -154,6 +156,17 @@
     }
 }
 
+/// What an order is called in the log.
+fn order_name(order: &Order) -> &'static str {
+    match order {
+        Order::PutConfig(_) => "a configuration",
+        Order::PatchConfig(_) => "a change of the configuration",
+        Order::Evacuate { .. } => "an evacuation",
+        Order::TakeBack { .. } => "the end of an evacuation",
+        Order::Retire { .. } => "a retirement",
+    }
+}
+
 fn is_empty_or_json(document: &[u8]) -> bool {
     document.is_empty() || serde_json::from_slice::<serde_json::Value>(document).is_ok()
 }
