Read batch calls and event streams

The door has to read batch jobs, paths and queries from clients, and the executor the events of items' answers. Both are pure and stand without the rest. A partial event is dropped, as the next run begins after the last whole one.

--- /dev/null
+++ b/alderhollow/src/batch_api/document.rs
@@ -0,0 +1,153 @@
+//! The JSON of batch calls: a batch job as a client hands it in, and results as a client reads them.
+
+use base64::prelude::{Engine as _, BASE64_STANDARD};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Most items of one batch job.
+pub const MOST_ITEMS: usize = 200;
+
+/// One item as it was handed in, its body decoded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HandedItem {
+    /// Its id, which goes to backends as `Request-Id`.
+    pub id: String,
+    /// Path of its request.
+    pub path: String,
+    /// Headers of its request.
+    pub headers: Vec<(String, String)>,
+    /// Body of its request.
+    pub body: Vec<u8>,
+    /// Tokens of the prompt and most out, summed.
+    pub tokens: u64,
+}
+
+/// Why a batch job can't be taken: it will never be valid, so the client gets 400.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+pub enum DocumentError {
+    /// Not JSON, or not of this shape.
+    #[error("not a batch job: {0}")]
+    Json(String),
+    /// There is no item.
+    #[error("`requests` is empty")]
+    Empty,
+    /// More than [`MOST_ITEMS`].
+    #[error("{0} items, where {MOST_ITEMS} are the most")]
+    TooMany(usize),
+    /// An item without an id, or two with one.
+    #[error("item {0} has an id that is empty, badly written or not its own")]
+    Id(usize),
+    /// A path that can't stand in a request.
+    #[error("item {0} has a path that can't stand in a request")]
+    Path(usize),
+    /// A header that can't stand in a request.
+    #[error("item {0} has a header `{1}` that can't stand in a request")]
+    Header(usize, String),
+    /// A body that isn't base64.
+    #[error("item {0} has a body that isn't base64")]
+    Body(usize),
+}
+
+#[derive(Deserialize)]
+struct Document {
+    requests: Vec<Item>,
+}
+
+#[derive(Deserialize)]
+struct Item {
+    id: String,
+    path: String,
+    #[serde(default)]
+    headers: BTreeMap<String, String>,
+    #[serde(default)]
+    body: String,
+    #[serde(default)]
+    tokens: u64,
+}
+
+/// Reads and checks a batch job.
+pub fn read(body: &[u8]) -> Result<Vec<HandedItem>, DocumentError> {
+    let document: Document =
+        serde_json::from_slice(body).map_err(|error| DocumentError::Json(error.to_string()))?;
+    let count = document.requests.len();
+    if count == 0 {
+        return Err(DocumentError::Empty);
+    }
+    if count > MOST_ITEMS {
+        return Err(DocumentError::TooMany(count));
+    }
+    let mut ids = BTreeSet::new();
+    let mut items = Vec::with_capacity(count);
+    for (index, item) in document.requests.into_iter().enumerate() {
+        if !is_id(&item.id) || !ids.insert(item.id.clone()) {
+            return Err(DocumentError::Id(index));
+        }
+        items.push(check(index, item)?);
+    }
+    Ok(items)
+}
+
+/// Whether a text can stand as an id: visible ASCII, so that it can be a header's value.
+pub fn is_id(id: &str) -> bool {
+    !id.is_empty() && id.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
+fn check(index: usize, item: Item) -> Result<HandedItem, DocumentError> {
+    let parsed = item.path.parse::<http::uri::PathAndQuery>();
+    if !item.path.starts_with('/') || parsed.is_err() {
+        return Err(DocumentError::Path(index));
+    }
+    let headers: Vec<_> = item.headers.into_iter().collect();
+    if let Some((name, _)) = headers.iter().find(|(name, value)| !is_header(name, value)) {
+        return Err(DocumentError::Header(index, name.clone()));
+    }
+    let body = BASE64_STANDARD.decode(&item.body).map_err(|_| DocumentError::Body(index))?;
+    Ok(HandedItem { id: item.id, path: item.path, headers, body, tokens: item.tokens })
+}
+
+fn is_header(name: &str, value: &str) -> bool {
+    http::HeaderName::from_bytes(name.as_bytes()).is_ok() && http::HeaderValue::from_str(value).is_ok()
+}
+
+/// How an item ended, as clients read it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ResultState {
+    /// Its text is whole.
+    Completed,
+    /// It will not be done.
+    DeadLetter,
+}
+
+/// One result as clients read it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct ReadResult<'a> {
+    /// The item.
+    pub id: &'a str,
+    /// How it ended.
+    pub state: ResultState,
+    /// The data of all events in order, parted by line feeds.
+    pub text: &'a str,
+}
+
+/// The answer to a read.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ReadAnswer<'a> {
+    /// Items of the batch job.
+    pub total: u64,
+    /// Position to read from next.
+    pub next_token: u64,
+    /// The results.
+    pub results: Vec<ReadResult<'a>>,
+}
+
+impl ReadAnswer<'_> {
+    /// The answer's body.
+    pub fn to_json(&self) -> Vec<u8> {
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/alderhollow/src/batch_api/document/tests.rs
@@ -0,0 +1,117 @@
+//! JSON of batch calls.
+
+use super::*;
+use proptest::prelude::*;
+use serde_json::json;
+
+fn one(change: impl Fn(&mut serde_json::Value)) -> Result<Vec<HandedItem>, DocumentError> {
+    let mut item =
+        json!({"id": "i1", "path": "/p/1", "headers": {"Model": "m"}, "body": "q83v", "tokens": 940});
+    change(&mut item);
+    read(json!({ "requests": [item] }).to_string().as_bytes())
+}
+
+#[test]
+fn a_batch_job_is_read() {
+    insta::assert_debug_snapshot!(one(|_| ()), @r#"
+    Ok(
+        [
+            HandedItem {
+                id: "i1",
+                path: "/p/1",
+                headers: [
+                    (
+                        "Model",
+                        "m",
+                    ),
+                ],
+                body: [
+                    171,
+                    205,
+                    239,
+                ],
+                tokens: 940,
+            },
+        ],
+    )
+    "#);
+}
+
+#[test]
+fn fields_that_are_not_known_are_passed_over() {
+    assert!(one(|item| item["later"] = json!([1])).is_ok());
+}
+
+#[test]
+fn what_cannot_be_sent_is_refused() {
+    assert_eq!(one(|item| item["id"] = json!("")), Err(DocumentError::Id(0)));
+    assert_eq!(one(|item| item["id"] = json!("a b")), Err(DocumentError::Id(0)));
+    assert_eq!(one(|item| item["path"] = json!("p")), Err(DocumentError::Path(0)));
+    assert_eq!(one(|item| item["path"] = json!("/a b")), Err(DocumentError::Path(0)));
+    assert_eq!(one(|item| item["body"] = json!("!")), Err(DocumentError::Body(0)));
+    assert_eq!(
+        one(|item| item["headers"] = json!({"A": "b\r\nC: d"})),
+        Err(DocumentError::Header(0, "A".to_string()))
+    );
+    assert!(matches!(one(|item| item["tokens"] = json!(-1)), Err(DocumentError::Json(_))));
+    assert!(matches!(read(b"{\"requests\":[{\"id\":\"x\""), Err(DocumentError::Json(_))));
+    assert_eq!(read(b"{\"requests\":[]}"), Err(DocumentError::Empty));
+}
+
+#[test]
+fn two_items_with_one_id_are_refused() {
+    let item = json!({"id": "i1", "path": "/p", "body": "", "tokens": 1});
+    let body = json!({ "requests": [item, item] }).to_string();
+    assert_eq!(read(body.as_bytes()), Err(DocumentError::Id(1)));
+}
+
+#[test]
+fn the_most_items_fit_and_one_more_does_not() {
+    let items = |count: usize| {
+        let items: Vec<_> = (0..count).map(|n| json!({"id": n.to_string(), "path": "/p"})).collect();
+        read(json!({ "requests": items }).to_string().as_bytes()).map(|items| items.len())
+    };
+    assert_eq!(items(MOST_ITEMS), Ok(MOST_ITEMS));
+    assert_eq!(items(MOST_ITEMS + 1), Err(DocumentError::TooMany(MOST_ITEMS + 1)));
+}
+
+#[test]
+fn results_look_as_on_the_page() {
+    let answer = ReadAnswer {
+        total: 40,
+        next_token: 14,
+        results: vec![
+            ReadResult { id: "i1", state: ResultState::Completed, text: "one\ntwo \"2\"" },
+            ReadResult { id: "i2", state: ResultState::DeadLetter, text: "" },
+        ],
+    };
+    insta::assert_snapshot!(
+        String::from_utf8(answer.to_json()).expect("text"),
+        @r#"{"total":40,"next-token":14,"results":[{"id":"i1","state":"completed","text":"one\ntwo \"2\""},{"id":"i2","state":"dead_letter","text":""}]}"#
+    );
+}
+
+proptest! {
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
+        let _ = read(&bytes);
+    }
+
+    #[test]
+    fn a_damaged_batch_job_never_panics(at in 0usize..200, byte in any::<u8>(), cut in 0usize..200) {
+        let item = json!({"id": "i1", "path": "/p/1", "headers": {"Model": "m"}, "body": "q83v", "tokens": 9});
+        let mut bytes = json!({ "requests": [item] }).to_string().into_bytes();
+        let at = at % bytes.len();
+        bytes[at] = byte;
+        bytes.truncate(cut.max(1));
+        let _ = read(&bytes);
+    }
+
+    #[test]
+    fn what_is_handed_in_is_what_is_kept(body in proptest::collection::vec(any::<u8>(), 0..300), tokens in any::<u64>()) {
+        let item = json!({"id": "i1", "path": "/p", "body": BASE64_STANDARD.encode(&body), "tokens": tokens});
+        let items = read(json!({ "requests": [item] }).to_string().as_bytes()).expect("valid");
+        prop_assert_eq!(&items[0].body, &body);
+        prop_assert_eq!(items[0].tokens, tokens);
+    }
+}
--- /dev/null
+++ b/alderhollow/src/batch_api/path.rs
@@ -0,0 +1,103 @@
+//! Paths and queries of the calls about batch jobs.
+
+/// Results of a batch job, and its end.
+pub const LOTS: &str = "/alderhollow/lots/";
+/// Bodies of items.
+pub const ITEMS: &str = "/alderhollow/items/";
+
+/// What a path under the tier's own names asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Target {
+    /// A batch job: `GET` reads results from a position on, `DELETE` ends it.
+    Lot {
+        /// The batch job's id.
+        job: String,
+        /// Position of the first result wanted.
+        after: u64,
+    },
+    /// The body of an item.
+    Item {
+        /// The batch job's id.
+        job: String,
+        /// The item's id.
+        item: String,
+    },
+}
+
+/// A path or query that names nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum PathError {
+    /// Not one of the paths of batch jobs.
+    #[error("no such path")]
+    Unknown,
+    /// The id of a batch job or item is missing or badly written.
+    #[error("the id is missing or badly written")]
+    Id,
+    /// `after` is not a whole number.
+    #[error("`after` is not a whole number")]
+    After,
+}
+
+/// Whether a path belongs to batch jobs, whatever its route.
+pub fn is_batch_path(path: &str) -> bool {
+    path.starts_with(LOTS) || path.starts_with(ITEMS)
+}
+
+/// Reads a path and its query.
+pub fn read(path: &str, query: Option<&str>) -> Result<Target, PathError> {
+    let query = query.unwrap_or("");
+    if let Some(job) = path.strip_prefix(LOTS) {
+        let after = match value_of(query, "after")? {
+            None => 0,
+            Some(text) => text.parse().map_err(|_| PathError::After)?,
+        };
+        return Ok(Target::Lot { job: id(job)?, after });
+    }
+    let job = path.strip_prefix(ITEMS).ok_or(PathError::Unknown)?;
+    let item = value_of(query, "id")?.ok_or(PathError::Id)?;
+    Ok(Target::Item { job: id(job)?, item: id(&item)? })
+}
+
+fn id(text: &str) -> Result<String, PathError> {
+    let decoded = decode(text)?;
+    match decoded.is_empty() || decoded.contains('/') {
+        true => Err(PathError::Id),
+        false => Ok(decoded),
+    }
+}
+
+fn value_of(query: &str, name: &str) -> Result<Option<String>, PathError> {
+    for pair in query.split('&') {
+        let (key, value) = pair.split_once('=').unwrap_or((pair, ""));
+        if key == name {
+            return decode(value).map(Some);
+        }
+    }
+    Ok(None)
+}
+
+/// Resolves `%XX`.
+fn decode(text: &str) -> Result<String, PathError> {
+    if !text.contains('%') {
+        return Ok(text.to_string());
+    }
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes().iter();
+    while let Some(&byte) = rest.next() {
+        if byte != b'%' {
+            bytes.push(byte);
+            continue;
+        }
+        let high = rest.next().and_then(|digit| hex(*digit)).ok_or(PathError::Id)?;
+        let low = rest.next().and_then(|digit| hex(*digit)).ok_or(PathError::Id)?;
+        bytes.push(high * 16 + low);
+    }
+    String::from_utf8(bytes).map_err(|_| PathError::Id)
+}
+
+fn hex(digit: u8) -> Option<u8> {
+    (digit as char).to_digit(16).map(|value| value as u8)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/alderhollow/src/executor/events/tests.rs
@@ -0,0 +1,109 @@
+//! Events cut at every byte.
+
+use super::*;
+use proptest::prelude::*;
+
+const STREAM: &str =
+    "id: 1\ndata: one\n\nversions: 4\nid: 2\ndata: two\n\n: note\n\nid: 3\ndata: drei \u{e4}\n\n";
+
+fn read(pieces: &[&[u8]]) -> EventReader {
+    let mut reader = EventReader::default();
+    for piece in pieces {
+        reader.push(piece).expect("a valid piece");
+    }
+    reader
+}
+
+#[test]
+fn whole_events_are_joined_by_line_feeds() {
+    let reader = read(&[STREAM.as_bytes()]);
+    assert_eq!(reader.transcript().text, "one\ntwo\ndrei \u{e4}");
+    assert_eq!(reader.transcript().last_id, Some(3));
+    assert!(reader.is_between_events());
+}
+
+#[test]
+fn a_stream_cut_at_any_byte_goes_on_without_loss_or_doubling() {
+    for cut in 0..=STREAM.len() {
+        let first = read(&[&STREAM.as_bytes()[..cut]]).into_transcript();
+        let next_id = first.last_id.unwrap_or(0) + 1;
+        let rest = match STREAM.find(&format!("id: {next_id}\n")) {
+            Some(start) => &STREAM[start..],
+            None => "",
+        };
+        let mut second = EventReader::after(first);
+        second.push(rest.as_bytes()).expect("valid");
+        assert_eq!(second.transcript().text, "one\ntwo\ndrei \u{e4}", "cut at {cut}");
+        assert_eq!(second.transcript().events, 3, "cut at {cut}");
+    }
+}
+
+#[test]
+fn ids_must_rise_and_be_there() {
+    for bad in [
+        "id: 2\ndata: a\n\nid: 2\ndata: b\n\n",
+        "id: 2\ndata: a\n\nid: 1\ndata: b\n\n",
+        "data: a\n\n",
+        "id: x\ndata: a\n\n",
+    ] {
+        assert_eq!(EventReader::default().push(bad.as_bytes()), Err(EventError::Id), "{bad}");
+    }
+}
+
+#[test]
+fn an_event_of_a_run_that_began_too_early_is_refused() {
+    let mut reader = EventReader::after(Transcript { last_id: Some(4), text: "x".into(), events: 4 });
+    assert_eq!(reader.push(b"id: 4\ndata: y\n\n"), Err(EventError::Id));
+}
+
+#[test]
+fn empty_data_counts_as_an_event() {
+    assert_eq!(read(&[b"id: 1\ndata:\n\nid: 2\ndata: b\n\n"]).transcript().text, "\nb");
+}
+
+#[test]
+fn carriage_returns_end_lines_too() {
+    assert_eq!(read(&[b"id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n"]).transcript().text, "a\nb");
+}
+
+#[test]
+fn an_endless_event_is_refused() {
+    let mut reader = EventReader::default();
+    let piece = vec![b'x'; LARGEST_EVENT_BYTES / 2];
+    assert_eq!(reader.push(&piece), Ok(()));
+    assert_eq!(reader.push(&piece), Ok(()));
+    assert_eq!(reader.push(&piece), Err(EventError::TooLarge));
+}
+
+proptest! {
+    #[test]
+    fn any_division_into_pieces_gives_the_same(
+        texts in proptest::collection::vec("[a-z \u{e4}]{0,20}", 1..20),
+        cuts in proptest::collection::vec(0usize..400, 0..12),
+    ) {
+        let mut stream = Vec::new();
+        for (index, text) in texts.iter().enumerate() {
+            stream.extend_from_slice(format!("id: {}\ndata: {text}\n\n", index + 1).as_bytes());
+        }
+        let mut cuts: Vec<usize> = cuts.into_iter().map(|cut| cut % stream.len()).collect();
+        cuts.sort_unstable();
+        let mut reader = EventReader::default();
+        let mut from = 0;
+        for cut in cuts.into_iter().chain([stream.len()]) {
+            reader.push(&stream[from..cut]).expect("valid");
+            from = cut;
+        }
+        prop_assert_eq!(&reader.transcript().text, &texts.join("\n"));
+        prop_assert_eq!(reader.transcript().last_id, Some(texts.len() as u64));
+    }
+
+    #[test]
+    fn arbitrary_bytes_never_panic(pieces in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 0..60), 0..20)) {
+        let mut reader = EventReader::default();
+        for piece in pieces {
+            if reader.push(&piece).is_err() {
+                break;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/alderhollow/src/executor/mod.rs
@@ -0,0 +1,3 @@
+//! Runs the items of batch jobs at backends, for the primary of the group of stores.
+
+pub mod events;
--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -4,6 +4,8 @@
 #![warn(missing_docs)]
 
 pub mod balance;
+pub mod batch_api;
+pub mod executor;
 pub mod routing;
 
 use alderhollow_model::snapshot::Snapshot;
