--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -6,6 +6,9 @@
 pub mod balance;
 pub mod batch_api;
 pub mod executor;
+pub mod clock;
+pub mod distribution;
+pub mod internal;
 pub mod routing;
 
 use alderhollow_model::snapshot::Snapshot;
