Move connections, links and streamed bodies below both programs

The serving tier's door and its batch executor need what brassport has of connections: one exchange over a connection that its holder drives, bodies that pass through as they come, and a client's connection that closes in order. A copy was ruled out: both programs are to have one fault mended once.

Moved with their tests to `springusher-dataplane`: `link`, `flow`, `connection`, and `pulse`, on which `connection` stands. The only change in kind is that a pulse is told its bounds (`Times`); brassport's are in its desk, as they were. The moved tests name the same figures as constants of their own.

--- a/src/bin/brassport/clients/connection.rs
+++ b/dataplane/src/connection.rs
@@ -1,7 +1,7 @@
 //! One connection of a client: driven until it has ended, or until it is told to end and nothing of a request is on it.
 
-use crate::backends::link::BUFFER;
-use crate::clients::pulse::{Due, Felt, Pulse};
+use crate::link::BUFFER;
+use crate::pulse::{Due, Felt, Pulse};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::HttpService;
--- a/src/bin/brassport/clients/connection/tests.rs
+++ b/dataplane/src/connection/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::clients::pulse::HEAD;
+use crate::pulse::Times;
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::service::service_fn;
@@ -11,6 +11,8 @@
 use tokio::time::{sleep_until, Instant};
 
 const LOOK: Duration = Duration::from_millis(1);
+const HEAD: Duration = Duration::from_millis(2600);
+const TIMES: Times = Times { head: HEAD, idle: Duration::from_millis(2000) };
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 
 /// A client's end, which writes and looks at once, and the other.
@@ -40,7 +42,7 @@
 
 /// Drives the connection until `close`, then ends it. Counts the requests that were begun.
 async fn serve(stream: &Rc<TcpStream>, begun: &Cell<u32>, close: impl Future<Output = ()>) {
-    let pulse = Pulse::new();
+    let pulse = Pulse::new(TIMES);
     let service = service_fn(|_: Request<Incoming>| {
         begun.set(begun.get() + 1);
         let (pulse, busy) = (pulse.clone(), pulse.asked());
--- a/src/bin/brassport/clients/flow.rs
+++ b/dataplane/src/flow.rs
@@ -15,6 +15,7 @@
 /// An answer on its way to a client.
 pub type Outgoing = Either<Full<Bytes>, Flow>;
 
+/// An answer that is here whole.
 pub fn whole(bytes: Bytes) -> Outgoing {
     Either::Left(Full::new(bytes))
 }
@@ -65,7 +66,10 @@
 }
 
 impl Source {
-    /// Passes a piece on once there is room for it; an error if nobody reads any more.
+    /// Passes a piece on once there is room for it.
+    ///
+    /// # Errors
+    /// Nobody reads any more.
     pub async fn send(&self, data: Bytes) -> Result<(), Cut> {
         // A small piece must not hold the large buffer that it was read into.
         let data = if data.len() < SMALL { Bytes::copy_from_slice(&data) } else { data };
@@ -75,6 +79,7 @@
         };
         self.pieces.send(Piece::Data { data, _room: room }).map_err(|_| Cut)
     }
+    /// The body is whole.
     pub fn end(self) {
         let _ = self.pieces.send(Piece::End);
     }
@@ -122,6 +127,7 @@
 }
 
 impl Upload {
+    /// A body whose beginning is here.
     pub fn new(first: Bytes, rest: Option<Incoming>) -> Upload {
         Upload { first: Some(first).filter(|first| !first.is_empty()), rest }
     }
--- a/dataplane/src/lib.rs
+++ b/dataplane/src/lib.rs
@@ -1,1 +1,10 @@
-//! Placeholder.
+//! What every front door does with connections, whoever decides where requests go: one exchange with a peer at a time
+//! over a connection that its holder drives, bodies that pass through as they come, and the lifecycle of a client's
+//! connection.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod connection;
+pub mod flow;
+pub mod link;
+pub mod pulse;
--- a/src/bin/brassport/backends/link.rs
+++ b/dataplane/src/link.rs
@@ -1,7 +1,7 @@
 //! One HTTP/1.1 connection to a peer. Whoever holds it drives it: no task of its own stands behind it, so
 //! dropping it has closed the socket.
 
-use crate::clients::flow::Upload;
+use crate::flow::Upload;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
@@ -19,8 +19,9 @@
 use std::task::{ready, Context, Poll};
 use tokio::net::{TcpSocket, TcpStream};
 
-/// What is read ahead of its reader, or written ahead of it, on one connection: by the program, and by the system.
+/// What is read ahead of its reader, or written ahead of it, on one connection by the program.
 pub const BUFFER: usize = 32 * 1024;
+/// The same by the system.
 pub const KERNEL_BUFFER: u32 = 64 * 1024;
 
 /// Why an exchange brought no whole answer.
@@ -137,6 +138,7 @@
 
 type Running = Box<Connection<Socket, Tracked>>;
 
+/// One connection, which carries one exchange at a time.
 pub struct Link {
     sender: SendRequest<Tracked>,
     /// `None` once it is over. It is large, and links are moved about.
--- a/src/bin/brassport/clients/pulse.rs
+++ b/dataplane/src/pulse.rs
@@ -11,14 +11,18 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, sleep_until, Instant};
 
-/// How long a client may take over a head: 2 s are honest, and a peer that sends nothing proper is owed an
-/// end within 3 s of connecting.
-pub const HEAD: Duration = Duration::from_millis(2600);
-/// How long a connection may stand with no byte of a next head.
-const IDLE: Duration = Duration::from_millis(2000);
 /// How often a connection that is closing is looked at.
 const LOOK: Duration = Duration::from_millis(500);
 
+/// The bounds on a client's connection.
+#[derive(Debug, Clone, Copy)]
+pub struct Times {
+    /// How long a client may take over a head.
+    pub head: Duration,
+    /// How long a connection may stand with no byte of a next head.
+    pub idle: Duration,
+}
+
 #[derive(Clone, Copy)]
 enum State {
     /// A head is on its way since then.
@@ -36,7 +40,9 @@
     Idle,
 }
 
+/// What one connection of a client waits for, and since when.
 pub struct Pulse {
+    times: Times,
     state: Cell<State>,
     /// Told when a request has been answered: until then there is nothing to look for.
     answered: Notify,
@@ -50,8 +56,9 @@
 
 impl Pulse {
     /// Of a connection that has just come: its first head is due.
-    pub fn new() -> Rc<Pulse> {
+    pub fn new(times: Times) -> Rc<Pulse> {
         Rc::new(Pulse {
+            times,
             state: Cell::new(State::Head(Instant::now())),
             answered: Notify::new(),
             watched: Cell::new(false),
@@ -77,6 +84,7 @@
     pub fn is_blind(&self) -> bool {
         matches!(self.state.get(), State::Busy) && !self.watched.get()
     }
+    /// Whether a request is in work.
     pub fn is_busy(&self) -> bool {
         matches!(self.state.get(), State::Busy)
     }
@@ -84,19 +92,22 @@
     pub fn is_idle(&self) -> bool {
         matches!(self.state.get(), State::Idle(_))
     }
+    /// The connection is to take no further request.
     pub fn close(&self) {
         self.closing.set(true);
     }
+    /// Whether it takes none.
     pub fn is_closing(&self) -> bool {
         self.closing.get()
     }
+    /// Whether the client's end was read.
     pub fn has_ended(&self) -> bool {
         self.ended.get()
     }
     fn due(&self) -> Option<(Instant, Due)> {
         match self.state.get() {
-            State::Head(since) => Some((since + HEAD, Due::Head)),
-            State::Idle(since) => Some((since + IDLE, Due::Idle)),
+            State::Head(since) => Some((since + self.times.head, Due::Head)),
+            State::Idle(since) => Some((since + self.times.idle, Due::Idle)),
             State::Busy => None,
         }
     }
@@ -135,6 +146,7 @@
 }
 
 impl Felt {
+    /// The socket, and where it tells.
     pub fn new(stream: Rc<TcpStream>, pulse: Rc<Pulse>) -> Felt {
         Felt { stream, pulse }
     }
@@ -214,9 +226,12 @@
     use std::future::Future;
     use tokio::time::timeout;
 
+    const HEAD: Duration = Duration::from_millis(2600);
+    const IDLE: Duration = Duration::from_millis(2000);
+
     #[tokio::test(start_paused = true)]
     async fn a_pause_is_not_taken_from_the_time_for_the_next_head() {
-        let pulse = Pulse::new();
+        let pulse = Pulse::new(Times { head: HEAD, idle: IDLE });
         let start = Instant::now();
         assert_eq!(pulse.overdue().await, Due::Head);
         assert_eq!(start.elapsed(), HEAD);
--- a/src/bin/brassport/backends/attempts.rs
+++ b/src/bin/brassport/backends/attempts.rs
@@ -1,15 +1,15 @@
 //! Attempts: one exchange with a backend each, over a connection of the pool.
 
-use crate::backends::link::Failure;
 use crate::backends::pool::{Pool, Pooled};
 use crate::backends::sessions::Sent;
 use crate::clients::desk;
-use crate::clients::flow::{flow, Flow, Upload};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use springusher::{CustomerId, Outcome, ServerId};
+use springusher_dataplane::flow::{flow, Flow, Upload};
+use springusher_dataplane::link::Failure;
 use springusher_fleet::sessions::evidence;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
--- a/src/bin/brassport/backends/discovery.rs
+++ b/src/bin/brassport/backends/discovery.rs
@@ -1,7 +1,5 @@
 //! Discovery: follows the list of backends and hands each change on.
 
-use crate::backends::link::Link;
-use crate::clients::flow::Upload;
 use crate::operators::cost::{Gauge, Held};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::HOST;
@@ -9,6 +7,8 @@
 use oorandom::Rand32;
 use serde::{Deserialize, Serialize};
 use springusher::ListKind;
+use springusher_dataplane::flow::Upload;
+use springusher_dataplane::link::Link;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
--- a/src/bin/brassport/backends/mod.rs
+++ b/src/bin/brassport/backends/mod.rs
@@ -3,6 +3,5 @@
 pub mod attempts;
 pub mod catalog;
 pub mod discovery;
-pub mod link;
 pub mod pool;
 pub mod sessions;
--- a/src/bin/brassport/backends/pool.rs
+++ b/src/bin/brassport/backends/pool.rs
@@ -1,11 +1,11 @@
 //! The connections to the backends: where each backend is, which connections stand idle, and how one is had.
 
-use crate::backends::link::Link;
 use crate::backends::sessions::{Hold, Seen, Sessions, Watched, RUN_GAP};
 use crate::operators::cost::{Gauge, Held};
 use hyper::header::HeaderMap;
 use oorandom::Rand32;
 use springusher::{CustomerId, ServerId};
+use springusher_dataplane::link::Link;
 use springusher_fleet::sessions::evidence::{Conn, Outcome};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
--- a/src/bin/brassport/clients/desk.rs
+++ b/src/bin/brassport/clients/desk.rs
@@ -1,9 +1,6 @@
 //! The clients' side: accepts connections, reads requests, checks them and writes the answers.
 
 use crate::backends::attempts::{Backends, Message, BODY_LIMIT};
-use crate::clients::connection;
-use crate::clients::flow::{whole, Outgoing};
-use crate::clients::pulse::Pulse;
 use crate::clients::shift::{Phase, Shift};
 use crate::clients::stats::{Answered, Entry, Fate, Stats};
 use crate::door::{Answer, Door};
@@ -15,6 +12,9 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use springusher::{Effect, Settings};
+use springusher_dataplane::connection;
+use springusher_dataplane::flow::{whole, Outgoing};
+use springusher_dataplane::pulse::{Pulse, Times};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io;
@@ -46,6 +46,9 @@
 const BACK_OFF: Duration = Duration::from_millis(20);
 /// Customers are numbers below this.
 const CUSTOMERS: u64 = 1 << 33;
+/// How long a client may take over a head: 2 s are honest, and a peer that sends nothing proper is owed an end within
+/// 3 s of connecting. And how long a connection may stand with no byte of a next head.
+const TIMES: Times = Times { head: Duration::from_millis(2600), idle: Duration::from_millis(2000) };
 /// Headers that speak of one connection, or of this front door's own business, and go no further.
 const NOT_PASSED_ON: [HeaderName; 12] = [
     header::CONNECTION,
@@ -143,7 +146,7 @@
     let _held = desk.stats.clients.hold();
     let _ = stream.set_nodelay(true);
     let stream = Rc::new(stream);
-    let pulse = Pulse::new();
+    let pulse = Pulse::new(TIMES);
     // Buffers are made once something comes: many connections stand silent, up to the time for their first head.
     // A look at the first byte, as the system's word that there is one may be early.
     let mut first_byte = [0];
--- a/src/bin/brassport/clients/mod.rs
+++ b/src/bin/brassport/clients/mod.rs
@@ -1,8 +1,5 @@
 //! What faces the clients: their connections, how they are sent away, and what became of their requests.
 
-pub mod connection;
 pub mod desk;
-pub mod flow;
-pub mod pulse;
 pub mod shift;
 pub mod stats;
--- a/src/bin/brassport/clients/stats.rs
+++ b/src/bin/brassport/clients/stats.rs
@@ -1,9 +1,9 @@
 //! What staff read of the front door: how many requests ended how, and how many are in hand.
 
-use crate::clients::pulse::Busy;
 use crate::operators::cost::Gauge;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use serde_json::{json, Map, Value};
+use springusher_dataplane::pulse::Busy;
 use std::cell::{Cell, RefCell};
 use std::pin::Pin;
 use std::rc::Rc;
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -4,7 +4,6 @@
 use crate::backends::attempts::{Backends, End, Message, Order};
 use crate::backends::catalog::Catalog;
 use crate::backends::discovery::{List, State, Target};
-use crate::clients::flow::{whole, Flow, Outgoing};
 use crate::life::alarms::Alarms;
 use crate::operators::bans::{BanError, Bans, Standing, NAME_LIMIT};
 use http_body_util::Either;
@@ -13,6 +12,7 @@
     Action, AttemptEnd, CustomerId, Estate, Event, Gateway, InvalidSetting, Lifecycle, ListKind, Millis,
 };
 use springusher::{Request, RequestId, ServerEntry, ServerId, Settings};
+use springusher_dataplane::flow::{whole, Flow, Outgoing};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/src/bin/brassport/life/handover.rs
+++ b/src/bin/brassport/life/handover.rs
@@ -4,7 +4,6 @@
 //! The listening socket itself changes hands: there is one queue all the time, and no close resets what waits in it.
 
 use crate::backends::discovery::{List, Target};
-use crate::backends::link::KERNEL_BUFFER;
 use crate::clients::shift::{Phase, Shift};
 use crate::door::Door;
 use crate::errors::text;
@@ -16,6 +15,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use springusher::{CustomerId, Estate};
+use springusher_dataplane::link::KERNEL_BUFFER;
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::future::Future;
