--- /dev/null
+++ b/alderhollow/src/batch_api/endpoints.rs
@@ -0,0 +1,192 @@
+//! Serves clients' calls about batch jobs through the primary of the group of stores.
+
+use super::document::{self, HandedItem};
+use super::path::{self, Target};
+use super::store_calls::{ask_primary, CallEnd, Patience, StoreLink};
+use super::{not_now, over_quota, plain, BatchAnswer, BatchCall, BatchEndpoints};
+use crate::batch_protocol::{StoreCall, StoreReply};
+use crate::SnapshotReceiver;
+use alderhollow_batch::job::{Header, Item, ItemRequest, JobId, NewJob};
+use alderhollow_model::config::Route;
+use hyper::body::Bytes;
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE};
+use hyper::{Method, Response, StatusCode};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// While nothing was handed over, a batch job waits so long for a primary that takes it; its client may then come again
+/// at another door.
+const SUBMIT_UNSERVED: Duration = Duration::from_millis(250);
+/// Once the end of a hand-over is unknown, so long is spent on finding it out, unless the client waits for less.
+const SUBMIT_UNKNOWN: Duration = Duration::from_millis(3_000);
+/// A client of a read waits so much more than it allows: some of it is for the way.
+const READ_MARGIN: Duration = Duration::from_millis(1_000);
+/// Longest hold that a client can ask for.
+const LONGEST_HOLD: Duration = Duration::from_millis(5_000);
+/// For bodies and ends.
+const OTHER_PATIENCE: Duration = Duration::from_millis(1_200);
+/// Kept of the client's time for the way back.
+const WAY_BACK: Duration = Duration::from_millis(50);
+
+/// The batch calls of a door. Clones are the same.
+#[derive(Clone)]
+pub struct StoreEndpoints {
+    link: Rc<dyn StoreLink>,
+    snapshots: SnapshotReceiver,
+}
+
+impl BatchEndpoints for StoreEndpoints {
+    fn serve(&self, call: BatchCall) -> BatchAnswer {
+        let endpoints = self.clone();
+        Box::pin(async move { endpoints.answer(call).await })
+    }
+}
+
+impl StoreEndpoints {
+    /// Endpoints that follow the tables for the group's primary.
+    pub fn new(link: Rc<dyn StoreLink>, snapshots: SnapshotReceiver) -> StoreEndpoints {
+        StoreEndpoints { link, snapshots }
+    }
+
+    async fn answer(&self, call: BatchCall) -> Response<Bytes> {
+        let uri = call.request.uri();
+        if !path::is_batch_path(uri.path()) {
+            return match &call.route {
+                Some(route) if call.request.method() == Method::POST => self.submit(&call, route).await,
+                _ => plain(StatusCode::METHOD_NOT_ALLOWED),
+            };
+        }
+        let Ok(target) = path::read(uri.path(), uri.query()) else { return plain(StatusCode::BAD_REQUEST) };
+        match (call.request.method().clone(), target) {
+            (Method::GET, Target::Lot { job, after }) => self.read(&call, job, after).await,
+            (Method::DELETE, Target::Lot { job, .. }) => self.end(&call, job).await,
+            (Method::GET, Target::Item { job, item }) => self.body(&call, job, item).await,
+            _ => plain(StatusCode::METHOD_NOT_ALLOWED),
+        }
+    }
+
+    async fn submit(&self, call: &BatchCall, route: &Arc<Route>) -> Response<Bytes> {
+        let headers = call.request.headers();
+        let Some(id) = text(headers, "request-id").filter(|id| document::is_id(id)) else {
+            return plain(StatusCode::BAD_REQUEST);
+        };
+        let items = match document::read(call.request.body()) {
+            Ok(items) => items,
+            Err(error) => {
+                log::debug!("batch job {id}: {error}");
+                return plain(StatusCode::BAD_REQUEST);
+            }
+        };
+        let job = NewJob {
+            id: JobId::from(id),
+            route: route.name.clone(),
+            host: route.hostname.clone(),
+            config_version: 0,
+            age_ms: 0,
+            items: items.into_iter().map(to_item).collect(),
+        };
+        let patience = Patience {
+            unserved_until: call.received_at + SUBMIT_UNSERVED.min(time_of(headers)),
+            unknown_until: call.received_at + SUBMIT_UNKNOWN.min(time_of(headers)),
+            held: Duration::ZERO,
+        };
+        submit_answer(self.ask(StoreCall::Submit(job), patience).await)
+    }
+
+    async fn read(&self, call: &BatchCall, job: String, after: u64) -> Response<Bytes> {
+        let Ok(after) = u32::try_from(after) else { return plain(StatusCode::BAD_REQUEST) };
+        let held = milliseconds(call.request.headers(), "wait-ms").unwrap_or_default().min(LONGEST_HOLD);
+        let until = call.received_at + held + READ_MARGIN;
+        let patience = Patience { unserved_until: until, unknown_until: until, held };
+        let wait_ms = u32::try_from(held.as_millis()).unwrap_or(0);
+        match self.ask(StoreCall::Read { job: JobId(job), after, wait_ms }, patience).await {
+            CallEnd::Answered(reply) | CallEnd::AnsweredAfterUnknown(reply) => match reply {
+                StoreReply::Results(json) => with_body(json, "application/json"),
+                other => read_failure(&other),
+            },
+            CallEnd::NotServed | CallEnd::Unknown => not_now(),
+        }
+    }
+
+    async fn body(&self, call: &BatchCall, job: String, item: String) -> Response<Bytes> {
+        match self.ask(StoreCall::Body { job: JobId(job), item }, other_patience(call)).await {
+            CallEnd::Answered(reply) | CallEnd::AnsweredAfterUnknown(reply) => match reply {
+                StoreReply::Body(bytes) => with_body(bytes, "application/octet-stream"),
+                other => read_failure(&other),
+            },
+            CallEnd::NotServed | CallEnd::Unknown => not_now(),
+        }
+    }
+
+    async fn end(&self, call: &BatchCall, job: String) -> Response<Bytes> {
+        match self.ask(StoreCall::End(JobId(job)), other_patience(call)).await {
+            CallEnd::Answered(reply) | CallEnd::AnsweredAfterUnknown(reply) => match reply {
+                StoreReply::Committed => plain(StatusCode::OK),
+                other => read_failure(&other),
+            },
+            CallEnd::NotServed => not_now(),
+            CallEnd::Unknown => plain(StatusCode::GATEWAY_TIMEOUT),
+        }
+    }
+
+    async fn ask(&self, call: StoreCall, patience: Patience) -> CallEnd {
+        ask_primary(&*self.link, self.snapshots.clone(), &call, patience).await
+    }
+}
+
+/// The answer to a hand-over. 429 and 503 promise that nothing of it runs: after a try whose end is unknown neither is
+/// given, as that try may still be taken.
+fn submit_answer(end: CallEnd) -> Response<Bytes> {
+    match end {
+        CallEnd::Answered(StoreReply::Committed) | CallEnd::AnsweredAfterUnknown(StoreReply::Committed) => {
+            plain(StatusCode::ACCEPTED)
+        }
+        CallEnd::Answered(StoreReply::OverQuota) => over_quota(),
+        CallEnd::Answered(StoreReply::Invalid) => plain(StatusCode::BAD_REQUEST),
+        CallEnd::NotServed => not_now(),
+        CallEnd::Answered(_) | CallEnd::AnsweredAfterUnknown(_) | CallEnd::Unknown => {
+            plain(StatusCode::GATEWAY_TIMEOUT)
+        }
+    }
+}
+
+fn read_failure(reply: &StoreReply) -> Response<Bytes> {
+    match reply {
+        StoreReply::NotFound => plain(StatusCode::NOT_FOUND),
+        _ => not_now(),
+    }
+}
+
+fn other_patience(call: &BatchCall) -> Patience {
+    let until = call.received_at + OTHER_PATIENCE;
+    Patience { unserved_until: until, unknown_until: until, held: Duration::ZERO }
+}
+
+fn to_item(item: HandedItem) -> Item {
+    let headers = item.headers.into_iter().map(|(name, value)| Header { name, value }).collect();
+    let request = ItemRequest { path: item.path, headers, body: item.body };
+    Item { id: item.id, tokens: item.tokens, request: Some(request) }
+}
+
+fn with_body(bytes: Vec<u8>, content_type: &'static str) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::from(bytes));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn milliseconds(headers: &HeaderMap, name: &str) -> Option<Duration> {
+    text(headers, name).and_then(|value| value.trim().parse().ok()).map(Duration::from_millis)
+}
+
+/// What the client waits, less the way back.
+fn time_of(headers: &HeaderMap) -> Duration {
+    milliseconds(headers, "deadline-ms").map_or(SUBMIT_UNKNOWN, |time| time.saturating_sub(WAY_BACK))
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/alderhollow/src/batch_api/endpoints/tests.rs
@@ -0,0 +1,219 @@
+//! A door's answers about batch jobs, against scripted stores.
+
+use super::*;
+use crate::batch_api::store_calls::{StoreAnswer, StoreCallError};
+use alderhollow_model::identity::{Address, DiskId, LifeId, NodeInfo, Role};
+use alderhollow_model::snapshot::{BatchGroup, ControlView, GroupMember, Snapshot};
+use hyper::Request;
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use tokio::sync::watch;
+
+type Scripted = Result<StoreReply, StoreCallError>;
+
+/// Answers calls from a script; the last entry stays.
+struct Script {
+    replies: RefCell<VecDeque<Scripted>>,
+    calls: RefCell<Vec<(SocketAddr, StoreCall)>>,
+}
+
+impl StoreLink for Script {
+    fn call(&self, to: SocketAddr, call: &StoreCall, _: Duration) -> StoreAnswer {
+        self.calls.borrow_mut().push((to, call.clone()));
+        let mut replies = self.replies.borrow_mut();
+        let reply = match replies.len() {
+            1 => replies[0].clone(),
+            _ => replies.pop_front().expect("a reply"),
+        };
+        Box::pin(async move { reply })
+    }
+}
+
+fn member(number: u64) -> GroupMember {
+    let address = format!("10.0.0.{number}:7000").parse().expect("an address");
+    let node = NodeInfo {
+        node: format!("store-{number}"),
+        role: Role::Store,
+        zone: "a".to_string(),
+        life: LifeId(number),
+        disk: Some(DiskId(number)),
+        internal: Address(address),
+        control: None,
+    };
+    GroupMember { disk: DiskId(number), node }
+}
+
+fn tables(primary: u64) -> Arc<Snapshot> {
+    let members = vec![member(1), member(2)];
+    let group = BatchGroup { epoch: primary, primary: DiskId(primary), members, learners: vec![] };
+    let control = ControlView { group: Some(Arc::new(group)), ..ControlView::default() };
+    Arc::new(Snapshot { control: Arc::new(control), vouched: true, ..Snapshot::default() })
+}
+
+fn route() -> Arc<Route> {
+    let route = serde_json::json!({
+        "name": "r", "hostname": "h.example", "path-prefix": "/b/", "route-type": "batch", "service": "s"
+    });
+    Arc::new(serde_json::from_value(route).expect("a route"))
+}
+
+const JOB: &str =
+    r#"{"requests":[{"id":"i1","path":"/b/1","headers":{"Model":"m"},"body":"q83v","tokens":940}]}"#;
+
+fn hand_in(body: &str) -> BatchCall {
+    let request = Request::post("/b/x").header("Request-Id", "j1").header("Deadline-Ms", "4000");
+    let request = request.body(Bytes::copy_from_slice(body.as_bytes())).expect("a request");
+    BatchCall { request, route: Some(route()), received_at: tokio::time::Instant::now() }
+}
+
+fn call(method: &str, path: &str) -> BatchCall {
+    let request = Request::builder().method(method).uri(path).header("Wait-Ms", "1000");
+    let request = request.body(Bytes::new()).expect("a request");
+    BatchCall { request, route: None, received_at: tokio::time::Instant::now() }
+}
+
+/// Status, whether there is a `Retry-After`, the body, and the calls that stores got.
+async fn answer(
+    replies: Vec<Scripted>,
+    call: BatchCall,
+) -> (u16, bool, String, Vec<(SocketAddr, StoreCall)>) {
+    let script = Rc::new(Script { replies: RefCell::new(replies.into()), calls: RefCell::default() });
+    let (_sender, snapshots) = watch::channel(tables(1));
+    let response = StoreEndpoints::new(script.clone(), snapshots).serve(call).await;
+    let retry = response.headers().contains_key("retry-after");
+    let body = String::from_utf8(response.body().to_vec()).expect("text");
+    let calls = script.calls.borrow().clone();
+    (response.status().as_u16(), retry, body, calls)
+}
+
+async fn status_of(replies: Vec<Scripted>, call: BatchCall) -> (u16, bool) {
+    let (status, retry, _, _) = answer(replies, call).await;
+    (status, retry)
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_that_is_on_all_disks_gets_202() {
+    let (status, _, _, calls) = answer(vec![Ok(StoreReply::Committed)], hand_in(JOB)).await;
+    assert_eq!(status, 202);
+    insta::assert_debug_snapshot!(calls);
+}
+
+#[tokio::test(start_paused = true)]
+async fn definite_refusals_are_promises() {
+    assert_eq!(status_of(vec![Ok(StoreReply::OverQuota)], hand_in(JOB)).await, (429, true));
+    assert_eq!(status_of(vec![Ok(StoreReply::NotSure)], hand_in(JOB)).await, (503, true));
+    assert_eq!(status_of(vec![Ok(StoreReply::NotPrimary)], hand_in(JOB)).await, (503, true));
+    assert_eq!(status_of(vec![Err(StoreCallError::NotServed)], hand_in(JOB)).await, (503, true));
+    assert_eq!(status_of(vec![Ok(StoreReply::Invalid)], hand_in(JOB)).await, (400, false));
+}
+
+#[tokio::test(start_paused = true)]
+async fn after_an_unknown_end_nothing_is_promised() {
+    for unknown in [Err(StoreCallError::Unknown), Ok(StoreReply::Unknown)] {
+        for then in [
+            Ok(StoreReply::OverQuota),
+            Ok(StoreReply::NotSure),
+            Ok(StoreReply::NotPrimary),
+            Ok(StoreReply::Invalid),
+            Ok(StoreReply::NotFound),
+            Err(StoreCallError::NotServed),
+        ] {
+            let status = status_of(vec![unknown.clone(), then.clone()], hand_in(JOB)).await;
+            assert_eq!(status, (504, false), "{then:?}");
+        }
+        let status = status_of(vec![unknown.clone(), Ok(StoreReply::Committed)], hand_in(JOB)).await;
+        assert_eq!(status, (202, false));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_unknown_end_is_given_up_before_the_clients_deadline() {
+    let before = tokio::time::Instant::now();
+    assert_eq!(status_of(vec![Err(StoreCallError::Unknown)], hand_in(JOB)).await, (504, false));
+    assert!(before.elapsed() <= SUBMIT_UNKNOWN);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_successor_is_asked_as_soon_as_it_is_known() {
+    let replies = vec![Err(StoreCallError::Unknown), Ok(StoreReply::Committed)];
+    let script = Rc::new(Script { replies: RefCell::new(replies.into()), calls: RefCell::default() });
+    let (sender, snapshots) = watch::channel(tables(1));
+    let endpoints = StoreEndpoints::new(script.clone(), snapshots);
+    let change = async {
+        tokio::task::yield_now().await;
+        sender.send_replace(tables(2));
+    };
+    let (response, ()) = tokio::join!(endpoints.serve(hand_in(JOB)), change);
+    assert_eq!(response.status(), 202);
+    let asked: Vec<_> = script.calls.borrow().iter().map(|(to, _)| to.to_string()).collect();
+    assert_eq!(asked, ["10.0.0.1:7000", "10.0.0.2:7000"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn malformed_jobs_are_refused_without_a_call() {
+    for body in ["", "{}", "[]", r#"{"requests":[]}"#, r#"{"requests":[{"id":"a","path":"b"}]}"#] {
+        let (status, _, _, calls) = answer(vec![Ok(StoreReply::Committed)], hand_in(body)).await;
+        assert_eq!((status, calls.len()), (400, 0), "{body}");
+    }
+    let mut without_id = hand_in(JOB);
+    without_id.request.headers_mut().remove("request-id");
+    assert_eq!(status_of(vec![Ok(StoreReply::Committed)], without_id).await, (400, false));
+}
+
+#[tokio::test(start_paused = true)]
+async fn reads_pass_results_on_and_hold_at_the_store() {
+    let json = br#"{"total":1,"next-token":0,"results":[]}"#.to_vec();
+    let read = call("GET", "/alderhollow/lots/j1?after=0");
+    let (status, _, body, calls) = answer(vec![Ok(StoreReply::Results(json.clone()))], read).await;
+    assert_eq!((status, body.as_bytes()), (200, &json[..]));
+    assert_eq!(calls[0].1, StoreCall::Read { job: JobId::from("j1"), after: 0, wait_ms: 1000 });
+}
+
+#[tokio::test(start_paused = true)]
+async fn only_a_sure_primary_makes_a_404() {
+    let read = || call("GET", "/alderhollow/lots/j1");
+    assert_eq!(status_of(vec![Ok(StoreReply::NotFound)], read()).await, (404, false));
+    for unsure in [
+        Ok(StoreReply::NotSure),
+        Ok(StoreReply::NotPrimary),
+        Err(StoreCallError::NotServed),
+        Err(StoreCallError::Unknown),
+    ] {
+        assert_eq!(status_of(vec![unsure], read()).await, (503, true));
+    }
+    let item = || call("GET", "/alderhollow/items/j1?id=i1");
+    assert_eq!(status_of(vec![Ok(StoreReply::NotFound)], item()).await, (404, false));
+    assert_eq!(status_of(vec![Ok(StoreReply::NotSure)], item()).await, (503, true));
+    let (status, _, body, _) = answer(vec![Ok(StoreReply::Body(b"xyz".to_vec()))], item()).await;
+    assert_eq!((status, body.as_str()), (200, "xyz"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_end_is_acknowledged_once_it_is_committed() {
+    let end = || call("DELETE", "/alderhollow/lots/j1");
+    assert_eq!(status_of(vec![Ok(StoreReply::Committed)], end()).await, (200, false));
+    let again = vec![Err(StoreCallError::Unknown), Ok(StoreReply::Committed)];
+    assert_eq!(status_of(again, end()).await, (200, false));
+    assert_eq!(status_of(vec![Err(StoreCallError::Unknown)], end()).await, (504, false));
+    assert_eq!(status_of(vec![Ok(StoreReply::NotSure)], end()).await, (503, true));
+}
+
+#[tokio::test(start_paused = true)]
+async fn without_vouched_tables_nothing_is_taken() {
+    let script = Rc::new(Script {
+        replies: RefCell::new([Ok(StoreReply::Committed)].into()),
+        calls: RefCell::default(),
+    });
+    let (_sender, snapshots) = watch::channel(Arc::<Snapshot>::default());
+    let response = StoreEndpoints::new(script.clone(), snapshots).serve(hand_in(JOB)).await;
+    assert_eq!(response.status(), 503);
+    assert!(script.calls.borrow().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn other_methods_and_paths_are_refused() {
+    assert_eq!(status_of(vec![Ok(StoreReply::NotFound)], call("PUT", "/alderhollow/lots/j1")).await.0, 405);
+    assert_eq!(status_of(vec![Ok(StoreReply::NotFound)], call("GET", "/alderhollow/lots/")).await.0, 400);
+    assert_eq!(status_of(vec![Ok(StoreReply::NotFound)], call("GET", "/alderhollow/items/j")).await.0, 400);
+}
--- a/alderhollow/src/batch_api/mod.rs
+++ b/alderhollow/src/batch_api/mod.rs
@@ -2,7 +2,9 @@
 //! to the primary of the group of stores.
 
 pub mod document;
+pub mod endpoints;
 pub mod path;
+pub mod store_calls;
 
 use alderhollow_model::config::Route;
 use hyper::body::Bytes;
@@ -10,7 +12,6 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::time::Instant;
 
 /// What a refused client is told to wait where nothing better is known, in seconds.
@@ -71,8 +72,3 @@
     *response.status_mut() = status;
     response
 }
-
-/// What is left until a moment.
-pub(crate) fn left(until: Instant) -> Duration {
-    until.saturating_duration_since(Instant::now())
-}
--- /dev/null
+++ b/alderhollow/src/batch_api/store_calls.rs
@@ -0,0 +1,123 @@
+//! Calls of a door to the primary of the group of stores, asked again at a successor until the end is known.
+
+use crate::batch_protocol::{StoreCall, StoreReply};
+use crate::internal::{CallError, Network, ServiceId};
+use crate::SnapshotReceiver;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Pause before the primary is asked again, unless the tables change before.
+const ASK_AGAIN_PAUSE: Duration = Duration::from_millis(60);
+/// Longest time for one answer, beyond what the call may wait.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// One call to one store.
+pub type StoreAnswer = Pin<Box<dyn Future<Output = Result<StoreReply, StoreCallError>>>>;
+
+/// Why a call to a store has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum StoreCallError {
+    /// The store has surely done nothing of the call.
+    #[error("the store did not get the call")]
+    NotServed,
+    /// The store may have served the call.
+    #[error("the store may have served the call")]
+    Unknown,
+}
+
+/// Carries calls to stores.
+pub trait StoreLink {
+    /// Calls the store at an address once; never twice.
+    fn call(&self, to: SocketAddr, call: &StoreCall, timeout: Duration) -> StoreAnswer;
+}
+
+impl StoreLink for Network {
+    fn call(&self, to: SocketAddr, call: &StoreCall, timeout: Duration) -> StoreAnswer {
+        let network = self.clone();
+        let payload = minicbor::to_vec(call);
+        Box::pin(async move {
+            let payload = payload.map_err(|_| StoreCallError::NotServed)?;
+            let answer = Network::call(&network, to, ServiceId::Batch, payload, timeout).await;
+            let answer = answer.map_err(StoreCallError::from)?;
+            minicbor::decode(&answer).map_err(|_| StoreCallError::Unknown)
+        })
+    }
+}
+
+impl From<CallError> for StoreCallError {
+    fn from(error: CallError) -> StoreCallError {
+        match error.surely_not_served() {
+            true => StoreCallError::NotServed,
+            false => StoreCallError::Unknown,
+        }
+    }
+}
+
+/// How long a call is tried.
+#[derive(Debug, Clone, Copy)]
+pub struct Patience {
+    /// While nothing was handed over, until here.
+    pub unserved_until: Instant,
+    /// Once something was handed over whose end is unknown, until here.
+    pub unknown_until: Instant,
+    /// How long the store may hold its answer.
+    pub held: Duration,
+}
+
+/// How a call ended over all its tries.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallEnd {
+    /// The store's answer, and all tries before it were surely not served. Never `NotPrimary`, `NotSure` or `Unknown`.
+    Answered(StoreReply),
+    /// The store's answer after a try whose end was unknown.
+    AnsweredAfterUnknown(StoreReply),
+    /// No store has served any try, and none will.
+    NotServed,
+    /// A store may have served a try.
+    Unknown,
+}
+
+/// Asks the group's primary until there is an answer or patience ends.
+pub async fn ask_primary(
+    link: &dyn StoreLink,
+    mut snapshots: SnapshotReceiver,
+    call: &StoreCall,
+    patience: Patience,
+) -> CallEnd {
+    let mut unknown = false;
+    loop {
+        let primary = primary_address(&snapshots);
+        if let Some(to) = primary {
+            match link.call(to, call, ANSWER_TIMEOUT + patience.held).await {
+                Ok(StoreReply::Unknown) | Err(StoreCallError::Unknown) => unknown = true,
+                Ok(StoreReply::NotPrimary | StoreReply::NotSure) | Err(StoreCallError::NotServed) => {}
+                Ok(reply) if unknown => return CallEnd::AnsweredAfterUnknown(reply),
+                Ok(reply) => return CallEnd::Answered(reply),
+            }
+        }
+        let until = if unknown { patience.unknown_until } else { patience.unserved_until };
+        if Instant::now() + ASK_AGAIN_PAUSE >= until {
+            return if unknown { CallEnd::Unknown } else { CallEnd::NotServed };
+        }
+        pause(&mut snapshots).await;
+    }
+}
+
+/// Waits a little, or until the tables change.
+async fn pause(snapshots: &mut SnapshotReceiver) {
+    let again_at = Instant::now() + ASK_AGAIN_PAUSE;
+    if let Ok(Err(_)) = tokio::time::timeout_at(again_at, snapshots.changed()).await {
+        // Nobody changes the tables any more.
+        tokio::time::sleep_until(again_at).await;
+    }
+}
+
+/// Where the group's primary takes calls, as the newest vouched tables say.
+fn primary_address(snapshots: &SnapshotReceiver) -> Option<SocketAddr> {
+    let snapshot = snapshots.borrow();
+    let group = snapshot.control.group.as_ref().filter(|_| snapshot.vouched)?;
+    group.primary_member().map(|member| member.node.internal.0)
+}
--- /dev/null
+++ b/alderhollow/src/batch_protocol.rs
@@ -0,0 +1,86 @@
+//! What doors and stores say to each other about batch jobs, over the tier's own protocol.
+
+use alderhollow_batch::job::{JobId, NewJob};
+use alderhollow_batch::message::Message;
+use alderhollow_model::identity::DiskId;
+use minicbor::{Decode, Encode};
+
+/// A door's call to the group's primary (`ServiceId::Batch`).
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub enum StoreCall {
+    /// Take a batch job.
+    #[n(0)]
+    Submit(#[n(0)] NewJob),
+    /// Read results.
+    #[n(1)]
+    Read {
+        /// The batch job.
+        #[n(0)]
+        job: JobId,
+        /// Position of the first result wanted.
+        #[n(1)]
+        after: u32,
+        /// How long the answer may wait for a first result.
+        #[n(2)]
+        wait_ms: u32,
+    },
+    /// Give the body of an item.
+    #[n(2)]
+    Body {
+        /// The batch job.
+        #[n(0)]
+        job: JobId,
+        /// The item's id.
+        #[n(1)]
+        item: String,
+    },
+    /// End a batch job.
+    #[n(3)]
+    End(#[n(0)] JobId),
+}
+
+/// The answer to a [`StoreCall`].
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub enum StoreReply {
+    /// The batch job, or its end, is on every member's disk.
+    #[n(0)]
+    Committed,
+    /// The batch job doesn't fit. Nothing of this call is kept.
+    #[n(1)]
+    OverQuota,
+    /// The batch job breaks a bound. Nothing of this call is kept.
+    #[n(2)]
+    Invalid,
+    /// Another store is the primary. Nothing of this call is kept.
+    #[n(3)]
+    NotPrimary,
+    /// The primary can't tell or take it now. Nothing of this call is kept.
+    #[n(4)]
+    NotSure,
+    /// Whether it will be kept can't be known here: the primary in place has to be asked.
+    #[n(5)]
+    Unknown,
+    /// There is no such batch job, or no such item whose body is kept.
+    #[n(6)]
+    NotFound,
+    /// Results, as the JSON that the client gets.
+    #[n(7)]
+    Results(#[cbor(n(0), with = "minicbor::bytes")] Vec<u8>),
+    /// The body of an item.
+    #[n(8)]
+    Body(#[cbor(n(0), with = "minicbor::bytes")] Vec<u8>),
+}
+
+/// A notice between two stores (`ServiceId::Replication`).
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct ReplicationNotice {
+    /// The sender's disk.
+    #[n(0)]
+    pub from: DiskId,
+    /// The receiver's disk; a store with another one is not meant.
+    #[n(1)]
+    pub to: DiskId,
+    /// The message.
+    #[n(2)]
+    pub message: Message,
+}
--- /dev/null
+++ b/alderhollow/src/executor/pacing.rs
@@ -0,0 +1,71 @@
+//! How many items run at once: the room that streams of clients leave, without starting hundreds in one instant.
+
+use crate::balance::Millis;
+use alderhollow_model::backend::BackendState;
+use alderhollow_model::config::RouteType;
+use alderhollow_model::snapshot::Snapshot;
+use std::collections::BTreeSet;
+
+/// Part of the slots of the batch routes' backends that items may take.
+const SHARE_OF_SLOTS: f64 = 0.5;
+/// Items that may run however few slots there are.
+const FEWEST_RUNNING: usize = 4;
+/// Where the list names no slots for a backend.
+const DEFAULT_SLOTS: u32 = 16;
+/// Starts a second, as part of the items that may run.
+const STARTS_PER_SECOND_SHARE: f64 = 1.0;
+/// Starts that may come at once, as part of the items that may run, and at least.
+const BURST_SHARE: f64 = 0.05;
+const FEWEST_BURST: f64 = 2.0;
+
+/// Tells how many items may start now.
+#[derive(Debug, Default)]
+pub struct Pacer {
+    most_running: usize,
+    allowance: f64,
+    filled_at: Option<Millis>,
+}
+
+impl Pacer {
+    /// Takes in newer tables.
+    pub fn update(&mut self, snapshot: &Snapshot) {
+        let slots = slots_of_batch_services(snapshot);
+        self.most_running = ((slots as f64 * SHARE_OF_SLOTS) as usize).max(FEWEST_RUNNING);
+    }
+
+    /// How many may start now, with so many running.
+    pub fn room(&mut self, now: Millis, running: usize) -> usize {
+        let most = self.most_running as f64;
+        let elapsed_s = self.filled_at.map_or(0.0, |at| (now - at).max(0.0) / 1000.0);
+        let burst = (most * BURST_SHARE).max(FEWEST_BURST);
+        self.filled_at = Some(now);
+        self.allowance = (self.allowance + elapsed_s * most * STARTS_PER_SECOND_SHARE).min(burst);
+        (self.allowance as usize).min(self.most_running.saturating_sub(running))
+    }
+
+    /// So many were started.
+    pub fn started(&mut self, count: usize) {
+        self.allowance -= count as f64;
+    }
+}
+
+/// Slots of all backends that items of some batch route may go to now.
+fn slots_of_batch_services(snapshot: &Snapshot) -> u64 {
+    let Some(config) = &snapshot.control.config else { return 0 };
+    let services: BTreeSet<String> = config
+        .routes
+        .iter()
+        .filter(|route| route.route_type == RouteType::Batch)
+        .flat_map(|route| route.services())
+        .map(|part| part.service)
+        .collect();
+    let ready = snapshot.backends.backends.iter().filter(|backend| {
+        backend.state == BackendState::Ready
+            && services.contains(&backend.service)
+            && !snapshot.control.evacuated.contains(&backend.zone)
+    });
+    ready.map(|backend| u64::from(if backend.slots == 0 { DEFAULT_SLOTS } else { backend.slots })).sum()
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/alderhollow/src/executor/pacing/tests.rs
@@ -0,0 +1,73 @@
+//! How many items start.
+
+use super::*;
+use alderhollow_model::backend::{Backend, BackendList};
+use alderhollow_model::config::Config;
+use alderhollow_model::identity::Address;
+use alderhollow_model::snapshot::ControlView;
+use std::sync::Arc;
+
+fn tables(backends: usize, evacuated: &str) -> Snapshot {
+    let config: Config = serde_json::from_value(serde_json::json!({
+        "config-version": 1,
+        "routes": [
+            {"name": "b", "hostname": "h", "path-prefix": "/b/", "route-type": "batch", "service": "s"},
+            {"name": "o", "hostname": "h", "path-prefix": "/o/", "route-type": "streaming", "service": "other"}
+        ],
+        "services": []
+    }))
+    .expect("a configuration");
+    let backend = |index: usize| Backend {
+        id: format!("i-{index}"),
+        service: if index % 4 == 3 { "other".to_string() } else { "s".to_string() },
+        address: Address("10.0.0.1:80".parse().expect("an address")),
+        zone: if index % 2 == 0 { "even".to_string() } else { "odd".to_string() },
+        slots: 64,
+        state: BackendState::Ready,
+        cold_remaining_ms: 0,
+    };
+    let list = BackendList { epoch: 1, sequence: 1, backends: (0..backends).map(backend).collect() };
+    let control = ControlView {
+        config: Some(Arc::new(config)),
+        evacuated: [evacuated.to_string()].into(),
+        ..ControlView::default()
+    };
+    Snapshot { control: Arc::new(control), backends: Arc::new(list), ..Snapshot::default() }
+}
+
+#[test]
+fn half_of_the_slots_of_usable_backends_may_be_taken() {
+    assert_eq!(slots_of_batch_services(&tables(4, "")), 3 * 64);
+    assert_eq!(slots_of_batch_services(&tables(4, "even")), 64);
+    assert_eq!(slots_of_batch_services(&Snapshot::default()), 0);
+}
+
+#[test]
+fn starts_are_ramped_and_bounded() {
+    let mut pacer = Pacer::default();
+    pacer.update(&tables(4, ""));
+    let mut running = 0;
+    let mut most_at_once = 0;
+    for tick in 0..2_000 {
+        let room = pacer.room(f64::from(tick) * 10.0, running);
+        pacer.started(room);
+        running += room;
+        most_at_once = most_at_once.max(room);
+        assert!(running <= 96);
+    }
+    assert_eq!(running, 96);
+    assert!(most_at_once <= 5, "{most_at_once} at once");
+}
+
+#[test]
+fn without_tables_little_may_run() {
+    let mut pacer = Pacer::default();
+    pacer.update(&Snapshot::default());
+    let mut running = 0;
+    for tick in 0..10_000 {
+        let room = pacer.room(f64::from(tick) * 10.0, running);
+        pacer.started(room);
+        running += room;
+    }
+    assert_eq!(running, FEWEST_RUNNING);
+}
--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -5,9 +5,10 @@
 
 pub mod balance;
 pub mod batch_api;
-pub mod executor;
+pub mod batch_protocol;
 pub mod clock;
 pub mod distribution;
+pub mod executor;
 pub mod internal;
 pub mod routing;
 
