--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -7,10 +7,13 @@
 pub mod batch_api;
 pub mod batch_protocol;
 pub mod clock;
+pub mod configuration;
 pub mod distribution;
 pub mod executor;
+pub mod finding;
 pub mod internal;
 pub mod routing;
+pub mod settings;
 
 use alderhollow_model::snapshot::Snapshot;
 use std::sync::Arc;
