--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod batch_protocol;
 pub mod clock;
 pub mod configuration;
+pub mod core;
+pub mod discovery;
 pub mod distribution;
 pub mod executor;
 pub mod finding;
