--- a/storage/src/journal.rs
+++ b/storage/src/journal.rs
@@ -22,8 +22,7 @@
 
 /// Durable state on one disk: a snapshot, and the records appended since.
 ///
-/// A write that failed may still be there after a restart, as may its successors of the same sync; a write whose sync
-/// succeeded is there.
+/// A write whose sync succeeded is there after a restart. One that failed may be there until the next sync that succeeds.
 pub struct Journal {
     slots: [Box<dyn DiskFile>; 2],
     logs: [Log; 2],
@@ -105,7 +104,15 @@
 
     /// Makes all appended records durable. After an error all records since the last sync count as failed.
     pub fn sync(&mut self) -> Result<(), StorageError> {
-        self.current.of(&mut self.logs).sync()
+        let settled = self.settle();
+        let log = self.current.of(&mut self.logs);
+        match settled {
+            Ok(()) => log.sync(),
+            Err(error) => {
+                log.roll_back();
+                Err(error)
+            }
+        }
     }
 
     /// Replaces the snapshot and all records, synced or not, by `snapshot`, durably. After an error the snapshot and the
--- a/storage/src/log.rs
+++ b/storage/src/log.rs
@@ -122,6 +122,8 @@
     buffer: Vec<u8>,
     /// Whether the file may hold bytes behind `synced` that belong to no record.
     has_surplus: bool,
+    /// Whether records were dropped since the last sync: they may come back until the next.
+    has_dropped: bool,
 }
 
 impl Log {
@@ -135,6 +137,7 @@
             end: Place::START,
             buffer: Vec::new(),
             has_surplus: true,
+            has_dropped: false,
         }
     }
 
@@ -159,6 +162,7 @@
         self.end = Place::START;
         self.buffer.clear();
         self.has_surplus = true;
+        self.has_dropped = false;
     }
 
     /// Frees the file's space, without a sync. Failing does no harm: the bytes are of an older generation.
@@ -185,14 +189,18 @@
         self.write_buffer().inspect_err(|_| self.roll_back())
     }
 
-    /// Makes all records durable. On an error all records since the last sync are dropped.
+    /// Makes all records durable, and those gone for good that were dropped. On an error all records since the last sync
+    /// are dropped.
     pub fn sync(&mut self) -> Result<(), StorageError> {
-        if self.end == self.synced {
+        if self.end == self.synced && !self.has_dropped {
             return Ok(());
         }
         let result = self.write_buffer().and_then(|()| self.file.sync().map_err(StorageError::on(self.name)));
         match &result {
-            Ok(()) => self.synced = self.end,
+            Ok(()) => {
+                self.synced = self.end;
+                self.has_dropped = false;
+            }
             Err(_) => self.roll_back(),
         }
         result
@@ -205,6 +213,9 @@
 
     fn write_buffer(&mut self) -> Result<(), StorageError> {
         self.cut_surplus()?;
+        if self.buffer.is_empty() {
+            return Ok(());
+        }
         let offset = self.end.offset - self.buffer.len() as u64;
         self.file.write_at(offset, &self.buffer).map_err(StorageError::on(self.name))?;
         self.buffer.clear();
@@ -219,9 +230,11 @@
         Ok(())
     }
 
-    fn roll_back(&mut self) {
+    /// Drops all records since the last sync.
+    pub fn roll_back(&mut self) {
         self.end = self.synced;
         self.buffer.clear();
+        self.has_dropped = true;
         self.has_surplus = true;
         // Frees the space at once; if this fails, the next write cuts first.
         if self.cut_surplus().is_err() {
