Write the batch jobs' state machine: replication, quota, runs, results

One store's engine keeps the jobs as a fold of records, streams them to the members of its group under numbered epochs, sessions and attempts, and acts on a record once every member has it on disk. Submit takes the door's try id now: a copy of a try that comes late must not be accepted after that try was refused as over quota. Work is handed out per route, as routes have services of their own.

--- a/batch/src/api.rs
+++ b/batch/src/api.rs
@@ -8,6 +8,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Token(pub u64);
 
+/// Names one try of a client as a door took it, drawn at random by the door. When the door asks again after an unknown
+/// end it gives the same one: once a try was refused as over quota, no late copy of it is accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TryId(pub u64);
+
 /// Names one run of an item at a backend, within one life of the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RunId(pub u64);
@@ -64,8 +69,8 @@
 pub enum Outcome {
     /// It is on every member's disk: 202 or 200.
     Committed,
-    /// It can't be known here: the caller must find out at the primary in place, and must not answer 429 or 503
-    /// before.
+    /// It can't be known here: the caller must hand it in again at the primary in place. Only [`Outcome::Committed`],
+    /// [`Submitted::AlreadyAccepted`] or [`Submitted::OverQuota`] settles it then; no other answer allows 429 or 503.
     Unknown,
 }
 
@@ -164,6 +169,8 @@
     pub item_id: String,
     /// Its tokens.
     pub tokens: u64,
+    /// Answers of 500 so far.
+    pub failures: u32,
     /// The request.
     pub request: ItemRequest,
     /// When its results are due, on the steady clock; it may be past.
--- a/batch/src/engine.rs
+++ b/batch/src/engine.rs
@@ -1,110 +1,200 @@
 //! The operations of a store on batch jobs. The driver passes in time, messages and the ends of writes, and carries
 //! out the [`Output`]s after each call.
 
-use crate::api::*;
-use crate::job::{JobId, NewJob};
+mod calls;
+mod commits;
+mod runs;
+
+use crate::api::{GroupStatus, Output, RouteTerms, Token, TryId, WriteTicket};
+use crate::group::{Changes, GroupNode};
+use crate::job::JobId;
+use crate::ledger::Ledger;
 use crate::message::Message;
 use crate::records::DecodeError;
+use crate::state::State;
+use crate::work::WorkQueue;
 use alderhollow_model::identity::DiskId;
 use alderhollow_model::snapshot::BatchGroup;
-use std::collections::BTreeMap;
+use commits::{Commit, JobView};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 
+/// Jobs are kept so long after they were sent, unless the driver says otherwise.
+const DEFAULT_STATUS_MS: u64 = 120_000;
+/// How often ages are looked at.
+const SWEEP_MS: u64 = 250;
+
 /// A store's part in keeping and running batch jobs.
 #[derive(Debug)]
-pub struct Engine {}
+pub struct Engine {
+    node: GroupNode,
+    now_ms: u64,
+    vouched_until_ms: u64,
+    status_ms: u64,
+    disk_ready: bool,
+    config_version: u64,
+    routes: BTreeMap<String, RouteTerms>,
+    ledger: Ledger,
+    work: WorkQueue,
+    /// What is committed of each job; kept only by an active primary.
+    views: HashMap<JobId, JobView>,
+    /// Records that are not committed, by index.
+    commits: VecDeque<Commit>,
+    /// Bytes of jobs that are not committed, roughly.
+    pending_bytes: usize,
+    newest_token: u64,
+    /// Tries that were refused as over quota, and until when that is remembered.
+    refused: BTreeMap<TryId, u64>,
+    next_sweep_ms: u64,
+    outputs: Vec<Output>,
+}
 
 impl Engine {
     /// A store with what its disk held. `snapshot` and `records` are as [`Engine::snapshot`] and [`Output::Write`] gave
     /// them.
     pub fn restore(
-        _disk: DiskId,
-        _now_ms: u64,
-        _snapshot: Option<&[u8]>,
-        _records: &[Vec<u8>],
+        disk: DiskId,
+        now_ms: u64,
+        snapshot: Option<&[u8]>,
+        records: &[Vec<u8>],
     ) -> Result<Engine, DecodeError> {
-        todo!()
+        let state = State::restore(now_ms, snapshot, records)?;
+        Ok(Engine {
+            node: GroupNode::new(disk, state),
+            now_ms,
+            vouched_until_ms: 0,
+            status_ms: DEFAULT_STATUS_MS,
+            disk_ready: true,
+            config_version: 0,
+            routes: BTreeMap::new(),
+            ledger: Ledger::default(),
+            work: WorkQueue::default(),
+            views: HashMap::new(),
+            commits: VecDeque::new(),
+            pending_bytes: 0,
+            newest_token: 0,
+            refused: BTreeMap::new(),
+            next_sweep_ms: 0,
+            outputs: Vec::new(),
+        })
     }
 
     /// The core's word on the group. Lower epochs than known are ignored.
-    pub fn set_group(&mut self, _now_ms: u64, _group: Arc<BatchGroup>) {}
+    pub fn set_group(&mut self, now_ms: u64, group: Arc<BatchGroup>) {
+        self.now_ms = now_ms;
+        let changes = self.node.set_group(group);
+        self.take_changes(changes);
+    }
 
     /// The core vouches for this store's epoch until this moment, counted from before it was asked.
-    pub fn set_vouched_until(&mut self, _until_ms: u64) {}
+    pub fn set_vouched_until(&mut self, until_ms: u64) {
+        self.vouched_until_ms = self.vouched_until_ms.max(until_ms);
+    }
 
     /// The batch routes of a configuration. A lower version than known is ignored.
-    pub fn set_routes(&mut self, _now_ms: u64, _config_version: u64, _routes: BTreeMap<String, RouteTerms>) {}
+    pub fn set_routes(&mut self, now_ms: u64, config_version: u64, routes: BTreeMap<String, RouteTerms>) {
+        if config_version < self.config_version {
+            return;
+        }
+        self.now_ms = now_ms;
+        self.config_version = config_version;
+        self.routes = routes;
+        self.next_sweep_ms = now_ms;
+    }
 
     /// Jobs are kept so long after they were sent.
-    pub fn set_status_ms(&mut self, _status_ms: u64) {}
+    pub fn set_status_ms(&mut self, status_ms: u64) {
+        self.status_ms = status_ms;
+    }
 
     /// Whether the disk can take new jobs (it isn't full nor stalled). Results and ends are taken in any case.
-    pub fn set_disk_ready(&mut self, _ready: bool) {}
+    pub fn set_disk_ready(&mut self, ready: bool) {
+        self.disk_ready = ready;
+    }
 
     /// A message of another store.
-    pub fn receive(&mut self, _now_ms: u64, _from: DiskId, _message: Message) {}
+    pub fn receive(&mut self, now_ms: u64, from: DiskId, message: Message) {
+        self.now_ms = now_ms;
+        let changes = self.node.receive(now_ms, from, message);
+        self.take_changes(changes);
+    }
 
     /// All writes up to this one are on disk.
-    pub fn written(&mut self, _now_ms: u64, _ticket: WriteTicket) {}
-
-    /// Time has passed: call at least every 100 ms.
-    pub fn tick(&mut self, _now_ms: u64) {}
-
-    /// What is to be done after the calls so far.
-    pub fn take_outputs(&mut self) -> Vec<Output> {
-        Vec::new()
+    pub fn written(&mut self, now_ms: u64, ticket: WriteTicket) {
+        self.now_ms = now_ms;
+        let changes = self.node.written(ticket);
+        self.take_changes(changes);
     }
 
-    /// A client hands in a job.
-    pub fn submit(&mut self, _now_ms: u64, _job: NewJob) -> Submitted {
-        Submitted::NotPrimary
+    /// Time has passed: call by [`Engine::next_tick_ms`].
+    pub fn tick(&mut self, now_ms: u64) {
+        self.now_ms = now_ms;
+        self.work.wake(now_ms);
+        self.refused.retain(|_, until_ms| *until_ms > now_ms);
+        if now_ms >= self.next_sweep_ms {
+            self.next_sweep_ms = now_ms + SWEEP_MS;
+            self.sweep();
+        }
     }
 
-    /// A client reads results from a position on; at most `max_bytes` of JSON, or one result.
-    pub fn read(&self, _now_ms: u64, _job: &JobId, _after: u32, _max_bytes: usize) -> ReadAnswer<'_> {
-        ReadAnswer::NotPrimary
+    /// When [`Engine::tick`] has something to do next, if nothing else happens before.
+    pub fn next_tick_ms(&self) -> Option<u64> {
+        let sweep = (!self.views.is_empty() || !self.refused.is_empty()).then_some(self.next_sweep_ms);
+        [self.node.next_retry_ms(), self.work.next_wake_ms(), sweep].into_iter().flatten().min()
     }
 
-    /// A client asks for the body of an item.
-    pub fn body(&self, _now_ms: u64, _job: &JobId, _item_id: &str) -> BodyAnswer<'_> {
-        BodyAnswer::NotPrimary
+    /// What is to be done after the calls so far.
+    pub fn take_outputs(&mut self) -> Vec<Output> {
+        let mut outputs = self.node.take_outputs(self.now_ms);
+        outputs.append(&mut self.outputs);
+        outputs
     }
 
-    /// A client ends a job.
-    pub fn end(&mut self, _now_ms: u64, _job: &JobId) -> EndAnswer {
-        EndAnswer::NotPrimary
+    /// What to report to the core.
+    pub fn status(&self, now_ms: u64) -> GroupStatus {
+        self.node.status(now_ms)
     }
 
-    /// Items to start now, at most `max`, those due first in front. They count as running from now on.
-    pub fn take_work(&mut self, _now_ms: u64, _max: usize) -> Vec<ItemStart> {
-        Vec::new()
+    /// Tokens that wait on a route.
+    pub fn waiting_tokens(&self, route: &str) -> u64 {
+        self.ledger.waiting(route)
     }
 
-    /// Whether this store may start items at this moment: asked right before a run's first byte is sent.
-    pub fn may_start(&self, _now_ms: u64) -> bool {
-        false
+    /// Items that wait for a run, and that are running.
+    pub fn load(&self) -> (usize, usize) {
+        self.work.load()
     }
 
-    /// A run has ended. Runs that were cancelled are ignored.
-    pub fn run_ended(&mut self, _now_ms: u64, _run: RunId, _end: RunEnd) {}
+    /// Jobs that are kept.
+    pub fn jobs(&self) -> usize {
+        self.node.state().jobs.len()
+    }
 
-    /// What to report to the core.
-    pub fn status(&self, _now_ms: u64) -> GroupStatus {
-        GroupStatus::default()
+    /// All that is kept, for the compaction of the journal. It contains every [`Output::Write`] so far, also those that
+    /// [`Engine::take_outputs`] has yet to give; these may follow the snapshot in the journal all the same.
+    pub fn snapshot(&self, now_ms: u64) -> Vec<u8> {
+        self.node.state().snapshot(now_ms)
     }
 
-    /// Tokens that wait on a route.
-    pub fn waiting_tokens(&self, _route: &str) -> u64 {
-        0
+    /// Whether this store is surely the primary at this moment: asked also right before a run's first byte is sent.
+    pub fn is_sure(&self, now_ms: u64) -> bool {
+        self.node.is_active() && now_ms < self.vouched_until_ms
     }
 
-    /// Items that wait for a run, and that are running.
-    pub fn load(&self) -> (usize, usize) {
-        (0, 0)
+    /// What the replication changed.
+    fn take_changes(&mut self, changes: Changes) {
+        if changes.left_leadership {
+            self.leave();
+        }
+        if changes.became_active {
+            self.take_over();
+        }
+        self.take_commits();
     }
 
-    /// All that is kept, for the compaction of the journal.
-    pub fn snapshot(&self, _now_ms: u64) -> Vec<u8> {
-        Vec::new()
+    /// A token that was not given before.
+    fn new_token(&mut self) -> Token {
+        self.newest_token += 1;
+        Token(self.newest_token)
     }
 }
--- /dev/null
+++ b/batch/src/engine/calls.rs
@@ -0,0 +1,174 @@
+//! What clients ask for.
+
+use super::commits::{Change, Commit, JobView};
+use super::Engine;
+use crate::api::{BodyAnswer, EndAnswer, ListedResult, Output, ReadAnswer, Submitted, TryId};
+use crate::job::{Job, JobId, NewJob};
+use crate::records::Entry;
+use std::collections::HashSet;
+
+/// Most items of a job.
+pub const MOST_ITEMS: usize = 200;
+/// Longest id of a job or an item.
+pub const LONGEST_ID: usize = 256;
+/// Jobs that may wait for the members' disks at once, in bytes; further ones are not taken.
+const PENDING_BYTES: usize = 16 << 20;
+/// How long a refused try is remembered: longer than any copy of it can be late.
+const REFUSED_MEMORY_MS: u64 = 60_000;
+/// Most refused tries that are remembered.
+const REFUSED_TRIES: usize = 20_000;
+/// Bytes of a result in JSON beside its id and text.
+const RESULT_JSON_BYTES: usize = 48;
+
+impl Engine {
+    /// A client hands in a job, at a try that the door has named.
+    ///
+    /// The same job is told by its id alone.
+    pub fn submit(&mut self, now_ms: u64, try_id: TryId, mut job: NewJob) -> Submitted {
+        self.now_ms = now_ms;
+        if !self.node.is_leader() {
+            return Submitted::NotPrimary;
+        }
+        if let Some(view) = self.views.get(&job.id) {
+            return match view.accept_token {
+                None => Submitted::AlreadyAccepted,
+                Some(token) => Submitted::Pending(token),
+            };
+        }
+        if !is_valid(&job) {
+            return Submitted::Invalid;
+        }
+        let may_accept = self.disk_ready && self.pending_bytes < PENDING_BYTES;
+        if !self.is_sure(now_ms) || !may_accept || self.refused.len() >= REFUSED_TRIES {
+            return Submitted::NotSure;
+        }
+        let Some(terms) = self.routes.get(&job.route) else { return Submitted::NotSure };
+        let fits = self.ledger.fits(&job.route, job.tokens(), terms.max_queued_tokens);
+        if !fits || self.refused.contains_key(&try_id) {
+            self.refused.insert(try_id, now_ms + REFUSED_MEMORY_MS);
+            return Submitted::OverQuota;
+        }
+        job.config_version = self.config_version;
+        self.accept(job)
+    }
+
+    /// Takes a job that fits.
+    fn accept(&mut self, job: NewJob) -> Submitted {
+        let id = job.id.clone();
+        let entry = Entry::JobAccepted(job);
+        let bytes = entry.approximate_bytes();
+        let Some(index) = self.node.append(self.now_ms, entry) else { return Submitted::NotSure };
+        if let Some(job) = self.node.state().jobs.get(&id) {
+            self.ledger.add(job);
+        }
+        let token = self.new_token();
+        self.views.insert(id.clone(), JobView { accept_token: Some(token), ..JobView::default() });
+        self.pending_bytes += bytes;
+        self.commits.push_back(Commit { index, job: id, change: Change::Accepted { bytes } });
+        self.take_commits();
+        Submitted::Pending(token)
+    }
+
+    /// A client reads results from a position on; at most `max_bytes` of JSON, or one result.
+    pub fn read(&self, now_ms: u64, job: &JobId, after: u32, max_bytes: usize) -> ReadAnswer<'_> {
+        if !self.node.is_leader() {
+            return ReadAnswer::NotPrimary;
+        }
+        let Some((view, job)) = self.accepted(job) else {
+            let unknown = self.is_sure(now_ms) && !self.views.contains_key(job);
+            return if unknown { ReadAnswer::NotFound } else { ReadAnswer::NotSure };
+        };
+        if after >= view.visible && !self.is_sure(now_ms) {
+            return ReadAnswer::NotSure;
+        }
+        let results = listed(view, job, after, max_bytes);
+        let total = job.accepted.items.len() as u32;
+        let next = after.saturating_add(results.len() as u32);
+        ReadAnswer::Results { total, next, results, closed: view.ended || view.visible == total }
+    }
+
+    /// A client asks for the body of an item.
+    pub fn body(&self, now_ms: u64, job: &JobId, item_id: &str) -> BodyAnswer<'_> {
+        if !self.node.is_leader() {
+            return BodyAnswer::NotPrimary;
+        }
+        let Some((_, job)) = self.accepted(job) else {
+            let unknown = self.is_sure(now_ms) && !self.views.contains_key(job);
+            return if unknown { BodyAnswer::NotFound } else { BodyAnswer::NotSure };
+        };
+        let item = job.accepted.items.iter().find(|item| item.id == item_id);
+        match item.and_then(|item| item.request.as_ref()) {
+            Some(request) => BodyAnswer::Body(&request.body),
+            None => BodyAnswer::NotFound,
+        }
+    }
+
+    /// A client ends a job. Nothing more of it is started from now on.
+    pub fn end(&mut self, now_ms: u64, job: &JobId) -> EndAnswer {
+        self.now_ms = now_ms;
+        if !self.node.is_leader() {
+            return EndAnswer::NotPrimary;
+        }
+        let Some(view) = self.views.get(job) else {
+            return if self.is_sure(now_ms) { EndAnswer::NotFound } else { EndAnswer::NotSure };
+        };
+        if view.ended {
+            return EndAnswer::AlreadyEnded;
+        }
+        if let Some(token) = view.end_token {
+            return EndAnswer::Pending(token);
+        }
+        let entry = Entry::JobEnded(job.clone());
+        let Some(index) = self.node.append(now_ms, entry) else { return EndAnswer::NotSure };
+        self.ledger.remove(job);
+        let runs = self.work.close(job);
+        self.outputs.extend(runs.into_iter().map(Output::CancelRun));
+        let token = self.new_token();
+        if let Some(view) = self.views.get_mut(job) {
+            view.end_token = Some(token);
+        }
+        self.commits.push_back(Commit { index, job: job.clone(), change: Change::Ended });
+        self.take_commits();
+        EndAnswer::Pending(token)
+    }
+
+    /// A job whose acceptance is committed.
+    fn accepted(&self, id: &JobId) -> Option<(&JobView, &Job)> {
+        let view = self.views.get(id).filter(|view| view.accepted)?;
+        Some((view, self.node.state().jobs.get(id)?))
+    }
+}
+
+/// Whether a job keeps the bounds.
+fn is_valid(job: &NewJob) -> bool {
+    let count = job.items.len();
+    let ids: HashSet<&str> = job.items.iter().map(|item| item.id.as_str()).collect();
+    let is_id = |id: &str| !id.is_empty() && id.len() <= LONGEST_ID;
+    let items_valid = job.items.iter().all(|item| is_id(&item.id) && item.request.is_some());
+    is_id(&job.id.0) && (1..=MOST_ITEMS).contains(&count) && ids.len() == count && items_valid
+}
+
+/// The readable results of a job from a position on, up to a size in JSON.
+fn listed<'a>(view: &JobView, job: &'a Job, after: u32, max_bytes: usize) -> Vec<ListedResult<'a>> {
+    let mut listed = Vec::new();
+    let mut bytes = 0;
+    for result in job.results.iter().take(view.visible as usize).skip(after as usize) {
+        let Some(item) = job.accepted.items.get(result.item as usize) else { break };
+        bytes += RESULT_JSON_BYTES + json_bytes(&item.id) + json_bytes(&result.text);
+        if bytes > max_bytes && !listed.is_empty() {
+            break;
+        }
+        listed.push(ListedResult { id: &item.id, state: result.state, text: &result.text });
+    }
+    listed
+}
+
+/// Bytes of a text as a JSON string, at most.
+fn json_bytes(text: &str) -> usize {
+    let escaped = |byte: u8| match byte {
+        b'\n' | b'\r' | b'\t' | b'"' | b'\\' => 2,
+        0..=0x1f | 0x7f => 6,
+        _ => 1,
+    };
+    text.bytes().map(escaped).sum()
+}
--- /dev/null
+++ b/batch/src/engine/runs.rs
@@ -0,0 +1,178 @@
+//! Runs of items, and what ends an item without one.
+
+use super::commits::{Change, Commit};
+use super::Engine;
+use crate::api::{ItemStart, Output, Resume, RunEnd, RunId};
+use crate::job::{ItemResult, JobId, ResultState};
+use crate::records::Entry;
+use crate::work::ItemKey;
+
+/// Pause after a failed attempt; it grows with each one.
+const FAILURE_PAUSE_MS: u64 = 200;
+/// How much older than needed something must be before it is given up or forgotten, for what clocks round.
+const AGE_MARGIN_MS: u64 = 100;
+
+impl Engine {
+    /// Routes with items that wait for a run.
+    pub fn routes_with_work(&mut self, now_ms: u64) -> Vec<String> {
+        self.work.wake(now_ms);
+        if !self.is_sure(now_ms) {
+            return Vec::new();
+        }
+        self.work.ready_routes().filter(|route| self.routes.contains_key(*route)).map(str::to_owned).collect()
+    }
+
+    /// Items of a route to start now, at most `max`, those due first in front. They count as running from now on; each
+    /// must come back by [`Engine::run_ended`] unless it is cancelled.
+    pub fn take_work(&mut self, now_ms: u64, route: &str, max: usize) -> Vec<ItemStart> {
+        self.now_ms = now_ms;
+        self.work.wake(now_ms);
+        let mut starts = Vec::new();
+        if !self.is_sure(now_ms) || !self.routes.contains_key(route) {
+            return starts;
+        }
+        while starts.len() < max {
+            let Some(key) = self.work.first_ready(route).cloned() else { break };
+            match self.start(&key) {
+                Some(start) => starts.push(start),
+                // Without a request there is nothing to run; it must not stand in the way of the others.
+                None => drop(self.work.finish(&key)),
+            }
+        }
+        starts
+    }
+
+    /// Starts a run of an item.
+    fn start(&mut self, key: &ItemKey) -> Option<ItemStart> {
+        let job = self.node.state().jobs.get(&key.job)?;
+        let item = job.accepted.items.get(key.item as usize)?;
+        let request = item.request.clone()?;
+        let terms = self.routes.get(&job.accepted.route)?;
+        let (run, open) = self.work.start(key)?;
+        Some(ItemStart {
+            run,
+            job: key.job.clone(),
+            route: job.accepted.route.clone(),
+            host: job.accepted.host.clone(),
+            item_id: item.id.clone(),
+            tokens: item.tokens,
+            failures: open.failures,
+            request,
+            due_ms: job.first_sent_ms.saturating_add_unsigned(terms.run_target_ms),
+            given_up_ms: job.first_sent_ms.saturating_add_unsigned(terms.retention_ms),
+            resume: open.resume.clone(),
+        })
+    }
+
+    /// A run has ended. Runs that were cancelled are ignored.
+    pub fn run_ended(&mut self, now_ms: u64, run: RunId, end: RunEnd) {
+        self.now_ms = now_ms;
+        let Some(key) = self.work.end_run(run) else { return };
+        match end {
+            RunEnd::Completed { text } => self.list_one(key, ResultState::Completed, text),
+            RunEnd::Rejected => self.list_one(key, ResultState::DeadLetter, String::new()),
+            RunEnd::Failed => self.attempt_failed(key),
+            RunEnd::NotRun { retry_after_ms } => self.work.pause(key, now_ms + retry_after_ms),
+            RunEnd::Cut { resume, retry_after_ms } => {
+                self.note_resume(&key, resume);
+                self.work.pause(key, now_ms + retry_after_ms);
+            }
+        }
+    }
+
+    /// A backend answered 500.
+    fn attempt_failed(&mut self, key: ItemKey) {
+        let job = self.node.state().jobs.get(&key.job);
+        let terms = job.and_then(|job| self.routes.get(&job.accepted.route));
+        let max_attempts = terms.map(|terms| terms.max_attempts.max(1));
+        let Some(item) = self.work.item_mut(&key) else { return };
+        item.failures += 1;
+        let failures = item.failures;
+        if max_attempts.is_some_and(|max_attempts| failures >= max_attempts) {
+            return self.list_one(key, ResultState::DeadLetter, String::new());
+        }
+        self.work.pause(key, self.now_ms + FAILURE_PAUSE_MS * u64::from(failures));
+    }
+
+    /// Keeps the furthest position of an item's runs.
+    fn note_resume(&mut self, key: &ItemKey, resume: Option<Resume>) {
+        let Some(item) = self.work.item_mut(key) else { return };
+        let reached = |resume: &Option<Resume>| resume.as_ref().map(|resume| resume.last_event_id);
+        if reached(&resume) > reached(&item.resume) {
+            item.resume = resume;
+        }
+    }
+
+    /// Lists the result of one item.
+    fn list_one(&mut self, key: ItemKey, state: ResultState, text: String) {
+        let result = ItemResult { item: key.item, state, text };
+        self.list(&key.job, vec![result]);
+    }
+
+    /// Lists results of a job, at the next positions. Runs of these items are cancelled.
+    fn list(&mut self, id: &JobId, results: Vec<ItemResult>) {
+        for result in &results {
+            let run = self.work.finish(&ItemKey { job: id.clone(), item: result.item });
+            self.outputs.extend(run.map(Output::CancelRun));
+            self.ledger.finish(id, result.item);
+        }
+        let Some(job) = self.node.state().jobs.get(id).filter(|job| !job.ended) else { return };
+        let results: Vec<ItemResult> =
+            results.into_iter().filter(|result| !job.is_listed(result.item)).collect();
+        if results.is_empty() {
+            return;
+        }
+        let position = job.results.len() as u32;
+        let positions = position + results.len() as u32;
+        let entry = Entry::ItemResults { job: id.clone(), position, results };
+        if let Some(index) = self.node.append(self.now_ms, entry) {
+            let change = Change::Results { positions };
+            self.commits.push_back(Commit { index, job: id.clone(), change });
+            self.take_commits();
+        }
+    }
+
+    /// Gives items up whose time or route is over, and forgets jobs.
+    pub(super) fn sweep(&mut self) {
+        if !self.is_sure(self.now_ms) {
+            return;
+        }
+        let accepted = self.views.iter().filter(|(_, view)| view.accepted);
+        let ids: Vec<JobId> = accepted.map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            if self.may_forget(&id) {
+                self.forget(&id);
+            } else if self.must_give_up(&id) {
+                let give_up = |item| ItemResult { item, state: ResultState::DeadLetter, text: String::new() };
+                let results = self.work.open_items(&id).into_iter().map(give_up).collect();
+                self.list(&id, results);
+            }
+        }
+    }
+
+    /// Whether a job's open items are to be given up: it is too old, or its route was removed after its acceptance.
+    fn must_give_up(&self, id: &JobId) -> bool {
+        let Some(job) = self.node.state().jobs.get(id) else { return false };
+        match self.routes.get(&job.accepted.route) {
+            Some(terms) => job.age_ms(self.now_ms) >= terms.retention_ms.saturating_add(AGE_MARGIN_MS),
+            None => self.config_version > job.accepted.config_version,
+        }
+    }
+
+    /// Whether a job's time is over, with all that was to come of it committed.
+    fn may_forget(&self, id: &JobId) -> bool {
+        let Some((view, job)) = self.views.get(id).zip(self.node.state().jobs.get(id)) else { return false };
+        let is_old = job.age_ms(self.now_ms) >= self.status_ms.saturating_add(AGE_MARGIN_MS);
+        let is_closed = view.ended || view.visible as usize == job.accepted.items.len();
+        is_old && is_closed
+    }
+
+    /// Forgets a job.
+    fn forget(&mut self, id: &JobId) {
+        self.node.append(self.now_ms, Entry::JobForgotten(id.clone()));
+        self.views.remove(id);
+        self.ledger.remove(id);
+        let runs = self.work.close(id);
+        self.outputs.extend(runs.into_iter().map(Output::CancelRun));
+    }
+}
--- /dev/null
+++ b/batch/src/group/follower.rs
@@ -0,0 +1,181 @@
+//! A store that follows the primary of its group.
+
+use crate::api::WriteTicket;
+use crate::group::writes::WriteQueue;
+use crate::job::JobId;
+use crate::message::{JobAge, JobDigest, Message, StreamId};
+use crate::records::Entry;
+use crate::state::State;
+use alderhollow_model::identity::DiskId;
+use std::collections::{BTreeMap, VecDeque};
+use std::ops::Bound;
+
+/// How much older a job must be here than at the primary to be told.
+const AGE_TOLERANCE_MS: u64 = 200;
+
+/// Entries that were applied and are on their way to the disk.
+#[derive(Debug, Clone, Copy)]
+struct Unsynced {
+    ticket: WriteTicket,
+    next: u64,
+}
+
+/// The stream that is followed in this life of the process.
+#[derive(Debug)]
+struct Following {
+    stream: StreamId,
+    primary: DiskId,
+    /// Number of the next entry to apply.
+    next: u64,
+    /// Number of the first entry that is not on disk yet.
+    synced_next: u64,
+    unsynced: VecDeque<Unsynced>,
+}
+
+/// The follower's part of a store.
+#[derive(Debug, Default)]
+pub struct Follower {
+    following: Option<Following>,
+}
+
+impl Follower {
+    /// Sets up a stream or goes on with setting it up, and answers with what differs.
+    pub fn compare(
+        &mut self,
+        now_ms: u64,
+        from: DiskId,
+        request: CompareRequest,
+        state: &mut State,
+        writes: &mut WriteQueue,
+    ) -> Message {
+        let stream = request.stream;
+        if stream < state.marks.following {
+            return Message::Refused { stream, known: state.marks.following };
+        }
+        if stream > state.marks.following {
+            writes.push(&Entry::Following(stream));
+            state.marks.following = stream;
+            self.following =
+                Some(Following { stream, primary: from, next: 1, synced_next: 1, unsynced: VecDeque::new() });
+        }
+        match &self.following {
+            Some(following) if following.stream == stream => differences(now_ms, request, state),
+            _ => Message::NotFollowing { stream },
+        }
+    }
+
+    /// Applies a part of the stream. The answer, if it can be given before the disk is done.
+    pub fn entries(
+        &mut self,
+        now_ms: u64,
+        stream: StreamId,
+        first: u64,
+        entries: Vec<Entry>,
+        state: &mut State,
+        writes: &mut WriteQueue,
+    ) -> Option<Message> {
+        if stream < state.marks.following {
+            return Some(Message::Refused { stream, known: state.marks.following });
+        }
+        let Some(following) = self.following.as_mut().filter(|following| following.stream == stream) else {
+            return Some(Message::NotFollowing { stream });
+        };
+        let Some(known) = following.next.checked_sub(first) else {
+            return Some(Message::Acknowledge { stream, next: following.synced_next });
+        };
+        let known = usize::try_from(known).unwrap_or(usize::MAX);
+        let mut newest = None;
+        for entry in entries.into_iter().skip(known) {
+            let record = entry.to_bytes();
+            if state.apply_and_release(now_ms, entry).is_err() {
+                self.following = None;
+                return Some(Message::NotFollowing { stream });
+            }
+            newest = Some(writes.push_record(record));
+            following.next += 1;
+        }
+        match newest {
+            Some(ticket) => following.unsynced.push_back(Unsynced { ticket, next: following.next }),
+            None => return Some(Message::Acknowledge { stream, next: following.synced_next }),
+        }
+        None
+    }
+
+    /// All writes up to this one are on disk: what to tell the primary.
+    pub fn written(&mut self, ticket: WriteTicket) -> Option<(DiskId, Message)> {
+        let following = self.following.as_mut()?;
+        let mut advanced = false;
+        while let Some(unsynced) = following.unsynced.front().filter(|unsynced| unsynced.ticket <= ticket) {
+            following.synced_next = unsynced.next;
+            following.unsynced.pop_front();
+            advanced = true;
+        }
+        let acknowledge = Message::Acknowledge { stream: following.stream, next: following.synced_next };
+        advanced.then_some((following.primary, acknowledge))
+    }
+}
+
+/// Content of [`Message::Compare`].
+#[derive(Debug)]
+pub struct CompareRequest {
+    /// The stream.
+    pub stream: StreamId,
+    /// Where the range begins.
+    pub after: Option<JobId>,
+    /// Where it ends.
+    pub until: Option<JobId>,
+    /// The primary's jobs in it.
+    pub digests: Vec<JobDigest>,
+}
+
+/// What differs between the primary's jobs and those here, within a range.
+fn differences(now_ms: u64, request: CompareRequest, state: &mut State) -> Message {
+    let digests: BTreeMap<JobId, JobDigest> =
+        request.digests.into_iter().map(|digest| (digest.job.clone(), digest)).collect();
+    let mut older = Vec::new();
+    let mut wanted = Vec::new();
+    for (id, digest) in &digests {
+        let Some(job) = state.jobs.get_mut(id) else {
+            wanted.push(id.clone());
+            continue;
+        };
+        if job.digest() != digest.digest {
+            wanted.push(id.clone());
+        }
+        let age_ms = job.age_ms(now_ms);
+        if age_ms > digest.age_ms.saturating_add(AGE_TOLERANCE_MS) {
+            older.push(JobAge { job: id.clone(), age_ms });
+        }
+        job.learn_age(now_ms, digest.age_ms);
+    }
+    let from = request.after.map_or(Bound::Unbounded, Bound::Excluded);
+    let to = request.until.clone().map_or(Bound::Unbounded, Bound::Included);
+    let surplus = if is_range(&from, &to) {
+        state
+            .jobs
+            .range((from, to))
+            .map(|(id, _)| id)
+            .filter(|id| !digests.contains_key(id))
+            .cloned()
+            .collect()
+    } else {
+        Vec::new()
+    };
+    let active_epoch = state.marks.active_epoch;
+    Message::Differences {
+        stream: request.stream,
+        until: request.until,
+        wanted,
+        surplus,
+        older,
+        active_epoch,
+    }
+}
+
+/// Whether the bounds are in order; a map refuses others.
+fn is_range(from: &Bound<JobId>, to: &Bound<JobId>) -> bool {
+    match (from, to) {
+        (Bound::Excluded(from), Bound::Included(to)) => from < to,
+        _ => true,
+    }
+}
--- /dev/null
+++ b/batch/src/group/peer.rs
@@ -0,0 +1,282 @@
+//! A primary's stream to one other store of its group.
+
+use crate::group::log::RecordLog;
+use crate::job::JobId;
+use crate::message::{JobDigest, Message, StreamId, MESSAGE_BYTES};
+use crate::records::Entry;
+use crate::state::{whole_job, State};
+use std::collections::VecDeque;
+use std::ops::Bound;
+
+/// Bytes that may be under way to a store before it acknowledges.
+const WINDOW_BYTES: usize = 4 * MESSAGE_BYTES;
+/// Time without an answer after which the primary sends again. It doubles up to [`LONGEST_RETRY_MS`].
+const FIRST_RETRY_MS: u64 = 500;
+/// See [`FIRST_RETRY_MS`].
+const LONGEST_RETRY_MS: u64 = 2_000;
+/// A store that has let something wait for so long is reported as silent.
+const SILENT_MS: u64 = 500;
+/// Bytes of a digest beside the id, roughly.
+const DIGEST_BYTES: usize = 32;
+
+/// What makes the other store equal, once it has told what differs.
+#[derive(Debug, Clone)]
+enum SyncStep {
+    Send(JobId),
+    Drop(JobId),
+}
+
+/// Where the stream is.
+#[derive(Debug)]
+enum Phase {
+    /// Digests up to this id were sent.
+    Comparing { until: Option<JobId> },
+    /// The store gets entries: the steps, [`Entry::Synced`], then the records after `start`.
+    Streaming,
+}
+
+/// A message that was not acknowledged yet.
+#[derive(Debug, Clone, Copy)]
+struct InFlight {
+    next: u64,
+    bytes: usize,
+}
+
+/// What a store answered to [`Message::Compare`].
+#[derive(Debug)]
+pub struct Difference {
+    /// End of the range.
+    pub until: Option<JobId>,
+    /// Jobs to send.
+    pub wanted: Vec<JobId>,
+    /// Jobs to drop there.
+    pub surplus: Vec<JobId>,
+}
+
+/// One other store, as the primary sees it.
+#[derive(Debug)]
+pub struct Peer {
+    /// Whether records wait for it.
+    pub is_member: bool,
+    stream: StreamId,
+    phase: Phase,
+    steps: Vec<SyncStep>,
+    /// Index of the newest record that the first digests contain.
+    start: u64,
+    /// Number of the next entry to send.
+    next: u64,
+    /// Number of the first entry that is not acknowledged.
+    acknowledged: u64,
+    in_flight: VecDeque<InFlight>,
+    in_flight_bytes: usize,
+    waiting_since_ms: Option<u64>,
+    retry_at_ms: Option<u64>,
+    retry_ms: u64,
+}
+
+impl Peer {
+    /// A store to which nothing was said yet in this session.
+    pub fn new(is_member: bool, epoch: u64, session: u64) -> Peer {
+        Peer {
+            is_member,
+            stream: StreamId { epoch, session, attempt: 0 },
+            phase: Phase::Comparing { until: None },
+            steps: Vec::new(),
+            start: 0,
+            next: 1,
+            acknowledged: 1,
+            in_flight: VecDeque::new(),
+            in_flight_bytes: 0,
+            waiting_since_ms: None,
+            retry_at_ms: None,
+            retry_ms: FIRST_RETRY_MS,
+        }
+    }
+
+    /// The stream in use.
+    pub fn stream(&self) -> StreamId {
+        self.stream
+    }
+
+    /// Begins a new attempt to bring the store up to date.
+    pub fn begin(&mut self, now_ms: u64, state: &State, log: &RecordLog) -> Message {
+        self.stream.attempt += 1;
+        self.steps.clear();
+        self.start = log.last();
+        self.next = 1;
+        self.acknowledged = 1;
+        self.clear_in_flight();
+        self.waiting_since_ms.get_or_insert(now_ms);
+        self.compare(now_ms, state, None)
+    }
+
+    /// Sends the digests of the range after an id.
+    fn compare(&mut self, now_ms: u64, state: &State, after: Option<JobId>) -> Message {
+        let from = after.clone().map_or(Bound::Unbounded, Bound::Excluded);
+        let mut digests = Vec::new();
+        let mut bytes = 0;
+        let mut until = None;
+        for (id, job) in state.jobs.range((from, Bound::Unbounded)) {
+            if bytes >= MESSAGE_BYTES {
+                until = digests.last().map(|digest: &JobDigest| digest.job.clone());
+                break;
+            }
+            bytes += id.0.len() + DIGEST_BYTES;
+            digests.push(JobDigest { job: id.clone(), digest: job.digest(), age_ms: job.age_ms(now_ms) });
+        }
+        self.phase = Phase::Comparing { until: until.clone() };
+        self.retry_at_ms = Some(now_ms + self.retry_ms);
+        Message::Compare { stream: self.stream, after, until, digests }
+    }
+
+    /// The store told what differs in the range; the digests of the next range, if there is one.
+    pub fn differs(&mut self, now_ms: u64, difference: Difference, state: &State) -> Option<Message> {
+        match &self.phase {
+            Phase::Comparing { until } if *until == difference.until => {}
+            _ => return None,
+        }
+        self.steps.extend(difference.wanted.into_iter().map(SyncStep::Send));
+        self.steps.extend(difference.surplus.into_iter().map(SyncStep::Drop));
+        self.progressed(now_ms);
+        if difference.until.is_some() {
+            return Some(self.compare(now_ms, state, difference.until));
+        }
+        self.phase = Phase::Streaming;
+        self.retry_at_ms = None;
+        None
+    }
+
+    /// The store has all entries below this number on disk.
+    pub fn acknowledge(&mut self, now_ms: u64, next: u64) {
+        if next <= self.acknowledged || !matches!(self.phase, Phase::Streaming) {
+            return;
+        }
+        self.acknowledged = next;
+        // After a retry the store may acknowledge what was sent before it.
+        self.next = self.next.max(next);
+        while let Some(message) = self.in_flight.front().filter(|message| message.next <= next) {
+            self.in_flight_bytes -= message.bytes;
+            self.in_flight.pop_front();
+        }
+        self.progressed(now_ms);
+        self.retry_at_ms = (self.acknowledged < self.next).then_some(now_ms + self.retry_ms);
+        if self.acknowledged == self.next {
+            self.waiting_since_ms = None;
+        }
+    }
+
+    /// Messages that fit in the window.
+    pub fn fill(&mut self, now_ms: u64, state: &State, log: &RecordLog) -> Vec<Message> {
+        let mut messages = Vec::new();
+        while matches!(self.phase, Phase::Streaming) && self.in_flight_bytes < WINDOW_BYTES {
+            let (entries, bytes) = self.next_entries(now_ms, state, log);
+            if entries.is_empty() {
+                break;
+            }
+            let first = self.next;
+            self.next += entries.len() as u64;
+            self.in_flight.push_back(InFlight { next: self.next, bytes });
+            self.in_flight_bytes += bytes;
+            self.waiting_since_ms.get_or_insert(now_ms);
+            self.retry_at_ms.get_or_insert(now_ms + self.retry_ms);
+            messages.push(Message::Entries { stream: self.stream, first, entries });
+        }
+        messages
+    }
+
+    /// Entries for one message, and their size.
+    fn next_entries(&self, now_ms: u64, state: &State, log: &RecordLog) -> (Vec<Entry>, usize) {
+        let mut entries = Vec::new();
+        let mut bytes = 0;
+        for number in self.next.. {
+            let Some(entry) = self.entry(number, now_ms, state, log) else { break };
+            let size = entry.approximate_bytes();
+            if !entries.is_empty() && bytes + size > MESSAGE_BYTES {
+                break;
+            }
+            bytes += size;
+            entries.push(entry);
+        }
+        (entries, bytes)
+    }
+
+    /// The entry with this number. A whole job is taken as it is now: newer than when it differed does no harm, as
+    /// records that it contains already change nothing.
+    fn entry(&self, number: u64, now_ms: u64, state: &State, log: &RecordLog) -> Option<Entry> {
+        let steps = self.steps.len() as u64;
+        if number <= steps {
+            return match self.steps.get(usize::try_from(number - 1).ok()?)? {
+                SyncStep::Send(id) => Some(match state.jobs.get(id) {
+                    Some(job) => whole_job(job, now_ms),
+                    None => Entry::JobForgotten(id.clone()),
+                }),
+                SyncStep::Drop(id) => Some(Entry::JobForgotten(id.clone())),
+            };
+        }
+        if number == steps + 1 {
+            return Some(Entry::Synced(self.stream.epoch));
+        }
+        log.get(self.start + (number - steps - 1)).cloned()
+    }
+
+    /// Index of the newest record that the store has on disk; `None` until it equals the primary.
+    pub fn acknowledged_index(&self) -> Option<u64> {
+        if !matches!(self.phase, Phase::Streaming) {
+            return None;
+        }
+        let beyond_sync = self.acknowledged.checked_sub(self.steps.len() as u64 + 2)?;
+        Some(self.start + beyond_sync)
+    }
+
+    /// Index of the newest record that this store will not ask for again.
+    pub fn needs_after(&self) -> u64 {
+        self.acknowledged_index().unwrap_or(self.start)
+    }
+
+    /// When something must be sent again.
+    pub fn retry_at_ms(&self) -> Option<u64> {
+        self.retry_at_ms
+    }
+
+    /// Sends again what had no answer in time. A comparison begins anew, as its digests have aged.
+    pub fn retry(&mut self, now_ms: u64, state: &State, log: &RecordLog) -> Option<Message> {
+        if self.retry_at_ms.is_none_or(|at_ms| now_ms < at_ms) {
+            return None;
+        }
+        self.retry_ms = (self.retry_ms * 2).min(LONGEST_RETRY_MS);
+        self.retry_at_ms = None;
+        if matches!(self.phase, Phase::Comparing { .. }) {
+            return Some(self.begin(now_ms, state, log));
+        }
+        self.next = self.acknowledged;
+        self.clear_in_flight();
+        None
+    }
+
+    /// Gives the stream up: the store is compared anew when the retry is due, and until then no record is held for it.
+    pub fn restart_later(&mut self, now_ms: u64) {
+        self.phase = Phase::Comparing { until: None };
+        self.start = u64::MAX;
+        self.clear_in_flight();
+        // An answer to what was said before must not be taken for one to the next attempt.
+        self.stream.attempt += 1;
+        self.retry_at_ms = Some(now_ms + self.retry_ms);
+    }
+
+    /// Whether something has waited for the store for long.
+    pub fn is_silent(&self, now_ms: u64) -> bool {
+        self.waiting_since_ms.is_some_and(|since_ms| now_ms >= since_ms + SILENT_MS)
+    }
+
+    /// The store answered.
+    fn progressed(&mut self, now_ms: u64) {
+        self.retry_ms = FIRST_RETRY_MS;
+        self.waiting_since_ms = Some(now_ms);
+    }
+
+    /// Nothing is under way any more.
+    fn clear_in_flight(&mut self) {
+        self.in_flight.clear();
+        self.in_flight_bytes = 0;
+    }
+}
--- a/batch/src/job.rs
+++ b/batch/src/job.rs
@@ -204,10 +204,10 @@
         true
     }
 
-    /// Drops the requests of the items that stand at positions below `positions`.
-    pub fn release_listed(&mut self, from: usize, positions: usize) {
+    /// Drops the requests of the items that stand at positions from `from` on, below `to`.
+    pub fn release_listed(&mut self, from: usize, to: usize) {
         let items = &mut self.accepted.items;
-        for result in self.results.iter().take(positions).skip(from) {
+        for result in self.results.iter().take(to).skip(from) {
             if let Some(item) = items.get_mut(result.item as usize) {
                 item.request = None;
             }
--- a/batch/src/lib.rs
+++ b/batch/src/lib.rs
@@ -5,6 +5,10 @@
 
 pub mod api;
 pub mod engine;
+pub mod group;
 pub mod job;
+pub mod ledger;
 pub mod message;
 pub mod records;
+pub mod state;
+pub mod work;
