--- a/alderhollow/src/batch_api/endpoints.rs
+++ b/alderhollow/src/batch_api/endpoints.rs
@@ -11,6 +11,8 @@
 use hyper::body::Bytes;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE};
 use hyper::{Method, Response, StatusCode};
+use oorandom::Rand64;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,6 +36,8 @@
 pub struct StoreEndpoints {
     link: Rc<dyn StoreLink>,
     snapshots: SnapshotReceiver,
+    /// Draws the names of clients' tries.
+    random: Rc<RefCell<Rand64>>,
 }
 
 impl BatchEndpoints for StoreEndpoints {
@@ -45,8 +49,10 @@
 
 impl StoreEndpoints {
     /// Endpoints that follow the tables for the group's primary.
-    pub fn new(link: Rc<dyn StoreLink>, snapshots: SnapshotReceiver) -> StoreEndpoints {
-        StoreEndpoints { link, snapshots }
+    /// `seed` is this life's own.
+    pub fn new(link: Rc<dyn StoreLink>, snapshots: SnapshotReceiver, seed: u64) -> StoreEndpoints {
+        let random = Rc::new(RefCell::new(Rand64::new(u128::from(seed))));
+        StoreEndpoints { link, snapshots, random }
     }
 
     async fn answer(&self, call: BatchCall) -> Response<Bytes> {
@@ -91,7 +97,8 @@
             unknown_until: call.received_at + SUBMIT_UNKNOWN.min(time_of(headers)),
             held: Duration::ZERO,
         };
-        submit_answer(self.ask(StoreCall::Submit(job), patience).await)
+        let try_id = self.random.borrow_mut().rand_u64();
+        submit_answer(self.ask(StoreCall::Submit { try_id, job }, patience).await)
     }
 
     async fn read(&self, call: &BatchCall, job: String, after: u64) -> Response<Bytes> {
--- a/alderhollow/src/batch_api/endpoints/tests.rs
+++ b/alderhollow/src/batch_api/endpoints/tests.rs
@@ -80,7 +80,7 @@
 ) -> (u16, bool, String, Vec<(SocketAddr, StoreCall)>) {
     let script = Rc::new(Script { replies: RefCell::new(replies.into()), calls: RefCell::default() });
     let (_sender, snapshots) = watch::channel(tables(1));
-    let response = StoreEndpoints::new(script.clone(), snapshots).serve(call).await;
+    let response = StoreEndpoints::new(script.clone(), snapshots, 7).serve(call).await;
     let retry = response.headers().contains_key("retry-after");
     let body = String::from_utf8(response.body().to_vec()).expect("text");
     let calls = script.calls.borrow().clone();
@@ -139,7 +139,7 @@
     let replies = vec![Err(StoreCallError::Unknown), Ok(StoreReply::Committed)];
     let script = Rc::new(Script { replies: RefCell::new(replies.into()), calls: RefCell::default() });
     let (sender, snapshots) = watch::channel(tables(1));
-    let endpoints = StoreEndpoints::new(script.clone(), snapshots);
+    let endpoints = StoreEndpoints::new(script.clone(), snapshots, 7);
     let change = async {
         tokio::task::yield_now().await;
         sender.send_replace(tables(2));
@@ -206,7 +206,7 @@
         calls: RefCell::default(),
     });
     let (_sender, snapshots) = watch::channel(Arc::<Snapshot>::default());
-    let response = StoreEndpoints::new(script.clone(), snapshots).serve(hand_in(JOB)).await;
+    let response = StoreEndpoints::new(script.clone(), snapshots, 7).serve(hand_in(JOB)).await;
     assert_eq!(response.status(), 503);
     assert!(script.calls.borrow().is_empty());
 }
--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod internal;
 pub mod routing;
 pub mod settings;
+pub mod store;
 
 use alderhollow_model::snapshot::Snapshot;
 use std::sync::Arc;
--- /dev/null
+++ b/alderhollow/src/store/calls.rs
@@ -0,0 +1,139 @@
+//! Serves the doors' calls at a store.
+
+use super::node::StoreNode;
+use crate::batch_api::document;
+use crate::batch_protocol::{StoreCall, StoreReply};
+use crate::internal::server::HandlerFuture;
+use crate::internal::{Handler, Refusal};
+use alderhollow_batch::api::{BodyAnswer, EndAnswer, Outcome, ReadAnswer, Submitted, Token, TryId};
+use alderhollow_batch::job::{JobId, NewJob, ResultState};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Most bytes of results in one answer: 1 MB, less the rest of the answer.
+const RESULT_BYTES: usize = 1_000_000 - 256;
+/// Longest hold of a read.
+const LONGEST_HOLD_MS: u32 = 5_000;
+/// Longest wait for an operation's end. The door asks again.
+const END_TIMEOUT: Duration = Duration::from_millis(5_000);
+
+/// The service of doors' calls.
+pub struct CallHandler(pub Rc<StoreNode>);
+
+impl Handler for CallHandler {
+    fn request(&self, payload: Vec<u8>) -> HandlerFuture {
+        let node = self.0.clone();
+        Box::pin(async move {
+            let call = minicbor::decode(&payload).map_err(|_| Refusal::Malformed)?;
+            drop(payload);
+            let reply = serve(&node, call).await;
+            // Nothing that was encoded by this program fails to be; a door takes this for an unknown end.
+            Ok(minicbor::to_vec(reply).unwrap_or_default())
+        })
+    }
+}
+
+/// Serves one call.
+pub async fn serve(node: &Rc<StoreNode>, call: StoreCall) -> StoreReply {
+    match call {
+        StoreCall::Submit { try_id, job } => submit(node, TryId(try_id), job).await,
+        StoreCall::Read { job, after, wait_ms } => read(node, &job, after, wait_ms).await,
+        StoreCall::Body { job, item } => body(node, &job, &item),
+        StoreCall::End(job) => end(node, &job).await,
+    }
+}
+
+async fn submit(node: &Rc<StoreNode>, try_id: TryId, job: NewJob) -> StoreReply {
+    let mut ended = None;
+    let submitted = node.with_engine(|engine, now_ms| {
+        let submitted = engine.submit(now_ms, try_id, job);
+        if let Submitted::Pending(token) = submitted {
+            ended = Some(node.waiting.for_end(token));
+        }
+        submitted
+    });
+    match submitted {
+        Submitted::Pending(_) => await_end(ended).await,
+        Submitted::AlreadyAccepted => StoreReply::Committed,
+        Submitted::OverQuota => StoreReply::OverQuota,
+        Submitted::NotPrimary => StoreReply::NotPrimary,
+        Submitted::NotSure => StoreReply::NotSure,
+        Submitted::Invalid => StoreReply::Invalid,
+    }
+}
+
+type End = Option<tokio::sync::oneshot::Receiver<Outcome>>;
+
+async fn await_end(ended: End) -> StoreReply {
+    let Some(ended) = ended else { return StoreReply::Unknown };
+    match tokio::time::timeout(END_TIMEOUT, ended).await {
+        Ok(Ok(Outcome::Committed)) => StoreReply::Committed,
+        Ok(Ok(Outcome::Unknown) | Err(_)) | Err(_) => StoreReply::Unknown,
+    }
+}
+
+async fn end(node: &Rc<StoreNode>, job: &JobId) -> StoreReply {
+    let mut ended = None;
+    let answer = node.with_engine(|engine, now_ms| {
+        let answer = engine.end(now_ms, job);
+        if let EndAnswer::Pending(token) = answer {
+            ended = Some(node.waiting.for_end(token));
+        }
+        answer
+    });
+    match answer {
+        EndAnswer::Pending(Token(_)) => await_end(ended).await,
+        EndAnswer::AlreadyEnded => StoreReply::Committed,
+        EndAnswer::NotFound => StoreReply::NotFound,
+        EndAnswer::NotPrimary => StoreReply::NotPrimary,
+        EndAnswer::NotSure => StoreReply::NotSure,
+    }
+}
+
+fn body(node: &Rc<StoreNode>, job: &JobId, item: &str) -> StoreReply {
+    node.look(|engine, now_ms| match engine.body(now_ms, job, item) {
+        BodyAnswer::Body(bytes) => StoreReply::Body(bytes.to_vec()),
+        BodyAnswer::NotFound => StoreReply::NotFound,
+        BodyAnswer::NotPrimary => StoreReply::NotPrimary,
+        BodyAnswer::NotSure => StoreReply::NotSure,
+    })
+}
+
+/// Reads results; waits for a first one as long as the client allows.
+async fn read(node: &Rc<StoreNode>, job: &JobId, after: u32, wait_ms: u32) -> StoreReply {
+    let until = Instant::now() + Duration::from_millis(u64::from(wait_ms.min(LONGEST_HOLD_MS)));
+    loop {
+        let readable = node.waiting.for_results(job);
+        let notified = readable.notified();
+        let (reply, may_wait) = read_now(node, job, after);
+        if !may_wait || Instant::now() >= until {
+            return reply;
+        }
+        let _ = tokio::time::timeout_at(until, notified).await;
+    }
+}
+
+/// The answer as it is now, and whether another may come.
+fn read_now(node: &Rc<StoreNode>, job: &JobId, after: u32) -> (StoreReply, bool) {
+    node.look(|engine, now_ms| match engine.read(now_ms, job, after, RESULT_BYTES) {
+        ReadAnswer::Results { total, next, results, closed } => {
+            let may_wait = results.is_empty() && !closed;
+            let results = results.iter().map(listed).collect();
+            let answer =
+                document::ReadAnswer { total: u64::from(total), next_token: u64::from(next), results };
+            (StoreReply::Results(answer.to_json()), may_wait)
+        }
+        ReadAnswer::NotFound => (StoreReply::NotFound, false),
+        ReadAnswer::NotPrimary => (StoreReply::NotPrimary, false),
+        ReadAnswer::NotSure => (StoreReply::NotSure, false),
+    })
+}
+
+fn listed<'a>(result: &'a alderhollow_batch::api::ListedResult<'a>) -> document::ReadResult<'a> {
+    let state = match result.state {
+        ResultState::Completed => document::ResultState::Completed,
+        ResultState::DeadLetter => document::ResultState::DeadLetter,
+    };
+    document::ReadResult { id: result.id, state, text: result.text }
+}
--- /dev/null
+++ b/alderhollow/src/store/journal_queue.rs
@@ -0,0 +1,157 @@
+//! The writes of a store in order, and their ends. After a write that failed, nothing counts as written until the whole
+//! state is on disk as a new snapshot.
+
+use alderhollow_batch::api::WriteTicket;
+use alderhollow_storage::{StorageError, Write, Writer};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+/// A log that has grown to this size is replaced by a snapshot, unless the disk is small or the snapshot large.
+const LOG_BYTES: u64 = 24 * 1024 * 1024;
+/// The log may take this part of the disk: two snapshots and two logs must fit.
+const LOG_PART_OF_DISK: u64 = 10;
+/// A log is kept until it is so many times as large as the last snapshot.
+const LOG_PER_SNAPSHOT: u64 = 2;
+/// Pause before another snapshot is tried after a failure.
+const REPAIR_PAUSE: Duration = Duration::from_millis(300);
+/// A disk with a write that is older than this is stalled.
+const STALL_MS: u64 = 600;
+
+/// What a store's node does for its journal.
+pub trait JournalOwner {
+    /// The whole state, with every write so far.
+    fn snapshot(&self) -> Vec<u8>;
+    /// All writes up to this one are on disk.
+    fn written(&self, ticket: WriteTicket);
+    /// Milliseconds of the process's clock.
+    fn now_ms(&self) -> u64;
+}
+
+type End = oneshot::Receiver<Result<(), StorageError>>;
+
+/// A submission that has not ended.
+struct Pending {
+    /// `None` for a snapshot.
+    ticket: Option<WriteTicket>,
+    end: End,
+}
+
+/// The writes under way. One task runs [`JournalQueue::follow`].
+pub struct JournalQueue {
+    writer: Writer,
+    submissions: mpsc::UnboundedSender<Pending>,
+    submitted_at: RefCell<VecDeque<u64>>,
+    newest: Cell<WriteTicket>,
+    log_bytes: Cell<u64>,
+    log_limit: Cell<u64>,
+    smallest_limit: u64,
+    failing: Cell<bool>,
+}
+
+/// The ends of submissions, for [`JournalQueue::follow`].
+pub struct WriteEnds(mpsc::UnboundedReceiver<Pending>);
+
+impl JournalQueue {
+    /// A queue on a disk of this size.
+    pub fn new(writer: Writer, disk_mb: Option<u64>) -> (JournalQueue, WriteEnds) {
+        let (submissions, ends) = mpsc::unbounded_channel();
+        let of_disk = disk_mb.map_or(LOG_BYTES, |mb| mb * 1024 * 1024 / LOG_PART_OF_DISK);
+        let limit = LOG_BYTES.min(of_disk);
+        let queue = JournalQueue {
+            writer,
+            submissions,
+            submitted_at: RefCell::default(),
+            newest: Cell::new(WriteTicket(0)),
+            log_bytes: Cell::new(0),
+            log_limit: Cell::new(limit),
+            smallest_limit: limit,
+            failing: Cell::new(false),
+        };
+        (queue, WriteEnds(ends))
+    }
+
+    /// Queues records.
+    pub fn append(&self, now_ms: u64, ticket: WriteTicket, records: Vec<Vec<u8>>) {
+        let bytes: usize = records.iter().map(Vec::len).sum();
+        self.log_bytes.set(self.log_bytes.get() + bytes as u64);
+        self.newest.set(ticket);
+        self.submit(now_ms, Some(ticket), records.into_iter().map(Write::Append).collect());
+    }
+
+    /// Queues a snapshot if the log has grown so far that it is time.
+    pub fn compact_if_due(&self, now_ms: u64, snapshot: impl FnOnce() -> Vec<u8>) {
+        if self.log_bytes.get() < self.log_limit.get() || self.failing.get() {
+            return;
+        }
+        let snapshot = snapshot();
+        log::info!("compacting the journal to {} bytes", snapshot.len());
+        self.note_snapshot(snapshot.len());
+        self.submit(now_ms, None, vec![Write::Compact(snapshot)]);
+    }
+
+    /// Whether the disk takes writes without failure or long delay.
+    pub fn is_ready(&self, now_ms: u64) -> bool {
+        let oldest = self.submitted_at.borrow().front().copied();
+        !self.failing.get() && oldest.is_none_or(|at| now_ms.saturating_sub(at) < STALL_MS)
+    }
+
+    /// Tells the owner of the ends of its writes, in order, until the queue is gone.
+    pub async fn follow(&self, mut ends: WriteEnds, owner: &dyn JournalOwner) {
+        while let Some(pending) = ends.0.recv().await {
+            let end = pending.end.await;
+            self.submitted_at.borrow_mut().pop_front();
+            match end {
+                Ok(Ok(())) => {
+                    if let Some(ticket) = pending.ticket {
+                        owner.written(ticket);
+                    }
+                }
+                Ok(Err(error)) => self.repair(&mut ends, owner, error).await,
+                Err(_) => self.repair(&mut ends, owner, StorageError::WriterEnded).await,
+            }
+        }
+    }
+
+    /// Puts the whole state on disk, again and again until that succeeds.
+    async fn repair(&self, ends: &mut WriteEnds, owner: &dyn JournalOwner, mut error: StorageError) {
+        self.failing.set(true);
+        loop {
+            log::error!(
+                "the disk fails: {error}; no batch job is taken until the whole state is written anew"
+            );
+            tokio::time::sleep(REPAIR_PAUSE).await;
+            while let Ok(pending) = ends.0.try_recv() {
+                // What was queued behind the failure is in the snapshot as well.
+                let _ = pending.end.await;
+                self.submitted_at.borrow_mut().pop_front();
+            }
+            let newest = self.newest.get();
+            let snapshot = owner.snapshot();
+            self.note_snapshot(snapshot.len());
+            match self.writer.submit(vec![Write::Compact(snapshot)]).await {
+                Ok(Ok(())) => {
+                    self.failing.set(false);
+                    log::warn!("the disk takes writes again");
+                    owner.written(newest);
+                    return;
+                }
+                Ok(Err(next)) => error = next,
+                Err(_) => error = StorageError::WriterEnded,
+            }
+        }
+    }
+
+    fn submit(&self, now_ms: u64, ticket: Option<WriteTicket>, writes: Vec<Write>) {
+        self.submitted_at.borrow_mut().push_back(now_ms);
+        let pending = Pending { ticket, end: self.writer.submit(writes) };
+        // The receiver lives as long as the store's node.
+        let _ = self.submissions.send(pending);
+    }
+
+    fn note_snapshot(&self, bytes: usize) {
+        self.log_bytes.set(0);
+        self.log_limit.set(self.smallest_limit.max(bytes as u64 * LOG_PER_SNAPSHOT));
+    }
+}
