--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -6,17 +6,22 @@
 pub mod balance;
 pub mod batch_api;
 pub mod batch_protocol;
+pub mod cli;
 pub mod clock;
 pub mod configuration;
+pub mod control_state;
 pub mod core;
 pub mod discovery;
 pub mod distribution;
+pub mod door;
 pub mod executor;
 pub mod finding;
 pub mod internal;
+pub mod logging;
 pub mod routing;
 pub mod settings;
 pub mod store;
+pub mod termination;
 
 use alderhollow_model::snapshot::Snapshot;
 use std::sync::Arc;
