--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -18,6 +18,8 @@
 pub mod finding;
 pub mod internal;
 pub mod logging;
+pub mod operator_api;
+pub mod ready;
 pub mod routing;
 pub mod settings;
 pub mod store;
