Share which headers go on, how long a peer keeps a connection, and a bound on silence

The tier's door drops the same headers and reads the same Keep-Alive as brassport: both move to the library. A peer behind a cut says nothing, so a link may have a TCP user timeout; a link tells whether its request's last byte went out, and a client's connection is told how much is read ahead of it, which bounds a head. brassport's figures stay.

--- a/dataplane/src/connection.rs
+++ b/dataplane/src/connection.rs
@@ -1,6 +1,5 @@
 //! One connection of a client: driven until it has ended, or until it is told to end and nothing of a request is on it.
 
-use crate::link::BUFFER;
 use crate::pulse::{Due, Felt, Pulse};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
@@ -41,16 +40,22 @@
 }
 
 /// Serves requests until the connection has ended, or `close` is over and what was on the connection by then is
-/// answered. A connection's error is its client's: it has gone, or what it sent is no HTTP.
-pub async fn drive<S>(stream: &Rc<TcpStream>, pulse: &Rc<Pulse>, service: S, close: impl Future<Output = ()>)
-where
+/// answered. `buffer` bounds what is read ahead, and so a request's head. A connection's error is its client's: it has
+/// gone, or what it sent is no HTTP.
+pub async fn drive<S>(
+    stream: &Rc<TcpStream>,
+    pulse: &Rc<Pulse>,
+    buffer: usize,
+    service: S,
+    close: impl Future<Output = ()>,
+) where
     S: HttpService<Incoming>,
     S::Error: Into<Box<dyn Error + Send + Sync>>,
     S::ResBody: 'static,
     <S::ResBody as Body>::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(None).max_buf_size(BUFFER);
+    builder.timer(TokioTimer::new()).header_read_timeout(None).max_buf_size(buffer);
     let socket = TokioIo::new(Felt::new(stream.clone(), pulse.clone()));
     let mut serving = pin!(builder.serve_connection(socket, service));
     let mut close = pin!(close);
--- a/dataplane/src/connection/tests.rs
+++ b/dataplane/src/connection/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::link::BUFFER;
 use crate::pulse::Times;
 use http_body_util::Full;
 use hyper::body::Bytes;
@@ -55,7 +56,7 @@
             Ok::<_, Infallible>(response)
         }
     });
-    drive(stream, &pulse, service, close).await;
+    drive(stream, &pulse, BUFFER, service, close).await;
     super::close(stream).await;
 }
 
--- a/dataplane/src/lib.rs
+++ b/dataplane/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod connection;
 pub mod flow;
+pub mod headers;
 pub mod link;
 pub mod pulse;
--- a/dataplane/src/link.rs
+++ b/dataplane/src/link.rs
@@ -17,6 +17,7 @@
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 use tokio::net::{TcpSocket, TcpStream};
 
 /// What is read ahead of its reader, or written ahead of it, on one connection by the program.
@@ -149,9 +150,22 @@
 impl Link {
     /// Requests are counted in `written` once their last byte is.
     pub async fn open(address: SocketAddr, written: Rc<Cell<u64>>) -> io::Result<Link> {
+        Link::open_bounded(address, written, None).await
+    }
+
+    /// The same for a peer that may be cut off without a word: what it does not confirm for so long ends the
+    /// connection.
+    pub async fn open_bounded(
+        address: SocketAddr,
+        written: Rc<Cell<u64>>,
+        unconfirmed: Option<Duration>,
+    ) -> io::Result<Link> {
         let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
         socket.set_recv_buffer_size(KERNEL_BUFFER)?;
         socket.set_send_buffer_size(KERNEL_BUFFER)?;
+        if unconfirmed.is_some() {
+            SockRef::from(&socket).set_tcp_user_timeout(unconfirmed)?;
+        }
         let stream = socket.connect(address).await?;
         stream.set_nodelay(true)?;
         let progress = Rc::new(Progress { written, ..Progress::default() });
@@ -175,6 +189,11 @@
         })
     }
 
+    /// Whether the last byte of the request that was sent last has gone out. Until then it has not run.
+    pub fn is_written(&self) -> bool {
+        !self.progress.writing.get()
+    }
+
     /// The next piece of an answer that has begun; `None` at its end.
     pub async fn piece(&mut self, body: &mut Incoming) -> Option<Result<Bytes, Failure>> {
         loop {
--- a/src/bin/brassport/backends/pool.rs
+++ b/src/bin/brassport/backends/pool.rs
@@ -80,26 +80,12 @@
 
     /// Takes in what the backend says of how long it keeps the connection.
     pub fn heed(&mut self, headers: &HeaderMap) {
-        let told = headers
-            .get_all("keep-alive")
-            .iter()
-            .filter_map(|value| value.to_str().ok())
-            .find_map(told_timeout);
-        if let Some(told) = told {
+        if let Some(told) = springusher_dataplane::headers::keep_alive(headers) {
             self.keep = self.keep.min(told.mul_f64(IDLE_PART));
         }
     }
 }
 
-/// The whole seconds of `timeout=` in a header `Keep-Alive`. What cannot be read says nothing.
-fn told_timeout(text: &str) -> Option<Duration> {
-    text.split(',').find_map(|part| {
-        let (name, value) = part.split_once('=')?;
-        let seconds = value.trim().trim_matches('"').parse().ok()?;
-        name.trim().eq_ignore_ascii_case("timeout").then_some(Duration::from_secs(seconds))
-    })
-}
-
 struct Backend {
     place: Place,
     /// When it started, as the list tells.
--- a/src/bin/brassport/clients/desk.rs
+++ b/src/bin/brassport/clients/desk.rs
@@ -14,6 +14,7 @@
 use springusher::{Effect, Settings};
 use springusher_dataplane::connection;
 use springusher_dataplane::flow::{whole, Outgoing};
+use springusher_dataplane::link::BUFFER;
 use springusher_dataplane::pulse::{Pulse, Times};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
@@ -49,16 +50,8 @@
 /// How long a client may take over a head: 2 s are honest, and a peer that sends nothing proper is owed an end within
 /// 3 s of connecting. And how long a connection may stand with no byte of a next head.
 const TIMES: Times = Times { head: Duration::from_millis(2600), idle: Duration::from_millis(2000) };
-/// Headers that speak of one connection, or of this front door's own business, and go no further.
-const NOT_PASSED_ON: [HeaderName; 12] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::EXPECT,
+/// Headers of this front door's own business, which go no further than those of one connection.
+const NOT_PASSED_ON: [HeaderName; 4] = [
     header::CONTENT_LENGTH,
     HeaderName::from_static("usage-percent"),
     HeaderName::from_static("x-load"),
@@ -182,7 +175,7 @@
                 _ = shed.changed() => {}
             }
         };
-        connection::drive(&stream, &pulse, service, close).await;
+        connection::drive(&stream, &pulse, BUFFER, service, close).await;
     }
     if !pulse.has_ended() {
         tokio::select! {
@@ -327,20 +320,8 @@
 }
 
 /// What of a message's headers goes on to the other side.
-fn pass_on(mut headers: HeaderMap) -> HeaderMap {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|names| names.split(',').filter_map(|name| name.trim().parse().ok()))
-        .collect();
-    // Few of them are there at all: a look at each header is cheaper than a search for each name.
-    let present: Vec<HeaderName> =
-        headers.keys().filter(|name| NOT_PASSED_ON.contains(name)).cloned().collect();
-    for name in named.iter().chain(&present) {
-        headers.remove(name);
-    }
-    headers
+fn pass_on(headers: HeaderMap) -> HeaderMap {
+    springusher_dataplane::headers::pass_on(headers, &NOT_PASSED_ON)
 }
 
 /// A request that makes sense.
