Exchange requests with backends: choose, pool, send, judge

The door and the batch executor need the same: a backend by the balancer, a connection by the backend's id that stands silent, a last look at the tables before the first byte, and an answer judged by Request-Id and Not-Executed.

--- /dev/null
+++ b/alderhollow/src/exchange/mod.rs
@@ -0,0 +1,250 @@
+//! Exchanges with backends: one is chosen, a connection to it is had from the pool or opened, the request is written and
+//! its answer judged. What a client or a batch item makes of an attempt's end is decided by those who use this.
+
+pub mod answer;
+pub mod attempt;
+pub mod events;
+pub mod outbound;
+pub mod patience;
+pub mod pool;
+pub mod prompt;
+pub mod tables;
+
+use crate::balance::{Balancer, Millis, NoBackend, Outcome, Wanted};
+use crate::routing::pick_service;
+use crate::SnapshotReceiver;
+use alderhollow_model::config::Route;
+use answer::Answer;
+use attempt::Attempt;
+use hyper::body::Incoming;
+use hyper::Response;
+use oorandom::Rand64;
+use outbound::Outbound;
+use patience::Patience;
+use pool::{Pool, Pooled};
+use springusher_dataplane::link::Failure;
+use std::cell::RefCell;
+use std::rc::Rc;
+use tables::Tables;
+use tokio::task::yield_now;
+use tokio::time::Instant;
+
+/// An attempt that brought no answer of the backend's work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unanswered {
+    /// The backend has not run the request and never will.
+    NotRun(Outcome),
+    /// The request was written whole, and what became of it is unknown.
+    MayHaveRun(Outcome),
+}
+
+/// All exchanges of one process.
+pub struct Exchange {
+    balancer: Rc<RefCell<Balancer>>,
+    pool: Pool,
+    snapshots: RefCell<SnapshotReceiver>,
+    tables: RefCell<Rc<Tables>>,
+    random: RefCell<Rand64>,
+    started: Instant,
+}
+
+impl Exchange {
+    /// `started` is the zero of the process's steady clock, from which the balancer's times count.
+    pub fn new(
+        started: Instant,
+        seed: u64,
+        mut snapshots: SnapshotReceiver,
+        balancer: Rc<RefCell<Balancer>>,
+    ) -> Rc<Exchange> {
+        let snapshot = snapshots.borrow_and_update().clone();
+        let exchange = Exchange {
+            balancer,
+            pool: Pool::default(),
+            snapshots: RefCell::new(snapshots),
+            tables: RefCell::new(Rc::new(Tables::new(snapshot.clone(), None))),
+            random: RefCell::new(Rand64::new(u128::from(seed))),
+            started,
+        };
+        exchange.balancer.borrow_mut().update(exchange.now(), &snapshot);
+        Rc::new(exchange)
+    }
+
+    /// The newest tables. Each call acts on a change at once, whoever else is told of it later.
+    pub fn tables(&self) -> Rc<Tables> {
+        let mut snapshots = self.snapshots.borrow_mut();
+        if snapshots.has_changed().unwrap_or(false) {
+            let snapshot = snapshots.borrow_and_update().clone();
+            let tables = Rc::new(Tables::new(snapshot, Some(&*self.tables.borrow())));
+            self.balancer.borrow_mut().update(self.now(), &tables.snapshot);
+            *self.tables.borrow_mut() = tables;
+            self.pool.retain(|id| self.balancer.borrow().may_send(id));
+        }
+        self.tables.borrow().clone()
+    }
+
+    /// Whether a backend may get a request now.
+    pub fn may_send(&self, id: &str) -> bool {
+        self.tables();
+        self.balancer.borrow().may_send(id)
+    }
+
+    /// One of the route's services, by their weights.
+    pub fn pick_service(&self, route: &Route) -> Option<String> {
+        pick_service(route, self.random.borrow_mut().rand_float())
+    }
+
+    /// Chooses a backend.
+    ///
+    /// # Errors
+    /// There is none that may get the request now.
+    pub fn choose(self: &Rc<Self>, wanted: &Wanted) -> Result<Attempt, NoBackend> {
+        self.tables();
+        let choice = self.balancer.borrow_mut().choose(self.now(), wanted)?;
+        Ok(Attempt::new(self.clone(), choice))
+    }
+
+    /// Sends a request to the backend that was chosen and waits until its answer begins. Dropping the future ends the
+    /// attempt and its connection.
+    ///
+    /// # Errors
+    /// No answer of the backend's work came; the attempt is over.
+    pub async fn send(
+        &self,
+        attempt: Attempt,
+        outbound: &Outbound,
+        resume_after: Option<u64>,
+        patience: &Patience<'_>,
+    ) -> Result<Answer, Unanswered> {
+        match self.try_send(attempt, outbound, resume_after, patience).await {
+            Ok(answer) => Ok(answer),
+            Err((attempt, unanswered)) => {
+                let (Unanswered::NotRun(outcome) | Unanswered::MayHaveRun(outcome)) = unanswered;
+                attempt.end(outcome);
+                Err(unanswered)
+            }
+        }
+    }
+
+    async fn try_send(
+        &self,
+        attempt: Attempt,
+        outbound: &Outbound,
+        resume_after: Option<u64>,
+        patience: &Patience<'_>,
+    ) -> Result<Answer, (Attempt, Unanswered)> {
+        let mut pooled = match self.connection(&attempt, patience.deadline).await {
+            Ok(pooled) => pooled,
+            Err(outcome) => return Err((attempt, Unanswered::NotRun(outcome))),
+        };
+        // From here to the first byte nothing waits: what was looked at last still holds.
+        let request = outbound.request(&attempt.backend().id, resume_after, patience.deadline);
+        let response = match patience.wait(pooled.link.send(request)).await {
+            Some(Ok(response)) => response,
+            Some(Err(Failure::Unsent)) => return Err((attempt, Unanswered::NotRun(Outcome::NoConnection))),
+            Some(Err(Failure::Broken(_))) => return Err((attempt, Unanswered::MayHaveRun(Outcome::Broken))),
+            None if pooled.link.is_written() => {
+                return Err((attempt, Unanswered::MayHaveRun(Outcome::TimedOut)))
+            }
+            None => return Err((attempt, Unanswered::NotRun(Outcome::TimedOut))),
+        };
+        match judge(&response, outbound, &pooled) {
+            Verdict::Ran => {
+                pooled.heed(response.headers());
+                Ok(Answer::new(response, pooled, attempt))
+            }
+            Verdict::Declined => {
+                pooled.heed(response.headers());
+                self.pool.drain(pooled, response.into_body()).await;
+                Err((attempt, Unanswered::NotRun(Outcome::Declined)))
+            }
+            Verdict::OtherInstance => Err((attempt, Unanswered::NotRun(Outcome::OtherInstance))),
+            Verdict::Foreign => Err((attempt, Unanswered::MayHaveRun(Outcome::Broken))),
+        }
+    }
+
+    /// A connection that stands silent, to a backend that may get a request in this very moment.
+    async fn connection(&self, attempt: &Attempt, deadline: Instant) -> Result<Pooled, Outcome> {
+        let backend = attempt.backend();
+        loop {
+            let mut pooled = match self.pool.take(&backend.id) {
+                Some(pooled) => pooled,
+                None => {
+                    let most = self.tables().connections(&backend.service);
+                    let pooled = Box::pin(self.pool.connect(backend, most, deadline)).await?;
+                    // What the reactor finds in one more look is served before this goes on: a client that has gone
+                    // meanwhile, or a backend that resets what it does not take.
+                    yield_now().await;
+                    pooled
+                }
+            };
+            if !self.may_send(&backend.id) || deadline <= Instant::now() {
+                return Err(Outcome::Cancelled);
+            }
+            if pooled.link.is_silent().await {
+                return Ok(pooled);
+            }
+            // Another idle one may do, but none is opened anew for one that has just come up.
+            if pooled.is_new() {
+                return Err(Outcome::NoConnection);
+            }
+        }
+    }
+
+    /// Acts on new tables while no request comes, and closes connections that have been idle for long. Runs until it is
+    /// dropped.
+    pub async fn keep_in_order(&self) {
+        let mut snapshots = self.snapshots.borrow().clone();
+        let follow = async {
+            while snapshots.changed().await.is_ok() {
+                self.tables();
+            }
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            () = follow => {}
+            () = self.pool.sweep() => {}
+        }
+    }
+
+    fn now(&self) -> Millis {
+        self.started.elapsed().as_secs_f64() * 1000.0
+    }
+
+    /// Puts a connection by whose answer was read to its end.
+    async fn park(&self, pooled: Pooled) {
+        if self.may_send(pooled.backend_id()) {
+            self.pool.park(pooled).await;
+        }
+    }
+}
+
+/// What an answer's head says of the request.
+#[derive(Debug, PartialEq, Eq)]
+enum Verdict {
+    /// The backend has run it, or is at it.
+    Ran,
+    /// It has not run it.
+    Declined,
+    /// Another backend has the address, and has not run it.
+    OtherInstance,
+    /// It answers another request, or none.
+    Foreign,
+}
+
+/// Judges an answer by its head (PROTOCOL.md, *Backends*). A surplus answer may stand in the place of the next one: only
+/// `Request-Id` tells. On a new connection nothing can be left over, and a backend that declines may leave the id out.
+fn judge(response: &Response<Incoming>, outbound: &Outbound, pooled: &Pooled) -> Verdict {
+    let headers = response.headers();
+    let other_instance = response.status() == hyper::StatusCode::MISDIRECTED_REQUEST;
+    let declined = headers.contains_key(outbound::NOT_EXECUTED) || other_instance;
+    let ours = match headers.get(outbound::REQUEST_ID) {
+        Some(id) => id == outbound.request_id(),
+        None => declined && pooled.is_new(),
+    };
+    match (ours, other_instance, declined) {
+        (false, ..) => Verdict::Foreign,
+        (true, true, _) => Verdict::OtherInstance,
+        (true, false, true) => Verdict::Declined,
+        (true, false, false) => Verdict::Ran,
+    }
+}
--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod balance;
 pub mod batch_api;
+pub mod exchange;
 pub mod executor;
 pub mod routing;
 
