--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod discovery;
 pub mod distribution;
 pub mod door;
+pub mod exchange;
 pub mod executor;
 pub mod finding;
 pub mod internal;
