Run items through the doors' exchange

The exchange chooses, pools, sends and judges for streams already; the executor's own pool went. The store's word that it is surely the primary is asked where the exchange asks whether a backend may get a request, right before writing.

--- a/alderhollow/src/exchange/mod.rs
+++ b/alderhollow/src/exchange/mod.rs
@@ -38,6 +38,9 @@
     MayHaveRun(Outcome),
 }
 
+/// Whether this process may send requests at this moment, by something that the tables don't tell.
+pub type Permission = Rc<dyn Fn() -> bool>;
+
 /// All exchanges of one process.
 pub struct Exchange {
     balancer: Rc<RefCell<Balancer>>,
@@ -46,6 +49,7 @@
     tables: RefCell<Rc<Tables>>,
     random: RefCell<Rand64>,
     started: Instant,
+    permission: RefCell<Option<Permission>>,
 }
 
 impl Exchange {
@@ -64,6 +68,7 @@
             tables: RefCell::new(Rc::new(Tables::new(snapshot.clone(), None))),
             random: RefCell::new(Rand64::new(u128::from(seed))),
             started,
+            permission: RefCell::default(),
         };
         exchange.balancer.borrow_mut().update(exchange.now(), &snapshot);
         Rc::new(exchange)
@@ -82,6 +87,15 @@
         self.tables.borrow().clone()
     }
 
+    /// From now on, `permission` is asked right before each request is written.
+    pub fn set_permission(&self, permission: Permission) {
+        *self.permission.borrow_mut() = Some(permission);
+    }
+
+    fn is_permitted(&self) -> bool {
+        self.permission.borrow().as_ref().is_none_or(|permission| permission())
+    }
+
     /// Whether a backend may get a request now.
     pub fn may_send(&self, id: &str) -> bool {
         self.tables();
@@ -177,7 +191,7 @@
                     pooled
                 }
             };
-            if !self.may_send(&backend.id) || deadline <= Instant::now() {
+            if !self.is_permitted() || !self.may_send(&backend.id) || deadline <= Instant::now() {
                 return Err(Outcome::Cancelled);
             }
             if pooled.link.is_silent().await {
--- a/alderhollow/src/executor/mod.rs
+++ b/alderhollow/src/executor/mod.rs
@@ -3,37 +3,34 @@
 //! | part | does |
 //! | --- | --- |
 //! | [`pacing`] | tells how many items may start |
-//! | [`prompt`] | reads what headers tell of an item's prompt |
-//! | [`request`] | makes the request for a backend |
-//! | [`attempt`] | one run at one backend, and what its answer means |
+//! | [`outbound`] | makes the request of an item |
+//! | [`attempt`] | what an answer means for the item |
 //! | [`events`] | reads an answer's events |
-//! | [`pool`] | idle connections |
 
 pub mod attempt;
 pub mod events;
+pub mod outbound;
 pub mod pacing;
-pub mod pool;
-pub mod prompt;
-pub mod request;
 
-use crate::balance::{Balancer, Millis, NoBackend, Outcome, Wanted};
+use crate::balance::{Millis, NoBackend, Wanted};
 use crate::clock::SteadyClock;
-use crate::routing::pick_service;
-use crate::SnapshotReceiver;
+use crate::exchange::patience::Patience;
+use crate::exchange::{prompt, Exchange};
 use alderhollow_batch::api::{ItemStart, RunEnd};
 use alderhollow_model::config::Route;
 use alderhollow_model::snapshot::Snapshot;
-use attempt::SendGate;
-use oorandom::Rand32;
+use attempt::FIRST_EVENT_SILENCE;
 use pacing::Pacer;
-use pool::LinkPool;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Pause where no backend may get the item.
 const PAUSE_NONE_READY_MS: u64 = 200;
+/// Pause for an item of which no request can be made; it was taken by an older version of the program.
+const PAUSE_UNSENDABLE_MS: u64 = 5_000;
 /// Bounds on the pause where all backends are full.
 const SHORTEST_PAUSE_FULL_MS: f64 = 50.0;
 const LONGEST_PAUSE_FULL_MS: f64 = 1_000.0;
@@ -41,9 +38,6 @@
 const SHORTEST_DEADLINE: Duration = Duration::from_secs(2);
 const LONGEST_DEADLINE: Duration = Duration::from_secs(20);
 
-/// Whether this process may start items at this moment; the batch engine's word.
-pub type MayStart = Rc<dyn Fn() -> bool>;
-
 /// Runs items. Clones are the same. To be used in a `LocalSet`.
 #[derive(Clone)]
 pub struct Executor {
@@ -52,41 +46,29 @@
 
 struct Shared {
     clock: SteadyClock,
-    snapshots: RefCell<SnapshotReceiver>,
-    balancer: RefCell<Balancer>,
+    exchange: Rc<Exchange>,
     pacer: RefCell<Pacer>,
-    random: RefCell<Rand32>,
-    pool: LinkPool,
-    may_start: MayStart,
+    /// The tables that the pacer knows.
+    paced: RefCell<Option<Arc<Snapshot>>>,
 }
 
 impl Executor {
-    /// An executor that chooses backends by `balancer`.
-    pub fn new(
-        clock: SteadyClock,
-        snapshots: SnapshotReceiver,
-        balancer: Balancer,
-        seed: u64,
-        may_start: MayStart,
-    ) -> Executor {
-        let shared = Shared {
-            clock,
-            snapshots: RefCell::new(snapshots),
-            balancer: RefCell::new(balancer),
-            pacer: RefCell::default(),
-            random: RefCell::new(Rand32::new(seed)),
-            pool: LinkPool::default(),
-            may_start,
-        };
-        let executor = Executor { shared: Rc::new(shared) };
-        executor.take_tables();
-        executor
+    /// An executor whose requests go through `exchange`.
+    pub fn new(clock: SteadyClock, exchange: Rc<Exchange>) -> Executor {
+        let shared = Shared { clock, exchange, pacer: RefCell::default(), paced: RefCell::default() };
+        Executor { shared: Rc::new(shared) }
     }
 
     /// How many items may start now, with so many running.
     pub fn room(&self, running: usize) -> usize {
-        self.refresh();
-        self.shared.pacer.borrow_mut().room(self.now(), running)
+        let snapshot = self.shared.exchange.tables().snapshot.clone();
+        let mut paced = self.shared.paced.borrow_mut();
+        let mut pacer = self.shared.pacer.borrow_mut();
+        if !paced.as_ref().is_some_and(|known| Arc::ptr_eq(known, &snapshot)) {
+            pacer.update(&snapshot);
+            *paced = Some(snapshot);
+        }
+        pacer.room(self.shared.clock.now_ms() as Millis, running)
     }
 
     /// So many items were taken to be started.
@@ -94,47 +76,38 @@
         self.shared.pacer.borrow_mut().started(count);
     }
 
-    /// Closes connections that have rested too long.
-    pub fn sweep(&self) {
-        self.refresh();
-        let balancer = self.shared.balancer.borrow();
-        self.shared.pool.sweep(|id| balancer.may_send(id));
-    }
-
     /// Runs an item at one backend. Dropping the future closes the run's connection.
     pub async fn run(&self, item: &ItemStart) -> RunEnd {
-        self.refresh();
+        let exchange = &self.shared.exchange;
         let Some(route) = self.route(&item.route) else { return not_run(PAUSE_NONE_READY_MS) };
-        let draw = f64::from(self.shared.random.borrow_mut().rand_float());
-        let Some(service) = pick_service(&route, draw) else { return not_run(PAUSE_NONE_READY_MS) };
-        let prompt = prompt::of_headers(&item.request.headers);
+        let Some(service) = exchange.pick_service(&route) else { return not_run(PAUSE_NONE_READY_MS) };
+        let outbound = match outbound::of_item(item) {
+            Ok(outbound) => outbound,
+            Err(error) => {
+                log::warn!("item {}: {error}", item.item_id);
+                return not_run(PAUSE_UNSENDABLE_MS);
+            }
+        };
+        let prompt = prompt::read(outbound.headers());
         let wanted =
             Wanted { service: &service, prompt: prompt.as_ref(), priority: route.priority, tried: &[] };
-        let choice = self.shared.balancer.borrow_mut().choose(self.now(), &wanted);
-        let choice = match choice {
-            Ok(choice) => choice,
+        let attempt = match exchange.choose(&wanted) {
+            Ok(attempt) => attempt,
             Err(NoBackend::NoneReady) => return not_run(PAUSE_NONE_READY_MS),
             Err(NoBackend::AllFull { retry_after_ms }) => {
                 return not_run(retry_after_ms.clamp(SHORTEST_PAUSE_FULL_MS, LONGEST_PAUSE_FULL_MS) as u64);
             }
         };
-        let backend = choice.backend;
-        let gate = Attempt {
-            executor: self,
-            attempt: choice.attempt,
-            backend: &backend.id,
-            route: &item.route,
-            service: &service,
-            outcome: Cell::new(Outcome::Cancelled),
+        let patience = Patience {
+            deadline: Instant::now() + self.deadline(item),
+            silence: Some(FIRST_EVENT_SILENCE),
+            may_leave: &|| true,
         };
-        let deadline = self.deadline(item);
-        let ended = attempt::run(&self.shared.pool, &backend, item, deadline, &gate).await;
-        gate.outcome.set(ended.outcome);
-        ended.run
-    }
-
-    fn now(&self) -> Millis {
-        self.shared.clock.now_ms() as Millis
+        let resume_after = item.resume.as_ref().map(|resume| resume.last_event_id);
+        match exchange.send(attempt, &outbound, resume_after, &patience).await {
+            Ok(answer) => attempt::read(item, answer).await,
+            Err(unanswered) => attempt::unanswered(item, unanswered),
+        }
     }
 
     fn deadline(&self, item: &ItemStart) -> Duration {
@@ -142,60 +115,9 @@
         Duration::from_millis(left.max(0) as u64).clamp(SHORTEST_DEADLINE, LONGEST_DEADLINE)
     }
 
-    /// Acts on newer tables, if there are any.
-    fn refresh(&self) {
-        if self.shared.snapshots.borrow().has_changed().unwrap_or(false) {
-            self.take_tables();
-        }
-    }
-
-    fn take_tables(&self) {
-        let snapshot = self.shared.snapshots.borrow_mut().borrow_and_update().clone();
-        self.shared.balancer.borrow_mut().update(self.now(), &snapshot);
-        self.shared.pacer.borrow_mut().update(&snapshot);
-    }
-
-    fn tables(&self) -> Arc<Snapshot> {
-        self.shared.snapshots.borrow().borrow().clone()
-    }
-
     fn route(&self, name: &str) -> Option<Route> {
-        let tables = self.tables();
-        let config = tables.control.config.as_ref()?;
-        config.routes.iter().find(|route| route.name == name).cloned()
-    }
-}
-
-/// An attempt at a chosen backend. Its end is told when it is dropped, also when the run is.
-struct Attempt<'a> {
-    executor: &'a Executor,
-    attempt: u64,
-    backend: &'a str,
-    route: &'a str,
-    service: &'a str,
-    outcome: Cell<Outcome>,
-}
-
-impl SendGate for Attempt<'_> {
-    fn may_send(&self) -> bool {
-        self.executor.refresh();
-        let is_routed = self.executor.route(self.route).is_some_and(|route| {
-            route.services().iter().any(|part| part.service == self.service && part.weight > 0.0)
-        });
-        let shared = &self.executor.shared;
-        is_routed && shared.balancer.borrow().may_send(self.backend) && (shared.may_start)()
-    }
-
-    fn began(&self) {
-        let now = self.executor.now();
-        self.executor.shared.balancer.borrow_mut().began(now, self.attempt);
-    }
-}
-
-impl Drop for Attempt<'_> {
-    fn drop(&mut self) {
-        let now = self.executor.now();
-        self.executor.shared.balancer.borrow_mut().ended(now, self.attempt, self.outcome.get());
+        let tables = self.shared.exchange.tables();
+        tables.config()?.routes.iter().find(|route| route.name == name).cloned()
     }
 }
 
--- a/alderhollow/src/store/node.rs
+++ b/alderhollow/src/store/node.rs
@@ -145,7 +145,6 @@
             engine.tick(now_ms);
         });
         self.waiting.sweep();
-        self.runs.sweep();
         let status = self.look(|engine, now_ms| engine.status(now_ms));
         if let Ok(report) = minicbor::to_vec(StoreReport::from(status)) {
             self.poll.report(report);
--- a/alderhollow/src/store/role.rs
+++ b/alderhollow/src/store/role.rs
@@ -9,9 +9,10 @@
 use crate::distribution::client::{PollClient, PollState};
 use crate::distribution::directory::Directory;
 use crate::distribution::senders::SenderTracker;
-use crate::distribution::server::Distributor;
+use crate::distribution::server::{DistributionHandler, Distributor};
 use crate::distribution::signal::ChangeSignal;
 use crate::distribution::tables::{ControlDecoder, Tables};
+use crate::exchange::Exchange;
 use crate::executor::Executor;
 use crate::internal::{server, Network, ServiceId, Services};
 use crate::settings::Settings;
@@ -79,11 +80,12 @@
     let snapshots = tables.subscribe();
     let poll = PollState::default();
 
+    let balancer = Rc::new(RefCell::new(Balancer::new(&settings.node, &settings.zone, random.rand_u64())));
+    let exchange = Exchange::new(clock.instant(0), random.rand_u64(), snapshots.clone(), balancer);
     let node = Rc::new_cyclic(|node: &Weak<StoreNode>| {
         let node = node.clone();
-        let may_start = Rc::new(move || node.upgrade().is_some_and(|node| node.may_start()));
-        let balancer = Balancer::new(&settings.node, &settings.zone, random.rand_u64());
-        let executor = Executor::new(clock, snapshots.clone(), balancer, random.rand_u64(), may_start);
+        exchange.set_permission(Rc::new(move || node.upgrade().is_some_and(|node| node.may_start())));
+        let executor = Executor::new(clock, exchange.clone());
         StoreNode::new(NodeParts {
             disk,
             clock,
@@ -117,6 +119,7 @@
         () = client.run(tables, random.rand_u64()) => Ok(()),
         () = NodeJournal(node.clone()).follow(write_ends) => Ok(()),
         () = node.clone().run() => Ok(()),
+        () = exchange.keep_in_order() => Ok(()),
         result = ended => result,
     }
 }
--- a/alderhollow/src/store/runs.rs
+++ b/alderhollow/src/store/runs.rs
@@ -42,11 +42,6 @@
         }
     }
 
-    /// Closes connections that have rested too long.
-    pub fn sweep(&self) {
-        self.executor.sweep();
-    }
-
     fn ended(&self, run: RunId) -> bool {
         self.running.borrow_mut().remove(&run).is_some()
     }
--- a/alderhollow/tests/internal.rs
+++ b/alderhollow/tests/internal.rs
@@ -209,7 +209,8 @@
             drop(stream);
             drop(listener);
         };
-        let (answer, ()) = tokio::join!(network.call(address, ServiceId::Batch, b"abc".to_vec(), LONG), breaking);
+        let (answer, ()) =
+            tokio::join!(network.call(address, ServiceId::Batch, b"abc".to_vec(), LONG), breaking);
         assert_eq!(answer, Err(CallError::Broken));
         assert!(!CallError::Broken.surely_not_served());
         let answer = network.call(address, ServiceId::Batch, b"abc".to_vec(), LONG).await;
