--- a/alderhollow/src/cli/mod.rs
+++ b/alderhollow/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod inspect;
 mod status;
 
+use crate::role::RoleError;
 use crate::settings::{Settings, SettingsError};
 use crate::{door, logging, store};
 use alderhollow_model::identity::Role;
@@ -73,6 +74,9 @@
     /// The process can't go on.
     #[error("the process can't go on: {0}")]
     Io(#[from] std::io::Error),
+    /// The role can't go on.
+    #[error(transparent)]
+    Role(#[from] RoleError),
     /// Not there yet.
     #[error("`{0}` is not available in this version")]
     NotAvailable(&'static str),
@@ -84,9 +88,10 @@
             CommandError::Settings(_) | CommandError::Findings(_) | CommandError::NoFile { .. } => {
                 ExitCode::from(EXIT_WRONG_INPUT)
             }
-            CommandError::Logs(_) | CommandError::Io(_) | CommandError::NotAvailable(_) => {
-                ExitCode::from(EXIT_FAILED)
-            }
+            CommandError::Logs(_)
+            | CommandError::Io(_)
+            | CommandError::Role(_)
+            | CommandError::NotAvailable(_) => ExitCode::from(EXIT_FAILED),
         }
     }
 }
@@ -120,7 +125,7 @@
     let local = tokio::task::LocalSet::new();
     let result = match role {
         Role::Door => local.block_on(&runtime, door::run(settings)),
-        Role::Store => local.block_on(&runtime, store::run(settings)),
+        Role::Store => local.block_on(&runtime, store::run(settings)).map_err(RoleError::from),
     };
     Ok(result?)
 }
