Put the store on the process's shared parts

What roles share (clock, network, tables, polls) came with the door; the store's own copies went. A follower tells whether it equalled the primary in the epoch, which the group policy asks of learners.

--- a/alderhollow/src/batch_protocol.rs
+++ b/alderhollow/src/batch_protocol.rs
@@ -1,6 +1,5 @@
 //! What doors and stores say to each other about batch jobs, over the tier's own protocol.
 
-use alderhollow_batch::api::GroupStatus;
 use alderhollow_batch::job::{JobId, NewJob};
 use alderhollow_batch::message::Message;
 use alderhollow_model::identity::DiskId;
@@ -92,36 +91,3 @@
     #[n(2)]
     pub message: Message,
 }
-
-/// What a store reports to the core's primary with its polls: see
-/// [`GroupStatus`](alderhollow_batch::api::GroupStatus).
-#[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
-pub struct StoreReport {
-    /// The newest epoch of the group that the store knows of.
-    #[n(0)]
-    pub epoch: u64,
-    /// Whether it is that epoch's primary, and the epoch is active: all members equal it.
-    #[n(1)]
-    pub active: bool,
-    /// Learners that have caught up; they may be made members.
-    #[n(2)]
-    pub in_sync: Vec<DiskId>,
-    /// Members that have not acknowledged for some time, although something waits for them.
-    #[n(3)]
-    pub silent: Vec<DiskId>,
-    /// A member that may hold acknowledged jobs which this primary doesn't have: it must be the primary instead.
-    #[n(4)]
-    pub behind: Option<DiskId>,
-}
-
-impl From<GroupStatus> for StoreReport {
-    fn from(status: GroupStatus) -> StoreReport {
-        StoreReport {
-            epoch: status.epoch,
-            active: status.primary && status.active,
-            in_sync: status.in_sync,
-            silent: status.silent,
-            behind: status.behind,
-        }
-    }
-}
--- a/alderhollow/src/cli/mod.rs
+++ b/alderhollow/src/cli/mod.rs
@@ -125,7 +125,7 @@
     let local = tokio::task::LocalSet::new();
     let result = match role {
         Role::Door => local.block_on(&runtime, door::run(settings)),
-        Role::Store => local.block_on(&runtime, store::run(settings)).map_err(RoleError::from),
+        Role::Store => local.block_on(&runtime, store::run(settings)),
     };
     Ok(result?)
 }
--- a/alderhollow/src/role.rs
+++ b/alderhollow/src/role.rs
@@ -1,5 +1,6 @@
 //! Why a role can't go on.
 
+use alderhollow_batch::records::DecodeError;
 use alderhollow_coordination::replica::interface::RecoveryError;
 use alderhollow_storage::StorageError;
 use std::net::SocketAddr;
@@ -31,6 +32,12 @@
     /// What is in the data folder can't be used.
     #[error("the data folder can't be used: {0}")]
     Storage(#[from] StorageError),
+    /// A store without a disk.
+    #[error("`data-dir` is missing: a store needs a disk")]
+    NoDisk,
+    /// The batch jobs on a store's disk can't be read.
+    #[error("the batch jobs on the disk can't be read: {0}")]
+    BatchJobs(#[from] DecodeError),
     /// The core's state can't be recovered.
     #[error(transparent)]
     Recovery(#[from] RecoveryError),
--- a/alderhollow/src/store/mod.rs
+++ b/alderhollow/src/store/mod.rs
@@ -18,4 +18,4 @@
 pub mod waiting;
 
 pub use node::StoreNode;
-pub use role::{run, StoreError};
+pub use role::run;
--- a/alderhollow/src/store/node.rs
+++ b/alderhollow/src/store/node.rs
@@ -4,13 +4,14 @@
 use super::journal_queue::{JournalOwner, JournalQueue};
 use super::runs::Runs;
 use super::waiting::Waiting;
-use crate::batch_protocol::{ReplicationNotice, StoreReport};
+use crate::batch_protocol::ReplicationNotice;
 use crate::clock::SteadyClock;
+use crate::control_state::group_policy::StoreReport;
 use crate::distribution::client::PollState;
 use crate::internal::server::HandlerFuture;
 use crate::internal::{Handler, Network, Refusal, ServiceId};
 use crate::SnapshotReceiver;
-use alderhollow_batch::api::{Output, RouteTerms, WriteTicket};
+use alderhollow_batch::api::{GroupStatus, Output, RouteTerms, WriteTicket};
 use alderhollow_batch::engine::Engine;
 use alderhollow_batch::message::Message;
 use alderhollow_model::config::{Config, Route, RouteType};
@@ -146,9 +147,7 @@
         });
         self.waiting.sweep();
         let status = self.look(|engine, now_ms| engine.status(now_ms));
-        if let Ok(report) = minicbor::to_vec(StoreReport::from(status)) {
-            self.poll.report(report);
-        }
+        self.poll.report(report(&status).to_bytes());
         let more_waits = self.start_items();
         let now_ms = self.clock.now_ms();
         let next = self.look(|engine, _| engine.next_tick_ms());
@@ -297,6 +296,16 @@
     }
 }
 
+/// What the core's primary is told. It learns from the poll itself whether the process is about to end.
+fn report(status: &GroupStatus) -> StoreReport {
+    StoreReport {
+        epoch: status.epoch,
+        active: status.primary && status.active,
+        in_sync: status.synced,
+        leaving: false,
+    }
+}
+
 /// The batch routes of a configuration, as the engine takes them.
 fn batch_routes(config: &Config) -> BTreeMap<String, RouteTerms> {
     let is_batch = |route: &&Route| route.route_type == RouteType::Batch;
--- a/batch/src/group.rs
+++ b/batch/src/group.rs
@@ -266,11 +266,15 @@
     pub fn status(&self, now_ms: u64) -> GroupStatus {
         let epoch = self.known_epoch;
         match &self.role {
-            Role::Follower(_) => GroupStatus { epoch, ..GroupStatus::default() },
+            Role::Follower(_) => {
+                let synced = epoch > 0 && self.state.marks.synced_epoch == epoch;
+                GroupStatus { epoch, synced, ..GroupStatus::default() }
+            }
             Role::Leader(leader) => GroupStatus {
                 epoch,
                 primary: true,
                 active: leader.is_active(),
+                synced: false,
                 in_sync: if leader.is_active() { leader.learners_in_sync() } else { Vec::new() },
                 silent: leader.silent_members(now_ms),
                 behind: leader.behind(),
