--- /dev/null
+++ b/alderhollow/tests/executor.rs
@@ -0,0 +1,230 @@
+//! Items run at backends on loopback: what each kind of answer makes of an item.
+
+#[path = "support/batch_backend.rs"]
+mod batch_backend;
+#[path = "support/batch_tables.rs"]
+mod batch_tables;
+
+use alderhollow::balance::Balancer;
+use alderhollow::clock::SteadyClock;
+use alderhollow::exchange::Exchange;
+use alderhollow::executor::Executor;
+use alderhollow_batch::api::{ItemStart, Resume, RunEnd, RunId};
+use alderhollow_batch::job::{Header, ItemRequest, JobId};
+use alderhollow_model::backend::BackendState;
+use alderhollow_model::snapshot::Snapshot;
+use batch_backend::{events_from, whole_text, BatchBackend, Reply};
+use batch_tables::{backend, config, snapshot, HOST, ROUTE};
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::sync::watch;
+
+struct Setup {
+    backend: BatchBackend,
+    executor: Executor,
+    exchange: Rc<Exchange>,
+    tables: watch::Sender<Arc<Snapshot>>,
+}
+
+async fn setup(script: Vec<Reply>) -> Setup {
+    let served = BatchBackend::start(script).await;
+    let (tables, snapshots) =
+        watch::channel(snapshot(config(1, 0), vec![backend("i-1", served.address)], 1, None));
+    let clock = SteadyClock::start();
+    let balancer = Rc::new(RefCell::new(Balancer::new("store-1", "a", 7)));
+    let exchange = Exchange::new(clock.instant(0), 7, snapshots, balancer);
+    Setup { backend: served, executor: Executor::new(clock, exchange.clone()), exchange, tables }
+}
+
+fn item(resume: Option<Resume>) -> ItemStart {
+    let header = |name: &str, value: &str| Header { name: name.to_string(), value: value.to_string() };
+    let headers = vec![
+        header("Model", "m"),
+        header("Token-Usage", "540,400"),
+        header("Prompt-Prefix", "9c2e41:300,5d07b8:240"),
+        header("Request-Id", "forged"),
+        header("Host", "forged.example"),
+        header("Content-Length", "1"),
+        header("Connection", "close"),
+    ];
+    ItemStart {
+        run: RunId(1),
+        job: JobId::from("j1"),
+        route: ROUTE.to_string(),
+        host: HOST.to_string(),
+        item_id: "i1".to_string(),
+        tokens: 940,
+        failures: 0,
+        request: ItemRequest { path: "/b/3/91c4?x=1".to_string(), headers, body: b"body\x00\xff".to_vec() },
+        due_ms: 10_000,
+        given_up_ms: 40_000,
+        resume,
+    }
+}
+
+fn in_local_set(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+#[test]
+fn an_item_is_sent_as_the_page_says_and_its_text_is_whole() {
+    in_local_set(async {
+        let setup = setup(vec![]).await;
+        let end = setup.executor.run(&item(None)).await;
+        assert_eq!(end, RunEnd::Completed { text: whole_text() });
+        let request = setup.backend.requests().remove(0);
+        assert!(request.head.starts_with("POST /b/3/91c4?x=1 HTTP/1.1\r\n"), "{}", request.head);
+        let expected = [
+            ("request-id", Some("i1")),
+            ("host", Some(HOST)),
+            ("target-instance", Some("i-1")),
+            ("model", Some("m")),
+            ("prompt-prefix", Some("9c2e41:300,5d07b8:240")),
+            ("content-length", Some("6")),
+            ("connection", None),
+            ("last-event-id", None),
+        ];
+        for (name, value) in expected {
+            assert_eq!(request.header(name).as_deref(), value, "{name}");
+        }
+        let deadline: u64 =
+            request.header("deadline-ms").and_then(|text| text.parse().ok()).expect("a deadline");
+        assert!((2_000..=20_000).contains(&deadline), "{deadline}");
+        assert_eq!(request.body, b"body\x00\xff");
+    });
+}
+
+#[test]
+fn a_run_cut_at_any_byte_is_resumed_without_loss_or_doubling() {
+    in_local_set(async {
+        let length = events_from(1).len();
+        let script = (0..=length).flat_map(|cut| [Reply::CutAfter(cut), Reply::Whole]).collect();
+        let setup = setup(script).await;
+        for cut in 0..=length {
+            let RunEnd::Cut { resume, .. } = setup.executor.run(&item(None)).await else {
+                panic!("cut at {cut}: not noticed")
+            };
+            let end = setup.executor.run(&item(resume.clone())).await;
+            assert_eq!(end, RunEnd::Completed { text: whole_text() }, "cut at {cut}");
+            let asked = setup.backend.requests().last().and_then(|request| request.header("last-event-id"));
+            assert_eq!(asked, resume.map(|resume| resume.last_event_id.to_string()), "cut at {cut}");
+        }
+    });
+}
+
+#[test]
+fn an_end_that_could_be_a_cut_is_not_taken_for_whole() {
+    in_local_set(async {
+        let setup = setup(vec![Reply::Undelimited, Reply::Unsealed, Reply::Surplus, Reply::Reset]).await;
+        let RunEnd::Cut { resume: Some(resume), .. } = setup.executor.run(&item(None)).await else {
+            panic!()
+        };
+        assert_eq!((resume.last_event_id, resume.text), (4, whole_text()));
+        for _ in 0..3 {
+            let end = setup.executor.run(&item(None)).await;
+            assert!(matches!(end, RunEnd::Cut { resume: None, .. }), "{end:?}");
+        }
+    });
+}
+
+#[test]
+fn a_run_that_does_not_begin_where_it_was_asked_to_is_refused() {
+    in_local_set(async {
+        let setup = setup(vec![Reply::FromTheStart]).await;
+        let resume = Some(Resume { last_event_id: 2, text: "one\n".to_string() });
+        let RunEnd::Cut { resume: kept, .. } = setup.executor.run(&item(resume.clone())).await else {
+            panic!()
+        };
+        assert_eq!(kept, resume);
+    });
+}
+
+#[test]
+fn failures_and_refusals_are_told_apart() {
+    in_local_set(async {
+        let script = vec![Reply::Status(500), Reply::Status(422), Reply::NotExecuted, Reply::Status(418)];
+        let setup = setup(script).await;
+        assert_eq!(setup.executor.run(&item(None)).await, RunEnd::Failed);
+        assert_eq!(setup.executor.run(&item(None)).await, RunEnd::Rejected);
+        assert!(matches!(setup.executor.run(&item(None)).await, RunEnd::NotRun { .. }));
+        assert!(matches!(setup.executor.run(&item(None)).await, RunEnd::Cut { .. }));
+    });
+}
+
+#[test]
+fn another_instance_has_not_run_it() {
+    in_local_set(async {
+        let setup = setup(vec![Reply::OtherInstance]).await;
+        assert!(matches!(setup.executor.run(&item(None)).await, RunEnd::NotRun { .. }));
+    });
+}
+
+#[test]
+fn nothing_goes_to_a_draining_backend_or_off_a_removed_route() {
+    in_local_set(async {
+        let setup = setup(vec![]).await;
+        let mut draining = backend("i-1", setup.backend.address);
+        draining.state = BackendState::Draining;
+        setup.tables.send_replace(snapshot(config(1, 0), vec![draining], 2, None));
+        assert!(matches!(setup.executor.run(&item(None)).await, RunEnd::NotRun { .. }));
+        let mut without_route = config(2, 0);
+        without_route.routes.clear();
+        setup.tables.send_replace(snapshot(
+            without_route,
+            vec![backend("i-1", setup.backend.address)],
+            3,
+            None,
+        ));
+        assert!(matches!(setup.executor.run(&item(None)).await, RunEnd::NotRun { .. }));
+        assert_eq!(setup.backend.requests(), []);
+    });
+}
+
+#[test]
+fn a_backend_that_drains_after_the_choice_gets_nothing() {
+    in_local_set(async {
+        let setup = setup(vec![]).await;
+        let mut draining = backend("i-1", setup.backend.address);
+        draining.state = BackendState::Draining;
+        let (item, tables) = (item(None), setup.tables);
+        // The connection is awaited between the choice and the request: the tables change in that pause.
+        let change = async { tables.send_replace(snapshot(config(1, 0), vec![draining], 2, None)) };
+        let (end, _) = tokio::join!(biased_first(setup.executor.run(&item)), change);
+        assert!(matches!(end, RunEnd::NotRun { .. }), "{end:?}");
+        assert_eq!(setup.backend.requests(), []);
+    });
+}
+
+/// The futures of `join!` are polled in order; this one is the first.
+async fn biased_first<T>(work: impl Future<Output = T>) -> T {
+    work.await
+}
+
+#[test]
+fn nothing_is_written_without_permission() {
+    in_local_set(async {
+        let setup = setup(vec![]).await;
+        let permitted = Rc::new(Cell::new(false));
+        let asked = permitted.clone();
+        setup.exchange.set_permission(Rc::new(move || asked.get()));
+        assert!(matches!(setup.executor.run(&item(None)).await, RunEnd::NotRun { .. }));
+        assert_eq!(setup.backend.requests(), []);
+        permitted.set(true);
+        assert!(matches!(setup.executor.run(&item(None)).await, RunEnd::Completed { .. }));
+    });
+}
+
+#[test]
+fn a_run_that_is_dropped_closes_its_connection() {
+    in_local_set(async {
+        let setup = setup(vec![Reply::Silence]).await;
+        let executor = setup.executor.clone();
+        let run = tokio::task::spawn_local(async move { executor.run(&item(None)).await });
+        setup.backend.until_requests(1).await;
+        run.abort();
+        setup.backend.until_closed(1).await;
+    });
+}
--- /dev/null
+++ b/alderhollow/tests/support/batch_backend.rs
@@ -0,0 +1,225 @@
+//! A backend on loopback that answers items as its script says.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+/// What the backend does with one request.
+#[derive(Debug, Clone)]
+pub enum Reply {
+    /// The events from the one that is asked for on, to the end.
+    Whole,
+    /// As [`Reply::Whole`], cut after so many bytes of events.
+    CutAfter(usize),
+    /// As [`Reply::Whole`], but its end is told by closing the connection alone.
+    Undelimited,
+    /// As [`Reply::Whole`], without the backend's seal.
+    Unsealed,
+    /// From the first event on, whatever is asked for.
+    FromTheStart,
+    /// A status without events.
+    Status(u16),
+    /// 503 with `Not-Executed`.
+    NotExecuted,
+    /// 421 of another instance.
+    OtherInstance,
+    /// An answer to another request.
+    Surplus,
+    /// The connection closes without an answer.
+    Reset,
+    /// Nothing, ever.
+    Silence,
+}
+
+/// One request as it came.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Request {
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Request {
+    pub fn header(&self, name: &str) -> Option<String> {
+        let lines = self.head.lines().skip(1);
+        let mut pairs = lines.filter_map(|line| line.split_once(':'));
+        let found = pairs.find(|(key, _)| key.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.trim().to_string())
+    }
+}
+
+/// Data of the events of each item.
+pub const EVENTS: [&str; 4] = ["one", "", "three \u{e4}", "four"];
+
+/// What an item's whole text is.
+pub fn whole_text() -> String {
+    EVENTS.join("\n")
+}
+
+/// The events from one id on.
+pub fn events_from(first: usize) -> String {
+    let numbered = EVENTS.iter().enumerate().map(|(index, data)| (index + 1, data));
+    let wanted = numbered.filter(|(id, _)| *id >= first);
+    wanted.map(|(id, data)| format!("id: {id}\ndata: {data}\n\n")).collect()
+}
+
+#[derive(Default)]
+struct Shared {
+    script: RefCell<VecDeque<Reply>>,
+    requests: RefCell<Vec<Request>>,
+    closed: RefCell<usize>,
+    changed: Notify,
+}
+
+/// The backend. Once its script is over it answers [`Reply::Whole`].
+#[derive(Clone)]
+pub struct BatchBackend {
+    pub address: SocketAddr,
+    shared: Rc<Shared>,
+}
+
+impl BatchBackend {
+    /// Starts it within the current `LocalSet`.
+    pub async fn start(script: Vec<Reply>) -> BatchBackend {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let shared = Rc::new(Shared { script: RefCell::new(script.into()), ..Shared::default() });
+        let serving = shared.clone();
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::task::spawn_local(serve(stream, serving.clone()));
+            }
+        });
+        BatchBackend { address, shared }
+    }
+
+    pub fn requests(&self) -> Vec<Request> {
+        self.shared.requests.borrow().clone()
+    }
+
+    /// Waits until so many requests have come.
+    pub async fn until_requests(&self, count: usize) {
+        loop {
+            let changed = self.shared.changed.notified();
+            if self.shared.requests.borrow().len() >= count {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Waits until so many connections were closed by the other side while they were silent.
+    pub async fn until_closed(&self, count: usize) {
+        loop {
+            let changed = self.shared.changed.notified();
+            if *self.shared.closed.borrow() >= count {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
+
+async fn serve(mut stream: TcpStream, shared: Rc<Shared>) {
+    let mut bytes = Vec::new();
+    while let Some(request) = read_request(&mut stream, &mut bytes).await {
+        let id = request.header("request-id").unwrap_or_default();
+        let first =
+            request.header("last-event-id").and_then(|id| id.parse().ok()).map_or(1, |id: usize| id + 1);
+        shared.requests.borrow_mut().push(request);
+        let reply = shared.script.borrow_mut().pop_front().unwrap_or(Reply::Whole);
+        shared.changed.notify_waiters();
+        let stays = answer(&mut stream, &reply, &id, first, &shared).await;
+        if !stays {
+            return;
+        }
+    }
+}
+
+async fn read_request(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<Request> {
+    loop {
+        if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&bytes[..end]).to_string();
+            let request = Request { head, body: Vec::new() };
+            let length = request.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+            if bytes.len() >= end + 4 + length {
+                let body = bytes[end + 4..end + 4 + length].to_vec();
+                bytes.drain(..end + 4 + length);
+                return Some(Request { body, ..request });
+            }
+        }
+        if stream.read_buf(bytes).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
+
+/// Answers one request. Tells whether the connection stays.
+async fn answer(stream: &mut TcpStream, reply: &Reply, id: &str, first: usize, shared: &Shared) -> bool {
+    let seal = "Response-Seal: 3e1b.07\r\n";
+    let stream_head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+    let events = events_from(first);
+    let text = match reply {
+        Reply::Whole => {
+            format!(
+                "{stream_head}Request-Id: {id}\r\n{seal}Transfer-Encoding: chunked\r\n\r\n{}",
+                chunks(&events)
+            )
+        }
+        Reply::FromTheStart => {
+            let events = events_from(1);
+            format!(
+                "{stream_head}Request-Id: {id}\r\n{seal}Transfer-Encoding: chunked\r\n\r\n{}",
+                chunks(&events)
+            )
+        }
+        Reply::CutAfter(count) => {
+            let cut = chunk(&String::from_utf8_lossy(&events.as_bytes()[..(*count).min(events.len())]));
+            format!("{stream_head}Request-Id: {id}\r\n{seal}Transfer-Encoding: chunked\r\n\r\n{cut}")
+        }
+        Reply::Undelimited => {
+            format!("{stream_head}Request-Id: {id}\r\n{seal}Connection: close\r\n\r\n{events}")
+        }
+        Reply::Unsealed => {
+            format!("{stream_head}Request-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunks(&events))
+        }
+        Reply::Status(status) => {
+            format!("HTTP/1.1 {status} Status\r\nRequest-Id: {id}\r\n{seal}Content-Length: 2\r\n\r\nno")
+        }
+        Reply::NotExecuted => {
+            format!("HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+        }
+        Reply::OtherInstance => {
+            format!("HTTP/1.1 421 No\r\nRequest-Id: {id}\r\nInstance-Id: i-x\r\nContent-Length: 0\r\n\r\n")
+        }
+        Reply::Surplus => format!("{stream_head}Request-Id: other\r\n{seal}Content-Length: 0\r\n\r\n"),
+        Reply::Reset => return false,
+        Reply::Silence => {
+            let mut rest = Vec::new();
+            let _ = stream.read_to_end(&mut rest).await;
+            *shared.closed.borrow_mut() += 1;
+            shared.changed.notify_waiters();
+            return false;
+        }
+    };
+    if stream.write_all(text.as_bytes()).await.is_err() {
+        return false;
+    }
+    !matches!(reply, Reply::CutAfter(_) | Reply::Undelimited)
+}
+
+/// The whole text in chunks, and their end.
+fn chunks(events: &str) -> String {
+    let pieces: String = events.split_inclusive("\n\n").map(chunk).collect();
+    format!("{pieces}0\r\n\r\n")
+}
+
+fn chunk(text: &str) -> String {
+    match text.is_empty() {
+        true => String::new(),
+        false => format!("{:x}\r\n{text}\r\n", text.len()),
+    }
+}
--- /dev/null
+++ b/alderhollow/tests/support/batch_tables.rs
@@ -0,0 +1,56 @@
+//! Tables with one batch route, for tests of items.
+
+use alderhollow_model::backend::{Backend, BackendList, BackendState};
+use alderhollow_model::config::Config;
+use alderhollow_model::identity::Address;
+use alderhollow_model::snapshot::{BatchGroup, ControlView, Snapshot};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+pub const ROUTE: &str = "r-batch";
+pub const HOST: &str = "b.example";
+
+pub fn config(version: u64, max_queued_tokens: u64) -> Config {
+    serde_json::from_value(serde_json::json!({
+        "config-version": version,
+        "routes": [{
+            "name": ROUTE, "hostname": HOST, "path-prefix": "/b/", "route-type": "batch", "service": "s",
+            "max-attempts": 3, "retention-s": 40.0, "run-target-ms": 10000,
+            "max-queued-tokens": max_queued_tokens, "sticky": true, "resumable": true
+        }],
+        "services": [{"name": "s", "max-conns": 100}]
+    }))
+    .expect("a configuration")
+}
+
+pub fn backend(id: &str, address: SocketAddr) -> Backend {
+    Backend {
+        id: id.to_string(),
+        service: "s".to_string(),
+        address: Address(address),
+        zone: "a".to_string(),
+        slots: 64,
+        state: BackendState::Ready,
+        cold_remaining_ms: 0,
+    }
+}
+
+pub fn snapshot(
+    config: Config,
+    backends: Vec<Backend>,
+    sequence: u64,
+    group: Option<BatchGroup>,
+) -> Arc<Snapshot> {
+    let control = ControlView {
+        version: sequence,
+        config: Some(Arc::new(config)),
+        group: group.map(Arc::new),
+        ..ControlView::default()
+    };
+    Arc::new(Snapshot {
+        control: Arc::new(control),
+        backends: Arc::new(BackendList { epoch: 1, sequence, backends }),
+        vouched: true,
+        ..Snapshot::default()
+    })
+}
