--- /dev/null
+++ b/alderhollow/src/balance/backends.rs
@@ -0,0 +1,325 @@
+//! The table of backends: what the newest list says of each, and what this process has under way at it.
+
+use super::affinity::SentElsewhere;
+use super::cold::{ColdBounds, SenderLists, StartLog};
+use super::hash::hash_name;
+use super::health::Health;
+use super::Millis;
+use alderhollow_model::backend::{Backend, BackendState};
+use alderhollow_model::config::Service;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Beyond what the list says, a backend counts as cold for so long: the list is late, and clocks of requests differ.
+const COLD_MARGIN_MS: Millis = 500.0;
+/// Beyond `cold-start-s`, after a zone was taken back: the backend may have turned cold shortly before.
+const TAKEN_BACK_MARGIN_MS: Millis = 1000.0;
+/// Slots of a backend whose entry says none.
+const LEAST_SLOTS: u32 = 1;
+
+/// What of a service's configuration matters to the choice.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct ServiceTerms {
+    pub(super) cold_start_ms: Millis,
+    /// Requests that a cold backend may get within a second, from all senders; `None`: no bound.
+    pub(super) cold_bound: Option<f64>,
+    /// Tokens that running requests and cached parts share; `None`: not a model engine.
+    pub(super) capacity_tokens: Option<u64>,
+    engine_slots: Option<u32>,
+}
+
+impl ServiceTerms {
+    /// The terms of a service; of one that is not configured, those of a plain service without bounds.
+    pub(super) fn of(service: Option<&Service>, bounds: ColdBounds) -> ServiceTerms {
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let cold_per_s = service.map_or(0.0, |service| service.cold_per_s);
+        ServiceTerms {
+            cold_start_ms: service.map_or(0.0, |service| service.cold_start_s.max(0.0) * 1000.0),
+            cold_bound: (cold_per_s > 0.0).then(|| bounds.per_second(cold_per_s)),
+            capacity_tokens: engine.map(|engine| engine.kv_capacity_tokens.unwrap_or(u64::MAX)),
+            engine_slots: engine.and_then(|engine| engine.slots),
+        }
+    }
+}
+
+/// What this process has under way at one backend.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub(super) struct UnderWay {
+    /// Attempts.
+    pub(super) attempts: u32,
+    /// Tokens of these, in and out.
+    pub(super) tokens: u64,
+    /// Prompt tokens that are still to be read, of attempts that have not begun.
+    pub(super) unread_tokens: u64,
+}
+
+/// One backend.
+#[derive(Debug)]
+pub(super) struct Member {
+    pub(super) backend: Arc<Backend>,
+    pub(super) id_hash: u64,
+    pub(super) own_zone: bool,
+    pub(super) evacuated: bool,
+    pub(super) under_way: UnderWay,
+    pub(super) health: Health,
+    pub(super) starts: StartLog,
+    cold_until: Millis,
+    /// The allowance while cold, and the generation of senders' lists that it was counted by.
+    allowance: Option<(u64, usize)>,
+}
+
+impl Member {
+    fn new(backend: Arc<Backend>, own_zone: bool) -> Member {
+        Member {
+            id_hash: hash_name(&backend.id),
+            backend,
+            own_zone,
+            evacuated: false,
+            under_way: UnderWay::default(),
+            health: Health::new(),
+            starts: StartLog::default(),
+            cold_until: f64::NEG_INFINITY,
+            allowance: None,
+        }
+    }
+
+    /// Whether the list and the evacuations allow requests.
+    pub(super) fn may_get_requests(&self) -> bool {
+        self.backend.state == BackendState::Ready && !self.evacuated
+    }
+
+    /// Requests that it works on at once.
+    pub(super) fn slots(&self, terms: &ServiceTerms) -> u32 {
+        let listed = if self.backend.slots > 0 { Some(self.backend.slots) } else { terms.engine_slots };
+        listed.unwrap_or(LEAST_SLOTS).max(LEAST_SLOTS)
+    }
+
+    /// Whether it is cold.
+    pub(super) fn is_cold(&self, now: Millis) -> bool {
+        now < self.cold_until
+    }
+
+    /// When it stops being cold.
+    pub(super) fn cold_until(&self) -> Millis {
+        self.cold_until
+    }
+
+    /// Starts that this process may make within the window while it is cold.
+    pub(super) fn cold_allowance(&mut self, senders: &SenderLists, bound: f64, backends: usize) -> usize {
+        let generation = senders.generation();
+        if let Some((counted_by, allowance)) = self.allowance {
+            if counted_by == generation {
+                return allowance;
+            }
+        }
+        let allowance = senders.allowance(self.id_hash, bound, backends);
+        self.allowance = Some((generation, allowance));
+        allowance
+    }
+
+    fn cold_at_least_until(&mut self, until: Millis) {
+        self.cold_until = self.cold_until.max(until);
+    }
+}
+
+/// The backends of one service.
+#[derive(Debug)]
+pub(super) struct Pool {
+    pub(super) terms: ServiceTerms,
+    /// In the order of their ids.
+    pub(super) members: Vec<Member>,
+    pub(super) usual: UsualTimes,
+    pub(super) demand: Demand,
+    pub(super) sent_elsewhere: SentElsewhere,
+}
+
+impl Pool {
+    fn new(terms: ServiceTerms) -> Pool {
+        Pool {
+            terms,
+            members: Vec::new(),
+            usual: UsualTimes::default(),
+            demand: Demand::default(),
+            sent_elsewhere: SentElsewhere::default(),
+        }
+    }
+
+    /// The member with an id.
+    pub(super) fn member_mut(&mut self, id: &str) -> Option<&mut Member> {
+        let place = self.members.binary_search_by(|member| member.backend.id.as_str().cmp(id)).ok()?;
+        self.members.get_mut(place)
+    }
+
+    /// The member with an id.
+    pub(super) fn member(&self, id: &str) -> Option<&Member> {
+        let place = self.members.binary_search_by(|member| member.backend.id.as_str().cmp(id)).ok()?;
+        self.members.get(place)
+    }
+}
+
+/// Weight of a new answer in the usual times.
+const USUAL_SAMPLE: f64 = 0.05;
+/// What an answer is expected to take before any has come.
+const FIRST_USUAL_MS: Millis = 50.0;
+
+/// What the first sign of an answer usually takes at a service.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct UsualTimes {
+    mean_ms: Millis,
+    mean_tokens: f64,
+}
+
+impl Default for UsualTimes {
+    fn default() -> UsualTimes {
+        UsualTimes { mean_ms: FIRST_USUAL_MS, mean_tokens: 0.0 }
+    }
+}
+
+impl UsualTimes {
+    /// Time to the first sign of a request with so many prompt tokens. Half of the usual time goes with the size.
+    pub(super) fn expected(&self, tokens: u64) -> Millis {
+        let size = if self.mean_tokens > 1.0 { tokens as f64 / self.mean_tokens } else { 1.0 };
+        self.mean_ms * (0.5 + 0.5 * size)
+    }
+
+    /// Mean time to the first sign.
+    pub(super) fn mean_ms(&self) -> Millis {
+        self.mean_ms
+    }
+
+    /// Takes in an answer.
+    pub(super) fn learn(&mut self, took: Millis, tokens: u64) {
+        // One slow backend must not make itself the measure of the others.
+        let bounded = took.clamp(0.0, 4.0 * self.mean_ms.max(1.0));
+        self.mean_ms += USUAL_SAMPLE * (bounded - self.mean_ms);
+        self.mean_tokens += USUAL_SAMPLE * (tokens as f64 - self.mean_tokens);
+    }
+}
+
+/// Time over which the demand is averaged.
+const DEMAND_MEMORY_MS: Millis = 3000.0;
+
+/// Requests a second for which this process asked for a backend, in the average of late.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Demand {
+    per_second: f64,
+    at: Millis,
+}
+
+impl Demand {
+    /// Notes a request and returns the rate.
+    pub(super) fn note(&mut self, now: Millis) -> f64 {
+        let kept = (-(now - self.at).max(0.0) / DEMAND_MEMORY_MS).exp();
+        self.per_second = self.per_second * kept + 1000.0 / DEMAND_MEMORY_MS;
+        self.at = now;
+        self.per_second
+    }
+}
+
+/// All pools.
+#[derive(Debug, Default)]
+pub(super) struct BackendTable {
+    pub(super) pools: BTreeMap<String, Pool>,
+    service_of: BTreeMap<String, String>,
+    evacuated: BTreeSet<String>,
+    /// Instances of which a 421 told that they are gone.
+    gone: BTreeSet<String>,
+    has_list: bool,
+}
+
+/// What an update brings, besides the terms of the services.
+pub(super) struct NewTables<'a> {
+    pub(super) backends: &'a [Backend],
+    /// When this process got the list.
+    pub(super) listed_at: Millis,
+    pub(super) evacuated: &'a BTreeSet<String>,
+    pub(super) own_zone: &'a str,
+}
+
+impl BackendTable {
+    /// The pool member with an id.
+    pub(super) fn member(&self, id: &str) -> Option<&Member> {
+        self.pools.get(self.service_of.get(id)?)?.member(id)
+    }
+
+    /// Whether requests may go to an instance.
+    pub(super) fn may_send(&self, id: &str) -> bool {
+        self.member(id).is_some_and(Member::may_get_requests)
+    }
+
+    /// Takes an instance out for the rest of this life.
+    pub(super) fn forget(&mut self, id: &str) {
+        self.gone.insert(id.to_string());
+        let Some(service) = self.service_of.remove(id) else { return };
+        if let Some(pool) = self.pools.get_mut(&service) {
+            pool.members.retain(|member| member.backend.id != id);
+        }
+    }
+
+    /// Takes in newer tables.
+    pub(super) fn update(
+        &mut self,
+        now: Millis,
+        tables: &NewTables,
+        terms_of: impl Fn(&str) -> ServiceTerms,
+    ) {
+        let mut known = self.take_members();
+        for backend in tables.backends {
+            if self.gone.contains(&backend.id) {
+                continue;
+            }
+            let terms = terms_of(&backend.service);
+            let member = match known.remove(&backend.id) {
+                Some(member) if member.backend.service == backend.service => member,
+                _ => self.first_seen(now, backend, tables.own_zone, &terms),
+            };
+            self.place(now, member, backend, tables, terms);
+        }
+        for pool in self.pools.values_mut() {
+            pool.members.sort_by(|one, other| one.backend.id.cmp(&other.backend.id));
+        }
+        self.evacuated = tables.evacuated.clone();
+        self.has_list |= !tables.backends.is_empty();
+    }
+
+    fn take_members(&mut self) -> BTreeMap<String, Member> {
+        self.service_of.clear();
+        let members = self.pools.values_mut().flat_map(|pool| pool.members.drain(..));
+        members.map(|member| (member.backend.id.clone(), member)).collect()
+    }
+
+    /// A backend that an earlier list did not have has started during traffic, and is cold.
+    fn first_seen(&self, now: Millis, backend: &Backend, own_zone: &str, terms: &ServiceTerms) -> Member {
+        let mut member = Member::new(Arc::new(backend.clone()), backend.zone == own_zone);
+        if self.has_list {
+            member.cold_at_least_until(now + terms.cold_start_ms);
+        }
+        member
+    }
+
+    fn place(
+        &mut self,
+        now: Millis,
+        mut member: Member,
+        listed: &Backend,
+        tables: &NewTables,
+        terms: ServiceTerms,
+    ) {
+        if *member.backend != *listed {
+            member.backend = Arc::new(listed.clone());
+        }
+        if listed.cold_remaining_ms > 0 {
+            let remaining = listed.cold_remaining_ms as f64;
+            member.cold_at_least_until(tables.listed_at + remaining + COLD_MARGIN_MS);
+        }
+        member.evacuated = tables.evacuated.contains(&listed.zone);
+        if self.evacuated.contains(&listed.zone) && !member.evacuated {
+            member.cold_at_least_until(now + terms.cold_start_ms + TAKEN_BACK_MARGIN_MS);
+        }
+        member.allowance = None;
+        self.service_of.insert(listed.id.clone(), listed.service.clone());
+        let pool = self.pools.entry(listed.service.clone()).or_insert_with(|| Pool::new(terms));
+        pool.terms = terms;
+        pool.members.push(member);
+    }
+}
--- /dev/null
+++ b/alderhollow/src/balance/choice.rs
@@ -0,0 +1,336 @@
+//! The choice among the backends of one service: which of them may take a request now, and what it would cost there.
+//! All costs are milliseconds of expected delay, or worth as much.
+
+use super::affinity::{Preferred, SentElsewhere, SharedPrefix};
+use super::backends::{Member, Pool, ServiceTerms};
+use super::cold::SenderLists;
+use super::health::Standing;
+use super::{Millis, NoBackend, Wanted};
+
+/// Prompt tokens that an engine reads in a millisecond, about: only the ratio to the other costs matters.
+const TOKENS_READ_PER_MS: f64 = 150.0;
+/// Reading a shared part again is priced besides the time that it takes.
+const READ_AGAIN_FACTOR: f64 = 2.0;
+/// Sending to another zone: the bytes are priced.
+const OTHER_ZONE_ENGINE_MS: f64 = 60.0;
+/// At plain services, in usual times.
+const OTHER_ZONE_PLAIN: f64 = 0.25;
+/// What one own attempt under way at an engine delays the next one.
+const RUNNING_MS: f64 = 1.5;
+/// What a failed answer costs, and the share of failures that is passed over.
+const FAILURE_MS: f64 = 500.0;
+const FEW_FAILURES: f64 = 0.1;
+/// Part of a shared prefix that a request takes of the memory: requests that run together hold it once.
+const SHARED_MEMORY_PART: f64 = 0.5;
+/// A backend that is slower than this, in expected times, is avoided.
+const SLOW: f64 = 1.5;
+/// An engine whose memory is full puts requests back.
+const OUT_OF_MEMORY_MS: f64 = 1000.0;
+/// Going beyond the own part of what a backend would bear if it turned cold.
+const BURST_MS: f64 = 2000.0;
+/// Random part of a cost, in milliseconds, so that equal backends share.
+const NOISE_MS: f64 = 0.5;
+/// Part of the bound on cold backends that is shared out while they are warm, ...
+const WARM_PART: f64 = 0.9;
+/// ... the most of it that one sender takes, and what it takes beyond its even share.
+const WARM_MOST: f64 = 1.0 / 3.0;
+const WARM_FACTOR: f64 = 2.0;
+const WARM_EXTRA: f64 = 3.0;
+/// Shares of a backend's slots and memory that requests of the highest, the middle and low rank may fill.
+const FILL_BY_RANK: [f64; 3] = [1.0, 0.95, 0.85];
+/// Ranks from this one on are low: the first to be refused.
+const LOW_RANK: u32 = 2;
+/// Bounds on the hint when to come back.
+const LEAST_HINT_MS: f64 = 20.0;
+const MOST_HINT_MS: f64 = 1000.0;
+
+/// What a request needs.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Need {
+    /// Tokens of the prompt.
+    pub(super) tokens_in: u64,
+    /// Tokens that it takes of a backend's memory, in and out.
+    pub(super) tokens: u64,
+    prefix: Option<SharedPrefix>,
+    priority: u32,
+}
+
+impl Need {
+    pub(super) fn of(wanted: &Wanted) -> Need {
+        let tokens_in = wanted.prompt.map_or(0, |prompt| u64::from(prompt.tokens_in));
+        let tokens_out = wanted.prompt.map_or(0, |prompt| u64::from(prompt.tokens_out));
+        let prefix = wanted.prompt.and_then(SharedPrefix::of);
+        let shared = prefix.map_or(0, |prefix| prefix.tokens.min(tokens_in));
+        let held_by_others = (shared as f64 * (1.0 - SHARED_MEMORY_PART)) as u64;
+        Need { tokens_in, tokens: tokens_in + tokens_out - held_by_others, prefix, priority: wanted.priority }
+    }
+
+    fn is_low_rank(&self) -> bool {
+        self.priority >= LOW_RANK
+    }
+
+    fn fill(&self) -> f64 {
+        let [highest, middle, low] = FILL_BY_RANK;
+        match self.priority {
+            0 => highest,
+            1 => middle,
+            _ => low,
+        }
+    }
+}
+
+/// Whether a backend may take a request now.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Admission {
+    Open,
+    /// Its health speaks against it until then, though it may serve as a last resort.
+    Unhealthy(Millis),
+    /// It has no room until then.
+    Full(Millis),
+}
+
+/// A backend that was picked.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Pick {
+    /// Its place in the pool.
+    pub(super) place: usize,
+    /// Expected time to the first sign of an answer.
+    pub(super) expected: Millis,
+    /// Prompt tokens that it is expected to read.
+    pub(super) unread_tokens: u64,
+}
+
+/// What all backends of the pool have in common for one choice.
+#[derive(Debug, Clone, Copy)]
+struct Common {
+    now: Millis,
+    terms: ServiceTerms,
+    backends: usize,
+    /// Senders besides this one.
+    others: f64,
+    /// Own attempts and their tokens under way at a backend, on average.
+    mean_attempts: f64,
+    mean_tokens: f64,
+    /// Own starts within the window at one backend, beyond which others are preferred, and the most for lower ranks.
+    soft_starts: f64,
+    most_starts: f64,
+    usual_ms: Millis,
+}
+
+/// Picks a backend of a pool. `draw` gives numbers from 0 to 1.
+pub(super) fn pick(
+    now: Millis,
+    pool: &mut Pool,
+    wanted: &Wanted,
+    senders: &SenderLists,
+    draw: &mut dyn FnMut() -> f64,
+) -> Result<Pick, NoBackend> {
+    let need = Need::of(wanted);
+    let common = Common::of(now, pool, senders);
+    let expected = pool.usual.expected(need.tokens_in);
+    let preferred = preferred(pool, &need);
+    let Pool { members, sent_elsewhere, .. } = pool;
+    let mut best: Option<(f64, usize)> = None;
+    let mut last_resort: Option<(Millis, usize)> = None;
+    let mut room_at: Option<Millis> = None;
+    for (place, member) in members.iter_mut().enumerate() {
+        if !member.may_get_requests() || wanted.tried.contains(&member.backend.id) {
+            continue;
+        }
+        match admission(&common, member, &need, senders) {
+            Admission::Open => {
+                let part_read = part_read(now, &preferred, sent_elsewhere, &need, place, member.id_hash);
+                let cost = cost(&common, member, &need, part_read) + NOISE_MS * draw();
+                if best.is_none_or(|(least, _)| cost < least) {
+                    best = Some((cost, place));
+                }
+            }
+            Admission::Unhealthy(until) => {
+                if last_resort.is_none_or(|(soonest, _)| until < soonest) {
+                    last_resort = Some((until, place));
+                }
+            }
+            Admission::Full(until) => room_at = Some(room_at.map_or(until, |soonest| soonest.min(until))),
+        }
+    }
+    let place = match (best, room_at, last_resort) {
+        (Some((_, place)), _, _) => place,
+        (None, Some(until), _) => {
+            let retry_after_ms = (until - now).clamp(LEAST_HINT_MS, MOST_HINT_MS);
+            return Err(NoBackend::AllFull { retry_after_ms });
+        }
+        (None, None, Some((_, place))) => place,
+        (None, None, None) => return Err(NoBackend::NoneReady),
+    };
+    let unread_tokens = note_sent(now, pool, &preferred, &need, place);
+    Ok(Pick { place, expected, unread_tokens })
+}
+
+/// Part of the shared prefix that a backend is expected to read again.
+fn part_read(
+    now: Millis,
+    preferred: &Preferred,
+    sent_elsewhere: &SentElsewhere,
+    need: &Need,
+    place: usize,
+    id_hash: u64,
+) -> f64 {
+    let by_order = preferred.part_read(place);
+    need.prefix.map_or(0.0, |prefix| sent_elsewhere.part_read(now, prefix, id_hash, by_order))
+}
+
+/// Remembers where the prefix went, and returns the prompt tokens that are to be read there.
+fn note_sent(now: Millis, pool: &mut Pool, preferred: &Preferred, need: &Need, place: usize) -> u64 {
+    let id_hash = pool.members.get(place).map_or(0, |member| member.id_hash);
+    let part_read = part_read(now, preferred, &pool.sent_elsewhere, need, place, id_hash);
+    if let (Some(prefix), true) = (need.prefix, part_read > 0.0) {
+        pool.sent_elsewhere.note(now, prefix, id_hash);
+    }
+    let read = need.tokens_in as f64 - shared_tokens(need) * (1.0 - part_read);
+    read.max(0.0) as u64
+}
+
+impl Common {
+    fn of(now: Millis, pool: &mut Pool, senders: &SenderLists) -> Common {
+        let per_second = pool.demand.note(now);
+        let ready = pool.members.iter().filter(|member| member.may_get_requests());
+        let (mut backends, mut own_zone, mut attempts, mut tokens) = (0usize, 0usize, 0u64, 0u64);
+        for member in ready {
+            backends += 1;
+            own_zone += usize::from(member.own_zone);
+            attempts += u64::from(member.under_way.attempts);
+            tokens = tokens.saturating_add(member.under_way.tokens);
+        }
+        let count = backends.max(1) as f64;
+        let near = if own_zone > 0 { own_zone as f64 } else { count };
+        let bound = pool.terms.cold_bound.unwrap_or(f64::INFINITY);
+        let most_starts = (bound * WARM_MOST).max(1.0);
+        let even = bound * WARM_PART / senders.count() as f64;
+        let soft_starts = even.max(WARM_FACTOR * per_second / near + WARM_EXTRA).min(most_starts);
+        Common {
+            now,
+            terms: pool.terms,
+            backends: pool.members.len(),
+            others: (senders.count() - 1) as f64,
+            mean_attempts: attempts as f64 / count,
+            mean_tokens: tokens as f64 / count,
+            soft_starts,
+            most_starts,
+            usual_ms: pool.usual.mean_ms(),
+        }
+    }
+
+    fn is_engine(&self) -> bool {
+        self.terms.capacity_tokens.is_some()
+    }
+}
+
+fn preferred(pool: &Pool, need: &Need) -> Preferred {
+    let mut preferred = Preferred::default();
+    let Some(prefix) = need.prefix else { return preferred };
+    for (place, member) in pool.members.iter().enumerate() {
+        if member.may_get_requests() {
+            preferred.offer(place, member.id_hash, prefix, member.own_zone);
+        }
+    }
+    preferred
+}
+
+fn admission(common: &Common, member: &mut Member, need: &Need, senders: &SenderLists) -> Admission {
+    if let Some(until) = starts_spent(common, member, need, senders) {
+        return Admission::Full(until);
+    }
+    match member.health.standing(common.now) {
+        Standing::Out(until) => return Admission::Unhealthy(until),
+        Standing::Up | Standing::Trial => {}
+    }
+    let full_until = member.health.full_until(need.is_low_rank());
+    if common.now < full_until {
+        return Admission::Full(full_until);
+    }
+    if is_filled(common, member, need) {
+        return Admission::Full(common.now + common.usual_ms);
+    }
+    Admission::Open
+}
+
+/// When a backend may get another start, if the starts of late are all that it may get.
+fn starts_spent(common: &Common, member: &mut Member, need: &Need, senders: &SenderLists) -> Option<Millis> {
+    let bound = common.terms.cold_bound?;
+    let starts = member.starts.count(common.now);
+    let cold = member.is_cold(common.now);
+    let most = if cold {
+        member.cold_allowance(senders, bound, common.backends)
+    } else if need.priority > 0 {
+        common.most_starts as usize
+    } else {
+        return None;
+    };
+    if starts < most {
+        return None;
+    }
+    let next = member.starts.oldest_leaves().unwrap_or(common.now + MOST_HINT_MS);
+    Some(if cold { next.min(member.cold_until()) } else { next })
+}
+
+/// Whether the own attempts alone fill what a request of this rank may fill.
+fn is_filled(common: &Common, member: &Member, need: &Need) -> bool {
+    let under_way = member.under_way;
+    if under_way.attempts == 0 {
+        return false;
+    }
+    let slots = (f64::from(member.slots(&common.terms)) * need.fill()).max(1.0);
+    if f64::from(under_way.attempts) + 1.0 > slots {
+        return true;
+    }
+    let capacity = common.terms.capacity_tokens.map_or(f64::INFINITY, |capacity| capacity as f64);
+    under_way.tokens.saturating_add(need.tokens) as f64 > capacity * need.fill()
+}
+
+fn cost(common: &Common, member: &mut Member, need: &Need, part_read: f64) -> f64 {
+    let place_cost = if common.is_engine() {
+        engine_cost(common, member, need, part_read)
+    } else {
+        plain_cost(common, member)
+    };
+    let slowness = member.health.slowness(common.now);
+    let slow = if slowness > SLOW { (slowness - 1.0) * common.usual_ms } else { 0.0 };
+    let failing = (member.health.failure_share(common.now) - FEW_FAILURES).max(0.0) * FAILURE_MS;
+    place_cost + slow + failing + burst_cost(common, member)
+}
+
+/// Reading comes first: what is ahead of the prompt, and what of the shared parts is not kept there.
+fn engine_cost(common: &Common, member: &Member, need: &Need, part_read: f64) -> f64 {
+    let unread = member.under_way.unread_tokens as f64 / TOKENS_READ_PER_MS;
+    let shared = shared_tokens(need) * part_read * READ_AGAIN_FACTOR / TOKENS_READ_PER_MS;
+    let running = f64::from(member.under_way.attempts) * RUNNING_MS;
+    let zone = if member.own_zone { 0.0 } else { OTHER_ZONE_ENGINE_MS };
+    let held = member.under_way.tokens as f64 + common.others * common.mean_tokens + need.tokens as f64;
+    let capacity = common.terms.capacity_tokens.map_or(f64::INFINITY, |capacity| capacity as f64);
+    let memory = if held > capacity { OUT_OF_MEMORY_MS } else { 0.0 };
+    unread + shared + running + zone + memory
+}
+
+/// The expected wait, with the other senders taken to have as much under way as this one has on average.
+fn plain_cost(common: &Common, member: &Member) -> f64 {
+    let attempts = f64::from(member.under_way.attempts) + common.others * common.mean_attempts;
+    let filled = (attempts + 1.0) / f64::from(member.slots(&common.terms));
+    let zone = if member.own_zone { 0.0 } else { OTHER_ZONE_PLAIN };
+    (filled + zone) * common.usual_ms
+}
+
+fn burst_cost(common: &Common, member: &mut Member) -> f64 {
+    if common.terms.cold_bound.is_none() {
+        return 0.0;
+    }
+    let beyond = member.starts.count(common.now) as f64 + 1.0 - common.soft_starts;
+    if beyond > 0.0 {
+        BURST_MS + beyond
+    } else {
+        0.0
+    }
+}
+
+fn shared_tokens(need: &Need) -> f64 {
+    need.prefix.map_or(0.0, |prefix| prefix.tokens as f64)
+}
--- /dev/null
+++ b/alderhollow/src/balance/mod.rs
@@ -0,0 +1,255 @@
+//! Which backend a request goes to. No I/O and no clock: the host tells the time, the tables and the ends of attempts.
+//!
+//! * `backends`: the table, with what this process has under way at each backend;
+//! * `affinity`: who is likely to hold the shared parts of a prompt;
+//! * `cold`: what may be sent to a cold backend;
+//! * `health`: what the ends of attempts tell of a backend;
+//! * `choice`: who may take a request, and what it would cost there.
+
+mod affinity;
+mod backends;
+mod choice;
+mod cold;
+mod hash;
+mod health;
+
+pub use cold::ColdBounds;
+
+use alderhollow_model::backend::Backend;
+use alderhollow_model::snapshot::Snapshot;
+use backends::{BackendTable, NewTables, ServiceTerms};
+use cold::SenderLists;
+use health::AttemptRecord;
+use oorandom::Rand64;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// A moment of the host's steady clock, in milliseconds.
+pub type Millis = f64;
+
+/// The prompt of a request for tokens, from `Prompt-Prefix` and `Token-Usage`.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Prompt {
+    /// The parts in order: a hash of the identifier, and its tokens.
+    pub parts: Vec<(u64, u32)>,
+    /// Tokens of the whole prompt.
+    pub tokens_in: u32,
+    /// Most tokens that come out.
+    pub tokens_out: u32,
+}
+
+/// What a backend is wanted for.
+#[derive(Debug, Clone)]
+pub struct Wanted<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The prompt, for model engines.
+    pub prompt: Option<&'a Prompt>,
+    /// Rank; 0 is the highest.
+    pub priority: u32,
+    /// Backends that the request has been at, by id.
+    pub tried: &'a [String],
+}
+
+/// A backend that was chosen. The host owes one [`Balancer::ended`] for it.
+#[derive(Debug, Clone)]
+pub struct Choice {
+    /// Names the attempt.
+    pub attempt: u64,
+    /// The backend.
+    pub backend: Arc<Backend>,
+}
+
+/// Why there is none.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum NoBackend {
+    /// The service has no backend that may get requests.
+    NoneReady,
+    /// Each has as much as it bears. `retry_after_ms` is when it may be different.
+    AllFull {
+        /// Milliseconds from now.
+        retry_after_ms: f64,
+    },
+}
+
+/// How an attempt ended, as far as it tells something of the backend.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The answer came whole.
+    Served,
+    /// The backend answered 5xx and has run the request.
+    Failed,
+    /// It declined: full, `Not-Executed`.
+    Declined,
+    /// Another instance has the address (421).
+    OtherInstance,
+    /// No connection came up.
+    NoConnection,
+    /// The connection broke, or the answer was none, after the request was sent.
+    Broken,
+    /// Silence until the end.
+    TimedOut,
+    /// Given up for reasons of the client, or never sent.
+    Cancelled,
+}
+
+/// A choice of a cold backend is void after this time: by then the allowance counts it no more.
+const COLD_CHOICE_VALID_MS: Millis = 100.0;
+
+/// An attempt that has not ended.
+#[derive(Debug)]
+struct Attempt {
+    backend: Arc<Backend>,
+    started: Millis,
+    expected: Millis,
+    tokens_in: u64,
+    tokens: u64,
+    unread_tokens: u64,
+    began: bool,
+}
+
+impl Attempt {
+    fn record(&self, attempt: u64) -> AttemptRecord {
+        AttemptRecord { attempt, started: self.started, expected: self.expected, began: self.began }
+    }
+}
+
+/// Chooses backends for one process.
+#[derive(Debug)]
+pub struct Balancer {
+    zone: String,
+    rng: Rand64,
+    cold_bounds: ColdBounds,
+    senders: SenderLists,
+    table: BackendTable,
+    attempts: BTreeMap<u64, Attempt>,
+    last_attempt: u64,
+}
+
+impl Balancer {
+    /// One that knows of no backend yet. `node` is the name of this machine, as in the list of senders.
+    pub fn new(node: &str, zone: &str, seed: u64) -> Balancer {
+        Balancer {
+            zone: zone.to_string(),
+            rng: Rand64::new(u128::from(seed)),
+            cold_bounds: ColdBounds::default(),
+            senders: SenderLists::new(node),
+            table: BackendTable::default(),
+            attempts: BTreeMap::new(),
+            last_attempt: 0,
+        }
+    }
+
+    /// Sets the operators' bounds on cold backends (`cold-over`, `cold-slack` of the settings file). Counts from the
+    /// next [`Balancer::update`] on.
+    pub fn set_cold_bounds(&mut self, bounds: ColdBounds) {
+        self.cold_bounds = bounds;
+    }
+
+    /// Takes in newer tables.
+    pub fn update(&mut self, now: Millis, snapshot: &Snapshot) {
+        if !snapshot.senders.nodes.is_empty() {
+            self.senders.update(now, &snapshot.senders.nodes);
+        }
+        let services = snapshot.control.config.as_ref().map(|config| config.services_by_name());
+        let bounds = self.cold_bounds;
+        let terms_of = |service: &str| {
+            let configured = services.as_ref().and_then(|services| services.get(service).copied());
+            ServiceTerms::of(configured, bounds)
+        };
+        let tables = NewTables {
+            backends: &snapshot.backends.backends,
+            listed_at: snapshot.backends_at_ms as f64,
+            evacuated: &snapshot.control.evacuated,
+            own_zone: &self.zone,
+        };
+        self.table.update(now, &tables, terms_of);
+    }
+
+    /// Whether a backend may get a request now: to be asked last before one is written.
+    pub fn may_send(&self, id: &str) -> bool {
+        self.table.may_send(id)
+    }
+
+    /// As [`Balancer::may_send`], for an attempt: also that the choice is not too old where its backend is cold. To be
+    /// asked last before the request is written, wherever time may pass between the choice and that. If it says no, the
+    /// attempt ends as [`Outcome::Cancelled`] and a new choice is due.
+    pub fn may_begin(&self, now: Millis, attempt: u64) -> bool {
+        let Some(under_way) = self.attempts.get(&attempt) else { return false };
+        let Some(member) = self.table.member(&under_way.backend.id) else { return false };
+        let recent = now - under_way.started <= COLD_CHOICE_VALID_MS;
+        member.may_get_requests() && (recent || !member.is_cold(now))
+    }
+
+    /// Chooses a backend.
+    ///
+    /// # Errors
+    /// Says why there is none.
+    pub fn choose(&mut self, now: Millis, wanted: &Wanted) -> Result<Choice, NoBackend> {
+        self.senders.expire(now);
+        let rng = &mut self.rng;
+        let pool = self.table.pools.get_mut(wanted.service).ok_or(NoBackend::NoneReady)?;
+        let pick = choice::pick(now, pool, wanted, &self.senders, &mut || rng.rand_float())?;
+        let need = choice::Need::of(wanted);
+        let member = pool.members.get_mut(pick.place).ok_or(NoBackend::NoneReady)?;
+        self.last_attempt += 1;
+        let attempt = self.last_attempt;
+        member.under_way.attempts += 1;
+        member.under_way.tokens += need.tokens;
+        member.under_way.unread_tokens += pick.unread_tokens;
+        member.health.started(now, attempt, pick.expected);
+        if pool.terms.cold_bound.is_some() {
+            member.starts.note(now);
+        }
+        let backend = member.backend.clone();
+        let under_way = Attempt {
+            backend: backend.clone(),
+            started: now,
+            expected: pick.expected,
+            tokens_in: need.tokens_in,
+            tokens: need.tokens,
+            unread_tokens: pick.unread_tokens,
+            began: false,
+        };
+        self.attempts.insert(attempt, under_way);
+        Ok(Choice { attempt, backend })
+    }
+
+    /// Notes that the first event or the answer's head came.
+    pub fn began(&mut self, now: Millis, attempt: u64) {
+        let Some(under_way) = self.attempts.get_mut(&attempt) else { return };
+        if under_way.began {
+            return;
+        }
+        let unread = std::mem::take(&mut under_way.unread_tokens);
+        let record = under_way.record(attempt);
+        under_way.began = true;
+        let Some(pool) = self.table.pools.get_mut(&under_way.backend.service) else { return };
+        pool.usual.learn(now - under_way.started, under_way.tokens_in);
+        if let Some(member) = pool.member_mut(&under_way.backend.id) {
+            member.under_way.unread_tokens = member.under_way.unread_tokens.saturating_sub(unread);
+            member.health.began(now, record);
+        }
+    }
+
+    /// Notes how an attempt ended.
+    pub fn ended(&mut self, now: Millis, attempt: u64, outcome: Outcome) {
+        if outcome == Outcome::Served {
+            self.began(now, attempt);
+        }
+        let Some(under_way) = self.attempts.remove(&attempt) else { return };
+        let id = &under_way.backend.id;
+        if outcome == Outcome::OtherInstance {
+            self.table.forget(id);
+            return;
+        }
+        let draw = self.rng.rand_float();
+        let pool = self.table.pools.get_mut(&under_way.backend.service);
+        let Some(member) = pool.and_then(|pool| pool.member_mut(id)) else { return };
+        let load = &mut member.under_way;
+        load.attempts = load.attempts.saturating_sub(1);
+        load.tokens = load.tokens.saturating_sub(under_way.tokens);
+        load.unread_tokens = load.unread_tokens.saturating_sub(under_way.unread_tokens);
+        member.health.ended(now, under_way.record(attempt), outcome, draw);
+    }
+}
--- /dev/null
+++ b/alderhollow/tests/balance_choice.rs
@@ -0,0 +1,269 @@
+//! Which backend is chosen: never a forbidden one, near the prompt's shared parts, with bounded load.
+
+mod balance_support;
+
+use alderhollow::balance::{Balancer, NoBackend, Outcome, Wanted};
+use alderhollow_model::backend::BackendState;
+use balance_support::{backend, node_name, prompt, wanted, Tables, ENGINES, PLAIN, ZONES};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What a property test does to a balancer.
+#[derive(Debug, Clone)]
+enum Step {
+    List(Vec<(usize, bool)>),
+    Evacuate(BTreeSet<usize>),
+    Request(u64),
+    End(usize, Outcome),
+    Wait(u64),
+}
+
+fn outcome() -> impl Strategy<Value = Outcome> {
+    prop_oneof![
+        Just(Outcome::Served),
+        Just(Outcome::Failed),
+        Just(Outcome::Declined),
+        Just(Outcome::OtherInstance),
+        Just(Outcome::NoConnection),
+        Just(Outcome::Broken),
+        Just(Outcome::TimedOut),
+        Just(Outcome::Cancelled),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        1 => prop::collection::vec((0usize..12, any::<bool>()), 0..12).prop_map(Step::List),
+        1 => prop::collection::btree_set(0usize..3, 0..3).prop_map(Step::Evacuate),
+        8 => (0u64..6).prop_map(Step::Request),
+        6 => (0usize..50, outcome()).prop_map(|(index, outcome)| Step::End(index, outcome)),
+        3 => (0u64..2000).prop_map(Step::Wait),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn no_request_goes_where_the_tables_forbid_it(steps in prop::collection::vec(step(), 1..120)) {
+        let mut tables = Tables::new(ENGINES, 6, 4);
+        let mut balancer = tables.balancer(&node_name(0), ZONES[0], 0.0);
+        let mut now = 0.0;
+        let mut attempts = Vec::new();
+        let mut gone = BTreeSet::new();
+        for step in steps {
+            match step {
+                Step::List(listed) => {
+                    let states: BTreeMap<usize, bool> = listed.into_iter().collect();
+                    tables.backends = states.into_iter().map(|(index, draining)| {
+                        let mut listed = backend(ENGINES, index);
+                        listed.state = if draining { BackendState::Draining } else { BackendState::Ready };
+                        listed
+                    }).collect();
+                    balancer.update(now, &tables.snapshot(now));
+                }
+                Step::Evacuate(zones) => {
+                    tables.evacuated = zones.into_iter().map(|zone| ZONES[zone].to_string()).collect();
+                    balancer.update(now, &tables.snapshot(now));
+                }
+                Step::Request(shared) => {
+                    let prompt = prompt(shared, 1);
+                    let allowed: BTreeSet<&str> = tables.backends.iter()
+                        .filter(|listed| listed.state == BackendState::Ready)
+                        .filter(|listed| !tables.evacuated.contains(&listed.zone))
+                        .filter(|listed| !gone.contains(&listed.id))
+                        .map(|listed| listed.id.as_str())
+                        .collect();
+                    match balancer.choose(now, &wanted(ENGINES, Some(&prompt))) {
+                        Ok(choice) => {
+                            prop_assert!(allowed.contains(choice.backend.id.as_str()));
+                            prop_assert!(balancer.may_send(&choice.backend.id));
+                            attempts.push(choice);
+                        }
+                        Err(NoBackend::NoneReady) => prop_assert!(allowed.is_empty()),
+                        Err(NoBackend::AllFull { retry_after_ms }) => {
+                            prop_assert!(!allowed.is_empty());
+                            prop_assert!(retry_after_ms > 0.0 && retry_after_ms <= 1000.0);
+                        }
+                    }
+                }
+                Step::End(index, outcome) if !attempts.is_empty() => {
+                    let choice = attempts.remove(index % attempts.len());
+                    if outcome == Outcome::OtherInstance {
+                        gone.insert(choice.backend.id.clone());
+                    }
+                    balancer.ended(now, choice.attempt, outcome);
+                }
+                Step::End(..) => {}
+                Step::Wait(pause) => now += pause as f64,
+            }
+        }
+    }
+}
+
+/// The backend that an idle balancer chooses for a prompt.
+fn chosen(balancer: &mut Balancer, now: f64, shared: u64) -> String {
+    let prompt = prompt(shared, 1);
+    let choice = balancer.choose(now, &wanted(ENGINES, Some(&prompt))).expect("there is a backend");
+    balancer.began(now + 40.0, choice.attempt);
+    balancer.ended(now + 50.0, choice.attempt, Outcome::Served);
+    choice.backend.id.clone()
+}
+
+#[test]
+fn doors_of_a_zone_send_a_prefix_to_the_same_backend_of_their_zone() {
+    let tables = Tables::new(ENGINES, 9, 4);
+    let mut one = tables.balancer(&node_name(0), ZONES[1], 0.0);
+    let mut other = tables.balancer(&node_name(1), ZONES[1], 0.0);
+    let mut used = BTreeSet::new();
+    for shared in 0..100 {
+        let now = shared as f64 * 100.0;
+        let (by_one, by_other) = (chosen(&mut one, now, shared), chosen(&mut other, now, shared));
+        assert_eq!(by_one, by_other);
+        used.insert(by_one);
+    }
+    let own_zone = |id: &String| tables.backends.iter().any(|b| b.id == *id && b.zone == ZONES[1]);
+    assert!(used.iter().all(own_zone));
+    assert_eq!(used.len(), 3);
+}
+
+#[test]
+fn only_the_prefixes_of_a_backend_that_goes_move() {
+    let mut tables = Tables::new(ENGINES, 9, 4);
+    let mut balancer = tables.balancer(&node_name(0), ZONES[1], 0.0);
+    let before: Vec<String> =
+        (0..100).map(|shared| chosen(&mut balancer, shared as f64 * 100.0, shared)).collect();
+    let gone = tables.backends.remove(4).id;
+    balancer.update(20_000.0, &tables.snapshot(20_000.0));
+    for (shared, old) in before.iter().enumerate() {
+        let new = chosen(&mut balancer, 20_000.0 + shared as f64 * 100.0, shared as u64);
+        assert!(new != gone && (old == &gone || &new == old), "{old} became {new}");
+    }
+}
+
+#[test]
+fn other_zones_serve_when_the_own_zone_has_no_backend() {
+    let mut tables = Tables::new(ENGINES, 9, 4);
+    tables.evacuated.insert(ZONES[0].to_string());
+    let mut one = tables.balancer(&node_name(0), ZONES[0], 0.0);
+    let mut other = tables.balancer(&node_name(1), ZONES[0], 0.0);
+    for shared in 0..20 {
+        let now = shared as f64 * 100.0;
+        assert_eq!(chosen(&mut one, now, shared), chosen(&mut other, now, shared));
+    }
+}
+
+/// Attempts at each backend after `requests` that do not end.
+fn attempts_by_backend(balancer: &mut Balancer, requests: u64, prefixes: u64) -> BTreeMap<String, usize> {
+    let mut attempts = BTreeMap::new();
+    for request in 0..requests {
+        let prompt = prompt(request % prefixes, request);
+        let choice = balancer.choose(0.0, &wanted(ENGINES, Some(&prompt))).expect("there is room");
+        *attempts.entry(choice.backend.id.clone()).or_insert(0) += 1;
+    }
+    attempts
+}
+
+#[test]
+fn many_prefixes_spread_with_bounded_load_over_the_own_zone() {
+    let tables = Tables::new(ENGINES, 9, 4);
+    let mut balancer = tables.balancer(&node_name(0), ZONES[0], 0.0);
+    let mut attempts: BTreeMap<String, usize> = BTreeMap::new();
+    let mut ends: Vec<(f64, u64)> = Vec::new();
+    for request in 0..1000u64 {
+        let now = request as f64 * 20.0;
+        ends.retain(|(at, attempt)| {
+            if *at <= now {
+                balancer.ended(*at, *attempt, Outcome::Served);
+            }
+            *at > now
+        });
+        let prompt = prompt(request * 7 % 60, request);
+        let choice = balancer.choose(now, &wanted(ENGINES, Some(&prompt))).expect("there is room");
+        balancer.began(now, choice.attempt);
+        ends.push((now + 500.0, choice.attempt));
+        *attempts.entry(choice.backend.id.clone()).or_insert(0) += 1;
+    }
+    let is_own = |id: &str| tables.backends.iter().any(|listed| listed.id == id && listed.zone == ZONES[0]);
+    assert!(attempts.keys().all(|id| is_own(id)), "{attempts:?}");
+    let most = attempts.values().max().copied().unwrap_or(0);
+    assert!(most as f64 <= 1.5 * 1000.0 / 3.0, "{attempts:?}");
+}
+
+#[test]
+fn a_rush_of_many_prefixes_uses_other_zones_too() {
+    let tables = Tables::new(ENGINES, 9, 4);
+    let mut balancer = tables.balancer(&node_name(0), ZONES[0], 0.0);
+    let attempts = attempts_by_backend(&mut balancer, 180, 60);
+    assert_eq!(attempts.len(), 9, "{attempts:?}");
+    assert!(attempts.values().all(|count| *count <= 64), "{attempts:?}");
+}
+
+#[test]
+fn a_single_prefix_spills_over_when_its_backend_has_clearly_more_to_read() {
+    let tables = Tables::new(ENGINES, 9, 4);
+    let mut balancer = tables.balancer(&node_name(0), ZONES[0], 0.0);
+    assert_eq!(attempts_by_backend(&mut balancer, 3, 1).len(), 1, "few stay together");
+    let attempts = attempts_by_backend(&mut balancer, 180, 1);
+    let most = attempts.values().max().copied().unwrap_or(0);
+    assert!(attempts.len() == 9 && most <= 60, "{attempts:?}");
+}
+
+#[test]
+fn engines_are_not_filled_beyond_slots_and_memory() {
+    let tables = Tables::new(ENGINES, 1, 1);
+    let mut balancer = tables.balancer(&node_name(0), ZONES[0], 0.0);
+    let large =
+        alderhollow::balance::Prompt { parts: vec![(1, 100_000)], tokens_in: 100_000, tokens_out: 10_000 };
+    let taken = (0..20).filter(|_| balancer.choose(0.0, &wanted(ENGINES, Some(&large))).is_ok()).count();
+    assert_eq!(taken, 5, "of 110,000 tokens each in 600,000");
+}
+
+#[test]
+fn plain_requests_stay_in_the_own_zone_and_leave_it_as_it_fills() {
+    let tables = Tables::new(PLAIN, 3, 1);
+    let mut balancer = tables.balancer(&node_name(0), ZONES[2], 0.0);
+    let mut zones = Vec::new();
+    while let Ok(choice) = balancer.choose(0.0, &wanted(PLAIN, None)) {
+        zones.push(choice.backend.zone.clone());
+    }
+    assert_eq!(zones[0], ZONES[2]);
+    assert_eq!(zones.len(), 18, "each backend works on six at once");
+    assert!(zones[..9].iter().any(|zone| zone != ZONES[2]), "{zones:?}");
+}
+
+#[test]
+fn when_all_plain_backends_declined_the_answer_comes_early_with_a_hint() {
+    let tables = Tables::new(PLAIN, 3, 4);
+    let mut balancer = tables.balancer(&node_name(0), ZONES[0], 0.0);
+    for _ in 0..3 {
+        let choice = balancer.choose(10.0, &wanted(PLAIN, None)).expect("not all have declined");
+        balancer.ended(10.0, choice.attempt, Outcome::Declined);
+    }
+    let answer = balancer.choose(11.0, &wanted(PLAIN, None)).err();
+    let Some(NoBackend::AllFull { retry_after_ms }) = answer else { panic!("{answer:?}") };
+    assert!(balancer.choose(11.0 + retry_after_ms, &wanted(PLAIN, None)).is_ok());
+}
+
+#[test]
+fn low_ranks_are_refused_first() {
+    let tables = Tables::new(ENGINES, 1, 1);
+    let mut balancer = tables.balancer(&node_name(0), ZONES[0], 0.0);
+    let low = Wanted { priority: 2, ..wanted(ENGINES, None) };
+    let low_taken = (0..100).filter(|_| balancer.choose(0.0, &low).is_ok()).count();
+    let high_taken = (0..100).filter(|_| balancer.choose(0.0, &wanted(ENGINES, None)).is_ok()).count();
+    assert_eq!((low_taken, low_taken + high_taken), (54, 64));
+}
+
+#[test]
+fn backends_that_were_tried_are_passed_over() {
+    let tables = Tables::new(PLAIN, 3, 1);
+    let mut balancer = tables.balancer(&node_name(0), ZONES[0], 0.0);
+    let mut tried = Vec::new();
+    for _ in 0..3 {
+        let wanted = Wanted { tried: &tried, ..wanted(PLAIN, None) };
+        let choice = balancer.choose(0.0, &wanted).expect("one is left");
+        assert!(!tried.contains(&choice.backend.id));
+        tried.push(choice.backend.id.clone());
+    }
+    let none = Wanted { tried: &tried, ..wanted(PLAIN, None) };
+    assert_eq!(balancer.choose(0.0, &none).err(), Some(NoBackend::NoneReady));
+}
--- /dev/null
+++ b/alderhollow/tests/balance_cold.rs
@@ -0,0 +1,223 @@
+//! What all senders together send to cold backends, counted over every sliding second.
+
+mod balance_support;
+
+use alderhollow::balance::{Balancer, Millis, NoBackend, Outcome};
+use balance_support::{backend, node_name, wanted, Tables, COLD_BOUNDS, ENGINES, PLAIN, ZONES};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+/// The starts at each backend, by its id.
+type Starts = BTreeMap<String, Vec<Millis>>;
+
+const COLD_FOR_MS: u64 = 60_000;
+const ROUND_MS: Millis = 50.0;
+const SECOND_MS: Millis = 1000.0;
+
+/// Most starts at one backend within one second.
+fn most_within_a_second(starts: &Starts) -> usize {
+    let most_of = |times: &Vec<Millis>| {
+        let mut sorted = times.clone();
+        sorted.sort_by(f64::total_cmp);
+        let within = |(first, from): (usize, &Millis)| {
+            sorted[first..].iter().take_while(|time| **time <= from + SECOND_MS).count()
+        };
+        sorted.iter().enumerate().map(within).max().unwrap_or(0)
+    };
+    starts.values().map(most_of).max().unwrap_or(0)
+}
+
+/// Lets a sender start all that it may at one moment.
+fn start_all(balancer: &mut Balancer, now: Millis, most: usize, starts: &mut Starts) {
+    for _ in 0..most {
+        let Ok(choice) = balancer.choose(now, &wanted(ENGINES, None)) else { return };
+        starts.entry(choice.backend.id.clone()).or_default().push(now);
+        balancer.began(now, choice.attempt);
+        balancer.ended(now, choice.attempt, Outcome::Served);
+    }
+}
+
+fn cold_tables(backends: usize, senders: usize, cold_per_s: f64) -> Tables {
+    let mut tables = Tables::new(ENGINES, backends, senders);
+    tables.cold_per_s = cold_per_s;
+    for backend in &mut tables.backends {
+        backend.cold_remaining_ms = COLD_FOR_MS;
+    }
+    tables
+}
+
+/// Runs greedy senders from `from` to `to`.
+fn run(senders: &mut [Balancer], from: Millis, to: Millis, starts: &mut Starts) {
+    let mut now = from;
+    while now < to {
+        for sender in senders.iter_mut() {
+            start_all(sender, now, 40, starts);
+        }
+        now += ROUND_MS;
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
+
+    #[test]
+    fn senders_whose_lists_differ_by_one_stay_within_the_bound(
+        senders in 1usize..=100,
+        backends in 1usize..20,
+        cold_per_s in 1.0f64..60.0,
+        left_out in prop::collection::vec(any::<prop::sample::Index>(), 100),
+    ) {
+        let tables = cold_tables(backends, senders, cold_per_s);
+        let mut balancers: Vec<Balancer> = (0..senders)
+            .map(|index| {
+                let mut own_view = tables.clone();
+                let missing = left_out[index].index(senders + 1);
+                if missing != index && missing < senders {
+                    own_view.senders.remove(missing);
+                }
+                own_view.balancer(&node_name(index), ZONES[index % 3], 0.0)
+            })
+            .collect();
+        let mut starts = Starts::new();
+        run(&mut balancers, 0.0, 4000.0, &mut starts);
+        prop_assert!(most_within_a_second(&starts) as f64 <= COLD_BOUNDS.per_second(cold_per_s));
+    }
+
+    #[test]
+    fn a_change_of_the_senders_list_that_comes_late_to_some_keeps_the_bound(
+        before in 1usize..40,
+        after in 1usize..40,
+        delays in prop::collection::vec(0u64..1000, 40),
+    ) {
+        let tables = cold_tables(3, before, 30.0);
+        let mut changed = tables.clone();
+        changed.senders = (0..after).map(node_name).collect();
+        let most = before.max(after);
+        let mut balancers: Vec<Balancer> = (0..most)
+            .map(|index| tables.balancer(&node_name(index), ZONES[index % 3], 0.0))
+            .collect();
+        let mut starts = Starts::new();
+        let mut now = 0.0;
+        while now < 6000.0 {
+            for (index, sender) in balancers.iter_mut().enumerate() {
+                let told_at = 2500.0 + delays[index] as f64;
+                if now >= told_at && now < told_at + ROUND_MS {
+                    sender.update(now, &changed.snapshot(now));
+                }
+                start_all(sender, now, 40, &mut starts);
+            }
+            now += ROUND_MS;
+        }
+        prop_assert!(most_within_a_second(&starts) as f64 <= COLD_BOUNDS.per_second(30.0));
+    }
+}
+
+#[test]
+fn cold_backends_get_a_good_part_of_what_they_bear() {
+    let tables = cold_tables(3, 13, 31.0);
+    let mut balancers: Vec<Balancer> =
+        (0..13).map(|index| tables.balancer(&node_name(index), ZONES[index % 3], 0.0)).collect();
+    let mut starts = Starts::new();
+    run(&mut balancers, 2000.0, 12_000.0, &mut starts);
+    let total: usize = starts.values().map(Vec::len).sum();
+    let per_second = total as f64 / 3.0 / 10.0;
+    assert!(per_second >= 0.5 * 31.0, "{per_second} a second at each");
+}
+
+#[test]
+fn one_that_is_not_among_the_senders_sends_nothing_to_a_cold_backend() {
+    let tables = cold_tables(1, 5, 31.0);
+    let mut stranger = tables.balancer("stranger", ZONES[0], 0.0);
+    let answer = stranger.choose(5000.0, &wanted(ENGINES, None));
+    assert!(matches!(answer, Err(NoBackend::AllFull { .. })), "{answer:?}");
+}
+
+#[test]
+fn a_process_that_has_just_started_leaves_cold_backends_to_the_others_at_first() {
+    let tables = cold_tables(1, 1, 31.0);
+    let mut newcomer = tables.balancer(&node_name(0), ZONES[0], 0.0);
+    assert!(newcomer.choose(100.0, &wanted(ENGINES, None)).is_err());
+    assert!(newcomer.choose(3000.0, &wanted(ENGINES, None)).is_ok());
+}
+
+#[test]
+fn a_backend_that_was_not_on_the_list_before_counts_as_cold() {
+    let mut tables = Tables::new(ENGINES, 1, 10);
+    tables.cold_per_s = 10.0;
+    let mut balancers: Vec<Balancer> =
+        (0..10).map(|index| tables.balancer(&node_name(index), ZONES[0], 0.0)).collect();
+    tables.backends = vec![backend(ENGINES, 1)];
+    for sender in &mut balancers {
+        sender.update(5000.0, &tables.snapshot(5000.0));
+    }
+    let mut starts = Starts::new();
+    run(&mut balancers, 5000.0, 7900.0, &mut starts);
+    assert!(most_within_a_second(&starts) as f64 <= COLD_BOUNDS.per_second(10.0));
+    let mut later = Starts::new();
+    run(&mut balancers, 8100.0, 8200.0, &mut later);
+    assert!(most_within_a_second(&later) as f64 > COLD_BOUNDS.per_second(10.0), "cold no more");
+}
+
+#[test]
+fn backends_of_a_zone_that_is_taken_back_count_as_cold() {
+    let mut tables = Tables::new(ENGINES, 1, 10);
+    tables.cold_per_s = 10.0;
+    tables.evacuated.insert(ZONES[0].to_string());
+    let mut balancers: Vec<Balancer> =
+        (0..10).map(|index| tables.balancer(&node_name(index), ZONES[0], 0.0)).collect();
+    assert_eq!(balancers[0].choose(4000.0, &wanted(ENGINES, None)).err(), Some(NoBackend::NoneReady));
+    tables.evacuated.clear();
+    for sender in &mut balancers {
+        sender.update(5000.0, &tables.snapshot(5000.0));
+    }
+    let mut starts = Starts::new();
+    run(&mut balancers, 5000.0, 8000.0, &mut starts);
+    assert!(most_within_a_second(&starts) as f64 <= COLD_BOUNDS.per_second(10.0));
+}
+
+#[test]
+fn starts_from_before_a_backend_turned_cold_count() {
+    let mut tables = Tables::new(ENGINES, 1, 1);
+    tables.cold_per_s = 10.0;
+    let mut sender = tables.balancer(&node_name(0), ZONES[0], 0.0);
+    let mut starts = Starts::new();
+    start_all(&mut sender, 3000.0, 20, &mut starts);
+    tables.backends[0].cold_remaining_ms = 2000;
+    sender.update(3100.0, &tables.snapshot(3100.0));
+    assert!(sender.choose(3200.0, &wanted(ENGINES, None)).is_err());
+    assert!(sender.choose(4300.0, &wanted(ENGINES, None)).is_ok());
+}
+
+#[test]
+fn a_choice_of_a_cold_backend_does_not_keep() {
+    let mut tables = Tables::new(ENGINES, 1, 1);
+    tables.cold_per_s = 10.0;
+    tables.backends[0].cold_remaining_ms = COLD_FOR_MS;
+    let mut sender = tables.balancer(&node_name(0), ZONES[0], 0.0);
+    let choice = sender.choose(3000.0, &wanted(ENGINES, None)).expect("its allowance is fresh");
+    assert!(sender.may_begin(3050.0, choice.attempt));
+    assert!(!sender.may_begin(3500.0, choice.attempt));
+    assert!(sender.may_send(&choice.backend.id));
+}
+
+#[test]
+fn a_warm_backend_gets_no_burst_while_others_have_had_less() {
+    let mut tables = Tables::new(ENGINES, 9, 3);
+    tables.cold_per_s = 31.0;
+    let mut sender = tables.balancer(&node_name(0), ZONES[0], 0.0);
+    let shared = balance_support::prompt(5, 1);
+    let mut starts = Starts::new();
+    for _ in 0..90 {
+        let choice = sender.choose(5000.0, &wanted(ENGINES, Some(&shared))).expect("there is room");
+        starts.entry(choice.backend.id.clone()).or_default().push(5000.0);
+    }
+    assert!(most_within_a_second(&starts) as f64 <= COLD_BOUNDS.per_second(31.0) / 3.0 + 1.0);
+}
+
+#[test]
+fn services_without_a_bound_are_not_limited_when_cold() {
+    let mut tables = Tables::new(PLAIN, 1, 10);
+    tables.backends[0].cold_remaining_ms = COLD_FOR_MS;
+    let mut stranger = tables.balancer("stranger", ZONES[0], 0.0);
+    assert!(stranger.choose(10.0, &wanted(PLAIN, None)).is_ok());
+}
