--- a/alderhollow/src/routing.rs
+++ b/alderhollow/src/routing.rs
@@ -30,11 +30,19 @@
 
     /// All routes of a host, the longest prefix first.
     pub fn of_host(&self, host: &str) -> &[Arc<Route>] {
-        let name = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+        let name = without_port(host).to_ascii_lowercase();
         self.by_host.get(&name).map_or(&[], Vec::as_slice)
     }
 }
 
+/// A `Host` without its port. An IPv6 address stands in brackets.
+fn without_port(host: &str) -> &str {
+    if host.starts_with('[') {
+        return host.find(']').and_then(|end| host.get(..=end)).unwrap_or(host);
+    }
+    host.split(':').next().unwrap_or(host)
+}
+
 /// The service that a draw from 0 to 1 falls on, by the route's weights.
 pub fn pick_service(route: &Route, draw: f64) -> Option<String> {
     let services = route.services();
