Add the coin of batch admission

Need: the design of the serving tier puts a coin before the count that binds at each 202. Ruled out: refusing on the chance alone, which would refuse jobs that fit.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 #![warn(missing_docs)]
 
 mod balance;
+pub mod batch_admission;
 pub mod control;
 pub mod interface;
 mod quota;
