--- a/alderhollow/src/distribution/client.rs
+++ b/alderhollow/src/distribution/client.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Notes that a primary with a lease answered a poll that was sent at this moment of the process's clock.
+    pub fn note_vouched(&self, sent_at_ms: u64) {
+        self.shared.vouched_since_ms.set(Some(sent_at_ms));
+    }
+
     /// When the newest poll that a primary with a lease answered was sent, on the process's clock.
     pub fn vouched_since_ms(&self) -> Option<u64> {
         self.shared.vouched_since_ms.get()
@@ -146,7 +151,7 @@
                 self.note_primary(from, &update);
                 match tables.apply(update) {
                     Ok(_) => {
-                        self.state.shared.vouched_since_ms.set(Some(sent_at_ms));
+                        self.state.note_vouched(sent_at_ms);
                         finder.confirm(from);
                     }
                     Err(error) => {
--- a/alderhollow/tests/support/batch_backend.rs
+++ b/alderhollow/tests/support/batch_backend.rs
@@ -1,4 +1,6 @@
 //! A backend on loopback that answers items as its script says.
+// Each test file uses a part of this.
+#![allow(dead_code)]
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
--- a/alderhollow/tests/support/batch_tables.rs
+++ b/alderhollow/tests/support/batch_tables.rs
@@ -1,4 +1,6 @@
 //! Tables with one batch route, for tests of items.
+// Each test file uses a part of this.
+#![allow(dead_code)]
 
 use alderhollow_model::backend::{Backend, BackendList, BackendState};
 use alderhollow_model::config::Config;
