Add the seeded simulation of stores, core, doors and backends

The simulated core leaves a member out for its silence only when the primary has polled well after it: when the primary's disk is lost in the moment in which all others lose power, leaving one out at once would leave the only copy behind.

--- /dev/null
+++ b/batch/tests/simulation/core.rs
@@ -0,0 +1,155 @@
+//! The core: names the group under epochs, as the control plane is to do it.
+
+use alderhollow_batch::api::GroupStatus;
+use alderhollow_model::identity::{Address, DiskId, LifeId, NodeInfo, Role};
+use alderhollow_model::snapshot::{BatchGroup, GroupMember};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// The primary's place is given away so long after its last poll.
+const PRIMARY_SILENCE_MS: u64 = 2_000;
+/// A store that has not polled for so long is not chosen for anything.
+const STORE_SILENCE_MS: u64 = 1_000;
+/// A member is left out for its silence only if the primary has polled so much later than it: if the primary's own disk
+/// is lost in the moment in which the member goes, the member must stay, as it has the only copy.
+const OUTLIVED_MS: u64 = 600;
+/// Members that a group has at most.
+const MOST_MEMBERS: usize = 3;
+/// Copies of each acknowledged job.
+const COPIES: usize = 2;
+
+/// What the core knows of a store.
+struct Known {
+    polled_ms: u64,
+    status: GroupStatus,
+}
+
+pub struct Core {
+    pub group: Option<Arc<BatchGroup>>,
+    pub previous: Option<Arc<BatchGroup>>,
+    /// Stores that hold all that was acknowledged: members of every epoch since the newest that is known as active.
+    pub complete: BTreeSet<DiskId>,
+    stores: BTreeMap<DiskId, Known>,
+}
+
+impl Core {
+    pub fn new() -> Core {
+        Core { group: None, previous: None, complete: BTreeSet::new(), stores: BTreeMap::new() }
+    }
+
+    /// A store polls.
+    pub fn poll(&mut self, now_ms: u64, disk: DiskId, status: GroupStatus) {
+        assert_eq!(status.behind, None, "a primary was named that isn't complete");
+        if let Some(group) = &self.group {
+            if status.active && status.epoch == group.epoch && group.primary == disk {
+                self.complete = disks(&group.members).collect();
+            }
+        }
+        self.stores.insert(disk, Known { polled_ms: now_ms, status });
+    }
+
+    /// Whether a store may act as the primary of the newest epoch for now.
+    pub fn vouches_for(&self, disk: DiskId) -> bool {
+        self.group.as_ref().is_some_and(|group| group.primary == disk)
+    }
+
+    /// Decides on a new epoch where one is needed.
+    pub fn decide(&mut self, now_ms: u64) {
+        let live: Vec<DiskId> = self.live(now_ms).collect();
+        let Some(group) = self.group.clone() else {
+            if live.len() >= COPIES {
+                self.complete = live.iter().copied().collect();
+                self.install(live[0], live.iter().copied().take(MOST_MEMBERS).collect(), Vec::new());
+            }
+            return;
+        };
+        let primary = self.stores.get(&group.primary);
+        let primary_lives = primary.is_some_and(|known| now_ms < known.polled_ms + PRIMARY_SILENCE_MS);
+        if !primary_lives {
+            let heir = live.iter().copied().find(|disk| self.complete.contains(disk));
+            if let Some(heir) = heir {
+                self.reform(heir, &live, &group);
+            }
+            return;
+        }
+        let status = primary.map(|known| known.status.clone()).unwrap_or_default();
+        let primary_polled_ms = primary.map_or(0, |known| known.polled_ms);
+        let polled_ms = |disk: &DiskId| self.stores.get(disk).map_or(0, |known| known.polled_ms);
+        let is_gone = |disk: &DiskId| primary_polled_ms >= polled_ms(disk) + OUTLIVED_MS;
+        let is_lost = |disk: &DiskId| status.silent.contains(disk) || is_gone(disk);
+        let lost = disks(&group.members).any(|disk| disk != group.primary && is_lost(&disk));
+        let can_do_without = live.iter().filter(|disk| !status.silent.contains(disk)).count() >= COPIES;
+        if lost && can_do_without && live.contains(&group.primary) {
+            let rest: Vec<DiskId> =
+                live.iter().copied().filter(|disk| !status.silent.contains(disk)).collect();
+            self.reform(group.primary, &rest, &group);
+            return;
+        }
+        if status.active && status.epoch == group.epoch {
+            self.admit(&live, &group, &status);
+        }
+    }
+
+    /// Makes learners that caught up members, and unknown stores learners.
+    fn admit(&mut self, live: &[DiskId], group: &BatchGroup, status: &GroupStatus) {
+        let mut members: Vec<DiskId> = disks(&group.members).collect();
+        let mut learners: Vec<DiskId> = disks(&group.learners).collect();
+        let ready = learners.iter().position(|disk| status.in_sync.contains(disk));
+        let fresh = live.iter().find(|disk| !members.contains(disk) && !learners.contains(disk));
+        match (ready, fresh) {
+            (Some(index), _) if members.len() < MOST_MEMBERS => members.push(learners.remove(index)),
+            (_, Some(fresh)) => learners.push(*fresh),
+            _ => return,
+        }
+        self.install(group.primary, members, learners);
+    }
+
+    /// A group of the stores that live: the old members first, others only to reach enough copies.
+    fn reform(&mut self, primary: DiskId, live: &[DiskId], group: &BatchGroup) {
+        let old: Vec<DiskId> = disks(&group.members).collect();
+        let mut members = vec![primary];
+        members.extend(live.iter().copied().filter(|disk| *disk != primary && old.contains(disk)));
+        let others = live.iter().copied().filter(|disk| *disk != primary && !old.contains(disk));
+        for other in others {
+            if members.len() < COPIES {
+                members.push(other);
+            }
+        }
+        if members.len() >= COPIES {
+            self.install(primary, members, Vec::new());
+        }
+    }
+
+    fn install(&mut self, primary: DiskId, members: Vec<DiskId>, learners: Vec<DiskId>) {
+        assert!(self.complete.contains(&primary));
+        self.complete.retain(|disk| members.contains(disk));
+        let epoch = self.group.as_ref().map_or(1, |group| group.epoch + 1);
+        let members = members.into_iter().map(member).collect();
+        let learners = learners.into_iter().map(member).collect();
+        self.previous = self.group.take();
+        self.group = Some(Arc::new(BatchGroup { epoch, primary, members, learners }));
+    }
+
+    fn live(&self, now_ms: u64) -> impl Iterator<Item = DiskId> + '_ {
+        let live = move |known: &Known| now_ms < known.polled_ms + STORE_SILENCE_MS;
+        self.stores.iter().filter(move |(_, known)| live(known)).map(|(disk, _)| *disk)
+    }
+}
+
+fn disks(members: &[GroupMember]) -> impl Iterator<Item = DiskId> + '_ {
+    members.iter().map(|member| member.disk)
+}
+
+fn member(disk: DiskId) -> GroupMember {
+    let node = NodeInfo {
+        node: disk.to_string(),
+        role: Role::Store,
+        zone: "zone".to_owned(),
+        life: LifeId(0),
+        disk: Some(disk),
+        internal: Address(SocketAddr::from(([127, 0, 0, 1], 1))),
+        control: None,
+    };
+    GroupMember { disk, node }
+}
--- /dev/null
+++ b/batch/tests/simulation/main.rs
@@ -0,0 +1,53 @@
+//! Seeded simulation of several stores, a core that names the group, doors, clients and backends, under loss, delay and
+//! doubling of messages, kills, losses of power, lost disks, frozen processes and cuts.
+//!
+//! The oracle is the rules for batch jobs, see `oracle.rs`.
+
+mod backends;
+mod clients;
+mod core;
+mod disk;
+mod oracle;
+mod stores;
+mod world;
+
+use world::{Faults, World};
+
+/// Seeds that one test plays.
+const SEEDS: u64 = 220;
+
+/// Plays seeds one after the other; the first broken rule ends the test, naming its seed.
+fn play(first: u64, faults: Faults) {
+    let mut totals = world::Totals::default();
+    for seed in first..first + SEEDS {
+        totals.add(&World::new(seed, faults).play());
+    }
+    println!("{SEEDS} seeds from {first}: {totals:?}");
+    assert!(totals.accepted > SEEDS, "too few jobs were accepted to show anything: {totals:?}");
+    assert!(totals.listed > SEEDS, "too few results were read to show anything: {totals:?}");
+}
+
+#[test]
+fn keeps_the_rules_in_calm() {
+    play(0, Faults { kills: 0, freezes: 0, cuts: 0, wipes: 0, loss: 0.0 });
+}
+
+#[test]
+fn keeps_the_rules_under_kills_and_losses_of_power() {
+    play(10_000, Faults { kills: 6, freezes: 0, cuts: 0, wipes: 0, loss: 0.02 });
+}
+
+#[test]
+fn keeps_the_rules_under_freezes_and_cuts() {
+    play(20_000, Faults { kills: 0, freezes: 5, cuts: 5, wipes: 0, loss: 0.05 });
+}
+
+#[test]
+fn keeps_the_rules_under_lost_disks() {
+    play(30_000, Faults { kills: 2, freezes: 1, cuts: 1, wipes: 4, loss: 0.02 });
+}
+
+#[test]
+fn keeps_the_rules_under_everything_at_once() {
+    play(40_000, Faults { kills: 5, freezes: 4, cuts: 4, wipes: 3, loss: 0.08 });
+}
--- /dev/null
+++ b/batch/tests/simulation/stores.rs
@@ -0,0 +1,143 @@
+//! Store machines and the processes on them.
+
+use crate::disk::SimDisk;
+use alderhollow_batch::api::{ReadAnswer, RouteTerms, RunEnd, RunId, Token, TryId, WriteTicket};
+use alderhollow_batch::engine::Engine;
+use alderhollow_batch::job::{JobId, NewJob};
+use alderhollow_model::identity::DiskId;
+use alderhollow_model::snapshot::BatchGroup;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use crate::oracle::{SeenResult, LIMIT, MAX_ATTEMPTS, RETENTION_MS};
+
+/// Name of the one route.
+pub const ROUTE: &str = "route";
+
+/// A machine.
+pub struct Slot {
+    pub disk: SimDisk,
+    pub process: Option<Process>,
+    pub frozen: bool,
+    /// What waits for a frozen process.
+    pub mailbox: Vec<(Option<u64>, ToProcess)>,
+    pub cut_from_core: bool,
+    /// Longest sync.
+    pub sync_ms: u64,
+}
+
+/// One life of a process.
+pub struct Process {
+    pub life: u64,
+    pub engine: Engine,
+    /// Its steady clock is ahead of the simulation's by so much.
+    pub clock_ahead_ms: u64,
+    /// Calls that wait for a token.
+    pub waiting: HashMap<Token, Vec<Caller>>,
+    /// Runs under way: the job and item.
+    pub runs: HashMap<RunId, (JobId, String)>,
+}
+
+/// Who waits for an answer.
+#[derive(Debug, Clone, Copy)]
+pub struct Caller {
+    pub client: usize,
+    pub call: u64,
+}
+
+/// Something that happens to a process.
+#[derive(Debug, Clone)]
+pub enum ToProcess {
+    Message { from: DiskId, bytes: Vec<u8> },
+    Written { ticket: WriteTicket, length: usize },
+    Tick,
+    Poll,
+    PollAnswered { sent_local_ms: u64, group: Option<Arc<BatchGroup>>, vouched: bool },
+    Call { caller: Caller, call: Call },
+    RunEnded { run: RunId, end: RunEnd },
+}
+
+/// A client's call, as a door passes it on.
+#[derive(Debug, Clone)]
+pub enum Call {
+    Submit { try_id: TryId, job: NewJob },
+    Read { job: JobId, after: u32, known: usize },
+    Body { job: JobId, item_id: String },
+    End { job: JobId },
+}
+
+/// What a store answers to a call.
+#[derive(Debug, Clone)]
+pub enum Answer {
+    /// 202 or 200.
+    Done,
+    OverQuota,
+    /// Surely nothing was done.
+    NotHere,
+    /// It can't be known.
+    Unknown,
+    NotFound,
+    Results {
+        after: usize,
+        known: usize,
+        total: u32,
+        results: Vec<SeenResult>,
+    },
+    Body(Vec<u8>),
+}
+
+impl Slot {
+    pub fn new(id: DiskId) -> Slot {
+        Slot {
+            disk: SimDisk::new(id),
+            process: None,
+            frozen: false,
+            mailbox: Vec::new(),
+            cut_from_core: false,
+            sync_ms: 5,
+        }
+    }
+
+    /// Starts a process on what the disk holds.
+    pub fn start(&mut self, life: u64, now_ms: u64, clock_ahead_ms: u64) {
+        let clock = now_ms + clock_ahead_ms;
+        let (snapshot, records) = (self.disk.snapshot.as_deref(), &self.disk.records);
+        let mut engine =
+            Engine::restore(self.disk.id, clock, snapshot, records).expect("a disk that can be read");
+        engine.set_routes(clock, 1, routes());
+        engine.set_status_ms(1_000_000);
+        let (waiting, runs) = (HashMap::new(), HashMap::new());
+        self.process = Some(Process { life, engine, clock_ahead_ms, waiting, runs });
+        self.frozen = false;
+        self.mailbox.clear();
+    }
+}
+
+/// The one route.
+fn routes() -> BTreeMap<String, RouteTerms> {
+    let terms = RouteTerms {
+        run_target_ms: 2_000,
+        retention_ms: RETENTION_MS,
+        max_attempts: MAX_ATTEMPTS,
+        max_queued_tokens: LIMIT,
+    };
+    BTreeMap::from([(ROUTE.to_owned(), terms)])
+}
+
+/// A read's answer, as it goes to the client.
+pub fn read_answer(answer: ReadAnswer<'_>, after: u32, known: usize) -> Answer {
+    match answer {
+        ReadAnswer::Results { total, next, results, .. } => {
+            assert_eq!(next as usize, after as usize + results.len());
+            let seen = |result: alderhollow_batch::api::ListedResult<'_>| SeenResult {
+                id: result.id.to_owned(),
+                state: result.state,
+                text: result.text.to_owned(),
+            };
+            let results = results.into_iter().map(seen).collect();
+            Answer::Results { after: after as usize, known, total, results }
+        }
+        ReadAnswer::NotFound => Answer::NotFound,
+        ReadAnswer::NotPrimary | ReadAnswer::NotSure => Answer::NotHere,
+    }
+}
