--- a/coordination/src/replica/campaign.rs
+++ b/coordination/src/replica/campaign.rs
@@ -313,7 +313,10 @@
     /// Goes on to the installation once the promises suffice, and enough time was left for more.
     fn check_promises(&mut self) {
         let Some(Campaign::Preparing(preparing)) = &mut self.campaign else { return };
-        let Some(base) = choose_base(&preparing.promises) else { return };
+        let Some(base) = choose_base(&preparing.promises) else {
+            preparing.enough_since = None;
+            return;
+        };
         let since = *preparing.enough_since.get_or_insert(self.now);
         if !preparing.is_complete(&base.record) && self.now < since + self.settings.timings.gather_ms {
             return;
--- a/coordination/src/replica/handover.rs
+++ b/coordination/src/replica/handover.rs
@@ -60,8 +60,12 @@
         if self.now >= hand_over.since + limit {
             return self.step_down();
         }
-        let command_may_end = primary.write.is_some() && self.now < hand_over.since + LAST_COMMAND_MS;
-        if self.now < hand_over.next_send || command_may_end {
+        let last_command_ends = hand_over.since + LAST_COMMAND_MS;
+        if primary.write.is_some() && self.now < last_command_ends {
+            primary.handing_over = Some(HandingOver { next_send: last_command_ends, ..hand_over });
+            return;
+        }
+        if self.now < hand_over.next_send && hand_over.told > 0 {
             return;
         }
         primary.handing_over =
--- a/coordination/src/replica/write_queue.rs
+++ b/coordination/src/replica/write_queue.rs
@@ -22,6 +22,8 @@
     log_bytes: usize,
     snapshot_bytes: usize,
     retry_at: Option<Millis>,
+    /// The last write that ended failed.
+    broken: bool,
 }
 
 #[derive(Debug)]
@@ -93,6 +95,7 @@
         if !self.under_way.iter().any(|write| write.token == token) {
             return None;
         }
+        self.broken = false;
         let mut finished = Finished::default();
         while let Some(write) = self.under_way.pop_front() {
             finished.sends.extend(write.sends);
@@ -108,13 +111,14 @@
     pub fn failed(&mut self, now: Millis, token: Token) {
         if self.under_way.iter().any(|write| write.token == token) {
             self.under_way.clear();
+            self.broken = true;
             self.retry_at = Some(now.saturating_add(RETRY_MS));
         }
     }
 
     /// The disk has failed, or has taken longer than this over a write.
     pub fn is_stalled(&self, now: Millis, limit: Millis) -> bool {
-        self.retry_at.is_some() || self.under_way.front().is_some_and(|write| now >= write.since + limit)
+        self.broken || self.under_way.front().is_some_and(|write| now >= write.since + limit)
     }
 
     /// When it has something to do.
--- /dev/null
+++ b/coordination/tests/simulation/machine.rs
@@ -0,0 +1,163 @@
+//! A simulated machine: its disk, and the process on it.
+
+use crate::ledger::Ledger;
+use alderhollow_coordination::replica::interface::{Member, MemberId, Millis, Recovered, Token, Version};
+use alderhollow_coordination::replica::settings::{Settings, Timings};
+use alderhollow_coordination::replica::Replica;
+use oorandom::Rand64;
+use std::collections::VecDeque;
+
+/// A machine, at its number as address.
+pub struct Machine {
+    pub number: usize,
+    pub node: String,
+    /// Its next process starts with `first-start`.
+    pub first_start: bool,
+    pub disk: Disk,
+    pub process: Option<Process>,
+    pub frozen_until: Millis,
+    /// Removed for good.
+    pub gone: bool,
+    /// When the next process starts.
+    pub starts_at: Option<Millis>,
+}
+
+/// A process.
+pub struct Process {
+    pub replica: Replica<Ledger>,
+    /// Tells it from others on the same machine.
+    pub generation: u64,
+    pub tick_at: Millis,
+    /// Its committed state was compared up to here.
+    pub checked: Version,
+    /// It was told to leave, and is ready to end.
+    pub handed_over: bool,
+}
+
+/// A disk, with writes under way.
+#[derive(Default)]
+pub struct Disk {
+    content: Recovered,
+    under_way: VecDeque<DiskWrite>,
+    busy_until: Millis,
+    pub stalled_until: Millis,
+    pub slow_until: Millis,
+    pub full_until: Millis,
+}
+
+struct DiskWrite {
+    token: Token,
+    writes: Vec<Vec<u8>>,
+    replace_all: Option<Vec<u8>>,
+}
+
+impl Machine {
+    pub fn new(number: usize, node: String, first_start: bool) -> Self {
+        Machine {
+            number,
+            node,
+            first_start,
+            disk: Disk::default(),
+            process: None,
+            frozen_until: 0,
+            gone: false,
+            starts_at: None,
+        }
+    }
+
+    pub fn start(&mut self, now: Millis, tolerate_machines: usize, seed: u64) {
+        let settings = Settings {
+            node: self.node.clone(),
+            zone: String::from("zone"),
+            contact: self.number.to_be_bytes().to_vec(),
+            first_start: self.first_start,
+            tolerate_machines,
+            timings: Timings::default(),
+            seed,
+        };
+        self.first_start = false;
+        let recovered = self.disk.content.clone();
+        let replica = Replica::open(settings, recovered, Ledger::default(), now).expect("the disk is whole");
+        self.disk.busy_until = now;
+        self.process =
+            Some(Process { replica, generation: seed, tick_at: Millis::MAX, checked: 0, handed_over: false });
+    }
+
+    /// The identity of the running process's disk.
+    pub fn member_id(&self) -> Option<MemberId> {
+        self.process.as_ref().map(|process| process.replica.member().id)
+    }
+
+    pub fn member(&self) -> Option<Member> {
+        self.process.as_ref().map(|process| process.replica.member().clone())
+    }
+}
+
+/// The machine number in a member's contact.
+pub fn address_of(member: &Member) -> usize {
+    usize::from_be_bytes(member.contact.as_slice().try_into().expect("a machine number"))
+}
+
+impl Disk {
+    /// Begins a write; says when it ends.
+    pub fn begin(
+        &mut self,
+        now: Millis,
+        chance: &mut Rand64,
+        token: Token,
+        writes: Vec<Vec<u8>>,
+        replace_all: Option<Vec<u8>>,
+    ) -> Millis {
+        self.under_way.push_back(DiskWrite { token, writes, replace_all });
+        let factor = if now < self.slow_until { 30 } else { 1 };
+        let took = chance.rand_range(1..3) * factor;
+        self.busy_until = self.busy_until.max(now).max(self.stalled_until) + took;
+        self.busy_until
+    }
+
+    /// A write's time has come. False: it failed.
+    pub fn finish(&mut self, now: Millis, chance: &mut Rand64, token: Token) -> bool {
+        let Some(write) = self.under_way.pop_front() else { return true };
+        assert_eq!(write.token, token, "writes end in order");
+        if now < self.full_until {
+            if chance.rand_range(0..2) == 0 {
+                self.take(write);
+            }
+            return false;
+        }
+        self.take(write);
+        true
+    }
+
+    pub fn has(&self, token: Token) -> bool {
+        self.under_way.iter().any(|write| write.token == token)
+    }
+
+    pub fn is_next(&self, token: Token) -> bool {
+        self.under_way.front().is_some_and(|write| write.token == token)
+    }
+
+    /// After a failed write nothing is certain of those that waited.
+    pub fn drop_waiting(&mut self) -> Vec<Token> {
+        self.under_way.drain(..).map(|write| write.token).collect()
+    }
+
+    /// The process ended: of what was not synced, some is there, in order.
+    pub fn crash(&mut self, chance: &mut Rand64) {
+        let kept = chance.rand_range(0..self.under_way.len() as u64 + 1);
+        for _ in 0..kept {
+            if let Some(write) = self.under_way.pop_front() {
+                self.take(write);
+            }
+        }
+        self.under_way.clear();
+    }
+
+    fn take(&mut self, write: DiskWrite) {
+        if write.replace_all.is_some() {
+            self.content.snapshot = write.replace_all;
+            self.content.records.clear();
+        }
+        self.content.records.extend(write.writes);
+    }
+}
--- /dev/null
+++ b/coordination/tests/simulation/oracle.rs
@@ -0,0 +1,62 @@
+//! What must hold at every moment, whatever happens.
+
+use crate::ledger::Ledger;
+use alderhollow_coordination::replica::interface::{Epoch, MemberId, Version};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Remembers what was seen, and compares.
+#[derive(Debug, Default)]
+pub struct Oracle {
+    /// Entry of each version (from 1), as first seen committed.
+    history: Vec<u32>,
+    /// The newest version that was acknowledged.
+    pub acknowledged: Version,
+    primaries: BTreeMap<Epoch, MemberId>,
+    never: BTreeSet<u32>,
+}
+
+impl Oracle {
+    /// A member's committed state; all up to `checked` was compared before.
+    pub fn saw_state(&mut self, state: &Ledger, version: Version, checked: Version) {
+        assert_eq!(state.entries.len() as Version, version, "as many entries as the version says");
+        assert!(version >= checked, "a member's committed state went back from {checked} to {version}");
+        for (position, entry) in state.entries.iter().enumerate().skip(checked as usize) {
+            match self.history.get(position) {
+                Some(seen) => assert_eq!(seen, entry, "version {} differs between members", position + 1),
+                None => self.history.push(*entry),
+            }
+            assert!(!self.never.contains(entry), "request {entry} was said never to happen, and did");
+        }
+    }
+
+    pub fn saw_acknowledged(&mut self, number: u32, version: Version) {
+        let entry = self.history.get(version as usize - 1);
+        assert_eq!(entry, Some(&number), "request {number} was acknowledged as version {version}");
+        self.acknowledged = self.acknowledged.max(version);
+    }
+
+    pub fn saw_answered(&mut self, number: u32) {
+        assert!(self.history.contains(&number), "request {number} was answered as known and is not");
+    }
+
+    pub fn saw_refused(&mut self, number: u32) {
+        assert!(!self.history.contains(&number), "request {number} was said never to happen, and did");
+        self.never.insert(number);
+    }
+
+    pub fn saw_primary(&mut self, epoch: Epoch, member: MemberId) {
+        let first = *self.primaries.entry(epoch).or_insert(member);
+        assert_eq!(first, member, "two primaries of epoch {epoch}");
+    }
+
+    pub fn saw_lease_holders(&self, versions: &[Version]) {
+        assert!(versions.len() <= 1, "{} members hold the lease at once", versions.len());
+        for version in versions {
+            let acknowledged = self.acknowledged;
+            assert!(
+                *version >= acknowledged,
+                "version {acknowledged} was acknowledged; the primary has {version}"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/coordination/tests/simulation/scenarios.rs
@@ -0,0 +1,1 @@
+//! Troubles that must be over within a given time.
