Serve clients at the front of a door

Requests are read whole within the configuration's limits, routed, and sent through the exchange; a try goes on to another backend where the last one has not run it, or where the route may repeat and its attempts are not used up. An answer of up to 64 KB is whole before its client gets any of it; a longer one passes as it comes. A resumable stream goes on at another backend behind the last whole event, inside the one answer.

No task stands behind a request: the work that makes a body runs when its connection asks for more, so a client that goes takes the backend's connection along.

Silence ends no answer: a silent backend is left only once another one has been chosen, and only on routes that may repeat.

--- a/alderhollow/src/exchange/patience.rs
+++ b/alderhollow/src/exchange/patience.rs
@@ -5,31 +5,36 @@
 use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
 
+/// Whoever knows of other backends for a request.
+pub trait Alternatives {
+    /// Whether another backend takes the request now. Asked when one has been silent for long.
+    fn has_other(&self) -> bool;
+}
+
 /// Bounds on waiting for one backend.
+#[derive(Clone, Copy)]
 pub struct Patience<'a> {
     /// Nothing is waited for beyond this.
     pub deadline: Instant,
-    /// A backend that is silent for so long may be left for another one.
-    pub silence: Option<Duration>,
-    /// Asked once the silence has lasted: whether there is another one to go to.
-    pub may_leave: &'a dyn Fn() -> bool,
+    /// A backend that is silent for so long is left, if there is another one.
+    pub silence: Option<(Duration, &'a dyn Alternatives)>,
 }
 
 impl Patience<'_> {
     /// Waits until the deadline alone.
     pub fn until(deadline: Instant) -> Patience<'static> {
-        Patience { deadline, silence: None, may_leave: &|| false }
+        Patience { deadline, silence: None }
     }
 
     /// Waits for `work`; `None` if it is given up.
     pub async fn wait<T>(&self, work: impl Future<Output = T>) -> Option<T> {
         let mut work = pin!(work);
-        if let Some(silence) = self.silence {
+        if let Some((silence, alternatives)) = self.silence {
             let silent_until = (Instant::now() + silence).min(self.deadline);
             if let Ok(done) = timeout_at(silent_until, work.as_mut()).await {
                 return Some(done);
             }
-            if silent_until < self.deadline && (self.may_leave)() {
+            if silent_until < self.deadline && alternatives.has_other() {
                 return None;
             }
         }
--- /dev/null
+++ b/alderhollow/src/front/mod.rs
@@ -0,0 +1,200 @@
+//! The front of a door: takes clients' connections, reads their requests and answers them (PROTOCOL.md, *Requests* and
+//! *Answers*). What goes to backends is [`crate::exchange`]'s, what is about batch jobs is [`crate::batch_api`]'s.
+
+pub mod body;
+mod client;
+mod intake;
+pub mod phase;
+mod relay;
+mod replies;
+mod stream;
+mod tries;
+
+use crate::batch_api::{path, BatchCall, BatchEndpoints};
+use crate::exchange::outbound::{Outbound, DEADLINE_MS};
+use crate::exchange::tables::Tables;
+use crate::exchange::{prompt, Exchange};
+use alderhollow_model::config::{Limits, Route, RouteType};
+use body::AnswerBody;
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderMap};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Response, StatusCode};
+use intake::{BodyRoom, Gathered};
+use phase::Phase;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, sleep_until, timeout_at, Instant};
+use tries::Job;
+
+/// How long clients may still come once the process is leaving: the platform asks for readiness every second, and hands
+/// new connections over until it has heard no twice.
+const ACCEPTING_ON: Duration = Duration::from_millis(2500);
+/// What is left of the time for leaving when the last requests are given up.
+const GRACE_MARGIN: Duration = Duration::from_millis(500);
+/// The longest that a request is held where neither its client nor its route says.
+const LONGEST_HELD: Duration = Duration::from_secs(30);
+/// Guards against a spin where the system is out of descriptors or the like.
+const BACK_OFF: Duration = Duration::from_millis(20);
+
+/// What a front needs to know of its machine.
+#[derive(Debug, Clone)]
+pub struct FrontSettings {
+    /// Time from being told to end until the process is killed (`grace-s`).
+    pub grace: Duration,
+    /// Most connections of clients at once.
+    pub max_connections: usize,
+    /// Bytes of requests' bodies that may be here at once.
+    pub body_bytes: usize,
+}
+
+/// The front of one door.
+pub struct Front {
+    settings: FrontSettings,
+    exchange: Rc<Exchange>,
+    batch: Rc<dyn BatchEndpoints>,
+    room: Rc<BodyRoom>,
+}
+
+impl Front {
+    /// A front that sends requests through `exchange` and calls about batch jobs to `batch`.
+    pub fn new(settings: FrontSettings, exchange: Rc<Exchange>, batch: Rc<dyn BatchEndpoints>) -> Rc<Front> {
+        let room = BodyRoom::new(settings.body_bytes);
+        Rc::new(Front { settings, exchange, batch, room })
+    }
+
+    /// Serves clients until the process is to end and the last of them is served, or the time for that is over. To be
+    /// run in a `LocalSet`.
+    pub async fn run(self: Rc<Self>, listener: TcpListener, phase: watch::Receiver<Phase>) {
+        let mut connections = JoinSet::new();
+        tokio::select! {
+            () = self.accept(&listener, &mut connections, &phase) => {}
+            () = self.exchange.keep_in_order() => {}
+        }
+        drop(listener);
+        let last = (self.settings.grace.saturating_sub(GRACE_MARGIN)).saturating_sub(ACCEPTING_ON);
+        let served = async { while connections.join_next().await.is_some() {} };
+        let _ = timeout_at(Instant::now() + last, served).await;
+    }
+
+    /// Takes connections until the process has been leaving for long enough.
+    async fn accept(
+        self: &Rc<Self>,
+        listener: &TcpListener,
+        connections: &mut JoinSet<()>,
+        phase: &watch::Receiver<Phase>,
+    ) {
+        let mut over = std::pin::pin!(over(phase.clone()));
+        loop {
+            tokio::select! {
+                () = &mut over => return,
+                Some(_) = connections.join_next(), if !connections.is_empty() => {}
+                accepted = listener.accept(), if connections.len() < self.settings.max_connections => {
+                    match accepted {
+                        Ok((stream, _)) => {
+                            connections.spawn_local(client::serve(self.clone(), stream, phase.clone()));
+                        }
+                        Err(_) => sleep(BACK_OFF).await,
+                    }
+                }
+            }
+        }
+    }
+
+    /// The configuration's bounds on clients.
+    fn limits(&self) -> Limits {
+        let tables = self.exchange.tables();
+        tables.config().map_or_else(Limits::default, |config| config.limits.clone())
+    }
+
+    /// Answers one request.
+    async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let received_at = Instant::now();
+        let (head, body) = request.into_parts();
+        let limits = self.limits();
+        if let Err(refused) = intake::check_head(&head, &body, &limits) {
+            return refused.reply();
+        }
+        let gathered = match intake::gather(body, &limits, &self.room).await {
+            Ok(gathered) => gathered,
+            Err(refused) => return refused.reply(),
+        };
+        // The tables as they are now: the body may have taken a while.
+        let tables = self.exchange.tables();
+        if tables.config().is_none() {
+            return relay::not_now();
+        }
+        if path::is_batch_path(head.uri.path()) {
+            return self.batch_call(head, gathered, None, received_at).await;
+        }
+        match find_route(&tables, &head) {
+            None => replies::plain(StatusCode::NOT_FOUND),
+            Some(route) if route.route_type != RouteType::Batch => {
+                self.relay(head, gathered, route, received_at).await
+            }
+            Some(route) if head.method == Method::POST => {
+                self.batch_call(head, gathered, Some(route), received_at).await
+            }
+            Some(_) => replies::plain(StatusCode::NOT_FOUND),
+        }
+    }
+
+    /// Passes a request on to a backend.
+    async fn relay(
+        &self,
+        head: Parts,
+        gathered: Gathered,
+        route: Arc<Route>,
+        received_at: Instant,
+    ) -> Response<AnswerBody> {
+        let Some(service) = self.exchange.pick_service(&route) else { return relay::not_now() };
+        let deadline = received_at + held(&head.headers, &route);
+        let prompt = if route.sticky { prompt::read(&head.headers) } else { None };
+        let outbound = Outbound::new(head.method, &head.uri, head.headers, gathered.bytes.clone());
+        let Ok(outbound) = outbound else { return replies::plain(StatusCode::BAD_REQUEST) };
+        let job = Job { route, service, prompt, outbound, received_at, deadline, _body: gathered };
+        relay::serve(self.exchange.clone(), Rc::new(job)).await
+    }
+
+    /// Passes a call about batch jobs on.
+    async fn batch_call(
+        &self,
+        head: Parts,
+        gathered: Gathered,
+        route: Option<Arc<Route>>,
+        received_at: Instant,
+    ) -> Response<AnswerBody> {
+        let request = Request::from_parts(head, gathered.bytes.clone());
+        let response = self.batch.serve(BatchCall { request, route, received_at }).await;
+        response.map(AnswerBody::whole)
+    }
+}
+
+/// The route that a request takes.
+fn find_route(tables: &Tables, head: &Parts) -> Option<Arc<Route>> {
+    let named = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = named.or_else(|| head.uri.host())?;
+    tables.routes.find(host, head.uri.path()).cloned()
+}
+
+/// How long a request may be held: what its client says, and no longer than its route does.
+fn held(headers: &HeaderMap, route: &Route) -> Duration {
+    let told = headers.get(DEADLINE_MS).and_then(|told| told.to_str().ok()?.trim().parse::<f64>().ok());
+    let told = told.and_then(|told| Duration::try_from_secs_f64(told / 1000.0).ok());
+    let most = route.timeout_ms.map_or(LONGEST_HELD, Duration::from_millis);
+    told.map_or(most, |told| told.min(most))
+}
+
+/// Waits until no more clients are to be accepted.
+async fn over(mut phase: watch::Receiver<Phase>) {
+    let _ = phase.wait_for(|phase| *phase != Phase::Running).await;
+    let until = Instant::now() + ACCEPTING_ON;
+    tokio::select! {
+        () = sleep_until(until) => {}
+        _ = phase.wait_for(|phase| *phase == Phase::Ending) => {}
+    }
+}
--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod batch_api;
 pub mod exchange;
 pub mod executor;
+pub mod front;
 pub mod routing;
 
 use alderhollow_model::snapshot::Snapshot;
--- /dev/null
+++ b/alderhollow/tests/front.rs
@@ -0,0 +1,394 @@
+//! The front of a door: requests, answers, and what becomes of them when backends fail.
+
+mod support;
+
+use std::time::Duration;
+use support::backend::*;
+use support::client::{ask, Client};
+use support::door::*;
+use tokio::task::LocalSet;
+
+/// Runs a test where tasks of one thread may be spawned, under a clock that leaps to the next timer.
+fn run(test: impl std::future::Future<Output = ()>) {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_all().start_paused(true).build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+#[test]
+fn no_route_is_404_and_no_vouched_table_503() {
+    run(async {
+        let door = Door::start(1).await;
+        assert_eq!(ask(door.address, &request("/none/1", "", "")).await.status, 404);
+        assert_eq!(
+            ask(door.address, "GET /once/1 HTTP/1.1\r\nHost: other.example\r\n\r\n").await.status,
+            404
+        );
+        door.snapshots.send_replace(std::sync::Arc::new(snapshot(Vec::new(), false)));
+        let reply = ask(door.address, &request("/once/1", "", "")).await;
+        assert_eq!(reply.status, 503);
+        assert!(reply.header("retry-after").is_some());
+        assert!(door.backends.seen().is_empty());
+    });
+}
+
+#[test]
+fn limits_bound_heads_and_bodies() {
+    run(async {
+        let door = Door::start(1).await;
+        let long = "x".repeat(2000);
+        let reply = ask(door.address, &request("/often/1", &format!("Long: {long}\r\n"), "")).await;
+        assert_eq!(reply.status, 431);
+        let reply = ask(door.address, &request("/often/1", "", &"x".repeat(5001))).await;
+        assert_eq!(reply.status, 413);
+        let chunked = "POST /often/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r1\r\n\
+                       Transfer-Encoding: chunked\r\n\r\n";
+        let body = format!("{:x}\r\n{}\r\n0\r\n\r\n", 5001, "x".repeat(5001));
+        assert_eq!(ask(door.address, &format!("{chunked}{body}")).await.status, 413);
+        assert!(door.backends.seen().is_empty());
+        door.backends.script(served("ok"));
+        let body = format!("{:x}\r\n{}\r\n0\r\n\r\n", 5000, "x".repeat(5000));
+        assert_eq!(ask(door.address, &format!("{chunked}{body}")).await.status, 200);
+        assert_eq!(door.backends.seen()[0].body.len(), 5000);
+    });
+}
+
+#[test]
+fn a_request_and_its_answer_go_on_unchanged_but_for_their_connections() {
+    run(async {
+        let door = Door::start(1).await;
+        door.backends.script(answer(
+            "200 OK",
+            "Response-Seal: s9\r\nVersions: 4\r\nKeep-Alive: timeout=5\r\nConnection: X-Hop\r\nX-Hop: 1\r\n",
+            "the bytes",
+        ));
+        let headers = "Model: m\r\nConnection: X-Mine\r\nX-Mine: 1\r\nTE: trailers\r\n";
+        let reply = ask(door.address, &request("/often/a%20b/../c?q=1&r=%2F", headers, "in")).await;
+        assert_eq!((reply.status, reply.body.as_str(), reply.whole), (200, "the bytes", true));
+        for (name, value) in [("response-seal", "s9"), ("versions", "4"), ("request-id", "r1")] {
+            assert_eq!(reply.header(name).as_deref(), Some(value));
+        }
+        for name in ["x-hop", "keep-alive", "connection"] {
+            assert_eq!(reply.header(name), None, "{name}");
+        }
+        let seen = &door.backends.seen()[0];
+        assert!(seen.head.starts_with("POST /often/a%20b/../c?q=1&r=%2F HTTP/1.1\r\n"), "{}", seen.head);
+        assert_eq!(seen.body, "in");
+        let expected =
+            [("host", "shop.example"), ("request-id", "r1"), ("model", "m"), ("target-instance", "b0")];
+        for (name, value) in expected {
+            assert_eq!(seen.header(name).as_deref(), Some(value));
+        }
+        for name in ["x-mine", "te", "connection"] {
+            assert_eq!(seen.header(name), None, "{name}");
+        }
+        let left: u64 = seen.header("deadline-ms").expect("a deadline").parse().expect("a number");
+        assert!((2000..=2500).contains(&left), "{left}");
+    });
+}
+
+#[test]
+fn the_routes_timeout_bounds_the_clients_deadline() {
+    run(async {
+        let door = Door::start(1).await;
+        door.backends.script(served("ok"));
+        let request = request("/once/1", "", "").replace("Deadline-Ms: 2500", "Deadline-Ms: 60000");
+        assert_eq!(ask(door.address, &request).await.status, 200);
+        let left: u64 =
+            door.backends.seen()[0].header("deadline-ms").expect("one").parse().expect("a number");
+        assert!((2500..=3000).contains(&left), "{left}");
+    });
+}
+
+#[test]
+fn what_was_not_executed_goes_to_another_backend() {
+    run(async {
+        for path in ["/once/1", "/often/1", "/tokens/1"] {
+            let door = Door::start(2).await;
+            door.backends.script(declined());
+            door.backends.script(served("ok"));
+            let reply = ask(door.address, &request(path, "", "x")).await;
+            assert_eq!((reply.status, reply.body.as_str()), (200, "ok"));
+            let seen = door.backends.seen();
+            assert_ne!(seen[0].backend, seen[1].backend);
+        }
+    });
+}
+
+#[test]
+fn what_no_backend_takes_is_refused_with_a_time_to_come_again() {
+    run(async {
+        let door = Door::start(2).await;
+        door.backends.script(declined());
+        door.backends.script(answer("421 Misdirected Request", "", ""));
+        let reply = ask(door.address, &request("/once/1", "", "x")).await;
+        assert_eq!(reply.status, 503);
+        let pause: f64 = reply.header("retry-after").expect("a pause").parse().expect("seconds");
+        assert!(pause > 0.0 && pause < 1.0);
+        assert_eq!(reply.header("response-seal"), None);
+        assert_eq!(door.backends.seen().len(), 2);
+    });
+}
+
+#[test]
+fn another_instance_at_the_address_is_left() {
+    run(async {
+        let door = Door::start(2).await;
+        door.backends.script(answer("421 Misdirected Request", "Instance-Id: i-1\r\n", ""));
+        door.backends.script(served("ok"));
+        assert_eq!(ask(door.address, &request("/once/1", "", "x")).await.status, 200);
+    });
+}
+
+#[test]
+fn an_answer_to_another_request_is_none() {
+    run(async {
+        let foreign = || {
+            let text =
+                "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nResponse-Seal: s\r\nContent-Length: 3\r\n\r\nold";
+            vec![Step::Write(text.into())]
+        };
+        let door = Door::start(2).await;
+        door.backends.script(foreign());
+        assert_eq!(ask(door.address, &request("/once/1", "", "x")).await.status, 502);
+        assert_eq!(door.backends.seen().len(), 1);
+        door.backends.script(foreign());
+        door.backends.script(served("new"));
+        assert_eq!(ask(door.address, &request("/often/1", "", "x")).await.body, "new");
+    });
+}
+
+#[test]
+fn a_connection_that_holds_a_surplus_answer_carries_no_further_request() {
+    run(async {
+        let door = Door::start(1).await;
+        let mut twice = served("first");
+        twice.extend(served("surplus"));
+        door.backends.script(twice);
+        assert_eq!(ask(door.address, &request("/once/1", "", "x")).await.body, "first");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        door.backends.script(served("second"));
+        assert_eq!(ask(door.address, &request("/once/2", "", "x")).await.body, "second");
+        assert_eq!(door.backends.accepted.get(), 2);
+    });
+}
+
+#[test]
+fn a_connection_that_has_rested_is_used_again_unless_the_backend_closes_it() {
+    run(async {
+        let door = Door::start(1).await;
+        for _ in 0..3 {
+            door.backends.script(served("ok"));
+            assert_eq!(ask(door.address, &request("/once/1", "", "x")).await.status, 200);
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(door.backends.accepted.get(), 1);
+        door.backends.script(answer("200 OK", "Response-Seal: s\r\nConnection: close\r\n", "ok"));
+        assert_eq!(ask(door.address, &request("/once/1", "", "x")).await.status, 200);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        door.backends.script(answer("200 OK", "Response-Seal: s\r\nKeep-Alive: timeout=1\r\n", "ok"));
+        assert_eq!(ask(door.address, &request("/once/1", "", "x")).await.status, 200);
+        assert_eq!(door.backends.accepted.get(), 2);
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        door.backends.script(served("ok"));
+        assert_eq!(ask(door.address, &request("/once/1", "", "x")).await.status, 200);
+        assert_eq!(door.backends.accepted.get(), 3);
+    });
+}
+
+#[test]
+fn what_may_have_run_is_sent_again_only_where_the_route_may_repeat() {
+    run(async {
+        let cuts = [
+            vec![Step::Reset],
+            vec![Step::Close],
+            vec![Step::Write("nonsense\r\n\r\n".into()), Step::Close],
+            vec![
+                Step::Write("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 9\r\n\r\nhalf".into()),
+                Step::Close,
+            ],
+        ];
+        for cut in cuts {
+            let door = Door::start(3).await;
+            door.backends.script(cut.clone());
+            assert_eq!(ask(door.address, &request("/once/1", "", "x")).await.status, 502);
+            assert_eq!(door.backends.seen().len(), 1);
+            door.backends.script(cut.clone());
+            door.backends.script(served("ok"));
+            assert_eq!(ask(door.address, &request("/often/1", "", "x")).await.body, "ok");
+            door.backends.script(cut.clone());
+            door.backends.script(cut.clone());
+            assert_eq!(ask(door.address, &request("/often/1", "", "x")).await.status, 502);
+            assert_eq!(door.backends.seen().len(), 5, "two backends at most");
+        }
+    });
+}
+
+#[test]
+fn a_failure_that_ran_passes_unchanged_once_no_other_backend_may_run_it() {
+    run(async {
+        let failed = || answer("500 Internal Server Error", "Response-Seal: s5\r\n", "why");
+        let door = Door::start(3).await;
+        door.backends.script(failed());
+        let reply = ask(door.address, &request("/once/1", "", "x")).await;
+        assert_eq!((reply.status, reply.body.as_str()), (500, "why"));
+        assert_eq!(reply.header("response-seal").as_deref(), Some("s5"));
+        door.backends.script(failed());
+        door.backends.script(served("ok"));
+        assert_eq!(ask(door.address, &request("/often/1", "", "x")).await.status, 200);
+        door.backends.script(failed());
+        door.backends.script(vec![Step::Reset]);
+        assert_eq!(ask(door.address, &request("/often/1", "", "x")).await.status, 500);
+    });
+}
+
+#[test]
+fn an_answer_that_may_not_be_passed_on_is_a_failure() {
+    run(async {
+        let answers = [
+            answer("200 OK", "", "no stamp"),
+            answer("200 OK", "Response-Seal: s\r\nContent-Encoding: gzip\r\n", "zz"),
+            answer("503 Service Unavailable", "Response-Seal: s\r\n", "perhaps run"),
+            answer("429 Too Many Requests", "Response-Seal: s\r\n", "perhaps run"),
+        ];
+        for answer in answers {
+            let door = Door::start(2).await;
+            door.backends.script(answer);
+            let reply = ask(door.address, &request("/once/1", "", "x")).await;
+            assert_eq!((reply.status, reply.header("response-seal")), (502, None));
+        }
+    });
+}
+
+#[test]
+fn a_long_answer_passes_as_it_comes_and_an_early_end_is_seen() {
+    run(async {
+        let door = Door::start(1).await;
+        let long = "y".repeat(200_000);
+        door.backends.script(served(&long));
+        let reply = ask(door.address, &request("/once/1", "", "x")).await;
+        assert_eq!((reply.body.len(), reply.whole), (200_000, true));
+        let head =
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nContent-Length: 200000\r\n\r\n";
+        door.backends.script(vec![Step::Write(format!("{head}{}", &long[..150_000])), Step::Close]);
+        let reply = ask(door.address, &request("/often/1", "", "x")).await;
+        assert_eq!((reply.status, reply.whole), (200, false));
+        assert_eq!(door.backends.seen().len(), 2);
+    });
+}
+
+#[test]
+fn a_backend_that_drains_between_the_choice_and_the_first_byte_gets_nothing() {
+    run(async {
+        use alderhollow::balance::{Outcome, Wanted};
+        use alderhollow::exchange::outbound::Outbound;
+        use alderhollow::exchange::patience::Patience;
+        use alderhollow::exchange::Unanswered;
+        use hyper::header::{HeaderMap, HeaderValue};
+
+        let door = Door::start(1).await;
+        let wanted = Wanted { service: "plain", prompt: None, priority: 0, tried: &[] };
+        let mut headers = HeaderMap::new();
+        headers.insert("request-id", HeaderValue::from_static("r1"));
+        let uri = "/once/1".parse().expect("a path");
+        let outbound =
+            Outbound::new(hyper::Method::POST, &uri, headers, Default::default()).expect("a request");
+        // Once over a connection that is opened for it, once over one that has rested.
+        for warm in [false, true] {
+            if warm {
+                door.list(|list| {
+                    list.iter_mut()
+                        .for_each(|one| one.state = alderhollow_model::backend::BackendState::Ready)
+                });
+                door.backends.script(served("ok"));
+                assert_eq!(ask(door.address, &request("/once/1", "", "x")).await.status, 200);
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+            let before = door.backends.seen().len();
+            let attempt = door.exchange.choose(&wanted).expect("a backend");
+            let patience = Patience::until(tokio::time::Instant::now() + Duration::from_secs(1));
+            if warm {
+                door.drain_all();
+            }
+            let (sent, ()) = tokio::join!(door.exchange.send(attempt, &outbound, None, &patience), async {
+                door.drain_all()
+            });
+            assert_eq!(sent.err(), Some(Unanswered::NotRun(Outcome::Cancelled)));
+            assert_eq!(door.backends.seen().len(), before);
+        }
+    });
+}
+
+#[test]
+fn a_new_start_of_a_backend_gets_a_new_connection() {
+    run(async {
+        let door = Door::start(1).await;
+        door.backends.script(served("ok"));
+        assert_eq!(ask(door.address, &request("/once/1", "", "x")).await.status, 200);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        door.list(|list| list.iter_mut().for_each(|backend| backend.id = "b0-again".into()));
+        door.backends.script(served("ok"));
+        assert_eq!(ask(door.address, &request("/once/1", "", "x")).await.status, 200);
+        assert_eq!(door.backends.accepted.get(), 2);
+        assert_eq!(door.backends.seen()[1].header("target-instance").as_deref(), Some("b0-again"));
+    });
+}
+
+#[test]
+fn a_client_that_leaves_ends_the_backends_work() {
+    run(async {
+        for (path, steps) in [
+            ("/once/1", vec![Step::Hang]),
+            ("/talk/1", vec![stream_head("s1"), chunk(&event(1)), Step::Hang]),
+        ] {
+            let door = Door::start(1).await;
+            let begins = steps.len() > 1;
+            door.backends.script(steps);
+            let mut client = Client::connect(door.address).await;
+            client.write(&request(path, "", "x")).await;
+            if begins {
+                client.read_until("text 1").await;
+            } else {
+                while door.backends.seen().is_empty() {
+                    tokio::task::yield_now().await;
+                }
+            }
+            drop(client);
+            for _ in 0..100 {
+                tokio::task::yield_now().await;
+            }
+            assert_eq!(door.backends.left.get(), 1, "{path}");
+        }
+    });
+}
+
+#[test]
+fn a_request_whose_backend_says_nothing_is_answered_at_its_deadline() {
+    run(async {
+        let door = Door::start(2).await;
+        door.backends.script(vec![Step::Hang]);
+        let began = tokio::time::Instant::now();
+        assert_eq!(ask(door.address, &request("/once/1", "", "x")).await.status, 504);
+        assert!(began.elapsed() <= Duration::from_millis(2600), "{:?}", began.elapsed());
+        assert_eq!(door.backends.seen().len(), 1);
+    });
+}
+
+#[test]
+fn calls_about_batch_jobs_go_to_their_endpoints() {
+    run(async {
+        let door = Door::start(1).await;
+        let get = |path: &str| format!("GET {path} HTTP/1.1\r\nHost: shop.example\r\n\r\n");
+        let calls = [
+            request("/jobs/1", "", "{}"),
+            get("/alderhollow/lots/j1?after=0"),
+            get("/alderhollow/items/j1?id=i1"),
+        ];
+        for call in calls {
+            let reply = ask(door.address, &call).await;
+            assert_eq!(reply.status, 503);
+            assert!(reply.header("retry-after").is_some());
+        }
+        assert_eq!(ask(door.address, &get("/jobs/1")).await.status, 404);
+    });
+}
--- /dev/null
+++ b/alderhollow/tests/support/door.rs
@@ -0,0 +1,113 @@
+//! A door's front over emulated backends.
+
+use super::backend::Backends;
+use alderhollow::balance::Balancer;
+use alderhollow::batch_api::NoBatch;
+use alderhollow::exchange::Exchange;
+use alderhollow::front::phase::Phase;
+use alderhollow::front::{Front, FrontSettings};
+use alderhollow_model::backend::{Backend, BackendList, BackendState};
+use alderhollow_model::config::Config;
+use alderhollow_model::identity::Address;
+use alderhollow_model::snapshot::{ControlView, Snapshot};
+use std::cell::RefCell;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::{spawn_local, JoinHandle};
+use tokio::time::Instant;
+
+/// Paths: `/once/` non-idempotent, `/often/` idempotent, `/tokens/` a stream that may be resumed, `/talk/` one that may
+/// not, `/jobs/` batch.
+const CONFIG: &str = r#"{"config-version":1,"routes":[
+ {"name":"once","hostname":"shop.example","path-prefix":"/once/","route-type":"non_idempotent","timeout-ms":3000,
+  "target-latency-ms":300,"service":"plain","max-attempts":3},
+ {"name":"often","hostname":"shop.example","path-prefix":"/often/","route-type":"idempotent","timeout-ms":3000,
+  "target-latency-ms":300,"service":"plain","max-attempts":2},
+ {"name":"tokens","hostname":"shop.example","path-prefix":"/tokens/","route-type":"streaming","timeout-ms":6000,
+  "target-latency-ms":250,"service":"plain","max-attempts":2,"resumable":true,"gap_aim_ms":250},
+ {"name":"talk","hostname":"shop.example","path-prefix":"/talk/","route-type":"streaming","timeout-ms":6000,
+  "target-latency-ms":250,"service":"plain","max-attempts":2,"resumable":false,"gap_aim_ms":250},
+ {"name":"jobs","hostname":"shop.example","path-prefix":"/jobs/","route-type":"batch","timeout-ms":6000,
+  "service":"plain","max-attempts":2}],
+ "services":[{"name":"plain","max-conns":100}],
+ "limits":{"max-header-bytes":2000,"max-body-bytes":5000,"header-timeout-ms":3000,"idle-timeout-ms":15000}}"#;
+
+pub const GRACE: Duration = Duration::from_secs(8);
+
+pub struct Door {
+    pub address: SocketAddr,
+    pub backends: Backends,
+    pub exchange: Rc<Exchange>,
+    pub phase: watch::Sender<Phase>,
+    pub snapshots: watch::Sender<Arc<Snapshot>>,
+    pub running: JoinHandle<()>,
+}
+
+impl Door {
+    /// A door over so many backends, `b0` and on.
+    pub async fn start(count: usize) -> Door {
+        let backends = Backends::default();
+        let mut list = Vec::new();
+        for number in 0..count {
+            let id = format!("b{number}");
+            let address = Address(backends.start(&id).await);
+            list.push(backend(&id, address));
+        }
+        let (snapshots, receiver) = watch::channel(Arc::new(snapshot(list, true)));
+        let balancer = Rc::new(RefCell::new(Balancer::new("door-1", "z1", 7)));
+        let exchange = Exchange::new(Instant::now(), 7, receiver, balancer);
+        let settings = FrontSettings { grace: GRACE, max_connections: 100, body_bytes: 1 << 20 };
+        let front = Front::new(settings, exchange.clone(), Rc::new(NoBatch));
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let (phase, following) = watch::channel(Phase::Running);
+        let running = spawn_local(front.run(listener, following));
+        Door { address, backends, exchange, phase, snapshots, running }
+    }
+
+    /// Changes the list of backends.
+    pub fn list(&self, change: impl Fn(&mut Vec<Backend>)) {
+        let mut list = self.snapshots.borrow().backends.backends.clone();
+        change(&mut list);
+        self.snapshots.send_replace(Arc::new(snapshot(list, true)));
+    }
+
+    pub fn drain_all(&self) {
+        self.list(|list| list.iter_mut().for_each(|backend| backend.state = BackendState::Draining));
+    }
+}
+
+pub fn backend(id: &str, address: Address) -> Backend {
+    Backend {
+        id: id.into(),
+        service: "plain".into(),
+        address,
+        zone: "z1".into(),
+        slots: 6,
+        state: BackendState::Ready,
+        cold_remaining_ms: 0,
+    }
+}
+
+pub fn snapshot(backends: Vec<Backend>, vouched: bool) -> Snapshot {
+    let config: Config = serde_json::from_str(CONFIG).expect("a configuration");
+    Snapshot {
+        control: Arc::new(ControlView { version: 1, config: Some(Arc::new(config)), ..Default::default() }),
+        backends: Arc::new(BackendList { epoch: 1, sequence: 1, backends }),
+        vouched,
+        ..Default::default()
+    }
+}
+
+/// A request to the shop with the id `r1`.
+pub fn request(path: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r1\r\nDeadline-Ms: 2500\r\n{headers}\
+         Content-Length: {length}\r\n\r\n{body}"
+    )
+}
