--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -5,10 +5,28 @@
 
 pub mod balance;
 pub mod batch_api;
+pub mod cli;
+pub mod clock;
+pub mod configuration;
+pub mod control_state;
+pub mod core;
+pub mod discovery;
+pub mod distribution;
+pub mod door;
 pub mod exchange;
 pub mod executor;
+pub mod finding;
 pub mod front;
+pub mod internal;
+pub mod logging;
+pub mod node;
+pub mod operator_api;
+pub mod ready;
+pub mod role;
 pub mod routing;
+pub mod settings;
+pub mod store;
+pub mod termination;
 
 use alderhollow_model::snapshot::Snapshot;
 use std::sync::Arc;
