--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod exchange;
 pub mod executor;
 pub mod finding;
+pub mod front;
 pub mod internal;
 pub mod logging;
 pub mod node;
