--- a/alderhollow/src/door/endings.rs
+++ b/alderhollow/src/door/endings.rs
@@ -1,6 +1,7 @@
 //! The platform's signals: SIGTERM ends a door in phases, SIGHUP says that the settings have changed.
 
 use crate::core::authority::ControlAuthority;
+use crate::front::phase::Phase;
 use crate::node::{internal_seeds, Node};
 use crate::ready::Readiness;
 use crate::settings::Settings;
@@ -9,9 +10,8 @@
 use std::io;
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
 
-/// Clients may come for so long after the door stopped being ready: the platform asks once a second and wants two misses.
-const LEAVING_TIME: Duration = Duration::from_millis(2_500);
 /// Without tables from a primary for so long, the settings are read again: other seeds may stand there.
 const UNVOUCHED_MS: u64 = 4_000;
 /// How often that is looked at.
@@ -19,21 +19,21 @@
 
 /// Runs until the door is told to end and has ended its work.
 pub async fn run_until_ended(
-    settings: &Settings,
     node: &Node,
     authority: Option<&ControlAuthority>,
     readiness: &Readiness,
+    phase: &watch::Sender<Phase>,
 ) -> io::Result<()> {
     tokio::task::spawn_local(follow_settings(node.clone()));
     terminated().await?;
     log::info!("told to end: no longer ready");
     readiness.leave();
+    phase.send_replace(Phase::Leaving);
     node.poll_state.leave();
     if let Some(authority) = authority {
         authority.core().leave().await;
         log::info!("the core's part is handed over");
     }
-    tokio::time::sleep(LEAVING_TIME.min(settings.bounds.grace / 2)).await;
     Ok(())
 }
 
--- a/alderhollow/src/door/mod.rs
+++ b/alderhollow/src/door/mod.rs
@@ -3,16 +3,19 @@
 //! | part | does |
 //! | --- | --- |
 //! | [`core_member`] | opens the core's member on the disk, and starts what a primary does |
+//! | [`traffic`] | the front with all that it sends through |
 //! | [`endings`] | signals: the planned end, and settings that have changed |
 
 mod core_member;
 mod endings;
+mod traffic;
 
 use crate::core::authority::ControlAuthority;
 use crate::core::driver::CoreHandler;
 use crate::core::group_upkeep;
 use crate::core::membership::{self, Membership};
 use crate::distribution::server::{Authority, PublishedBackends};
+use crate::front::phase::Phase;
 use crate::internal::{ServiceId, Services};
 use crate::node::{node_info, Node};
 use crate::operator_api::calls::PendingCall;
@@ -52,7 +55,16 @@
         Some(address) => Some(serve_operators(address, &settings, &node, authority.clone())?),
         None => None,
     };
-    endings::run_until_ended(&settings, &node, authority.as_deref(), &readiness).await?;
+    let (phase, phases) = watch::channel(Phase::Running);
+    let front = match settings.listen.front {
+        Some(address) => Some(traffic::start(address, &settings, &node, phases).await?),
+        None => None,
+    };
+    endings::run_until_ended(&node, authority.as_deref(), &readiness, &phase).await?;
+    if let Some(front) = front {
+        // It ends by itself within the time that the platform leaves.
+        let _ = front.await;
+    }
     drop((ready_server, operator_server));
     Ok(())
 }
--- a/alderhollow/src/executor/mod.rs
+++ b/alderhollow/src/executor/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::balance::{Millis, NoBackend, Wanted};
 use crate::clock::SteadyClock;
-use crate::exchange::patience::Patience;
+use crate::exchange::patience::{Alternatives, Patience};
 use crate::exchange::{prompt, Exchange};
 use alderhollow_batch::api::{ItemStart, RunEnd};
 use alderhollow_model::config::Route;
@@ -100,8 +100,7 @@
         };
         let patience = Patience {
             deadline: Instant::now() + self.deadline(item),
-            silence: Some(FIRST_EVENT_SILENCE),
-            may_leave: &|| true,
+            silence: Some((FIRST_EVENT_SILENCE, &AnyOther)),
         };
         let resume_after = item.resume.as_ref().map(|resume| resume.last_event_id);
         match exchange.send(attempt, &outbound, resume_after, &patience).await {
@@ -121,6 +120,15 @@
     }
 }
 
+/// An item waits for the next try rather than at a silent backend.
+struct AnyOther;
+
+impl Alternatives for AnyOther {
+    fn has_other(&self) -> bool {
+        true
+    }
+}
+
 fn not_run(retry_after_ms: u64) -> RunEnd {
     RunEnd::NotRun { retry_after_ms }
 }
