--- /dev/null
+++ b/alderhollow/src/executor/attempt.rs
@@ -0,0 +1,110 @@
+//! One run of an item at a backend: what its answer means for the item.
+
+use super::events::{EventReader, Transcript};
+use crate::balance::Outcome;
+use crate::exchange::answer::Answer;
+use crate::exchange::Unanswered;
+use alderhollow_batch::api::{ItemStart, Resume, RunEnd};
+use hyper::StatusCode;
+use std::time::Duration;
+
+/// A backend that sends no event for so long is left: before its first one it may still read the prompt, or wait.
+pub const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(3_500);
+const NEXT_EVENT_SILENCE: Duration = Duration::from_millis(2_000);
+/// Pauses before the next try.
+const PAUSE_AFTER_DECLINED_MS: u64 = 120;
+const PAUSE_AFTER_NO_CONNECTION_MS: u64 = 60;
+const PAUSE_AFTER_CUT_MS: u64 = 20;
+const PAUSE_AFTER_STRANGE_ANSWER_MS: u64 = 200;
+
+/// What an attempt without an answer means.
+pub fn unanswered(item: &ItemStart, unanswered: Unanswered) -> RunEnd {
+    match unanswered {
+        Unanswered::NotRun(Outcome::Declined | Outcome::Cancelled) => not_run(PAUSE_AFTER_DECLINED_MS),
+        Unanswered::NotRun(_) => not_run(PAUSE_AFTER_NO_CONNECTION_MS),
+        Unanswered::MayHaveRun(_) => cut(item, PAUSE_AFTER_CUT_MS),
+    }
+}
+
+/// Reads an answer of the backend's work.
+pub async fn read(item: &ItemStart, answer: Answer) -> RunEnd {
+    match answer.status {
+        StatusCode::OK if answer.is_sound() => read_events(item, answer).await,
+        StatusCode::INTERNAL_SERVER_ERROR => {
+            finish_failure(answer, Outcome::Failed).await;
+            RunEnd::Failed
+        }
+        StatusCode::UNPROCESSABLE_ENTITY => {
+            finish_failure(answer, Outcome::Served).await;
+            RunEnd::Rejected
+        }
+        status => {
+            log::warn!("item {}: a backend answered {status}", item.item_id);
+            answer.abandon(Outcome::Failed);
+            cut(item, PAUSE_AFTER_STRANGE_ANSWER_MS)
+        }
+    }
+}
+
+/// Reads the events of an answer. It is whole only if its framing says so and it ends between two events.
+async fn read_events(item: &ItemStart, mut answer: Answer) -> RunEnd {
+    let mut reader = EventReader::after(transcript_of(item));
+    let events_before = reader.transcript().events;
+    let mut has_begun = false;
+    let outcome = loop {
+        let silence = if has_begun { NEXT_EVENT_SILENCE } else { FIRST_EVENT_SILENCE };
+        match tokio::time::timeout(silence, answer.piece()).await {
+            Ok(Some(Ok(piece))) => {
+                if let Err(error) = reader.push(&piece) {
+                    log::warn!("item {}: {error}", item.item_id);
+                    break Outcome::Broken;
+                }
+                if !has_begun && reader.transcript().events > events_before {
+                    has_begun = true;
+                    answer.began();
+                }
+            }
+            Ok(None) if reader.is_between_events() => {
+                answer.finish(Outcome::Served).await;
+                return RunEnd::Completed { text: reader.into_transcript().text };
+            }
+            Ok(None | Some(Err(_))) => break Outcome::Broken,
+            Err(_) => break Outcome::TimedOut,
+        }
+    };
+    answer.abandon(outcome);
+    RunEnd::Cut { resume: resume_of(reader.into_transcript()), retry_after_ms: PAUSE_AFTER_CUT_MS }
+}
+
+/// Reads the rest of a failure's answer, so that its connection can be used again.
+async fn finish_failure(mut answer: Answer, outcome: Outcome) {
+    loop {
+        match tokio::time::timeout(NEXT_EVENT_SILENCE, answer.piece()).await {
+            Ok(Some(Ok(_))) => {}
+            Ok(None) => return answer.finish(outcome).await,
+            Ok(Some(Err(_))) | Err(_) => return answer.abandon(outcome),
+        }
+    }
+}
+
+fn transcript_of(item: &ItemStart) -> Transcript {
+    match &item.resume {
+        None => Transcript::default(),
+        Some(resume) => {
+            Transcript { last_id: Some(resume.last_event_id), text: resume.text.clone(), events: 1 }
+        }
+    }
+}
+
+fn resume_of(transcript: Transcript) -> Option<Resume> {
+    transcript.last_id.map(|last_event_id| Resume { last_event_id, text: transcript.text })
+}
+
+fn not_run(retry_after_ms: u64) -> RunEnd {
+    RunEnd::NotRun { retry_after_ms }
+}
+
+/// The run may have happened; what earlier runs brought stays.
+fn cut(item: &ItemStart, retry_after_ms: u64) -> RunEnd {
+    RunEnd::Cut { resume: item.resume.clone(), retry_after_ms }
+}
--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -4,6 +4,8 @@
 #![warn(missing_docs)]
 
 pub mod balance;
+pub mod batch_api;
+pub mod batch_protocol;
 pub mod cli;
 pub mod clock;
 pub mod configuration;
@@ -12,7 +14,10 @@
 pub mod discovery;
 pub mod distribution;
 pub mod door;
+pub mod exchange;
+pub mod executor;
 pub mod finding;
+pub mod front;
 pub mod internal;
 pub mod logging;
 pub mod node;
