--- /dev/null
+++ b/alderhollow/src/store/role.rs
@@ -0,0 +1,103 @@
+//! The main loop of a store process.
+
+use super::calls::CallHandler;
+use super::journal_queue::JournalQueue;
+use super::node::{NodeJournal, NodeParts, ReplicationHandler, StoreNode};
+use super::runs::Runs;
+use crate::balance::Balancer;
+use crate::distribution::client::PollState;
+use crate::exchange::Exchange;
+use crate::executor::Executor;
+use crate::internal::{ServiceId, Services};
+use crate::node::{node_info, random_seed, Node};
+use crate::role::RoleError;
+use crate::settings::Settings;
+use crate::termination::terminated;
+use alderhollow_batch::engine::Engine;
+use alderhollow_model::identity::{DiskId, Role};
+use alderhollow_storage::{FolderDisk, Journal, Writer};
+use std::cell::RefCell;
+use std::io;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// Kept of the time between SIGTERM and SIGKILL.
+const END_MARGIN: Duration = Duration::from_millis(1_500);
+/// Longest wait for another store to take the group over.
+const LONGEST_HANDOVER: Duration = Duration::from_millis(4_000);
+/// After another store has taken over, calls that are under way get their answers.
+const LAST_ANSWERS: Duration = Duration::from_millis(400);
+/// How often a leaving store looks whether another has taken over.
+const HANDOVER_LOOK: Duration = Duration::from_millis(50);
+
+/// Runs a store until it is told to end. To be run in a `LocalSet`.
+pub async fn run(settings: Settings) -> Result<(), RoleError> {
+    let shared = Node::new(&settings);
+    let (engine, disk, journal) = open_disk(&settings, &shared)?;
+    let (journal, write_ends) = JournalQueue::new(Writer::start(journal)?, settings.limits.disk_mb);
+    let exchange = exchange(&settings, &shared);
+    let executor = Executor::new(shared.clock, exchange.clone());
+    let parts = NodeParts {
+        disk,
+        clock: shared.clock,
+        engine,
+        journal,
+        runs: Runs::new(executor),
+        network: shared.network.clone(),
+        poll: shared.poll_state.clone(),
+        snapshots: shared.snapshots.clone(),
+    };
+    let node = Rc::new(StoreNode::new(parts));
+    let asked: Weak<StoreNode> = Rc::downgrade(&node);
+    exchange.set_permission(Rc::new(move || asked.upgrade().is_some_and(|node| node.may_start())));
+
+    let mut services = Services::default();
+    services.register(ServiceId::Batch, Rc::new(CallHandler(node.clone())));
+    services.register(ServiceId::Replication, Rc::new(ReplicationHandler(node.clone())));
+    // A store reads no list of backends: it is never the core's primary.
+    let (_, backends) = watch::channel(None);
+    let info = node_info(&settings, Role::Store, Some(disk));
+    log::info!("store {} in zone {} with disk {disk}", settings.node, settings.zone);
+    shared.join(info, None, backends, services).await?;
+    tokio::select! {
+        () = NodeJournal(node.clone()).follow(write_ends) => Ok(()),
+        () = node.clone().run() => Ok(()),
+        () = exchange.keep_in_order() => Ok(()),
+        result = ending(&node, &shared.poll_state, settings.bounds.grace) => Ok(result?),
+    }
+}
+
+/// Reads what the disk holds.
+fn open_disk(settings: &Settings, shared: &Node) -> Result<(Engine, DiskId, Journal), RoleError> {
+    let folder = settings.data_dir.as_ref().ok_or(RoleError::NoDisk)?;
+    let folder_error = |source| RoleError::Folder { path: folder.clone(), source };
+    let mut disk = FolderDisk::new(folder).map_err(folder_error)?;
+    let (journal, recovered) = Journal::open(&mut disk, random_seed())?;
+    let id = DiskId(recovered.identity);
+    let now_ms = shared.clock.now_ms();
+    let mut engine = Engine::restore(id, now_ms, recovered.snapshot.as_deref(), &recovered.records)?;
+    engine.set_status_ms(u64::try_from(settings.bounds.status.as_millis()).unwrap_or(u64::MAX));
+    log::info!("disk {id}: {} batch jobs", engine.jobs());
+    Ok((engine, id, journal))
+}
+
+fn exchange(settings: &Settings, shared: &Node) -> Rc<Exchange> {
+    let balancer = Balancer::new(&settings.node, &settings.zone, random_seed());
+    let balancer = Rc::new(RefCell::new(balancer));
+    Exchange::new(shared.clock.instant(0), random_seed(), shared.snapshots.clone(), balancer)
+}
+
+/// Waits for SIGTERM, then until another store has taken the group over.
+async fn ending(node: &Rc<StoreNode>, poll: &PollState, grace: Duration) -> io::Result<()> {
+    terminated().await?;
+    log::info!("told to end");
+    poll.leave();
+    let until = tokio::time::Instant::now() + grace.saturating_sub(END_MARGIN).min(LONGEST_HANDOVER);
+    while node.is_primary() && tokio::time::Instant::now() < until {
+        tokio::time::sleep(HANDOVER_LOOK).await;
+    }
+    tokio::time::sleep(LAST_ANSWERS).await;
+    log::info!("ends");
+    Ok(())
+}
