--- a/coordination/src/replica.rs
+++ b/coordination/src/replica.rs
@@ -50,6 +50,8 @@
     now: Millis,
     durable: Durable<S>,
     writes: WriteQueue,
+    /// The disk has its identity.
+    identity_on_disk: bool,
     /// Number of the record that is on disk, synced.
     record_on_disk: Option<Epoch>,
     /// It promises nothing to others than this one for now.
@@ -103,6 +105,7 @@
             chance,
             now,
             writes: WriteQueue::new(snapshot_bytes, log_bytes),
+            identity_on_disk: durable.id.is_some(),
             record_on_disk,
             grant: None,
             election_hold_until: 0,
@@ -150,6 +153,11 @@
         &self.me
     }
 
+    /// Its identity outlives its process. Before that, the host tells no other seed that this one has a disk.
+    pub fn identity_is_on_disk(&self) -> bool {
+        self.identity_on_disk
+    }
+
     /// The committed state as this member knows it: the newest one only on the primary under its lease.
     pub fn state(&self) -> &S {
         self.durable.state()
@@ -207,6 +215,9 @@
     }
 
     /// It takes [`Input::Found`]: its disk was made at the first start of the system and belongs to no core yet.
+    ///
+    /// A seed answers others who ask with its disk's identity (once [`Replica::identity_is_on_disk`]) and with
+    /// [`Replica::is_founder`].
     pub fn may_found(&self) -> bool {
         self.durable.founder && self.durable.record.is_none()
     }
@@ -216,6 +227,11 @@
         self.primary.as_ref().map(|primary| &primary.record).or(self.my_record())
     }
 
+    /// Its disk was made at the first start of the system.
+    pub fn is_founder(&self) -> bool {
+        self.durable.founder
+    }
+
     /// When [`Input::Tick`] is due.
     pub fn next_wakeup(&self) -> Option<Millis> {
         let election = self.may_campaign().then_some(self.election_at);
@@ -254,6 +270,7 @@
 
     fn on_persisted(&mut self, token: Token) {
         let Some(finished) = self.writes.finished(token) else { return };
+        self.identity_on_disk = true;
         self.record_on_disk = finished.record_number;
         for (to, message) in finished.sends {
             self.send(to, message);
--- a/coordination/src/replica/interface.rs
+++ b/coordination/src/replica/interface.rs
@@ -111,9 +111,11 @@
         /// Given to [`StateMachine::decide`].
         request: Vec<u8>,
     },
-    /// Only with `first_start`: all seeds have said whether they have a disk; these have one, each made at this start.
+    /// All seeds have said whether they have a disk. Only to a member that may found ([`super::Replica::may_found`]), and only
+    /// if the disks made at the first start are a majority of the seeds' disks: a seed whose disk was lost before the founding
+    /// joins later.
     Found {
-        /// The first members, this one among them or not.
+        /// Those of the seeds whose disk was made at the first start, this member among them or not.
         witnesses: Vec<Member>,
     },
     /// A disk asks to be a member. It repeats this (to the primary) as long as [`super::Replica::wants_to_join`].
--- a/coordination/src/replica/membership.rs
+++ b/coordination/src/replica/membership.rs
@@ -46,10 +46,12 @@
         Some(next)
     }
 
-    /// A member that answers has promised a higher number to a candidate that did not succeed.
+    /// A member that answers has promised this number or a higher one to a candidate that did not succeed.
     fn outbid(&self, primary: &Primary) -> bool {
         let number = primary.record.number;
-        primary.peers.values().any(|peer| peer.promised > number && peer.record_number <= Some(number))
+        let refuses =
+            |peer: &Peer| peer.promised > number || peer.promised == number && peer.promised_to != self.me.id;
+        primary.peers.values().any(|peer| refuses(peer) && peer.record_number <= Some(number))
     }
 }
 
--- a/coordination/src/replica/message.rs
+++ b/coordination/src/replica/message.rs
@@ -248,11 +248,14 @@
     /// Its promise.
     #[n(3)]
     pub promised: Epoch,
-    /// Number of the newest record that it has on disk.
+    /// To whom. Two candidates may have tried the same number.
     #[n(4)]
+    pub promised_to: MemberId,
+    /// Number of the newest record that it has on disk.
+    #[n(5)]
     pub record_number: Option<Epoch>,
     /// Its process is about to end.
-    #[n(5)]
+    #[n(6)]
     pub leaving: bool,
 }
 
--- a/coordination/src/replica/primary.rs
+++ b/coordination/src/replica/primary.rs
@@ -46,8 +46,10 @@
     pub steady_since: Millis,
     /// The newest record that it has on disk.
     pub record_number: Option<Epoch>,
-    /// Its promise.
+    /// It promised to take part in no epoch below this one.
     pub promised: Epoch,
+    /// To whom.
+    pub promised_to: MemberId,
     /// Its process is about to end.
     pub leaving: bool,
     /// Until then it is not counted on.
@@ -172,6 +174,7 @@
         let peer = primary.heard_from(from.id, now, silence);
         peer.record_number = answer.record_number;
         peer.promised = answer.promised;
+        peer.promised_to = answer.promised_to;
         peer.leaving = answer.leaving;
         if answer.granted && answer.epoch == primary.record.number {
             let newest = primary.granted.entry(from.id).or_default();
--- a/coordination/src/replica/witness.rs
+++ b/coordination/src/replica/witness.rs
@@ -129,6 +129,7 @@
             sent_at: heartbeat.sent_at,
             granted,
             promised: self.durable.promised,
+            promised_to: self.durable.promised_to,
             record_number: self.record_on_disk,
             leaving: self.leaving,
         };
--- a/coordination/tests/simulation/main.rs
+++ b/coordination/tests/simulation/main.rs
@@ -78,6 +78,9 @@
 
 fn simulate(seed: u64, machines: usize, tolerate: usize) {
     let mut world = World::new(seed, machines, tolerate);
+    // Should a majority of the seeds lose what tells them apart from disks that were wiped later, nobody may found a core:
+    // an operator has to start it again.
+    world.run_until_holds(1_000, "the first sync of all seeds", World::seeds_have_identities);
     let calm_start = world.random(4) > 0;
     if calm_start {
         world.run_until_holds(3_000, "the first commit", |world| !world.acknowledged_at.is_empty());
--- a/coordination/tests/simulation/world.rs
+++ b/coordination/tests/simulation/world.rs
@@ -71,7 +71,6 @@
     unknown: Vec<u32>,
     /// Requests that were sent again: a refusal says nothing of the first time.
     sent_again: BTreeSet<u32>,
-    found_after: Millis,
     seeds: usize,
     trace: bool,
 }
@@ -97,7 +96,6 @@
             requests: BTreeMap::new(),
             unknown: Vec::new(),
             sent_again: BTreeSet::new(),
-            found_after: 0,
             seeds: SEEDS.min(machines),
             trace: std::env::var_os("CORE_TRACE").is_some(),
         };
@@ -156,6 +154,14 @@
         process.replica.record()
     }
 
+    /// The first writes of all seeds are on disk.
+    pub fn seeds_have_identities(&self) -> bool {
+        let has_identity = |machine: &Machine| {
+            machine.process.as_ref().is_some_and(|process| process.replica.identity_is_on_disk())
+        };
+        self.machines[..self.seeds].iter().all(has_identity)
+    }
+
     /// All running disks are replicas, and no others are members.
     pub fn is_whole(&self) -> bool {
         let mut disks: Vec<_> = self.machines.iter().filter_map(Machine::member_id).collect();
@@ -467,21 +473,24 @@
 
     /// Seeds that know of each other found the core.
     fn found(&mut self) {
-        let seeds = self.seeds;
         let may_found =
             |machine: &Machine| machine.process.as_ref().is_some_and(|process| process.replica.may_found());
-        let founders = (0..seeds).filter(|number| may_found(&self.machines[*number]));
-        let founders: Vec<usize> = founders.collect();
-        let known: Vec<Member> = (0..seeds).filter_map(|number| self.machines[number].member()).collect();
-        if self.found_after == 0 && known.len() == seeds {
-            self.found_after = self.now;
-        }
-        if known.len() < seeds || self.found_after == 0 {
+        let ready = |machine: &&Machine| {
+            machine.process.as_ref().is_some_and(|process| process.replica.identity_is_on_disk())
+        };
+        let is_founder =
+            |machine: &&Machine| machine.process.as_ref().is_some_and(|process| process.replica.is_founder());
+        let seeds = &self.machines[..self.seeds];
+        let founders: Vec<&Machine> = seeds.iter().filter(ready).filter(is_founder).collect();
+        if seeds.iter().filter(ready).count() < seeds.len() || founders.len() < seeds.len() / 2 + 1 {
             return;
         }
+        let witnesses: Vec<Member> = founders.iter().filter_map(|machine| machine.member()).collect();
+        let founders = founders.into_iter().filter(|machine| may_found(machine));
+        let founders: Vec<usize> = founders.map(|machine| machine.number).collect();
         for number in founders {
             if self.random(3) > 0 {
-                self.tell(number, Input::Found { witnesses: known.clone() });
+                self.tell(number, Input::Found { witnesses: witnesses.clone() });
             }
         }
     }
