--- a/coordination/src/replica/campaign.rs
+++ b/coordination/src/replica/campaign.rs
@@ -54,7 +54,7 @@
     state: StateCopy,
     started: Millis,
     next_send: Millis,
-    sent_before: bool,
+    told: BTreeSet<MemberId>,
     pub installed: BTreeSet<MemberId>,
 }
 
@@ -106,14 +106,23 @@
             && self.base.record.has_quorum(installed)
     }
 
-    fn recipients(&self) -> BTreeMap<MemberId, Member> {
-        let everyone = self.record.everyone().chain(self.base.record.everyone());
-        everyone.map(|member| (member.id, member.clone())).collect()
+    /// Who is to be sent the record now: new members before all others. Else a new one whose disk is lost at once could be
+    /// needed for the majorities of a record that others hold already.
+    fn recipients(&self) -> Vec<Member> {
+        let unanswered = |member: &&Member| !self.installed.contains(&member.id);
+        let is_new = |member: &&Member| self.base.record.member(member.id).is_none();
+        let new_ones = self.record.witnesses.iter().filter(is_new);
+        let new_ones: Vec<Member> = new_ones.filter(unanswered).cloned().collect();
+        if !new_ones.is_empty() {
+            return new_ones;
+        }
+        let dropped = self.base.record.everyone().filter(|member| self.record.member(member.id).is_none());
+        self.record.everyone().chain(dropped).filter(unanswered).cloned().collect()
     }
 
     /// The message for one member. Who holds the state already is sent it only with a repetition.
     fn message_for(&self, id: MemberId) -> Message {
-        let holds_it = self.base.holders.contains(&id) && !self.sent_before;
+        let holds_it = self.base.holders.contains(&id) && !self.told.contains(&id);
         let needs_it = self.record.is_replica(id) && !holds_it;
         Message::Install(Install {
             record: self.record.clone(),
@@ -229,13 +238,22 @@
         }
         installing.installed.insert(from.id);
         if !installing.is_active() {
-            return;
+            return self.go_on_after_new_members();
         }
         if let Some(Campaign::Installing(installing)) = self.campaign.take() {
             self.activate(*installing);
         }
     }
 
+    /// Once all new members have the record, the others get it.
+    fn go_on_after_new_members(&mut self) {
+        let Some(Campaign::Installing(installing)) = &mut self.campaign else { return };
+        if installing.recipients().iter().any(|member| !installing.told.contains(&member.id)) {
+            installing.next_send = self.now;
+            self.send_installs();
+        }
+    }
+
     /// Does what is due in a campaign: messages sent again, its end.
     pub(super) fn check_campaign(&mut self) {
         let attempt_ms = self.settings.timings.attempt_ms;
@@ -313,7 +331,9 @@
     /// Goes on to the installation once the promises suffice, and enough time was left for more.
     fn check_promises(&mut self) {
         let Some(Campaign::Preparing(preparing)) = &mut self.campaign else { return };
-        let Some(base) = choose_base(&preparing.promises) else {
+        let own_disk_answered = preparing.promises.contains_key(&self.me.id);
+        let base = choose_base(&preparing.promises).filter(|_| own_disk_answered);
+        let Some(base) = base else {
             preparing.enough_since = None;
             return;
         };
@@ -373,7 +393,7 @@
             state,
             started: self.now,
             next_send: self.now,
-            sent_before: false,
+            told: BTreeSet::new(),
             installed: BTreeSet::new(),
         })));
         self.send_installs();
@@ -386,12 +406,11 @@
             return;
         }
         installing.next_send = self.now + resend_ms;
-        let recipients = installing.recipients().into_values();
-        let unanswered = recipients.filter(|member| !installing.installed.contains(&member.id));
-        let messages: Vec<(Member, Message)> =
-            unanswered.map(|member| (member.clone(), installing.message_for(member.id))).collect();
-        installing.sent_before = true;
-        for (member, message) in messages {
+        let recipients = installing.recipients();
+        let messages: Vec<Message> =
+            recipients.iter().map(|member| installing.message_for(member.id)).collect();
+        installing.told.extend(recipients.iter().map(|member| member.id));
+        for (member, message) in recipients.into_iter().zip(messages) {
             self.send(member, message);
         }
     }
--- a/coordination/src/replica/witness.rs
+++ b/coordination/src/replica/witness.rs
@@ -119,6 +119,9 @@
 
     pub(super) fn on_heartbeat(&mut self, from: &Member, heartbeat: Heartbeat) {
         self.saw_epoch(heartbeat.epoch);
+        if !self.identity_on_disk {
+            return;
+        }
         let granted = self.may_grant(from.id, heartbeat.epoch);
         if granted {
             self.grant_lease(from.id, heartbeat.epoch);
