--- a/coordination/src/replica/base.rs
+++ b/coordination/src/replica/base.rs
@@ -44,7 +44,7 @@
 
 /// All records that somebody holds, the newest first.
 fn known_records(promises: &BTreeMap<MemberId, Promise>) -> Vec<&EpochRecord> {
-    let newest = promises.values().map(|promise| &promise.record);
+    let newest = promises.values().filter_map(|promise| promise.record.as_ref());
     let of_states = promises.values().filter_map(|promise| promise.state_record.as_ref());
     let mut records: Vec<&EpochRecord> = newest.chain(of_states).collect();
     records.sort_by_key(|record| std::cmp::Reverse(record.number));
@@ -63,7 +63,6 @@
 }
 
 fn was_never_active(promises: &BTreeMap<MemberId, Promise>, record: &EpochRecord) -> bool {
-    let lacks_it =
-        |id: &MemberId| promises.get(id).is_some_and(|promise| promise.record.number < record.number);
-    record.replicas.iter().any(lacks_it)
+    let lacks_it = |promise: &Promise| promise.record.as_ref().map(|held| held.number) < Some(record.number);
+    record.replicas.iter().any(|id| promises.get(id).is_some_and(lacks_it))
 }
--- a/coordination/src/replica/campaign.rs
+++ b/coordination/src/replica/campaign.rs
@@ -198,12 +198,15 @@
     }
 
     pub(super) fn on_promise(&mut self, from: &Member, promise: Promise) {
-        self.learn_of_record(&promise.record);
+        if let Some(record) = &promise.record {
+            self.learn_of_record(record);
+        }
         let Some(Campaign::Preparing(preparing)) = &mut self.campaign else { return };
         if preparing.number != promise.number {
             return;
         }
-        let others = promise.record.everyone().filter(|member| !preparing.asked.contains_key(&member.id));
+        let named = promise.record.iter().flat_map(EpochRecord::everyone);
+        let others = named.filter(|member| !preparing.asked.contains_key(&member.id));
         let others: Vec<Member> = others.cloned().collect();
         if !others.is_empty() {
             preparing.asked.extend(others.into_iter().map(|member| (member.id, member)));
--- a/coordination/src/replica/message.rs
+++ b/coordination/src/replica/message.rs
@@ -141,9 +141,9 @@
     /// The number.
     #[n(0)]
     pub number: Epoch,
-    /// The witness's newest record.
+    /// The witness's newest record; none if it was named by one but has not got it.
     #[n(1)]
-    pub record: EpochRecord,
+    pub record: Option<EpochRecord>,
     /// The newest record in which it is or was a replica: where its state belongs.
     #[n(2)]
     pub state_record: Option<EpochRecord>,
--- a/coordination/src/replica/witness.rs
+++ b/coordination/src/replica/witness.rs
@@ -14,8 +14,6 @@
 const PATIENCE_MS: Millis = 300;
 /// A member without the state lets the others stand for election first.
 const NO_STATE_PENALTY_MS: Millis = 100;
-/// A witness that knows no core yet asks candidates to come back after so long.
-const UNKNOWN_CORE_WAIT_MS: Millis = 50;
 
 /// It promises nothing to others for a while.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -68,7 +66,7 @@
         let again = prepare.number == self.durable.promised && self.durable.promised_to == from.id;
         let free = self.grant_ends(from.id, prepare.handed_over) <= self.now;
         let higher = prepare.number > self.durable.promised;
-        if self.durable.record.is_none() || !(again || higher && free) {
+        if !(again || higher && free) {
             return self.refuse(from, prepare.number);
         }
         if higher {
@@ -149,9 +147,6 @@
 
     /// How long a candidate has to wait for this member's vote; 0: not at all.
     fn put_off(&self, candidate: MemberId) -> Millis {
-        if self.durable.record.is_none() {
-            return UNKNOWN_CORE_WAIT_MS;
-        }
         let hold_ends = match self.durable.promised_to == candidate {
             true => 0,
             false => self.election_hold_until,
@@ -179,12 +174,11 @@
     }
 
     fn answer_promise(&mut self, candidate: &Member, prepare: &Prepare) {
-        let Some(record) = self.durable.record.clone() else { return };
         let held = (self.durable.state_epoch(), self.durable.accepted_version());
         let newer = held > (prepare.state_epoch, prepare.version);
         let promise = Promise {
             number: prepare.number,
-            record,
+            record: self.durable.record.clone(),
             state_record: self.durable.state_record.clone(),
             version: held.1,
             state: newer.then(|| self.durable.copy_state()),
--- a/coordination/tests/simulation/faults.rs
+++ b/coordination/tests/simulation/faults.rs
@@ -78,7 +78,7 @@
         machine.disk.slow_until = now;
         machine.disk.full_until = now;
         machine.frozen_until = machine.frozen_until.min(now + 1);
-        if machine.process.as_ref().is_some_and(|process| process.handed_over) {
+        if machine.process.as_ref().is_some_and(|process| process.leaving) {
             world.kill_for(number, 1);
         } else if machine.process.is_none() && !machine.gone {
             world.start_at(number, now + 1);
--- a/coordination/tests/simulation/machine.rs
+++ b/coordination/tests/simulation/machine.rs
@@ -30,7 +30,9 @@
     pub tick_at: Millis,
     /// Its committed state was compared up to here.
     pub checked: Version,
-    /// It was told to leave, and is ready to end.
+    /// It was told to leave: it is to end soon.
+    pub leaving: bool,
+    /// It left, and is ready to end.
     pub handed_over: bool,
 }
 
@@ -79,8 +81,14 @@
         let recovered = self.disk.content.clone();
         let replica = Replica::open(settings, recovered, Ledger::default(), now).expect("the disk is whole");
         self.disk.busy_until = now;
-        self.process =
-            Some(Process { replica, generation: seed, tick_at: Millis::MAX, checked: 0, handed_over: false });
+        self.process = Some(Process {
+            replica,
+            generation: seed,
+            tick_at: Millis::MAX,
+            checked: 0,
+            leaving: false,
+            handed_over: false,
+        });
     }
 
     /// The identity of the running process's disk.
--- a/coordination/tests/simulation/world.rs
+++ b/coordination/tests/simulation/world.rs
@@ -247,6 +247,7 @@
         let mut outputs = Vec::new();
         let now = self.now;
         if let Some(process) = &mut self.machines[machine].process {
+            process.leaving |= input == Input::Leave;
             process.replica.handle(now, input, &mut outputs);
         }
         self.check(machine);
