--- /dev/null
+++ b/alderhollow/standins/src/process.rs
@@ -0,0 +1,89 @@
+//! Processes of the tier that a trial starts, and ends again.
+
+use rustix::process::{kill_process, Pid, Signal};
+use std::fs::File;
+use std::io;
+use std::path::Path;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Variable that names the settings file.
+const SETTINGS_VARIABLE: &str = "ALDERHOLLOW_BOOT";
+/// Time between two looks whether a process has ended.
+const POLL: Duration = Duration::from_millis(20);
+
+/// One process. It is killed when this is dropped.
+pub struct TierProcess {
+    name: String,
+    child: Child,
+}
+
+impl TierProcess {
+    /// Starts `binary subcommand` with the settings file `settings`; its output goes to the file `log`.
+    pub fn start(
+        name: &str,
+        binary: &Path,
+        subcommand: &str,
+        settings: &Path,
+        log: &Path,
+    ) -> io::Result<TierProcess> {
+        let output = File::create(log)?;
+        let child = Command::new(binary)
+            .arg(subcommand)
+            .env(SETTINGS_VARIABLE, settings)
+            .stdin(Stdio::null())
+            .stdout(output.try_clone()?)
+            .stderr(output)
+            .spawn()?;
+        Ok(TierProcess { name: name.to_string(), child })
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// How it ended, if it has.
+    pub fn ended(&mut self) -> io::Result<Option<ExitStatus>> {
+        self.child.try_wait()
+    }
+
+    /// Asks it to end; an error if it is gone.
+    pub fn terminate(&mut self) -> io::Result<()> {
+        if self.child.try_wait()?.is_some() {
+            return Ok(());
+        }
+        Ok(kill_process(Pid::from_child(&self.child), Signal::TERM)?)
+    }
+
+    /// Kills it at once.
+    pub fn kill(&mut self) -> io::Result<()> {
+        self.child.kill()?;
+        self.child.wait().map(|_| ())
+    }
+
+    /// Waits until it has ended, and kills it after `grace`. Gives the status if it ended by itself.
+    pub async fn wait(&mut self, grace: Duration) -> io::Result<Option<ExitStatus>> {
+        let end = Instant::now() + grace;
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(Some(status));
+            }
+            if Instant::now() >= end {
+                self.kill()?;
+                return Ok(None);
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+}
+
+impl Drop for TierProcess {
+    fn drop(&mut self) {
+        if matches!(self.child.try_wait(), Ok(None)) {
+            // Nothing more can be done if this fails.
+            let _ = self.kill();
+        }
+    }
+}
