--- /dev/null
+++ b/alderhollow/examples/loopback-tier/main.rs
@@ -0,0 +1,71 @@
+//! Runs a whole tier on loopback: three doors, three stores, and stand-ins of all that they talk to. It hands in a
+//! configuration, sends requests, streams and a batch job, cuts a backend off in the middle of an event, prints what came
+//! of each, and ends its processes.
+//!
+//!     cargo build --locked --profile tier -p alderhollow
+//!     cargo run --example loopback-tier -p alderhollow
+#![forbid(unsafe_code)]
+
+mod configuration;
+mod report;
+mod tier;
+mod trial;
+
+use clap::Parser;
+use report::Report;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+use tier::Tier;
+
+/// Runs a tier on loopback and prints what happens.
+#[derive(Parser)]
+struct Arguments {
+    /// The program to run.
+    #[arg(long, default_value = "target/tier/alderhollow")]
+    binary: PathBuf,
+    /// Folder for settings, data and logs; removed at the end unless it is named here.
+    #[arg(long)]
+    folder: Option<PathBuf>,
+    /// Longest time for the whole trial, in seconds, the end of the processes not counted.
+    #[arg(long, default_value_t = 60)]
+    time_limit: u64,
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    if !arguments.binary.is_file() {
+        eprintln!("{} is missing: build it first, or name another by --binary", arguments.binary.display());
+        return ExitCode::FAILURE;
+    }
+    match tokio::task::LocalSet::new().run_until(run(&arguments)).await {
+        Ok(report) if report.is_good() => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("the trial could not be set up: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(arguments: &Arguments) -> std::io::Result<Report> {
+    let is_own_folder = arguments.folder.is_none();
+    let folder = arguments
+        .folder
+        .clone()
+        .unwrap_or_else(|| std::env::temp_dir().join(format!("alderhollow-loopback-{}", std::process::id())));
+    let mut tier = Tier::start(&arguments.binary, &folder).await?;
+    let mut report = Report::default();
+    let limit = Duration::from_secs(arguments.time_limit);
+    if tokio::time::timeout(limit, trial::run(&tier, &mut report)).await.is_err() {
+        report.failed(format!("the trial took over {} s", limit.as_secs()));
+    }
+    tier.stop(&mut report).await;
+    if is_own_folder && report.is_good() {
+        std::fs::remove_dir_all(&folder)?;
+    } else {
+        println!("settings, data and logs: {}", folder.display());
+    }
+    Ok(report)
+}
--- /dev/null
+++ b/alderhollow/examples/loopback-tier/tier.rs
@@ -0,0 +1,154 @@
+//! The tier's processes and the stand-ins around them.
+
+use crate::configuration::{HEALTH_PATH, SERVICE};
+use crate::report::Report;
+use alderhollow_standins::backend::{Backend, BackendSettings};
+use alderhollow_standins::platform::{ListSettings, Platform, PlatformList};
+use alderhollow_standins::process::TierProcess;
+use alderhollow_standins::settings::{
+    settings_file, Machine, MachineClass, Ports, Site, PLATFORM_LAG_MS, PLATFORM_RATE_PER_S,
+};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+
+const ZONES: [&str; 3] = ["east", "middle", "west"];
+const REGION: &str = "coast";
+const PORTS: Ports = Ports { front: 18144, ready: 18140, control: 18146, internal: [17660, 17675] };
+const PLATFORM: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::new(127, 0, 0, 4)), 18142);
+const BACKEND_PORT: u16 = 18080;
+/// Last parts of the addresses 127.0.0.x, one for each zone.
+const DOORS: [u8; 3] = [11, 12, 13];
+const STORES: [u8; 3] = [21, 22, 23];
+const BACKENDS: [u8; 3] = [31, 32, 33];
+/// How long a process may take to end after SIGTERM; the settings' `grace-s`.
+const GRACE: Duration = Duration::from_secs(8);
+
+/// A running tier.
+pub struct Tier {
+    processes: Vec<TierProcess>,
+    /// The platform's list.
+    pub platform: Platform,
+    /// The model backends.
+    pub backends: Vec<Backend>,
+}
+
+impl Tier {
+    /// Starts the stand-ins, then the processes, with their files below `folder`.
+    pub async fn start(binary: &Path, folder: &Path) -> io::Result<Tier> {
+        let mut backends = Vec::new();
+        for (zone, host) in ZONES.iter().zip(BACKENDS) {
+            backends.push(start_backend(zone, host).await?);
+        }
+        let settings = ListSettings {
+            lag: Duration::from_millis(PLATFORM_LAG_MS),
+            rate_per_s: PLATFORM_RATE_PER_S,
+            page_size: 50,
+        };
+        let listed = backends.iter().map(Backend::listed).collect();
+        let platform = Platform::start(PLATFORM, PlatformList::new(settings, listed)).await?;
+        let processes = start_processes(binary, folder)?;
+        Ok(Tier { processes, platform, backends })
+    }
+
+    /// Clients' addresses of the doors.
+    pub fn fronts(&self) -> Vec<SocketAddr> {
+        addresses(PORTS.front)
+    }
+
+    /// Readiness addresses of the doors.
+    pub fn readiness(&self) -> Vec<SocketAddr> {
+        addresses(PORTS.ready)
+    }
+
+    /// Operators' addresses of the doors.
+    pub fn controls(&self) -> Vec<SocketAddr> {
+        addresses(PORTS.control)
+    }
+
+    /// Ends all processes: asks first, kills after the grace.
+    pub async fn stop(&mut self, report: &mut Report) {
+        for process in &mut self.processes {
+            match process.ended() {
+                Ok(None) => {}
+                other => report.failed(format!("{} had ended by itself: {other:?}", process.name())),
+            }
+            if let Err(error) = process.terminate() {
+                report.failed(format!("{} can't be asked to end: {error}", process.name()));
+            }
+        }
+        for process in &mut self.processes {
+            match process.wait(GRACE).await {
+                Ok(Some(status)) => {
+                    report.check(status.success(), format!("{} ended: {status}", process.name()))
+                }
+                Ok(None) => report.failed(format!("{} had to be killed", process.name())),
+                Err(error) => report.failed(format!("{} can't be waited for: {error}", process.name())),
+            }
+        }
+    }
+}
+
+fn addresses(port: u16) -> Vec<SocketAddr> {
+    DOORS.iter().map(|host| SocketAddr::from((loopback(*host), port))).collect()
+}
+
+fn loopback(host: u8) -> Ipv4Addr {
+    Ipv4Addr::new(127, 0, 0, host)
+}
+
+async fn start_backend(zone: &str, host: u8) -> io::Result<Backend> {
+    let settings = BackendSettings {
+        id: format!("i-{zone}"),
+        service: SERVICE.into(),
+        zone: zone.into(),
+        slots: 16,
+        health_path: HEALTH_PATH.into(),
+        event_pause: Duration::from_millis(20),
+        keep_alive_s: 10,
+    };
+    Backend::start(SocketAddr::from((loopback(host), BACKEND_PORT)), settings).await
+}
+
+fn start_processes(binary: &Path, folder: &Path) -> io::Result<Vec<TierProcess>> {
+    let site = Site {
+        ports: PORTS,
+        zones: ZONES.iter().map(|zone| (zone.to_string(), REGION.to_string())).collect::<BTreeMap<_, _>>(),
+        seeds: addresses(PORTS.control),
+        platform: PLATFORM,
+        first_start: true,
+    };
+    let doors = ZONES.iter().zip(DOORS).map(|(zone, host)| (MachineClass::Edge, *zone, host));
+    let stores = ZONES.iter().zip(STORES).map(|(zone, host)| (MachineClass::Storage, *zone, host));
+    doors
+        .chain(stores)
+        .map(|(class, zone, host)| start_process(binary, folder, &site, class, zone, host))
+        .collect()
+}
+
+fn start_process(
+    binary: &Path,
+    folder: &Path,
+    site: &Site,
+    class: MachineClass,
+    zone: &str,
+    host: u8,
+) -> io::Result<TierProcess> {
+    let node = format!("{}-{zone}-1", class.name());
+    let own_folder = folder.join(&node);
+    let data_dir = own_folder.join("data");
+    std::fs::create_dir_all(&data_dir)?;
+    let machine = Machine {
+        node: node.clone(),
+        class,
+        ip: loopback(host),
+        zone: zone.into(),
+        data_dir: Some(data_dir),
+    };
+    let settings = own_folder.join("node.toml");
+    let text = settings_file(site, &machine).map_err(io::Error::other)?;
+    std::fs::write(&settings, text)?;
+    TierProcess::start(&node, binary, class.subcommand(), &settings, &own_folder.join("log"))
+}
