--- a/coordination/src/replica/message.rs
+++ b/coordination/src/replica/message.rs
@@ -141,9 +141,9 @@
     /// The number.
     #[n(0)]
     pub number: Epoch,
-    /// The witness's newest record.
+    /// The witness's newest record; none if it was named by one but has not got it.
     #[n(1)]
-    pub record: EpochRecord,
+    pub record: Option<EpochRecord>,
     /// The newest record in which it is or was a replica: where its state belongs.
     #[n(2)]
     pub state_record: Option<EpochRecord>,
@@ -248,11 +248,14 @@
     /// Its promise.
     #[n(3)]
     pub promised: Epoch,
-    /// Number of the newest record that it has on disk.
+    /// To whom. Two candidates may have tried the same number.
     #[n(4)]
+    pub promised_to: MemberId,
+    /// Number of the newest record that it has on disk.
+    #[n(5)]
     pub record_number: Option<Epoch>,
     /// Its process is about to end.
-    #[n(5)]
+    #[n(6)]
     pub leaving: bool,
 }
 
