Simulate the group policy, and let a retiring store lead where no other is left

The simulation (seeded, with an oracle over disks) found a group that stood still: its primary's disk was lost while both other members, which held everything, were to be emptied, and neither could follow. A dead primary's place now goes to such a member where there is no other.

--- a/alderhollow/src/control_state/group_policy.rs
+++ b/alderhollow/src/control_state/group_policy.rs
@@ -231,22 +231,23 @@
         next.learners.retain(|learner| !self.is_dead(learner.disk) && !self.is_retiring(learner));
     }
 
-    /// A dead or retiring primary gives its place to a member that is alive and holds everything.
+    /// A dead or retiring primary gives its place to a member that is alive and holds everything: one that stays, if
+    /// there is one. Only a dead primary's place goes to a member that is itself to be emptied.
     fn replace_primary(&self, next: &mut BatchGroup) {
         let Some(primary) = next.primary_member() else {
             return;
         };
-        let is_retiring = self.is_retiring(primary);
-        if !self.is_dead(primary.disk) && !is_retiring {
+        let primary_is_dead = self.is_dead(primary.disk);
+        if !primary_is_dead && !self.is_retiring(primary) {
             return;
         }
-        let can_follow = |member: &&GroupMember| {
-            member.disk != next.primary
-                && self.is_alive(member.disk)
-                && self.is_complete(member.disk)
-                && !self.is_retiring(member)
+        let able = |member: &&GroupMember| {
+            member.disk != primary.disk && self.is_alive(member.disk) && self.is_complete(member.disk)
         };
-        if let Some(successor) = next.members.iter().find(can_follow) {
+        let (retiring, staying): (Vec<_>, Vec<_>) =
+            next.members.iter().filter(able).partition(|member| self.is_retiring(member));
+        let of_last_resort = retiring.first().filter(|_| primary_is_dead);
+        if let Some(successor) = staying.first().or(of_last_resort) {
             next.primary = successor.disk;
         }
     }
--- /dev/null
+++ b/alderhollow/tests/group_policy.rs
@@ -0,0 +1,307 @@
+//! The group policy: its steps one by one, then a seeded simulation with an oracle.
+
+mod control;
+mod group_simulation;
+
+use alderhollow::control_state::group_policy::{
+    gone_stores, next_request, GroupSight, StoreReport, StoreSight, DEAD_AFTER_MS, FOUNDING_PATIENCE_MS,
+    FOUNDING_WAIT_MS, GONE_AFTER_MS,
+};
+use alderhollow::control_state::request::{Order, Request};
+use alderhollow::control_state::ControlState;
+use alderhollow_model::identity::DiskId;
+use alderhollow_model::snapshot::BatchGroup;
+use control::{command_of, context, store, submit, Ended};
+
+/// Stores with disks and zones, all just heard of.
+fn sight(stores: &[(u64, &str)]) -> GroupSight {
+    let heard = |(disk, zone): &(u64, &str)| StoreSight {
+        node: store(&format!("s{disk}"), zone, *disk),
+        silent_for_ms: 0,
+        report: StoreReport::default(),
+    };
+    GroupSight { primary_for_ms: 10_000, tolerate_machines: 1, stores: stores.iter().map(heard).collect() }
+}
+
+/// Commits all that the policy asks for, up to a bound.
+fn settle(state: &mut ControlState, sight: &GroupSight) {
+    for _ in 0..50 {
+        let Some(request) = next_request(state, sight) else {
+            return;
+        };
+        let command = command_of(state, &request).expect("what the policy asks for is taken");
+        assert!(state.apply_command(command));
+    }
+    panic!("the policy does not come to rest: {:?}", state.group());
+}
+
+fn silence(sight: &mut GroupSight, disk: u64) {
+    for store in &mut sight.stores {
+        if store.node.disk == Some(DiskId(disk)) {
+            store.silent_for_ms = DEAD_AFTER_MS;
+        }
+    }
+}
+
+/// Lets every store report what one reports that works well.
+fn report(state: &ControlState, sight: &mut GroupSight) {
+    let Some(group) = state.group() else {
+        return;
+    };
+    for store in &mut sight.stores {
+        let disk = store.node.disk.expect("a store has a disk");
+        store.report = StoreReport {
+            epoch: group.epoch,
+            active: group.primary == disk,
+            in_sync: group.learners.iter().any(|learner| learner.disk == disk),
+            leaving: store.report.leaving,
+        };
+    }
+}
+
+/// Reports and commits until nothing changes.
+fn work(state: &mut ControlState, sight: &mut GroupSight) {
+    for _ in 0..10 {
+        report(state, sight);
+        settle(state, sight);
+    }
+}
+
+fn founded(sight: &mut GroupSight) -> ControlState {
+    let mut state = ControlState::default();
+    work(&mut state, sight);
+    state
+}
+
+fn group(state: &ControlState) -> &BatchGroup {
+    state.group().expect("a group")
+}
+
+fn members(state: &ControlState) -> Vec<u64> {
+    let mut disks: Vec<u64> = group(state).members.iter().map(|member| member.disk.0).collect();
+    disks.sort_unstable();
+    disks
+}
+
+fn learners(state: &ControlState) -> Vec<u64> {
+    group(state).learners.iter().map(|learner| learner.disk.0).collect()
+}
+
+#[test]
+fn the_first_group_waits_for_the_stores_and_spreads_over_zones() {
+    let mut sight = sight(&[(1, "a"), (2, "a"), (3, "b"), (4, "c")]);
+    let mut state = ControlState::default();
+    sight.primary_for_ms = FOUNDING_WAIT_MS - 1;
+    settle(&mut state, &sight);
+    assert!(state.group().is_none());
+    sight.primary_for_ms = FOUNDING_WAIT_MS;
+    settle(&mut state, &sight);
+    assert_eq!(members(&state), [1, 3, 4]);
+    assert_eq!(group(&state).epoch, 1);
+}
+
+#[test]
+fn too_few_stores_found_a_group_only_after_patience() {
+    let mut sight = sight(&[(1, "a")]);
+    let mut state = ControlState::default();
+    sight.primary_for_ms = FOUNDING_WAIT_MS + FOUNDING_PATIENCE_MS - 1;
+    settle(&mut state, &sight);
+    assert!(state.group().is_none());
+    sight.primary_for_ms += 1;
+    settle(&mut state, &sight);
+    assert_eq!(members(&state), [1]);
+}
+
+#[test]
+fn a_dead_primary_gives_its_place_to_a_member() {
+    let mut sight = sight(&[(1, "a"), (2, "b"), (3, "c")]);
+    let mut state = founded(&mut sight);
+    let primary = group(&state).primary.0;
+    silence(&mut sight, primary);
+    settle(&mut state, &sight);
+    assert_ne!(group(&state).primary.0, primary);
+    assert!(!members(&state).contains(&primary));
+    assert_eq!(group(&state).epoch, 2, "one step");
+}
+
+#[test]
+fn a_store_that_leaves_is_replaced_at_once() {
+    let mut sight = sight(&[(1, "a"), (2, "b"), (3, "c")]);
+    let mut state = founded(&mut sight);
+    let primary = group(&state).primary;
+    for store in &mut sight.stores {
+        store.report.leaving = store.node.disk == Some(primary);
+    }
+    settle(&mut state, &sight);
+    assert_ne!(group(&state).primary, primary);
+}
+
+#[test]
+fn a_new_core_primary_calls_nobody_dead_in_its_first_seconds() {
+    let mut all = sight(&[(1, "a"), (2, "b"), (3, "c")]);
+    let mut state = founded(&mut all);
+    let before = state.clone();
+    let mut fresh = sight(&[]);
+    fresh.primary_for_ms = DEAD_AFTER_MS - 1;
+    settle(&mut state, &fresh);
+    assert_eq!(state, before);
+    fresh.primary_for_ms = DEAD_AFTER_MS;
+    settle(&mut state, &fresh);
+    assert_eq!(state, before, "nobody is there to take over");
+}
+
+#[test]
+fn a_dead_member_stays_while_too_few_others_are_alive() {
+    let mut sight = sight(&[(1, "a"), (2, "b")]);
+    let mut state = founded(&mut sight);
+    silence(&mut sight, 2);
+    work(&mut state, &mut sight);
+    assert_eq!(members(&state), [1, 2]);
+}
+
+#[test]
+fn a_spare_store_is_brought_up_before_the_dead_member_leaves() {
+    let mut sight = sight(&[(1, "a"), (2, "b")]);
+    let mut state = founded(&mut sight);
+    silence(&mut sight, 2);
+    sight.stores.push(StoreSight {
+        node: store("s3", "c", 3),
+        silent_for_ms: 0,
+        report: StoreReport::default(),
+    });
+    settle(&mut state, &sight);
+    assert_eq!((members(&state), learners(&state)), (vec![1, 2], vec![3]));
+    work(&mut state, &mut sight);
+    assert_eq!(members(&state), [1, 3]);
+}
+
+#[test]
+fn a_learner_that_was_just_promoted_does_not_lead_before_it_holds_everything() {
+    let mut sight = sight(&[(1, "a"), (2, "b")]);
+    let mut state = founded(&mut sight);
+    sight.stores.push(StoreSight {
+        node: store("s0", "c", 0),
+        silent_for_ms: 0,
+        report: StoreReport::default(),
+    });
+    settle(&mut state, &sight);
+    report(&state, &mut sight);
+    for store in &mut sight.stores {
+        store.report.active = false;
+    }
+    settle(&mut state, &sight);
+    assert_eq!(members(&state), [0, 1, 2], "promoted, but its epoch is not active yet");
+    silence(&mut sight, group(&state).primary.0);
+    settle(&mut state, &sight);
+    assert_eq!(group(&state).primary.0, 2);
+}
+
+#[test]
+fn a_new_disk_of_a_machine_replaces_the_old_one() {
+    let mut sight = sight(&[(1, "a"), (2, "b"), (3, "c")]);
+    let mut state = founded(&mut sight);
+    for seen in &mut sight.stores {
+        if seen.node.disk == Some(DiskId(1)) {
+            seen.node = store("s1", "a", 11);
+            seen.report = StoreReport::default();
+        }
+    }
+    settle(&mut state, &sight);
+    assert_eq!(
+        (members(&state), learners(&state)),
+        (vec![2, 3], vec![11]),
+        "the old disk never counts again"
+    );
+    work(&mut state, &mut sight);
+    assert_eq!(members(&state), [2, 3, 11]);
+}
+
+#[test]
+fn a_retiring_store_leaves_when_its_successor_is_in() {
+    let mut sight = sight(&[(1, "a"), (2, "b"), (3, "c"), (4, "a")]);
+    let mut state = founded(&mut sight);
+    let primary = group(&state).primary.0;
+    let order = Order::Retire { node: format!("s{primary}") };
+    assert_eq!(submit(&mut state, &order, &context()), Ended::Committed);
+    settle(&mut state, &sight);
+    assert_ne!(group(&state).primary.0, primary, "it gives its place away first");
+    assert!(members(&state).contains(&primary) && !learners(&state).is_empty());
+    work(&mut state, &mut sight);
+    assert!(!members(&state).contains(&primary));
+    assert_eq!(members(&state).len(), 3);
+    assert_eq!(state.retirement(&format!("s{primary}")).map(|state| state.name()), Some("completed"));
+}
+
+#[test]
+fn a_retiring_store_without_a_successor_leaves_if_enough_remain() {
+    let mut sight = sight(&[(1, "a"), (2, "b"), (3, "c")]);
+    let mut state = founded(&mut sight);
+    assert_eq!(submit(&mut state, &Order::Retire { node: "s1".to_string() }, &context()), Ended::Committed);
+    work(&mut state, &mut sight);
+    assert_eq!(members(&state), [2, 3]);
+    assert_eq!(state.retirement("s1").map(|state| state.name()), Some("completed"));
+}
+
+#[test]
+fn a_dead_primarys_place_goes_to_a_retiring_member_if_there_is_no_other() {
+    let mut sight = sight(&[(1, "a"), (2, "b"), (3, "c"), (4, "a")]);
+    let mut state = founded(&mut sight);
+    let primary = group(&state).primary.0;
+    for disk in members(&state).into_iter().filter(|disk| *disk != primary) {
+        let mut context = context();
+        context.tolerate_machines = 0;
+        let order = Order::Retire { node: format!("s{disk}") };
+        assert_eq!(submit(&mut state, &order, &context), Ended::Committed);
+    }
+    silence(&mut sight, primary);
+    settle(&mut state, &sight);
+    assert_ne!(group(&state).primary.0, primary);
+    work(&mut state, &mut sight);
+    assert_eq!(group(&state).primary.0, 4, "and then to the one that stays");
+}
+
+#[test]
+fn a_store_that_was_silent_for_long_is_gone() {
+    let mut sight = sight(&[(1, "a"), (2, "b"), (3, "c")]);
+    let state = founded(&mut sight);
+    sight.stores[0].silent_for_ms = GONE_AFTER_MS;
+    assert!(gone_stores(&state, &sight).is_empty(), "a young primary can't know");
+    sight.primary_for_ms = GONE_AFTER_MS;
+    assert_eq!(gone_stores(&state, &sight), ["s1".to_string()].into());
+}
+
+#[test]
+fn a_settled_group_is_left_alone() {
+    let mut sight = sight(&[(1, "a"), (2, "b"), (3, "c"), (4, "a"), (5, "b")]);
+    let mut state = founded(&mut sight);
+    work(&mut state, &mut sight);
+    assert_eq!(next_request(&state, &sight), None::<Request>);
+    assert_eq!(group(&state).epoch, 1);
+    assert!(state.group_is_active());
+}
+
+/// Runs seeds of the simulation and names the one that fails.
+fn simulate(seeds: std::ops::Range<u64>, stores: usize, tolerate: usize) {
+    for seed in seeds {
+        if let Err(fault) = group_simulation::run(seed, stores, tolerate) {
+            panic!("seed {seed}, {stores} stores, {tolerate} may be lost: {fault}");
+        }
+    }
+}
+
+#[test]
+fn nothing_acknowledged_is_lost_with_three_stores() {
+    simulate(0..300, 3, 1);
+}
+
+#[test]
+fn nothing_acknowledged_is_lost_with_four_and_five_stores() {
+    simulate(0..150, 4, 1);
+    simulate(0..150, 5, 1);
+}
+
+#[test]
+fn nothing_acknowledged_is_lost_where_two_may_go() {
+    simulate(0..150, 5, 2);
+    simulate(0..150, 8, 2);
+}
