--- a/alderhollow/src/control_state/command.rs
+++ b/alderhollow/src/control_state/command.rs
@@ -1,9 +1,10 @@
 //! The changes of the control state. Each is decided before it is replicated and holds all that applying it needs.
 
 use alderhollow_model::config::ConfigVersion;
-use alderhollow_model::identity::NodeInfo;
+use alderhollow_model::identity::{DiskId, NodeInfo};
 use alderhollow_model::snapshot::BatchGroup;
 use minicbor::{Decode, Encode};
+use std::collections::BTreeSet;
 
 /// A change of the control state.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
@@ -62,6 +63,16 @@
         #[n(0)]
         epoch: u64,
     },
+    /// Some members of the group hold everything, though not yet all.
+    #[n(7)]
+    MembersInSync {
+        /// The group's epoch; passed over if another one is current.
+        #[n(0)]
+        epoch: u64,
+        /// The members' disks.
+        #[n(1)]
+        disks: BTreeSet<DiskId>,
+    },
 }
 
 impl Command {
--- a/alderhollow/src/control_state/decide.rs
+++ b/alderhollow/src/control_state/decide.rs
@@ -28,6 +28,9 @@
             Request::GroupActive { epoch } if self.becomes_active(*epoch) => {
                 Decision::Commit(Command::GroupActive { epoch: *epoch })
             }
+            Request::MembersInSync { epoch, disks } if self.come_in_sync(*epoch, disks) => {
+                Decision::Commit(Command::MembersInSync { epoch: *epoch, disks: disks.clone() })
+            }
             _ => Decision::Answer(Answer::AlreadyDone),
         }
     }
--- a/alderhollow/src/control_state/group_policy.rs
+++ b/alderhollow/src/control_state/group_policy.rs
@@ -33,7 +33,8 @@
     /// As the group's primary: all members of that epoch hold everything, so that it may acknowledge.
     #[n(1)]
     pub active: bool,
-    /// As a learner of that epoch: it has everything that was there when it asked, and gets what is new.
+    /// As a learner of that epoch: it has everything that was there when it asked, and gets what is new. As a member: the
+    /// primary has made it equal to itself under that epoch.
     #[n(2)]
     pub in_sync: bool,
     /// The process is about to end.
@@ -87,7 +88,7 @@
     if planner.reports_active(group) && !state.group_is_active() {
         return Some(Request::GroupActive { epoch: group.epoch });
     }
-    planner.next_group(group)
+    planner.members_in_sync(group).or_else(|| planner.next_group(group))
 }
 
 /// Machines of stores that don't count as there any more, for [`super::request::OrderContext`].
@@ -162,6 +163,14 @@
         self.by_disk.get(&disk).is_some_and(|store| store.report.in_sync && store.report.epoch == group.epoch)
     }
 
+    /// Members that came to hold everything while the epoch is not active yet: it may wait for a dead one.
+    fn members_in_sync(&self, group: &BatchGroup) -> Option<Request> {
+        let members = group.members.iter().map(|member| member.disk);
+        let news = members.filter(|disk| !self.is_complete(*disk) && self.reports_in_sync(group, *disk));
+        let disks: BTreeSet<DiskId> = news.collect();
+        (!disks.is_empty()).then_some(Request::MembersInSync { epoch: group.epoch, disks })
+    }
+
     /// Stores that could join a group, sorted by their disks.
     fn candidates(&self, taken: &BTreeSet<DiskId>) -> Vec<GroupMember> {
         let usable = self.by_disk.iter().filter(|(disk, store)| {
--- a/alderhollow/src/control_state/mod.rs
+++ b/alderhollow/src/control_state/mod.rs
@@ -145,6 +145,7 @@
             Command::RegisterStore(store) => self.stores.register(&store),
             Command::SetGroup { previous_epoch, group } => self.set_group(previous_epoch, group),
             Command::GroupActive { epoch } => self.set_active(epoch),
+            Command::MembersInSync { epoch, disks } => self.set_in_sync(epoch, disks),
         };
         if changed {
             self.version += 1;
@@ -212,6 +213,25 @@
         true
     }
 
+    /// Whether all the disks belong to members of this epoch, and some were not known to hold everything.
+    fn come_in_sync(&self, epoch: u64, disks: &BTreeSet<DiskId>) -> bool {
+        let Some(group) = self.group.as_ref().filter(|group| group.epoch == epoch) else {
+            return false;
+        };
+        let is_member = |disk: &DiskId| group.members.iter().any(|member| member.disk == *disk);
+        disks.iter().all(is_member) && !disks.is_subset(&self.complete)
+    }
+
+    /// A member that was made equal to the epoch's primary holds everything: nothing is acknowledged under an older epoch
+    /// any more, and nothing under this one without it.
+    fn set_in_sync(&mut self, epoch: u64, disks: BTreeSet<DiskId>) -> bool {
+        if !self.come_in_sync(epoch, &disks) {
+            return false;
+        }
+        self.complete.extend(disks);
+        true
+    }
+
     fn complete_retirements(&mut self) {
         let group = self.group.clone();
         let in_use = |disk: DiskId| {
--- a/alderhollow/src/control_state/request.rs
+++ b/alderhollow/src/control_state/request.rs
@@ -1,7 +1,7 @@
 //! What the control state is asked, and what it answers.
 
 use crate::finding::Finding;
-use alderhollow_model::identity::NodeInfo;
+use alderhollow_model::identity::{DiskId, NodeInfo};
 use alderhollow_model::snapshot::BatchGroup;
 use minicbor::{Decode, Encode};
 use std::collections::BTreeSet;
@@ -98,6 +98,16 @@
         #[n(0)]
         epoch: u64,
     },
+    /// Members say that they hold everything under this epoch, which is not active yet.
+    #[n(4)]
+    MembersInSync {
+        /// The epoch.
+        #[n(0)]
+        epoch: u64,
+        /// The members' disks.
+        #[n(1)]
+        disks: BTreeSet<DiskId>,
+    },
 }
 
 /// What is answered where nothing changes.
--- a/alderhollow/tests/group_policy.rs
+++ b/alderhollow/tests/group_policy.rs
@@ -196,6 +196,35 @@
     assert_eq!(group(&state).primary.0, 2);
 }
 
+#[test]
+fn a_member_in_sync_may_lead_though_a_dead_one_keeps_the_epoch_from_being_active() {
+    let mut sight = sight(&[(1, "a"), (2, "b")]);
+    let mut state = founded(&mut sight);
+    sight.stores.push(StoreSight {
+        node: store("s3", "c", 3),
+        silent_for_ms: 0,
+        report: StoreReport::default(),
+    });
+    settle(&mut state, &sight);
+    let primary = group(&state).primary.0;
+    report(&state, &mut sight);
+    sight.stores.iter_mut().for_each(|store| store.report.active = false);
+    settle(&mut state, &sight);
+    assert_eq!(members(&state), [1, 2, 3]);
+    assert!(!state.complete_members().contains(&DiskId(3)));
+    for store in &mut sight.stores {
+        store.report.epoch = group(&state).epoch;
+        store.report.in_sync = store.node.disk == Some(DiskId(3));
+    }
+    settle(&mut state, &sight);
+    assert!(!state.group_is_active() && state.complete_members().contains(&DiskId(3)));
+    silence(&mut sight, 1);
+    silence(&mut sight, 2);
+    settle(&mut state, &sight);
+    assert_ne!(group(&state).primary.0, primary);
+    assert_eq!(group(&state).primary.0, 3);
+}
+
 #[test]
 fn a_new_disk_of_a_machine_replaces_the_old_one() {
     let mut sight = sight(&[(1, "a"), (2, "b"), (3, "c")]);
--- a/alderhollow/tests/group_simulation/mod.rs
+++ b/alderhollow/tests/group_simulation/mod.rs
@@ -41,7 +41,7 @@
     group: Option<Arc<BatchGroup>>,
     /// As the primary of that group: all members hold what it holds.
     active: bool,
-    /// As a learner of that group: in sync.
+    /// As a learner or a member of that group: in sync.
     in_sync: bool,
 }
 
@@ -320,6 +320,7 @@
             if self.chance(3) {
                 for member in members.iter().flatten() {
                     self.machines[*member].records = held.clone();
+                    self.machines[*member].in_sync = true;
                 }
                 self.machines[at].active = members.iter().all(Option::is_some);
             }
