Put the coin of batch admission before the hand-over, and spread items over their time

The primary reads each route's waiting tokens once a period and tells the doors with its answers; the coin refuses only what a fresh reading shows not to fit. Items started as fast as half of the slots allowed made peaks that streams felt; now what waits is started over about three seconds.

--- a/alderhollow/src/batch_api/endpoints.rs
+++ b/alderhollow/src/batch_api/endpoints.rs
@@ -1,10 +1,12 @@
 //! Serves clients' calls about batch jobs through the primary of the group of stores.
 
+use super::admission::Admission;
 use super::document::{self, HandedItem};
 use super::path::{self, Target};
 use super::store_calls::{ask_primary, CallEnd, Patience, StoreLink};
 use super::{not_now, over_quota, plain, BatchAnswer, BatchCall, BatchEndpoints};
 use crate::batch_protocol::{StoreCall, StoreReply};
+use crate::clock::SteadyClock;
 use crate::SnapshotReceiver;
 use alderhollow_batch::job::{Header, Item, ItemRequest, JobId, NewJob};
 use alderhollow_model::config::Route;
@@ -38,6 +40,7 @@
     snapshots: SnapshotReceiver,
     /// Draws the names of clients' tries.
     random: Rc<RefCell<Rand64>>,
+    admission: Rc<Admission>,
 }
 
 impl BatchEndpoints for StoreEndpoints {
@@ -50,9 +53,15 @@
 impl StoreEndpoints {
     /// Endpoints that follow the tables for the group's primary.
     /// `seed` is this life's own.
-    pub fn new(link: Rc<dyn StoreLink>, snapshots: SnapshotReceiver, seed: u64) -> StoreEndpoints {
-        let random = Rc::new(RefCell::new(Rand64::new(u128::from(seed))));
-        StoreEndpoints { link, snapshots, random }
+    pub fn new(
+        link: Rc<dyn StoreLink>,
+        snapshots: SnapshotReceiver,
+        clock: SteadyClock,
+        seed: u64,
+    ) -> StoreEndpoints {
+        let mut random = Rand64::new(u128::from(seed));
+        let admission = Rc::new(Admission::new(clock, random.rand_u64()));
+        StoreEndpoints { link, snapshots, random: Rc::new(RefCell::new(random)), admission }
     }
 
     async fn answer(&self, call: BatchCall) -> Response<Bytes> {
@@ -97,8 +106,16 @@
             unknown_until: call.received_at + SUBMIT_UNKNOWN.min(time_of(headers)),
             held: Duration::ZERO,
         };
+        if !self.admission.passes(route, job.tokens()) {
+            return over_quota();
+        }
         let try_id = self.random.borrow_mut().rand_u64();
-        submit_answer(self.ask(StoreCall::Submit { try_id, job }, patience).await)
+        let call = StoreCall::Submit { try_id, job };
+        let (end, reading) = ask_primary(&*self.link, self.snapshots.clone(), &call, patience).await;
+        if let Some(reading) = reading {
+            self.admission.read(route, reading);
+        }
+        submit_answer(end)
     }
 
     async fn read(&self, call: &BatchCall, job: String, after: u64) -> Response<Bytes> {
@@ -138,7 +155,7 @@
     }
 
     async fn ask(&self, call: StoreCall, patience: Patience) -> CallEnd {
-        ask_primary(&*self.link, self.snapshots.clone(), &call, patience).await
+        ask_primary(&*self.link, self.snapshots.clone(), &call, patience).await.0
     }
 }
 
--- a/alderhollow/src/batch_api/endpoints/tests.rs
+++ b/alderhollow/src/batch_api/endpoints/tests.rs
@@ -1,7 +1,8 @@
 //! A door's answers about batch jobs, against scripted stores.
 
 use super::*;
-use crate::batch_api::store_calls::{StoreAnswer, StoreCallError};
+use crate::batch_api::store_calls::{StoreAnswerFuture, StoreCallError};
+use crate::batch_protocol::{StoreAnswer, TenantReading};
 use alderhollow_model::identity::{Address, DiskId, LifeId, NodeInfo, Role};
 use alderhollow_model::snapshot::{BatchGroup, ControlView, GroupMember, Snapshot};
 use hyper::Request;
@@ -16,17 +17,19 @@
 struct Script {
     replies: RefCell<VecDeque<Scripted>>,
     calls: RefCell<Vec<(SocketAddr, StoreCall)>>,
+    reading: RefCell<Option<TenantReading>>,
 }
 
 impl StoreLink for Script {
-    fn call(&self, to: SocketAddr, call: &StoreCall, _: Duration) -> StoreAnswer {
+    fn call(&self, to: SocketAddr, call: &StoreCall, _: Duration) -> StoreAnswerFuture {
         self.calls.borrow_mut().push((to, call.clone()));
         let mut replies = self.replies.borrow_mut();
         let reply = match replies.len() {
             1 => replies[0].clone(),
             _ => replies.pop_front().expect("a reply"),
         };
-        Box::pin(async move { reply })
+        let reading = *self.reading.borrow();
+        Box::pin(async move { reply.map(|reply| StoreAnswer { reply, reading }) })
     }
 }
 
@@ -78,9 +81,13 @@
     replies: Vec<Scripted>,
     call: BatchCall,
 ) -> (u16, bool, String, Vec<(SocketAddr, StoreCall)>) {
-    let script = Rc::new(Script { replies: RefCell::new(replies.into()), calls: RefCell::default() });
+    let script = Rc::new(Script {
+        replies: RefCell::new(replies.into()),
+        calls: RefCell::default(),
+        reading: RefCell::default(),
+    });
     let (_sender, snapshots) = watch::channel(tables(1));
-    let response = StoreEndpoints::new(script.clone(), snapshots, 7).serve(call).await;
+    let response = StoreEndpoints::new(script.clone(), snapshots, SteadyClock::start(), 7).serve(call).await;
     let retry = response.headers().contains_key("retry-after");
     let body = String::from_utf8(response.body().to_vec()).expect("text");
     let calls = script.calls.borrow().clone();
@@ -137,9 +144,13 @@
 #[tokio::test(start_paused = true)]
 async fn a_successor_is_asked_as_soon_as_it_is_known() {
     let replies = vec![Err(StoreCallError::Unknown), Ok(StoreReply::Committed)];
-    let script = Rc::new(Script { replies: RefCell::new(replies.into()), calls: RefCell::default() });
+    let script = Rc::new(Script {
+        replies: RefCell::new(replies.into()),
+        calls: RefCell::default(),
+        reading: RefCell::default(),
+    });
     let (sender, snapshots) = watch::channel(tables(1));
-    let endpoints = StoreEndpoints::new(script.clone(), snapshots, 7);
+    let endpoints = StoreEndpoints::new(script.clone(), snapshots, SteadyClock::start(), 7);
     let change = async {
         tokio::task::yield_now().await;
         sender.send_replace(tables(2));
@@ -204,9 +215,11 @@
     let script = Rc::new(Script {
         replies: RefCell::new([Ok(StoreReply::Committed)].into()),
         calls: RefCell::default(),
+        reading: RefCell::default(),
     });
     let (_sender, snapshots) = watch::channel(Arc::<Snapshot>::default());
-    let response = StoreEndpoints::new(script.clone(), snapshots, 7).serve(hand_in(JOB)).await;
+    let response =
+        StoreEndpoints::new(script.clone(), snapshots, SteadyClock::start(), 7).serve(hand_in(JOB)).await;
     assert_eq!(response.status(), 503);
     assert!(script.calls.borrow().is_empty());
 }
@@ -217,3 +230,41 @@
     assert_eq!(status_of(vec![Ok(StoreReply::NotFound)], call("GET", "/alderhollow/lots/")).await.0, 400);
     assert_eq!(status_of(vec![Ok(StoreReply::NotFound)], call("GET", "/alderhollow/items/j")).await.0, 400);
 }
+
+#[tokio::test(start_paused = true)]
+async fn the_coin_refuses_only_what_a_fresh_reading_shows_not_to_fit() {
+    let script = Rc::new(Script {
+        replies: RefCell::new([Ok(StoreReply::Committed)].into()),
+        calls: RefCell::default(),
+        reading: RefCell::default(),
+    });
+    let (_sender, snapshots) = watch::channel(tables(1));
+    let clock = SteadyClock::start();
+    tokio::time::advance(Duration::from_secs(5)).await;
+    let endpoints = StoreEndpoints::new(script.clone(), snapshots, clock, 7);
+    let with_quota = |quota| {
+        let mut call = hand_in(JOB);
+        call.route = Some(Arc::new(Route { max_queued_tokens: quota, ..Route::clone(&route()) }));
+        call
+    };
+    // Far beyond the quota, in a period that has just ended: the chance falls to its floor.
+    let full = TenantReading { period: 1, age_ms: 0, length_ms: 500, waiting: 1_000_000, beyond: 9_000_000 };
+    *script.reading.borrow_mut() = Some(full);
+    assert_eq!(endpoints.serve(with_quota(1_000)).await.status(), 202);
+    let mut refused = 0;
+    for _ in 0..100 {
+        let response = endpoints.serve(with_quota(1_000)).await;
+        refused += usize::from(response.status() == 429 && response.headers().contains_key("retry-after"));
+    }
+    assert!(refused > 50, "{refused} of 100");
+    assert_eq!(script.calls.borrow().len(), 101 - refused);
+    // What fits is passed on, and so is all once the reading is old.
+    for _ in 0..100 {
+        assert_eq!(endpoints.serve(with_quota(10_000_000)).await.status(), 202);
+    }
+    *script.reading.borrow_mut() = None;
+    tokio::time::advance(Duration::from_secs(5)).await;
+    for _ in 0..100 {
+        assert_eq!(endpoints.serve(with_quota(1_000)).await.status(), 202);
+    }
+}
--- a/alderhollow/src/batch_api/mod.rs
+++ b/alderhollow/src/batch_api/mod.rs
@@ -1,6 +1,7 @@
 //! The clients' side of batch jobs at a door (PROTOCOL.md, *Batch jobs*): calls come in as HTTP, are checked here, and go on
 //! to the primary of the group of stores.
 
+pub mod admission;
 pub mod document;
 pub mod endpoints;
 pub mod path;
--- a/alderhollow/src/batch_api/store_calls.rs
+++ b/alderhollow/src/batch_api/store_calls.rs
@@ -1,6 +1,6 @@
 //! Calls of a door to the primary of the group of stores, asked again at a successor until the end is known.
 
-use crate::batch_protocol::{StoreCall, StoreReply};
+use crate::batch_protocol::{StoreAnswer, StoreCall, StoreReply, TenantReading};
 use crate::internal::{CallError, Network, ServiceId};
 use crate::SnapshotReceiver;
 use std::future::Future;
@@ -15,7 +15,7 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// One call to one store.
-pub type StoreAnswer = Pin<Box<dyn Future<Output = Result<StoreReply, StoreCallError>>>>;
+pub type StoreAnswerFuture = Pin<Box<dyn Future<Output = Result<StoreAnswer, StoreCallError>>>>;
 
 /// Why a call to a store has no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -31,11 +31,11 @@
 /// Carries calls to stores.
 pub trait StoreLink {
     /// Calls the store at an address once; never twice.
-    fn call(&self, to: SocketAddr, call: &StoreCall, timeout: Duration) -> StoreAnswer;
+    fn call(&self, to: SocketAddr, call: &StoreCall, timeout: Duration) -> StoreAnswerFuture;
 }
 
 impl StoreLink for Network {
-    fn call(&self, to: SocketAddr, call: &StoreCall, timeout: Duration) -> StoreAnswer {
+    fn call(&self, to: SocketAddr, call: &StoreCall, timeout: Duration) -> StoreAnswerFuture {
         let network = self.clone();
         let payload = minicbor::to_vec(call);
         Box::pin(async move {
@@ -80,27 +80,34 @@
     Unknown,
 }
 
-/// Asks the group's primary until there is an answer or patience ends.
+/// Asks the group's primary until there is an answer or patience ends. Gives the newest reading that came along.
 pub async fn ask_primary(
     link: &dyn StoreLink,
     mut snapshots: SnapshotReceiver,
     call: &StoreCall,
     patience: Patience,
-) -> CallEnd {
+) -> (CallEnd, Option<TenantReading>) {
     let mut unknown = false;
+    let mut reading = None;
     loop {
         let primary = primary_address(&snapshots);
         if let Some(to) = primary {
-            match link.call(to, call, ANSWER_TIMEOUT + patience.held).await {
+            let answer = link.call(to, call, ANSWER_TIMEOUT + patience.held).await;
+            let reply = answer.map(|answer| {
+                reading = answer.reading.or(reading);
+                answer.reply
+            });
+            match reply {
                 Ok(StoreReply::Unknown) | Err(StoreCallError::Unknown) => unknown = true,
                 Ok(StoreReply::NotPrimary | StoreReply::NotSure) | Err(StoreCallError::NotServed) => {}
-                Ok(reply) if unknown => return CallEnd::AnsweredAfterUnknown(reply),
-                Ok(reply) => return CallEnd::Answered(reply),
+                Ok(reply) if unknown => return (CallEnd::AnsweredAfterUnknown(reply), reading),
+                Ok(reply) => return (CallEnd::Answered(reply), reading),
             }
         }
         let until = if unknown { patience.unknown_until } else { patience.unserved_until };
         if Instant::now() + ASK_AGAIN_PAUSE >= until {
-            return if unknown { CallEnd::Unknown } else { CallEnd::NotServed };
+            let end = if unknown { CallEnd::Unknown } else { CallEnd::NotServed };
+            return (end, reading);
         }
         pause(&mut snapshots).await;
     }
--- a/alderhollow/src/batch_protocol.rs
+++ b/alderhollow/src/batch_protocol.rs
@@ -46,6 +46,37 @@
     End(#[n(0)] JobId),
 }
 
+/// What a store answers a call with.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct StoreAnswer {
+    /// The answer.
+    #[n(0)]
+    pub reply: StoreReply,
+    /// With the answer to [`StoreCall::Submit`] by a primary: the newest reading of the tenant's waiting tokens.
+    #[n(1)]
+    pub reading: Option<TenantReading>,
+}
+
+/// A reading of a tenant's waiting tokens, at the end of a period of the primary.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub struct TenantReading {
+    /// Number of the period; rises over all primaries.
+    #[n(0)]
+    pub period: u64,
+    /// How long ago the period ended.
+    #[n(1)]
+    pub age_ms: u64,
+    /// Its length.
+    #[n(2)]
+    pub length_ms: u64,
+    /// Tokens that waited at its end.
+    #[n(3)]
+    pub waiting: u64,
+    /// Tokens that came in it and did not fit.
+    #[n(4)]
+    pub beyond: u64,
+}
+
 /// The answer to a [`StoreCall`].
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub enum StoreReply {
--- a/alderhollow/src/door/traffic.rs
+++ b/alderhollow/src/door/traffic.rs
@@ -38,7 +38,7 @@
     let started = node.clock.instant(0);
     let snapshots = node.snapshots.clone();
     let exchange = Exchange::new(started, random_seed(), snapshots.clone(), Rc::new(RefCell::new(balancer)));
-    let batch = StoreEndpoints::new(Rc::new(node.network.clone()), snapshots, random_seed());
+    let batch = StoreEndpoints::new(Rc::new(node.network.clone()), snapshots, node.clock, random_seed());
     let front = Front::new(front_settings(settings), exchange, Rc::new(batch));
     Ok(tokio::task::spawn_local(front.run(listener, phase)))
 }
--- a/alderhollow/src/executor/mod.rs
+++ b/alderhollow/src/executor/mod.rs
@@ -59,8 +59,8 @@
         Executor { shared: Rc::new(shared) }
     }
 
-    /// How many items may start now, with so many running.
-    pub fn room(&self, running: usize) -> usize {
+    /// How many items may start now, with so many waiting and running.
+    pub fn room(&self, waiting: usize, running: usize) -> usize {
         let snapshot = self.shared.exchange.tables().snapshot.clone();
         let mut paced = self.shared.paced.borrow_mut();
         let mut pacer = self.shared.pacer.borrow_mut();
@@ -68,7 +68,7 @@
             pacer.update(&snapshot);
             *paced = Some(snapshot);
         }
-        pacer.room(self.shared.clock.now_ms() as Millis, running)
+        pacer.room(self.shared.clock.now_ms() as Millis, waiting, running)
     }
 
     /// So many items were taken to be started.
--- a/alderhollow/src/executor/pacing.rs
+++ b/alderhollow/src/executor/pacing.rs
@@ -12,8 +12,13 @@
 const FEWEST_RUNNING: usize = 4;
 /// Where the list names no slots for a backend.
 const DEFAULT_SLOTS: u32 = 16;
-/// Starts a second, as part of the items that may run.
+/// Most starts a second, as part of the items that may run.
 const STARTS_PER_SECOND_SHARE: f64 = 1.0;
+/// What waits is started over about this time, well within the time that items have: streams of clients feel a flat
+/// load less than its peaks.
+const SPREAD_S: f64 = 3.0;
+/// Starts a second, however few items wait.
+const LEAST_STARTS_PER_SECOND: f64 = 8.0;
 /// Starts that may come at once, as part of the items that may run, and at least.
 const BURST_SHARE: f64 = 0.05;
 const FEWEST_BURST: f64 = 2.0;
@@ -33,13 +38,15 @@
         self.most_running = ((slots as f64 * SHARE_OF_SLOTS) as usize).max(FEWEST_RUNNING);
     }
 
-    /// How many may start now, with so many running.
-    pub fn room(&mut self, now: Millis, running: usize) -> usize {
+    /// How many may start now, with so many waiting and running.
+    pub fn room(&mut self, now: Millis, waiting: usize, running: usize) -> usize {
         let most = self.most_running as f64;
+        let wanted_per_s = (waiting as f64 / SPREAD_S).max(LEAST_STARTS_PER_SECOND);
+        let starts_per_s = wanted_per_s.min(most * STARTS_PER_SECOND_SHARE);
         let elapsed_s = self.filled_at.map_or(0.0, |at| (now - at).max(0.0) / 1000.0);
         let burst = (most * BURST_SHARE).max(FEWEST_BURST);
         self.filled_at = Some(now);
-        self.allowance = (self.allowance + elapsed_s * most * STARTS_PER_SECOND_SHARE).min(burst);
+        self.allowance = (self.allowance + elapsed_s * starts_per_s).min(burst);
         (self.allowance as usize).min(self.most_running.saturating_sub(running))
     }
 
--- a/alderhollow/src/executor/pacing/tests.rs
+++ b/alderhollow/src/executor/pacing/tests.rs
@@ -49,7 +49,7 @@
     let mut running = 0;
     let mut most_at_once = 0;
     for tick in 0..2_000 {
-        let room = pacer.room(f64::from(tick) * 10.0, running);
+        let room = pacer.room(f64::from(tick) * 10.0, 1_000, running);
         pacer.started(room);
         running += room;
         most_at_once = most_at_once.max(room);
@@ -65,9 +65,25 @@
     pacer.update(&Snapshot::default());
     let mut running = 0;
     for tick in 0..10_000 {
-        let room = pacer.room(f64::from(tick) * 10.0, running);
+        let room = pacer.room(f64::from(tick) * 10.0, 1_000, running);
         pacer.started(room);
         running += room;
     }
     assert_eq!(running, FEWEST_RUNNING);
 }
+
+#[test]
+fn what_waits_is_spread_over_its_time() {
+    let mut pacer = Pacer::default();
+    pacer.update(&tables(4, ""));
+    let (mut waiting, mut most_at_once, mut ticks) = (60, 0, 0);
+    while waiting > 0 {
+        ticks += 1;
+        let room = pacer.room(f64::from(ticks) * 10.0, waiting, 0).min(waiting);
+        pacer.started(room);
+        waiting -= room;
+        most_at_once = most_at_once.max(room);
+    }
+    assert!((200..600).contains(&ticks), "{ticks} ticks of 10 ms");
+    assert!(most_at_once <= 3, "{most_at_once} at once");
+}
--- a/alderhollow/src/store/calls.rs
+++ b/alderhollow/src/store/calls.rs
@@ -2,7 +2,7 @@
 
 use super::node::StoreNode;
 use crate::batch_api::document;
-use crate::batch_protocol::{StoreCall, StoreReply};
+use crate::batch_protocol::{StoreAnswer, StoreCall, StoreReply, TenantReading};
 use crate::internal::server::HandlerFuture;
 use crate::internal::{Handler, Refusal};
 use alderhollow_batch::api::{BodyAnswer, EndAnswer, Outcome, ReadAnswer, Submitted, Token, TryId};
@@ -27,24 +27,26 @@
         Box::pin(async move {
             let call = minicbor::decode(&payload).map_err(|_| Refusal::Malformed)?;
             drop(payload);
-            let reply = serve(&node, call).await;
+            let answer = serve(&node, call).await;
             // Nothing that was encoded by this program fails to be; a door takes this for an unknown end.
-            Ok(minicbor::to_vec(reply).unwrap_or_default())
+            Ok(minicbor::to_vec(answer).unwrap_or_default())
         })
     }
 }
 
 /// Serves one call.
-pub async fn serve(node: &Rc<StoreNode>, call: StoreCall) -> StoreReply {
-    match call {
-        StoreCall::Submit { try_id, job } => submit(node, TryId(try_id), job).await,
+pub async fn serve(node: &Rc<StoreNode>, call: StoreCall) -> StoreAnswer {
+    let reply = match call {
+        StoreCall::Submit { try_id, job } => return submit(node, TryId(try_id), job).await,
         StoreCall::Read { job, after, wait_ms } => read(node, &job, after, wait_ms).await,
         StoreCall::Body { job, item } => body(node, &job, &item),
         StoreCall::End(job) => end(node, &job).await,
-    }
+    };
+    StoreAnswer { reply, reading: None }
 }
 
-async fn submit(node: &Rc<StoreNode>, try_id: TryId, job: NewJob) -> StoreReply {
+async fn submit(node: &Rc<StoreNode>, try_id: TryId, job: NewJob) -> StoreAnswer {
+    let (route, tokens) = (job.route.clone(), job.tokens());
     let mut ended = None;
     let submitted = node.with_engine(|engine, now_ms| {
         let submitted = engine.submit(now_ms, try_id, job);
@@ -53,14 +55,27 @@
         }
         submitted
     });
-    match submitted {
+    let reading = match submitted {
+        Submitted::NotPrimary | Submitted::NotSure | Submitted::Invalid => None,
+        Submitted::OverQuota => read_meter(node, &route, tokens),
+        Submitted::Pending(_) | Submitted::AlreadyAccepted => read_meter(node, &route, 0),
+    };
+    let reply = match submitted {
         Submitted::Pending(_) => await_end(ended).await,
         Submitted::AlreadyAccepted => StoreReply::Committed,
         Submitted::OverQuota => StoreReply::OverQuota,
         Submitted::NotPrimary => StoreReply::NotPrimary,
         Submitted::NotSure => StoreReply::NotSure,
         Submitted::Invalid => StoreReply::Invalid,
-    }
+    };
+    StoreAnswer { reply, reading }
+}
+
+/// Notes a batch job in the meter, with the tokens that did not fit, and gives the newest reading.
+fn read_meter(node: &Rc<StoreNode>, route: &str, beyond: u64) -> Option<TenantReading> {
+    let (waiting, epoch) =
+        node.look(|engine, now_ms| (engine.waiting_tokens(route), engine.status(now_ms).epoch));
+    node.meter.borrow_mut().note(node.clock.now_ms(), epoch, route, waiting, beyond)
 }
 
 type End = Option<tokio::sync::oneshot::Receiver<Outcome>>;
--- a/alderhollow/src/store/node.rs
+++ b/alderhollow/src/store/node.rs
@@ -2,6 +2,7 @@
 //! [`StoreNode::with_engine`], which first takes in newer tables and then does what the engine asks for.
 
 use super::journal_queue::{JournalOwner, JournalQueue};
+use super::meter::Meter;
 use super::runs::Runs;
 use super::waiting::Waiting;
 use crate::batch_protocol::ReplicationNotice;
@@ -46,6 +47,8 @@
     pub waiting: Waiting,
     /// Runs of items.
     pub runs: Runs,
+    /// Readings of waiting tokens.
+    pub meter: RefCell<Meter>,
     engine: RefCell<Engine>,
     journal: JournalQueue,
     network: Network,
@@ -87,6 +90,7 @@
             clock: parts.clock,
             waiting: Waiting::default(),
             runs: parts.runs,
+            meter: RefCell::default(),
             engine: RefCell::new(parts.engine),
             journal: parts.journal,
             network: parts.network,
@@ -159,7 +163,8 @@
     fn start_items(self: &Rc<Self>) -> bool {
         let routes = self.with_engine(|engine, now_ms| engine.routes_with_work(now_ms));
         for route in &routes {
-            let room = self.runs.room();
+            let (waiting, _) = self.look(|engine, _| engine.load());
+            let room = self.runs.room(waiting);
             if room == 0 {
                 break;
             }
--- a/alderhollow/src/store/runs.rs
+++ b/alderhollow/src/store/runs.rs
@@ -20,9 +20,9 @@
         Runs { executor, running: RefCell::default() }
     }
 
-    /// How many items may start now.
-    pub fn room(&self) -> usize {
-        self.executor.room(self.running.borrow().len())
+    /// How many items may start now, with so many waiting.
+    pub fn room(&self, waiting: usize) -> usize {
+        self.executor.room(waiting, self.running.borrow().len())
     }
 
     /// Starts items.
--- a/alderhollow/tests/store.rs
+++ b/alderhollow/tests/store.rs
@@ -121,7 +121,7 @@
             vouched_at.into_iter().for_each(|at| store.poll.note_vouched(at));
             stores.push(store);
         }
-        let endpoints = StoreEndpoints::new(Rc::new(Network::new(9)), snapshots, 9);
+        let endpoints = StoreEndpoints::new(Rc::new(Network::new(9)), snapshots, SteadyClock::start(), 9);
         let tier = Tier { stores, backend, endpoints, tables, quota };
         tier.set_group(1, 0, &[0, 1, 2]);
         tier
@@ -293,7 +293,7 @@
             store.poll.note_vouched(FOR_EVER);
             stores.push(store);
         }
-        let endpoints = StoreEndpoints::new(Rc::new(Network::new(9)), snapshots, 9);
+        let endpoints = StoreEndpoints::new(Rc::new(Network::new(9)), snapshots, SteadyClock::start(), 9);
         let tier = Tier { stores, backend: tier.backend, endpoints, tables, quota: 0 };
         tier.set_group(2, 2, &[0, 1, 2]);
         assert_eq!(tier.results().await, results);
