Serve clients in the role of a door

A door's front is started once the process has joined the tier, and sends clients off at SIGTERM. Right before a request's first byte the balancer is asked of the attempt itself, as a choice of a cold backend is void after a while.

--- /dev/null
+++ b/alderhollow/src/door/clients.rs
@@ -0,0 +1,74 @@
+//! Serves clients' requests at the front of a door.
+
+use crate::balance::{Balancer, ColdBounds};
+use crate::batch_api::NoBatch;
+use crate::exchange::Exchange;
+use crate::front::phase::Phase;
+use crate::front::{Front, FrontSettings};
+use crate::node::{random_seed, Node};
+use crate::settings::Settings;
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// Descriptors that are not there for clients and backends.
+const RESERVED_DESCRIPTORS: u64 = 400;
+/// Of the rest, one part in so many is for clients.
+const CLIENTS_PART: u64 = 2;
+/// Where the settings name no limits.
+const DESCRIPTORS: u64 = 1024;
+const MEMORY_MB: u64 = 256;
+/// One part of the memory in so many is for bodies of requests.
+const BODIES_PART: u64 = 4;
+const BYTES_PER_MB: u64 = 1 << 20;
+
+/// The front as it runs.
+pub struct Clients {
+    phase: watch::Sender<Phase>,
+    front: JoinHandle<()>,
+}
+
+impl Clients {
+    /// Sends clients off from now on.
+    pub fn leave(&self) {
+        self.phase.send_replace(Phase::Leaving);
+    }
+
+    /// Waits until the last of them is served, or the time for that is over.
+    pub async fn ended(self) {
+        let _ = self.front.await;
+    }
+}
+
+/// Starts to serve clients.
+///
+/// # Errors
+/// The address can't be listened on.
+pub async fn serve(address: SocketAddr, settings: &Settings, node: &Node) -> io::Result<Clients> {
+    let listener = TcpListener::bind(address).await?;
+    let mut balancer = Balancer::new(&settings.node, &settings.zone, random_seed());
+    balancer
+        .set_cold_bounds(ColdBounds { over: settings.bounds.cold_over, slack: settings.bounds.cold_slack });
+    let balancer = Rc::new(RefCell::new(balancer));
+    let exchange = Exchange::new(node.clock.instant(0), random_seed(), node.snapshots.clone(), balancer);
+    let front = Front::new(front_settings(settings), exchange, Rc::new(NoBatch));
+    let (phase, following) = watch::channel(Phase::Running);
+    let front = tokio::task::spawn_local(front.run(listener, following));
+    Ok(Clients { phase, front })
+}
+
+fn front_settings(settings: &Settings) -> FrontSettings {
+    let descriptors = settings.limits.max_fds.unwrap_or(DESCRIPTORS);
+    let connections =
+        descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(RESERVED_DESCRIPTORS) / CLIENTS_PART;
+    let bodies = settings.limits.memory_mb.unwrap_or(MEMORY_MB) * BYTES_PER_MB / BODIES_PART;
+    FrontSettings {
+        grace: settings.bounds.grace,
+        max_connections: usize::try_from(connections).unwrap_or(usize::MAX),
+        body_bytes: usize::try_from(bodies).unwrap_or(usize::MAX),
+    }
+}
--- a/alderhollow/src/door/endings.rs
+++ b/alderhollow/src/door/endings.rs
@@ -1,5 +1,6 @@
 //! The platform's signals: SIGTERM ends a door in phases, SIGHUP says that the settings have changed.
 
+use super::clients::Clients;
 use crate::core::authority::ControlAuthority;
 use crate::node::{internal_seeds, Node};
 use crate::ready::Readiness;
@@ -23,17 +24,24 @@
     node: &Node,
     authority: Option<&ControlAuthority>,
     readiness: &Readiness,
+    clients: Option<Clients>,
 ) -> io::Result<()> {
     tokio::task::spawn_local(follow_settings(node.clone()));
     terminated().await?;
     log::info!("told to end: no longer ready");
     readiness.leave();
     node.poll_state.leave();
+    if let Some(clients) = &clients {
+        clients.leave();
+    }
     if let Some(authority) = authority {
         authority.core().leave().await;
         log::info!("the core's part is handed over");
     }
-    tokio::time::sleep(LEAVING_TIME.min(settings.bounds.grace / 2)).await;
+    match clients {
+        Some(clients) => clients.ended().await,
+        None => tokio::time::sleep(LEAVING_TIME.min(settings.bounds.grace / 2)).await,
+    }
     Ok(())
 }
 
--- a/alderhollow/src/door/mod.rs
+++ b/alderhollow/src/door/mod.rs
@@ -3,8 +3,10 @@
 //! | part | does |
 //! | --- | --- |
 //! | [`core_member`] | opens the core's member on the disk, and starts what a primary does |
+//! | [`clients`] | serves clients' requests |
 //! | [`endings`] | signals: the planned end, and settings that have changed |
 
+mod clients;
 mod core_member;
 mod endings;
 
@@ -52,7 +54,11 @@
         Some(address) => Some(serve_operators(address, &settings, &node, authority.clone())?),
         None => None,
     };
-    endings::run_until_ended(&settings, &node, authority.as_deref(), &readiness).await?;
+    let clients = match settings.listen.front {
+        Some(address) => Some(clients::serve(address, &settings, &node).await?),
+        None => None,
+    };
+    endings::run_until_ended(&settings, &node, authority.as_deref(), &readiness, clients).await?;
     drop((ready_server, operator_server));
     Ok(())
 }
--- a/alderhollow/src/exchange/attempt.rs
+++ b/alderhollow/src/exchange/attempt.rs
@@ -34,6 +34,10 @@
         self.tell(outcome);
     }
 
+    pub(super) fn number(&self) -> u64 {
+        self.choice.attempt
+    }
+
     pub(super) fn exchange(&self) -> Rc<Exchange> {
         self.exchange.clone()
     }
--- a/alderhollow/src/exchange/mod.rs
+++ b/alderhollow/src/exchange/mod.rs
@@ -88,6 +88,12 @@
         self.balancer.borrow().may_send(id)
     }
 
+    /// Whether the backend of an attempt may still get the request. Over time a choice of a cold backend is void.
+    fn may_begin(&self, attempt: &Attempt) -> bool {
+        self.tables();
+        self.balancer.borrow().may_begin(self.now(), attempt.number())
+    }
+
     /// One of the route's services, by their weights.
     pub fn pick_service(&self, route: &Route) -> Option<String> {
         pick_service(route, self.random.borrow_mut().rand_float())
@@ -177,7 +183,7 @@
                     pooled
                 }
             };
-            if !self.may_send(&backend.id) || deadline <= Instant::now() {
+            if !self.may_begin(attempt) || deadline <= Instant::now() {
                 return Err(Outcome::Cancelled);
             }
             if pooled.link.is_silent().await {
