--- a/alderhollow/src/store/role.rs
+++ b/alderhollow/src/store/role.rs
@@ -4,7 +4,7 @@
 use super::journal_queue::JournalQueue;
 use super::node::{NodeJournal, NodeParts, ReplicationHandler, StoreNode};
 use super::runs::Runs;
-use crate::balance::Balancer;
+use crate::balance::{Balancer, ColdBounds};
 use crate::distribution::client::PollState;
 use crate::exchange::Exchange;
 use crate::executor::Executor;
@@ -83,7 +83,9 @@
 }
 
 fn exchange(settings: &Settings, shared: &Node) -> Rc<Exchange> {
-    let balancer = Balancer::new(&settings.node, &settings.zone, random_seed());
+    let mut balancer = Balancer::new(&settings.node, &settings.zone, random_seed());
+    balancer
+        .set_cold_bounds(ColdBounds { over: settings.bounds.cold_over, slack: settings.bounds.cold_slack });
     let balancer = Rc::new(RefCell::new(balancer));
     Exchange::new(shared.clock.instant(0), random_seed(), shared.snapshots.clone(), balancer)
 }
