--- /dev/null
+++ b/alderhollow/tests/control_plane.rs
@@ -0,0 +1,160 @@
+//! The control plane of three doors with disks and one without, on loopback: founding, operators' calls, readiness.
+
+mod control_plane_support;
+
+use control_plane_support::{run, Net};
+use http::{Method, StatusCode};
+use serde_json::{json, Value};
+
+const CONFIG: &str = "/alderhollow/config";
+
+fn config(version: u64) -> String {
+    json!({
+        "config-version": version,
+        "routes": [{
+            "name": "r-1", "hostname": "shop.example", "path-prefix": "/a/", "route-type": "idempotent",
+            "timeout-ms": 1000, "target-latency-ms": 100, "priority": 0, "service": "svc", "max-attempts": 2
+        }],
+        "services": [{"name": "svc", "health-path": "/healthz", "max-conns": 10, "note": [1, null]}],
+        "limits": {"max-header-bytes": 16384, "max-body-bytes": 4096, "header-timeout-ms": 3000,
+            "idle-timeout-ms": 15000}
+    })
+    .to_string()
+}
+
+async fn start(net: &Net) {
+    net.start_platform().await;
+    for machine in 1..=3 {
+        net.start_door(machine, true);
+    }
+    net.start_door(4, false);
+}
+
+#[test]
+fn doors_found_a_core_and_act_on_the_first_configuration() {
+    run(|net| async move {
+        start(&net).await;
+        let taken = net.operate(4, Method::PUT, CONFIG, Some(0), &config(3)).await;
+        assert_eq!(taken.status, StatusCode::OK, "{}", taken.body);
+        for machine in 1..=4 {
+            let read = net.operate(machine, Method::GET, CONFIG, None, "").await;
+            assert_eq!(read.status, StatusCode::OK);
+            let expected: Value = serde_json::from_str(&config(3)).expect("JSON");
+            assert_eq!(serde_json::from_str::<Value>(&read.body).expect("JSON"), expected);
+            while !net.is_ready(machine).await {
+                tokio::task::yield_now().await;
+            }
+        }
+    });
+}
+
+#[test]
+fn an_order_that_was_taken_is_acknowledged_again_after_others() {
+    run(|net| async move {
+        start(&net).await;
+        let mut base = 0;
+        for version in [2, 5, 9, 11] {
+            let taken = net.operate(1, Method::PUT, CONFIG, Some(base), &config(version)).await;
+            assert_eq!(taken.status, StatusCode::OK, "{}", taken.body);
+            base = version;
+        }
+        let again = net.operate(2, Method::PUT, CONFIG, Some(2), &config(5)).await;
+        assert_eq!(again.status, StatusCode::OK, "{}", again.body);
+        let read = net.operate(3, Method::GET, CONFIG, None, "").await;
+        assert!(read.body.contains("\"config-version\":11"));
+        let stale = net.operate(3, Method::PUT, CONFIG, Some(5), &config(12)).await;
+        assert_eq!(stale.status, StatusCode::PRECONDITION_FAILED, "{}", stale.body);
+    });
+}
+
+#[test]
+fn of_two_changes_on_one_version_one_is_taken() {
+    run(|net| async move {
+        start(&net).await;
+        net.operate(1, Method::PUT, CONFIG, Some(0), &config(1)).await;
+        let one = config(4);
+        let other = one.replace("\"timeout-ms\":1000", "\"timeout-ms\":900");
+        assert_ne!(one, other);
+        let (first, second) = tokio::join!(
+            net.operate(1, Method::PUT, CONFIG, Some(1), &one),
+            net.operate(2, Method::PUT, CONFIG, Some(1), &other)
+        );
+        let mut statuses = [first.status, second.status];
+        statuses.sort();
+        assert_eq!(statuses, [StatusCode::OK, StatusCode::PRECONDITION_FAILED]);
+    });
+}
+
+#[test]
+fn what_is_wrong_is_refused_by_us() {
+    run(|net| async move {
+        start(&net).await;
+        net.operate(1, Method::PUT, CONFIG, Some(0), &config(1)).await;
+        let cut_short = &config(2)[..60];
+        for body in [cut_short, "", "[]", &config(1), &config(2).replace("\"svc\",\"max", "\"none\",\"max")] {
+            let refused = net.operate(4, Method::PUT, CONFIG, Some(1), body).await;
+            assert_eq!(refused.status, StatusCode::BAD_REQUEST, "{body}: {}", refused.body);
+        }
+        let patched = r#"{"config-version":6,"delete":{"services":["svc"]}}"#;
+        let refused = net.operate(4, Method::PATCH, CONFIG, Some(1), patched).await;
+        assert_eq!(refused.status, StatusCode::BAD_REQUEST, "{}", refused.body);
+        let unknown = net.operate(4, Method::POST, "/alderhollow/retire/storage-9", None, "{\"deadline-s\":10}").await;
+        assert_eq!(unknown.status, StatusCode::NOT_FOUND);
+        let unknown = net.operate(4, Method::POST, "/alderhollow/evacuate/zone-9", None, "").await;
+        assert_eq!(unknown.status, StatusCode::NOT_FOUND);
+    });
+}
+
+#[test]
+fn evacuations_are_acknowledged_again_and_taken_back() {
+    run(|net| async move {
+        start(&net).await;
+        for machine in [1, 2, 4] {
+            let path = "/alderhollow/evacuate/zone-2";
+            assert_eq!(net.operate(machine, Method::POST, path, None, "").await.status, StatusCode::OK);
+        }
+        for machine in [3, 4] {
+            let path = "/alderhollow/evacuate/zone-2";
+            assert_eq!(net.operate(machine, Method::DELETE, path, None, "").await.status, StatusCode::OK);
+        }
+    });
+}
+
+#[test]
+fn one_door_alone_decides_nothing() {
+    run(|net| async move {
+        net.start_platform().await;
+        net.start_door(1, true);
+        net.start_door(4, false);
+        let mut answers = 0;
+        while answers < 10 {
+            for machine in [1, 4] {
+                let Some(answer) = net.call_once(machine, Method::GET, CONFIG).await else { continue };
+                assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+                answers += 1;
+            }
+            tokio::task::yield_now().await;
+        }
+        assert!(!net.is_ready(1).await);
+    });
+}
+
+#[test]
+fn the_others_point_to_the_primary_and_never_to_themselves() {
+    run(|net| async move {
+        start(&net).await;
+        net.operate(1, Method::PUT, CONFIG, Some(0), &config(1)).await;
+        let mut redirects = 0;
+        while redirects < 12 {
+            for machine in 1..=4 {
+                let answer = net.call_once(machine, Method::GET, CONFIG).await.expect("an answer");
+                if answer.status == StatusCode::TEMPORARY_REDIRECT {
+                    redirects += 1;
+                    let location = answer.headers["location"].to_str().expect("text").to_string();
+                    assert!(location.ends_with(CONFIG), "{location}");
+                    assert!(!location.contains(&net.control(machine)), "{location}");
+                }
+            }
+        }
+    });
+}
