--- a/alderhollow/src/balance/backends.rs
+++ b/alderhollow/src/balance/backends.rs
@@ -162,23 +162,30 @@
 /// What an answer is expected to take before any has come.
 const FIRST_USUAL_MS: Millis = 50.0;
 
+/// Most that a request's size counts for, against the mean one.
+const MOST_SIZE: f64 = 8.0;
+
 /// What the first sign of an answer usually takes at a service.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct UsualTimes {
     mean_ms: Millis,
-    mean_tokens: f64,
+    /// Mean prompt tokens; `None` before the first answer.
+    mean_tokens: Option<f64>,
 }
 
 impl Default for UsualTimes {
     fn default() -> UsualTimes {
-        UsualTimes { mean_ms: FIRST_USUAL_MS, mean_tokens: 0.0 }
+        UsualTimes { mean_ms: FIRST_USUAL_MS, mean_tokens: None }
     }
 }
 
 impl UsualTimes {
     /// Time to the first sign of a request with so many prompt tokens. Half of the usual time goes with the size.
     pub(super) fn expected(&self, tokens: u64) -> Millis {
-        let size = if self.mean_tokens > 1.0 { tokens as f64 / self.mean_tokens } else { 1.0 };
+        let size = match self.mean_tokens {
+            Some(mean) if mean >= 1.0 => (tokens as f64 / mean).min(MOST_SIZE),
+            _ => 1.0,
+        };
         self.mean_ms * (0.5 + 0.5 * size)
     }
 
@@ -192,7 +199,8 @@
         // One slow backend must not make itself the measure of the others.
         let bounded = took.clamp(0.0, 4.0 * self.mean_ms.max(1.0));
         self.mean_ms += USUAL_SAMPLE * (bounded - self.mean_ms);
-        self.mean_tokens += USUAL_SAMPLE * (tokens as f64 - self.mean_tokens);
+        let mean = self.mean_tokens.get_or_insert(tokens as f64);
+        *mean += USUAL_SAMPLE * (tokens as f64 - *mean);
     }
 }
 
--- a/alderhollow/src/balance/health.rs
+++ b/alderhollow/src/balance/health.rs
@@ -20,11 +20,11 @@
 /// With so many attempts waiting and no sign since, half of that will do.
 const SILENT_TOGETHER: usize = 3;
 /// Weight of a new sample in the averages of slowness and of failures, and the time in which they fade to a third.
-const SLOWNESS_SAMPLE: f64 = 0.2;
+const SLOWNESS_SAMPLE: f64 = 0.1;
 const FAILURE_SAMPLE: f64 = 0.1;
 const FADE_MS: Millis = 8000.0;
 /// Most that one answer counts as slow, in expected times.
-const MOST_SLOWNESS: f64 = 10.0;
+const MOST_SLOWNESS: f64 = 5.0;
 
 /// Whether a backend may get a request, as far as its health goes.
 #[derive(Debug, Clone, Copy, PartialEq)]
