Cut off an answer that its client does not read

The work behind a body runs when its connection asks for more. A client that stops reading a long answer stopped it, and with it the bound by the deadline: its backend was held for as long as the client pleased. Each answer that holds a backend has a time now by which it is to be read. A TCP user timeout was ruled out: no test without real time can show it. The test fails without the bound.

--- a/alderhollow/src/front/body.rs
+++ b/alderhollow/src/front/body.rs
@@ -1,6 +1,7 @@
 //! Bodies of answers: whole ones, and ones that are made while they are written. The work that makes one runs when its
 //! connection asks for more, and ends with the connection: no task of its own stands behind it.
 
+use super::writing::{Writing, Written};
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use springusher_dataplane::flow::Cut;
 use springusher_dataplane::pulse::Busy;
@@ -10,6 +11,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use tokio::task::yield_now;
+use tokio::time::Instant;
 
 /// Where the work puts one piece after the other.
 #[derive(Default)]
@@ -41,18 +43,25 @@
 /// The body of an answer to a client.
 pub struct AnswerBody {
     content: Content,
+    /// When the client has to have read it, where that holds a backend.
+    due: Option<Instant>,
     /// The request counts as being in work until its answer is written.
-    busy: Option<Busy>,
+    held: Option<(Busy, Option<Written>)>,
 }
 
 impl AnswerBody {
     /// A body that is here.
     pub fn whole(bytes: Bytes) -> AnswerBody {
-        AnswerBody { content: Content::Whole(Some(bytes).filter(|bytes| !bytes.is_empty())), busy: None }
+        AnswerBody {
+            content: Content::Whole(Some(bytes).filter(|bytes| !bytes.is_empty())),
+            due: None,
+            held: None,
+        }
     }
 
-    /// A body that `work` puts into the slot. It is whole if the work ends well, else it is cut short, and its reader sees that.
-    pub fn made<F>(make: impl FnOnce(Rc<Slot>) -> F) -> AnswerBody
+    /// A body that the work puts into the slot, to be read by `due`. It is whole if the work ends well, else it is cut
+    /// short, and its reader sees that.
+    pub fn made<F>(due: Instant, make: impl FnOnce(Rc<Slot>) -> F) -> AnswerBody
     where
         F: Future<Output = Result<(), Cut>> + 'static,
     {
@@ -66,12 +75,12 @@
             }
             ended
         });
-        AnswerBody { content: Content::Made { work: Some(work), slot }, busy: None }
+        AnswerBody { content: Content::Made { work: Some(work), slot }, due: Some(due), held: None }
     }
 
     /// Holds the request in work until the body has ended.
-    pub fn hold(&mut self, busy: Busy) {
-        self.busy = Some(busy);
+    pub fn hold(&mut self, busy: Busy, writing: &Rc<Writing>) {
+        self.held = Some((busy, self.due.map(|due| writing.begin(due))));
     }
 }
 
--- a/alderhollow/src/front/client.rs
+++ b/alderhollow/src/front/client.rs
@@ -2,6 +2,7 @@
 
 use super::body::AnswerBody;
 use super::phase::Phase;
+use super::writing::Writing;
 use super::Front;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
@@ -33,8 +34,9 @@
         return;
     }
     let pulse = Pulse::new(Times { head: Duration::from_millis(limits.header_timeout_ms), idle });
+    let writing = Rc::new(Writing::default());
     let service = service_fn(|request: Request<Incoming>| {
-        let (front, pulse) = (front.clone(), pulse.clone());
+        let (front, pulse, writing) = (front.clone(), pulse.clone(), writing.clone());
         let busy = pulse.asked();
         // Boxed, or each connection would hold room for it all the time.
         Box::pin(async move {
@@ -42,7 +44,7 @@
             if pulse.is_closing() {
                 close_behind(&mut response);
             }
-            response.body_mut().hold(busy);
+            response.body_mut().hold(busy, &writing);
             Ok::<_, Infallible>(response)
         })
     });
@@ -51,7 +53,12 @@
     let leaving = async {
         let _ = phase.wait_for(|phase| *phase != Phase::Running).await;
     };
-    connection::drive(&stream, &pulse, buffer, service, leaving).await;
+    tokio::select! {
+        biased;
+        () = connection::drive(&stream, &pulse, buffer, service, leaving) => {}
+        // Cut off, as the answer is not whole.
+        () = writing.overdue() => return,
+    }
     if !pulse.has_ended() {
         connection::close(&stream).await;
     }
--- a/alderhollow/src/front/mod.rs
+++ b/alderhollow/src/front/mod.rs
@@ -9,6 +9,7 @@
 mod replies;
 mod stream;
 mod tries;
+mod writing;
 
 use crate::batch_api::{path, BatchCall, BatchEndpoints};
 use crate::exchange::outbound::{Outbound, DEADLINE_MS};
--- a/alderhollow/src/front/relay.rs
+++ b/alderhollow/src/front/relay.rs
@@ -11,10 +11,14 @@
 use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Bytes of an answer that are gathered before its client gets any: until then another backend may answer instead.
 const GATHERED_BYTES: usize = 64 * 1024;
 
+/// How much later than its deadline a client may read the end of its answer.
+const READING_SLACK: Duration = Duration::from_millis(250);
+
 /// An answer that is here whole.
 struct Whole {
     status: StatusCode,
@@ -115,9 +119,10 @@
     let resumes = answer.is_event_stream() && tries.job().route.resumable;
     let headers = std::mem::take(&mut answer.headers);
     let first = join(pieces);
+    let due = tries.job().deadline + READING_SLACK;
     let body = match resumes {
-        true => AnswerBody::made(|slot| stream::pass_events(tries, answer, first, slot)),
-        false => AnswerBody::made(|slot| stream::pass_pieces(tries, answer, first, slot)),
+        true => AnswerBody::made(due, |slot| stream::pass_events(tries, answer, first, slot)),
+        false => AnswerBody::made(due, |slot| stream::pass_pieces(tries, answer, first, slot)),
     };
     response(status, headers, body)
 }
--- a/alderhollow/tests/front.rs
+++ b/alderhollow/tests/front.rs
@@ -374,6 +374,23 @@
     });
 }
 
+#[test]
+fn a_client_that_reads_no_more_holds_no_backend_beyond_its_deadline() {
+    run(async {
+        let door = Door::start(1).await;
+        // More than all buffers on the way hold.
+        door.backends.script(served(&"y".repeat(64 << 20)));
+        let mut client = Client::connect(door.address).await;
+        let began = tokio::time::Instant::now();
+        client.write(&request("/once/1", "", "x")).await;
+        while door.backends.left.get() == 0 {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            assert!(began.elapsed() < Duration::from_secs(4));
+        }
+        assert!(!client.reply().await.expect("what came").whole);
+    });
+}
+
 #[test]
 fn calls_about_batch_jobs_go_to_their_endpoints() {
     run(async {
--- a/alderhollow/tests/support/backend.rs
+++ b/alderhollow/tests/support/backend.rs
@@ -47,7 +47,7 @@
 pub struct Backends {
     scripts: Rc<RefCell<VecDeque<Vec<Step>>>>,
     seen: Rc<RefCell<Vec<Seen>>>,
-    /// Connections that were accepted, and hung ones that their peer ended.
+    /// Connections that were accepted, and those that their peer ended while the backend hung or wrote.
     pub accepted: Rc<Cell<u32>>,
     pub left: Rc<Cell<u32>>,
 }
@@ -83,7 +83,10 @@
             for step in steps {
                 match step {
                     Step::Write(text) => {
-                        let _ = stream.write_all(text.replace("{id}", &request_id).as_bytes()).await;
+                        if stream.write_all(text.replace("{id}", &request_id).as_bytes()).await.is_err() {
+                            self.left.set(self.left.get() + 1);
+                            return;
+                        }
                     }
                     Step::Pause(pause) => sleep(pause).await,
                     Step::Close => return,
