Report that a store equals the primary only once that is on its disk

The core takes a member that was made equal for one that holds all that was acknowledged, and may name it the next primary. A member that said so before its disk was done could lose power and lead with less.

--- a/batch/src/api.rs
+++ b/batch/src/api.rs
@@ -225,6 +225,9 @@
     pub primary: bool,
     /// Whether it is active here: all members equal the primary. Only the primary knows.
     pub active: bool,
+    /// Not the primary: whether this store equalled the primary at some time in this epoch, and has that on disk. A
+    /// member of the epoch then holds all that was acknowledged; a learner does so up to that time.
+    pub synced: bool,
     /// Learners that have caught up; they may be made members.
     pub in_sync: Vec<DiskId>,
     /// Members that have not acknowledged for some time, although something waits for them.
--- a/batch/src/group.rs
+++ b/batch/src/group.rs
@@ -66,12 +66,17 @@
     /// Index of the newest record that was appended as a primary in this life.
     appended: u64,
     role: Role,
+    /// The newest epoch in which this store equalled the primary and has that on disk.
+    synced_on_disk: u64,
+    /// The same, as far as it is on its way to the disk.
+    syncing: Option<(WriteTicket, u64)>,
 }
 
 impl GroupNode {
     /// A store with what its disk held.
     pub fn new(disk: DiskId, state: State) -> GroupNode {
         let known_epoch = state.newest_epoch();
+        let synced_on_disk = state.marks.synced_epoch;
         GroupNode {
             disk,
             state,
@@ -81,6 +86,8 @@
             known_epoch,
             appended: 0,
             role: Role::Follower(Follower::default()),
+            synced_on_disk,
+            syncing: None,
         }
     }
 
@@ -147,12 +154,22 @@
                 let answer =
                     follower.entries(now_ms, stream, first, entries, &mut self.state, &mut self.writes);
                 self.outbox.extend(answer.map(|answer| (from, answer)));
+                self.note_synced();
                 changes
             }
             answer => self.receive_answer(now_ms, from, answer),
         }
     }
 
+    /// Notes which write makes it last that this store equalled the primary of an epoch.
+    fn note_synced(&mut self) {
+        let epoch = self.state.marks.synced_epoch;
+        let noted = self.syncing.map_or(self.synced_on_disk, |(_, epoch)| epoch);
+        if epoch > noted {
+            self.syncing = Some((self.writes.newest_ticket(), epoch));
+        }
+    }
+
     /// Whether a stream may be followed; answers it if not. A greater epoch ends this store's own leadership.
     fn follow(&mut self, from: DiskId, stream: StreamId) -> Option<Changes> {
         if stream.epoch < self.known_epoch {
@@ -178,6 +195,10 @@
 
     /// All writes up to this one are on disk.
     pub fn written(&mut self, ticket: WriteTicket) -> Changes {
+        if let Some((_, epoch)) = self.syncing.filter(|(syncing, _)| *syncing <= ticket) {
+            self.synced_on_disk = epoch;
+            self.syncing = None;
+        }
         match &mut self.role {
             Role::Follower(follower) => self.outbox.extend(follower.written(ticket)),
             Role::Leader(leader) => leader.written(ticket),
@@ -270,11 +291,15 @@
     pub fn status(&self, now_ms: u64) -> GroupStatus {
         let epoch = self.known_epoch;
         match &self.role {
-            Role::Follower(_) => GroupStatus { epoch, ..GroupStatus::default() },
+            Role::Follower(_) => {
+                let synced = epoch > 0 && self.synced_on_disk == epoch;
+                GroupStatus { epoch, synced, ..GroupStatus::default() }
+            }
             Role::Leader(leader) => GroupStatus {
                 epoch,
                 primary: true,
                 active: leader.is_active(),
+                synced: false,
                 in_sync: if leader.is_active() { leader.learners_in_sync() } else { Vec::new() },
                 silent: leader.silent_members(now_ms),
                 behind: leader.behind(),
--- a/batch/src/group/writes.rs
+++ b/batch/src/group/writes.rs
@@ -22,6 +22,11 @@
         WriteTicket(self.written + 1)
     }
 
+    /// Ticket of the write that holds all entries so far.
+    pub fn newest_ticket(&self) -> WriteTicket {
+        WriteTicket(self.written + u64::from(!self.records.is_empty()))
+    }
+
     /// The write that was collected, if there is one.
     pub fn take(&mut self) -> Option<(WriteTicket, Vec<Vec<u8>>)> {
         if self.records.is_empty() {
--- a/batch/tests/engine/replication.rs
+++ b/batch/tests/engine/replication.rs
@@ -127,6 +127,26 @@
     assert_eq!(cluster.engine(1).status(now_ms).in_sync, [DiskId(3)]);
 }
 
+#[test]
+fn a_store_reports_that_it_equals_the_primary_once_that_is_on_its_disk() {
+    let mut cluster = Cluster::active(2);
+    cluster.accept(1, job("a", 1, 1));
+    let now_ms = cluster.now_ms;
+    assert!(cluster.engine(2).status(now_ms).synced);
+    cluster.start(3, Vec::new());
+    cluster.stores.get_mut(&3).unwrap().holds_writes = true;
+    cluster.set_group(2, 1, &[1, 2, 3], &[]);
+    assert!(!cluster.engine(3).status(now_ms).synced);
+    cluster.restart(3);
+    assert!(!cluster.engine(3).status(now_ms).synced);
+    cluster.set_group(2, 1, &[1, 2, 3], &[]);
+    cluster.pass(3_000, 1);
+    let now_ms = cluster.now_ms;
+    assert!(cluster.engine(3).status(now_ms).synced);
+    cluster.set_group(3, 1, &[1, 2], &[]);
+    assert!(!cluster.engine(3).status(now_ms).synced, "not in the next epoch");
+}
+
 #[test]
 fn a_member_that_does_not_answer_is_reported_and_waited_for() {
     let mut cluster = Cluster::active(3);
--- a/batch/tests/simulation/core.rs
+++ b/batch/tests/simulation/core.rs
@@ -45,6 +45,13 @@
             if status.active && status.epoch == group.epoch && group.primary == disk {
                 self.complete = disks(&group.members).collect();
             }
+            // A member that the primary made equal holds all, also while the epoch waits for another member.
+            if status.synced
+                && status.epoch == group.epoch
+                && disks(&group.members).any(|member| member == disk)
+            {
+                self.complete.insert(disk);
+            }
         }
         self.stores.insert(disk, Known { polled_ms: now_ms, status });
     }
