--- a/storage/src/fault_disk.rs
+++ b/storage/src/fault_disk.rs
@@ -25,6 +25,7 @@
     operations: u64,
     power_fails_at: Option<u64>,
     sync_fails_at: Option<u64>,
+    process_ends_at: Option<u64>,
     /// Files opened before the last loss of power are dead.
     power: u64,
     is_powered: bool,
@@ -89,6 +90,7 @@
             operations: 0,
             power_fails_at: None,
             sync_fails_at: None,
+            process_ends_at: None,
             power: 0,
             is_powered: true,
             random: random::Random(seed),
@@ -109,6 +111,18 @@
         state.sync_fails_at = Some(state.operations + operations);
     }
 
+    /// Ends the process that uses the disk before the changing operation that many after now: it changes nothing more,
+    /// and what it wrote stays as it is. [`FaultDisk::restart_process`] lets the next one begin.
+    pub fn end_process_after(&self, operations: u64) {
+        let mut state = self.lock();
+        state.process_ends_at = Some(state.operations + operations);
+    }
+
+    /// Lets another process use the disk.
+    pub fn restart_process(&self) {
+        self.lock().process_ends_at = None;
+    }
+
     /// Changes the room on the disk.
     pub fn set_capacity(&self, capacity: u64) {
         self.lock().capacity = capacity;
@@ -131,6 +145,7 @@
         state.lose_unsynced();
         state.power_fails_at = None;
         state.sync_fails_at = None;
+        state.process_ends_at = None;
         state.power += 1;
         state.is_powered = true;
     }
@@ -167,6 +182,9 @@
     /// Counts an operation; an error if power is off or fails now.
     fn begin(&mut self) -> io::Result<()> {
         self.check_power()?;
+        if self.process_ends_at.is_some_and(|at| self.operations >= at) {
+            return Err(io::Error::other("the process has ended"));
+        }
         if self.power_fails_at.is_some_and(|at| self.operations >= at) {
             self.is_powered = false;
         }
--- a/storage/tests/journal.rs
+++ b/storage/tests/journal.rs
@@ -151,6 +151,28 @@
     }
 }
 
+#[test]
+fn a_snapshot_that_a_killed_process_wrote_is_durable_once_it_was_returned() {
+    let mut seen_new = false;
+    for (operation, seed) in (0..5).flat_map(|operation| (0..40).map(move |seed| (operation, seed))) {
+        let disk = FaultDisk::new(ROOMY, seed);
+        let (mut journal, _) = open(&disk);
+        journal.compact(b"old").unwrap();
+        disk.end_process_after(operation);
+        let _ = journal.compact(b"new");
+        drop(journal);
+        disk.restart_process();
+        let (mut journal, first) = open(&disk);
+        append_all(&mut journal, &[b"behind"]);
+        disk.restore_power();
+        let second = open(&disk).1;
+        assert_eq!(second.snapshot, first.snapshot, "operation {operation}, seed {seed}");
+        assert_eq!(second.records, [b"behind".to_vec()]);
+        seen_new |= first.snapshot.as_deref() == Some(b"new".as_slice());
+    }
+    assert!(seen_new);
+}
+
 #[test]
 fn bytes_of_an_older_generation_in_a_log_are_not_taken_for_records() {
     for seed in 0..50 {
