--- a/alderhollow/examples/loopback-tier/main.rs
+++ b/alderhollow/examples/loopback-tier/main.rs
@@ -16,7 +16,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
-use tier::Tier;
+use tier::{Processes, Surroundings};
 
 /// Runs a tier on loopback and prints what happens.
 #[derive(Parser)]
@@ -55,13 +55,19 @@
         .folder
         .clone()
         .unwrap_or_else(|| std::env::temp_dir().join(format!("alderhollow-loopback-{}", std::process::id())));
-    let mut tier = Tier::start(&arguments.binary, &folder).await?;
+    let surroundings = Surroundings::start().await?;
+    let mut processes = Processes::start(&arguments.binary, &folder)?;
     let mut report = Report::default();
     let limit = Duration::from_secs(arguments.time_limit);
-    if tokio::time::timeout(limit, trial::run(&tier, &mut report)).await.is_err() {
-        report.failed(format!("the trial took over {} s", limit.as_secs()));
+    let broken_off = tokio::select! {
+        () = trial::run(&surroundings, &mut report) => None,
+        name = processes.first_end() => Some(format!("{name} ended during the trial")),
+        () = tokio::time::sleep(limit) => Some(format!("the trial took over {} s", limit.as_secs())),
+    };
+    if let Some(reason) = broken_off {
+        report.failed(reason);
     }
-    tier.stop(&mut report).await;
+    processes.stop(&mut report).await;
     if is_own_folder && report.is_good() {
         std::fs::remove_dir_all(&folder)?;
     } else {
--- a/alderhollow/examples/loopback-tier/tier.rs
+++ b/alderhollow/examples/loopback-tier/tier.rs
@@ -25,19 +25,23 @@
 const BACKENDS: [u8; 3] = [31, 32, 33];
 /// How long a process may take to end after SIGTERM; the settings' `grace-s`.
 const GRACE: Duration = Duration::from_secs(8);
+/// Time between two looks whether a process has ended.
+const END_POLL: Duration = Duration::from_millis(200);
 
-/// A running tier.
-pub struct Tier {
-    processes: Vec<TierProcess>,
+/// The tier's processes.
+pub struct Processes(Vec<TierProcess>);
+
+/// What stands around the processes.
+pub struct Surroundings {
     /// The platform's list.
     pub platform: Platform,
     /// The model backends.
     pub backends: Vec<Backend>,
 }
 
-impl Tier {
-    /// Starts the stand-ins, then the processes, with their files below `folder`.
-    pub async fn start(binary: &Path, folder: &Path) -> io::Result<Tier> {
+impl Surroundings {
+    /// Starts the stand-ins.
+    pub async fn start() -> io::Result<Surroundings> {
         let mut backends = Vec::new();
         for (zone, host) in ZONES.iter().zip(BACKENDS) {
             backends.push(start_backend(zone, host).await?);
@@ -49,8 +53,7 @@
         };
         let listed = backends.iter().map(Backend::listed).collect();
         let platform = Platform::start(PLATFORM, PlatformList::new(settings, listed)).await?;
-        let processes = start_processes(binary, folder)?;
-        Ok(Tier { processes, platform, backends })
+        Ok(Surroundings { platform, backends })
     }
 
     /// Clients' addresses of the doors.
@@ -67,10 +70,29 @@
     pub fn controls(&self) -> Vec<SocketAddr> {
         addresses(PORTS.control)
     }
+}
+
+impl Processes {
+    /// Starts three doors and three stores, with their files below `folder`.
+    pub fn start(binary: &Path, folder: &Path) -> io::Result<Processes> {
+        start_processes(binary, folder).map(Processes)
+    }
+
+    /// Waits until one of them has ended by itself; gives its name.
+    pub async fn first_end(&mut self) -> String {
+        loop {
+            for process in &mut self.0 {
+                if !matches!(process.ended(), Ok(None)) {
+                    return process.name().to_string();
+                }
+            }
+            tokio::time::sleep(END_POLL).await;
+        }
+    }
 
     /// Ends all processes: asks first, kills after the grace.
     pub async fn stop(&mut self, report: &mut Report) {
-        for process in &mut self.processes {
+        for process in &mut self.0 {
             match process.ended() {
                 Ok(None) => {}
                 other => report.failed(format!("{} had ended by itself: {other:?}", process.name())),
@@ -79,7 +101,7 @@
                 report.failed(format!("{} can't be asked to end: {error}", process.name()));
             }
         }
-        for process in &mut self.processes {
+        for process in &mut self.0 {
             match process.wait(GRACE).await {
                 Ok(Some(status)) => {
                     report.check(status.success(), format!("{} ended: {status}", process.name()))
--- a/alderhollow/examples/loopback-tier/trial.rs
+++ b/alderhollow/examples/loopback-tier/trial.rs
@@ -2,7 +2,7 @@
 
 use crate::configuration::{self, CHAT, HOST, LATER, LOTS, ONCE};
 use crate::report::Report;
-use crate::tier::Tier;
+use crate::tier::Surroundings;
 use alderhollow_standins::backend::Fault;
 use alderhollow_standins::batch_client::{self, BatchJob, Item, ItemResult, ResultState};
 use alderhollow_standins::client::{self, ClientRequest};
@@ -26,7 +26,7 @@
 const BATCH_EVENTS: u64 = 3;
 
 /// Runs all steps.
-pub async fn run(tier: &Tier, report: &mut Report) {
+pub async fn run(tier: &Surroundings, report: &mut Report) {
     if !hand_in_configuration(tier, report).await {
         return;
     }
@@ -38,7 +38,7 @@
     report.good(format!("the platform was called {} times", tier.platform.calls()));
 }
 
-async fn hand_in_configuration(tier: &Tier, report: &mut Report) -> bool {
+async fn hand_in_configuration(tier: &Surroundings, report: &mut Report) -> bool {
     let order = Order::put_config(0, configuration::first().to_string().into_bytes());
     let started = Instant::now();
     let answer = Operator::new(tier.controls()).send(&order).await;
@@ -56,7 +56,7 @@
     }
 }
 
-async fn wait_until_ready(tier: &Tier, report: &mut Report) {
+async fn wait_until_ready(tier: &Surroundings, report: &mut Report) {
     for door in tier.readiness() {
         let started = Instant::now();
         while !is_ready(door).await && started.elapsed() < READY_LIMIT {
@@ -85,7 +85,7 @@
     ClientRequest { id, host: HOST.into(), path, headers, body: b"prompt".to_vec(), patience: PATIENCE }
 }
 
-async fn requests_at_each_door(tier: &Tier, report: &mut Report) {
+async fn requests_at_each_door(tier: &Surroundings, report: &mut Report) {
     for (number, door) in tier.fronts().into_iter().enumerate() {
         let once = request(format!("a{number}"), format!("{ONCE}{number}"));
         let outcome = client::send(door, &once).await;
@@ -115,7 +115,7 @@
 }
 
 /// One backend cuts its next stream in the middle of an event; the door goes on at another one.
-async fn stream_over_a_cut(tier: &Tier, report: &mut Report) {
+async fn stream_over_a_cut(tier: &Surroundings, report: &mut Report) {
     let Some(door) = tier.fronts().first().copied() else { return };
     if let Some(backend) = tier.backends.first() {
         backend.fail_next(&[Fault::CutAfter(2)]);
@@ -128,7 +128,7 @@
     report.good(format!("streams that a backend cut off meanwhile: {cuts}"));
 }
 
-async fn batch_job(tier: &Tier, report: &mut Report) {
+async fn batch_job(tier: &Surroundings, report: &mut Report) {
     let doors = tier.fronts();
     let (Some(first), Some(last)) = (doors.first().copied(), doors.last().copied()) else { return };
     let items = (0..BATCH_ITEMS).map(|number| {
@@ -157,7 +157,7 @@
     result.state == ResultState::Completed && result.text == whole_text(&result.id, BATCH_EVENTS)
 }
 
-async fn change_configuration(tier: &Tier, report: &mut Report) {
+async fn change_configuration(tier: &Surroundings, report: &mut Report) {
     let change = configuration::change().to_string().into_bytes();
     let order = Order::patch_config(configuration::FIRST_VERSION, change);
     let operator = Operator::new(tier.controls());
