--- a/alderhollow/src/executor/pacing/tests.rs
+++ b/alderhollow/src/executor/pacing/tests.rs
@@ -21,7 +21,7 @@
         id: format!("i-{index}"),
         service: if index % 4 == 3 { "other".to_string() } else { "s".to_string() },
         address: Address("10.0.0.1:80".parse().expect("an address")),
-        zone: if index % 2 == 0 { "even".to_string() } else { "odd".to_string() },
+        zone: if index.is_multiple_of(2) { "even".to_string() } else { "odd".to_string() },
         slots: 64,
         state: BackendState::Ready,
         cold_remaining_ms: 0,
--- a/alderhollow/src/store/journal_queue.rs
+++ b/alderhollow/src/store/journal_queue.rs
@@ -25,8 +25,6 @@
     fn snapshot(&self) -> Vec<u8>;
     /// All writes up to this one are on disk.
     fn written(&self, ticket: WriteTicket);
-    /// Milliseconds of the process's clock.
-    fn now_ms(&self) -> u64;
 }
 
 type End = oneshot::Receiver<Result<(), StorageError>>;
@@ -155,3 +153,6 @@
         self.log_limit.set(self.smallest_limit.max(bytes as u64 * LOG_PER_SNAPSHOT));
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/alderhollow/src/store/node.rs
+++ b/alderhollow/src/store/node.rs
@@ -269,10 +269,6 @@
     fn written(&self, ticket: WriteTicket) {
         self.0.with_engine(|engine, now_ms| engine.written(now_ms, ticket));
     }
-
-    fn now_ms(&self) -> u64 {
-        self.0.clock.now_ms()
-    }
 }
 
 impl NodeJournal {
--- a/alderhollow/tests/control_plane.rs
+++ b/alderhollow/tests/control_plane.rs
@@ -98,7 +98,8 @@
         let patched = r#"{"config-version":6,"delete":{"services":["svc"]}}"#;
         let refused = net.operate(4, Method::PATCH, CONFIG, Some(1), patched).await;
         assert_eq!(refused.status, StatusCode::BAD_REQUEST, "{}", refused.body);
-        let unknown = net.operate(4, Method::POST, "/alderhollow/retire/storage-9", None, "{\"deadline-s\":10}").await;
+        let unknown =
+            net.operate(4, Method::POST, "/alderhollow/retire/storage-9", None, "{\"deadline-s\":10}").await;
         assert_eq!(unknown.status, StatusCode::NOT_FOUND);
         let unknown = net.operate(4, Method::POST, "/alderhollow/evacuate/zone-9", None, "").await;
         assert_eq!(unknown.status, StatusCode::NOT_FOUND);
--- a/alderhollow/tests/control_plane_support/mod.rs
+++ b/alderhollow/tests/control_plane_support/mod.rs
@@ -50,7 +50,8 @@
         static TESTS: AtomicU8 = AtomicU8::new(1);
         let test = TESTS.fetch_add(1, Ordering::Relaxed);
         let process = std::process::id();
-        let prefix = format!("127.{}.{}", 1 + process % 250, 1 + (process / 250 + u32::from(test) * 17) % 250);
+        let prefix =
+            format!("127.{}.{}", 1 + process % 250, 1 + (process / 250 + u32::from(test) * 17) % 250);
         let folder = std::env::temp_dir().join(format!("alderhollow-control-{process}-{test}"));
         Net { prefix, folder }
     }
@@ -127,8 +128,9 @@
 
     /// Starts the platform, which lists one backend.
     pub async fn start_platform(&self) {
-        let listener =
-            TcpListener::bind(format!("{}:{PLATFORM_PORT}", self.ip(100))).await.expect("the platform's port");
+        let listener = TcpListener::bind(format!("{}:{PLATFORM_PORT}", self.ip(100)))
+            .await
+            .expect("the platform's port");
         tokio::task::spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 tokio::task::spawn_local(list_backends(stream));
