--- a/coordination/tests/simulation/faults.rs
+++ b/coordination/tests/simulation/faults.rs
@@ -18,6 +18,7 @@
     DiskFull,
     Storm,
     Leave,
+    Flicker,
     PowerLossAfterAcknowledgement,
     WipeAfterAcknowledgement,
     Wipe,
@@ -26,7 +27,7 @@
     Add,
 }
 
-const TROUBLES: [Trouble; 18] = [
+const TROUBLES: [Trouble; 19] = [
     Trouble::Kill,
     Trouble::KillAll,
     Trouble::Freeze,
@@ -39,6 +40,7 @@
     Trouble::DiskFull,
     Trouble::Storm,
     Trouble::Leave,
+    Trouble::Flicker,
     Trouble::PowerLossAfterAcknowledgement,
     Trouble::WipeAfterAcknowledgement,
     Trouble::Wipe,
@@ -102,6 +104,7 @@
         Trouble::DiskSlow => world.machines[machine].disk.slow_until = world.now + span,
         Trouble::DiskFull => world.machines[machine].disk.full_until = world.now + span,
         Trouble::Storm => storm(world),
+        Trouble::Flicker => flicker(world),
         Trouble::Leave => leave(world, machine, span),
         Trouble::PowerLossAfterAcknowledgement => {
             world.after_acknowledgement = Some(AfterAcknowledgement::PowerLoss);
@@ -192,6 +195,17 @@
     }
 }
 
+/// Machines with slow disks die and are back at once, one after the other.
+fn flicker(world: &mut World) {
+    for _ in 0..6 {
+        let machine = any_machine(world);
+        world.machines[machine].disk.slow_until = world.now + 500;
+        let (life, pause) = (world.random(60), 1 + world.random(20));
+        world.run_for(life);
+        kill(world, machine, pause);
+    }
+}
+
 fn wipe(world: &mut World, machine: usize, span: Millis) {
     if world.disks_to_spare() > 0 {
         world.wipe_for(machine, span);
--- a/coordination/tests/simulation/scenarios.rs
+++ b/coordination/tests/simulation/scenarios.rs
@@ -159,6 +159,26 @@
     });
 }
 
+/// One member has not heard the primary for long and stands for election; the other has just granted the primary its lease,
+/// and restarts. The oracle looks for two lease holders.
+#[test]
+fn a_restarted_witness_keeps_its_word() {
+    for seed in 0..SEEDS {
+        let world = &mut whole_core(seed, 3, 1);
+        let primary = primary_of(world);
+        let (witness, candidate) = ((primary + 1) % 3, (primary + 2) % 3);
+        world.cut(primary, candidate);
+        world.cut(candidate, primary);
+        let pause = 1_500 + world.random(200);
+        world.run_for(pause);
+        assert_eq!(world.lease_holder(), Some(primary), "seed {seed}");
+        world.cut(primary, witness);
+        world.cut(witness, primary);
+        world.kill_for(witness, 20);
+        another_holds_lease(world, 3_000, primary);
+    }
+}
+
 #[test]
 fn a_planned_end_of_the_primary_is_short() {
     within(HAND_OVER_MS, |world| {
