--- /dev/null
+++ b/alderhollow/src/distribution/finder.rs
@@ -0,0 +1,120 @@
+//! Decides which process a poll goes to, and after which pause. No I/O and no clock.
+
+use oorandom::Rand32;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Shortest and longest pause after a process that doesn't know the primary, or can't be reached. Half is drawn.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(40);
+const LONGEST_PAUSE: Duration = Duration::from_millis(250);
+/// So many hints are followed without a pause before processes are asked in turn again.
+const MAX_HINTS_IN_A_ROW: u32 = 3;
+
+/// Whom to ask next, and how long to wait before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NextPoll {
+    /// The internal address.
+    pub to: SocketAddr,
+    /// The pause before it.
+    pub pause: Duration,
+}
+
+/// Keeps to the primary while it answers, and looks for it among all known members and seeds otherwise.
+#[derive(Debug)]
+pub struct Finder {
+    random: Rand32,
+    confirmed: Option<SocketAddr>,
+    hint: Option<SocketAddr>,
+    wait_for_hint: bool,
+    hints_in_a_row: u32,
+    avoided: Option<SocketAddr>,
+    turns_avoided: usize,
+    turn: usize,
+    pause: Duration,
+    wait: bool,
+}
+
+impl Finder {
+    /// One that knows no primary.
+    pub fn new(seed: u64) -> Finder {
+        let mut random = Rand32::new(seed);
+        let turn = random.rand_u32() as usize;
+        Finder {
+            random,
+            confirmed: None,
+            hint: None,
+            wait_for_hint: false,
+            hints_in_a_row: 0,
+            avoided: None,
+            turns_avoided: 0,
+            turn,
+            pause: SHORTEST_PAUSE,
+            wait: false,
+        }
+    }
+
+    /// Chooses among the candidates (members and seeds); `None` if there is nobody to ask.
+    pub fn next(&mut self, candidates: &[SocketAddr]) -> Option<NextPoll> {
+        if let Some(to) = self.confirmed {
+            return Some(NextPoll { to, pause: Duration::ZERO });
+        }
+        if let Some(to) = self.hint.take() {
+            let pause = if std::mem::take(&mut self.wait_for_hint) { SHORTEST_PAUSE } else { Duration::ZERO };
+            return Some(NextPoll { to, pause });
+        }
+        let to = self.take_turn(candidates)?;
+        Some(NextPoll { to, pause: self.draw_pause() })
+    }
+
+    /// The process answered as the primary.
+    pub fn confirm(&mut self, by: SocketAddr) {
+        self.confirmed = Some(by);
+        self.hint = None;
+        self.hints_in_a_row = 0;
+        self.avoided = None;
+        self.pause = SHORTEST_PAUSE;
+        self.wait = false;
+    }
+
+    /// The process is not the primary with a lease, and perhaps says who is.
+    pub fn redirect(&mut self, by: SocketAddr, primary: Option<SocketAddr>) {
+        self.confirmed = None;
+        self.wait = true;
+        let may_follow = self.hints_in_a_row < MAX_HINTS_IN_A_ROW;
+        self.hint = primary.filter(|primary| may_follow && self.avoided != Some(*primary));
+        self.wait_for_hint = self.hint == Some(by);
+        self.hints_in_a_row = if self.hint.is_some() { self.hints_in_a_row + 1 } else { 0 };
+    }
+
+    /// The process did not answer in time or can't be reached: others may still take it for the primary.
+    pub fn fail(&mut self, by: SocketAddr) {
+        self.confirmed = None;
+        self.avoided = Some(by);
+        self.turns_avoided = 0;
+        self.wait = true;
+    }
+
+    /// The next candidate in turn; the one that failed last is passed over for two rounds if there are others.
+    fn take_turn(&mut self, candidates: &[SocketAddr]) -> Option<SocketAddr> {
+        self.turns_avoided += 1;
+        if self.turns_avoided > 2 * candidates.len() {
+            self.avoided = None;
+        }
+        self.turn = self.turn.wrapping_add(1);
+        let first = *candidates.get(self.turn.checked_rem(candidates.len())?)?;
+        if self.avoided != Some(first) || candidates.len() == 1 {
+            return Some(first);
+        }
+        self.turn = self.turn.wrapping_add(1);
+        candidates.get(self.turn.checked_rem(candidates.len())?).copied()
+    }
+
+    fn draw_pause(&mut self) -> Duration {
+        if !std::mem::replace(&mut self.wait, true) {
+            return Duration::ZERO;
+        }
+        let pause = self.pause.mul_f32(0.5 + 0.5 * self.random.rand_float());
+        self.pause = self.pause.mul_f32(1.5).min(LONGEST_PAUSE);
+        pause
+    }
+}
--- a/src/bin/brassport/clients/desk.rs
+++ b/src/bin/brassport/clients/desk.rs
@@ -1,9 +1,6 @@
 //! The clients' side: accepts connections, reads requests, checks them and writes the answers.
 
 use crate::backends::attempts::{Backends, Message, BODY_LIMIT};
-use crate::clients::connection;
-use crate::clients::flow::{whole, Outgoing};
-use crate::clients::pulse::Pulse;
 use crate::clients::shift::{Phase, Shift};
 use crate::clients::stats::{Answered, Entry, Fate, Stats};
 use crate::door::{Answer, Door};
@@ -15,6 +12,10 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use springusher::{Effect, Settings};
+use springusher_dataplane::connection;
+use springusher_dataplane::flow::{whole, Outgoing};
+use springusher_dataplane::link::BUFFER;
+use springusher_dataplane::pulse::{Pulse, Times};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io;
@@ -46,16 +47,11 @@
 const BACK_OFF: Duration = Duration::from_millis(20);
 /// Customers are numbers below this.
 const CUSTOMERS: u64 = 1 << 33;
-/// Headers that speak of one connection, or of this front door's own business, and go no further.
-const NOT_PASSED_ON: [HeaderName; 12] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::EXPECT,
+/// How long a client may take over a head: 2 s are honest, and a peer that sends nothing proper is owed an end within
+/// 3 s of connecting. And how long a connection may stand with no byte of a next head.
+const TIMES: Times = Times { head: Duration::from_millis(2600), idle: Duration::from_millis(2000) };
+/// Headers of this front door's own business, which go no further than those of one connection.
+const NOT_PASSED_ON: [HeaderName; 4] = [
     header::CONTENT_LENGTH,
     HeaderName::from_static("usage-percent"),
     HeaderName::from_static("x-load"),
@@ -143,7 +139,7 @@
     let _held = desk.stats.clients.hold();
     let _ = stream.set_nodelay(true);
     let stream = Rc::new(stream);
-    let pulse = Pulse::new();
+    let pulse = Pulse::new(TIMES);
     // Buffers are made once something comes: many connections stand silent, up to the time for their first head.
     // A look at the first byte, as the system's word that there is one may be early.
     let mut first_byte = [0];
@@ -179,7 +175,7 @@
                 _ = shed.changed() => {}
             }
         };
-        connection::drive(&stream, &pulse, service, close).await;
+        connection::drive(&stream, &pulse, BUFFER, service, close).await;
     }
     if !pulse.has_ended() {
         tokio::select! {
@@ -324,20 +320,8 @@
 }
 
 /// What of a message's headers goes on to the other side.
-fn pass_on(mut headers: HeaderMap) -> HeaderMap {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|names| names.split(',').filter_map(|name| name.trim().parse().ok()))
-        .collect();
-    // Few of them are there at all: a look at each header is cheaper than a search for each name.
-    let present: Vec<HeaderName> =
-        headers.keys().filter(|name| NOT_PASSED_ON.contains(name)).cloned().collect();
-    for name in named.iter().chain(&present) {
-        headers.remove(name);
-    }
-    headers
+fn pass_on(headers: HeaderMap) -> HeaderMap {
+    springusher_dataplane::headers::pass_on(headers, &NOT_PASSED_ON)
 }
 
 /// A request that makes sense.
