Give each kind of answer a backend of its own in the executor's test

The balancer now rests a backend that has just declined; the fourth run of the test found its only backend resting. Each case has its own backend now, and must have reached it.

--- a/alderhollow/tests/executor.rs
+++ b/alderhollow/tests/executor.rs
@@ -145,12 +145,19 @@
 #[test]
 fn failures_and_refusals_are_told_apart() {
     in_local_set(async {
-        let script = vec![Reply::Status(500), Reply::Status(422), Reply::NotExecuted, Reply::Status(418)];
-        let setup = setup(script).await;
-        assert_eq!(setup.executor.run(&item(None)).await, RunEnd::Failed);
-        assert_eq!(setup.executor.run(&item(None)).await, RunEnd::Rejected);
-        assert!(matches!(setup.executor.run(&item(None)).await, RunEnd::NotRun { .. }));
-        assert!(matches!(setup.executor.run(&item(None)).await, RunEnd::Cut { .. }));
+        // A setup for each: a backend that has just declined gets nothing for a while.
+        let cases: [(Reply, fn(&RunEnd) -> bool); 4] = [
+            (Reply::Status(500), |end| *end == RunEnd::Failed),
+            (Reply::Status(422), |end| *end == RunEnd::Rejected),
+            (Reply::NotExecuted, |end| matches!(end, RunEnd::NotRun { .. })),
+            (Reply::Status(418), |end| matches!(end, RunEnd::Cut { resume: None, .. })),
+        ];
+        for (reply, is_expected) in cases {
+            let setup = setup(vec![reply.clone()]).await;
+            let end = setup.executor.run(&item(None)).await;
+            assert!(is_expected(&end), "{reply:?}: {end:?}");
+            assert_eq!(setup.backend.requests().len(), 1, "{reply:?}");
+        }
     });
 }
 
