--- a/alderhollow/tests/executor.rs
+++ b/alderhollow/tests/executor.rs
@@ -142,11 +142,14 @@
     });
 }
 
+/// What a run's end should be.
+type Expectation = fn(&RunEnd) -> bool;
+
 #[test]
 fn failures_and_refusals_are_told_apart() {
     in_local_set(async {
         // A setup for each: a backend that has just declined gets nothing for a while.
-        let cases: [(Reply, fn(&RunEnd) -> bool); 4] = [
+        let cases: [(Reply, Expectation); 4] = [
             (Reply::Status(500), |end| *end == RunEnd::Failed),
             (Reply::Status(422), |end| *end == RunEnd::Rejected),
             (Reply::NotExecuted, |end| matches!(end, RunEnd::NotRun { .. })),
