Split the shard keeper and the office into folders of small modules

fleet/src/shards/keeping.rs (1,416 lines) and fleet/src/ownership/office.rs (1,079) had grown to hold all decisions of a door's part. Each is a folder now with one module for each concern (acceptance, fetching, proposals, deciding, planning, leases, sending; granting, campaign, refusals, schedule, owner, peers); the longest has 391 lines.

--- /dev/null
+++ b/fleet/src/ownership/office/peers.rs
@@ -0,0 +1,60 @@
+//! What is known of each other door.
+
+use super::{Note, Office};
+use crate::engine::Micros;
+use crate::names::Id;
+use std::collections::VecDeque;
+
+/// What is known of another door.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Peer {
+    pub(super) life: u64,
+    /// Its clock when it sent what came last, and this door's clock when that came.
+    pub(super) tick: u64,
+    pub(super) heard: Micros,
+    /// Questions that it may still answer, with when each was first asked.
+    pub(super) asked: VecDeque<(u32, Micros)>,
+    pub(super) tries: u8,
+    /// It and this door grant each other nothing.
+    pub(super) differs: bool,
+    /// It has granted a later term than this door asks for.
+    pub(super) behind: bool,
+    /// It has taken part in a term.
+    pub(super) seasoned: bool,
+    /// The roster that its file names, where this door's file names the one that it leaves.
+    pub(super) changing: Option<u64>,
+    /// When it is asked next.
+    pub(super) ask_at: Micros,
+}
+
+impl Office {
+    pub(super) fn others(&self) -> Vec<Id> {
+        self.peers.keys().copied().collect()
+    }
+
+    /// Keeps what is known of the names of all rosters, and forgets the others.
+    pub(super) fn know_peers(&mut self) {
+        let names = self.rosters.names();
+        self.peers.retain(|name, _| names.contains(name));
+        for name in names.into_iter().filter(|name| *name != self.me.name) {
+            self.peers.entry(name).or_default();
+        }
+    }
+
+    /// Tells the log once of what keeps another door and this one from granting each other.
+    pub(super) fn tell_difference(&mut self, name: Id, differs: Option<Note>) {
+        let Some(peer) = self.peers.get_mut(&name) else { return };
+        let before = std::mem::replace(&mut peer.differs, differs.is_some());
+        if let Some(note) = differs.filter(|_| !before) {
+            self.note(note);
+        }
+    }
+
+    /// When the question was asked that this answers.
+    pub(super) fn asked(&mut self, from: Id, number: u32) -> Option<Micros> {
+        let peer = self.peers.get_mut(&from)?;
+        let place = peer.asked.iter().position(|(asked, _)| *asked == number)?;
+        let (_, at) = peer.asked.remove(place)?;
+        Some(at)
+    }
+}
--- /dev/null
+++ b/fleet/src/shards/keeping/sending.rs
@@ -0,0 +1,90 @@
+//! The budget of datagrams and bytes, the times between them, and how one is sent.
+
+use super::Keeping;
+use crate::engine::Micros;
+use crate::names::Id;
+use crate::ownership::office::{renewal, Office, Send};
+use crate::shards::wire::{Datagram, Kind};
+use crate::wire::HEADERS;
+
+/// What is sent in any second: the bucket's size and its rate, in datagrams and in bytes with headers. Beside the
+/// office's that is what an owner may send in all.
+pub(super) const BURST: f64 = 25.0;
+pub(super) const PER_SECOND: f64 = 45.0;
+pub(super) const BURST_BYTES: f64 = 9_000.0;
+pub(super) const BYTES_PER_SECOND: f64 = 12_000.0;
+/// Of those, leases that are renewed in calm; and the part of the bytes that maps leave to leases.
+const KEEPS_PER_SECOND: u64 = 30;
+pub(super) const FOR_LEASES: f64 = 0.2;
+/// After how long what was not answered is sent once more, and after how long from the third time on.
+pub(super) const AGAIN: Micros = 100_000;
+pub(super) const SELDOM: Micros = 500_000;
+/// Bytes of a datagram around what is told of its size, with headers, at most.
+pub(super) const AROUND: usize = 150;
+/// After how long an owner that found nothing to change looks again.
+pub(super) const LOOK: Micros = 500_000;
+pub(super) const MOST_NOTES: usize = 256;
+
+impl Keeping {
+    pub(super) fn fill(&mut self, now: Micros) {
+        self.budget.fill(now);
+        self.bytes.fill(now);
+    }
+
+    /// Whether there is room for so many bytes, with headers, beside a part that is kept for others.
+    pub(super) fn has_room(&self, bytes: usize, kept: f64) -> bool {
+        self.budget.has(1.0, kept) && self.bytes.has(bytes as f64, kept)
+    }
+
+    pub(super) fn put(
+        &mut self,
+        office: &Office,
+        to: Id,
+        stamp: Option<(u64, u64)>,
+        kind: Kind,
+        sends: &mut Vec<Send>,
+    ) {
+        let to_life = office.clock_of(to).map_or(0, |clock| clock.0);
+        self.put_to((to, to_life), stamp, kind, sends);
+    }
+
+    pub(super) fn put_to(
+        &mut self,
+        (to, to_life): (Id, u64),
+        stamp: Option<(u64, u64)>,
+        kind: Kind,
+        sends: &mut Vec<Send>,
+    ) {
+        let bytes = Datagram { from: self.me, life: self.life, to_life, stamp, kind }.encode();
+        self.budget.take(1.0);
+        self.bytes.take((bytes.len() + HEADERS) as f64);
+        self.sent.0 += 1;
+        self.sent.1 += bytes.len() as u64;
+        sends.push(Send { to, bytes });
+    }
+
+    /// Sends if the budget allows it.
+    pub(super) fn put_spared(
+        &mut self,
+        office: &Office,
+        to: Id,
+        stamp: Option<(u64, u64)>,
+        kind: Kind,
+        sends: &mut Vec<Send>,
+    ) {
+        if self.has_room(AROUND, 0.0) {
+            self.put(office, to, stamp, kind, sends);
+        }
+    }
+}
+
+/// The time from one keep lease of a door to the next in calm.
+pub fn period(lease: Micros, others: usize) -> Micros {
+    (2 * renewal(lease, others)).max(others as Micros * 1_000_000 / KEEPS_PER_SECOND)
+}
+
+/// The shortest lease of the office with which an owner can renew the keep leases of so many others: one is given each
+/// period, from when the door was last heard, and one that is lost has no other in time.
+pub fn least_lease(others: usize) -> Micros {
+    (period(0, others) + renewal(0, others)) * 6 / 10
+}
