--- a/alderhollow/src/front/body.rs
+++ b/alderhollow/src/front/body.rs
@@ -3,8 +3,8 @@
 
 use super::writing::{Writing, Written};
 use hyper::body::{Body, Bytes, Frame, SizeHint};
+use springusher_dataplane::activity::Busy;
 use springusher_dataplane::flow::Cut;
-use springusher_dataplane::pulse::Busy;
 use std::cell::RefCell;
 use std::future::{poll_fn, Future};
 use std::pin::Pin;
--- a/alderhollow/src/front/client.rs
+++ b/alderhollow/src/front/client.rs
@@ -8,8 +8,8 @@
 use hyper::header::{self, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{Request, Response};
+use springusher_dataplane::activity::{ConnectionActivity, Times};
 use springusher_dataplane::connection;
-use springusher_dataplane::pulse::{Pulse, Times};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,15 +33,16 @@
     if !begins(&stream, idle, phase.clone()).await {
         return;
     }
-    let pulse = Pulse::new(Times { head: Duration::from_millis(limits.header_timeout_ms), idle });
+    let activity =
+        ConnectionActivity::new(Times { head: Duration::from_millis(limits.header_timeout_ms), idle });
     let writing = Rc::new(Writing::default());
     let service = service_fn(|request: Request<Incoming>| {
-        let (front, pulse, writing) = (front.clone(), pulse.clone(), writing.clone());
-        let busy = pulse.asked();
+        let (front, activity, writing) = (front.clone(), activity.clone(), writing.clone());
+        let busy = activity.asked();
         // Boxed, or each connection would hold room for it all the time.
         Box::pin(async move {
             let mut response = front.answer(request).await;
-            if pulse.is_closing() {
+            if activity.is_closing() {
                 close_behind(&mut response);
             }
             response.body_mut().hold(busy, &writing);
@@ -55,11 +56,11 @@
     };
     tokio::select! {
         biased;
-        () = connection::drive(&stream, &pulse, buffer, service, leaving) => {}
+        () = connection::drive(&stream, &activity, buffer, service, leaving) => {}
         // Cut off, as the answer is not whole.
         () = writing.overdue() => return,
     }
-    if !pulse.has_ended() {
+    if !activity.has_ended() {
         connection::close(&stream).await;
     }
 }
--- a/dataplane/src/activity.rs
+++ b/dataplane/src/activity.rs
@@ -41,7 +41,7 @@
 }
 
 /// What one connection of a client waits for, and since when.
-pub struct Pulse {
+pub struct ConnectionActivity {
     times: Times,
     state: Cell<State>,
     /// Told when a request has been answered: until then there is nothing to look for.
@@ -54,10 +54,10 @@
     closing: Cell<bool>,
 }
 
-impl Pulse {
+impl ConnectionActivity {
     /// Of a connection that has just come: its first head is due.
-    pub fn new(times: Times) -> Rc<Pulse> {
-        Rc::new(Pulse {
+    pub fn new(times: Times) -> Rc<ConnectionActivity> {
+        Rc::new(ConnectionActivity {
             times,
             state: Cell::new(State::Head(Instant::now())),
             answered: Notify::new(),
@@ -130,7 +130,7 @@
 }
 
 /// A request that is not answered yet.
-pub struct Busy(Rc<Pulse>);
+pub struct Busy(Rc<ConnectionActivity>);
 
 impl Drop for Busy {
     fn drop(&mut self) {
@@ -140,27 +140,27 @@
 }
 
 /// A client's socket, which tells when bytes come and whether anybody waits for more.
-pub struct Felt {
+pub struct ObservedStream {
     stream: Rc<TcpStream>,
-    pulse: Rc<Pulse>,
+    activity: Rc<ConnectionActivity>,
 }
 
-impl Felt {
+impl ObservedStream {
     /// The socket, and where it tells.
-    pub fn new(stream: Rc<TcpStream>, pulse: Rc<Pulse>) -> Felt {
-        Felt { stream, pulse }
+    pub fn new(stream: Rc<TcpStream>, activity: Rc<ConnectionActivity>) -> ObservedStream {
+        ObservedStream { stream, activity }
     }
 }
 
-impl AsyncRead for Felt {
+impl AsyncRead for ObservedStream {
     fn poll_read(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let Felt { stream, pulse } = &*self;
+        let ObservedStream { stream, activity } = &*self;
         let room = buffer.remaining();
-        pulse.watched.set(true);
+        activity.watched.set(true);
         loop {
             ready!(stream.poll_read_ready(context))?;
             let read = stream.try_read_buf(buffer);
@@ -171,17 +171,17 @@
                     let nothing = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
                     let _ = stream.try_io(Interest::READABLE, nothing);
                 }
-                Ok(0) | Err(_) => pulse.ended.set(true),
+                Ok(0) | Err(_) => activity.ended.set(true),
                 Ok(_) => {}
             }
-            pulse.watched.set(false);
-            pulse.bytes_came();
+            activity.watched.set(false);
+            activity.bytes_came();
             return Poll::Ready(read.map(drop));
         }
     }
 }
 
-impl AsyncWrite for Felt {
+impl AsyncWrite for ObservedStream {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         self.write(context, |stream| stream.try_write(bytes))
     }
@@ -204,7 +204,7 @@
     }
 }
 
-impl Felt {
+impl ObservedStream {
     fn write(
         &self,
         context: &mut Context<'_>,
@@ -221,46 +221,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use std::future::Future;
-    use tokio::time::timeout;
-
-    const HEAD: Duration = Duration::from_millis(2600);
-    const IDLE: Duration = Duration::from_millis(2000);
-
-    #[tokio::test(start_paused = true)]
-    async fn a_pause_is_not_taken_from_the_time_for_the_next_head() {
-        let pulse = Pulse::new(Times { head: HEAD, idle: IDLE });
-        let start = Instant::now();
-        assert_eq!(pulse.overdue().await, Due::Head);
-        assert_eq!(start.elapsed(), HEAD);
-        let busy = pulse.asked();
-        tokio::select! {
-            _ = pulse.overdue() => panic!("a request may take as long as it does"),
-            () = sleep(3 * HEAD) => drop(busy),
-        }
-        sleep(IDLE * 3 / 4).await;
-        pulse.bytes_came();
-        let start = Instant::now();
-        assert_eq!(pulse.overdue().await, Due::Head);
-        assert_eq!(start.elapsed(), HEAD);
-        drop(pulse.asked());
-        assert_eq!(pulse.overdue().await, Due::Idle);
-        let busy = pulse.asked();
-        let mut looks = 0;
-        let mut overdue = std::pin::pin!(pulse.overdue());
-        let looking = std::future::poll_fn(|context| {
-            looks += 1;
-            overdue.as_mut().poll(context)
-        });
-        assert!(timeout(100 * HEAD, looking).await.is_err());
-        assert!(looks <= 3, "a request that takes long is looked at {looks} times");
-        drop(busy);
-        assert_eq!(overdue.await, Due::Idle);
-        let start = Instant::now();
-        pulse.bytes_came();
-        pulse.head_overdue().await;
-        assert_eq!(start.elapsed(), HEAD);
-    }
-}
+mod tests;
--- a/dataplane/src/connection.rs
+++ b/dataplane/src/connection.rs
@@ -1,6 +1,6 @@
 //! One connection of a client: driven until it has ended, or until it is told to end and nothing of a request is on it.
 
-use crate::pulse::{Due, Felt, Pulse};
+use crate::activity::{ConnectionActivity, Due, ObservedStream};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::HttpService;
@@ -44,7 +44,7 @@
 /// gone, or what it sent is no HTTP.
 pub async fn drive<S>(
     stream: &Rc<TcpStream>,
-    pulse: &Rc<Pulse>,
+    activity: &Rc<ConnectionActivity>,
     buffer: usize,
     service: S,
     close: impl Future<Output = ()>,
@@ -56,18 +56,18 @@
 {
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(None).max_buf_size(buffer);
-    let socket = TokioIo::new(Felt::new(stream.clone(), pulse.clone()));
+    let socket = TokioIo::new(ObservedStream::new(stream.clone(), activity.clone()));
     let mut serving = pin!(builder.serve_connection(socket, service));
     let mut close = pin!(close);
     let mut left = pin!(stream.ready(Interest::PRIORITY));
     loop {
         let step = poll_fn(|context| {
-            if poll_end(serving.as_mut(), left.as_mut(), pulse, context).is_ready() {
+            if poll_end(serving.as_mut(), left.as_mut(), activity, context).is_ready() {
                 return Poll::Ready(Step::Ended);
             }
             // Asked of the system itself, in the same step as the close: a request may have come since it last spoke.
-            let closable = pulse.is_busy() || pulse.is_idle() && is_empty(stream);
-            if pulse.is_closing() && closable {
+            let closable = activity.is_busy() || activity.is_idle() && is_empty(stream);
+            if activity.is_closing() && closable {
                 return Poll::Ready(Step::Closable);
             }
             Poll::Pending
@@ -75,18 +75,18 @@
         let step = tokio::select! {
             biased;
             step = step => step,
-            () = close.as_mut(), if !pulse.is_closing() => Step::Told,
-            due = pulse.overdue() => Step::Due(due),
+            () = close.as_mut(), if !activity.is_closing() => Step::Told,
+            due = activity.overdue() => Step::Due(due),
         };
         match step {
             Step::Ended => return,
             Step::Closable => break,
-            Step::Told => pulse.close(),
+            Step::Told => activity.close(),
             Step::Due(Due::Head) if is_empty(stream) => return,
             // What came in this very moment is read first.
             Step::Due(due) => {
                 if due == Due::Idle {
-                    pulse.close();
+                    activity.close();
                 }
                 yield_now().await;
             }
@@ -97,8 +97,8 @@
     // Guards against a client that reads no more, or a head that never ends: either would hold the connection.
     tokio::select! {
         biased;
-        () = poll_fn(|context| poll_end(serving.as_mut(), left.as_mut(), pulse, context)) => {}
-        () = pulse.head_overdue() => {}
+        () = poll_fn(|context| poll_end(serving.as_mut(), left.as_mut(), activity, context)) => {}
+        () = activity.head_overdue() => {}
         () = sleep(LAST_WORDS) => {}
     }
 }
@@ -108,14 +108,14 @@
 fn poll_end(
     serving: Pin<&mut impl Future>,
     left: Pin<&mut impl Future>,
-    pulse: &Pulse,
+    activity: &ConnectionActivity,
     context: &mut Context<'_>,
 ) -> Poll<()> {
-    pulse.driven();
+    activity.driven();
     if serving.poll(context).is_ready() {
         return Poll::Ready(());
     }
-    if pulse.is_blind() {
+    if activity.is_blind() {
         return left.poll(context).map(drop);
     }
     Poll::Pending
--- a/dataplane/src/connection/tests.rs
+++ b/dataplane/src/connection/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
+use crate::activity::Times;
 use crate::link::BUFFER;
-use crate::pulse::Times;
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::service::service_fn;
@@ -43,20 +43,20 @@
 
 /// Drives the connection until `close`, then ends it. Counts the requests that were begun.
 async fn serve(stream: &Rc<TcpStream>, begun: &Cell<u32>, close: impl Future<Output = ()>) {
-    let pulse = Pulse::new(TIMES);
+    let activity = ConnectionActivity::new(TIMES);
     let service = service_fn(|_: Request<Incoming>| {
         begun.set(begun.get() + 1);
-        let (pulse, busy) = (pulse.clone(), pulse.asked());
+        let (activity, busy) = (activity.clone(), activity.asked());
         async move {
             let mut response = Response::new(Full::new(Bytes::from_static(b"served")));
-            if pulse.is_closing() {
+            if activity.is_closing() {
                 response.headers_mut().insert("connection", "close".parse().expect("a value"));
             }
             drop(busy);
             Ok::<_, Infallible>(response)
         }
     });
-    drive(stream, &pulse, BUFFER, service, close).await;
+    drive(stream, &activity, BUFFER, service, close).await;
     super::close(stream).await;
 }
 
--- a/dataplane/src/lib.rs
+++ b/dataplane/src/lib.rs
@@ -4,8 +4,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod activity;
 pub mod connection;
 pub mod flow;
 pub mod headers;
 pub mod link;
-pub mod pulse;
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -370,7 +370,7 @@
         self.servers.iter().map(learned).collect()
     }
 
-    pub(crate) fn inherit(&mut self, learned: Vec<Learned>) {
+    pub(crate) fn take_over(&mut self, learned: Vec<Learned>) {
         for (id, slowness, judged, strikes, ejected_until) in learned {
             if let Some(server) = self.servers.get_mut(&id) {
                 (server.slowness, server.judged) = (slowness, judged);
--- a/src/bin/brassport/backends/attempts.rs
+++ b/src/bin/brassport/backends/attempts.rs
@@ -2,7 +2,7 @@
 
 use crate::backends::pool::{Pool, Pooled};
 use crate::backends::sessions::Sent;
-use crate::clients::desk;
+use crate::clients::connections;
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
@@ -170,7 +170,7 @@
         if !self.pool.is_watched() {
             return None;
         }
-        desk::customer(order.message.headers.get(header::COOKIE)?.to_str().ok()?.trim())
+        connections::customer(order.message.headers.get(header::COOKIE)?.to_str().ok()?.trim())
     }
 
     async fn exchange(
--- a/src/bin/brassport/backends/discovery.rs
+++ b/src/bin/brassport/backends/discovery.rs
@@ -15,45 +15,48 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout_at, Instant};
 
-/// How long a watch may wait for news, and how long its answer may take beyond that; a shorter `OVERDUE` would give up
-/// answers that stand in a queue.
-const WAIT: Duration = Duration::from_millis(4000);
-const OVERDUE: Duration = Duration::from_millis(1000);
+/// How long a watch may wait for news, and how long its answer may take beyond that; a shorter `ANSWER_ALLOWANCE` would
+/// give up answers that stand in a queue.
+const WATCH_WAIT: Duration = Duration::from_millis(4000);
+const ANSWER_ALLOWANCE: Duration = Duration::from_millis(1000);
 /// What there is to tell binds 6 s after discovery had it and could be reached, and 4 s after SIGHUP: calls go out
-/// `AGAIN` and `MOVED` after that at the latest, which leaves their answers 0.3 s. So the worst case is
+/// `CALL_WITHIN` and `CALL_WITHIN_AFTER_MOVE` after that at the latest, which leaves their answers 0.3 s. So the worst
+/// case is
 ///
-/// - `AGAIN` + the answer's time from the beginning of any call, watch or pause on, as well if the call after the pause
-///   falls silent: a pause lasts `AGAIN - SHORT - ROOM` at the most, the silent call `SHORT`, and `ROOM` is left for
-///   the pause before the one that is answered;
+/// - `CALL_WITHIN` + the answer's time from the beginning of any call, watch or pause on, as well if the call after the
+///   pause falls silent: a pause lasts `CALL_WITHIN - SHORT_CALL_LIMIT - LEAST_PAUSE` at the most, the silent call
+///   `SHORT_CALL_LIMIT`, and `LEAST_PAUSE` is left for the pause before the one that is answered;
 /// - the same from the process's start on, as the first calls are spread over less than the longest pause;
-/// - `MOVED` + the answer's time after SIGHUP, with one silent call as well;
-/// - `GLANCE_LASTS` + 1.5 x `BACK_OFF` + the answer's time where no call is work for discovery, once one has failed.
+/// - `CALL_WITHIN_AFTER_MOVE` + the answer's time after SIGHUP, with one silent call as well;
+/// - `LOCAL_CALL_LIMIT` + 1.5 x `BACK_OFF` + the answer's time where no call is work for discovery, once one has
+///   failed.
 ///
-/// After a watch that fell silent, `AGAIN - WAIT - OVERDUE` = 0.7 s is what the next calls are spread over.
-const AGAIN: Duration = Duration::from_millis(5700);
-const MOVED: Duration = Duration::from_millis(3700);
+/// After a watch that fell silent, `CALL_WITHIN - WATCH_WAIT - ANSWER_ALLOWANCE` = 0.7 s is what the next calls are
+/// spread over.
+const CALL_WITHIN: Duration = Duration::from_millis(5700);
+const CALL_WITHIN_AFTER_MOVE: Duration = Duration::from_millis(3700);
 /// Who has no answer to go by asks with a wait that is short, so that silence is found out soon, and there is time for
 /// a second call. Such a call takes so long at the most.
-const GLANCE: Duration = Duration::from_millis(200);
-const SHORT: Duration = GLANCE.saturating_add(OVERDUE);
+const SHORT_WAIT: Duration = Duration::from_millis(200);
+const SHORT_CALL_LIMIT: Duration = SHORT_WAIT.saturating_add(ANSWER_ALLOWANCE);
 /// The least that is left for the pause after a call that fell silent after a pause.
-const ROOM: Duration = Duration::from_millis(200);
+const LEAST_PAUSE: Duration = Duration::from_millis(200);
 /// An agent on the door's own machine answers at no cost, and what it has binds whether or not a watch is open: after
 /// a failure its answer has to begin so soon, and half a second at the most passes from one call to the next. What
-/// cannot be so quick has `SHORT`: an answer that has begun, a whole list, and a process's start.
-const GLANCE_LASTS: Duration = Duration::from_millis(350);
+/// cannot be so quick has `SHORT_CALL_LIMIT`: an answer that has begun, a whole list, and a process's start.
+const LOCAL_CALL_LIMIT: Duration = Duration::from_millis(350);
 /// Between an answer and the next call: a watch goes on if the call comes within 200 ms, and an agent that
 /// answers at once, whatever it is asked, must not keep the door busy.
-const PACE: Duration = Duration::from_millis(20);
+const CALL_GAP: Duration = Duration::from_millis(20);
 /// Back-off after a call that failed, at the first, and how many times that it grows to.
 const BACK_OFF: Duration = Duration::from_millis(100);
 const GROWTH: u32 = 4;
 /// Where each call is work for a discovery that serves all front doors, their calls are spread over so much for
 /// each of them: those that start or are turned away together must not come together.
-const TURN: Duration = Duration::from_millis(40);
+const SPREAD_PER_CALLER: Duration = Duration::from_millis(40);
 /// The most that the first calls are spread over: until then the list held may be old. No more come in a second
 /// than of watches that wait.
-const START_SPREAD: Duration = WAIT;
+const START_SPREAD: Duration = WATCH_WAIT;
 /// Most bytes of a list.
 const LIST_LIMIT: usize = 1 << 20;
 
@@ -105,19 +108,19 @@
 
 /// What became of the last call.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum Past {
-    Nothing,
-    Answer,
-    Failure,
+enum LastCall {
+    None,
+    Answered,
+    Failed,
 }
 
 /// When discovery is called, and how long it may take. It is told the time.
-pub struct Pace {
+pub struct CallSchedule {
     rng: Rand32,
     spread: Duration,
     first: Duration,
     back_off: Duration,
-    past: Past,
+    last_call: LastCall,
     /// By when a call has to have begun that is not silent, and how many may still be made by then, of two.
     due: Instant,
     left: u8,
@@ -127,18 +130,18 @@
     paused: Instant,
 }
 
-impl Pace {
+impl CallSchedule {
     /// `callers` is how many front doors there are whose calls are work for discovery.
-    pub fn new(callers: u32, seed: u64, now: Instant) -> Pace {
-        let spread = TURN * callers;
+    pub fn new(callers: u32, seed: u64, now: Instant) -> CallSchedule {
+        let spread = SPREAD_PER_CALLER * callers;
         let first = spread.max(BACK_OFF);
-        Pace {
+        CallSchedule {
             rng: Rand32::new(seed),
             spread,
             first,
             back_off: first,
-            past: Past::Nothing,
-            due: now + AGAIN,
+            last_call: LastCall::None,
+            due: now + CALL_WITHIN,
             left: 2,
             is_firm: true,
             paused: now,
@@ -151,10 +154,14 @@
     /// How long the next call may wait for news, until its answer has to have begun, and until it has to be whole, where
     /// a version is held or not.
     fn call(&self, holds: bool) -> (Duration, Duration, Duration) {
-        match self.past {
-            Past::Answer if holds => (WAIT, WAIT + OVERDUE, WAIT + OVERDUE),
-            Past::Failure if holds && !self.is_shared() => (GLANCE, GLANCE_LASTS, SHORT),
-            _ => (GLANCE, SHORT, SHORT),
+        match self.last_call {
+            LastCall::Answered if holds => {
+                (WATCH_WAIT, WATCH_WAIT + ANSWER_ALLOWANCE, WATCH_WAIT + ANSWER_ALLOWANCE)
+            }
+            LastCall::Failed if holds && !self.is_shared() => {
+                (SHORT_WAIT, LOCAL_CALL_LIMIT, SHORT_CALL_LIMIT)
+            }
+            _ => (SHORT_WAIT, SHORT_CALL_LIMIT, SHORT_CALL_LIMIT),
         }
     }
     /// How long to wait before the first call.
@@ -164,34 +171,34 @@
     /// Another address is asked from now on.
     fn moved(&mut self, now: Instant) {
         self.answered(now);
-        (self.past, self.due, self.is_firm) = (Past::Nothing, now + MOVED, true);
+        (self.last_call, self.due, self.is_firm) = (LastCall::None, now + CALL_WITHIN_AFTER_MOVE, true);
     }
     /// How long to wait after a call that began at `began` and failed at `now`: longer each time, as far as what is due
     /// allows. The first pause leaves time for a second call should the next one be silent. Who is turned away has not
     /// reached discovery: what it had before its call is due anew.
     fn failed(&mut self, began: Instant, now: Instant, turned_away: bool) -> Duration {
         if self.left == 0 {
-            (self.due, self.left, self.is_firm) = (self.paused + AGAIN, 2, false);
+            (self.due, self.left, self.is_firm) = (self.paused + CALL_WITHIN, 2, false);
         }
         if turned_away && !self.is_firm {
-            (self.due, self.left) = (self.due.max(began + AGAIN), 2);
+            (self.due, self.left) = (self.due.max(began + CALL_WITHIN), 2);
         }
-        let early = self.due - SHORT - ROOM;
+        let early = self.due - SHORT_CALL_LIMIT - LEAST_PAUSE;
         let leaves_time = self.left == 2 && now < early;
         let until = if leaves_time { early } else { self.due };
         self.left = u8::from(leaves_time);
-        let longest = self.back_off.mul_f32(1.5).min(AGAIN - SHORT - ROOM);
+        let longest = self.back_off.mul_f32(1.5).min(CALL_WITHIN - SHORT_CALL_LIMIT - LEAST_PAUSE);
         let longest = longest.min(until.saturating_duration_since(now));
         if self.is_shared() {
             self.back_off = (2 * self.back_off).min(GROWTH * self.first);
         }
-        (self.past, self.paused) = (Past::Failure, now);
+        (self.last_call, self.paused) = (LastCall::Failed, now);
         longest.mul_f32((1.0 + 2.0 * self.rng.rand_float()) / 3.0)
     }
     fn answered(&mut self, now: Instant) {
         self.back_off = self.first;
-        (self.due, self.left, self.is_firm) = (now + AGAIN, 2, false);
-        (self.past, self.paused) = (Past::Answer, now);
+        (self.due, self.left, self.is_firm) = (now + CALL_WITHIN, 2, false);
+        (self.last_call, self.paused) = (LastCall::Answered, now);
     }
 }
 
@@ -221,33 +228,33 @@
     addresses: watch::Receiver<SocketAddr>,
     told: impl Fn(ListKind, List),
     last: Option<u64>,
-    pace: Pace,
+    schedule: CallSchedule,
     open: Gauge,
 ) {
-    follow(addresses, told, last, pace, Caller { gauge: open, link: None, answer: None }).await;
+    follow(addresses, told, last, schedule, Caller { gauge: open, link: None, answer: None }).await;
 }
 
 async fn follow(
     mut addresses: watch::Receiver<SocketAddr>,
     told: impl Fn(ListKind, List),
     mut last: Option<u64>,
-    mut pace: Pace,
+    mut schedule: CallSchedule,
     mut source: impl Source,
 ) {
     // Who holds nothing cannot wait.
     if last.is_some() {
-        rest(&mut addresses, pace.start()).await;
+        rest(&mut addresses, schedule.start()).await;
     }
     loop {
         // What came meanwhile from an agent that has been replaced counts no more: the list is asked anew.
         if addresses.has_changed().unwrap_or(false) {
             source.hang_up();
             last = None;
-            pace.moved(Instant::now());
+            schedule.moved(Instant::now());
         }
         let address = *addresses.borrow_and_update();
         let began = Instant::now();
-        let (wait, begins, lasts) = pace.call(last.is_some());
+        let (wait, begins, lasts) = schedule.call(last.is_some());
         // Guards against an agent that is silent: a call is given up and its connection closed.
         let call = async {
             timeout_at(began + begins, source.ask(address, last, wait))
@@ -268,9 +275,9 @@
         match answer {
             Ok(list) => {
                 last = Some(list.rev);
-                pace.answered(Instant::now());
+                schedule.answered(Instant::now());
                 told(if list.all { ListKind::Full } else { ListKind::Delta }, list);
-                sleep(PACE).await;
+                sleep(CALL_GAP).await;
             }
             Err(problem) => {
                 source.hang_up();
@@ -279,7 +286,7 @@
                 if problem == Problem::Unreadable {
                     last = None;
                 }
-                let pause = pace.failed(began, Instant::now(), problem == Problem::TurnedAway);
+                let pause = schedule.failed(began, Instant::now(), problem == Problem::TurnedAway);
                 rest(&mut addresses, pause).await;
             }
         }
--- a/src/bin/brassport/backends/discovery/tests.rs
+++ b/src/bin/brassport/backends/discovery/tests.rs
@@ -49,9 +49,9 @@
         }
     }
     /// Runs one front door in it until it is told of the change.
-    async fn run(self: &Rc<Self>, addresses: watch::Receiver<SocketAddr>, pace: Pace) {
+    async fn run(self: &Rc<Self>, addresses: watch::Receiver<SocketAddr>, schedule: CallSchedule) {
         let told = self.clone();
-        let door = follow(addresses, move |_, list| told.take_in(&list), Some(1), pace, Asked::of(self));
+        let door = follow(addresses, move |_, list| told.take_in(&list), Some(1), schedule, Asked::of(self));
         tokio::select! {
             () = door => {}
             () = self.is_told.notified() => {}
@@ -161,7 +161,7 @@
             false => Fate::Answered,
         });
         let (_agent, agents) = watch::channel(somewhere(1));
-        let run = world.run(agents, Pace::new(callers, seed, now));
+        let run = world.run(agents, CallSchedule::new(callers, seed, now));
         timeout(Duration::from_secs(60), run).await.expect("the news is told");
         longest = longest.max(world.told.get().expect("told").saturating_duration_since(change));
     }
@@ -173,7 +173,7 @@
     for callers in [1, 6, 60, 300] {
         for is_next_silent in [false, true] {
             let longest = longest(callers, is_next_silent).await;
-            assert!(longest <= AGAIN + 2 * ANSWER, "{callers} doors, {is_next_silent}: {longest:?}");
+            assert!(longest <= CALL_WITHIN + 2 * ANSWER, "{callers} doors, {is_next_silent}: {longest:?}");
         }
     }
 }
@@ -183,8 +183,11 @@
     // A watch that falls silent, or what has begun to come and never ends, and a silent call after that.
     let pause = BACK_OFF.mul_f32(1.5);
     let longest = [longest(0, false).await, longest(0, true).await];
-    assert!(longest[0] <= WAIT + OVERDUE + pause + 2 * ANSWER, "{longest:?}");
-    assert!(longest[1] <= WAIT + OVERDUE + pause + 2 * ANSWER + SHORT, "{longest:?}");
+    assert!(longest[0] <= WATCH_WAIT + ANSWER_ALLOWANCE + pause + 2 * ANSWER, "{longest:?}");
+    assert!(
+        longest[1] <= WATCH_WAIT + ANSWER_ALLOWANCE + pause + 2 * ANSWER + SHORT_CALL_LIMIT,
+        "{longest:?}"
+    );
 }
 
 #[tokio::test(start_paused = true)]
@@ -213,13 +216,13 @@
                 agent.send_replace(somewhere(2));
                 std::future::pending::<()>().await;
             };
-            let run = world.run(agents, Pace::new(callers, seed, Instant::now()));
+            let run = world.run(agents, CallSchedule::new(callers, seed, Instant::now()));
             tokio::select! {
                 () = run => {}
                 () = moves => {}
             }
             let took = world.told.get().expect("told").saturating_duration_since(signal);
-            assert!(took <= MOVED + 2 * ANSWER, "{callers} doors, seed {seed}: {took:?}");
+            assert!(took <= CALL_WITHIN_AFTER_MOVE + 2 * ANSWER, "{callers} doors, seed {seed}: {took:?}");
         }
     }
 }
@@ -230,21 +233,21 @@
     let start = Instant::now();
     for door in 0..300 {
         let mut rng = Rand32::new(door);
-        let mut pace = Pace::new(300, door + 300, start);
+        let mut schedule = CallSchedule::new(300, door + 300, start);
         // Where it is in its watch when the trouble begins, told as the moment at which that began.
         let mut now = start + millis(rng.rand_range(0..4000));
-        pace.answered(now);
+        schedule.answered(now);
         let mut began = now;
-        now = start + WAIT;
+        now = start + WATCH_WAIT;
         let refused = matches!(fate, Fate::Refused(_));
         if fate == Fate::Silent {
-            now = began + WAIT + OVERDUE;
+            now = began + WATCH_WAIT + ANSWER_ALLOWANCE;
         }
         while now < start + Duration::from_secs(40) {
-            now += pace.failed(began, now, refused);
+            now += schedule.failed(began, now, refused);
             calls.push(now);
             began = now;
-            now += if fate == Fate::Silent { pace.call(true).1 } else { Duration::ZERO };
+            now += if fate == Fate::Silent { schedule.call(true).1 } else { Duration::ZERO };
         }
     }
     calls.sort_unstable();
@@ -266,17 +269,19 @@
 }
 
 /// When each of a hundred calls, the first one or the first after a failure.
-fn calls(wait: impl Fn(&mut Pace, Instant) -> Duration) -> Vec<u128> {
+fn calls(wait: impl Fn(&mut CallSchedule, Instant) -> Duration) -> Vec<u128> {
     let now = Instant::now();
     let mut calls: Vec<_> =
-        (0..100).map(|seed| wait(&mut Pace::new(100, seed, now), now).as_millis()).collect();
+        (0..100).map(|seed| wait(&mut CallSchedule::new(100, seed, now), now).as_millis()).collect();
     calls.sort_unstable();
     calls
 }
 
 #[test]
 fn those_that_start_or_are_turned_away_together_do_not_call_together() {
-    for calls in [calls(|pace, _| pace.start()), calls(|pace, now| pace.failed(now, now, true))] {
+    for calls in
+        [calls(|schedule, _| schedule.start()), calls(|schedule, now| schedule.failed(now, now, true))]
+    {
         let most = calls.windows(25).map(|some| some[24] - some[0]).min();
         assert!(most >= Some(500), "a quarter of a hundred calls within {most:?} ms");
     }
@@ -285,33 +290,33 @@
 #[test]
 fn waits_grow_until_a_call_is_answered() {
     let now = Instant::now();
-    let mut pace = Pace::new(2, 7, now);
+    let mut schedule = CallSchedule::new(2, 7, now);
     assert_eq!(
-        Pace::new(0, 7, now).start(),
+        CallSchedule::new(0, 7, now).start(),
         Duration::ZERO,
         "an agent that is told all by itself is asked at once"
     );
-    let waits: Vec<_> = (0..6).map(|_| pace.failed(now, now, true).as_millis()).collect();
+    let waits: Vec<_> = (0..6).map(|_| schedule.failed(now, now, true).as_millis()).collect();
     assert!(waits[0] <= 150 && (200..=600).contains(&waits[4]) && waits[5] <= 600, "{waits:?}");
-    pace.answered(now);
-    assert!(pace.failed(now, now, true).as_millis() <= 150);
+    schedule.answered(now);
+    assert!(schedule.failed(now, now, true).as_millis() <= 150);
 }
 
 #[test]
 fn a_large_fleet_asks_again_before_what_it_missed_binds() {
     let start = Instant::now();
     for seed in 0..1000 {
-        let mut pace = Pace::new(300, seed, start);
-        assert!(pace.start() <= START_SPREAD);
-        for elapsed in [Duration::ZERO, WAIT / 2, WAIT + OVERDUE] {
-            pace.answered(start);
-            let wait = pace.failed(start, start + elapsed, false);
-            assert!(elapsed + wait <= AGAIN, "silent for {elapsed:?}, asked {wait:?} later");
+        let mut schedule = CallSchedule::new(300, seed, start);
+        assert!(schedule.start() <= START_SPREAD);
+        for elapsed in [Duration::ZERO, WATCH_WAIT / 2, WATCH_WAIT + ANSWER_ALLOWANCE] {
+            schedule.answered(start);
+            let wait = schedule.failed(start, start + elapsed, false);
+            assert!(elapsed + wait <= CALL_WITHIN, "silent for {elapsed:?}, asked {wait:?} later");
             // From then on it is a discovery that turns them away, and the doors' calls are not to come together.
             let mut now = start + elapsed + wait;
             for _ in 0..5 {
-                let wait = pace.failed(now, now, true);
-                assert!(wait >= AGAIN / 4 && wait <= AGAIN, "{wait:?}");
+                let wait = schedule.failed(now, now, true);
+                assert!(wait >= CALL_WITHIN / 4 && wait <= CALL_WITHIN, "{wait:?}");
                 now += wait;
             }
         }
@@ -321,16 +326,16 @@
 #[test]
 fn an_agent_that_is_told_all_by_itself_is_asked_again_within_half_a_second() {
     let mut now = Instant::now();
-    let mut pace = Pace::new(0, 7, now);
-    assert_eq!(pace.start(), Duration::ZERO, "it is asked at once");
-    assert_eq!(pace.call(true).0, GLANCE, "nothing says that it speaks");
+    let mut schedule = CallSchedule::new(0, 7, now);
+    assert_eq!(schedule.start(), Duration::ZERO, "it is asked at once");
+    assert_eq!(schedule.call(true).0, SHORT_WAIT, "nothing says that it speaks");
     for _ in 0..100 {
         let began = now;
-        now += GLANCE_LASTS;
-        let pause = pace.failed(began, now, false);
-        assert!(pause >= BACK_OFF / 2 && pace.call(true).1 + pause <= Duration::from_millis(500));
+        now += LOCAL_CALL_LIMIT;
+        let pause = schedule.failed(began, now, false);
+        assert!(pause >= BACK_OFF / 2 && schedule.call(true).1 + pause <= Duration::from_millis(500));
         now += pause;
     }
-    pace.answered(now);
-    assert_eq!(pace.call(true).0, WAIT);
+    schedule.answered(now);
+    assert_eq!(schedule.call(true).0, WATCH_WAIT);
 }
--- a/src/bin/brassport/clients/connections.rs
+++ b/src/bin/brassport/clients/connections.rs
@@ -1,7 +1,7 @@
 //! The clients' side: accepts connections, reads requests, checks them and writes the answers.
 
 use crate::backends::attempts::{Backends, Message, BODY_LIMIT};
-use crate::clients::shift::{Phase, Shift};
+use crate::clients::phase::{Phase, PhaseControl};
 use crate::clients::stats::{Answered, Entry, Fate, Stats};
 use crate::door::{Answer, Door};
 use crate::life::config::Names;
@@ -12,10 +12,10 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use springusher::{Effect, Settings};
+use springusher_dataplane::activity::{ConnectionActivity, Times};
 use springusher_dataplane::connection;
 use springusher_dataplane::flow::{whole, Outgoing};
 use springusher_dataplane::link::BUFFER;
-use springusher_dataplane::pulse::{Pulse, Times};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io;
@@ -59,12 +59,12 @@
 ];
 
 /// What every connection needs.
-pub struct Desk {
+pub struct ConnectionContext {
     pub door: Rc<Door>,
     pub backends: Rc<Backends>,
     pub names: Names,
     pub settings: Settings,
-    pub shift: Rc<Shift>,
+    pub phase_control: Rc<PhaseControl>,
     pub stats: Rc<Stats>,
     /// Bytes of bodies that may be kept for further attempts, over all requests.
     pub room: Arc<Semaphore>,
@@ -73,19 +73,19 @@
 }
 
 /// Accepts clients until the shutdown closes the door, then returns once every connection has ended.
-pub async fn serve(listener: TcpListener, desk: Rc<Desk>, descriptors: Arc<Semaphore>) {
+pub async fn serve(listener: TcpListener, context: Rc<ConnectionContext>, descriptors: Arc<Semaphore>) {
     let reserve = RESERVE.min(descriptors.available_permits() / RESERVE_PART);
     let (shed, _) = watch::channel(());
     // Guards against connections that stand idle and hold all descriptors.
     let spare = |least: usize| {
-        while descriptors.available_permits() < least && desk.backends.pool.shed_idle() {}
+        while descriptors.available_permits() < least && context.backends.pool.shed_idle() {}
         let spare = descriptors.available_permits() >= least;
         if !spare {
             shed.send_replace(());
         }
         spare
     };
-    let mut phase = desk.shift.watch();
+    let mut phase = context.phase_control.watch();
     let mut connections = JoinSet::new();
     let mut turned_away = 0;
     loop {
@@ -97,13 +97,13 @@
             Ok::<_, io::Error>((stream, descriptor))
         };
         tokio::select! {
-            changed = phase.changed() => match desk.shift.phase() {
+            changed = phase.changed() => match context.phase_control.phase() {
                 _ if changed.is_err() => break,
                 Phase::Closing => break,
                 _ => {}
             },
             Some(_) = connections.join_next() => {}
-            next = next, if desk.shift.phase() != Phase::HandedOver => match next {
+            next = next, if context.phase_control.phase() != Phase::HandedOver => match next {
                 Ok((stream, descriptor)) => {
                     let crowded = !spare(reserve);
                     if crowded {
@@ -117,7 +117,7 @@
                         turned_away = 0;
                     }
                     let shed = shed.subscribe();
-                    connections.spawn_local(connection(stream, descriptor, desk.clone(), crowded, shed));
+                    connections.spawn_local(connection(stream, descriptor, context.clone(), crowded, shed));
                 }
                 // Guards against a spin where the system is out of descriptors or the like.
                 Err(_) => sleep(BACK_OFF).await,
@@ -132,14 +132,14 @@
 async fn connection(
     stream: TcpStream,
     _descriptor: OwnedSemaphorePermit,
-    desk: Rc<Desk>,
+    context: Rc<ConnectionContext>,
     crowded: bool,
     mut shed: watch::Receiver<()>,
 ) {
-    let _held = desk.stats.clients.hold();
+    let _held = context.stats.clients.hold();
     let _ = stream.set_nodelay(true);
     let stream = Rc::new(stream);
-    let pulse = Pulse::new(TIMES);
+    let activity = ConnectionActivity::new(TIMES);
     // Buffers are made once something comes: many connections stand silent, up to the time for their first head.
     // A look at the first byte, as the system's word that there is one may be early.
     let mut first_byte = [0];
@@ -149,24 +149,24 @@
             Ok(1) => true,
             _ => return,
         },
-        _ = pulse.overdue() => !connection::is_empty(&stream),
+        _ = activity.overdue() => !connection::is_empty(&stream),
     };
     if has_begun {
         let service = service_fn(|request| {
-            let (desk, pulse) = (desk.clone(), pulse.clone());
-            let busy = pulse.asked();
+            let (context, activity) = (context.clone(), activity.clone());
+            let busy = activity.asked();
             // Boxed, or each connection would hold room for it all the time.
             Box::pin(async move {
                 let mut response =
-                    if crowded { turn_away(&desk, request) } else { answer(&desk, request).await };
-                if crowded || pulse.is_closing() || desk.shift.phase() != Phase::Serving {
+                    if crowded { turn_away(&context, request) } else { answer(&context, request).await };
+                if crowded || activity.is_closing() || context.phase_control.phase() != Phase::Serving {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
                 response.body_mut().busy = Some(busy);
                 Ok::<_, Infallible>(response)
             })
         });
-        let mut phase = desk.shift.watch();
+        let mut phase = context.phase_control.watch();
         let close = async {
             let closes =
                 |phase: &Phase| matches!(phase, Phase::Emptying | Phase::HandedOver | Phase::Closing);
@@ -175,9 +175,9 @@
                 _ = shed.changed() => {}
             }
         };
-        connection::drive(&stream, &pulse, BUFFER, service, close).await;
+        connection::drive(&stream, &activity, BUFFER, service, close).await;
     }
-    if !pulse.has_ended() {
+    if !activity.has_ended() {
         tokio::select! {
             () = connection::close(&stream) => {}
             // Others need its descriptor.
@@ -216,7 +216,10 @@
 }
 
 /// Gathers a body while it is small enough to be kept for a further attempt.
-async fn gather(mut body: Incoming, desk: &Desk) -> Result<Gathered, (StatusCode, &'static str)> {
+async fn gather(
+    mut body: Incoming,
+    context: &ConnectionContext,
+) -> Result<Gathered, (StatusCode, &'static str)> {
     let began = Instant::now();
     let mut pieces: Vec<Bytes> = Vec::new();
     let mut room: Option<OwnedSemaphorePermit> = None;
@@ -237,7 +240,7 @@
         // Trailers speak of this connection alone.
         let Ok(piece) = frame.into_data() else { continue };
         size += piece.len();
-        let kept = desk.room.clone().try_acquire_many_owned(piece.len() as u32).ok();
+        let kept = context.room.clone().try_acquire_many_owned(piece.len() as u32).ok();
         pieces.push(piece);
         match (kept, &mut room) {
             (Some(kept), Some(room)) => room.merge(kept),
@@ -258,31 +261,31 @@
     Ok(Gathered { body: body_here, rest: more.then_some(body), room })
 }
 
-async fn answer(desk: &Desk, request: Request<Incoming>) -> Response<Body> {
+async fn answer(context: &ConnectionContext, request: Request<Incoming>) -> Response<Body> {
     if request.method() == Method::GET && request.uri().path() == "/healthz" {
         // One that has been taken over from speaks for both.
-        let up = matches!(desk.shift.phase(), Phase::Serving | Phase::HandedOver)
-            && desk.backends.pool.any_ready();
+        let up = matches!(context.phase_control.phase(), Phase::Serving | Phase::HandedOver)
+            && context.backends.pool.any_ready();
         return text(None, if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
     }
     let (head, body) = request.into_parts();
-    let asked = match check(&head, desk) {
+    let asked = match check(&head, context) {
         Ok(asked) => asked,
         Err(problem) => return text(None, StatusCode::BAD_REQUEST, problem),
     };
-    let mut entry = desk.stats.enter(asked.request.class);
+    let mut entry = context.stats.enter(asked.request.class);
     let (headers, method) = (pass_on(head.headers), head.method);
-    let message = match gather(body, desk).await {
+    let message = match gather(body, context).await {
         Ok(gathered) => gathered.into_message(method, asked.uri, headers),
         Err((status, problem)) => return text(Some(entry), status, problem),
     };
-    if desk.is_over.get() {
-        return refusal(Some(entry), desk.settings.max_retry_after);
+    if context.is_over.get() {
+        return refusal(Some(entry), context.settings.max_retry_after);
     }
     entry.taken();
     // The client's time runs from the request's last byte.
     let deadline = Instant::now() + asked.patience.saturating_sub(MARGIN) + message.time_to_come();
-    match desk.door.admit(asked.request, message, deadline).answer(deadline).await {
+    match context.door.admit(asked.request, message, deadline).answer(deadline).await {
         Answer::Served(served) => {
             let (head, body) = served.into_parts();
             let mut response = Response::new(Answered::new(body, Some(entry), Fate::Served));
@@ -295,9 +298,10 @@
 }
 
 /// Refuses what came while descriptors were short.
-fn turn_away(desk: &Desk, request: Request<Incoming>) -> Response<Body> {
-    let entry = check(&request.into_parts().0, desk).ok().map(|asked| desk.stats.enter(asked.request.class));
-    refusal(entry, desk.settings.max_retry_after)
+fn turn_away(context: &ConnectionContext, request: Request<Incoming>) -> Response<Body> {
+    let entry =
+        check(&request.into_parts().0, context).ok().map(|asked| context.stats.enter(asked.request.class));
+    refusal(entry, context.settings.max_retry_after)
 }
 
 fn text(entry: Option<Entry>, status: StatusCode, line: &'static str) -> Response<Body> {
@@ -332,7 +336,7 @@
 }
 
 /// Guards against malformed input: what does not make sense goes no further.
-fn check(head: &Parts, desk: &Desk) -> Result<Asked, &'static str> {
+fn check(head: &Parts, context: &ConnectionContext) -> Result<Asked, &'static str> {
     let field = |name: &str| {
         let (_, value) = head.headers.iter().find(|(known, _)| known.as_str() == name)?;
         value.to_str().ok().map(str::trim)
@@ -341,19 +345,19 @@
         return Err("X-Request-Id is missing");
     }
     let index = |names: &[String], name| names.iter().position(|known| Some(known.as_str()) == name);
-    let class = index(&desk.names.classes, field("x-class")).ok_or("X-Class names no class")?;
-    if head.uri.path().split('/').nth(1) != Some(&desk.names.classes[class]) {
+    let class = index(&context.names.classes, field("x-class")).ok_or("X-Class names no class")?;
+    if head.uri.path().split('/').nth(1) != Some(&context.names.classes[class]) {
         return Err("the path does not begin with the class");
     }
     // The method follows from the class: a request that may be sent again must be one that says so itself.
-    if (desk.settings.classes[class].effect == Effect::Free) != (head.method == Method::GET) {
+    if (context.settings.classes[class].effect == Effect::Free) != (head.method == Method::GET) {
         return Err("the method is not the class's");
     }
-    let plan = index(&desk.names.plans, field("plan")).ok_or("Plan names no plan")?;
+    let plan = index(&context.names.plans, field("plan")).ok_or("Plan names no plan")?;
     let customer = field("cookie").and_then(customer).ok_or("the cookie names no client")?;
-    let most = Duration::from_secs_f64(desk.settings.classes[class].deadline / 1000.0);
+    let most = Duration::from_secs_f64(context.settings.classes[class].deadline / 1000.0);
     let patience = field("x-deadline").and_then(span).ok_or("X-Deadline is no length of time")?.min(most);
-    let quota = field("quota-info").and_then(|text| quota(text, &desk.settings));
+    let quota = field("quota-info").and_then(|text| quota(text, &context.settings));
     let (units, spread, first) = quota.ok_or("Quota-Info makes no sense")?;
     let target = head.uri.path_and_query().ok_or("the request has no path")?;
     let request = springusher::Request {
--- a/src/bin/brassport/clients/phase.rs
+++ b/src/bin/brassport/clients/phase.rs
@@ -39,23 +39,23 @@
 
 /// Why clients cannot be sent away or taken again.
 #[derive(Error, Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ShiftError {
+pub enum PhaseError {
     #[error("another process has taken over; call that one at its own admin_addr")]
     HandedOver,
     #[error("this process is ending; call the one that replaces it, or start one")]
     Ending,
 }
 
-pub struct Shift {
+pub struct PhaseControl {
     phase: watch::Sender<Phase>,
     /// Counts the changes: a timer of an earlier one has no say.
     turn: Cell<u64>,
     ending: Cell<bool>,
 }
 
-impl Shift {
-    pub fn new() -> Rc<Shift> {
-        Rc::new(Shift {
+impl PhaseControl {
+    pub fn new() -> Rc<PhaseControl> {
+        Rc::new(PhaseControl {
             phase: watch::Sender::new(Phase::Serving),
             turn: Cell::new(0),
             ending: Cell::new(false),
@@ -72,18 +72,18 @@
     ///
     /// # Errors
     /// Clients are another process's already.
-    pub fn stand_by(self: &Rc<Self>) -> Result<(), ShiftError> {
+    pub fn stand_by(self: &Rc<Self>) -> Result<(), PhaseError> {
         match self.phase() {
-            Phase::HandedOver => return Err(ShiftError::HandedOver),
+            Phase::HandedOver => return Err(PhaseError::HandedOver),
             Phase::Serving => {}
             Phase::Leaving | Phase::Emptying | Phase::Closing => return Ok(()),
         }
         let turn = self.change(Phase::Leaving);
-        let shift = self.clone();
+        let phase_control = self.clone();
         spawn_local(async move {
             sleep(EMPTY_AFTER).await;
-            if shift.turn.get() == turn {
-                shift.change(Phase::Emptying);
+            if phase_control.turn.get() == turn {
+                phase_control.change(Phase::Emptying);
             }
         });
         Ok(())
@@ -93,12 +93,12 @@
     ///
     /// # Errors
     /// Clients are another process's already, or this one is ending, which nothing takes back.
-    pub fn take_up(&self) -> Result<(), ShiftError> {
+    pub fn take_up(&self) -> Result<(), PhaseError> {
         if self.phase() == Phase::HandedOver {
-            return Err(ShiftError::HandedOver);
+            return Err(PhaseError::HandedOver);
         }
         if self.ending.get() {
-            return Err(ShiftError::Ending);
+            return Err(PhaseError::Ending);
         }
         if self.phase() != Phase::Serving {
             self.change(Phase::Serving);
@@ -141,56 +141,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use tokio::task::LocalSet;
-
-    /// Under a paused clock, which leaps to the next timer.
-    fn run(test: impl std::future::Future<Output = ()>) {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
-        LocalSet::new().block_on(&runtime.expect("a runtime"), test);
-    }
-
-    #[test]
-    fn standby_empties_the_door_unless_active_comes_first() {
-        run(async {
-            let shift = Shift::new();
-            shift.stand_by().expect("it serves");
-            sleep(EMPTY_AFTER / 2).await;
-            shift.stand_by().expect("twice is once");
-            assert_eq!(shift.phase(), Phase::Leaving);
-            shift.take_up().expect("it goes on");
-            assert_eq!(shift.phase(), Phase::Serving);
-            shift.stand_by().expect("it serves");
-            assert!(shift.stands_by());
-            sleep(EMPTY_AFTER * 3 / 4).await;
-            assert_eq!(shift.phase(), Phase::Leaving, "the first call's timer has no say");
-            sleep(EMPTY_AFTER / 2).await;
-            assert_eq!(shift.phase(), Phase::Emptying);
-            shift.end();
-            assert_eq!(shift.phase(), Phase::Emptying);
-            assert!(!shift.stands_by(), "a successor is to serve");
-            assert_eq!(shift.take_up(), Err(ShiftError::Ending));
-            shift.close();
-            sleep(EMPTY_AFTER * 2).await;
-            assert_eq!(shift.phase(), Phase::Closing);
-        });
-    }
-
-    #[test]
-    fn one_that_has_handed_over_takes_no_clients_until_it_is_alone_again() {
-        run(async {
-            let shift = Shift::new();
-            shift.hand_over();
-            assert_eq!([shift.stand_by(), shift.take_up()], [Err(ShiftError::HandedOver); 2]);
-            assert_eq!(shift.phase(), Phase::HandedOver);
-            shift.resume();
-            assert_eq!(shift.phase(), Phase::Serving);
-            shift.hand_over();
-            shift.end();
-            shift.resume();
-            assert_eq!(shift.phase(), Phase::HandedOver, "it is ending all the same");
-            assert_eq!(shift.take_up(), Err(ShiftError::HandedOver), "which process has clients says more");
-        });
-    }
-}
+mod tests;
--- a/src/bin/brassport/door.rs
+++ b/src/bin/brassport/door.rs
@@ -9,7 +9,8 @@
 use http_body_util::Either;
 use hyper::Response;
 use springusher::{
-    Action, AttemptEnd, CustomerId, Estate, Event, Gateway, InvalidSetting, Lifecycle, ListKind, Millis,
+    Action, AttemptEnd, CustomerId, Event, Gateway, HandoverState, InvalidSetting, Lifecycle, ListKind,
+    Millis,
 };
 use springusher::{Request, RequestId, ServerEntry, ServerId, Settings};
 use springusher_dataplane::flow::{whole, Flow, Outgoing};
@@ -303,9 +304,9 @@
         self.clock.start_unix
     }
     /// What it is left, and what this process still has out.
-    pub fn bequeath(&self) -> Estate {
+    pub fn hand_over(&self) -> HandoverState {
         self.backends.keep_no_more(true);
-        self.inner.borrow_mut().gateway.bequeath()
+        self.inner.borrow_mut().gateway.hand_over()
     }
     pub fn open(&self) -> BTreeMap<CustomerId, u32> {
         self.inner.borrow().gateway.open()
@@ -316,8 +317,8 @@
         self.handle(Event::Alone);
     }
     /// What the predecessor leaves, and what it still has out.
-    pub fn inherit(&self, estate: Estate) {
-        self.inner.borrow_mut().gateway.inherit(self.clock.now(), estate);
+    pub fn take_over(&self, state: HandoverState) {
+        self.inner.borrow_mut().gateway.take_over(self.clock.now(), state);
     }
     pub fn elsewhere(self: &Rc<Self>, open: BTreeMap<CustomerId, u32>) {
         self.handle(Event::Elsewhere(open));
--- a/src/bin/brassport/errors.rs
+++ b/src/bin/brassport/errors.rs
@@ -25,7 +25,7 @@
 
 #[cfg(test)]
 mod tests {
-    use crate::clients::shift::ShiftError;
+    use crate::clients::phase::PhaseError;
     use crate::fleet::driver::FleetError;
     use crate::fleet::roster::RosterError;
     use crate::life::config::ConfigError;
@@ -134,7 +134,7 @@
                 MapRefused { finding: super::text(bad()) },
                 NoPart(bad()),
             }),
-            every!(ShiftError { HandedOver {}, Ending {} }),
+            every!(PhaseError { HandedOver {}, Ending {} }),
             every!(BanError { NoBackend {}, OutHereOnly(failed()), BackHereOnly(failed()) }),
             every!(CallError {
                 NotUtf8 {},
@@ -152,7 +152,7 @@
                 NoOwner {},
                 NoShards {},
                 NoSessions {},
-                Shift(ShiftError::Ending),
+                Phase(PhaseError::Ending),
                 Ban(BanError::NoBackend),
                 Fleet(FleetError::NoPart(bad())),
             }),
--- a/src/bin/brassport/fleet/driver.rs
+++ b/src/bin/brassport/fleet/driver.rs
@@ -5,7 +5,7 @@
 //! for a name, never to where a datagram came from.
 
 use crate::backends::sessions::{Attempt, Hold, Sessions};
-use crate::clients::shift::{Phase, Shift};
+use crate::clients::phase::{Phase, PhaseControl};
 use crate::errors::{text, word};
 use crate::fleet::roster::{Roster, Shards};
 use serde::Serialize;
@@ -39,7 +39,7 @@
 
 /// How long to wait before the port is tried again: it is taken by another program, or by the process that this one
 /// takes over from.
-const AGAIN: Duration = Duration::from_millis(50);
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Datagrams that are read at once at most, and how many a second in the long run. What is more stays in the socket's
 /// buffer, and is lost where that is full: no peer keeps this process from its clients.
 const BURST: f64 = 400.0;
@@ -289,7 +289,7 @@
 
 impl Fleet {
     /// Takes part, as long as this process runs and no other has taken over.
-    pub fn start(roster: Roster, seed: u64, shift: &Rc<Shift>) -> Rc<Fleet> {
+    pub fn start(roster: Roster, seed: u64, phase_control: &Rc<PhaseControl>) -> Rc<Fleet> {
         let fleet = Rc::new(Fleet {
             roster: RefCell::new(roster),
             others: RefCell::default(),
@@ -302,7 +302,7 @@
             poke: tokio::sync::Notify::new(),
             leaving: Cell::new(false),
         });
-        spawn_local(fleet.clone().run(shift.watch()));
+        spawn_local(fleet.clone().run(phase_control.watch()));
         fleet
     }
 
@@ -538,7 +538,7 @@
                         let problem = FleetError::Port { listen, error };
                         warn!(event = "fleet_port", %listen, error = cause, "{problem}");
                     }
-                    sleep(AGAIN).await;
+                    sleep(RETRY_PAUSE).await;
                 }
             }
         }
@@ -595,7 +595,7 @@
                         let cause = error.to_string();
                         let problem = FleetError::Socket(error);
                         warn!(event = "fleet_socket", error = cause, "{problem}");
-                        sleep(AGAIN).await;
+                        sleep(RETRY_PAUSE).await;
                         return false;
                     }
                 },
--- a/src/bin/brassport/life/handover.rs
+++ b/src/bin/brassport/life/handover.rs
@@ -4,7 +4,7 @@
 //! The listening socket itself changes hands: there is one queue all the time, and no close resets what waits in it.
 
 use crate::backends::discovery::{List, Target};
-use crate::clients::shift::{Phase, Shift};
+use crate::clients::phase::{Phase, PhaseControl};
 use crate::door::Door;
 use crate::errors::text;
 use crate::life::config::Names;
@@ -14,7 +14,7 @@
 };
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use springusher::{CustomerId, Estate};
+use springusher::{CustomerId, HandoverState};
 use springusher_dataplane::link::KERNEL_BUFFER;
 use std::collections::BTreeMap;
 use std::fs::File;
@@ -212,12 +212,12 @@
     pub async fn take_over(&mut self, door: &Rc<Door>, numbers: &Numbers) -> Result<(), HandoverError> {
         let taken = async {
             self.stream.get_mut().write_all(TAKE).await?;
-            read::<Estate>(&mut self.stream).await
+            read::<HandoverState>(&mut self.stream).await
         };
-        let estate = timeout(STEP, taken).await??;
-        let estate = estate.ok_or(HandoverError::Gone)?;
+        let state = timeout(STEP, taken).await??;
+        let state = state.ok_or(HandoverError::Gone)?;
         if self.introduction.numbers.as_ref().is_none_or(|theirs| theirs.hold_in(numbers)) {
-            door.inherit(estate);
+            door.take_over(state);
         } else {
             warn!(
                 event = "other_names",
@@ -238,8 +238,8 @@
 
     /// Follows what the first process has out until it has ended. If this one is to end before, clients are the first
     /// one's again as soon as this one takes no more, and not only when the last answer here is over.
-    pub async fn follow(mut self, door: Rc<Door>, shift: Rc<Shift>) {
-        let mut phase = shift.watch();
+    pub async fn follow(mut self, door: Rc<Door>, phase_control: Rc<PhaseControl>) {
+        let mut phase = phase_control.watch();
         let closing = async {
             let left = phase.wait_for(|phase| matches!(phase, Phase::HandedOver | Phase::Closing)).await;
             // Where a third process has clients, they are not to go back.
@@ -308,7 +308,7 @@
     listener: TcpListener,
     numbers: Numbers,
     door: Rc<Door>,
-    shift: Rc<Shift>,
+    phase_control: Rc<PhaseControl>,
 ) {
     let (listener, numbers) = (Rc::new(listener), Rc::new(numbers));
     // A successor may have put its own socket in this one's place: each time it is bound anew.
@@ -317,7 +317,7 @@
         let bound = bind(&shared);
         // Who sees that it serves again finds the socket there.
         if let Some((stream, open)) = past.take() {
-            go_on(stream, open, &door, &shift);
+            go_on(stream, open, &door, &phase_control);
         }
         let socket = match bound {
             Ok(socket) => socket,
@@ -331,9 +331,9 @@
             tokio::select! {
                 accepted = socket.accept(), if coming.len() < SUCCESSORS => match accepted {
                     Ok((stream, _)) => {
-                        let (door, shift) = (door.clone(), shift.clone());
+                        let (door, phase_control) = (door.clone(), phase_control.clone());
                         let (listener, numbers) = (listener.clone(), numbers.clone());
-                        coming.spawn_local(introduce(BufReader::new(stream), listener, numbers, door, shift));
+                        coming.spawn_local(introduce(BufReader::new(stream), listener, numbers, door, phase_control));
                     }
                     // Guards against a spin where the system is out of descriptors or the like.
                     Err(_) => sleep(BACK_OFF).await,
@@ -341,7 +341,7 @@
                 Some(Ok(introduced)) = coming.join_next() => match introduced {
                     Ok(mut stream) => {
                         coming.shutdown().await;
-                        let open = hand_over(&mut stream, &door, &shift).await;
+                        let open = hand_over(&mut stream, &door, &phase_control).await;
                         past = Some((stream, open));
                     }
                     Err(error) => {
@@ -369,10 +369,10 @@
     listener: Rc<TcpListener>,
     numbers: Rc<Numbers>,
     door: Rc<Door>,
-    shift: Rc<Shift>,
+    phase_control: Rc<PhaseControl>,
 ) -> Result<BufReader<UnixStream>, HandoverError> {
     timeout(STEP, send(stream.get_ref(), &listener)).await??;
-    let (epoch, targets, standby) = (door.epoch(), door.targets(), shift.stands_by());
+    let (epoch, targets, standby) = (door.epoch(), door.targets(), phase_control.stands_by());
     let introduction = Introduction { epoch, targets, standby, numbers: Some((*numbers).clone()) };
     timeout(STEP, write(&mut stream, &introduction)).await??;
     if timeout(READY_WITHIN, line(&mut stream, TAKE.len() as u64)).await?? != TAKE {
@@ -386,14 +386,14 @@
 async fn hand_over(
     stream: &mut BufReader<UnixStream>,
     door: &Rc<Door>,
-    shift: &Rc<Shift>,
+    phase_control: &Rc<PhaseControl>,
 ) -> Option<BTreeMap<CustomerId, u32>> {
-    shift.hand_over();
+    phase_control.hand_over();
     // The connections that are idle close now, before the other process opens the door.
     tokio::task::yield_now().await;
     info!(event = "handed_over", "a second process takes over");
-    let estate = door.bequeath();
-    timeout(STEP, write(stream, &estate)).await.ok()?.ok()?;
+    let state = door.hand_over();
+    timeout(STEP, write(stream, &state)).await.ok()?.ok()?;
     serde_json::from_slice(&tell(stream, door).await?).ok()
 }
 
@@ -402,11 +402,11 @@
     mut stream: BufReader<UnixStream>,
     open: Option<BTreeMap<CustomerId, u32>>,
     door: &Rc<Door>,
-    shift: &Rc<Shift>,
+    phase_control: &Rc<PhaseControl>,
 ) {
     warn!(event = "successor_gone", "the second process is gone: this one goes on");
     door.alone();
-    shift.resume();
+    phase_control.resume();
     if let Some(open) = open {
         door.elsewhere(open);
         let door = door.clone();
--- a/src/bin/brassport/main.rs
+++ b/src/bin/brassport/main.rs
@@ -11,11 +11,11 @@
 mod operators;
 
 use backends::attempts::Backends;
-use backends::discovery::{self, Pace};
+use backends::discovery::{self, CallSchedule};
 use backends::pool::Pool;
 use clap::Parser;
-use clients::desk::{self, Desk};
-use clients::shift::{Phase, Shift};
+use clients::connections::{self, ConnectionContext};
+use clients::phase::{Phase, PhaseControl};
 use clients::stats::Stats;
 use door::Door;
 use errors::text;
@@ -210,12 +210,12 @@
     spawn_local(door.clone().follow_bans());
     let held = (!config.known.targets.is_empty()).then_some(config.known.rev);
     door.servers(ListKind::Cached, config.known);
-    let shift = Shift::new();
+    let phase_control = PhaseControl::new();
     if let Some(predecessor) = &predecessor {
         door.servers(ListKind::Cached, handover::as_list(predecessor.introduction.targets.clone()));
         if predecessor.introduction.standby {
             // It serves: nothing has been told to it yet.
-            let _ = shift.stand_by();
+            let _ = phase_control.stand_by();
         }
     }
     spawn_local(door.clone().keep_time());
@@ -226,13 +226,13 @@
         agents,
         move |kind, list| told.servers(kind, list),
         held,
-        Pace::new(callers, config.seed, Instant::now()),
+        CallSchedule::new(callers, config.seed, Instant::now()),
         stats.discovery.clone(),
     ));
     let sweeper = backends.clone();
     spawn_local(async move { sweeper.pool.sweep().await });
 
-    let fleet = config.fleet.map(|roster| Fleet::start(roster, config.seed, &shift));
+    let fleet = config.fleet.map(|roster| Fleet::start(roster, config.seed, &phase_control));
     if let Some(fleet) = fleet.as_ref().filter(|fleet| fleet.has_sessions()) {
         backends.pool.watch(fleet.clone());
     }
@@ -244,7 +244,7 @@
             door: door.clone(),
             backends: backends.clone(),
             stats: stats.clone(),
-            shift: shift.clone(),
+            phase_control: phase_control.clone(),
             classes: config.names.classes.clone(),
             open: open.clone(),
             fleet: fleet.clone(),
@@ -269,9 +269,9 @@
                 // The two share the limit on descriptors until the first has ended.
                 let part = (spare / PREDECESSORS_PART) as u32;
                 let held = descriptors.clone().acquire_many_owned(part).await;
-                let (door, shift) = (door.clone(), shift.clone());
+                let (door, phase_control) = (door.clone(), phase_control.clone());
                 spawn_local(async move {
-                    predecessor.follow(door, shift).await;
+                    predecessor.follow(door, phase_control).await;
                     drop(held);
                 });
             }
@@ -283,18 +283,18 @@
     open.set(true);
     let handed = listener.try_clone().map_err(StartError::Listener)?;
     let listener = TcpListener::from_std(listener).map_err(StartError::Listener)?;
-    spawn_local(handover::host(shared, handed, numbers, door.clone(), shift.clone()));
-    let desk = Rc::new(Desk {
+    spawn_local(handover::host(shared, handed, numbers, door.clone(), phase_control.clone()));
+    let context = Rc::new(ConnectionContext {
         door: door.clone(),
         backends,
         names: config.names,
         settings: config.settings,
-        shift: shift.clone(),
+        phase_control: phase_control.clone(),
         stats: stats.clone(),
         room: Arc::new(Semaphore::new((config.memory / KEPT_PART).min(Semaphore::MAX_PERMITS))),
         is_over: Cell::new(false),
     });
-    let mut serving = spawn_local(desk::serve(listener, desk.clone(), descriptors));
+    let mut serving = spawn_local(connections::serve(listener, context.clone(), descriptors));
 
     loop {
         tokio::select! {
@@ -327,16 +327,16 @@
             },
         }
     }
-    if let Some(fleet) = fleet.filter(|_| shift.phase() != Phase::HandedOver) {
+    if let Some(fleet) = fleet.filter(|_| phase_control.phase() != Phase::HandedOver) {
         fleet.leave();
     }
-    shift.end();
-    if shift.phase() != Phase::HandedOver {
+    phase_control.end();
+    if phase_control.phase() != Phase::HandedOver {
         sleep(LEAVING).await;
     }
-    shift.close();
+    phase_control.close();
     if timeout(closing.saturating_sub(LAST_WORDS), &mut serving).await.is_err() {
-        desk.is_over.set(true);
+        context.is_over.set(true);
         door.fail_all();
         // What has begun to reach its client goes on until it is whole, or the platform ends this process.
         let _ = timeout(REST, &mut serving).await;
--- a/src/bin/brassport/operators/admin.rs
+++ b/src/bin/brassport/operators/admin.rs
@@ -1,6 +1,6 @@
 //! The operators' door: one line in, one answer out, on descriptors that clients do not compete for.
 
-use crate::clients::shift::ShiftError;
+use crate::clients::phase::PhaseError;
 use crate::errors::text;
 use crate::fleet::driver::FleetError;
 use crate::operators::bans::BanError;
@@ -85,7 +85,7 @@
     )]
     NoSessions,
     #[error(transparent)]
-    Shift(#[from] ShiftError),
+    Phase(#[from] PhaseError),
     #[error(transparent)]
     Ban(#[from] BanError),
     #[error(transparent)]
--- a/src/bin/brassport/operators/staff.rs
+++ b/src/bin/brassport/operators/staff.rs
@@ -1,7 +1,7 @@
 //! What staff can ask of this process, for the operators' door.
 
 use crate::backends::attempts::Backends;
-use crate::clients::shift::Shift;
+use crate::clients::phase::PhaseControl;
 use crate::clients::stats::Stats;
 use crate::door::Door;
 use crate::fleet::driver::Fleet;
@@ -15,7 +15,7 @@
     pub door: Rc<Door>,
     pub backends: Rc<Backends>,
     pub stats: Rc<Stats>,
-    pub shift: Rc<Shift>,
+    pub phase_control: Rc<PhaseControl>,
     pub classes: Vec<String>,
     /// Whether clients are taken.
     pub open: Rc<Cell<bool>>,
@@ -52,7 +52,7 @@
         match call {
             Call::Status if !self.open.get() => Err(CallError::NotTakenOver),
             Call::Status if !self.backends.pool.any_ready() => Err(CallError::NoBackend),
-            Call::Status => Ok(format!("done {}", self.shift.phase().word())),
+            Call::Status => Ok(format!("done {}", self.phase_control.phase().word())),
             Call::Stats => {
                 let (known, excluded) = self.door.backends();
                 Ok(whole(self.stats.line(&self.classes, known, excluded)))
@@ -83,11 +83,11 @@
                 Ok(format!("done {uid} may serve"))
             }
             Call::Standby => {
-                self.shift.stand_by()?;
+                self.phase_control.stand_by()?;
                 Ok("done".into())
             }
             Call::Active => {
-                self.shift.take_up()?;
+                self.phase_control.take_up()?;
                 Ok("done".into())
             }
         }
--- a/src/control.rs
+++ b/src/control.rs
@@ -89,7 +89,7 @@
     fleet: Fleet,
     /// The classes from the highest worth down.
     class_order: Vec<usize>,
-    lore: Lore,
+    load: LoadEstimates,
     room_at: Millis,
     /// Own part of what leaves the servers idle, and when one was last turned away.
     idle_part: f64,
@@ -139,7 +139,7 @@
             requests: BTreeMap::new(),
             fleet: Fleet::new(&settings, now),
             class_order,
-            lore: Lore {
+            load: LoadEstimates {
                 class_mix: vec![1.0 / classes.max(1) as f64; classes],
                 answer_time: settings.classes.iter().map(|class| class.aim / (2.0 * PATIENCE)).collect(),
                 mean_units: vec![1.0; classes],
@@ -204,25 +204,25 @@
         if let Some(open) = self.requests.get_mut(&request.id) {
             open.arrived -= waited;
         }
-        for (class, share) in self.lore.class_mix.iter_mut().enumerate() {
+        for (class, share) in self.load.class_mix.iter_mut().enumerate() {
             blend(share, f64::from(u8::from(class == request.class)), SAMPLE / 2.0);
         }
         let share = self.within_quota(&request);
-        blend(&mut self.lore.mean_units[request.class], request.units, SAMPLE / 5.0);
+        blend(&mut self.load.mean_units[request.class], request.units, SAMPLE / 5.0);
         let (class, answer) = (self.settings.classes[request.class], self.usual_time(&request));
         let full = self.now < self.full_at + class.aim;
         let flight = self.young(class.aim);
         let idle = !full && self.rng.rand_float() < self.idle_part - self.young(f64::INFINITY);
         // Guards against a surge that is in before its late answers are: beyond the limit on work in flight
         // the chance falls, to nothing at two deviations more, so that few in hand are not refused by chance.
-        let slack = 2.0 * self.lore.limit.sqrt() + 1.0;
+        let slack = 2.0 * self.load.limit.sqrt() + 1.0;
         let open =
-            if idle { 1.0 } else { ((self.lore.limit + slack - flight) / slack).clamp(0.0, self.lore.room) };
+            if idle { 1.0 } else { ((self.load.limit + slack - flight) / slack).clamp(0.0, self.load.room) };
         // Of what there is room for the dearer plans get more, though none goes empty.
         let prices: f64 = self.settings.plans.iter().map(|plan| plan.price).sum();
         let price = self.settings.plans[request.plan].price * self.settings.plans.len() as f64;
         let open = if price > 0.0 { open.powf(prices / price) } else { open };
-        let (mix, order) = (&self.lore.class_mix, &self.class_order);
+        let (mix, order) = (&self.load.class_mix, &self.class_order);
         // The floor shrinks with the room: of thousands of retries a second, a fixed part would feed a jam.
         let chance =
             |open: f64| ordered_chance(share * open, mix, order, request.class).max(CHANCE_FLOOR * open);
@@ -243,7 +243,7 @@
     /// How long a client has been trying before this try, where it shows: a further try with less time left
     /// than first tries get is bounded by what remains of the class's deadline.
     fn waited(&mut self, request: &Request, expires_in: Millis) -> Millis {
-        let most = &mut self.lore.first_wait[request.class];
+        let most = &mut self.load.first_wait[request.class];
         if !request.repeat {
             *most = most.max(expires_in);
         } else if expires_in < *most - self.settings.tick {
@@ -314,15 +314,15 @@
         self.room_at = self.now;
         let ease = 1.0 - elapsed / (LATE * aim);
         if ease >= 0.0 {
-            self.lore.room = (self.lore.room + GROWTH * ease * (self.lore.room + PROBE) * weight).min(1.0);
-            if 2.0 * (self.young(aim) + 1.0) >= self.lore.limit {
-                self.lore.limit +=
-                    if self.lore.slow_start { 1.0 } else { STEP * (1.0 + self.lore.limit / CREW) };
+            self.load.room = (self.load.room + GROWTH * ease * (self.load.room + PROBE) * weight).min(1.0);
+            if 2.0 * (self.young(aim) + 1.0) >= self.load.limit {
+                self.load.limit +=
+                    if self.load.slow_start { 1.0 } else { STEP * (1.0 + self.load.limit / CREW) };
             }
         } else {
-            self.lore.slow_start = false;
-            self.lore.limit = (self.lore.limit * SHRINK).max(self.idle_part).max(1.0);
-            self.lore.room = (self.lore.room * (1.0 - CUT * weight)).max(LEAST_ROOM);
+            self.load.slow_start = false;
+            self.load.limit = (self.load.limit * SHRINK).max(self.idle_part).max(1.0);
+            self.load.room = (self.load.room * (1.0 - CUT * weight)).max(LEAST_ROOM);
         }
     }
 
@@ -341,7 +341,7 @@
         if (self.no_room > 0) != self.pressed_before {
             self.pressed_before = self.no_room > 0;
             let text = if self.pressed_before { "pressed" } else { "pressed no more" };
-            let room = self.lore.room;
+            let room = self.load.room;
             actions.push(Action::Log(format!("{text}: room for {room:.2} of what the quotas admit")));
         }
         if self.no_server > 0 {
@@ -371,18 +371,18 @@
 
     /// Mean time of an answer over the classes, by their recent mix.
     fn mean_answer(&self) -> f64 {
-        self.lore.answer_time.iter().zip(&self.lore.class_mix).map(|(time, share)| time * share).sum()
+        self.load.answer_time.iter().zip(&self.load.class_mix).map(|(time, share)| time * share).sum()
     }
 
     /// Size of a request against the mean one of its class: work goes by the units, and so does its time.
     fn size(&self, request: &Request, billed: Option<f64>) -> f64 {
         let units = billed.filter(|units| units.is_finite()).unwrap_or(request.units);
-        (units / self.lore.mean_units[request.class].max(f64::MIN_POSITIVE)).clamp(1.0 / MOST_SIZE, MOST_SIZE)
+        (units / self.load.mean_units[request.class].max(f64::MIN_POSITIVE)).clamp(1.0 / MOST_SIZE, MOST_SIZE)
     }
 
     /// Usual time of an answer to a request of this class and size.
     fn usual_time(&self, request: &Request) -> Millis {
-        self.lore.answer_time[request.class] * self.size(request, None)
+        self.load.answer_time[request.class] * self.size(request, None)
     }
 
     /// How many servers of the list get nothing, by order of staff or for their failures.
@@ -418,9 +418,9 @@
             }
             _ => {}
         }
-        let (mean, mean_of_class) = (self.mean_answer(), self.lore.answer_time[class].max(1.0));
+        let (mean, mean_of_class) = (self.mean_answer(), self.load.answer_time[class].max(1.0));
         if outcome == Outcome::Ok && warmth.is_some() {
-            blend(&mut self.lore.answer_time[class], elapsed, SAMPLE / 5.0);
+            blend(&mut self.load.answer_time[class], elapsed, SAMPLE / 5.0);
         }
         let told = self.fleet.judge(id, now, outcome, elapsed / mean_of_class, mean_of_class, mean);
         actions.extend(told.map(Action::Log));
@@ -634,30 +634,30 @@
     // ---- Taking over from another gateway. ----
 
     /// Leaves all but a rest of the stores to the gateway that takes this one's place.
-    pub fn bequeath(&mut self) -> Estate {
+    pub fn hand_over(&mut self) -> HandoverState {
         self.succeeded = true;
-        Estate {
+        HandoverState {
             born: self.born,
             tick: self.tick,
             customers: self
                 .customers
                 .iter_mut()
-                .map(|((id, _), customer)| (*id, customer.bequeath()))
+                .map(|((id, _), customer)| (*id, customer.hand_over()))
                 .collect(),
-            lore: self.lore.clone(),
+            load: self.load.clone(),
             servers: self.fleet.learned(),
         }
     }
 
-    /// Takes the place of the gateway that left this. An estate of other plans or classes is left alone.
-    pub fn inherit(&mut self, now: Millis, estate: Estate) {
-        if !estate.fits(&self.settings) {
+    /// Takes the place of the gateway that left this. A state of other plans or classes is left alone.
+    pub fn take_over(&mut self, now: Millis, handover: HandoverState) {
+        if !handover.fits(&self.settings) {
             return;
         }
-        (self.now, self.born, self.tick) = (self.now.max(now), estate.born, estate.tick);
-        self.customers = estate.customers.into_iter().map(|(id, own)| ((id, own.plan), own)).collect();
-        (self.lore, self.room_at) = (estate.lore, self.now);
-        self.fleet.inherit(estate.servers);
+        (self.now, self.born, self.tick) = (self.now.max(now), handover.born, handover.tick);
+        self.customers = handover.customers.into_iter().map(|(id, own)| ((id, own.plan), own)).collect();
+        (self.load, self.room_at) = (handover.load, self.now);
+        self.fleet.take_over(handover.servers);
     }
 
     /// Own attempts out, by customer.
@@ -708,6 +708,6 @@
     fn count_ready(&mut self) {
         self.fleet.part(&self.settings);
         self.idle_part = IDLE * self.fleet.ready() as f64 / f64::from(self.settings.gateways);
-        self.lore.limit = self.lore.limit.max(self.idle_part);
+        self.load.limit = self.load.limit.max(self.idle_part);
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -424,7 +424,7 @@
 
 /// What a gateway has learned that its successor goes on from.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub(crate) struct Lore {
+pub(crate) struct LoadEstimates {
     /// Recent share of each class in the offered units, mean time of an answer and mean size of a request.
     pub(crate) class_mix: Vec<f64>,
     pub(crate) answer_time: Vec<f64>,
@@ -440,19 +440,19 @@
 
 /// What a gateway leaves to the one that takes its place. Moments are by the clock that both go by.
 #[derive(Debug, Serialize, Deserialize)]
-pub struct Estate {
+pub struct HandoverState {
     pub(crate) born: Millis,
     pub(crate) tick: Option<Millis>,
     pub(crate) customers: Vec<(CustomerId, Customer)>,
     #[serde(flatten)]
-    pub(crate) lore: Lore,
+    pub(crate) load: LoadEstimates,
     pub(crate) servers: Vec<Learned>,
 }
 
-impl Estate {
+impl HandoverState {
     /// Whether it is of a gateway with as many classes and plans.
     pub(crate) fn fits(&self, settings: &Settings) -> bool {
-        let Lore { class_mix, answer_time, mean_units, first_wait, .. } = &self.lore;
+        let LoadEstimates { class_mix, answer_time, mean_units, first_wait, .. } = &self.load;
         let averages = [class_mix, answer_time, mean_units, first_wait];
         averages.iter().all(|average| average.len() == settings.classes.len())
             && self.customers.iter().all(|(_, customer)| customer.plan < settings.plans.len())
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -168,7 +168,7 @@
     }
 
     /// Leaves another what this gateway has of the customer's stores, but for a rest.
-    pub(crate) fn bequeath(&mut self) -> Customer {
+    pub(crate) fn hand_over(&mut self) -> Customer {
         let mut left = self.clone();
         (left.elsewhere, left.open) = (self.open, 0);
         left.held.clear();
--- a/tests/customers.rs
+++ b/tests/customers.rs
@@ -117,10 +117,10 @@
     assert_eq!(drained, 2);
     let (_, wide) = first.ask(7, 0, 0);
     assert_eq!(sends(&wide).len(), 1);
-    let estate = first.gateway.bequeath();
+    let state = first.gateway.hand_over();
     let mut second = Host::new(ceilings(), &[server(1)]);
     second.now = first.now;
-    second.gateway.inherit(second.now, estate);
+    second.gateway.take_over(second.now, state);
     assert!(refused(&second.ask(7, 1, 0).1), "the narrow store is drained");
     assert_eq!(sends(&second.ask(7, 0, 0).1).len(), 1, "the wide one is not");
 }
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -84,11 +84,11 @@
             first.end(id, 0, Outcome::Ok, None);
         }
     }
-    let estate = first.gateway.bequeath();
-    let text = serde_json::to_string(&estate).expect("it can be told");
+    let state = first.gateway.hand_over();
+    let text = serde_json::to_string(&state).expect("it can be told");
     let mut second = Host::new(settings(), &[server(1)]);
     second.now = first.now;
-    second.gateway.inherit(second.now, serde_json::from_str(&text).expect("and read"));
+    second.gateway.take_over(second.now, serde_json::from_str(&text).expect("and read"));
     assert_eq!(spend(&mut first, 1), 0, "nothing more under a ceiling");
     let both = spend(&mut first, 0) + spend(&mut second, 0);
     assert!((3..=5).contains(&both), "half of a store of 20, less 5, for both: {both}");
@@ -100,12 +100,12 @@
     let mut first = Host::new(settings(), &[server(1)]);
     let (id, _) = first.ask(7, 0, 0);
     first.end(id, 0, Outcome::Ok, Some(2.0));
-    let mut left = serde_json::to_value(first.gateway.bequeath()).expect("it can be written");
+    let mut left = serde_json::to_value(first.gateway.hand_over()).expect("it can be written");
     let customer = left["customers"][0][1].as_object_mut().expect("a customer");
     assert!(customer.remove("asked").is_some() && customer.remove("chance_before").is_some());
-    let estate: Estate = serde_json::from_value(left).expect("it can be read");
+    let state: HandoverState = serde_json::from_value(left).expect("it can be read");
     let mut second = Host::new(settings(), &[server(1)]);
-    second.gateway.inherit(first.now, estate);
+    second.gateway.take_over(first.now, state);
     for _ in 0..20 {
         second.now += 400.0;
         let (id, actions) = second.ask(7, 0, 0);
@@ -120,8 +120,8 @@
     let (running, actions) = first.ask(9, 2, 0);
     assert_eq!(sends(&actions), [1]);
     let mut second = Host::new(settings(), &[server(1)]);
-    let estate = first.gateway.bequeath();
-    second.gateway.inherit(0.0, estate);
+    let state = first.gateway.hand_over();
+    second.gateway.take_over(0.0, state);
     // The cap of 2 gives each of two gateways one.
     let (_, actions) = second.ask(9, 2, 0);
     assert!(sends(&actions).is_empty() && !refused(&actions), "it is held");
