Call the core's canvass a pre-vote

The step in which a candidate asks whether witnesses would promise, without any promise, is known in the field as a pre-vote.

--- a/coordination/src/replica.rs
+++ b/coordination/src/replica.rs
@@ -6,7 +6,7 @@
 //! | --- | --- |
 //! | `durable`, `write_queue` | what is on disk; writes under way and the messages that wait for them |
 //! | `witness` | promises, grants, and everything else that a member does for a primary |
-//! | `campaign`, `base` | how a new epoch begins: canvass, prepare, install; from which state |
+//! | `campaign`, `base` | how a new epoch begins: pre-vote, prepare, install; from which state |
 //! | `primary`, `proposals`, `lease` | heartbeats, commands, the lease |
 //! | `membership` | which members and replicas the next epoch should have |
 //! | `handover` | planned ends, and a primary whose disk stalls |
@@ -252,8 +252,8 @@
 
     fn on_message(&mut self, from: Member, message: Message) {
         match message {
-            Message::Canvass(canvass) => self.on_canvass(&from, canvass),
-            Message::Standing(standing) => self.on_standing(&from, standing),
+            Message::PreVote(pre_vote) => self.on_pre_vote(&from, pre_vote),
+            Message::PreVoteAnswer(answer) => self.on_pre_vote_answer(&from, answer),
             Message::Prepare(prepare) => self.on_prepare(&from, prepare),
             Message::Promise(promise) => self.on_promise(&from, *promise),
             Message::Refusal(refusal) => self.on_refusal(&from, refusal),
@@ -301,7 +301,7 @@
         self.check_campaign();
         self.check_primary();
         if self.may_campaign() && self.now >= self.election_at {
-            self.begin_canvass();
+            self.begin_pre_vote();
         }
     }
 
--- a/coordination/src/replica/campaign.rs
+++ b/coordination/src/replica/campaign.rs
@@ -1,16 +1,18 @@
-//! How a new epoch begins: a candidate canvasses the witnesses, prepares them, and installs the epoch's record. A primary
-//! that changes its own epoch does the same without the canvass.
+//! How a new epoch begins: a candidate asks the witnesses in a pre-vote, prepares them, and installs the epoch's record.
+//! A primary that changes its own epoch does the same without the pre-vote.
 
 use super::base::{choose_base, Base};
 use super::durable::Entry;
 use super::interface::{Epoch, EpochRecord, Member, MemberId, Millis, StateMachine, Version};
-use super::message::{Canvass, Install, Installed, Message, Prepare, Promise, Refusal, Standing, StateCopy};
+use super::message::{
+    Install, Installed, Message, PreVote, PreVoteAnswer, Prepare, Promise, Refusal, StateCopy,
+};
 use super::settings::Timings;
 use super::Replica;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A canvass ends after so long.
-const CANVASS_MS: Millis = 150;
+/// A pre-vote ends after so long.
+const PRE_VOTE_MS: Millis = 150;
 /// A candidate that failed comes back after so long at least.
 const SETBACK_MS: Millis = 30;
 
@@ -18,19 +20,19 @@
 #[derive(Debug)]
 pub(super) enum Campaign {
     /// Asks whether the witnesses would promise.
-    Canvassing(Canvassing),
+    PreVoting(PreVoting),
     /// Asks them to promise.
     Preparing(Preparing),
     /// Has the new record (and state) written.
     Installing(Box<Installing>),
 }
 
-/// A canvass.
+/// A pre-vote.
 #[derive(Debug)]
-pub(super) struct Canvassing {
+pub(super) struct PreVoting {
     attempt: u64,
     started: Millis,
-    standings: BTreeMap<MemberId, Standing>,
+    answers: BTreeMap<MemberId, PreVoteAnswer>,
 }
 
 /// Promises being collected.
@@ -73,7 +75,7 @@
     /// When it has something to do.
     pub fn next_wakeup(&self, timings: &Timings) -> Millis {
         match self {
-            Campaign::Canvassing(canvassing) => canvassing.started + CANVASS_MS,
+            Campaign::PreVoting(pre_voting) => pre_voting.started + PRE_VOTE_MS,
             Campaign::Preparing(preparing) => {
                 let gathered = preparing.enough_since.map_or(Millis::MAX, |since| since + timings.gather_ms);
                 preparing.next_send.min(preparing.started + timings.attempt_ms).min(gathered)
@@ -150,16 +152,16 @@
         }
     }
 
-    pub(super) fn begin_canvass(&mut self) {
+    pub(super) fn begin_pre_vote(&mut self) {
         let Some(record) = self.durable.record.clone() else { return };
         if let Some(epoch) = self.succeeds {
             return self.begin_prepare(Purpose::Succeed(epoch));
         }
         let attempt = self.chance.rand_u64();
-        let canvassing = Canvassing { attempt, started: self.now, standings: BTreeMap::new() };
-        self.campaign = Some(Campaign::Canvassing(canvassing));
+        let pre_voting = PreVoting { attempt, started: self.now, answers: BTreeMap::new() };
+        self.campaign = Some(Campaign::PreVoting(pre_voting));
         for member in record.everyone() {
-            self.send(member.clone(), Message::Canvass(Canvass { attempt }));
+            self.send(member.clone(), Message::PreVote(PreVote { attempt }));
         }
     }
 
@@ -180,19 +182,19 @@
         self.check_campaign();
     }
 
-    pub(super) fn on_standing(&mut self, from: &Member, standing: Standing) {
-        self.saw_epoch(standing.promised);
-        if let Some(record) = &standing.record {
+    pub(super) fn on_pre_vote_answer(&mut self, from: &Member, answer: PreVoteAnswer) {
+        self.saw_epoch(answer.promised);
+        if let Some(record) = &answer.record {
             self.learn_of_record(record);
         }
-        let Some(Campaign::Canvassing(canvassing)) = &mut self.campaign else { return };
-        if canvassing.attempt != standing.attempt {
+        let Some(Campaign::PreVoting(pre_voting)) = &mut self.campaign else { return };
+        if pre_voting.attempt != answer.attempt {
             return;
         }
-        canvassing.standings.insert(from.id, standing);
+        pre_voting.answers.insert(from.id, answer);
         if self.outside {
             self.campaign = None;
-        } else if self.canvass_is_won() {
+        } else if self.pre_vote_is_won() {
             self.begin_prepare(Purpose::TakeOver);
         }
     }
@@ -262,7 +264,7 @@
         let attempt_ms = self.settings.timings.attempt_ms;
         let ends_at = match &self.campaign {
             None => return,
-            Some(Campaign::Canvassing(canvassing)) => canvassing.started + CANVASS_MS,
+            Some(Campaign::PreVoting(pre_voting)) => pre_voting.started + PRE_VOTE_MS,
             Some(Campaign::Preparing(preparing)) => preparing.started + attempt_ms,
             Some(Campaign::Installing(installing)) => installing.started + attempt_ms,
         };
@@ -285,7 +287,7 @@
             return;
         }
         let wait = match &failed {
-            Some(Campaign::Canvassing(canvassing)) => canvassing.shortest_wait(),
+            Some(Campaign::PreVoting(pre_voting)) => pre_voting.shortest_wait(),
             _ => 0,
         };
         self.election_at = self.election_moment_after(self.now + wait.max(SETBACK_MS));
@@ -300,10 +302,10 @@
         }
     }
 
-    fn canvass_is_won(&self) -> bool {
-        let Some(Campaign::Canvassing(canvassing)) = &self.campaign else { return false };
-        let would_promise = |id| canvassing.standings.get(&id).is_some_and(|standing| standing.would_promise);
-        let records = canvassing.standings.values().filter_map(|standing| standing.record.as_ref());
+    fn pre_vote_is_won(&self) -> bool {
+        let Some(Campaign::PreVoting(pre_voting)) = &self.campaign else { return false };
+        let would_promise = |id| pre_voting.answers.get(&id).is_some_and(|answer| answer.would_promise);
+        let records = pre_voting.answers.values().filter_map(|answer| answer.record.as_ref());
         let mut records = records.chain(self.my_record());
         records.any(|record| record.has_quorum(would_promise))
     }
@@ -419,11 +421,11 @@
     }
 }
 
-impl Canvassing {
+impl PreVoting {
     /// After so long, somebody who put this candidate off might vote for it.
     fn shortest_wait(&self) -> Millis {
-        let waits = self.standings.values().filter(|standing| !standing.would_promise);
-        waits.map(|standing| standing.wait_ms).min().unwrap_or_default()
+        let waits = self.answers.values().filter(|answer| !answer.would_promise);
+        waits.map(|answer| answer.wait_ms).min().unwrap_or_default()
     }
 }
 
--- a/coordination/src/replica/handover.rs
+++ b/coordination/src/replica/handover.rs
@@ -38,7 +38,7 @@
             self.campaign = None;
             if self.may_campaign() {
                 self.succeeds = Some(hand_over.epoch);
-                self.begin_canvass();
+                self.begin_pre_vote();
             }
         }
     }
--- a/coordination/src/replica/message.rs
+++ b/coordination/src/replica/message.rs
@@ -23,10 +23,10 @@
 pub enum Message {
     /// Candidate to witnesses: would you promise? Changes nothing.
     #[n(0)]
-    Canvass(#[n(0)] Canvass),
-    /// Answer to [`Message::Canvass`].
+    PreVote(#[n(0)] PreVote),
+    /// Answer to [`Message::PreVote`].
     #[n(1)]
-    Standing(#[n(0)] Standing),
+    PreVoteAnswer(#[n(0)] PreVoteAnswer),
     /// Candidate to witnesses: promise to take part in no lower epoch.
     #[n(2)]
     Prepare(#[n(0)] Prepare),
@@ -92,7 +92,7 @@
 
 /// Would you promise?
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
-pub struct Canvass {
+pub struct PreVote {
     /// Names the attempt.
     #[n(0)]
     pub attempt: u64,
@@ -100,7 +100,7 @@
 
 /// What a witness holds, and whether it would promise.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
-pub struct Standing {
+pub struct PreVoteAnswer {
     /// The attempt that was asked about.
     #[n(0)]
     pub attempt: u64,
--- a/coordination/src/replica/witness.rs
+++ b/coordination/src/replica/witness.rs
@@ -3,8 +3,8 @@
 use super::durable::Entry;
 use super::interface::{Epoch, EpochRecord, Member, MemberId, Millis, StateMachine, Version};
 use super::message::{
-    Canvass, Heartbeat, HeartbeatAnswer, Install, Installed, Message, Prepare, Promise, Refusal, Standing,
-    Write, Written,
+    Heartbeat, HeartbeatAnswer, Install, Installed, Message, PreVote, PreVoteAnswer, Prepare, Promise,
+    Refusal, Write, Written,
 };
 use super::{Replica, QUICK_PAUSE_MS};
 
@@ -49,16 +49,16 @@
         moment + pause + if holds_state { 0 } else { NO_STATE_PENALTY_MS }
     }
 
-    pub(super) fn on_canvass(&mut self, from: &Member, canvass: Canvass) {
+    pub(super) fn on_pre_vote(&mut self, from: &Member, pre_vote: PreVote) {
         let wait_ms = self.put_off(from.id);
-        let standing = Standing {
-            attempt: canvass.attempt,
+        let answer = PreVoteAnswer {
+            attempt: pre_vote.attempt,
             would_promise: wait_ms == 0,
             wait_ms,
             promised: self.durable.promised,
             record: self.durable.record.clone(),
         };
-        self.send(from.clone(), Message::Standing(standing));
+        self.send(from.clone(), Message::PreVoteAnswer(answer));
     }
 
     pub(super) fn on_prepare(&mut self, from: &Member, prepare: Prepare) {
