--- a/coordination/tests/simulation/faults.rs
+++ b/coordination/tests/simulation/faults.rs
@@ -1,6 +1,6 @@
 //! Troubles by chance, and their end.
 
-use crate::world::{AfterAcknowledgement, Weather, World};
+use crate::world::{AfterAcknowledgement, LinkFaults, World};
 use alderhollow_coordination::replica::interface::{Input, Millis};
 
 /// A kind of trouble.
@@ -68,7 +68,7 @@
 /// All machines run, all links and disks are well.
 pub fn end_troubles(world: &mut World) {
     world.trace(|| String::from("end of troubles"));
-    world.weather = Weather::default();
+    world.link_faults = LinkFaults::default();
     world.cuts.clear();
     world.after_acknowledgement = None;
     let now = world.now;
@@ -173,11 +173,11 @@
 
 fn mend(world: &mut World) {
     world.cuts.clear();
-    world.weather = Weather::default();
+    world.link_faults = LinkFaults::default();
 }
 
 fn storm(world: &mut World) {
-    world.weather = Weather {
+    world.link_faults = LinkFaults {
         loss_percent: world.random(20),
         doubled_percent: world.random(20),
         late_percent: world.random(10),
--- /dev/null
+++ b/coordination/tests/simulation/world/hosts.rs
@@ -0,0 +1,188 @@
+//! The hosts of the replicas: they carry out what a replica asks for, and look after founding and joining.
+
+use super::{Event, World};
+use crate::machine::{address_of, Machine};
+use alderhollow_coordination::replica::interface::{Input, Member, Millis, Output, Role, Token};
+use alderhollow_coordination::replica::message::Message;
+
+/// Hosts look whether their member can found or wants to join this often.
+const HOST_CHECK_MS: Millis = 40;
+/// A write on a disk that stands still is looked at this often.
+const STALL_CHECK_MS: Millis = 20;
+
+impl World {
+    /// Tells a process something from its host.
+    pub fn tell(&mut self, machine: usize, input: Input) {
+        let mut outputs = Vec::new();
+        let now = self.now;
+        if let Some(process) = &mut self.machines[machine].process {
+            process.leaving |= input == Input::Leave;
+            process.replica.handle(now, input, &mut outputs);
+        }
+        self.check(machine);
+        for output in outputs {
+            self.carry_out(machine, output);
+        }
+        self.schedule_tick(machine);
+    }
+
+    pub(super) fn start(&mut self, number: usize) {
+        let machine = &mut self.machines[number];
+        if machine.process.is_some() || machine.gone || machine.starts_at != Some(self.now) {
+            return;
+        }
+        machine.starts_at = None;
+        let seed = self.chance.rand_u64();
+        machine.start(self.now, self.tolerate, seed);
+        self.trace(|| format!("start {number}"));
+        self.tell(number, Input::Tick);
+    }
+
+    pub(super) fn tick(&mut self, number: usize, generation: u64) {
+        let machine = &mut self.machines[number];
+        let frozen_until = machine.frozen_until;
+        let Some(process) = &mut machine.process else { return };
+        if process.generation != generation || process.tick_at != self.now {
+            return;
+        }
+        if frozen_until > self.now {
+            process.tick_at = frozen_until;
+            return self.schedule(frozen_until, Event::Tick { machine: number, generation });
+        }
+        self.tell(number, Input::Tick);
+    }
+
+    fn schedule_tick(&mut self, number: usize) {
+        let now = self.now;
+        let Some(process) = &mut self.machines[number].process else { return };
+        let Some(at) = process.replica.next_wakeup() else { return };
+        assert!(at > now, "a member that has done what was due wants to be woken at {at}, and it is {now}");
+        if at < process.tick_at || process.tick_at <= now {
+            process.tick_at = at;
+            let generation = process.generation;
+            self.schedule(at, Event::Tick { machine: number, generation });
+        }
+    }
+
+    pub(super) fn disk_done(&mut self, number: usize, generation: u64, token: Token) {
+        let machine = &mut self.machines[number];
+        if machine.process.as_ref().is_none_or(|process| process.generation != generation) {
+            return;
+        }
+        if machine.frozen_until > self.now {
+            let later = machine.frozen_until;
+            return self.schedule(later, Event::DiskDone { machine: number, generation, token });
+        }
+        if machine.disk.stalled_until > self.now {
+            let later = (self.now + STALL_CHECK_MS).min(machine.disk.stalled_until);
+            return self.schedule(later, Event::DiskDone { machine: number, generation, token });
+        }
+        if !machine.disk.has(token) {
+            return;
+        }
+        if !machine.disk.is_next(token) {
+            return self.schedule(self.now + 1, Event::DiskDone { machine: number, generation, token });
+        }
+        if machine.disk.finish(self.now, &mut self.chance, token) {
+            self.tell(number, Input::Persisted(token));
+        } else {
+            machine.disk.drop_waiting();
+            self.tell(number, Input::PersistFailed(token));
+        }
+    }
+
+    fn carry_out(&mut self, number: usize, output: Output) {
+        // An output before this one may have led to the end of the process.
+        let Some(process) = &mut self.machines[number].process else { return };
+        let generation = process.generation;
+        match output {
+            Output::Persist { token, writes, replace_all } => {
+                let disk = &mut self.machines[number].disk;
+                let at = disk.begin(self.now, &mut self.chance, token, writes, replace_all);
+                self.schedule(at, Event::DiskDone { machine: number, generation, token });
+            }
+            Output::Send { to, message } => self.transmit(number, &to, message),
+            Output::Proposed { token, result } => self.proposed(number, generation, token, result),
+            Output::HandedOver => process.handed_over = true,
+            Output::RoleChanged(role) => {
+                if role == Role::Primary {
+                    let id = process.replica.member().id;
+                    self.oracle.saw_primary(process.replica.epoch(), id);
+                }
+                self.trace(|| format!("{number} becomes {role:?}"));
+            }
+            Output::Committed { .. } => {}
+        }
+    }
+
+    fn transmit(&mut self, from: usize, to: &Member, message: Message) {
+        let address = address_of(to);
+        self.trace(|| format!("{from} -> {address} {message:?}"));
+        let link_faults = self.link_faults;
+        if self.cuts.contains(&(from, address)) || self.random(100) < link_faults.loss_percent {
+            return;
+        }
+        let copies = if self.random(100) < link_faults.doubled_percent { 2 } else { 1 };
+        let Some(sender) = self.machines[from].member() else { return };
+        for _ in 0..copies {
+            let late = self.random(100) < link_faults.late_percent;
+            let delay = 1 + if late { self.random(500) } else { self.random(3) };
+            let deliver =
+                Event::Deliver { to: address, from: sender.clone(), message: Box::new(message.clone()) };
+            self.schedule(self.now + delay, deliver);
+        }
+    }
+
+    pub(super) fn check_hosts(&mut self) {
+        self.schedule(self.now + HOST_CHECK_MS, Event::HostCheck);
+        self.found();
+        for number in 0..self.machines.len() {
+            let frozen = self.machines[number].frozen_until > self.now;
+            let Some(process) = &self.machines[number].process else { continue };
+            if process.replica.wants_to_join() && !frozen {
+                let member = process.replica.member().clone();
+                self.ask_to_join(number, member);
+            }
+        }
+    }
+
+    /// Seeds that know of each other found the core.
+    fn found(&mut self) {
+        let may_found =
+            |machine: &Machine| machine.process.as_ref().is_some_and(|process| process.replica.may_found());
+        let ready = |machine: &&Machine| {
+            machine.process.as_ref().is_some_and(|process| process.replica.identity_is_on_disk())
+        };
+        let is_founder =
+            |machine: &&Machine| machine.process.as_ref().is_some_and(|process| process.replica.is_founder());
+        let seeds = &self.machines[..self.seeds];
+        let founders: Vec<&Machine> = seeds.iter().filter(ready).filter(is_founder).collect();
+        if seeds.iter().filter(ready).count() < seeds.len() || founders.len() < seeds.len() / 2 + 1 {
+            return;
+        }
+        let witnesses: Vec<Member> = founders.iter().filter_map(|machine| machine.member()).collect();
+        let founders = founders.into_iter().filter(|machine| may_found(machine));
+        let founders: Vec<usize> = founders.map(|machine| machine.number).collect();
+        for number in founders {
+            if self.random(3) > 0 {
+                self.tell(number, Input::Found { witnesses: witnesses.clone() });
+            }
+        }
+    }
+
+    /// The host asks somebody who takes itself for the primary.
+    fn ask_to_join(&mut self, number: usize, member: Member) {
+        let is_primary = |machine: &&Machine| {
+            let primary =
+                machine.process.as_ref().is_some_and(|process| process.replica.role() == Role::Primary);
+            primary && !self.cuts.contains(&(number, machine.number))
+        };
+        let primaries: Vec<usize> = self.machines.iter().filter(is_primary).map(|one| one.number).collect();
+        if primaries.is_empty() {
+            return;
+        }
+        let to = primaries[self.random(primaries.len() as u64) as usize];
+        let at = self.now + 1 + self.random(40);
+        self.schedule(at, Event::Join { to, member });
+    }
+}
