Let operators look into data folders and running processes; stores outlive SIGHUP

inspect and status were named on the command line but not available. inspect reads a folder without writing to it: slots, logs, and what the core's member or the store would start from. status asks a process over the internal protocol (a service of its own, so that older processes refuse it plainly).

A store had no handler for SIGHUP, so that the signal ended it. Stores now read the seeds again as doors do; the code is shared.

--- a/alderhollow/src/cli/mod.rs
+++ b/alderhollow/src/cli/mod.rs
@@ -6,8 +6,10 @@
 
 use crate::role::RoleError;
 use crate::settings::{Settings, SettingsError};
+use crate::status::StatusError;
 use crate::{door, logging, store};
 use alderhollow_model::identity::Role;
+use alderhollow_storage::StorageError;
 use clap::{Parser, Subcommand};
 use log::LevelFilter;
 use std::net::SocketAddr;
@@ -39,14 +41,14 @@
     Store,
     /// Check a settings file or a configuration, and print all that is wrong.
     Check(check::Arguments),
-    /// Print what a data folder holds.
+    /// Print what the data folder of a process that is not running holds.
     Inspect {
         /// The folder.
         folder: PathBuf,
     },
     /// Print what a process tells of itself.
     Status {
-        /// Its control address.
+        /// Its internal address: its `ip` and the first of its `internal-ports`.
         address: SocketAddr,
     },
 }
@@ -77,9 +79,12 @@
     /// The role can't go on.
     #[error(transparent)]
     Role(#[from] RoleError),
-    /// Not there yet.
-    #[error("`{0}` is not available in this version")]
-    NotAvailable(&'static str),
+    /// A data folder can't be read.
+    #[error(transparent)]
+    Folder(#[from] StorageError),
+    /// A process did not tell its status.
+    #[error(transparent)]
+    Status(#[from] StatusError),
 }
 
 impl CommandError {
@@ -91,7 +96,8 @@
             CommandError::Logs(_)
             | CommandError::Io(_)
             | CommandError::Role(_)
-            | CommandError::NotAvailable(_) => ExitCode::from(EXIT_FAILED),
+            | CommandError::Folder(_)
+            | CommandError::Status(_) => ExitCode::from(EXIT_FAILED),
         }
     }
 }
--- a/alderhollow/src/core/driver.rs
+++ b/alderhollow/src/core/driver.rs
@@ -108,6 +108,16 @@
         replica.holds_lease(self.clock.now_ms()).then(|| replica.epoch())
     }
 
+    /// Its role.
+    pub fn role(&self) -> Role {
+        self.replica.borrow().role()
+    }
+
+    /// The newest epoch that it knows.
+    pub fn epoch(&self) -> u64 {
+        self.replica.borrow().epoch()
+    }
+
     /// End of the lease on the process's clock; 0: none.
     pub fn lease_until_ms(&self) -> u64 {
         self.replica.borrow().lease_until()
--- a/alderhollow/src/door/mod.rs
+++ b/alderhollow/src/door/mod.rs
@@ -4,7 +4,7 @@
 //! | --- | --- |
 //! | [`core_member`] | opens the core's member on the disk, and starts what a primary does |
 //! | [`clients`] | serves clients' requests |
-//! | [`endings`] | signals: the planned end, and settings that have changed |
+//! | [`endings`] | the planned end |
 
 mod clients;
 mod core_member;
@@ -23,6 +23,7 @@
 use crate::ready::Readiness;
 use crate::role::RoleError;
 use crate::settings::Settings;
+use crate::status::server::{ProcessStatus, StatusHandler};
 use crate::{operator_api, ready};
 use alderhollow_model::identity::{DiskId, NodeInfo, Role};
 use std::net::SocketAddr;
@@ -80,6 +81,9 @@
     if let Some(authority) = authority {
         services.register(ServiceId::Core, Rc::new(CoreHandler(authority.core().clone())));
     }
+    let status =
+        ProcessStatus { node: info.clone(), shared: node.clone(), core: authority.cloned(), store: None };
+    services.register(ServiceId::Status, Rc::new(StatusHandler(status)));
     let shared = authority.map(|authority| authority.clone() as Rc<dyn Authority>);
     node.join(info.clone(), shared, backends, services).await?;
     if let Some(authority) = authority {
--- a/alderhollow/src/internal/frame.rs
+++ b/alderhollow/src/internal/frame.rs
@@ -64,6 +64,8 @@
     Batch,
     /// Replication between stores.
     Replication,
+    /// Operators' questions about one process.
+    Status,
 }
 
 impl ServiceId {
@@ -73,6 +75,7 @@
             ServiceId::Distribution => 2,
             ServiceId::Batch => 3,
             ServiceId::Replication => 4,
+            ServiceId::Status => 5,
         }
     }
 
@@ -82,6 +85,7 @@
             2 => Some(ServiceId::Distribution),
             3 => Some(ServiceId::Batch),
             4 => Some(ServiceId::Replication),
+            5 => Some(ServiceId::Status),
             _ => None,
         }
     }
--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -26,6 +26,8 @@
 pub mod role;
 pub mod routing;
 pub mod settings;
+pub mod settings_reload;
+pub mod status;
 pub mod store;
 pub mod termination;
 
--- /dev/null
+++ b/alderhollow/src/status/display.rs
@@ -0,0 +1,123 @@
+//! A process's status as text: one line a fact, the name of the fact first.
+
+use super::message::{CoreRole, CoreStatus, RouteTokens, StatusReport, StoreStatus, TablesStatus};
+use crate::distribution::message::Directions;
+use alderhollow_model::identity::Role;
+use std::fmt::{self, Display, Formatter};
+
+/// Width of the column of names.
+const NAME_WIDTH: usize = 16;
+
+fn line(f: &mut Formatter<'_>, name: &str, value: impl Display) -> fmt::Result {
+    writeln!(f, "{name:NAME_WIDTH$}{value}")
+}
+
+fn yes_or_no(value: bool) -> &'static str {
+    if value {
+        "yes"
+    } else {
+        "no"
+    }
+}
+
+impl Display for StatusReport {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let role = match self.node.role {
+            Role::Door => "door",
+            Role::Store => "store",
+        };
+        line(f, "process", format_args!("{role} {} in zone {}", self.node.node, self.node.zone))?;
+        line(f, "life", format_args!("{:016x}, {} ms", self.node.life.0, self.uptime_ms))?;
+        match self.node.disk {
+            Some(disk) => line(f, "disk", disk)?,
+            None => line(f, "disk", "none")?,
+        }
+        show_directions(f, &self.directions)?;
+        show_tables(f, &self.tables)?;
+        if let Some(core) = &self.core {
+            show_core(f, core)?;
+        }
+        if let Some(store) = &self.store {
+            show_store(f, store)?;
+        }
+        Ok(())
+    }
+}
+
+fn show_directions(f: &mut Formatter<'_>, directions: &Directions) -> fmt::Result {
+    match &directions.primary {
+        Some(primary) => line(f, "core primary", format_args!("{} at {}", primary.disk, primary.internal.0))?,
+        None => line(f, "core primary", "not known")?,
+    }
+    for member in &directions.members {
+        line(f, "core member", format_args!("{} at {}", member.disk, member.internal.0))?;
+    }
+    Ok(())
+}
+
+fn show_tables(f: &mut Formatter<'_>, tables: &TablesStatus) -> fmt::Result {
+    match tables.vouched_ms_ago {
+        Some(ago_ms) => line(f, "tables vouched", format_args!("{ago_ms} ms ago"))?,
+        None => line(f, "tables vouched", "never in this life")?,
+    }
+    line(f, "control state", format_args!("version {}", tables.control))?;
+    match tables.config {
+        Some(version) => line(f, "configuration", format_args!("version {version}"))?,
+        None => line(f, "configuration", "none")?,
+    }
+    if !tables.evacuated.is_empty() {
+        line(f, "evacuated", tables.evacuated.join(", "))?;
+    }
+    let stamp = tables.backends_stamp;
+    line(
+        f,
+        "backends",
+        format_args!("{} in list {} of epoch {}", tables.backends, stamp.sequence, stamp.epoch),
+    )?;
+    line(f, "senders", tables.senders)?;
+    match tables.group_primary {
+        Some(disk) => line(f, "batch group", format_args!("epoch {}, primary {disk}", tables.group_epoch)),
+        None => line(f, "batch group", "none"),
+    }
+}
+
+fn show_core(f: &mut Formatter<'_>, core: &CoreStatus) -> fmt::Result {
+    let role = match core.role {
+        CoreRole::Outside => "not a member",
+        CoreRole::Follower => "follower",
+        CoreRole::Candidate => "candidate",
+        CoreRole::Primary => "primary",
+    };
+    line(f, "core", format_args!("{role}, epoch {}, version {}", core.epoch, core.version))?;
+    match core.lease_ms {
+        Some(lease_ms) => line(f, "lease", format_args!("{lease_ms} ms more")),
+        None => line(f, "lease", "none"),
+    }
+}
+
+fn show_store(f: &mut Formatter<'_>, store: &StoreStatus) -> fmt::Result {
+    let role = match (store.is_primary, store.is_active, store.is_synced) {
+        (true, true, _) => "primary, active",
+        (true, false, _) => "primary, brings its members up to date",
+        (false, _, true) => "follower, up to date",
+        (false, _, false) => "follower, not yet up to date",
+    };
+    line(f, "store", format_args!("{role}, epoch {}", store.epoch))?;
+    line(f, "may start items", yes_or_no(store.is_sure))?;
+    line(f, "batch jobs", store.jobs)?;
+    line(f, "items", format_args!("{} waiting, {} running", store.waiting_items, store.running_items))?;
+    for tokens in &store.waiting_tokens {
+        show_tokens(f, tokens)?;
+    }
+    for disk in &store.silent_members {
+        line(f, "silent member", disk)?;
+    }
+    Ok(())
+}
+
+fn show_tokens(f: &mut Formatter<'_>, tokens: &RouteTokens) -> fmt::Result {
+    match tokens.limit {
+        0 => line(f, "waiting tokens", format_args!("{}: {}, no limit", tokens.route, tokens.waiting)),
+        limit => line(f, "waiting tokens", format_args!("{}: {} of {limit}", tokens.route, tokens.waiting)),
+    }
+}
--- /dev/null
+++ b/alderhollow/src/status/message.rs
@@ -0,0 +1,151 @@
+//! Messages of [`ServiceId::Status`](crate::internal::ServiceId).
+
+use crate::distribution::message::{Directions, Stamp};
+use alderhollow_model::identity::{DiskId, NodeInfo};
+use minicbor::{Decode, Encode};
+
+/// A question to a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub enum Request {
+    /// All that it tells of itself.
+    #[n(0)]
+    Status,
+}
+
+/// What a process tells of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct StatusReport {
+    /// Who it is.
+    #[n(0)]
+    pub node: NodeInfo,
+    /// Milliseconds since its start.
+    #[n(1)]
+    pub uptime_ms: u64,
+    /// Where it takes the core to be.
+    #[n(2)]
+    pub directions: Directions,
+    /// Its tables.
+    #[n(3)]
+    pub tables: TablesStatus,
+    /// Its part in the core; `None` without a disk of the core.
+    #[n(4)]
+    pub core: Option<CoreStatus>,
+    /// Its part in the batch group; `None` at doors.
+    #[n(5)]
+    pub store: Option<StoreStatus>,
+}
+
+/// The tables that a process acts on.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
+pub struct TablesStatus {
+    /// How long ago the newest poll was sent that a primary with a lease answered; `None` if there is none in this life.
+    #[n(0)]
+    pub vouched_ms_ago: Option<u64>,
+    /// Version of the control state; 0: none.
+    #[n(1)]
+    pub control: u64,
+    /// Number of the configuration in force.
+    #[n(2)]
+    pub config: Option<u64>,
+    /// Evacuated zones.
+    #[n(3)]
+    pub evacuated: Vec<String>,
+    /// Position of the list of backends.
+    #[n(4)]
+    pub backends_stamp: Stamp,
+    /// How many backends it names.
+    #[n(5)]
+    pub backends: u64,
+    /// How many processes send to backends.
+    #[n(6)]
+    pub senders: u64,
+    /// Epoch of the batch group; 0: none.
+    #[n(7)]
+    pub group_epoch: u64,
+    /// The disk of the batch group's primary.
+    #[n(8)]
+    pub group_primary: Option<DiskId>,
+}
+
+/// A process's part in the core.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct CoreStatus {
+    /// Its role.
+    #[n(0)]
+    pub role: CoreRole,
+    /// The newest epoch that it knows.
+    #[n(1)]
+    pub epoch: u64,
+    /// Version of the state that it knows as committed.
+    #[n(2)]
+    pub version: u64,
+    /// How much longer its lease runs; `None` without one.
+    #[n(3)]
+    pub lease_ms: Option<u64>,
+}
+
+/// A member's role, as it goes over the wire.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub enum CoreRole {
+    /// Not a member.
+    #[n(0)]
+    Outside,
+    /// A member that follows, or has no primary.
+    #[n(1)]
+    Follower,
+    /// Tries to become the primary.
+    #[n(2)]
+    Candidate,
+    /// The primary, with or without a lease.
+    #[n(3)]
+    Primary,
+}
+
+/// A store's part in the batch group.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct StoreStatus {
+    /// The newest epoch that it knows.
+    #[n(0)]
+    pub epoch: u64,
+    /// Whether it is that epoch's primary.
+    #[n(1)]
+    pub is_primary: bool,
+    /// Whether all members equal it; only the primary knows.
+    #[n(2)]
+    pub is_active: bool,
+    /// Not the primary: whether it equalled the primary in this epoch.
+    #[n(3)]
+    pub is_synced: bool,
+    /// Whether it may start items and refuse batch jobs at this moment.
+    #[n(4)]
+    pub is_sure: bool,
+    /// Batch jobs that it keeps.
+    #[n(5)]
+    pub jobs: u64,
+    /// Items that wait for a run here.
+    #[n(6)]
+    pub waiting_items: u64,
+    /// Items that run here.
+    #[n(7)]
+    pub running_items: u64,
+    /// Waiting tokens by batch route.
+    #[n(8)]
+    pub waiting_tokens: Vec<RouteTokens>,
+    /// Members that have not acknowledged for some time, although something waits for them.
+    #[n(9)]
+    pub silent_members: Vec<DiskId>,
+}
+
+/// Tokens that wait on one route.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct RouteTokens {
+    /// Name of the route.
+    #[n(0)]
+    pub route: String,
+    /// Accepted tokens that no backend has finished.
+    #[n(1)]
+    pub waiting: u64,
+    /// Its `max-queued-tokens`; 0: no limit.
+    #[n(2)]
+    pub limit: u64,
+}
--- /dev/null
+++ b/alderhollow/src/status/server.rs
@@ -0,0 +1,119 @@
+//! Puts a process's status together and serves it.
+
+use super::message::{CoreRole, CoreStatus, Request, RouteTokens, StatusReport, StoreStatus, TablesStatus};
+use crate::core::authority::ControlAuthority;
+use crate::distribution::message::Stamp;
+use crate::distribution::server::Authority;
+use crate::internal::server::HandlerFuture;
+use crate::internal::{Handler, Refusal};
+use crate::node::Node;
+use crate::store::node::StoreNode;
+use alderhollow_coordination::replica::interface::Role;
+use alderhollow_model::config::RouteType;
+use alderhollow_model::identity::NodeInfo;
+use alderhollow_model::snapshot::Snapshot;
+use std::rc::Rc;
+
+/// What the status is read from.
+pub struct ProcessStatus {
+    /// This process.
+    pub node: NodeInfo,
+    /// Its shared parts.
+    pub shared: Node,
+    /// Its member of the core.
+    pub core: Option<Rc<ControlAuthority>>,
+    /// Its part in the batch group.
+    pub store: Option<Rc<StoreNode>>,
+}
+
+impl ProcessStatus {
+    /// The status at this moment.
+    pub fn report(&self) -> StatusReport {
+        let snapshot = self.shared.snapshots.borrow().clone();
+        StatusReport {
+            node: self.node.clone(),
+            uptime_ms: self.shared.clock.now_ms(),
+            directions: match &self.core {
+                Some(authority) => authority.directions(),
+                None => self.shared.directory.directions(),
+            },
+            tables: self.tables(&snapshot),
+            core: self.core.as_deref().map(|authority| self.core_status(authority)),
+            store: self.store.as_ref().map(|store| store_status(store, &snapshot)),
+        }
+    }
+
+    fn tables(&self, snapshot: &Snapshot) -> TablesStatus {
+        let control = &snapshot.control;
+        let now_ms = self.shared.clock.now_ms();
+        let vouched_since_ms = self.shared.poll_state.vouched_since_ms();
+        let (epoch, sequence) = snapshot.backends.version();
+        TablesStatus {
+            vouched_ms_ago: vouched_since_ms.map(|since_ms| now_ms.saturating_sub(since_ms)),
+            control: control.version,
+            config: control.config.as_ref().map(|config| config.config_version),
+            evacuated: control.evacuated.iter().cloned().collect(),
+            backends_stamp: Stamp { epoch, sequence },
+            backends: snapshot.backends.backends.len() as u64,
+            senders: snapshot.senders.nodes.len() as u64,
+            group_epoch: control.group.as_ref().map_or(0, |group| group.epoch),
+            group_primary: control.group.as_ref().map(|group| group.primary),
+        }
+    }
+
+    fn core_status(&self, authority: &ControlAuthority) -> CoreStatus {
+        let core = authority.core();
+        let lease_ms = core.lease_until_ms().saturating_sub(self.shared.clock.now_ms());
+        CoreStatus {
+            role: match core.role() {
+                Role::Outside => CoreRole::Outside,
+                Role::Follower => CoreRole::Follower,
+                Role::Candidate => CoreRole::Candidate,
+                Role::Primary => CoreRole::Primary,
+            },
+            epoch: core.epoch(),
+            version: core.version(),
+            lease_ms: (lease_ms > 0).then_some(lease_ms),
+        }
+    }
+}
+
+fn store_status(store: &StoreNode, snapshot: &Snapshot) -> StoreStatus {
+    store.look(|engine, now_ms| {
+        let group = engine.status(now_ms);
+        let (waiting_items, running_items) = engine.load();
+        let routes = snapshot.control.config.iter().flat_map(|config| &config.routes);
+        let batch_routes = routes.filter(|route| route.route_type == RouteType::Batch);
+        StoreStatus {
+            epoch: group.epoch,
+            is_primary: group.primary,
+            is_active: group.active,
+            is_synced: group.synced,
+            is_sure: engine.is_sure(now_ms),
+            jobs: engine.jobs() as u64,
+            waiting_items: waiting_items as u64,
+            running_items: running_items as u64,
+            waiting_tokens: batch_routes
+                .map(|route| RouteTokens {
+                    route: route.name.clone(),
+                    waiting: engine.waiting_tokens(&route.name),
+                    limit: route.max_queued_tokens,
+                })
+                .collect(),
+            silent_members: group.silent,
+        }
+    })
+}
+
+/// Serves the status on the internal port.
+pub struct StatusHandler(pub ProcessStatus);
+
+impl Handler for StatusHandler {
+    fn request(&self, payload: Vec<u8>) -> HandlerFuture {
+        let answer = match minicbor::decode(&payload) {
+            Ok(Request::Status) => minicbor::to_vec(self.0.report()).map_err(|_| Refusal::Busy),
+            Err(_) => Err(Refusal::Malformed),
+        };
+        Box::pin(std::future::ready(answer))
+    }
+}
--- a/alderhollow/src/store/role.rs
+++ b/alderhollow/src/store/role.rs
@@ -12,6 +12,8 @@
 use crate::node::{node_info, random_seed, Node};
 use crate::role::RoleError;
 use crate::settings::Settings;
+use crate::settings_reload;
+use crate::status::server::{ProcessStatus, StatusHandler};
 use crate::termination::terminated;
 use alderhollow_batch::engine::Engine;
 use alderhollow_model::identity::{DiskId, Role};
@@ -59,7 +61,11 @@
     let (_, backends) = watch::channel(None);
     let info = node_info(&settings, Role::Store, Some(disk));
     log::info!("store {} in zone {} with disk {disk}", settings.node, settings.zone);
+    let status =
+        ProcessStatus { node: info.clone(), shared: shared.clone(), core: None, store: Some(node.clone()) };
+    services.register(ServiceId::Status, Rc::new(StatusHandler(status)));
     shared.join(info, None, backends, services).await?;
+    tokio::task::spawn_local(settings_reload::follow(shared.clone(), Role::Store));
     tokio::select! {
         () = NodeJournal(node.clone()).follow(write_ends) => Ok(()),
         () = node.clone().run() => Ok(()),
--- a/coordination/src/replica.rs
+++ b/coordination/src/replica.rs
@@ -10,11 +10,13 @@
 //! | `primary`, `proposals`, `lease` | heartbeats, commands, the lease |
 //! | `membership` | which members and replicas the next epoch should have |
 //! | `handover` | planned ends, and a primary whose disk stalls |
+//! | `inspection` | what a disk holds, for operators |
 
 mod base;
 mod campaign;
 mod durable;
 mod handover;
+pub mod inspection;
 pub mod interface;
 mod membership;
 pub mod message;
--- a/storage/src/inspect.rs
+++ b/storage/src/inspect.rs
@@ -2,6 +2,7 @@
 
 use crate::disk::FolderDisk;
 use crate::error::StorageError;
+use crate::journal::Recovered;
 use crate::{identity, log, slot};
 use std::fmt;
 use std::path::Path;
@@ -96,6 +97,38 @@
     Ok(Inspection { identity, slots, logs, findings })
 }
 
+/// What a process would start from, of a folder whose process is not running; `None` if the folder has no identity.
+/// Nothing is changed.
+///
+/// # Errors
+/// A file can't be read.
+pub fn read(folder: &Path) -> Result<Option<Recovered>, StorageError> {
+    let Some(identity) = read_identity(folder)? else { return Ok(None) };
+    let inspection = inspect(folder)?;
+    let snapshot = match inspection.slots.iter().find(|slot| slot.is_in_force) {
+        Some(slot) => read_whole_snapshot(folder, slot.file)?,
+        None => None,
+    };
+    let records = match inspection.logs.iter().find(|log| log.is_in_force) {
+        Some(log) => read_records(folder, log.file, in_force(&inspection.slots).1)?,
+        None => Vec::new(),
+    };
+    Ok(Some(Recovered { identity, snapshot, records }))
+}
+
+fn read_whole_snapshot(folder: &Path, name: &'static str) -> Result<Option<Vec<u8>>, StorageError> {
+    let on = StorageError::on(name);
+    let Some(mut file) = FolderDisk::open_to_read(folder, name).map_err(&on)? else { return Ok(None) };
+    let Some(header) = slot::read_header(&mut file).map_err(&on)? else { return Ok(None) };
+    slot::read_snapshot(&mut file, &header).map_err(&on)
+}
+
+fn read_records(folder: &Path, name: &'static str, generation: u64) -> Result<Vec<Vec<u8>>, StorageError> {
+    let on = StorageError::on(name);
+    let Some(mut file) = FolderDisk::open_to_read(folder, name).map_err(&on)? else { return Ok(Vec::new()) };
+    Ok(log::read(&mut file, generation).map_err(&on)?.records)
+}
+
 fn read_identity(folder: &Path) -> Result<Option<u64>, StorageError> {
     let on = StorageError::on(identity::FILE);
     let Some(mut file) = FolderDisk::open_to_read(folder, identity::FILE).map_err(&on)? else {
--- a/storage/src/lib.rs
+++ b/storage/src/lib.rs
@@ -19,6 +19,6 @@
 pub use disk::{Disk, DiskFile, FolderDisk};
 pub use error::StorageError;
 pub use fault_disk::FaultDisk;
-pub use inspect::{inspect, Finding, Inspection, LogReport, SlotReport};
+pub use inspect::{inspect, read, Finding, Inspection, LogReport, SlotReport};
 pub use journal::{Journal, Recovered};
 pub use writer::{Write, Writer};
