--- /dev/null
+++ b/alderhollow/examples/scale-run/hollow.rs
@@ -0,0 +1,157 @@
+//! Doors that do nothing but poll for their tables.
+
+use alderhollow::distribution::message::{Answer, HeldVersions, Poll, Request, Stamp, Update};
+use alderhollow::internal::{Network, ServiceId};
+use alderhollow_model::identity::{Address, LifeId, NodeInfo, Role};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+/// As real doors poll.
+const POLL_WAIT_MS: u32 = 400;
+const POLL_TIMEOUT: Duration = Duration::from_millis(1_000);
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Bytes of a frame besides its payload.
+const FRAME_BYTES: usize = 15;
+
+/// Payloads and frames that passed.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Bytes {
+    /// From the doors to the core.
+    pub sent: u64,
+    /// From the core to the doors.
+    pub received: u64,
+}
+
+impl Bytes {
+    /// What passed since an earlier count.
+    pub fn since(&self, earlier: &Bytes) -> Bytes {
+        Bytes { sent: self.sent - earlier.sent, received: self.received - earlier.received }
+    }
+}
+
+struct Door {
+    held: Cell<HeldVersions>,
+    held_at: Cell<Instant>,
+    bytes: Cell<Bytes>,
+    primary: Cell<Option<SocketAddr>>,
+}
+
+/// All hollow doors. They end when this is dropped.
+pub struct HollowDoors {
+    doors: Vec<Rc<Door>>,
+    tasks: Vec<AbortHandle>,
+}
+
+impl HollowDoors {
+    /// Starts to poll, each door on a connection of its own.
+    pub fn start(count: usize, core: Vec<SocketAddr>) -> HollowDoors {
+        let mut all = HollowDoors { doors: Vec::new(), tasks: Vec::new() };
+        for number in 0..count {
+            let door = Rc::new(Door {
+                held: Cell::default(),
+                held_at: Cell::new(Instant::now()),
+                bytes: Cell::default(),
+                primary: Cell::default(),
+            });
+            let task = tokio::task::spawn_local(poll(door.clone(), number, core.clone()));
+            all.tasks.push(task.abort_handle());
+            all.doors.push(door);
+        }
+        all
+    }
+
+    /// The control state that all hold at least.
+    pub fn oldest_control(&self) -> u64 {
+        self.doors.iter().map(|door| door.held.get().control).min().unwrap_or(0)
+    }
+
+    /// The newest control state that one holds.
+    pub fn newest_control(&self) -> u64 {
+        self.doors.iter().map(|door| door.held.get().control).max().unwrap_or(0)
+    }
+
+    /// When each got its control state.
+    pub fn held_at(&self) -> Vec<Instant> {
+        self.doors.iter().map(|door| door.held_at.get()).collect()
+    }
+
+    /// What passed so far.
+    pub fn bytes(&self) -> Bytes {
+        self.doors.iter().fold(Bytes::default(), |sum, door| {
+            let bytes = door.bytes.get();
+            Bytes { sent: sum.sent + bytes.sent, received: sum.received + bytes.received }
+        })
+    }
+
+    /// Where the core's primary is, as the doors found.
+    pub fn primary(&self) -> Option<SocketAddr> {
+        self.doors.first().and_then(|door| door.primary.get())
+    }
+}
+
+impl Drop for HollowDoors {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(AbortHandle::abort);
+    }
+}
+
+async fn poll(door: Rc<Door>, number: usize, core: Vec<SocketAddr>) {
+    let network = Network::new(number as u64);
+    let node = NodeInfo {
+        node: format!("hollow-{number}"),
+        role: Role::Door,
+        zone: "east".into(),
+        life: LifeId(number as u64),
+        disk: None,
+        internal: Address(SocketAddr::from(([127, 0, 0, 1], 1))),
+        control: None,
+    };
+    for to in core.iter().cycle() {
+        while let Some(answer) = poll_once(&door, &network, &node, *to).await {
+            door.primary.set(Some(*to));
+            take(&door, answer);
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// The primary's answer; `None` from all others.
+async fn poll_once(door: &Door, network: &Network, node: &NodeInfo, to: SocketAddr) -> Option<Update> {
+    let poll = Poll {
+        node: node.clone(),
+        held: door.held.get(),
+        wait_ms: POLL_WAIT_MS,
+        leaving: false,
+        batch_status: Vec::new().into(),
+    };
+    let request = minicbor::to_vec(Request::Poll(Box::new(poll))).ok()?;
+    let sent = request.len();
+    let answer = network.call(to, ServiceId::Distribution, request, POLL_TIMEOUT).await.ok()?;
+    let mut bytes = door.bytes.get();
+    bytes.sent += (sent + FRAME_BYTES) as u64;
+    bytes.received += (answer.len() + FRAME_BYTES) as u64;
+    door.bytes.set(bytes);
+    match minicbor::decode(&answer).ok()? {
+        Answer::Update(update) => Some(update),
+        Answer::Hello(..) | Answer::NotPrimary(_) => None,
+    }
+}
+
+fn take(door: &Door, update: Update) {
+    let mut held = door.held.get();
+    if let Some(control) = update.control {
+        held.control = control.version;
+        door.held_at.set(Instant::now());
+    }
+    if let Some(list) = update.backends {
+        held.backends = Stamp { epoch: list.epoch, sequence: list.sequence };
+    }
+    if let Some(senders) = update.senders {
+        held.senders = senders.stamp;
+    }
+    door.held.set(held);
+}
--- a/alderhollow/src/core/driver.rs
+++ b/alderhollow/src/core/driver.rs
@@ -53,6 +53,8 @@
     scheduled_ms: Cell<Option<u64>>,
     rescheduled: Notify,
     handed_over: Notify,
+    /// The newest role that is not a candidate's, with its epoch.
+    logged_role: Cell<Option<(Role, u64)>>,
 }
 
 impl<S: StateMachine + 'static> Core<S> {
@@ -80,6 +82,7 @@
             scheduled_ms: Cell::new(None),
             rescheduled: Notify::new(),
             handed_over: Notify::new(),
+            logged_role: Cell::new(None),
         });
         tokio::task::spawn_local(report_write_ends(Rc::downgrade(&core), ends));
         tokio::task::spawn_local(core.clone().tick());
@@ -218,9 +221,13 @@
 
     fn log_role(&self, role: Role) {
         let replica = self.replica.borrow();
+        // A member that is cut off tries for the primary's place again and again, and follows in between.
+        let is_news = role == Role::Candidate
+            || self.logged_role.replace(Some((role, replica.epoch()))) != Some((role, replica.epoch()));
         match role {
             Role::Primary => log::info!("core: primary of epoch {}", replica.epoch()),
-            Role::Follower => log::info!("core: follows in epoch {}", replica.epoch()),
+            Role::Follower if is_news => log::info!("core: follows in epoch {}", replica.epoch()),
+            Role::Follower => log::debug!("core: follows in epoch {} again", replica.epoch()),
             Role::Candidate => log::debug!("core: candidate, epoch {} is the newest", replica.epoch()),
             Role::Outside => log::info!("core: not a member"),
         }
--- a/alderhollow/standins/src/process.rs
+++ b/alderhollow/standins/src/process.rs
@@ -44,6 +44,11 @@
         &self.name
     }
 
+    /// Its number in the system.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// How it ended, if it has.
     pub fn ended(&mut self) -> io::Result<Option<ExitStatus>> {
         self.child.try_wait()
--- a/alderhollow/tests/processes.rs
+++ b/alderhollow/tests/processes.rs
@@ -10,6 +10,8 @@
 use std::collections::BTreeSet;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Command;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 use tier_support::{configuration, stream_request, until, Place, Tier, GRACE, HOST, LIMIT, SEEDS, STORES};
@@ -37,6 +39,14 @@
     BatchJob { id: id.into(), host: HOST.into(), path: format!("/lots/{id}"), items: items.collect() }
 }
 
+/// What `inspect` prints of the data folder of a process that was killed.
+fn inspect(folder: &Path) -> String {
+    let program =
+        Command::new(env!("CARGO_BIN_EXE_alderhollow")).arg("inspect").arg(folder).output().unwrap();
+    assert!(program.status.success(), "{program:?}");
+    String::from_utf8_lossy(&program.stdout).into_owned()
+}
+
 async fn submit(doors: &[SocketAddr], job: &BatchJob) {
     let (status, tries) = batch_client::submit_until_answered(doors, job, LIMIT).await;
     assert!(matches!(status, Ok(202)), "after {tries} tries: {status:?}");
@@ -91,6 +101,12 @@
         assert_eq!(answer.status, 200);
         let (primary, _) = tier.core_primary().await.expect("an order was acknowledged");
         tier.process(primary).kill().unwrap();
+        let found = inspect(&tier.data_dir(primary));
+        assert!(found.contains("contents: a member of the core\n"), "{found}");
+        assert!(
+            found.contains("configuration: version 5\n") || found.contains("one command not known"),
+            "{found}"
+        );
         assert_eq!(tier.config_version().await, Some(5));
         let answer = tier.order(&Order::put_config(5, configuration(9, &["later", "latest"]))).await;
         assert_eq!(answer.status, 200);
@@ -115,6 +131,8 @@
         submit(&doors, &job).await;
         let primary = tier.primary_store().await.expect("a batch job was accepted");
         tier.process(primary).kill().unwrap();
+        let found = inspect(&tier.data_dir(primary));
+        assert!(found.contains("batch jobs: 1 open, 0 complete, 0 ended by their clients\n"), "{found}");
         let results = read_to_end(&doors, &job).await;
         assert_complete(&job, &results);
         let again = read_to_end(&doors, &job).await;
