Keep little under way between stores, and probe before a batch job goes out again

A stream now has at most 256 KB under way in messages of 64 KB, and a door asks with a small read whether the primary serves before it sends the job again; a job that the read finds is accepted.

--- a/alderhollow/src/batch_api/endpoints/tests.rs
+++ b/alderhollow/src/batch_api/endpoints/tests.rs
@@ -161,6 +161,37 @@
     assert_eq!(asked, ["10.0.0.1:7000", "10.0.0.2:7000"]);
 }
 
+/// The calls of a hand-over to one store, told apart as full copies of the job (`true`) and small probes.
+fn copies(calls: &[(SocketAddr, StoreCall)]) -> Vec<bool> {
+    calls.iter().map(|(_, call)| matches!(call, StoreCall::Submit { .. })).collect()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_primary_that_can_not_tell_gets_one_copy_of_a_job_and_then_probes() {
+    let (status, _, _, calls) = answer(vec![Ok(StoreReply::NotSure)], hand_in(JOB)).await;
+    assert_eq!(status, 503);
+    let copies = copies(&calls);
+    assert!(copies.len() > 2, "{copies:?}");
+    assert_eq!(copies.iter().filter(|copy| **copy).count(), 1, "{copies:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_goes_out_again_once_its_primary_serves() {
+    let replies = [StoreReply::NotSure, StoreReply::NotSure, StoreReply::NotFound, StoreReply::Committed];
+    let (status, _, _, calls) = answer(replies.map(Ok).into(), hand_in(JOB)).await;
+    assert_eq!(status, 202);
+    assert_eq!(copies(&calls), [true, false, false, true]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_that_a_probe_can_read_is_accepted() {
+    let results = StoreReply::Results(br#"{"total":1,"next-token":0,"results":[]}"#.to_vec());
+    let replies = vec![Err(StoreCallError::Unknown), Ok(StoreReply::NotSure), Ok(results)];
+    let (status, _, _, calls) = answer(replies, hand_in(JOB)).await;
+    assert_eq!(status, 202);
+    assert_eq!(copies(&calls), [true, false, false]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn malformed_jobs_are_refused_without_a_call() {
     for body in ["", "{}", "[]", r#"{"requests":[]}"#, r#"{"requests":[{"id":"a","path":"b"}]}"#] {
--- a/alderhollow/src/batch_api/store_calls.rs
+++ b/alderhollow/src/batch_api/store_calls.rs
@@ -81,6 +81,9 @@
 }
 
 /// Asks the group's primary until there is an answer or patience ends. Gives the newest reading that came along.
+///
+/// A batch job is large. A primary that did not serve it is first asked whether it serves calls at all: copies of many
+/// jobs, sent anew every few milliseconds, would fill its link, so that it could not hear the core.
 pub async fn ask_primary(
     link: &dyn StoreLink,
     mut snapshots: SnapshotReceiver,
@@ -89,9 +92,20 @@
 ) -> (CallEnd, Option<TenantReading>) {
     let mut unknown = false;
     let mut reading = None;
+    let probe = probe_for(call);
+    let mut unserved_by = None;
     loop {
         let primary = primary_address(&snapshots);
-        if let Some(to) = primary {
+        let probed = match (primary, &probe) {
+            (Some(to), Some(probe)) if unserved_by == primary => send_probe(link, to, probe).await,
+            _ => Probed::Serves,
+        };
+        if probed == Probed::IsCommitted {
+            let end = if unknown { CallEnd::AnsweredAfterUnknown } else { CallEnd::Answered };
+            return (end(StoreReply::Committed), reading);
+        }
+        if let Some(to) = primary.filter(|_| probed == Probed::Serves) {
+            unserved_by = primary;
             let answer = link.call(to, call, ANSWER_TIMEOUT + patience.held).await;
             let reply = answer.map(|answer| {
                 reading = answer.reading.or(reading);
@@ -113,6 +127,35 @@
     }
 }
 
+/// What a primary that did not serve a batch job answered to a probe.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Probed {
+    /// It serves calls again, and does not have the batch job.
+    Serves,
+    /// It has it, on every member's disk.
+    IsCommitted,
+    /// It can't tell, or said nothing.
+    IsUnsure,
+}
+
+/// A small call that shows whether the primary would serve a large one.
+fn probe_for(call: &StoreCall) -> Option<StoreCall> {
+    match call {
+        StoreCall::Submit { job, .. } => {
+            Some(StoreCall::Read { job: job.id.clone(), after: u32::MAX, wait_ms: 0 })
+        }
+        StoreCall::Read { .. } | StoreCall::Body { .. } | StoreCall::End(_) => None,
+    }
+}
+
+async fn send_probe(link: &dyn StoreLink, to: SocketAddr, probe: &StoreCall) -> Probed {
+    match link.call(to, probe, ANSWER_TIMEOUT).await.map(|answer| answer.reply) {
+        Ok(StoreReply::Results(_)) => Probed::IsCommitted,
+        Ok(StoreReply::NotPrimary | StoreReply::NotSure | StoreReply::Unknown) | Err(_) => Probed::IsUnsure,
+        Ok(_) => Probed::Serves,
+    }
+}
+
 /// Waits a little, or until the tables change.
 async fn pause(snapshots: &mut SnapshotReceiver) {
     let again_at = Instant::now() + ASK_AGAIN_PAUSE;
--- a/batch/src/group/peer.rs
+++ b/batch/src/group/peer.rs
@@ -8,8 +8,11 @@
 use std::collections::VecDeque;
 use std::ops::Bound;
 
-/// Bytes that may be under way to a store before it acknowledges.
-const WINDOW_BYTES: usize = 4 * MESSAGE_BYTES;
+/// Bytes of records in one message, unless a single one is larger.
+const RECORDS_BYTES: usize = 64 << 10;
+/// Bytes that may be under way to a store before it acknowledges. The windows of all members together pass a link of
+/// 60 Mbit/s well within [`FIRST_RETRY_MS`]: a full link alone makes nothing go out twice, and holds up no poll of the core.
+const WINDOW_BYTES: usize = 4 * RECORDS_BYTES;
 /// Time without an answer after which the primary sends again. It doubles up to [`LONGEST_RETRY_MS`].
 const FIRST_RETRY_MS: u64 = 500;
 /// See [`FIRST_RETRY_MS`].
@@ -191,7 +194,7 @@
         for number in self.next.. {
             let Some(entry) = self.entry(number, now_ms, state, log) else { break };
             let size = entry.approximate_bytes();
-            if !entries.is_empty() && bytes + size > MESSAGE_BYTES {
+            if !entries.is_empty() && bytes + size > RECORDS_BYTES {
                 break;
             }
             bytes += size;
--- a/batch/tests/engine/replication.rs
+++ b/batch/tests/engine/replication.rs
@@ -215,6 +215,22 @@
     assert!(sent(&cluster, 1, 2).len() >= 8);
 }
 
+#[test]
+fn little_is_under_way_to_a_store_that_does_not_acknowledge() {
+    let mut cluster = Cluster::active(2);
+    let now_ms = cluster.now_ms;
+    cluster.engine(1).set_routes(now_ms, 2, routes(RouteTerms { max_queued_tokens: 0, ..terms() }));
+    cluster.cut.insert(2);
+    cluster.sent.clear();
+    for number in 0..40 {
+        let mut large = job(&format!("large{number}"), 1, 1);
+        large.items[0].request.as_mut().unwrap().body = vec![number; 50_000];
+        cluster.submit(1, large);
+    }
+    let under_way: usize = sent(&cluster, 1, 2).iter().map(|message| message.to_bytes().len()).sum();
+    assert!((200_000..400_000).contains(&under_way), "{under_way}");
+}
+
 #[test]
 fn many_jobs_are_compared_range_by_range() {
     let mut cluster = Cluster::active(2);
