--- a/coordination/src/replica/base.rs
+++ b/coordination/src/replica/base.rs
@@ -4,6 +4,9 @@
 use super::message::Promise;
 use std::collections::BTreeMap;
 
+#[cfg(test)]
+mod tests;
+
 /// Where a new epoch begins.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Base {
