Measure what control costs as doors grow; test a kill of all processes with a lost disk

The scale run puts 10 to 300 hollow doors beside three real ones and measures processor time, memory and bytes in quiet, at a change of the configuration and at a change of the backends' list.

--- a/alderhollow/examples/scale-run/hollow.rs
+++ b/alderhollow/examples/scale-run/hollow.rs
@@ -64,6 +64,11 @@
         all
     }
 
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.doors.len()
+    }
+
     /// The control state that all hold at least.
     pub fn oldest_control(&self) -> u64 {
         self.doors.iter().map(|door| door.held.get().control).min().unwrap_or(0)
@@ -74,6 +79,16 @@
         self.doors.iter().map(|door| door.held.get().control).max().unwrap_or(0)
     }
 
+    /// The list of backends that all hold at least.
+    pub fn oldest_backends(&self) -> Stamp {
+        self.doors.iter().map(|door| door.held.get().backends).min().unwrap_or_default()
+    }
+
+    /// The newest list of backends that one holds.
+    pub fn newest_backends(&self) -> Stamp {
+        self.doors.iter().map(|door| door.held.get().backends).max().unwrap_or_default()
+    }
+
     /// When each got its control state.
     pub fn held_at(&self) -> Vec<Instant> {
         self.doors.iter().map(|door| door.held_at.get()).collect()
--- a/alderhollow/examples/scale-run/core.rs
+++ b/alderhollow/examples/scale-run/real_core.rs
@@ -2,7 +2,7 @@
 
 use crate::usage::{sample, CoreSample, Sample};
 use alderhollow_standins::operator::{Operator, Order};
-use alderhollow_standins::platform::{ListSettings, Platform, PlatformList};
+use alderhollow_standins::platform::{Instance, ListSettings, ListedState, Platform, PlatformList};
 use alderhollow_standins::process::TierProcess;
 use alderhollow_standins::settings::{
     settings_file, Machine, MachineClass, Ports, Site, PLATFORM_LAG_MS, PLATFORM_RATE_PER_S,
@@ -14,6 +14,8 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// How late the platform's list shows a change.
+pub const LIST_LAG_MS: u64 = PLATFORM_LAG_MS;
 const ZONES: [&str; 3] = ["east", "middle", "west"];
 const REGION: &str = "coast";
 const PORTS: Ports = Ports { front: 18244, ready: 18240, control: 18246, internal: [17760, 17775] };
@@ -25,24 +27,26 @@
 /// Routes of the configuration: with each change one of them gets another name.
 const ROUTES: u64 = 20;
 
-/// The doors of the core, with a platform that lists no backends.
+/// The doors of the core, with a platform whose list names backends that are not there.
 pub struct RealCore {
     processes: Vec<TierProcess>,
-    _platform: Platform,
+    platform: Platform,
+    instances: Vec<Instance>,
     folder: PathBuf,
     config_version: u64,
 }
 
 impl RealCore {
     /// Starts the processes.
-    pub async fn start(binary: &Path) -> io::Result<RealCore> {
+    pub async fn start(binary: &Path, backends: usize) -> io::Result<RealCore> {
         let list = ListSettings {
             lag: Duration::from_millis(PLATFORM_LAG_MS),
             rate_per_s: PLATFORM_RATE_PER_S,
             page_size: 50,
         };
         let platform_address = SocketAddr::from((loopback(PLATFORM_HOST), PLATFORM_PORT));
-        let platform = Platform::start(platform_address, PlatformList::new(list, Vec::new())).await?;
+        let instances: Vec<Instance> = (0..backends).map(instance).collect();
+        let platform = Platform::start(platform_address, PlatformList::new(list, instances.clone())).await?;
         let folder = std::env::temp_dir().join(format!("alderhollow-scale-{}", std::process::id()));
         let site = Site {
             ports: PORTS,
@@ -56,7 +60,7 @@
             .zip(HOSTS)
             .map(|(zone, host)| start_door(binary, &folder, &site, zone, host))
             .collect::<io::Result<Vec<_>>>()?;
-        Ok(RealCore { processes, _platform: platform, folder, config_version: 0 })
+        Ok(RealCore { processes, platform, instances, folder, config_version: 0 })
     }
 
     /// Where hollow doors poll.
@@ -81,6 +85,17 @@
         Ok(())
     }
 
+    /// Has the platform list the first backend in its other state.
+    pub fn change_backend(&mut self) {
+        if let Some(first) = self.instances.first_mut() {
+            first.state = match first.state {
+                ListedState::Ready => ListedState::Draining,
+                ListedState::Draining => ListedState::Ready,
+            };
+        }
+        self.platform.change(self.instances.clone());
+    }
+
     /// What the processes have used so far.
     pub fn usage(&self, primary: Option<SocketAddr>) -> io::Result<CoreSample> {
         let mut sampled = CoreSample { primary: Sample::default(), others_ticks: 0.0 };
@@ -107,6 +122,20 @@
     }
 }
 
+fn instance(number: usize) -> Instance {
+    let [_, _, _, _, _, _, high, low] = (number as u64).to_be_bytes();
+    Instance {
+        service: "model".into(),
+        address: SocketAddr::from(([10, 128, high, low], 8080)),
+        zone: ZONES.get(number % ZONES.len()).copied().unwrap_or_default().into(),
+        config_version: "v1".into(),
+        slots: 64,
+        state: ListedState::Ready,
+        cold_remaining_ms: 0,
+        id: format!("i-{number:010x}"),
+    }
+}
+
 fn loopback(host: u8) -> Ipv4Addr {
     Ipv4Addr::new(127, 0, 0, host)
 }
--- a/alderhollow/tests/processes.rs
+++ b/alderhollow/tests/processes.rs
@@ -143,6 +143,33 @@
     });
 }
 
+#[test]
+fn a_batch_job_and_a_configuration_outlive_a_kill_of_all_processes_and_the_loss_of_a_stores_disk() {
+    in_turn(async {
+        let mut tier = Tier::start(7, Duration::from_millis(60)).await;
+        let doors = SEEDS.map(|door| tier.front(door));
+        let job = batch_job("g");
+        submit(&doors, &job).await;
+        let lost = tier.primary_store().await.expect("a batch job was accepted");
+        for place in SEEDS.into_iter().chain(STORES) {
+            tier.process(place).kill().unwrap();
+        }
+        tier.wipe(lost);
+        for place in SEEDS.into_iter().chain(STORES) {
+            tier.start_process(place, false);
+        }
+        assert_eq!(tier.config_version().await, Some(3));
+        let front = doors[0];
+        until("the batch job can be read", || async {
+            let read = batch_client::read(front, &job, 0).await;
+            assert!(!matches!(read, Ok(Err(404))), "never 404");
+            matches!(read, Ok(Ok(_)))
+        })
+        .await;
+        assert_complete(&job, &read_to_end(&doors, &job).await);
+    });
+}
+
 #[test]
 fn processes_go_on_after_sighup() {
     in_turn(async {
