--- a/alderhollow/src/door/mod.rs
+++ b/alderhollow/src/door/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! | part | does |
 //! | --- | --- |
-//! | [`core_member`] | opens the core's member on the disk, and starts what a primary does |
-//! | [`clients`] | serves clients' requests |
-//! | [`endings`] | the planned end |
+//! | `core_member` | opens the core's member on the disk, and starts what a primary does |
+//! | `clients` | serves clients' requests |
+//! | `endings` | the planned end |
 
 mod clients;
 mod core_member;
