--- a/alderhollow/tests/front.rs
+++ b/alderhollow/tests/front.rs
@@ -6,14 +6,7 @@
 use support::backend::*;
 use support::client::{ask, Client};
 use support::door::*;
-use tokio::task::LocalSet;
-
-/// Runs a test where tasks of one thread may be spawned, under a clock that leaps to the next timer.
-fn run(test: impl std::future::Future<Output = ()>) {
-    let mut builder = tokio::runtime::Builder::new_current_thread();
-    let runtime = builder.enable_all().start_paused(true).build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, test);
-}
+use support::run;
 
 #[test]
 fn no_route_is_404_and_no_vouched_table_503() {
--- a/alderhollow/tests/group_policy.rs
+++ b/alderhollow/tests/group_policy.rs
@@ -9,18 +9,19 @@
 };
 use alderhollow::control_state::request::{Order, Request};
 use alderhollow::control_state::ControlState;
-use alderhollow_model::identity::DiskId;
+use alderhollow_model::identity::{DiskId, NodeInfo};
 use alderhollow_model::snapshot::BatchGroup;
 use control::{command_of, context, store, submit, Ended};
 
+/// A store that was heard a moment ago and holds nothing yet.
+fn heard(node: NodeInfo) -> StoreSight {
+    StoreSight { node, silent_for_ms: 0, report: StoreReport::default() }
+}
+
 /// Stores with disks and zones, all just heard of.
 fn sight(stores: &[(u64, &str)]) -> GroupSight {
-    let heard = |(disk, zone): &(u64, &str)| StoreSight {
-        node: store(&format!("s{disk}"), zone, *disk),
-        silent_for_ms: 0,
-        report: StoreReport::default(),
-    };
-    GroupSight { primary_for_ms: 10_000, tolerate_machines: 1, stores: stores.iter().map(heard).collect() }
+    let sight_of = |(disk, zone): &(u64, &str)| heard(store(&format!("s{disk}"), zone, *disk));
+    GroupSight { primary_for_ms: 10_000, tolerate_machines: 1, stores: stores.iter().map(sight_of).collect() }
 }
 
 /// Commits all that the policy asks for, up to a bound.
@@ -164,11 +165,7 @@
     let mut sight = sight(&[(1, "a"), (2, "b")]);
     let mut state = founded(&mut sight);
     silence(&mut sight, 2);
-    sight.stores.push(StoreSight {
-        node: store("s3", "c", 3),
-        silent_for_ms: 0,
-        report: StoreReport::default(),
-    });
+    sight.stores.push(heard(store("s3", "c", 3)));
     settle(&mut state, &sight);
     assert_eq!((members(&state), learners(&state)), (vec![1, 2], vec![3]));
     work(&mut state, &mut sight);
@@ -179,11 +176,7 @@
 fn a_learner_that_was_just_promoted_does_not_lead_before_it_holds_everything() {
     let mut sight = sight(&[(1, "a"), (2, "b")]);
     let mut state = founded(&mut sight);
-    sight.stores.push(StoreSight {
-        node: store("s0", "c", 0),
-        silent_for_ms: 0,
-        report: StoreReport::default(),
-    });
+    sight.stores.push(heard(store("s0", "c", 0)));
     settle(&mut state, &sight);
     report(&state, &mut sight);
     for store in &mut sight.stores {
@@ -200,11 +193,7 @@
 fn a_member_in_sync_may_lead_though_a_dead_one_keeps_the_epoch_from_being_active() {
     let mut sight = sight(&[(1, "a"), (2, "b")]);
     let mut state = founded(&mut sight);
-    sight.stores.push(StoreSight {
-        node: store("s3", "c", 3),
-        silent_for_ms: 0,
-        report: StoreReport::default(),
-    });
+    sight.stores.push(heard(store("s3", "c", 3)));
     settle(&mut state, &sight);
     let primary = group(&state).primary.0;
     report(&state, &mut sight);
--- a/alderhollow/tests/leaving.rs
+++ b/alderhollow/tests/leaving.rs
@@ -7,15 +7,9 @@
 use support::backend::*;
 use support::client::{ask, Client};
 use support::door::*;
-use tokio::task::LocalSet;
+use support::run;
 use tokio::time::{sleep, Instant};
 
-fn run(test: impl std::future::Future<Output = ()>) {
-    let mut builder = tokio::runtime::Builder::new_current_thread();
-    let runtime = builder.enable_all().start_paused(true).build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, test);
-}
-
 #[test]
 fn who_is_served_or_half_read_is_answered_and_who_is_idle_sent_off() {
     run(async {
--- a/alderhollow/tests/streams.rs
+++ b/alderhollow/tests/streams.rs
@@ -6,15 +6,9 @@
 use support::backend::*;
 use support::client::{ask, Client};
 use support::door::*;
-use tokio::task::LocalSet;
+use support::run;
 use tokio::time::Instant;
 
-fn run(test: impl std::future::Future<Output = ()>) {
-    let mut builder = tokio::runtime::Builder::new_current_thread();
-    let runtime = builder.enable_all().start_paused(true).build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, test);
-}
-
 /// A stream of these events, in one piece each, then what follows.
 fn stream(ids: std::ops::RangeInclusive<u64>, then: Vec<Step>) -> Vec<Step> {
     let mut steps = vec![stream_head(&format!("from {}", ids.start()))];
