--- a/alderhollow/src/batch_api/mod.rs
+++ b/alderhollow/src/batch_api/mod.rs
@@ -39,16 +39,6 @@
     fn serve(&self, call: BatchCall) -> BatchAnswer;
 }
 
-/// Stands in where no stores are known: each call gets 503.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct NoBatch;
-
-impl BatchEndpoints for NoBatch {
-    fn serve(&self, _: BatchCall) -> BatchAnswer {
-        Box::pin(async { not_now() })
-    }
-}
-
 /// 503: nothing was handed over, the call may come again.
 pub fn not_now() -> Response<Bytes> {
     retry_later(StatusCode::SERVICE_UNAVAILABLE)
--- a/alderhollow/tests/support/door.rs
+++ b/alderhollow/tests/support/door.rs
@@ -2,7 +2,7 @@
 
 use super::backend::Backends;
 use alderhollow::balance::Balancer;
-use alderhollow::batch_api::NoBatch;
+use alderhollow::batch_api::{not_now, BatchAnswer, BatchCall, BatchEndpoints};
 use alderhollow::exchange::Exchange;
 use alderhollow::front::phase::Phase;
 use alderhollow::front::{Front, FrontSettings};
@@ -38,6 +38,15 @@
 
 pub const GRACE: Duration = Duration::from_secs(8);
 
+/// Endpoints without stores: each call gets 503.
+struct NoStores;
+
+impl BatchEndpoints for NoStores {
+    fn serve(&self, _: BatchCall) -> BatchAnswer {
+        Box::pin(async { not_now() })
+    }
+}
+
 pub struct Door {
     pub address: SocketAddr,
     pub backends: Backends,
@@ -61,7 +70,7 @@
         let balancer = Rc::new(RefCell::new(Balancer::new("door-1", "z1", 7)));
         let exchange = Exchange::new(Instant::now(), 7, receiver, balancer);
         let settings = FrontSettings { grace: GRACE, max_connections: 100, body_bytes: 1 << 20 };
-        let front = Front::new(settings, exchange.clone(), Rc::new(NoBatch));
+        let front = Front::new(settings, exchange.clone(), Rc::new(NoStores));
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
         let address = listener.local_addr().expect("an address");
         let (phase, following) = watch::channel(Phase::Running);
