--- a/alderhollow/src/executor/events.rs
+++ b/alderhollow/src/executor/events.rs
@@ -1,8 +1,7 @@
 //! Reads an item's answer: a series of events (`text/event-stream`), cut into pieces anywhere. Only whole events count; an
 //! event that was cut off is dropped, as the next run begins after the last whole one.
 
-/// Largest event that is read; a longer one is no answer of a backend.
-pub const LARGEST_EVENT_BYTES: usize = 1024 * 1024;
+use crate::exchange::events::LARGEST_EVENT_BYTES;
 
 /// What a run of an item brought so far.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
