Say in the messages of roles and disks what an operator can do

Messages about addresses, data folders, full or refusing disks and batch jobs that can't be read named the fault alone.

--- a/alderhollow/src/role.rs
+++ b/alderhollow/src/role.rs
@@ -14,7 +14,9 @@
     #[error("the process can't go on: {0}")]
     Io(#[from] std::io::Error),
     /// An address can't be listened on.
-    #[error("can't listen on {address}: {reason}")]
+    #[error(
+        "can't listen on {address}: {reason}; check that the address is this machine's and the port is free"
+    )]
     Listen {
         /// The address.
         address: SocketAddr,
@@ -22,7 +24,7 @@
         reason: String,
     },
     /// The data folder can't be used.
-    #[error("the data folder {path} can't be used: {source}")]
+    #[error("the data folder {path} can't be used: {source}; check that it can be made and written to")]
     Folder {
         /// The folder.
         path: PathBuf,
@@ -33,10 +35,13 @@
     #[error("the data folder can't be used: {0}")]
     Storage(#[from] StorageError),
     /// A store without a disk.
-    #[error("`data-dir` is missing: a store needs a disk")]
+    #[error("`data-dir` is missing: a store needs a disk, set it to a folder on the machine's disk")]
     NoDisk,
     /// The batch jobs on a store's disk can't be read.
-    #[error("the batch jobs on the disk can't be read: {0}")]
+    #[error(
+        "the batch jobs in the data folder can't be read: {0}; run the version that wrote them, \
+         or empty the folder to start as a new store"
+    )]
     BatchJobs(#[from] DecodeError),
     /// The core's state can't be recovered.
     #[error(transparent)]
--- a/coordination/src/replica/interface.rs
+++ b/coordination/src/replica/interface.rs
@@ -206,6 +206,9 @@
     )]
     Snapshot,
     /// A record can't be read.
-    #[error("record {0} (from 0) of the core's log in the data folder can't be read; empty the folder to start as a new member")]
+    #[error(
+        "record {0} (from 0) of the core's log in the data folder can't be read; \
+         empty the folder to start as a new member"
+    )]
     Record(usize),
 }
--- a/storage/src/error.rs
+++ b/storage/src/error.rs
@@ -7,13 +7,13 @@
 #[derive(Debug, Clone, thiserror::Error)]
 pub enum StorageError {
     /// The disk has no room. Compact to a smaller state, or make room, and try again.
-    #[error("no room left on the disk for {file}")]
+    #[error("no room left on the disk for {file}; make room on the disk of the data folder")]
     Full {
         /// File that was being written.
         file: &'static str,
     },
     /// The disk refused an operation.
-    #[error("disk operation on {file} failed: {source}")]
+    #[error("disk operation on {file} failed: {source}; check the disk and the rights on the data folder")]
     Io {
         /// File that was being read or written.
         file: &'static str,
@@ -39,7 +39,7 @@
         limit: usize,
     },
     /// The thread that writes has ended.
-    #[error("the writer has ended")]
+    #[error("the thread that writes to the disk has ended; restart the process")]
     WriterEnded,
 }
 
