--- a/alderhollow/standins/src/process.rs
+++ b/alderhollow/standins/src/process.rs
@@ -44,6 +44,11 @@
         &self.name
     }
 
+    /// Its number in the system.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// How it ended, if it has.
     pub fn ended(&mut self) -> io::Result<Option<ExitStatus>> {
         self.child.try_wait()
@@ -57,6 +62,11 @@
         Ok(kill_process(Pid::from_child(&self.child), Signal::TERM)?)
     }
 
+    /// Tells it that its settings have changed; an error if it is gone.
+    pub fn hang_up(&self) -> io::Result<()> {
+        Ok(kill_process(Pid::from_child(&self.child), Signal::HUP)?)
+    }
+
     /// Kills it at once.
     pub fn kill(&mut self) -> io::Result<()> {
         self.child.kill()?;
