Let no stream of reports keep the primary from vouching for a process

A change of what a process tells with its polls ended the poll in flight, and the next one could be ended in the same way. A store whose report changes more often than the primary answers (400 ms when nothing is new) was then never vouched for, and a dead primary never timed out. The poll after a change now asks for an answer at once and is ended by nothing but its answer or its timeout.

Ruled out: a least pause between reports; it would delay the news that a process leaves. The new test fails without the change (vouched for 150 ms ago at report 2).

--- a/alderhollow/src/distribution/client.rs
+++ b/alderhollow/src/distribution/client.rs
@@ -4,6 +4,7 @@
 use super::finder::Finder;
 use super::message::{Answer, CoreMember, Directions, Poll, Request, Update};
 use super::server::{internal_addresses, Distributor};
+use super::signal::ChangeSignal;
 use super::tables::Tables;
 use crate::clock::SteadyClock;
 use crate::internal::{CallError, Network, ServiceId};
@@ -13,7 +14,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::sync::Notify;
 
 /// How long the primary may hold an answer when it has nothing newer.
 const POLL_WAIT_MS: u32 = 400;
@@ -32,7 +32,7 @@
 struct PollShared {
     leaving: Cell<bool>,
     batch_status: RefCell<Vec<u8>>,
-    changed: Notify,
+    changed: ChangeSignal,
     vouched_since_ms: Cell<Option<u64>>,
 }
 
@@ -40,14 +40,14 @@
     /// Tells the primary at once that this process is about to end.
     pub fn leave(&self) {
         self.shared.leaving.set(true);
-        self.shared.changed.notify_one();
+        self.shared.changed.notify();
     }
 
     /// Replaces what a store reports of its batch group; a change is told at once.
     pub fn report(&self, batch_status: Vec<u8>) {
         if *self.shared.batch_status.borrow() != batch_status {
             self.shared.batch_status.replace(batch_status);
-            self.shared.changed.notify_one();
+            self.shared.changed.notify();
         }
     }
 
@@ -91,8 +91,13 @@
 
 impl PollClient {
     /// Polls until the future is dropped.
+    ///
+    /// A change of what polls tell ends a poll that hangs. The poll after it asks for an answer at once and isn't ended by
+    /// further changes: however often they come, the primary goes on vouching for this process's tables.
     pub async fn run(self, mut tables: Tables, seed: u64) {
         let mut finder = Finder::new(seed);
+        let mut changes = self.state.shared.changed.subscribe();
+        let mut wait_ms = POLL_WAIT_MS;
         loop {
             let Some(next) = finder.next(&self.candidates()) else {
                 tokio::time::sleep(NOBODY_PAUSE).await;
@@ -101,12 +106,14 @@
             if !next.pause.is_zero() {
                 tokio::time::sleep(next.pause).await;
             }
+            changes.borrow_and_update();
             let sent_at_ms = self.clock.now_ms();
             tokio::select! {
-                result = self.poll(next.to, &tables) => {
+                result = self.poll(next.to, &tables, wait_ms) => {
                     self.take(next.to, sent_at_ms, result, &mut finder, &mut tables);
+                    wait_ms = POLL_WAIT_MS;
                 }
-                () = self.state.shared.changed.notified() => (),
+                _ = changes.changed(), if wait_ms > 0 => wait_ms = 0,
             }
         }
     }
@@ -121,11 +128,11 @@
         candidates
     }
 
-    async fn poll(&self, to: SocketAddr, tables: &Tables) -> Result<Answer, PollError> {
+    async fn poll(&self, to: SocketAddr, tables: &Tables, wait_ms: u32) -> Result<Answer, PollError> {
         let poll = Poll {
             node: self.node.clone(),
             held: tables.held(),
-            wait_ms: POLL_WAIT_MS,
+            wait_ms,
             leaving: self.state.shared.leaving.get(),
             batch_status: self.state.shared.batch_status.borrow().clone().into(),
         };
