Test restarts, the planned hand-over, a new disk and SIGHUP with processes

The log now names the members of each epoch, and says while a change of members still needs a majority of the former ones: a machine that is lost in that stretch leaves no majority, by design, as two disks are then missing at once.

--- a/alderhollow/src/core/driver.rs
+++ b/alderhollow/src/core/driver.rs
@@ -50,6 +50,7 @@
     changes: ChangeSignal,
     proposals: RefCell<BTreeMap<Token, oneshot::Sender<Result<Outcome, ProposeError>>>>,
     last_token: Cell<Token>,
+    logged_epoch: Cell<u64>,
     scheduled_ms: Cell<Option<u64>>,
     rescheduled: Notify,
     handed_over: Notify,
@@ -77,6 +78,7 @@
             changes,
             proposals: RefCell::default(),
             last_token: Cell::new(0),
+            logged_epoch: Cell::new(0),
             scheduled_ms: Cell::new(None),
             rescheduled: Notify::new(),
             handed_over: Notify::new(),
@@ -159,6 +161,7 @@
         for output in outputs {
             self.perform(output);
         }
+        self.log_members();
         if self.next_wakeup_ms() != self.scheduled_ms.get() {
             self.rescheduled.notify_one();
         }
@@ -216,6 +219,16 @@
         }
     }
 
+    /// Logs the members once for each epoch.
+    fn log_members(&self) {
+        let replica = self.replica.borrow();
+        if self.logged_epoch.replace(replica.epoch()) != replica.epoch() {
+            let nodes: Vec<&str> = replica.members().iter().map(|member| member.node.as_str()).collect();
+            let stage = if replica.is_changing_members() { " (not yet without the former ones)" } else { "" };
+            log::info!("core: members of epoch {}: {}{stage}", replica.epoch(), nodes.join(", "));
+        }
+    }
+
     fn next_wakeup_ms(&self) -> Option<u64> {
         self.replica.borrow().next_wakeup()
     }
--- a/alderhollow/src/door/endings.rs
+++ b/alderhollow/src/door/endings.rs
@@ -70,7 +70,11 @@
 
 fn reload_seeds(node: &Node) {
     match Settings::from_environment(Role::Door) {
-        Ok(settings) => node.directory.set_seeds(internal_seeds(&settings)),
+        Ok(settings) => {
+            let seeds = internal_seeds(&settings);
+            log::info!("the settings are read again: {} seeds", seeds.len());
+            node.directory.set_seeds(seeds);
+        }
         Err(error) => log::warn!("the settings stay as they are: {error}"),
     }
 }
--- a/alderhollow/standins/src/process.rs
+++ b/alderhollow/standins/src/process.rs
@@ -57,6 +57,11 @@
         Ok(kill_process(Pid::from_child(&self.child), Signal::TERM)?)
     }
 
+    /// Tells it that its settings file has changed.
+    pub fn hang_up(&self) -> io::Result<()> {
+        Ok(kill_process(Pid::from_child(&self.child), Signal::HUP)?)
+    }
+
     /// Kills it at once.
     pub fn kill(&mut self) -> io::Result<()> {
         self.child.kill()?;
--- /dev/null
+++ b/alderhollow/tests/process_support/mod.rs
@@ -0,0 +1,226 @@
+//! Doors of one tier as processes on loopback, with a platform whose list is empty.
+
+use alderhollow_standins::http;
+use alderhollow_standins::operator::{Operator, Order, OrderAnswer};
+use alderhollow_standins::platform::{ListSettings, Platform, PlatformList};
+use alderhollow_standins::process::TierProcess;
+use alderhollow_standins::settings::{settings_file, Machine, MachineClass, Ports, Site};
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::{Request, StatusCode};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+use tokio::task::LocalSet;
+
+const PORTS: Ports = Ports { front: 18_144, ready: 18_140, control: 18_146, internal: [17_660, 17_675] };
+const PLATFORM_HOST: u8 = 100;
+const PLATFORM_PORT: u16 = 18_142;
+/// Longest time that a test waits for anything.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// The settings' `grace-s`.
+const GRACE: Duration = Duration::from_secs(8);
+
+/// How a door logs its part in the core.
+const PARTS: [&str; 3] = ["core: primary", "core: follows", "core: not a member"];
+
+/// Runs a test with its own tier, within bounded time.
+pub fn run<F: Future<Output = ()>>(test: impl FnOnce(Tier) -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let bounded = async {
+        let tier = Tier::new().await;
+        let folder = tier.folder.clone();
+        tokio::time::timeout(PATIENCE, test(tier)).await.expect("ends in time");
+        let _ = std::fs::remove_dir_all(folder);
+    };
+    LocalSet::new().block_on(&runtime, bounded);
+}
+
+/// The doors of one test: no other test, nor another run of them, has the same addresses and folders.
+pub struct Tier {
+    first_octets: [u8; 2],
+    folder: PathBuf,
+    doors: BTreeMap<u8, TierProcess>,
+    _platform: Platform,
+}
+
+impl Tier {
+    async fn new() -> Tier {
+        static TESTS: AtomicU8 = AtomicU8::new(1);
+        let test = TESTS.fetch_add(1, Ordering::Relaxed);
+        let process = std::process::id();
+        let second = 1 + (process / 250 + u32::from(test) * 17) % 250;
+        let first_octets = [1 + process % 250, second].map(|octet| u8::try_from(octet).expect("below 251"));
+        let folder = std::env::temp_dir().join(format!("alderhollow-processes-{process}-{test}"));
+        let list = ListSettings { lag: Duration::ZERO, rate_per_s: 42, page_size: 50 };
+        let platform = SocketAddr::from((ip(first_octets, PLATFORM_HOST), PLATFORM_PORT));
+        let platform = Platform::start(platform, PlatformList::new(list, Vec::new())).await;
+        let platform = platform.expect("the platform's port");
+        Tier { first_octets, folder, doors: BTreeMap::new(), _platform: platform }
+    }
+
+    /// Starts the three doors that found the core.
+    pub async fn found(&mut self) {
+        for door in 1..=3 {
+            self.start(door, true, true);
+        }
+        self.put_config(0, 1).await;
+    }
+
+    /// Starts a door; the seeds are doors 1 to 3.
+    pub fn start(&mut self, door: u8, has_disk: bool, first_start: bool) {
+        let folder = self.door_folder(door);
+        let data_dir = has_disk.then(|| folder.join("data"));
+        std::fs::create_dir_all(data_dir.as_ref().unwrap_or(&folder)).expect("a folder");
+        let settings = folder.join("node.toml");
+        std::fs::write(&settings, self.settings(door, data_dir, first_start)).expect("the settings");
+        let binary = Path::new(env!("CARGO_BIN_EXE_alderhollow"));
+        let name = format!("edge-{door}");
+        let process = TierProcess::start(&name, binary, "door", &settings, &folder.join("log"));
+        self.doors.insert(door, process.expect("the door starts"));
+    }
+
+    fn settings(&self, door: u8, data_dir: Option<PathBuf>, first_start: bool) -> String {
+        let zones = (1..=4).map(|zone| (format!("zone-{zone}"), "north".to_string())).collect();
+        let site = Site {
+            ports: PORTS,
+            zones,
+            seeds: (1..=3).map(|seed| self.control(seed)).collect(),
+            platform: SocketAddr::from((ip(self.first_octets, PLATFORM_HOST), PLATFORM_PORT)),
+            first_start,
+        };
+        let machine = Machine {
+            node: format!("edge-{door}"),
+            class: MachineClass::Edge,
+            ip: ip(self.first_octets, door),
+            zone: format!("zone-{door}"),
+            data_dir,
+        };
+        settings_file(&site, &machine).expect("settings")
+    }
+
+    fn door_folder(&self, door: u8) -> PathBuf {
+        self.folder.join(door.to_string())
+    }
+
+    fn control(&self, door: u8) -> SocketAddr {
+        SocketAddr::from((ip(self.first_octets, door), PORTS.control))
+    }
+
+    /// Kills a door at once.
+    pub fn kill(&mut self, door: u8) {
+        self.doors.remove(&door).expect("a door that runs").kill().expect("it is killed");
+    }
+
+    /// Takes a killed door's disk away.
+    pub fn wipe(&self, door: u8) {
+        std::fs::remove_dir_all(self.door_folder(door)).expect("the disk goes");
+    }
+
+    /// Tells a door that its settings have changed.
+    pub fn hang_up(&self, door: u8) {
+        self.doors[&door].hang_up().expect("the signal is sent");
+    }
+
+    /// Stops a door as the platform does; tells whether it ended by itself, without an error, in time.
+    pub async fn stop(&mut self, door: u8) -> bool {
+        let mut process = self.doors.remove(&door).expect("a door that runs");
+        process.terminate().expect("the signal is sent");
+        process.wait(GRACE).await.expect("it can be waited for").is_some_and(|status| status.success())
+    }
+
+    /// Whether a door has ended.
+    pub fn has_ended(&mut self, door: u8) -> bool {
+        !matches!(self.doors.get_mut(&door).expect("a door").ended(), Ok(None))
+    }
+
+    /// What a door has logged.
+    pub fn log(&self, door: u8) -> String {
+        std::fs::read_to_string(self.door_folder(door).join("log")).unwrap_or_default()
+    }
+
+    /// Waits until a door has logged a text.
+    pub async fn until_logged(&self, door: u8, text: &str) {
+        while !self.log(door).contains(text) {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Waits until a door's disk is a member of the core, and the change that made it one has ended.
+    pub async fn until_member(&self, door: u8) {
+        let is_member = |log: String| {
+            let last = log.lines().rfind(|line| line.contains("core: members")).map(str::to_string);
+            last.is_some_and(|line| !line.contains("not yet"))
+        };
+        while !is_member(self.log(door)) {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Waits until a door calls itself ready.
+    pub async fn until_ready(&self, door: u8) {
+        let address = SocketAddr::from((ip(self.first_octets, door), PORTS.ready));
+        loop {
+            let request = Request::get("/alderhollow/readyz").header("host", address.to_string());
+            let request = request.body(Full::new(Bytes::new())).expect("a request");
+            let answer = http::call(address, request, PATIENCE).await;
+            if answer.is_ok_and(|answer| answer.status() == StatusCode::OK) {
+                return;
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// The door that answers for the core itself.
+    pub async fn primary(&self) -> u8 {
+        loop {
+            for door in self.doors.keys() {
+                let log = self.log(*door);
+                let last = log.lines().rfind(|line| PARTS.iter().any(|part| line.contains(part)));
+                if last.is_some_and(|line| line.contains(PARTS[0])) {
+                    return *door;
+                }
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Has the doors that run take a configuration; the answer's status.
+    pub async fn put_config(&self, base: u64, version: u64) -> u16 {
+        self.operate(&Order::put_config(base, config(version))).await.status
+    }
+
+    /// Version of the configuration as read back.
+    pub async fn config_version(&self) -> Option<u64> {
+        let answer = self.operate(&Order::get_config()).await;
+        serde_json::from_slice::<serde_json::Value>(&answer.body).ok()?["config-version"].as_u64()
+    }
+
+    async fn operate(&self, order: &Order) -> OrderAnswer {
+        let operator = Operator::new(self.doors.keys().map(|door| self.control(*door)).collect());
+        operator.send(order).await.expect("a clear answer")
+    }
+}
+
+fn ip([first, second]: [u8; 2], host: u8) -> Ipv4Addr {
+    Ipv4Addr::new(127, first, second, host)
+}
+
+fn config(version: u64) -> Vec<u8> {
+    json!({
+        "config-version": version,
+        "routes": [{
+            "name": "r-1", "hostname": "shop.example", "path-prefix": "/a/", "route-type": "idempotent",
+            "timeout-ms": 1000, "target-latency-ms": 100, "priority": 0, "service": "svc", "max-attempts": 2
+        }],
+        "services": [{"name": "svc", "health-path": "/healthz", "max-conns": 10}],
+        "limits": {"max-header-bytes": 16384, "max-body-bytes": 4096, "header-timeout-ms": 3000,
+            "idle-timeout-ms": 15000}
+    })
+    .to_string()
+    .into_bytes()
+}
--- a/coordination/src/replica.rs
+++ b/coordination/src/replica.rs
@@ -209,6 +209,11 @@
         self.durable.record.as_ref().map_or(&[], |record| &record.witnesses)
     }
 
+    /// The members are being changed: a majority of the former ones is needed too.
+    pub fn is_changing_members(&self) -> bool {
+        self.durable.record.as_ref().is_some_and(|record| !record.former_witnesses.is_empty())
+    }
+
     /// It is no member: the host is to ask the primary again and again ([`Input::Join`] there).
     pub fn wants_to_join(&self) -> bool {
         self.role() == Role::Outside && !self.leaving
