Tell who comes before the first tables when the core has a primary again

After a loss of power of all machines, doors without tables answered 503 with a pause of 0.2 s, though a core without a primary needs about 1 s to have one: clients came back in vain and ended refused. Past the first 150 ms of a process the pause is now 1 s. Ruled out: to hold the requests instead, as their objectives are shorter than the wait.

--- a/alderhollow/src/front/mod.rs
+++ b/alderhollow/src/front/mod.rs
@@ -39,6 +39,11 @@
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 /// The longest that a request is held where neither its client nor its route says.
 const LONGEST_HELD: Duration = Duration::from_secs(30);
+/// A process that starts while the core has a primary gets its tables within this.
+const USUAL_WAIT_FOR_TABLES: Duration = Duration::from_millis(150);
+/// Without tables for longer, the core has no primary: the lease of the former one (1 s) has to run out, and its
+/// successor has to be found.
+const CORE_TAKE_OVER: Duration = Duration::from_millis(1_000);
 /// Guards against a spin where the system is out of descriptors or the like.
 const BACK_OFF: Duration = Duration::from_millis(20);
 
@@ -59,13 +64,14 @@
     exchange: Rc<Exchange>,
     batch: Rc<dyn BatchEndpoints>,
     room: Rc<BodyRoom>,
+    started_at: Instant,
 }
 
 impl Front {
     /// A front that sends requests through `exchange` and calls about batch jobs to `batch`.
     pub fn new(settings: FrontSettings, exchange: Rc<Exchange>, batch: Rc<dyn BatchEndpoints>) -> Rc<Front> {
         let room = BodyRoom::new(settings.body_bytes);
-        Rc::new(Front { settings, exchange, batch, room })
+        Rc::new(Front { settings, exchange, batch, room, started_at: Instant::now() })
     }
 
     /// Serves clients until the process is to end and the last of them is served, or the time for that is over. To be
@@ -127,7 +133,7 @@
         // The tables as they are now: the body may have taken a while.
         let tables = self.exchange.tables();
         if tables.config().is_none() {
-            return relay::not_now();
+            return replies::come_again(self.wait_for_tables());
         }
         if path::is_batch_path(head.uri.path()) {
             return self.batch_call(head, gathered, None, received_at).await;
@@ -144,6 +150,14 @@
         }
     }
 
+    /// When a client may come again that came before the first tables.
+    fn wait_for_tables(&self) -> Duration {
+        match self.started_at.elapsed() < USUAL_WAIT_FOR_TABLES {
+            true => replies::COME_AGAIN,
+            false => CORE_TAKE_OVER,
+        }
+    }
+
     /// Passes a request on to a backend.
     async fn relay(
         &self,
--- a/alderhollow/tests/front.rs
+++ b/alderhollow/tests/front.rs
@@ -2,11 +2,13 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::Duration;
 use support::backend::*;
 use support::client::{ask, Client};
 use support::door::*;
 use tokio::task::LocalSet;
+use tokio::time::sleep;
 
 /// Runs a test where tasks of one thread may be spawned, under a clock that leaps to the next timer.
 fn run(test: impl std::future::Future<Output = ()>) {
@@ -24,7 +26,7 @@
             ask(door.address, "GET /once/1 HTTP/1.1\r\nHost: other.example\r\n\r\n").await.status,
             404
         );
-        door.snapshots.send_replace(std::sync::Arc::new(snapshot(Vec::new(), false)));
+        door.snapshots.send_replace(Arc::new(snapshot(Vec::new(), false)));
         let reply = ask(door.address, &request("/once/1", "", "")).await;
         assert_eq!(reply.status, 503);
         assert!(reply.header("retry-after").is_some());
@@ -32,6 +34,22 @@
     });
 }
 
+#[test]
+fn who_comes_before_the_first_tables_is_told_to_come_when_the_core_has_a_primary_again() {
+    run(async {
+        let door = Door::start(1).await;
+        door.snapshots.send_replace(Arc::new(snapshot(Vec::new(), false)));
+        let mut told = Vec::new();
+        for _ in 0..2 {
+            let reply = ask(door.address, &request("/once/1", "", "x")).await;
+            assert_eq!(reply.status, 503);
+            told.push(reply.header("retry-after").expect("a pause").parse::<f64>().expect("seconds"));
+            sleep(Duration::from_millis(300)).await;
+        }
+        assert_eq!(told, [0.2, 1.0]);
+    });
+}
+
 #[test]
 fn limits_bound_heads_and_bodies() {
     run(async {
