--- a/coordination/tests/simulation/faults.rs
+++ b/coordination/tests/simulation/faults.rs
@@ -1,6 +1,6 @@
 //! Troubles by chance, and their end.
 
-use crate::world::{AfterAcknowledgement, Weather, World};
+use crate::world::{AfterAcknowledgement, LinkFaults, World};
 use alderhollow_coordination::replica::interface::{Input, Millis};
 
 /// A kind of trouble.
@@ -18,6 +18,7 @@
     DiskFull,
     Storm,
     Leave,
+    Flicker,
     PowerLossAfterAcknowledgement,
     WipeAfterAcknowledgement,
     Wipe,
@@ -26,7 +27,7 @@
     Add,
 }
 
-const TROUBLES: [Trouble; 18] = [
+const TROUBLES: [Trouble; 19] = [
     Trouble::Kill,
     Trouble::KillAll,
     Trouble::Freeze,
@@ -39,6 +40,7 @@
     Trouble::DiskFull,
     Trouble::Storm,
     Trouble::Leave,
+    Trouble::Flicker,
     Trouble::PowerLossAfterAcknowledgement,
     Trouble::WipeAfterAcknowledgement,
     Trouble::Wipe,
@@ -68,7 +70,7 @@
 /// All machines run, all links and disks are well.
 pub fn end_troubles(world: &mut World) {
     world.trace(|| String::from("end of troubles"));
-    world.weather = Weather::default();
+    world.link_faults = LinkFaults::default();
     world.cuts.clear();
     world.after_acknowledgement = None;
     let now = world.now;
@@ -102,6 +104,7 @@
         Trouble::DiskSlow => world.machines[machine].disk.slow_until = world.now + span,
         Trouble::DiskFull => world.machines[machine].disk.full_until = world.now + span,
         Trouble::Storm => storm(world),
+        Trouble::Flicker => flicker(world),
         Trouble::Leave => leave(world, machine, span),
         Trouble::PowerLossAfterAcknowledgement => {
             world.after_acknowledgement = Some(AfterAcknowledgement::PowerLoss);
@@ -173,11 +176,11 @@
 
 fn mend(world: &mut World) {
     world.cuts.clear();
-    world.weather = Weather::default();
+    world.link_faults = LinkFaults::default();
 }
 
 fn storm(world: &mut World) {
-    world.weather = Weather {
+    world.link_faults = LinkFaults {
         loss_percent: world.random(20),
         doubled_percent: world.random(20),
         late_percent: world.random(10),
@@ -192,6 +195,17 @@
     }
 }
 
+/// Machines with slow disks die and are back at once, one after the other.
+fn flicker(world: &mut World) {
+    for _ in 0..6 {
+        let machine = any_machine(world);
+        world.machines[machine].disk.slow_until = world.now + 500;
+        let (life, pause) = (world.random(60), 1 + world.random(20));
+        world.run_for(life);
+        kill(world, machine, pause);
+    }
+}
+
 fn wipe(world: &mut World, machine: usize, span: Millis) {
     if world.disks_to_spare() > 0 {
         world.wipe_for(machine, span);
