--- a/alderhollow/src/settings/mod.rs
+++ b/alderhollow/src/settings/mod.rs
@@ -5,6 +5,7 @@
 
 mod keys;
 mod reading;
+pub mod reload;
 
 use crate::finding::Finding;
 use alderhollow_model::identity::Role;
--- a/alderhollow/src/store/role.rs
+++ b/alderhollow/src/store/role.rs
@@ -11,7 +11,7 @@
 use crate::internal::{ServiceId, Services};
 use crate::node::{node_info, random_seed, Node};
 use crate::role::RoleError;
-use crate::settings::Settings;
+use crate::settings::{reload, Settings};
 use crate::termination::terminated;
 use alderhollow_batch::engine::Engine;
 use alderhollow_model::identity::{DiskId, Role};
@@ -33,6 +33,7 @@
 
 /// Runs a store until it is told to end. To be run in a `LocalSet`.
 pub async fn run(settings: Settings) -> Result<(), RoleError> {
+    let hangups = reload::hangups()?;
     let shared = Node::new(&settings);
     let (engine, disk, journal) = open_disk(&settings, &shared)?;
     let (journal, write_ends) = JournalQueue::new(Writer::start(journal)?, settings.limits.disk_mb);
@@ -64,6 +65,7 @@
         () = NodeJournal(node.clone()).follow(write_ends) => Ok(()),
         () = node.clone().run() => Ok(()),
         () = exchange.keep_in_order() => Ok(()),
+        () = reload::follow(shared.clone(), Role::Store, hangups) => Ok(()),
         result = ending(&node, &shared.poll_state, settings.bounds.grace) => Ok(result?),
     }
 }
--- a/alderhollow/tests/command_line.rs
+++ b/alderhollow/tests/command_line.rs
@@ -1,7 +1,9 @@
 //! The program's command line: exit status and words of `check` and of a start with wrong settings.
 
+use std::io::{BufRead, BufReader};
+use std::net::TcpListener;
 use std::path::PathBuf;
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
 
 fn program() -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_alderhollow"));
@@ -62,3 +64,39 @@
     assert_eq!(output.status.code(), Some(2));
     assert!(text(&output.stderr).lines().count() > 3, "all findings at once: {}", text(&output.stderr));
 }
+
+#[test]
+fn a_store_takes_a_hangup_for_new_settings_and_lives_on() {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("hangup-store");
+    std::fs::create_dir_all(&folder).expect("the folder for tests can be written");
+    let settings = std::fs::read_to_string(fixture("store.toml")).expect("the fixture is there");
+    let free_port =
+        TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a port");
+    let ports = format!("[{0},{0}]", free_port.port());
+    let settings = settings
+        .replace("10.9.2.15", "127.0.0.1")
+        .replace("10.9.0.12:8146", "127.0.0.1:1")
+        .replace("[7000,7015]", &ports)
+        .replace("/data/store", &folder.display().to_string());
+    let path = written("hangup-store.toml", &settings);
+    let mut command = program();
+    command.arg("store").env("ALDERHOLLOW_BOOT", &path).stderr(Stdio::piped());
+    let mut store = command.spawn().expect("the program starts");
+    let mut lines = BufReader::new(store.stderr.take().expect("its log")).lines();
+    let mut wait_for = |part: &str| {
+        let found = lines.by_ref().map_while(Result::ok).any(|line| line.contains(part));
+        assert!(found, "the process ended before it said: {part}");
+    };
+    let signal = |name: &str| {
+        let status = Command::new("kill").arg(name).arg(store.id().to_string()).status().expect("kill runs");
+        assert!(status.success());
+    };
+    wait_for("in zone south with disk");
+    signal("-HUP");
+    wait_for("the settings are read again");
+    signal("-HUP");
+    wait_for("the settings are read again");
+    signal("-TERM");
+    wait_for("told to end");
+    assert!(store.wait().expect("it ends").success());
+}
