Leave a member of the batch group out only if enough others hold everything

Cause: the policy counted members that are alive, also those that did not hold everything yet. The loss of the primary's disk could then leave nobody who may lead, with acknowledged jobs lost.

Stores now report what the group's nodes know: silent members, a member that may hold more, and a disk that fails (no write taken, or one that waited for 1.2 s). Ruled out: dropping at once whoever the primary misses, since compaction may take half a second. A machine that is being retired and loses its disk stays retiring; before, its retirement was forgotten.

--- a/alderhollow/src/control_state/group_policy.rs
+++ b/alderhollow/src/control_state/group_policy.rs
@@ -4,19 +4,21 @@
 //! Each step is a new epoch. What holds over all steps:
 //!
 //! - Only a member that holds everything that was acknowledged ([`ControlState::complete_members`]) becomes the primary.
-//! - A dead member leaves only if `tolerate + 1` others remain that are alive; one that is to be emptied only if as many
-//!   remain that also hold everything. A group that never had as many keeps what it has.
+//! - A member that is dead, silent to the primary or to be emptied leaves only if `tolerate + 1` others remain that respond
+//!   *and* hold everything: were one that does not hold everything yet to count, the loss of one more disk could be the loss
+//!   of all. Until then the member stays, and others are added to come to hold everything.
 //! - A store becomes a member only from a learner that says it is in sync.
 
 use super::request::Request;
+use super::store_report::StoreReport;
 use super::ControlState;
 use alderhollow_model::identity::{DiskId, NodeInfo};
 use alderhollow_model::snapshot::{BatchGroup, GroupMember};
-use minicbor::{Decode, Encode};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A store that was not heard of for so long is dead.
-pub const DEAD_AFTER_MS: u64 = 2_000;
+/// A store that was not heard of for so long is dead. It is longer than a poll vouches for (`VOUCHED_MS` in the store's
+/// node), so that a primary has stopped by itself when its place is given away for its silence.
+pub const DEAD_AFTER_MS: u64 = 1_200;
 /// A store that was not heard of for so long does not count as there when one is to be retired.
 pub const GONE_AFTER_MS: u64 = 30_000;
 /// How long the first stores may take to come before the first group is made of those that are there.
@@ -24,36 +26,6 @@
 /// How much longer that takes where fewer than `tolerate + 1` stores are there.
 pub const FOUNDING_PATIENCE_MS: u64 = 5_000;
 
-/// What a store reports of itself with each poll.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Encode, Decode)]
-pub struct StoreReport {
-    /// Epoch of the group that it acts under; 0: none.
-    #[n(0)]
-    pub epoch: u64,
-    /// As the group's primary: all members of that epoch hold everything, so that it may acknowledge.
-    #[n(1)]
-    pub active: bool,
-    /// As a learner of that epoch: it has everything that was there when it asked, and gets what is new. As a member: the
-    /// primary has made it equal to itself under that epoch.
-    #[n(2)]
-    pub in_sync: bool,
-    /// The process is about to end.
-    #[n(3)]
-    pub leaving: bool,
-}
-
-impl StoreReport {
-    /// The bytes of this report.
-    pub fn to_bytes(&self) -> Vec<u8> {
-        super::codec::encode(self)
-    }
-
-    /// Reads a report from its bytes.
-    pub fn from_bytes(bytes: &[u8]) -> Result<StoreReport, super::codec::CodecError> {
-        super::codec::decode(bytes)
-    }
-}
-
 /// What the core's primary sees of one store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoreSight {
@@ -125,26 +97,44 @@
         self.sight.tolerate_machines.saturating_add(2)
     }
 
-    /// Heard of lately, with the machine's present disk.
+    /// Heard of lately, with the machine's present disk, which takes writes.
     fn is_alive(&self, disk: DiskId) -> bool {
-        let heard = self
-            .by_disk
-            .get(&disk)
-            .is_some_and(|store| store.silent_for_ms < DEAD_AFTER_MS && !store.report.leaving);
-        heard && self.state.stores().has_disk(disk)
+        let can_serve =
+            |store: &&StoreSight| store.silent_for_ms < DEAD_AFTER_MS && !cannot_serve(&store.report);
+        self.by_disk.get(&disk).is_some_and(can_serve) && self.state.stores().has_disk(disk)
     }
 
-    /// Surely not serving: replaced, about to end, or silent for long enough of this primary's own time.
+    /// Surely not serving: replaced, about to end, without a disk that takes writes, or silent for long enough of this
+    /// primary's own time.
     fn is_dead(&self, disk: DiskId) -> bool {
         if !self.state.stores().has_disk(disk) {
             return true;
         }
         match self.by_disk.get(&disk) {
-            Some(store) => store.report.leaving || store.silent_for_ms >= DEAD_AFTER_MS,
+            Some(store) => cannot_serve(&store.report) || store.silent_for_ms >= DEAD_AFTER_MS,
             None => self.sight.primary_for_ms >= DEAD_AFTER_MS,
         }
     }
 
+    /// What the group's primary reports, if it acts under the group's epoch.
+    fn primary_report(&self, group: &BatchGroup) -> Option<&StoreReport> {
+        let report = &self.by_disk.get(&group.primary)?.report;
+        (report.epoch == group.epoch).then_some(report)
+    }
+
+    /// The members that the primary, while it is alive, waits for in vain.
+    fn silent_members(&self, group: &BatchGroup) -> BTreeSet<DiskId> {
+        if !self.is_alive(group.primary) {
+            return BTreeSet::new();
+        }
+        self.primary_report(group).map(|report| report.silent.clone()).unwrap_or_default()
+    }
+
+    /// How many of these are alive and hold everything.
+    fn count_holding<'m>(&self, members: impl Iterator<Item = &'m GroupMember>) -> usize {
+        members.filter(|member| self.is_alive(member.disk) && self.is_complete(member.disk)).count()
+    }
+
     fn is_retiring(&self, member: &GroupMember) -> bool {
         self.state.stores().is_retiring(&member.node.node)
     }
@@ -154,19 +144,17 @@
     }
 
     fn reports_active(&self, group: &BatchGroup) -> bool {
-        self.by_disk
-            .get(&group.primary)
-            .is_some_and(|store| store.report.active && store.report.epoch == group.epoch)
+        self.primary_report(group).is_some_and(|report| report.active)
     }
 
-    fn reports_in_sync(&self, group: &BatchGroup, disk: DiskId) -> bool {
-        self.by_disk.get(&disk).is_some_and(|store| store.report.in_sync && store.report.epoch == group.epoch)
+    fn reports_synced(&self, group: &BatchGroup, disk: DiskId) -> bool {
+        self.by_disk.get(&disk).is_some_and(|store| store.report.synced && store.report.epoch == group.epoch)
     }
 
     /// Members that came to hold everything while the epoch is not active yet: it may wait for a dead one.
     fn members_in_sync(&self, group: &BatchGroup) -> Option<Request> {
         let members = group.members.iter().map(|member| member.disk);
-        let news = members.filter(|disk| !self.is_complete(*disk) && self.reports_in_sync(group, *disk));
+        let news = members.filter(|disk| !self.is_complete(*disk) && self.reports_synced(group, *disk));
         let disks: BTreeSet<DiskId> = news.collect();
         (!disks.is_empty()).then_some(Request::MembersInSync { epoch: group.epoch, disks })
     }
@@ -202,9 +190,12 @@
         self.refresh_addresses(&mut next);
         self.promote_learners(group, &mut next);
         self.drop_learners(&mut next);
-        self.replace_primary(&mut next);
-        self.drop_dead(&mut next);
-        self.drop_retiring(&mut next);
+        self.replace_primary(group, &mut next);
+        // What a primary that gives its place away says of the others does not hold for its successor.
+        let stays_primary = next.primary == group.primary;
+        let silent = if stays_primary { self.silent_members(group) } else { BTreeSet::new() };
+        self.drop_unresponsive(&silent, &mut next);
+        self.drop_retiring(&silent, &mut next);
         self.add_learners(&mut next);
         if next == *group {
             return None;
@@ -230,7 +221,7 @@
         let (in_sync, others): (Vec<_>, Vec<_>) = next.learners.drain(..).partition(|learner| {
             self.is_alive(learner.disk)
                 && !self.is_retiring(learner)
-                && self.reports_in_sync(group, learner.disk)
+                && self.reports_synced(group, learner.disk)
         });
         next.learners = others;
         next.members.extend(in_sync);
@@ -240,14 +231,16 @@
         next.learners.retain(|learner| !self.is_dead(learner.disk) && !self.is_retiring(learner));
     }
 
-    /// A dead or retiring primary gives its place to a member that is alive and holds everything: one that stays, if
-    /// there is one. Only a dead primary's place goes to a member that is itself to be emptied.
-    fn replace_primary(&self, next: &mut BatchGroup) {
+    /// A primary that is dead, cut off from the others or retiring gives its place to a member that is alive and holds
+    /// everything: one that stays, if there is one. Only a dead primary's place goes to a member that is itself to be
+    /// emptied.
+    fn replace_primary(&self, group: &BatchGroup, next: &mut BatchGroup) {
         let Some(primary) = next.primary_member() else {
             return;
         };
-        let primary_is_dead = self.is_dead(primary.disk);
-        if !primary_is_dead && !self.is_retiring(primary) {
+        let is_lost = self.is_dead(primary.disk) || self.is_isolated(group);
+        let behind = self.primary_report(group).and_then(|report| report.behind);
+        if !is_lost && behind.is_none() && !self.is_retiring(primary) {
             return;
         }
         let able = |member: &&GroupMember| {
@@ -255,28 +248,38 @@
         };
         let (retiring, staying): (Vec<_>, Vec<_>) =
             next.members.iter().filter(able).partition(|member| self.is_retiring(member));
-        let of_last_resort = retiring.first().filter(|_| primary_is_dead);
-        if let Some(successor) = staying.first().or(of_last_resort) {
+        let ahead = staying.iter().find(|member| Some(member.disk) == behind);
+        let of_last_resort = retiring.first().filter(|_| is_lost);
+        if let Some(successor) = ahead.or(staying.first()).or(of_last_resort) {
             next.primary = successor.disk;
         }
     }
 
-    /// Dead members leave if enough others are alive.
-    fn drop_dead(&self, next: &mut BatchGroup) {
-        let stays = |member: &GroupMember| member.disk == next.primary || !self.is_dead(member.disk);
+    /// The primary is heard of but reaches so few members that it can't go on, while those that it does not reach could.
+    fn is_isolated(&self, group: &BatchGroup) -> bool {
+        let silent = self.silent_members(group);
+        let is_silent = |member: &&GroupMember| silent.contains(&member.disk);
+        let unreached = self.count_holding(group.members.iter().filter(is_silent));
+        let reached = self.count_holding(group.members.iter().filter(|member| !is_silent(member)));
+        reached < self.copies() && unreached >= self.copies()
+    }
+
+    /// Dead and silent members leave if enough others respond and hold everything.
+    fn drop_unresponsive(&self, silent: &BTreeSet<DiskId>, next: &mut BatchGroup) {
+        let responds = |disk: DiskId| !self.is_dead(disk) && !silent.contains(&disk);
+        let stays = |member: &GroupMember| member.disk == next.primary || responds(member.disk);
         let remaining: Vec<_> = next.members.iter().filter(|member| stays(member)).cloned().collect();
-        let alive = remaining.iter().filter(|member| self.is_alive(member.disk)).count();
-        if alive >= self.copies() {
+        if self.count_holding(remaining.iter()) >= self.copies() {
             next.members = remaining;
         }
     }
 
-    /// Retiring members leave when their successors are in, or where there are none, if enough others are alive.
-    fn drop_retiring(&self, next: &mut BatchGroup) {
+    /// Retiring members leave when their successors are in, or where there are none, if enough others respond and hold
+    /// everything.
+    fn drop_retiring(&self, silent: &BTreeSet<DiskId>, next: &mut BatchGroup) {
         let stays = |member: &GroupMember| member.disk == next.primary || !self.is_retiring(member);
         let remaining: Vec<_> = next.members.iter().filter(|member| stays(member)).cloned().collect();
-        let holds_all = |member: &&GroupMember| self.is_alive(member.disk) && self.is_complete(member.disk);
-        let holding = remaining.iter().filter(holds_all).count();
+        let holding = self.count_holding(remaining.iter().filter(|member| !silent.contains(&member.disk)));
         let successors_may_come = remaining.len() < self.target()
             && (!next.learners.is_empty() || !self.candidates(&disks_of(next)).is_empty());
         let successors_are_in = holding >= self.target() || !successors_may_come;
@@ -296,6 +299,11 @@
     }
 }
 
+/// Whether a store that polls is of no use as a member all the same.
+fn cannot_serve(report: &StoreReport) -> bool {
+    report.leaving || report.disk_failing
+}
+
 /// The disks of a group's members and learners.
 fn disks_of(group: &BatchGroup) -> BTreeSet<DiskId> {
     group.members.iter().chain(&group.learners).map(|member| member.disk).collect()
--- a/alderhollow/src/control_state/mod.rs
+++ b/alderhollow/src/control_state/mod.rs
@@ -11,6 +11,7 @@
 pub mod group_policy;
 pub mod request;
 mod snapshot;
+pub mod store_report;
 pub mod stores;
 pub mod taken;
 pub mod view;
--- a/alderhollow/src/control_state/stores.rs
+++ b/alderhollow/src/control_state/stores.rs
@@ -69,7 +69,8 @@
         }
     }
 
-    /// Takes in a store as it is now. A new disk replaces the machine's old one, and ends its retirement.
+    /// Takes in a store as it is now. A new disk replaces the machine's old one. A retirement under way goes on: the new disk
+    /// holds nothing, so that it is completed with the next group that is active.
     pub fn register(&mut self, store: &NodeInfo) -> bool {
         if !self.is_news(store) {
             return false;
@@ -78,7 +79,8 @@
         let former_disk = former.and_then(|former| former.disk);
         if let Some(disk) = former_disk.filter(|disk| Some(*disk) != store.disk) {
             self.replaced.insert(disk);
-            self.retirements.remove(&store.node);
+            self.retirements
+                .retain(|node, state| *node != store.node || *state == RetirementState::InProgress);
         }
         true
     }
--- a/alderhollow/src/core/authority.rs
+++ b/alderhollow/src/core/authority.rs
@@ -3,7 +3,8 @@
 use super::driver::Core;
 use super::store_watch::StoreWatch;
 use crate::clock::SteadyClock;
-use crate::control_state::group_policy::{GroupSight, StoreReport};
+use crate::control_state::group_policy::GroupSight;
+use crate::control_state::store_report::StoreReport;
 use crate::control_state::view::encode_view;
 use crate::control_state::ControlState;
 use crate::distribution::message::{Directions, EncodedControl, Poll};
--- a/alderhollow/src/core/store_watch.rs
+++ b/alderhollow/src/core/store_watch.rs
@@ -1,6 +1,7 @@
 //! What the core's primary sees of the stores, from their polls. No I/O and no clock.
 
-use crate::control_state::group_policy::{GroupSight, StoreReport, StoreSight};
+use crate::control_state::group_policy::{GroupSight, StoreSight};
+use crate::control_state::store_report::StoreReport;
 use alderhollow_model::identity::{DiskId, NodeInfo};
 use std::collections::BTreeMap;
 
@@ -37,11 +38,10 @@
     /// Notes a poll of a store. Tells whether it said something new.
     pub fn heard(&mut self, node: &NodeInfo, report: StoreReport, now_ms: u64) -> bool {
         let Some(disk) = node.disk else { return false };
-        let seen = SeenStore { node: node.clone(), report, heard_at_ms: now_ms };
-        match self.stores.insert(disk, seen) {
-            Some(former) => former.report != report || former.node != *node,
-            None => true,
-        }
+        let is_known = |seen: &SeenStore| seen.report == report && seen.node == *node;
+        let is_news = !self.stores.get(&disk).is_some_and(is_known);
+        self.stores.insert(disk, SeenStore { node: node.clone(), report, heard_at_ms: now_ms });
+        is_news
     }
 
     /// What the group's policy rests on; `None` without a lease.
@@ -50,7 +50,7 @@
         let stores = self.stores.values().map(|seen| StoreSight {
             node: seen.node.clone(),
             silent_for_ms: now_ms.saturating_sub(seen.heard_at_ms),
-            report: seen.report,
+            report: seen.report.clone(),
         });
         Some(GroupSight {
             primary_for_ms: now_ms.saturating_sub(lease.since_ms),
--- a/alderhollow/src/store/journal_queue.rs
+++ b/alderhollow/src/store/journal_queue.rs
@@ -18,6 +18,9 @@
 const REPAIR_PAUSE: Duration = Duration::from_millis(300);
 /// A disk with a write that is older than this is stalled.
 const STALL_MS: u64 = 600;
+/// With a write that is older than this, another store should serve instead. A snapshot that takes its time on a sound disk
+/// must not come to it.
+const FAILING_AFTER_MS: u64 = 1_200;
 
 /// What a store's node does for its journal.
 pub trait JournalOwner {
@@ -91,8 +94,17 @@
 
     /// Whether the disk takes writes without failure or long delay.
     pub fn is_ready(&self, now_ms: u64) -> bool {
-        let oldest = self.submitted_at.borrow().front().copied();
-        !self.failing.get() && oldest.is_none_or(|at| now_ms.saturating_sub(at) < STALL_MS)
+        !self.failing.get() && self.oldest_ms(now_ms) < STALL_MS
+    }
+
+    /// Whether the disk fails so that another store should serve instead.
+    pub fn is_failing(&self, now_ms: u64) -> bool {
+        self.failing.get() || self.oldest_ms(now_ms) >= FAILING_AFTER_MS
+    }
+
+    /// Age of the oldest write that has not ended.
+    fn oldest_ms(&self, now_ms: u64) -> u64 {
+        self.submitted_at.borrow().front().map_or(0, |at| now_ms.saturating_sub(*at))
     }
 
     /// Tells the owner of the ends of its writes, in order, until the queue is gone.
--- a/alderhollow/src/store/node.rs
+++ b/alderhollow/src/store/node.rs
@@ -7,7 +7,7 @@
 use super::waiting::Waiting;
 use crate::batch_protocol::ReplicationNotice;
 use crate::clock::SteadyClock;
-use crate::control_state::group_policy::StoreReport;
+use crate::control_state::store_report::StoreReport;
 use crate::distribution::client::PollState;
 use crate::internal::server::HandlerFuture;
 use crate::internal::{Handler, Network, Refusal, ServiceId};
@@ -151,7 +151,8 @@
         });
         self.waiting.sweep();
         let status = self.look(|engine, now_ms| engine.status(now_ms));
-        self.poll.report(report(&status).to_bytes());
+        let disk_failing = self.journal.is_failing(self.clock.now_ms());
+        self.poll.report(report(status, disk_failing).to_bytes());
         let more_waits = self.start_items();
         let now_ms = self.clock.now_ms();
         let next = self.look(|engine, _| engine.next_tick_ms());
@@ -298,12 +299,15 @@
 }
 
 /// What the core's primary is told. It learns from the poll itself whether the process is about to end.
-fn report(status: &GroupStatus) -> StoreReport {
+fn report(status: GroupStatus, disk_failing: bool) -> StoreReport {
     StoreReport {
         epoch: status.epoch,
         active: status.primary && status.active,
-        in_sync: status.synced,
+        synced: status.synced,
         leaving: false,
+        disk_failing,
+        silent: status.silent.into_iter().collect(),
+        behind: status.behind,
     }
 }
 
--- a/batch/src/group/peer.rs
+++ b/batch/src/group/peer.rs
@@ -14,8 +14,9 @@
 const FIRST_RETRY_MS: u64 = 500;
 /// See [`FIRST_RETRY_MS`].
 const LONGEST_RETRY_MS: u64 = 2_000;
-/// A store that has let something wait for so long is reported as silent.
-const SILENT_MS: u64 = 500;
+/// A store that has let something wait for so long is reported as silent, and may be left out for it. A message that was lost
+/// with its connection is sent again before.
+const SILENT_MS: u64 = FIRST_RETRY_MS + 400;
 /// Bytes of a digest beside the id, roughly.
 const DIGEST_BYTES: usize = 32;
 
