--- a/alderhollow/src/door/endings.rs
+++ b/alderhollow/src/door/endings.rs
@@ -1,11 +1,10 @@
-//! The platform's signal SIGTERM ends a door in phases.
+//! The planned end: SIGTERM ends a door in phases.
 
 use super::clients::Clients;
 use crate::core::authority::ControlAuthority;
 use crate::node::Node;
 use crate::ready::Readiness;
-use crate::settings::Settings;
-use crate::settings_reload;
+use crate::settings::{reload, Settings};
 use crate::termination::terminated;
 use alderhollow_model::identity::Role;
 use std::io;
@@ -22,7 +21,7 @@
     readiness: &Readiness,
     clients: Option<Clients>,
 ) -> io::Result<()> {
-    tokio::task::spawn_local(settings_reload::follow(node.clone(), Role::Door));
+    tokio::task::spawn_local(reload::follow(node.clone(), Role::Door, reload::hangups()?));
     terminated().await?;
     log::info!("told to end: no longer ready");
     readiness.leave();
--- a/alderhollow/src/settings_reload.rs
+++ b/alderhollow/src/settings/reload.rs
@@ -1,27 +1,26 @@
-//! Settings that change while a process runs: it takes over the seeds, at SIGHUP and when no primary was found for long.
+//! Settings that change while the process runs: SIGHUP says so, and after a long time without a primary it may be so.
 
+use super::Settings;
 use crate::node::{internal_seeds, Node};
-use crate::settings::Settings;
 use alderhollow_model::identity::Role;
+use std::io;
 use std::time::Duration;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 
 /// Without tables from a primary for so long, the settings are read again: other seeds may stand there.
 const UNVOUCHED_MS: u64 = 4_000;
 /// How often that is looked at.
-const CHECK_INTERVAL: Duration = Duration::from_secs(2);
+const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Follows the settings file until the future is dropped.
-pub async fn follow(node: Node, role: Role) {
-    let mut hangups = match signal(SignalKind::hangup()) {
-        Ok(hangups) => hangups,
-        Err(error) => {
-            log::error!("SIGHUP can't be heard: {error}");
-            return;
-        }
-    };
+/// Takes SIGHUP from now on, so that it does not end the process.
+pub fn hangups() -> io::Result<Signal> {
+    signal(SignalKind::hangup())
+}
+
+/// Reads the seeds again at SIGHUP, and when no primary was found for long, until the future is dropped.
+pub async fn follow(node: Node, role: Role, mut hangups: Signal) {
     loop {
-        match tokio::time::timeout(CHECK_INTERVAL, hangups.recv()).await {
+        match tokio::time::timeout(SETTINGS_CHECK_INTERVAL, hangups.recv()).await {
             Ok(_) => reload_seeds(&node, role),
             Err(_) if is_unvouched(&node) => reload_seeds(&node, role),
             Err(_) => (),
@@ -37,9 +36,8 @@
 fn reload_seeds(node: &Node, role: Role) {
     match Settings::from_environment(role) {
         Ok(settings) => {
-            let seeds = internal_seeds(&settings);
-            log::info!("the settings are read again: {} seeds", seeds.len());
-            node.directory.set_seeds(seeds);
+            node.directory.set_seeds(internal_seeds(&settings));
+            log::info!("the settings are read again: {} seeds", settings.seeds.len());
         }
         Err(error) => log::warn!("the settings stay as they are: {error}"),
     }
--- a/alderhollow/src/store/role.rs
+++ b/alderhollow/src/store/role.rs
@@ -11,8 +11,7 @@
 use crate::internal::{ServiceId, Services};
 use crate::node::{node_info, random_seed, Node};
 use crate::role::RoleError;
-use crate::settings::Settings;
-use crate::settings_reload;
+use crate::settings::{reload, Settings};
 use crate::status::server::{ProcessStatus, StatusHandler};
 use crate::termination::terminated;
 use alderhollow_batch::engine::Engine;
@@ -35,6 +34,7 @@
 
 /// Runs a store until it is told to end. To be run in a `LocalSet`.
 pub async fn run(settings: Settings) -> Result<(), RoleError> {
+    let hangups = reload::hangups()?;
     let shared = Node::new(&settings);
     let (engine, disk, journal) = open_disk(&settings, &shared)?;
     let (journal, write_ends) = JournalQueue::new(Writer::start(journal)?, settings.limits.disk_mb);
@@ -65,11 +65,11 @@
         ProcessStatus { node: info.clone(), shared: shared.clone(), core: None, store: Some(node.clone()) };
     services.register(ServiceId::Status, Rc::new(StatusHandler(status)));
     shared.join(info, None, backends, services).await?;
-    tokio::task::spawn_local(settings_reload::follow(shared.clone(), Role::Store));
     tokio::select! {
         () = NodeJournal(node.clone()).follow(write_ends) => Ok(()),
         () = node.clone().run() => Ok(()),
         () = exchange.keep_in_order() => Ok(()),
+        () = reload::follow(shared.clone(), Role::Store, hangups) => Ok(()),
         result = ending(&node, &shared.poll_state, settings.bounds.grace) => Ok(result?),
     }
 }
