--- a/fleet/src/shards/decide/tests.rs
+++ b/fleet/src/shards/decide/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 #[test]
--- a/lab/src/kinds/tests.rs
+++ b/lab/src/kinds/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use crate::scenario::Scenario;
 use State::{Closed, Elsewhere, First, Kept, OtherDoor, Shared};
--- a/src/bin/brassport/errors/tests.rs
+++ b/src/bin/brassport/errors/tests.rs
@@ -1,4 +1,3 @@
-
 use crate::clients::phase::PhaseError;
 use crate::fleet::driver::FleetError;
 use crate::fleet::roster::RosterError;
--- a/src/bin/brassport/operators/bans/tests.rs
+++ b/src/bin/brassport/operators/bans/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use tokio::time::{timeout, Instant};
 
