Read items' events together and tell the ends of runs together

After the first event a run now looks for more every 100 ms instead of at each event, and ends of runs within 10 ms make one write and one message to each member.

--- a/alderhollow/src/exchange/answer.rs
+++ b/alderhollow/src/exchange/answer.rs
@@ -8,6 +8,9 @@
 use hyper::header::{self, HeaderMap};
 use hyper::{Response, StatusCode};
 use springusher_dataplane::headers::pass_on;
+use std::future::Future;
+use std::pin::pin;
+use std::task::{Context, Poll, Waker};
 use thiserror::Error;
 
 const EVENT_STREAM: &str = "text/event-stream";
@@ -73,6 +76,15 @@
         }
     }
 
+    /// As [`Answer::piece`], if there is something to tell by now. The task is not woken when more comes.
+    pub fn piece_if_here(&mut self) -> Option<Option<Result<Bytes, Incomplete>>> {
+        let mut context = Context::from_waker(Waker::noop());
+        match pin!(self.piece()).poll(&mut context) {
+            Poll::Ready(piece) => Some(piece),
+            Poll::Pending => None,
+        }
+    }
+
     /// The body was read to its end: the connection goes back to the pool.
     pub async fn finish(self, outcome: Outcome) {
         let Answer { pooled, attempt, .. } = self;
--- a/alderhollow/src/executor/attempt.rs
+++ b/alderhollow/src/executor/attempt.rs
@@ -2,15 +2,20 @@
 
 use super::events::{EventReader, Transcript};
 use crate::balance::Outcome;
-use crate::exchange::answer::Answer;
+use crate::exchange::answer::{Answer, Incomplete};
 use crate::exchange::Unanswered;
 use alderhollow_batch::api::{ItemStart, Resume, RunEnd};
+use hyper::body::Bytes;
 use hyper::StatusCode;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// A backend that sends no event for so long is left: before its first one it may still read the prompt, or wait.
 pub const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(3_500);
 const NEXT_EVENT_SILENCE: Duration = Duration::from_millis(2_000);
+/// After the first event, events are read together so often: nobody waits for a single one, and each look at each of
+/// hundreds of connections costs the store's processor.
+const GATHER: Duration = Duration::from_millis(100);
 /// Pauses before the next try.
 const PAUSE_AFTER_DECLINED_MS: u64 = 120;
 const PAUSE_AFTER_NO_CONNECTION_MS: u64 = 60;
@@ -52,9 +57,12 @@
     let events_before = reader.transcript().events;
     let mut has_begun = false;
     let outcome = loop {
-        let silence = if has_begun { NEXT_EVENT_SILENCE } else { FIRST_EVENT_SILENCE };
-        match tokio::time::timeout(silence, answer.piece()).await {
-            Ok(Some(Ok(piece))) => {
+        let piece = match has_begun {
+            false => tokio::time::timeout(FIRST_EVENT_SILENCE, answer.piece()).await.ok(),
+            true => gathered_piece(&mut answer).await,
+        };
+        match piece {
+            Some(Some(Ok(piece))) => {
                 if let Err(error) = reader.push(&piece) {
                     log::warn!("item {}: {error}", item.item_id);
                     break Outcome::Broken;
@@ -64,18 +72,32 @@
                     answer.began();
                 }
             }
-            Ok(None) if reader.is_between_events() => {
+            Some(None) if reader.is_between_events() => {
                 answer.finish(Outcome::Served).await;
                 return RunEnd::Completed { text: reader.into_transcript().text };
             }
-            Ok(None | Some(Err(_))) => break Outcome::Broken,
-            Err(_) => break Outcome::TimedOut,
+            Some(None | Some(Err(_))) => break Outcome::Broken,
+            None => break Outcome::TimedOut,
         }
     };
     answer.abandon(outcome);
     RunEnd::Cut { resume: resume_of(reader.into_transcript()), retry_after_ms: PAUSE_AFTER_CUT_MS }
 }
 
+/// The next piece of an answer, looked for every [`GATHER`]; `None` if none came for [`NEXT_EVENT_SILENCE`].
+async fn gathered_piece(answer: &mut Answer) -> Option<Option<Result<Bytes, Incomplete>>> {
+    let silent_at = Instant::now() + NEXT_EVENT_SILENCE;
+    loop {
+        if let Some(piece) = answer.piece_if_here() {
+            return Some(piece);
+        }
+        if Instant::now() >= silent_at {
+            return None;
+        }
+        tokio::time::sleep(GATHER).await;
+    }
+}
+
 /// Reads the rest of a failure's answer, so that its connection can be used again.
 async fn finish_failure(mut answer: Answer, outcome: Outcome) {
     loop {
--- a/alderhollow/src/store/node.rs
+++ b/alderhollow/src/store/node.rs
@@ -33,6 +33,9 @@
 /// Pause between looks while items wait for their turn to start.
 const START_TICK: Duration = Duration::from_millis(15);
 
+/// Ends of runs are taken in together so long after the first one.
+const GATHER: Duration = Duration::from_millis(10);
+
 /// Where the batch routes leave these to the system.
 const DEFAULT_RUN_TARGET_MS: u64 = 10_000;
 const DEFAULT_RETENTION_MS: u64 = 60_000;
@@ -136,7 +139,7 @@
             let pause = self.tick();
             tokio::select! {
                 () = tokio::time::sleep(pause) => (),
-                () = self.woken.notified() => (),
+                () = self.woken.notified() => tokio::time::sleep(GATHER).await,
                 changed = snapshots.changed() => if changed.is_err() { return },
             }
         }
@@ -145,7 +148,11 @@
     /// One look; returns the pause until the next.
     fn tick(self: &Rc<Self>) -> Duration {
         let ready = self.journal.is_ready(self.clock.now_ms());
+        let ended = self.runs.take_ended();
         self.with_engine(|engine, now_ms| {
+            for (run, end) in ended {
+                engine.run_ended(now_ms, run, end);
+            }
             engine.set_disk_ready(ready);
             engine.tick(now_ms);
         });
--- a/alderhollow/src/store/runs.rs
+++ b/alderhollow/src/store/runs.rs
@@ -2,7 +2,7 @@
 
 use super::node::StoreNode;
 use crate::executor::Executor;
-use alderhollow_batch::api::{ItemStart, RunId};
+use alderhollow_batch::api::{ItemStart, RunEnd, RunId};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -12,12 +12,14 @@
 pub struct Runs {
     executor: Executor,
     running: RefCell<HashMap<RunId, AbortHandle>>,
+    /// Ends that the engine was not told yet. Told together, they make one write and one message to each member.
+    ended: RefCell<Vec<(RunId, RunEnd)>>,
 }
 
 impl Runs {
     /// None yet.
     pub fn new(executor: Executor) -> Runs {
-        Runs { executor, running: RefCell::default() }
+        Runs { executor, running: RefCell::default(), ended: RefCell::default() }
     }
 
     /// How many items may start now, with so many waiting.
@@ -42,15 +44,20 @@
         }
     }
 
-    fn ended(&self, run: RunId) -> bool {
-        self.running.borrow_mut().remove(&run).is_some()
+    /// The ends since the last call.
+    pub fn take_ended(&self) -> Vec<(RunId, RunEnd)> {
+        self.ended.take()
+    }
+
+    fn note_end(&self, run: RunId, end: RunEnd) {
+        if self.running.borrow_mut().remove(&run).is_some() {
+            self.ended.borrow_mut().push((run, end));
+        }
     }
 }
 
 async fn run_one(node: Rc<StoreNode>, executor: Executor, item: ItemStart) {
     let end = executor.run(&item).await;
-    if node.runs.ended(item.run) {
-        node.with_engine(|engine, now_ms| engine.run_ended(now_ms, item.run, end));
-        node.wake();
-    }
+    node.runs.note_end(item.run, end);
+    node.wake();
 }
