Let a primary introduce itself, and let no cut-off process deny a route

Cause: after seeds had turned over to machines without a disk and all processes had ended at once, nobody told the seeds where the core is: the long-poll asked only seeds and the members of the process's own memory, which was empty. The members knew each other from their disks, elected a primary and read the list, yet no process got tables. A door whose polls hung at a member that had died asked one process after another, up to 1 s each, and answered 404 from an old configuration meanwhile.

The primary introduces itself, while it holds its lease, to the seeds of its settings (read again every 2 s), to members, to stores of the control state, and to whoever polled it before and fell silent; a view of the core carries its epoch, and a newer one replaces an older.

Ruled out: stores that remember the core on disk (the primary knows them from the control state); each process telling its seeds all the time (three connections a process for good).

--- a/alderhollow/src/core/authority.rs
+++ b/alderhollow/src/core/authority.rs
@@ -7,7 +7,7 @@
 use crate::control_state::store_report::StoreReport;
 use crate::control_state::view::encode_view;
 use crate::control_state::ControlState;
-use crate::distribution::message::{Directions, EncodedControl, Poll};
+use crate::distribution::message::{CoreView, EncodedControl, Poll};
 use crate::distribution::server::Authority;
 use alderhollow_model::identity::Role;
 use std::cell::RefCell;
@@ -79,8 +79,8 @@
         self.core.state().version()
     }
 
-    fn directions(&self) -> Directions {
-        self.core.directions()
+    fn core_view(&self) -> CoreView {
+        self.core.core_view()
     }
 
     fn heard(&self, poll: &Poll) {
--- a/alderhollow/src/core/contact.rs
+++ b/alderhollow/src/core/contact.rs
@@ -1,6 +1,6 @@
 //! A member's addresses: opaque to the replica, which passes them on with the member.
 
-use crate::distribution::message::{CoreMember, Directions};
+use crate::distribution::message::{CoreMember, CoreView};
 use alderhollow_coordination::replica::interface::Member;
 use alderhollow_model::identity::{Address, DiskId};
 use minicbor::{Decode, Encode};
@@ -34,10 +34,11 @@
     Some(CoreMember { disk: DiskId(member.id), internal: contact.internal, control: contact.control })
 }
 
-/// The place of the core as its member knows it.
-pub fn directions(primary: Option<&Member>, members: &[Member]) -> Directions {
-    Directions {
+/// The core as its member knows it, from the record of an epoch.
+pub fn core_view(epoch: u64, primary: Option<&Member>, members: &[Member]) -> CoreView {
+    CoreView {
         primary: primary.and_then(core_member),
         members: members.iter().filter_map(core_member).collect(),
+        epoch,
     }
 }
--- a/alderhollow/src/core/driver.rs
+++ b/alderhollow/src/core/driver.rs
@@ -2,7 +2,7 @@
 
 use super::contact::{self, Contact};
 use crate::clock::SteadyClock;
-use crate::distribution::message::Directions;
+use crate::distribution::message::CoreView;
 use crate::distribution::signal::ChangeSignal;
 use crate::internal::server::HandlerFuture;
 use crate::internal::{Handler, Network, Refusal, ServiceId};
@@ -134,9 +134,9 @@
     }
 
     /// Where the core is, as far as this member knows.
-    pub fn directions(&self) -> Directions {
+    pub fn core_view(&self) -> CoreView {
         let replica = self.replica.borrow();
-        contact::directions(replica.primary(), replica.members())
+        contact::core_view(replica.epoch(), replica.primary(), replica.members())
     }
 
     /// Founds the core, at the first start of the whole system.
--- a/alderhollow/src/core/membership.rs
+++ b/alderhollow/src/core/membership.rs
@@ -4,7 +4,7 @@
 use super::contact::Contact;
 use super::driver::Core;
 use crate::distribution::directory::Directory;
-use crate::distribution::message::{Answer, Directions, Request};
+use crate::distribution::message::{Answer, CoreView, Request};
 use crate::internal::{Network, ServiceId};
 use alderhollow_coordination::replica::interface::{Member, StateMachine};
 use alderhollow_model::identity::NodeInfo;
@@ -43,7 +43,7 @@
         if !membership.core.wants_to_join() {
             continue;
         }
-        if let Some(primary) = membership.directory.directions().primary {
+        if let Some(primary) = membership.directory.core_view().primary {
             membership.core.ask_to_join(primary.internal.0);
         }
     }
@@ -87,14 +87,14 @@
         let request = minicbor::to_vec(Request::Hello).ok()?;
         let answer = self.network.call(seed, ServiceId::Distribution, request, HELLO_TIMEOUT).await.ok()?;
         match minicbor::decode(&answer).ok()? {
-            Answer::Hello(node, directions) => Some(Seed::of(node, directions)),
+            Answer::Hello(node, core_view) => Some(Seed::of(node, core_view)),
             Answer::Update(_) | Answer::NotPrimary(_) => None,
         }
     }
 }
 
 impl Seed {
-    fn of(node: NodeInfo, _: Directions) -> Seed {
+    fn of(node: NodeInfo, _: CoreView) -> Seed {
         let contact = Contact { internal: node.internal, control: node.control };
         match node.disk {
             Some(disk) => Seed::WithDisk(Member {
--- a/alderhollow/src/distribution/finder.rs
+++ b/alderhollow/src/distribution/finder.rs
@@ -66,6 +66,19 @@
         Some(NextPoll { to, pause: self.draw_pause() })
     }
 
+    /// Whether a process is taken for the primary.
+    pub fn has_primary(&self) -> bool {
+        self.confirmed.is_some()
+    }
+
+    /// A process says that it is the primary: it is asked next, unless another one is taken for it.
+    pub fn suggest(&mut self, primary: SocketAddr) {
+        if self.confirmed.is_none() {
+            self.hint = Some(primary);
+            self.wait_for_hint = false;
+        }
+    }
+
     /// The process answered as the primary.
     pub fn confirm(&mut self, by: SocketAddr) {
         self.confirmed = Some(by);
--- a/alderhollow/src/distribution/message.rs
+++ b/alderhollow/src/distribution/message.rs
@@ -67,13 +67,13 @@
 pub enum Answer {
     /// To [`Request::Hello`].
     #[n(0)]
-    Hello(#[n(0)] NodeInfo, #[n(1)] Directions),
+    Hello(#[n(0)] NodeInfo, #[n(1)] CoreView),
     /// To [`Request::Poll`], by the primary while it holds its lease.
     #[n(1)]
     Update(#[n(0)] Update),
     /// To [`Request::Poll`], by all others.
     #[n(2)]
-    NotPrimary(#[n(0)] Directions),
+    NotPrimary(#[n(0)] CoreView),
 }
 
 /// The tables that are newer than what the asker holds; all that is left out is up to date.
@@ -88,9 +88,9 @@
     /// The senders.
     #[n(2)]
     pub senders: Option<StampedSenders>,
-    /// The members of the core, with every answer that brings something else.
+    /// Where the core is, with every answer that brings something else.
     #[n(3)]
-    pub members: Option<Vec<CoreMember>>,
+    pub core: Option<CoreView>,
 }
 
 impl Update {
@@ -122,15 +122,26 @@
     pub senders: Senders,
 }
 
-/// Where the primary may be found.
+/// A notice that wants no answer.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub enum Notice {
+    /// By the primary while it holds its lease, to processes that may not know where the core is.
+    #[n(0)]
+    Introduction(#[n(0)] CoreView),
+}
+
+/// Where the core is, as far as the one who says so knows.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
-pub struct Directions {
-    /// The primary, as far as the one who answers knows.
+pub struct CoreView {
+    /// The primary.
     #[n(0)]
     pub primary: Option<CoreMember>,
     /// Members of the core.
     #[n(1)]
     pub members: Vec<CoreMember>,
+    /// Number of the epoch record that names the members; 0: none is known.
+    #[n(2)]
+    pub epoch: u64,
 }
 
 /// A member of the core, with its addresses.
--- a/alderhollow/src/distribution/server.rs
+++ b/alderhollow/src/distribution/server.rs
@@ -1,10 +1,10 @@
-//! Answers polls: with what is newer while this process is the primary and holds its lease, else with directions.
+//! Answers polls: with what is newer while this process is the primary and holds its lease, else with core_view.
 
 use super::directory::Directory;
 use super::message::{
-    Answer, CoreMember, Directions, EncodedControl, HeldVersions, Poll, Request, Stamp, StampedSenders,
-    Update,
+    Answer, CoreView, EncodedControl, HeldVersions, Notice, Poll, Request, Stamp, StampedSenders, Update,
 };
+use super::pollers::PollerWatch;
 use super::senders::SenderTracker;
 use super::signal::ChangeSignal;
 use crate::clock::SteadyClock;
@@ -14,6 +14,8 @@
 use alderhollow_model::backend::BackendList;
 use alderhollow_model::identity::NodeInfo;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -30,7 +32,7 @@
     /// Version of the committed control state.
     fn control_version(&self) -> u64;
     /// The core's members and its primary, as far as known.
-    fn directions(&self) -> Directions;
+    fn core_view(&self) -> CoreView;
     /// Takes note of a poll.
     fn heard(&self, poll: &Poll);
 }
@@ -74,23 +76,41 @@
     pub clock: SteadyClock,
     /// Who polled, in the epoch of which this process is the primary.
     pub senders: RefCell<SenderTracker>,
+    /// Which addresses polled.
+    pub pollers: RefCell<PollerWatch>,
 }
 
 impl Distributor {
     /// What is known of the core's place.
-    pub fn directions(&self) -> Directions {
+    pub fn core_view(&self) -> CoreView {
         match &self.authority {
             Some(authority) => {
-                let mut directions = authority.directions();
-                if directions.primary.is_none() {
-                    directions.primary = self.directory.directions().primary;
+                let mut core_view = authority.core_view();
+                if core_view.primary.is_none() {
+                    core_view.primary = self.directory.core_view().primary;
                 }
-                directions
+                core_view
             }
-            None => self.directory.directions(),
+            None => self.directory.core_view(),
         }
     }
 
+    /// Whether this process is the primary and holds its lease.
+    pub fn leads(&self) -> bool {
+        self.leased_authority().is_some()
+    }
+
+    /// Processes that should poll this one, the primary, and do not: they may not know where it is.
+    pub fn silent_processes(&self) -> BTreeSet<SocketAddr> {
+        let mut expected = self.directory.seeds();
+        expected.extend(self.core_view().internal_addresses());
+        let control = self.snapshots.borrow().control.clone();
+        let stores = control.group.iter().flat_map(|group| group.members.iter().chain(&group.learners));
+        expected.extend(stores.map(|store| store.node.internal.0));
+        expected.retain(|address| *address != self.node.internal.0);
+        self.pollers.borrow_mut().silent(expected, self.clock.now_ms())
+    }
+
     /// Answers a poll, perhaps after waiting for something newer.
     pub async fn poll(&self, poll: Poll) -> Answer {
         let wait = Duration::from_millis(u64::from(poll.wait_ms)).min(LONGEST_WAIT);
@@ -99,7 +119,7 @@
         let mut noted = false;
         loop {
             let Some((authority, epoch)) = self.leased_authority() else {
-                return Answer::NotPrimary(self.directions());
+                return Answer::NotPrimary(self.core_view());
             };
             if !std::mem::replace(&mut noted, true) {
                 self.note(&poll, epoch);
@@ -121,6 +141,7 @@
 
     fn note(&self, poll: &Poll, epoch: u64) {
         let now_ms = self.clock.now_ms();
+        self.pollers.borrow_mut().heard(poll.node.internal.0, now_ms);
         let mut senders = self.senders.borrow_mut();
         if senders.epoch() != epoch {
             let known = self.snapshots.borrow().senders.clone();
@@ -139,10 +160,10 @@
             control: (authority.control_version() > held.control).then(|| authority.control()),
             backends: self.newer_backends(held.backends, epoch),
             senders: self.newer_senders(held.senders, epoch),
-            members: None,
+            core: None,
         };
         if !update.is_empty() {
-            update.members = Some(authority.directions().members);
+            update.core = Some(authority.core_view());
         }
         update
     }
@@ -163,21 +184,23 @@
 
     async fn serve(&self, request: Request) -> Answer {
         match request {
-            Request::Hello => Answer::Hello(self.node.clone(), self.directions()),
+            Request::Hello => Answer::Hello(self.node.clone(), self.core_view()),
             Request::Poll(poll) => self.poll(*poll).await,
         }
     }
 }
 
-/// The members' part of [`Directions`], as internal addresses.
-pub fn internal_addresses(members: &[CoreMember]) -> Vec<std::net::SocketAddr> {
-    members.iter().map(|member| member.internal.0).collect()
-}
-
 /// Puts a [`Distributor`] on the internal port.
 pub struct DistributionHandler(pub Rc<Distributor>);
 
 impl Handler for DistributionHandler {
+    fn notice(&self, payload: Vec<u8>) {
+        match minicbor::decode(&payload) {
+            Ok(Notice::Introduction(view)) => self.0.directory.introduce(&view),
+            Err(error) => log::debug!("a notice of the distribution can't be read: {error}"),
+        }
+    }
+
     fn request(&self, payload: Vec<u8>) -> HandlerFuture {
         let distributor = self.0.clone();
         Box::pin(async move {
--- a/alderhollow/src/door/clients.rs
+++ b/alderhollow/src/door/clients.rs
@@ -2,6 +2,7 @@
 
 use crate::balance::{Balancer, ColdBounds};
 use crate::batch_api::endpoints::StoreEndpoints;
+use crate::distribution::validity::TableValidity;
 use crate::exchange::Exchange;
 use crate::front::phase::Phase;
 use crate::front::{Front, FrontSettings};
@@ -57,13 +58,14 @@
     let exchange = Exchange::new(node.clock.instant(0), random_seed(), node.snapshots.clone(), balancer);
     let network = Rc::new(node.network.clone());
     let batch = StoreEndpoints::new(network, node.snapshots.clone(), node.clock, random_seed());
-    let front = Front::new(front_settings(settings), exchange, Rc::new(batch));
+    let front = Front::new(front_settings(settings, node), exchange, Rc::new(batch));
     let (phase, following) = watch::channel(Phase::Running);
     let front = tokio::task::spawn_local(front.run(listener, following));
     Ok(Clients { phase, front })
 }
 
-fn front_settings(settings: &Settings) -> FrontSettings {
+fn front_settings(settings: &Settings, node: &Node) -> FrontSettings {
+    let polls = node.poll_state.clone();
     let descriptors = settings.limits.max_fds.unwrap_or(DESCRIPTORS);
     let connections =
         descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(RESERVED_DESCRIPTORS) / CLIENTS_PART;
@@ -72,5 +74,6 @@
         grace: settings.bounds.grace,
         max_connections: usize::try_from(connections).unwrap_or(usize::MAX),
         body_bytes: usize::try_from(bodies).unwrap_or(usize::MAX),
+        validity: Some(TableValidity::new(polls, node.clock, settings.bounds.config_apply)),
     }
 }
--- a/alderhollow/src/front/mod.rs
+++ b/alderhollow/src/front/mod.rs
@@ -12,6 +12,7 @@
 mod writing;
 
 use crate::batch_api::{path, BatchCall, BatchEndpoints};
+use crate::distribution::validity::TableValidity;
 use crate::exchange::outbound::{Outbound, DEADLINE_MS};
 use crate::exchange::tables::Tables;
 use crate::exchange::{prompt, Exchange};
@@ -56,6 +57,8 @@
     pub max_connections: usize,
     /// Bytes of requests' bodies that may be here at once.
     pub body_bytes: usize,
+    /// Whether the tables may still be taken for the newest; `None`: they always are.
+    pub validity: Option<TableValidity>,
 }
 
 /// The front of one door.
@@ -139,14 +142,23 @@
             return self.batch_call(head, gathered, None, received_at).await;
         }
         match find_route(&tables, &head) {
-            None => replies::plain(StatusCode::NOT_FOUND),
+            None => self.no_such_route(),
             Some(route) if route.route_type != RouteType::Batch => {
                 self.relay(head, gathered, route, received_at).await
             }
             Some(route) if head.method == Method::POST => {
                 self.batch_call(head, gathered, Some(route), received_at).await
             }
-            Some(_) => replies::plain(StatusCode::NOT_FOUND),
+            Some(_) => self.no_such_route(),
+        }
+    }
+
+    /// The answer where the tables name no route: 404 only while they may be taken for the newest. A door that was cut off
+    /// may lack a route that is in force by now.
+    fn no_such_route(&self) -> Response<AnswerBody> {
+        match self.settings.validity.as_ref().is_none_or(TableValidity::is_current) {
+            true => replies::plain(StatusCode::NOT_FOUND),
+            false => replies::come_again(CORE_TAKE_OVER),
         }
     }
 
--- a/alderhollow/src/node.rs
+++ b/alderhollow/src/node.rs
@@ -4,10 +4,12 @@
 use crate::control_state::view::decode_view;
 use crate::distribution::client::{PollClient, PollState};
 use crate::distribution::directory::Directory;
+use crate::distribution::introductions::Introductions;
 use crate::distribution::server::{Authority, DistributionHandler, Distributor, PublishedBackends};
 use crate::distribution::signal::ChangeSignal;
 use crate::distribution::tables::Tables;
 use crate::internal::{server, Network, ServiceId, Services};
+use crate::settings::reload::SeedReader;
 use crate::settings::Settings;
 use crate::SnapshotReceiver;
 use alderhollow_model::identity::{Address, DiskId, LifeId, NodeInfo, Role};
@@ -75,12 +77,22 @@
             changes: self.changes.clone(),
             clock: self.clock,
             senders: RefCell::default(),
+            pollers: RefCell::default(),
         });
         services.register(ServiceId::Distribution, Rc::new(DistributionHandler(distributor.clone())));
+        if distributor.authority.is_some() {
+            let seeds = SeedReader::new(self, info.role);
+            let introductions = Introductions {
+                distributor: distributor.clone(),
+                link: Rc::new(self.network.clone()),
+                read_seeds: Box::new(move || seeds.read()),
+            };
+            tokio::task::spawn_local(introductions.run());
+        }
         tokio::task::spawn_local(server::serve(listener, services));
         let client = PollClient {
             node: info,
-            network: self.network.clone(),
+            link: Rc::new(self.network.clone()),
             directory: self.directory.clone(),
             distributor,
             state: self.poll_state.clone(),
--- a/alderhollow/src/operator_api/service.rs
+++ b/alderhollow/src/operator_api/service.rs
@@ -146,8 +146,8 @@
 
     /// Points to the primary, if it is known and another one.
     fn elsewhere(&self) -> Reply {
-        let known = self.directory.directions().primary;
-        let by_core = || self.authority.as_ref().and_then(|authority| authority.core().directions().primary);
+        let known = self.directory.core_view().primary;
+        let by_core = || self.authority.as_ref().and_then(|authority| authority.core().core_view().primary);
         let primary = known.or_else(by_core).and_then(|primary| primary.control);
         match primary {
             Some(address) if address.0 != self.own_address => Reply::Elsewhere(address.0),
--- a/alderhollow/src/status/display.rs
+++ b/alderhollow/src/status/display.rs
@@ -1,7 +1,7 @@
 //! A process's status as text: one line a fact, the name of the fact first.
 
 use super::message::{CoreRole, CoreStatus, RouteTokens, StatusReport, StoreStatus, TablesStatus};
-use crate::distribution::message::Directions;
+use crate::distribution::message::CoreView;
 use alderhollow_model::identity::Role;
 use std::fmt::{self, Display, Formatter};
 
@@ -32,7 +32,7 @@
             Some(disk) => line(f, "disk", disk)?,
             None => line(f, "disk", "none")?,
         }
-        show_directions(f, &self.directions)?;
+        show_directions(f, &self.core_view)?;
         show_tables(f, &self.tables)?;
         if let Some(core) = &self.core {
             show_core(f, core)?;
@@ -44,12 +44,12 @@
     }
 }
 
-fn show_directions(f: &mut Formatter<'_>, directions: &Directions) -> fmt::Result {
-    match &directions.primary {
+fn show_directions(f: &mut Formatter<'_>, core_view: &CoreView) -> fmt::Result {
+    match &core_view.primary {
         Some(primary) => line(f, "core primary", format_args!("{} at {}", primary.disk, primary.internal.0))?,
         None => line(f, "core primary", "not known")?,
     }
-    for member in &directions.members {
+    for member in &core_view.members {
         line(f, "core member", format_args!("{} at {}", member.disk, member.internal.0))?;
     }
     Ok(())
--- a/alderhollow/src/status/message.rs
+++ b/alderhollow/src/status/message.rs
@@ -1,6 +1,6 @@
 //! Messages of [`ServiceId::Status`](crate::internal::ServiceId).
 
-use crate::distribution::message::{Directions, Stamp};
+use crate::distribution::message::{CoreView, Stamp};
 use alderhollow_model::identity::{DiskId, NodeInfo};
 use minicbor::{Decode, Encode};
 
@@ -23,7 +23,7 @@
     pub uptime_ms: u64,
     /// Where it takes the core to be.
     #[n(2)]
-    pub directions: Directions,
+    pub core_view: CoreView,
     /// Its tables.
     #[n(3)]
     pub tables: TablesStatus,
--- a/alderhollow/src/status/server.rs
+++ b/alderhollow/src/status/server.rs
@@ -33,9 +33,9 @@
         StatusReport {
             node: self.node.clone(),
             uptime_ms: self.shared.clock.now_ms(),
-            directions: match &self.core {
-                Some(authority) => authority.directions(),
-                None => self.shared.directory.directions(),
+            core_view: match &self.core {
+                Some(authority) => authority.core_view(),
+                None => self.shared.directory.core_view(),
             },
             tables: self.tables(&snapshot),
             core: self.core.as_deref().map(|authority| self.core_status(authority)),
--- a/alderhollow/tests/distribution.rs
+++ b/alderhollow/tests/distribution.rs
@@ -4,8 +4,7 @@
 use alderhollow::distribution::directory::Directory;
 use alderhollow::distribution::finder::Finder;
 use alderhollow::distribution::message::{
-    Answer, CoreMember, Directions, EncodedControl, HeldVersions, Poll, Request, Stamp, StampedSenders,
-    Update,
+    Answer, CoreMember, CoreView, EncodedControl, HeldVersions, Poll, Request, Stamp, StampedSenders, Update,
 };
 use alderhollow::distribution::senders::{SenderTracker, SENDER_TIMEOUT_MS};
 use alderhollow::distribution::server::{Authority, Distributor, PublishedBackends};
@@ -96,7 +95,7 @@
         control,
         backends,
         senders,
-        members: None,
+        core: None,
     })
 }
 
@@ -166,8 +165,8 @@
     fn control_version(&self) -> u64 {
         self.version.get()
     }
-    fn directions(&self) -> Directions {
-        Directions { primary: Some(member(9)), members: vec![member(8), member(9)] }
+    fn core_view(&self) -> CoreView {
+        CoreView { primary: Some(member(9)), members: vec![member(8), member(9)], epoch: 3 }
     }
     fn heard(&self, poll: &Poll) {
         self.polls.borrow_mut().push(poll.node.node.clone());
@@ -198,6 +197,7 @@
         changes: changes.clone(),
         clock,
         senders: RefCell::default(),
+        pollers: RefCell::default(),
     });
     Primary { authority, distributor, backends, changes }
 }
@@ -226,7 +226,7 @@
         assert_eq!(begin.elapsed(), Duration::ZERO);
         assert_eq!(update.control, Some(control(7)));
         assert_eq!(update.senders.expect("senders").senders.nodes, ["edge-2"]);
-        assert_eq!(update.members.expect("members").len(), 2);
+        assert_eq!(update.core.expect("the core").members.len(), 2);
         assert_eq!(*primary.authority.polls.borrow(), ["edge-2"]);
     });
 }
@@ -273,7 +273,7 @@
         };
         update_of(primary.distributor.poll(poll(HeldVersions::default())).await);
         let (answer, ()) = tokio::join!(primary.distributor.poll(poll(up_to_date())), lose);
-        let expected = Directions { primary: Some(member(9)), members: vec![member(8), member(9)] };
+        let expected = CoreView { primary: Some(member(9)), members: vec![member(8), member(9)], epoch: 3 };
         assert_eq!(answer, Answer::NotPrimary(expected));
     });
 }
--- a/alderhollow/tests/inspection.rs
+++ b/alderhollow/tests/inspection.rs
@@ -1,6 +1,6 @@
 //! What `inspect` and `status` print.
 
-use alderhollow::distribution::message::{CoreMember, Directions, Stamp};
+use alderhollow::distribution::message::{CoreMember, CoreView, Stamp};
 use alderhollow::status::message::{
     CoreRole, CoreStatus, RouteTokens, StatusReport, StoreStatus, TablesStatus,
 };
@@ -142,9 +142,10 @@
             control: None,
         },
         uptime_ms: 12_345,
-        directions: Directions {
+        core_view: CoreView {
             primary: Some(member(1, 11)),
             members: vec![member(1, 11), member(2, 12), member(3, 13)],
+            epoch: 2,
         },
         tables: TablesStatus {
             vouched_ms_ago: Some(120),
@@ -173,7 +174,7 @@
 fn the_status_of_a_door_without_tables_says_so() {
     let mut report = report(Role::Door);
     report.node.disk = None;
-    report.directions = Directions::default();
+    report.core_view = CoreView::default();
     report.tables = TablesStatus::default();
     insta::assert_snapshot!(report);
 }
--- a/alderhollow/tests/poll_client.rs
+++ b/alderhollow/tests/poll_client.rs
@@ -3,7 +3,7 @@
 use alderhollow::clock::SteadyClock;
 use alderhollow::distribution::client::{PollClient, PollState};
 use alderhollow::distribution::directory::Directory;
-use alderhollow::distribution::message::{CoreMember, Directions, EncodedControl, Poll};
+use alderhollow::distribution::message::{CoreMember, CoreView, EncodedControl, Poll};
 use alderhollow::distribution::server::{Authority, Distributor};
 use alderhollow::distribution::signal::ChangeSignal;
 use alderhollow::distribution::tables::Tables;
@@ -57,8 +57,8 @@
     fn control_version(&self) -> u64 {
         1
     }
-    fn directions(&self) -> Directions {
-        Directions { primary: Some(member()), members: vec![member()] }
+    fn core_view(&self) -> CoreView {
+        CoreView { primary: Some(member()), members: vec![member()], epoch: 3 }
     }
     fn heard(&self, poll: &Poll) {
         self.reports.borrow_mut().push(poll.batch_status.to_vec());
@@ -101,10 +101,17 @@
         changes: ChangeSignal::new(),
         clock,
         senders: RefCell::default(),
+        pollers: RefCell::default(),
     });
     let state = PollState::default();
-    let client =
-        PollClient { node, network: Network::new(1), directory, distributor, state: state.clone(), clock };
+    let client = PollClient {
+        node,
+        link: Rc::new(Network::new(1)),
+        directory,
+        distributor,
+        state: state.clone(),
+        clock,
+    };
     tokio::task::spawn_local(client.run(tables, 1));
     Process { authority, state, clock, snapshots }
 }
--- a/alderhollow/tests/processes.rs
+++ b/alderhollow/tests/processes.rs
@@ -232,7 +232,7 @@
                 return false;
             };
             let Some((_, report)) = tier.core_primary().await else { return false };
-            let members = &report.directions.members;
+            let members = &report.core_view.members;
             new_disk != old_disk
                 && members.iter().any(|member| member.disk == new_disk)
                 && members.iter().all(|member| member.disk != old_disk)
--- a/alderhollow/tests/support/door.rs
+++ b/alderhollow/tests/support/door.rs
@@ -69,7 +69,8 @@
         let (snapshots, receiver) = watch::channel(Arc::new(snapshot(list, true)));
         let balancer = Rc::new(RefCell::new(Balancer::new("door-1", "z1", 7)));
         let exchange = Exchange::new(Instant::now(), 7, receiver, balancer);
-        let settings = FrontSettings { grace: GRACE, max_connections: 100, body_bytes: 1 << 20 };
+        let settings =
+            FrontSettings { grace: GRACE, max_connections: 100, body_bytes: 1 << 20, validity: None };
         let front = Front::new(settings, exchange.clone(), Rc::new(NoStores));
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
         let address = listener.local_addr().expect("an address");
--- a/alderhollow/tests/tier_support/mod.rs
+++ b/alderhollow/tests/tier_support/mod.rs
@@ -123,7 +123,7 @@
             until("the door is ready", || self.is_ready(*door)).await;
         }
         until("the core is whole and the batch group active", || async {
-            let members = self.core_primary().await.map_or(0, |(_, report)| report.directions.members.len());
+            let members = self.core_primary().await.map_or(0, |(_, report)| report.core_view.members.len());
             members >= SEEDS.len() && self.primary_store().await.is_some()
         })
         .await;
