Find the core from nothing in a simulation of processes, seeds and cuts

Cause: the discovery of the core had no test in which processes lose their memory. Who points to it from a newer epoch is now believed, and eight turns are the most that a machine is passed over.

A process test turns the seeds over to doors without a disk and kills everything.

--- a/alderhollow/src/distribution/client.rs
+++ b/alderhollow/src/distribution/client.rs
@@ -179,7 +179,7 @@
             Step::Begin(to) => self.begin(to, POLL_WAIT_MS),
             Step::GiveUp(silent) => {
                 self.client.directory.forget_primary(silent);
-                self.finder.fail(silent);
+                self.finder.fail(silent, self.client.directory.core_view().epoch);
                 self.plan();
             }
         }
@@ -240,7 +240,7 @@
             Ok(Answer::NotPrimary(view)) => {
                 self.client.directory.forget_primary(from);
                 self.client.directory.learn(&view);
-                self.finder.redirect(from, view.primary.map(|primary| primary.internal.0));
+                self.finder.redirect(from, view.primary.map(|primary| primary.internal.0), view.epoch);
                 self.plan();
             }
             Ok(Answer::Hello(..)) => self.fail(from),
@@ -273,7 +273,7 @@
     fn fail(&mut self, from: SocketAddr) {
         let is_newest = matches!(self.due.step, Step::GiveUp(asked) if asked == from);
         if is_newest {
-            self.finder.fail(from);
+            self.finder.fail(from, self.client.directory.core_view().epoch);
             self.plan();
         }
     }
--- a/alderhollow/src/distribution/finder.rs
+++ b/alderhollow/src/distribution/finder.rs
@@ -9,6 +9,8 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(250);
 /// So many hints are followed without a pause before processes are asked in turn again.
 const MAX_HINTS_IN_A_ROW: u32 = 3;
+/// A process that did not answer is passed over for two rounds, and for so many turns at most.
+const MAX_TURNS_AVOIDED: usize = 8;
 
 /// Whom to ask next, and how long to wait before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,6 +21,15 @@
     pub pause: Duration,
 }
 
+/// A process that did not answer. Others may still take it for the primary.
+#[derive(Debug, Clone, Copy)]
+struct Avoided {
+    address: SocketAddr,
+    /// The newest epoch that was known then: who points to it from a newer one knows better.
+    epoch: u64,
+    turns: usize,
+}
+
 /// Keeps to the primary while it answers, and looks for it among all known members and seeds otherwise.
 #[derive(Debug)]
 pub struct Finder {
@@ -27,8 +38,7 @@
     hint: Option<SocketAddr>,
     wait_for_hint: bool,
     hints_in_a_row: u32,
-    avoided: Option<SocketAddr>,
-    turns_avoided: usize,
+    avoided: Option<Avoided>,
     turn: usize,
     pause: Duration,
     wait: bool,
@@ -46,7 +56,6 @@
             wait_for_hint: false,
             hints_in_a_row: 0,
             avoided: None,
-            turns_avoided: 0,
             turn,
             pause: SHORTEST_PAUSE,
             wait: false,
@@ -89,33 +98,39 @@
         self.wait = false;
     }
 
-    /// The process is not the primary with a lease, and perhaps says who is.
-    pub fn redirect(&mut self, by: SocketAddr, primary: Option<SocketAddr>) {
+    /// The process is not the primary with a lease, and perhaps says who is, from the record of an epoch.
+    pub fn redirect(&mut self, by: SocketAddr, primary: Option<SocketAddr>, epoch: u64) {
         self.confirmed = None;
         self.wait = true;
         let may_follow = self.hints_in_a_row < MAX_HINTS_IN_A_ROW;
-        self.hint = primary.filter(|primary| may_follow && self.avoided != Some(*primary));
+        self.hint = primary.filter(|primary| may_follow && !self.avoids(*primary, epoch));
         self.wait_for_hint = self.hint == Some(by);
         self.hints_in_a_row = if self.hint.is_some() { self.hints_in_a_row + 1 } else { 0 };
     }
 
-    /// The process did not answer in time or can't be reached: others may still take it for the primary.
-    pub fn fail(&mut self, by: SocketAddr) {
+    /// The process did not answer in time or can't be reached. `epoch` is the newest that is known.
+    pub fn fail(&mut self, by: SocketAddr, epoch: u64) {
         self.confirmed = None;
-        self.avoided = Some(by);
-        self.turns_avoided = 0;
+        self.avoided = Some(Avoided { address: by, epoch, turns: 0 });
         self.wait = true;
     }
 
-    /// The next candidate in turn; the one that failed last is passed over for two rounds if there are others.
+    fn avoids(&self, address: SocketAddr, epoch: u64) -> bool {
+        self.avoided.is_some_and(|avoided| avoided.address == address && epoch <= avoided.epoch)
+    }
+
+    /// The next candidate in turn; the one that failed last is passed over for a while if there are others.
     fn take_turn(&mut self, candidates: &[SocketAddr]) -> Option<SocketAddr> {
-        self.turns_avoided += 1;
-        if self.turns_avoided > 2 * candidates.len() {
-            self.avoided = None;
+        if let Some(avoided) = &mut self.avoided {
+            avoided.turns += 1;
+            if avoided.turns > MAX_TURNS_AVOIDED.min(2 * candidates.len()) {
+                self.avoided = None;
+            }
         }
         self.turn = self.turn.wrapping_add(1);
         let first = *candidates.get(self.turn.checked_rem(candidates.len())?)?;
-        if self.avoided != Some(first) || candidates.len() == 1 {
+        let is_avoided = self.avoided.is_some_and(|avoided| avoided.address == first);
+        if !is_avoided || candidates.len() == 1 {
             return Some(first);
         }
         self.turn = self.turn.wrapping_add(1);
--- a/alderhollow/src/distribution/server.rs
+++ b/alderhollow/src/distribution/server.rs
@@ -182,7 +182,15 @@
         (senders.epoch() == epoch && current.stamp > held).then(|| current.clone())
     }
 
-    async fn serve(&self, request: Request) -> Answer {
+    /// Takes a notice of another process.
+    pub fn take_notice(&self, notice: &Notice) {
+        match notice {
+            Notice::Introduction(view) => self.directory.introduce(view),
+        }
+    }
+
+    /// Answers a question of another process.
+    pub async fn serve(&self, request: Request) -> Answer {
         match request {
             Request::Hello => Answer::Hello(self.node.clone(), self.core_view()),
             Request::Poll(poll) => self.poll(*poll).await,
@@ -196,7 +204,7 @@
 impl Handler for DistributionHandler {
     fn notice(&self, payload: Vec<u8>) {
         match minicbor::decode(&payload) {
-            Ok(Notice::Introduction(view)) => self.0.directory.introduce(&view),
+            Ok(notice) => self.0.take_notice(&notice),
             Err(error) => log::debug!("a notice of the distribution can't be read: {error}"),
         }
     }
--- a/alderhollow/src/settings/reload.rs
+++ b/alderhollow/src/settings/reload.rs
@@ -55,19 +55,23 @@
 /// Reads the seeds again at SIGHUP, and while no primary is found, until the future is dropped.
 pub async fn follow(node: Node, role: Role, mut hangups: Signal) {
     let seeds = SeedReader::new(&node, role);
-    loop {
-        match tokio::time::timeout(SETTINGS_CHECK_INTERVAL, hangups.recv()).await {
-            Ok(_) => {
-                seeds.read();
-                log::info!("the settings are read again");
-            }
-            Err(_) if is_unvouched(&node.poll_state, node.clock) => seeds.read(),
-            Err(_) => (),
+    let at_hangups = async {
+        while hangups.recv().await.is_some() {
+            seeds.read();
+            log::info!("the settings are read again");
         }
-    }
+    };
+    let without_primary = read_without_primary(&node.poll_state, node.clock, || seeds.read());
+    tokio::join!(at_hangups, without_primary);
 }
 
-fn is_unvouched(polls: &PollState, clock: SteadyClock) -> bool {
-    let since_ms = polls.vouched_since_ms().unwrap_or(0);
-    clock.now_ms().saturating_sub(since_ms) > UNVOUCHED_MS
+/// Has the seeds read again and again while no primary is found: the file may have changed without a signal.
+pub async fn read_without_primary(polls: &PollState, clock: SteadyClock, read_seeds: impl Fn()) {
+    loop {
+        tokio::time::sleep(SETTINGS_CHECK_INTERVAL).await;
+        let validated_ms = polls.vouched_since_ms().unwrap_or(0);
+        if clock.now_ms().saturating_sub(validated_ms) > UNVOUCHED_MS {
+            read_seeds();
+        }
+    }
 }
--- /dev/null
+++ b/alderhollow/tests/core_discovery/world.rs
@@ -0,0 +1,450 @@
+//! The processes, the network between them, and the troubles.
+
+use alderhollow::clock::SteadyClock;
+use alderhollow::distribution::client::{PollClient, PollState};
+use alderhollow::distribution::directory::Directory;
+use alderhollow::distribution::introductions::Introductions;
+use alderhollow::distribution::link::{AskError, AskFuture, PeerLink};
+use alderhollow::distribution::message::{CoreMember, CoreView, EncodedControl, Notice, Poll, Request};
+use alderhollow::distribution::server::{Authority, Distributor};
+use alderhollow::distribution::signal::ChangeSignal;
+use alderhollow::distribution::tables::Tables;
+use alderhollow::internal::CallError;
+use alderhollow::settings::reload;
+use alderhollow_model::identity::{Address, DiskId, LifeId, NodeInfo, Role};
+use alderhollow_model::snapshot::ControlView;
+use oorandom::Rand32;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, LocalSet};
+use tokio::time::{sleep, Instant};
+
+/// One way between two processes.
+const DELAY: Duration = Duration::from_millis(2);
+/// Without a newer validation for so long, a process counts as uninformed.
+const STALE_MS: u64 = 1_100;
+/// How long the restarts of a tier are spread.
+const RESTARTS_MS: u32 = 900;
+/// The longest time until a new primary holds its lease.
+const ELECTION_MS: u32 = 1_200;
+
+/// Names a process: its number in the order of the machines. The first ones have disks.
+pub type Process = u8;
+
+/// Runs a test in simulated time.
+pub fn block_on_paused<T>(future: impl std::future::Future<Output = T>) -> T {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_time().start_paused(true).build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, future)
+}
+
+/// What the members' disks hold, and who leads.
+struct Core {
+    members: Vec<Process>,
+    epoch: Cell<u64>,
+    /// The primary of the newest record, which all members have on disk.
+    primary: Cell<Process>,
+    leads: Cell<bool>,
+}
+
+/// The network and all that outlives a process.
+struct Shared {
+    core: Core,
+    running: RefCell<BTreeMap<Process, Running>>,
+    /// The seeds that each process's settings file names.
+    settings: RefCell<BTreeMap<Process, Vec<Process>>>,
+    /// Processes that nothing reaches, and that reach nobody.
+    cut_off: RefCell<BTreeSet<Process>>,
+}
+
+/// A process that runs.
+struct Running {
+    distributor: Rc<Distributor>,
+    directory: Directory,
+    polls: PollState,
+    clock: SteadyClock,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// A tier.
+pub struct World {
+    shared: Rc<Shared>,
+    processes: Process,
+    random: Rand32,
+}
+
+fn address(process: Process) -> SocketAddr {
+    SocketAddr::from(([10, 1, 0, process], 7660))
+}
+
+fn process_at(address: SocketAddr) -> Process {
+    match address {
+        SocketAddr::V4(address) => address.ip().octets()[3],
+        SocketAddr::V6(_) => 0,
+    }
+}
+
+fn core_member(process: Process) -> CoreMember {
+    CoreMember {
+        disk: DiskId(u64::from(process)),
+        internal: Address(address(process)),
+        control: Some(Address(address(process))),
+    }
+}
+
+/// The member of one process.
+struct MemberAuthority {
+    shared: Rc<Shared>,
+    process: Process,
+}
+
+impl Authority for MemberAuthority {
+    fn leased_epoch(&self) -> Option<u64> {
+        let core = &self.shared.core;
+        (core.leads.get() && core.primary.get() == self.process).then(|| core.epoch.get())
+    }
+    fn control(&self) -> EncodedControl {
+        EncodedControl { version: self.control_version(), bytes: Vec::new().into() }
+    }
+    fn control_version(&self) -> u64 {
+        1
+    }
+    fn core_view(&self) -> CoreView {
+        let core = &self.shared.core;
+        CoreView {
+            primary: Some(core_member(core.primary.get())),
+            members: core.members.iter().copied().map(core_member).collect(),
+            epoch: core.epoch.get(),
+        }
+    }
+    fn heard(&self, _: &Poll) {}
+}
+
+/// The network as one process sees it.
+struct Link {
+    shared: Rc<Shared>,
+    from: Process,
+}
+
+impl Link {
+    fn is_cut(&self, to: Process) -> bool {
+        let cut_off = self.shared.cut_off.borrow();
+        to != self.from && (cut_off.contains(&to) || cut_off.contains(&self.from))
+    }
+
+    fn distributor(&self, to: Process) -> Option<Rc<Distributor>> {
+        self.shared.running.borrow().get(&to).map(|running| running.distributor.clone())
+    }
+}
+
+impl PeerLink for Link {
+    fn ask(&self, to: SocketAddr, request: Request, timeout: Duration) -> AskFuture {
+        let link = Link { shared: self.shared.clone(), from: self.from };
+        let to = process_at(to);
+        Box::pin(async move {
+            let until = Instant::now() + timeout;
+            sleep(DELAY).await;
+            let answer = match link.distributor(to).filter(|_| !link.is_cut(to)) {
+                Some(distributor) => tokio::time::timeout_at(until, distributor.serve(request)).await,
+                None if link.is_cut(to) => {
+                    tokio::time::sleep_until(until).await;
+                    return Err(AskError::TimedOut);
+                }
+                None => return Err(AskError::Call(CallError::Unreachable)),
+            };
+            sleep(DELAY).await;
+            if link.is_cut(to) || link.distributor(to).is_none() {
+                tokio::time::sleep_until(until).await;
+                return Err(AskError::TimedOut);
+            }
+            answer.map_err(|_| AskError::TimedOut)
+        })
+    }
+
+    fn tell(&self, to: SocketAddr, notice: &Notice) {
+        let link = Link { shared: self.shared.clone(), from: self.from };
+        let notice = notice.clone();
+        let to = process_at(to);
+        tokio::task::spawn_local(async move {
+            sleep(DELAY).await;
+            let Some(distributor) = link.distributor(to).filter(|_| !link.is_cut(to)) else { return };
+            distributor.take_notice(&notice);
+        });
+    }
+}
+
+impl World {
+    /// A tier with so many members of the core and processes without a disk, whose seeds are the first members.
+    pub fn start(members: usize, diskless: usize, seed: u64) -> World {
+        let members = Process::try_from(members).expect("few members");
+        let processes = members + Process::try_from(diskless).expect("few processes");
+        let core = Core {
+            members: (1..=members).collect(),
+            epoch: Cell::new(1),
+            primary: Cell::new(1),
+            leads: Cell::new(true),
+        };
+        let shared = Shared {
+            core,
+            running: RefCell::default(),
+            settings: RefCell::new((1..=processes).map(|process| (process, vec![1, 2, 3])).collect()),
+            cut_off: RefCell::default(),
+        };
+        let mut world = World { shared: Rc::new(shared), processes, random: Rand32::new(seed) };
+        for process in 1..=processes {
+            world.start_process(process);
+        }
+        world
+    }
+
+    pub fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    pub async fn pass(&self, time: Duration) {
+        sleep(time).await;
+    }
+
+    /// Lets all processes find the primary.
+    pub async fn settle(&self) {
+        sleep(Duration::from_secs(2)).await;
+    }
+
+    pub fn without_disk(&self) -> Vec<Process> {
+        (1..=self.processes).filter(|process| !self.shared.core.members.contains(process)).collect()
+    }
+
+    pub fn primary(&self) -> Process {
+        self.shared.core.primary.get()
+    }
+
+    pub fn running_except(&self, one: Process) -> Vec<Process> {
+        self.shared.running.borrow().keys().copied().filter(|process| *process != one).collect()
+    }
+
+    pub fn takes_for_primary(&self, process: Process, primary: Process) -> bool {
+        let running = self.shared.running.borrow();
+        let view = running[&process].directory.core_view();
+        view.primary.is_some_and(|member| member.internal.0 == address(primary))
+    }
+
+    /// All settings files name these seeds from now on.
+    pub fn turn_seeds_over(&mut self, seeds: &[Process]) {
+        let all: Vec<Process> = (1..=self.processes).collect();
+        self.name_seeds(&all, seeds);
+    }
+
+    /// The settings files of some processes name these seeds from now on.
+    pub fn name_seeds(&mut self, of: &[Process], seeds: &[Process]) {
+        let mut settings = self.shared.settings.borrow_mut();
+        for process in of {
+            settings.insert(*process, seeds.to_vec());
+        }
+    }
+
+    pub fn cut_off(&mut self, process: Process) {
+        self.shared.cut_off.borrow_mut().insert(process);
+        if self.primary() == process {
+            self.shared.core.leads.set(false);
+        }
+    }
+
+    pub fn end(&mut self, process: Process) {
+        if let Some(running) = self.shared.running.borrow_mut().remove(&process) {
+            running.tasks.iter().for_each(JoinHandle::abort);
+        }
+        if self.primary() == process {
+            self.shared.core.leads.set(false);
+        }
+    }
+
+    pub fn end_all(&mut self) {
+        for process in 1..=self.processes {
+            self.end(process);
+        }
+    }
+
+    /// Starts all that do not run, over some time, and joins all links.
+    pub async fn start_all(&mut self) {
+        self.shared.cut_off.borrow_mut().clear();
+        let mut starts: Vec<(u32, Process)> = Vec::new();
+        for process in 1..=self.processes {
+            if !self.shared.running.borrow().contains_key(&process) {
+                starts.push((self.random.rand_range(0..RESTARTS_MS), process));
+            }
+        }
+        starts.sort_unstable();
+        let begin = Instant::now();
+        for (after_ms, process) in starts {
+            tokio::time::sleep_until(begin + Duration::from_millis(u64::from(after_ms))).await;
+            self.start_process(process);
+        }
+    }
+
+    /// A member that runs becomes the primary after a while, if there is none.
+    pub fn elect_any(&mut self) {
+        let all: Vec<Process> = (1..=self.processes).collect();
+        self.elect_among(&all);
+    }
+
+    pub fn elect_among(&mut self, candidates: &[Process]) {
+        if self.shared.core.leads.get() {
+            return;
+        }
+        let running = self.shared.running.borrow();
+        let members = self.shared.core.members.iter().copied();
+        let fit: Vec<Process> = members
+            .filter(|member| running.contains_key(member) && candidates.contains(member))
+            .filter(|member| !self.shared.cut_off.borrow().contains(member))
+            .collect();
+        let Some(count) = u32::try_from(fit.len()).ok().filter(|count| *count > 0) else { return };
+        let chosen = fit[self.random.rand_range(0..count) as usize];
+        let core = &self.shared.core;
+        core.epoch.set(core.epoch.get() + 1);
+        core.primary.set(chosen);
+        core.leads.set(true);
+    }
+
+    /// Something happens to the tier.
+    pub async fn trouble(&mut self) {
+        match self.random.rand_range(0..6) {
+            0 => {
+                let seeds: Vec<Process> = (0..3).map(|_| self.any()).collect();
+                self.turn_seeds_over(&seeds);
+            }
+            1 => {
+                let diskless = self.without_disk();
+                let first =
+                    self.random.rand_range(0..u32::try_from(diskless.len() - 2).expect("few")) as usize;
+                self.turn_seeds_over(&diskless[first..first + 3]);
+            }
+            2 => self.end_all(),
+            3 => {
+                for process in 1..=self.processes {
+                    if self.random.rand_range(0..2) == 0 {
+                        self.end(process);
+                    }
+                }
+            }
+            4 => {
+                let process = self.any();
+                self.cut_off(process);
+            }
+            _ => {
+                let process = self.any();
+                self.end(process);
+                self.start_process(process);
+            }
+        }
+        let pause = self.random.rand_range(0..ELECTION_MS);
+        sleep(Duration::from_millis(u64::from(pause))).await;
+        if self.random.rand_range(0..2) == 0 {
+            self.start_all().await;
+        }
+        self.elect_any();
+    }
+
+    fn any(&mut self) -> Process {
+        let number = self.random.rand_range(1..u32::from(self.processes) + 1);
+        Process::try_from(number).expect("few processes")
+    }
+
+    /// Waits until all processes that run are informed; gives how long that took, or a little more than the limit.
+    pub async fn until_informed(&self, limit: Duration) -> Duration {
+        let all: Vec<Process> = (1..=self.processes).collect();
+        self.until_informed_among(&all, limit).await
+    }
+
+    pub async fn until_informed_among(&self, processes: &[Process], limit: Duration) -> Duration {
+        let begin = Instant::now();
+        loop {
+            sleep(Duration::from_millis(10)).await;
+            let uninformed = self.uninformed();
+            if begin.elapsed() > limit || !uninformed.iter().any(|process| processes.contains(process)) {
+                return begin.elapsed();
+            }
+        }
+    }
+
+    /// The processes that run without tables that a primary validated lately.
+    pub fn uninformed(&self) -> Vec<Process> {
+        let running = self.shared.running.borrow();
+        let is_stale = |running: &Running| {
+            let validated = running.polls.vouched_since_ms();
+            validated.is_none_or(|at| running.clock.now_ms().saturating_sub(at) > STALE_MS)
+        };
+        running.iter().filter(|(_, running)| is_stale(running)).map(|(process, _)| *process).collect()
+    }
+
+    /// Starts a process with nothing but what its settings file and its disk hold.
+    pub fn start_process(&mut self, process: Process) {
+        let shared = &self.shared;
+        let has_disk = shared.core.members.contains(&process);
+        let clock = SteadyClock::start();
+        let tables = Tables::new(clock, |_| Some(ControlView::default()));
+        let directory = Directory::default();
+        read_seeds(shared, process, &directory);
+        let node = NodeInfo {
+            node: format!("edge-{process}"),
+            role: Role::Door,
+            zone: "zone-1".into(),
+            life: LifeId(self.random.rand_u32().into()),
+            disk: has_disk.then(|| DiskId(u64::from(process))),
+            internal: Address(address(process)),
+            control: None,
+        };
+        let authority = MemberAuthority { shared: shared.clone(), process };
+        let (_, backends) = watch::channel(None);
+        let distributor = Rc::new(Distributor {
+            node: node.clone(),
+            directory: directory.clone(),
+            authority: has_disk.then(|| Rc::new(authority) as Rc<dyn Authority>),
+            backends,
+            snapshots: tables.subscribe(),
+            changes: ChangeSignal::new(),
+            clock,
+            senders: RefCell::default(),
+            pollers: RefCell::default(),
+        });
+        let link = Rc::new(Link { shared: shared.clone(), from: process });
+        let polls = PollState::default();
+        let client = PollClient {
+            node,
+            link: link.clone(),
+            directory: directory.clone(),
+            distributor: distributor.clone(),
+            state: polls.clone(),
+            clock,
+        };
+        let mut tasks = vec![tokio::task::spawn_local(client.run(tables, self.random.rand_u32().into()))];
+        if has_disk {
+            let introductions = Introductions {
+                distributor: distributor.clone(),
+                link,
+                read_seeds: Box::new(shared_settings(&self.shared, process, &directory)),
+            };
+            tasks.push(tokio::task::spawn_local(introductions.run()));
+        }
+        let read = (shared_settings(&self.shared, process, &directory), polls.clone());
+        tasks.push(tokio::task::spawn_local(async move {
+            reload::read_without_primary(&read.1, clock, read.0).await;
+        }));
+        let running = Running { distributor, directory, polls, clock, tasks };
+        self.shared.running.borrow_mut().insert(process, running);
+    }
+}
+
+/// Reads the seeds of a process's settings file whenever it is called.
+fn shared_settings(shared: &Rc<Shared>, process: Process, directory: &Directory) -> impl Fn() + 'static {
+    let (shared, directory) = (shared.clone(), directory.clone());
+    move || read_seeds(&shared, process, &directory)
+}
+
+fn read_seeds(shared: &Shared, process: Process, directory: &Directory) {
+    let seeds = shared.settings.borrow()[&process].iter().copied().map(address).collect();
+    directory.set_seeds(seeds);
+}
--- a/alderhollow/tests/core_processes.rs
+++ b/alderhollow/tests/core_processes.rs
@@ -70,3 +70,25 @@
         assert!((1..=4).all(|door| !tier.has_ended(door)));
     });
 }
+
+#[test]
+fn seeds_that_turned_over_to_doors_without_a_disk_learn_of_the_core_after_all_were_killed() {
+    run(|mut tier| async move {
+        tier.found().await;
+        for door in 4..=6 {
+            tier.start(door, false, false);
+        }
+        assert_eq!(tier.put_config(1, 4).await, OK);
+        for door in 1..=6 {
+            tier.kill(door);
+        }
+        tier.name_seeds([4, 5, 6]);
+        for door in 1..=6 {
+            tier.start(door, door <= 3, false);
+        }
+        for door in 1..=6 {
+            tier.until_ready(door).await;
+        }
+        assert_eq!(tier.config_version().await, Some(4));
+    });
+}
--- a/alderhollow/tests/distribution.rs
+++ b/alderhollow/tests/distribution.rs
@@ -1,15 +1,18 @@
 //! Distribution of tables: no step back, answers only under a lease, whom to ask next, who is counted.
 
 use alderhollow::clock::SteadyClock;
+use alderhollow::distribution::client::PollState;
 use alderhollow::distribution::directory::Directory;
 use alderhollow::distribution::finder::Finder;
 use alderhollow::distribution::message::{
     Answer, CoreMember, CoreView, EncodedControl, HeldVersions, Poll, Request, Stamp, StampedSenders, Update,
 };
+use alderhollow::distribution::pollers::{PollerWatch, POLLER_MEMORY_MS, POLLER_SILENCE_MS};
 use alderhollow::distribution::senders::{SenderTracker, SENDER_TIMEOUT_MS};
 use alderhollow::distribution::server::{Authority, Distributor, PublishedBackends};
 use alderhollow::distribution::signal::ChangeSignal;
 use alderhollow::distribution::tables::{Tables, TablesError};
+use alderhollow::distribution::validity::TableValidity;
 use alderhollow_model::backend::{Backend, BackendList, BackendState};
 use alderhollow_model::identity::{Address, DiskId, LifeId, NodeInfo, Role};
 use alderhollow_model::snapshot::{ControlView, Senders};
@@ -316,7 +319,7 @@
     let first = finder.next(&candidates).expect("somebody");
     assert_eq!(first.pause, Duration::ZERO);
     let primary = candidates.iter().copied().find(|one| *one != first.to).expect("another");
-    finder.redirect(first.to, Some(primary));
+    finder.redirect(first.to, Some(primary), 1);
     let next = finder.next(&candidates).expect("the hint");
     assert_eq!((next.to, next.pause), (primary, Duration::ZERO));
     finder.confirm(primary);
@@ -331,13 +334,15 @@
     let candidates = [address(1), address(2), address(3)];
     let mut finder = Finder::new(5);
     finder.confirm(address(1));
-    finder.fail(address(1));
+    finder.fail(address(1), 4);
     for _ in 0..4 {
         let next = finder.next(&candidates).expect("somebody");
         assert_ne!(next.to, address(1));
         assert!(!next.pause.is_zero());
-        finder.redirect(next.to, Some(address(1)));
+        finder.redirect(next.to, Some(address(1)), 4);
     }
+    finder.redirect(address(2), Some(address(1)), 5);
+    assert_eq!(finder.next(&candidates).expect("the primary of a newer epoch").to, address(1));
 }
 
 #[test]
@@ -348,7 +353,7 @@
     let mut pauses = 0;
     for _ in 0..40 {
         let other = if at == address(1) { address(2) } else { address(1) };
-        finder.redirect(at, Some(other));
+        finder.redirect(at, Some(other), 1);
         let next = finder.next(&candidates).expect("somebody");
         pauses += u32::from(!next.pause.is_zero());
         at = next.to;
@@ -365,7 +370,7 @@
         let next = finder.next(&candidates).expect("somebody");
         asked.insert(next.to);
         assert!(next.pause <= Duration::from_millis(250));
-        finder.fail(next.to);
+        finder.fail(next.to, 1);
     }
     assert_eq!(asked.len(), 4);
     assert_eq!(finder.next(&[]), None);
@@ -385,3 +390,64 @@
     assert_eq!(tracker.current().senders.nodes, ["b"]);
     assert_eq!(tracker.current().stamp, stamp(4, 3));
 }
+
+// --- who is told ------------------------------------------------------------------------------------------------------
+
+#[test]
+fn a_primary_introduces_itself_to_those_that_should_poll_it_and_do_not() {
+    let mut pollers = PollerWatch::default();
+    let silent: Vec<SocketAddr> = pollers.silent([address(7)], 0).into_iter().collect();
+    assert_eq!(silent, [address(7)]);
+    pollers.heard(address(7), 0);
+    pollers.heard(address(8), 500);
+    assert!(pollers.silent([address(7)], POLLER_SILENCE_MS - 1).is_empty());
+    let silent: Vec<SocketAddr> = pollers.silent([], POLLER_SILENCE_MS + 500).into_iter().collect();
+    assert_eq!(silent, [address(7), address(8)]);
+    assert!(pollers.silent([], POLLER_MEMORY_MS + 500).is_empty());
+}
+
+fn view(epoch: u64, members: &[u8], primary: Option<u8>) -> CoreView {
+    CoreView { primary: primary.map(member), members: members.iter().copied().map(member).collect(), epoch }
+}
+
+#[test]
+fn members_are_taken_over_from_newer_epochs_alone_and_a_primary_from_itself_alone() {
+    let directory = Directory::default();
+    directory.learn(&view(4, &[1, 2, 3], Some(1)));
+    assert_eq!(directory.core_view(), view(4, &[1, 2, 3], None));
+    directory.learn(&view(3, &[7], None));
+    directory.learn(&view(9, &[], None));
+    assert_eq!(directory.core_view(), view(4, &[1, 2, 3], None));
+    directory.introduce(&view(5, &[2, 3], Some(3)));
+    assert_eq!(directory.core_view(), view(5, &[2, 3], None));
+    assert_eq!(directory.take_introduced(), Some(address(3)));
+    assert_eq!(directory.take_introduced(), None);
+    directory.confirm(address(3), None);
+    assert_eq!(directory.core_view(), view(5, &[2, 3], Some(3)));
+    // One whom it polls is known: a late introduction of another changes nothing.
+    directory.introduce(&view(4, &[1, 2, 3], Some(1)));
+    assert_eq!(directory.take_introduced(), None);
+    directory.forget_primary(address(2));
+    assert_eq!(directory.core_view(), view(5, &[2, 3], Some(3)));
+    directory.forget_primary(address(3));
+    assert_eq!(directory.core_view(), view(5, &[2, 3], None));
+}
+
+// --- how long tables are the newest -----------------------------------------------------------------------------------
+
+#[test]
+fn tables_count_as_the_newest_within_the_time_for_a_change_after_the_newest_validated_poll() {
+    block_on_paused(async {
+        let (polls, clock) = (PollState::default(), SteadyClock::start());
+        let validity = TableValidity::new(polls.clone(), clock, Duration::from_millis(2_000));
+        assert!(!validity.is_current());
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        polls.note_vouched(500);
+        // An answer to a poll that was sent earlier takes nothing back.
+        polls.note_vouched(100);
+        tokio::time::sleep(Duration::from_millis(1_800)).await;
+        assert!(validity.is_current());
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        assert!(!validity.is_current());
+    });
+}
--- a/alderhollow/tests/front.rs
+++ b/alderhollow/tests/front.rs
@@ -2,6 +2,9 @@
 
 mod support;
 
+use alderhollow::clock::SteadyClock;
+use alderhollow::distribution::client::PollState;
+use alderhollow::distribution::validity::TableValidity;
 use std::sync::Arc;
 use std::time::Duration;
 use support::backend::*;
@@ -27,6 +30,20 @@
     });
 }
 
+#[test]
+fn an_unknown_route_is_denied_only_while_the_tables_are_known_to_be_the_newest() {
+    run(async {
+        const CONFIG_APPLY: Duration = Duration::from_secs(3_600);
+        let (polls, clock) = (PollState::default(), SteadyClock::start());
+        let door = Door::start_with(1, Some(TableValidity::new(polls.clone(), clock, CONFIG_APPLY))).await;
+        let reply = ask(door.address, &request("/none/1", "", "")).await;
+        assert_eq!(reply.status, 503);
+        assert!(reply.header("retry-after").is_some());
+        polls.note_vouched(clock.now_ms());
+        assert_eq!(ask(door.address, &request("/none/1", "", "")).await.status, 404);
+    });
+}
+
 #[test]
 fn who_comes_before_the_first_tables_is_told_to_come_when_the_core_has_a_primary_again() {
     run(async {
--- a/alderhollow/tests/process_support/mod.rs
+++ b/alderhollow/tests/process_support/mod.rs
@@ -45,6 +45,7 @@
     first_octets: [u8; 2],
     folder: PathBuf,
     doors: BTreeMap<u8, TierProcess>,
+    seeds: [u8; 3],
     _platform: Platform,
 }
 
@@ -60,7 +61,7 @@
         let platform = SocketAddr::from((ip(first_octets, PLATFORM_HOST), PLATFORM_PORT));
         let platform = Platform::start(platform, PlatformList::new(list, Vec::new())).await;
         let platform = platform.expect("the platform's port");
-        Tier { first_octets, folder, doors: BTreeMap::new(), _platform: platform }
+        Tier { first_octets, folder, doors: BTreeMap::new(), seeds: [1, 2, 3], _platform: platform }
     }
 
     /// Starts the three doors that found the core.
@@ -71,7 +72,12 @@
         self.put_config(0, 1).await;
     }
 
-    /// Starts a door; the seeds are doors 1 to 3.
+    /// The settings of doors that start from now on name these doors as seeds, in place of doors 1 to 3.
+    pub fn name_seeds(&mut self, seeds: [u8; 3]) {
+        self.seeds = seeds;
+    }
+
+    /// Starts a door.
     pub fn start(&mut self, door: u8, has_disk: bool, first_start: bool) {
         let folder = self.door_folder(door);
         let data_dir = has_disk.then(|| folder.join("data"));
@@ -85,11 +91,11 @@
     }
 
     fn settings(&self, door: u8, data_dir: Option<PathBuf>, first_start: bool) -> String {
-        let zones = (1..=4).map(|zone| (format!("zone-{zone}"), "north".to_string())).collect();
+        let zones = (1..=6).map(|zone| (format!("zone-{zone}"), "north".to_string())).collect();
         let site = Site {
             ports: PORTS,
             zones,
-            seeds: (1..=3).map(|seed| self.control(seed)).collect(),
+            seeds: self.seeds.iter().map(|seed| self.control(*seed)).collect(),
             platform: SocketAddr::from((ip(self.first_octets, PLATFORM_HOST), PLATFORM_PORT)),
             first_start,
         };
--- a/alderhollow/tests/support/door.rs
+++ b/alderhollow/tests/support/door.rs
@@ -3,6 +3,7 @@
 use super::backend::Backends;
 use alderhollow::balance::Balancer;
 use alderhollow::batch_api::{not_now, BatchAnswer, BatchCall, BatchEndpoints};
+use alderhollow::distribution::validity::TableValidity;
 use alderhollow::exchange::Exchange;
 use alderhollow::front::phase::Phase;
 use alderhollow::front::{Front, FrontSettings};
@@ -59,6 +60,11 @@
 impl Door {
     /// A door over so many backends, `b0` and on.
     pub async fn start(count: usize) -> Door {
+        Door::start_with(count, None).await
+    }
+
+    /// The same, where only tables with this validity are the newest.
+    pub async fn start_with(count: usize, validity: Option<TableValidity>) -> Door {
         let backends = Backends::default();
         let mut list = Vec::new();
         for number in 0..count {
@@ -69,8 +75,7 @@
         let (snapshots, receiver) = watch::channel(Arc::new(snapshot(list, true)));
         let balancer = Rc::new(RefCell::new(Balancer::new("door-1", "z1", 7)));
         let exchange = Exchange::new(Instant::now(), 7, receiver, balancer);
-        let settings =
-            FrontSettings { grace: GRACE, max_connections: 100, body_bytes: 1 << 20, validity: None };
+        let settings = FrontSettings { grace: GRACE, max_connections: 100, body_bytes: 1 << 20, validity };
         let front = Front::new(settings, exchange.clone(), Rc::new(NoStores));
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
         let address = listener.local_addr().expect("an address");
