Play long cuts, rushes, two losses and hand-overs under a cut in the core's simulation

Cause: the simulation had no member that misses hundreds of commands, no two disks lost in one moment, and no hand-over that only some hear; histories were checked by single assertions.

Change: four troubles more, a check that histories are linearizable (each command comes after all that was acknowledged before it was sent), and a scenario in which a member misses 300 and 3,000 commands.

--- a/alderhollow/src/distribution/client.rs
+++ b/alderhollow/src/distribution/client.rs
@@ -256,6 +256,12 @@
         self.client.directory.confirm(from, update.core.as_ref());
         match self.tables.apply(update) {
             Ok(_) => {
+                if self.client.state.vouched_since_ms().is_none() {
+                    log::info!(
+                        "tables of the core's primary, {} ms after the start",
+                        self.client.clock.now_ms()
+                    );
+                }
                 self.client.state.note_vouched(sent_at_ms);
                 self.finder.confirm(from);
                 self.polls.abort_all();
--- a/coordination/tests/simulation/faults.rs
+++ b/coordination/tests/simulation/faults.rs
@@ -25,9 +25,13 @@
     Replace,
     ReplacePlanned,
     Add,
+    WipeTwo,
+    LeaveCutOff,
+    LongCut,
+    Rush,
 }
 
-const TROUBLES: [Trouble; 19] = [
+const TROUBLES: [Trouble; 23] = [
     Trouble::Kill,
     Trouble::KillAll,
     Trouble::Freeze,
@@ -47,7 +51,13 @@
     Trouble::Replace,
     Trouble::ReplacePlanned,
     Trouble::Add,
+    Trouble::WipeTwo,
+    Trouble::LeaveCutOff,
+    Trouble::LongCut,
+    Trouble::Rush,
 ];
+/// Pause between requests in a rush.
+const RUSH_REQUEST_MS: Millis = 4;
 /// Machines are added up to this number.
 const MOST_MACHINES: usize = 9;
 
@@ -117,6 +127,10 @@
         Trouble::Replace => replace(world, machine),
         Trouble::ReplacePlanned => replace_planned(world, machine),
         Trouble::Add => add(world, span),
+        Trouble::WipeTwo => wipe_two(world, machine, span),
+        Trouble::LeaveCutOff => leave_cut_off(world, machine, span),
+        Trouble::LongCut => long_cut(world, machine),
+        Trouble::Rush => rush(world, span),
     }
 }
 
@@ -212,6 +226,39 @@
     }
 }
 
+/// Two disks are lost in the same moment, where that many are tolerated.
+fn wipe_two(world: &mut World, machine: usize, span: Millis) {
+    if world.disks_to_spare() < 2 {
+        return;
+    }
+    let others = world.machines.len() as u64 - 1;
+    let other = (machine + 1 + world.random(others) as usize) % world.machines.len();
+    world.wipe_for(machine, span);
+    if !world.machines[other].gone {
+        world.wipe_for(other, span / 2 + 1);
+    }
+}
+
+/// A machine is told to end while some links from or to it are cut: a hand-over is heard by some alone.
+fn leave_cut_off(world: &mut World, machine: usize, span: Millis) {
+    cut_one_way(world, machine);
+    leave(world, machine, span);
+}
+
+/// A machine is cut off while hundreds of commands are committed, and comes back behind all of them.
+fn long_cut(world: &mut World, machine: usize) {
+    cut_off(world, machine);
+    rush(world, 2_500);
+    mend(world);
+}
+
+/// Clients send without pauses for a while.
+fn rush(world: &mut World, span: Millis) {
+    let usual = std::mem::replace(&mut world.request_every, RUSH_REQUEST_MS);
+    world.run_for(span);
+    world.request_every = usual;
+}
+
 fn replace(world: &mut World, machine: usize) {
     if world.disks_to_spare() > 0 && world.machines.len() < MOST_MACHINES {
         world.remove(machine);
--- a/coordination/tests/simulation/oracle.rs
+++ b/coordination/tests/simulation/oracle.rs
@@ -35,6 +35,20 @@
         self.acknowledged = self.acknowledged.max(version);
     }
 
+    /// The newest version that anybody was told of.
+    pub fn newest_told(&self) -> Version {
+        self.acknowledged
+    }
+
+    /// The history is linearizable: versions order the commands, each takes effect between its sending and its
+    /// acknowledgement, and so comes after all that was acknowledged before it was sent.
+    pub fn saw_in_order(&self, number: u32, version: Version, newest_told: Version) {
+        assert!(
+            version > newest_told,
+            "request {number} became version {version}, and was sent after version {newest_told} was acknowledged"
+        );
+    }
+
     pub fn saw_answered(&mut self, number: u32) {
         assert!(self.history.contains(&number), "request {number} was answered as known and is not");
     }
--- a/coordination/tests/simulation/scenarios.rs
+++ b/coordination/tests/simulation/scenarios.rs
@@ -127,6 +127,39 @@
     });
 }
 
+/// Runs of commands that a member misses.
+const MISSED_COMMANDS: [usize; 2] = [300, 3_000];
+
+/// A member that missed hundreds of commands is a replica again soon after its return, and holds up no command meanwhile.
+#[test]
+fn a_member_that_missed_thousands_of_commands_catches_up_without_holding_up_the_others() {
+    for (missed, seeds) in MISSED_COMMANDS.into_iter().zip([40, 4]) {
+        for seed in 0..seeds {
+            let mut world = whole_core(seed, 3, 1);
+            let_clients_hurry(&mut world);
+            let primary = primary_of(&world);
+            let away = another_than(&mut world, primary);
+            for other in (0..3).filter(|other| *other != away) {
+                world.cut(away, other);
+                world.cut(other, away);
+            }
+            let before = world.acknowledged_at.len();
+            world.run_until_holds(120_000, "missed commands", |world| {
+                world.acknowledged_at.len() >= before + missed
+            });
+            world.cuts.clear();
+            let returned_at = world.now;
+            let took = world.run_until_holds(CATCH_UP_MS, "a whole core", World::is_whole);
+            world.run_for(500);
+            let later = world.acknowledged_at.iter().copied().filter(|at| *at >= returned_at);
+            let moments: Vec<Millis> = std::iter::once(returned_at).chain(later).collect();
+            let longest_pause = moments.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap_or(Millis::MAX);
+            assert!(longest_pause <= LAST_REPLICA_MS, "seed {seed}: no commit for {longest_pause} ms");
+            assert!(took <= CATCH_UP_MS, "seed {seed} took {took} ms");
+        }
+    }
+}
+
 /// From the loss of the last replica beside the primary to the next commit: its silence, and a change of the epoch.
 const LAST_REPLICA_MS: Millis = 1_000;
 
--- a/coordination/tests/simulation/world.rs
+++ b/coordination/tests/simulation/world.rs
@@ -6,7 +6,7 @@
 
 use crate::machine::Machine;
 use crate::oracle::Oracle;
-use alderhollow_coordination::replica::interface::{EpochRecord, Input, Member, Millis, Token};
+use alderhollow_coordination::replica::interface::{EpochRecord, Input, Member, Millis, Token, Version};
 use alderhollow_coordination::replica::message::Message;
 use oorandom::Rand64;
 use std::collections::{BTreeMap, BTreeSet};
@@ -34,6 +34,14 @@
     Wipe { count: usize },
 }
 
+/// A client's request that is under way.
+#[derive(Debug, Clone, Copy)]
+struct Invocation {
+    request: u32,
+    /// The newest version that anybody had been told of when it was sent.
+    newest_told: Version,
+}
+
 /// How the links behave.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct LinkFaults {
@@ -65,7 +73,7 @@
     event_count: u64,
     next_token: Token,
     next_request: u32,
-    requests: BTreeMap<(u64, Token), u32>,
+    requests: BTreeMap<(u64, Token), Invocation>,
     /// Requests whose end is unknown: clients may send them again.
     unknown: Vec<u32>,
     /// Requests that were sent again: a refusal says nothing of the first time.
--- a/coordination/tests/simulation/world/clients.rs
+++ b/coordination/tests/simulation/world/clients.rs
@@ -1,6 +1,6 @@
 //! Clients: they send requests, send those of unknown end again, and check the ends.
 
-use super::{AfterAcknowledgement, Event, World};
+use super::{AfterAcknowledgement, Event, Invocation, World};
 use crate::ledger::request;
 use crate::machine::Machine;
 use alderhollow_coordination::replica::interface::{Input, Outcome, ProposeError, Role, Token};
@@ -24,7 +24,8 @@
         };
         self.next_token += 1;
         let token = self.next_token;
-        self.requests.insert((generation, token), number);
+        let invocation = Invocation { request: number, newest_told: self.oracle.newest_told() };
+        self.requests.insert((generation, token), invocation);
         self.tell(machine, Input::Propose { token, request: request(number) });
     }
 
@@ -35,11 +36,13 @@
         token: Token,
         result: Result<Outcome, ProposeError>,
     ) {
-        let request = self.requests.remove(&(generation, token)).expect("a proposal ends once");
+        let Invocation { request, newest_told } =
+            self.requests.remove(&(generation, token)).expect("a proposal ends once");
         self.trace(|| format!("{number}: request {request}: {result:?}"));
         match result {
             Ok(Outcome::Committed(version)) => {
                 self.oracle.saw_acknowledged(request, version);
+                self.oracle.saw_in_order(request, version, newest_told);
                 self.acknowledged_at.push(self.now);
                 self.trouble_after_acknowledgement(number);
             }
