--- a/alderhollow/tests/core_discovery.rs
+++ b/alderhollow/tests/core_discovery.rs
@@ -39,6 +39,23 @@
     });
 }
 
+#[test]
+fn members_whose_seeds_are_all_gone_know_each_other_from_their_disks() {
+    block_on_paused(async {
+        let mut world = World::start(3, 3, 3);
+        world.settle().await;
+        world.turn_seeds_over(&world.without_disk());
+        world.end_all();
+        let members = [1, 2, 3];
+        for member in members {
+            world.start_process(member);
+        }
+        world.elect_any();
+        let waited = world.until_informed(RECOVERY).await;
+        assert!(waited <= RECOVERY, "{:?} have no tables", world.uninformed());
+    });
+}
+
 #[test]
 fn a_process_whose_seeds_all_forgot_is_told_by_the_primary_that_it_polled_before() {
     block_on_paused(async {
