--- a/alderhollow/src/distribution/message.rs
+++ b/alderhollow/src/distribution/message.rs
@@ -140,7 +140,7 @@
     #[n(1)]
     pub members: Vec<CoreMember>,
     /// Number of the epoch record that names the members; 0: none is known.
-    #[n(2)]
+    #[cbor(n(2), default)]
     pub epoch: u64,
 }
 
--- a/coordination/src/replica/vocabulary.rs
+++ b/coordination/src/replica/vocabulary.rs
@@ -53,7 +53,7 @@
     pub follows: Epoch,
     /// That record and those before it, the newest first, back to one that is known to have been active. Should no disk be
     /// left that holds one of them, this tells whether it can ever have been active.
-    #[n(6)]
+    #[cbor(n(6), default)]
     pub lineage: Vec<Ancestor>,
 }
 
