--- a/alderhollow/src/distribution/message.rs
+++ b/alderhollow/src/distribution/message.rs
@@ -89,7 +89,7 @@
     #[n(2)]
     pub senders: Option<StampedSenders>,
     /// Where the core is, with every answer that brings something else.
-    #[n(3)]
+    #[n(4)]
     pub core: Option<CoreView>,
 }
 
