--- a/batch/tests/simulation/main.rs
+++ b/batch/tests/simulation/main.rs
@@ -29,27 +29,39 @@
     assert!(totals.listed > SEEDS, "too few results were read to show anything: {totals:?}");
 }
 
+const CALM: Faults = Faults { kills: 0, freezes: 0, cuts: 0, wipes: 0, long_cuts: 0, flickers: 0, loss: 0.0 };
+
 #[test]
 fn keeps_the_rules_in_calm() {
-    play(0, Faults { kills: 0, freezes: 0, cuts: 0, wipes: 0, loss: 0.0 });
+    play(0, CALM);
 }
 
 #[test]
 fn keeps_the_rules_under_kills_and_losses_of_power() {
-    play(10_000, Faults { kills: 6, freezes: 0, cuts: 0, wipes: 0, loss: 0.02 });
+    play(10_000, Faults { kills: 6, freezes: 0, cuts: 0, wipes: 0, loss: 0.02, ..CALM });
 }
 
 #[test]
 fn keeps_the_rules_under_freezes_and_cuts() {
-    play(20_000, Faults { kills: 0, freezes: 5, cuts: 5, wipes: 0, loss: 0.05 });
+    play(20_000, Faults { kills: 0, freezes: 5, cuts: 5, wipes: 0, loss: 0.05, ..CALM });
 }
 
 #[test]
 fn keeps_the_rules_under_lost_disks() {
-    play(30_000, Faults { kills: 2, freezes: 1, cuts: 1, wipes: 4, loss: 0.02 });
+    play(30_000, Faults { kills: 2, freezes: 1, cuts: 1, wipes: 4, loss: 0.02, ..CALM });
 }
 
 #[test]
 fn keeps_the_rules_under_everything_at_once() {
-    play(40_000, Faults { kills: 5, freezes: 4, cuts: 4, wipes: 3, loss: 0.08 });
+    play(40_000, Faults { kills: 5, freezes: 4, cuts: 4, wipes: 3, loss: 0.08, ..CALM });
+}
+
+#[test]
+fn keeps_the_rules_under_long_cuts_and_stores_that_come_and_go() {
+    play(50_000, Faults { kills: 2, long_cuts: 3, flickers: 3, loss: 0.03, ..CALM });
+}
+
+#[test]
+fn keeps_the_rules_under_lost_disks_while_stores_come_and_go() {
+    play(60_000, Faults { kills: 1, wipes: 4, long_cuts: 1, flickers: 2, loss: 0.02, ..CALM });
 }
--- a/batch/tests/simulation/troubles.rs
+++ b/batch/tests/simulation/troubles.rs
@@ -2,17 +2,26 @@
 
 use crate::disk::SimDisk;
 use crate::stores::{Slot, ToProcess};
-use crate::world::{Event, World, CATCH_UP_MS, RESTART_MS, STORES};
+use crate::world::{Event, World, CATCH_UP_MS, FLICKER_MS, LONG_CUT_MS, RESTART_MS, STORES};
 use alderhollow_model::identity::DiskId;
 
 impl World {
     /// Troubles and their ends.
     pub fn strike(&mut self, event: Event) {
         let slot = self.random.rand_range(0..STORES as u64) as usize;
-        let span_ms = self.random.rand_range(100..4_000);
+        let span_ms = match event {
+            Event::CutOff => self.random.rand_range(LONG_CUT_MS),
+            _ => self.random.rand_range(100..4_000),
+        };
         let is_trouble = matches!(
             event,
-            Event::Kill { .. } | Event::KillAll { .. } | Event::Freeze | Event::Cut | Event::CutCore
+            Event::Kill { .. }
+                | Event::KillAll { .. }
+                | Event::Freeze
+                | Event::Cut
+                | Event::CutCore
+                | Event::CutOff
+                | Event::Flicker { .. }
         );
         if is_trouble && self.now_ms < self.no_trouble_until_ms {
             return;
@@ -42,13 +51,47 @@
             }
             Event::JoinCore { slot } => self.slots[slot].cut_from_core = false,
             Event::Wipe => self.wipe(slot),
+            Event::CutOff => self.cut_off(slot, span_ms),
+            Event::JoinAll { slot } => self.join_all(slot),
+            Event::Flicker { slot, times } => self.flicker(slot, times),
             Event::SlowDisk => self.slots[slot].sync_ms = 600,
             Event::Heal => self.heal(),
             _ => unreachable!("not a trouble"),
         }
     }
 
+    /// A store reaches neither the others nor the core, and they don't reach it.
+    fn cut_off(&mut self, slot: usize, span_ms: u64) {
+        for other in (0..STORES).filter(|other| *other != slot) {
+            self.cuts.insert((slot, other));
+            self.cuts.insert((other, slot));
+        }
+        self.slots[slot].cut_from_core = true;
+        self.after(span_ms, Event::JoinAll { slot });
+    }
+
+    fn join_all(&mut self, slot: usize) {
+        self.cuts.retain(|(from, to)| *from != slot && *to != slot);
+        self.slots[slot].cut_from_core = false;
+    }
+
+    /// A store is killed soon after it came back, so many times.
+    fn flicker(&mut self, slot: usize, times: u32) {
+        let power = self.random.rand_float() < 0.5;
+        let pause_ms = self.random.rand_range(1..FLICKER_MS);
+        self.kill_for(slot, power, pause_ms);
+        if times > 0 {
+            let life_ms = self.random.rand_range(1..FLICKER_MS);
+            self.after(pause_ms + life_ms, Event::Flicker { slot, times: times - 1 });
+        }
+    }
+
     pub fn kill(&mut self, slot: usize, power: bool) {
+        let pause_ms = self.random.rand_range(50..RESTART_MS);
+        self.kill_for(slot, power, pause_ms);
+    }
+
+    fn kill_for(&mut self, slot: usize, power: bool, pause_ms: u64) {
         if self.slots[slot].process.take().is_none() {
             return;
         }
@@ -56,8 +99,7 @@
             true => self.slots[slot].disk.lose_power(&mut self.random),
             false => self.slots[slot].disk.lose_unsynced(&mut self.random),
         }
-        let delay_ms = self.random.rand_range(50..RESTART_MS);
-        self.after(delay_ms, Event::Restart { slot });
+        self.after(pause_ms, Event::Restart { slot });
     }
 
     /// A disk is lost, where the tolerance of one machine allows it: nothing else is in trouble, nor soon will be. In the
--- a/batch/tests/simulation/world.rs
+++ b/batch/tests/simulation/world.rs
@@ -20,6 +20,10 @@
 pub const TICK_MS: u64 = 50;
 pub const POLL_MS: u64 = 200;
 pub const VALIDATED_MS: u64 = 1_000;
+/// Longest and shortest time for which a store is cut off from all.
+pub const LONG_CUT_MS: std::ops::Range<u64> = 2_000..7_000;
+/// Longest life and pause of a store that comes and goes.
+pub const FLICKER_MS: u64 = 150;
 /// Longest pause before a process starts again.
 pub const RESTART_MS: u64 = 2_500;
 /// A store counts as lost so long after it is back.
@@ -34,6 +38,10 @@
     pub freezes: u32,
     pub cuts: u32,
     pub wipes: u32,
+    /// A store hears nobody and is heard by nobody for seconds.
+    pub long_cuts: u32,
+    /// A store is killed again and again, each time while it catches up.
+    pub flickers: u32,
     pub loss: f64,
 }
 
@@ -120,6 +128,14 @@
         slot: usize,
     },
     Wipe,
+    CutOff,
+    JoinAll {
+        slot: usize,
+    },
+    Flicker {
+        slot: usize,
+        times: u32,
+    },
     SlowDisk,
     Heal,
 }
@@ -245,6 +261,14 @@
         for _ in 0..faults.wipes {
             self.trouble(Event::Wipe);
         }
+        for _ in 0..faults.long_cuts {
+            self.trouble(Event::CutOff);
+        }
+        for _ in 0..faults.flickers {
+            let slot = self.random.rand_range(0..STORES as u64) as usize;
+            let times = 2 + self.random.rand_range(0..5) as u32;
+            self.trouble(Event::Flicker { slot, times });
+        }
         self.at(TROUBLE_MS + 1_000, Event::Heal);
     }
 
