Let a successor introduce itself to those that polled the primary before it

Cause: a process that restarts while its seeds are down, in the moment in which the primary fails, was known to nobody: the successor had never been polled by it.

Change: the primary tells the other members who polls it, with each change of the senders; a new primary counts their silence from its own beginning. Ruled out: addresses in every process's list of senders (bytes to 130 processes for what three need).

Without the take-over the new scenario of core_discovery fails.

--- a/alderhollow/src/distribution/client.rs
+++ b/alderhollow/src/distribution/client.rs
@@ -254,6 +254,9 @@
 
     fn take_update(&mut self, from: SocketAddr, sent_at_ms: u64, update: Update) {
         self.client.directory.confirm(from, update.core.as_ref());
+        if let Some(pollers) = &update.pollers {
+            self.client.distributor.take_over_pollers(pollers);
+        }
         match self.tables.apply(update) {
             Ok(_) => {
                 if self.client.state.validated_since_ms().is_none() {
--- a/alderhollow/src/distribution/message.rs
+++ b/alderhollow/src/distribution/message.rs
@@ -91,6 +91,9 @@
     /// Where the core is, with every answer that brings something else.
     #[n(4)]
     pub core: Option<CoreView>,
+    /// To members of the core, with the senders: who polls, so that a successor can introduce itself to those that forget.
+    #[n(5)]
+    pub pollers: Option<Vec<Address>>,
 }
 
 impl Update {
--- a/alderhollow/src/distribution/server.rs
+++ b/alderhollow/src/distribution/server.rs
@@ -12,7 +12,7 @@
 use crate::internal::{Handler, Refusal};
 use crate::SnapshotReceiver;
 use alderhollow_model::backend::BackendList;
-use alderhollow_model::identity::NodeInfo;
+use alderhollow_model::identity::{Address, NodeInfo, Role};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -100,6 +100,14 @@
         self.leased_authority().is_some()
     }
 
+    /// Takes over who polls the primary, for the time in which this process may be the primary itself.
+    pub fn take_over_pollers(&self, addresses: &[Address]) {
+        if !self.leads() {
+            let addresses = addresses.iter().map(|address| address.0);
+            self.pollers.borrow_mut().take_over(addresses, self.clock.now_ms());
+        }
+    }
+
     /// Processes that should poll this one, the primary, and do not: they may not know where it is.
     pub fn silent_processes(&self) -> BTreeSet<SocketAddr> {
         let mut expected = self.directory.seeds();
@@ -125,7 +133,11 @@
                 self.note(&poll, epoch);
                 authority.heard(&poll);
             }
-            let update = self.newer_than(&poll.held, authority.as_ref(), epoch);
+            let mut update = self.newer_than(&poll.held, authority.as_ref(), epoch);
+            if poll.node.disk.is_some() && poll.node.role == Role::Door && update.senders.is_some() {
+                let pollers = self.pollers.borrow().addresses();
+                update.pollers = Some(pollers.into_iter().map(Address).collect());
+            }
             if !update.is_empty() || tokio::time::Instant::now() >= until {
                 return Answer::Update(update);
             }
@@ -161,6 +173,7 @@
             backends: self.newer_backends(held.backends, epoch),
             senders: self.newer_senders(held.senders, epoch),
             core: None,
+            pollers: None,
         };
         if !update.is_empty() {
             update.core = Some(authority.core_view());
--- a/alderhollow/tests/core_discovery.rs
+++ b/alderhollow/tests/core_discovery.rs
@@ -75,6 +75,31 @@
     });
 }
 
+#[test]
+fn a_process_whose_seeds_are_gone_is_told_by_the_successor_of_the_primary_that_it_polled() {
+    block_on_paused(async {
+        let mut world = World::start(3, 6, 4);
+        world.settle().await;
+        let diskless = world.without_disk();
+        let (gone, forgetful) = diskless.split_at(3);
+        world.turn_seeds_over(gone);
+        world.pass(Duration::from_secs(120)).await;
+        for process in gone {
+            world.end(*process);
+        }
+        let former = world.primary();
+        for process in forgetful.iter().chain([&former]) {
+            world.end(*process);
+        }
+        for process in forgetful {
+            world.start_process(*process);
+        }
+        world.elect_any();
+        let waited = world.until_informed(RECOVERY).await;
+        assert!(waited <= RECOVERY, "{:?} have no tables", world.uninformed());
+    });
+}
+
 #[test]
 fn a_primary_that_falls_silent_is_given_up_within_half_of_the_time_for_a_change() {
     for seed in 0..50 {
--- a/alderhollow/tests/distribution.rs
+++ b/alderhollow/tests/distribution.rs
@@ -99,6 +99,7 @@
         backends,
         senders,
         core: None,
+        pollers: None,
     })
 }
 
@@ -403,9 +404,24 @@
     assert!(pollers.silent([address(7)], POLLER_SILENCE_MS - 1).is_empty());
     let silent: Vec<SocketAddr> = pollers.silent([], POLLER_SILENCE_MS + 500).into_iter().collect();
     assert_eq!(silent, [address(7), address(8)]);
+    for second in 3..POLLER_MEMORY_MS / 1_000 {
+        pollers.silent([], second * 1_000);
+    }
     assert!(pollers.silent([], POLLER_MEMORY_MS + 500).is_empty());
 }
 
+#[test]
+fn a_new_primary_counts_silences_from_its_own_beginning() {
+    let mut pollers = PollerWatch::default();
+    pollers.take_over([address(7), address(8)], 0);
+    let begin = 10 * POLLER_MEMORY_MS;
+    assert!(pollers.silent([], begin).is_empty());
+    pollers.heard(address(8), begin + 900);
+    let silent: Vec<SocketAddr> = pollers.silent([], begin + POLLER_SILENCE_MS).into_iter().collect();
+    assert_eq!(silent, [address(7)]);
+    assert_eq!(pollers.addresses(), [address(7), address(8)]);
+}
+
 fn view(epoch: u64, members: &[u8], primary: Option<u8>) -> CoreView {
     CoreView { primary: primary.map(member), members: members.iter().copied().map(member).collect(), epoch }
 }
