--- a/alderhollow/src/distribution/server.rs
+++ b/alderhollow/src/distribution/server.rs
@@ -1,4 +1,4 @@
-//! Answers polls: with what is newer while this process is the primary and holds its lease, else with core_view.
+//! Answers polls: with what is newer while this process is the primary and holds its lease, else with its view of the core.
 
 use super::directory::Directory;
 use super::message::{
