Keep batch groups in a numbered list, with one group for now

This step changes the shapes alone: the control state, the view of the processes, the stores' reports and the policy hold a list of groups; one is made, as before. New: a retirement is completed when no group uses the store or may still rest on it, each group by itself.

--- a/alderhollow/src/batch_api/endpoints/tests.rs
+++ b/alderhollow/src/batch_api/endpoints/tests.rs
@@ -50,7 +50,7 @@
 fn tables(primary: u64) -> Arc<Snapshot> {
     let members = vec![member(1), member(2)];
     let group = BatchGroup { epoch: primary, primary: DiskId(primary), members, learners: vec![] };
-    let control = ControlView { group: Some(Arc::new(group)), ..ControlView::default() };
+    let control = ControlView { groups: vec![Arc::new(group)], ..ControlView::default() };
     Arc::new(Snapshot { control: Arc::new(control), validated: true, ..Snapshot::default() })
 }
 
--- a/alderhollow/src/batch_api/store_calls.rs
+++ b/alderhollow/src/batch_api/store_calls.rs
@@ -168,6 +168,6 @@
 /// Where the group's primary takes calls, as the newest validated tables say.
 fn primary_address(snapshots: &SnapshotReceiver) -> Option<SocketAddr> {
     let snapshot = snapshots.borrow();
-    let group = snapshot.control.group.as_ref().filter(|_| snapshot.validated)?;
+    let group = snapshot.control.groups.first().filter(|_| snapshot.validated)?;
     group.primary_member().map(|member| member.node.internal.0)
 }
--- a/alderhollow/src/cli/inspect.rs
+++ b/alderhollow/src/cli/inspect.rs
@@ -83,10 +83,10 @@
     if !view.evacuated.is_empty() {
         println!("evacuated: {}", view.evacuated.into_iter().collect::<Vec<_>>().join(", "));
     }
-    if let Some(group) = &view.group {
+    for (id, group) in member.state.view().numbered_groups() {
         let (members, learners) = (group.members.len(), group.learners.len());
         println!(
-            "batch group: epoch {}, primary {}, {members} members, {learners} learners",
+            "batch group {id}: epoch {}, primary {}, {members} members, {learners} learners",
             group.epoch, group.primary
         );
     }
--- a/alderhollow/src/control_state/command.rs
+++ b/alderhollow/src/control_state/command.rs
@@ -1,5 +1,6 @@
 //! The changes of the control state. Each is decided before it is replicated and holds all that applying it needs.
 
+use super::groups::GroupChange;
 use alderhollow_model::config::ConfigVersion;
 use alderhollow_model::identity::{DiskId, NodeInfo};
 use alderhollow_model::snapshot::BatchGroup;
@@ -46,7 +47,8 @@
     /// A store as it is now.
     #[n(4)]
     RegisterStore(#[n(0)] NodeInfo),
-    /// A new group.
+    /// A new epoch of the first group, as earlier versions of the program wrote it, which knew one group; after epoch 0: the
+    /// first group is made.
     #[n(5)]
     SetGroup {
         /// The epoch that it follows; it is passed over if another one is current.
@@ -56,14 +58,14 @@
         #[n(1)]
         group: BatchGroup,
     },
-    /// All members of the group hold everything.
+    /// All members of the first group hold everything; see [`Command::SetGroup`].
     #[n(6)]
     GroupActive {
         /// The group's epoch; passed over if another one is current.
         #[n(0)]
         epoch: u64,
     },
-    /// Some members of the group hold everything, though not yet all.
+    /// Some members of the first group hold everything, though not yet all; see [`Command::SetGroup`].
     #[n(7)]
     MembersInSync {
         /// The group's epoch; passed over if another one is current.
@@ -73,6 +75,12 @@
         #[n(1)]
         disks: BTreeSet<DiskId>,
     },
+    /// The batch groups are made, all at once; passed over if there are some.
+    #[n(8)]
+    FoundGroups(#[n(0)] Vec<BatchGroup>),
+    /// Batch groups change, each by itself: a change that does not fit any more is passed over.
+    #[n(9)]
+    ChangeGroups(#[n(0)] Vec<GroupChange>),
 }
 
 impl Command {
--- a/alderhollow/src/control_state/decide.rs
+++ b/alderhollow/src/control_state/decide.rs
@@ -6,6 +6,7 @@
 //! the current one.
 
 use super::command::Command;
+use super::groups::may_be_founded;
 use super::request::{Answer, ConfigOrder, Decision, Order, OrderContext, Refusal, Request};
 use super::taken::{order_digest, Method};
 use super::ControlState;
@@ -22,14 +23,11 @@
             Request::RegisterStore(store) if self.stores.is_news(store) => {
                 Decision::Commit(Command::RegisterStore(store.clone()))
             }
-            Request::SetGroup { previous_epoch, group } if self.may_follow(*previous_epoch, group) => {
-                Decision::Commit(Command::SetGroup { previous_epoch: *previous_epoch, group: group.clone() })
+            Request::FoundGroups(groups) if self.groups.is_empty() && may_be_founded(groups) => {
+                Decision::Commit(Command::FoundGroups(groups.clone()))
             }
-            Request::GroupActive { epoch } if self.becomes_active(*epoch) => {
-                Decision::Commit(Command::GroupActive { epoch: *epoch })
-            }
-            Request::MembersInSync { epoch, disks } if self.come_in_sync(*epoch, disks) => {
-                Decision::Commit(Command::MembersInSync { epoch: *epoch, disks: disks.clone() })
+            Request::ChangeGroups(changes) if changes.iter().any(|change| self.may_change(change)) => {
+                Decision::Commit(Command::ChangeGroups(changes.clone()))
             }
             _ => Decision::Answer(Answer::AlreadyDone),
         }
--- a/alderhollow/src/control_state/group_policy.rs
+++ b/alderhollow/src/control_state/group_policy.rs
@@ -9,11 +9,12 @@
 //!   of all. Until then the member stays, and others are added to come to hold everything.
 //! - A store becomes a member only from a learner that says it is in sync.
 
+use super::groups::{GroupChange, GroupState, GroupStep};
 use super::request::Request;
-use super::store_report::StoreReport;
+use super::store_report::{GroupReport, StoreReport};
 use super::ControlState;
 use alderhollow_model::identity::{DiskId, NodeInfo};
-use alderhollow_model::snapshot::{BatchGroup, GroupMember};
+use alderhollow_model::snapshot::{BatchGroup, GroupId, GroupMember};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A store that was not heard of for so long is dead. It is longer than a poll validates (`VALIDATED_MS` in the store's
@@ -53,14 +54,21 @@
     if let Some(store) = view.stores.iter().find(|store| state.stores().is_news(&store.node)) {
         return Some(Request::RegisterStore(store.node.clone()));
     }
-    let planner = Planner::new(state, view);
-    let Some(group) = state.group() else {
-        return planner.found();
-    };
-    if planner.reports_active(group) && !state.group_is_active() {
-        return Some(Request::GroupActive { epoch: group.epoch });
+    let seen = SeenStores::new(state, view);
+    if state.groups().is_empty() {
+        return seen.found();
     }
-    planner.members_in_sync(group).or_else(|| planner.next_group(group))
+    let changes: Vec<GroupChange> = state
+        .groups()
+        .iter()
+        .enumerate()
+        .filter_map(|(index, group)| {
+            let id = GroupId::at(index);
+            let step = Planner { seen: &seen, id, group }.next_step()?;
+            Some(GroupChange { id, step })
+        })
+        .collect();
+    (!changes.is_empty()).then_some(Request::ChangeGroups(changes))
 }
 
 /// Machines of stores that don't count as there any more, for [`super::request::OrderContext`].
@@ -75,16 +83,16 @@
 }
 
 /// What is known of the stores, by their disks.
-struct Planner<'a> {
+struct SeenStores<'a> {
     state: &'a ControlState,
     view: &'a GroupView,
     by_disk: BTreeMap<DiskId, &'a StoreView>,
 }
 
-impl<'a> Planner<'a> {
-    fn new(state: &'a ControlState, view: &'a GroupView) -> Planner<'a> {
+impl<'a> SeenStores<'a> {
+    fn new(state: &'a ControlState, view: &'a GroupView) -> SeenStores<'a> {
         let by_disk = view.stores.iter().filter_map(|store| Some((store.node.disk?, store))).collect();
-        Planner { state, view, by_disk }
+        SeenStores { state, view, by_disk }
     }
 
     /// Copies that each acknowledgement needs.
@@ -116,15 +124,66 @@
         }
     }
 
+    fn is_retiring(&self, member: &GroupMember) -> bool {
+        self.state.stores().is_retiring(&member.node.node)
+    }
+
+    /// Stores that could join a group, sorted by their disks.
+    fn candidates(&self, taken: &BTreeSet<DiskId>) -> Vec<GroupMember> {
+        let usable = self.by_disk.iter().filter(|(disk, store)| {
+            self.is_alive(**disk)
+                && !taken.contains(disk)
+                && !self.state.stores().is_retiring(&store.node.node)
+        });
+        usable.map(|(disk, store)| GroupMember { disk: *disk, node: store.node.clone() }).collect()
+    }
+
+    /// The first groups.
+    fn found(&self) -> Option<Request> {
+        if self.view.primary_for_ms < FOUNDING_WAIT_MS {
+            return None;
+        }
+        let members = spread_over_zones(&[], self.candidates(&BTreeSet::new()), self.target());
+        let patience_is_over = self.view.primary_for_ms >= FOUNDING_WAIT_MS + FOUNDING_PATIENCE_MS;
+        if members.len() < self.copies() && !patience_is_over {
+            return None;
+        }
+        let primary = members.first()?.disk;
+        let group = BatchGroup { epoch: 1, primary, members, learners: Vec::new() };
+        Some(Request::FoundGroups(vec![group]))
+    }
+}
+
+/// What is to become of one group.
+struct Planner<'a> {
+    seen: &'a SeenStores<'a>,
+    id: GroupId,
+    group: &'a GroupState,
+}
+
+impl Planner<'_> {
+    /// The next step, if one is due.
+    fn next_step(&self) -> Option<GroupStep> {
+        let group = &self.group.group;
+        if self.reports_active(group) && !self.group.is_active() {
+            return Some(GroupStep::BecameActive { epoch: group.epoch });
+        }
+        self.members_in_sync(group).or_else(|| self.next_group(group))
+    }
+
+    /// What a store reports of its part in this group.
+    fn report_of(&self, disk: DiskId) -> Option<&GroupReport> {
+        self.seen.by_disk.get(&disk)?.report.groups.get(&self.id)
+    }
+
     /// What the group's primary reports, if it acts under the group's epoch.
-    fn primary_report(&self, group: &BatchGroup) -> Option<&StoreReport> {
-        let report = &self.by_disk.get(&group.primary)?.report;
-        (report.epoch == group.epoch).then_some(report)
+    fn primary_report(&self, group: &BatchGroup) -> Option<&GroupReport> {
+        self.report_of(group.primary).filter(|report| report.epoch == group.epoch)
     }
 
     /// The members that the primary, while it is alive, waits for in vain.
     fn silent_members(&self, group: &BatchGroup) -> BTreeSet<DiskId> {
-        if !self.is_alive(group.primary) {
+        if !self.seen.is_alive(group.primary) {
             return BTreeSet::new();
         }
         self.primary_report(group).map(|report| report.silent.clone()).unwrap_or_default()
@@ -132,15 +191,11 @@
 
     /// How many of these are alive and hold everything.
     fn count_holding<'m>(&self, members: impl Iterator<Item = &'m GroupMember>) -> usize {
-        members.filter(|member| self.is_alive(member.disk) && self.is_complete(member.disk)).count()
-    }
-
-    fn is_retiring(&self, member: &GroupMember) -> bool {
-        self.state.stores().is_retiring(&member.node.node)
+        members.filter(|member| self.seen.is_alive(member.disk) && self.is_complete(member.disk)).count()
     }
 
     fn is_complete(&self, disk: DiskId) -> bool {
-        self.state.complete_members().contains(&disk)
+        self.group.complete.contains(&disk)
     }
 
     fn reports_active(&self, group: &BatchGroup) -> bool {
@@ -148,44 +203,19 @@
     }
 
     fn reports_synced(&self, group: &BatchGroup, disk: DiskId) -> bool {
-        self.by_disk.get(&disk).is_some_and(|store| store.report.synced && store.report.epoch == group.epoch)
+        self.report_of(disk).is_some_and(|report| report.synced && report.epoch == group.epoch)
     }
 
     /// Members that came to hold everything while the epoch is not active yet: it may wait for a dead one.
-    fn members_in_sync(&self, group: &BatchGroup) -> Option<Request> {
+    fn members_in_sync(&self, group: &BatchGroup) -> Option<GroupStep> {
         let members = group.members.iter().map(|member| member.disk);
         let news = members.filter(|disk| !self.is_complete(*disk) && self.reports_synced(group, *disk));
         let disks: BTreeSet<DiskId> = news.collect();
-        (!disks.is_empty()).then_some(Request::MembersInSync { epoch: group.epoch, disks })
-    }
-
-    /// Stores that could join a group, sorted by their disks.
-    fn candidates(&self, taken: &BTreeSet<DiskId>) -> Vec<GroupMember> {
-        let usable = self.by_disk.iter().filter(|(disk, store)| {
-            self.is_alive(**disk)
-                && !taken.contains(disk)
-                && !self.state.stores().is_retiring(&store.node.node)
-        });
-        usable.map(|(disk, store)| GroupMember { disk: *disk, node: store.node.clone() }).collect()
-    }
-
-    /// The first group.
-    fn found(&self) -> Option<Request> {
-        if self.view.primary_for_ms < FOUNDING_WAIT_MS {
-            return None;
-        }
-        let members = spread_over_zones(&[], self.candidates(&BTreeSet::new()), self.target());
-        let patience_is_over = self.view.primary_for_ms >= FOUNDING_WAIT_MS + FOUNDING_PATIENCE_MS;
-        if members.len() < self.copies() && !patience_is_over {
-            return None;
-        }
-        let primary = members.first()?.disk;
-        let group = BatchGroup { epoch: 1, primary, members, learners: Vec::new() };
-        Some(Request::SetGroup { previous_epoch: 0, group })
+        (!disks.is_empty()).then_some(GroupStep::MembersInSync { epoch: group.epoch, disks })
     }
 
     /// The group that is to follow, if it differs from the present one.
-    fn next_group(&self, group: &BatchGroup) -> Option<Request> {
+    fn next_group(&self, group: &BatchGroup) -> Option<GroupStep> {
         let mut next = group.clone();
         self.refresh_addresses(&mut next);
         self.promote_learners(group, &mut next);
@@ -201,13 +231,13 @@
             return None;
         }
         next.epoch = group.epoch + 1;
-        Some(Request::SetGroup { previous_epoch: group.epoch, group: next })
+        Some(GroupStep::Replace { previous_epoch: group.epoch, group: next })
     }
 
     /// A store that came back at another address is to be found there.
     fn refresh_addresses(&self, next: &mut BatchGroup) {
         for member in next.members.iter_mut().chain(&mut next.learners) {
-            let known = self.state.stores().get(&member.node.node);
+            let known = self.seen.state.stores().get(&member.node.node);
             if let Some(known) = known.filter(|known| known.disk == Some(member.disk)) {
                 if known.internal != member.node.internal {
                     member.node = known.clone();
@@ -219,8 +249,8 @@
     /// A learner in sync becomes a member. It is complete only once the epoch that follows is active.
     fn promote_learners(&self, group: &BatchGroup, next: &mut BatchGroup) {
         let (in_sync, others): (Vec<_>, Vec<_>) = next.learners.drain(..).partition(|learner| {
-            self.is_alive(learner.disk)
-                && !self.is_retiring(learner)
+            self.seen.is_alive(learner.disk)
+                && !self.seen.is_retiring(learner)
                 && self.reports_synced(group, learner.disk)
         });
         next.learners = others;
@@ -228,7 +258,7 @@
     }
 
     fn drop_learners(&self, next: &mut BatchGroup) {
-        next.learners.retain(|learner| !self.is_dead(learner.disk) && !self.is_retiring(learner));
+        next.learners.retain(|learner| !self.seen.is_dead(learner.disk) && !self.seen.is_retiring(learner));
     }
 
     /// A primary that is dead, cut off from the others or retiring gives its place to a member that is alive and holds
@@ -238,16 +268,16 @@
         let Some(primary) = next.primary_member() else {
             return;
         };
-        let is_lost = self.is_dead(primary.disk) || self.is_isolated(group);
+        let is_lost = self.seen.is_dead(primary.disk) || self.is_isolated(group);
         let behind = self.primary_report(group).and_then(|report| report.behind);
-        if !is_lost && behind.is_none() && !self.is_retiring(primary) {
+        if !is_lost && behind.is_none() && !self.seen.is_retiring(primary) {
             return;
         }
         let able = |member: &&GroupMember| {
-            member.disk != primary.disk && self.is_alive(member.disk) && self.is_complete(member.disk)
+            member.disk != primary.disk && self.seen.is_alive(member.disk) && self.is_complete(member.disk)
         };
         let (retiring, staying): (Vec<_>, Vec<_>) =
-            next.members.iter().filter(able).partition(|member| self.is_retiring(member));
+            next.members.iter().filter(able).partition(|member| self.seen.is_retiring(member));
         let ahead = staying.iter().find(|member| Some(member.disk) == behind);
         let of_last_resort = retiring.first().filter(|_| is_lost);
         if let Some(successor) = ahead.or(staying.first()).or(of_last_resort) {
@@ -261,15 +291,15 @@
         let is_silent = |member: &&GroupMember| silent.contains(&member.disk);
         let unreached = self.count_holding(group.members.iter().filter(is_silent));
         let reached = self.count_holding(group.members.iter().filter(|member| !is_silent(member)));
-        reached < self.copies() && unreached >= self.copies()
+        reached < self.seen.copies() && unreached >= self.seen.copies()
     }
 
     /// Dead and silent members leave if enough others respond and hold everything.
     fn drop_unresponsive(&self, silent: &BTreeSet<DiskId>, next: &mut BatchGroup) {
-        let responds = |disk: DiskId| !self.is_dead(disk) && !silent.contains(&disk);
+        let responds = |disk: DiskId| !self.seen.is_dead(disk) && !silent.contains(&disk);
         let stays = |member: &GroupMember| member.disk == next.primary || responds(member.disk);
         let remaining: Vec<_> = next.members.iter().filter(|member| stays(member)).cloned().collect();
-        if self.count_holding(remaining.iter()) >= self.copies() {
+        if self.count_holding(remaining.iter()) >= self.seen.copies() {
             next.members = remaining;
         }
     }
@@ -277,24 +307,26 @@
     /// Retiring members leave when their successors are in, or where there are none, if enough others respond and hold
     /// everything.
     fn drop_retiring(&self, silent: &BTreeSet<DiskId>, next: &mut BatchGroup) {
-        let stays = |member: &GroupMember| member.disk == next.primary || !self.is_retiring(member);
+        let stays = |member: &GroupMember| member.disk == next.primary || !self.seen.is_retiring(member);
         let remaining: Vec<_> = next.members.iter().filter(|member| stays(member)).cloned().collect();
         let holding = self.count_holding(remaining.iter().filter(|member| !silent.contains(&member.disk)));
-        let successors_may_come = remaining.len() < self.target()
-            && (!next.learners.is_empty() || !self.candidates(&disks_of(next)).is_empty());
-        let successors_are_in = holding >= self.target() || !successors_may_come;
-        if holding >= self.copies() && successors_are_in {
+        let successors_may_come = remaining.len() < self.seen.target()
+            && (!next.learners.is_empty() || !self.seen.candidates(&disks_of(next)).is_empty());
+        let successors_are_in = holding >= self.seen.target() || !successors_may_come;
+        if holding >= self.seen.copies() && successors_are_in {
             next.members = remaining;
         }
     }
 
     /// Missing members are brought up as learners.
     fn add_learners(&self, next: &mut BatchGroup) {
-        let lasting =
-            next.members.iter().filter(|member| !self.is_retiring(member) && !self.is_dead(member.disk));
+        let lasting = next
+            .members
+            .iter()
+            .filter(|member| !self.seen.is_retiring(member) && !self.seen.is_dead(member.disk));
         let lasting: Vec<GroupMember> = lasting.chain(&next.learners).cloned().collect();
-        let missing = self.target().saturating_sub(lasting.len());
-        let candidates = self.candidates(&disks_of(next));
+        let missing = self.seen.target().saturating_sub(lasting.len());
+        let candidates = self.seen.candidates(&disks_of(next));
         next.learners.extend(spread_over_zones(&lasting, candidates, missing));
     }
 }
--- a/alderhollow/src/control_state/mod.rs
+++ b/alderhollow/src/control_state/mod.rs
@@ -9,6 +9,7 @@
 pub mod command;
 mod decide;
 pub mod group_policy;
+pub mod groups;
 pub mod request;
 mod snapshot;
 pub mod store_report;
@@ -19,9 +20,9 @@
 use crate::configuration::{check_text, read_json};
 use alderhollow_coordination::replica::interface as replica;
 use alderhollow_model::config::{Config, ConfigVersion};
-use alderhollow_model::identity::DiskId;
-use alderhollow_model::snapshot::{BatchGroup, ControlView};
+use alderhollow_model::snapshot::{BatchGroup, ControlView, GroupId};
 use command::Command;
+use groups::{may_be_founded, GroupChange, GroupState, GroupStep};
 use request::{Answer, Decision, Request};
 use serde_json::Value;
 use std::collections::BTreeSet;
@@ -72,12 +73,8 @@
     taken: TakenOrders,
     evacuated: BTreeSet<String>,
     stores: StoreRegistry,
-    group: Option<Arc<BatchGroup>>,
-    /// Members of the group that hold everything that was acknowledged, whatever the epoch: the only ones that may become
-    /// its primary.
-    complete: BTreeSet<DiskId>,
-    /// Newest epoch of which the group's primary said that all members hold everything.
-    active_epoch: u64,
+    /// The groups that keep batch jobs, by their numbers. Made all at once; their count stays.
+    groups: Vec<GroupState>,
 }
 
 impl ControlState {
@@ -106,24 +103,19 @@
         self.stores.retirement(node)
     }
 
-    /// The group that keeps batch jobs.
-    pub fn group(&self) -> Option<&Arc<BatchGroup>> {
-        self.group.as_ref()
+    /// The groups that keep batch jobs, by their numbers; empty until they are made.
+    pub fn groups(&self) -> &[GroupState] {
+        &self.groups
     }
 
-    /// Epoch of the group; 0 before the first.
-    pub fn group_epoch(&self) -> u64 {
-        self.group.as_ref().map_or(0, |group| group.epoch)
+    /// One of the groups.
+    pub fn group(&self, id: GroupId) -> Option<&GroupState> {
+        self.groups.get(id.index())
     }
 
-    /// Whether all members of the group are known to hold everything.
-    pub fn group_is_active(&self) -> bool {
-        self.group.is_some() && self.active_epoch == self.group_epoch()
-    }
-
-    /// The group's members that hold everything that was acknowledged.
-    pub fn complete_members(&self) -> &BTreeSet<DiskId> {
-        &self.complete
+    /// Whether all members of all groups are known to hold everything.
+    pub fn groups_are_active(&self) -> bool {
+        self.groups.iter().all(GroupState::is_active)
     }
 
     /// What processes act on.
@@ -132,7 +124,7 @@
             version: self.version,
             config: self.document.as_ref().map(|document| document.config.clone()),
             evacuated: self.evacuated.clone(),
-            group: self.group.clone(),
+            groups: self.groups.iter().map(|state| state.group.clone()).collect(),
         }
     }
 
@@ -144,9 +136,16 @@
             Command::TakeBack { zone } => self.evacuated.remove(&zone),
             Command::Retire { node } => self.retire(&node),
             Command::RegisterStore(store) => self.stores.register(&store),
-            Command::SetGroup { previous_epoch, group } => self.set_group(previous_epoch, group),
-            Command::GroupActive { epoch } => self.set_active(epoch),
-            Command::MembersInSync { epoch, disks } => self.set_in_sync(epoch, disks),
+            Command::SetGroup { previous_epoch: 0, group } => self.found_groups(vec![group]),
+            Command::SetGroup { previous_epoch, group } => {
+                self.change_first_group(GroupStep::Replace { previous_epoch, group })
+            }
+            Command::GroupActive { epoch } => self.change_first_group(GroupStep::BecameActive { epoch }),
+            Command::MembersInSync { epoch, disks } => {
+                self.change_first_group(GroupStep::MembersInSync { epoch, disks })
+            }
+            Command::FoundGroups(groups) => self.found_groups(groups),
+            Command::ChangeGroups(changes) => self.change_groups(changes),
         };
         if changed {
             self.version += 1;
@@ -171,75 +170,47 @@
 
     fn retire(&mut self, node: &str) -> bool {
         let changed = self.stores.retire(node);
-        if changed && (self.group.is_none() || self.group_is_active()) {
+        if changed {
             self.complete_retirements();
         }
         changed
     }
 
-    /// Whether a group may take the present one's place: nothing that was acknowledged is lost by it.
-    fn may_follow(&self, previous_epoch: u64, group: &BatchGroup) -> bool {
-        let is_next = previous_epoch == self.group_epoch() && group.epoch > previous_epoch;
-        let primary_holds_all = self.group.is_none() || self.complete.contains(&group.primary);
-        is_next && group.primary_member().is_some() && primary_holds_all
-    }
-
-    fn set_group(&mut self, previous_epoch: u64, group: BatchGroup) -> bool {
-        if !self.may_follow(previous_epoch, &group) {
+    fn found_groups(&mut self, groups: Vec<BatchGroup>) -> bool {
+        if !self.groups.is_empty() || !may_be_founded(&groups) {
             return false;
         }
-        let members: BTreeSet<DiskId> = group.members.iter().map(|member| member.disk).collect();
-        if self.group.is_none() {
-            self.complete = members;
-        } else {
-            self.complete.retain(|disk| members.contains(disk));
-        }
-        self.group = Some(Arc::new(group));
+        self.groups = groups.into_iter().map(GroupState::founded).collect();
         true
     }
 
-    fn becomes_active(&self, epoch: u64) -> bool {
-        epoch == self.group_epoch() && epoch > self.active_epoch
+    /// A command of an earlier version of the program, which knew one group.
+    fn change_first_group(&mut self, step: GroupStep) -> bool {
+        self.change_groups(vec![GroupChange { id: GroupId::default(), step }])
     }
 
-    fn set_active(&mut self, epoch: u64) -> bool {
-        if !self.becomes_active(epoch) {
-            return false;
+    /// Takes each change that still fits.
+    fn change_groups(&mut self, changes: Vec<GroupChange>) -> bool {
+        let mut changed = false;
+        for change in changes {
+            if let Some(group) = self.groups.get_mut(change.id.index()) {
+                changed |= group.take(change.step);
+            }
         }
-        self.active_epoch = epoch;
-        if let Some(group) = &self.group {
-            self.complete = group.members.iter().map(|member| member.disk).collect();
+        if changed {
+            self.complete_retirements();
         }
-        self.complete_retirements();
-        true
-    }
-
-    /// Whether all the disks belong to members of this epoch, and some were not known to hold everything.
-    fn come_in_sync(&self, epoch: u64, disks: &BTreeSet<DiskId>) -> bool {
-        let Some(group) = self.group.as_ref().filter(|group| group.epoch == epoch) else {
-            return false;
-        };
-        let is_member = |disk: &DiskId| group.members.iter().any(|member| member.disk == *disk);
-        disks.iter().all(is_member) && !disks.is_subset(&self.complete)
+        changed
     }
 
-    /// A member that was made equal to the epoch's primary holds everything: nothing is acknowledged under an older epoch
-    /// any more, and nothing under this one without it.
-    fn set_in_sync(&mut self, epoch: u64, disks: BTreeSet<DiskId>) -> bool {
-        if !self.come_in_sync(epoch, &disks) {
-            return false;
-        }
-        self.complete.extend(disks);
-        true
+    fn may_change(&self, change: &GroupChange) -> bool {
+        self.group(change.id).is_some_and(|group| group.may_take(&change.step))
     }
 
+    /// Completes the retirements of the stores that no group uses any more.
     fn complete_retirements(&mut self) {
-        let group = self.group.clone();
-        let in_use = |disk: DiskId| {
-            let all = group.iter().flat_map(|group| group.members.iter().chain(&group.learners));
-            all.into_iter().any(|member| member.disk == disk)
-        };
-        self.stores.complete_retirements(in_use);
+        let groups = &self.groups;
+        self.stores.complete_retirements(|disk| groups.iter().any(|group| group.uses(disk)));
     }
 }
 
--- a/alderhollow/src/control_state/request.rs
+++ b/alderhollow/src/control_state/request.rs
@@ -1,7 +1,8 @@
 //! What the control state is asked, and what it answers.
 
+use super::groups::GroupChange;
 use crate::finding::Finding;
-use alderhollow_model::identity::{DiskId, NodeInfo};
+use alderhollow_model::identity::NodeInfo;
 use alderhollow_model::snapshot::BatchGroup;
 use minicbor::{Decode, Encode};
 use std::collections::BTreeSet;
@@ -81,33 +82,12 @@
     /// A store has come, or its disk, zone or address is another than before.
     #[n(1)]
     RegisterStore(#[n(0)] NodeInfo),
-    /// The group is to become another one.
+    /// The batch groups are to be made.
     #[n(2)]
-    SetGroup {
-        /// Epoch of the group that this one follows; 0: there was none.
-        #[n(0)]
-        previous_epoch: u64,
-        /// The new group.
-        #[n(1)]
-        group: BatchGroup,
-    },
-    /// The group's primary says that all members of this epoch hold everything.
+    FoundGroups(#[n(0)] Vec<BatchGroup>),
+    /// Batch groups are to change.
     #[n(3)]
-    GroupActive {
-        /// The epoch.
-        #[n(0)]
-        epoch: u64,
-    },
-    /// Members say that they hold everything under this epoch, which is not active yet.
-    #[n(4)]
-    MembersInSync {
-        /// The epoch.
-        #[n(0)]
-        epoch: u64,
-        /// The members' disks.
-        #[n(1)]
-        disks: BTreeSet<DiskId>,
-    },
+    ChangeGroups(#[n(0)] Vec<GroupChange>),
 }
 
 /// What is answered where nothing changes.
--- a/alderhollow/src/control_state/snapshot.rs
+++ b/alderhollow/src/control_state/snapshot.rs
@@ -1,6 +1,7 @@
 //! The whole control state as bytes.
 
 use super::codec::{decode, encode, CodecError};
+use super::groups::GroupState;
 use super::stores::StoreRegistry;
 use super::taken::TakenOrders;
 use super::{ConfigDocument, ControlState};
@@ -11,7 +12,21 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-/// The fields of [`ControlState`] as they are written. Later fields get new numbers and are optional.
+/// A batch group as it is written, but for the first one.
+#[derive(Debug, Encode, Decode)]
+struct StoredGroup {
+    #[n(0)]
+    group: BatchGroup,
+    #[n(1)]
+    complete: BTreeSet<DiskId>,
+    #[n(2)]
+    active_epoch: u64,
+    #[n(3)]
+    former_members: Option<BTreeSet<DiskId>>,
+}
+
+/// The fields of [`ControlState`] as they are written. Later fields get new numbers and are optional. The first group stands
+/// where the only one stood when there was one.
 #[derive(Debug, Default, Encode, Decode)]
 struct StoredState {
     #[n(0)]
@@ -30,35 +45,72 @@
     complete: BTreeSet<DiskId>,
     #[n(7)]
     active_epoch: u64,
+    #[n(8)]
+    further_groups: Option<Vec<StoredGroup>>,
+    #[n(9)]
+    former_members: Option<BTreeSet<DiskId>>,
+}
+
+impl StoredGroup {
+    fn of(state: &GroupState) -> StoredGroup {
+        StoredGroup {
+            group: state.group.as_ref().clone(),
+            complete: state.complete.clone(),
+            active_epoch: state.active_epoch,
+            former_members: former_members_of(state),
+        }
+    }
+
+    fn into_state(self) -> GroupState {
+        GroupState {
+            group: Arc::new(self.group),
+            complete: self.complete,
+            active_epoch: self.active_epoch,
+            former_members: self.former_members.unwrap_or_default(),
+        }
+    }
+}
+
+/// `None` if there are none, so that nothing is written.
+fn former_members_of(state: &GroupState) -> Option<BTreeSet<DiskId>> {
+    (!state.former_members.is_empty()).then(|| state.former_members.clone())
 }
 
 impl ControlState {
     /// The bytes of the whole state.
     pub fn to_snapshot(&self) -> Vec<u8> {
+        let (first, further) = match self.groups.split_first() {
+            Some((first, further)) => (Some(first), further),
+            None => (None, Default::default()),
+        };
         encode(&StoredState {
             version: self.version,
             document: self.document.as_ref().map(|document| ByteVec::from(document.text().to_vec())),
             taken: self.taken.clone(),
             evacuated: self.evacuated.clone(),
             stores: self.stores.clone(),
-            group: self.group.as_deref().cloned(),
-            complete: self.complete.clone(),
-            active_epoch: self.active_epoch,
+            group: first.map(|state| state.group.as_ref().clone()),
+            complete: first.map(|state| state.complete.clone()).unwrap_or_default(),
+            active_epoch: first.map_or(0, |state| state.active_epoch),
+            former_members: first.and_then(former_members_of),
+            further_groups: (!further.is_empty()).then(|| further.iter().map(StoredGroup::of).collect()),
         })
     }
 
     /// Reads the whole state from its bytes.
     pub fn from_snapshot(bytes: &[u8]) -> Result<ControlState, CodecError> {
         let stored: StoredState = decode(bytes)?;
+        let (complete, active_epoch) = (stored.complete, stored.active_epoch);
+        let former_members = stored.former_members;
+        let first = stored.group.map(|group| StoredGroup { group, complete, active_epoch, former_members });
+        let groups = first.into_iter().chain(stored.further_groups.unwrap_or_default());
         Ok(ControlState {
             version: stored.version,
             document: stored.document.and_then(|text| ConfigDocument::read(text.into())),
             taken: stored.taken,
             evacuated: stored.evacuated,
             stores: stored.stores,
-            group: stored.group.map(Arc::new),
-            complete: stored.complete,
-            active_epoch: stored.active_epoch,
+            groups: groups.map(StoredGroup::into_state).collect(),
         })
     }
 }
--- a/alderhollow/src/control_state/store_report.rs
+++ b/alderhollow/src/control_state/store_report.rs
@@ -2,12 +2,27 @@
 
 use super::codec::{decode, encode, CodecError};
 use alderhollow_model::identity::DiskId;
+use alderhollow_model::snapshot::GroupId;
 use minicbor::{Decode, Encode};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
-/// What the group's policy rests on, beside the time of the poll.
+/// What the policy of the groups rests on, beside the time of the poll.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
 pub struct StoreReport {
+    /// Its part in each group that it belongs to.
+    #[n(0)]
+    pub groups: BTreeMap<GroupId, GroupReport>,
+    /// The process is about to end.
+    #[n(1)]
+    pub leaving: bool,
+    /// The disk takes no writes, or has let one wait for long.
+    #[n(2)]
+    pub disk_failing: bool,
+}
+
+/// A store's part in one group.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
+pub struct GroupReport {
     /// Epoch of the group that it acts under; 0: none.
     #[n(0)]
     pub epoch: u64,
@@ -18,17 +33,11 @@
     /// everything that was acknowledged; a learner has what was there at that time, and gets what is new.
     #[n(2)]
     pub synced: bool,
-    /// The process is about to end.
-    #[n(3)]
-    pub leaving: bool,
-    /// The disk takes no writes, or has let one wait for long.
-    #[n(4)]
-    pub disk_failing: bool,
     /// As the group's primary: members that have let something wait for long.
-    #[n(5)]
+    #[n(3)]
     pub silent: BTreeSet<DiskId>,
     /// As the group's primary: a member that may hold acknowledged jobs which this store lacks.
-    #[n(6)]
+    #[n(4)]
     pub behind: Option<DiskId>,
 }
 
--- a/alderhollow/src/control_state/view.rs
+++ b/alderhollow/src/control_state/view.rs
@@ -19,7 +19,7 @@
     #[n(2)]
     evacuated: BTreeSet<String>,
     #[n(3)]
-    group: Option<BatchGroup>,
+    groups: Vec<BatchGroup>,
 }
 
 /// Why a view can't be read.
@@ -46,7 +46,7 @@
         version: view.version,
         config,
         evacuated: view.evacuated.clone(),
-        group: view.group.as_deref().cloned(),
+        groups: view.groups.iter().map(|group| group.as_ref().clone()).collect(),
     })
 }
 
@@ -61,6 +61,6 @@
         version: sent.version,
         config: config.map(Arc::new),
         evacuated: sent.evacuated,
-        group: sent.group.map(Arc::new),
+        groups: sent.groups.into_iter().map(Arc::new).collect(),
     })
 }
--- a/alderhollow/src/distribution/server.rs
+++ b/alderhollow/src/distribution/server.rs
@@ -113,7 +113,7 @@
         let mut expected = self.directory.seeds();
         expected.extend(self.core_view().internal_addresses());
         let control = self.snapshots.borrow().control.clone();
-        let stores = control.group.iter().flat_map(|group| group.members.iter().chain(&group.learners));
+        let stores = control.groups.iter().flat_map(|group| group.members.iter().chain(&group.learners));
         expected.extend(stores.map(|store| store.node.internal.0));
         expected.retain(|address| *address != self.node.internal.0);
         self.pollers.borrow_mut().silent(expected, self.clock.now_ms())
--- a/alderhollow/src/status/server.rs
+++ b/alderhollow/src/status/server.rs
@@ -56,8 +56,8 @@
             backends_stamp: Stamp { epoch, sequence },
             backends: snapshot.backends.backends.len() as u64,
             senders: snapshot.senders.nodes.len() as u64,
-            group_epoch: control.group.as_ref().map_or(0, |group| group.epoch),
-            group_primary: control.group.as_ref().map(|group| group.primary),
+            group_epoch: control.groups.first().map_or(0, |group| group.epoch),
+            group_primary: control.groups.first().map(|group| group.primary),
         }
     }
 
--- a/alderhollow/src/store/node.rs
+++ b/alderhollow/src/store/node.rs
@@ -7,7 +7,7 @@
 use super::waiting::Waiting;
 use crate::batch_protocol::ReplicationNotice;
 use crate::clock::SteadyClock;
-use crate::control_state::store_report::StoreReport;
+use crate::control_state::store_report::{GroupReport, StoreReport};
 use crate::distribution::client::PollState;
 use crate::internal::server::HandlerFuture;
 use crate::internal::{Handler, Network, Refusal, ServiceId};
@@ -17,7 +17,7 @@
 use alderhollow_batch::message::Message;
 use alderhollow_model::config::{Config, Route, RouteType};
 use alderhollow_model::identity::DiskId;
-use alderhollow_model::snapshot::{BatchGroup, Snapshot};
+use alderhollow_model::snapshot::{BatchGroup, GroupId, Snapshot};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -129,7 +129,7 @@
     pub fn is_primary(&self) -> bool {
         let snapshots = self.snapshots.borrow();
         let snapshot = snapshots.borrow();
-        snapshot.control.group.as_ref().is_some_and(|group| group.primary == self.disk)
+        snapshot.control.groups.first().is_some_and(|group| group.primary == self.disk)
     }
 
     /// Drives the engine's time until the future is dropped.
@@ -203,7 +203,7 @@
         if let Some(config) = &snapshot.control.config {
             engine.set_routes(now_ms, config.config_version, batch_routes(config));
         }
-        if let Some(group) = &snapshot.control.group {
+        if let Some(group) = snapshot.control.groups.first() {
             self.note_addresses(group);
             engine.set_group(now_ms, group.clone());
             if self.group_epoch.replace(group.epoch) != group.epoch {
@@ -307,15 +307,14 @@
 
 /// What the core's primary is told. It learns from the poll itself whether the process is about to end.
 fn report(status: GroupStatus, disk_failing: bool) -> StoreReport {
-    StoreReport {
+    let group = GroupReport {
         epoch: status.epoch,
         active: status.primary && status.active,
         synced: status.synced,
-        leaving: false,
-        disk_failing,
         silent: status.silent.into_iter().collect(),
         behind: status.behind,
-    }
+    };
+    StoreReport { groups: [(GroupId::default(), group)].into(), leaving: false, disk_failing }
 }
 
 /// The batch routes of a configuration, as the engine takes them.
--- a/alderhollow/tests/group_policy.rs
+++ b/alderhollow/tests/group_policy.rs
@@ -7,11 +7,12 @@
     gone_stores, next_request, GroupView, StoreView, DEAD_AFTER_MS, FOUNDING_PATIENCE_MS, FOUNDING_WAIT_MS,
     GONE_AFTER_MS,
 };
+use alderhollow::control_state::groups::GroupState;
 use alderhollow::control_state::request::{Order, Request};
-use alderhollow::control_state::store_report::StoreReport;
+use alderhollow::control_state::store_report::{GroupReport, StoreReport};
 use alderhollow::control_state::ControlState;
 use alderhollow_model::identity::{DiskId, NodeInfo};
-use alderhollow_model::snapshot::BatchGroup;
+use alderhollow_model::snapshot::{BatchGroup, GroupId};
 use control::{command_of, context, store, submit, Ended};
 
 /// A store that was heard a moment ago and holds nothing yet.
@@ -34,7 +35,7 @@
         let command = command_of(state, &request).expect("what the policy asks for is taken");
         assert!(state.apply_command(command));
     }
-    panic!("the policy does not come to rest: {:?}", state.group());
+    panic!("the policy does not come to rest: {:?}", state.groups());
 }
 
 fn silence(view: &mut GroupView, disk: u64) {
@@ -47,17 +48,16 @@
 
 /// Lets every store report what one reports that works well.
 fn report(state: &ControlState, view: &mut GroupView) {
-    let Some(group) = state.group() else {
+    if state.groups().is_empty() {
         return;
-    };
+    }
+    let group = group(state);
     for store in &mut view.stores {
         let disk = store.node.disk.expect("a store has a disk");
-        store.report = StoreReport {
-            epoch: group.epoch,
-            active: group.primary == disk,
-            synced: group.learners.iter().any(|learner| learner.disk == disk),
-            ..store.report.clone()
-        };
+        let report = part(store);
+        report.epoch = group.epoch;
+        report.active = group.primary == disk;
+        report.synced = group.learners.iter().any(|learner| learner.disk == disk);
     }
 }
 
@@ -75,8 +75,17 @@
     state
 }
 
+fn first_group(state: &ControlState) -> &GroupState {
+    state.group(GroupId(0)).expect("a group")
+}
+
 fn group(state: &ControlState) -> &BatchGroup {
-    state.group().expect("a group")
+    &first_group(state).group
+}
+
+/// What a store reports of its part in the first group.
+fn part(store: &mut StoreView) -> &mut GroupReport {
+    store.report.groups.entry(GroupId(0)).or_default()
 }
 
 fn members(state: &ControlState) -> Vec<u64> {
@@ -95,7 +104,7 @@
     let mut state = ControlState::default();
     view.primary_for_ms = FOUNDING_WAIT_MS - 1;
     settle(&mut state, &view);
-    assert!(state.group().is_none());
+    assert!(state.groups().is_empty());
     view.primary_for_ms = FOUNDING_WAIT_MS;
     settle(&mut state, &view);
     assert_eq!(members(&state), [1, 3, 4]);
@@ -108,7 +117,7 @@
     let mut state = ControlState::default();
     view.primary_for_ms = FOUNDING_WAIT_MS + FOUNDING_PATIENCE_MS - 1;
     settle(&mut state, &view);
-    assert!(state.group().is_none());
+    assert!(state.groups().is_empty());
     view.primary_for_ms += 1;
     settle(&mut state, &view);
     assert_eq!(members(&state), [1]);
@@ -178,7 +187,7 @@
     report(state, view);
     for store in &mut view.stores {
         if store.node.disk == Some(group(state).primary) {
-            store.report.silent = silent.iter().copied().map(DiskId).collect();
+            part(store).silent = silent.iter().copied().map(DiskId).collect();
         }
     }
 }
@@ -194,13 +203,13 @@
     });
     settle(&mut state, &view);
     report(&state, &mut view);
-    view.stores.iter_mut().for_each(|store| store.report.active = false);
+    view.stores.iter_mut().for_each(|store| part(store).active = false);
     silence(&mut view, 2);
     settle(&mut state, &view);
     assert_eq!(members(&state), [1, 2, 3], "three is promoted and does not hold everything yet");
     for store in &mut view.stores {
-        store.report.epoch = group(&state).epoch;
-        store.report.synced = store.node.disk == Some(DiskId(3));
+        part(store).epoch = group(&state).epoch;
+        part(store).synced = store.node.disk == Some(DiskId(3));
     }
     settle(&mut state, &view);
     assert_eq!(members(&state), [1, 3]);
@@ -264,7 +273,7 @@
     let ahead = members(&state).into_iter().rfind(|disk| *disk != primary.0).expect("a member");
     for store in &mut view.stores {
         if store.node.disk == Some(primary) {
-            store.report.behind = Some(DiskId(ahead));
+            part(store).behind = Some(DiskId(ahead));
         }
     }
     settle(&mut state, &view);
@@ -295,7 +304,7 @@
     settle(&mut state, &view);
     report(&state, &mut view);
     for store in &mut view.stores {
-        store.report.active = false;
+        part(store).active = false;
     }
     settle(&mut state, &view);
     assert_eq!(members(&state), [0, 1, 2], "promoted, but its epoch is not active yet");
@@ -312,16 +321,16 @@
     settle(&mut state, &view);
     let primary = group(&state).primary.0;
     report(&state, &mut view);
-    view.stores.iter_mut().for_each(|store| store.report.active = false);
+    view.stores.iter_mut().for_each(|store| part(store).active = false);
     settle(&mut state, &view);
     assert_eq!(members(&state), [1, 2, 3]);
-    assert!(!state.complete_members().contains(&DiskId(3)));
+    assert!(!first_group(&state).complete.contains(&DiskId(3)));
     for store in &mut view.stores {
-        store.report.epoch = group(&state).epoch;
-        store.report.synced = store.node.disk == Some(DiskId(3));
+        part(store).epoch = group(&state).epoch;
+        part(store).synced = store.node.disk == Some(DiskId(3));
     }
     settle(&mut state, &view);
-    assert!(!state.group_is_active() && state.complete_members().contains(&DiskId(3)));
+    assert!(!first_group(&state).is_active() && first_group(&state).complete.contains(&DiskId(3)));
     silence(&mut view, 1);
     silence(&mut view, 2);
     settle(&mut state, &view);
@@ -410,7 +419,7 @@
     work(&mut state, &mut view);
     assert_eq!(next_request(&state, &view), None::<Request>);
     assert_eq!(group(&state).epoch, 1);
-    assert!(state.group_is_active());
+    assert!(first_group(&state).is_active());
 }
 
 /// Runs seeds of the simulation and names the one that fails.
--- a/alderhollow/tests/group_simulation/mod.rs
+++ b/alderhollow/tests/group_simulation/mod.rs
@@ -4,11 +4,11 @@
 use super::control::{command_of, context, store, submit};
 use alderhollow::control_state::group_policy::{next_request, GroupView, StoreView};
 use alderhollow::control_state::request::Order;
-use alderhollow::control_state::store_report::StoreReport;
+use alderhollow::control_state::store_report::{GroupReport, StoreReport};
 use alderhollow::control_state::stores::RetirementState;
 use alderhollow::control_state::ControlState;
 use alderhollow_model::identity::DiskId;
-use alderhollow_model::snapshot::BatchGroup;
+use alderhollow_model::snapshot::{BatchGroup, GroupId};
 use oorandom::Rand32;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -73,14 +73,17 @@
 
     fn report(&self, now: u64) -> StoreReport {
         let silent = self.unreached_since.iter().filter(|(_, since)| now >= **since + SILENT_MS);
-        StoreReport {
+        let part = GroupReport {
             epoch: self.epoch(),
             active: self.active,
             synced: self.synced,
-            leaving: now < self.leaving_until,
-            disk_failing: now < self.disk_fails_until,
             silent: silent.map(|(disk, _)| *disk).collect(),
             behind: None,
+        };
+        StoreReport {
+            groups: [(GroupId(0), part)].into(),
+            leaving: now < self.leaving_until,
+            disk_failing: now < self.disk_fails_until,
         }
     }
 
@@ -224,7 +227,7 @@
     /// off, or lets its disk fail. With a lost disk, all others may lose power in the same moment.
     fn lose_one(&mut self) {
         let any = self.random.rand_range(0..self.machines.len() as u32) as usize;
-        let primary = self.state.group().and_then(|group| self.index_of(group.primary));
+        let primary = self.group().and_then(|group| self.index_of(group.primary));
         let at = primary.filter(|_| self.chance(3)).unwrap_or(any);
         let down_for = u64::from(self.random.rand_range(3..60)) * TICK_MS;
         let kind = self.random.rand_range(0..6);
@@ -323,7 +326,7 @@
             if says_goodbye {
                 continue;
             }
-            let newest = self.state.group();
+            let newest = self.state.group(GroupId(0)).map(|state| &state.group);
             if newest.is_some_and(|group| group.epoch > machine.epoch()) {
                 machine.group = newest.cloned();
                 machine.forget_part();
@@ -348,14 +351,22 @@
         let Some(command) = command_of(&self.state, &request) else {
             return Err(format!("the policy asks for what is not taken: {request:?}"));
         };
-        let was_active = self.state.group_is_active();
+        let was_active = self.state.groups_are_active();
         self.state.apply_command(command);
-        if self.state.group_is_active() && !was_active {
+        if self.state.groups_are_active() && !was_active {
             self.disks_lost = 0;
         }
         Ok(())
     }
 
+    fn group(&self) -> Option<&Arc<BatchGroup>> {
+        self.state.group(GroupId(0)).map(|state| &state.group)
+    }
+
+    fn complete_members(&self) -> impl Iterator<Item = &DiskId> {
+        self.state.group(GroupId(0)).into_iter().flat_map(|state| &state.complete)
+    }
+
     fn index_of(&self, disk: DiskId) -> Option<usize> {
         self.machines.iter().position(|machine| machine.disk == disk)
     }
@@ -444,14 +455,14 @@
     }
 
     fn check(&self) -> Result<(), String> {
-        let Some(group) = self.state.group() else {
+        let Some(group) = self.group() else {
             return Ok(());
         };
         let at = self.now;
         if group.members.len() <= self.tolerate {
             return Err(format!("at {at}: too few members: {group:?}"));
         }
-        for disk in self.state.complete_members() {
+        for disk in self.complete_members() {
             if self.index_of(*disk).is_some() && !self.holds_everything(*disk) {
                 return Err(format!("at {at}: {disk} counts as complete and is not: {group:?}"));
             }
@@ -463,8 +474,8 @@
     }
 
     fn check_rest(&self) -> Result<(), String> {
-        let group = self.state.group().ok_or("no group")?;
-        if !self.state.group_is_active() {
+        let group = self.group().ok_or("no group")?;
+        if !self.state.groups_are_active() {
             return Err(format!("the group is not active: {group:?}"));
         }
         let lasting =
--- a/alderhollow/tests/support/batch_tables.rs
+++ b/alderhollow/tests/support/batch_tables.rs
@@ -46,7 +46,7 @@
     let control = ControlView {
         version: sequence,
         config: Some(Arc::new(config)),
-        group: group.map(Arc::new),
+        groups: group.map(Arc::new).into_iter().collect(),
         ..ControlView::default()
     };
     Arc::new(Snapshot {
--- a/model/src/snapshot.rs
+++ b/model/src/snapshot.rs
@@ -6,7 +6,9 @@
 use crate::identity::{DiskId, NodeInfo};
 use minicbor::{Decode, Encode};
 use std::collections::BTreeSet;
+use std::fmt;
 use std::sync::Arc;
+use twox_hash::XxHash3_64;
 
 /// A store that belongs to the group.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
@@ -19,7 +21,36 @@
     pub node: NodeInfo,
 }
 
-/// The stores that keep the batch jobs, decided by the control plane. A greater epoch replaces all lower ones.
+/// Number of a batch group. Groups are numbered from 0 without gaps, and their count never changes once they are made.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+#[cbor(transparent)]
+pub struct GroupId(#[n(0)] pub u32);
+
+impl GroupId {
+    /// The group that keeps what is stored under a key, of so many groups; the first one if there are none.
+    pub fn of_key(key: &str, group_count: usize) -> GroupId {
+        let hash = XxHash3_64::oneshot(key.as_bytes());
+        GroupId(hash.checked_rem(group_count as u64).unwrap_or(0) as u32)
+    }
+
+    /// Its place in the list of groups.
+    pub fn index(self) -> usize {
+        self.0 as usize
+    }
+
+    /// The group at a place in the list of groups.
+    pub fn at(index: usize) -> GroupId {
+        GroupId(index as u32)
+    }
+}
+
+impl fmt::Display for GroupId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// The stores that keep a part of the batch jobs, decided by the control plane. A greater epoch replaces all lower ones.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub struct BatchGroup {
     /// Its number; a store refuses replication under a lower one.
@@ -52,8 +83,26 @@
     pub config: Option<Arc<Config>>,
     /// Zones whose backends get nothing.
     pub evacuated: BTreeSet<String>,
-    /// Where batch jobs lie.
-    pub group: Option<Arc<BatchGroup>>,
+    /// Where batch jobs lie: each job in the group that [`ControlView::group_of_job`] names. Empty until the groups are made.
+    pub groups: Vec<Arc<BatchGroup>>,
+}
+
+impl ControlView {
+    /// A group by its number.
+    pub fn group(&self, id: GroupId) -> Option<&Arc<BatchGroup>> {
+        self.groups.get(id.index())
+    }
+
+    /// The group that keeps a job.
+    pub fn group_of_job(&self, job_id: &str) -> Option<(GroupId, &Arc<BatchGroup>)> {
+        let id = GroupId::of_key(job_id, self.groups.len());
+        Some((id, self.group(id)?))
+    }
+
+    /// All groups with their numbers.
+    pub fn numbered_groups(&self) -> impl Iterator<Item = (GroupId, &Arc<BatchGroup>)> {
+        self.groups.iter().enumerate().map(|(index, group)| (GroupId::at(index), group))
+    }
 }
 
 /// The processes that may send requests to backends, as the primary counts them, itself included. What all of them
