Count late answers to a comparison, and take no job while members are seconds behind

A comparison without an answer in time began anew under another attempt, so that over a full link every answer came to an attempt that was over: epoch 2 took 29 s to become active. And up to 16 MB of jobs, seconds of the link, could wait. Ruled out: keeping the digests of the first send (the range is computed anew; all records since the attempt's start follow anyway). Change: a retry repeats the present range within the same attempt; no job is taken while a record has waited 2 s for the members' disks.

--- a/batch/src/engine/calls.rs
+++ b/batch/src/engine/calls.rs
@@ -1,6 +1,6 @@
 //! What clients ask for.
 
-use super::commits::{Change, Commit, JobView};
+use super::commits::{Change, JobView};
 use super::Engine;
 use crate::api::{BodyAnswer, EndAnswer, ListedResult, Output, ReadAnswer, Submitted, TryId};
 use crate::job::{Job, JobId, NewJob};
@@ -13,6 +13,9 @@
 pub const LONGEST_ID: usize = 256;
 /// Jobs that may wait for the members' disks at once, in bytes; further ones are not taken.
 const PENDING_BYTES: usize = 16 << 20;
+/// No job is taken while a record has waited for the members' disks for so long: where more comes than the members' links
+/// bear, what is taken stays within what its clients wait for. It is longer than a silent member is waited for.
+const MOST_COMMIT_WAIT_MS: u64 = 2_000;
 /// How long a refused try is remembered: longer than any copy of it can be late.
 const REFUSED_MEMORY_MS: u64 = 60_000;
 /// Most refused tries that are remembered.
@@ -38,7 +41,8 @@
         if !is_valid(&job) {
             return Submitted::Invalid;
         }
-        let may_accept = self.disk_ready && self.pending_bytes < PENDING_BYTES;
+        let keeps_up = self.pending_bytes < PENDING_BYTES && self.commit_wait_ms() < MOST_COMMIT_WAIT_MS;
+        let may_accept = self.disk_ready && keeps_up;
         if !self.is_sure(now_ms) || !may_accept || self.refused.len() >= REFUSED_TRIES {
             return Submitted::NotSure;
         }
@@ -64,8 +68,7 @@
         let token = self.new_token();
         self.views.insert(id.clone(), JobView { accept_token: Some(token), ..JobView::default() });
         self.pending_bytes += bytes;
-        self.commits.push_back(Commit { index, job: id, change: Change::Accepted { bytes } });
-        self.take_commits();
+        self.await_commit(index, id, Change::Accepted { bytes });
         Submitted::Pending(token)
     }
 
@@ -127,8 +130,7 @@
         if let Some(view) = self.views.get_mut(job) {
             view.end_token = Some(token);
         }
-        self.commits.push_back(Commit { index, job: job.clone(), change: Change::Ended });
-        self.take_commits();
+        self.await_commit(index, job.clone(), Change::Ended);
         EndAnswer::Pending(token)
     }
 
--- a/batch/src/engine/commits.rs
+++ b/batch/src/engine/commits.rs
@@ -13,6 +13,8 @@
     pub job: JobId,
     /// What it says.
     pub change: Change,
+    /// When it was appended.
+    pub appended_ms: u64,
 }
 
 /// What a record says.
@@ -85,6 +87,17 @@
         self.pending_bytes = 0;
     }
 
+    /// Appends a record to the ones that wait for the members' disks.
+    pub(super) fn await_commit(&mut self, index: u64, job: JobId, change: Change) {
+        self.commits.push_back(Commit { index, job, change, appended_ms: self.now_ms });
+        self.take_commits();
+    }
+
+    /// How long the oldest record has waited for the members' disks.
+    pub(super) fn commit_wait_ms(&self) -> u64 {
+        self.commits.front().map_or(0, |commit| self.now_ms.saturating_sub(commit.appended_ms))
+    }
+
     /// Acts on the records that have become committed.
     pub(super) fn take_commits(&mut self) {
         if !self.node.is_leader() {
--- a/batch/src/engine/runs.rs
+++ b/batch/src/engine/runs.rs
@@ -1,6 +1,6 @@
 //! Runs of items, and what ends an item without one.
 
-use super::commits::{Change, Commit};
+use super::commits::Change;
 use super::Engine;
 use crate::api::{ItemStart, Output, Resume, RunEnd, RunId};
 use crate::job::{ItemResult, JobId, ResultState};
@@ -126,9 +126,7 @@
         let positions = position + results.len() as u32;
         let entry = Entry::ItemResults { job: id.clone(), position, results };
         if let Some(index) = self.node.append(self.now_ms, entry) {
-            let change = Change::Results { positions };
-            self.commits.push_back(Commit { index, job: id.clone(), change });
-            self.take_commits();
+            self.await_commit(index, id.clone(), Change::Results { positions });
         }
     }
 
--- a/batch/src/group/peer.rs
+++ b/batch/src/group/peer.rs
@@ -33,8 +33,10 @@
 /// Where the stream is.
 #[derive(Debug)]
 enum Phase {
-    /// Digests up to this id were sent.
-    Comparing { until: Option<JobId> },
+    /// The digests of the range between these ids were sent.
+    Comparing { after: Option<JobId>, until: Option<JobId> },
+    /// The stream was given up: the store is compared anew when the retry is due.
+    Postponed,
     /// The store gets entries: the steps, [`Entry::Synced`], then the records after `start`.
     Streaming,
 }
@@ -84,7 +86,7 @@
         Peer {
             is_member,
             stream: StreamId { epoch, session, attempt: 0 },
-            phase: Phase::Comparing { until: None },
+            phase: Phase::Comparing { after: None, until: None },
             steps: Vec::new(),
             start: 0,
             next: 1,
@@ -128,7 +130,7 @@
             bytes += id.0.len() + DIGEST_BYTES;
             digests.push(JobDigest { job: id.clone(), digest: job.digest(), age_ms: job.age_ms(now_ms) });
         }
-        self.phase = Phase::Comparing { until: until.clone() };
+        self.phase = Phase::Comparing { after: after.clone(), until: until.clone() };
         self.retry_at_ms = Some(now_ms + self.retry_ms);
         Message::Compare { stream: self.stream, after, until, digests }
     }
@@ -136,7 +138,7 @@
     /// The store told what differs in the range; the digests of the next range, if there is one.
     pub fn differs(&mut self, now_ms: u64, difference: Difference, state: &State) -> Option<Message> {
         match &self.phase {
-            Phase::Comparing { until } if *until == difference.until => {}
+            Phase::Comparing { until, .. } if *until == difference.until => {}
             _ => return None,
         }
         self.steps.extend(difference.wanted.into_iter().map(SyncStep::Send));
@@ -242,24 +244,29 @@
         self.retry_at_ms
     }
 
-    /// Sends again what had no answer in time. A comparison begins anew, as its digests have aged.
+    /// Sends again what had no answer in time. Of a comparison it is the present range, within the same attempt: where a full
+    /// link delays each answer beyond the retry, an answer to what was sent before still counts. Its digests are those of now;
+    /// all records since the attempt began follow in any case.
     pub fn retry(&mut self, now_ms: u64, state: &State, log: &RecordLog) -> Option<Message> {
         if self.retry_at_ms.is_none_or(|at_ms| now_ms < at_ms) {
             return None;
         }
         self.retry_ms = (self.retry_ms * 2).min(LONGEST_RETRY_MS);
         self.retry_at_ms = None;
-        if matches!(self.phase, Phase::Comparing { .. }) {
-            return Some(self.begin(now_ms, state, log));
+        match &self.phase {
+            Phase::Comparing { after, .. } => Some(self.compare(now_ms, state, after.clone())),
+            Phase::Postponed => Some(self.begin(now_ms, state, log)),
+            Phase::Streaming => {
+                self.next = self.acknowledged;
+                self.clear_in_flight();
+                None
+            }
         }
-        self.next = self.acknowledged;
-        self.clear_in_flight();
-        None
     }
 
     /// Gives the stream up: the store is compared anew when the retry is due, and until then no record is held for it.
     pub fn restart_later(&mut self, now_ms: u64) {
-        self.phase = Phase::Comparing { until: None };
+        self.phase = Phase::Postponed;
         self.start = u64::MAX;
         self.clear_in_flight();
         // An answer to what was said before must not be taken for one to the next attempt.
--- a/batch/tests/engine/acceptance.rs
+++ b/batch/tests/engine/acceptance.rs
@@ -141,6 +141,21 @@
     assert_eq!(cluster.submit(1, job("a", 1, 1)), Submitted::NotSure);
 }
 
+#[test]
+fn nothing_is_taken_while_the_members_are_far_behind() {
+    let mut cluster = Cluster::active(2);
+    cluster.stores.get_mut(&2).unwrap().holds_writes = true;
+    assert!(matches!(cluster.submit(1, job("a", 1, 1)), Submitted::Pending(_)));
+    cluster.pass(1_900, 1);
+    assert!(matches!(cluster.submit(1, job("b", 1, 1)), Submitted::Pending(_)));
+    cluster.pass(100, 1);
+    assert_eq!(cluster.submit(1, job("c", 1, 1)), Submitted::NotSure);
+    assert!(matches!(cluster.submit(1, job("a", 1, 1)), Submitted::Pending(_)), "what was taken goes on");
+    cluster.release_writes(2);
+    cluster.settle();
+    cluster.accept(1, job("c", 1, 1));
+}
+
 #[test]
 fn jobs_out_of_bounds_are_invalid() {
     let mut cluster = Cluster::active(1);
--- a/batch/tests/engine/replication.rs
+++ b/batch/tests/engine/replication.rs
@@ -197,6 +197,28 @@
     assert_eq!(cluster.submit(1, job("a", 1, 1)), Submitted::AlreadyAccepted);
 }
 
+#[test]
+fn an_answer_that_comes_later_than_the_retry_of_a_comparison_counts() {
+    let mut cluster = Cluster::active(2);
+    cluster.accept(1, job("a", 1, 1));
+    cluster.cut.insert(2);
+    cluster.sent.clear();
+    cluster.set_group(2, 1, &[1, 2], &[]);
+    cluster.pass(4_000, 1);
+    let compares = sent(&cluster, 1, 2);
+    assert!(compares.len() >= 3, "{compares:?}");
+    cluster.cut.remove(&2);
+    cluster.deliver(1, 2, compares[0].clone());
+    cluster.settle();
+    let now_ms = cluster.now_ms;
+    assert!(cluster.engine(1).status(now_ms).active, "the first comparison's answer is taken");
+    cluster.accept(1, job("b", 1, 1));
+    compares.into_iter().for_each(|compare| cluster.deliver(1, 2, compare));
+    cluster.settle();
+    cluster.accept(1, job("c", 1, 1));
+    assert_eq!(jobs_on_disk(&cluster, 1), jobs_on_disk(&cluster, 2));
+}
+
 #[test]
 fn large_states_go_in_bounded_messages() {
     let mut cluster = Cluster::active(1);
