Share one route's limit of waiting tokens among many groups: coordinator, accounts, and the engine's limit

Ruled out: fixed parts per group (refuse what fits); a lease per grant (needs clocks that agree on rates). Change: a report names the incarnation of the coordinator that it is addressed to, and a coordinator counts no primary that was replaced before it began: both are needed as an earlier coordinator may still answer. The meter moves here with its tests' expectations unchanged; the engine takes a limit in place of the terms' and remembers a refusal only on the coordinator's word.

--- a/alderhollow/src/batch_protocol.rs
+++ b/alderhollow/src/batch_protocol.rs
@@ -2,6 +2,7 @@
 
 use alderhollow_batch::job::{JobId, NewJob};
 use alderhollow_batch::message::Message;
+use alderhollow_batch::quota::QuotaReading;
 use alderhollow_model::identity::DiskId;
 use minicbor::{Decode, Encode};
 
@@ -77,6 +78,13 @@
     pub beyond: u64,
 }
 
+impl From<QuotaReading> for TenantReading {
+    fn from(reading: QuotaReading) -> TenantReading {
+        let QuotaReading { period, age_ms, length_ms, waiting, beyond } = reading;
+        TenantReading { period, age_ms, length_ms, waiting, beyond }
+    }
+}
+
 /// The answer to a [`StoreCall`].
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub enum StoreReply {
--- a/alderhollow/src/store/calls.rs
+++ b/alderhollow/src/store/calls.rs
@@ -75,7 +75,8 @@
 fn read_meter(node: &Rc<StoreNode>, route: &str, beyond: u64) -> Option<TenantReading> {
     let (waiting, epoch) =
         node.look(|engine, now_ms| (engine.waiting_tokens(route), engine.status(now_ms).epoch));
-    node.meter.borrow_mut().note(node.clock.now_ms(), epoch, route, waiting, beyond)
+    let reading = node.meter.borrow_mut().note(node.clock.now_ms(), epoch, route, waiting, beyond);
+    reading.map(TenantReading::from)
 }
 
 type End = Option<tokio::sync::oneshot::Receiver<Outcome>>;
--- a/alderhollow/src/store/mod.rs
+++ b/alderhollow/src/store/mod.rs
@@ -7,13 +7,11 @@
 //! | [`journal_queue`] | its writes, in order, and their ends; compaction; a disk that fails |
 //! | [`waiting`] | calls that wait for an end or a result |
 //! | [`calls`] | serves the doors' calls |
-//! | [`meter`] | readings of waiting tokens for the doors' coins |
 //! | [`runs`] | starts and cancels runs of items |
 //! | [`role`] | the process's main loop |
 
 pub mod calls;
 pub mod journal_queue;
-pub mod meter;
 pub mod node;
 pub mod role;
 pub mod runs;
--- a/alderhollow/src/store/node.rs
+++ b/alderhollow/src/store/node.rs
@@ -2,7 +2,6 @@
 //! [`StoreNode::with_engine`], which first takes in newer tables and then does what the engine asks for.
 
 use super::journal_queue::{JournalOwner, JournalQueue};
-use super::meter::Meter;
 use super::runs::Runs;
 use super::waiting::Waiting;
 use crate::batch_protocol::ReplicationNotice;
@@ -15,6 +14,7 @@
 use alderhollow_batch::api::{GroupStatus, Output, RouteTerms, WriteTicket};
 use alderhollow_batch::engine::Engine;
 use alderhollow_batch::message::Message;
+use alderhollow_batch::quota::Meter;
 use alderhollow_model::config::{Config, Route, RouteType};
 use alderhollow_model::identity::DiskId;
 use alderhollow_model::snapshot::{BatchGroup, Snapshot};
--- a/batch/src/engine.rs
+++ b/batch/src/engine.rs
@@ -10,7 +10,7 @@
 use crate::job::JobId;
 use crate::ledger::Ledger;
 use crate::message::Message;
-use crate::records::DecodeError;
+use crate::records::{DecodeError, SessionId};
 use crate::state::State;
 use crate::work::WorkQueue;
 use alderhollow_model::identity::DiskId;
@@ -34,6 +34,8 @@
     disk_ready: bool,
     config_version: u64,
     routes: BTreeMap<String, RouteTerms>,
+    /// Limits that stand in for those of the routes' terms, by route.
+    quota_limits: BTreeMap<String, u64>,
     ledger: Ledger,
     work: WorkQueue,
     /// What is committed of each job; kept only by an active primary.
@@ -67,6 +69,7 @@
             disk_ready: true,
             config_version: 0,
             routes: BTreeMap::new(),
+            quota_limits: BTreeMap::new(),
             ledger: Ledger::default(),
             work: WorkQueue::default(),
             views: HashMap::new(),
@@ -102,6 +105,15 @@
         self.next_sweep_ms = now_ms;
     }
 
+    /// Tokens that may wait on a route here, in place of its terms' limit, which holds for all groups together. `None`:
+    /// the terms' own limit again, as for a group that shares it with no other.
+    pub fn set_quota_limit(&mut self, route: &str, limit: Option<u64>) {
+        match limit {
+            Some(limit) => self.quota_limits.insert(route.to_owned(), limit),
+            None => self.quota_limits.remove(route),
+        };
+    }
+
     /// Jobs are kept so long after they were sent.
     pub fn set_status_ms(&mut self, status_ms: u64) {
         self.status_ms = status_ms;
@@ -160,6 +172,21 @@
         self.ledger.waiting(route)
     }
 
+    /// Whether so many more tokens would be taken on a route as far as its limit goes. `false` for an unknown route.
+    pub fn would_fit(&self, route: &str, tokens: u64) -> bool {
+        let Some(terms) = self.routes.get(route) else { return false };
+        match self.quota_limits.get(route) {
+            Some(limit) => self.ledger.waiting(route).saturating_add(tokens) <= *limit,
+            None => self.ledger.fits(route, tokens, terms.max_queued_tokens),
+        }
+    }
+
+    /// The session of this store as the primary, which is on disk before anything is accepted in it: it rises with each
+    /// start within an epoch. `None`: not the primary.
+    pub fn session(&self) -> Option<SessionId> {
+        self.node.is_leader().then(|| self.node.state().marks.session)
+    }
+
     /// Items that wait for a run, and that are running.
     pub fn load(&self) -> (usize, usize) {
         self.work.load()
--- a/batch/src/engine/calls.rs
+++ b/batch/src/engine/calls.rs
@@ -23,33 +23,57 @@
 impl Engine {
     /// A client hands in a job, at a try that the door has named.
     ///
-    /// The same job is told by its id alone.
+    /// The same job is told by its id alone. Under a limit of [`Engine::set_quota_limit`], a job that does not fit is
+    /// answered [`Submitted::NotSure`]: only the route's coordinator can tell whether it is over quota.
     pub fn submit(&mut self, now_ms: u64, try_id: TryId, mut job: NewJob) -> Submitted {
         self.now_ms = now_ms;
-        if !self.node.is_leader() {
-            return Submitted::NotPrimary;
+        if let Some(answer) = self.answer_before_quota(now_ms, &job) {
+            return answer;
         }
-        if let Some(view) = self.views.get(&job.id) {
-            return match view.accept_token {
-                None => Submitted::AlreadyAccepted,
-                Some(token) => Submitted::Pending(token),
-            };
+        if self.refused.contains_key(&try_id) {
+            return self.remember_refusal(try_id);
         }
-        if !is_valid(&job) {
-            return Submitted::Invalid;
+        if self.would_fit(&job.route, job.tokens()) {
+            job.config_version = self.config_version;
+            return self.accept(job);
         }
-        let may_accept = self.disk_ready && self.pending_bytes < PENDING_BYTES;
-        if !self.is_sure(now_ms) || !may_accept || self.refused.len() >= REFUSED_TRIES {
+        if self.quota_limits.contains_key(&job.route) {
             return Submitted::NotSure;
         }
-        let Some(terms) = self.routes.get(&job.route) else { return Submitted::NotSure };
-        let fits = self.ledger.fits(&job.route, job.tokens(), terms.max_queued_tokens);
-        if !fits || self.refused.contains_key(&try_id) {
-            self.refused.insert(try_id, now_ms + REFUSED_MEMORY_MS);
-            return Submitted::OverQuota;
+        self.remember_refusal(try_id)
+    }
+
+    /// The route's coordinator refused a job that a client handed in: it is answered as over quota and the try is
+    /// remembered, unless the job has become known in the meantime or this store is not sure any more.
+    pub fn refuse(&mut self, now_ms: u64, try_id: TryId, job: &NewJob) -> Submitted {
+        self.now_ms = now_ms;
+        match self.answer_before_quota(now_ms, job) {
+            Some(answer) => answer,
+            None => self.remember_refusal(try_id),
+        }
+    }
+
+    /// The answer to a job that does not depend on the tokens that wait, if there is one.
+    fn answer_before_quota(&self, now_ms: u64, job: &NewJob) -> Option<Submitted> {
+        if !self.node.is_leader() {
+            return Some(Submitted::NotPrimary);
+        }
+        if let Some(view) = self.views.get(&job.id) {
+            return Some(view.accept_token.map_or(Submitted::AlreadyAccepted, Submitted::Pending));
+        }
+        if !is_valid(job) {
+            return Some(Submitted::Invalid);
         }
-        job.config_version = self.config_version;
-        self.accept(job)
+        let may_accept = self.disk_ready && self.pending_bytes < PENDING_BYTES;
+        let may_answer = self.is_sure(now_ms) && may_accept && self.refused.len() < REFUSED_TRIES;
+        let may_decide = may_answer && self.routes.contains_key(&job.route);
+        (!may_decide).then_some(Submitted::NotSure)
+    }
+
+    /// A try was refused: no late copy of it is accepted.
+    fn remember_refusal(&mut self, try_id: TryId) -> Submitted {
+        self.refused.insert(try_id, self.now_ms + REFUSED_MEMORY_MS);
+        Submitted::OverQuota
     }
 
     /// Takes a job that fits.
--- a/batch/src/lib.rs
+++ b/batch/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod job;
 pub mod ledger;
 pub mod message;
+pub mod quota;
 pub mod records;
 pub mod state;
 pub mod work;
--- a/alderhollow/src/store/meter.rs
+++ b/batch/src/quota/meter.rs
@@ -1,7 +1,7 @@
-//! The meter of a tenant's waiting tokens, as the group's primary reads it for the doors' coins: one reading a period. A
+//! The meter of a tenant's waiting tokens, as its coordinator reads it for the doors' coins: one reading a period. A
 //! tenant is a batch route.
 
-use crate::batch_protocol::TenantReading;
+use super::message::QuotaReading;
 use std::collections::BTreeMap;
 
 /// Shortest length of a period.
@@ -43,7 +43,7 @@
         route: &str,
         waiting: u64,
         beyond: u64,
-    ) -> Option<TenantReading> {
+    ) -> Option<QuotaReading> {
         if self.epoch != epoch {
             *self = Meter { epoch, tenants: BTreeMap::new() };
         }
@@ -55,7 +55,7 @@
         if now_ms.saturating_sub(tenant.began_ms) >= PERIOD_MS {
             tenant.end_period(now_ms, waiting);
         }
-        tenant.last.map(|reading| TenantReading {
+        tenant.last.map(|reading| QuotaReading {
             period: (epoch << PERIOD_BITS) | reading.period,
             age_ms: now_ms.saturating_sub(reading.ended_ms),
             length_ms: reading.ended_ms.saturating_sub(reading.began_ms),
@@ -79,6 +79,3 @@
         self.beyond = 0;
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/batch/tests/codec.rs
+++ b/batch/tests/codec.rs
@@ -2,6 +2,7 @@
 
 use alderhollow_batch::job::{Header, Item, ItemRequest, ItemResult, Job, JobId, NewJob, ResultState};
 use alderhollow_batch::message::{JobAge, JobDigest, Message, StreamId};
+use alderhollow_batch::quota::{CoordinatorId, Decision, QuotaGrant, QuotaReading, QuotaReport, ReportId};
 use alderhollow_batch::records::{decode_all, encode_next, DecodeError, Entry, SessionId};
 use alderhollow_batch::state::State;
 use proptest::collection::vec;
@@ -93,6 +94,51 @@
     ]
 }
 
+fn coordinator() -> impl Strategy<Value = CoordinatorId> {
+    (any::<u64>(), any::<u64>()).prop_map(|(epoch, session)| CoordinatorId { epoch, session })
+}
+
+fn report_id() -> impl Strategy<Value = ReportId> {
+    (any::<u64>(), any::<u64>(), any::<u64>()).prop_map(|(group_epoch, session, sequence)| ReportId {
+        group_epoch,
+        session,
+        sequence,
+    })
+}
+
+fn quota_report() -> impl Strategy<Value = QuotaReport> {
+    let tokens = (any::<u64>(), any::<u64>(), any::<u64>(), any::<u64>());
+    (coordinator(), ".{0,9}", any::<u32>(), report_id(), tokens).prop_map(
+        |(coordinator, route, group, id, (used, wanted, smallest, refused_total))| QuotaReport {
+            coordinator,
+            route,
+            group,
+            id,
+            used,
+            wanted,
+            smallest,
+            refused_total,
+        },
+    )
+}
+
+fn quota_grant() -> impl Strategy<Value = QuotaGrant> {
+    let decision = prop_oneof![
+        Just(Decision::Unsure),
+        (any::<u64>(), any::<u64>()).prop_map(|(limit, room)| Decision::Counted { limit, room }),
+    ];
+    let reading = vec(any::<u64>(), 5).prop_map(|numbers| QuotaReading {
+        period: numbers[0],
+        age_ms: numbers[1],
+        length_ms: numbers[2],
+        waiting: numbers[3],
+        beyond: numbers[4],
+    });
+    (coordinator(), report_id(), decision, proptest::option::of(reading)).prop_map(
+        |(coordinator, report, decision, reading)| QuotaGrant { coordinator, report, decision, reading },
+    )
+}
+
 /// An entry without what is not encoded.
 fn as_decoded(entry: Entry) -> Entry {
     Entry::from_bytes(&entry.to_bytes()).expect("what was encoded")
@@ -115,6 +161,26 @@
         prop_assert_eq!(Message::from_bytes(&bytes).unwrap().to_bytes(), bytes);
     }
 
+    #[test]
+    fn a_quota_report_and_a_grant_come_back(report in quota_report(), grant in quota_grant()) {
+        let bytes = minicbor::to_vec(&report).unwrap();
+        prop_assert_eq!(minicbor::decode::<QuotaReport>(&bytes).unwrap(), report);
+        let bytes = minicbor::to_vec(&grant).unwrap();
+        prop_assert_eq!(minicbor::decode::<QuotaGrant>(&bytes).unwrap(), grant);
+    }
+
+    #[test]
+    fn any_bytes_are_a_quota_message_or_an_error(bytes in vec(any::<u8>(), 0..200)) {
+        let _ = minicbor::decode::<QuotaReport>(&bytes);
+        let _ = minicbor::decode::<QuotaGrant>(&bytes);
+    }
+
+    #[test]
+    fn a_cut_quota_message_is_an_error(report in quota_report(), place in any::<prop::sample::Index>()) {
+        let bytes = minicbor::to_vec(&report).unwrap();
+        prop_assert!(minicbor::decode::<QuotaReport>(&bytes[..place.index(bytes.len())]).is_err());
+    }
+
     #[test]
     fn entries_of_a_snapshot_come_back(entries in vec(entry(), 1..6)) {
         let mut bytes = Vec::new();
--- a/batch/tests/engine/acceptance.rs
+++ b/batch/tests/engine/acceptance.rs
@@ -190,3 +190,58 @@
     assert_eq!(cluster.engine(2).end(now_ms, &JobId::from("a")), EndAnswer::AlreadyEnded);
     assert_eq!(cluster.engine(2).end(now_ms, &JobId::from("b")), EndAnswer::NotFound);
 }
+
+#[test]
+fn a_limit_of_its_own_stands_in_for_the_routes_and_refuses_nothing() {
+    let mut cluster = Cluster::active(2);
+    let now_ms = cluster.now_ms;
+    cluster.engine(1).set_quota_limit(ROUTE, Some(150));
+    assert!(cluster.engine(1).would_fit(ROUTE, 150) && !cluster.engine(1).would_fit(ROUTE, 151));
+    assert_eq!(cluster.engine(1).submit(now_ms, TryId(7), job("a", 1, 151)), Submitted::NotSure);
+    assert!(!cluster.engine(1).would_fit("other", 1));
+
+    cluster.engine(1).set_quota_limit(ROUTE, Some(0));
+    assert_eq!(cluster.submit(1, job("b", 1, 1)), Submitted::NotSure, "0 is a limit here");
+    cluster.engine(1).set_quota_limit(ROUTE, Some(u64::MAX));
+    cluster.accept(1, job("c", 1, 5_000));
+    cluster.engine(1).set_quota_limit(ROUTE, None);
+    assert!(!cluster.engine(1).would_fit(ROUTE, 1));
+    assert_eq!(cluster.submit(1, job("d", 1, 1)), Submitted::OverQuota, "the terms' own limit again");
+
+    cluster.engine(1).set_quota_limit(ROUTE, Some(u64::MAX));
+    let submitted = cluster.engine(1).submit(now_ms, TryId(7), job("a", 1, 151));
+    assert!(matches!(submitted, Submitted::Pending(_)), "the try was not refused before: {submitted:?}");
+}
+
+#[test]
+fn what_the_coordinator_refuses_is_remembered() {
+    let mut cluster = Cluster::active(2);
+    let now_ms = cluster.now_ms;
+    cluster.engine(1).set_quota_limit(ROUTE, Some(150));
+    assert_eq!(cluster.engine(1).refuse(now_ms, TryId(7), &job("a", 1, 200)), Submitted::OverQuota);
+    cluster.engine(1).set_quota_limit(ROUTE, Some(500));
+    assert_eq!(cluster.engine(1).submit(now_ms, TryId(7), job("a", 1, 200)), Submitted::OverQuota);
+    assert!(matches!(cluster.engine(1).submit(now_ms, TryId(8), job("a", 1, 200)), Submitted::Pending(_)));
+}
+
+#[test]
+fn a_refusal_that_comes_too_late_refuses_nothing() {
+    let mut cluster = Cluster::active(2);
+    cluster.accept(1, job("a", 1, 200));
+    let now_ms = cluster.now_ms;
+    assert_eq!(cluster.engine(1).refuse(now_ms, TryId(7), &job("a", 1, 200)), Submitted::AlreadyAccepted);
+    assert_eq!(cluster.engine(2).refuse(now_ms, TryId(7), &job("b", 1, 200)), Submitted::NotPrimary);
+    let later_ms = now_ms + 1_000;
+    assert_eq!(cluster.engine(1).refuse(later_ms, TryId(7), &job("b", 1, 200)), Submitted::NotSure);
+    assert!(matches!(cluster.engine(1).submit(now_ms, TryId(7), job("b", 1, 200)), Submitted::Pending(_)));
+}
+
+#[test]
+fn the_session_rises_with_each_start_within_an_epoch() {
+    let mut cluster = Cluster::active(2);
+    assert_eq!(cluster.engine(2).session(), None);
+    let before = cluster.engine(1).session().expect("a primary");
+    cluster.set_group(2, 1, &[1, 2], &[]);
+    let after = cluster.engine(1).session().expect("a primary");
+    assert!(after > before, "{after:?}");
+}
