Simulate the shared quota, and mend what that showed

Found by it: a sum of wanted tokens lets a group hold tokens that are too few for any of its jobs, so a report names each job's tokens; refusing at once refuses jobs that fit, since groups report at different moments, so a job that may fit is refused after 130 ms at least, and reports come every 100 ms while there is contention.

--- a/batch/src/quota/account.rs
+++ b/batch/src/quota/account.rs
@@ -6,12 +6,18 @@
 
 /// Between reports while something is granted and unused or has changed, or no coordinator is sure.
 pub const ACTIVE_PERIOD_MS: u64 = 250;
+/// The same, while there is contention: others wait for what is unused.
+pub const CONTENDED_PERIOD_MS: u64 = 100;
 /// Between reports while nothing changes.
 pub const IDLE_PERIOD_MS: u64 = 1_000;
 /// A report that has no answer for so long is given up.
 pub const ANSWER_PATIENCE_MS: u64 = 300;
 /// A submission waits for room so long at most. A door waits longer for its answer.
 pub const SUBMISSION_PATIENCE_MS: u64 = 600;
+/// A submission that may ever fit is refused after so long at least: by then the other groups have reported what ended there before.
+pub const REFUSAL_PAUSE_MS: u64 = 130;
+/// Most submissions that one report names.
+const MOST_WANTED: usize = 256;
 /// Shortest pause before room is asked for again.
 const SHORTEST_PAUSE_MS: u64 = 50;
 /// Pauses are longer than the shortest by less than this.
@@ -74,6 +80,7 @@
 struct Waiting {
     submission: SubmissionId,
     tokens: u64,
+    since_ms: u64,
     until_ms: u64,
     /// Whether a report has named it.
     is_asked: bool,
@@ -93,6 +100,8 @@
     reported_used: u64,
     /// Whether the newest report was answered by a coordinator that has counted all groups.
     is_counted: bool,
+    /// Whether the newest of those answers told of contention.
+    is_contended: bool,
     /// When to report for the sake of submissions, or of a new coordinator.
     ask_at_ms: Option<u64>,
     waiting: VecDeque<Waiting>,
@@ -116,6 +125,7 @@
             sent_ms: 0,
             reported_used: 0,
             is_counted: false,
+            is_contended: false,
             ask_at_ms: Some(0),
             waiting: VecDeque::new(),
             refused_total: 0,
@@ -165,7 +175,7 @@
     /// A submission waits for room.
     pub fn want(&mut self, now_ms: u64, submission: SubmissionId, tokens: u64) {
         let until_ms = now_ms.saturating_add(SUBMISSION_PATIENCE_MS);
-        self.waiting.push_back(Waiting { submission, tokens, until_ms, is_asked: false });
+        self.waiting.push_back(Waiting { submission, tokens, since_ms: now_ms, until_ms, is_asked: false });
         self.ask_now(now_ms);
     }
 
@@ -193,7 +203,7 @@
         self.is_counted = false;
         self.ask_at_ms = None;
         self.under_way = Some(UnderWay { id: self.newest, coordinator: self.coordinator });
-        self.waiting.iter_mut().for_each(|waiting| waiting.is_asked = true);
+        self.waiting.iter_mut().take(MOST_WANTED).for_each(|waiting| waiting.is_asked = true);
         Some(self.report(used))
     }
 
@@ -210,15 +220,16 @@
             self.adopt(now_ms, grant.coordinator);
             return Vec::new();
         }
-        let Decision::Counted { limit, room } = grant.decision else {
+        let Decision::Counted { limit, room, is_contended } = grant.decision else {
             self.pause(now_ms);
             return Vec::new();
         };
         self.limit = limit;
         self.is_counted = true;
+        self.is_contended = is_contended;
         let mut settled = self.settle_fitting(used);
         let taken = self.tokens_left_to(&settled, room);
-        settled.extend(self.settle_refused(taken));
+        settled.extend(self.settle_refused(now_ms, taken));
         self.pause(now_ms);
         settled.into_iter().map(|(settled, _)| settled).collect()
     }
@@ -264,22 +275,24 @@
     /// When the next report is due, unless one is under way.
     fn next_report_ms(&self, used: u64) -> u64 {
         let is_active = !self.is_counted || self.limit > used || self.reported_used != used;
-        let period_ms = if is_active { ACTIVE_PERIOD_MS } else { IDLE_PERIOD_MS };
+        let period_ms = match is_active {
+            true if self.is_contended => CONTENDED_PERIOD_MS,
+            true => ACTIVE_PERIOD_MS,
+            false => IDLE_PERIOD_MS,
+        };
         let periodic_ms = self.sent_ms.saturating_add(period_ms);
         self.ask_at_ms.map_or(periodic_ms, |ask_at_ms| ask_at_ms.min(periodic_ms))
     }
 
     /// The newest report.
     fn report(&self, used: u64) -> QuotaReport {
-        let tokens = || self.waiting.iter().map(|waiting| waiting.tokens);
         QuotaReport {
             coordinator: self.coordinator,
             route: self.route.clone(),
             group: self.group,
             id: self.newest,
             used,
-            wanted: tokens().fold(0, u64::saturating_add),
-            smallest: tokens().min().unwrap_or(0),
+            wanted: self.waiting.iter().take(MOST_WANTED).map(|waiting| waiting.tokens).collect(),
             refused_total: self.refused_total,
         }
     }
@@ -344,10 +357,12 @@
     }
 
     /// Takes the submissions out that the coordinator was asked about and that exceed the room.
-    fn settle_refused(&mut self, room: u64) -> Vec<(Settled, u64)> {
+    fn settle_refused(&mut self, now_ms: u64, room: u64) -> Vec<(Settled, u64)> {
         let mut settled = Vec::new();
         for waiting in std::mem::take(&mut self.waiting) {
-            if !waiting.is_asked || waiting.tokens <= room {
+            let is_young = now_ms < waiting.since_ms.saturating_add(REFUSAL_PAUSE_MS);
+            let may_yet_fit = is_young && waiting.tokens <= self.max;
+            if !waiting.is_asked || may_yet_fit || waiting.tokens <= room {
                 self.waiting.push_back(waiting);
                 continue;
             }
--- a/batch/src/quota/coordinator.rs
+++ b/batch/src/quota/coordinator.rs
@@ -122,11 +122,9 @@
             return Decision::Unsure;
         }
         let limits = Limits::of(max);
-        let granted = counts.grant(now_ms, limits, group_count, report);
-        if u128::from(granted) < u128::from(report.wanted) {
-            self.counters.short += 1;
-        }
-        let decision = counts.settle(report, granted, limits);
+        let granted = counts.grant(now_ms, limits, group_count, &report.wanted);
+        self.counters.short += u64::from(granted.is_short);
+        let decision = counts.settle(now_ms, report, to_tokens(granted.tokens), limits);
         self.counters.violations += u64::from(counts.is_exceeded_by(report, decision, limits));
         decision
     }
@@ -159,6 +157,27 @@
     }
 }
 
+/// What a report gets.
+#[derive(Debug, Clone, Copy)]
+struct Granted {
+    tokens: u128,
+    /// Whether that is less than it wanted.
+    is_short: bool,
+}
+
+/// The sum of those numbers that fit, each that still does in turn.
+fn sum_that_fits(left: u128, wanted: &[u64]) -> Granted {
+    let mut granted = Granted { tokens: 0, is_short: false };
+    for tokens in wanted.iter().map(|tokens| u128::from(*tokens)) {
+        if granted.tokens + tokens <= left {
+            granted.tokens += tokens;
+        } else {
+            granted.is_short = true;
+        }
+    }
+    granted
+}
+
 /// A route's limit as it is counted with.
 #[derive(Debug, Clone, Copy)]
 struct Limits {
@@ -188,29 +207,27 @@
     }
 
     /// Tokens to grant to a group whose report was just taken in.
-    fn grant(&mut self, now_ms: u64, limits: Limits, group_count: usize, report: &QuotaReport) -> u64 {
+    fn grant(&mut self, now_ms: u64, limits: Limits, group_count: usize, wanted: &[u64]) -> Granted {
         let left = limits.max.saturating_sub(self.counted_sum());
-        let wanted = u128::from(report.wanted);
-        if wanted > left {
+        let granted = sum_that_fits(left, wanted);
+        if granted.is_short {
             self.contended_until_ms = now_ms.saturating_add(CONTENTION_MS);
-            let is_useful = left >= u128::from(report.smallest);
-            return if is_useful { to_tokens(left) } else { 0 };
         }
-        let is_contended = now_ms < self.contended_until_ms;
-        if is_contended || !limits.is_limited {
-            return report.wanted;
+        if self.is_contended(now_ms) || !limits.is_limited {
+            return granted;
         }
-        let headroom = (left - wanted) / (HEADROOM_PARTS * group_count.max(1) as u128);
-        to_tokens(wanted + headroom)
+        let headroom = (left - granted.tokens) / (HEADROOM_PARTS * group_count.max(1) as u128);
+        Granted { tokens: granted.tokens + headroom, ..granted }
     }
 
     /// Notes what a group was granted, and answers it. If the groups use more than the limit, it may count less than it
     /// does, so that nothing takes the place of what ends.
-    fn settle(&mut self, report: &QuotaReport, granted: u64, limits: Limits) -> Decision {
+    fn settle(&mut self, now_ms: u64, report: &QuotaReport, granted: u64, limits: Limits) -> Decision {
         let counted = report.used.saturating_add(granted);
         let limit = counted.min(to_tokens(limits.max.saturating_sub(self.count_of_others(report.group))));
         let room = to_tokens(limits.max.saturating_sub(self.used_sum()));
-        let decision = Decision::Counted { limit, room };
+        let is_contended = self.is_contended(now_ms);
+        let decision = Decision::Counted { limit, room, is_contended };
         if let Some(count) = self.groups.get_mut(&report.group) {
             count.counted = counted;
             count.decision = decision;
@@ -229,6 +246,10 @@
         others.map(|(_, count)| u128::from(count.counted)).sum()
     }
 
+    fn is_contended(&self, now_ms: u64) -> bool {
+        now_ms < self.contended_until_ms
+    }
+
     fn used_sum(&self) -> u128 {
         self.groups.values().map(|count| u128::from(count.used)).sum()
     }
--- a/batch/src/quota/message.rs
+++ b/batch/src/quota/message.rs
@@ -45,14 +45,11 @@
     /// Tokens that the group counts.
     #[n(4)]
     pub used: u64,
-    /// Tokens of all submissions that wait for room.
+    /// Tokens of each submission that waits for room, in the order in which they are to get it.
     #[n(5)]
-    pub wanted: u64,
-    /// Tokens of the smallest of them: a grant of less is of no use.
-    #[n(6)]
-    pub smallest: u64,
+    pub wanted: Vec<u64>,
     /// Tokens of all submissions that were refused within this session so far.
-    #[n(7)]
+    #[n(6)]
     pub refused_total: u64,
 }
 
@@ -72,6 +69,9 @@
         /// to be asked for again, since others hold tokens that they don't use.
         #[n(1)]
         room: u64,
+        /// Whether some group did not get all it wanted of late: what changes is to be reported sooner.
+        #[n(2)]
+        is_contended: bool,
     },
 }
 
--- a/batch/tests/codec.rs
+++ b/batch/tests/codec.rs
@@ -107,16 +107,15 @@
 }
 
 fn quota_report() -> impl Strategy<Value = QuotaReport> {
-    let tokens = (any::<u64>(), any::<u64>(), any::<u64>(), any::<u64>());
+    let tokens = (any::<u64>(), vec(any::<u64>(), 0..4), any::<u64>());
     (coordinator(), ".{0,9}", any::<u32>(), report_id(), tokens).prop_map(
-        |(coordinator, route, group, id, (used, wanted, smallest, refused_total))| QuotaReport {
+        |(coordinator, route, group, id, (used, wanted, refused_total))| QuotaReport {
             coordinator,
             route,
             group,
             id,
             used,
             wanted,
-            smallest,
             refused_total,
         },
     )
@@ -125,7 +124,8 @@
 fn quota_grant() -> impl Strategy<Value = QuotaGrant> {
     let decision = prop_oneof![
         Just(Decision::Unsure),
-        (any::<u64>(), any::<u64>()).prop_map(|(limit, room)| Decision::Counted { limit, room }),
+        (any::<u64>(), any::<u64>(), any::<bool>())
+            .prop_map(|(limit, room, is_contended)| Decision::Counted { limit, room, is_contended }),
     ];
     let reading = vec(any::<u64>(), 5).prop_map(|numbers| QuotaReading {
         period: numbers[0],
--- /dev/null
+++ b/batch/tests/quota/account.rs
@@ -0,0 +1,241 @@
+//! What an account asks, takes and settles.
+
+use crate::coordinator::{ID, MAX};
+use alderhollow_batch::quota::account::SUBMISSION_PATIENCE_MS;
+use alderhollow_batch::quota::account::{
+    ACTIVE_PERIOD_MS, ANSWER_PATIENCE_MS, CONTENDED_PERIOD_MS, IDLE_PERIOD_MS, REFUSAL_PAUSE_MS,
+};
+use alderhollow_batch::quota::{
+    Account, CoordinatorId, Decision, QuotaGrant, QuotaOutcome, QuotaReport, Settled, SubmissionId,
+};
+
+const A: SubmissionId = SubmissionId(1);
+const B: SubmissionId = SubmissionId(2);
+const C: SubmissionId = SubmissionId(3);
+
+/// An account that knows its coordinator and has just been granted so much.
+fn account(limit: u64) -> Account {
+    let mut account = new_account();
+    let report = account.next_report(0, 0).expect("a first report");
+    account.take_answer(0, 0, &answer(&report, Decision::Unsure));
+    let report = account.next_report(0, 0).expect("a report to the incarnation");
+    account.take_answer(0, 0, &counted(&report, limit, MAX));
+    account
+}
+
+fn new_account() -> Account {
+    let mut account = Account::new(3, 7, 1, "route".to_owned(), ID.epoch);
+    account.set_max(0, MAX);
+    account
+}
+
+fn answer(report: &QuotaReport, decision: Decision) -> QuotaGrant {
+    QuotaGrant { coordinator: ID, report: report.id, decision, reading: None }
+}
+
+fn counted(report: &QuotaReport, limit: u64, room: u64) -> QuotaGrant {
+    answer(report, Decision::Counted { limit, room, is_contended: false })
+}
+
+fn settled(submission: SubmissionId, outcome: QuotaOutcome) -> Settled {
+    Settled { submission, outcome }
+}
+
+#[test]
+fn nothing_fits_before_a_grant() {
+    let account = new_account();
+    assert!(!account.fits(0, 1));
+    assert_eq!(account.limit(), Some(0));
+}
+
+#[test]
+fn what_a_successor_finds_is_no_limit_before_its_coordinator_has_answered() {
+    let mut account = new_account();
+    let report = account.next_report(0, 500).expect("at once");
+    assert!(!account.fits(400, 1), "others may have been given what has ended");
+    account.take_answer(0, 500, &answer(&report, Decision::Unsure));
+    let report = account.next_report(0, 400).expect("at once");
+    account.take_answer(0, 400, &counted(&report, 300, 0));
+    assert!(!account.fits(300, 1) && account.fits(299, 1));
+}
+
+#[test]
+fn no_limit_needs_no_coordinator() {
+    let mut account = new_account();
+    account.set_max(0, 0);
+    assert!(account.fits(u64::MAX, u64::MAX));
+    assert_eq!((account.limit(), account.next_due_ms(5)), (None, None));
+    assert_eq!(account.next_report(9_999, 5), None);
+    account.want(0, A, 10);
+    assert_eq!(account.settle(0, 0), [settled(A, QuotaOutcome::Fits)]);
+}
+
+#[test]
+fn the_incarnation_is_learnt_from_the_first_answer() {
+    let mut account = new_account();
+    let first = account.next_report(0, 0).expect("it reports at once");
+    assert_eq!(first.coordinator, CoordinatorId { epoch: ID.epoch, session: 0 });
+    let early = counted(&first, 500, 500);
+    account.take_answer(1, 0, &early);
+    assert!(!account.fits(0, 1), "it was not addressed to this incarnation");
+    let second = account.next_report(1, 0).expect("it asks again at once");
+    assert_eq!(second.coordinator, ID);
+}
+
+#[test]
+fn what_is_granted_and_unused_is_returned_by_the_next_report() {
+    let mut account = account(500);
+    assert!(account.fits(400, 100) && !account.fits(400, 101));
+    let report = account.next_report(ACTIVE_PERIOD_MS, 200).expect("due");
+    assert_eq!(report.used, 200);
+    assert!(!account.fits(200, 1));
+    assert!(account.fits(150, 50), "what became free meanwhile is counted");
+}
+
+#[test]
+fn only_the_answer_to_the_newest_report_is_taken_and_once() {
+    let mut account = account(0);
+    let first = account.next_report(IDLE_PERIOD_MS, 0).expect("due");
+    account.answer_lost(IDLE_PERIOD_MS, first.id);
+    let second = account.next_report(2 * IDLE_PERIOD_MS, 0).expect("due");
+    assert!(second.id > first.id);
+    account.take_answer(2_000, 0, &counted(&first, 500, MAX));
+    assert!(!account.fits(0, 1), "a late answer");
+    account.take_answer(2_000, 0, &counted(&second, 500, MAX));
+    assert!(account.fits(0, 500));
+    account.next_report(2_500, 0).expect("due");
+    account.take_answer(2_500, 0, &counted(&second, 500, MAX));
+    assert!(!account.fits(0, 1), "a copy of an answer");
+}
+
+#[test]
+fn an_answer_of_an_earlier_coordinator_is_not_used() {
+    let mut account = account(500);
+    account.set_coordinator_epoch(100, ID.epoch + 1);
+    let report = account.next_report(100, 0).expect("at once");
+    assert_eq!(report.coordinator, CoordinatorId { epoch: ID.epoch + 1, session: 0 });
+    account.take_answer(100, 0, &counted(&report, 500, MAX));
+    assert!(!account.fits(0, 1));
+    account.set_coordinator_epoch(200, ID.epoch);
+    let next = account.next_report(900, 0).expect("due");
+    assert_eq!(next.coordinator.epoch, ID.epoch + 1, "the address never falls");
+}
+
+#[test]
+fn one_report_is_under_way_and_is_given_up_after_a_while() {
+    let mut account = account(0);
+    let first = account.next_report(IDLE_PERIOD_MS, 0).expect("due");
+    let late_ms = IDLE_PERIOD_MS + ANSWER_PATIENCE_MS;
+    assert_eq!(account.next_due_ms(0), Some(late_ms));
+    assert_eq!(account.next_report(late_ms - 1, 0), None);
+    let second = account.next_report(late_ms, 0).expect("the first is given up");
+    assert_eq!(second.id.sequence, first.id.sequence + 1);
+    assert_eq!(account.counters().lost, 1);
+}
+
+#[test]
+fn reports_come_often_while_there_is_something_to_say() {
+    let mut idle = account(0);
+    assert_eq!(idle.next_due_ms(0), Some(IDLE_PERIOD_MS));
+    assert_eq!(idle.next_report(IDLE_PERIOD_MS - 1, 0), None);
+    assert_eq!(account(1).next_due_ms(0), Some(ACTIVE_PERIOD_MS), "something to return");
+    let report = idle.next_report(IDLE_PERIOD_MS, 0).expect("due");
+    let contended = Decision::Counted { limit: 1, room: 1, is_contended: true };
+    idle.take_answer(IDLE_PERIOD_MS, 0, &answer(&report, contended));
+    assert_eq!(idle.next_due_ms(0), Some(IDLE_PERIOD_MS + CONTENDED_PERIOD_MS), "others wait for it");
+    assert!(account(0).next_report(ACTIVE_PERIOD_MS, 7).is_some(), "what is used has changed");
+}
+
+#[test]
+fn a_submission_is_asked_for_at_once_and_fits() {
+    let mut account = account(100);
+    account.want(10, A, 300);
+    account.want(10, B, 50);
+    assert_eq!(account.next_due_ms(100), Some(10));
+    let report = account.next_report(10, 100).expect("at once");
+    assert_eq!((report.used, report.wanted.as_slice()), (100, [300, 50].as_slice()));
+    let fits = [settled(A, QuotaOutcome::Fits), settled(B, QuotaOutcome::Fits)];
+    assert_eq!(account.take_answer(12, 100, &counted(&report, 450, 900)), fits);
+    account.note_accepted(450);
+    assert_eq!(account.counters().violations, 0);
+    account.note_accepted(451);
+    assert_eq!(account.counters().violations, 1);
+}
+
+#[test]
+fn what_exceeds_the_room_is_refused_and_the_rest_is_asked_for_again() {
+    let mut account = account(0);
+    account.want(10, A, 300);
+    account.want(10, B, 500);
+    account.want(10, C, 700);
+    let report = account.next_report(10, 0).expect("at once");
+    let fits = [settled(A, QuotaOutcome::Fits)];
+    assert_eq!(account.take_answer(12, 0, &counted(&report, 400, 850)), fits);
+    let due_ms = account.next_due_ms(300).expect("it asks again");
+    assert!((12 + 50..12 + 100).contains(&due_ms), "{due_ms}");
+    let again = account.next_report(due_ms, 300).expect("due");
+    assert_eq!((again.wanted.as_slice(), again.refused_total), ([500, 700].as_slice(), 0));
+    let late_ms = 10 + REFUSAL_PAUSE_MS;
+    let refused = [settled(C, QuotaOutcome::OverQuota)];
+    assert_eq!(account.take_answer(late_ms, 300, &counted(&again, 300, 500)), refused);
+    let last = account.next_report(late_ms + 100, 300).expect("due");
+    assert_eq!((last.wanted.as_slice(), last.refused_total), ([500].as_slice(), 700));
+    let refused = [settled(B, QuotaOutcome::OverQuota)];
+    assert_eq!(account.take_answer(late_ms + 101, 300, &counted(&last, 300, 499)), refused);
+}
+
+#[test]
+fn nothing_that_may_fit_is_refused_before_the_others_have_reported() {
+    let mut account = account(0);
+    account.want(10, A, MAX);
+    account.want(10, B, MAX + 1);
+    let report = account.next_report(10, 0).expect("at once");
+    let refused = [settled(B, QuotaOutcome::OverQuota)];
+    let just_before_ms = 9 + REFUSAL_PAUSE_MS;
+    assert_eq!(account.take_answer(just_before_ms, 0, &counted(&report, 0, 0)), refused);
+}
+
+#[test]
+fn a_submission_that_came_behind_the_report_is_not_refused_by_its_answer() {
+    let mut account = account(0);
+    account.want(10, A, 300);
+    let report = account.next_report(10, 0).expect("at once");
+    account.want(11, B, 900);
+    let late_ms = 11 + REFUSAL_PAUSE_MS;
+    let ends = [settled(A, QuotaOutcome::OverQuota)];
+    assert_eq!(account.take_answer(late_ms, 0, &counted(&report, 0, 100)), ends);
+    assert_eq!(account.next_due_ms(0), Some(late_ms), "it is asked for at once");
+}
+
+#[test]
+fn every_wait_ends() {
+    let mut account = account(0);
+    account.want(10, A, 300);
+    account.want(10, B, 300);
+    account.withdraw(B);
+    account.next_report(10, 0).expect("at once");
+    assert_eq!(account.settle(9 + SUBMISSION_PATIENCE_MS, 0), []);
+    let end = [settled(A, QuotaOutcome::Unsure)];
+    assert_eq!(account.settle(10 + SUBMISSION_PATIENCE_MS, 0), end);
+}
+
+#[test]
+fn a_changed_limit_stops_all_until_the_coordinator_has_answered() {
+    let mut account = account(500);
+    account.set_max(20, MAX);
+    assert!(account.fits(0, 500), "no change");
+    account.set_max(20, MAX - 1);
+    assert!(!account.fits(0, 1));
+    let report = account.next_report(20, 0).expect("at once");
+    account.take_answer(21, 0, &counted(&report, 400, 400));
+    assert!(account.fits(0, 400));
+}
+
+#[test]
+fn a_change_of_the_limit_while_a_report_is_under_way_outlives_its_answer() {
+    let mut account = account(500);
+    let report = account.next_report(ACTIVE_PERIOD_MS, 0).expect("due");
+    account.set_max(260, MAX / 2);
+    account.take_answer(270, 0, &counted(&report, MAX, MAX));
+    assert!(!account.fits(0, 1), "it was granted under the earlier limit");
+}
--- /dev/null
+++ b/batch/tests/quota/simulation/jobs.rs
@@ -0,0 +1,68 @@
+//! The jobs of all groups as they truly are.
+
+use oorandom::Rand32;
+use std::collections::BTreeMap;
+
+/// A job.
+#[derive(Debug, Clone)]
+pub struct Job {
+    pub group: usize,
+    pub tokens: u64,
+    /// Taken by a primary whose successor was active already: no member keeps it.
+    pub is_void: bool,
+    /// Its 202 was, or could be, given.
+    pub is_accepted: bool,
+    /// A backend has finished it.
+    pub is_finished: bool,
+    /// Its end is on every member's disk.
+    pub is_finish_committed: bool,
+}
+
+/// All jobs by number.
+#[derive(Debug, Default)]
+pub struct Jobs {
+    newest: u64,
+    pub all: BTreeMap<u64, Job>,
+}
+
+impl Jobs {
+    /// A job that a primary has taken and that is not committed.
+    pub fn add(&mut self, group: usize, tokens: u64, is_void: bool) -> u64 {
+        let job = Job {
+            group,
+            tokens,
+            is_void,
+            is_accepted: false,
+            is_finished: false,
+            is_finish_committed: false,
+        };
+        self.newest += 1;
+        self.all.insert(self.newest, job);
+        self.newest
+    }
+
+    /// Tokens that are accepted and that no backend has finished.
+    pub fn waiting(&self) -> u64 {
+        let waits = |job: &&Job| job.is_accepted && !job.is_finished;
+        self.all.values().filter(waits).map(|job| job.tokens).sum()
+    }
+
+    /// What a primary that takes over finds: each pending job stands there or is lost; what stands there is accepted.
+    pub fn take_over(&mut self, random: &mut Rand32, group: usize) -> BTreeMap<u64, u64> {
+        let mut is_kept = |job: &Job| !job.is_void && random.rand_range(0..2) == 0;
+        self.all.retain(|_, job| job.group != group || job.is_accepted || is_kept(job));
+        let mut counted = BTreeMap::new();
+        for (number, job) in self.all.iter_mut().filter(|(_, job)| job.group == group) {
+            job.is_accepted = true;
+            if !job.is_finish_committed {
+                counted.insert(*number, job.tokens);
+            }
+        }
+        counted
+    }
+
+    /// Drops what nobody counts any more.
+    pub fn forget_finished(&mut self) {
+        self.all.retain(|_, job| !job.is_finish_committed);
+    }
+}
--- /dev/null
+++ b/batch/tests/quota/simulation/network.rs
@@ -0,0 +1,67 @@
+//! Messages on their way.
+
+use alderhollow_batch::quota::{QuotaGrant, QuotaReport};
+use oorandom::Rand32;
+use std::collections::BTreeMap;
+
+/// What is on its way.
+#[derive(Debug, Clone)]
+pub enum Packet {
+    /// To a coordinator.
+    Report(QuotaReport),
+    /// Back to an account.
+    Grant(QuotaGrant),
+}
+
+/// A packet with its ends, as indices of processes.
+#[derive(Debug, Clone)]
+pub struct Envelope {
+    pub from: usize,
+    pub to: usize,
+    pub packet: Packet,
+}
+
+/// How bad the network is.
+#[derive(Debug, Clone, Copy)]
+pub struct Quality {
+    /// Parts of a hundred that are lost.
+    pub lost: u32,
+    /// Parts of a hundred that come twice.
+    pub doubled: u32,
+    /// Parts of a hundred that are late.
+    pub late: u32,
+    /// Most usual delay.
+    pub delay_ms: u32,
+    /// Longest delay of a late one.
+    pub late_ms: u32,
+}
+
+/// Delivers in an order of its own.
+#[derive(Debug, Default)]
+pub struct Network {
+    sent: u64,
+    on_the_way: BTreeMap<(u64, u64), Envelope>,
+}
+
+impl Network {
+    /// Sends a packet: it may be lost, doubled or late.
+    pub fn send(&mut self, now_ms: u64, quality: Quality, random: &mut Rand32, envelope: Envelope) {
+        if random.rand_range(0..100) < quality.lost {
+            return;
+        }
+        let copies = if random.rand_range(0..100) < quality.doubled { 2 } else { 1 };
+        for _ in 0..copies {
+            let is_late = random.rand_range(0..100) < quality.late;
+            let longest_ms = if is_late { quality.late_ms } else { quality.delay_ms };
+            let delay_ms = random.rand_range(1..longest_ms + 1);
+            self.sent += 1;
+            self.on_the_way.insert((now_ms + u64::from(delay_ms), self.sent), envelope.clone());
+        }
+    }
+
+    /// The next one that has come.
+    pub fn next(&mut self, now_ms: u64) -> Option<Envelope> {
+        let entry = self.on_the_way.first_entry()?;
+        (entry.key().0 <= now_ms).then(|| entry.remove())
+    }
+}
--- /dev/null
+++ b/batch/tests/quota/simulation/oracle.rs
@@ -0,0 +1,90 @@
+//! What must hold at each moment.
+
+use super::process::Client;
+use alderhollow_batch::quota::account::SUBMISSION_PATIENCE_MS;
+use alderhollow_batch::quota::QuotaOutcome;
+use std::collections::VecDeque;
+
+/// What fits must have been taken so soon in calm times.
+const TAKEN_WITHIN_MS: u64 = 400;
+/// A job that is not taken did not fit at some moment so long before it came, or since.
+const MEMORY_MS: u64 = 1_000;
+/// What fits by this part of the limit more is taken without exception.
+const AMPLE_PART: u64 = 20;
+/// Until all processes have met.
+const WARM_UP_MS: u64 = 1_500;
+
+/// What came of a play.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Jobs that were accepted.
+    pub accepted: u64,
+    /// Clients of calm times that were answered.
+    pub judged: u64,
+    /// Those of them whose job fitted the count of the whole last second, and was not taken soon.
+    pub missed: u64,
+}
+
+/// Watches a play.
+#[derive(Debug)]
+pub struct Oracle {
+    seed: u64,
+    max: u64,
+    is_calm: bool,
+    /// Tokens that all primaries counted, by moment.
+    counts: VecDeque<(u64, u64)>,
+    pub tally: Tally,
+}
+
+impl Oracle {
+    pub fn new(seed: u64, max: u64, is_calm: bool) -> Oracle {
+        Oracle { seed, max, is_calm, counts: VecDeque::new(), tally: Tally::default() }
+    }
+
+    /// Jobs were accepted; so much waits now in truth.
+    pub fn check_sum(&self, now_ms: u64, waiting: u64) {
+        assert!(waiting <= self.max, "seed {}, {now_ms} ms: {waiting} tokens wait", self.seed);
+    }
+
+    /// Notes what all primaries count together.
+    pub fn count(&mut self, now_ms: u64, counted: u64) {
+        self.counts.push_back((now_ms, counted));
+        while self.counts.front().is_some_and(|(at_ms, _)| at_ms + 2 * MEMORY_MS < now_ms) {
+            self.counts.pop_front();
+        }
+    }
+
+    /// A client got its answer.
+    pub fn settled(&mut self, now_ms: u64, step_ms: u64, client: Client, outcome: QuotaOutcome) {
+        let waited_ms = now_ms - client.since_ms;
+        assert!(
+            waited_ms <= SUBMISSION_PATIENCE_MS + step_ms,
+            "seed {}, {now_ms} ms: a client waited {waited_ms} ms",
+            self.seed
+        );
+        if !self.is_calm || client.since_ms < WARM_UP_MS {
+            return;
+        }
+        let left = self.max.saturating_sub(self.highest_since(client.since_ms - MEMORY_MS));
+        let is_taken = outcome == QuotaOutcome::Fits && waited_ms <= TAKEN_WITHIN_MS;
+        let amply_fitted = client.tokens + self.max / AMPLE_PART <= left;
+        assert!(
+            is_taken || !amply_fitted,
+            "seed {}, {now_ms} ms: {outcome:?} after {waited_ms} ms for {client:?}, where {left} were left",
+            self.seed
+        );
+        self.tally.judged += 1;
+        self.tally.missed += u64::from(!is_taken && client.tokens <= left);
+    }
+
+    /// No client is left alone at a process that is alive.
+    pub fn still_waits(&self, now_ms: u64, step_ms: u64, client: Client) {
+        let patience_ms = SUBMISSION_PATIENCE_MS + step_ms;
+        assert!(client.since_ms + patience_ms >= now_ms, "seed {}: {client:?} has no answer", self.seed);
+    }
+
+    fn highest_since(&self, since_ms: u64) -> u64 {
+        let recent = self.counts.iter().filter(|(at_ms, _)| *at_ms >= since_ms);
+        recent.map(|(_, counted)| *counted).max().unwrap_or(0)
+    }
+}
