--- a/batch/src/api.rs
+++ b/batch/src/api.rs
@@ -93,6 +93,34 @@
     Invalid,
 }
 
+/// What a door offers of a job before it hands it in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct JobOffer<'a> {
+    /// The job.
+    pub id: &'a JobId,
+    /// Name of its route.
+    pub route: &'a str,
+    /// Tokens of all its items.
+    pub tokens: u64,
+}
+
+/// Answer to a job that is offered before it is handed in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Offered {
+    /// It would be taken now.
+    Welcome,
+    /// It doesn't fit this group's limit; the route's coordinator has to be asked.
+    BeyondLimit,
+    /// It doesn't fit: 429. The try is refused from now on.
+    OverQuota,
+    /// It was accepted before: 202.
+    AlreadyAccepted,
+    /// It is under way, or this store can't tell or take it now. Nothing of this call is kept.
+    NotSure,
+    /// This store is not the primary of the newest epoch it knows of.
+    NotPrimary,
+}
+
 /// Answer to a read.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ReadAnswer<'a> {
--- a/batch/src/engine/calls.rs
+++ b/batch/src/engine/calls.rs
@@ -2,7 +2,9 @@
 
 use super::commits::{Change, JobView};
 use super::Engine;
-use crate::api::{BodyAnswer, EndAnswer, ListedResult, Output, ReadAnswer, Submitted, TryId};
+use crate::api::{
+    BodyAnswer, EndAnswer, JobOffer, ListedResult, Offered, Output, ReadAnswer, Submitted, TryId,
+};
 use crate::job::{Job, JobId, NewJob};
 use crate::records::Entry;
 use std::collections::HashSet;
@@ -26,34 +28,103 @@
 impl Engine {
     /// A client hands in a job, at a try that the door has named.
     ///
-    /// The same job is told by its id alone.
+    /// The same job is told by its id alone. Under a limit of [`Engine::set_quota_limit`], a job that does not fit is
+    /// answered [`Submitted::NotSure`]: only the route's coordinator can tell whether it is over quota.
     pub fn submit(&mut self, now_ms: u64, try_id: TryId, mut job: NewJob) -> Submitted {
         self.now_ms = now_ms;
+        if let Some(answer) = self.answer_before_quota(now_ms, &job) {
+            return answer;
+        }
+        if self.refused.contains_key(&try_id) {
+            return self.remember_refusal(try_id);
+        }
+        if self.would_fit(&job.route, job.tokens()) {
+            job.config_version = self.config_version;
+            return self.accept(job);
+        }
+        if self.quota_limits.contains_key(&job.route) {
+            return Submitted::NotSure;
+        }
+        self.remember_refusal(try_id)
+    }
+
+    /// The route's coordinator refused a job that a client handed in: it is answered as over quota and the try is
+    /// remembered, unless the job has become known in the meantime or this store is not sure any more.
+    pub fn refuse(&mut self, now_ms: u64, try_id: TryId, job: &NewJob) -> Submitted {
+        self.now_ms = now_ms;
+        match self.answer_before_quota(now_ms, job) {
+            Some(answer) => answer,
+            None => self.remember_refusal(try_id),
+        }
+    }
+
+    /// The answer to a job that does not depend on the tokens that wait, if there is one.
+    fn answer_before_quota(&self, now_ms: u64, job: &NewJob) -> Option<Submitted> {
         if !self.node.is_leader() {
-            return Submitted::NotPrimary;
+            return Some(Submitted::NotPrimary);
         }
         if let Some(view) = self.views.get(&job.id) {
-            return match view.accept_token {
-                None => Submitted::AlreadyAccepted,
-                Some(token) => Submitted::Pending(token),
-            };
+            return Some(view.accept_token.map_or(Submitted::AlreadyAccepted, Submitted::Pending));
         }
-        if !is_valid(&job) {
-            return Submitted::Invalid;
+        if !is_valid(job) {
+            return Some(Submitted::Invalid);
         }
+        (!self.may_decide(now_ms, &job.route)).then_some(Submitted::NotSure)
+    }
+
+    /// Whether a job of a route can be taken or refused now.
+    fn may_decide(&self, now_ms: u64, route: &str) -> bool {
         let keeps_up = self.pending_bytes < PENDING_BYTES && self.commit_wait_ms() < MOST_COMMIT_WAIT_MS;
-        let may_accept = self.disk_ready && keeps_up;
-        if !self.is_sure(now_ms) || !may_accept || self.refused.len() >= REFUSED_TRIES {
-            return Submitted::NotSure;
+        let may_accept = self.disk_ready && keeps_up && self.refused.len() < REFUSED_TRIES;
+        self.is_sure(now_ms) && may_accept && self.routes.contains_key(route)
+    }
+
+    /// A door asks whether a job would be taken, before it sends the job itself, which is large.
+    pub fn offer(&mut self, now_ms: u64, try_id: TryId, offer: &JobOffer) -> Offered {
+        self.now_ms = now_ms;
+        if let Some(answer) = self.answer_offer_before_quota(offer) {
+            return answer;
+        }
+        if self.refused.contains_key(&try_id) {
+            self.remember_refusal(try_id);
+            return Offered::OverQuota;
+        }
+        if self.would_fit(offer.route, offer.tokens) {
+            return Offered::Welcome;
         }
-        let Some(terms) = self.routes.get(&job.route) else { return Submitted::NotSure };
-        let fits = self.ledger.fits(&job.route, job.tokens(), terms.max_queued_tokens);
-        if !fits || self.refused.contains_key(&try_id) {
-            self.refused.insert(try_id, now_ms + REFUSED_MEMORY_MS);
-            return Submitted::OverQuota;
+        if self.quota_limits.contains_key(offer.route) {
+            return Offered::BeyondLimit;
+        }
+        self.remember_refusal(try_id);
+        Offered::OverQuota
+    }
+
+    /// The route's coordinator refused a job that was offered; as [`Engine::refuse`].
+    pub fn refuse_offer(&mut self, now_ms: u64, try_id: TryId, offer: &JobOffer) -> Offered {
+        self.now_ms = now_ms;
+        if let Some(answer) = self.answer_offer_before_quota(offer) {
+            return answer;
         }
-        job.config_version = self.config_version;
-        self.accept(job)
+        self.remember_refusal(try_id);
+        Offered::OverQuota
+    }
+
+    /// The answer to an offer that does not depend on the tokens that wait, if there is one.
+    fn answer_offer_before_quota(&self, offer: &JobOffer) -> Option<Offered> {
+        if !self.node.is_leader() {
+            return Some(Offered::NotPrimary);
+        }
+        if let Some(view) = self.views.get(offer.id) {
+            let is_accepted = view.accept_token.is_none();
+            return Some(if is_accepted { Offered::AlreadyAccepted } else { Offered::NotSure });
+        }
+        (!self.may_decide(self.now_ms, offer.route)).then_some(Offered::NotSure)
+    }
+
+    /// A try was refused: no late copy of it is accepted.
+    fn remember_refusal(&mut self, try_id: TryId) -> Submitted {
+        self.refused.insert(try_id, self.now_ms + REFUSED_MEMORY_MS);
+        Submitted::OverQuota
     }
 
     /// Takes a job that fits.
--- a/batch/tests/engine/acceptance.rs
+++ b/batch/tests/engine/acceptance.rs
@@ -1,7 +1,7 @@
 //! Acceptance, the count of waiting tokens, and ends.
 
 use crate::cluster::{job, routes, terms, Cluster, ROUTE};
-use alderhollow_batch::api::{EndAnswer, Outcome, RouteTerms, RunEnd, Submitted, TryId};
+use alderhollow_batch::api::{EndAnswer, JobOffer, Offered, Outcome, RouteTerms, RunEnd, Submitted, TryId};
 use alderhollow_batch::job::JobId;
 
 #[test]
@@ -156,6 +156,45 @@
     cluster.accept(1, job("c", 1, 1));
 }
 
+#[test]
+fn an_offer_says_what_handing_in_would_and_keeps_nothing_but_a_refused_try() {
+    let mut cluster = Cluster::active(2);
+    let id = JobId::from("a");
+    let offer = |tokens| JobOffer { id: &id, route: ROUTE, tokens };
+    let now_ms = cluster.now_ms;
+    assert_eq!(cluster.engine(2).offer(now_ms, TryId(1), &offer(1_000)), Offered::NotPrimary);
+    assert_eq!(cluster.engine(1).offer(now_ms, TryId(1), &offer(1_000)), Offered::Welcome);
+    assert_eq!(cluster.engine(1).waiting_tokens(ROUTE), 0);
+    assert_eq!(cluster.engine(1).offer(now_ms, TryId(2), &offer(1_001)), Offered::OverQuota);
+    let late = cluster.engine(1).submit(now_ms, TryId(2), job("a", 1, 1));
+    assert_eq!(late, Submitted::OverQuota, "a late copy of a refused try");
+    cluster.stores.get_mut(&2).unwrap().holds_writes = true;
+    assert!(matches!(cluster.submit(1, job("a", 1, 1_000)), Submitted::Pending(_)));
+    assert_eq!(cluster.engine(1).offer(now_ms, TryId(3), &offer(1_000)), Offered::NotSure, "under way");
+    cluster.release_writes(2);
+    cluster.settle();
+    assert_eq!(cluster.engine(1).offer(now_ms, TryId(3), &offer(1_000)), Offered::AlreadyAccepted);
+    let later_ms = now_ms + 1_000;
+    let other = JobId::from("b");
+    let other = JobOffer { id: &other, route: ROUTE, tokens: 1 };
+    assert_eq!(cluster.engine(1).offer(later_ms, TryId(4), &other), Offered::NotSure, "not validated");
+}
+
+#[test]
+fn an_offer_beyond_a_groups_limit_is_for_the_coordinator_to_refuse() {
+    let mut cluster = Cluster::active(2);
+    let id = JobId::from("a");
+    let offer = JobOffer { id: &id, route: ROUTE, tokens: 11 };
+    let now_ms = cluster.now_ms;
+    cluster.engine(1).set_quota_limit(ROUTE, Some(10));
+    assert_eq!(cluster.engine(1).offer(now_ms, TryId(1), &offer), Offered::BeyondLimit);
+    cluster.engine(1).set_quota_limit(ROUTE, Some(20));
+    assert_eq!(cluster.engine(1).offer(now_ms, TryId(1), &offer), Offered::Welcome, "nothing was remembered");
+    assert_eq!(cluster.engine(1).refuse_offer(now_ms, TryId(1), &offer), Offered::OverQuota);
+    assert_eq!(cluster.engine(1).offer(now_ms, TryId(1), &offer), Offered::OverQuota, "from now on");
+    assert_eq!(cluster.engine(1).submit(now_ms, TryId(1), job("a", 1, 11)), Submitted::OverQuota);
+}
+
 #[test]
 fn jobs_out_of_bounds_are_invalid() {
     let mut cluster = Cluster::active(1);
@@ -205,3 +244,58 @@
     assert_eq!(cluster.engine(2).end(now_ms, &JobId::from("a")), EndAnswer::AlreadyEnded);
     assert_eq!(cluster.engine(2).end(now_ms, &JobId::from("b")), EndAnswer::NotFound);
 }
+
+#[test]
+fn a_limit_of_its_own_stands_in_for_the_routes_and_refuses_nothing() {
+    let mut cluster = Cluster::active(2);
+    let now_ms = cluster.now_ms;
+    cluster.engine(1).set_quota_limit(ROUTE, Some(150));
+    assert!(cluster.engine(1).would_fit(ROUTE, 150) && !cluster.engine(1).would_fit(ROUTE, 151));
+    assert_eq!(cluster.engine(1).submit(now_ms, TryId(7), job("a", 1, 151)), Submitted::NotSure);
+    assert!(!cluster.engine(1).would_fit("other", 1));
+
+    cluster.engine(1).set_quota_limit(ROUTE, Some(0));
+    assert_eq!(cluster.submit(1, job("b", 1, 1)), Submitted::NotSure, "0 is a limit here");
+    cluster.engine(1).set_quota_limit(ROUTE, Some(u64::MAX));
+    cluster.accept(1, job("c", 1, 5_000));
+    cluster.engine(1).set_quota_limit(ROUTE, None);
+    assert!(!cluster.engine(1).would_fit(ROUTE, 1));
+    assert_eq!(cluster.submit(1, job("d", 1, 1)), Submitted::OverQuota, "the terms' own limit again");
+
+    cluster.engine(1).set_quota_limit(ROUTE, Some(u64::MAX));
+    let submitted = cluster.engine(1).submit(now_ms, TryId(7), job("a", 1, 151));
+    assert!(matches!(submitted, Submitted::Pending(_)), "the try was not refused before: {submitted:?}");
+}
+
+#[test]
+fn what_the_coordinator_refuses_is_remembered() {
+    let mut cluster = Cluster::active(2);
+    let now_ms = cluster.now_ms;
+    cluster.engine(1).set_quota_limit(ROUTE, Some(150));
+    assert_eq!(cluster.engine(1).refuse(now_ms, TryId(7), &job("a", 1, 200)), Submitted::OverQuota);
+    cluster.engine(1).set_quota_limit(ROUTE, Some(500));
+    assert_eq!(cluster.engine(1).submit(now_ms, TryId(7), job("a", 1, 200)), Submitted::OverQuota);
+    assert!(matches!(cluster.engine(1).submit(now_ms, TryId(8), job("a", 1, 200)), Submitted::Pending(_)));
+}
+
+#[test]
+fn a_refusal_that_comes_too_late_refuses_nothing() {
+    let mut cluster = Cluster::active(2);
+    cluster.accept(1, job("a", 1, 200));
+    let now_ms = cluster.now_ms;
+    assert_eq!(cluster.engine(1).refuse(now_ms, TryId(7), &job("a", 1, 200)), Submitted::AlreadyAccepted);
+    assert_eq!(cluster.engine(2).refuse(now_ms, TryId(7), &job("b", 1, 200)), Submitted::NotPrimary);
+    let later_ms = now_ms + 1_000;
+    assert_eq!(cluster.engine(1).refuse(later_ms, TryId(7), &job("b", 1, 200)), Submitted::NotSure);
+    assert!(matches!(cluster.engine(1).submit(now_ms, TryId(7), job("b", 1, 200)), Submitted::Pending(_)));
+}
+
+#[test]
+fn the_session_rises_with_each_start_within_an_epoch() {
+    let mut cluster = Cluster::active(2);
+    assert_eq!(cluster.engine(2).session(), None);
+    let before = cluster.engine(1).session().expect("a primary");
+    cluster.set_group(2, 1, &[1, 2], &[]);
+    let after = cluster.engine(1).session().expect("a primary");
+    assert!(after > before, "{after:?}");
+}
