Tell each process's own figures, and log a store's batch work each five seconds

Nothing decides on these figures.

Ruled out: metrics-exporter-prometheus keeps each sample of a histogram until somebody renders or a further task cleans up, and brings 16 crates; prometheus-client tells OpenMetrics, not version 0.0.4. Taken: prometheus without its defaults, whose counters are single atomic numbers. Handles by label are made once.

--- a/alderhollow/src/batch_api/endpoints.rs
+++ b/alderhollow/src/batch_api/endpoints.rs
@@ -7,6 +7,7 @@
 use super::{not_now, over_quota, plain, BatchAnswer, BatchCall, BatchEndpoints};
 use crate::batch_protocol::{StoreCall, StoreReply};
 use crate::clock::SteadyClock;
+use crate::metrics;
 use crate::SnapshotReceiver;
 use alderhollow_batch::job::{Header, Item, ItemRequest, JobId, NewJob};
 use alderhollow_model::config::Route;
@@ -68,7 +69,7 @@
         let uri = call.request.uri();
         if !path::is_batch_path(uri.path()) {
             return match &call.route {
-                Some(route) if call.request.method() == Method::POST => self.submit(&call, route).await,
+                Some(route) if call.request.method() == Method::POST => self.offered(&call, route).await,
                 _ => plain(StatusCode::METHOD_NOT_ALLOWED),
             };
         }
@@ -81,6 +82,15 @@
         }
     }
 
+    /// Takes a batch job, and measures how that goes.
+    async fn offered(&self, call: &BatchCall, route: &Arc<Route>) -> Response<Bytes> {
+        let metrics = &metrics::get().batch_api;
+        metrics.offered(call.request.body().len());
+        let response = self.submit(call, route).await;
+        metrics.answered(response.status(), call.received_at.elapsed());
+        response
+    }
+
     async fn submit(&self, call: &BatchCall, route: &Arc<Route>) -> Response<Bytes> {
         let headers = call.request.headers();
         let Some(id) = text(headers, "request-id").filter(|id| document::is_id(id)) else {
@@ -107,6 +117,7 @@
             held: Duration::ZERO,
         };
         if !self.admission.passes(route, job.tokens()) {
+            metrics::get().batch_api.refused_by_coin();
             return over_quota();
         }
         let try_id = self.random.borrow_mut().rand_u64();
--- a/alderhollow/src/batch_api/store_calls.rs
+++ b/alderhollow/src/batch_api/store_calls.rs
@@ -2,6 +2,7 @@
 
 use crate::batch_protocol::{StoreAnswer, StoreCall, StoreReply, TenantReading};
 use crate::internal::{CallError, Network, ServiceId};
+use crate::metrics;
 use crate::SnapshotReceiver;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -38,8 +39,12 @@
     fn call(&self, to: SocketAddr, call: &StoreCall, timeout: Duration) -> StoreAnswerFuture {
         let network = self.clone();
         let payload = minicbor::to_vec(call);
+        let is_hand_over = matches!(call, StoreCall::Submit { .. });
         Box::pin(async move {
             let payload = payload.map_err(|_| StoreCallError::NotServed)?;
+            if is_hand_over {
+                metrics::get().batch_api.handed_over(payload.len());
+            }
             let answer = Network::call(&network, to, ServiceId::Batch, payload, timeout).await;
             let answer = answer.map_err(StoreCallError::from)?;
             minicbor::decode(&answer).map_err(|_| StoreCallError::Unknown)
@@ -124,6 +129,7 @@
             return (end, reading);
         }
         pause(&mut snapshots).await;
+        metrics::get().batch_api.asked_again(call);
     }
 }
 
--- a/alderhollow/src/cli/mod.rs
+++ b/alderhollow/src/cli/mod.rs
@@ -4,13 +4,14 @@
 mod inspect;
 mod status;
 
+use crate::metrics::listener::{self, MetricsPlace};
 use crate::role::RoleError;
 use crate::settings::{Settings, SettingsError};
 use crate::status::StatusError;
 use crate::{door, logging, store};
 use alderhollow_model::identity::Role;
 use alderhollow_storage::StorageError;
-use clap::{Parser, Subcommand};
+use clap::{Args, Parser, Subcommand};
 use log::LevelFilter;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -36,9 +37,9 @@
 #[derive(Debug, Subcommand)]
 enum Command {
     /// Serve clients and operators, with the settings file that ALDERHOLLOW_BOOT names.
-    Door,
+    Door(RoleArguments),
     /// Keep batch jobs, with the settings file that ALDERHOLLOW_BOOT names.
-    Store,
+    Store(RoleArguments),
     /// Check a settings file or a configuration, and print all that is wrong.
     Check(check::Arguments),
     /// Print what the data folder of a process that is not running holds.
@@ -53,6 +54,14 @@
     },
 }
 
+/// Options of both roles.
+#[derive(Debug, Args)]
+struct RoleArguments {
+    /// Answer `GET /PATH` at this port of the settings' `ip` with the process's metrics, as Prometheus text.
+    #[arg(long, value_name = "PORT/PATH")]
+    metrics: Option<MetricsPlace>,
+}
+
 /// Why a command failed.
 #[derive(Debug, Error)]
 pub enum CommandError {
@@ -116,22 +125,31 @@
 
 fn run(command_line: CommandLine) -> Result<(), CommandError> {
     match command_line.command {
-        Command::Door => run_role(Role::Door, command_line.log_level),
-        Command::Store => run_role(Role::Store, command_line.log_level),
+        Command::Door(arguments) => run_role(Role::Door, command_line.log_level, arguments),
+        Command::Store(arguments) => run_role(Role::Store, command_line.log_level, arguments),
         Command::Check(arguments) => check::run(&arguments),
         Command::Inspect { folder } => inspect::run(&folder),
         Command::Status { address } => status::run(address),
     }
 }
 
-fn run_role(role: Role, log_level: Option<LevelFilter>) -> Result<(), CommandError> {
+fn run_role(
+    role: Role,
+    log_level: Option<LevelFilter>,
+    arguments: RoleArguments,
+) -> Result<(), CommandError> {
     let settings = Settings::from_environment(role)?;
     logging::start(log_level.or(settings.log_level).unwrap_or(logging::DEFAULT_LEVEL))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = tokio::task::LocalSet::new();
-    let result = match role {
-        Role::Door => local.block_on(&runtime, door::run(settings)),
-        Role::Store => local.block_on(&runtime, store::run(settings)),
+    let running = async move {
+        if let Some(place) = arguments.metrics {
+            listener::start(settings.ip, place).await;
+        }
+        match role {
+            Role::Door => door::run(settings).await,
+            Role::Store => store::run(settings).await,
+        }
     };
-    Ok(result?)
+    Ok(local.block_on(&runtime, running)?)
 }
--- a/alderhollow/src/core/driver.rs
+++ b/alderhollow/src/core/driver.rs
@@ -6,6 +6,7 @@
 use crate::distribution::signal::ChangeSignal;
 use crate::internal::server::HandlerFuture;
 use crate::internal::{Handler, Network, Refusal, ServiceId};
+use crate::metrics;
 use alderhollow_coordination::replica::interface::{
     Input, Member, Outcome, Output, ProposeError, Recovered, RecoveryError, Role, StateMachine, Token,
 };
@@ -174,6 +175,7 @@
         for output in outputs {
             self.perform(output);
         }
+        metrics::get().core.role(self.role() == Role::Primary, self.epoch());
         self.log_members();
         if self.next_wakeup_ms() != self.scheduled_ms.get() {
             self.rescheduled.notify_one();
@@ -184,7 +186,10 @@
         match output {
             Output::Persist { token, writes, replace_all } => self.persist(token, writes, replace_all),
             Output::Send { to, message } => self.send_message(&to, message),
-            Output::Committed { .. } => self.changes.notify(),
+            Output::Committed { .. } => {
+                metrics::get().core.committed();
+                self.changes.notify();
+            }
             Output::Proposed { token, result } => {
                 if let Some(proposer) = self.proposals.borrow_mut().remove(&token) {
                     let _ = proposer.send(result);
--- a/alderhollow/src/distribution/server.rs
+++ b/alderhollow/src/distribution/server.rs
@@ -10,6 +10,7 @@
 use crate::clock::SteadyClock;
 use crate::internal::server::HandlerFuture;
 use crate::internal::{Handler, Refusal};
+use crate::metrics;
 use crate::SnapshotReceiver;
 use alderhollow_model::backend::BackendList;
 use alderhollow_model::identity::{Address, NodeInfo, Role};
@@ -226,8 +227,14 @@
         let distributor = self.0.clone();
         Box::pin(async move {
             let request: Request = minicbor::decode(&payload).map_err(|_| Refusal::Malformed)?;
+            let is_poll = matches!(request, Request::Poll(_));
             let answer = distributor.serve(request).await;
-            minicbor::to_vec(&answer).map_err(|_| Refusal::Busy)
+            let payload = minicbor::to_vec(&answer).map_err(|_| Refusal::Busy)?;
+            if is_poll {
+                let is_update = matches!(&answer, Answer::Update(update) if !update.is_empty());
+                metrics::get().core.poll_answered(is_update.then_some(payload.len()));
+            }
+            Ok(payload)
         })
     }
 }
--- a/alderhollow/src/executor/attempt.rs
+++ b/alderhollow/src/executor/attempt.rs
@@ -4,6 +4,7 @@
 use crate::balance::Outcome;
 use crate::exchange::answer::{Answer, Incomplete};
 use crate::exchange::Unanswered;
+use crate::metrics;
 use alderhollow_batch::api::{ItemStart, Resume, RunEnd};
 use hyper::body::Bytes;
 use hyper::StatusCode;
@@ -63,6 +64,7 @@
         };
         match piece {
             Some(Some(Ok(piece))) => {
+                metrics::get().runs.received(piece.len());
                 if let Err(error) = reader.push(&piece) {
                     log::warn!("item {}: {error}", item.item_id);
                     break Outcome::Broken;
@@ -102,7 +104,7 @@
 async fn finish_failure(mut answer: Answer, outcome: Outcome) {
     loop {
         match tokio::time::timeout(NEXT_EVENT_SILENCE, answer.piece()).await {
-            Ok(Some(Ok(_))) => {}
+            Ok(Some(Ok(piece))) => metrics::get().runs.received(piece.len()),
             Ok(None) => return answer.finish(outcome).await,
             Ok(Some(Err(_))) | Err(_) => return answer.abandon(outcome),
         }
--- a/alderhollow/src/executor/mod.rs
+++ b/alderhollow/src/executor/mod.rs
@@ -16,6 +16,7 @@
 use crate::clock::SteadyClock;
 use crate::exchange::patience::{Alternatives, Patience};
 use crate::exchange::{prompt, Exchange};
+use crate::metrics;
 use alderhollow_batch::api::{ItemStart, RunEnd};
 use alderhollow_model::config::Route;
 use alderhollow_model::snapshot::Snapshot;
@@ -102,6 +103,7 @@
             deadline: Instant::now() + self.deadline(item),
             silence: Some((FIRST_EVENT_SILENCE, &AnyOther)),
         };
+        metrics::get().runs.sent(item.request.body.len());
         let resume_after = item.resume.as_ref().map(|resume| resume.last_event_id);
         match exchange.send(attempt, &outbound, resume_after, &patience).await {
             Ok(answer) => attempt::read(item, answer).await,
--- a/alderhollow/src/internal/client.rs
+++ b/alderhollow/src/internal/client.rs
@@ -2,6 +2,7 @@
 
 use super::frame::{Frame, FrameKind, Refusal, ServiceId, MAX_PAYLOAD_BYTES};
 use super::socket;
+use crate::metrics;
 use oorandom::Rand32;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -114,13 +115,16 @@
         let queue = self.queue(to).ok_or(CallError::Unreachable)?;
         queue
             .try_send(Outgoing { kind: FrameKind::Request, service, payload, call })
-            .map_err(|_| CallError::Unreachable)?;
+            .map_err(|error| note_unsent(&error))?;
         let unanswered = |otherwise| if written.get() { otherwise } else { CallError::Unreachable };
         match tokio::time::timeout(timeout, ended).await {
             Ok(Ok(Ok(payload))) => Ok(payload),
             Ok(Ok(Err(refusal))) => Err(CallError::Refused(refusal)),
             Ok(Err(_)) => Err(unanswered(CallError::Broken)),
-            Err(_) => Err(unanswered(CallError::TimedOut)),
+            Err(_) => {
+                metrics::get().internal.timed_out(service);
+                Err(unanswered(CallError::TimedOut))
+            }
         }
     }
 
@@ -130,7 +134,8 @@
             return;
         }
         if let Some(queue) = self.queue(to) {
-            let _ = queue.try_send(Outgoing { kind: FrameKind::Notice, service, payload, call: None });
+            let notice = Outgoing { kind: FrameKind::Notice, service, payload, call: None };
+            let _ = queue.try_send(notice).map_err(|error| note_unsent(&error));
         }
     }
 
@@ -152,6 +157,7 @@
     }
 
     async fn run_connection(&self, to: SocketAddr, queue: mpsc::Receiver<Outgoing>) {
+        metrics::get().internal.connecting();
         match tokio::time::timeout(CONNECT_TIMEOUT, connect(to)).await {
             Ok(Ok(stream)) => {
                 self.note_connected(to);
@@ -176,6 +182,7 @@
     }
 
     fn note_failure(&self, to: SocketAddr) {
+        metrics::get().internal.connection_failed();
         let failures = match self.shared.peers.borrow_mut().get_mut(&to) {
             Some(peer) => {
                 peer.failures = peer.failures.saturating_add(1);
@@ -196,6 +203,14 @@
     }
 }
 
+/// A frame found no place in its peer's queue, or the connection had just ended.
+fn note_unsent(error: &mpsc::error::TrySendError<Outgoing>) -> CallError {
+    if let mpsc::error::TrySendError::Full(outgoing) = error {
+        metrics::get().internal.dropped(outgoing.kind);
+    }
+    CallError::Unreachable
+}
+
 async fn connect(to: SocketAddr) -> std::io::Result<TcpStream> {
     let stream = TcpStream::connect(to).await?;
     socket::prepare(&stream)?;
@@ -254,8 +269,10 @@
         waiting.written.set(true);
         pending.borrow_mut().insert(call, waiting.answer);
     }
-    Frame { kind: outgoing.kind, service: Some(outgoing.service), call, payload: outgoing.payload }
-        .encode(bytes);
+    let frame =
+        Frame { kind: outgoing.kind, service: Some(outgoing.service), call, payload: outgoing.payload };
+    metrics::get().internal.sent(&frame);
+    frame.encode(bytes);
 }
 
 /// Drops the calls that nobody waits for any more, and tells how many are left.
@@ -276,6 +293,7 @@
                 return;
             }
         };
+        metrics::get().internal.received(&frame);
         let Some(answer) = pending.borrow_mut().remove(&frame.call) else { continue };
         let result = match frame.kind {
             FrameKind::Refused => Err(Refusal::from_code(frame.payload.first().copied().unwrap_or(0))),
--- a/alderhollow/src/internal/frame.rs
+++ b/alderhollow/src/internal/frame.rs
@@ -153,6 +153,11 @@
 }
 
 impl Frame {
+    /// Size of the frame's bytes.
+    pub fn encoded_bytes(&self) -> usize {
+        LENGTH_BYTES + HEAD_BYTES + self.payload.len()
+    }
+
     /// Appends the frame's bytes.
     pub fn encode(&self, into: &mut Vec<u8>) {
         let length = u32::try_from(HEAD_BYTES + self.payload.len()).unwrap_or(u32::MAX);
--- a/alderhollow/src/internal/server.rs
+++ b/alderhollow/src/internal/server.rs
@@ -2,6 +2,7 @@
 
 use super::frame::{Frame, FrameError, FrameKind, Refusal, ServiceId};
 use super::socket;
+use crate::metrics;
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::pin::Pin;
@@ -97,6 +98,7 @@
 ) -> Result<(), FrameError> {
     let mut reading = BufReader::with_capacity(READ_BUFFER_BYTES, reading);
     while let Some(frame) = Frame::read(&mut reading).await? {
+        metrics::get().internal.received(&frame);
         let handler = services.find(frame.service).cloned();
         match frame.kind {
             FrameKind::Notice => {
@@ -129,10 +131,10 @@
 async fn write_answers(mut writing: OwnedWriteHalf, mut queue: mpsc::Receiver<Frame>) {
     let mut bytes = Vec::new();
     while let Some(frame) = queue.recv().await {
-        frame.encode(&mut bytes);
+        write_frame(&frame, &mut bytes);
         while bytes.len() < WRITE_BATCH_BYTES {
             let Ok(frame) = queue.try_recv() else { break };
-            frame.encode(&mut bytes);
+            write_frame(&frame, &mut bytes);
         }
         if writing.write_all(&bytes).await.is_err() {
             return;
@@ -141,3 +143,8 @@
         bytes.shrink_to(WRITE_BATCH_BYTES);
     }
 }
+
+fn write_frame(frame: &Frame, bytes: &mut Vec<u8>) {
+    metrics::get().internal.sent(frame);
+    frame.encode(bytes);
+}
--- /dev/null
+++ b/alderhollow/src/metrics/mod.rs
@@ -0,0 +1,76 @@
+//! The process's own figures: counters, gauges and histograms, told as Prometheus text (`--metrics`).
+//!
+//! Every metric is defined here, in the module of the part that records it, with its name and help text. Recording is one
+//! atomic addition: all label values are known in advance, so their handles are made once, at the first use.
+//!
+//! | part | holds |
+//! | --- | --- |
+//! | [`family`] | counters, gauges and histograms with labels of known values |
+//! | [`batch_api`] | the doors' batch interface |
+//! | [`internal`] | the network between the tier's processes |
+//! | [`store`] | batch jobs, their runs, their replication and the journal |
+//! | [`core`] | the core's member, and answers to polls |
+//! | [`runs`] | the requests of runs to backends |
+//! | [`invariants`] | violations of what must always hold |
+//! | [`listener`] | answers `GET` with the text |
+
+pub mod batch_api;
+pub mod core;
+pub mod family;
+pub mod internal;
+pub mod invariants;
+pub mod listener;
+pub mod runs;
+pub mod store;
+
+use family::Registrar;
+use prometheus::{Registry, TextEncoder};
+use std::sync::LazyLock;
+
+/// All metrics of a process.
+pub struct Metrics {
+    registry: Registry,
+    /// The doors' batch interface.
+    pub batch_api: batch_api::BatchApiMetrics,
+    /// The network between the tier's processes.
+    pub internal: internal::InternalMetrics,
+    /// A store.
+    pub store: store::StoreMetrics,
+    /// The core's member, and answers to polls.
+    pub core: core::CoreMetrics,
+    /// The requests of runs to backends.
+    pub runs: runs::RunMetrics,
+    /// Violations of invariants.
+    pub invariants: invariants::InvariantMetrics,
+}
+
+impl Metrics {
+    fn new() -> Metrics {
+        let registry = Registry::new();
+        let registrar = Registrar::new(&registry);
+        Metrics {
+            batch_api: batch_api::BatchApiMetrics::new(&registrar),
+            internal: internal::InternalMetrics::new(&registrar),
+            store: store::StoreMetrics::new(&registrar),
+            core: core::CoreMetrics::new(&registrar),
+            runs: runs::RunMetrics::new(&registrar),
+            invariants: invariants::InvariantMetrics::new(&registrar),
+            registry,
+        }
+    }
+
+    /// All metrics as Prometheus text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        if let Err(error) = TextEncoder::new().encode_utf8(&self.registry.gather(), &mut text) {
+            log::warn!("the metrics can't be told: {error}");
+        }
+        text
+    }
+}
+
+/// The process's metrics.
+pub fn get() -> &'static Metrics {
+    static METRICS: LazyLock<Metrics> = LazyLock::new(Metrics::new);
+    &METRICS
+}
--- /dev/null
+++ b/alderhollow/src/store/activity.rs
@@ -0,0 +1,224 @@
+//! What a store did lately: publishes the engine's counts as metrics, and logs one line about each five seconds in which the
+//! store did something for batch jobs.
+
+use crate::invariant::{self, Invariant};
+use crate::metrics;
+use crate::metrics::family::Label;
+use crate::metrics::internal::Service;
+use crate::metrics::store::SubmitResult;
+use alderhollow_batch::api::{GroupStatus, Outcome, Token};
+use alderhollow_batch::counts::EngineCounts;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fmt;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How often a line is logged.
+const LOG_PERIOD: Duration = Duration::from_secs(5);
+/// Where the lines stand in the log.
+const LOG_TARGET: &str = "alderhollow::store";
+/// Most times of commits that are kept for a line's median; further ones only count for the longest.
+const MOST_COMMITS: usize = 4_096;
+const SERVICES: usize = Service::ALL.len();
+
+/// What a store did lately.
+#[derive(Default)]
+pub struct Activity {
+    /// Acceptances whose commit is under way.
+    pending: RefCell<HashMap<Token, Instant>>,
+    commits: RefCell<Commits>,
+    published: Cell<EngineCounts>,
+    epoch: Cell<u64>,
+    is_active: Cell<bool>,
+    load: Cell<(usize, usize)>,
+    logged: RefCell<Option<Logged>>,
+}
+
+/// The last line that was logged, or could have been.
+struct Logged {
+    at: Instant,
+    totals: Totals,
+}
+
+impl Activity {
+    /// The commit of an acceptance is under way; whether that is news.
+    pub fn accepted(&self, token: Token) -> bool {
+        let mut pending = self.pending.borrow_mut();
+        let known = pending.len();
+        pending.entry(token).or_insert_with(Instant::now);
+        pending.len() > known
+    }
+
+    /// An operation has ended.
+    pub fn resolved(&self, token: Token, outcome: Outcome) {
+        let Some(accepted_at) = self.pending.borrow_mut().remove(&token) else { return };
+        if outcome == Outcome::Committed {
+            let after = accepted_at.elapsed();
+            metrics::get().store.committed(after);
+            self.commits.borrow_mut().note(after);
+        }
+    }
+
+    /// Brings the metrics up to date: the store's part, the engine's counts, and how many items wait and run.
+    pub fn publish(&self, status: &GroupStatus, counts: EngineCounts, load: (usize, usize)) {
+        let metrics = &metrics::get().store;
+        let earlier = self.epoch.replace(status.epoch);
+        invariant::check(Invariant::GroupEpochRises, status.epoch >= earlier, || {
+            format!("epoch {} follows epoch {earlier}", status.epoch)
+        });
+        self.is_active.set(status.primary && status.active);
+        self.load.set(load);
+        metrics.group(status);
+        metrics.load(load.0, load.1);
+        metrics.engine_counted(counts - self.published.replace(counts));
+    }
+
+    /// Logs a line if it is time and something was done since the last one.
+    pub fn log_if_due(&self, take_longest_sync: impl FnOnce() -> Duration) {
+        let now = Instant::now();
+        let mut logged = self.logged.borrow_mut();
+        let earlier = match &*logged {
+            Some(last) if now < last.at + LOG_PERIOD => return,
+            Some(last) => last.totals,
+            None => Totals::default(),
+        };
+        let is_first = logged.is_none();
+        let totals = Totals::now(self.published.get());
+        *logged = Some(Logged { at: now, totals });
+        let commits = self.commits.take();
+        let longest_sync = take_longest_sync();
+        let done = totals.since(&earlier);
+        let (waiting, running) = self.load.get();
+        // The first look only begins the first period.
+        if is_first || (done.is_idle() && waiting + running == 0) {
+            return;
+        }
+        log::info!(
+            target: LOG_TARGET,
+            "{done}, waiting {waiting}, running {running}, {commits}, sync max {} ms, epoch {}, active {}",
+            longest_sync.as_millis(),
+            self.epoch.get(),
+            self.is_active.get(),
+        );
+    }
+}
+
+/// Times of commits.
+#[derive(Default)]
+struct Commits {
+    times: Vec<Duration>,
+    longest: Duration,
+}
+
+impl Commits {
+    fn note(&mut self, after: Duration) {
+        self.longest = self.longest.max(after);
+        if self.times.len() < MOST_COMMITS {
+            self.times.push(after);
+        }
+    }
+
+    fn median(&self) -> Duration {
+        let mut times = self.times.clone();
+        times.sort_unstable();
+        times.get(times.len() / 2).copied().unwrap_or_default()
+    }
+}
+
+impl fmt::Display for Commits {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "commit p50 {} ms max {} ms", self.median().as_millis(), self.longest.as_millis())
+    }
+}
+
+/// Counts since the start, or between two moments.
+#[derive(Debug, Clone, Copy, Default)]
+struct Totals {
+    accepted: u64,
+    refused: u64,
+    not_sure: u64,
+    engine: EngineCounts,
+    sent_bytes: [u64; SERVICES],
+    received_bytes: [u64; SERVICES],
+}
+
+impl Totals {
+    /// Since the start of the process.
+    fn now(engine: EngineCounts) -> Totals {
+        let metrics = metrics::get();
+        let by_service = |bytes: &dyn Fn(Service) -> u64| {
+            let mut counts = [0; SERVICES];
+            for service in Service::ALL {
+                counts[service.index()] = bytes(*service);
+            }
+            counts
+        };
+        Totals {
+            accepted: metrics.store.jobs(SubmitResult::Accepted),
+            refused: metrics.store.jobs(SubmitResult::OverQuota),
+            not_sure: metrics.store.jobs(SubmitResult::NotSure),
+            engine,
+            sent_bytes: by_service(&|service| metrics.internal.sent_bytes(service)),
+            received_bytes: by_service(&|service| metrics.internal.received_bytes(service)),
+        }
+    }
+
+    /// What was added since an earlier moment.
+    fn since(&self, earlier: &Totals) -> Totals {
+        Totals {
+            accepted: self.accepted.saturating_sub(earlier.accepted),
+            refused: self.refused.saturating_sub(earlier.refused),
+            not_sure: self.not_sure.saturating_sub(earlier.not_sure),
+            engine: self.engine - earlier.engine,
+            sent_bytes: differences(&self.sent_bytes, &earlier.sent_bytes),
+            received_bytes: differences(&self.received_bytes, &earlier.received_bytes),
+        }
+    }
+
+    /// Whether nothing was done for batch jobs.
+    fn is_idle(&self) -> bool {
+        let bytes =
+            |service: Service| self.sent_bytes[service.index()] + self.received_bytes[service.index()];
+        bytes(Service::Batch) + bytes(Service::Replication) + self.engine.items_listed == 0
+    }
+}
+
+impl fmt::Display for Totals {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let replication = self.engine.replication;
+        write!(
+            formatter,
+            "accepted {}, refused {}, not sure {}, listed {}, out {}, in {}, retries {}, comparisons {}",
+            self.accepted,
+            self.refused,
+            self.not_sure,
+            self.engine.items_listed,
+            ByService(&self.sent_bytes),
+            ByService(&self.received_bytes),
+            replication.retries,
+            replication.comparisons,
+        )
+    }
+}
+
+fn differences(counts: &[u64; SERVICES], earlier: &[u64; SERVICES]) -> [u64; SERVICES] {
+    let mut differences = *counts;
+    for (count, before) in differences.iter_mut().zip(earlier) {
+        *count = count.saturating_sub(*before);
+    }
+    differences
+}
+
+/// Kilobytes by service, where there are any.
+struct ByService<'a>(&'a [u64; SERVICES]);
+
+impl fmt::Display for ByService<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let moved = Service::ALL.iter().zip(self.0).filter(|(_, bytes)| **bytes > 0);
+        let parts: Vec<String> = moved
+            .map(|(service, bytes)| format!("{} {} kB", service.value(), bytes.div_ceil(1_000)))
+            .collect();
+        write!(formatter, "({})", parts.join(" "))
+    }
+}
--- a/alderhollow/src/store/calls.rs
+++ b/alderhollow/src/store/calls.rs
@@ -5,7 +5,11 @@
 use crate::batch_protocol::{StoreAnswer, StoreCall, StoreReply, TenantReading};
 use crate::internal::server::HandlerFuture;
 use crate::internal::{Handler, Refusal};
+use crate::invariant::{self, Invariant};
+use crate::metrics;
+use crate::metrics::store::SubmitResult;
 use alderhollow_batch::api::{BodyAnswer, EndAnswer, Outcome, ReadAnswer, Submitted, Token, TryId};
+use alderhollow_batch::engine::Engine;
 use alderhollow_batch::job::{JobId, NewJob, ResultState};
 use std::rc::Rc;
 use std::time::Duration;
@@ -49,10 +53,15 @@
     let (route, tokens) = (job.route.clone(), job.tokens());
     let mut ended = None;
     let submitted = node.with_engine(|engine, now_ms| {
+        let waiting_before = engine.waiting_tokens(&route);
         let submitted = engine.submit(now_ms, try_id, job);
+        check_quota(engine, &route, waiting_before);
+        let mut is_new = false;
         if let Submitted::Pending(token) = submitted {
             ended = Some(node.waiting.for_end(token));
+            is_new = node.activity.accepted(token);
         }
+        metrics::get().store.submitted(SubmitResult::of(submitted, is_new));
         submitted
     });
     let reading = match submitted {
@@ -71,6 +80,15 @@
     StoreAnswer { reply, reading }
 }
 
+/// A job that was taken into the count of waiting tokens must fit.
+fn check_quota(engine: &Engine, route: &str, waiting_before: u64) {
+    let waiting = engine.waiting_tokens(route);
+    let limit = engine.token_limit(route).filter(|limit| *limit > 0).unwrap_or(u64::MAX);
+    invariant::check(Invariant::QuotaAtAcceptance, waiting <= waiting_before || waiting <= limit, || {
+        format!("{waiting} tokens wait on route {route}, of {limit} that may")
+    });
+}
+
 /// Notes a batch job in the meter, with the tokens that did not fit, and gives the newest reading.
 fn read_meter(node: &Rc<StoreNode>, route: &str, beyond: u64) -> Option<TenantReading> {
     let (waiting, epoch) =
@@ -108,7 +126,10 @@
 
 fn body(node: &Rc<StoreNode>, job: &JobId, item: &str) -> StoreReply {
     node.look(|engine, now_ms| match engine.body(now_ms, job, item) {
-        BodyAnswer::Body(bytes) => StoreReply::Body(bytes.to_vec()),
+        BodyAnswer::Body(bytes) => {
+            metrics::get().store.body_read();
+            StoreReply::Body(bytes.to_vec())
+        }
         BodyAnswer::NotFound => StoreReply::NotFound,
         BodyAnswer::NotPrimary => StoreReply::NotPrimary,
         BodyAnswer::NotSure => StoreReply::NotSure,
@@ -123,12 +144,19 @@
         let notified = readable.notified();
         let (reply, may_wait) = read_now(node, job, after);
         if !may_wait || Instant::now() >= until {
+            note_read(&reply);
             return reply;
         }
         let _ = tokio::time::timeout_at(until, notified).await;
     }
 }
 
+fn note_read(reply: &StoreReply) {
+    if let StoreReply::Results(json) = reply {
+        metrics::get().store.read(json.len());
+    }
+}
+
 /// The answer as it is now, and whether another may come.
 fn read_now(node: &Rc<StoreNode>, job: &JobId, after: u32) -> (StoreReply, bool) {
     node.look(|engine, now_ms| match engine.read(now_ms, job, after, RESULT_BYTES) {
--- a/alderhollow/src/store/journal_queue.rs
+++ b/alderhollow/src/store/journal_queue.rs
@@ -1,12 +1,14 @@
 //! The writes of a store in order, and their ends. After a write that failed, nothing counts as written until the whole
 //! state is on disk as a new snapshot.
 
+use crate::metrics;
 use alderhollow_batch::api::WriteTicket;
 use alderhollow_storage::{StorageError, Write, Writer};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 
 /// A log that has grown to this size is replaced by a snapshot, unless the disk is small or the snapshot large.
 const LOG_BYTES: u64 = 24 * 1024 * 1024;
@@ -36,6 +38,7 @@
 struct Pending {
     /// `None` for a snapshot.
     ticket: Option<WriteTicket>,
+    submitted_at: Instant,
     end: End,
 }
 
@@ -49,6 +52,7 @@
     log_limit: Cell<u64>,
     smallest_limit: u64,
     failing: Cell<bool>,
+    longest_sync: Cell<Duration>,
 }
 
 /// The ends of submissions, for [`JournalQueue::follow`].
@@ -69,6 +73,7 @@
             log_limit: Cell::new(limit),
             smallest_limit: limit,
             failing: Cell::new(false),
+            longest_sync: Cell::default(),
         };
         (queue, WriteEnds(ends))
     }
@@ -78,6 +83,7 @@
         let bytes: usize = records.iter().map(Vec::len).sum();
         self.log_bytes.set(self.log_bytes.get() + bytes as u64);
         self.newest.set(ticket);
+        metrics::get().store.journal_write(bytes);
         self.submit(now_ms, Some(ticket), records.into_iter().map(Write::Append).collect());
     }
 
@@ -102,6 +108,11 @@
         self.failing.get() || self.oldest_ms(now_ms) >= FAILING_AFTER_MS
     }
 
+    /// The longest time from a submission to its end since the last call.
+    pub fn take_longest_sync(&self) -> Duration {
+        self.longest_sync.take()
+    }
+
     /// Age of the oldest write that has not ended.
     fn oldest_ms(&self, now_ms: u64) -> u64 {
         self.submitted_at.borrow().front().map_or(0, |at| now_ms.saturating_sub(*at))
@@ -114,6 +125,7 @@
             self.submitted_at.borrow_mut().pop_front();
             match end {
                 Ok(Ok(())) => {
+                    self.note_synced(pending.submitted_at.elapsed());
                     if let Some(ticket) = pending.ticket {
                         owner.written(ticket);
                     }
@@ -155,12 +167,18 @@
 
     fn submit(&self, now_ms: u64, ticket: Option<WriteTicket>, writes: Vec<Write>) {
         self.submitted_at.borrow_mut().push_back(now_ms);
-        let pending = Pending { ticket, end: self.writer.submit(writes) };
+        let pending = Pending { ticket, submitted_at: Instant::now(), end: self.writer.submit(writes) };
         // The receiver lives as long as the store's node.
         let _ = self.submissions.send(pending);
     }
 
+    fn note_synced(&self, after: Duration) {
+        metrics::get().store.synced(after);
+        self.longest_sync.set(self.longest_sync.get().max(after));
+    }
+
     fn note_snapshot(&self, bytes: usize) {
+        metrics::get().store.compaction(bytes);
         self.log_bytes.set(0);
         self.log_limit.set(self.smallest_limit.max(bytes as u64 * LOG_PER_SNAPSHOT));
     }
--- a/alderhollow/src/store/mod.rs
+++ b/alderhollow/src/store/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! | part | does |
 //! | --- | --- |
+//! | [`activity`] | what the store did lately, for a line in the log |
 //! | [`node`] | puts the batch engine on the clock, the network and the tables |
 //! | [`journal_queue`] | its writes, in order, and their ends; compaction; a disk that fails |
 //! | [`waiting`] | calls that wait for an end or a result |
@@ -11,6 +12,7 @@
 //! | [`runs`] | starts and cancels runs of items |
 //! | [`role`] | the process's main loop |
 
+pub mod activity;
 pub mod calls;
 pub mod journal_queue;
 pub mod meter;
--- a/alderhollow/src/store/node.rs
+++ b/alderhollow/src/store/node.rs
@@ -1,6 +1,7 @@
 //! Puts the batch engine on the clock, the network, the disk and the tables: every call to the engine goes through
 //! [`StoreNode::with_engine`], which first takes in newer tables and then does what the engine asks for.
 
+use super::activity::Activity;
 use super::journal_queue::{JournalOwner, JournalQueue};
 use super::meter::Meter;
 use super::runs::Runs;
@@ -11,6 +12,7 @@
 use crate::distribution::client::PollState;
 use crate::internal::server::HandlerFuture;
 use crate::internal::{Handler, Network, Refusal, ServiceId};
+use crate::metrics;
 use crate::SnapshotReceiver;
 use alderhollow_batch::api::{GroupStatus, Output, RouteTerms, WriteTicket};
 use alderhollow_batch::engine::Engine;
@@ -52,6 +54,8 @@
     pub runs: Runs,
     /// Readings of waiting tokens.
     pub meter: RefCell<Meter>,
+    /// What the store did lately.
+    pub activity: Activity,
     engine: RefCell<Engine>,
     journal: JournalQueue,
     network: Network,
@@ -94,6 +98,7 @@
             waiting: Waiting::default(),
             runs: parts.runs,
             meter: RefCell::default(),
+            activity: Activity::default(),
             engine: RefCell::new(parts.engine),
             journal: parts.journal,
             network: parts.network,
@@ -159,6 +164,7 @@
         self.waiting.sweep();
         let status = self.look(|engine, now_ms| engine.status(now_ms));
         let disk_failing = self.journal.is_failing(self.clock.now_ms());
+        self.publish(&status);
         self.poll.report(report(status, disk_failing).to_bytes());
         let more_waits = self.start_items();
         let now_ms = self.clock.now_ms();
@@ -167,6 +173,13 @@
         pause.min(if more_waits { START_TICK } else { LONGEST_TICK })
     }
 
+    /// Brings the metrics up to date.
+    fn publish(&self, status: &GroupStatus) {
+        let (counts, load) = self.look(|engine, _| (engine.counts(), engine.load()));
+        self.activity.publish(status, counts, load);
+        self.activity.log_if_due(|| self.journal.take_longest_sync());
+    }
+
     /// Starts items while there is room. Tells whether some still wait for their turn.
     fn start_items(self: &Rc<Self>) -> bool {
         let routes = self.with_engine(|engine, now_ms| engine.routes_with_work(now_ms));
@@ -207,6 +220,7 @@
             self.note_addresses(group);
             engine.set_group(now_ms, group.clone());
             if self.group_epoch.replace(group.epoch) != group.epoch {
+                metrics::get().store.epoch_changed();
                 self.waiting.wake_readers();
                 self.woken.notify_one();
             }
@@ -246,7 +260,10 @@
                 let snapshot = || self.engine.borrow().snapshot(now_ms);
                 self.journal.compact_if_due(now_ms, snapshot);
             }
-            Output::Resolved { token, outcome } => self.waiting.ended(token, outcome),
+            Output::Resolved { token, outcome } => {
+                self.activity.resolved(token, outcome);
+                self.waiting.ended(token, outcome);
+            }
             Output::Readable(job) => self.waiting.readable(&job),
             Output::CancelRun(run) => self.runs.cancel(run),
         }
@@ -256,6 +273,7 @@
         let Some(address) = self.addresses.borrow().get(&to).copied() else { return };
         let notice = ReplicationNotice { from: self.disk, to, message };
         if let Ok(payload) = minicbor::to_vec(&notice) {
+            metrics::get().store.message(&notice.message, payload.len());
             self.network.notify(address, ServiceId::Replication, payload);
         }
     }
--- a/alderhollow/src/store/runs.rs
+++ b/alderhollow/src/store/runs.rs
@@ -2,6 +2,8 @@
 
 use super::node::StoreNode;
 use crate::executor::Executor;
+use crate::metrics;
+use crate::metrics::store::RunEndKind;
 use alderhollow_batch::api::{ItemStart, RunEnd, RunId};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -30,6 +32,7 @@
     /// Starts items.
     pub fn start(&self, node: &Rc<StoreNode>, starts: Vec<ItemStart>) {
         self.executor.started(starts.len());
+        metrics::get().store.runs_started(starts.len());
         for item in starts {
             let run = item.run;
             let task = tokio::task::spawn_local(run_one(node.clone(), self.executor.clone(), item));
@@ -41,6 +44,7 @@
     pub fn cancel(&self, run: RunId) {
         if let Some(task) = self.running.borrow_mut().remove(&run) {
             task.abort();
+            metrics::get().store.run_ended(RunEndKind::Cancelled);
         }
     }
 
@@ -51,6 +55,7 @@
 
     fn note_end(&self, run: RunId, end: RunEnd) {
         if self.running.borrow_mut().remove(&run).is_some() {
+            metrics::get().store.run_ended(RunEndKind::from(&end));
             self.ended.borrow_mut().push((run, end));
         }
     }
--- a/batch/src/engine.rs
+++ b/batch/src/engine.rs
@@ -6,6 +6,7 @@
 mod runs;
 
 use crate::api::{GroupStatus, Output, RouteTerms, Token, TryId, WriteTicket};
+use crate::counts::EngineCounts;
 use crate::group::{Changes, GroupNode};
 use crate::job::JobId;
 use crate::ledger::Ledger;
@@ -47,6 +48,7 @@
     refused: BTreeMap<TryId, u64>,
     next_sweep_ms: u64,
     outputs: Vec<Output>,
+    items_listed: u64,
 }
 
 impl Engine {
@@ -76,6 +78,7 @@
             refused: BTreeMap::new(),
             next_sweep_ms: 0,
             outputs: Vec::new(),
+            items_listed: 0,
         })
     }
 
@@ -160,6 +163,16 @@
         self.ledger.waiting(route)
     }
 
+    /// Tokens that may wait on a route; 0: no limit. `None` for a route that is not known.
+    pub fn token_limit(&self, route: &str) -> Option<u64> {
+        self.routes.get(route).map(|terms| terms.max_queued_tokens)
+    }
+
+    /// What this engine did in its life.
+    pub fn counts(&self) -> EngineCounts {
+        EngineCounts { items_listed: self.items_listed, replication: self.node.counts() }
+    }
+
     /// Items that wait for a run, and that are running.
     pub fn load(&self) -> (usize, usize) {
         self.work.load()
--- a/batch/src/engine/runs.rs
+++ b/batch/src/engine/runs.rs
@@ -122,10 +122,12 @@
         if results.is_empty() {
             return;
         }
+        let listed = results.len() as u64;
         let position = job.results.len() as u32;
         let positions = position + results.len() as u32;
         let entry = Entry::ItemResults { job: id.clone(), position, results };
         if let Some(index) = self.node.append(self.now_ms, entry) {
+            self.items_listed += listed;
             let change = Change::Results { positions };
             self.commits.push_back(Commit { index, job: id.clone(), change });
             self.take_commits();
--- a/batch/src/group.rs
+++ b/batch/src/group.rs
@@ -29,6 +29,7 @@
 pub mod writes;
 
 use crate::api::{GroupStatus, Output, WriteTicket};
+use crate::counts::ReplicationCounts;
 use crate::message::{Message, StreamId};
 use crate::records::{Entry, SessionId};
 use crate::state::State;
@@ -71,6 +72,8 @@
     synced_on_disk: u64,
     /// The same, as far as it is on its way to the disk.
     syncing: Option<(WriteTicket, u64)>,
+    /// What was done in earlier sessions as a primary.
+    past_counts: ReplicationCounts,
 }
 
 impl GroupNode {
@@ -89,6 +92,7 @@
             role: Role::Follower(Follower::default()),
             synced_on_disk,
             syncing: None,
+            past_counts: ReplicationCounts::default(),
         }
     }
 
@@ -126,7 +130,7 @@
         self.state.marks.session = session;
         let ticket = self.writes.push(&Entry::SessionStarted(session));
         let leader = Leader::new(self.disk, group, session, ticket, self.appended);
-        self.role = Role::Leader(Box::new(leader));
+        self.take_role(Role::Leader(Box::new(leader)));
     }
 
     /// Becomes a follower, if it isn't one.
@@ -134,10 +138,24 @@
         if let Role::Follower(_) = self.role {
             return Changes::default();
         }
-        self.role = Role::Follower(Follower::default());
+        self.take_role(Role::Follower(Follower::default()));
         Changes { left_leadership: true, became_active: false }
     }
 
+    /// Goes over to another role; the counts of a session that ends are kept.
+    fn take_role(&mut self, role: Role) {
+        self.past_counts = self.counts();
+        self.role = role;
+    }
+
+    /// What was done in this life to replicate.
+    pub fn counts(&self) -> ReplicationCounts {
+        match &self.role {
+            Role::Follower(_) => self.past_counts,
+            Role::Leader(leader) => self.past_counts + leader.counts(),
+        }
+    }
+
     /// A message of another store.
     pub fn receive(&mut self, now_ms: u64, from: DiskId, message: Message) -> Changes {
         match message {
--- a/batch/src/group/leader.rs
+++ b/batch/src/group/leader.rs
@@ -2,6 +2,7 @@
 //! are on every member's disk.
 
 use crate::api::WriteTicket;
+use crate::counts::ReplicationCounts;
 use crate::group::log::RecordLog;
 use crate::group::peer::{Difference, Peer};
 use crate::message::{Message, StreamId};
@@ -10,6 +11,7 @@
 use alderhollow_model::identity::DiskId;
 use alderhollow_model::snapshot::BatchGroup;
 use std::collections::{BTreeMap, VecDeque};
+use std::ops::Add;
 
 /// Records held for stores that lag behind. Beyond it they are compared anew.
 const LOG_BYTES: usize = 16 << 20;
@@ -228,6 +230,11 @@
         self.peers.values().filter_map(Peer::retry_at_ms).min()
     }
 
+    /// What was done for the other stores in this session.
+    pub fn counts(&self) -> ReplicationCounts {
+        self.peers.values().map(Peer::counts).fold(ReplicationCounts::default(), Add::add)
+    }
+
     /// Learners that have caught up.
     pub fn learners_in_sync(&self) -> Vec<DiskId> {
         let caught_up = |peer: &Peer| peer.acknowledged_index().is_some_and(|index| index >= self.committed);
--- a/batch/src/group/peer.rs
+++ b/batch/src/group/peer.rs
@@ -1,5 +1,6 @@
 //! A primary's stream to one other store of its group.
 
+use crate::counts::ReplicationCounts;
 use crate::group::log::RecordLog;
 use crate::job::JobId;
 use crate::message::{JobDigest, Message, StreamId, MESSAGE_BYTES};
@@ -76,6 +77,7 @@
     waiting_since_ms: Option<u64>,
     retry_at_ms: Option<u64>,
     retry_ms: u64,
+    counts: ReplicationCounts,
 }
 
 impl Peer {
@@ -94,6 +96,7 @@
             waiting_since_ms: None,
             retry_at_ms: None,
             retry_ms: FIRST_RETRY_MS,
+            counts: ReplicationCounts::default(),
         }
     }
 
@@ -102,8 +105,14 @@
         self.stream
     }
 
+    /// What was done for this store in this session.
+    pub fn counts(&self) -> ReplicationCounts {
+        self.counts
+    }
+
     /// Begins a new attempt to bring the store up to date.
     pub fn begin(&mut self, now_ms: u64, state: &State, log: &RecordLog) -> Message {
+        self.counts.comparisons += 1;
         self.stream.attempt += 1;
         self.steps.clear();
         self.start = log.last();
@@ -247,6 +256,7 @@
         if self.retry_at_ms.is_none_or(|at_ms| now_ms < at_ms) {
             return None;
         }
+        self.counts.retries += 1;
         self.retry_ms = (self.retry_ms * 2).min(LONGEST_RETRY_MS);
         self.retry_at_ms = None;
         if matches!(self.phase, Phase::Comparing { .. }) {
@@ -259,6 +269,7 @@
 
     /// Gives the stream up: the store is compared anew when the retry is due, and until then no record is held for it.
     pub fn restart_later(&mut self, now_ms: u64) {
+        self.counts.streams_given_up += 1;
         self.phase = Phase::Comparing { until: None };
         self.start = u64::MAX;
         self.clear_in_flight();
--- a/batch/src/lib.rs
+++ b/batch/src/lib.rs
@@ -37,6 +37,7 @@
 #![warn(missing_docs)]
 
 pub mod api;
+pub mod counts;
 pub mod engine;
 pub mod group;
 pub mod job;
