--- a/alderhollow/src/store/activity.rs
+++ b/alderhollow/src/store/activity.rs
@@ -76,31 +76,32 @@
 
     /// Logs a line if it is time and something was done since the last one.
     pub fn log_if_due(&self, take_longest_sync: impl FnOnce() -> Duration) {
+        if let Some(line) = self.line_if_due(take_longest_sync) {
+            log::info!(target: LOG_TARGET, "{line}");
+        }
+    }
+
+    /// The line to log. The first look only begins the first period.
+    fn line_if_due(&self, take_longest_sync: impl FnOnce() -> Duration) -> Option<String> {
         let now = Instant::now();
         let mut logged = self.logged.borrow_mut();
-        let earlier = match &*logged {
-            Some(last) if now < last.at + LOG_PERIOD => return,
-            Some(last) => last.totals,
-            None => Totals::default(),
-        };
-        let is_first = logged.is_none();
+        if logged.as_ref().is_some_and(|last| now < last.at + LOG_PERIOD) {
+            return None;
+        }
         let totals = Totals::now(self.published.get());
-        *logged = Some(Logged { at: now, totals });
+        let earlier = logged.replace(Logged { at: now, totals });
         let commits = self.commits.take();
-        let longest_sync = take_longest_sync();
-        let done = totals.since(&earlier);
+        let longest_sync_ms = take_longest_sync().as_millis();
+        let done = totals.since(&earlier?.totals);
         let (waiting, running) = self.load.get();
-        // The first look only begins the first period.
-        if is_first || (done.is_idle() && waiting + running == 0) {
-            return;
+        if done.is_idle() && waiting + running == 0 {
+            return None;
         }
-        log::info!(
-            target: LOG_TARGET,
-            "{done}, waiting {waiting}, running {running}, {commits}, sync max {} ms, epoch {}, active {}",
-            longest_sync.as_millis(),
-            self.epoch.get(),
-            self.is_active.get(),
-        );
+        let (epoch, is_active) = (self.epoch.get(), self.is_active.get());
+        Some(format!(
+            "{done}, waiting {waiting}, running {running}, {commits}, sync max {longest_sync_ms} ms, \
+             epoch {epoch}, active {is_active}"
+        ))
     }
 }
 
@@ -222,3 +223,6 @@
         write!(formatter, "({})", parts.join(" "))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/alderhollow/tests/store.rs
+++ b/alderhollow/tests/store.rs
@@ -29,6 +29,7 @@
 use hyper::{Request, Response};
 use serde_json::{json, Value};
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -319,3 +320,52 @@
         assert_eq!(tier.status("GET", "/alderhollow/lots/other").await, 404);
     });
 }
+
+/// The metrics of all tests of this process are the same: others may add to them meanwhile.
+#[test]
+fn the_metrics_tell_of_a_job_s_way() {
+    in_local_set(async {
+        let before = told();
+        let tier = Tier::start(vec![Reply::CutAfter(20)], 0).await;
+        assert_eq!(tier.submit(2).await, 202);
+        tier.results().await;
+        let after = told();
+        for (metric, least) in [
+            ("alderhollow_batch_jobs_offered_total", 1.0),
+            ("alderhollow_batch_job_answers_total{status=\"202\"}", 1.0),
+            ("alderhollow_batch_hand_overs_total", 1.0),
+            ("alderhollow_batch_hand_over_bytes_total", 100.0),
+            ("alderhollow_internal_sent_bytes_total{kind=\"request\",service=\"batch\"}", 100.0),
+            ("alderhollow_internal_received_bytes_total{kind=\"notice\",service=\"replication\"}", 200.0),
+            ("alderhollow_internal_connections_begun_total", 3.0),
+            ("alderhollow_store_jobs_total{result=\"accepted\"}", 1.0),
+            ("alderhollow_store_commit_seconds_count", 1.0),
+            ("alderhollow_store_items_listed_total", 2.0),
+            ("alderhollow_store_runs_started_total", 3.0),
+            ("alderhollow_store_run_ends_total{end=\"completed\"}", 2.0),
+            ("alderhollow_store_run_ends_total{end=\"cut\"}", 1.0),
+            ("alderhollow_run_sent_bytes_total", 18.0),
+            ("alderhollow_run_received_bytes_total", 20.0),
+            ("alderhollow_store_reads_total", 1.0),
+            ("alderhollow_store_journal_writes_total", 6.0),
+            ("alderhollow_store_journal_sync_seconds_count", 6.0),
+            ("alderhollow_store_group_epochs_changed_total", 3.0),
+            ("alderhollow_replication_messages_total{kind=\"entries\"}", 4.0),
+            ("alderhollow_replication_comparisons_total", 2.0),
+            ("alderhollow_replication_entry_bytes_total{content=\"jobs\"}", 200.0),
+            ("alderhollow_replication_entry_bytes_total{content=\"results\"}", 100.0),
+        ] {
+            let added = after[metric] - before[metric];
+            assert!(added >= least, "{metric} rose by {added}, not by {least}");
+        }
+        let violations = after.iter().filter(|(name, _)| name.starts_with("alderhollow_invariant"));
+        assert!(violations.map(|(_, count)| *count).sum::<f64>() == 0.0);
+    });
+}
+
+/// What the metrics tell now, by name with labels.
+fn told() -> BTreeMap<String, f64> {
+    let text = alderhollow::metrics::get().text();
+    let samples = text.lines().filter(|line| !line.starts_with('#')).filter_map(|line| line.rsplit_once(' '));
+    samples.map(|(name, value)| (name.to_owned(), value.parse().expect("a number"))).collect()
+}
--- a/batch/tests/engine/replication.rs
+++ b/batch/tests/engine/replication.rs
@@ -2,6 +2,7 @@
 
 use crate::cluster::{group, job, routes, terms, Cluster};
 use alderhollow_batch::api::{RouteTerms, RunEnd, Submitted};
+use alderhollow_batch::counts::ReplicationCounts;
 use alderhollow_batch::engine::Engine;
 use alderhollow_batch::message::{Message, StreamId, MESSAGE_BYTES};
 use alderhollow_batch::records::Entry;
@@ -287,3 +288,39 @@
     assert_eq!(State::restore(now_ms, Some(&snapshot), &records).unwrap(), all, "records may come twice");
     assert!(Engine::restore(DiskId(1), now_ms, Some(b"\x02"), &[]).is_err(), "another format is an error");
 }
+
+#[test]
+fn retries_and_comparisons_are_counted_over_all_sessions() {
+    let mut cluster = Cluster::active(3);
+    let counted = cluster.engine(1).counts().replication;
+    assert_eq!(counted, ReplicationCounts { comparisons: 2, ..ReplicationCounts::default() });
+    cluster.cut.insert(3);
+    cluster.submit(1, job("a", 1, 1));
+    cluster.pass(600, 1);
+    assert_eq!(cluster.engine(1).counts().replication.retries, 1, "after 500 ms without an answer");
+    cluster.cut.remove(&3);
+    cluster.pass(3_000, 1);
+    let before = cluster.engine(1).counts().replication;
+    cluster.set_group(2, 1, &[1, 2], &[]);
+    let after = cluster.engine(1).counts().replication;
+    assert_eq!(after - before, ReplicationCounts { comparisons: 1, ..ReplicationCounts::default() });
+    cluster.set_group(3, 2, &[1, 2], &[]);
+    assert_eq!(cluster.engine(1).counts().replication, after, "a follower keeps what it counted");
+    assert_eq!(cluster.engine(2).counts().replication.comparisons, 1);
+}
+
+#[test]
+fn a_stream_that_is_given_up_is_counted() {
+    let mut cluster = Cluster::active(2);
+    let now_ms = cluster.now_ms;
+    cluster.engine(1).set_routes(now_ms, 2, routes(RouteTerms { max_queued_tokens: 0, ..terms() }));
+    cluster.start(3, Vec::new());
+    cluster.set_group(2, 1, &[1, 2], &[3]);
+    cluster.cut.insert(3);
+    for number in 0..17 {
+        let mut large = job(&format!("large{number}"), 1, 1);
+        large.items[0].request.as_mut().unwrap().body = vec![number; 1 << 20];
+        cluster.accept(1, large);
+    }
+    assert!(cluster.engine(1).counts().replication.streams_given_up >= 1);
+}
