--- a/alderhollow/src/store/activity/tests.rs
+++ b/alderhollow/src/store/activity/tests.rs
@@ -1,3 +1,5 @@
+//! All tests of this crate's parts share the process's metrics: none of the others may move bytes of batch jobs or of replication.
+
 use super::{Activity, LOG_PERIOD};
 use alderhollow_batch::api::{GroupStatus, Outcome, Token};
 use alderhollow_batch::counts::{EngineCounts, ReplicationCounts};
--- a/alderhollow/tests/command_line.rs
+++ b/alderhollow/tests/command_line.rs
@@ -1,7 +1,7 @@
 //! The program's command line: exit status and words of `check` and of a start with wrong settings.
 
-use std::io::{BufRead, BufReader};
-use std::net::TcpListener;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Command, Output, Stdio};
 
@@ -65,20 +65,28 @@
     assert!(text(&output.stderr).lines().count() > 3, "all findings at once: {}", text(&output.stderr));
 }
 
-#[test]
-fn a_store_takes_a_hangup_for_new_settings_and_lives_on() {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("hangup-store");
+fn free_port() -> u16 {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address").port()
+}
+
+/// Settings of a store on loopback that finds no core; gives their file.
+fn loopback_store(name: &str) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::create_dir_all(&folder).expect("the folder for tests can be written");
     let settings = std::fs::read_to_string(fixture("store.toml")).expect("the fixture is there");
-    let free_port =
-        TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a port");
-    let ports = format!("[{0},{0}]", free_port.port());
+    let ports = format!("[{0},{0}]", free_port());
     let settings = settings
         .replace("10.9.2.15", "127.0.0.1")
         .replace("10.9.0.12:8146", "127.0.0.1:1")
         .replace("[7000,7015]", &ports)
         .replace("/data/store", &folder.display().to_string());
-    let path = written("hangup-store.toml", &settings);
+    written(&format!("{name}.toml"), &settings)
+}
+
+#[test]
+fn a_store_takes_a_hangup_for_new_settings_and_lives_on() {
+    let path = loopback_store("hangup-store");
     let mut command = program();
     command.arg("store").env("ALDERHOLLOW_BOOT", &path).stderr(Stdio::piped());
     let mut store = command.spawn().expect("the program starts");
@@ -100,3 +108,53 @@
     wait_for("told to end");
     assert!(store.wait().expect("it ends").success());
 }
+
+#[test]
+fn a_store_tells_its_metrics_where_the_option_says() {
+    let path = loopback_store("metrics-store");
+    let port = free_port();
+    let mut command = program();
+    command.arg("store").arg("--metrics").arg(format!("{port}/metrics"));
+    let mut store =
+        command.env("ALDERHOLLOW_BOOT", &path).stderr(Stdio::piped()).spawn().expect("the program starts");
+    let mut lines = BufReader::new(store.stderr.take().expect("its log")).lines();
+    let started = lines.by_ref().map_while(Result::ok).any(|line| line.contains("in zone south with disk"));
+    assert!(started, "the process ended at its start");
+    let mut stream = TcpStream::connect(("127.0.0.1", port)).expect("it listens");
+    stream
+        .write_all(b"GET /metrics HTTP/1.1\r\nhost: store\r\nconnection: close\r\n\r\n")
+        .expect("a request");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
+    assert!(answer.contains("\nalderhollow_store_group_primary 0\n"), "{answer}");
+    store.kill().expect("it runs");
+    store.wait().expect("it ends");
+}
+
+#[test]
+fn a_store_whose_metrics_port_is_taken_says_so_and_runs() {
+    let path = loopback_store("taken-port-store");
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let port = taken.local_addr().expect("an address").port();
+    let mut command = program();
+    command.arg("store").arg("--metrics").arg(format!("{port}/metrics"));
+    let mut store =
+        command.env("ALDERHOLLOW_BOOT", &path).stderr(Stdio::piped()).spawn().expect("the program starts");
+    let mut lines = BufReader::new(store.stderr.take().expect("its log")).lines();
+    let mut wait_for = |part: &str| {
+        let found = lines.by_ref().map_while(Result::ok).any(|line| line.contains(part));
+        assert!(found, "the process ended before it said: {part}");
+    };
+    wait_for("the metrics can't be told");
+    wait_for("in zone south with disk");
+    store.kill().expect("it runs");
+    store.wait().expect("it ends");
+}
+
+#[test]
+fn a_metrics_place_that_is_wrong_exits_2() {
+    let output = run(program().arg("door").arg("--metrics").arg("9464"));
+    assert_eq!(output.status.code(), Some(2));
+    assert!(text(&output.stderr).contains("write PORT/PATH"), "{}", text(&output.stderr));
+}
