--- a/alderhollow/tests/tier_support/mod.rs
+++ b/alderhollow/tests/tier_support/mod.rs
@@ -1,5 +1,7 @@
 //! A tier of real processes on loopback, with stand-ins of the platform, the backends and the operator. Each test has
 //! its own addresses, and ports that the system names.
+// Each file of tests uses a part of it.
+#![allow(dead_code)]
 
 use alderhollow::status;
 use alderhollow::status::message::StatusReport;
