Show that a group's goodput collapses beyond its primary's link

Settings give each process one address, which it listens at and announces, so no relay can stand between two processes of a tier on loopback. The test therefore models the link at the level of the engine: all that the primary sends waits in one queue of 60 Mbit/s; members, disks, backends and what comes in are taken as fast.

--- /dev/null
+++ b/batch/tests/engine/congestion/clients.rs
@@ -0,0 +1,131 @@
+//! Clients that hand jobs in at a steady rate, come again after a refusal and give up after a second.
+
+use crate::cluster::job;
+use alderhollow_batch::api::{Submitted, Token};
+use alderhollow_batch::job::{JobId, NewJob};
+use std::collections::BTreeMap;
+
+const ITEMS_PER_JOB: usize = 20;
+const BODY_BYTES: usize = 1_600;
+/// What the link passes of such jobs in a second, with all that they send: bodies and texts to three members, runs, and
+/// texts to readers.
+const CEILING_JOBS_PER_S: f64 = 15.6;
+/// How long a client waits for its acceptance, all tries together.
+pub const PATIENCE_MS: u64 = 1_000;
+/// Pause after a refusal.
+const RETRY_MS: u64 = 300;
+
+/// A client's view of its job.
+struct Client {
+    first_sent_ms: u64,
+    /// When it tries again; `None` while it waits for an answer, or once it is done.
+    next_try_ms: Option<u64>,
+    /// The store's promise of an answer, and when it was given.
+    taken: Option<(Token, u64)>,
+    answered_ms: Option<u64>,
+    /// Position behind the results that it has.
+    read: u32,
+}
+
+impl Client {
+    fn has_given_up(&self, now_ms: u64) -> bool {
+        self.answered_ms.is_none() && now_ms >= self.first_sent_ms + PATIENCE_MS
+    }
+}
+
+/// All clients.
+pub struct Clients {
+    pause_ms: f64,
+    next_job_ms: f64,
+    by_job: BTreeMap<JobId, Client>,
+    by_token: BTreeMap<Token, JobId>,
+    longest_commit_ms: u64,
+}
+
+impl Clients {
+    /// Clients that hand in `load` times what the link can pass.
+    pub fn new(now_ms: u64, load: u32) -> Clients {
+        Clients {
+            pause_ms: 1_000.0 / (CEILING_JOBS_PER_S * f64::from(load)),
+            next_job_ms: now_ms as f64,
+            by_job: BTreeMap::new(),
+            by_token: BTreeMap::new(),
+            longest_commit_ms: 0,
+        }
+    }
+
+    /// The jobs to hand in now: new ones, and those whose pause after a refusal is over.
+    pub fn due(&mut self, now_ms: u64) -> Vec<NewJob> {
+        while self.next_job_ms <= now_ms as f64 {
+            self.next_job_ms += self.pause_ms;
+            let id = JobId(format!("job-{:06}", self.by_job.len()));
+            let client = Client {
+                first_sent_ms: now_ms,
+                next_try_ms: Some(now_ms),
+                taken: None,
+                answered_ms: None,
+                read: 0,
+            };
+            self.by_job.insert(id, client);
+        }
+        let is_due = |client: &Client| {
+            !client.has_given_up(now_ms) && client.next_try_ms.is_some_and(|at_ms| at_ms <= now_ms)
+        };
+        let due = self.by_job.iter().filter(|(_, client)| is_due(client));
+        due.map(|(id, client)| new_job(id, now_ms - client.first_sent_ms)).collect()
+    }
+
+    /// The answer to a job that was handed in.
+    pub fn submitted(&mut self, now_ms: u64, id: &JobId, answer: Submitted) {
+        let client = self.by_job.get_mut(id).expect("a client");
+        client.next_try_ms = None;
+        match answer {
+            Submitted::Pending(token) => {
+                client.taken.get_or_insert((token, now_ms));
+                self.by_token.insert(token, id.clone());
+            }
+            Submitted::AlreadyAccepted => client.answered_ms = Some(now_ms),
+            _ => client.next_try_ms = Some(now_ms + RETRY_MS),
+        }
+    }
+
+    /// An acceptance is committed.
+    pub fn committed(&mut self, now_ms: u64, token: Token) {
+        let Some(id) = self.by_token.get(&token) else { return };
+        let client = self.by_job.get_mut(id).expect("a client");
+        let (_, taken_ms) = client.taken.expect("a promise");
+        self.longest_commit_ms = self.longest_commit_ms.max(now_ms - taken_ms);
+        if !client.has_given_up(now_ms) {
+            client.answered_ms.get_or_insert(now_ms);
+        }
+        client.taken = None;
+    }
+
+    /// Position from which on a client reads; `None` if it has given up.
+    pub fn reads_from(&self, id: &JobId) -> Option<u32> {
+        let client = self.by_job.get(id)?;
+        client.answered_ms.map(|_| client.read)
+    }
+
+    /// A client has results up to this position.
+    pub fn has_read(&mut self, id: &JobId, next: u32) {
+        if let Some(client) = self.by_job.get_mut(id) {
+            client.read = next;
+        }
+    }
+
+    /// The longest time between a job's being taken and its commit, or the present moment.
+    pub fn longest_commit_ms(&self, now_ms: u64) -> u64 {
+        let open = self.by_job.values().filter_map(|client| client.taken);
+        open.map(|(_, taken_ms)| now_ms - taken_ms).fold(self.longest_commit_ms, u64::max)
+    }
+}
+
+fn new_job(id: &JobId, age_ms: u64) -> NewJob {
+    let mut job = job(&id.0, ITEMS_PER_JOB, 1);
+    job.age_ms = age_ms;
+    for item in &mut job.items {
+        item.request.as_mut().expect("a request").body = vec![b'b'; BODY_BYTES];
+    }
+    job
+}
--- a/batch/tests/engine/main.rs
+++ b/batch/tests/engine/main.rs
@@ -2,6 +2,7 @@
 
 mod acceptance;
 mod cluster;
+mod congestion;
 mod reading;
 mod replication;
 mod runs;
