--- a/alderhollow/src/store/group_engine.rs
+++ b/alderhollow/src/store/group_engine.rs
@@ -152,7 +152,7 @@
     /// a learner. The control state admits as the primary of E, and of each later epoch, only a disk that is known to
     /// hold everything that was acknowledged (`GroupState::complete`), and that set keeps members of the newest epoch only. This disk
     /// comes into the set again only after it was a learner of a later epoch and was made equal to its primary, as an
-    /// empty disk would be. So nothing that was acknowledged rests on what it holds, also while E is not active; the former
+    /// empty disk would be. A member is left out only if enough others hold everything. So nothing that was acknowledged rests on what it holds, also while E is not active; the former
     /// members that a retirement waits for are a margin beyond that. The time is a margin too, for a primary of an earlier
     /// epoch that still sends: while the tables are in memory the group's epoch is E here, and such a primary is refused.
     ///
