--- a/alderhollow/src/batch_api/store_calls.rs
+++ b/alderhollow/src/batch_api/store_calls.rs
@@ -96,7 +96,7 @@
     let probe = probe_for(call);
     let mut unserved_by = None;
     loop {
-        let primary = primary_address(&snapshots, call.job());
+        let primary = call.job().and_then(|job| primary_address(&snapshots, job));
         let probed = match (primary, &probe) {
             (Some(to), Some(probe)) if unserved_by == primary => send_probe(link, to, probe).await,
             _ => Probed::Serves,
@@ -145,7 +145,7 @@
         StoreCall::Submit { job, .. } => {
             Some(StoreCall::Read { job: job.id.clone(), after: u32::MAX, wait_ms: 0 })
         }
-        StoreCall::Read { .. } | StoreCall::Body { .. } | StoreCall::End(_) => None,
+        StoreCall::Read { .. } | StoreCall::Body { .. } | StoreCall::End(_) | StoreCall::Quota(_) => None,
     }
 }
 
--- a/alderhollow/src/batch_protocol.rs
+++ b/alderhollow/src/batch_protocol.rs
@@ -2,6 +2,7 @@
 
 use alderhollow_batch::job::{JobId, NewJob};
 use alderhollow_batch::message::Message;
+use alderhollow_batch::quota::{QuotaGrant, QuotaReading, QuotaReport};
 use alderhollow_model::identity::DiskId;
 use alderhollow_model::snapshot::GroupId;
 use minicbor::{Decode, Encode};
@@ -45,6 +46,9 @@
     /// End a batch job.
     #[n(3)]
     End(#[n(0)] JobId),
+    /// Between stores: a group's primary reports to the coordinator of a route's limit.
+    #[n(4)]
+    Quota(#[n(0)] QuotaReport),
 }
 
 /// What a store answers a call with.
@@ -79,15 +83,23 @@
 }
 
 impl StoreCall {
-    /// The batch job that the call is about.
-    pub fn job(&self) -> &JobId {
+    /// The batch job that the call is about, if it is about one.
+    pub fn job(&self) -> Option<&JobId> {
         match self {
-            StoreCall::Submit { job, .. } => &job.id,
-            StoreCall::Read { job, .. } | StoreCall::Body { job, .. } | StoreCall::End(job) => job,
+            StoreCall::Submit { job, .. } => Some(&job.id),
+            StoreCall::Read { job, .. } | StoreCall::Body { job, .. } | StoreCall::End(job) => Some(job),
+            StoreCall::Quota(_) => None,
         }
     }
 }
 
+impl From<QuotaReading> for TenantReading {
+    fn from(reading: QuotaReading) -> TenantReading {
+        let QuotaReading { period, age_ms, length_ms, waiting, beyond } = reading;
+        TenantReading { period, age_ms, length_ms, waiting, beyond }
+    }
+}
+
 /// The answer to a [`StoreCall`].
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub enum StoreReply {
@@ -118,6 +130,9 @@
     /// The body of an item.
     #[n(8)]
     Body(#[cbor(n(0), with = "minicbor::bytes")] Vec<u8>),
+    /// The coordinator's answer to a report.
+    #[n(9)]
+    Quota(#[n(0)] QuotaGrant),
 }
 
 /// A notice between two stores (`ServiceId::Replication`).
--- a/alderhollow/src/store/calls.rs
+++ b/alderhollow/src/store/calls.rs
@@ -1,6 +1,7 @@
 //! Serves the doors' calls at a store.
 
 use super::group_engine::GroupEngine;
+use super::group_quota::{submit_now, Answered, End};
 use super::node::StoreNode;
 use crate::batch_api::document;
 use crate::batch_protocol::{StoreAnswer, StoreCall, StoreReply, TenantReading};
@@ -37,7 +38,11 @@
 
 /// Serves one call at the group that keeps its job.
 pub async fn serve(node: &Rc<StoreNode>, call: StoreCall) -> StoreAnswer {
-    let Some(group) = node.group_of_job(call.job()) else {
+    if let StoreCall::Quota(report) = &call {
+        let reply = node.serve_quota(report).map_or(StoreReply::NotSure, StoreReply::Quota);
+        return StoreAnswer { reply, reading: None };
+    }
+    let Some(group) = call.job().and_then(|job| node.group_of_job(job)) else {
         return StoreAnswer { reply: StoreReply::NotPrimary, reading: None };
     };
     let reply = match call {
@@ -45,27 +50,24 @@
         StoreCall::Read { job, after, wait_ms } => read(node, &group, &job, after, wait_ms).await,
         StoreCall::Body { job, item } => body(node, &group, &job, &item),
         StoreCall::End(job) => end(node, &group, &job).await,
+        StoreCall::Quota(_) => StoreReply::NotSure,
     };
     StoreAnswer { reply, reading: None }
 }
 
-async fn submit(node: &StoreNode, group: &GroupEngine, try_id: TryId, job: NewJob) -> StoreAnswer {
+async fn submit(node: &Rc<StoreNode>, group: &Rc<GroupEngine>, try_id: TryId, job: NewJob) -> StoreAnswer {
     let (route, tokens) = (job.route.clone(), job.tokens());
-    let mut ended = None;
-    let submitted = node.with_group(group, |engine, now_ms| {
-        let submitted = engine.submit(now_ms, try_id, job);
-        if let Submitted::Pending(token) = submitted {
-            ended = Some(group.waiting.for_end(token));
-        }
-        submitted
-    });
+    let Answered { submitted, end } = match node.must_wait_for_room(group, &job) {
+        true => node.submit_with_room(group, try_id, job).await,
+        false => submit_at_once(node, group, try_id, job),
+    };
     let reading = match submitted {
         Submitted::NotPrimary | Submitted::NotSure | Submitted::Invalid => None,
         Submitted::OverQuota => read_meter(node, group, &route, tokens),
         Submitted::Pending(_) | Submitted::AlreadyAccepted => read_meter(node, group, &route, 0),
     };
     let reply = match submitted {
-        Submitted::Pending(_) => await_end(ended).await,
+        Submitted::Pending(_) => await_end(end).await,
         Submitted::AlreadyAccepted => StoreReply::Committed,
         Submitted::OverQuota => StoreReply::OverQuota,
         Submitted::NotPrimary => StoreReply::NotPrimary,
@@ -75,15 +77,30 @@
     StoreAnswer { reply, reading }
 }
 
-/// Notes a batch job in the meter, with the tokens that did not fit, and gives the newest reading.
+/// Hands a batch job in that needs no more room, or is not to be taken anyway.
+fn submit_at_once(node: &StoreNode, group: &GroupEngine, try_id: TryId, job: NewJob) -> Answered {
+    let route = job.route.clone();
+    node.with_group(group, |engine, now_ms| {
+        let answered = submit_now(engine, now_ms, &group.waiting, try_id, job);
+        if let Submitted::Pending(_) = answered.submitted {
+            group.quota.note_accepted(engine, &route);
+        }
+        answered
+    })
+}
+
+/// The newest reading of a route's waiting tokens. A group that shares the route's limit with no other notes the batch job
+/// in its meter, with the tokens that did not fit; otherwise the route's coordinator reads.
 fn read_meter(node: &StoreNode, group: &GroupEngine, route: &str, beyond: u64) -> Option<TenantReading> {
+    let now_ms = node.clock.now_ms();
+    if node.shares_quota() {
+        return group.quota.reading(now_ms, route).map(TenantReading::from);
+    }
     let (waiting, epoch) =
         node.look(group, |engine, now_ms| (engine.waiting_tokens(route), engine.status(now_ms).epoch));
-    group.meter.borrow_mut().note(node.clock.now_ms(), epoch, route, waiting, beyond)
+    group.meter.borrow_mut().note(now_ms, epoch, route, waiting, beyond).map(TenantReading::from)
 }
 
-type End = Option<tokio::sync::oneshot::Receiver<Outcome>>;
-
 async fn await_end(ended: End) -> StoreReply {
     let Some(ended) = ended else { return StoreReply::Unknown };
     match tokio::time::timeout(END_TIMEOUT, ended).await {
--- a/alderhollow/src/store/group_engine.rs
+++ b/alderhollow/src/store/group_engine.rs
@@ -1,11 +1,12 @@
 //! One batch group at this store: its engine, the calls that wait at it, the meter, and what the process's main loop and
 //! journal remember of it.
 
-use super::meter::Meter;
+use super::group_quota::GroupQuota;
 use super::waiting::Waiting;
 use crate::control_state::store_report::GroupReport;
 use alderhollow_batch::api::{GroupStatus, Output, RouteTerms, WriteTicket};
 use alderhollow_batch::engine::Engine;
+use alderhollow_batch::quota::Meter;
 use alderhollow_model::identity::DiskId;
 use alderhollow_model::snapshot::{BatchGroup, GroupId};
 use std::cell::{Cell, RefCell};
@@ -23,8 +24,10 @@
     pub id: GroupId,
     /// Calls that wait.
     pub waiting: Waiting,
-    /// Readings of waiting tokens.
+    /// Readings of waiting tokens, where this group shares the routes' limits with no other.
     pub meter: RefCell<Meter>,
+    /// Its part in the limits that it shares with other groups.
+    pub quota: GroupQuota,
     engine: RefCell<Engine>,
     tables_epoch: Cell<u64>,
     is_working: Cell<bool>,
@@ -46,6 +49,7 @@
             id,
             waiting: Waiting::default(),
             meter: RefCell::default(),
+            quota: GroupQuota::default(),
             engine: RefCell::new(engine),
             tables_epoch: Cell::new(0),
             is_working: Cell::new(false),
@@ -130,7 +134,8 @@
         let status = engine.status(now_ms);
         let next_tick_ms = engine.next_tick_ms().unwrap_or(u64::MAX);
         let by_time_ms = if status.primary { now_ms + LONGEST_TICK_MS } else { u64::MAX };
-        self.next_look_ms.set(next_tick_ms.min(by_time_ms));
+        let quota_ms = self.quota.next_due_ms(&engine).unwrap_or(u64::MAX);
+        self.next_look_ms.set(next_tick_ms.min(by_time_ms).min(quota_ms));
         self.has_work.set(!engine.routes_with_work(now_ms).is_empty());
         self.report.replace(report(status));
         self.is_touched.set(false);
--- a/alderhollow/src/store/mod.rs
+++ b/alderhollow/src/store/mod.rs
@@ -11,18 +11,20 @@
 //! | [`journal_queue`] | its writes, in order, and their ends; compaction; a disk that fails |
 //! | [`waiting`] | calls that wait for an end or a result |
 //! | [`calls`] | serves the doors' calls |
-//! | [`meter`] | readings of waiting tokens for the doors' coins |
+//! | [`group_quota`] | a group's accounts and coordinator of the routes' shared limits of waiting tokens |
+//! | [`quota_exchange`] | carries reports and grants between them over the network |
 //! | [`item_starts`] | chooses the items to start, over all led groups |
 //! | [`runs`] | starts and cancels runs of items |
 //! | [`role`] | the process's main loop |
 
 pub mod calls;
 pub mod group_engine;
+pub mod group_quota;
 pub mod item_starts;
 pub mod journal_queue;
 pub mod journal_records;
-pub mod meter;
 pub mod node;
+pub mod quota_exchange;
 pub mod replication;
 pub mod role;
 pub mod routes;
--- a/alderhollow/src/store/node.rs
+++ b/alderhollow/src/store/node.rs
@@ -50,9 +50,11 @@
     status: Duration,
     groups: RefCell<BTreeMap<GroupId, Rc<GroupEngine>>>,
     /// The newest control state that was validated.
-    control: RefCell<Arc<ControlView>>,
+    pub(super) control: RefCell<Arc<ControlView>>,
+    /// Its batch routes.
+    pub(super) routes: RefCell<Rc<BTreeMap<String, RouteTerms>>>,
     journal: JournalQueue,
-    network: Network,
+    pub(super) network: Network,
     poll: PollState,
     snapshots: RefCell<SnapshotReceiver>,
     addresses: RefCell<BTreeMap<DiskId, SocketAddr>>,
@@ -95,6 +97,7 @@
             status: parts.status,
             groups: RefCell::default(),
             control: RefCell::default(),
+            routes: RefCell::default(),
             journal: parts.journal,
             network: parts.network,
             poll: parts.poll,
@@ -112,6 +115,10 @@
         self.validate(group);
         let result = group.call(self.clock.now_ms(), call);
         self.carry_out(group);
+        if group.quota.has_waiting() {
+            // Tokens may have become free.
+            self.woken.notify_one();
+        }
         result
     }
 
@@ -189,7 +196,7 @@
     }
 
     /// Gives time to the groups that are due for it, and reports what changed.
-    fn look_at_groups(&self) {
+    fn look_at_groups(self: &Rc<Self>) {
         let now_ms = self.clock.now_ms();
         let disk_ready = self.journal.is_ready(now_ms);
         let due: Vec<Rc<GroupEngine>> =
@@ -199,6 +206,7 @@
                 engine.set_disk_ready(disk_ready);
                 engine.tick(now_ms);
             });
+            self.drive_quota(group);
             group.waiting.sweep();
             group.note_look(self.clock.now_ms());
         }
@@ -243,7 +251,7 @@
     }
 
     /// A group by its number.
-    fn group(&self, id: GroupId) -> Option<Rc<GroupEngine>> {
+    pub(super) fn group(&self, id: GroupId) -> Option<Rc<GroupEngine>> {
         self.groups.borrow().get(&id).cloned()
     }
 
@@ -261,7 +269,8 @@
         let engine = Engine::restore(self.disk, self.clock.now_ms(), None, &[]).ok()?;
         let group = self.add_group(id, engine);
         let control = self.control.borrow().clone();
-        self.hand_tables(&group, &control, &routes_of(&control));
+        let routes = self.routes.borrow().clone();
+        self.hand_tables(&group, &control, &routes);
         Some(group)
     }
 
@@ -286,7 +295,7 @@
     }
 
     /// Takes the newest tables and the core's newest word on them in, in this order: the word validates the newest tables.
-    fn validate(&self, group: &GroupEngine) {
+    pub(super) fn validate(&self, group: &GroupEngine) {
         self.follow_tables();
         if let Some(until_ms) = self.validated_until_ms() {
             group.set_validated_until(until_ms);
@@ -299,7 +308,7 @@
     }
 
     /// Takes newer tables in.
-    fn follow_tables(&self) {
+    pub(super) fn follow_tables(&self) {
         let changed = self.snapshots.borrow().has_changed().unwrap_or(false);
         if changed {
             let snapshot = self.snapshots.borrow_mut().borrow_and_update().clone();
@@ -313,13 +322,14 @@
         }
         let control = snapshot.control.clone();
         self.control.replace(control.clone());
+        let routes = Rc::new(routes_of(&control));
+        self.routes.replace(routes.clone());
         for (id, group) in control.numbered_groups() {
             self.note_addresses(group);
             if names(group, self.disk) && self.group(id).is_none() {
                 self.make_group(id);
             }
         }
-        let routes = routes_of(&control);
         for group in self.groups() {
             self.hand_tables(&group, &control, &routes);
             self.carry_out(&group);
@@ -336,6 +346,9 @@
         if group.take_group(now_ms, self.disk, tables) {
             self.woken.notify_one();
         }
+        group.call(now_ms, |engine, now_ms| {
+            group.quota.take_tables(now_ms, engine, group.id, control, routes);
+        });
     }
 
     fn note_addresses(&self, group: &BatchGroup) {
@@ -346,7 +359,7 @@
     }
 
     /// Does what a group's engine asks for.
-    fn carry_out(&self, group: &GroupEngine) {
+    pub(super) fn carry_out(&self, group: &GroupEngine) {
         group.carry_out(|output| self.do_one(group, output));
     }
 
--- /dev/null
+++ b/alderhollow/src/store/quota_exchange.rs
@@ -0,0 +1,138 @@
+//! Carries reports and grants of the shared limits of waiting tokens between the stores, over the internal network.
+
+use super::group_engine::GroupEngine;
+use super::group_quota::{home_of, shares_limits, Answered};
+use super::node::StoreNode;
+use crate::batch_protocol::{StoreAnswer, StoreCall, StoreReply};
+use crate::internal::ServiceId;
+use alderhollow_batch::api::{Submitted, TryId};
+use alderhollow_batch::job::NewJob;
+use alderhollow_batch::quota::account::ANSWER_PATIENCE_MS;
+use alderhollow_batch::quota::{QuotaGrant, QuotaReport, SubmissionId};
+use alderhollow_model::snapshot::GroupMember;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A report that has no answer for so long is lost.
+const ANSWER_PATIENCE: Duration = Duration::from_millis(ANSWER_PATIENCE_MS);
+
+/// Takes a submission out of the line when its client goes.
+struct InLine<'a> {
+    group: &'a GroupEngine,
+    route: String,
+    id: SubmissionId,
+}
+
+impl Drop for InLine<'_> {
+    fn drop(&mut self) {
+        self.group.quota.withdraw(&self.route, self.id);
+    }
+}
+
+impl StoreNode {
+    /// Whether several groups share the routes' limits.
+    pub(super) fn shares_quota(&self) -> bool {
+        shares_limits(&self.control.borrow())
+    }
+
+    /// Whether a batch job must wait for room in its route's account.
+    pub(super) fn must_wait_for_room(self: &Rc<Self>, group: &Rc<GroupEngine>, job: &NewJob) -> bool {
+        if !self.shares_quota() {
+            return false;
+        }
+        self.drive_quota(group);
+        self.look(group, |engine, now_ms| group.quota.must_wait(engine, now_ms, job))
+    }
+
+    /// Hands a batch job in as soon as there is room for it, or refuses it when there surely is none.
+    pub(super) async fn submit_with_room(
+        self: &Rc<Self>,
+        group: &Rc<GroupEngine>,
+        try_id: TryId,
+        job: NewJob,
+    ) -> Answered {
+        let unsure = Answered { submitted: Submitted::NotSure, end: None };
+        let route = job.route.clone();
+        let Some(queued) = group.quota.queue(self.clock.now_ms(), try_id, job) else { return unsure };
+        let _in_line = InLine { group, route, id: queued.id };
+        self.drive_quota(group);
+        queued.answer.await.unwrap_or(unsure)
+    }
+
+    /// Opens a group's accounts, settles what waits at them and sends the reports that are due.
+    pub(super) fn drive_quota(self: &Rc<Self>, group: &Rc<GroupEngine>) {
+        self.validate(group);
+        let control = self.control.borrow().clone();
+        if !shares_limits(&control) {
+            return;
+        }
+        let now_ms = self.clock.now_ms();
+        if !group.look(now_ms, |engine, _| group.quota.is_of_session(engine)) {
+            group.quota.end_session();
+            return;
+        }
+        if group.quota.is_idle() {
+            let routes = self.routes.borrow().clone();
+            group.call(now_ms, |engine, now_ms| {
+                group.quota.open_accounts(now_ms, engine, group.id, &control, &routes);
+            });
+        }
+        let reports = group.call(now_ms, |engine, now_ms| group.quota.drive(now_ms, engine, &group.waiting));
+        self.carry_out(group);
+        if group.quota.has_waiting() {
+            self.wake();
+        }
+        for report in reports {
+            tokio::task::spawn_local(exchange(self.clone(), group.clone(), report));
+        }
+    }
+
+    /// Answers a report as the coordinator of its route; `None` if this store can't tell now.
+    pub fn serve_quota(&self, report: &QuotaReport) -> Option<QuotaGrant> {
+        self.follow_tables();
+        let control = self.control.borrow().clone();
+        let group = self.group(home_of(&control, &report.route))?;
+        let session =
+            self.look(&group, |engine, now_ms| engine.session().filter(|_| engine.is_sure(now_ms)))?;
+        let is_in_tables = control.group(group.id).is_some_and(|tables| tables.epoch == session.epoch);
+        let max = self.routes.borrow().get(&report.route).map(|terms| terms.max_queued_tokens)?;
+        let now_ms = self.clock.now_ms();
+        is_in_tables.then(|| group.quota.coordinate(now_ms, session, &control, max, report))
+    }
+
+    /// Asks the route's coordinator; `None` if there is no answer.
+    async fn ask_coordinator(&self, report: &QuotaReport) -> Option<QuotaGrant> {
+        let coordinator = self.coordinator_of(&report.route)?;
+        if coordinator.disk == self.disk {
+            return self.serve_quota(report);
+        }
+        let payload = minicbor::to_vec(StoreCall::Quota(report.clone())).ok()?;
+        let to = coordinator.node.internal.0;
+        let answer = self.network.call(to, ServiceId::Batch, payload, ANSWER_PATIENCE).await.ok()?;
+        match minicbor::decode::<StoreAnswer>(&answer).ok()?.reply {
+            StoreReply::Quota(grant) => Some(grant),
+            _ => None,
+        }
+    }
+
+    /// The primary of a route's home group.
+    fn coordinator_of(&self, route: &str) -> Option<GroupMember> {
+        let control = self.control.borrow();
+        control.group(home_of(&control, route))?.primary_member().cloned()
+    }
+}
+
+/// Sends a report and takes its answer.
+async fn exchange(node: Rc<StoreNode>, group: Rc<GroupEngine>, report: QuotaReport) {
+    let grant = node.ask_coordinator(&report).await;
+    node.validate(&group);
+    let now_ms = node.clock.now_ms();
+    match grant {
+        Some(grant) => group.call(now_ms, |engine, now_ms| {
+            group.quota.take_answer(now_ms, engine, &group.waiting, &report.route, &grant);
+        }),
+        None => group.quota.answer_lost(now_ms, &report.route, report.id),
+    }
+    node.carry_out(&group);
+    node.drive_quota(&group);
+}
--- a/alderhollow/tests/store.rs
+++ b/alderhollow/tests/store.rs
@@ -668,3 +668,104 @@
         }
     });
 }
+
+/// Tokens of an item that [`Tier::hand_in`] makes.
+const ITEM_TOKENS: u64 = 100;
+
+/// A backend that never answers, so that all accepted tokens go on waiting.
+fn silent() -> Vec<Reply> {
+    std::iter::repeat_with(|| Reply::Silence).take(400).collect()
+}
+
+/// Hands one job in until it is answered 202 or 429.
+async fn hand_in_until_decided(tier: &Tier, id: &str, items: usize) -> u16 {
+    loop {
+        let status = tier.hand_in(id, items, 4_000).await.status().as_u16();
+        if status == 202 || status == 429 {
+            return status;
+        }
+        assert_eq!(status, 503);
+    }
+}
+
+#[test]
+fn groups_share_a_routes_limit() {
+    in_local_set(async {
+        let tier = Tier::start_with(silent(), 3 * ITEM_TOKENS, &THREE_GROUPS).await;
+        let [a, b, c] = [0, 1, 2].map(|group| jobs_of_group(group, 3, 2));
+        assert_eq!(hand_in_until_decided(&tier, &a[0], 2).await, 202);
+        assert_eq!(hand_in_until_decided(&tier, &b[0], 2).await, 429);
+        assert_eq!(hand_in_until_decided(&tier, &b[1], 1).await, 202);
+        assert_eq!(hand_in_until_decided(&tier, &c[0], 1).await, 429);
+        assert_eq!(
+            hand_in_until_decided(&tier, &a[0], 2).await,
+            202,
+            "a known job is answered without its tokens"
+        );
+        assert_eq!(tier.status("DELETE", &format!("/alderhollow/lots/{}", a[0])).await, 200);
+        assert_eq!(hand_in_until_decided(&tier, &c[1], 2).await, 202);
+        assert_eq!(hand_in_until_decided(&tier, &a[1], 1).await, 429);
+    });
+}
+
+#[test]
+fn all_that_fits_and_no_more_is_taken_over_all_groups() {
+    in_local_set(async {
+        let tier = Tier::start_with(silent(), 10 * ITEM_TOKENS, &THREE_GROUPS).await;
+        let jobs = (0..3).flat_map(|group| jobs_of_group(group, 3, 8));
+        let ids: Vec<String> = jobs.collect();
+        let all = ids.iter().map(|id| hand_in_until_decided(&tier, id, 1));
+        let statuses = futures_of(all.collect()).await;
+        let taken = statuses.iter().filter(|status| **status == 202).count();
+        assert_eq!(taken, 10, "{statuses:?}");
+    });
+}
+
+/// Ends of futures that run at once.
+async fn futures_of<F: Future<Output = u16>>(futures: Vec<F>) -> Vec<u16> {
+    let mut futures: Vec<_> = futures.into_iter().map(Box::pin).collect();
+    let mut ends: Vec<Option<u16>> = futures.iter().map(|_| None).collect();
+    std::future::poll_fn(|context| {
+        for (future, end) in futures.iter_mut().zip(&mut ends) {
+            if end.is_none() {
+                if let std::task::Poll::Ready(status) = future.as_mut().poll(context) {
+                    *end = Some(status);
+                }
+            }
+        }
+        if ends.iter().any(Option::is_none) {
+            return std::task::Poll::Pending;
+        }
+        std::task::Poll::Ready(())
+    })
+    .await;
+    ends.into_iter().flatten().collect()
+}
+
+#[test]
+fn a_successor_counts_what_it_finds() {
+    in_local_set(async {
+        let tier = Tier::start_with(silent(), 3 * ITEM_TOKENS, &THREE_GROUPS).await;
+        let [a, b, c] = [0, 1, 2].map(|group| jobs_of_group(group, 3, 2));
+        assert_eq!(hand_in_until_decided(&tier, &b[0], 2).await, 202);
+        tier.stores[1].stop();
+        // The home group of the route may be any of them: all are led by others than before.
+        tier.set_groups(2, &[Plan::new(2, 0, &[0]), Plan::new(2, 2, &[2]), Plan::new(2, 0, &[2, 0])]);
+        assert_eq!(hand_in_until_decided(&tier, &a[0], 2).await, 429);
+        assert_eq!(hand_in_until_decided(&tier, &c[0], 1).await, 202);
+        assert_eq!(hand_in_until_decided(&tier, &b[1], 1).await, 429);
+    });
+}
+
+#[test]
+fn without_a_coordinator_nothing_is_refused_as_over_quota() {
+    in_local_set(async {
+        let tier = Tier::start_with(silent(), 3 * ITEM_TOKENS, &THREE_GROUPS).await;
+        let home = alderhollow_batch::quota::home_group(ROUTE, 3) as usize;
+        let other = (home + 1) % 3;
+        tier.stores[home].stop();
+        let id = &jobs_of_group(other, 3, 1)[0];
+        let status = tier.hand_in(id, 1, 1_500).await.status().as_u16();
+        assert!(status == 503 || status == 504, "{status}");
+    });
+}
