--- a/alderhollow/src/store/calls.rs
+++ b/alderhollow/src/store/calls.rs
@@ -89,8 +89,8 @@
     })
 }
 
-/// The newest reading of a route's waiting tokens. A group that shares the route's limit with no other notes the batch job
-/// in its meter, with the tokens that did not fit; otherwise the route's coordinator reads.
+/// The newest reading of a route's waiting tokens. A group that shares the route's limit with no other notes the batch
+/// job in its meter, with the tokens that did not fit; otherwise the route's coordinator reads.
 fn read_meter(node: &StoreNode, group: &GroupEngine, route: &str, beyond: u64) -> Option<TenantReading> {
     let now_ms = node.clock.now_ms();
     if node.shares_quota() {
--- a/alderhollow/src/store/group_engine.rs
+++ b/alderhollow/src/store/group_engine.rs
@@ -1,5 +1,5 @@
-//! One batch group at this store: its engine, the calls that wait at it, the meter, and what the process's main loop and
-//! journal remember of it.
+//! One batch group at this store: its engine, the calls that wait at it, the meter, and what the process's main loop
+//! and journal remember of it.
 
 use super::group_quota::GroupQuota;
 use super::waiting::Waiting;
@@ -153,13 +153,14 @@
 
     /// Whether all that this store holds of the group may be dropped.
     ///
-    /// The tables are validated: a majority of the core has committed an epoch E that names this disk neither as a member nor as
-    /// a learner. The control state admits as the primary of E, and of each later epoch, only a disk that is known to
-    /// hold everything that was acknowledged (`GroupState::complete`), and that set keeps members of the newest epoch only. This disk
-    /// comes into the set again only after it was a learner of a later epoch and was made equal to its primary, as an
-    /// empty disk would be. A member is left out only if enough others hold everything. So nothing that was acknowledged rests on what it holds, also while E is not active; the former
-    /// members that a retirement waits for are a margin beyond that. The time is a margin too, for a primary of an earlier
-    /// epoch that still sends: while the tables are in memory the group's epoch is E here, and such a primary is refused.
+    /// The tables are validated: a majority of the core has committed an epoch E that names this disk neither as a
+    /// member nor as a learner. The control state admits as the primary of E, and of each later epoch, only a disk that
+    /// is known to hold everything that was acknowledged (`GroupState::complete`), and that set keeps members of the
+    /// newest epoch only. This disk comes into the set again only after it was a learner of a later epoch and was made
+    /// equal to its primary, as an empty disk would be. A member is left out only if enough others hold everything. So
+    /// nothing that was acknowledged rests on what this disk holds, also while E is not active; the former members that
+    /// a retirement waits for are a margin beyond that. The time is a margin too, for a primary of an earlier epoch
+    /// that still sends: while the tables are in memory the group's epoch is E here, and such a primary is refused.
     ///
     /// Writes under way have ended: their tickets must not be taken for those of the group's next life at this store.
     pub(super) fn may_be_dropped(&self, now_ms: u64) -> bool {
--- a/alderhollow/src/store/group_quota.rs
+++ b/alderhollow/src/store/group_quota.rs
@@ -1,5 +1,6 @@
-//! A group's part in the limits of waiting tokens that the routes' groups share (`alderhollow_batch::quota`): its account of each
-//! route while this store leads it, the submissions that wait for room, and the coordinator of the routes whose home it is.
+//! A group's part in the limits of waiting tokens that the routes' groups share (`alderhollow_batch::quota`): its
+//! account of each route while this store leads it, the submissions that wait for room, and the coordinator of the
+//! routes whose home it is.
 //!
 //! A group that is the only one shares with nobody: its engine keeps the routes' own limits, and there are no accounts.
 //! Among several, an engine has a limit of 0 for each limited route until the account of its session was given more.
--- a/alderhollow/src/store/journal_records.rs
+++ b/alderhollow/src/store/journal_records.rs
@@ -1,8 +1,8 @@
 //! The records and the snapshot of a store's one journal, which carry the id of the batch group that they belong to.
 //!
-//! A tagged record is [`GROUP_TAG`], the group's id in four bytes (the greatest first), then the group's own record. A tagged
-//! snapshot is [`GROUP_TAG`], then for each group its id in four bytes, the length of its snapshot in eight, and its snapshot.
-//! Earlier versions knew one group: what begins with any other byte is a record or a snapshot of group 0.
+//! A tagged record is [`GROUP_TAG`], the group's id in four bytes (the greatest first), then the group's own record. A
+//! tagged snapshot is [`GROUP_TAG`], then for each group its id in four bytes, the length of its snapshot in eight, and
+//! its snapshot. Earlier versions knew one group: what begins with any other byte is a record or a snapshot of group 0.
 
 use alderhollow_batch::engine::Engine;
 use alderhollow_batch::records::{DecodeError, FORMAT_VERSION};
--- a/alderhollow/src/store/mod.rs
+++ b/alderhollow/src/store/mod.rs
@@ -1,5 +1,5 @@
-//! The role `store`: keeps batch jobs on its disk with the other members of the batch groups that it belongs to and, as the
-//! primary of some, serves the doors' calls and runs the items.
+//! The role `store`: keeps batch jobs on its disk with the other members of the batch groups that it belongs to and, as
+//! the primary of some, serves the doors' calls and runs the items.
 //!
 //! | part | does |
 //! | --- | --- |
--- a/alderhollow/src/store/node.rs
+++ b/alderhollow/src/store/node.rs
@@ -229,8 +229,9 @@
         Duration::from_millis(pause_ms)
     }
 
-    /// Drops the groups that this store has surely left ([`GroupEngine::may_be_dropped`]) from memory, and by a new snapshot from
-    /// disk: what the journal holds of them must not stand before what a later life of the group here writes.
+    /// Drops the groups that this store has surely left ([`GroupEngine::may_be_dropped`]) from memory, and by a new
+    /// snapshot from disk: what the journal holds of them must not stand before what a later life of the group here
+    /// writes.
     pub fn drop_left_groups(&self, now_ms: u64) {
         let groups = self.groups();
         if !groups.iter().any(|group| group.may_be_dropped(now_ms)) || !self.may_forget(now_ms) {
@@ -294,7 +295,8 @@
         }
     }
 
-    /// Takes the newest tables and the core's newest word on them in, in this order: the word validates the newest tables.
+    /// Takes the newest tables and the core's newest word on them in, in this order: the word validates the newest
+    /// tables.
     pub(super) fn validate(&self, group: &GroupEngine) {
         self.follow_tables();
         if let Some(until_ms) = self.validated_until_ms() {
--- a/alderhollow/tests/store.rs
+++ b/alderhollow/tests/store.rs
@@ -1,5 +1,5 @@
-//! Three stores with one batch group or several, a door's batch calls and a backend in one process, over loopback: jobs are kept by all members, run by the
-//! primary, and stand at its successor. The disks are in memory.
+//! Three stores with one batch group or several, a door's batch calls and a backend in one process, over loopback: jobs
+//! are kept by all members, run by the primary, and stand at its successor. The disks are in memory.
 
 #[path = "support/batch_backend.rs"]
 mod batch_backend;
