--- a/alderhollow/src/batch_api/endpoints/tests.rs
+++ b/alderhollow/src/batch_api/endpoints/tests.rs
@@ -161,13 +161,13 @@
     assert_eq!(asked, ["10.0.0.1:7000", "10.0.0.2:7000"]);
 }
 
-/// The calls of a hand-over to one store, told apart as full copies of the job (`true`) and small probes.
+/// The calls of a hand-over to one store, told apart as full copies of the job (`true`) and small offers.
 fn copies(calls: &[(SocketAddr, StoreCall)]) -> Vec<bool> {
     calls.iter().map(|(_, call)| matches!(call, StoreCall::Submit { .. })).collect()
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_primary_that_can_not_tell_gets_one_copy_of_a_job_and_then_probes() {
+async fn a_primary_that_can_not_tell_gets_one_copy_of_a_job_and_then_offers() {
     let (status, _, _, calls) = answer(vec![Ok(StoreReply::NotSure)], hand_in(JOB)).await;
     assert_eq!(status, 503);
     let copies = copies(&calls);
@@ -177,21 +177,46 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_job_goes_out_again_once_its_primary_serves() {
-    let replies = [StoreReply::NotSure, StoreReply::NotSure, StoreReply::NotFound, StoreReply::Committed];
+    let replies = [StoreReply::NotSure, StoreReply::NotSure, StoreReply::Welcome, StoreReply::Committed];
     let (status, _, _, calls) = answer(replies.map(Ok).into(), hand_in(JOB)).await;
     assert_eq!(status, 202);
     assert_eq!(copies(&calls), [true, false, false, true]);
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_job_that_a_probe_can_read_is_accepted() {
-    let results = StoreReply::Results(br#"{"total":1,"next-token":0,"results":[]}"#.to_vec());
-    let replies = vec![Err(StoreCallError::Unknown), Ok(StoreReply::NotSure), Ok(results)];
+async fn a_job_that_an_offer_shows_as_committed_is_accepted() {
+    let replies = vec![Err(StoreCallError::Unknown), Ok(StoreReply::NotSure), Ok(StoreReply::Committed)];
     let (status, _, _, calls) = answer(replies, hand_in(JOB)).await;
     assert_eq!(status, 202);
     assert_eq!(copies(&calls), [true, false, false]);
 }
 
+/// A job of some size.
+fn large_job() -> String {
+    let body = "q83v".repeat(4 * 1024);
+    format!(r#"{{"requests":[{{"id":"i1","path":"/b/1","headers":{{}},"body":"{body}","tokens":940}}]}}"#)
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_large_job_is_sent_only_where_it_would_be_taken() {
+    let (status, _, _, calls) =
+        answer(vec![Ok(StoreReply::Welcome), Ok(StoreReply::Committed)], hand_in(&large_job())).await;
+    assert_eq!(status, 202);
+    assert_eq!(copies(&calls), [false, true]);
+    for (refusal, status) in
+        [(StoreReply::OverQuota, 429), (StoreReply::NotSure, 503), (StoreReply::NotPrimary, 503)]
+    {
+        let (answered, _, _, calls) = answer(vec![Ok(refusal)], hand_in(&large_job())).await;
+        assert_eq!(answered, status);
+        assert!(copies(&calls).iter().all(|copy| !copy), "{calls:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_offer_without_an_answer_hands_nothing_over() {
+    assert_eq!(status_of(vec![Err(StoreCallError::Unknown)], hand_in(&large_job())).await, (503, true));
+}
+
 #[tokio::test(start_paused = true)]
 async fn malformed_jobs_are_refused_without_a_call() {
     for body in ["", "{}", "[]", r#"{"requests":[]}"#, r#"{"requests":[{"id":"a","path":"b"}]}"#] {
--- a/alderhollow/src/batch_api/store_calls.rs
+++ b/alderhollow/src/batch_api/store_calls.rs
@@ -1,9 +1,10 @@
-//! Calls of a door to the primary of the group of stores, asked again at a successor until the end is known.
+//! Calls of a door to the primary of the group of stores that keeps the batch job, asked again at a successor until the end is known.
 
 use crate::batch_protocol::{StoreAnswer, StoreCall, StoreReply, TenantReading};
 use crate::internal::{CallError, Network, ServiceId};
 use crate::metrics;
 use crate::SnapshotReceiver;
+use alderhollow_batch::job::JobId;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -15,6 +16,10 @@
 /// Longest time for one answer, beyond what the call may wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// A batch job whose items' bodies are of this size together is offered before it is sent for the first time; a smaller one
+/// is sent at once, and offered when it has to be sent again.
+const LARGE_JOB_BYTES: usize = 8 * 1024;
+
 /// One call to one store.
 pub type StoreAnswerFuture = Pin<Box<dyn Future<Output = Result<StoreAnswer, StoreCallError>>>>;
 
@@ -85,81 +90,123 @@
     Unknown,
 }
 
-/// Asks the group's primary until there is an answer or patience ends. Gives the newest reading that came along.
+/// Asks the primary of the job's group until there is an answer or patience ends. Gives the newest reading that came along.
 ///
-/// A batch job is large. A primary that did not serve it is first asked whether it serves calls at all: copies of many
-/// jobs, sent anew every few milliseconds, would fill its link, so that it could not hear the core.
+/// A batch job is large. It is offered first, by a small call: where it would not be taken, its body stays here. Bodies of
+/// jobs that are refused, sent anew every few milliseconds by every door, fill the primary's link, so that it hears neither
+/// the core nor its members.
 pub async fn ask_primary(
     link: &dyn StoreLink,
     mut snapshots: SnapshotReceiver,
     call: &StoreCall,
     patience: Patience,
 ) -> (CallEnd, Option<TenantReading>) {
-    let mut unknown = false;
-    let mut reading = None;
-    let probe = probe_for(call);
-    let mut unserved_by = None;
+    let mut asked = Asked::default();
+    let offer = offer_of(call);
+    let mut offers_first = is_large(call);
     loop {
-        let primary = primary_address(&snapshots);
-        let probed = match (primary, &probe) {
-            (Some(to), Some(probe)) if unserved_by == primary => send_probe(link, to, probe).await,
-            _ => Probed::Serves,
-        };
-        if probed == Probed::IsCommitted {
-            let end = if unknown { CallEnd::AnsweredAfterUnknown } else { CallEnd::Answered };
-            return (end(StoreReply::Committed), reading);
-        }
-        if let Some(to) = primary.filter(|_| probed == Probed::Serves) {
-            unserved_by = primary;
-            let answer = link.call(to, call, ANSWER_TIMEOUT + patience.held).await;
-            let reply = answer.map(|answer| {
-                reading = answer.reading.or(reading);
-                answer.reply
-            });
-            match reply {
-                Ok(StoreReply::Unknown) | Err(StoreCallError::Unknown) => unknown = true,
-                Ok(StoreReply::NotPrimary | StoreReply::NotSure) | Err(StoreCallError::NotServed) => {}
-                Ok(reply) if unknown => return (CallEnd::AnsweredAfterUnknown(reply), reading),
-                Ok(reply) => return (CallEnd::Answered(reply), reading),
+        if let Some(to) = call.job().and_then(|job| primary_address(&snapshots, job)) {
+            let offered = match &offer {
+                Some(offer) if offers_first => asked.offer(link, to, offer).await,
+                _ => OfferEnd::SendIt,
+            };
+            offers_first = true;
+            let ended = match offered {
+                OfferEnd::Settled(reply) => Some(reply),
+                OfferEnd::SendIt => asked.hand_over(link, to, call, ANSWER_TIMEOUT + patience.held).await,
+                OfferEnd::NotNow => None,
+            };
+            if let Some(reply) = ended {
+                return (asked.end_with(reply), asked.reading);
             }
         }
-        let until = if unknown { patience.unknown_until } else { patience.unserved_until };
+        let until = if asked.unknown { patience.unknown_until } else { patience.unserved_until };
         if Instant::now() + ASK_AGAIN_PAUSE >= until {
-            let end = if unknown { CallEnd::Unknown } else { CallEnd::NotServed };
-            return (end, reading);
+            return (asked.end_without_reply(), asked.reading);
         }
         pause(&mut snapshots).await;
         metrics::get().batch_api.asked_again(call);
     }
 }
 
-/// What a primary that did not serve a batch job answered to a probe.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Probed {
-    /// It serves calls again, and does not have the batch job.
-    Serves,
-    /// It has it, on every member's disk.
-    IsCommitted,
-    /// It can't tell, or said nothing.
-    IsUnsure,
+/// What came of the tries so far.
+#[derive(Default)]
+struct Asked {
+    /// Whether a try was handed over whose end is unknown.
+    unknown: bool,
+    reading: Option<TenantReading>,
 }
 
-/// A small call that shows whether the primary would serve a large one.
-fn probe_for(call: &StoreCall) -> Option<StoreCall> {
-    match call {
-        StoreCall::Submit { job, .. } => {
-            Some(StoreCall::Read { job: job.id.clone(), after: u32::MAX, wait_ms: 0 })
+/// What came of an offer.
+enum OfferEnd {
+    /// The call is to be sent.
+    SendIt,
+    /// This is the call's end.
+    Settled(StoreReply),
+    /// The primary can't tell now, or said nothing.
+    NotNow,
+}
+
+impl Asked {
+    /// Offers a batch job. Whatever comes of it, nothing was handed over.
+    async fn offer(&mut self, link: &dyn StoreLink, to: SocketAddr, offer: &StoreCall) -> OfferEnd {
+        match link.call(to, offer, ANSWER_TIMEOUT).await.map(|answer| self.note_reading(answer)) {
+            Ok(StoreReply::Welcome) => OfferEnd::SendIt,
+            Ok(reply @ (StoreReply::Committed | StoreReply::OverQuota)) => OfferEnd::Settled(reply),
+            Ok(_) | Err(_) => OfferEnd::NotNow,
         }
-        StoreCall::Read { .. } | StoreCall::Body { .. } | StoreCall::End(_) => None,
     }
-}
 
-async fn send_probe(link: &dyn StoreLink, to: SocketAddr, probe: &StoreCall) -> Probed {
-    match link.call(to, probe, ANSWER_TIMEOUT).await.map(|answer| answer.reply) {
-        Ok(StoreReply::Results(_)) => Probed::IsCommitted,
-        Ok(StoreReply::NotPrimary | StoreReply::NotSure | StoreReply::Unknown) | Err(_) => Probed::IsUnsure,
-        Ok(_) => Probed::Serves,
+    /// Hands the call over; its reply, if that is its end.
+    async fn hand_over(
+        &mut self,
+        link: &dyn StoreLink,
+        to: SocketAddr,
+        call: &StoreCall,
+        timeout: Duration,
+    ) -> Option<StoreReply> {
+        match link.call(to, call, timeout).await.map(|answer| self.note_reading(answer)) {
+            Ok(StoreReply::Unknown) | Err(StoreCallError::Unknown) => {
+                self.unknown = true;
+                None
+            }
+            Ok(StoreReply::NotPrimary | StoreReply::NotSure) | Err(StoreCallError::NotServed) => None,
+            Ok(reply) => Some(reply),
+        }
     }
+
+    fn note_reading(&mut self, answer: StoreAnswer) -> StoreReply {
+        self.reading = answer.reading.or(self.reading);
+        answer.reply
+    }
+
+    fn end_with(&self, reply: StoreReply) -> CallEnd {
+        match self.unknown {
+            true => CallEnd::AnsweredAfterUnknown(reply),
+            false => CallEnd::Answered(reply),
+        }
+    }
+
+    fn end_without_reply(&self) -> CallEnd {
+        match self.unknown {
+            true => CallEnd::Unknown,
+            false => CallEnd::NotServed,
+        }
+    }
+}
+
+/// The small call that shows whether a large one would be taken.
+fn offer_of(call: &StoreCall) -> Option<StoreCall> {
+    let StoreCall::Submit { try_id, job } = call else { return None };
+    let (route, tokens) = (job.route.clone(), job.tokens());
+    Some(StoreCall::Offer { try_id: *try_id, job: job.id.clone(), route, tokens })
+}
+
+/// Whether a call is offered before it is sent for the first time.
+fn is_large(call: &StoreCall) -> bool {
+    let StoreCall::Submit { job, .. } = call else { return false };
+    let requests = job.items.iter().filter_map(|item| item.request.as_ref());
+    requests.map(|request| request.body.len()).sum::<usize>() >= LARGE_JOB_BYTES
 }
 
 /// Waits a little, or until the tables change.
@@ -171,9 +218,9 @@
     }
 }
 
-/// Where the group's primary takes calls, as the newest validated tables say.
-fn primary_address(snapshots: &SnapshotReceiver) -> Option<SocketAddr> {
+/// Where the primary of the job's group takes calls, as the newest validated tables say.
+fn primary_address(snapshots: &SnapshotReceiver, job: &JobId) -> Option<SocketAddr> {
     let snapshot = snapshots.borrow();
-    let group = snapshot.control.groups.first().filter(|_| snapshot.validated)?;
+    let (_, group) = snapshot.control.group_of_job(&job.0).filter(|_| snapshot.validated)?;
     group.primary_member().map(|member| member.node.internal.0)
 }
--- a/alderhollow/src/batch_protocol.rs
+++ b/alderhollow/src/batch_protocol.rs
@@ -2,11 +2,12 @@
 
 use alderhollow_batch::job::{JobId, NewJob};
 use alderhollow_batch::message::Message;
-use alderhollow_batch::quota::QuotaReading;
+use alderhollow_batch::quota::{QuotaGrant, QuotaReading, QuotaReport};
 use alderhollow_model::identity::DiskId;
+use alderhollow_model::snapshot::GroupId;
 use minicbor::{Decode, Encode};
 
-/// A door's call to the group's primary (`ServiceId::Batch`).
+/// A door's call to the primary of the job's group (`ServiceId::Batch`).
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub enum StoreCall {
     /// Take a batch job.
@@ -19,6 +20,22 @@
         #[n(1)]
         job: NewJob,
     },
+    /// Tell whether a batch job would be taken, before it is sent.
+    #[n(5)]
+    Offer {
+        /// Names the client's try.
+        #[n(0)]
+        try_id: u64,
+        /// The batch job.
+        #[n(1)]
+        job: JobId,
+        /// Name of its route.
+        #[n(2)]
+        route: String,
+        /// Tokens of all its items.
+        #[n(3)]
+        tokens: u64,
+    },
     /// Read results.
     #[n(1)]
     Read {
@@ -45,6 +62,9 @@
     /// End a batch job.
     #[n(3)]
     End(#[n(0)] JobId),
+    /// Between stores: a group's primary reports to the coordinator of a route's limit.
+    #[n(4)]
+    Quota(#[n(0)] QuotaReport),
 }
 
 /// What a store answers a call with.
@@ -78,6 +98,20 @@
     pub beyond: u64,
 }
 
+impl StoreCall {
+    /// The batch job that the call is about, if it is about one.
+    pub fn job(&self) -> Option<&JobId> {
+        match self {
+            StoreCall::Submit { job, .. } => Some(&job.id),
+            StoreCall::Offer { job, .. }
+            | StoreCall::Read { job, .. }
+            | StoreCall::Body { job, .. }
+            | StoreCall::End(job) => Some(job),
+            StoreCall::Quota(_) => None,
+        }
+    }
+}
+
 impl From<QuotaReading> for TenantReading {
     fn from(reading: QuotaReading) -> TenantReading {
         let QuotaReading { period, age_ms, length_ms, waiting, beyond } = reading;
@@ -115,6 +149,12 @@
     /// The body of an item.
     #[n(8)]
     Body(#[cbor(n(0), with = "minicbor::bytes")] Vec<u8>),
+    /// The coordinator's answer to a report.
+    #[n(9)]
+    Quota(#[n(0)] QuotaGrant),
+    /// To [`StoreCall::Offer`]: the batch job would be taken now.
+    #[n(10)]
+    Welcome,
 }
 
 /// A notice between two stores (`ServiceId::Replication`).
@@ -129,4 +169,11 @@
     /// The message.
     #[n(2)]
     pub message: Message,
+    /// The batch group that it is about. Earlier versions, which know one group, leave it out.
+    #[n(3)]
+    #[cbor(default)]
+    pub group: GroupId,
 }
+
+#[cfg(test)]
+mod tests;
--- a/alderhollow/src/metrics/batch_api.rs
+++ b/alderhollow/src/metrics/batch_api.rs
@@ -65,6 +65,10 @@
         Body => "body",
         /// A batch job is ended.
         End => "end",
+        /// A batch job is offered.
+        Offer => "offer",
+        /// A group reports what it uses of a limit.
+        Quota => "quota",
     }
 }
 
@@ -88,6 +92,8 @@
             StoreCall::Read { .. } => CallKind::Read,
             StoreCall::Body { .. } => CallKind::Body,
             StoreCall::End(_) => CallKind::End,
+            StoreCall::Offer { .. } => CallKind::Offer,
+            StoreCall::Quota(_) => CallKind::Quota,
         }
     }
 }
--- a/alderhollow/src/metrics/store.rs
+++ b/alderhollow/src/metrics/store.rs
@@ -1,7 +1,8 @@
 //! Metrics of a store: batch jobs, their runs, their replication and the journal.
 
 use super::family::{label, Counter, CounterFamily, Description, Durations, Gauge, Registrar};
-use alderhollow_batch::api::{GroupStatus, RunEnd, Submitted};
+use crate::store::activity::StorePart;
+use alderhollow_batch::api::{RunEnd, Submitted};
 use alderhollow_batch::counts::EngineCounts;
 use alderhollow_batch::message::Message;
 use alderhollow_batch::records::Entry;
@@ -49,19 +50,23 @@
     name: "alderhollow_store_journal_compactions_total",
     help: "Snapshots written in place of the log",
 };
-const EPOCH: Description =
-    Description { name: "alderhollow_store_group_epoch", help: "The newest epoch of the batch group known" };
-const IS_PRIMARY: Description = Description {
-    name: "alderhollow_store_group_primary",
-    help: "1 while this store is the primary of its batch group, else 0",
+const GROUPS: Description = Description {
+    name: "alderhollow_store_groups",
+    help: "Batch groups of which this store keeps something",
 };
-const IS_ACTIVE: Description = Description {
-    name: "alderhollow_store_group_active",
-    help: "1 while this store is the primary of an active epoch, else 0",
+const GROUPS_LED: Description =
+    Description { name: "alderhollow_store_groups_led", help: "Batch groups that this store leads" };
+const GROUPS_ACTIVE: Description = Description {
+    name: "alderhollow_store_groups_active",
+    help: "Batch groups that this store leads in an active epoch",
+};
+const NEWEST_EPOCH: Description = Description {
+    name: "alderhollow_store_newest_group_epoch",
+    help: "The newest epoch of any of its batch groups",
 };
 const EPOCHS_CHANGED: Description = Description {
     name: "alderhollow_store_group_epochs_changed_total",
-    help: "Times that the tables named another epoch of the batch group",
+    help: "Times that the tables named another epoch of a batch group",
 };
 const MESSAGES: Description = Description {
     name: "alderhollow_replication_messages_total",
@@ -230,9 +235,10 @@
     journal_bytes: Counter,
     sync_seconds: Durations,
     compactions: Counter,
-    epoch: Gauge,
-    is_primary: Gauge,
-    is_active: Gauge,
+    groups: Gauge,
+    groups_led: Gauge,
+    groups_active: Gauge,
+    newest_epoch: Gauge,
     epochs_changed: Counter,
     messages: CounterFamily<MessageKind>,
     message_bytes: CounterFamily<MessageKind>,
@@ -259,9 +265,10 @@
             journal_bytes: registrar.counter(&JOURNAL_BYTES),
             sync_seconds: registrar.durations(&SYNC_SECONDS),
             compactions: registrar.counter(&COMPACTIONS),
-            epoch: registrar.gauge(&EPOCH),
-            is_primary: registrar.gauge(&IS_PRIMARY),
-            is_active: registrar.gauge(&IS_ACTIVE),
+            groups: registrar.gauge(&GROUPS),
+            groups_led: registrar.gauge(&GROUPS_LED),
+            groups_active: registrar.gauge(&GROUPS_ACTIVE),
+            newest_epoch: registrar.gauge(&NEWEST_EPOCH),
             epochs_changed: registrar.counter(&EPOCHS_CHANGED),
             messages: registrar.counters(&MESSAGES),
             message_bytes: registrar.counters(&MESSAGE_BYTES),
@@ -331,11 +338,13 @@
         self.sync_seconds.observe(after);
     }
 
-    /// The store's part in its group.
-    pub fn group(&self, status: &GroupStatus) {
-        self.epoch.set(status.epoch);
-        self.is_primary.set_flag(status.primary);
-        self.is_active.set_flag(status.primary && status.active);
+    /// The store's part in its groups.
+    pub fn part(&self, part: &StorePart) {
+        self.groups.set(part.groups as u64);
+        self.groups_led.set(part.led as u64);
+        self.groups_active.set(part.active as u64);
+        self.newest_epoch.set(part.newest_epoch);
+        self.load(part.waiting, part.running);
     }
 
     /// The tables named another epoch.
--- a/alderhollow/src/store/activity.rs
+++ b/alderhollow/src/store/activity.rs
@@ -1,13 +1,13 @@
-//! What a store did lately: publishes the engine's counts as metrics, and logs one line about each five seconds in which the
-//! store did something for batch jobs.
+//! What a store did lately, over all its groups: publishes the engines' counts as metrics, and logs one line about each five
+//! seconds in which the store did something for batch jobs.
 
-use crate::invariant::{self, Invariant};
 use crate::metrics;
 use crate::metrics::family::Label;
 use crate::metrics::internal::Service;
 use crate::metrics::store::SubmitResult;
-use alderhollow_batch::api::{GroupStatus, Outcome, Token};
+use alderhollow_batch::api::{Outcome, Token};
 use alderhollow_batch::counts::EngineCounts;
+use alderhollow_model::snapshot::GroupId;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::fmt;
@@ -26,15 +26,37 @@
 #[derive(Default)]
 pub struct Activity {
     /// Acceptances whose commit is under way.
-    pending: RefCell<HashMap<Token, Instant>>,
+    pending: RefCell<HashMap<Acceptance, Instant>>,
     commits: RefCell<Commits>,
     published: Cell<EngineCounts>,
-    epoch: Cell<u64>,
-    is_active: Cell<bool>,
-    load: Cell<(usize, usize)>,
+    part: Cell<StorePart>,
     logged: RefCell<Option<Logged>>,
 }
 
+/// Names an acceptance whose commit is under way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct Acceptance {
+    group: GroupId,
+    token: Token,
+}
+
+/// A store's part in all groups.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StorePart {
+    /// Groups of which it has an engine.
+    pub groups: usize,
+    /// Those that it leads.
+    pub led: usize,
+    /// Those that it leads, with an active epoch.
+    pub active: usize,
+    /// The newest epoch of any of them.
+    pub newest_epoch: u64,
+    /// Items that wait for a run.
+    pub waiting: usize,
+    /// Items that run.
+    pub running: usize,
+}
+
 /// The last line that was logged, or could have been.
 struct Logged {
     at: Instant,
@@ -43,16 +65,17 @@
 
 impl Activity {
     /// The commit of an acceptance is under way; whether that is news.
-    pub fn accepted(&self, token: Token) -> bool {
+    pub fn accepted(&self, group: GroupId, token: Token) -> bool {
         let mut pending = self.pending.borrow_mut();
         let known = pending.len();
-        pending.entry(token).or_insert_with(Instant::now);
+        pending.entry(Acceptance { group, token }).or_insert_with(Instant::now);
         pending.len() > known
     }
 
     /// An operation has ended.
-    pub fn resolved(&self, token: Token, outcome: Outcome) {
-        let Some(accepted_at) = self.pending.borrow_mut().remove(&token) else { return };
+    pub fn resolved(&self, group: GroupId, token: Token, outcome: Outcome) {
+        let acceptance = Acceptance { group, token };
+        let Some(accepted_at) = self.pending.borrow_mut().remove(&acceptance) else { return };
         if outcome == Outcome::Committed {
             let after = accepted_at.elapsed();
             metrics::get().store.committed(after);
@@ -60,18 +83,16 @@
         }
     }
 
-    /// Brings the metrics up to date: the store's part, the engine's counts, and how many items wait and run.
-    pub fn publish(&self, status: &GroupStatus, counts: EngineCounts, load: (usize, usize)) {
-        let metrics = &metrics::get().store;
-        let earlier = self.epoch.replace(status.epoch);
-        invariant::check(Invariant::GroupEpochRises, status.epoch >= earlier, || {
-            format!("epoch {} follows epoch {earlier}", status.epoch)
-        });
-        self.is_active.set(status.primary && status.active);
-        self.load.set(load);
-        metrics.group(status);
-        metrics.load(load.0, load.1);
-        metrics.engine_counted(counts - self.published.replace(counts));
+    /// Adds what an engine counted since it was last asked.
+    pub fn engine_counted(&self, counted: EngineCounts) {
+        self.published.set(self.published.get() + counted);
+        metrics::get().store.engine_counted(counted);
+    }
+
+    /// Notes the store's part in all groups.
+    pub fn note_part(&self, part: StorePart) {
+        self.part.set(part);
+        metrics::get().store.part(&part);
     }
 
     /// Logs a line if it is time and something was done since the last one.
@@ -93,15 +114,19 @@
         let commits = self.commits.take();
         let longest_sync_ms = take_longest_sync().as_millis();
         let done = totals.since(&earlier?.totals);
-        let (waiting, running) = self.load.get();
-        if done.is_idle() && waiting + running == 0 {
+        let part = self.part.get();
+        if done.is_idle() && part.waiting + part.running == 0 {
             return None;
         }
-        let (epoch, is_active) = (self.epoch.get(), self.is_active.get());
-        Some(format!(
-            "{done}, waiting {waiting}, running {running}, {commits}, sync max {longest_sync_ms} ms, \
-             epoch {epoch}, active {is_active}"
-        ))
+        Some(format!("{done}, {part}, {commits}, sync max {longest_sync_ms} ms"))
+    }
+}
+
+impl fmt::Display for StorePart {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let StorePart { groups, led, active, newest_epoch, waiting, running } = self;
+        write!(formatter, "waiting {waiting}, running {running}, ")?;
+        write!(formatter, "groups {groups}, led {led}, active {active}, newest epoch {newest_epoch}")
     }
 }
 
--- a/alderhollow/src/store/calls.rs
+++ b/alderhollow/src/store/calls.rs
@@ -1,5 +1,7 @@
 //! Serves the doors' calls at a store.
 
+use super::group_engine::GroupEngine;
+use super::group_quota::{submit_now, Answered, End};
 use super::node::StoreNode;
 use crate::batch_api::document;
 use crate::batch_protocol::{StoreAnswer, StoreCall, StoreReply, TenantReading};
@@ -8,7 +10,9 @@
 use crate::invariant::{self, Invariant};
 use crate::metrics;
 use crate::metrics::store::SubmitResult;
-use alderhollow_batch::api::{BodyAnswer, EndAnswer, Outcome, ReadAnswer, Submitted, Token, TryId};
+use alderhollow_batch::api::{
+    BodyAnswer, EndAnswer, JobOffer, Offered, Outcome, ReadAnswer, Submitted, Token, TryId,
+};
 use alderhollow_batch::engine::Engine;
 use alderhollow_batch::job::{JobId, NewJob, ResultState};
 use std::rc::Rc;
@@ -38,39 +42,47 @@
     }
 }
 
-/// Serves one call.
+/// Serves one call at the group that keeps its job.
 pub async fn serve(node: &Rc<StoreNode>, call: StoreCall) -> StoreAnswer {
+    if let StoreCall::Quota(report) = &call {
+        let reply = node.serve_quota(report).map_or(StoreReply::NotSure, StoreReply::Quota);
+        return StoreAnswer { reply, reading: None };
+    }
+    let Some(group) = call.job().and_then(|job| node.group_of_job(job)) else {
+        return StoreAnswer { reply: StoreReply::NotPrimary, reading: None };
+    };
     let reply = match call {
-        StoreCall::Submit { try_id, job } => return submit(node, TryId(try_id), job).await,
-        StoreCall::Read { job, after, wait_ms } => read(node, &job, after, wait_ms).await,
-        StoreCall::Body { job, item } => body(node, &job, &item),
-        StoreCall::End(job) => end(node, &job).await,
+        StoreCall::Submit { try_id, job } => return submit(node, &group, TryId(try_id), job).await,
+        StoreCall::Offer { try_id, job, route, tokens } => {
+            let offer = JobOffer { id: &job, route: &route, tokens };
+            return answer_offer(node, &group, TryId(try_id), &offer);
+        }
+        StoreCall::Read { job, after, wait_ms } => read(node, &group, &job, after, wait_ms).await,
+        StoreCall::Body { job, item } => body(node, &group, &job, &item),
+        StoreCall::End(job) => end(node, &group, &job).await,
+        StoreCall::Quota(_) => StoreReply::NotSure,
     };
     StoreAnswer { reply, reading: None }
 }
 
-async fn submit(node: &Rc<StoreNode>, try_id: TryId, job: NewJob) -> StoreAnswer {
+async fn submit(node: &Rc<StoreNode>, group: &Rc<GroupEngine>, try_id: TryId, job: NewJob) -> StoreAnswer {
     let (route, tokens) = (job.route.clone(), job.tokens());
-    let mut ended = None;
-    let submitted = node.with_engine(|engine, now_ms| {
-        let waiting_before = engine.waiting_tokens(&route);
-        let submitted = engine.submit(now_ms, try_id, job);
-        check_quota(engine, &route, waiting_before);
-        let mut is_new = false;
-        if let Submitted::Pending(token) = submitted {
-            ended = Some(node.waiting.for_end(token));
-            is_new = node.activity.accepted(token);
-        }
-        metrics::get().store.submitted(SubmitResult::of(submitted, is_new));
-        submitted
-    });
+    let Answered { submitted, end } = match node.must_wait_for_room(group, &job) {
+        true => node.submit_with_room(group, try_id, job).await,
+        false => submit_at_once(node, group, try_id, job),
+    };
+    let is_new = match submitted {
+        Submitted::Pending(token) => node.activity.accepted(group.id, token),
+        _ => false,
+    };
+    metrics::get().store.submitted(SubmitResult::of(submitted, is_new));
     let reading = match submitted {
         Submitted::NotPrimary | Submitted::NotSure | Submitted::Invalid => None,
-        Submitted::OverQuota => read_meter(node, &route, tokens),
-        Submitted::Pending(_) | Submitted::AlreadyAccepted => read_meter(node, &route, 0),
+        Submitted::OverQuota => read_meter(node, group, &route, tokens),
+        Submitted::Pending(_) | Submitted::AlreadyAccepted => read_meter(node, group, &route, 0),
     };
     let reply = match submitted {
-        Submitted::Pending(_) => await_end(ended).await,
+        Submitted::Pending(_) => await_end(end).await,
         Submitted::AlreadyAccepted => StoreReply::Committed,
         Submitted::OverQuota => StoreReply::OverQuota,
         Submitted::NotPrimary => StoreReply::NotPrimary,
@@ -80,6 +92,37 @@
     StoreAnswer { reply, reading }
 }
 
+/// Tells whether a batch job would be taken. One that goes beyond the group's limit is welcome: it waits for room once it
+/// is here, as the route's coordinator may give more.
+fn answer_offer(node: &StoreNode, group: &GroupEngine, try_id: TryId, offer: &JobOffer) -> StoreAnswer {
+    let offered = node.with_group(group, |engine, now_ms| engine.offer(now_ms, try_id, offer));
+    let reply = match offered {
+        Offered::Welcome | Offered::BeyondLimit => StoreReply::Welcome,
+        Offered::NotSure => StoreReply::NotSure,
+        Offered::AlreadyAccepted => StoreReply::Committed,
+        Offered::NotPrimary => StoreReply::NotPrimary,
+        Offered::OverQuota => {
+            let reading = read_meter(node, group, offer.route, offer.tokens);
+            return StoreAnswer { reply: StoreReply::OverQuota, reading };
+        }
+    };
+    StoreAnswer { reply, reading: None }
+}
+
+/// Hands a batch job in that needs no more room, or is not to be taken anyway.
+fn submit_at_once(node: &StoreNode, group: &GroupEngine, try_id: TryId, job: NewJob) -> Answered {
+    let route = job.route.clone();
+    node.with_group(group, |engine, now_ms| {
+        let waiting_before = engine.waiting_tokens(&route);
+        let answered = submit_now(engine, now_ms, &group.waiting, try_id, job);
+        if let Submitted::Pending(_) = answered.submitted {
+            group.quota.note_accepted(engine, &route);
+        }
+        check_quota(engine, &route, waiting_before);
+        answered
+    })
+}
+
 /// A job that was taken into the count of waiting tokens must fit.
 fn check_quota(engine: &Engine, route: &str, waiting_before: u64) {
     let waiting = engine.waiting_tokens(route);
@@ -89,16 +132,18 @@
     });
 }
 
-/// Notes a batch job in the meter, with the tokens that did not fit, and gives the newest reading.
-fn read_meter(node: &Rc<StoreNode>, route: &str, beyond: u64) -> Option<TenantReading> {
+/// The newest reading of a route's waiting tokens. A group that shares the route's limit with no other notes the batch
+/// job in its meter, with the tokens that did not fit; otherwise the route's coordinator reads.
+fn read_meter(node: &StoreNode, group: &GroupEngine, route: &str, beyond: u64) -> Option<TenantReading> {
+    let now_ms = node.clock.now_ms();
+    if node.shares_quota() {
+        return group.quota.reading(now_ms, route).map(TenantReading::from);
+    }
     let (waiting, epoch) =
-        node.look(|engine, now_ms| (engine.waiting_tokens(route), engine.status(now_ms).epoch));
-    let reading = node.meter.borrow_mut().note(node.clock.now_ms(), epoch, route, waiting, beyond);
-    reading.map(TenantReading::from)
+        node.look(group, |engine, now_ms| (engine.waiting_tokens(route), engine.status(now_ms).epoch));
+    group.meter.borrow_mut().note(now_ms, epoch, route, waiting, beyond).map(TenantReading::from)
 }
 
-type End = Option<tokio::sync::oneshot::Receiver<Outcome>>;
-
 async fn await_end(ended: End) -> StoreReply {
     let Some(ended) = ended else { return StoreReply::Unknown };
     match tokio::time::timeout(END_TIMEOUT, ended).await {
@@ -107,12 +152,12 @@
     }
 }
 
-async fn end(node: &Rc<StoreNode>, job: &JobId) -> StoreReply {
+async fn end(node: &StoreNode, group: &GroupEngine, job: &JobId) -> StoreReply {
     let mut ended = None;
-    let answer = node.with_engine(|engine, now_ms| {
+    let answer = node.with_group(group, |engine, now_ms| {
         let answer = engine.end(now_ms, job);
         if let EndAnswer::Pending(token) = answer {
-            ended = Some(node.waiting.for_end(token));
+            ended = Some(group.waiting.for_end(token));
         }
         answer
     });
@@ -125,8 +170,8 @@
     }
 }
 
-fn body(node: &Rc<StoreNode>, job: &JobId, item: &str) -> StoreReply {
-    node.look(|engine, now_ms| match engine.body(now_ms, job, item) {
+fn body(node: &StoreNode, group: &GroupEngine, job: &JobId, item: &str) -> StoreReply {
+    node.look(group, |engine, now_ms| match engine.body(now_ms, job, item) {
         BodyAnswer::Body(bytes) => {
             metrics::get().store.body_read();
             StoreReply::Body(bytes.to_vec())
@@ -138,12 +183,14 @@
 }
 
 /// Reads results; waits for a first one as long as the client allows.
-async fn read(node: &Rc<StoreNode>, job: &JobId, after: u32, wait_ms: u32) -> StoreReply {
+async fn read(node: &StoreNode, group: &GroupEngine, job: &JobId, after: u32, wait_ms: u32) -> StoreReply {
     let until = Instant::now() + Duration::from_millis(u64::from(wait_ms.min(LONGEST_HOLD_MS)));
+    // The main loop drops what this read leaves behind.
+    group.touch();
     loop {
-        let readable = node.waiting.for_results(job);
+        let readable = group.waiting.for_results(job);
         let notified = readable.notified();
-        let (reply, may_wait) = read_now(node, job, after);
+        let (reply, may_wait) = read_now(node, group, job, after);
         if !may_wait || Instant::now() >= until {
             note_read(&reply);
             return reply;
@@ -159,8 +206,8 @@
 }
 
 /// The answer as it is now, and whether another may come.
-fn read_now(node: &Rc<StoreNode>, job: &JobId, after: u32) -> (StoreReply, bool) {
-    node.look(|engine, now_ms| match engine.read(now_ms, job, after, RESULT_BYTES) {
+fn read_now(node: &StoreNode, group: &GroupEngine, job: &JobId, after: u32) -> (StoreReply, bool) {
+    node.look(group, |engine, now_ms| match engine.read(now_ms, job, after, RESULT_BYTES) {
         ReadAnswer::Results { total, next, results, closed } => {
             let may_wait = results.is_empty() && !closed;
             let results = results.iter().map(listed).collect();
--- /dev/null
+++ b/alderhollow/src/store/group_quota.rs
@@ -0,0 +1,363 @@
+//! A group's part in the limits of waiting tokens that the routes' groups share (`alderhollow_batch::quota`): its
+//! account of each route while this store leads it, the submissions that wait for room, and the coordinator of the
+//! routes whose home it is.
+//!
+//! A group that is the only one shares with nobody: its engine keeps the routes' own limits, and there are no accounts.
+//! Among several, an engine has a limit of 0 for each limited route until the account of its session was given more.
+
+use super::waiting::Waiting;
+use alderhollow_batch::api::{Outcome, ReadAnswer, RouteTerms, Submitted, TryId};
+use alderhollow_batch::engine::Engine;
+use alderhollow_batch::job::NewJob;
+use alderhollow_batch::quota::{
+    home_group, Account, Coordinator, CoordinatorId, QuotaGrant, QuotaOutcome, QuotaReading, QuotaReport,
+    ReportId, Settled, SubmissionId,
+};
+use alderhollow_batch::records::SessionId;
+use alderhollow_model::snapshot::{ControlView, GroupId};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use tokio::sync::oneshot;
+
+/// Who waits for the end of an operation.
+pub type End = Option<oneshot::Receiver<Outcome>>;
+
+/// What the engine said to a submission.
+#[derive(Debug)]
+pub struct Answered {
+    /// The engine's word.
+    pub submitted: Submitted,
+    /// The end of an acceptance that is pending.
+    pub end: End,
+}
+
+impl Answered {
+    fn without_end(submitted: Submitted) -> Answered {
+        Answered { submitted, end: None }
+    }
+}
+
+/// Hands a batch job to an engine.
+pub fn submit_now(
+    engine: &mut Engine,
+    now_ms: u64,
+    waiting: &Waiting,
+    try_id: TryId,
+    job: NewJob,
+) -> Answered {
+    let submitted = engine.submit(now_ms, try_id, job);
+    let end = match submitted {
+        Submitted::Pending(token) => Some(waiting.for_end(token)),
+        _ => None,
+    };
+    Answered { submitted, end }
+}
+
+/// A submission that waits for room.
+#[derive(Debug)]
+struct WaitingSubmission {
+    try_id: TryId,
+    job: NewJob,
+    answer: oneshot::Sender<Answered>,
+}
+
+/// The account of one route.
+#[derive(Debug)]
+struct RouteAccount {
+    account: Account,
+    submissions: BTreeMap<SubmissionId, WaitingSubmission>,
+    reading: Option<TakenReading>,
+}
+
+/// A coordinator's reading.
+#[derive(Debug, Clone, Copy)]
+struct TakenReading {
+    reading: QuotaReading,
+    taken_ms: u64,
+}
+
+/// A submission that was put in line.
+#[derive(Debug)]
+pub struct Queued {
+    /// Its name.
+    pub id: SubmissionId,
+    /// What the engine will say.
+    pub answer: oneshot::Receiver<Answered>,
+}
+
+/// The accounts and the coordinator of one group.
+#[derive(Debug, Default)]
+pub struct GroupQuota {
+    session: Cell<Option<SessionId>>,
+    accounts: RefCell<BTreeMap<String, RouteAccount>>,
+    coordinator: RefCell<Option<Coordinator>>,
+    newest_submission: Cell<u64>,
+}
+
+impl GroupQuota {
+    /// Takes newer tables in, after the engine did. What belongs to an earlier session of the engine ends.
+    pub(super) fn take_tables(
+        &self,
+        now_ms: u64,
+        engine: &mut Engine,
+        group: GroupId,
+        control: &ControlView,
+        routes: &BTreeMap<String, RouteTerms>,
+    ) {
+        if !shares_limits(control) {
+            return;
+        }
+        let session = engine.session();
+        if self.session.replace(session) != session {
+            self.end_session();
+        }
+        self.forget_routes(routes);
+        self.tell_accounts(now_ms, control, routes);
+        for (route, terms) in routes {
+            self.limit_engine(engine, route, terms);
+        }
+        self.open_accounts(now_ms, engine, group, control, routes);
+    }
+
+    /// Opens the accounts that are missing, once the group is active: what it uses can be told from then on.
+    pub(super) fn open_accounts(
+        &self,
+        now_ms: u64,
+        engine: &mut Engine,
+        group: GroupId,
+        control: &ControlView,
+        routes: &BTreeMap<String, RouteTerms>,
+    ) {
+        let Some(session) = engine.session().filter(|session| Some(*session) == self.session.get()) else {
+            return;
+        };
+        let is_in_tables = control.group(group).is_some_and(|group| group.epoch == session.epoch);
+        if !is_in_tables || !engine.status(now_ms).active {
+            return;
+        }
+        let mut accounts = self.accounts.borrow_mut();
+        for (route, terms) in routes.iter().filter(|(_, terms)| terms.max_queued_tokens != 0) {
+            if accounts.contains_key(route) {
+                continue;
+            }
+            let Some(home_epoch) = home_epoch(control, route) else { continue };
+            let mut account =
+                Account::new(group.0, session.epoch, session.session, route.clone(), home_epoch);
+            account.set_max(now_ms, terms.max_queued_tokens);
+            engine.set_quota_limit(route, account.limit());
+            let account = RouteAccount { account, submissions: BTreeMap::new(), reading: None };
+            accounts.insert(route.clone(), account);
+        }
+    }
+
+    /// Whether the accounts are those of the engine's present session as the primary.
+    pub(super) fn is_of_session(&self, engine: &Engine) -> bool {
+        engine.session().is_some_and(|session| Some(session) == self.session.get())
+    }
+
+    /// Whether there is nothing to do for any account.
+    pub(super) fn is_idle(&self) -> bool {
+        self.accounts.borrow().is_empty()
+    }
+
+    /// Whether a submission waits for room.
+    pub(super) fn has_waiting(&self) -> bool {
+        self.accounts.borrow().values().any(|account| !account.submissions.is_empty())
+    }
+
+    /// Whether a batch job can't be handed to the engine before its route's account has more room.
+    pub(super) fn must_wait(&self, engine: &Engine, now_ms: u64, job: &NewJob) -> bool {
+        let is_new = matches!(engine.read(now_ms, &job.id, u32::MAX, 0), ReadAnswer::NotFound);
+        let has_account = self.accounts.borrow().contains_key(&job.route);
+        has_account && is_new && !engine.would_fit(&job.route, job.tokens())
+    }
+
+    /// Puts a batch job in line for room; `None` if its route has no account any more.
+    pub(super) fn queue(&self, now_ms: u64, try_id: TryId, job: NewJob) -> Option<Queued> {
+        let mut accounts = self.accounts.borrow_mut();
+        let account = accounts.get_mut(&job.route)?;
+        let id = SubmissionId(self.newest_submission.get() + 1);
+        self.newest_submission.set(id.0);
+        account.account.want(now_ms, id, job.tokens());
+        let (sender, answer) = oneshot::channel();
+        account.submissions.insert(id, WaitingSubmission { try_id, job, answer: sender });
+        Some(Queued { id, answer })
+    }
+
+    /// The engine took a batch job of a route without a wait.
+    pub(super) fn note_accepted(&self, engine: &Engine, route: &str) {
+        if let Some(account) = self.accounts.borrow_mut().get_mut(route) {
+            account.account.note_accepted(engine.waiting_tokens(route));
+        }
+    }
+
+    /// The client of a submission has gone, or it was answered.
+    pub(super) fn withdraw(&self, route: &str, id: SubmissionId) {
+        if let Some(account) = self.accounts.borrow_mut().get_mut(route) {
+            account.account.withdraw(id);
+            account.submissions.remove(&id);
+        }
+    }
+
+    /// Settles what can be settled, and gives the reports that are due.
+    pub(super) fn drive(&self, now_ms: u64, engine: &mut Engine, waiting: &Waiting) -> Vec<QuotaReport> {
+        let mut reports = Vec::new();
+        for (route, account) in self.accounts.borrow_mut().iter_mut() {
+            let settled = account.account.settle(now_ms, engine.waiting_tokens(route));
+            account.act(now_ms, engine, waiting, route, settled);
+            reports.extend(account.account.next_report(now_ms, engine.waiting_tokens(route)));
+            engine.set_quota_limit(route, account.account.limit());
+        }
+        reports
+    }
+
+    /// Takes a coordinator's answer.
+    pub(super) fn take_answer(
+        &self,
+        now_ms: u64,
+        engine: &mut Engine,
+        waiting: &Waiting,
+        route: &str,
+        grant: &QuotaGrant,
+    ) {
+        let mut accounts = self.accounts.borrow_mut();
+        let Some(account) = accounts.get_mut(route) else { return };
+        let settled = account.account.take_answer(now_ms, engine.waiting_tokens(route), grant);
+        account.act(now_ms, engine, waiting, route, settled);
+        let taken = grant.reading.map(|reading| TakenReading { reading, taken_ms: now_ms });
+        account.reading = taken.or(account.reading);
+    }
+
+    /// The answer to a report won't come.
+    pub(super) fn answer_lost(&self, now_ms: u64, route: &str, report: ReportId) {
+        if let Some(account) = self.accounts.borrow_mut().get_mut(route) {
+            account.account.answer_lost(now_ms, report);
+        }
+    }
+
+    /// When [`GroupQuota::drive`] has something to do next.
+    pub(super) fn next_due_ms(&self, engine: &Engine) -> Option<u64> {
+        let accounts = self.accounts.borrow();
+        let due = accounts
+            .iter()
+            .filter_map(|(route, account)| account.account.next_due_ms(engine.waiting_tokens(route)));
+        due.min()
+    }
+
+    /// The newest reading of a route's waiting tokens.
+    pub(super) fn reading(&self, now_ms: u64, route: &str) -> Option<QuotaReading> {
+        let TakenReading { reading, taken_ms } = self.accounts.borrow().get(route)?.reading?;
+        Some(QuotaReading { age_ms: reading.age_ms + now_ms.saturating_sub(taken_ms), ..reading })
+    }
+
+    /// Answers a report as the coordinator of its route, whose home this group is. To be asked only while the engine is
+    /// sure.
+    pub(super) fn coordinate(
+        &self,
+        now_ms: u64,
+        session: SessionId,
+        control: &ControlView,
+        max: u64,
+        report: &QuotaReport,
+    ) -> QuotaGrant {
+        let id = CoordinatorId { epoch: session.epoch, session: session.session };
+        let mut coordinator = self.coordinator.borrow_mut();
+        let known = coordinator.take().filter(|known| known.id() == id);
+        let epochs = || control.groups.iter().map(|group| group.epoch).collect();
+        let current = coordinator.insert(known.unwrap_or_else(|| Coordinator::new(id, epochs())));
+        current.report(now_ms, max, report)
+    }
+
+    /// Another session begins, or none: nothing that waits will be accepted in the ended one.
+    pub(super) fn end_session(&self) {
+        self.coordinator.replace(None);
+        for account in self.accounts.take().into_values() {
+            account.submissions.into_values().for_each(WaitingSubmission::refuse_service);
+        }
+    }
+
+    fn forget_routes(&self, routes: &BTreeMap<String, RouteTerms>) {
+        let is_limited = |route: &str| routes.get(route).is_some_and(|terms| terms.max_queued_tokens != 0);
+        if let Some(coordinator) = self.coordinator.borrow_mut().as_mut() {
+            coordinator.retain_routes(is_limited);
+        }
+        let mut accounts = self.accounts.borrow_mut();
+        let gone: Vec<String> = accounts.keys().filter(|route| !is_limited(route)).cloned().collect();
+        for account in gone.iter().filter_map(|route| accounts.remove(route)) {
+            account.submissions.into_values().for_each(WaitingSubmission::refuse_service);
+        }
+    }
+
+    /// Tells the accounts of the routes' limits and the coordinators' epochs.
+    fn tell_accounts(&self, now_ms: u64, control: &ControlView, routes: &BTreeMap<String, RouteTerms>) {
+        for (route, account) in self.accounts.borrow_mut().iter_mut() {
+            if let Some(terms) = routes.get(route) {
+                account.account.set_max(now_ms, terms.max_queued_tokens);
+            }
+            if let Some(epoch) = home_epoch(control, route) {
+                account.account.set_coordinator_epoch(now_ms, epoch);
+            }
+        }
+    }
+
+    /// Tells the engine what it may count on a route: nothing, on a limited route without an account.
+    fn limit_engine(&self, engine: &mut Engine, route: &str, terms: &RouteTerms) {
+        let accounts = self.accounts.borrow();
+        let is_limited = terms.max_queued_tokens != 0;
+        let limit = accounts.get(route).map_or(is_limited.then_some(0), |account| account.account.limit());
+        engine.set_quota_limit(route, limit);
+    }
+}
+
+impl RouteAccount {
+    /// Acts on settled submissions, in their order.
+    fn act(
+        &mut self,
+        now_ms: u64,
+        engine: &mut Engine,
+        waiting: &Waiting,
+        route: &str,
+        settled: Vec<Settled>,
+    ) {
+        engine.set_quota_limit(route, self.account.limit());
+        for Settled { submission, outcome } in settled {
+            let Some(WaitingSubmission { try_id, job, answer }) = self.submissions.remove(&submission) else {
+                continue;
+            };
+            let answered = match outcome {
+                QuotaOutcome::Fits => submit_now(engine, now_ms, waiting, try_id, job),
+                QuotaOutcome::OverQuota => Answered::without_end(engine.refuse(now_ms, try_id, &job)),
+                QuotaOutcome::Unsure => Answered::without_end(Submitted::NotSure),
+            };
+            if let Submitted::Pending(_) = answered.submitted {
+                self.account.note_accepted(engine.waiting_tokens(route));
+            }
+            // A client that has gone wants no answer.
+            let _ = answer.send(answered);
+        }
+    }
+}
+
+impl WaitingSubmission {
+    /// The submission can't be decided here any more.
+    fn refuse_service(self) {
+        // A client that has gone wants no answer.
+        let _ = self.answer.send(Answered::without_end(Submitted::NotSure));
+    }
+}
+
+/// Whether the groups share the routes' limits.
+pub(super) fn shares_limits(control: &ControlView) -> bool {
+    control.groups.len() > 1
+}
+
+/// The group whose primary coordinates a route.
+pub(super) fn home_of(control: &ControlView, route: &str) -> GroupId {
+    let count = u32::try_from(control.groups.len()).unwrap_or(u32::MAX);
+    GroupId(home_group(route, count))
+}
+
+/// The epoch of that group.
+fn home_epoch(control: &ControlView, route: &str) -> Option<u64> {
+    Some(control.group(home_of(control, route))?.epoch)
+}
--- a/alderhollow/tests/command_line.rs
+++ b/alderhollow/tests/command_line.rs
@@ -127,7 +127,7 @@
     let mut answer = String::new();
     stream.read_to_string(&mut answer).expect("an answer");
     assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
-    assert!(answer.contains("\nalderhollow_store_group_primary 0\n"), "{answer}");
+    assert!(answer.contains("\nalderhollow_store_groups_led 0\n"), "{answer}");
     store.kill().expect("it runs");
     store.wait().expect("it ends");
 }
--- a/batch/src/counts.rs
+++ b/batch/src/counts.rs
@@ -46,6 +46,17 @@
     pub replication: ReplicationCounts,
 }
 
+impl Add for EngineCounts {
+    type Output = EngineCounts;
+
+    fn add(self, other: EngineCounts) -> EngineCounts {
+        EngineCounts {
+            items_listed: self.items_listed + other.items_listed,
+            replication: self.replication + other.replication,
+        }
+    }
+}
+
 impl Sub for EngineCounts {
     type Output = EngineCounts;
 
