Soak a tier of real processes under troubles drawn from a seed

The tests of processes each play one trouble; what several at a time do to accepted batch jobs was seen only in the simulation of the engine, which has neither sockets nor doors.

Three doors with a disk, two without and five stores run as processes on loopback, with backends behind relays and clients behind relays in front of the doors. Up to three troubles at a time: SIGKILL and restart, pauses, broken links, lost answers, backends that cut, fall silent, refuse, fail and reject; the configuration changes all the while.

A relay between two processes was ruled out: settings give each one address, which it listens at and announces.

The stand-in backend records when a run arrived and what it answered; processes can be paused.

--- a/alderhollow/standins/src/backend.rs
+++ b/alderhollow/standins/src/backend.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// What a backend is and how fast it works.
 #[derive(Debug, Clone)]
@@ -56,6 +57,10 @@
     pub body: Vec<u8>,
     /// First event that was asked for.
     pub first_event: u64,
+    /// When it arrived.
+    pub started: Instant,
+    /// Status of its answer.
+    pub status: u16,
     /// Whether its answer was sent to the end.
     pub is_whole: bool,
 }
@@ -113,6 +118,11 @@
         self.state.borrow().runs.clone()
     }
 
+    /// Looks at each run, in order of their starts.
+    pub fn for_each_run(&self, look: impl FnMut(&Run)) {
+        self.state.borrow().runs.iter().for_each(look);
+    }
+
     /// Number of requests that it refused without running them.
     pub fn refused(&self) -> u64 {
         self.state.borrow().refused
--- a/alderhollow/standins/src/backend/answer.rs
+++ b/alderhollow/standins/src/backend/answer.rs
@@ -12,6 +12,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 /// Events of a stream whose request does not tell how many tokens it wants.
 const DEFAULT_EVENTS: u64 = 5;
@@ -135,6 +136,8 @@
             path: request.uri().path_and_query().map(|path| path.to_string()).unwrap_or_default(),
             body: request.body().to_vec(),
             first_event,
+            started: Instant::now(),
+            status: StatusCode::OK.as_u16(),
             is_whole: false,
         });
         drop(shared);
@@ -144,6 +147,9 @@
     fn end_with(self, status: StatusCode) -> Response<ServerBody> {
         let mut answer = status_only(status);
         insert(answer.headers_mut(), header::RESPONSE_SEAL, &self.seal());
+        if let Some(run) = self.state.borrow_mut().runs.get_mut(self.run) {
+            run.status = status.as_u16();
+        }
         self.mark_whole();
         answer
     }
--- a/alderhollow/standins/src/process.rs
+++ b/alderhollow/standins/src/process.rs
@@ -27,10 +27,22 @@
         subcommand: &str,
         settings: &Path,
         log: &Path,
+    ) -> io::Result<TierProcess> {
+        let mut command = Command::new(binary);
+        command.arg(subcommand);
+        TierProcess::start_command(name, command, settings, log)
+    }
+
+    /// Starts `command`, which names the program, its subcommand and options, with the settings file `settings`; its
+    /// output goes to the file `log`.
+    pub fn start_command(
+        name: &str,
+        mut command: Command,
+        settings: &Path,
+        log: &Path,
     ) -> io::Result<TierProcess> {
         let output = File::create(log)?;
-        let child = Command::new(binary)
-            .arg(subcommand)
+        let child = command
             .env(SETTINGS_VARIABLE, settings)
             .stdin(Stdio::null())
             .stdout(output.try_clone()?)
@@ -67,6 +79,16 @@
         Ok(kill_process(Pid::from_child(&self.child), Signal::HUP)?)
     }
 
+    /// Halts it until [`TierProcess::resume`]; an error if it is gone.
+    pub fn pause(&self) -> io::Result<()> {
+        Ok(kill_process(Pid::from_child(&self.child), Signal::STOP)?)
+    }
+
+    /// Lets it go on after a pause; an error if it is gone.
+    pub fn resume(&self) -> io::Result<()> {
+        Ok(kill_process(Pid::from_child(&self.child), Signal::CONT)?)
+    }
+
     /// Kills it at once.
     pub fn kill(&mut self) -> io::Result<()> {
         self.child.kill()?;
--- /dev/null
+++ b/alderhollow/tests/soak/world.rs
@@ -0,0 +1,101 @@
+//! A tier with relays at its outer links, and all that is known of it.
+
+use super::configurations::{soak_configuration, ConfigurationRecord, FIRST_VERSION};
+use super::metrics;
+use super::record::Record;
+use super::relay::Relay;
+use super::tier_support::{Tier, SEEDS};
+use super::timeline::Timeline;
+use super::troubles::Target;
+use super::Place;
+use alderhollow_standins::operator::Order;
+use alderhollow_standins::settings::PLATFORM_LAG_MS;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const DISKLESS_DOORS: [Place; 2] = [Place::DisklessDoor(0), Place::DisklessDoor(1)];
+const STORES: u8 = 5;
+/// Time before each event of a backend.
+const EVENT_PAUSE: Duration = Duration::from_millis(60);
+/// Hosts of the relays on the tier's part of loopback.
+const BACKEND_RELAYS: u8 = 61;
+const DOOR_RELAYS: u8 = 71;
+/// Version that [`Tier::settle`] hands in.
+const SETTLED_VERSION: u64 = 3;
+
+/// The tier of one seed.
+pub struct World {
+    pub tier: RefCell<Tier>,
+    pub places: Vec<Place>,
+    pub backend_relays: Vec<Relay>,
+    /// The clients' way to each door.
+    pub door_relays: Vec<Relay>,
+    /// Where operators reach the doors.
+    pub controls: Vec<SocketAddr>,
+    pub record: RefCell<Record>,
+    pub configurations: RefCell<ConfigurationRecord>,
+    pub timeline: Timeline,
+}
+
+impl World {
+    /// A tier in which all are in touch. `number` tells its addresses and folder from others' of this process.
+    pub async fn start(number: u8) -> World {
+        let mut tier = Tier::prepare(number, EVENT_PAUSE).await;
+        tier.options = metrics::options();
+        let backend_relays = relay_backends(&tier).await;
+        let doors: Vec<Place> = SEEDS.into_iter().chain(DISKLESS_DOORS).collect();
+        let places: Vec<Place> = doors.iter().copied().chain((0..STORES).map(Place::Store)).collect();
+        for place in &places {
+            tier.start_process(*place, true);
+        }
+        tier.settle(&doors).await;
+        let first = Order::put_config(SETTLED_VERSION, soak_configuration(FIRST_VERSION));
+        assert_eq!(tier.order(&first).await.status, 200);
+        World {
+            door_relays: relay_doors(&tier, &doors).await,
+            controls: tier.operator().doors,
+            tier: RefCell::new(tier),
+            places,
+            backend_relays,
+            record: RefCell::default(),
+            configurations: RefCell::new(ConfigurationRecord::new()),
+            timeline: Timeline::new(),
+        }
+    }
+
+    /// The relay of a link.
+    pub fn relay(&self, target: Target) -> &Relay {
+        match target {
+            Target::BackendLink(index) => &self.backend_relays[index],
+            Target::DoorLink(index) => &self.door_relays[index],
+            Target::Process(_) | Target::Backend(_) => unreachable!("{target:?} is no link"),
+        }
+    }
+}
+
+/// Puts a relay in front of each backend, and has the platform list the relays' addresses.
+async fn relay_backends(tier: &Tier) -> Vec<Relay> {
+    let mut relays = Vec::new();
+    let mut listed = Vec::new();
+    for (backend, host) in tier.backends.iter().zip(BACKEND_RELAYS..) {
+        let relay = Relay::start(tier.standin_address(host), backend.address()).await.expect("a port");
+        let mut instance = backend.listed();
+        instance.address = relay.address();
+        listed.push(instance);
+        relays.push(relay);
+    }
+    tier.platform.change(listed);
+    tokio::time::sleep(Duration::from_millis(PLATFORM_LAG_MS)).await;
+    relays
+}
+
+/// Puts a relay between the clients and each door.
+async fn relay_doors(tier: &Tier, doors: &[Place]) -> Vec<Relay> {
+    let mut relays = Vec::new();
+    for (door, host) in doors.iter().zip(DOOR_RELAYS..) {
+        let relay = Relay::start(tier.standin_address(host), tier.front(*door)).await;
+        relays.push(relay.expect("a port"));
+    }
+    relays
+}
--- a/alderhollow/tests/tier_support/mod.rs
+++ b/alderhollow/tests/tier_support/mod.rs
@@ -17,7 +17,8 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
+use std::process::Command;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -37,6 +38,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Place {
     Door(u8),
+    /// A door without a disk.
+    DisklessDoor(u8),
     Store(u8),
 }
 
@@ -48,18 +51,19 @@
     fn host(self) -> u8 {
         match self {
             Place::Door(number) => 11 + number,
+            Place::DisklessDoor(number) => 16 + number,
             Place::Store(number) => 21 + number,
         }
     }
 
     fn zone(self) -> &'static str {
-        let (Place::Door(number) | Place::Store(number)) = self;
+        let (Place::Door(number) | Place::DisklessDoor(number) | Place::Store(number)) = self;
         ZONES[usize::from(number) % ZONES.len()]
     }
 
     fn class(self) -> MachineClass {
         match self {
-            Place::Door(_) => MachineClass::Edge,
+            Place::Door(_) | Place::DisklessDoor(_) => MachineClass::Edge,
             Place::Store(_) => MachineClass::Storage,
         }
     }
@@ -69,11 +73,15 @@
 pub struct Tier {
     processes: BTreeMap<Place, TierProcess>,
     pub backends: Vec<Backend>,
-    _platform: Platform,
+    pub platform: Platform,
     site: Site,
     /// The part of loopback that is this tier's own.
     network: [u8; 3],
     folder: PathBuf,
+    /// Whether settings, data and logs stay when this is dropped.
+    pub keeps_folder: bool,
+    /// Options for all processes that are started, behind the subcommand.
+    pub options: Vec<String>,
 }
 
 impl Tier {
@@ -103,7 +111,16 @@
         let site = Site { ports, zones, seeds, platform: platform_address, first_start: true };
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
             .join(format!("processes-{number}-{}", std::process::id()));
-        Tier { processes: BTreeMap::new(), backends, _platform: platform, site, network, folder }
+        Tier {
+            processes: BTreeMap::new(),
+            backends,
+            platform,
+            site,
+            network,
+            folder,
+            keeps_folder: false,
+            options: Vec::new(),
+        }
     }
 
     /// A tier of three doors and three stores, with its first configuration, in which all are in touch.
@@ -124,6 +141,11 @@
         for door in doors {
             until("the door is ready", || self.is_ready(*door)).await;
         }
+        self.settle_groups().await;
+    }
+
+    /// Waits until the core has three members and the batch group is active.
+    pub async fn settle_groups(&self) {
         until("the core is whole and the batch group active", || async {
             let members = self.core_primary().await.map_or(0, |(_, report)| report.core_view.members.len());
             members >= SEEDS.len() && self.primary_store().await.is_some()
@@ -137,23 +159,40 @@
         let folder = self.folder.join(&name);
         let data_dir = self.data_dir(place);
         std::fs::create_dir_all(&data_dir).unwrap();
+        let has_disk = !matches!(place, Place::DisklessDoor(_));
         let site = Site { first_start, ..self.site.clone() };
         let machine = Machine {
             node: name.clone(),
             class: place.class(),
             ip: ip(self.network, place.host()),
             zone: place.zone().into(),
-            data_dir: Some(data_dir),
+            data_dir: has_disk.then_some(data_dir),
         };
         let settings = folder.join("node.toml");
         std::fs::write(&settings, settings_file(&site, &machine).unwrap()).unwrap();
         let program = PathBuf::from(env!("CARGO_BIN_EXE_alderhollow"));
-        let subcommand = place.class().subcommand();
-        let log = folder.join("log");
-        let process = TierProcess::start(&name, &program, subcommand, &settings, &log).unwrap();
+        let mut command = Command::new(program);
+        command.arg(place.class().subcommand()).args(&self.options);
+        let log = unused_log(&folder);
+        let process = TierProcess::start_command(&name, command, &settings, &log).unwrap();
         self.processes.insert(place, process);
     }
 
+    /// Folder of settings, data and logs.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// An address of this tier's part of loopback, for stand-ins; the port is any.
+    pub fn standin_address(&self, host: u8) -> SocketAddr {
+        SocketAddr::from((ip(self.network, host), 0))
+    }
+
+    /// Where a process listens on a port that all machines use.
+    pub fn at_port(&self, place: Place, port: u16) -> SocketAddr {
+        self.address(place, port)
+    }
+
     /// Folder of a place's disk.
     pub fn data_dir(&self, place: Place) -> PathBuf {
         let name = format!("{}-{}-{}", place.class().name(), place.zone(), place.host());
@@ -247,7 +286,7 @@
 impl Drop for Tier {
     fn drop(&mut self) {
         self.processes.clear();
-        if !std::thread::panicking() {
+        if !std::thread::panicking() && !self.keeps_folder {
             let _ = std::fs::remove_dir_all(&self.folder);
         }
     }
@@ -320,6 +359,12 @@
     Ipv4Addr::new(a, b, c, host)
 }
 
+/// A log file that no earlier start of the process has written.
+fn unused_log(folder: &Path) -> PathBuf {
+    let mut logs = (1..).map(|start| folder.join(format!("log-{start}")));
+    logs.find(|log| !log.exists()).expect("a number that is not used")
+}
+
 /// Ports that nobody uses at this address now.
 fn free_ports(ip: Ipv4Addr, count: usize) -> Vec<u16> {
     let listeners: Vec<_> = (0..count).map(|_| TcpListener::bind((ip, 0)).unwrap()).collect();
