Say how the soak is run; take what a process counts before it is killed

A killed process's counts of broken rules end with it, so they are read before. The relay's two loops were the same but for what they do with answers, and are one now.

--- a/alderhollow/tests/soak.rs
+++ b/alderhollow/tests/soak.rs
@@ -39,7 +39,6 @@
 use tier_support::Place;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
-use violation::Violation;
 use world::World;
 
 /// The first tier's number; each seed has the next one.
@@ -121,24 +120,21 @@
 
 /// Checks what is left to check, ends the tier and reports.
 async fn judge(seed: u64, world: World) -> bool {
+    if world.tier.borrow().options.is_empty() {
+        println!("seed {seed}: the program has no metrics; what it counts by itself is not checked");
+    }
+    for place in &world.places {
+        world.note_counted(*place).await;
+    }
     let mut tier = world.tier.into_inner();
     let mut record = world.record.into_inner();
     record.check_end(&tier.backends);
     let configurations = world.configurations.into_inner();
     let read = configurations::read_version(&tier.operator()).await;
     record.violations.extend(configurations.check(read));
-    if tier.options.is_empty() {
-        println!("seed {seed}: the program has no metrics; what it counts by itself is not checked");
-    } else {
-        for place in &world.places {
-            record.violations.extend(counted(&tier, *place).await);
-        }
-    }
     let (counts, changes) = (record.counts, configurations.changes());
-    println!(
-        "seed {seed}: {counts:?}, {changes} changes of the configuration, {} troubles",
-        world.timeline.troubles()
-    );
+    let troubles = world.timeline.troubles();
+    println!("seed {seed}: {counts:?}, {changes} changes of the configuration, {troubles} troubles");
     if record.violations.is_empty() {
         return true;
     }
@@ -149,7 +145,3 @@
     println!("seed {seed}: settings, data and logs: {}", tier.folder().display());
     false
 }
-
-async fn counted(tier: &tier_support::Tier, place: Place) -> Option<Violation> {
-    metrics::counted(&format!("{place:?}"), tier.at_port(place, metrics::PORT)).await
-}
--- a/alderhollow/tests/soak/relay.rs
+++ b/alderhollow/tests/soak/relay.rs
@@ -78,6 +78,8 @@
     server.set_nodelay(true)?;
     let mut request = vec![0; BUFFER_BYTES];
     let mut answer = vec![0; BUFFER_BYTES];
+    // Once a part of an answer is lost, what follows must not reach the client behind the gap.
+    let mut has_lost = false;
     loop {
         tokio::select! {
             changed = modes.changed() => {
@@ -89,38 +91,15 @@
                 0 => return Ok(()),
                 count => server.write_all(&request[..count]).await?,
             },
-            read = server.read(&mut answer) => match read? {
-                0 => return Ok(()),
-                count if *modes.borrow() == RelayMode::Pass => client.write_all(&answer[..count]).await?,
-                // A part of an answer must not reach the client behind a gap.
-                _ => lose_rest(&mut client, &mut server, &mut modes).await?,
-            },
-        }
-    }
-}
-
-/// Takes what comes from both sides and passes nothing back, until either side ends or the relay is cut.
-async fn lose_rest(
-    client: &mut TcpStream,
-    server: &mut TcpStream,
-    modes: &mut watch::Receiver<RelayMode>,
-) -> io::Result<()> {
-    let mut request = vec![0; BUFFER_BYTES];
-    let mut answer = vec![0; BUFFER_BYTES];
-    loop {
-        tokio::select! {
-            changed = modes.changed() => {
-                if changed.is_err() || *modes.borrow_and_update() == RelayMode::Cut {
-                    return Err(io::ErrorKind::ConnectionAborted.into());
+            read = server.read(&mut answer) => {
+                let count = read?;
+                has_lost |= *modes.borrow() == RelayMode::LoseAnswers;
+                match count {
+                    0 => return Ok(()),
+                    _ if has_lost => {}
+                    count => client.write_all(&answer[..count]).await?,
                 }
             }
-            read = client.read(&mut request) => match read? {
-                0 => return Err(io::ErrorKind::ConnectionAborted.into()),
-                count => server.write_all(&request[..count]).await?,
-            },
-            read = server.read(&mut answer) => if read? == 0 {
-                return Err(io::ErrorKind::ConnectionAborted.into());
-            },
         }
     }
 }
--- a/alderhollow/tests/soak/troubles.rs
+++ b/alderhollow/tests/soak/troubles.rs
@@ -158,6 +158,10 @@
 }
 
 async fn run_trouble(world: &World, timeline: &Timeline, trouble: &Trouble) {
+    if let (Kind::Kill, Target::Process(place)) = (&trouble.kind, trouble.target) {
+        // What it has counted ends with it.
+        world.note_counted(place).await;
+    }
     timeline.note(Edge::Begin, trouble);
     trouble.begin(world);
     tokio::time::sleep(trouble.span).await;
--- a/alderhollow/tests/soak/world.rs
+++ b/alderhollow/tests/soak/world.rs
@@ -64,6 +64,13 @@
         }
     }
 
+    /// Notes what a process has counted of broken rules by itself.
+    pub async fn note_counted(&self, place: Place) {
+        let address = self.tier.borrow().at_port(place, metrics::PORT);
+        let counted = metrics::counted(&format!("{place:?}"), address).await;
+        self.record.borrow_mut().violations.extend(counted);
+    }
+
     /// The relay of a link.
     pub fn relay(&self, target: Target) -> &Relay {
         match target {
