--- a/alderhollow/tests/batch_scale.rs
+++ b/alderhollow/tests/batch_scale.rs
@@ -36,7 +36,7 @@
     async fn look(&mut self, tier: &Tier, stores: &[Place]) {
         for store in stores {
             let report = tier.status(*store).await.and_then(|report| report.store);
-            let running = report.map_or(0, |report| report.running_items);
+            let running = report.map_or(0, |report| report.running_items());
             *self.seen_items.entry(*store).or_default() += running;
         }
     }
