--- /dev/null
+++ b/alderhollow/src/control_state/group_policy/placement.rs
@@ -0,0 +1,116 @@
+//! Where groups lie: what each store carries, and who is the next to carry more or less.
+
+use alderhollow_model::identity::DiskId;
+use alderhollow_model::snapshot::{BatchGroup, GroupMember};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How many groups each store leads, and to how many it belongs, as a member or as a learner.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StoreLoads {
+    leads: BTreeMap<DiskId, usize>,
+    memberships: BTreeMap<DiskId, usize>,
+}
+
+impl StoreLoads {
+    /// Counts over groups.
+    pub fn of<'a>(groups: impl IntoIterator<Item = &'a BatchGroup>) -> StoreLoads {
+        let mut loads = StoreLoads::default();
+        for group in groups {
+            loads.add(group);
+        }
+        loads
+    }
+
+    /// How many groups a store leads.
+    pub fn leads(&self, disk: DiskId) -> usize {
+        self.leads.get(&disk).copied().unwrap_or(0)
+    }
+
+    /// To how many groups a store belongs.
+    pub fn memberships(&self, disk: DiskId) -> usize {
+        self.memberships.get(&disk).copied().unwrap_or(0)
+    }
+
+    /// Counts a group in.
+    pub fn add(&mut self, group: &BatchGroup) {
+        *self.leads.entry(group.primary).or_default() += 1;
+        for disk in disks_of(group) {
+            *self.memberships.entry(disk).or_default() += 1;
+        }
+    }
+
+    /// Counts a group as it is to be in place of what it was.
+    pub fn replace(&mut self, former: &BatchGroup, next: &BatchGroup) {
+        subtract_one(&mut self.leads, former.primary);
+        for disk in disks_of(former) {
+            subtract_one(&mut self.memberships, disk);
+        }
+        self.add(next);
+    }
+}
+
+fn subtract_one(counts: &mut BTreeMap<DiskId, usize>, disk: DiskId) {
+    if let Some(count) = counts.get_mut(&disk) {
+        *count = count.saturating_sub(1);
+    }
+}
+
+/// The disks of a group's members and learners.
+pub fn disks_of(group: &BatchGroup) -> BTreeSet<DiskId> {
+    group.members.iter().chain(&group.learners).map(|member| member.disk).collect()
+}
+
+/// Picks up to `count` candidates: those first whose zones have the fewest members, then those that belong to the fewest
+/// groups, then in the order given.
+pub fn spread_over_zones(
+    present: &[GroupMember],
+    mut candidates: Vec<GroupMember>,
+    count: usize,
+    loads: &StoreLoads,
+) -> Vec<GroupMember> {
+    let mut by_zone = count_by_zone(present);
+    let mut picked = Vec::new();
+    while picked.len() < count {
+        let rank = |member: &GroupMember| {
+            let members_in_zone = by_zone.get(&member.node.zone).copied().unwrap_or(0);
+            (members_in_zone, loads.memberships(member.disk))
+        };
+        let best = candidates.iter().enumerate().min_by_key(|(_, member)| rank(member));
+        let Some(at) = best.map(|(at, _)| at) else {
+            break;
+        };
+        let member = candidates.remove(at);
+        *by_zone.entry(member.node.zone.clone()).or_default() += 1;
+        picked.push(member);
+    }
+    picked
+}
+
+/// How unevenly members lie over the zones: the sum of the squares of their counts by zone. Less is better.
+pub fn zone_crowding(members: &[GroupMember]) -> usize {
+    count_by_zone(members).values().map(|count| count * count).sum()
+}
+
+/// The member that a group with one too many can best do without: not the primary; one without which the others lie the
+/// most evenly over the zones; of these, the one that belongs to the most groups.
+pub fn surplus_member(
+    members: &[GroupMember],
+    primary: DiskId,
+    memberships: impl Fn(DiskId) -> usize,
+) -> Option<DiskId> {
+    let by_zone = count_by_zone(members);
+    let others = members.iter().filter(|member| member.disk != primary);
+    let best = others.max_by_key(|member| {
+        let members_in_zone = by_zone.get(&member.node.zone).copied().unwrap_or(0);
+        (members_in_zone, memberships(member.disk), member.disk)
+    });
+    best.map(|member| member.disk)
+}
+
+fn count_by_zone(members: &[GroupMember]) -> BTreeMap<String, usize> {
+    let mut by_zone = BTreeMap::new();
+    for member in members {
+        *by_zone.entry(member.node.zone.clone()).or_default() += 1;
+    }
+    by_zone
+}
--- a/alderhollow/src/control_state/mod.rs
+++ b/alderhollow/src/control_state/mod.rs
@@ -65,10 +65,26 @@
 }
 
 /// The replicated control state.
-#[derive(Debug, Clone, Default, PartialEq)]
+///
+/// # The view's version
+///
+/// `view_version` is the version of the last change that [`ControlState::view`] shows. Processes take a view only if its
+/// version is above the one that they hold, and keep what they hold for as long as none is. It is not stored, and not a part
+/// of what replicas agree on: a state that was read from a snapshot takes its own version for it. Any number from the version
+/// of the last change that the view shows up to the state's version serves, whatever replica gives it out:
+///
+/// - What a process holds is at most the version of a state that was committed when it got it. Whoever has a lease later has
+///   a state at least as new, so that each later change of the view gets a higher number: it is never missed.
+/// - If a new primary's number is lower than what a process holds, the view has not changed in between: the number that it
+///   holds was given out for a state whose last visible change is the same. The process keeps an equal view.
+/// - If it is higher, the process takes the newest committed view, perhaps one equal to its own: once for each time that a
+///   state was read whole.
+#[derive(Debug, Clone, Default)]
 pub struct ControlState {
     /// Counts the changes.
     version: u64,
+    /// See above; not compared and not stored.
+    view_version: u64,
     document: Option<ConfigDocument>,
     taken: TakenOrders,
     evacuated: BTreeSet<String>,
@@ -77,12 +93,59 @@
     groups: Vec<GroupState>,
 }
 
+impl PartialEq for ControlState {
+    /// Compares what replicas agree on.
+    fn eq(&self, other: &ControlState) -> bool {
+        let ControlState { version, view_version: _, document, taken, evacuated, stores, groups } = self;
+        *version == other.version
+            && *document == other.document
+            && *taken == other.taken
+            && *evacuated == other.evacuated
+            && *stores == other.stores
+            && *groups == other.groups
+    }
+}
+
+/// What applying a command changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Effect {
+    /// Nothing.
+    Unchanged,
+    /// Something that the processes' view does not show.
+    Hidden,
+    /// Something that the view shows.
+    Visible,
+}
+
+impl Effect {
+    fn hidden_if(changed: bool) -> Effect {
+        if changed {
+            Effect::Hidden
+        } else {
+            Effect::Unchanged
+        }
+    }
+
+    fn visible_if(changed: bool) -> Effect {
+        if changed {
+            Effect::Visible
+        } else {
+            Effect::Unchanged
+        }
+    }
+}
+
 impl ControlState {
     /// Grows with each change.
     pub fn version(&self) -> u64 {
         self.version
     }
 
+    /// The version that processes compare; see the type.
+    pub fn view_version(&self) -> u64 {
+        self.view_version
+    }
+
     /// The newest configuration.
     pub fn document(&self) -> Option<&ConfigDocument> {
         self.document.as_ref()
@@ -121,7 +184,7 @@
     /// What processes act on.
     pub fn view(&self) -> ControlView {
         ControlView {
-            version: self.version,
+            version: self.view_version,
             config: self.document.as_ref().map(|document| document.config.clone()),
             evacuated: self.evacuated.clone(),
             groups: self.groups.iter().map(|state| state.group.clone()).collect(),
@@ -130,13 +193,17 @@
 
     /// Applies a command; says whether it changed anything.
     pub fn apply_command(&mut self, command: Command) -> bool {
-        let changed = match command {
-            Command::SetConfig { base, order, document } => self.set_config(base, order, document),
-            Command::Evacuate { zone } => self.evacuated.insert(zone),
-            Command::TakeBack { zone } => self.evacuated.remove(&zone),
-            Command::Retire { node } => self.retire(&node),
-            Command::RegisterStore(store) => self.stores.register(&store),
-            Command::SetGroup { previous_epoch: 0, group } => self.found_groups(vec![group]),
+        let effect = match command {
+            Command::SetConfig { base, order, document } => {
+                Effect::visible_if(self.set_config(base, order, document))
+            }
+            Command::Evacuate { zone } => Effect::visible_if(self.evacuated.insert(zone)),
+            Command::TakeBack { zone } => Effect::visible_if(self.evacuated.remove(&zone)),
+            Command::Retire { node } => Effect::hidden_if(self.retire(&node)),
+            Command::RegisterStore(store) => Effect::hidden_if(self.stores.register(&store)),
+            Command::SetGroup { previous_epoch: 0, group } => {
+                Effect::visible_if(self.found_groups(vec![group]))
+            }
             Command::SetGroup { previous_epoch, group } => {
                 self.change_first_group(GroupStep::Replace { previous_epoch, group })
             }
@@ -144,13 +211,16 @@
             Command::MembersInSync { epoch, disks } => {
                 self.change_first_group(GroupStep::MembersInSync { epoch, disks })
             }
-            Command::FoundGroups(groups) => self.found_groups(groups),
+            Command::FoundGroups(groups) => Effect::visible_if(self.found_groups(groups)),
             Command::ChangeGroups(changes) => self.change_groups(changes),
         };
-        if changed {
+        if effect > Effect::Unchanged {
             self.version += 1;
         }
-        changed
+        if effect == Effect::Visible {
+            self.view_version = self.version;
+        }
+        effect > Effect::Unchanged
     }
 
     fn set_config(&mut self, base: ConfigVersion, order: u64, document: Vec<u8>) -> bool {
@@ -185,22 +255,33 @@
     }
 
     /// A command of an earlier version of the program, which knew one group.
-    fn change_first_group(&mut self, step: GroupStep) -> bool {
+    fn change_first_group(&mut self, step: GroupStep) -> Effect {
         self.change_groups(vec![GroupChange { id: GroupId::default(), step }])
     }
 
     /// Takes each change that still fits.
-    fn change_groups(&mut self, changes: Vec<GroupChange>) -> bool {
-        let mut changed = false;
+    fn change_groups(&mut self, changes: Vec<GroupChange>) -> Effect {
+        let mut effect = Effect::Unchanged;
         for change in changes {
-            if let Some(group) = self.groups.get_mut(change.id.index()) {
-                changed |= group.take(change.step);
-            }
+            effect = effect.max(self.change_group(change));
         }
-        if changed {
+        if effect > Effect::Unchanged {
             self.complete_retirements();
         }
-        changed
+        effect
+    }
+
+    fn change_group(&mut self, change: GroupChange) -> Effect {
+        let Some(group) = self.groups.get_mut(change.id.index()) else {
+            return Effect::Unchanged;
+        };
+        let is_new_epoch = matches!(change.step, GroupStep::Replace { .. });
+        let changed = group.take(change.step);
+        if is_new_epoch {
+            Effect::visible_if(changed)
+        } else {
+            Effect::hidden_if(changed)
+        }
     }
 
     fn may_change(&self, change: &GroupChange) -> bool {
--- a/alderhollow/src/control_state/snapshot.rs
+++ b/alderhollow/src/control_state/snapshot.rs
@@ -106,6 +106,7 @@
         let groups = first.into_iter().chain(stored.further_groups.unwrap_or_default());
         Ok(ControlState {
             version: stored.version,
+            view_version: stored.version,
             document: stored.document.and_then(|text| ConfigDocument::read(text.into())),
             taken: stored.taken,
             evacuated: stored.evacuated,
--- a/alderhollow/src/core/authority.rs
+++ b/alderhollow/src/core/authority.rs
@@ -1,9 +1,10 @@
-//! The core's member as the distribution, the operators' calls and the batch group's reconciliation see it.
+//! The core's member as the distribution, the operators' calls and the batch groups' reconciliation see it.
 
 use super::driver::Core;
 use super::store_watch::StoreWatch;
 use crate::clock::SteadyClock;
-use crate::control_state::group_policy::GroupView;
+use crate::control_state::group_policy::rebalancing::CalmWatch;
+use crate::control_state::group_policy::{is_calm, GroupView};
 use crate::control_state::store_report::StoreReport;
 use crate::control_state::view::encode_view;
 use crate::control_state::ControlState;
@@ -20,6 +21,7 @@
     clock: SteadyClock,
     tolerate_machines: usize,
     stores: RefCell<StoreWatch>,
+    calm: RefCell<CalmWatch>,
     stores_changed: Notify,
     encoded: RefCell<EncodedControl>,
 }
@@ -36,6 +38,7 @@
             clock,
             tolerate_machines,
             stores: RefCell::default(),
+            calm: RefCell::default(),
             stores_changed: Notify::new(),
             encoded: RefCell::new(EncodedControl { version: 0, bytes: Vec::new().into() }),
         }
@@ -51,7 +54,10 @@
         let now_ms = self.clock.now_ms();
         let mut stores = self.stores.borrow_mut();
         stores.note_lease(self.core.leased_epoch(), now_ms);
-        stores.view(now_ms, self.tolerate_machines)
+        let view = stores.view(now_ms, self.tolerate_machines);
+        let is_calm = view.as_ref().is_some_and(|view| is_calm(&self.core.state(), view));
+        let calm_for_ms = self.calm.borrow_mut().note(is_calm, now_ms);
+        view.map(|view| GroupView { calm_for_ms: calm_for_ms.min(view.primary_for_ms), ..view })
     }
 
     /// Waits until a store said something new.
@@ -68,15 +74,15 @@
     fn control(&self) -> EncodedControl {
         let state = self.core.state();
         let mut encoded = self.encoded.borrow_mut();
-        if encoded.version != state.version() {
+        if encoded.version != state.view_version() {
             let bytes = encode_view(&state.view()).into();
-            *encoded = EncodedControl { version: state.version(), bytes };
+            *encoded = EncodedControl { version: state.view_version(), bytes };
         }
         encoded.clone()
     }
 
     fn control_version(&self) -> u64 {
-        self.core.state().version()
+        self.core.state().view_version()
     }
 
     fn core_view(&self) -> CoreView {
--- a/alderhollow/src/core/group_reconciler.rs
+++ b/alderhollow/src/core/group_reconciler.rs
@@ -1,4 +1,4 @@
-//! Keeps the batch group in order: proposes what the group's policy says, while this process is the core's primary.
+//! Keeps the batch groups in order: proposes what the groups' policy says, while this process is the core's primary.
 
 use super::authority::ControlAuthority;
 use crate::control_state::group_policy::next_request;
@@ -11,7 +11,7 @@
 /// Pause after a proposal that brought no change.
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 
-/// Keeps the group in order until the future is dropped.
+/// Keeps the groups in order until the future is dropped.
 pub async fn run(authority: Rc<ControlAuthority>) {
     loop {
         let Some(view) = authority.group_view() else {
@@ -23,12 +23,12 @@
             let _ = tokio::time::timeout(INTERVAL, authority.stores_changed()).await;
             continue;
         };
-        log::info!("batch group: {request:?}");
+        log::info!("batch groups: {request:?}");
         match authority.core().propose(request.to_bytes()).await {
             Ok(Outcome::Committed(_)) => (),
             Ok(Outcome::Answered(_)) => tokio::time::sleep(FAILURE_PAUSE).await,
             Err(error) => {
-                log::warn!("batch group: {error}");
+                log::warn!("batch groups: {error}");
                 tokio::time::sleep(FAILURE_PAUSE).await;
             }
         }
--- a/alderhollow/src/core/store_watch.rs
+++ b/alderhollow/src/core/store_watch.rs
@@ -44,7 +44,7 @@
         is_news
     }
 
-    /// What the group's policy rests on; `None` without a lease.
+    /// What the groups' policy rests on, but for how long all has been calm; `None` without a lease.
     pub fn view(&self, now_ms: u64, tolerate_machines: usize) -> Option<GroupView> {
         let lease = self.lease?;
         let stores = self.stores.values().map(|seen| StoreView {
@@ -55,6 +55,7 @@
         Some(GroupView {
             primary_for_ms: now_ms.saturating_sub(lease.since_ms),
             tolerate_machines,
+            calm_for_ms: 0,
             stores: stores.collect(),
         })
     }
--- a/alderhollow/tests/control_state.rs
+++ b/alderhollow/tests/control_state.rs
@@ -255,6 +255,29 @@
     assert!(!taken.contains(9) && taken.contains(10));
 }
 
+#[test]
+fn what_the_view_does_not_show_leaves_its_version() {
+    let mut state = with_stores(&[1, 2, 3]);
+    assert_eq!((state.version(), state.view_version()), (4, 1), "stores came");
+    assert!(state.apply_command(Command::SetGroup { previous_epoch: 0, group: group(1, &[1, 2, 3]) }));
+    assert_eq!((state.view_version(), state.view().version), (5, 5));
+    assert!(state.apply_command(Command::GroupActive { epoch: 1 }));
+    assert_eq!(submit(&mut state, &retire("s3"), &context()), Ended::Committed);
+    assert_eq!((state.version(), state.view_version()), (7, 5), "active, and a retirement");
+    assert!(state.apply_command(Command::Evacuate { zone: "south".to_string() }));
+    assert_eq!(state.view_version(), 8);
+}
+
+#[test]
+fn a_state_that_was_read_whole_takes_its_own_version_for_the_views() {
+    let mut state = with_stores(&[1, 2]);
+    let read = ControlState::from_snapshot(&state.to_snapshot()).expect("readable");
+    assert_eq!((read.version(), read.view_version()), (3, 3));
+    assert_eq!((state.version(), state.view_version()), (3, 1));
+    assert!(state.apply_command(Command::Evacuate { zone: "south".to_string() }));
+    assert_eq!(state.view_version(), 4, "above all that was given out before");
+}
+
 fn full_state() -> ControlState {
     let mut state = with_stores(&[1, 2, 3]);
     assert!(state.apply_command(Command::SetGroup { previous_epoch: 0, group: group(1, &[1, 2, 3]) }));
@@ -305,6 +328,39 @@
         }
     }
 
+    /// Processes hold what they took from a primary; primaries change, and some of them read their state whole.
+    #[test]
+    fn processes_hold_the_newest_view_over_all_primaries(steps in prop::collection::vec(0_u8..8, 1..60)) {
+        let mut primaries = [ControlState::default(), ControlState::default(), ControlState::default()];
+        let mut leader = 0;
+        let mut held = [ControlState::default().view(), ControlState::default().view()];
+        for (at, step) in steps.into_iter().enumerate() {
+            let zone = "south".to_string();
+            match step {
+                0 => primaries.iter_mut().for_each(|state| { state.apply_command(Command::Evacuate { zone: zone.clone() }); }),
+                1 => primaries.iter_mut().for_each(|state| { state.apply_command(Command::TakeBack { zone: zone.clone() }); }),
+                2 | 3 => {
+                    let come = store(&format!("s{at}"), "north", at as u64);
+                    primaries.iter_mut().for_each(|state| { state.apply_command(Command::RegisterStore(come.clone())); });
+                }
+                4 => leader = (leader + 1) % primaries.len(),
+                5 => {
+                    let bytes = primaries[leader].to_snapshot();
+                    primaries[(leader + 1) % 3].restore(&bytes);
+                }
+                // One of the processes polls, the other one lags behind.
+                _ => {
+                    let newest = primaries[leader].view();
+                    let process = &mut held[usize::from(step == 6)];
+                    if newest.version > process.version {
+                        *process = newest.clone();
+                    }
+                    prop_assert_eq!(&process.evacuated, &newest.evacuated);
+                }
+            }
+        }
+    }
+
     #[test]
     fn any_bytes_are_decided_and_applied_without_panic(mut bytes in prop::collection::vec(any::<u8>(), 0..100)) {
         let mut state = founded();
--- /dev/null
+++ b/alderhollow/tests/group_balance.rs
@@ -0,0 +1,352 @@
+//! How groups lie over the stores: at their founding, after a store was lost, and when stores came that carry less.
+
+mod control;
+
+use alderhollow::control_state::group_policy::founding::MOST_GROUPS;
+use alderhollow::control_state::group_policy::rebalancing::{CalmWatch, REBALANCE_AFTER_MS};
+use alderhollow::control_state::group_policy::{next_request, GroupView, StoreView, DEAD_AFTER_MS};
+use alderhollow::control_state::groups::{GroupChange, GroupStep};
+use alderhollow::control_state::request::Request;
+use alderhollow::control_state::store_report::StoreReport;
+use alderhollow::control_state::view::encode_view;
+use alderhollow::control_state::ControlState;
+use alderhollow_model::identity::DiskId;
+use alderhollow_model::snapshot::{BatchGroup, ControlView, GroupId, GroupMember};
+use control::{command_of, store};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// More steps than any of these worlds may need.
+const MOST_STEPS: usize = 2_000;
+
+fn heard(disk: u64, zone: &str) -> StoreView {
+    StoreView {
+        node: store(&format!("s{disk}"), zone, disk),
+        silent_for_ms: 0,
+        report: StoreReport::default(),
+    }
+}
+
+/// Stores in zones of the given sizes, all just heard of, and all calm.
+fn view(zones: &[usize], tolerate_machines: usize) -> GroupView {
+    let mut stores = Vec::new();
+    for (zone, count) in zones.iter().enumerate() {
+        for _ in 0..*count {
+            // Not in rising order, so that nothing rests on it.
+            let disk = (stores.len() as u64 + 1) * 7919 % 10_007;
+            stores.push(heard(disk, &format!("z{zone}")));
+        }
+    }
+    GroupView { primary_for_ms: 60_000, tolerate_machines, calm_for_ms: REBALANCE_AFTER_MS, stores }
+}
+
+/// Lets every store report what one reports that works well.
+fn report(state: &ControlState, view: &mut GroupView) {
+    for seen in &mut view.stores {
+        let disk = seen.node.disk.expect("a store has a disk");
+        for (index, group) in state.groups().iter().enumerate() {
+            let part = seen.report.groups.entry(GroupId::at(index)).or_default();
+            part.epoch = group.group.epoch;
+            part.active = group.group.primary == disk;
+            part.synced = group.group.learners.iter().any(|learner| learner.disk == disk);
+        }
+    }
+}
+
+fn apply(state: &mut ControlState, request: &Request) {
+    let command = command_of(state, request).expect("what the policy asks for is taken");
+    assert!(state.apply_command(command));
+}
+
+/// Reports and commits until the policy comes to rest; returns what it asked for.
+fn work(state: &mut ControlState, view: &mut GroupView) -> Vec<Request> {
+    let mut requests = Vec::new();
+    while requests.len() < MOST_STEPS {
+        report(state, view);
+        let Some(request) = next_request(state, view) else {
+            return requests;
+        };
+        apply(state, &request);
+        requests.push(request);
+    }
+    panic!("the policy does not come to rest: {:?}", state.groups());
+}
+
+/// Commits what the policy asks for until the groups are made.
+fn found(view: &GroupView) -> ControlState {
+    let mut state = ControlState::default();
+    while state.groups().is_empty() {
+        let request = next_request(&state, view).expect("stores come, then groups are made");
+        apply(&mut state, &request);
+    }
+    state
+}
+
+fn groups(state: &ControlState) -> impl Iterator<Item = &BatchGroup> {
+    state.groups().iter().map(|state| state.group.as_ref())
+}
+
+fn disk_of(seen: &StoreView) -> DiskId {
+    seen.node.disk.expect("a store has a disk")
+}
+
+fn leads(state: &ControlState, disk: DiskId) -> usize {
+    groups(state).filter(|group| group.primary == disk).count()
+}
+
+fn belongs(group: &BatchGroup, disk: DiskId) -> bool {
+    group.members.iter().any(|member| member.disk == disk)
+}
+
+fn memberships(state: &ControlState, disk: DiskId) -> usize {
+    groups(state).filter(|group| belongs(group, disk)).count()
+}
+
+fn spread(counts: impl Iterator<Item = usize> + Clone) -> usize {
+    counts.clone().max().unwrap_or(0) - counts.min().unwrap_or(0)
+}
+
+fn zone_counts(group: &BatchGroup) -> Vec<usize> {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for member in &group.members {
+        *counts.entry(&member.node.zone).or_default() += 1;
+    }
+    counts.into_values().collect()
+}
+
+/// Each group has all its members, as evenly over the zones as these allow; stores of one zone carry the same but for one.
+fn assert_even(state: &ControlState, view: &GroupView) {
+    let stores = &view.stores;
+    let zones: BTreeSet<&str> = stores.iter().map(|seen| seen.node.zone.as_str()).collect();
+    for group in groups(state) {
+        assert_eq!(group.members.len(), stores.len().min(view.tolerate_machines + 2));
+        let counts = zone_counts(group);
+        assert_eq!(counts.len(), zones.len().min(group.members.len()), "zones: {group:?}");
+    }
+    for zone in zones {
+        let of_zone = stores.iter().filter(|seen| seen.node.zone == zone);
+        let counts = of_zone.map(|seen| memberships(state, disk_of(seen)));
+        assert!(spread(counts.clone()) <= 1, "memberships in {zone}: {:?}", counts.collect::<Vec<_>>());
+    }
+}
+
+#[test]
+fn as_many_groups_are_made_as_there_are_stores_each_led_by_another_one() {
+    for zones in [&[1][..], &[1, 1], &[2], &[1, 1, 1], &[3], &[5, 5, 4], &[14], &[1, 12], &[40, 30, 30]] {
+        for tolerate in [1, 2] {
+            let view = view(zones, tolerate);
+            let state = found(&view);
+            assert_eq!(state.groups().len(), view.stores.len().min(MOST_GROUPS));
+            assert!(view.stores.iter().all(|seen| leads(&state, disk_of(seen)) <= 1), "{zones:?}");
+            assert_even(&state, &view);
+        }
+    }
+}
+
+#[test]
+fn with_equal_zones_all_stores_carry_the_same_but_for_one_group() {
+    for zones in [&[14][..], &[4, 4, 4], &[5, 5, 5], &[7, 7]] {
+        let view = view(zones, 1);
+        let state = found(&view);
+        let counts = view.stores.iter().map(|seen| memberships(&state, disk_of(seen)));
+        assert!(spread(counts.clone()) <= 1, "{zones:?}: {:?}", counts.collect::<Vec<_>>());
+    }
+}
+
+#[test]
+fn a_zones_loss_leaves_each_group_able_to_go_on() {
+    let view = view(&[5, 5, 4], 1);
+    let state = found(&view);
+    for group in groups(&state) {
+        assert_eq!(zone_counts(group), [1, 1, 1]);
+    }
+}
+
+#[test]
+fn the_groups_are_the_same_whatever_order_the_stores_come_in() {
+    let mut view = view(&[5, 5, 4], 2);
+    let expected = found(&view);
+    view.stores.reverse();
+    assert_eq!(groups(&expected).collect::<Vec<_>>(), groups(&found(&view)).collect::<Vec<_>>());
+}
+
+#[test]
+fn all_groups_of_a_lost_store_change_in_one_request_and_go_to_many() {
+    let mut view = view(&[14], 2);
+    let mut state = found(&view);
+    work(&mut state, &mut view);
+    // One store leads four groups.
+    let heavy = groups(&state).next().expect("a group").primary;
+    lead_by(&mut state, heavy, 4);
+    view.calm_for_ms = 0;
+    work(&mut state, &mut view);
+    let hit: BTreeSet<usize> = indices(&state, |group| belongs(group, heavy));
+    let led = indices(&state, |group| group.primary == heavy);
+    assert!(led.len() == 4, "{led:?}");
+    let lost = view.stores.iter_mut().find(|seen| disk_of(seen) == heavy).expect("the store");
+    lost.silent_for_ms = DEAD_AFTER_MS;
+    let request = next_request(&state, &view).expect("changes are due");
+    let Request::ChangeGroups(changes) = &request else { panic!("{request:?}") };
+    let changed: BTreeSet<usize> = changes.iter().map(|change| change.id.index()).collect();
+    assert_eq!(changed, hit);
+    apply(&mut state, &request);
+    assert_eq!(leads(&state, heavy), 0);
+    let most = view.stores.iter().map(|seen| leads(&state, disk_of(seen))).max();
+    assert!(most <= Some(2), "the four go to stores that lead the fewest: {most:?}");
+    let learners: Vec<DiskId> =
+        groups(&state).flat_map(|group| group.learners.iter().map(|learner| learner.disk)).collect();
+    let different: BTreeSet<&DiskId> = learners.iter().collect();
+    assert_eq!(learners.len(), hit.len());
+    assert_eq!(different.len(), learners.len(), "each missing member is another store");
+}
+
+fn indices(state: &ControlState, which: impl Fn(&BatchGroup) -> bool) -> BTreeSet<usize> {
+    groups(state).enumerate().filter(|(_, group)| which(group)).map(|(index, _)| index).collect()
+}
+
+/// Makes a store the primary of groups that it belongs to.
+fn lead_by(state: &mut ControlState, disk: DiskId, count: usize) {
+    let belonging = indices(state, |group| belongs(group, disk));
+    let changes = belonging.into_iter().take(count).map(|index| {
+        let mut group = state.groups()[index].group.as_ref().clone();
+        let previous_epoch = group.epoch;
+        group.epoch += 1;
+        group.primary = disk;
+        GroupChange { id: GroupId::at(index), step: GroupStep::Replace { previous_epoch, group } }
+    });
+    let request = Request::ChangeGroups(changes.collect());
+    apply(state, &request);
+}
+
+#[test]
+fn a_store_that_was_added_comes_to_carry_its_part_one_group_at_a_time() {
+    let mut view = view(&[4, 4, 3], 1);
+    let mut state = found(&view);
+    work(&mut state, &mut view);
+    view.stores.push(heard(3, "z2"));
+    let mut moving = 0;
+    for request in work(&mut state, &mut view) {
+        if let Request::ChangeGroups(changes) = request {
+            moving = moving.max(changes.len());
+        }
+    }
+    assert_eq!(moving, 1, "one group at a time");
+    assert_even(&state, &view);
+    assert!(memberships(&state, DiskId(3)) >= 2);
+}
+
+#[test]
+fn nothing_is_moved_before_all_has_been_calm_for_long() {
+    let mut view = view(&[4, 4, 3], 1);
+    let mut state = found(&view);
+    work(&mut state, &mut view);
+    view.stores.push(heard(3, "z2"));
+    view.calm_for_ms = REBALANCE_AFTER_MS - 1;
+    let requests = work(&mut state, &mut view);
+    assert!(matches!(requests[..], [Request::RegisterStore(_)]), "{requests:?}");
+    view.calm_for_ms += 1;
+    assert!(matches!(next_request(&state, &view), Some(Request::ChangeGroups(_))));
+    view.stores[0].silent_for_ms = DEAD_AFTER_MS - 1;
+    assert!(matches!(next_request(&state, &view), Some(Request::ChangeGroups(_))));
+    view.stores.last_mut().expect("a store").report.leaving = true;
+    assert_eq!(next_request(&state, &view), None);
+}
+
+#[test]
+fn calm_is_counted_from_its_newest_beginning() {
+    let mut watch = CalmWatch::default();
+    assert_eq!(watch.note(true, 1_000), 0);
+    assert_eq!(watch.note(true, 3_500), 2_500);
+    assert_eq!(watch.note(false, 4_000), 0);
+    assert_eq!(watch.note(true, 5_000), 0);
+    assert_eq!(watch.note(true, 5_100), 100);
+}
+
+/// Stores in zones, and groups of any of them that are active: for each a primary and others, drawn by lot.
+fn any_placement() -> impl Strategy<Value = (GroupView, Vec<Vec<usize>>)> {
+    let zones = prop::collection::vec(1_usize..6, 1..4);
+    (zones, 1_usize..3).prop_flat_map(|(zones, tolerate)| {
+        let view = view(&zones, tolerate);
+        let stores: Vec<usize> = (0..view.stores.len()).collect();
+        let members = stores.len().min(tolerate + 2);
+        let drawn = prop::sample::subsequence(stores, members).prop_shuffle();
+        (Just(view), prop::collection::vec(drawn, 1..20))
+    })
+}
+
+fn placed(view: &GroupView, drawn: &[Vec<usize>]) -> ControlState {
+    let mut state = ControlState::default();
+    for seen in &view.stores {
+        apply(&mut state, &Request::RegisterStore(seen.node.clone()));
+    }
+    let member =
+        |at: &usize| GroupMember { disk: disk_of(&view.stores[*at]), node: view.stores[*at].node.clone() };
+    let groups = drawn.iter().map(|places| {
+        let members: Vec<GroupMember> = places.iter().map(member).collect();
+        BatchGroup { epoch: 1, primary: members[0].disk, members, learners: Vec::new() }
+    });
+    apply(&mut state, &Request::FoundGroups(groups.collect()));
+    state
+}
+
+/// Sums that rank one before the other and that no finished move lets grow.
+fn unevenness(state: &ControlState, view: &GroupView) -> (usize, usize) {
+    let square = |count: usize| count * count;
+    let zones = groups(state).flat_map(zone_counts).map(square).sum();
+    let memberships = view.stores.iter().map(|seen| square(memberships(state, disk_of(seen)))).sum();
+    (zones, memberships)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    #[test]
+    fn any_placement_comes_to_rest_evenly((mut view, drawn) in any_placement()) {
+        let mut state = placed(&view, &drawn);
+        let before = unevenness(&state, &view);
+        work(&mut state, &mut view);
+        prop_assert!(unevenness(&state, &view) <= before);
+        assert_even(&state, &view);
+        for seen in &view.stores {
+            let own = leads(&state, disk_of(seen));
+            for group in groups(&state).filter(|group| group.primary == disk_of(seen)) {
+                let least = group.members.iter().map(|member| leads(&state, member.disk)).min();
+                prop_assert!(own <= least.unwrap_or(0) + 1);
+            }
+        }
+    }
+}
+
+/// The view with so many groups of four members over so many stores, with addresses and lives as they are in earnest.
+fn sent_view(group_count: u64, store_count: u64) -> ControlView {
+    let member = |at: u64| {
+        let disk = DiskId((at % store_count + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let mut node = store(&format!("storage-{:02}", at % store_count), "north", disk.0);
+        node.life.0 = disk.0.rotate_left(17);
+        GroupMember { disk, node }
+    };
+    let group = |at: u64| {
+        let members: Vec<GroupMember> = (at..at + 4).map(member).collect();
+        Arc::new(BatchGroup { epoch: 300, primary: members[0].disk, members, learners: Vec::new() })
+    };
+    ControlView { version: 1_000, groups: (0..group_count).map(group).collect(), ..Default::default() }
+}
+
+/// What the view took when each group named its stores in full.
+fn bytes_in_full(view: &ControlView) -> usize {
+    let groups: Vec<BatchGroup> = view.groups.iter().map(|group| group.as_ref().clone()).collect();
+    minicbor::to_vec(groups).expect("bytes").len()
+}
+
+#[test]
+fn each_store_is_sent_once() {
+    for (groups, stores, bound) in [(14, 18, 1_700), (64, 18, 2_700), (64, 64, 6_500)] {
+        let view = sent_view(groups, stores);
+        let bytes = encode_view(&view).len();
+        println!("{groups} groups, {stores} stores: {bytes} bytes, in full {}", bytes_in_full(&view));
+        assert!(bytes < bound, "{groups} groups, {stores} stores: {bytes} bytes");
+        let read = alderhollow::control_state::view::decode_view(&encode_view(&view)).expect("readable");
+        assert_eq!(read, view);
+    }
+}
--- a/alderhollow/tests/group_policy.rs
+++ b/alderhollow/tests/group_policy.rs
@@ -23,7 +23,12 @@
 /// Stores with disks and zones, all just heard of.
 fn view(stores: &[(u64, &str)]) -> GroupView {
     let view_of = |(disk, zone): &(u64, &str)| heard(store(&format!("s{disk}"), zone, *disk));
-    GroupView { primary_for_ms: 10_000, tolerate_machines: 1, stores: stores.iter().map(view_of).collect() }
+    GroupView {
+        primary_for_ms: 10_000,
+        tolerate_machines: 1,
+        calm_for_ms: 0,
+        stores: stores.iter().map(view_of).collect(),
+    }
 }
 
 /// Commits all that the policy asks for, up to a bound.
@@ -48,16 +53,14 @@
 
 /// Lets every store report what one reports that works well.
 fn report(state: &ControlState, view: &mut GroupView) {
-    if state.groups().is_empty() {
-        return;
-    }
-    let group = group(state);
-    for store in &mut view.stores {
-        let disk = store.node.disk.expect("a store has a disk");
-        let report = part(store);
-        report.epoch = group.epoch;
-        report.active = group.primary == disk;
-        report.synced = group.learners.iter().any(|learner| learner.disk == disk);
+    for (index, state) in state.groups().iter().enumerate() {
+        for store in &mut view.stores {
+            let disk = store.node.disk.expect("a store has a disk");
+            let part = store.report.groups.entry(GroupId::at(index)).or_default();
+            part.epoch = state.group.epoch;
+            part.active = state.group.primary == disk;
+            part.synced = state.group.learners.iter().any(|learner| learner.disk == disk);
+        }
     }
 }
 
@@ -447,3 +450,14 @@
     simulate(0..80, 5, 2);
     simulate(0..80, 8, 2);
 }
+
+#[test]
+fn nothing_acknowledged_is_lost_with_many_stores() {
+    simulate(0..40, 9, 1);
+    simulate(0..40, 14, 1);
+}
+
+#[test]
+fn nothing_acknowledged_is_lost_with_many_stores_where_two_may_go() {
+    simulate(0..40, 14, 2);
+}
--- a/alderhollow/tests/group_simulation/mod.rs
+++ b/alderhollow/tests/group_simulation/mod.rs
@@ -1,8 +1,12 @@
 //! A seeded simulation of stores under the group policy. The stores' own replication is modelled in the plainest way; the
 //! oracle looks at which disks hold what was acknowledged.
 
+mod rest;
+
 use super::control::{command_of, context, store, submit};
-use alderhollow::control_state::group_policy::{next_request, GroupView, StoreView};
+use alderhollow::control_state::group_policy::rebalancing::CalmWatch;
+use alderhollow::control_state::group_policy::{is_calm, next_request, GroupView, StoreView, GONE_AFTER_MS};
+use alderhollow::control_state::groups::GroupState;
 use alderhollow::control_state::request::Order;
 use alderhollow::control_state::store_report::{GroupReport, StoreReport};
 use alderhollow::control_state::stores::RetirementState;
@@ -18,6 +22,12 @@
 const FAULTS_MS: u64 = 60_000;
 /// Within this after the last fault, all must be well again.
 const REST_MS: u64 = 25_000;
+/// From then on, uneven groups may be moved, and come to rest within this time.
+const REBALANCING_MS: u64 = 180_000;
+/// For so long at the end, the policy must ask for nothing.
+const QUIET_MS: u64 = 20_000;
+/// Longest time between two polls of a machine once all is calm.
+const LONGEST_PAUSE_MS: u64 = 600;
 /// How long a machine counts as lost after its return.
 const CATCH_UP_MS: u64 = 5_300;
 /// A primary reports a member as silent that it has not reached for so long.
@@ -35,8 +45,8 @@
     name: String,
     zone: &'static str,
     disk: DiskId,
-    /// What is on the disk.
-    records: BTreeSet<u64>,
+    /// What is on the disk, by group.
+    records: BTreeMap<GroupId, BTreeSet<u64>>,
     /// Down until then.
     down_until: u64,
     /// Counts as lost until then.
@@ -47,8 +57,15 @@
     cut_until: u64,
     /// The disk takes no writes until then.
     disk_fails_until: u64,
-    /// The group as far as it knows.
-    group: Option<Arc<BatchGroup>>,
+    /// Its part in each group that it knows.
+    parts: BTreeMap<GroupId, Part>,
+}
+
+/// A machine's part in one group.
+#[derive(Debug)]
+struct Part {
+    /// The group as far as the machine knows.
+    group: Arc<BatchGroup>,
     /// As the primary of that group: all members hold what it holds.
     active: bool,
     /// As a learner or a member of that group: made equal to the primary.
@@ -57,13 +74,39 @@
     unreached_since: BTreeMap<DiskId, u64>,
 }
 
+impl Part {
+    fn begin(group: Arc<BatchGroup>) -> Part {
+        Part { group, active: false, synced: false, unreached_since: BTreeMap::new() }
+    }
+
+    fn report(&self, now: u64) -> GroupReport {
+        let silent = self.unreached_since.iter().filter(|(_, since)| now >= **since + SILENT_MS);
+        GroupReport {
+            epoch: self.group.epoch,
+            active: self.active,
+            synced: self.synced,
+            silent: silent.map(|(disk, _)| *disk).collect(),
+            behind: None,
+        }
+    }
+}
+
 impl Machine {
     fn is_up(&self, now: u64) -> bool {
         now >= self.down_until
     }
 
-    fn epoch(&self) -> u64 {
-        self.group.as_ref().map_or(0, |group| group.epoch)
+    fn epoch(&self, id: GroupId) -> u64 {
+        self.parts.get(&id).map_or(0, |part| part.group.epoch)
+    }
+
+    fn is_synced(&self, id: GroupId) -> bool {
+        self.parts.get(&id).is_some_and(|part| part.synced)
+    }
+
+    /// What the disk holds of a group.
+    fn held(&mut self, id: GroupId) -> &mut BTreeSet<u64> {
+        self.records.entry(id).or_default()
     }
 
     /// Whether it can take part in the replication.
@@ -72,27 +115,12 @@
     }
 
     fn report(&self, now: u64) -> StoreReport {
-        let silent = self.unreached_since.iter().filter(|(_, since)| now >= **since + SILENT_MS);
-        let part = GroupReport {
-            epoch: self.epoch(),
-            active: self.active,
-            synced: self.synced,
-            silent: silent.map(|(disk, _)| *disk).collect(),
-            behind: None,
-        };
         StoreReport {
-            groups: [(GroupId(0), part)].into(),
+            groups: self.parts.iter().map(|(id, part)| (*id, part.report(now))).collect(),
             leaving: now < self.leaving_until,
             disk_failing: now < self.disk_fails_until,
         }
     }
-
-    /// Forgets what it was under the group that it knew.
-    fn forget_part(&mut self) {
-        self.active = false;
-        self.synced = false;
-        self.unreached_since.clear();
-    }
 }
 
 struct World {
@@ -100,17 +128,23 @@
     now: u64,
     tolerate: usize,
     sync_one_in: u32,
-    /// Disks that were lost since the group was last active.
-    disks_lost: usize,
+    most_machines: usize,
+    /// Disks that a group used and that were lost since it was last active.
+    disks_lost: BTreeMap<GroupId, usize>,
     machines: Vec<Machine>,
     next_disk: u64,
     state: ControlState,
     /// Since when the core has had its present primary, and what that one heard: time and report by machine.
     core_since: u64,
     heard: BTreeMap<String, (u64, StoreView)>,
-    /// Records that were acknowledged.
-    acknowledged: BTreeSet<u64>,
+    /// Records that were acknowledged, by group.
+    acknowledged: BTreeMap<GroupId, BTreeSet<u64>>,
     next_record: u64,
+    calm: CalmWatch,
+    /// Whether the policy may move what is uneven.
+    may_rebalance: bool,
+    /// When the policy last asked for anything.
+    last_request: u64,
 }
 
 /// Plays one seed.
@@ -122,18 +156,17 @@
     }
     // What is slow comes to its end.
     world.sync_one_in = SYNC_ONE_IN[0];
-    let mut acknowledged_at_rest = 0;
-    while world.now < FAULTS_MS + REST_MS {
-        world.step()?;
-        if world.now == FAULTS_MS + REST_MS - 5_000 {
-            acknowledged_at_rest = world.acknowledged.len();
-        }
-    }
+    // First all must be well again without any rebalancing, then it may begin.
+    world.may_rebalance = false;
+    world.run_until(FAULTS_MS + REST_MS - 5_000)?;
+    let acknowledged = world.acknowledged.clone();
+    world.run_until(FAULTS_MS + REST_MS)?;
     world.check_rest()?;
-    if world.acknowledged.len() <= acknowledged_at_rest {
-        return Err("nothing more is acknowledged, though all is calm".to_string());
-    }
-    Ok(())
+    world.check_progress(&acknowledged)?;
+    world.may_rebalance = true;
+    world.run_to_rest(FAULTS_MS + REST_MS)?;
+    world.check_rest()?;
+    world.check_balance()
 }
 
 impl World {
@@ -142,15 +175,19 @@
             random: Rand32::new(seed),
             now: 0,
             tolerate,
+            most_machines: stores.max(10),
             sync_one_in: SYNC_ONE_IN[(seed % 2) as usize],
-            disks_lost: 0,
+            disks_lost: BTreeMap::new(),
             machines: Vec::new(),
             next_disk: 1,
             state: ControlState::default(),
             core_since: 0,
             heard: BTreeMap::new(),
-            acknowledged: BTreeSet::new(),
+            acknowledged: BTreeMap::new(),
             next_record: 0,
+            calm: CalmWatch::default(),
+            may_rebalance: true,
+            last_request: 0,
         };
         for index in 0..stores {
             let late = u64::from(world.random.rand_range(0..20)) * TICK_MS;
@@ -165,16 +202,13 @@
             name: format!("s{}", disk.0),
             zone,
             disk,
-            records: BTreeSet::new(),
+            records: BTreeMap::new(),
             down_until: up_from,
             lost_until: up_from + CATCH_UP_MS,
             leaving_until: 0,
             cut_until: 0,
             disk_fails_until: 0,
-            group: None,
-            active: false,
-            synced: false,
-            unreached_since: BTreeMap::new(),
+            parts: BTreeMap::new(),
         });
     }
 
@@ -210,7 +244,7 @@
         if self.chance(200) {
             self.retire_one();
         }
-        if self.chance(250) && self.machines.len() < 10 {
+        if self.chance(250) && self.machines.len() < self.most_machines {
             let zone = ZONES[self.random.rand_range(0..3) as usize];
             self.add_machine(zone, self.now);
         }
@@ -227,7 +261,7 @@
     /// off, or lets its disk fail. With a lost disk, all others may lose power in the same moment.
     fn lose_one(&mut self) {
         let any = self.random.rand_range(0..self.machines.len() as u32) as usize;
-        let primary = self.group().and_then(|group| self.index_of(group.primary));
+        let primary = self.any_group().and_then(|group| self.index_of(group.primary));
         let at = primary.filter(|_| self.chance(3)).unwrap_or(any);
         let down_for = u64::from(self.random.rand_range(3..60)) * TICK_MS;
         let kind = self.random.rand_range(0..6);
@@ -244,7 +278,7 @@
             if !self.may_lose_disk() {
                 return;
             }
-            self.disks_lost += 1;
+            self.note_lost_disk(self.machines[at].disk);
             if self.chance(2) {
                 self.kill_all();
             }
@@ -272,15 +306,23 @@
     /// Where other stores come to equal the primary only long after the time for which a machine counts as lost, no policy
     /// could bear one lost disk after the other.
     fn may_lose_disk(&self) -> bool {
-        self.sync_one_in == SYNC_ONE_IN[0] || self.disks_lost < self.tolerate
+        let all_may = self.disks_lost.values().all(|lost| *lost < self.tolerate);
+        self.sync_one_in == SYNC_ONE_IN[0] || all_may
+    }
+
+    fn note_lost_disk(&mut self, disk: DiskId) {
+        for (index, group) in self.state.groups().iter().enumerate() {
+            if group.uses(disk) {
+                *self.disks_lost.entry(GroupId::at(index)).or_default() += 1;
+            }
+        }
     }
 
     fn take_down(&mut self, at: usize, down_for: u64) {
         let machine = &mut self.machines[at];
         machine.down_until = self.now + down_for;
         machine.lost_until = machine.down_until + CATCH_UP_MS;
-        machine.group = None;
-        machine.forget_part();
+        machine.parts.clear();
     }
 
     fn retire_one(&mut self) {
@@ -300,6 +342,23 @@
         known.filter(|name| !there.contains(name.as_str())).collect()
     }
 
+    fn run_until(&mut self, until: u64) -> Result<(), String> {
+        while self.now < until {
+            self.step()?;
+        }
+        Ok(())
+    }
+
+    /// Goes on until the policy has been quiet for long, at least until no store may come back any more.
+    fn run_to_rest(&mut self, from: u64) -> Result<(), String> {
+        let earliest = from + GONE_AFTER_MS + QUIET_MS;
+        let latest = from + REBALANCING_MS;
+        while self.now < latest && self.now < earliest.max(self.last_request + QUIET_MS) {
+            self.step()?;
+        }
+        Ok(())
+    }
+
     fn step(&mut self) -> Result<(), String> {
         self.now += TICK_MS;
         self.poll();
@@ -309,11 +368,17 @@
         self.check()
     }
 
-    /// Some machines ask the core; they tell their state and learn the group.
+    /// Once the faults are over, no machine is silent for long by mere chance.
+    fn must_poll(&self, at: usize) -> bool {
+        let heard_at = self.heard.get(&self.machines[at].name).map_or(0, |(at, _)| *at);
+        self.now >= FAULTS_MS && self.now >= heard_at + LONGEST_PAUSE_MS
+    }
+
+    /// Some machines ask the core; they tell their state and learn the groups.
     fn poll(&mut self) {
         let now = self.now;
         for at in 0..self.machines.len() {
-            let asks = self.random.rand_range(0..3) > 0;
+            let asks = self.random.rand_range(0..3) > 0 || self.must_poll(at);
             let machine = &mut self.machines[at];
             let says_goodbye = now < machine.leaving_until;
             if !says_goodbye && (!machine.is_up(now) || !asks) {
@@ -326,10 +391,11 @@
             if says_goodbye {
                 continue;
             }
-            let newest = self.state.group(GroupId(0)).map(|state| &state.group);
-            if newest.is_some_and(|group| group.epoch > machine.epoch()) {
-                machine.group = newest.cloned();
-                machine.forget_part();
+            for (index, newest) in self.state.groups().iter().enumerate() {
+                let id = GroupId::at(index);
+                if newest.group.epoch > machine.epoch(id) {
+                    machine.parts.insert(id, Part::begin(newest.group.clone()));
+                }
             }
         }
     }
@@ -340,89 +406,104 @@
             seen.silent_for_ms = self.now - at;
             seen
         });
-        let view = GroupView {
+        let mut view = GroupView {
             primary_for_ms: self.now - self.core_since,
             tolerate_machines: self.tolerate,
+            calm_for_ms: 0,
             stores: stores.collect(),
         };
+        let is_calm = is_calm(&self.state, &view);
+        let calm_for_ms = self.calm.note(is_calm, self.now);
+        if self.may_rebalance {
+            view.calm_for_ms = calm_for_ms.min(view.primary_for_ms);
+        }
         let Some(request) = next_request(&self.state, &view) else {
             return Ok(());
         };
         let Some(command) = command_of(&self.state, &request) else {
             return Err(format!("the policy asks for what is not taken: {request:?}"));
         };
-        let was_active = self.state.groups_are_active();
+        self.last_request = self.now;
+        let were_active: Vec<bool> = self.state.groups().iter().map(GroupState::is_active).collect();
         self.state.apply_command(command);
-        if self.state.groups_are_active() && !was_active {
-            self.disks_lost = 0;
+        for (index, group) in self.state.groups().iter().enumerate() {
+            if group.is_active() && were_active.get(index) == Some(&false) {
+                self.disks_lost.remove(&GroupId::at(index));
+            }
         }
         Ok(())
     }
 
-    fn group(&self) -> Option<&Arc<BatchGroup>> {
-        self.state.group(GroupId(0)).map(|state| &state.group)
-    }
-
-    fn complete_members(&self) -> impl Iterator<Item = &DiskId> {
-        self.state.group(GroupId(0)).into_iter().flat_map(|state| &state.complete)
+    fn any_group(&mut self) -> Option<Arc<BatchGroup>> {
+        let count = self.state.groups().len() as u32;
+        let index = if count > 1 { self.random.rand_range(0..count) as usize } else { 0 };
+        self.state.groups().get(index).map(|state| state.group.clone())
     }
 
     fn index_of(&self, disk: DiskId) -> Option<usize> {
         self.machines.iter().position(|machine| machine.disk == disk)
     }
 
-    /// Whether a machine takes part under an epoch now.
-    fn follows(&self, disk: DiskId, epoch: u64) -> Option<usize> {
+    /// Whether a machine takes part under a group's epoch now.
+    fn follows(&self, id: GroupId, disk: DiskId, epoch: u64) -> Option<usize> {
         let at = self.index_of(disk)?;
         let machine = &self.machines[at];
-        (machine.replicates(self.now) && machine.epoch() == epoch).then_some(at)
+        (machine.replicates(self.now) && machine.epoch(id) == epoch).then_some(at)
     }
 
     /// Each machine that believes to be a primary brings up the others and acknowledges.
     fn replicate(&mut self) {
         for at in 0..self.machines.len() {
             let machine = &self.machines[at];
-            let Some(group) = machine.group.clone() else {
+            if !machine.is_up(self.now) {
                 continue;
-            };
-            if group.primary == machine.disk && machine.is_up(self.now) {
-                self.lead(at, &group);
+            }
+            let is_led = |part: &&Part| part.group.primary == machine.disk;
+            let led = machine.parts.iter().filter(|(_, part)| is_led(part));
+            let led: Vec<_> = led.map(|(id, part)| (*id, part.group.clone())).collect();
+            for (id, group) in led {
+                self.lead(at, id, &group);
             }
         }
     }
 
-    fn lead(&mut self, at: usize, group: &BatchGroup) {
+    fn lead(&mut self, at: usize, id: GroupId, group: &BatchGroup) {
         let members: Vec<_> =
-            group.members.iter().map(|member| self.reaches(at, member.disk, group.epoch)).collect();
+            group.members.iter().map(|member| self.reaches(at, id, member.disk, group.epoch)).collect();
         let learners =
-            group.learners.iter().filter_map(|learner| self.reaches(at, learner.disk, group.epoch));
+            group.learners.iter().filter_map(|learner| self.reaches(at, id, learner.disk, group.epoch));
         let learners: Vec<_> = learners.collect();
-        self.note_unreached(at, group, &members);
-        let held = self.machines[at].records.clone();
+        self.note_unreached(at, id, group, &members);
         for other in members.iter().flatten().chain(&learners) {
-            if *other != at && !self.machines[*other].synced && self.chance(self.sync_one_in) {
-                self.machines[*other].records = held.clone();
-                self.machines[*other].synced = true;
+            if *other != at && !self.machines[*other].is_synced(id) && self.chance(self.sync_one_in) {
+                let held = self.machines[at].held(id).clone();
+                *self.machines[*other].held(id) = held;
+                self.part(*other, id).synced = true;
             }
         }
-        if self.machines[at].active && self.chance(RECORD_ONE_IN) {
-            self.write(&members, &learners);
+        if self.part(at, id).active && self.chance(RECORD_ONE_IN) {
+            self.write(id, &members, &learners);
         }
         let equals = |member: &Option<usize>| {
-            member.is_some_and(|member| member == at || self.machines[member].synced)
+            member.is_some_and(|member| member == at || self.machines[member].is_synced(id))
         };
-        self.machines[at].active |= members.iter().all(equals);
+        let all_equal = members.iter().all(equals);
+        self.part(at, id).active |= all_equal;
+    }
+
+    fn part(&mut self, at: usize, id: GroupId) -> &mut Part {
+        self.machines[at].parts.get_mut(&id).expect("a machine that takes part knows the group")
     }
 
     /// Which machine a primary reaches at a disk, if it does.
-    fn reaches(&self, primary: usize, disk: DiskId, epoch: u64) -> Option<usize> {
-        let other = self.follows(disk, epoch)?;
+    fn reaches(&self, primary: usize, id: GroupId, disk: DiskId, epoch: u64) -> Option<usize> {
+        let other = self.follows(id, disk, epoch)?;
         (other == primary || self.machines[primary].replicates(self.now)).then_some(other)
     }
 
-    fn note_unreached(&mut self, primary: usize, group: &BatchGroup, members: &[Option<usize>]) {
+    fn note_unreached(&mut self, primary: usize, id: GroupId, group: &BatchGroup, members: &[Option<usize>]) {
         let now = self.now;
-        let unreached_since = &mut self.machines[primary].unreached_since;
+        let unreached_since = &mut self.part(primary, id).unreached_since;
         for (member, reached) in group.members.iter().zip(members) {
             if reached.is_some() || member.disk == group.primary {
                 unreached_since.remove(&member.disk);
@@ -433,14 +514,14 @@
     }
 
     /// Writes a record on the members that are reached; it is acknowledged if all are.
-    fn write(&mut self, members: &[Option<usize>], learners: &[usize]) {
+    fn write(&mut self, id: GroupId, members: &[Option<usize>], learners: &[usize]) {
         let record = self.next_record;
         self.next_record += 1;
         for other in members.iter().flatten().chain(learners) {
-            self.machines[*other].records.insert(record);
+            self.machines[*other].held(id).insert(record);
         }
         if members.iter().all(Option::is_some) {
-            self.acknowledged.insert(record);
+            self.acknowledged.entry(id).or_default().insert(record);
         }
     }
 
@@ -450,48 +531,37 @@
         self.machines.retain(|machine| state.retirement(&machine.name) != Some(RetirementState::Completed));
     }
 
-    fn holds_everything(&self, disk: DiskId) -> bool {
-        self.index_of(disk).is_some_and(|at| self.machines[at].records.is_superset(&self.acknowledged))
+    /// Whether a disk holds all that a group acknowledged.
+    fn holds_everything(&self, id: GroupId, disk: DiskId) -> bool {
+        let Some(acknowledged) = self.acknowledged.get(&id) else {
+            return self.index_of(disk).is_some();
+        };
+        let held = self.index_of(disk).and_then(|at| self.machines[at].records.get(&id));
+        held.is_some_and(|held| held.is_superset(acknowledged))
+    }
+
+    fn numbered_groups(&self) -> impl Iterator<Item = (GroupId, &GroupState)> {
+        self.state.groups().iter().enumerate().map(|(index, state)| (GroupId::at(index), state))
     }
 
     fn check(&self) -> Result<(), String> {
-        let Some(group) = self.group() else {
-            return Ok(());
-        };
+        self.numbered_groups().try_for_each(|(id, state)| self.check_group(id, state))
+    }
+
+    fn check_group(&self, id: GroupId, state: &GroupState) -> Result<(), String> {
         let at = self.now;
+        let group = &state.group;
         if group.members.len() <= self.tolerate {
-            return Err(format!("at {at}: too few members: {group:?}"));
+            return Err(format!("at {at}: group {id}: too few members: {group:?}"));
         }
-        for disk in self.complete_members() {
-            if self.index_of(*disk).is_some() && !self.holds_everything(*disk) {
-                return Err(format!("at {at}: {disk} counts as complete and is not: {group:?}"));
+        for disk in &state.complete {
+            if self.index_of(*disk).is_some() && !self.holds_everything(id, *disk) {
+                return Err(format!("at {at}: group {id}: {disk} counts as complete and is not: {group:?}"));
             }
         }
-        if !self.machines.iter().any(|machine| self.holds_everything(machine.disk)) {
-            return Err(format!("at {at}: nobody holds what was acknowledged: {group:?}"));
+        if !self.machines.iter().any(|machine| self.holds_everything(id, machine.disk)) {
+            return Err(format!("at {at}: group {id}: nobody holds what was acknowledged: {group:?}"));
         }
         Ok(())
     }
-
-    fn check_rest(&self) -> Result<(), String> {
-        let group = self.group().ok_or("no group")?;
-        if !self.state.groups_are_active() {
-            return Err(format!("the group is not active: {group:?}"));
-        }
-        let lasting =
-            self.machines.iter().filter(|machine| !self.state.stores().is_retiring(&machine.name)).count();
-        let expected = lasting.min(self.tolerate + 2);
-        if group.members.len() < expected || !group.learners.is_empty() {
-            return Err(format!("{expected} members expected: {group:?}"));
-        }
-        for member in &group.members {
-            if !self.holds_everything(member.disk) {
-                return Err(format!("member {} does not hold everything", member.disk));
-            }
-        }
-        match self.machines.iter().find(|machine| self.state.stores().is_retiring(&machine.name)) {
-            Some(machine) => Err(format!("{} is not emptied: {group:?}", machine.name)),
-            None => Ok(()),
-        }
-    }
 }
