--- a/alderhollow/tests/group_policy.rs
+++ b/alderhollow/tests/group_policy.rs
@@ -453,11 +453,11 @@
 
 #[test]
 fn nothing_acknowledged_is_lost_with_many_stores() {
-    simulate(0..40, 9, 1);
-    simulate(0..40, 14, 1);
+    simulate(0..80, 9, 1);
+    simulate(0..80, 14, 1);
 }
 
 #[test]
 fn nothing_acknowledged_is_lost_with_many_stores_where_two_may_go() {
-    simulate(0..40, 14, 2);
+    simulate(0..80, 14, 2);
 }
