--- a/batch/src/engine.rs
+++ b/batch/src/engine.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 mod commits;
+mod overload;
 mod runs;
 
 use crate::api::{GroupStatus, Output, RouteTerms, Token, TryId, WriteTicket};
@@ -17,6 +18,7 @@
 use alderhollow_model::identity::DiskId;
 use alderhollow_model::snapshot::BatchGroup;
 use commits::{Commit, JobView};
+use overload::Windows;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 
@@ -45,6 +47,11 @@
     commits: VecDeque<Commit>,
     /// Bytes of jobs that are not committed, roughly.
     pending_bytes: usize,
+    /// Results that are not committed.
+    uncommitted_results: usize,
+    /// When a record was last committed.
+    newest_commit_ms: u64,
+    windows: Windows,
     newest_token: u64,
     /// Tries that were refused as over quota, and until when that is remembered.
     refused: BTreeMap<TryId, u64>,
@@ -77,6 +84,9 @@
             views: HashMap::new(),
             commits: VecDeque::new(),
             pending_bytes: 0,
+            uncommitted_results: 0,
+            newest_commit_ms: 0,
+            windows: Windows::default(),
             newest_token: 0,
             refused: BTreeMap::new(),
             next_sweep_ms: 0,
@@ -145,6 +155,7 @@
     pub fn tick(&mut self, now_ms: u64) {
         self.now_ms = now_ms;
         self.work.wake(now_ms);
+        self.adapt_windows();
         self.refused.retain(|_, until_ms| *until_ms > now_ms);
         if now_ms >= self.next_sweep_ms {
             self.next_sweep_ms = now_ms + SWEEP_MS;
--- a/batch/src/engine/calls.rs
+++ b/batch/src/engine/calls.rs
@@ -13,11 +13,6 @@
 pub const MOST_ITEMS: usize = 200;
 /// Longest id of a job or an item.
 pub const LONGEST_ID: usize = 256;
-/// Jobs that may wait for the members' disks at once, in bytes; further ones are not taken.
-const PENDING_BYTES: usize = 16 << 20;
-/// No job is taken while a record has waited for the members' disks for so long: where more comes than the members' links
-/// bear, what is taken stays within what its clients wait for. It is longer than a silent member is waited for.
-const MOST_COMMIT_WAIT_MS: u64 = 2_000;
 /// How long a refused try is remembered: longer than any copy of it can be late.
 const REFUSED_MEMORY_MS: u64 = 60_000;
 /// Most refused tries that are remembered.
@@ -74,8 +69,7 @@
 
     /// Whether a job of a route can be taken or refused now.
     fn may_decide(&self, now_ms: u64, route: &str) -> bool {
-        let keeps_up = self.pending_bytes < PENDING_BYTES && self.commit_wait_ms() < MOST_COMMIT_WAIT_MS;
-        let may_accept = self.disk_ready && keeps_up && self.refused.len() < REFUSED_TRIES;
+        let may_accept = self.disk_ready && !self.is_overloaded(now_ms) && self.refused.len() < REFUSED_TRIES;
         self.is_sure(now_ms) && may_accept && self.routes.contains_key(route)
     }
 
@@ -138,7 +132,7 @@
         }
         let token = self.new_token();
         self.views.insert(id.clone(), JobView { accept_token: Some(token), ..JobView::default() });
-        self.pending_bytes += bytes;
+        self.note_job_taken(bytes);
         self.await_commit(index, id, Change::Accepted { bytes });
         Submitted::Pending(token)
     }
--- a/batch/src/engine/commits.rs
+++ b/batch/src/engine/commits.rs
@@ -1,5 +1,6 @@
 //! What becomes of records once they are on every member's disk, or once this store is no longer the primary.
 
+use super::overload::Windows;
 use super::Engine;
 use crate::api::{Outcome, Output, Token};
 use crate::job::{Job, JobId};
@@ -25,9 +26,11 @@
         /// Its size, roughly.
         bytes: usize,
     },
-    /// So many positions are taken.
+    /// Results are listed.
     Results {
-        /// Their count.
+        /// How many the record holds.
+        count: usize,
+        /// How many positions of the job are taken with them.
         positions: u32,
     },
     /// The job was ended.
@@ -85,19 +88,19 @@
         self.ledger = Default::default();
         self.commits.clear();
         self.pending_bytes = 0;
+        self.uncommitted_results = 0;
+        self.windows = Windows::default();
     }
 
     /// Appends a record to the ones that wait for the members' disks.
     pub(super) fn await_commit(&mut self, index: u64, job: JobId, change: Change) {
+        if let Change::Results { count, .. } = change {
+            self.uncommitted_results += count;
+        }
         self.commits.push_back(Commit { index, job, change, appended_ms: self.now_ms });
         self.take_commits();
     }
 
-    /// How long the oldest record has waited for the members' disks.
-    pub(super) fn commit_wait_ms(&self) -> u64 {
-        self.commits.front().map_or(0, |commit| self.now_ms.saturating_sub(commit.appended_ms))
-    }
-
     /// Acts on the records that have become committed.
     pub(super) fn take_commits(&mut self) {
         if !self.node.is_leader() {
@@ -113,8 +116,13 @@
     /// Acts on one committed record.
     fn commit(&mut self, commit: Commit) {
         let Commit { job: id, change, .. } = commit;
-        if let Change::Accepted { bytes } = change {
-            self.pending_bytes = self.pending_bytes.saturating_sub(bytes);
+        self.newest_commit_ms = self.now_ms;
+        match change {
+            Change::Accepted { bytes } => self.pending_bytes = self.pending_bytes.saturating_sub(bytes),
+            Change::Results { count, .. } => {
+                self.uncommitted_results = self.uncommitted_results.saturating_sub(count);
+            }
+            Change::Ended => {}
         }
         let Some(view) = self.views.get_mut(&id) else { return };
         match change {
@@ -124,7 +132,7 @@
                 self.resolve(token);
                 self.open_work(&id);
             }
-            Change::Results { positions } => {
+            Change::Results { positions, .. } => {
                 let before = view.visible;
                 view.visible = before.max(positions);
                 if let Some(job) = self.node.state_mut().jobs.get_mut(&id) {
--- a/batch/src/engine/runs.rs
+++ b/batch/src/engine/runs.rs
@@ -22,8 +22,8 @@
         self.work.ready_routes().filter(|route| self.routes.contains_key(*route)).map(str::to_owned).collect()
     }
 
-    /// Items of a route to start now, at most `max`, those due first in front. They count as running from now on; each
-    /// must come back by [`Engine::run_ended`] unless it is cancelled.
+    /// Items of a route to start now, at most `max` and what the congestion window leaves, those due first in front. They
+    /// count as running from now on; each must come back by [`Engine::run_ended`] unless it is cancelled.
     pub fn take_work(&mut self, now_ms: u64, route: &str, max: usize) -> Vec<ItemStart> {
         self.now_ms = now_ms;
         self.work.wake(now_ms);
@@ -31,7 +31,9 @@
         if !self.is_sure(now_ms) || !self.routes.contains_key(route) {
             return starts;
         }
-        while starts.len() < max {
+        self.adapt_windows();
+        let room = self.windows.runs.room(self.in_flight());
+        while starts.len() < max.min(room) {
             let Some(key) = self.work.first_ready(route).cloned() else { break };
             match self.start(&key) {
                 Some(start) => starts.push(start),
@@ -39,6 +41,10 @@
                 None => drop(self.work.finish(&key)),
             }
         }
+        self.windows.runs.note_begun(starts.len());
+        if starts.len() == room && room < max && self.work.first_ready(route).is_some() {
+            self.windows.runs.note_limit();
+        }
         starts
     }
 
@@ -122,13 +128,13 @@
         if results.is_empty() {
             return;
         }
-        let listed = results.len() as u64;
+        let count = results.len();
         let position = job.results.len() as u32;
         let positions = position + results.len() as u32;
         let entry = Entry::ItemResults { job: id.clone(), position, results };
         if let Some(index) = self.node.append(self.now_ms, entry) {
-            self.items_listed += listed;
-            self.await_commit(index, id.clone(), Change::Results { positions });
+            self.items_listed += count as u64;
+            self.await_commit(index, id.clone(), Change::Results { count, positions });
         }
     }
 
--- a/batch/src/lib.rs
+++ b/batch/src/lib.rs
@@ -38,6 +38,7 @@
 #![warn(missing_docs)]
 
 pub mod api;
+pub mod congestion;
 pub mod counts;
 pub mod engine;
 pub mod group;
