--- a/batch/src/engine/overload.rs
+++ b/batch/src/engine/overload.rs
@@ -23,11 +23,11 @@
 /// Items in flight before any commit was late: beyond what a driver runs at once, so that a calm group has no limit.
 const FIRST_ITEMS: usize = 2_048;
 /// Items that may always be in flight: slow disks alone hold no light load up.
-const FEWEST_ITEMS: usize = 64;
+const FEWEST_ITEMS: usize = 32;
 /// Bytes of jobs that wait for the members' disks before any commit was late.
 const FIRST_JOB_BYTES: usize = 16 << 20;
 /// Bytes of jobs that may always wait for the members' disks.
-const FEWEST_JOB_BYTES: usize = 256 << 10;
+const FEWEST_JOB_BYTES: usize = 64 << 10;
 
 /// The windows of a primary.
 #[derive(Debug)]
