--- a/batch/tests/engine/main.rs
+++ b/batch/tests/engine/main.rs
@@ -3,6 +3,8 @@
 mod acceptance;
 mod cluster;
 mod congestion;
+mod overload;
 mod reading;
 mod replication;
 mod runs;
+mod window;
--- /dev/null
+++ b/batch/tests/engine/overload.rs
@@ -0,0 +1,76 @@
+//! What is taken and started while records wait for the members' disks.
+
+use crate::cluster::{job, Cluster};
+use alderhollow_batch::api::{RunEnd, Submitted};
+
+/// Runs items, as many as there may be; their results are handed in.
+fn run(cluster: &mut Cluster, max: usize) -> usize {
+    let starts = cluster.work(1, max);
+    for start in &starts {
+        cluster.end_run(1, start.run, RunEnd::Completed { text: "text".to_owned() });
+    }
+    starts.len()
+}
+
+fn is_taken(cluster: &mut Cluster, id: &str) -> bool {
+    match cluster.submit(1, job(id, 1, 1)) {
+        Submitted::Pending(_) => true,
+        Submitted::NotSure => false,
+        other => panic!("{other:?} for a job that fits"),
+    }
+}
+
+#[test]
+fn a_silent_member_holds_up_no_job_until_it_can_be_left_out() {
+    let mut cluster = Cluster::active(2);
+    cluster.cut.insert(2);
+    assert!(is_taken(&mut cluster, "at-once"));
+    cluster.pass(1_900, 1);
+    assert!(is_taken(&mut cluster, "while-it-may-be-left-out"));
+    cluster.pass(100, 1);
+    assert!(!is_taken(&mut cluster, "too-late"));
+}
+
+#[test]
+fn a_job_is_not_taken_while_others_are_committed_late() {
+    let mut cluster = Cluster::active(2);
+    cluster.stores.get_mut(&2).expect("a store").holds_writes = true;
+    assert!(is_taken(&mut cluster, "first"));
+    cluster.cut.insert(2);
+    cluster.pass(300, 1);
+    assert!(is_taken(&mut cluster, "second"));
+    cluster.pass(400, 1);
+    cluster.cut.clear();
+    cluster.release_writes(2);
+    cluster.settle();
+    assert_eq!(cluster.resolved.len(), 1, "the first is committed");
+    assert!(is_taken(&mut cluster, "third"));
+    cluster.pass(100, 1);
+    assert!(!is_taken(&mut cluster, "fourth"), "the second has waited for 500 ms, the first is through");
+    cluster.pass(500, 1);
+    assert_eq!(cluster.resolved.len(), 3, "sent again");
+    assert!(is_taken(&mut cluster, "fourth"));
+}
+
+#[test]
+fn items_start_without_limit_while_commits_are_prompt() {
+    let mut cluster = Cluster::active(2);
+    for id in ["a", "b", "c", "d"] {
+        cluster.accept(1, job(id, 200, 1));
+    }
+    assert_eq!(run(&mut cluster, 800), 800);
+}
+
+#[test]
+fn late_results_hold_up_further_runs() {
+    let mut cluster = Cluster::active(2);
+    cluster.accept(1, job("a", 200, 1));
+    cluster.stores.get_mut(&2).expect("a store").holds_writes = true;
+    assert_eq!(run(&mut cluster, 80), 80);
+    assert_eq!(run(&mut cluster, 20), 20, "commits are not late yet");
+    cluster.pass(300, 1);
+    assert_eq!(run(&mut cluster, 100), 0, "as much is in flight as the window holds, and more");
+    cluster.release_writes(2);
+    cluster.settle();
+    assert_eq!(run(&mut cluster, 100), 75, "three quarters of what was in flight");
+}
