Let the soak's backlog outlast cancel-ms, and end jobs whose items wait

A backlog shorter than cancel-ms can't show items of an ended job that still come. Backends have four slots each, the quota holds some 60 items, and one kind of client ends a job right after its acceptance.

--- a/alderhollow/tests/soak/clients.rs
+++ b/alderhollow/tests/soak/clients.rs
@@ -59,11 +59,12 @@
         while Instant::now() < end {
             let chosen = self.choose_accepted();
             match (self.random.rand_range(0..10), chosen) {
-                (0..=3, _) | (_, None) => self.hand_in_new().await,
+                (0..=2, _) | (_, None) => drop(self.hand_in_new().await),
+                (3, _) => self.hand_in_and_end().await,
                 (4..=6, Some(chosen)) => self.read(&chosen).await,
                 (7, Some(chosen)) => self.ask_body(&chosen).await,
                 (8, Some(chosen)) => self.send_again(&chosen).await,
-                (_, Some(chosen)) => self.end(&chosen).await,
+                (_, Some(chosen)) => self.end(&chosen.job).await,
             }
             let pause = self.random.rand_range(0..LONGEST_PAUSE_MS);
             tokio::time::sleep(Duration::from_millis(pause)).await;
@@ -101,14 +102,23 @@
         BatchJob { path: format!("/lots/{id}"), id, host: HOST.into(), items }
     }
 
-    async fn hand_in_new(&mut self) {
+    /// Hands a new job in; gives it if it was accepted.
+    async fn hand_in_new(&mut self) -> Option<BatchJob> {
         let job = self.new_job();
         for _ in 0..MOST_TRIES {
             match self.hand_in(&job).await {
-                TryEnd::Accepted => return,
+                TryEnd::Accepted => return Some(job),
                 TryEnd::Refused | TryEnd::Unknown => tokio::time::sleep(RETRY_PAUSE).await,
             }
         }
+        None
+    }
+
+    /// Ends a new job while most of its items wait.
+    async fn hand_in_and_end(&mut self) {
+        if let Some(job) = self.hand_in_new().await {
+            self.end(&job).await;
+        }
     }
 
     async fn hand_in(&mut self, job: &BatchJob) -> TryEnd {
@@ -139,12 +149,12 @@
         }
     }
 
-    async fn end(&mut self, chosen: &Readable) {
+    async fn end(&mut self, job: &BatchJob) {
         let door = self.draw_door();
-        self.world.record.borrow_mut().end_asked(&chosen.job.id);
-        let answer = batch_client::end(door, &chosen.job, PATIENCE).await;
+        self.world.record.borrow_mut().end_asked(&job.id);
+        let answer = batch_client::end(door, job, PATIENCE).await;
         if matches!(answer, Ok(OK)) {
-            self.world.record.borrow_mut().end_acknowledged(&chosen.job.id);
+            self.world.record.borrow_mut().end_acknowledged(&job.id);
         }
     }
 }
--- a/alderhollow/tests/soak/configurations.rs
+++ b/alderhollow/tests/soak/configurations.rs
@@ -14,7 +14,7 @@
 /// `max-attempts` of the batch route.
 pub const MAX_ATTEMPTS: u32 = 3;
 /// `max-queued-tokens` of the batch route.
-const QUOTA: u64 = 3_000;
+const QUOTA: u64 = 6_000;
 /// `QUOTA` times 1 + `quota-over` of the settings.
 pub const QUOTA_LIMIT: u64 = QUOTA + QUOTA / 10;
 /// Version of the configuration that a tier starts with.
--- a/alderhollow/tests/soak/world.rs
+++ b/alderhollow/tests/soak/world.rs
@@ -4,7 +4,7 @@
 use super::metrics;
 use super::record::Record;
 use super::relay::Relay;
-use super::tier_support::{Tier, SEEDS};
+use super::tier_support::{BackendPace, Tier, SEEDS};
 use super::timeline::Timeline;
 use super::troubles::Target;
 use super::Place;
@@ -16,8 +16,8 @@
 
 const DISKLESS_DOORS: [Place; 2] = [Place::DisklessDoor(0), Place::DisklessDoor(1)];
 const STORES: u8 = 5;
-/// Time before each event of a backend.
-const EVENT_PAUSE: Duration = Duration::from_millis(60);
+/// Few slots: what waits takes longer to run than an ended job's items may still come.
+const PACE: BackendPace = BackendPace { slots: 4, event_pause: Duration::from_millis(60) };
 /// Hosts of the relays on the tier's part of loopback.
 const BACKEND_RELAYS: u8 = 61;
 const DOOR_RELAYS: u8 = 71;
@@ -41,7 +41,7 @@
 impl World {
     /// A tier in which all are in touch. `number` tells its addresses and folder from others' of this process.
     pub async fn start(number: u8) -> World {
-        let mut tier = Tier::prepare(number, EVENT_PAUSE).await;
+        let mut tier = Tier::prepare_backends(number, PACE).await;
         tier.options = metrics::options();
         let backend_relays = relay_backends(&tier).await;
         let doors: Vec<Place> = SEEDS.into_iter().chain(DISKLESS_DOORS).collect();
--- a/alderhollow/tests/tier_support/mod.rs
+++ b/alderhollow/tests/tier_support/mod.rs
@@ -29,6 +29,9 @@
 /// Longest time between SIGTERM and a process's end: `grace-s` of the settings, and some for a busy machine.
 pub const GRACE: Duration = Duration::from_secs(20);
 
+/// Requests that a backend works on at once, unless a test says otherwise.
+const USUAL_SLOTS: u32 = 16;
+
 pub const HOST: &str = "shop.example";
 pub const SERVICE: &str = "model";
 const REGION: &str = "coast";
@@ -69,6 +72,15 @@
     }
 }
 
+/// How much the backends of a tier do.
+#[derive(Debug, Clone, Copy)]
+pub struct BackendPace {
+    /// Requests that one works on at once.
+    pub slots: u32,
+    /// Time before each event.
+    pub event_pause: Duration,
+}
+
 /// A tier with what stands around it. Its processes are killed when it is dropped.
 pub struct Tier {
     processes: BTreeMap<Place, TierProcess>,
@@ -88,12 +100,17 @@
     /// The stand-ins of a tier whose processes have yet to be started. `number` is the test's own; an event of a stream
     /// comes after `event_pause`.
     pub async fn prepare(number: u8, event_pause: Duration) -> Tier {
+        Tier::prepare_backends(number, BackendPace { slots: USUAL_SLOTS, event_pause }).await
+    }
+
+    /// As [`Tier::prepare`], with backends of this pace.
+    pub async fn prepare_backends(number: u8, pace: BackendPace) -> Tier {
         let [_, _, high, low] = std::process::id().to_be_bytes();
         let network = [127, high.wrapping_add(number.wrapping_mul(16)) | 1, low];
         let address = |host: u8, port: u16| SocketAddr::from((ip(network, host), port));
         let mut backends = Vec::new();
         for (zone, host) in ZONES.into_iter().zip(31..) {
-            backends.push(start_backend(zone, address(host, 0), event_pause).await);
+            backends.push(start_backend(zone, address(host, 0), pace).await);
         }
         let list = ListSettings {
             lag: Duration::from_millis(PLATFORM_LAG_MS),
@@ -371,14 +388,14 @@
     listeners.iter().map(|listener| listener.local_addr().unwrap().port()).collect()
 }
 
-async fn start_backend(zone: &str, address: SocketAddr, event_pause: Duration) -> Backend {
+async fn start_backend(zone: &str, address: SocketAddr, pace: BackendPace) -> Backend {
     let settings = BackendSettings {
         id: format!("i-{zone}"),
         service: SERVICE.into(),
         zone: zone.into(),
-        slots: 16,
+        slots: pace.slots,
         health_path: "/healthz".into(),
-        event_pause,
+        event_pause: pace.event_pause,
         keep_alive_s: 10,
     };
     Backend::start(address, settings).await.unwrap()
