--- a/batch/tests/engine/main.rs
+++ b/batch/tests/engine/main.rs
@@ -2,7 +2,7 @@
 
 mod acceptance;
 mod cluster;
-mod congestion;
+mod link_ceiling;
 mod reading;
 mod replication;
 mod runs;
