--- a/alderhollow/src/internal/client.rs
+++ b/alderhollow/src/internal/client.rs
@@ -1,6 +1,9 @@
 //! Calls and notices to the tier's other processes, over one connection to each.
 
 use super::frame::{Frame, FrameKind, Refusal, ServiceId, MAX_PAYLOAD_BYTES};
+use super::send_queue::{
+    send_queue, NotQueued, Outgoing, PendingCall, QueuedFrames, SendQueue, MAX_QUEUED_FRAMES,
+};
 use super::socket;
 use crate::metrics;
 use oorandom::Rand32;
@@ -13,7 +16,7 @@
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 /// Longest time for a connection to come up.
@@ -21,8 +24,6 @@
 /// Pause after the first failed connection; it doubles up to the longest one, and half of it is drawn.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
-/// Most frames that wait for one peer; more notices are dropped, more calls refused.
-const MAX_QUEUED_FRAMES: usize = 512;
 /// A connection that nothing was sent on for so long is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 const READ_BUFFER_BYTES: usize = 8 * 1024;
@@ -70,25 +71,11 @@
 /// What is known of one address.
 #[derive(Default)]
 struct Peer {
-    queue: Option<mpsc::Sender<Outgoing>>,
+    queue: Option<SendQueue>,
     failures: u32,
     not_before: Option<Instant>,
 }
 
-/// A frame that waits to be written.
-struct Outgoing {
-    kind: FrameKind,
-    service: ServiceId,
-    payload: Vec<u8>,
-    call: Option<PendingCall>,
-}
-
-struct PendingCall {
-    answer: oneshot::Sender<Result<Vec<u8>, Refusal>>,
-    /// Whether a byte of it may have gone out.
-    written: Rc<Cell<bool>>,
-}
-
 type PendingCalls = Rc<RefCell<BTreeMap<u64, oneshot::Sender<Result<Vec<u8>, Refusal>>>>>;
 
 impl Network {
@@ -114,8 +101,8 @@
         let call = Some(PendingCall { answer, written: written.clone() });
         let queue = self.queue(to).ok_or(CallError::Unreachable)?;
         queue
-            .try_send(Outgoing { kind: FrameKind::Request, service, payload, call })
-            .map_err(|error| note_unsent(&error))?;
+            .push(Outgoing { kind: FrameKind::Request, service, payload, call })
+            .map_err(|error| note_unsent(error, FrameKind::Request))?;
         let unanswered = |otherwise| if written.get() { otherwise } else { CallError::Unreachable };
         match tokio::time::timeout(timeout, ended).await {
             Ok(Ok(Ok(payload))) => Ok(payload),
@@ -135,12 +122,12 @@
         }
         if let Some(queue) = self.queue(to) {
             let notice = Outgoing { kind: FrameKind::Notice, service, payload, call: None };
-            let _ = queue.try_send(notice).map_err(|error| note_unsent(&error));
+            let _ = queue.push(notice).map_err(|error| note_unsent(error, FrameKind::Notice));
         }
     }
 
     /// The queue of the peer's connection, which is begun if there is none; `None` in the pause after a failure.
-    fn queue(&self, to: SocketAddr) -> Option<mpsc::Sender<Outgoing>> {
+    fn queue(&self, to: SocketAddr) -> Option<SendQueue> {
         let mut peers = self.shared.peers.borrow_mut();
         let peer = peers.entry(to).or_default();
         if let Some(queue) = peer.queue.as_ref().filter(|queue| !queue.is_closed()) {
@@ -149,14 +136,14 @@
         if peer.not_before.is_some_and(|moment| Instant::now() < moment) {
             return None;
         }
-        let (sender, receiver) = mpsc::channel(MAX_QUEUED_FRAMES);
+        let (sender, receiver) = send_queue();
         peer.queue = Some(sender.clone());
         let network = self.clone();
         tokio::task::spawn_local(async move { network.run_connection(to, receiver).await });
         Some(sender)
     }
 
-    async fn run_connection(&self, to: SocketAddr, queue: mpsc::Receiver<Outgoing>) {
+    async fn run_connection(&self, to: SocketAddr, queue: QueuedFrames) {
         metrics::get().internal.connecting();
         match tokio::time::timeout(CONNECT_TIMEOUT, connect(to)).await {
             Ok(Ok(stream)) => {
@@ -204,9 +191,9 @@
 }
 
 /// A frame found no place in its peer's queue, or the connection had just ended.
-fn note_unsent(error: &mpsc::error::TrySendError<Outgoing>) -> CallError {
-    if let mpsc::error::TrySendError::Full(outgoing) = error {
-        metrics::get().internal.dropped(outgoing.kind);
+fn note_unsent(error: NotQueued, kind: FrameKind) -> CallError {
+    if error == NotQueued::Full {
+        metrics::get().internal.dropped(kind);
     }
     CallError::Unreachable
 }
@@ -219,7 +206,7 @@
 
 /// Writes what is queued and reads the answers until the connection ends or rests for long. Calls that have no answer
 /// then end with it, because their senders are dropped.
-async fn exchange(stream: TcpStream, queue: mpsc::Receiver<Outgoing>) {
+async fn exchange(stream: TcpStream, queue: QueuedFrames) {
     let (reading, writing) = stream.into_split();
     let pending = PendingCalls::default();
     tokio::select! {
@@ -228,15 +215,11 @@
     }
 }
 
-async fn write_frames(
-    mut writing: OwnedWriteHalf,
-    mut queue: mpsc::Receiver<Outgoing>,
-    pending: &PendingCalls,
-) {
+async fn write_frames(mut writing: OwnedWriteHalf, mut queue: QueuedFrames, pending: &PendingCalls) {
     let mut last_call = 0;
     let mut bytes = Vec::new();
     loop {
-        let first = match tokio::time::timeout(IDLE_TIMEOUT, queue.recv()).await {
+        let first = match tokio::time::timeout(IDLE_TIMEOUT, queue.next()).await {
             Ok(Some(outgoing)) => outgoing,
             Ok(None) => return,
             Err(_) if forget_given_up(pending) == 0 => return,
@@ -244,7 +227,7 @@
         };
         encode(first, &mut last_call, pending, &mut bytes);
         while bytes.len() < WRITE_BATCH_BYTES {
-            let Ok(next) = queue.try_recv() else { break };
+            let Some(next) = queue.next_if_here() else { break };
             encode(next, &mut last_call, pending, &mut bytes);
         }
         if writing.write_all(&bytes).await.is_err() {
--- a/alderhollow/src/invariant.rs
+++ b/alderhollow/src/invariant.rs
@@ -17,6 +17,12 @@
         QuotaAtAcceptance => "quota_at_acceptance",
         /// The epoch of the batch group that a store acts on never falls within the store's life.
         GroupEpochRises => "group_epoch_rises",
+        /// What a route's coordinator has given out to all groups together stays within the route's limit.
+        QuotaGrantsWithinLimit => "quota_grants_within_limit",
+        /// What a group counts on a route after an acceptance stays within what its coordinator has given to it.
+        QuotaUseWithinGrant => "quota_use_within_grant",
+        /// A store keeps a batch job only in the group that the hash of the job's id names.
+        JobInItsGroup => "job_in_its_group",
     }
 }
 
--- a/alderhollow/src/store/calls.rs
+++ b/alderhollow/src/store/calls.rs
@@ -115,7 +115,7 @@
     node.with_group(group, |engine, now_ms| {
         let waiting_before = engine.waiting_tokens(&route);
         let answered = submit_now(engine, now_ms, &group.waiting, try_id, job);
-        if let Submitted::Pending(_) = answered.submitted {
+        if engine.waiting_tokens(&route) > waiting_before {
             group.quota.note_accepted(engine, &route);
         }
         check_quota(engine, &route, waiting_before);
--- a/alderhollow/src/store/group_quota.rs
+++ b/alderhollow/src/store/group_quota.rs
@@ -6,6 +6,7 @@
 //! Among several, an engine has a limit of 0 for each limited route until the account of its session was given more.
 
 use super::waiting::Waiting;
+use crate::invariant::{self, Invariant};
 use alderhollow_batch::api::{Outcome, ReadAnswer, RouteTerms, Submitted, TryId};
 use alderhollow_batch::engine::Engine;
 use alderhollow_batch::job::NewJob;
@@ -187,7 +188,7 @@
     /// The engine took a batch job of a route without a wait.
     pub(super) fn note_accepted(&self, engine: &Engine, route: &str) {
         if let Some(account) = self.accounts.borrow_mut().get_mut(route) {
-            account.account.note_accepted(engine.waiting_tokens(route));
+            account.note_accepted(engine, route);
         }
     }
 
@@ -265,7 +266,13 @@
         let known = coordinator.take().filter(|known| known.id() == id);
         let epochs = || control.groups.iter().map(|group| group.epoch).collect();
         let current = coordinator.insert(known.unwrap_or_else(|| Coordinator::new(id, epochs())));
-        current.report(now_ms, max, report)
+        let before = current.counters().violations;
+        let grant = current.report(now_ms, max, report);
+        let holds = current.counters().violations == before;
+        invariant::check(Invariant::QuotaGrantsWithinLimit, holds, || {
+            format!("route {} with a limit of {max}, at the report of group {}", report.route, report.group)
+        });
+        grant
     }
 
     /// Another session begins, or none: nothing that waits will be accepted in the ended one.
@@ -310,6 +317,17 @@
 }
 
 impl RouteAccount {
+    /// The engine took a batch job.
+    fn note_accepted(&mut self, engine: &Engine, route: &str) {
+        let used = engine.waiting_tokens(route);
+        let before = self.account.counters().violations;
+        self.account.note_accepted(used);
+        let holds = self.account.counters().violations == before;
+        invariant::check(Invariant::QuotaUseWithinGrant, holds, || {
+            format!("{used} tokens wait on route {route}, of {:?} that may here", self.account.limit())
+        });
+    }
+
     /// Acts on settled submissions, in their order.
     fn act(
         &mut self,
@@ -324,13 +342,14 @@
             let Some(WaitingSubmission { try_id, job, answer }) = self.submissions.remove(&submission) else {
                 continue;
             };
+            let used_before = engine.waiting_tokens(route);
             let answered = match outcome {
                 QuotaOutcome::Fits => submit_now(engine, now_ms, waiting, try_id, job),
                 QuotaOutcome::OverQuota => Answered::without_end(engine.refuse(now_ms, try_id, &job)),
                 QuotaOutcome::Unsure => Answered::without_end(Submitted::NotSure),
             };
-            if let Submitted::Pending(_) = answered.submitted {
-                self.account.note_accepted(engine.waiting_tokens(route));
+            if engine.waiting_tokens(route) > used_before {
+                self.note_accepted(engine, route);
             }
             // A client that has gone wants no answer.
             let _ = answer.send(answered);
--- a/alderhollow/src/store/node.rs
+++ b/alderhollow/src/store/node.rs
@@ -5,7 +5,7 @@
 use super::group_engine::{names, GroupEngine, LONGEST_TICK_MS};
 use super::journal_queue::{GroupTicket, JournalOwner, JournalQueue, WriteEnds};
 use super::journal_records::{join_snapshots, tag_record};
-use super::replication::is_of_primary;
+use super::replication::{is_of_primary, jobs_in};
 use super::routes::batch_routes;
 use super::runs::{EndedRun, RunKey, Runs};
 use crate::batch_protocol::ReplicationNotice;
@@ -14,6 +14,7 @@
 use crate::distribution::client::PollState;
 use crate::executor::pacing::LedShare;
 use crate::internal::{Network, ServiceId};
+use crate::invariant::{self, Invariant};
 use crate::metrics;
 use crate::SnapshotReceiver;
 use alderhollow_batch::api::{Output, RouteTerms, WriteTicket};
@@ -298,9 +299,24 @@
         self.follow_tables();
         let known = self.group(notice.group);
         let Some(group) = known.or_else(|| self.make_for(&notice)) else { return };
+        self.check_groups_of_jobs(&notice);
         self.with_group(&group, |engine, now_ms| engine.receive(now_ms, notice.from, notice.message));
     }
 
+    /// A batch job lies in the group that its id names, at every store.
+    fn check_groups_of_jobs(&self, notice: &ReplicationNotice) {
+        let count = self.control.borrow().groups.len();
+        if count == 0 {
+            return;
+        }
+        for job in jobs_in(&notice.message) {
+            let named = GroupId::of_key(&job.0, count);
+            invariant::check(Invariant::JobInItsGroup, named == notice.group, || {
+                format!("job {job} of group {named} came in group {}", notice.group)
+            });
+        }
+    }
+
     /// The group of a primary's message, which may come before the tables that name this store.
     fn make_for(&self, notice: &ReplicationNotice) -> Option<Rc<GroupEngine>> {
         let count = self.control.borrow().groups.len();
--- a/alderhollow/src/store/replication.rs
+++ b/alderhollow/src/store/replication.rs
@@ -4,7 +4,9 @@
 use crate::batch_protocol::ReplicationNotice;
 use crate::internal::server::HandlerFuture;
 use crate::internal::{Handler, Refusal};
+use alderhollow_batch::job::JobId;
 use alderhollow_batch::message::Message;
+use alderhollow_batch::records::Entry;
 use std::rc::Rc;
 
 /// The service of the stores' messages.
@@ -24,6 +26,19 @@
     }
 }
 
+/// The batch jobs that a message brings.
+pub fn jobs_in(message: &Message) -> impl Iterator<Item = &JobId> {
+    let entries = match message {
+        Message::Entries { entries, .. } => entries.as_slice(),
+        _ => &[],
+    };
+    entries.iter().filter_map(|entry| match entry {
+        Entry::JobAccepted(job) => Some(&job.id),
+        Entry::WholeJob(job) => Some(&job.accepted.id),
+        _ => None,
+    })
+}
+
 /// Whether a message is one that a primary sends to its members.
 pub fn is_of_primary(message: &Message) -> bool {
     match message {
