--- a/alderhollow/src/control_state/groups.rs
+++ b/alderhollow/src/control_state/groups.rs
@@ -4,6 +4,7 @@
 use alderhollow_model::snapshot::{BatchGroup, GroupId};
 use minicbor::{Decode, Encode};
 use std::collections::BTreeSet;
+use std::fmt;
 use std::sync::Arc;
 
 /// One change of one group.
@@ -49,6 +50,37 @@
     },
 }
 
+impl fmt::Display for GroupChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "group {}: {}", self.id, self.step)
+    }
+}
+
+impl fmt::Display for GroupStep {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            GroupStep::Replace { group, .. } => show_group(group, f),
+            GroupStep::BecameActive { epoch } => write!(f, "epoch {epoch} is active"),
+            GroupStep::MembersInSync { epoch, disks } => {
+                write!(f, "{} members hold everything in epoch {epoch}", disks.len())
+            }
+        }
+    }
+}
+
+/// The group by the names of its machines, the primary in front.
+fn show_group(group: &BatchGroup, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    let primary = group.primary_member().map_or("nobody", |member| member.node.node.as_str());
+    write!(f, "epoch {}, primary {primary}", group.epoch)?;
+    for member in group.members.iter().filter(|member| member.disk != group.primary) {
+        write!(f, ", member {}", member.node.node)?;
+    }
+    for learner in &group.learners {
+        write!(f, ", learner {}", learner.node.node)?;
+    }
+    Ok(())
+}
+
 /// One group.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GroupState {
--- a/alderhollow/src/core/group_reconciler.rs
+++ b/alderhollow/src/core/group_reconciler.rs
@@ -2,6 +2,7 @@
 
 use super::authority::ControlAuthority;
 use crate::control_state::group_policy::next_request;
+use crate::control_state::request::Request;
 use alderhollow_coordination::replica::interface::Outcome;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,7 +24,7 @@
             let _ = tokio::time::timeout(INTERVAL, authority.stores_changed()).await;
             continue;
         };
-        log::info!("batch groups: {request:?}");
+        log_request(&request);
         match authority.core().propose(request.to_bytes()).await {
             Ok(Outcome::Committed(_)) => (),
             Ok(Outcome::Answered(_)) => tokio::time::sleep(FAILURE_PAUSE).await,
@@ -34,3 +35,17 @@
         }
     }
 }
+
+/// One line for each group that is to change.
+fn log_request(request: &Request) {
+    match request {
+        Request::FoundGroups(groups) => log::info!("batch groups: {} are made", groups.len()),
+        Request::ChangeGroups(changes) => {
+            changes.iter().for_each(|change| log::info!("batch {change}"));
+        }
+        Request::RegisterStore(store) => {
+            log::info!("batch groups: store {} in zone {} is here", store.node, store.zone);
+        }
+        Request::Order { .. } => {}
+    }
+}
