Keep counting a route's quota reports when its limit goes and comes back

A group whose route lost its limit and got it back within one session numbered its reports from 1 again. A coordinator that had taken one of the earlier reports after it forgot the route put all further ones aside as late, for as many reports as there had been: the group could tell nobody whether a job fits, and answered 503. What was reported while the route had no limit also stood under the later limit, so that others were given what a group used meanwhile.

--- a/alderhollow/src/store/group_quota.rs
+++ b/alderhollow/src/store/group_quota.rs
@@ -90,6 +90,8 @@
 pub struct GroupQuota {
     session: Cell<Option<SessionId>>,
     accounts: RefCell<BTreeMap<String, RouteAccount>>,
+    /// Accounts of this session that ended as their routes have no limit any more; see [`Account::following`].
+    ended: RefCell<BTreeMap<String, Account>>,
     coordinator: RefCell<Option<Coordinator>>,
     newest_submission: Cell<u64>,
 }
@@ -141,8 +143,10 @@
                 continue;
             }
             let Some(home_epoch) = home_epoch(control, route) else { continue };
-            let mut account =
-                Account::new(group.0, session.epoch, session.session, route.clone(), home_epoch);
+            let mut account = match self.ended.borrow_mut().remove(route) {
+                Some(earlier) => Account::following(&earlier, home_epoch),
+                None => Account::new(group.0, session.epoch, session.session, route.clone(), home_epoch),
+            };
             account.set_max(now_ms, terms.max_queued_tokens);
             engine.set_quota_limit(route, account.limit());
             let account = RouteAccount { account, submissions: BTreeMap::new(), reading: None };
@@ -271,6 +275,7 @@
     /// Another session begins, or none: nothing that waits will be accepted in the ended one.
     pub(super) fn end_session(&self) {
         self.coordinator.replace(None);
+        self.ended.take();
         for account in self.accounts.take().into_values() {
             account.submissions.into_values().for_each(WaitingSubmission::refuse_service);
         }
@@ -283,8 +288,10 @@
         }
         let mut accounts = self.accounts.borrow_mut();
         let gone: Vec<String> = accounts.keys().filter(|route| !is_limited(route)).cloned().collect();
-        for account in gone.iter().filter_map(|route| accounts.remove(route)) {
-            account.submissions.into_values().for_each(WaitingSubmission::refuse_service);
+        for route in gone {
+            let Some(RouteAccount { account, submissions, .. }) = accounts.remove(&route) else { continue };
+            submissions.into_values().for_each(WaitingSubmission::refuse_service);
+            self.ended.borrow_mut().insert(route, account);
         }
     }
 
@@ -361,3 +368,6 @@
 fn home_epoch(control: &ControlView, route: &str) -> Option<u64> {
     Some(control.group(home_of(control, route))?.epoch)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/alderhollow/src/store/group_quota/tests.rs
@@ -0,0 +1,77 @@
+//! Accounts over changes of the configuration.
+
+use super::*;
+use alderhollow_batch::api::Output;
+use alderhollow_model::identity::{Address, DiskId, LifeId, NodeInfo, Role};
+use alderhollow_model::snapshot::{BatchGroup, GroupMember};
+use std::sync::Arc;
+
+const DISK: DiskId = DiskId(1);
+const ROUTE: &str = "jobs";
+const MAX: u64 = 1_000;
+/// Longer than any period of reports.
+const ROUND_MS: u64 = 2_000;
+
+/// Two groups of one member each; this store leads both.
+fn control() -> ControlView {
+    let node = NodeInfo {
+        node: "store-1".to_string(),
+        role: Role::Store,
+        zone: "a".to_string(),
+        life: LifeId(1),
+        disk: Some(DISK),
+        internal: Address(([127, 0, 0, 1], 7660).into()),
+        control: None,
+    };
+    let members = vec![GroupMember { disk: DISK, node }];
+    let group = Arc::new(BatchGroup { epoch: 1, primary: DISK, members, learners: Vec::new() });
+    ControlView { groups: vec![group.clone(), group], ..ControlView::default() }
+}
+
+fn routes(max_queued_tokens: u64) -> BTreeMap<String, RouteTerms> {
+    let terms = RouteTerms { run_target_ms: 1_000, retention_ms: 10_000, max_attempts: 3, max_queued_tokens };
+    [(ROUTE.to_owned(), terms)].into()
+}
+
+/// An engine that leads a group whose epoch is active.
+fn active_engine(control: &ControlView) -> Engine {
+    let mut engine = Engine::restore(DISK, 0, None, &[]).expect("an engine");
+    engine.set_group(0, control.groups[0].clone());
+    loop {
+        let outputs = engine.take_outputs();
+        if outputs.is_empty() {
+            return engine;
+        }
+        for output in outputs {
+            if let Output::Write { ticket, .. } = output {
+                engine.written(0, ticket);
+            }
+        }
+    }
+}
+
+/// The route's limit is this from now on.
+fn set_max(quota: &GroupQuota, engine: &mut Engine, now_ms: u64, max: u64) {
+    engine.set_routes(now_ms, now_ms, routes(max));
+    quota.take_tables(now_ms, engine, GroupId(0), &control(), &routes(max));
+}
+
+#[test]
+fn reports_go_on_counting_when_a_limit_goes_and_comes_back() {
+    let control = control();
+    let mut engine = active_engine(&control);
+    let quota = GroupQuota::default();
+    set_max(&quota, &mut engine, 0, MAX);
+    let mut newest = None;
+    for round in 0..10 {
+        newest = quota.drive(round * ROUND_MS, &mut engine, &Waiting::default()).pop().or(newest);
+    }
+    let newest = newest.expect("reports").id;
+    assert!(newest.sequence > 1);
+    set_max(&quota, &mut engine, 20_000, 0);
+    assert!(quota.drive(30_000, &mut engine, &Waiting::default()).is_empty());
+    set_max(&quota, &mut engine, 40_000, MAX);
+    let report = quota.drive(40_000, &mut engine, &Waiting::default()).pop().expect("a report at once");
+    assert!(report.id > newest, "a coordinator would take {:?} for older than {newest:?}", report.id);
+    assert!(!engine.would_fit(ROUTE, 1), "nothing fits before the coordinator has answered");
+}
--- a/batch/src/quota/account.rs
+++ b/batch/src/quota/account.rs
@@ -133,6 +133,16 @@
         }
     }
 
+    /// An account in the place of one that ended within the same session, as its route's limit was taken out of the
+    /// configuration and came back. It goes on counting reports: a coordinator that still knows a report of the earlier
+    /// account would put all lower ones aside as late.
+    pub fn following(earlier: &Account, coordinator_epoch: u64) -> Account {
+        let ReportId { group_epoch, session, .. } = earlier.newest;
+        let route = earlier.route.clone();
+        let account = Account::new(earlier.group, group_epoch, session, route, coordinator_epoch);
+        Account { newest: earlier.newest, ..account }
+    }
+
     /// The route's limit in the configuration; 0 is no limit. After a change, nothing fits until the coordinator has
     /// answered.
     pub fn set_max(&mut self, now_ms: u64, max: u64) {
--- a/batch/src/quota/coordinator.rs
+++ b/batch/src/quota/coordinator.rs
@@ -102,6 +102,10 @@
         }
         let decision = self.decide(now_ms, max, report);
         let reading = self.read_meter(now_ms, report, refused_before);
+        if max == 0 {
+            // A group that knows of no limit counts more without a report: what it said must not stand under a later limit.
+            self.routes.remove(&report.route);
+        }
         self.answer(report, decision, reading)
     }
 
--- a/batch/tests/quota/account.rs
+++ b/batch/tests/quota/account.rs
@@ -6,7 +6,8 @@
     ACTIVE_PERIOD_MS, ANSWER_PATIENCE_MS, CONTENDED_PERIOD_MS, IDLE_PERIOD_MS, REFUSAL_PAUSE_MS,
 };
 use alderhollow_batch::quota::{
-    Account, CoordinatorId, Decision, QuotaGrant, QuotaOutcome, QuotaReport, Settled, SubmissionId,
+    Account, Coordinator, CoordinatorId, Decision, QuotaGrant, QuotaOutcome, QuotaReport, Settled,
+    SubmissionId,
 };
 
 const A: SubmissionId = SubmissionId(1);
@@ -239,3 +240,29 @@
     account.take_answer(270, 0, &counted(&report, MAX, MAX));
     assert!(!account.fits(0, 1), "it was granted under the earlier limit");
 }
+
+#[test]
+fn an_account_of_a_route_that_comes_again_goes_on_counting_reports() {
+    let mut coordinator = Coordinator::new(ID, vec![1]);
+    let mut earlier = Account::new(0, 7, 1, "route".to_owned(), ID.epoch);
+    earlier.set_max(0, MAX);
+    let mut late_report = None;
+    for round in 0..20 {
+        let now_ms = round * ANSWER_PATIENCE_MS;
+        if let Some(report) = earlier.next_report(now_ms, 0) {
+            earlier.take_answer(now_ms, 0, &coordinator.report(now_ms, MAX, &report));
+            late_report = Some(report);
+        }
+    }
+    let late_report = late_report.expect("reports");
+    // The limit goes and comes back within the session; a report of the time before comes late.
+    coordinator.retain_routes(|_| false);
+    let mut account = Account::following(&earlier, ID.epoch);
+    account.set_max(0, MAX);
+    coordinator.report(0, MAX, &late_report);
+    let report = account.next_report(0, 10).expect("at once");
+    account.take_answer(0, 10, &coordinator.report(0, MAX, &report));
+    let report = account.next_report(0, 10).expect("at once, to the incarnation");
+    account.take_answer(0, 10, &coordinator.report(0, MAX, &report));
+    assert!(account.limit() >= Some(10), "{account:?}");
+}
--- a/batch/tests/quota/coordinator.rs
+++ b/batch/tests/quota/coordinator.rs
@@ -214,3 +214,14 @@
     assert_eq!(home_group("route", 0), 0);
     assert_eq!(home_group("lots", 1 << 16), 26_110, "processes of different versions must agree");
 }
+
+#[test]
+fn what_is_reported_while_a_route_has_no_limit_does_not_count_under_a_later_one() {
+    let mut coordinator = Coordinator::new(ID, vec![1, 1]);
+    assert_eq!(coordinator.report(0, 0, &report(1, 1, 10, 0)).decision, Decision::Unsure);
+    // Group 1 takes as many jobs as come; then the limit is back, and group 1 hears of it last.
+    assert_eq!(coordinator.report(0, MAX, &report(0, 1, 0, 500)).decision, Decision::Unsure);
+    coordinator.report(0, MAX, &report(1, 2, 2 * MAX, 0));
+    let late = coordinator.report(0, MAX, &report(0, 2, 0, 500));
+    assert_eq!((limit(&late), room(&late)), (0, 0));
+}
