Bound what waits for room in a route's limit in bytes

Jobs that don't fit their group's part of the limit wait for the coordinator's word, up to 0.6 s, with their bodies; nothing bounded how many.

--- a/alderhollow/src/store/group_quota.rs
+++ b/alderhollow/src/store/group_quota.rs
@@ -19,6 +19,9 @@
 use std::collections::BTreeMap;
 use tokio::sync::oneshot;
 
+/// Jobs that may wait for room at one group, in bytes; further ones are not taken. Each waits for a fraction of a second.
+const WAITING_BYTES: usize = 8 << 20;
+
 /// Who waits for the end of an operation.
 pub type End = Option<oneshot::Receiver<Outcome>>;
 
@@ -58,6 +61,8 @@
 struct WaitingSubmission {
     try_id: TryId,
     job: NewJob,
+    /// Size of the job, roughly.
+    bytes: usize,
     answer: oneshot::Sender<Answered>,
 }
 
@@ -96,6 +101,13 @@
     newest_submission: Cell<u64>,
 }
 
+impl RouteAccount {
+    /// Size of the jobs that wait, roughly.
+    fn waiting_bytes(&self) -> usize {
+        self.submissions.values().map(|submission| submission.bytes).sum()
+    }
+}
+
 impl GroupQuota {
     /// Takes newer tables in, after the engine did. What belongs to an earlier session of the engine ends.
     pub(super) fn take_tables(
@@ -176,15 +188,20 @@
         has_account && is_new && !engine.would_fit(&job.route, job.tokens())
     }
 
-    /// Puts a batch job in line for room; `None` if its route has no account any more.
+    /// Puts a batch job in line for room; `None` if its route has no account any more, or if too much waits.
     pub(super) fn queue(&self, now_ms: u64, try_id: TryId, job: NewJob) -> Option<Queued> {
         let mut accounts = self.accounts.borrow_mut();
+        let waiting_bytes: usize = accounts.values().map(RouteAccount::waiting_bytes).sum();
+        if waiting_bytes >= WAITING_BYTES {
+            return None;
+        }
         let account = accounts.get_mut(&job.route)?;
         let id = SubmissionId(self.newest_submission.get() + 1);
         self.newest_submission.set(id.0);
         account.account.want(now_ms, id, job.tokens());
         let (sender, answer) = oneshot::channel();
-        account.submissions.insert(id, WaitingSubmission { try_id, job, answer: sender });
+        let bytes = job.approximate_bytes();
+        account.submissions.insert(id, WaitingSubmission { try_id, job, bytes, answer: sender });
         Some(Queued { id, answer })
     }
 
@@ -328,7 +345,8 @@
     ) {
         engine.set_quota_limit(route, self.account.limit());
         for Settled { submission, outcome } in settled {
-            let Some(WaitingSubmission { try_id, job, answer }) = self.submissions.remove(&submission) else {
+            let Some(WaitingSubmission { try_id, job, answer, .. }) = self.submissions.remove(&submission)
+            else {
                 continue;
             };
             let answered = match outcome {
--- a/alderhollow/src/store/group_quota/tests.rs
+++ b/alderhollow/src/store/group_quota/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use alderhollow_batch::api::Output;
+use alderhollow_batch::job::{Item, ItemRequest, JobId};
 use alderhollow_model::identity::{Address, DiskId, LifeId, NodeInfo, Role};
 use alderhollow_model::snapshot::{BatchGroup, GroupMember};
 use std::sync::Arc;
@@ -75,3 +76,34 @@
     assert!(report.id > newest, "a coordinator would take {:?} for older than {newest:?}", report.id);
     assert!(!engine.would_fit(ROUTE, 1), "nothing fits before the coordinator has answered");
 }
+
+/// A job with a body of so many bytes.
+fn job(id: usize, body_bytes: usize) -> NewJob {
+    let request = ItemRequest { path: "/b/1".to_owned(), headers: Vec::new(), body: vec![7; body_bytes] };
+    let item = Item { id: format!("item-{id}"), tokens: 10, request: Some(request) };
+    NewJob {
+        id: JobId(format!("job-{id}")),
+        route: ROUTE.to_owned(),
+        host: "h.example".to_owned(),
+        config_version: 0,
+        age_ms: 0,
+        items: vec![item],
+    }
+}
+
+#[test]
+fn what_waits_for_room_is_bounded_in_bytes() {
+    const BODY_BYTES: usize = 100_000;
+    let control = control();
+    let mut engine = active_engine(&control);
+    let quota = GroupQuota::default();
+    set_max(&quota, &mut engine, 0, MAX);
+    let mut queued = Vec::new();
+    for id in 0..1_000 {
+        queued.extend(quota.queue(0, TryId(id as u64), job(id, BODY_BYTES)));
+    }
+    assert!(queued.len() * BODY_BYTES < WAITING_BYTES + BODY_BYTES, "{} jobs wait", queued.len());
+    assert!(queued.len() * 2 * BODY_BYTES > WAITING_BYTES, "{} jobs wait", queued.len());
+    quota.withdraw(ROUTE, queued[0].id);
+    assert!(quota.queue(0, TryId(9_999), job(9_999, BODY_BYTES)).is_some(), "one has left");
+}
--- a/batch/src/records.rs
+++ b/batch/src/records.rs
@@ -93,6 +93,13 @@
     }
 }
 
+impl NewJob {
+    /// Encoded size, roughly.
+    pub fn approximate_bytes(&self) -> usize {
+        new_job_bytes(self)
+    }
+}
+
 impl Message {
     /// The message as bytes, with the version of their format.
     pub fn to_bytes(&self) -> Vec<u8> {
