Let a primary that may not go on have no retry due

A primary that learnt of a greater epoch, or of a member ahead of it, sends nothing any more, but its retries stayed due: its store looked at the group each millisecond until new tables came.

--- a/batch/src/group/leader.rs
+++ b/batch/src/group/leader.rs
@@ -163,7 +163,7 @@
 
     /// What is to be sent now.
     pub fn messages(&mut self, now_ms: u64, state: &State) -> Vec<(DiskId, Message)> {
-        if !self.started || self.superseded || self.behind.is_some() {
+        if !self.may_go_on() {
             return Vec::new();
         }
         self.restart_laggards(now_ms);
@@ -194,7 +194,7 @@
 
     /// Takes stock of the acknowledgements.
     pub fn advance(&mut self) -> Advance {
-        if !self.started || self.superseded || self.behind.is_some() {
+        if !self.may_go_on() {
             return Advance::None;
         }
         let members = self.peers.values().filter(|peer| peer.is_member);
@@ -225,8 +225,17 @@
         self.log.trim(needed.unwrap_or(self.log.last()));
     }
 
-    /// When something must be sent again.
+    /// Whether it may send and commit: not before its session is on disk, and never again once it knows that another store
+    /// has to lead.
+    fn may_go_on(&self) -> bool {
+        self.started && !self.superseded && self.behind.is_none()
+    }
+
+    /// When something must be sent again; never, while nothing may be sent.
     pub fn next_retry_ms(&self) -> Option<u64> {
+        if !self.may_go_on() {
+            return None;
+        }
         self.peers.values().filter_map(Peer::retry_at_ms).min()
     }
 
--- a/batch/tests/engine/replication.rs
+++ b/batch/tests/engine/replication.rs
@@ -38,6 +38,20 @@
     assert!(!cluster.engine(1).status(now_ms).active, "the old primary knows now");
 }
 
+#[test]
+fn a_primary_that_knows_of_a_greater_epoch_waits_without_looking_again_and_again() {
+    let mut cluster = Cluster::active(3);
+    let told = Arc::new(group(2, 2, &[2, 3], &[]));
+    let now_ms = cluster.now_ms;
+    cluster.engine(3).set_group(now_ms, told);
+    let Submitted::Pending(_) = cluster.submit(1, job("a", 1, 1)) else { panic!("not taken") };
+    cluster.pass(3_000, 1);
+    let now_ms = cluster.now_ms;
+    assert!(!cluster.engine(1).status(now_ms).active);
+    let next_ms = cluster.engine(1).next_tick_ms();
+    assert!(next_ms.is_none_or(|at_ms| at_ms > now_ms), "{next_ms:?} is due at {now_ms} and stays so");
+}
+
 #[test]
 fn a_restarted_store_follows_no_stream_that_it_followed_before() {
     let mut cluster = Cluster::active(2);
