Keep a group that follows a newer epoch than the tables name

A store drops what it holds of a group 30 s after the tables left it out, on tables that were validated up to a second ago. In that time a newer epoch may have named it again and its primary may have brought it up to date, even to a member: what was dropped then was counted on.

--- a/alderhollow/src/store/group_engine.rs
+++ b/alderhollow/src/store/group_engine.rs
@@ -196,11 +196,16 @@
     /// a retirement waits for are a margin beyond that. The time is a margin too, for a primary of an earlier epoch
     /// that still sends: while the tables are in memory the group's epoch is E here, and such a primary is refused.
     ///
+    /// Tables are validated for a while, though: a newer epoch may name this disk again, and its primary may have brought it
+    /// up to date, while the poll that brings the tables is on its way. So a group that follows a newer epoch is kept.
+    ///
     /// Writes under way have ended: their tickets must not be taken for those of the group's next life at this store.
     pub(super) fn may_be_dropped(&self, now_ms: u64) -> bool {
         let is_over = |left_at: u64| now_ms.saturating_sub(left_at) >= KEEP_LEFT_MS;
         let has_left = self.left_at_ms.get().is_some_and(is_over);
-        has_left && self.appended.get() == self.written.get() && !self.report.borrow().active
+        let report = self.report.borrow();
+        let follows_newer = report.epoch > self.tables_epoch.get();
+        has_left && !follows_newer && self.appended.get() == self.written.get() && !report.active
     }
 
     /// A write was queued.
--- a/alderhollow/src/store/group_engine/tests.rs
+++ b/alderhollow/src/store/group_engine/tests.rs
@@ -1,6 +1,7 @@
 //! When a group that was left may be dropped, and when a group is looked at.
 
 use super::*;
+use alderhollow_batch::message::{Message, StreamId};
 use alderhollow_model::identity::{Address, LifeId, NodeInfo, Role};
 use alderhollow_model::snapshot::GroupMember;
 
@@ -87,3 +88,21 @@
     assert!(group.next_look_ms() <= LONGEST_TICK_MS);
     assert!(group.is_due(LONGEST_TICK_MS));
 }
+
+#[test]
+fn a_group_that_a_primary_of_a_newer_epoch_brings_up_is_kept() {
+    let group = group_engine();
+    group.take_group(0, DISK, &tables(1, &[2, 1], &[]));
+    group.take_group(10, DISK, &tables(2, &[2, 3], &[]));
+    group.note_look(10);
+    let now_ms = 10 + KEEP_LEFT_MS;
+    assert!(group.may_be_dropped(now_ms));
+    // The newest tables name this disk again, but the poll that brings them is still on its way.
+    let stream = StreamId { epoch: 3, session: 1, attempt: 1 };
+    let compare = Message::Compare { stream, after: None, until: None, digests: Vec::new() };
+    group.call(now_ms, |engine, now_ms| engine.receive(now_ms, DiskId(2), compare));
+    group.note_look(now_ms);
+    assert!(!group.may_be_dropped(now_ms));
+    group.take_group(now_ms + 500, DISK, &tables(3, &[2, 3], &[1]));
+    assert!(!group.may_be_dropped(u64::MAX));
+}
