--- a/alderhollow/src/store/group_quota.rs
+++ b/alderhollow/src/store/group_quota.rs
@@ -6,6 +6,7 @@
 //! Among several, an engine has a limit of 0 for each limited route until the account of its session was given more.
 
 use super::waiting::Waiting;
+use crate::invariant::{self, Invariant};
 use alderhollow_batch::api::{Outcome, ReadAnswer, RouteTerms, Submitted, TryId};
 use alderhollow_batch::engine::Engine;
 use alderhollow_batch::job::NewJob;
@@ -19,6 +20,9 @@
 use std::collections::BTreeMap;
 use tokio::sync::oneshot;
 
+/// Jobs that may wait for room at one group, in bytes; further ones are not taken. Each waits for a fraction of a second.
+const WAITING_BYTES: usize = 8 << 20;
+
 /// Who waits for the end of an operation.
 pub type End = Option<oneshot::Receiver<Outcome>>;
 
@@ -58,6 +62,8 @@
 struct WaitingSubmission {
     try_id: TryId,
     job: NewJob,
+    /// Size of the job, roughly.
+    bytes: usize,
     answer: oneshot::Sender<Answered>,
 }
 
@@ -90,10 +96,19 @@
 pub struct GroupQuota {
     session: Cell<Option<SessionId>>,
     accounts: RefCell<BTreeMap<String, RouteAccount>>,
+    /// Accounts of this session that ended as their routes have no limit any more; see [`Account::following`].
+    ended: RefCell<BTreeMap<String, Account>>,
     coordinator: RefCell<Option<Coordinator>>,
     newest_submission: Cell<u64>,
 }
 
+impl RouteAccount {
+    /// Size of the jobs that wait, roughly.
+    fn waiting_bytes(&self) -> usize {
+        self.submissions.values().map(|submission| submission.bytes).sum()
+    }
+}
+
 impl GroupQuota {
     /// Takes newer tables in, after the engine did. What belongs to an earlier session of the engine ends.
     pub(super) fn take_tables(
@@ -141,8 +156,10 @@
                 continue;
             }
             let Some(home_epoch) = home_epoch(control, route) else { continue };
-            let mut account =
-                Account::new(group.0, session.epoch, session.session, route.clone(), home_epoch);
+            let mut account = match self.ended.borrow_mut().remove(route) {
+                Some(earlier) => Account::following(&earlier, home_epoch),
+                None => Account::new(group.0, session.epoch, session.session, route.clone(), home_epoch),
+            };
             account.set_max(now_ms, terms.max_queued_tokens);
             engine.set_quota_limit(route, account.limit());
             let account = RouteAccount { account, submissions: BTreeMap::new(), reading: None };
@@ -172,22 +189,27 @@
         has_account && is_new && !engine.would_fit(&job.route, job.tokens())
     }
 
-    /// Puts a batch job in line for room; `None` if its route has no account any more.
+    /// Puts a batch job in line for room; `None` if its route has no account any more, or if too much waits.
     pub(super) fn queue(&self, now_ms: u64, try_id: TryId, job: NewJob) -> Option<Queued> {
         let mut accounts = self.accounts.borrow_mut();
+        let waiting_bytes: usize = accounts.values().map(RouteAccount::waiting_bytes).sum();
+        if waiting_bytes >= WAITING_BYTES {
+            return None;
+        }
         let account = accounts.get_mut(&job.route)?;
         let id = SubmissionId(self.newest_submission.get() + 1);
         self.newest_submission.set(id.0);
         account.account.want(now_ms, id, job.tokens());
         let (sender, answer) = oneshot::channel();
-        account.submissions.insert(id, WaitingSubmission { try_id, job, answer: sender });
+        let bytes = job.approximate_bytes();
+        account.submissions.insert(id, WaitingSubmission { try_id, job, bytes, answer: sender });
         Some(Queued { id, answer })
     }
 
     /// The engine took a batch job of a route without a wait.
     pub(super) fn note_accepted(&self, engine: &Engine, route: &str) {
         if let Some(account) = self.accounts.borrow_mut().get_mut(route) {
-            account.account.note_accepted(engine.waiting_tokens(route));
+            account.note_accepted(engine, route);
         }
     }
 
@@ -265,12 +287,19 @@
         let known = coordinator.take().filter(|known| known.id() == id);
         let epochs = || control.groups.iter().map(|group| group.epoch).collect();
         let current = coordinator.insert(known.unwrap_or_else(|| Coordinator::new(id, epochs())));
-        current.report(now_ms, max, report)
+        let before = current.counters().violations;
+        let grant = current.report(now_ms, max, report);
+        let holds = current.counters().violations == before;
+        invariant::check(Invariant::QuotaGrantsWithinLimit, holds, || {
+            format!("route {} with a limit of {max}, at the report of group {}", report.route, report.group)
+        });
+        grant
     }
 
     /// Another session begins, or none: nothing that waits will be accepted in the ended one.
     pub(super) fn end_session(&self) {
         self.coordinator.replace(None);
+        self.ended.take();
         for account in self.accounts.take().into_values() {
             account.submissions.into_values().for_each(WaitingSubmission::refuse_service);
         }
@@ -283,8 +312,10 @@
         }
         let mut accounts = self.accounts.borrow_mut();
         let gone: Vec<String> = accounts.keys().filter(|route| !is_limited(route)).cloned().collect();
-        for account in gone.iter().filter_map(|route| accounts.remove(route)) {
-            account.submissions.into_values().for_each(WaitingSubmission::refuse_service);
+        for route in gone {
+            let Some(RouteAccount { account, submissions, .. }) = accounts.remove(&route) else { continue };
+            submissions.into_values().for_each(WaitingSubmission::refuse_service);
+            self.ended.borrow_mut().insert(route, account);
         }
     }
 
@@ -310,6 +341,17 @@
 }
 
 impl RouteAccount {
+    /// The engine took a batch job.
+    fn note_accepted(&mut self, engine: &Engine, route: &str) {
+        let used = engine.waiting_tokens(route);
+        let before = self.account.counters().violations;
+        self.account.note_accepted(used);
+        let holds = self.account.counters().violations == before;
+        invariant::check(Invariant::QuotaUseWithinGrant, holds, || {
+            format!("{used} tokens wait on route {route}, of {:?} that may here", self.account.limit())
+        });
+    }
+
     /// Acts on settled submissions, in their order.
     fn act(
         &mut self,
@@ -321,16 +363,18 @@
     ) {
         engine.set_quota_limit(route, self.account.limit());
         for Settled { submission, outcome } in settled {
-            let Some(WaitingSubmission { try_id, job, answer }) = self.submissions.remove(&submission) else {
+            let Some(WaitingSubmission { try_id, job, answer, .. }) = self.submissions.remove(&submission)
+            else {
                 continue;
             };
+            let used_before = engine.waiting_tokens(route);
             let answered = match outcome {
                 QuotaOutcome::Fits => submit_now(engine, now_ms, waiting, try_id, job),
                 QuotaOutcome::OverQuota => Answered::without_end(engine.refuse(now_ms, try_id, &job)),
                 QuotaOutcome::Unsure => Answered::without_end(Submitted::NotSure),
             };
-            if let Submitted::Pending(_) = answered.submitted {
-                self.account.note_accepted(engine.waiting_tokens(route));
+            if engine.waiting_tokens(route) > used_before {
+                self.note_accepted(engine, route);
             }
             // A client that has gone wants no answer.
             let _ = answer.send(answered);
@@ -361,3 +405,6 @@
 fn home_epoch(control: &ControlView, route: &str) -> Option<u64> {
     Some(control.group(home_of(control, route))?.epoch)
 }
+
+#[cfg(test)]
+mod tests;
