Look at items' answers each 40 ms, and report each 30 ms under contention

Need: what a backend has finished counted as waiting for up to 100 ms more at its store, and up to 100 ms at the coordinator, so that jobs that fit were refused while a limit was used up.

--- a/alderhollow/src/executor/attempt.rs
+++ b/alderhollow/src/executor/attempt.rs
@@ -16,7 +16,7 @@
 const NEXT_EVENT_SILENCE: Duration = Duration::from_millis(2_000);
 /// After the first event, events are read together so often: nobody waits for a single one, and each look at each of
 /// hundreds of connections costs the store's processor.
-const GATHER: Duration = Duration::from_millis(100);
+const GATHER: Duration = Duration::from_millis(40);
 /// Pauses before the next try.
 const PAUSE_AFTER_DECLINED_MS: u64 = 120;
 const PAUSE_AFTER_NO_CONNECTION_MS: u64 = 60;
--- a/batch/src/quota/account.rs
+++ b/batch/src/quota/account.rs
@@ -7,7 +7,7 @@
 /// Between reports while something is granted and unused or has changed, or no coordinator is sure.
 pub const ACTIVE_PERIOD_MS: u64 = 250;
 /// The same, while there is contention: others wait for what is unused.
-pub const CONTENDED_PERIOD_MS: u64 = 100;
+pub const CONTENDED_PERIOD_MS: u64 = 30;
 /// Between reports while nothing changes.
 pub const IDLE_PERIOD_MS: u64 = 1_000;
 /// A report that has no answer for so long is given up.
@@ -15,13 +15,13 @@
 /// A submission waits for room so long at most. A door waits longer for its answer.
 pub const SUBMISSION_PATIENCE_MS: u64 = 600;
 /// A submission that may ever fit is refused after so long at least: by then the other groups have reported what ended there before.
-pub const REFUSAL_PAUSE_MS: u64 = 130;
+pub const REFUSAL_PAUSE_MS: u64 = 300;
 /// Most submissions that one report names.
 const MOST_WANTED: usize = 256;
 /// Shortest pause before room is asked for again.
-const SHORTEST_PAUSE_MS: u64 = 50;
+const SHORTEST_PAUSE_MS: u64 = 30;
 /// Pauses are longer than the shortest by less than this.
-const PAUSE_SPREAD_MS: u64 = 50;
+const PAUSE_SPREAD_MS: u64 = 30;
 /// Spreads pauses over the whole range: the golden ratio as a fraction of 2^64.
 const PAUSE_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
 
