A job that is accepted already is not turned away by the door's coin; an offer waits for its route's account

Where the coin refuses, the primary is asked once, within 300 ms, by an offer without tokens, whether it has the job; only then is 429 given. Such an offer needs no room, is counted in no meter and leaves no refused try behind.

An offer beyond the group's own share waits for the route's account in place of its body.

--- a/alderhollow/src/batch_api/endpoints.rs
+++ b/alderhollow/src/batch_api/endpoints.rs
@@ -3,7 +3,7 @@
 use super::admission::Admission;
 use super::document::{self, HandedItem};
 use super::path::{self, Target};
-use super::store_calls::{ask_primary, CallEnd, Patience, StoreLink};
+use super::store_calls::{ask_primary, is_accepted, CallEnd, KnownJobQuestion, Patience, StoreLink};
 use super::{not_now, over_quota, plain, BatchAnswer, BatchCall, BatchEndpoints};
 use crate::batch_protocol::{StoreCall, StoreReply};
 use crate::clock::SteadyClock;
@@ -19,12 +19,15 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// While nothing was handed over, a batch job waits so long for a primary that takes it; its client may then come again
 /// at another door.
 const SUBMIT_UNSERVED: Duration = Duration::from_millis(250);
 /// Once the end of a hand-over is unknown, so long is spent on finding it out, unless the client waits for less.
 const SUBMIT_UNKNOWN: Duration = Duration::from_millis(3_000);
+/// Before the coin refuses a batch job, the primary has so long to say that it is accepted already.
+const KNOWN_JOB_TIMEOUT: Duration = Duration::from_millis(300);
 /// A client of a read waits so much more than it allows: some of it is for the way.
 const READ_MARGIN: Duration = Duration::from_millis(1_000);
 /// Longest hold that a client can ask for.
@@ -117,8 +120,8 @@
             held: Duration::ZERO,
         };
         if !self.admission.passes(route, job.tokens()) {
-            metrics::get().batch_api.refused_by_coin();
-            return over_quota();
+            let timeout = patience.unknown_until.saturating_duration_since(Instant::now());
+            return self.refuse_unless_accepted(route, &job.id, timeout).await;
         }
         let try_id = self.random.borrow_mut().rand_u64();
         let call = StoreCall::Submit { try_id, job };
@@ -129,6 +132,28 @@
         submit_answer(end)
     }
 
+    /// The answer to a batch job that the coin refuses: a job that is accepted already is not turned away when it comes
+    /// again. Where the primary doesn't say so in time, the coin's word stands, as nothing was handed over.
+    async fn refuse_unless_accepted(
+        &self,
+        route: &Arc<Route>,
+        job: &JobId,
+        client_time: Duration,
+    ) -> Response<Bytes> {
+        let try_id = self.random.borrow_mut().rand_u64();
+        let question = KnownJobQuestion { try_id, job, route: &route.name };
+        let timeout = KNOWN_JOB_TIMEOUT.min(client_time);
+        let (accepted, reading) = is_accepted(&*self.link, &self.snapshots, &question, timeout).await;
+        if let Some(reading) = reading {
+            self.admission.read(route, reading);
+        }
+        if accepted {
+            return plain(StatusCode::ACCEPTED);
+        }
+        metrics::get().batch_api.refused_by_coin();
+        over_quota()
+    }
+
     async fn read(&self, call: &BatchCall, job: String, after: u64) -> Response<Bytes> {
         let Ok(after) = u32::try_from(after) else { return plain(StatusCode::BAD_REQUEST) };
         let held = milliseconds(call.request.headers(), "wait-ms").unwrap_or_default().min(LONGEST_HOLD);
--- a/alderhollow/src/batch_api/endpoints/tests.rs
+++ b/alderhollow/src/batch_api/endpoints/tests.rs
@@ -6,8 +6,8 @@
 use alderhollow_model::identity::{Address, DiskId, LifeId, NodeInfo, Role};
 use alderhollow_model::snapshot::{BatchGroup, ControlView, GroupMember, Snapshot};
 use hyper::Request;
-use std::cell::RefCell;
-use std::collections::VecDeque;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashSet, VecDeque};
 use std::net::SocketAddr;
 use tokio::sync::watch;
 
@@ -20,6 +20,51 @@
     reading: RefCell<Option<TenantReading>>,
 }
 
+/// A primary that takes each job that is handed over, and tells offers of jobs that it has from others.
+#[derive(Default)]
+struct TakingPrimary {
+    accepted: RefCell<HashSet<JobId>>,
+    offers: Cell<usize>,
+    hand_overs: Cell<usize>,
+    /// An offer is never answered.
+    ignores_offers: Cell<bool>,
+    reading: Cell<Option<TenantReading>>,
+}
+
+impl TakingPrimary {
+    fn serve(&self, call: &StoreCall) -> StoreReply {
+        match call {
+            StoreCall::Submit { job, .. } => {
+                self.hand_overs.set(self.hand_overs.get() + 1);
+                self.accepted.borrow_mut().insert(job.id.clone());
+                StoreReply::Committed
+            }
+            StoreCall::Offer { job, .. } => {
+                self.offers.set(self.offers.get() + 1);
+                match self.accepted.borrow().contains(job) {
+                    true => StoreReply::Committed,
+                    false => StoreReply::Welcome,
+                }
+            }
+            _ => StoreReply::NotSure,
+        }
+    }
+}
+
+impl StoreLink for TakingPrimary {
+    fn call(&self, _: SocketAddr, call: &StoreCall, timeout: Duration) -> StoreAnswerFuture {
+        let answer = StoreAnswer { reply: self.serve(call), reading: self.reading.get() };
+        let is_ignored = self.ignores_offers.get() && matches!(call, StoreCall::Offer { .. });
+        Box::pin(async move {
+            if is_ignored {
+                tokio::time::sleep(timeout).await;
+                return Err(StoreCallError::Unknown);
+            }
+            Ok(answer)
+        })
+    }
+}
+
 impl StoreLink for Script {
     fn call(&self, to: SocketAddr, call: &StoreCall, _: Duration) -> StoreAnswerFuture {
         self.calls.borrow_mut().push((to, call.clone()));
@@ -287,40 +332,84 @@
     assert_eq!(status_of(vec![Ok(StoreReply::NotFound)], call("GET", "/alderhollow/items/j")).await.0, 400);
 }
 
-#[tokio::test(start_paused = true)]
-async fn the_coin_refuses_only_what_a_fresh_reading_shows_not_to_fit() {
-    let script = Rc::new(Script {
-        replies: RefCell::new([Ok(StoreReply::Committed)].into()),
-        calls: RefCell::default(),
-        reading: RefCell::default(),
-    });
-    let (_sender, snapshots) = watch::channel(tables(1));
+/// Far beyond any quota, in a period that has just ended: the coin's chance falls to its floor.
+const FAR_BEYOND: TenantReading =
+    TenantReading { period: 1, age_ms: 0, length_ms: 500, waiting: 1_000_000, beyond: 9_000_000 };
+
+/// A door at a primary whose readings show a full quota, and the sender of its tables.
+async fn door_at_a_full_quota() -> (Rc<TakingPrimary>, StoreEndpoints, watch::Sender<Arc<Snapshot>>) {
+    let primary = Rc::new(TakingPrimary::default());
+    let (sender, snapshots) = watch::channel(tables(1));
     let clock = SteadyClock::start();
     tokio::time::advance(Duration::from_secs(5)).await;
-    let endpoints = StoreEndpoints::new(script.clone(), snapshots, clock, 7);
-    let with_quota = |quota| {
-        let mut call = hand_in(JOB);
-        call.route = Some(Arc::new(Route { max_queued_tokens: quota, ..Route::clone(&route()) }));
-        call
-    };
-    // Far beyond the quota, in a period that has just ended: the chance falls to its floor.
-    let full = TenantReading { period: 1, age_ms: 0, length_ms: 500, waiting: 1_000_000, beyond: 9_000_000 };
-    *script.reading.borrow_mut() = Some(full);
-    assert_eq!(endpoints.serve(with_quota(1_000)).await.status(), 202);
+    let endpoints = StoreEndpoints::new(primary.clone(), snapshots, clock, 7);
+    primary.reading.set(Some(FAR_BEYOND));
+    (primary, endpoints, sender)
+}
+
+/// Hands a job in under a quota.
+async fn hand_in_with_quota(endpoints: &StoreEndpoints, id: &str, quota: u64) -> Response<Bytes> {
+    let mut call = hand_in(JOB);
+    call.request.headers_mut().insert("request-id", id.parse().expect("an id"));
+    call.route = Some(Arc::new(Route { max_queued_tokens: quota, ..Route::clone(&route()) }));
+    endpoints.serve(call).await
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_coin_refuses_only_what_a_fresh_reading_shows_not_to_fit() {
+    let (primary, endpoints, _sender) = door_at_a_full_quota().await;
+    assert_eq!(hand_in_with_quota(&endpoints, "first", 1_000).await.status(), 202);
     let mut refused = 0;
-    for _ in 0..100 {
-        let response = endpoints.serve(with_quota(1_000)).await;
+    for number in 0..100 {
+        let response = hand_in_with_quota(&endpoints, &format!("full-{number}"), 1_000).await;
         refused += usize::from(response.status() == 429 && response.headers().contains_key("retry-after"));
     }
     assert!(refused > 50, "{refused} of 100");
-    assert_eq!(script.calls.borrow().len(), 101 - refused);
+    assert_eq!(primary.hand_overs.get(), 101 - refused, "no body goes out for a refused job");
+    assert_eq!(primary.offers.get(), refused, "one question for each");
     // What fits is passed on, and so is all once the reading is old.
-    for _ in 0..100 {
-        assert_eq!(endpoints.serve(with_quota(10_000_000)).await.status(), 202);
+    for number in 0..100 {
+        let response = hand_in_with_quota(&endpoints, &format!("fits-{number}"), 10_000_000).await;
+        assert_eq!(response.status(), 202);
     }
-    *script.reading.borrow_mut() = None;
+    primary.reading.set(None);
     tokio::time::advance(Duration::from_secs(5)).await;
+    for number in 0..100 {
+        let response = hand_in_with_quota(&endpoints, &format!("old-{number}"), 1_000).await;
+        assert_eq!(response.status(), 202);
+    }
+    assert_eq!(primary.hand_overs.get(), 301 - refused);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_that_is_accepted_already_gets_202_whatever_the_coin_says() {
+    let (primary, endpoints, _sender) = door_at_a_full_quota().await;
     for _ in 0..100 {
-        assert_eq!(endpoints.serve(with_quota(1_000)).await.status(), 202);
+        assert_eq!(hand_in_with_quota(&endpoints, "known", 1_000).await.status(), 202);
+    }
+    assert!(primary.offers.get() > 50, "the coin refused {} of 100", primary.offers.get());
+    assert_eq!(primary.hand_overs.get() + primary.offers.get(), 100);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_coins_word_stands_soon_where_the_primary_is_silent() {
+    let (primary, endpoints, sender) = door_at_a_full_quota().await;
+    assert_eq!(hand_in_with_quota(&endpoints, "known", 1_000).await.status(), 202);
+    primary.ignores_offers.set(true);
+    let mut refused = 0;
+    for number in 0..20 {
+        let before = Instant::now();
+        let status = hand_in_with_quota(&endpoints, &format!("unheard-{number}"), 1_000).await.status();
+        refused += usize::from(status == 429);
+        assert!(before.elapsed() <= KNOWN_JOB_TIMEOUT, "{:?}", before.elapsed());
+    }
+    assert!(refused > 0);
+    // Nobody can be asked: the coin's word stands at once.
+    sender.send_replace(Arc::default());
+    let offers = primary.offers.get();
+    for number in 0..20 {
+        let status = hand_in_with_quota(&endpoints, &format!("alone-{number}"), 1_000).await.status();
+        assert!(status == 429 || status == 503, "{status}");
     }
+    assert_eq!(primary.offers.get(), offers);
 }
--- a/alderhollow/src/batch_api/store_calls.rs
+++ b/alderhollow/src/batch_api/store_calls.rs
@@ -129,6 +129,39 @@
     }
 }
 
+/// Asks the primary of the job's group once whether it has accepted a job, within a time. Gives the reading that came
+/// along.
+///
+/// The question is an offer without tokens: it hands nothing over, needs no room and is not counted as demand.
+pub async fn is_accepted(
+    link: &dyn StoreLink,
+    snapshots: &SnapshotReceiver,
+    question: &KnownJobQuestion<'_>,
+    timeout: Duration,
+) -> (bool, Option<TenantReading>) {
+    let Some(to) = primary_address(snapshots, question.job) else { return (false, None) };
+    let offer = StoreCall::Offer {
+        try_id: question.try_id,
+        job: question.job.clone(),
+        route: question.route.to_owned(),
+        tokens: 0,
+    };
+    match link.call(to, &offer, timeout).await {
+        Ok(answer) => (answer.reply == StoreReply::Committed, answer.reading),
+        Err(_) => (false, None),
+    }
+}
+
+/// Names the job of [`is_accepted`].
+pub struct KnownJobQuestion<'a> {
+    /// A name of its own: no job is handed over under it.
+    pub try_id: u64,
+    /// The job.
+    pub job: &'a JobId,
+    /// Name of its route.
+    pub route: &'a str,
+}
+
 /// What came of the tries so far.
 #[derive(Default)]
 struct Asked {
--- a/alderhollow/src/batch_protocol.rs
+++ b/alderhollow/src/batch_protocol.rs
@@ -32,7 +32,7 @@
         /// Name of its route.
         #[n(2)]
         route: String,
-        /// Tokens of all its items.
+        /// Tokens of all its items; 0 asks only whether the batch job is known.
         #[n(3)]
         tokens: u64,
     },
--- a/alderhollow/src/metrics/batch_api.rs
+++ b/alderhollow/src/metrics/batch_api.rs
@@ -13,7 +13,7 @@
 };
 const REFUSED_BY_COIN: Description = Description {
     name: "alderhollow_batch_jobs_refused_by_coin_total",
-    help: "Batch jobs refused at the door, by the drawing for the tenant's quota, without asking a store",
+    help: "Batch jobs refused at the door, by the drawing for the tenant's quota: no store had accepted them",
 };
 const ANSWERS: Description = Description {
     name: "alderhollow_batch_job_answers_total",
--- a/alderhollow/src/store/calls.rs
+++ b/alderhollow/src/store/calls.rs
@@ -55,7 +55,7 @@
         StoreCall::Submit { try_id, job } => return submit(node, &group, TryId(try_id), job).await,
         StoreCall::Offer { try_id, job, route, tokens } => {
             let offer = JobOffer { id: &job, route: &route, tokens };
-            return answer_offer(node, &group, TryId(try_id), &offer);
+            return answer_offer(node, &group, TryId(try_id), &offer).await;
         }
         StoreCall::Read { job, after, wait_ms } => read(node, &group, &job, after, wait_ms).await,
         StoreCall::Body { job, item } => body(node, &group, &job, &item),
@@ -92,13 +92,16 @@
     StoreAnswer { reply, reading }
 }
 
-/// Tells whether a batch job would be taken. One that goes beyond the group's limit is welcome: it waits for room once it
-/// is here, as the route's coordinator may give more.
-fn answer_offer(node: &StoreNode, group: &GroupEngine, try_id: TryId, offer: &JobOffer) -> StoreAnswer {
-    let offered = node.with_group(group, |engine, now_ms| engine.offer(now_ms, try_id, offer));
-    let reply = match offered {
-        Offered::Welcome | Offered::BeyondLimit => StoreReply::Welcome,
-        Offered::NotSure => StoreReply::NotSure,
+/// Tells whether a batch job would be taken.
+async fn answer_offer(
+    node: &Rc<StoreNode>,
+    group: &Rc<GroupEngine>,
+    try_id: TryId,
+    offer: &JobOffer<'_>,
+) -> StoreAnswer {
+    let reply = match node.offer_with_room(group, try_id, offer).await {
+        Offered::Welcome => StoreReply::Welcome,
+        Offered::NotSure | Offered::BeyondLimit => StoreReply::NotSure,
         Offered::AlreadyAccepted => StoreReply::Committed,
         Offered::NotPrimary => StoreReply::NotPrimary,
         Offered::OverQuota => {
--- a/alderhollow/src/store/group_quota.rs
+++ b/alderhollow/src/store/group_quota.rs
@@ -7,9 +7,9 @@
 
 use super::waiting::Waiting;
 use crate::invariant::{self, Invariant};
-use alderhollow_batch::api::{Outcome, ReadAnswer, RouteTerms, Submitted, TryId};
+use alderhollow_batch::api::{JobOffer, Offered, Outcome, ReadAnswer, RouteTerms, Submitted, TryId};
 use alderhollow_batch::engine::Engine;
-use alderhollow_batch::job::NewJob;
+use alderhollow_batch::job::{JobId, NewJob};
 use alderhollow_batch::quota::{
     home_group, Account, Coordinator, CoordinatorId, QuotaGrant, QuotaOutcome, QuotaReading, QuotaReport,
     ReportId, Settled, SubmissionId,
@@ -22,6 +22,8 @@
 
 /// Jobs that may wait for room at one group, in bytes; further ones are not taken. Each waits for a fraction of a second.
 const WAITING_BYTES: usize = 8 << 20;
+/// An offer that waits counts so much of that: it has no body, but a place in the line.
+const OFFER_BYTES: usize = 1 << 10;
 
 /// Who waits for the end of an operation.
 pub type End = Option<oneshot::Receiver<Outcome>>;
@@ -59,7 +61,16 @@
 
 /// A submission that waits for room.
 #[derive(Debug)]
-struct WaitingSubmission {
+enum WaitingSubmission {
+    /// A batch job that is here.
+    Job(WaitingJob),
+    /// A batch job that is still at the door.
+    Offer(WaitingOffer),
+}
+
+/// A batch job that waits for room.
+#[derive(Debug)]
+struct WaitingJob {
     try_id: TryId,
     job: NewJob,
     /// Size of the job, roughly.
@@ -67,6 +78,16 @@
     answer: oneshot::Sender<Answered>,
 }
 
+/// An offer that waits for room.
+#[derive(Debug)]
+struct WaitingOffer {
+    try_id: TryId,
+    job: JobId,
+    route: String,
+    tokens: u64,
+    answer: oneshot::Sender<Offered>,
+}
+
 /// The account of one route.
 #[derive(Debug)]
 struct RouteAccount {
@@ -84,11 +105,11 @@
 
 /// A submission that was put in line.
 #[derive(Debug)]
-pub struct Queued {
+pub struct Queued<T> {
     /// Its name.
     pub id: SubmissionId,
     /// What the engine will say.
-    pub answer: oneshot::Receiver<Answered>,
+    pub answer: oneshot::Receiver<T>,
 }
 
 /// The accounts and the coordinator of one group.
@@ -105,7 +126,7 @@
 impl RouteAccount {
     /// Size of the jobs that wait, roughly.
     fn waiting_bytes(&self) -> usize {
-        self.submissions.values().map(|submission| submission.bytes).sum()
+        self.submissions.values().map(WaitingSubmission::bytes).sum()
     }
 }
 
@@ -190,20 +211,53 @@
     }
 
     /// Puts a batch job in line for room; `None` if its route has no account any more, or if too much waits.
-    pub(super) fn queue(&self, now_ms: u64, try_id: TryId, job: NewJob) -> Option<Queued> {
+    pub(super) fn queue(&self, now_ms: u64, try_id: TryId, job: NewJob) -> Option<Queued<Answered>> {
+        let (sender, answer) = oneshot::channel();
+        let (route, tokens, bytes) = (job.route.clone(), job.tokens(), job.approximate_bytes());
+        let waiting = WaitingSubmission::Job(WaitingJob { try_id, job, bytes, answer: sender });
+        let id = self.stand_in_line(now_ms, &route, tokens, waiting)?;
+        Some(Queued { id, answer })
+    }
+
+    /// Puts an offer in line for room, as [`GroupQuota::queue`] does with a job. Where it fits in the end nothing is kept
+    /// for it: the job that comes then fits, or waits again.
+    pub(super) fn queue_offer(
+        &self,
+        now_ms: u64,
+        try_id: TryId,
+        offer: &JobOffer,
+    ) -> Option<Queued<Offered>> {
+        let (sender, answer) = oneshot::channel();
+        let waiting = WaitingSubmission::Offer(WaitingOffer {
+            try_id,
+            job: offer.id.clone(),
+            route: offer.route.to_owned(),
+            tokens: offer.tokens,
+            answer: sender,
+        });
+        let id = self.stand_in_line(now_ms, offer.route, offer.tokens, waiting)?;
+        Some(Queued { id, answer })
+    }
+
+    /// Puts a submission in line; `None` if its route has no account, or if too much waits.
+    fn stand_in_line(
+        &self,
+        now_ms: u64,
+        route: &str,
+        tokens: u64,
+        waiting: WaitingSubmission,
+    ) -> Option<SubmissionId> {
         let mut accounts = self.accounts.borrow_mut();
         let waiting_bytes: usize = accounts.values().map(RouteAccount::waiting_bytes).sum();
         if waiting_bytes >= WAITING_BYTES {
             return None;
         }
-        let account = accounts.get_mut(&job.route)?;
+        let account = accounts.get_mut(route)?;
         let id = SubmissionId(self.newest_submission.get() + 1);
         self.newest_submission.set(id.0);
-        account.account.want(now_ms, id, job.tokens());
-        let (sender, answer) = oneshot::channel();
-        let bytes = job.approximate_bytes();
-        account.submissions.insert(id, WaitingSubmission { try_id, job, bytes, answer: sender });
-        Some(Queued { id, answer })
+        account.account.want(now_ms, id, tokens);
+        account.submissions.insert(id, waiting);
+        Some(id)
     }
 
     /// The engine took a batch job of a route without a wait.
@@ -363,30 +417,63 @@
     ) {
         engine.set_quota_limit(route, self.account.limit());
         for Settled { submission, outcome } in settled {
-            let Some(WaitingSubmission { try_id, job, answer, .. }) = self.submissions.remove(&submission)
-            else {
-                continue;
-            };
+            let Some(submission) = self.submissions.remove(&submission) else { continue };
             let used_before = engine.waiting_tokens(route);
-            let answered = match outcome {
-                QuotaOutcome::Fits => submit_now(engine, now_ms, waiting, try_id, job),
-                QuotaOutcome::OverQuota => Answered::without_end(engine.refuse(now_ms, try_id, &job)),
-                QuotaOutcome::Unsure => Answered::without_end(Submitted::NotSure),
-            };
+            match submission {
+                WaitingSubmission::Job(job) => job.settle(now_ms, engine, waiting, outcome),
+                WaitingSubmission::Offer(offer) => offer.settle(now_ms, engine, outcome),
+            }
             if engine.waiting_tokens(route) > used_before {
                 self.note_accepted(engine, route);
             }
-            // A client that has gone wants no answer.
-            let _ = answer.send(answered);
         }
     }
 }
 
+// Whoever waits for an answer below may have gone; then nobody wants it.
 impl WaitingSubmission {
+    /// What it counts of [`WAITING_BYTES`].
+    fn bytes(&self) -> usize {
+        match self {
+            WaitingSubmission::Job(job) => job.bytes,
+            WaitingSubmission::Offer(_) => OFFER_BYTES,
+        }
+    }
+
     /// The submission can't be decided here any more.
     fn refuse_service(self) {
-        // A client that has gone wants no answer.
-        let _ = self.answer.send(Answered::without_end(Submitted::NotSure));
+        match self {
+            WaitingSubmission::Job(job) => {
+                let _ = job.answer.send(Answered::without_end(Submitted::NotSure));
+            }
+            WaitingSubmission::Offer(offer) => {
+                let _ = offer.answer.send(Offered::NotSure);
+            }
+        }
+    }
+}
+
+impl WaitingJob {
+    fn settle(self, now_ms: u64, engine: &mut Engine, waiting: &Waiting, outcome: QuotaOutcome) {
+        let WaitingJob { try_id, job, answer, .. } = self;
+        let answered = match outcome {
+            QuotaOutcome::Fits => submit_now(engine, now_ms, waiting, try_id, job),
+            QuotaOutcome::OverQuota => Answered::without_end(engine.refuse(now_ms, try_id, &job)),
+            QuotaOutcome::Unsure => Answered::without_end(Submitted::NotSure),
+        };
+        let _ = answer.send(answered);
+    }
+}
+
+impl WaitingOffer {
+    fn settle(self, now_ms: u64, engine: &mut Engine, outcome: QuotaOutcome) {
+        let offer = JobOffer { id: &self.job, route: &self.route, tokens: self.tokens };
+        let offered = match outcome {
+            QuotaOutcome::Fits => engine.offer(now_ms, self.try_id, &offer),
+            QuotaOutcome::OverQuota => engine.refuse_offer(now_ms, self.try_id, &offer),
+            QuotaOutcome::Unsure => Offered::NotSure,
+        };
+        let _ = self.answer.send(offered);
     }
 }
 
--- a/alderhollow/src/store/group_quota/tests.rs
+++ b/alderhollow/src/store/group_quota/tests.rs
@@ -3,6 +3,8 @@
 use super::*;
 use alderhollow_batch::api::Output;
 use alderhollow_batch::job::{Item, ItemRequest, JobId};
+use alderhollow_batch::quota::account::{REFUSAL_PAUSE_MS, SUBMISSION_PATIENCE_MS};
+use alderhollow_batch::quota::Decision;
 use alderhollow_model::identity::{Address, DiskId, LifeId, NodeInfo, Role};
 use alderhollow_model::snapshot::{BatchGroup, GroupMember};
 use std::sync::Arc;
@@ -107,3 +109,103 @@
     quota.withdraw(ROUTE, queued[0].id);
     assert!(quota.queue(0, TryId(9_999), job(9_999, BODY_BYTES)).is_some(), "one has left");
 }
+
+#[test]
+fn offers_that_wait_count_little() {
+    const BODY_BYTES: usize = 1_000_000;
+    let mut engine = active_engine(&control());
+    let quota = GroupQuota::default();
+    set_max(&quota, &mut engine, 0, MAX);
+    let mut jobs = Vec::new();
+    for id in 0..8 {
+        jobs.extend(quota.queue(0, TryId(id as u64), job(id, BODY_BYTES)));
+    }
+    assert_eq!(jobs.len(), 8, "some room is left");
+    let mut offers = Vec::new();
+    for id in 0..10_000 {
+        let job = JobId(format!("offered-{id}"));
+        let offer = JobOffer { id: &job, route: ROUTE, tokens: 10 };
+        offers.extend(quota.queue_offer(0, TryId(100 + id), &offer));
+    }
+    assert!(offers.len() >= 100, "{} offers wait beside the jobs", offers.len());
+    assert!(offers.len() < 10_000, "they are bounded too");
+    quota.withdraw(ROUTE, jobs[0].id);
+    let job = JobId("last".to_owned());
+    let offer = JobOffer { id: &job, route: ROUTE, tokens: 10 };
+    assert!(quota.queue_offer(0, TryId(1), &offer).is_some(), "one has left");
+}
+
+/// A group whose account has asked for room for one offer.
+struct OfferInLine {
+    engine: Engine,
+    quota: GroupQuota,
+    report: QuotaReport,
+    answer: oneshot::Receiver<Offered>,
+}
+
+const OFFER_TRY: TryId = TryId(5);
+
+fn on_offer(tokens: u64, check: impl FnOnce(&JobOffer)) {
+    check(&JobOffer { id: &JobId("job-1".to_owned()), route: ROUTE, tokens });
+}
+
+impl OfferInLine {
+    fn new(tokens: u64) -> OfferInLine {
+        let mut engine = active_engine(&control());
+        engine.set_validated_until(1_000_000);
+        engine.set_disk_ready(true);
+        let quota = GroupQuota::default();
+        set_max(&quota, &mut engine, 0, MAX);
+        let mut queued = None;
+        on_offer(tokens, |offer| {
+            assert_eq!(engine.offer(0, OFFER_TRY, offer), Offered::BeyondLimit);
+            queued = quota.queue_offer(0, OFFER_TRY, offer);
+        });
+        let report = quota.drive(0, &mut engine, &Waiting::default()).pop().expect("a report");
+        assert_eq!(report.wanted, [tokens]);
+        let answer = queued.expect("a place in line").answer;
+        OfferInLine { engine, quota, report, answer }
+    }
+
+    /// The coordinator answers the report.
+    fn grant(&mut self, now_ms: u64, limit: u64, room: u64) {
+        let decision = Decision::Counted { limit, room, is_contended: false };
+        let (coordinator, report) = (self.report.coordinator, self.report.id);
+        let grant = QuotaGrant { coordinator, report, decision, reading: None };
+        self.quota.take_answer(now_ms, &mut self.engine, &Waiting::default(), ROUTE, &grant);
+    }
+}
+
+#[test]
+fn an_offer_that_fits_the_grant_is_welcome_and_takes_no_room() {
+    let mut line = OfferInLine::new(10);
+    line.grant(10, 10, 10);
+    assert_eq!(line.answer.try_recv(), Ok(Offered::Welcome));
+    assert_eq!(line.engine.waiting_tokens(ROUTE), 0);
+    let answered = submit_now(&mut line.engine, 10, &Waiting::default(), OFFER_TRY, job(1, 10));
+    assert!(matches!(answered.submitted, Submitted::Pending(_)), "{answered:?}");
+}
+
+#[test]
+fn an_offer_over_the_routes_limit_is_refused_and_its_try_with_it() {
+    let mut line = OfferInLine::new(10);
+    line.grant(REFUSAL_PAUSE_MS, 0, 0);
+    assert_eq!(line.answer.try_recv(), Ok(Offered::OverQuota));
+    on_offer(10, |offer| {
+        assert_eq!(line.engine.offer(REFUSAL_PAUSE_MS, OFFER_TRY, offer), Offered::OverQuota);
+    });
+    let late = submit_now(&mut line.engine, REFUSAL_PAUSE_MS, &Waiting::default(), OFFER_TRY, job(1, 10));
+    assert_eq!(late.submitted, Submitted::OverQuota, "a late copy of a refused try");
+}
+
+#[test]
+fn an_offer_without_an_answer_in_time_or_of_an_ended_session_is_unsure() {
+    let mut line = OfferInLine::new(10);
+    line.quota.drive(SUBMISSION_PATIENCE_MS, &mut line.engine, &Waiting::default());
+    assert_eq!(line.answer.try_recv(), Ok(Offered::NotSure));
+    assert!(!line.quota.has_waiting());
+
+    let mut line = OfferInLine::new(10);
+    line.quota.end_session();
+    assert_eq!(line.answer.try_recv(), Ok(Offered::NotSure));
+}
--- a/alderhollow/src/store/quota_exchange.rs
+++ b/alderhollow/src/store/quota_exchange.rs
@@ -5,7 +5,7 @@
 use super::node::StoreNode;
 use crate::batch_protocol::{StoreAnswer, StoreCall, StoreReply};
 use crate::internal::ServiceId;
-use alderhollow_batch::api::{Submitted, TryId};
+use alderhollow_batch::api::{JobOffer, Offered, Submitted, TryId};
 use alderhollow_batch::job::NewJob;
 use alderhollow_batch::quota::account::ANSWER_PATIENCE_MS;
 use alderhollow_batch::quota::{QuotaGrant, QuotaReport, SubmissionId};
@@ -59,6 +59,39 @@
         queued.answer.await.unwrap_or(unsure)
     }
 
+    /// Tells whether a batch job would be taken. One beyond what the group may count waits for its route's account, without
+    /// its body.
+    pub(super) async fn offer_with_room(
+        self: &Rc<Self>,
+        group: &Rc<GroupEngine>,
+        try_id: TryId,
+        offer: &JobOffer<'_>,
+    ) -> Offered {
+        if self.shares_quota() {
+            self.drive_quota(group);
+        }
+        let offered = self.with_group(group, |engine, now_ms| engine.offer(now_ms, try_id, offer));
+        match offered {
+            Offered::BeyondLimit => self.await_room_for_offer(group, try_id, offer).await,
+            _ => offered,
+        }
+    }
+
+    /// What an offer's wait for room comes to.
+    async fn await_room_for_offer(
+        self: &Rc<Self>,
+        group: &Rc<GroupEngine>,
+        try_id: TryId,
+        offer: &JobOffer<'_>,
+    ) -> Offered {
+        let Some(queued) = group.quota.queue_offer(self.clock.now_ms(), try_id, offer) else {
+            return Offered::NotSure;
+        };
+        let _in_line = InLine { group, route: offer.route.to_owned(), id: queued.id };
+        self.drive_quota(group);
+        queued.answer.await.unwrap_or(Offered::NotSure)
+    }
+
     /// Opens a group's accounts, settles what waits at them and sends the reports that are due.
     pub(super) fn drive_quota(self: &Rc<Self>, group: &Rc<GroupEngine>) {
         self.validate(group);
--- a/alderhollow/tests/store.rs
+++ b/alderhollow/tests/store.rs
@@ -8,8 +8,9 @@
 
 use alderhollow::balance::Balancer;
 use alderhollow::batch_api::endpoints::StoreEndpoints;
+use alderhollow::batch_api::store_calls::{StoreAnswerFuture, StoreLink};
 use alderhollow::batch_api::{BatchCall, BatchEndpoints};
-use alderhollow::batch_protocol::ReplicationNotice;
+use alderhollow::batch_protocol::{ReplicationNotice, StoreCall, StoreReply};
 use alderhollow::clock::SteadyClock;
 use alderhollow::distribution::client::PollState;
 use alderhollow::exchange::Exchange;
@@ -35,9 +36,10 @@
 use hyper::body::Bytes;
 use hyper::{Request, Response};
 use serde_json::{json, Value};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -231,15 +233,23 @@
 
     /// Hands a job in whose items' ids begin with a text.
     async fn hand_in_items(&self, id: &str, prefix: &str, items: usize, deadline_ms: u64) -> Response<Bytes> {
-        let item = |index: usize| {
-            json!({"id": format!("{prefix}{index}"), "path": "/b/1", "headers": {"Model": "m"},
-                "body": BASE64_STANDARD.encode(format!("body {index}")), "tokens": 100})
-        };
+        let item = |index: usize| job_item(&format!("{prefix}{index}"), format!("body {index}").as_bytes());
         let items: Vec<Value> = (0..items).map(item).collect();
+        self.hand_in_through(&self.endpoints, id, &items, deadline_ms).await
+    }
+
+    /// Hands a job in at a door.
+    async fn hand_in_through(
+        &self,
+        door: &StoreEndpoints,
+        id: &str,
+        items: &[Value],
+        deadline_ms: u64,
+    ) -> Response<Bytes> {
         let request = Request::post("/b/1").header("Request-Id", id).header("Deadline-Ms", deadline_ms);
         let request = request.body(Bytes::from(json!({ "requests": items }).to_string())).expect("a request");
         let route = Some(Arc::new(config(1, self.quota).routes.remove(0)));
-        self.endpoints.serve(BatchCall { request, route, received_at: Instant::now() }).await
+        door.serve(BatchCall { request, route, received_at: Instant::now() }).await
     }
 
     async fn submit(&self, items: usize) -> u16 {
@@ -274,6 +284,12 @@
     }
 }
 
+/// An item as a client hands it in.
+fn job_item(id: &str, body: &[u8]) -> Value {
+    let body = BASE64_STANDARD.encode(body);
+    json!({"id": id, "path": "/b/1", "headers": {"Model": "m"}, "body": body, "tokens": ITEM_TOKENS})
+}
+
 fn in_local_set(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     tokio::task::LocalSet::new().block_on(&runtime, test);
@@ -682,7 +698,6 @@
 
 #[test]
 fn a_job_is_refused_at_a_store_that_does_not_lead_its_group() {
-    use alderhollow::batch_protocol::{StoreCall, StoreReply};
     in_local_set(async {
         let tier = Tier::start_with(vec![], 0, &THREE_GROUPS).await;
         use_all_groups(&tier, 3).await;
@@ -819,3 +834,74 @@
         assert!(status == 503 || status == 504, "{status}");
     });
 }
+
+/// A network that counts what goes over it.
+struct CountedNetwork {
+    network: Network,
+    offers: Cell<usize>,
+    hand_overs: Cell<usize>,
+}
+
+impl StoreLink for CountedNetwork {
+    fn call(&self, to: SocketAddr, call: &StoreCall, timeout: Duration) -> StoreAnswerFuture {
+        match call {
+            StoreCall::Offer { .. } => self.offers.set(self.offers.get() + 1),
+            StoreCall::Submit { .. } => self.hand_overs.set(self.hand_overs.get() + 1),
+            _ => {}
+        }
+        StoreLink::call(&self.network, to, call, timeout)
+    }
+}
+
+/// Bytes of a body that is offered before it is sent.
+const LARGE_BODY: usize = 64 * 1024;
+
+/// Hands a large job of one item in at a new door, until it is decided; the answer, and how often the body was sent.
+async fn hand_in_large(tier: &Tier, id: &str) -> (u16, usize) {
+    loop {
+        let network = Network::new(10);
+        let link = Rc::new(CountedNetwork { network, offers: Cell::new(0), hand_overs: Cell::new(0) });
+        let door = StoreEndpoints::new(link.clone(), tier.tables.subscribe(), SteadyClock::start(), 10);
+        let items = [job_item("i0", &vec![7; LARGE_BODY])];
+        let status = tier.hand_in_through(&door, id, &items, 4_000).await.status().as_u16();
+        if status == 202 || status == 429 {
+            assert!(link.offers.get() >= 1, "a large job is offered first");
+            return (status, link.hand_overs.get());
+        }
+        assert_eq!(status, 503);
+        assert_eq!(link.hand_overs.get(), 0, "an offer that can't be told keeps the body at the door");
+    }
+}
+
+#[test]
+fn an_offer_waits_for_the_routes_account_and_a_body_travels_only_where_it_fits() {
+    in_local_set(async {
+        let tier = Tier::start_with(silent(), 2 * ITEM_TOKENS, &THREE_GROUPS).await;
+        let [a, b, c] = [0, 1, 2].map(|group| jobs_of_group(group, 3, 2));
+        assert_eq!(hand_in_large(&tier, &a[0]).await, (202, 1));
+        assert_eq!(hand_in_large(&tier, &b[0]).await, (202, 1));
+        for id in [&c[0], &a[1], &b[1]] {
+            assert_eq!(hand_in_large(&tier, id).await, (429, 0), "{id}");
+        }
+        assert_eq!(hand_in_large(&tier, &a[0]).await, (202, 0), "a known job is told by its offer");
+        assert_eq!(tier.status("DELETE", &format!("/alderhollow/lots/{}", a[0])).await, 200);
+        assert_eq!(hand_in_large(&tier, &c[1]).await, (202, 1));
+        assert_eq!(hand_in_large(&tier, &a[1]).await, (429, 0));
+    });
+}
+
+#[test]
+fn a_question_for_a_known_job_is_answered_at_once_at_a_full_quota() {
+    in_local_set(async {
+        let tier = Tier::start_with(silent(), ITEM_TOKENS, &THREE_GROUPS).await;
+        let jobs = jobs_of_group(0, 3, 2);
+        assert_eq!(hand_in_until_decided(&tier, &jobs[0], 1).await, 202);
+        for (id, reply) in jobs.iter().zip([StoreReply::Committed, StoreReply::Welcome]) {
+            let job = JobId::from(id.as_str());
+            let call = StoreCall::Offer { try_id: 1, job, route: ROUTE.to_owned(), tokens: 0 };
+            let answer = alderhollow::store::calls::serve(&tier.stores[0].node, call);
+            let answer = tokio::time::timeout(Duration::from_millis(100), answer).await.expect("no wait");
+            assert_eq!(answer.reply, reply);
+        }
+    });
+}
--- a/batch/src/api.rs
+++ b/batch/src/api.rs
@@ -100,7 +100,7 @@
     pub id: &'a JobId,
     /// Name of its route.
     pub route: &'a str,
-    /// Tokens of all its items.
+    /// Tokens of all its items; 0 asks only whether the job is known, and needs no room.
     pub tokens: u64,
 }
 
--- a/batch/src/engine/calls.rs
+++ b/batch/src/engine/calls.rs
@@ -73,7 +73,8 @@
         self.is_sure(now_ms) && may_accept && self.routes.contains_key(route)
     }
 
-    /// A door asks whether a job would be taken, before it sends the job itself, which is large.
+    /// A door asks whether a job would be taken, before it sends the job itself, which is large. An offer without tokens
+    /// asks only whether the job is known: it is never refused for want of room, so that nothing is remembered of it.
     pub fn offer(&mut self, now_ms: u64, try_id: TryId, offer: &JobOffer) -> Offered {
         self.now_ms = now_ms;
         if let Some(answer) = self.answer_offer_before_quota(offer) {
@@ -83,7 +84,7 @@
             self.remember_refusal(try_id);
             return Offered::OverQuota;
         }
-        if self.would_fit(offer.route, offer.tokens) {
+        if offer.tokens == 0 || self.would_fit(offer.route, offer.tokens) {
             return Offered::Welcome;
         }
         if self.quota_limits.contains_key(offer.route) {
--- a/batch/tests/engine/acceptance.rs
+++ b/batch/tests/engine/acceptance.rs
@@ -195,6 +195,23 @@
     assert_eq!(cluster.engine(1).submit(now_ms, TryId(1), job("a", 1, 11)), Submitted::OverQuota);
 }
 
+#[test]
+fn an_offer_without_tokens_asks_only_whether_the_job_is_known() {
+    let mut cluster = Cluster::active(2);
+    let (known, other) = (JobId::from("a"), JobId::from("b"));
+    let offer = |id| JobOffer { id, route: ROUTE, tokens: 0 };
+    cluster.accept(1, job("a", 1, 11));
+    let now_ms = cluster.now_ms;
+    for limit in [0, 10, 11] {
+        cluster.engine(1).set_quota_limit(ROUTE, Some(limit));
+        assert_eq!(cluster.engine(1).offer(now_ms, TryId(90), &offer(&known)), Offered::AlreadyAccepted);
+        assert_eq!(cluster.engine(1).offer(now_ms, TryId(90), &offer(&other)), Offered::Welcome);
+    }
+    cluster.engine(1).set_quota_limit(ROUTE, Some(1_000));
+    let submitted = cluster.engine(1).submit(now_ms, TryId(90), job("b", 1, 1));
+    assert!(matches!(submitted, Submitted::Pending(_)), "no refusal was remembered: {submitted:?}");
+}
+
 #[test]
 fn jobs_out_of_bounds_are_invalid() {
     let mut cluster = Cluster::active(1);
