A release of waiting tokens is reported when it is due, not at the next look

The main loop slept up to 200 ms while a report of the shared limits was due, longer than a submission waits before it is refused.

--- a/alderhollow/src/store/group_engine.rs
+++ b/alderhollow/src/store/group_engine.rs
@@ -136,6 +136,12 @@
         self.is_touched.get() || self.next_look_ms.get() <= now_ms
     }
 
+    /// Whether a report of the shared limits became due sooner than the main loop would look at the group.
+    pub(super) fn is_quota_due_before_next_look(&self) -> bool {
+        let due_ms = self.quota.next_due_ms(&self.engine.borrow());
+        due_ms.is_some_and(|due_ms| due_ms < self.next_look_ms.get())
+    }
+
     /// When the main loop should look at the group, if nothing touches it before.
     pub(super) fn next_look_ms(&self) -> u64 {
         self.next_look_ms.get()
--- a/alderhollow/src/store/node.rs
+++ b/alderhollow/src/store/node.rs
@@ -121,8 +121,8 @@
         self.validate(group);
         let result = group.call(self.clock.now_ms(), call);
         self.carry_out(group);
-        if group.quota.has_waiting() {
-            // Tokens may have become free.
+        if group.quota.has_waiting() || group.is_quota_due_before_next_look() {
+            // Tokens may have become free: for what waits here, or for other groups, which are to learn of it soon.
             self.woken.notify_one();
         }
         result
