--- a/alderhollow/tests/control_plane.rs
+++ b/alderhollow/tests/control_plane.rs
@@ -2,9 +2,14 @@
 
 mod control_plane_support;
 
+use alderhollow::operator_api::calls::{Call, PendingCall, Reply};
+use alderhollow::operator_api::server::{serve, OperatorContext};
 use control_plane_support::{run, Net};
 use http::{Method, StatusCode};
 use serde_json::{json, Value};
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 const CONFIG: &str = "/alderhollow/config";
 
@@ -159,3 +164,90 @@
         }
     });
 }
+
+/// The document that an answer holds.
+fn document_in(body: &str) -> Value {
+    serde_json::from_str(body).expect("JSON")
+}
+
+/// Reads at each door without following its pointers: whoever answers, answers this document; gives how many did.
+async fn read_everywhere(net: &Net, newest: &Value) -> u32 {
+    let mut answered = 0;
+    for machine in 1..=4 {
+        let answer = net.call_once(machine, Method::GET, CONFIG).await.expect("an answer");
+        match answer.status {
+            StatusCode::OK => {
+                assert_eq!(document_in(&answer.body), *newest, "door {machine}");
+                answered += 1;
+            }
+            StatusCode::TEMPORARY_REDIRECT | StatusCode::SERVICE_UNAVAILABLE => {}
+            other => panic!("door {machine} answers a read with {other}"),
+        }
+    }
+    answered
+}
+
+#[test]
+fn whoever_answers_a_read_after_an_acknowledgement_answers_the_newest_whole() {
+    run(|net| async move {
+        start(&net).await;
+        let mut answered = 0;
+        for version in 1..=8 {
+            let door = 1 + u8::try_from(version % 4).expect("a door");
+            let mut newest = document_in(&config(version));
+            let taken = if version % 2 == 1 {
+                net.operate(door, Method::PUT, CONFIG, Some(version - 1), &config(version)).await
+            } else {
+                let limits = json!({"max-header-bytes": 16384, "max-body-bytes": 4096 + version,
+                    "header-timeout-ms": 3000, "idle-timeout-ms": 15000});
+                newest["limits"] = limits.clone();
+                let change = json!({"config-version": version, "limits": limits}).to_string();
+                net.operate(door, Method::PATCH, CONFIG, Some(version - 1), &change).await
+            };
+            assert_eq!(taken.status, StatusCode::OK, "{}", taken.body);
+            answered += read_everywhere(&net, &newest).await;
+            for machine in 1..=4 {
+                let read = net.operate(machine, Method::GET, CONFIG, None, "").await;
+                assert_eq!(document_in(&read.body), newest, "door {machine}");
+            }
+        }
+        assert!(answered > 0, "no door answered a read itself");
+    });
+}
+
+/// Serves a door's control address, where each read is decided as `reply` says.
+fn serve_decided(
+    net: &Net,
+    machine: u8,
+    reply: impl Fn() -> Reply + 'static,
+) -> dropshot::HttpServer<OperatorContext> {
+    let (calls, mut pending) = mpsc::channel::<PendingCall>(1);
+    tokio::task::spawn_local(async move {
+        while let Some(PendingCall { call, reply: decided }) = pending.recv().await {
+            assert_eq!(call, Call::ReadConfig);
+            decided.send(reply()).expect("the server waits for the end");
+        }
+    });
+    let address = net.control(machine).parse().expect("an address");
+    serve(address, OperatorContext { calls }).expect("the control address")
+}
+
+/// Between the check of the lease and the answer a process may stand still: the lease is looked at again at the answer.
+#[test]
+fn a_read_whose_lease_ran_out_before_the_answer_is_503() {
+    run(|net| async move {
+        let decided = |valid_until| {
+            move || Reply::Decided {
+                status: StatusCode::OK,
+                body: config(3).into_bytes(),
+                valid_until: Some(valid_until),
+            }
+        };
+        let _run_out = serve_decided(&net, 1, decided(Instant::now()));
+        let _running = serve_decided(&net, 2, decided(Instant::now() + Duration::from_secs(60)));
+        let late = net.call_once(1, Method::GET, CONFIG).await.expect("an answer");
+        assert_eq!((late.status, late.body.as_str()), (StatusCode::SERVICE_UNAVAILABLE, ""));
+        let in_time = net.call_once(2, Method::GET, CONFIG).await.expect("an answer");
+        assert_eq!((in_time.status, in_time.body), (StatusCode::OK, config(3)));
+    });
+}
--- a/alderhollow/tests/core_processes.rs
+++ b/alderhollow/tests/core_processes.rs
@@ -2,9 +2,11 @@
 
 mod process_support;
 
-use process_support::run;
+use process_support::{run, ReadAnswer, Tier};
+use std::time::Duration;
 
 const OK: u16 = 200;
+const SERVICE_UNAVAILABLE: u16 = 503;
 
 #[test]
 fn a_configuration_outlives_the_kill_of_all_doors() {
@@ -92,3 +94,70 @@
         assert_eq!(tier.config_version().await, Some(4));
     });
 }
+
+/// Reads that a door finds at its wake, so many of them.
+const READS: usize = 20;
+/// A lease without renewal has ended after this.
+const LEASE: Duration = Duration::from_millis(1_000);
+
+/// Reads that wait for a halted door, and more that come while it wakes: none is answered with an older version.
+async fn wakes_without_an_older_answer(tier: &Tier, door: u8, newest: u64) {
+    let mut reads: Vec<_> = (0..READS).map(|_| tier.begin_read(door)).collect();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    tier.resume(door);
+    for _ in 0..READS {
+        reads.push(tier.begin_read(door));
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    for read in reads {
+        match read.await.expect("a read") {
+            ReadAnswer::Version(version) => assert_eq!(version, newest),
+            ReadAnswer::NotSure(status) => assert!(matches!(status, 307 | SERVICE_UNAVAILABLE), "{status}"),
+            ReadAnswer::Silence => {}
+        }
+    }
+}
+
+#[test]
+fn a_primary_that_stood_still_answers_no_older_configuration_at_its_wake() {
+    run(|mut tier| async move {
+        tier.found().await;
+        for version in 1..=3 {
+            let former = tier.primary().await;
+            tier.pause(former);
+            assert_eq!(tier.put_config(version, version + 1).await, OK);
+            wakes_without_an_older_answer(&tier, former, version + 1).await;
+            assert_eq!(tier.config_version().await, Some(version + 1));
+        }
+    });
+}
+
+#[test]
+fn a_door_without_a_disk_that_stood_still_answers_no_older_configuration_at_its_wake() {
+    run(|mut tier| async move {
+        tier.found().await;
+        tier.start(4, false, false);
+        tier.until_ready(4).await;
+        tier.pause(4);
+        assert_eq!(tier.put_config(1, 2).await, OK);
+        wakes_without_an_older_answer(&tier, 4, 2).await;
+    });
+}
+
+#[test]
+fn a_primary_whose_lease_ran_out_answers_no_read_until_others_grant_it_again() {
+    run(|mut tier| async move {
+        tier.found().await;
+        let primary = tier.primary().await;
+        let others: Vec<u8> = (1..=3).filter(|door| *door != primary).collect();
+        others.iter().for_each(|door| tier.pause(*door));
+        tokio::time::sleep(LEASE).await;
+        for _ in 0..READS {
+            let answer = tier.begin_read(primary).await.expect("a read");
+            assert_eq!(answer, ReadAnswer::NotSure(SERVICE_UNAVAILABLE));
+        }
+        others.iter().for_each(|door| tier.resume(*door));
+        assert_eq!(tier.config_version().await, Some(1));
+        assert_eq!(tier.put_config(1, 2).await, OK);
+    });
+}
--- a/alderhollow/tests/process_support/mod.rs
+++ b/alderhollow/tests/process_support/mod.rs
@@ -15,7 +15,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
-use tokio::task::LocalSet;
+use tokio::task::{JoinHandle, LocalSet};
 
 const PORTS: Ports = Ports { front: 18_144, ready: 18_140, control: 18_146, internal: [17_660, 17_675] };
 const PLATFORM_HOST: u8 = 100;
@@ -28,6 +28,20 @@
 /// How a door logs its part in the core.
 const PARTS: [&str; 3] = ["core: primary", "core: follows", "core: not a member"];
 
+/// Longest time that a read waits for its answer.
+const READ_PATIENCE: Duration = Duration::from_secs(10);
+
+/// How one door answers a read of the configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadAnswer {
+    /// 200 with this version.
+    Version(u64),
+    /// Another status.
+    NotSure(u16),
+    /// None.
+    Silence,
+}
+
 /// Runs a test with its own tier, within bounded time.
 pub fn run<F: Future<Output = ()>>(test: impl FnOnce(Tier) -> F) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
@@ -127,6 +141,16 @@
         std::fs::remove_dir_all(self.door_folder(door)).expect("the disk goes");
     }
 
+    /// Halts a door until [`Tier::resume`].
+    pub fn pause(&self, door: u8) {
+        self.doors[&door].pause().expect("the signal is sent");
+    }
+
+    /// Lets a halted door go on.
+    pub fn resume(&self, door: u8) {
+        self.doors[&door].resume().expect("the signal is sent");
+    }
+
     /// Tells a door that its settings have changed.
     pub fn hang_up(&self, door: u8) {
         self.doors[&door].hang_up().expect("the signal is sent");
@@ -206,12 +230,30 @@
         serde_json::from_slice::<serde_json::Value>(&answer.body).ok()?["config-version"].as_u64()
     }
 
+    /// Begins to read the configuration at one door; the answer is waited for in the background, without following it.
+    pub fn begin_read(&self, door: u8) -> JoinHandle<ReadAnswer> {
+        let address = self.control(door);
+        tokio::task::spawn_local(async move { read_at(address).await.unwrap_or(ReadAnswer::Silence) })
+    }
+
     async fn operate(&self, order: &Order) -> OrderAnswer {
         let operator = Operator::new(self.doors.keys().map(|door| self.control(*door)).collect());
         operator.send(order).await.expect("a clear answer")
     }
 }
 
+async fn read_at(address: SocketAddr) -> Result<ReadAnswer, http::CallError> {
+    let order = Order::get_config();
+    let request = Request::builder().method(order.method).uri(order.path).header("host", address.to_string());
+    let answer = http::call(address, request.body(Full::new(Bytes::new()))?, READ_PATIENCE).await?;
+    if answer.status() != StatusCode::OK {
+        return Ok(ReadAnswer::NotSure(answer.status().as_u16()));
+    }
+    let body = http::read_whole(answer.into_body(), READ_PATIENCE).await?;
+    let document: serde_json::Value = serde_json::from_slice(&body).expect("JSON");
+    Ok(ReadAnswer::Version(document["config-version"].as_u64().expect("a version")))
+}
+
 fn ip([first, second]: [u8; 2], host: u8) -> Ipv4Addr {
     Ipv4Addr::new(127, first, second, host)
 }
--- a/coordination/tests/simulation/main.rs
+++ b/coordination/tests/simulation/main.rs
@@ -2,6 +2,7 @@
 //! `7..8`) other seeds are run, with `CORE_TRACE` everything that happens is printed.
 
 mod faults;
+mod halves;
 mod ledger;
 mod machine;
 mod oracle;
