--- a/batch/tests/simulation/main.rs
+++ b/batch/tests/simulation/main.rs
@@ -29,7 +29,8 @@
     assert!(totals.listed > SEEDS, "too few results were read to show anything: {totals:?}");
 }
 
-const CALM: Faults = Faults { kills: 0, freezes: 0, cuts: 0, wipes: 0, long_cuts: 0, flickers: 0, loss: 0.0 };
+const CALM: Faults =
+    Faults { kills: 0, freezes: 0, cuts: 0, wipes: 0, long_cuts: 0, flickers: 0, halves: 0, loss: 0.0 };
 
 #[test]
 fn keeps_the_rules_in_calm() {
@@ -65,3 +66,18 @@
 fn keeps_the_rules_under_lost_disks_while_stores_come_and_go() {
     play(60_000, Faults { kills: 1, wipes: 4, long_cuts: 1, flickers: 2, loss: 0.02, ..CALM });
 }
+
+#[test]
+fn keeps_the_rules_while_the_stores_are_cut_into_halves() {
+    play(70_000, Faults { halves: 2, loss: 0.02, ..CALM });
+}
+
+#[test]
+fn keeps_the_rules_while_losses_of_more_stores_than_one_overlap_with_halves() {
+    play(80_000, Faults { halves: 2, kills: 8, freezes: 3, flickers: 2, loss: 0.03, ..CALM });
+}
+
+#[test]
+fn keeps_the_rules_under_lost_disks_between_cuts_into_halves() {
+    play(90_000, Faults { halves: 2, kills: 1, wipes: 4, loss: 0.02, ..CALM });
+}
--- a/batch/tests/simulation/troubles.rs
+++ b/batch/tests/simulation/troubles.rs
@@ -10,7 +10,7 @@
     pub fn strike(&mut self, event: Event) {
         let slot = self.random.rand_range(0..STORES as u64) as usize;
         let span_ms = match event {
-            Event::CutOff => self.random.rand_range(LONG_CUT_MS),
+            Event::CutOff | Event::Halves => self.random.rand_range(LONG_CUT_MS),
             _ => self.random.rand_range(100..4_000),
         };
         let is_trouble = matches!(
@@ -22,6 +22,7 @@
                 | Event::CutCore
                 | Event::CutOff
                 | Event::Flicker { .. }
+                | Event::Halves
         );
         if is_trouble && self.now_ms < self.no_trouble_until_ms {
             return;
@@ -54,6 +55,8 @@
             Event::CutOff => self.cut_off(slot, span_ms),
             Event::JoinAll { slot } => self.join_all(slot),
             Event::Flicker { slot, times } => self.flicker(slot, times),
+            Event::Halves => self.cut_into_halves(span_ms),
+            Event::JoinHalves { half } => self.join_halves(half),
             Event::SlowDisk => self.slots[slot].sync_ms = 600,
             Event::Heal => self.heal(),
             _ => unreachable!("not a trouble"),
@@ -75,6 +78,29 @@
         self.slots[slot].cut_from_core = false;
     }
 
+    /// Two stores neither reach the two others nor are reached by them. Clients reach all of them; the core reaches all, or
+    /// but one half.
+    fn cut_into_halves(&mut self, span_ms: u64) {
+        let first = self.random.rand_range(0..STORES as u64) as usize;
+        let second = (first + 1 + self.random.rand_range(0..STORES as u64 - 1) as usize) % STORES;
+        let half = [first, second];
+        for one in half {
+            for other in (0..STORES).filter(|other| !half.contains(other)) {
+                self.cuts.insert((one, other));
+                self.cuts.insert((other, one));
+            }
+        }
+        if self.random.rand_float() < 0.5 {
+            half.into_iter().for_each(|slot| self.slots[slot].cut_from_core = true);
+        }
+        self.after(span_ms, Event::JoinHalves { half });
+    }
+
+    fn join_halves(&mut self, half: [usize; STORES / 2]) {
+        self.cuts.retain(|(from, to)| half.contains(from) == half.contains(to));
+        half.into_iter().for_each(|slot| self.slots[slot].cut_from_core = false);
+    }
+
     /// A store is killed soon after it came back, so many times.
     fn flicker(&mut self, slot: usize, times: u32) {
         let power = self.random.rand_float() < 0.5;
--- a/batch/tests/simulation/world.rs
+++ b/batch/tests/simulation/world.rs
@@ -42,6 +42,8 @@
     pub long_cuts: u32,
     /// A store is killed again and again, each time while it catches up.
     pub flickers: u32,
+    /// The stores are cut into two halves for seconds; the core lies in one of them, or reaches both.
+    pub halves: u32,
     pub loss: f64,
 }
 
@@ -136,6 +138,10 @@
         slot: usize,
         times: u32,
     },
+    Halves,
+    JoinHalves {
+        half: [usize; STORES / 2],
+    },
     SlowDisk,
     Heal,
 }
@@ -269,6 +275,9 @@
             let times = 2 + self.random.rand_range(0..5) as u32;
             self.trouble(Event::Flicker { slot, times });
         }
+        for _ in 0..faults.halves {
+            self.trouble(Event::Halves);
+        }
         self.at(TROUBLE_MS + 1_000, Event::Heal);
     }
 
