--- a/alderhollow/tests/group_policy.rs
+++ b/alderhollow/tests/group_policy.rs
@@ -461,3 +461,17 @@
 fn nothing_acknowledged_is_lost_with_many_stores_where_two_may_go() {
     simulate(0..80, 14, 2);
 }
+
+/// Seeds in which the network is also cut into halves.
+const SEEDS_WITH_HALVES: std::ops::Range<u64> = 0..40;
+
+#[test]
+fn nothing_acknowledged_is_lost_while_the_network_is_cut_into_halves() {
+    for (stores, tolerate) in [(3, 1), (4, 1), (5, 2), (8, 2)] {
+        for seed in SEEDS_WITH_HALVES {
+            if let Err(fault) = group_simulation::run_with_halves(seed, stores, tolerate) {
+                panic!("seed {seed}, {stores} stores, {tolerate} may be lost: {fault}");
+            }
+        }
+    }
+}
--- a/alderhollow/tests/group_simulation/mod.rs
+++ b/alderhollow/tests/group_simulation/mod.rs
@@ -1,6 +1,7 @@
 //! A seeded simulation of stores under the group policy. The stores' own replication is modelled in the plainest way; the
 //! oracle looks at which disks hold what was acknowledged.
 
+mod halves;
 mod rest;
 
 use super::control::{command_of, context, store, submit};
@@ -13,6 +14,7 @@
 use alderhollow::control_state::ControlState;
 use alderhollow_model::identity::DiskId;
 use alderhollow_model::snapshot::{BatchGroup, GroupId};
+use halves::Halves;
 use oorandom::Rand32;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -127,6 +129,9 @@
     random: Rand32,
     now: u64,
     tolerate: usize,
+    /// The network may be cut into two halves.
+    may_be_cut: bool,
+    halves: Option<Halves>,
     sync_one_in: u32,
     most_machines: usize,
     /// Disks that a group used and that were lost since it was last active.
@@ -149,7 +154,17 @@
 
 /// Plays one seed.
 pub fn run(seed: u64, stores: usize, tolerate: usize) -> Result<(), String> {
+    play(World::new(seed, stores, tolerate))
+}
+
+/// Plays one seed in which the network is cut into two halves now and then, whatever else is lost.
+pub fn run_with_halves(seed: u64, stores: usize, tolerate: usize) -> Result<(), String> {
     let mut world = World::new(seed, stores, tolerate);
+    world.may_be_cut = true;
+    play(world)
+}
+
+fn play(mut world: World) -> Result<(), String> {
     while world.now < FAULTS_MS {
         world.fault();
         world.step()?;
@@ -175,6 +190,8 @@
             random: Rand32::new(seed),
             now: 0,
             tolerate,
+            may_be_cut: false,
+            halves: None,
             most_machines: stores.max(10),
             sync_one_in: SYNC_ONE_IN[(seed % 2) as usize],
             disks_lost: BTreeMap::new(),
@@ -235,6 +252,9 @@
             self.core_since = self.now;
             self.heard.clear();
         }
+        if self.may_be_cut && self.chance(100) {
+            self.cut_into_halves();
+        }
         if self.chance(400) {
             self.kill_all();
         }
@@ -303,11 +323,11 @@
         }
     }
 
-    /// Where other stores come to equal the primary only long after the time for which a machine counts as lost, no policy
-    /// could bear one lost disk after the other.
+    /// Where other stores come to equal the primary only long after the time for which a machine counts as lost, be it that
+    /// a cut keeps them apart, no policy could bear one lost disk after the other.
     fn may_lose_disk(&self) -> bool {
         let all_may = self.disks_lost.values().all(|lost| *lost < self.tolerate);
-        self.sync_one_in == SYNC_ONE_IN[0] || all_may
+        all_may || (self.sync_one_in == SYNC_ONE_IN[0] && !self.may_be_cut)
     }
 
     fn note_lost_disk(&mut self, disk: DiskId) {
@@ -379,6 +399,9 @@
         let now = self.now;
         for at in 0..self.machines.len() {
             let asks = self.random.rand_range(0..3) > 0 || self.must_poll(at);
+            if self.is_cut_from_core(at) {
+                continue;
+            }
             let machine = &mut self.machines[at];
             let says_goodbye = now < machine.leaving_until;
             if !says_goodbye && (!machine.is_up(now) || !asks) {
@@ -498,7 +521,8 @@
     /// Which machine a primary reaches at a disk, if it does.
     fn reaches(&self, primary: usize, id: GroupId, disk: DiskId, epoch: u64) -> Option<usize> {
         let other = self.follows(id, disk, epoch)?;
-        (other == primary || self.machines[primary].replicates(self.now)).then_some(other)
+        let is_reached = self.machines[primary].replicates(self.now) && !self.are_apart(primary, other);
+        (other == primary || is_reached).then_some(other)
     }
 
     fn note_unreached(&mut self, primary: usize, id: GroupId, group: &BatchGroup, members: &[Option<usize>]) {
--- a/batch/tests/simulation/main.rs
+++ b/batch/tests/simulation/main.rs
@@ -29,8 +29,17 @@
     assert!(totals.listed > SEEDS, "too few results were read to show anything: {totals:?}");
 }
 
-const CALM: Faults =
-    Faults { kills: 0, freezes: 0, cuts: 0, wipes: 0, long_cuts: 0, flickers: 0, halves: 0, loss: 0.0 };
+const CALM: Faults = Faults {
+    kills: 0,
+    freezes: 0,
+    cuts: 0,
+    wipes: 0,
+    long_cuts: 0,
+    flickers: 0,
+    halves: 0,
+    wipe_in_halves: false,
+    loss: 0.0,
+};
 
 #[test]
 fn keeps_the_rules_in_calm() {
@@ -81,3 +90,8 @@
 fn keeps_the_rules_under_lost_disks_between_cuts_into_halves() {
     play(90_000, Faults { halves: 2, kills: 1, wipes: 4, loss: 0.02, ..CALM });
 }
+
+#[test]
+fn keeps_the_rules_where_a_disk_is_lost_while_the_stores_are_cut_into_halves() {
+    play(100_000, Faults { halves: 1, wipe_in_halves: true, kills: 4, freezes: 2, loss: 0.02, ..CALM });
+}
--- a/batch/tests/simulation/troubles.rs
+++ b/batch/tests/simulation/troubles.rs
@@ -56,6 +56,7 @@
             Event::JoinAll { slot } => self.join_all(slot),
             Event::Flicker { slot, times } => self.flicker(slot, times),
             Event::Halves => self.cut_into_halves(span_ms),
+            Event::WipeInHalves => self.wipe_in_halves(slot),
             Event::JoinHalves { half } => self.join_halves(half),
             Event::SlowDisk => self.slots[slot].sync_ms = 600,
             Event::Heal => self.heal(),
@@ -94,6 +95,10 @@
             half.into_iter().for_each(|slot| self.slots[slot].cut_from_core = true);
         }
         self.after(span_ms, Event::JoinHalves { half });
+        if self.faults.wipe_in_halves {
+            let delay_ms = self.random.rand_range(0..span_ms);
+            self.after(delay_ms, Event::WipeInHalves);
+        }
     }
 
     fn join_halves(&mut self, half: [usize; STORES / 2]) {
@@ -140,6 +145,18 @@
             return;
         }
         self.no_trouble_until_ms = self.now_ms + CATCH_UP_MS;
+        self.take_disk(slot);
+    }
+
+    /// One disk of the play is lost while the stores may be cut into halves, whatever else is in trouble.
+    fn wipe_in_halves(&mut self, slot: usize) {
+        if self.wiped == 0 && self.core.group.is_some() {
+            self.take_disk(slot);
+        }
+    }
+
+    /// Takes a disk; perhaps all others lose power in the same moment.
+    fn take_disk(&mut self, slot: usize) {
         if self.random.rand_float() < 0.5 {
             (0..STORES).filter(|other| *other != slot).for_each(|other| self.kill(other, true));
         }
--- a/batch/tests/simulation/world.rs
+++ b/batch/tests/simulation/world.rs
@@ -44,6 +44,8 @@
     pub flickers: u32,
     /// The stores are cut into two halves for seconds; the core lies in one of them, or reaches both.
     pub halves: u32,
+    /// One disk is lost in the middle of a cut into halves.
+    pub wipe_in_halves: bool,
     pub loss: f64,
 }
 
@@ -142,6 +144,7 @@
     JoinHalves {
         half: [usize; STORES / 2],
     },
+    WipeInHalves,
     SlowDisk,
     Heal,
 }
