--- a/alderhollow/tests/core_discovery.rs
+++ b/alderhollow/tests/core_discovery.rs
@@ -6,6 +6,7 @@
 #[path = "core_discovery/world.rs"]
 mod world;
 
+use std::collections::BTreeMap;
 use std::ops::Range;
 use std::time::Duration;
 use world::{block_on_paused, Process, World};
@@ -123,6 +124,54 @@
     }
 }
 
+/// Longest time for which a primary that is cut off keeps its lease.
+const LEASE_MS: u64 = 800;
+/// The halves stay apart for so long after the election in the larger one.
+const APART: Duration = Duration::from_secs(3);
+
+/// Lets time pass, and sees to it that nobody's tables become older meanwhile.
+async fn pass_without_regress(world: &World, time: Duration, newest: &mut BTreeMap<Process, u64>) {
+    let end = world.now() + time;
+    while world.now() < end {
+        world.pass(Duration::from_millis(10)).await;
+        for (process, version) in world.table_versions() {
+            let before = newest.insert(process, version).unwrap_or(version);
+            assert!(version >= before, "process {process} went back from version {before} to {version}");
+        }
+    }
+}
+
+#[test]
+fn doors_that_hear_both_halves_of_a_core_follow_the_newer_and_never_go_back() {
+    for seed in 0..100 {
+        block_on_paused(async {
+            let members = if seed % 2 == 0 { 3 } else { 5 };
+            let mut world = World::start(members, 6, seed);
+            world.settle().await;
+            let mut newest = world.table_versions();
+            let minority = world.cut_into_halves();
+            let lease = Duration::from_millis(seed * LEASE_MS / 100);
+            pass_without_regress(&world, lease, &mut newest).await;
+            world.elect_in_majority();
+            let mut hearing = world.running_except(0);
+            hearing.retain(|process| !minority.contains(process));
+            pass_without_regress(&world, RECOVERY, &mut newest).await;
+            let follows = |world: &World, process: &Process| world.table_versions()[process] == world.epoch();
+            assert!(hearing.iter().all(|process| follows(&world, process)), "seed {seed}");
+            pass_without_regress(&world, APART, &mut newest).await;
+            let uninformed = world.uninformed();
+            assert!(
+                hearing.iter().all(|process| !uninformed.contains(process)),
+                "seed {seed}: {uninformed:?}"
+            );
+            world.join_halves();
+            pass_without_regress(&world, RECOVERY, &mut newest).await;
+            assert_eq!(world.uninformed(), Vec::<Process>::new(), "seed {seed}");
+            assert!(newest.keys().all(|process| follows(&world, process)), "seed {seed}");
+        });
+    }
+}
+
 #[test]
 fn nobody_waits_for_tables_whatever_comes_and_goes() {
     let mut longest = Duration::ZERO;
--- a/alderhollow/tests/core_discovery/world.rs
+++ b/alderhollow/tests/core_discovery/world.rs
@@ -11,6 +11,7 @@
 use alderhollow::distribution::tables::Tables;
 use alderhollow::internal::CallError;
 use alderhollow::settings::reload;
+use alderhollow::SnapshotReceiver;
 use alderhollow_model::identity::{Address, DiskId, LifeId, NodeInfo, Role};
 use alderhollow_model::snapshot::ControlView;
 use oorandom::Rand32;
@@ -59,6 +60,18 @@
     settings: RefCell<BTreeMap<Process, Vec<Process>>>,
     /// Processes that nothing reaches, and that reach nobody.
     cut_off: RefCell<BTreeSet<Process>>,
+    /// Members of one half of a core that is cut in two, with the core as they knew it at the cut. Processes without a disk
+    /// reach both halves.
+    minority: RefCell<Option<Minority>>,
+}
+
+/// The half of a core that can't elect.
+struct Minority {
+    members: BTreeSet<Process>,
+    epoch: u64,
+    primary: Process,
+    /// Whether it still holds the lease that was granted before the cut.
+    leads: bool,
 }
 
 /// A process that runs.
@@ -66,6 +79,7 @@
     distributor: Rc<Distributor>,
     directory: Directory,
     polls: PollState,
+    snapshots: SnapshotReceiver,
     clock: SteadyClock,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -96,30 +110,48 @@
     }
 }
 
+/// The control state of the simulation is its version alone.
+fn decode_control(bytes: &[u8]) -> Option<ControlView> {
+    let version = u64::from_be_bytes(bytes.try_into().ok()?);
+    Some(ControlView { version, ..ControlView::default() })
+}
+
 /// The member of one process.
 struct MemberAuthority {
     shared: Rc<Shared>,
     process: Process,
 }
 
+impl MemberAuthority {
+    /// The epoch, the primary, and whether it leads, as far as this member knows.
+    fn known(&self) -> (u64, Process, bool) {
+        let core = &self.shared.core;
+        match &*self.shared.minority.borrow() {
+            Some(minority) if minority.members.contains(&self.process) => {
+                (minority.epoch, minority.primary, minority.leads)
+            }
+            _ => (core.epoch.get(), core.primary.get(), core.leads.get()),
+        }
+    }
+}
+
 impl Authority for MemberAuthority {
     fn leased_epoch(&self) -> Option<u64> {
-        let core = &self.shared.core;
-        (core.leads.get() && core.primary.get() == self.process).then(|| core.epoch.get())
+        let (epoch, primary, leads) = self.known();
+        (leads && primary == self.process).then_some(epoch)
     }
     fn control(&self) -> EncodedControl {
-        EncodedControl { version: self.control_version(), bytes: Vec::new().into() }
+        let version = self.control_version();
+        EncodedControl { version, bytes: version.to_be_bytes().to_vec().into() }
     }
+    /// Each epoch brings a new version.
     fn control_version(&self) -> u64 {
-        1
+        self.known().0
     }
     fn core_view(&self) -> CoreView {
-        let core = &self.shared.core;
-        CoreView {
-            primary: Some(core_member(core.primary.get())),
-            members: core.members.iter().copied().map(core_member).collect(),
-            epoch: core.epoch.get(),
-        }
+        let (epoch, primary, _) = self.known();
+        let members = self.shared.core.members.iter().copied().map(core_member).collect();
+        CoreView { primary: Some(core_member(primary)), members, epoch }
     }
     fn heard(&self, _: &Poll) {}
 }
@@ -133,7 +165,17 @@
 impl Link {
     fn is_cut(&self, to: Process) -> bool {
         let cut_off = self.shared.cut_off.borrow();
-        to != self.from && (cut_off.contains(&to) || cut_off.contains(&self.from))
+        let is_cut_off = cut_off.contains(&to) || cut_off.contains(&self.from);
+        to != self.from && (is_cut_off || self.are_apart(to))
+    }
+
+    /// Whether this process and another one are members of different halves of the core.
+    fn are_apart(&self, to: Process) -> bool {
+        let is_member = |process: &Process| self.shared.core.members.contains(process);
+        let minority = self.shared.minority.borrow();
+        let are_apart =
+            |minority: &Minority| minority.members.contains(&to) != minority.members.contains(&self.from);
+        is_member(&to) && is_member(&self.from) && minority.as_ref().is_some_and(are_apart)
     }
 
     fn distributor(&self, to: Process) -> Option<Rc<Distributor>> {
@@ -193,6 +235,7 @@
             running: RefCell::default(),
             settings: RefCell::new((1..=processes).map(|process| (process, vec![1, 2, 3])).collect()),
             cut_off: RefCell::default(),
+            minority: RefCell::default(),
         };
         let mut world = World { shared: Rc::new(shared), processes, random: Rand32::new(seed) };
         for process in 1..=processes {
@@ -253,6 +296,55 @@
         }
     }
 
+    /// Cuts the core in two: half of the members, rounded down, hear the others no more. A primary among them leads until
+    /// its lease ends. Gives the minority.
+    pub fn cut_into_halves(&mut self) -> Vec<Process> {
+        let mut majority = self.shared.core.members.clone();
+        let mut members = BTreeSet::new();
+        while members.len() < self.shared.core.members.len() / 2 {
+            let at = self.random.rand_range(0..u32::try_from(majority.len()).expect("few")) as usize;
+            members.insert(majority.swap_remove(at));
+        }
+        let core = &self.shared.core;
+        let leads = members.contains(&core.primary.get());
+        let (epoch, primary) = (core.epoch.get(), core.primary.get());
+        let cut: Vec<Process> = members.iter().copied().collect();
+        self.shared.minority.replace(Some(Minority { members, epoch, primary, leads }));
+        if leads {
+            core.leads.set(false);
+        }
+        cut
+    }
+
+    /// The lease of a primary in the minority ends, and the other half elects one of its own, if it has none.
+    pub fn elect_in_majority(&mut self) {
+        let members = self.shared.core.members.clone();
+        let mut minority = self.shared.minority.borrow_mut();
+        let cut = minority.as_mut().map(|minority| {
+            minority.leads = false;
+            minority.members.clone()
+        });
+        drop(minority);
+        let cut = cut.unwrap_or_default();
+        let majority: Vec<Process> = members.into_iter().filter(|member| !cut.contains(member)).collect();
+        self.elect_among(&majority);
+    }
+
+    pub fn join_halves(&mut self) {
+        self.shared.minority.replace(None);
+    }
+
+    pub fn epoch(&self) -> u64 {
+        self.shared.core.epoch.get()
+    }
+
+    /// The version of the control state in each process's tables.
+    pub fn table_versions(&self) -> BTreeMap<Process, u64> {
+        let running = self.shared.running.borrow();
+        let version = |running: &Running| running.snapshots.borrow().control.version;
+        running.iter().map(|(process, running)| (*process, version(running))).collect()
+    }
+
     pub fn end(&mut self, process: Process) {
         if let Some(running) = self.shared.running.borrow_mut().remove(&process) {
             running.tasks.iter().for_each(JoinHandle::abort);
@@ -385,7 +477,8 @@
         let shared = &self.shared;
         let has_disk = shared.core.members.contains(&process);
         let clock = SteadyClock::start();
-        let tables = Tables::new(clock, |_| Some(ControlView::default()));
+        let tables = Tables::new(clock, decode_control);
+        let snapshots = tables.subscribe();
         let directory = Directory::default();
         read_seeds(shared, process, &directory);
         let node = NodeInfo {
@@ -404,7 +497,7 @@
             directory: directory.clone(),
             authority: has_disk.then(|| Rc::new(authority) as Rc<dyn Authority>),
             backends,
-            snapshots: tables.subscribe(),
+            snapshots: snapshots.clone(),
             changes: ChangeSignal::new(),
             clock,
             senders: RefCell::default(),
@@ -433,7 +526,7 @@
         tasks.push(tokio::task::spawn_local(async move {
             reload::read_without_primary(&read.1, clock, read.0).await;
         }));
-        let running = Running { distributor, directory, polls, clock, tasks };
+        let running = Running { distributor, directory, polls, snapshots, clock, tasks };
         self.shared.running.borrow_mut().insert(process, running);
     }
 }
