--- a/alderhollow/tests/balance_cold.rs
+++ b/alderhollow/tests/balance_cold.rs
@@ -5,7 +5,7 @@
 use alderhollow::balance::{Balancer, Millis, NoBackend, Outcome};
 use balance_support::{backend, node_name, wanted, Tables, COLD_BOUNDS, ENGINES, PLAIN, ZONES};
 use proptest::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The starts at each backend, by its id.
 type Starts = BTreeMap<String, Vec<Millis>>;
@@ -13,6 +13,8 @@
 const COLD_FOR_MS: u64 = 60_000;
 const ROUND_MS: Millis = 50.0;
 const SECOND_MS: Millis = 1000.0;
+/// Most senders in the half without the primary: half of the largest core.
+const MOST_CUT: usize = 4;
 
 /// Most starts at one backend within one second.
 fn most_within_a_second(starts: &Starts) -> usize {
@@ -110,6 +112,33 @@
         }
         prop_assert!(most_within_a_second(&starts) as f64 <= COLD_BOUNDS.per_second(30.0));
     }
+
+    /// The primary drops senders that a cut keeps from it; these go on by the list that they hold.
+    #[test]
+    fn senders_that_a_cut_into_halves_keeps_from_the_primary_stay_within_the_bound_with_the_others(
+        senders in 2usize..40,
+        backends in 1usize..8,
+        cold_per_s in 5.0f64..60.0,
+        chosen in prop::collection::vec(any::<prop::sample::Index>(), MOST_CUT),
+    ) {
+        let tables = cold_tables(backends, senders, cold_per_s);
+        let most = MOST_CUT.min(senders / 2);
+        let cut: BTreeSet<usize> = chosen[..most].iter().map(|index| index.index(senders)).collect();
+        let mut without = tables.clone();
+        without.senders = (0..senders).filter(|index| !cut.contains(index)).map(node_name).collect();
+        let mut balancers: Vec<Balancer> = (0..senders)
+            .map(|index| tables.balancer(&node_name(index), ZONES[index % 3], 0.0))
+            .collect();
+        let mut starts = Starts::new();
+        run(&mut balancers, 0.0, 2500.0, &mut starts);
+        for (index, sender) in balancers.iter_mut().enumerate() {
+            if !cut.contains(&index) {
+                sender.update(2500.0, &without.snapshot(2500.0));
+            }
+        }
+        run(&mut balancers, 2500.0, 7000.0, &mut starts);
+        prop_assert!(most_within_a_second(&starts) as f64 <= COLD_BOUNDS.per_second(cold_per_s));
+    }
 }
 
 #[test]
