--- a/batch/tests/quota/simulation.rs
+++ b/batch/tests/quota/simulation.rs
@@ -28,6 +28,12 @@
     assert!(tally.accepted > 100_000, "too little happened: {tally:?}");
 }
 
+#[test]
+fn the_sum_stays_at_the_limit_while_the_groups_lie_in_two_halves() {
+    let tally = play(0..600, Settings::with_halves);
+    assert!(tally.accepted > 30_000, "too little happened: {tally:?}");
+}
+
 /// Groups report at different moments, so that tokens which moved between them may be seen twice for a tenth of a
 /// second: close to the limit, a job in some thousands is refused or late all the same.
 #[test]
--- a/batch/tests/quota/simulation/world.rs
+++ b/batch/tests/quota/simulation/world.rs
@@ -6,8 +6,13 @@
 use super::process::{due, Client, Process, ROUTE};
 use alderhollow_batch::quota::{home_group, QuotaOutcome, Settled, SubmissionId};
 use oorandom::Rand32;
+use std::collections::BTreeSet;
 
 const STEP_MS: u64 = 5;
+/// Where cuts into halves occur, one begins in one of so many steps.
+const STEPS_BETWEEN_CUTS: u32 = 300;
+/// Shortest and longest cut into halves.
+const CUT_MS: std::ops::Range<u32> = 500..4_000;
 
 /// What a play is like.
 #[derive(Debug, Clone, Copy)]
@@ -17,6 +22,8 @@
     pub end_ms: u64,
     pub quality: Quality,
     pub is_calm: bool,
+    /// Whether the processes are cut into two halves now and then.
+    pub has_halves: bool,
     /// Chance in 10,000 of a trouble in a step.
     pub trouble: u32,
     /// Chance in 1,000 of a submission in a step.
@@ -45,6 +52,11 @@
         }
     }
 
+    /// All troubles, and cuts into halves.
+    pub fn with_halves(seed: u64) -> Settings {
+        Settings { has_halves: true, ..Settings::troubled(seed) }
+    }
+
     pub fn calm(seed: u64) -> Settings {
         let mut random = Rand32::new(seed ^ 0xca14);
         let delay_ms = random.rand_range(1..10);
@@ -60,6 +72,7 @@
             end_ms: 6_000,
             quality,
             is_calm: true,
+            has_halves: false,
             trouble: 0,
             submissions: random.rand_range(50..1_000),
             ends: random.rand_range(2..40),
@@ -68,6 +81,13 @@
     }
 }
 
+/// A cut into two halves. Processes that start meanwhile are in the half of the core.
+struct Halves {
+    until_ms: u64,
+    /// Processes of the half that the core is not in.
+    without_core: BTreeSet<usize>,
+}
+
 /// The whole.
 pub struct World {
     settings: Settings,
@@ -80,6 +100,7 @@
     newest: Vec<usize>,
     processes: Vec<Process>,
     network: Network,
+    halves: Option<Halves>,
     jobs: Jobs,
     oracle: Oracle,
     submissions: u64,
@@ -97,6 +118,7 @@
             newest: Vec::new(),
             processes: Vec::new(),
             network: Network::default(),
+            halves: None,
             jobs: Jobs::default(),
             oracle: Oracle::new(seed, settings.max, settings.is_calm),
             submissions: 0,
@@ -122,6 +144,9 @@
         if self.random.rand_range(0..10_000) < self.settings.trouble {
             self.make_trouble();
         }
+        if self.settings.has_halves {
+            self.cut_or_join();
+        }
         for index in 0..self.processes.len() {
             self.processes[index].read_news(self.now_ms, self.home);
             self.activate_if_due(index);
@@ -169,6 +194,23 @@
         self.oracle.check_sum(self.now_ms, self.jobs.waiting());
     }
 
+    /// Half of the processes, by chance, hear neither the others nor the core for a while.
+    fn cut_or_join(&mut self) {
+        self.halves = self.halves.take().filter(|halves| self.now_ms < halves.until_ms);
+        if self.halves.is_some() || self.random.rand_range(0..STEPS_BETWEEN_CUTS) > 0 {
+            return;
+        }
+        let until_ms = self.now_ms + u64::from(self.random.rand_range(CUT_MS));
+        let without_core = (0..self.processes.len()).filter(|_| self.random.rand_range(0..2) == 0).collect();
+        self.halves = Some(Halves { until_ms, without_core });
+    }
+
+    fn are_apart(&self, first: usize, second: usize) -> bool {
+        let is_cut =
+            |halves: &Halves| halves.without_core.contains(&first) != halves.without_core.contains(&second);
+        self.halves.as_ref().is_some_and(is_cut)
+    }
+
     /// Ends or replaces a group's primary, in favour of the home group.
     fn make_trouble(&mut self) {
         let group = match self.random.rand_range(0..3) {
@@ -199,9 +241,11 @@
         let index = self.newest[group];
         self.processes[index].ends_ms = Some(self.now_ms + goes_on_ms);
         self.epochs[group] += 1;
-        for process in &mut self.processes {
+        for (index, process) in self.processes.iter_mut().enumerate() {
+            let cut = self.halves.as_ref().filter(|halves| halves.without_core.contains(&index));
+            let from_ms = cut.map_or(self.now_ms, |halves| halves.until_ms);
             let delay_ms = u64::from(self.random.rand_range(0..1_500));
-            process.news.insert(self.now_ms + delay_ms, self.epochs.clone());
+            process.news.insert(from_ms + delay_ms, self.epochs.clone());
         }
         let recovery_ms = u64::from(self.random.rand_range(20..500));
         self.start_process(group, 1, recovery_ms);
@@ -233,6 +277,9 @@
     }
 
     fn send(&mut self, from: usize, to: usize, packet: Packet) {
+        if self.are_apart(from, to) {
+            return;
+        }
         let envelope = Envelope { from, to, packet };
         self.network.send(self.now_ms, self.settings.quality, &mut self.random, envelope);
     }
