--- a/alderhollow/tests/balance_cold.rs
+++ b/alderhollow/tests/balance_cold.rs
@@ -117,7 +117,7 @@
     #[test]
     fn senders_that_a_cut_into_halves_keeps_from_the_primary_stay_within_the_bound_with_the_others(
         senders in 2usize..40,
-        backends in 1usize..8,
+        backends in 1usize..20,
         cold_per_s in 5.0f64..60.0,
         chosen in prop::collection::vec(any::<prop::sample::Index>(), MOST_CUT),
     ) {
