--- a/batch/tests/simulation/world.rs
+++ b/batch/tests/simulation/world.rs
@@ -42,6 +42,10 @@
     pub long_cuts: u32,
     /// A store is killed again and again, each time while it catches up.
     pub flickers: u32,
+    /// The stores are cut into two halves for seconds; the core lies in one of them, or reaches both.
+    pub halves: u32,
+    /// One disk is lost in the middle of a cut into halves.
+    pub wipe_in_halves: bool,
     pub loss: f64,
 }
 
@@ -136,6 +140,11 @@
         slot: usize,
         times: u32,
     },
+    Halves,
+    JoinHalves {
+        half: [usize; STORES / 2],
+    },
+    WipeInHalves,
     SlowDisk,
     Heal,
 }
@@ -269,6 +278,9 @@
             let times = 2 + self.random.rand_range(0..5) as u32;
             self.trouble(Event::Flicker { slot, times });
         }
+        for _ in 0..faults.halves {
+            self.trouble(Event::Halves);
+        }
         self.at(TROUBLE_MS + 1_000, Event::Heal);
     }
 
