Kept connections: a request passed on is answered at the end of leaving; a head's time holds

A request that had no answer when the time for leaving was over lost its connection without a word: now it gets 504 just before.

--- a/alderhollow/src/front/mod.rs
+++ b/alderhollow/src/front/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod body;
 mod client;
+mod giving_up;
 mod intake;
 pub mod phase;
 mod relay;
@@ -18,12 +19,14 @@
 use crate::exchange::{prompt, Exchange};
 use alderhollow_model::config::{Limits, Route, RouteType};
 use body::AnswerBody;
+use giving_up::GivingUp;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use intake::{BodyRoom, Gathered};
 use phase::Phase;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,13 +34,15 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
-use tries::Job;
+use tries::{GivenUp, Job};
 
 /// How long clients may still come once the process is leaving: the platform asks for readiness every second, and hands
 /// new connections over until it has heard no twice.
 const ACCEPTING_ON: Duration = Duration::from_millis(2500);
 /// What is left of the time for leaving when the last requests are given up.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
+/// Of the time for leaving, the last part is for the answers that say that a request is given up.
+const LAST_ANSWERS: Duration = Duration::from_millis(200);
 /// The longest that a request is held where neither its client nor its route says.
 const LONGEST_HELD: Duration = Duration::from_secs(30);
 /// A process that starts while the core has a primary gets its tables within this.
@@ -67,6 +72,7 @@
     exchange: Rc<Exchange>,
     batch: Rc<dyn BatchEndpoints>,
     room: Rc<BodyRoom>,
+    giving_up: GivingUp,
     started_at: Instant,
 }
 
@@ -74,7 +80,8 @@
     /// A front that sends requests through `exchange` and calls about batch jobs to `batch`.
     pub fn new(settings: FrontSettings, exchange: Rc<Exchange>, batch: Rc<dyn BatchEndpoints>) -> Rc<Front> {
         let room = BodyRoom::new(settings.body_bytes);
-        Rc::new(Front { settings, exchange, batch, room, started_at: Instant::now() })
+        let giving_up = GivingUp::default();
+        Rc::new(Front { settings, exchange, batch, room, giving_up, started_at: Instant::now() })
     }
 
     /// Serves clients until the process is to end and the last of them is served, or the time for that is over. To be
@@ -87,8 +94,12 @@
         }
         drop(listener);
         let last = (self.settings.grace.saturating_sub(GRACE_MARGIN)).saturating_sub(ACCEPTING_ON);
-        let served = async { while connections.join_next().await.is_some() {} };
-        let _ = timeout_at(Instant::now() + last, served).await;
+        let until = Instant::now() + last;
+        let mut served = pin!(async { while connections.join_next().await.is_some() {} });
+        if timeout_at(until - LAST_ANSWERS.min(last), served.as_mut()).await.is_err() {
+            self.giving_up.begin();
+            let _ = timeout_at(until, served).await;
+        }
     }
 
     /// Takes connections until the process has been leaving for long enough.
@@ -98,7 +109,7 @@
         connections: &mut JoinSet<()>,
         phase: &watch::Receiver<Phase>,
     ) {
-        let mut over = std::pin::pin!(over(phase.clone()));
+        let mut over = pin!(over(phase.clone()));
         loop {
             tokio::select! {
                 () = &mut over => return,
@@ -184,7 +195,11 @@
         let outbound = Outbound::new(head.method, &head.uri, head.headers, gathered.bytes.clone());
         let Ok(outbound) = outbound else { return replies::plain(StatusCode::BAD_REQUEST) };
         let job = Job { route, service, prompt, outbound, received_at, deadline, _body: gathered };
-        relay::serve(self.exchange.clone(), Rc::new(job)).await
+        tokio::select! {
+            biased;
+            response = relay::serve(self.exchange.clone(), Rc::new(job)) => response,
+            () = self.giving_up.due() => GivenUp::TimedOut.reply(),
+        }
     }
 
     /// Passes a call about batch jobs on.
--- a/alderhollow/tests/support/backend.rs
+++ b/alderhollow/tests/support/backend.rs
@@ -57,6 +57,11 @@
         self.scripts.borrow_mut().push_back(steps);
     }
 
+    /// Drops the scripts that no request has used.
+    pub fn drop_scripts(&self) {
+        self.scripts.borrow_mut().clear();
+    }
+
     pub fn seen(&self) -> Vec<Seen> {
         self.seen.borrow().clone()
     }
--- a/alderhollow/tests/support/client.rs
+++ b/alderhollow/tests/support/client.rs
@@ -29,6 +29,8 @@
 impl Client {
     pub async fn connect(address: SocketAddr) -> Client {
         let stream = TcpStream::connect(address).await.expect("it accepts");
+        // Else a second piece waits for the peer's acknowledgement in real time, while the tests' clock leaps.
+        stream.set_nodelay(true).expect("a socket");
         Client { stream, buffer: Vec::new() }
     }
 
@@ -36,6 +38,12 @@
         self.stream.write_all(text.as_bytes()).await.expect("it is read");
     }
 
+    /// Writes to a connection that the door may have closed.
+    pub async fn offer(&mut self, text: &str) {
+        // What is lost then, the missing answer tells.
+        let _ = self.stream.write_all(text.as_bytes()).await;
+    }
+
     /// The next answer; `None` if the connection ends before one begins.
     pub async fn reply(&mut self) -> Option<Reply> {
         loop {
--- a/dataplane/src/activity.rs
+++ b/dataplane/src/activity.rs
@@ -1,8 +1,9 @@
 //! How long a client's connection may stand without a request: told by when bytes come and answers end.
 
 use std::cell::Cell;
+use std::future::{poll_fn, Future};
 use std::io;
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
@@ -122,11 +123,21 @@
         loop {
             match self.due() {
                 Some((at, due)) if at <= Instant::now() => return due,
-                Some((at, _)) => sleep_until(at).await,
+                Some((at, _)) => self.sleep_unless_sooner(at).await,
                 None => self.answered.notified().await,
             }
         }
     }
+    /// Sleeps until then, or until something is due before: a head that has begun is due sooner than the idle time ends.
+    /// The task that reads the connection polls this too, whenever bytes come.
+    async fn sleep_unless_sooner(&self, until: Instant) {
+        let mut sleep = pin!(sleep_until(until));
+        poll_fn(|context| match self.due() {
+            Some((at, _)) if at < until => Poll::Ready(()),
+            _ => sleep.as_mut().poll(context),
+        })
+        .await;
+    }
 }
 
 /// A request that is not answered yet.
