--- a/alderhollow/src/balance/cold.rs
+++ b/alderhollow/src/balance/cold.rs
@@ -125,6 +125,11 @@
         self.generation += 1;
     }
 
+    /// The place of this process in a list.
+    pub(super) fn rank_in(&self, nodes: &[String]) -> Option<usize> {
+        nodes.iter().position(|node| hash_name(node) == self.own)
+    }
+
     /// Forgets the lists on which nobody acts any more.
     pub(super) fn expire(&mut self, now: Millis) {
         while self.previous.front().is_some_and(|(until, _)| *until <= now) {
--- a/alderhollow/src/balance/hash.rs
+++ b/alderhollow/src/balance/hash.rs
@@ -3,7 +3,7 @@
 use twox_hash::XxHash3_64;
 
 /// Hash of a name.
-pub(super) fn hash_name(name: &str) -> u64 {
+pub(crate) fn hash_name(name: &str) -> u64 {
     XxHash3_64::oneshot(name.as_bytes())
 }
 
--- a/alderhollow/src/balance/mod.rs
+++ b/alderhollow/src/balance/mod.rs
@@ -10,7 +10,7 @@
 mod backends;
 mod choice;
 mod cold;
-mod hash;
+pub(crate) mod hash;
 mod health;
 
 pub use cold::ColdBounds;
@@ -166,6 +166,11 @@
         self.table.update(now, &tables, terms_of);
     }
 
+    /// The place of this process in a list of senders.
+    pub fn rank_in(&self, senders: &[String]) -> Option<usize> {
+        self.senders.rank_in(senders)
+    }
+
     /// Whether a backend may get a request now: to be asked last before one is written.
     pub fn may_send(&self, id: &str) -> bool {
         self.table.may_send(id)
--- a/alderhollow/src/exchange/mod.rs
+++ b/alderhollow/src/exchange/mod.rs
@@ -11,14 +11,14 @@
 pub mod tables;
 
 use crate::balance::{Balancer, Millis, NoBackend, Outcome, Wanted};
-use crate::routing::pick_service;
+use crate::routing::ServicePicker;
 use crate::SnapshotReceiver;
 use alderhollow_model::config::Route;
+use alderhollow_model::snapshot::Snapshot;
 use answer::Answer;
 use attempt::Attempt;
 use hyper::body::Incoming;
 use hyper::Response;
-use oorandom::Rand64;
 use outbound::Outbound;
 use patience::Patience;
 use pool::{Pool, Pooled};
@@ -44,7 +44,7 @@
     pool: Pool,
     snapshots: RefCell<SnapshotReceiver>,
     tables: RefCell<Rc<Tables>>,
-    random: RefCell<Rand64>,
+    services: RefCell<ServicePicker>,
     started: Instant,
 }
 
@@ -62,10 +62,11 @@
             pool: Pool::default(),
             snapshots: RefCell::new(snapshots),
             tables: RefCell::new(Rc::new(Tables::new(snapshot.clone(), None))),
-            random: RefCell::new(Rand64::new(u128::from(seed))),
+            services: RefCell::new(ServicePicker::new(seed)),
             started,
         };
         exchange.balancer.borrow_mut().update(exchange.now(), &snapshot);
+        exchange.update_services(&snapshot);
         Rc::new(exchange)
     }
 
@@ -76,12 +77,21 @@
             let snapshot = snapshots.borrow_and_update().clone();
             let tables = Rc::new(Tables::new(snapshot, Some(&*self.tables.borrow())));
             self.balancer.borrow_mut().update(self.now(), &tables.snapshot);
+            self.update_services(&tables.snapshot);
             *self.tables.borrow_mut() = tables;
             self.pool.retain(|id| self.balancer.borrow().may_send(id));
         }
         self.tables.borrow().clone()
     }
 
+    fn update_services(&self, snapshot: &Snapshot) {
+        let mut services = self.services.borrow_mut();
+        services.set_rank(self.balancer.borrow().rank_in(&snapshot.senders.nodes));
+        if let Some(config) = &snapshot.control.config {
+            services.keep_routes_of(config);
+        }
+    }
+
     /// Whether a backend may get a request now.
     pub fn may_send(&self, id: &str) -> bool {
         self.tables();
@@ -96,7 +106,7 @@
 
     /// One of the route's services, by their weights.
     pub fn pick_service(&self, route: &Route) -> Option<String> {
-        pick_service(route, self.random.borrow_mut().rand_float())
+        self.services.borrow_mut().pick(route)
     }
 
     /// Chooses a backend.
