--- a/coordination/tests/simulation/main.rs
+++ b/coordination/tests/simulation/main.rs
@@ -5,6 +5,7 @@
 mod ledger;
 mod machine;
 mod oracle;
+mod power;
 mod scenarios;
 mod world;
 
