Batch simulation: a disk is lost and all others lose power as the group changes

Planned changes of the group (a learner promoted, another member left out), with a disk lost within half a second of four in ten of them and power lost at all other stores in the same moment.

--- a/batch/tests/simulation/core.rs
+++ b/batch/tests/simulation/core.rs
@@ -111,6 +111,30 @@
         self.install(group.primary, members, learners);
     }
 
+    /// Changes the group as planned, as rebalancing does: a learner that caught up comes in, or, once all members are equal
+    /// again, another than the primary goes. False: neither may be now.
+    pub fn exchange_member(&mut self) -> bool {
+        let Some(group) = self.group.clone() else { return false };
+        let Some(primary) = self.stores.get(&group.primary) else { return false };
+        let status = &primary.status;
+        if !status.active || status.epoch != group.epoch {
+            return false;
+        }
+        let mut members: Vec<DiskId> = disks(&group.members).collect();
+        let mut learners: Vec<DiskId> = disks(&group.learners).collect();
+        if members.len() > MOST_MEMBERS {
+            // The one that has been a member for longest.
+            let Some(goes) = members.iter().position(|disk| *disk != group.primary) else { return false };
+            members.remove(goes);
+        } else {
+            let ready = learners.iter().position(|disk| status.in_sync.contains(disk));
+            let Some(ready) = ready else { return false };
+            members.push(learners.remove(ready));
+        }
+        self.install(group.primary, members, learners);
+        true
+    }
+
     /// Leaves out the members that don't live, if enough others hold all that was acknowledged. Else keeps them and takes
     /// in others, which come to hold all: were the incomplete ones to stand in at once, the loss of one more disk could
     /// be the loss of all.
--- a/batch/tests/simulation/main.rs
+++ b/batch/tests/simulation/main.rs
@@ -19,7 +19,7 @@
 const SEEDS: u64 = 220;
 
 /// Plays seeds one after the other; the first broken rule ends the test, naming its seed.
-fn play(first: u64, faults: Faults) {
+fn play(first: u64, faults: Faults) -> world::Totals {
     let mut totals = world::Totals::default();
     for seed in first..first + SEEDS {
         totals.add(&World::new(seed, faults).play());
@@ -27,9 +27,11 @@
     println!("{SEEDS} seeds from {first}: {totals:?}");
     assert!(totals.accepted > SEEDS, "too few jobs were accepted to show anything: {totals:?}");
     assert!(totals.listed > SEEDS, "too few results were read to show anything: {totals:?}");
+    totals
 }
 
-const CALM: Faults = Faults { kills: 0, freezes: 0, cuts: 0, wipes: 0, long_cuts: 0, flickers: 0, loss: 0.0 };
+const CALM: Faults =
+    Faults { kills: 0, freezes: 0, cuts: 0, wipes: 0, exchanges: 0, long_cuts: 0, flickers: 0, loss: 0.0 };
 
 #[test]
 fn keeps_the_rules_in_calm() {
@@ -65,3 +67,12 @@
 fn keeps_the_rules_under_lost_disks_while_stores_come_and_go() {
     play(60_000, Faults { kills: 1, wipes: 4, long_cuts: 1, flickers: 2, loss: 0.02, ..CALM });
 }
+
+#[test]
+fn keeps_the_rules_where_a_disk_is_lost_and_all_others_lose_power_as_the_group_changes() {
+    let totals = play(70_000, Faults { exchanges: 40, loss: 0.02, ..CALM });
+    assert!(
+        totals.exchanged > SEEDS && totals.wiped > SEEDS / 2,
+        "too few changes and lost disks: {totals:?}"
+    );
+}
--- a/batch/tests/simulation/troubles.rs
+++ b/batch/tests/simulation/troubles.rs
@@ -5,6 +5,10 @@
 use crate::world::{Event, World, CATCH_UP_MS, FLICKER_MS, LONG_CUT_MS, RESTART_MS, STORES};
 use alderhollow_model::identity::DiskId;
 
+/// Share of the planned changes of the group after which a disk is lost, and how soon.
+const WIPED_AFTER_EXCHANGE: f64 = 0.4;
+const AFTER_EXCHANGE_MS: u64 = 500;
+
 impl World {
     /// Troubles and their ends.
     pub fn strike(&mut self, event: Event) {
@@ -50,7 +54,9 @@
                 self.after(span_ms, Event::JoinCore { slot });
             }
             Event::JoinCore { slot } => self.slots[slot].cut_from_core = false,
-            Event::Wipe => self.wipe(slot),
+            Event::Wipe => self.wipe(slot, false),
+            Event::WipeAndPowerLoss => self.wipe(slot, true),
+            Event::ExchangeMember => self.exchange_member(),
             Event::CutOff => self.cut_off(slot, span_ms),
             Event::JoinAll { slot } => self.join_all(slot),
             Event::Flicker { slot, times } => self.flicker(slot, times),
@@ -103,8 +109,8 @@
     }
 
     /// A disk is lost, where the tolerance of one machine allows it: nothing else is in trouble, nor soon will be. In the
-    /// same moment all others may lose power.
-    pub fn wipe(&mut self, slot: usize) {
+    /// same moment all others may lose power, or surely do.
+    pub fn wipe(&mut self, slot: usize, others_lose_power: bool) {
         let disk = self.slots[slot].disk.id;
         let calm = self.now_ms >= self.trouble_until_ms && self.cuts.is_empty();
         let is_well = |slot: &Slot| slot.process.is_some() && !slot.frozen && !slot.cut_from_core;
@@ -114,7 +120,7 @@
             return;
         }
         self.no_trouble_until_ms = self.now_ms + CATCH_UP_MS;
-        if self.random.rand_float() < 0.5 {
+        if others_lose_power || self.random.rand_float() < 0.5 {
             (0..STORES).filter(|other| *other != slot).for_each(|other| self.kill(other, true));
         }
         self.wiped += 1;
@@ -124,6 +130,18 @@
         self.after(delay_ms, Event::Restart { slot });
     }
 
+    /// The core changes the group as planned; a disk may be lost shortly after, and all others lose power with it.
+    fn exchange_member(&mut self) {
+        if !self.core.exchange_member() {
+            return;
+        }
+        self.exchanged += 1;
+        if self.random.rand_float() < WIPED_AFTER_EXCHANGE {
+            let delay_ms = self.random.rand_range(0..AFTER_EXCHANGE_MS);
+            self.after(delay_ms, Event::WipeAndPowerLoss);
+        }
+    }
+
     pub fn restart(&mut self, slot: usize) {
         if self.slots[slot].process.is_some() {
             return;
--- a/batch/tests/simulation/world.rs
+++ b/batch/tests/simulation/world.rs
@@ -38,6 +38,8 @@
     pub freezes: u32,
     pub cuts: u32,
     pub wipes: u32,
+    /// Planned changes of the group.
+    pub exchanges: u32,
     /// A store hears nobody and is heard by nobody for seconds.
     pub long_cuts: u32,
     /// A store is killed again and again, each time while it catches up.
@@ -54,6 +56,7 @@
     pub ended: u64,
     pub epochs: u64,
     pub wiped: u64,
+    pub exchanged: u64,
 }
 
 impl Totals {
@@ -64,6 +67,7 @@
         self.ended += other.ended;
         self.epochs += other.epochs;
         self.wiped += other.wiped;
+        self.exchanged += other.exchanged;
     }
 }
 
@@ -128,6 +132,8 @@
         slot: usize,
     },
     Wipe,
+    WipeAndPowerLoss,
+    ExchangeMember,
     CutOff,
     JoinAll {
         slot: usize,
@@ -158,6 +164,7 @@
     pub clients: Vec<Client>,
     pub oracle: Oracle,
     pub wiped: u64,
+    pub exchanged: u64,
     /// Something is in trouble, or catches up, until then.
     pub trouble_until_ms: u64,
     /// A disk was lost: the tolerance is used up until then.
@@ -184,6 +191,7 @@
             clients,
             oracle: Oracle::default(),
             wiped: 0,
+            exchanged: 0,
             trouble_until_ms: 0,
             no_trouble_until_ms: 0,
         }
@@ -220,6 +228,7 @@
             ended: self.oracle.jobs.values().filter(|job| job.end_acknowledged_ms.is_some()).count() as u64,
             epochs: self.core.group.as_ref().map_or(0, |group| group.epoch),
             wiped: self.wiped,
+            exchanged: self.exchanged,
         }
     }
 
@@ -261,6 +270,9 @@
         for _ in 0..faults.wipes {
             self.trouble(Event::Wipe);
         }
+        for _ in 0..faults.exchanges {
+            self.trouble(Event::ExchangeMember);
+        }
         for _ in 0..faults.long_cuts {
             self.trouble(Event::CutOff);
         }
