--- a/alderhollow/src/store/journal_queue/tests.rs
+++ b/alderhollow/src/store/journal_queue/tests.rs
@@ -4,6 +4,8 @@
 use alderhollow_storage::{FaultDisk, Journal};
 use std::rc::Rc;
 
+mod power;
+
 const ROOM: u64 = 1024 * 1024;
 const GROUP: GroupId = GroupId(3);
 
