--- a/coordination/tests/simulation/main.rs
+++ b/coordination/tests/simulation/main.rs
@@ -6,6 +6,7 @@
 mod ledger;
 mod machine;
 mod oracle;
+mod power;
 mod scenarios;
 mod world;
 
