--- a/alderhollow/tests/front.rs
+++ b/alderhollow/tests/front.rs
@@ -5,6 +5,7 @@
 use alderhollow::clock::SteadyClock;
 use alderhollow::distribution::client::PollState;
 use alderhollow::distribution::validity::TableValidity;
+use alderhollow_model::snapshot::ControlView;
 use std::sync::Arc;
 use std::time::Duration;
 use support::backend::*;
@@ -437,3 +438,34 @@
         assert_eq!(ask(door.address, &get("/jobs/1")).await.status, 404);
     });
 }
+
+#[test]
+fn the_parts_of_a_split_get_their_shares_of_a_doors_requests() {
+    run(async {
+        const REQUESTS: usize = 300;
+        let door = Door::start(2).await;
+        let mut snapshot = (**door.snapshots.borrow()).clone();
+        let mut config = (**snapshot.control.config.as_ref().expect("a configuration")).clone();
+        let parts =
+            serde_json::json!([{"service": "plain", "weight": 70}, {"service": "other", "weight": 30}]);
+        config.routes[0].service = None;
+        config.routes[0].traffic_split = serde_json::from_value(parts).expect("a split");
+        config.services.push(serde_json::from_str(r#"{"name":"other"}"#).expect("a service"));
+        let mut backends = (*snapshot.backends).clone();
+        backends.backends[1].service = "other".into();
+        let control = ControlView { version: 2, config: Some(Arc::new(config)), ..Default::default() };
+        (snapshot.control, snapshot.backends) = (Arc::new(control), Arc::new(backends));
+        door.snapshots.send_replace(Arc::new(snapshot));
+        let mut client = Client::connect(door.address).await;
+        for number in 0..REQUESTS {
+            // A part that answers 503 is left for no other part.
+            door.backends.script(if number % 10 == 0 { declined() } else { served("ok") });
+            client.write(&request("/once/1", "", "x")).await;
+            assert!(client.reply().await.is_some());
+        }
+        let seen = door.backends.seen();
+        let of_other = seen.iter().filter(|seen| seen.backend == "b1").count();
+        assert_eq!(seen.len(), REQUESTS);
+        assert!(of_other.abs_diff(REQUESTS * 30 / 100) <= 4, "{of_other} of {REQUESTS}");
+    });
+}
