--- a/batch/tests/quota/account.rs
+++ b/batch/tests/quota/account.rs
@@ -173,7 +173,7 @@
     let fits = [settled(A, QuotaOutcome::Fits)];
     assert_eq!(account.take_answer(12, 0, &counted(&report, 400, 850)), fits);
     let due_ms = account.next_due_ms(300).expect("it asks again");
-    assert!((12 + 50..12 + 100).contains(&due_ms), "{due_ms}");
+    assert!((12 + 30..12 + 60).contains(&due_ms), "{due_ms}");
     let again = account.next_report(due_ms, 300).expect("due");
     assert_eq!((again.wanted.as_slice(), again.refused_total), ([500, 700].as_slice(), 0));
     let late_ms = 10 + REFUSAL_PAUSE_MS;
