--- a/batch/tests/simulation/troubles.rs
+++ b/batch/tests/simulation/troubles.rs
@@ -5,12 +5,16 @@
 use crate::world::{Event, World, CATCH_UP_MS, FLICKER_MS, LONG_CUT_MS, RESTART_MS, STORES};
 use alderhollow_model::identity::DiskId;
 
+/// Share of the planned changes of the group after which a disk is lost, and how soon.
+const WIPED_AFTER_EXCHANGE: f64 = 0.4;
+const AFTER_EXCHANGE_MS: u64 = 500;
+
 impl World {
     /// Troubles and their ends.
     pub fn strike(&mut self, event: Event) {
         let slot = self.random.rand_range(0..STORES as u64) as usize;
         let span_ms = match event {
-            Event::CutOff => self.random.rand_range(LONG_CUT_MS),
+            Event::CutOff | Event::Halves => self.random.rand_range(LONG_CUT_MS),
             _ => self.random.rand_range(100..4_000),
         };
         let is_trouble = matches!(
@@ -22,6 +26,7 @@
                 | Event::CutCore
                 | Event::CutOff
                 | Event::Flicker { .. }
+                | Event::Halves
         );
         if is_trouble && self.now_ms < self.no_trouble_until_ms {
             return;
@@ -50,10 +55,15 @@
                 self.after(span_ms, Event::JoinCore { slot });
             }
             Event::JoinCore { slot } => self.slots[slot].cut_from_core = false,
-            Event::Wipe => self.wipe(slot),
+            Event::Wipe => self.wipe(slot, false),
+            Event::WipeAndPowerLoss => self.wipe(slot, true),
+            Event::ExchangeMember => self.exchange_member(),
             Event::CutOff => self.cut_off(slot, span_ms),
             Event::JoinAll { slot } => self.join_all(slot),
             Event::Flicker { slot, times } => self.flicker(slot, times),
+            Event::Halves => self.cut_into_halves(span_ms),
+            Event::WipeInHalves => self.wipe_in_halves(slot),
+            Event::JoinHalves { half } => self.join_halves(half),
             Event::SlowDisk => self.slots[slot].sync_ms = 600,
             Event::Heal => self.heal(),
             _ => unreachable!("not a trouble"),
@@ -75,6 +85,33 @@
         self.slots[slot].cut_from_core = false;
     }
 
+    /// Two stores neither reach the two others nor are reached by them. Clients reach all of them; the core reaches all, or
+    /// but one half.
+    fn cut_into_halves(&mut self, span_ms: u64) {
+        let first = self.random.rand_range(0..STORES as u64) as usize;
+        let second = (first + 1 + self.random.rand_range(0..STORES as u64 - 1) as usize) % STORES;
+        let half = [first, second];
+        for one in half {
+            for other in (0..STORES).filter(|other| !half.contains(other)) {
+                self.cuts.insert((one, other));
+                self.cuts.insert((other, one));
+            }
+        }
+        if self.random.rand_float() < 0.5 {
+            half.into_iter().for_each(|slot| self.slots[slot].cut_from_core = true);
+        }
+        self.after(span_ms, Event::JoinHalves { half });
+        if self.faults.wipe_in_halves {
+            let delay_ms = self.random.rand_range(0..span_ms);
+            self.after(delay_ms, Event::WipeInHalves);
+        }
+    }
+
+    fn join_halves(&mut self, half: [usize; STORES / 2]) {
+        self.cuts.retain(|(from, to)| half.contains(from) == half.contains(to));
+        half.into_iter().for_each(|slot| self.slots[slot].cut_from_core = false);
+    }
+
     /// A store is killed soon after it came back, so many times.
     fn flicker(&mut self, slot: usize, times: u32) {
         let power = self.random.rand_float() < 0.5;
@@ -103,8 +140,8 @@
     }
 
     /// A disk is lost, where the tolerance of one machine allows it: nothing else is in trouble, nor soon will be. In the
-    /// same moment all others may lose power.
-    pub fn wipe(&mut self, slot: usize) {
+    /// same moment all others may lose power, or surely do.
+    pub fn wipe(&mut self, slot: usize, others_lose_power: bool) {
         let disk = self.slots[slot].disk.id;
         let calm = self.now_ms >= self.trouble_until_ms && self.cuts.is_empty();
         let is_well = |slot: &Slot| slot.process.is_some() && !slot.frozen && !slot.cut_from_core;
@@ -114,7 +151,19 @@
             return;
         }
         self.no_trouble_until_ms = self.now_ms + CATCH_UP_MS;
-        if self.random.rand_float() < 0.5 {
+        self.take_disk(slot, others_lose_power);
+    }
+
+    /// One disk of the play is lost while the stores may be cut into halves, whatever else is in trouble.
+    fn wipe_in_halves(&mut self, slot: usize) {
+        if self.wiped == 0 && self.core.group.is_some() {
+            self.take_disk(slot, false);
+        }
+    }
+
+    /// Takes a disk; perhaps all others lose power in the same moment.
+    fn take_disk(&mut self, slot: usize, others_lose_power: bool) {
+        if others_lose_power || self.random.rand_float() < 0.5 {
             (0..STORES).filter(|other| *other != slot).for_each(|other| self.kill(other, true));
         }
         self.wiped += 1;
@@ -124,6 +173,18 @@
         self.after(delay_ms, Event::Restart { slot });
     }
 
+    /// The core changes the group as planned; a disk may be lost shortly after, and all others lose power with it.
+    fn exchange_member(&mut self) {
+        if !self.core.exchange_member() {
+            return;
+        }
+        self.exchanged += 1;
+        if self.random.rand_float() < WIPED_AFTER_EXCHANGE {
+            let delay_ms = self.random.rand_range(0..AFTER_EXCHANGE_MS);
+            self.after(delay_ms, Event::WipeAndPowerLoss);
+        }
+    }
+
     pub fn restart(&mut self, slot: usize) {
         if self.slots[slot].process.is_some() {
             return;
--- a/batch/tests/simulation/world.rs
+++ b/batch/tests/simulation/world.rs
@@ -38,10 +38,16 @@
     pub freezes: u32,
     pub cuts: u32,
     pub wipes: u32,
+    /// Planned changes of the group.
+    pub exchanges: u32,
     /// A store hears nobody and is heard by nobody for seconds.
     pub long_cuts: u32,
     /// A store is killed again and again, each time while it catches up.
     pub flickers: u32,
+    /// The stores are cut into two halves for seconds; the core lies in one of them, or reaches both.
+    pub halves: u32,
+    /// One disk is lost in the middle of a cut into halves.
+    pub wipe_in_halves: bool,
     pub loss: f64,
 }
 
@@ -54,6 +60,7 @@
     pub ended: u64,
     pub epochs: u64,
     pub wiped: u64,
+    pub exchanged: u64,
 }
 
 impl Totals {
@@ -64,6 +71,7 @@
         self.ended += other.ended;
         self.epochs += other.epochs;
         self.wiped += other.wiped;
+        self.exchanged += other.exchanged;
     }
 }
 
@@ -128,6 +136,8 @@
         slot: usize,
     },
     Wipe,
+    WipeAndPowerLoss,
+    ExchangeMember,
     CutOff,
     JoinAll {
         slot: usize,
@@ -136,6 +146,11 @@
         slot: usize,
         times: u32,
     },
+    Halves,
+    JoinHalves {
+        half: [usize; STORES / 2],
+    },
+    WipeInHalves,
     SlowDisk,
     Heal,
 }
@@ -158,6 +173,7 @@
     pub clients: Vec<Client>,
     pub oracle: Oracle,
     pub wiped: u64,
+    pub exchanged: u64,
     /// Something is in trouble, or catches up, until then.
     pub trouble_until_ms: u64,
     /// A disk was lost: the tolerance is used up until then.
@@ -184,6 +200,7 @@
             clients,
             oracle: Oracle::default(),
             wiped: 0,
+            exchanged: 0,
             trouble_until_ms: 0,
             no_trouble_until_ms: 0,
         }
@@ -220,6 +237,7 @@
             ended: self.oracle.jobs.values().filter(|job| job.end_acknowledged_ms.is_some()).count() as u64,
             epochs: self.core.group.as_ref().map_or(0, |group| group.epoch),
             wiped: self.wiped,
+            exchanged: self.exchanged,
         }
     }
 
@@ -261,6 +279,9 @@
         for _ in 0..faults.wipes {
             self.trouble(Event::Wipe);
         }
+        for _ in 0..faults.exchanges {
+            self.trouble(Event::ExchangeMember);
+        }
         for _ in 0..faults.long_cuts {
             self.trouble(Event::CutOff);
         }
@@ -269,6 +290,9 @@
             let times = 2 + self.random.rand_range(0..5) as u32;
             self.trouble(Event::Flicker { slot, times });
         }
+        for _ in 0..faults.halves {
+            self.trouble(Event::Halves);
+        }
         self.at(TROUBLE_MS + 1_000, Event::Heal);
     }
 
