--- a/alderhollow/src/control_state/group_policy/mod.rs
+++ b/alderhollow/src/control_state/group_policy/mod.rs
@@ -3,7 +3,7 @@
 //! The primary of the core asks for it every now and then, with what it sees of the stores, and proposes what comes out.
 //! Each step is a new epoch. What holds over all steps:
 //!
-//! - Only a member that holds everything that was acknowledged ([`ControlState::complete_members`]) becomes the primary.
+//! - Only a member that holds everything that was acknowledged ([`GroupState::complete`](crate::control_state::groups::GroupState::complete)) becomes the primary.
 //! - A member that is dead, silent to the primary or to be emptied leaves only if `tolerate + 1` others remain that respond
 //!   *and* hold everything: were one that does not hold everything yet to count, the loss of one more disk could be the loss
 //!   of all. Until then the member stays, and others are added to come to hold everything.
--- a/alderhollow/src/metrics/family.rs
+++ b/alderhollow/src/metrics/family.rs
@@ -21,7 +21,7 @@
 const SECONDS_BUCKETS: [f64; 14] =
     [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
 
-/// A label: an enum of its values. To be made by [`label!`](crate::metrics::family::label).
+/// A label: an enum of its values. To be made by the macro `label!` beside it.
 pub trait Label: Copy + 'static {
     /// Its name.
     const NAME: &'static str;
--- a/alderhollow/src/store/group_engine.rs
+++ b/alderhollow/src/store/group_engine.rs
@@ -19,7 +19,7 @@
 
 /// Longest pause between looks at a group that this store leads: time alone changes what it reports.
 pub(super) const LONGEST_TICK_MS: u64 = 200;
-/// A group is dropped so long after the tables stopped to name this store; see [`GroupEngine::may_be_dropped`].
+/// A group is dropped so long after the tables stopped to name this store; see `GroupEngine::may_be_dropped`.
 pub const KEEP_LEFT_MS: u64 = 30_000;
 
 /// One group.
