A role for the core on machines of its own

The subcommand 'core' keeps the core's state and serves operators, no clients. Doors' disks stay outside a core that has machines of its own. What doors and core processes share moved to control_plane. Where no seed can keep the core, each process says so at the first start.

Core processes are no longer counted among the senders.

--- a/alderhollow/src/cli/mod.rs
+++ b/alderhollow/src/cli/mod.rs
@@ -8,7 +8,7 @@
 use crate::role::RoleError;
 use crate::settings::{Settings, SettingsError};
 use crate::status::StatusError;
-use crate::{door, logging, store};
+use crate::{control_plane, door, logging, store};
 use alderhollow_model::identity::Role;
 use alderhollow_storage::StorageError;
 use clap::{Args, Parser, Subcommand};
@@ -36,8 +36,11 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
-    /// Serve clients and operators, with the settings file that ALDERHOLLOW_BOOT names.
+    /// Serve clients and operators, with the settings file that ALDERHOLLOW_BOOT names. With a disk, also keep the core's
+    /// state.
     Door(RoleArguments),
+    /// Keep the core's state and serve operators, but no clients, with the settings file that ALDERHOLLOW_BOOT names.
+    Core(RoleArguments),
     /// Keep batch jobs, with the settings file that ALDERHOLLOW_BOOT names.
     Store(RoleArguments),
     /// Check a settings file or a configuration, and print all that is wrong.
@@ -54,7 +57,7 @@
     },
 }
 
-/// Options of both roles.
+/// Options of all roles.
 #[derive(Debug, Args)]
 struct RoleArguments {
     /// Answer `GET /PATH` at this port of the settings' `ip` with the process's metrics, as Prometheus text.
@@ -126,6 +129,7 @@
 fn run(command_line: CommandLine) -> Result<(), CommandError> {
     match command_line.command {
         Command::Door(arguments) => run_role(Role::Door, command_line.log_level, arguments),
+        Command::Core(arguments) => run_role(Role::Core, command_line.log_level, arguments),
         Command::Store(arguments) => run_role(Role::Store, command_line.log_level, arguments),
         Command::Check(arguments) => check::run(&arguments),
         Command::Inspect { folder } => inspect::run(&folder),
@@ -149,6 +153,7 @@
         match role {
             Role::Door => door::run(settings).await,
             Role::Store => store::run(settings).await,
+            Role::Core => control_plane::run(settings).await,
         }
     };
     Ok(local.block_on(&runtime, running)?)
--- a/alderhollow/src/door/core_member.rs
+++ b/alderhollow/src/control_plane/member.rs
@@ -12,20 +12,25 @@
 use crate::settings::Settings;
 use alderhollow_coordination::replica::interface::Recovered;
 use alderhollow_coordination::replica::settings::{Settings as ReplicaSettings, Timings};
-use alderhollow_model::identity::Address;
+use alderhollow_model::identity::{Address, Role};
 use alderhollow_storage::{FolderDisk, Journal, Writer};
 use std::path::Path;
 use std::rc::Rc;
 use tokio::sync::watch;
 
 /// Opens the member with what the folder holds.
-pub fn open(folder: &Path, settings: &Settings, node: &Node) -> Result<Rc<ControlAuthority>, RoleError> {
+pub fn open(
+    folder: &Path,
+    settings: &Settings,
+    node: &Node,
+    role: Role,
+) -> Result<Rc<ControlAuthority>, RoleError> {
     let folder_error = |source| RoleError::Folder { path: folder.to_path_buf(), source };
     let mut disk = FolderDisk::new(folder).map_err(folder_error)?;
     let (journal, found) = Journal::open(&mut disk, random_seed())?;
     let recovered = Recovered { snapshot: found.snapshot, records: found.records };
     let core = Core::start(
-        replica_settings(settings),
+        replica_settings(settings, role),
         recovered,
         ControlState::default(),
         Writer::start(journal)?,
@@ -36,10 +41,11 @@
     Ok(Rc::new(ControlAuthority::new(core, node.clock, settings.tolerate.machines)))
 }
 
-fn replica_settings(settings: &Settings) -> ReplicaSettings {
+fn replica_settings(settings: &Settings, role: Role) -> ReplicaSettings {
     let contact = Contact {
         internal: Address(internal_address(settings)),
         control: settings.listen.control.map(Address),
+        is_dedicated: role == Role::Core,
     };
     ReplicaSettings {
         node: settings.node.clone(),
--- a/alderhollow/src/core/contact.rs
+++ b/alderhollow/src/core/contact.rs
@@ -14,6 +14,9 @@
     /// For operators.
     #[n(1)]
     pub control: Option<Address>,
+    /// Whether its process serves no clients: it runs on a machine of the core's own.
+    #[cbor(n(2), default)]
+    pub is_dedicated: bool,
 }
 
 impl Contact {
@@ -31,7 +34,12 @@
 /// A member as the other processes know it.
 pub fn core_member(member: &Member) -> Option<CoreMember> {
     let contact = Contact::of(member)?;
-    Some(CoreMember { disk: DiskId(member.id), internal: contact.internal, control: contact.control })
+    Some(CoreMember {
+        disk: DiskId(member.id),
+        internal: contact.internal,
+        control: contact.control,
+        is_dedicated: contact.is_dedicated,
+    })
 }
 
 /// The core as its member knows it, from the record of an epoch.
--- a/alderhollow/src/core/membership.rs
+++ b/alderhollow/src/core/membership.rs
@@ -1,13 +1,13 @@
 //! How a disk becomes a member: the seeds' disks found the core at the first start of the whole system; every other disk
-//! asks the primary to be taken in.
+//! asks the primary to be taken in. Where machines of the core's own keep it, doors' disks stay outside.
 
 use super::contact::Contact;
 use super::driver::Core;
 use crate::distribution::directory::Directory;
-use crate::distribution::message::{Answer, CoreView, Request};
+use crate::distribution::message::{Answer, Request};
 use crate::internal::{Network, ServiceId};
 use alderhollow_coordination::replica::interface::{Member, StateMachine};
-use alderhollow_model::identity::NodeInfo;
+use alderhollow_model::identity::{NodeInfo, Role};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,7 +40,7 @@
     }
     loop {
         tokio::time::sleep(JOIN_PAUSE).await;
-        if !membership.core.wants_to_join() {
+        if !membership.core.wants_to_join() || membership.leaves_core_to_others() {
             continue;
         }
         if let Some(primary) = membership.directory.core_view().primary {
@@ -51,11 +51,27 @@
 
 /// What a seed said of itself.
 enum Seed {
-    WithDisk(Member),
-    WithoutDisk,
+    /// It may be a member.
+    Candidate { member: Member, role: Role },
+    /// It may not.
+    Other,
+}
+
+/// The members that found the core: all seeds that may be members; where some of them are the core's own machines, these
+/// alone.
+fn founders(seeds: Vec<Seed>) -> Vec<Member> {
+    let is_dedicated = |seed: &Seed| matches!(seed, Seed::Candidate { role: Role::Core, .. });
+    let only_dedicated = seeds.iter().any(is_dedicated);
+    seeds.into_iter().filter(|seed| !only_dedicated || is_dedicated(seed)).filter_map(Seed::member).collect()
 }
 
 impl<S: StateMachine + 'static> Membership<S> {
+    /// Machines of the core's own keep the core, and this one is none of them.
+    fn leaves_core_to_others(&self) -> bool {
+        let core_view = self.directory.core_view();
+        self.node.role != Role::Core && core_view.members.iter().any(|member| member.is_dedicated)
+    }
+
     fn is_seed(&self) -> bool {
         self.directory.seeds().contains(&self.node.internal.0)
     }
@@ -72,8 +88,7 @@
                 }
             }
             if known.iter().all(Option::is_some) {
-                let witnesses = known.into_iter().flatten().filter_map(Seed::member).collect();
-                self.core.found(witnesses);
+                self.core.found(founders(known.into_iter().flatten().collect()));
                 return;
             }
             tokio::time::sleep(HELLO_PAUSE).await;
@@ -82,35 +97,34 @@
 
     async fn ask(&self, seed: SocketAddr) -> Option<Seed> {
         if seed == self.node.internal.0 {
-            return Some(Seed::WithDisk(self.core.member()));
+            return Some(Seed::Candidate { member: self.core.member(), role: self.node.role });
         }
         let request = minicbor::to_vec(Request::Hello).ok()?;
         let answer = self.network.call(seed, ServiceId::Distribution, request, HELLO_TIMEOUT).await.ok()?;
         match minicbor::decode(&answer).ok()? {
-            Answer::Hello(node, core_view) => Some(Seed::of(node, core_view)),
+            Answer::Hello(node, _) => Some(Seed::of(node)),
             Answer::Update(_) | Answer::NotPrimary(_) => None,
         }
     }
 }
 
 impl Seed {
-    fn of(node: NodeInfo, _: CoreView) -> Seed {
-        let contact = Contact { internal: node.internal, control: node.control };
+    fn of(node: NodeInfo) -> Seed {
+        let contact =
+            Contact { internal: node.internal, control: node.control, is_dedicated: node.role == Role::Core };
         match node.disk {
-            Some(disk) => Seed::WithDisk(Member {
-                id: disk.0,
-                node: node.node,
-                zone: node.zone,
-                contact: contact.encode(),
-            }),
-            None => Seed::WithoutDisk,
+            Some(disk) if node.role.may_join_core() => Seed::Candidate {
+                member: Member { id: disk.0, node: node.node, zone: node.zone, contact: contact.encode() },
+                role: node.role,
+            },
+            _ => Seed::Other,
         }
     }
 
     fn member(self) -> Option<Member> {
         match self {
-            Seed::WithDisk(member) => Some(member),
-            Seed::WithoutDisk => None,
+            Seed::Candidate { member, .. } => Some(member),
+            Seed::Other => None,
         }
     }
 }
--- a/alderhollow/src/distribution/message.rs
+++ b/alderhollow/src/distribution/message.rs
@@ -159,4 +159,7 @@
     /// Where operators call it.
     #[n(2)]
     pub control: Option<Address>,
+    /// Whether its process serves no clients: it runs on a machine of the core's own.
+    #[cbor(n(3), default)]
+    pub is_dedicated: bool,
 }
--- a/alderhollow/src/distribution/server.rs
+++ b/alderhollow/src/distribution/server.rs
@@ -13,7 +13,7 @@
 use crate::metrics;
 use crate::SnapshotReceiver;
 use alderhollow_model::backend::BackendList;
-use alderhollow_model::identity::{Address, NodeInfo, Role};
+use alderhollow_model::identity::{Address, NodeInfo};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -135,7 +135,7 @@
                 authority.heard(&poll);
             }
             let mut update = self.newer_than(&poll.held, authority.as_ref(), epoch);
-            if poll.node.disk.is_some() && poll.node.role == Role::Door && update.senders.is_some() {
+            if poll.node.disk.is_some() && poll.node.role.may_join_core() && update.senders.is_some() {
                 let pollers = self.pollers.borrow().addresses();
                 update.pollers = Some(pollers.into_iter().map(Address).collect());
             }
@@ -160,7 +160,7 @@
             let known = self.snapshots.borrow().senders.clone();
             *senders = SenderTracker::begin(epoch, &known, now_ms);
         }
-        let came = senders.heard(&poll.node.node, now_ms);
+        let came = poll.node.role.sends_to_backends() && senders.heard(&poll.node.node, now_ms);
         let went = senders.prune(now_ms);
         drop(senders);
         if came || went {
--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cli;
 pub mod clock;
 pub mod configuration;
+pub mod control_plane;
 pub mod control_state;
 pub mod core;
 pub mod discovery;
--- a/alderhollow/src/role.rs
+++ b/alderhollow/src/role.rs
@@ -31,6 +31,11 @@
         /// Why.
         source: std::io::Error,
     },
+    /// A process of the core without a disk.
+    #[error(
+        "`data-dir` is missing: a process of the core needs a disk, set it to a folder on the machine's disk"
+    )]
+    NoCoreDisk,
     /// What is in the data folder can't be used.
     #[error("the data folder can't be used: {0}")]
     Storage(#[from] StorageError),
--- a/alderhollow/src/settings/reading.rs
+++ b/alderhollow/src/settings/reading.rs
@@ -41,10 +41,14 @@
 
 /// The role that a file is for, by the parties that it serves.
 fn role_by_parties(serves: &[String]) -> Option<Role> {
-    if serves.iter().any(|party| party == EDGE || party == CONTROL_PLANE) {
+    let serves_party = |party: &str| serves.iter().any(|served| served == party);
+    if serves_party(EDGE) {
         return Some(Role::Door);
     }
-    serves.iter().any(|party| party == STORAGE).then_some(Role::Store)
+    if serves_party(CONTROL_PLANE) {
+        return Some(Role::Core);
+    }
+    serves_party(STORAGE).then_some(Role::Store)
 }
 
 /// `None` only together with findings.
@@ -57,11 +61,13 @@
     let first_start = top.required_flag(findings, "first-start");
     let counts_for_quorum = top.flag(findings, "counts-for-quorum", true);
     let data_dir = top.text(findings, "data-dir").map(PathBuf::from);
-    if role == Some(Role::Store) && data_dir.is_none() {
-        findings
-            .add("`data-dir` is missing: a store keeps batch jobs, set it to a folder on the machine's disk");
-    }
     let serves = top.text_list(findings, "serves");
+    match role {
+        Some(Role::Store) if data_dir.is_none() => findings
+            .add("`data-dir` is missing: a store keeps batch jobs, set it to a folder on the machine's disk"),
+        Some(Role::Core) => check_core(data_dir.is_some(), &serves, findings),
+        _ => (),
+    }
     let listen = read_listen(top.table("listen", findings), role, &serves, findings);
     let role_name = top.text(findings, "role").unwrap_or_default();
     let machine_class = top.text(findings, "machine-class").unwrap_or_default();
@@ -101,6 +107,21 @@
     })
 }
 
+/// What a process of the core must have besides addresses.
+fn check_core(has_disk: bool, serves: &[String], findings: &mut Findings) {
+    if !has_disk {
+        findings.add(
+            "`data-dir` is missing: a process of the core keeps the control state, set it to a folder on the machine's \
+             disk, or run `alderhollow door` on machines without one",
+        );
+    }
+    if !serves.iter().any(|party| party == CONTROL_PLANE) {
+        findings.add(
+            "`serves` lacks \"control_plane\": operators must reach the core, add it to the role in the deploy file",
+        );
+    }
+}
+
 fn read_listen(keys: Keys, role: Option<Role>, serves: &[String], findings: &mut Findings) -> Listen {
     let serves_party = |party: &str| role != Some(Role::Store) && serves.iter().any(|served| served == party);
     let (front, ready) = if serves_party(EDGE) {
@@ -166,7 +187,7 @@
 }
 
 fn read_cloud(keys: Keys, role: Option<Role>, findings: &mut Findings) -> Cloud {
-    let address = if role == Some(Role::Door) {
+    let address = if matches!(role, Some(Role::Door | Role::Core)) {
         keys.required_address(findings, "address", "the platform's list of backends is there")
     } else {
         keys.address(findings, "address")
--- a/alderhollow/src/status/display.rs
+++ b/alderhollow/src/status/display.rs
@@ -4,7 +4,6 @@
     CoreRole, CoreStatus, RouteTokens, StatusReport, StoreGroupStatus, StoreStatus, TablesGroup, TablesStatus,
 };
 use crate::distribution::message::CoreView;
-use alderhollow_model::identity::Role;
 use std::fmt::{self, Display, Formatter};
 
 /// Width of the column of names.
@@ -24,10 +23,7 @@
 
 impl Display for StatusReport {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        let role = match self.node.role {
-            Role::Door => "door",
-            Role::Store => "store",
-        };
+        let role = self.node.role.name();
         line(f, "process", format_args!("{role} {} in zone {}", self.node.node, self.node.zone))?;
         line(f, "life", format_args!("{:016x}, {} ms", self.node.life.0, self.uptime_ms))?;
         match self.node.disk {
--- a/alderhollow/standins/src/settings.rs
+++ b/alderhollow/standins/src/settings.rs
@@ -12,6 +12,8 @@
     Edge,
     /// Runs a store.
     Storage,
+    /// Keeps the core and serves no clients.
+    Core,
 }
 
 impl MachineClass {
@@ -20,6 +22,7 @@
         match self {
             MachineClass::Edge => "edge",
             MachineClass::Storage => "storage",
+            MachineClass::Core => "core",
         }
     }
 
@@ -28,6 +31,7 @@
         match self {
             MachineClass::Edge => "door",
             MachineClass::Storage => "store",
+            MachineClass::Core => "core",
         }
     }
 
@@ -35,6 +39,7 @@
         match self {
             MachineClass::Edge => vec!["edge", "control_plane"],
             MachineClass::Storage => vec!["storage"],
+            MachineClass::Core => vec!["control_plane"],
         }
     }
 }
@@ -213,13 +218,14 @@
 /// The settings file of `machine`, in TOML.
 pub fn settings_file(site: &Site, machine: &Machine) -> Result<String, toml::ser::Error> {
     let name = machine.class.name();
-    let (is_edge, ports) = (machine.class == MachineClass::Edge, &site.ports);
-    let listen = |port| is_edge.then(|| SocketAddr::from((machine.ip, port)));
+    let ports = &site.ports;
+    let serves = machine.class.serves();
+    let listen = |party, port| serves.contains(&party).then(|| SocketAddr::from((machine.ip, port)));
     toml::to_string(&SettingsFile {
         node: &machine.node,
         role: machine.class.subcommand().to_string(),
         machine_class: name,
-        serves: machine.class.serves(),
+        serves: serves.clone(),
         ip: machine.ip,
         zone: &machine.zone,
         region: site.zones.get(&machine.zone).map_or("", String::as_str),
@@ -234,9 +240,9 @@
         contracts: CONTRACTS,
         zones: &site.zones,
         listen: Listen {
-            front: listen(ports.front),
-            ready: listen(ports.ready),
-            control: listen(ports.control),
+            front: listen("edge", ports.front),
+            ready: listen("edge", ports.ready),
+            control: listen("control_plane", ports.control),
         },
         limits: Limits {
             cpu_share: 0.45,
@@ -244,7 +250,7 @@
             memory_mb: 260,
             max_fds: 4100,
             link_mbps: 1000.0,
-            disk_mb: if is_edge { 64 } else { 650 },
+            disk_mb: if machine.class == MachineClass::Storage { 650 } else { 64 },
         },
         tolerate: Tolerate { machines: 1, zones: 1, regions: 0 },
         bounds: BOUNDS,
--- a/alderhollow/tests/core_discovery/world.rs
+++ b/alderhollow/tests/core_discovery/world.rs
@@ -107,6 +107,7 @@
         disk: DiskId(u64::from(process)),
         internal: Address(address(process)),
         control: Some(Address(address(process))),
+        is_dedicated: false,
     }
 }
 
--- a/alderhollow/tests/distribution.rs
+++ b/alderhollow/tests/distribution.rs
@@ -51,7 +51,12 @@
 }
 
 fn member(last: u8) -> CoreMember {
-    CoreMember { disk: DiskId(u64::from(last)), internal: Address(address(last)), control: None }
+    CoreMember {
+        disk: DiskId(u64::from(last)),
+        internal: Address(address(last)),
+        control: None,
+        is_dedicated: false,
+    }
 }
 
 fn stamp(epoch: u64, sequence: u64) -> Stamp {
--- a/alderhollow/tests/inspection.rs
+++ b/alderhollow/tests/inspection.rs
@@ -131,6 +131,7 @@
         disk: DiskId(disk),
         internal: address(host, 7660),
         control: Some(address(host, 8146)),
+        is_dedicated: false,
     };
     StatusReport {
         node: NodeInfo {
--- /dev/null
+++ b/alderhollow/tests/own_core_machines.rs
@@ -0,0 +1,142 @@
+//! The core on machines of its own: processes with the role `core`, and doors without a disk. What founding, growth,
+//! replacement, kills and lost disks leave of it.
+
+mod process_support;
+
+use alderhollow::status::message::CoreRole;
+use process_support::{run, ReadAnswer, Tier};
+
+const OK: u16 = 200;
+
+/// Starts the core's machines 4 to `last`, and waits until they are members.
+async fn grow(tier: &mut Tier, last: u8) {
+    for machine in 4..=last {
+        tier.start_core(machine, true);
+    }
+    for machine in 4..=last {
+        tier.until_member(machine).await;
+    }
+}
+
+#[test]
+fn doors_without_a_disk_redirect_operators_to_a_core_of_its_own_and_become_ready() {
+    run(|mut tier| async move {
+        for door in 7..=8 {
+            tier.start(door, false, true);
+        }
+        tier.found_on_own_machines().await;
+        for door in 7..=8 {
+            tier.until_ready(door).await;
+            assert_eq!(tier.config_version_at(door).await, Some(1));
+            assert_eq!(tier.begin_read(door).await.expect("a read"), ReadAnswer::NotSure(307));
+        }
+        assert_eq!(tier.put_config(1, 2).await, OK);
+    });
+}
+
+#[test]
+fn processes_of_the_core_are_not_counted_among_those_that_send_to_backends() {
+    run(|mut tier| async move {
+        tier.found_on_own_machines().await;
+        tier.start(7, false, true);
+        tier.until_ready(7).await;
+        while tier.status(7).await.tables.senders == 0 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(tier.status(7).await.tables.senders, 1, "the door alone");
+        let primary = tier.primary().await;
+        let status = tier.status(primary).await;
+        assert_eq!(status.core.expect("a member").role, CoreRole::Primary);
+    });
+}
+
+#[test]
+fn a_core_that_grows_keeps_its_configuration_when_all_its_processes_are_killed() {
+    run(|mut tier| async move {
+        tier.found_on_own_machines().await;
+        grow(&mut tier, 5).await;
+        assert_eq!(tier.put_config(1, 6).await, OK);
+        for machine in 1..=5 {
+            tier.kill(machine);
+        }
+        for machine in 1..=5 {
+            tier.start_core(machine, false);
+        }
+        assert_eq!(tier.config_version().await, Some(6));
+    });
+}
+
+#[test]
+fn a_machine_that_replaces_another_is_taken_in_and_counts() {
+    run(|mut tier| async move {
+        tier.found_on_own_machines().await;
+        grow(&mut tier, 4).await;
+        let primary = tier.primary().await;
+        let gone = 1 + primary % 3;
+        tier.kill(gone);
+        tier.wipe(gone);
+        assert_eq!(tier.put_config(1, 2).await, OK);
+        tier.start_core(5, false);
+        tier.until_member(5).await;
+        tier.kill(primary);
+        assert_eq!(tier.config_version().await, Some(2));
+        assert_eq!(tier.put_config(2, 3).await, OK);
+    });
+}
+
+#[test]
+fn a_disk_that_is_lost_while_all_others_are_killed_takes_nothing_with_it() {
+    run(|mut tier| async move {
+        tier.found_on_own_machines().await;
+        grow(&mut tier, 5).await;
+        let primary = tier.primary().await;
+        assert_eq!(tier.put_config(1, 2).await, OK);
+        for machine in 1..=5 {
+            tier.kill(machine);
+        }
+        tier.wipe(primary);
+        for machine in 1..=5 {
+            tier.start_core(machine, false);
+        }
+        assert_eq!(tier.config_version().await, Some(2));
+        tier.until_member(primary).await;
+        assert_eq!(tier.put_config(2, 4).await, OK);
+    });
+}
+
+#[test]
+fn a_primary_that_is_told_to_end_hands_over_and_ends_in_time() {
+    run(|mut tier| async move {
+        tier.found_on_own_machines().await;
+        let former = tier.primary().await;
+        assert!(tier.stop(former).await, "the primary ends by itself, without an error");
+        assert_ne!(tier.primary().await, former);
+        assert_eq!(tier.put_config(1, 3).await, OK);
+    });
+}
+
+#[test]
+fn a_doors_disk_stays_outside_a_core_on_machines_of_its_own() {
+    run(|mut tier| async move {
+        tier.start(7, true, true);
+        tier.found_on_own_machines().await;
+        tier.until_ready(7).await;
+        tier.start_core(4, true);
+        tier.until_member(4).await;
+        let door = tier.status(7).await;
+        assert_eq!(door.core.expect("it has a disk").role, CoreRole::Outside);
+        assert_eq!(tier.config_version_at(7).await, Some(1));
+    });
+}
+
+#[test]
+fn a_deployment_whose_seeds_cannot_keep_the_core_says_so_at_the_start() {
+    run(|mut tier| async move {
+        for door in 1..=4 {
+            tier.start(door, false, true);
+        }
+        for door in 1..=4 {
+            tier.until_logged(door, "nobody can keep the core").await;
+        }
+    });
+}
--- a/alderhollow/tests/poll_client.rs
+++ b/alderhollow/tests/poll_client.rs
@@ -32,7 +32,7 @@
 }
 
 fn member() -> CoreMember {
-    CoreMember { disk: DiskId(1), internal: Address(own_address()), control: None }
+    CoreMember { disk: DiskId(1), internal: Address(own_address()), control: None, is_dedicated: false }
 }
 
 fn any_view(_: &[u8]) -> Option<ControlView> {
--- a/alderhollow/tests/process_support/mod.rs
+++ b/alderhollow/tests/process_support/mod.rs
@@ -1,5 +1,9 @@
-//! Doors of one tier as processes on loopback, with a platform whose list is empty.
+//! Doors and processes of the core as processes on loopback, with a platform whose list is empty.
+// Each file of tests uses a part of it.
+#![allow(dead_code)]
 
+use alderhollow::status;
+use alderhollow::status::message::StatusReport;
 use alderhollow_standins::http;
 use alderhollow_standins::operator::{Operator, Order, OrderAnswer};
 use alderhollow_standins::platform::{ListSettings, Platform, PlatformList};
@@ -91,21 +95,44 @@
         self.seeds = seeds;
     }
 
+    /// Starts the three machines of the core's own that found the core.
+    pub async fn found_on_own_machines(&mut self) {
+        for machine in 1..=3 {
+            self.start_core(machine, true);
+        }
+        self.put_config(0, 1).await;
+    }
+
     /// Starts a door.
     pub fn start(&mut self, door: u8, has_disk: bool, first_start: bool) {
+        self.start_machine(MachineClass::Edge, door, has_disk, first_start);
+    }
+
+    /// Starts a process that keeps the core and serves no clients.
+    pub fn start_core(&mut self, machine: u8, first_start: bool) {
+        self.start_machine(MachineClass::Core, machine, true, first_start);
+    }
+
+    fn start_machine(&mut self, class: MachineClass, door: u8, has_disk: bool, first_start: bool) {
         let folder = self.door_folder(door);
         let data_dir = has_disk.then(|| folder.join("data"));
         std::fs::create_dir_all(data_dir.as_ref().unwrap_or(&folder)).expect("a folder");
         let settings = folder.join("node.toml");
-        std::fs::write(&settings, self.settings(door, data_dir, first_start)).expect("the settings");
+        std::fs::write(&settings, self.settings(class, door, data_dir, first_start)).expect("the settings");
         let binary = Path::new(env!("CARGO_BIN_EXE_alderhollow"));
-        let name = format!("edge-{door}");
-        let process = TierProcess::start(&name, binary, "door", &settings, &folder.join("log"));
+        let name = format!("{}-{door}", class.name());
+        let process = TierProcess::start(&name, binary, class.subcommand(), &settings, &folder.join("log"));
         self.doors.insert(door, process.expect("the door starts"));
     }
 
-    fn settings(&self, door: u8, data_dir: Option<PathBuf>, first_start: bool) -> String {
-        let zones = (1..=6).map(|zone| (format!("zone-{zone}"), "north".to_string())).collect();
+    fn settings(
+        &self,
+        class: MachineClass,
+        door: u8,
+        data_dir: Option<PathBuf>,
+        first_start: bool,
+    ) -> String {
+        let zones = (1..=9).map(|zone| (format!("zone-{zone}"), "north".to_string())).collect();
         let site = Site {
             ports: PORTS,
             zones,
@@ -114,8 +141,8 @@
             first_start,
         };
         let machine = Machine {
-            node: format!("edge-{door}"),
-            class: MachineClass::Edge,
+            node: format!("{}-{door}", class.name()),
+            class,
             ip: ip(self.first_octets, door),
             zone: format!("zone-{door}"),
             data_dir,
@@ -191,6 +218,19 @@
         }
     }
 
+    /// Version of the configuration as one process answers or redirects.
+    pub async fn config_version_at(&self, door: u8) -> Option<u64> {
+        let operator = Operator::new(vec![self.control(door)]);
+        let answer = operator.send(&Order::get_config()).await.expect("a clear answer");
+        serde_json::from_slice::<serde_json::Value>(&answer.body).ok()?["config-version"].as_u64()
+    }
+
+    /// What a process says of itself.
+    pub async fn status(&self, door: u8) -> StatusReport {
+        let address = SocketAddr::from((ip(self.first_octets, door), PORTS.internal[0]));
+        status::ask(address).await.expect("a status")
+    }
+
     /// Waits until a door calls itself ready.
     pub async fn until_ready(&self, door: u8) {
         let address = SocketAddr::from((ip(self.first_octets, door), PORTS.ready));
--- a/alderhollow/tests/settings.rs
+++ b/alderhollow/tests/settings.rs
@@ -55,6 +55,27 @@
     insta::assert_snapshot!(findings_of(&store, Role::Store));
 }
 
+/// Settings of a process that serves operators alone.
+fn core_settings() -> String {
+    DOOR.replace("serves = [\"edge\",\"control_plane\"]", "serves = [\"control_plane\"]")
+}
+
+#[test]
+fn a_process_that_serves_operators_alone_is_one_of_the_core() {
+    let text = core_settings();
+    let settings = Settings::parse(&text, Role::Core).expect("valid");
+    assert_eq!(settings, Settings::parse_for_any_role(&text).expect("valid"));
+    assert!(settings.serves("control_plane") && !settings.serves("edge"));
+}
+
+#[test]
+fn a_process_of_the_core_needs_a_disk_and_operators() {
+    let diskless = core_settings().replace("data-dir = \"/data/door\"\n", "");
+    insta::assert_snapshot!("core_without_disk", findings_of(&diskless, Role::Core));
+    let unreachable = core_settings().replace("serves = [\"control_plane\"]", "serves = []");
+    insta::assert_snapshot!("core_without_operators", findings_of(&unreachable, Role::Core));
+}
+
 #[test]
 fn an_empty_file_gives_all_missing_keys_at_once() {
     insta::assert_snapshot!("empty_door", findings_of("serves = [\"edge\", \"control_plane\"]", Role::Door));
--- a/model/src/identity.rs
+++ b/model/src/identity.rs
@@ -28,6 +28,36 @@
     /// Keeps batch jobs.
     #[n(1)]
     Store,
+    /// Keeps the core's state and serves operators, but no clients.
+    #[n(2)]
+    Core,
+}
+
+impl Role {
+    /// The name of the role, which is also its subcommand.
+    pub fn name(self) -> &'static str {
+        match self {
+            Role::Door => "door",
+            Role::Store => "store",
+            Role::Core => "core",
+        }
+    }
+
+    /// Whether a process with this role and a disk may be a member of the core.
+    pub fn may_join_core(self) -> bool {
+        match self {
+            Role::Door | Role::Core => true,
+            Role::Store => false,
+        }
+    }
+
+    /// Whether a process with this role sends requests or items to backends.
+    pub fn sends_to_backends(self) -> bool {
+        match self {
+            Role::Door | Role::Store => true,
+            Role::Core => false,
+        }
+    }
 }
 
 /// What a process tells the others of itself.
