Place requests for tokens with sight of all senders' attempts

Cause: 60 senders before 90 engines choose blind. Ruled out before: a fixed set of backends for long prompts (the operators' trials), reports of the backends (priced as probes, 200 ms old), every sender telling every other (59 messages for each event on 0.12 cores).

Change: the core's primary names one process of each zone its placer, preferring those that serve no clients. Senders ask it for model engines and report starts, first events and ends; whole reports each second mend what was lost. It is advice: tables, evacuations and cold allowances are checked at the sender, which chooses for itself within 30 ms without an answer. A placer prices what is ahead of a request, and reading beside live streams.

--- a/alderhollow/src/balance/backends.rs
+++ b/alderhollow/src/balance/backends.rs
@@ -29,6 +29,11 @@
 }
 
 impl ServiceTerms {
+    /// The terms for one who starts nothing itself.
+    pub(super) fn without_cold_bound(self) -> ServiceTerms {
+        ServiceTerms { cold_bound: None, ..self }
+    }
+
     /// The terms of a service; of one that is not configured, those of a plain service without bounds.
     pub(super) fn of(service: Option<&Service>, bounds: ColdBounds) -> ServiceTerms {
         let engine = service.and_then(|service| service.engine.as_ref());
@@ -47,6 +52,8 @@
 pub(super) struct UnderWay {
     /// Attempts.
     pub(super) attempts: u32,
+    /// Those of them that somebody waits for: of a rank that is not low.
+    pub(super) live: u32,
     /// Tokens of these, in and out.
     pub(super) tokens: u64,
     /// Prompt tokens that are still to be read, of attempts that have not begun.
--- a/alderhollow/src/balance/choice.rs
+++ b/alderhollow/src/balance/choice.rs
@@ -12,7 +12,7 @@
 /// Reading a shared part again is priced besides the time that it takes.
 const READ_AGAIN_FACTOR: f64 = 2.0;
 /// Sending to another zone: the bytes are priced.
-const OTHER_ZONE_ENGINE_MS: f64 = 60.0;
+pub(crate) const OTHER_ZONE_ENGINE_MS: f64 = 60.0;
 /// At plain services, in usual times.
 const OTHER_ZONE_PLAIN: f64 = 0.25;
 /// What one own attempt under way at an engine delays the next one.
@@ -38,6 +38,16 @@
 const WARM_EXTRA: f64 = 3.0;
 /// Shares of a backend's slots and memory that requests of the highest, the middle and low rank may fill.
 const FILL_BY_RANK: [f64; 3] = [1.0, 0.95, 0.85];
+/// Reading for so long delays no event by more than a pause may last, ...
+const UNNOTICED_READING_MS: f64 = 120.0;
+/// ... and so much longer delays all of them by more.
+const NOTICED_WITHIN_MS: f64 = 100.0;
+/// What a stream that comes late costs.
+const LATE_STREAM_MS: f64 = 150.0;
+/// A placer lets so many times the slots be taken by those of the higher ranks, ...
+const QUEUE_FACTOR: f64 = 2.0;
+/// ... at this price for each that has to wait for a slot.
+const QUEUED_MS: f64 = 80.0;
 /// Ranks from this one on are low: the first to be refused.
 const LOW_RANK: u32 = 2;
 /// Bounds on the hint when to come back.
@@ -65,7 +75,7 @@
         Need { tokens_in, tokens: tokens_in + tokens_out - held_by_others, prefix, priority: wanted.priority }
     }
 
-    fn is_low_rank(&self) -> bool {
+    pub(super) fn is_low_rank(&self) -> bool {
         self.priority >= LOW_RANK
     }
 
@@ -98,6 +108,8 @@
     pub(super) expected: Millis,
     /// Prompt tokens that it is expected to read.
     pub(super) unread_tokens: u64,
+    /// What is known to be ahead of the request there.
+    pub(super) wait_ms: Millis,
 }
 
 /// What all backends of the pool have in common for one choice.
@@ -115,6 +127,8 @@
     soft_starts: f64,
     most_starts: f64,
     usual_ms: Millis,
+    /// Whether all attempts at the backends are known here.
+    is_placer: bool,
 }
 
 /// Picks a backend of a pool. `draw` gives numbers from 0 to 1.
@@ -123,10 +137,11 @@
     pool: &mut Pool,
     wanted: &Wanted,
     senders: &SenderLists,
+    is_placer: bool,
     draw: &mut dyn FnMut() -> f64,
 ) -> Result<Pick, NoBackend> {
     let need = Need::of(wanted);
-    let common = Common::of(now, pool, senders);
+    let common = Common { is_placer, ..Common::of(now, pool, senders) };
     let expected = pool.usual.expected(need.tokens_in);
     let preferred = preferred(pool, &need);
     let Pool { members, sent_elsewhere, .. } = pool;
@@ -162,8 +177,38 @@
         (None, None, Some((_, place))) => place,
         (None, None, None) => return Err(NoBackend::NoneReady),
     };
+    let wait_ms = pool.members.get(place).map_or(0.0, |member| wait_ahead(&common, member));
+    let unread_tokens = note_sent(now, pool, &preferred, &need, place);
+    Ok(Pick { place, expected, unread_tokens, wait_ms })
+}
+
+/// Takes the backend that a placer chose. Only what binds this process speaks against it: the list, evacuations, and its
+/// allowance at a cold backend.
+pub(super) fn pick_at(
+    now: Millis,
+    pool: &mut Pool,
+    wanted: &Wanted,
+    senders: &SenderLists,
+    backend: &str,
+) -> Option<Pick> {
+    let need = Need::of(wanted);
+    let common = Common::of(now, pool, senders);
+    let place = pool.members.iter().position(|member| member.backend.id == backend)?;
+    let member = pool.members.get_mut(place)?;
+    if !member.may_get_requests() || starts_spent(&common, member, &need, senders).is_some() {
+        return None;
+    }
+    pick_told(now, pool, wanted, backend)
+}
+
+/// A backend that was chosen elsewhere.
+pub(super) fn pick_told(now: Millis, pool: &mut Pool, wanted: &Wanted, backend: &str) -> Option<Pick> {
+    let need = Need::of(wanted);
+    let place = pool.members.iter().position(|member| member.backend.id == backend)?;
+    let expected = pool.usual.expected(need.tokens_in);
+    let preferred = preferred(pool, &need);
     let unread_tokens = note_sent(now, pool, &preferred, &need, place);
-    Ok(Pick { place, expected, unread_tokens })
+    Some(Pick { place, expected, unread_tokens, wait_ms: 0.0 })
 }
 
 /// Part of the shared prefix that a backend is expected to read again.
@@ -217,6 +262,7 @@
             soft_starts,
             most_starts,
             usual_ms: pool.usual.mean_ms(),
+            is_placer: false,
         }
     }
 
@@ -279,7 +325,11 @@
     if under_way.attempts == 0 {
         return false;
     }
-    let slots = (f64::from(member.slots(&common.terms)) * need.fill()).max(1.0);
+    let mut slots = (f64::from(member.slots(&common.terms)) * need.fill()).max(1.0);
+    if common.is_placer && !need.is_low_rank() {
+        // What is known to be all that there is may queue, where nothing better is left.
+        slots *= QUEUE_FACTOR;
+    }
     if f64::from(under_way.attempts) + 1.0 > slots {
         return true;
     }
@@ -301,14 +351,33 @@
 
 /// Reading comes first: what is ahead of the prompt, and what of the shared parts is not kept there.
 fn engine_cost(common: &Common, member: &Member, need: &Need, part_read: f64) -> f64 {
-    let unread = member.under_way.unread_tokens as f64 / TOKENS_READ_PER_MS;
+    let ahead = wait_ahead(common, member);
     let shared = shared_tokens(need) * part_read * READ_AGAIN_FACTOR / TOKENS_READ_PER_MS;
     let running = f64::from(member.under_way.attempts) * RUNNING_MS;
     let zone = if member.own_zone { 0.0 } else { OTHER_ZONE_ENGINE_MS };
     let held = member.under_way.tokens as f64 + common.others * common.mean_tokens + need.tokens as f64;
     let capacity = common.terms.capacity_tokens.map_or(f64::INFINITY, |capacity| capacity as f64);
     let memory = if held > capacity { OUT_OF_MEMORY_MS } else { 0.0 };
-    unread + shared + running + zone + memory
+    ahead + shared + running + zone + memory + disturbance(common, member, need, part_read)
+}
+
+/// What reading the prompt costs the streams that run there: while an engine reads, their events come late. Only a placer
+/// knows them all.
+fn disturbance(common: &Common, member: &Member, need: &Need, part_read: f64) -> Millis {
+    if !common.is_placer {
+        return 0.0;
+    }
+    let to_read = need.tokens_in as f64 - shared_tokens(need) * (1.0 - part_read);
+    let reading_ms = (member.under_way.unread_tokens as f64 + to_read) / TOKENS_READ_PER_MS;
+    let part_late = ((reading_ms - UNNOTICED_READING_MS) / NOTICED_WITHIN_MS).clamp(0.0, 1.0);
+    f64::from(member.under_way.live) * part_late * LATE_STREAM_MS
+}
+
+/// What is known to be ahead of a request at an engine: prompts to be read, and places to become free.
+fn wait_ahead(common: &Common, member: &Member) -> Millis {
+    let unread = member.under_way.unread_tokens as f64 / TOKENS_READ_PER_MS;
+    let queued = f64::from(member.under_way.attempts) + 1.0 - f64::from(member.slots(&common.terms));
+    unread + queued.max(0.0) * QUEUED_MS
 }
 
 /// The expected wait, with the other senders taken to have as much under way as this one has on average.
--- a/alderhollow/src/balance/hash.rs
+++ b/alderhollow/src/balance/hash.rs
@@ -8,7 +8,7 @@
 }
 
 /// Rendezvous score of a pair of hashes (the finalizer of splitmix64).
-pub(super) fn mix(first: u64, second: u64) -> u64 {
+pub(crate) fn mix(first: u64, second: u64) -> u64 {
     let mut mixed = first ^ second.rotate_left(32).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/alderhollow/src/balance/mod.rs
+++ b/alderhollow/src/balance/mod.rs
@@ -13,13 +13,14 @@
 pub(crate) mod hash;
 mod health;
 
+pub(crate) use choice::OTHER_ZONE_ENGINE_MS;
 pub use cold::ColdBounds;
 
 use alderhollow_model::backend::Backend;
 use alderhollow_model::snapshot::Snapshot;
-use backends::{BackendTable, NewTables, ServiceTerms};
+use backends::{BackendTable, Member, NewTables, ServiceTerms};
 use cold::SenderLists;
-use health::AttemptRecord;
+use health::{AttemptRecord, Standing};
 use oorandom::Rand64;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -58,6 +59,8 @@
     pub attempt: u64,
     /// The backend.
     pub backend: Arc<Backend>,
+    /// What is known to be ahead of the request there.
+    pub wait_ms: Millis,
 }
 
 /// Why there is none.
@@ -105,6 +108,7 @@
     tokens_in: u64,
     tokens: u64,
     unread_tokens: u64,
+    is_live: bool,
     began: bool,
 }
 
@@ -118,6 +122,8 @@
 #[derive(Debug)]
 pub struct Balancer {
     zone: String,
+    /// Whether it places for all senders of its zone, at the zone's backends alone.
+    is_placer: bool,
     rng: Rand64,
     cold_bounds: ColdBounds,
     senders: SenderLists,
@@ -131,6 +137,7 @@
     pub fn new(node: &str, zone: &str, seed: u64) -> Balancer {
         Balancer {
             zone: zone.to_string(),
+            is_placer: false,
             rng: Rand64::new(u128::from(seed)),
             cold_bounds: ColdBounds::default(),
             senders: SenderLists::new(node),
@@ -140,6 +147,12 @@
         }
     }
 
+    /// One that chooses for all senders, among the backends of its zone alone. It is told of all attempts there; the
+    /// allowances of cold backends bind at the senders.
+    pub fn of_zone(node: &str, zone: &str, seed: u64) -> Balancer {
+        Balancer { is_placer: true, ..Balancer::new(node, zone, seed) }
+    }
+
     /// Sets the operators' bounds on cold backends (`cold-over`, `cold-slack` of the settings file). Counts from the
     /// next [`Balancer::update`] on.
     pub fn set_cold_bounds(&mut self, bounds: ColdBounds) {
@@ -148,17 +161,31 @@
 
     /// Takes in newer tables.
     pub fn update(&mut self, now: Millis, snapshot: &Snapshot) {
-        if !snapshot.senders.nodes.is_empty() {
+        if !snapshot.senders.nodes.is_empty() && !self.is_placer {
             self.senders.update(now, &snapshot.senders.nodes);
         }
         let services = snapshot.control.config.as_ref().map(|config| config.services_by_name());
         let bounds = self.cold_bounds;
+        let is_placer = self.is_placer;
         let terms_of = |service: &str| {
             let configured = services.as_ref().and_then(|services| services.get(service).copied());
-            ServiceTerms::of(configured, bounds)
+            let terms = ServiceTerms::of(configured, bounds);
+            if is_placer {
+                terms.without_cold_bound()
+            } else {
+                terms
+            }
+        };
+        let in_zone: Vec<Backend>;
+        let backends = if is_placer {
+            let listed = snapshot.backends.backends.iter();
+            in_zone = listed.filter(|backend| backend.zone == self.zone).cloned().collect();
+            &in_zone
+        } else {
+            &snapshot.backends.backends
         };
         let tables = NewTables {
-            backends: &snapshot.backends.backends,
+            backends,
             listed_at: snapshot.backends_at_ms as f64,
             evacuated: &snapshot.control.evacuated,
             own_zone: &self.zone,
@@ -194,12 +221,45 @@
         self.senders.expire(now);
         let rng = &mut self.rng;
         let pool = self.table.pools.get_mut(wanted.service).ok_or(NoBackend::NoneReady)?;
-        let pick = choice::pick(now, pool, wanted, &self.senders, &mut || rng.rand_float())?;
+        let pick = choice::pick(now, pool, wanted, &self.senders, self.is_placer, &mut || rng.rand_float())?;
+        self.book(now, wanted, pick).ok_or(NoBackend::NoneReady)
+    }
+
+    /// Takes the backend that a placer chose, if this process may send to it now.
+    pub fn choose_at(&mut self, now: Millis, wanted: &Wanted, backend: &str) -> Option<Choice> {
+        self.senders.expire(now);
+        let pool = self.table.pools.get_mut(wanted.service)?;
+        let pick = choice::pick_at(now, pool, wanted, &self.senders, backend)?;
+        self.book(now, wanted, pick)
+    }
+
+    /// Notes that a sender chose a backend for itself, whatever would have spoken against it here.
+    pub fn note_choice(&mut self, now: Millis, wanted: &Wanted, backend: &str) -> Option<Choice> {
+        let pool = self.table.pools.get_mut(wanted.service)?;
+        let pick = choice::pick_told(now, pool, wanted, backend)?;
+        self.book(now, wanted, pick)
+    }
+
+    /// The backends of a service that this process finds down: it may be cut off from them alone.
+    pub fn unhealthy(&self, now: Millis, service: &str) -> Vec<String> {
+        let members = self.table.pools.get(service).map_or(&[][..], |pool| &pool.members);
+        let is_out = |member: &&Member| matches!(member.health.standing(now), Standing::Out(_));
+        members.iter().filter(is_out).map(|member| member.backend.id.clone()).collect()
+    }
+
+    /// Whether a service's backends are model engines.
+    pub fn is_engine(&self, service: &str) -> bool {
+        self.table.pools.get(service).is_some_and(|pool| pool.terms.capacity_tokens.is_some())
+    }
+
+    fn book(&mut self, now: Millis, wanted: &Wanted, pick: choice::Pick) -> Option<Choice> {
+        let pool = self.table.pools.get_mut(wanted.service)?;
         let need = choice::Need::of(wanted);
-        let member = pool.members.get_mut(pick.place).ok_or(NoBackend::NoneReady)?;
+        let member = pool.members.get_mut(pick.place)?;
         self.last_attempt += 1;
         let attempt = self.last_attempt;
         member.under_way.attempts += 1;
+        member.under_way.live += u32::from(!need.is_low_rank());
         member.under_way.tokens += need.tokens;
         member.under_way.unread_tokens += pick.unread_tokens;
         member.health.started(now, attempt, pick.expected);
@@ -214,10 +274,11 @@
             tokens_in: need.tokens_in,
             tokens: need.tokens,
             unread_tokens: pick.unread_tokens,
+            is_live: !need.is_low_rank(),
             began: false,
         };
         self.attempts.insert(attempt, under_way);
-        Ok(Choice { attempt, backend })
+        Some(Choice { attempt, backend, wait_ms: pick.wait_ms })
     }
 
     /// Notes that the first event or the answer's head came.
@@ -253,6 +314,7 @@
         let Some(member) = pool.and_then(|pool| pool.member_mut(id)) else { return };
         let load = &mut member.under_way;
         load.attempts = load.attempts.saturating_sub(1);
+        load.live = load.live.saturating_sub(u32::from(under_way.is_live));
         load.tokens = load.tokens.saturating_sub(under_way.tokens);
         load.unread_tokens = load.unread_tokens.saturating_sub(under_way.unread_tokens);
         member.health.ended(now, under_way.record(attempt), outcome, draw);
--- a/alderhollow/src/distribution/mod.rs
+++ b/alderhollow/src/distribution/mod.rs
@@ -12,6 +12,7 @@
 //! | [`validity`] | whether the tables may still be taken for the newest |
 //! | [`signal`] | wakes polls that hang |
 //! | [`senders`] | which processes polled within the last seconds |
+//! | [`placers`] | who places requests in which zone |
 
 pub mod client;
 pub mod directory;
@@ -19,6 +20,7 @@
 pub mod introductions;
 pub mod link;
 pub mod message;
+pub mod placers;
 pub mod pollers;
 pub mod senders;
 pub mod server;
--- a/alderhollow/src/distribution/senders.rs
+++ b/alderhollow/src/distribution/senders.rs
@@ -1,6 +1,7 @@
 //! Which processes polled within the last seconds. No I/O and no clock.
 
-use super::message::{Stamp, StampedSenders};
+use super::message::{Poll, Stamp, StampedSenders};
+use super::placers::PlacerAssignment;
 use alderhollow_model::snapshot::Senders;
 use std::collections::BTreeMap;
 
@@ -11,6 +12,7 @@
 #[derive(Debug, Default)]
 pub struct SenderTracker {
     heard_at: BTreeMap<String, u64>,
+    placers: PlacerAssignment,
     current: StampedSenders,
 }
 
@@ -20,7 +22,8 @@
     pub fn begin(epoch: u64, known: &Senders, now_ms: u64) -> SenderTracker {
         let heard_at = known.nodes.iter().map(|node| (node.clone(), now_ms)).collect();
         let current = StampedSenders { stamp: Stamp { epoch, sequence: 0 }, senders: Senders::default() };
-        let mut tracker = SenderTracker { heard_at, current };
+        let placers = PlacerAssignment::begin(&known.placers, now_ms);
+        let mut tracker = SenderTracker { heard_at, placers, current };
         tracker.renew();
         tracker
     }
@@ -41,6 +44,19 @@
         true
     }
 
+    /// Notes a poll at the primary with this name, and names other placers where it is due. Tells whether the list
+    /// changed by any of it.
+    pub fn polled(&mut self, primary: &str, poll: &Poll, now_ms: u64) -> bool {
+        self.placers.heard(&poll.node, poll.leaving, now_ms);
+        let renamed = self.placers.renew(primary, now_ms);
+        let came = poll.node.role.sends_to_backends() && self.heard(&poll.node.node, now_ms);
+        let went = self.prune(now_ms);
+        if renamed && !came && !went {
+            self.renew();
+        }
+        came || went || renamed
+    }
+
     /// Drops those that were not heard for long. Tells whether the list changed by it.
     pub fn prune(&mut self, now_ms: u64) -> bool {
         let before = self.heard_at.len();
@@ -59,6 +75,7 @@
 
     fn renew(&mut self) {
         self.current.stamp.sequence += 1;
-        self.current.senders = Senders { nodes: self.heard_at.keys().cloned().collect() };
+        let nodes = self.heard_at.keys().cloned().collect();
+        self.current.senders = Senders { nodes, placers: self.placers.placers().to_vec() };
     }
 }
--- a/alderhollow/src/distribution/server.rs
+++ b/alderhollow/src/distribution/server.rs
@@ -160,10 +160,9 @@
             let known = self.snapshots.borrow().senders.clone();
             *senders = SenderTracker::begin(epoch, &known, now_ms);
         }
-        let came = poll.node.role.sends_to_backends() && senders.heard(&poll.node.node, now_ms);
-        let went = senders.prune(now_ms);
+        let changed = senders.polled(&self.node.node, poll, now_ms);
         drop(senders);
-        if came || went {
+        if changed {
             self.changes.notify();
         }
     }
--- a/alderhollow/src/door/clients.rs
+++ b/alderhollow/src/door/clients.rs
@@ -55,7 +55,15 @@
     balancer
         .set_cold_bounds(ColdBounds { over: settings.bounds.cold_over, slack: settings.bounds.cold_slack });
     let balancer = Rc::new(RefCell::new(balancer));
-    let exchange = Exchange::new(node.clock.instant(0), random_seed(), node.snapshots.clone(), balancer);
+    let client = node.placement_client();
+    let exchange = Exchange::with_placement(
+        node.clock.instant(0),
+        random_seed(),
+        node.snapshots.clone(),
+        balancer,
+        client,
+        &settings.zone,
+    );
     let network = Rc::new(node.network.clone());
     let batch = StoreEndpoints::new(network, node.snapshots.clone(), node.clock, random_seed());
     let front = Front::new(front_settings(settings, node), exchange, Rc::new(batch));
--- a/alderhollow/src/exchange/attempt.rs
+++ b/alderhollow/src/exchange/attempt.rs
@@ -2,20 +2,28 @@
 
 use super::Exchange;
 use crate::balance::{Choice, Outcome};
+use crate::placement::client::PlacementClient;
 use alderhollow_model::backend::Backend;
 use std::rc::Rc;
 use std::sync::Arc;
 
+/// An attempt of which a placer is told.
+pub(super) struct Told {
+    pub(super) client: Rc<PlacementClient>,
+    pub(super) number: u64,
+}
+
 /// A backend that was chosen. Dropped, it counts as cancelled.
 pub struct Attempt {
     exchange: Rc<Exchange>,
     choice: Choice,
+    told: Option<Told>,
     ended: bool,
 }
 
 impl Attempt {
-    pub(super) fn new(exchange: Rc<Exchange>, choice: Choice) -> Attempt {
-        Attempt { exchange, choice, ended: false }
+    pub(super) fn new(exchange: Rc<Exchange>, choice: Choice, told: Option<Told>) -> Attempt {
+        Attempt { exchange, choice, told, ended: false }
     }
 
     /// The backend.
@@ -27,6 +35,9 @@
     pub fn began(&self) {
         let now = self.exchange.now();
         self.exchange.balancer.borrow_mut().began(now, self.choice.attempt);
+        if let Some(told) = &self.told {
+            told.client.began(told.number);
+        }
     }
 
     /// Notes how it ended.
@@ -46,6 +57,9 @@
         self.ended = true;
         let now = self.exchange.now();
         self.exchange.balancer.borrow_mut().ended(now, self.choice.attempt, outcome);
+        if let Some(told) = &self.told {
+            told.client.ended(told.number, outcome.into());
+        }
     }
 }
 
--- a/alderhollow/src/executor/mod.rs
+++ b/alderhollow/src/executor/mod.rs
@@ -98,7 +98,7 @@
         let prompt = prompt::read(outbound.headers());
         let wanted =
             Wanted { service: &service, prompt: prompt.as_ref(), priority: route.priority, tried: &[] };
-        let attempt = match exchange.choose(&wanted) {
+        let attempt = match exchange.place(&wanted).await {
             Ok(attempt) => attempt,
             Err(NoBackend::NoneReady) => return not_run(PAUSE_NONE_READY_MS),
             Err(NoBackend::AllFull { retry_after_ms }) => {
--- a/alderhollow/src/front/tries.rs
+++ b/alderhollow/src/front/tries.rs
@@ -172,7 +172,7 @@
             if self.job.deadline <= Instant::now() {
                 return Err(self.give_up());
             }
-            let wait = match self.exchange.choose(&self.wanted()) {
+            let wait = match self.exchange.place(&self.wanted()).await {
                 Ok(attempt) => return Ok(attempt),
                 Err(NoBackend::NoneReady) => return Err(self.give_up()),
                 Err(NoBackend::AllFull { retry_after_ms }) => {
--- a/alderhollow/src/internal/frame.rs
+++ b/alderhollow/src/internal/frame.rs
@@ -66,6 +66,8 @@
     Replication,
     /// Operators' questions about one process.
     Status,
+    /// Questions and reports of senders to a zone's placer.
+    Placement,
 }
 
 impl ServiceId {
@@ -76,6 +78,7 @@
             ServiceId::Batch => 3,
             ServiceId::Replication => 4,
             ServiceId::Status => 5,
+            ServiceId::Placement => 6,
         }
     }
 
@@ -86,6 +89,7 @@
             3 => Some(ServiceId::Batch),
             4 => Some(ServiceId::Replication),
             5 => Some(ServiceId::Status),
+            6 => Some(ServiceId::Placement),
             _ => None,
         }
     }
--- a/alderhollow/src/lib.rs
+++ b/alderhollow/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod metrics;
 pub mod node;
 pub mod operator_api;
+pub mod placement;
 pub mod ready;
 pub mod role;
 pub mod routing;
--- a/alderhollow/src/metrics/internal.rs
+++ b/alderhollow/src/metrics/internal.rs
@@ -42,6 +42,8 @@
         Replication => "replication",
         /// Operators' questions.
         Status => "status",
+        /// Between senders and placers.
+        Placement => "placement",
         /// None that this version knows.
         Unknown => "unknown",
     }
@@ -67,6 +69,7 @@
             Some(ServiceId::Batch) => Service::Batch,
             Some(ServiceId::Replication) => Service::Replication,
             Some(ServiceId::Status) => Service::Status,
+            Some(ServiceId::Placement) => Service::Placement,
             None => Service::Unknown,
         }
     }
--- a/alderhollow/src/metrics/mod.rs
+++ b/alderhollow/src/metrics/mod.rs
@@ -10,6 +10,7 @@
 //! | [`internal`] | the network between the tier's processes |
 //! | [`store`] | batch jobs, their runs, their replication and the journal |
 //! | [`core`] | the core's member, and answers to polls |
+//! | [`placement`] | questions to placers, and their answers |
 //! | [`runs`] | the requests of runs to backends |
 //! | [`invariants`] | violations of what must always hold |
 //! | [`listener`] | answers `GET` with the text |
@@ -20,6 +21,7 @@
 pub mod internal;
 pub mod invariants;
 pub mod listener;
+pub mod placement;
 pub mod runs;
 pub mod store;
 
@@ -40,6 +42,8 @@
     pub core: core::CoreMetrics,
     /// The requests of runs to backends.
     pub runs: runs::RunMetrics,
+    /// Questions to placers, and their answers.
+    pub placement: placement::PlacementMetrics,
     /// Violations of invariants.
     pub invariants: invariants::InvariantMetrics,
 }
@@ -54,6 +58,7 @@
             store: store::StoreMetrics::new(&registrar),
             core: core::CoreMetrics::new(&registrar),
             runs: runs::RunMetrics::new(&registrar),
+            placement: placement::PlacementMetrics::new(&registrar),
             invariants: invariants::InvariantMetrics::new(&registrar),
             registry,
         }
--- a/alderhollow/src/node.rs
+++ b/alderhollow/src/node.rs
@@ -9,6 +9,9 @@
 use crate::distribution::signal::ChangeSignal;
 use crate::distribution::tables::Tables;
 use crate::internal::{server, Network, ServiceId, Services};
+use crate::placement::client::PlacementClient;
+use crate::placement::ledger::Ledger;
+use crate::placement::server::PlacementServer;
 use crate::settings::reload::SeedReader;
 use crate::settings::Settings;
 use crate::SnapshotReceiver;
@@ -59,6 +62,11 @@
         }
     }
 
+    /// What asks the placers of the zones.
+    pub fn placement_client(&self) -> Rc<PlacementClient> {
+        PlacementClient::start(self.network.clone(), self.snapshots.clone(), LifeId(random_seed()))
+    }
+
     /// Serves the internal port and begins to poll for tables. `services` are the role's own, beside the distribution.
     pub async fn join(
         &self,
@@ -79,6 +87,9 @@
             senders: RefCell::default(),
             pollers: RefCell::default(),
         });
+        let ledger = Ledger::new(&info.node, &info.zone, random_seed());
+        let placement = PlacementServer::new(ledger, self.snapshots.clone(), self.clock);
+        services.register(ServiceId::Placement, Rc::new(placement));
         services.register(ServiceId::Distribution, Rc::new(DistributionHandler(distributor.clone())));
         if distributor.authority.is_some() {
             let seeds = SeedReader::new(self, info.role);
--- a/alderhollow/src/store/role.rs
+++ b/alderhollow/src/store/role.rs
@@ -99,7 +99,14 @@
     balancer
         .set_cold_bounds(ColdBounds { over: settings.bounds.cold_over, slack: settings.bounds.cold_slack });
     let balancer = Rc::new(RefCell::new(balancer));
-    Exchange::new(shared.clock.instant(0), random_seed(), shared.snapshots.clone(), balancer)
+    Exchange::with_placement(
+        shared.clock.instant(0),
+        random_seed(),
+        shared.snapshots.clone(),
+        balancer,
+        shared.placement_client(),
+        &settings.zone,
+    )
 }
 
 /// Waits for SIGTERM, then until this store leads no group any more.
--- a/alderhollow/tests/balance_support/mod.rs
+++ b/alderhollow/tests/balance_support/mod.rs
@@ -5,7 +5,7 @@
 use alderhollow_model::backend::{Backend, BackendList, BackendState};
 use alderhollow_model::config::{Config, Engine, Service};
 use alderhollow_model::identity::Address;
-use alderhollow_model::snapshot::{ControlView, Senders, Snapshot};
+use alderhollow_model::snapshot::{ControlView, Placer, Senders, Snapshot};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -22,6 +22,7 @@
     pub backends: Vec<Backend>,
     pub evacuated: BTreeSet<String>,
     pub senders: Vec<String>,
+    pub placers: Vec<Placer>,
     pub cold_per_s: f64,
     pub cold_start_s: f64,
 }
@@ -33,6 +34,7 @@
             backends: (0..backends).map(|index| backend(service, index)).collect(),
             evacuated: BTreeSet::new(),
             senders: (0..senders).map(node_name).collect(),
+            placers: Vec::new(),
             cold_per_s: 0.0,
             cold_start_s: 3.0,
         }
@@ -54,7 +56,7 @@
             control: Arc::new(control),
             backends: Arc::new(list),
             backends_at_ms: now as u64,
-            senders: Arc::new(Senders { nodes: self.senders.clone() }),
+            senders: Arc::new(Senders { nodes: self.senders.clone(), placers: self.placers.clone() }),
             validated: true,
         }
     }
--- a/alderhollow/tests/distribution.rs
+++ b/alderhollow/tests/distribution.rs
@@ -386,7 +386,7 @@
 
 #[test]
 fn senders_are_those_that_polled_lately() {
-    let mut tracker = SenderTracker::begin(4, &Senders { nodes: vec!["a".into()] }, 0);
+    let mut tracker = SenderTracker::begin(4, &Senders { nodes: vec!["a".into()], placers: Vec::new() }, 0);
     assert_eq!(tracker.current().stamp, stamp(4, 1));
     assert!(tracker.heard("b", 1_000));
     assert!(!tracker.heard("b", 2_000));
--- /dev/null
+++ b/alderhollow/tests/placement.rs
@@ -0,0 +1,330 @@
+//! Placement: what a placer makes of the senders' words, and what a sender does without a placer. No bench, no waiting.
+
+mod balance_support;
+
+use alderhollow::balance::Prompt;
+use alderhollow::exchange::Exchange;
+use alderhollow::internal::Network;
+use alderhollow::placement::client::PlacementClient;
+use alderhollow::placement::ledger::{Ledger, SENDER_SILENCE_MS};
+use alderhollow::placement::message::{
+    AttemptId, Demand, End, Event, PlaceRequest, Placement, Report, UnderWay,
+};
+use alderhollow::placement::reports::Reports;
+use alderhollow_model::identity::{Address, LifeId};
+use alderhollow_model::snapshot::Placer;
+use balance_support::{node_name, wanted, Tables, ENGINES, ZONES};
+use proptest::prelude::*;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+
+const FIRST: LifeId = LifeId(1);
+const SECOND: LifeId = LifeId(2);
+/// Slots of a backend in the tests' tables.
+const SLOTS: u64 = 64;
+
+/// A placer of the first zone, with so many backends there.
+fn ledger(backends: usize) -> Ledger {
+    let mut ledger = Ledger::new("placer", ZONES[0], 7);
+    ledger.update(0.0, &Tables::new(ENGINES, backends * ZONES.len(), 4).snapshot(0.0));
+    ledger
+}
+
+fn demand(tokens_in: u32) -> Demand {
+    let prompt = Prompt { parts: Vec::new(), tokens_in, tokens_out: 300 };
+    Demand::of(&wanted(ENGINES, Some(&prompt)), Vec::new()).expect("it has a prompt")
+}
+
+fn item(tokens_in: u32) -> Demand {
+    Demand { priority: 2, ..demand(tokens_in) }
+}
+
+fn place(ledger: &mut Ledger, now: f64, sender: LifeId, number: u64, demand: &Demand) -> Placement {
+    let attempt = AttemptId { sender, number };
+    ledger.place(now, &PlaceRequest { attempt, demand: demand.clone() })
+}
+
+fn backend_of(placement: Placement) -> String {
+    match placement {
+        Placement::At { backend, .. } => backend,
+        other => panic!("no backend: {other:?}"),
+    }
+}
+
+fn events(sender: LifeId, events: Vec<Event>) -> Report {
+    Report::Events { sender, events }
+}
+
+#[test]
+fn a_long_prompt_of_one_sender_keeps_anothers_requests_away() {
+    let mut ledger = ledger(2);
+    let busy = backend_of(place(&mut ledger, 0.0, FIRST, 1, &demand(50_000)));
+    for number in 1..=3 {
+        let chosen = backend_of(place(&mut ledger, 1.0, SECOND, number, &demand(500)));
+        assert_ne!(chosen, busy);
+    }
+    ledger.take_report(400.0, &events(FIRST, vec![Event::Began(1), Event::Ended(1, End::Served)]));
+    assert_eq!(backend_of(place(&mut ledger, 401.0, SECOND, 9, &demand(500))), busy);
+}
+
+#[test]
+fn a_long_prompt_goes_where_no_stream_runs() {
+    let mut ledger = ledger(3);
+    let streams: BTreeSet<String> =
+        (1..=2).map(|number| backend_of(place(&mut ledger, 0.0, FIRST, number, &demand(500)))).collect();
+    assert_eq!(streams.len(), 2);
+    ledger.take_report(50.0, &events(FIRST, vec![Event::Began(1), Event::Began(2)]));
+    // Items wait for nobody: the third backend stays the best although more runs there.
+    for number in 1..=6 {
+        let free = backend_of(place(&mut ledger, 60.0, SECOND, 100 + number, &item(500)));
+        if streams.contains(&free) {
+            ledger.take_report(60.0, &events(SECOND, vec![Event::Ended(100 + number, End::Cancelled)]));
+        }
+    }
+    let chosen = backend_of(place(&mut ledger, 100.0, SECOND, 1, &demand(50_000)));
+    assert!(!streams.contains(&chosen), "{chosen} has a running stream");
+}
+
+#[test]
+fn where_all_backends_read_long_prompts_a_request_still_gets_one() {
+    let mut ledger = ledger(2);
+    for number in 1..=4 {
+        backend_of(place(&mut ledger, 0.0, FIRST, number, &demand(54_000)));
+    }
+    let Placement::At { wait_ms, .. } = place(&mut ledger, 1.0, SECOND, 1, &demand(500)) else {
+        panic!("no backend");
+    };
+    assert!(wait_ms > 300.0, "the sender learns that much is ahead: {wait_ms}");
+}
+
+#[test]
+fn a_prompt_larger_than_any_memory_goes_to_an_idle_backend_and_else_waits() {
+    let mut ledger = ledger(1);
+    backend_of(place(&mut ledger, 0.0, FIRST, 1, &demand(900_000)));
+    let second = place(&mut ledger, 1.0, FIRST, 2, &demand(900_000));
+    assert!(matches!(second, Placement::Full { .. }), "{second:?}");
+}
+
+#[test]
+fn items_of_all_senders_together_leave_room_for_streams() {
+    let mut ledger = ledger(1);
+    let mut running = 0;
+    for number in 1..=SLOTS {
+        let sender = LifeId(1 + number % 5);
+        running +=
+            u64::from(matches!(place(&mut ledger, 0.0, sender, number, &item(10)), Placement::At { .. }));
+    }
+    assert!(running < SLOTS, "{running} items fill the backend");
+    let Placement::At { wait_ms, .. } = place(&mut ledger, 1.0, SECOND, 999, &demand(10)) else {
+        panic!("no room for a stream");
+    };
+    assert!(wait_ms < 50.0, "{wait_ms}");
+}
+
+#[test]
+fn a_backend_that_answers_nobody_is_left_by_all() {
+    let mut ledger = ledger(2);
+    let dark = backend_of(place(&mut ledger, 0.0, FIRST, 1, &demand(100)));
+    let lost = events(FIRST, vec![Event::Ended(1, End::NoConnection)]);
+    ledger.take_report(5.0, &lost);
+    for number in 1..=8 {
+        assert_ne!(backend_of(place(&mut ledger, 6.0, SECOND, number, &demand(100))), dark);
+    }
+}
+
+#[test]
+fn a_backend_that_the_sender_cannot_use_is_not_offered() {
+    let mut ledger = ledger(2);
+    let first = backend_of(place(&mut ledger, 0.0, FIRST, 1, &demand(100)));
+    let without = Demand { except: vec![first.clone()], ..demand(100) };
+    assert_ne!(backend_of(place(&mut ledger, 1.0, FIRST, 2, &without)), first);
+}
+
+#[test]
+fn a_whole_report_mends_what_was_lost() {
+    let mut ledger = ledger(2);
+    for number in 1..=3 {
+        place(&mut ledger, 0.0, FIRST, number, &demand(100));
+    }
+    assert_eq!(ledger.attempts(), 3);
+    // The ends of 1 and 2 were lost, and so was the start of 4, which the sender chose for itself.
+    let told = |number, backend: &str| UnderWay {
+        number,
+        backend: backend.to_string(),
+        demand: demand(100),
+        has_begun: true,
+    };
+    let under_way = vec![told(3, "i-engines-0"), told(4, "i-engines-3")];
+    let whole = Report::Whole { sender: FIRST, sequence: 1, newest: 4, under_way };
+    ledger.take_report(10.0, &whole);
+    assert_eq!(ledger.attempts(), 2);
+    ledger.take_report(11.0, &whole);
+    assert_eq!(ledger.attempts(), 2, "doubled, it changes nothing");
+}
+
+#[test]
+fn a_report_that_comes_late_takes_nothing_back() {
+    let mut ledger = ledger(2);
+    let empty = |sequence, newest| Report::Whole { sender: FIRST, sequence, newest, under_way: Vec::new() };
+    place(&mut ledger, 0.0, FIRST, 1, &demand(100));
+    ledger.take_report(1.0, &empty(2, 1));
+    place(&mut ledger, 2.0, FIRST, 2, &demand(100));
+    ledger.take_report(3.0, &empty(1, 2));
+    assert_eq!(ledger.attempts(), 1, "an older report");
+    ledger.take_report(4.0, &empty(3, 1));
+    assert_eq!(ledger.attempts(), 1, "made before the attempt");
+    ledger.take_report(5.0, &events(FIRST, vec![Event::Ended(1, End::Served), Event::Began(1)]));
+    assert_eq!(ledger.attempts(), 1, "of an attempt that is gone");
+}
+
+#[test]
+fn a_sender_that_is_gone_without_a_word_is_forgotten() {
+    let mut ledger = ledger(1);
+    place(&mut ledger, 0.0, FIRST, 1, &demand(50_000));
+    place(&mut ledger, 10.0, SECOND, 1, &demand(100));
+    ledger.take_report(SENDER_SILENCE_MS + 5.0, &events(SECOND, Vec::new()));
+    assert_eq!((ledger.senders(), ledger.attempts()), (1, 1));
+    // Its restart is another life, whose numbers begin anew.
+    place(&mut ledger, SENDER_SILENCE_MS + 6.0, LifeId(3), 1, &demand(100));
+    assert_eq!(ledger.attempts(), 2);
+}
+
+#[test]
+fn a_placer_that_starts_anew_learns_what_runs_from_whole_reports() {
+    let mut reports = Reports::new(FIRST);
+    let number = reports.draw_number();
+    reports.started(number, ZONES[0], "i-engines-0", demand(50_000), true);
+    let whole = reports.whole(ZONES[0]).expect("something runs");
+    let mut successor = ledger(2);
+    successor.take_report(0.0, &whole);
+    assert_eq!(backend_of(place(&mut successor, 1.0, SECOND, 1, &demand(100))), "i-engines-3");
+}
+
+#[test]
+fn nothing_under_way_is_told_once_and_again_after_any_event() {
+    let mut reports = Reports::new(FIRST);
+    assert!(reports.whole(ZONES[0]).is_some());
+    assert!(reports.whole(ZONES[0]).is_none());
+    reports.unused(7, ZONES[0]);
+    assert!(reports.whole(ZONES[0]).is_some(), "the placer may have missed that event");
+}
+
+/// A sender before the tables, and the client that asks placers.
+async fn exchange(tables: &Tables) -> (Rc<Exchange>, Rc<PlacementClient>) {
+    let (_, receiver) = watch::channel(Arc::new(tables.snapshot(0.0)));
+    let client = PlacementClient::start(Network::new(7), receiver.clone(), FIRST);
+    let balancer = Rc::new(RefCell::new(tables.balancer(&node_name(0), ZONES[0], 0.0)));
+    let exchange = Exchange::with_placement(Instant::now(), 7, receiver, balancer, client.clone(), ZONES[0]);
+    (exchange, client)
+}
+
+fn block_on<T>(future: impl std::future::Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, future)
+}
+
+#[test]
+fn a_sender_without_a_placer_chooses_for_itself() {
+    block_on(async {
+        let (exchange, _) = exchange(&Tables::new(ENGINES, 3, 4)).await;
+        let prompt = balance_support::prompt(1, 2);
+        assert!(exchange.place(&wanted(ENGINES, Some(&prompt))).await.is_ok());
+    });
+}
+
+#[test]
+fn a_sender_whose_placer_cannot_be_reached_chooses_for_itself() {
+    block_on(async {
+        let mut tables = Tables::new(ENGINES, 3, 4);
+        let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
+        tables.placers.push(Placer {
+            zone: ZONES[0].to_string(),
+            node: "gone".to_string(),
+            internal: Address(nobody),
+        });
+        let (exchange, client) = exchange(&tables).await;
+        let prompt = balance_support::prompt(1, 2);
+        for _ in 0..3 {
+            assert!(exchange.place(&wanted(ENGINES, Some(&prompt))).await.is_ok());
+        }
+        assert_eq!(client.zones(), [ZONES[0]]);
+    });
+}
+
+fn any_event() -> impl Strategy<Value = Event> {
+    let under_way = (0_u64..6, 0_usize..8, 0_u32..100_000, any::<bool>()).prop_map(
+        |(number, backend, tokens, has_begun)| UnderWay {
+            number,
+            backend: format!("i-engines-{backend}"),
+            demand: demand(tokens),
+            has_begun,
+        },
+    );
+    prop_oneof![
+        under_way.prop_map(Event::Started),
+        (0_u64..6).prop_map(Event::Began),
+        (0_u64..6).prop_map(|number| Event::Ended(number, End::Served)),
+        (0_u64..6).prop_map(|number| Event::Ended(number, End::TimedOut)),
+    ]
+}
+
+fn any_report() -> impl Strategy<Value = Report> {
+    let life = (1_u64..4).prop_map(LifeId);
+    let some = (life.clone(), prop::collection::vec(any_event(), 0..5))
+        .prop_map(|(sender, events)| Report::Events { sender, events });
+    let whole = (life, 0_u64..5, 0_u64..6, prop::collection::vec(any_event(), 0..4)).prop_map(
+        |(sender, sequence, newest, events)| {
+            let under_way = events.into_iter().filter_map(|event| match event {
+                Event::Started(under_way) => Some(under_way),
+                Event::Began(_) | Event::Ended(..) => None,
+            });
+            Report::Whole { sender, sequence, newest, under_way: under_way.collect() }
+        },
+    );
+    prop_oneof![some, whole]
+}
+
+proptest! {
+    /// Whatever comes, in whatever order: the books balance once all senders are gone.
+    #[test]
+    fn no_reports_leave_a_backend_booked_for_ever(
+        steps in prop::collection::vec((any_report(), prop::option::of(0_u32..60_000), 0.0..500.0_f64), 1..40),
+    ) {
+        let mut ledger = ledger(2);
+        let mut now = 0.0;
+        for (index, (report, placed, wait)) in steps.into_iter().enumerate() {
+            now += wait;
+            ledger.take_report(now, &report);
+            if let Some(tokens) = placed {
+                place(&mut ledger, now, LifeId(1 + index as u64 % 3), 10 + index as u64, &demand(tokens));
+            }
+        }
+        now += SENDER_SILENCE_MS + 1_000.0;
+        ledger.take_report(now, &events(LifeId(9), Vec::new()));
+        prop_assert_eq!(ledger.attempts(), 0);
+        // Nothing is known of the backends' load any more: a request finds nothing ahead of it. A backend that timed out may
+        // still be avoided.
+        let placement = place(&mut ledger, now + 10_000.0, LifeId(9), 1, &demand(100));
+        let is_free = matches!(placement, Placement::At { wait_ms, .. } if wait_ms == 0.0);
+        prop_assert!(is_free, "{:?}", placement);
+    }
+
+    #[test]
+    fn any_bytes_are_a_message_or_none(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = minicbor::decode::<Report>(&bytes);
+        let _ = minicbor::decode::<PlaceRequest>(&bytes);
+        let _ = minicbor::decode::<Placement>(&bytes);
+    }
+
+    #[test]
+    fn reports_come_back_as_they_were_written(report in any_report()) {
+        let bytes = minicbor::to_vec(&report).expect("it can be written");
+        prop_assert_eq!(minicbor::decode::<Report>(&bytes).expect("it can be read"), report);
+    }
+}
--- a/model/src/snapshot.rs
+++ b/model/src/snapshot.rs
@@ -3,7 +3,7 @@
 
 use crate::backend::BackendList;
 use crate::config::Config;
-use crate::identity::{DiskId, NodeInfo};
+use crate::identity::{Address, DiskId, NodeInfo};
 use minicbor::{Decode, Encode};
 use std::collections::BTreeSet;
 use std::fmt;
@@ -112,6 +112,23 @@
     /// Names of the machines, sorted.
     #[n(0)]
     pub nodes: Vec<String>,
+    /// Who places requests at the backends of each zone, by zones.
+    #[cbor(n(1), default)]
+    pub placers: Vec<Placer>,
+}
+
+/// The process that places requests at the backends of one zone. Nothing but the quality of choices rests on it.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct Placer {
+    /// The zone.
+    #[n(0)]
+    pub zone: String,
+    /// Name of its machine.
+    #[n(1)]
+    pub node: String,
+    /// Where it takes the tier's own messages.
+    #[n(2)]
+    pub internal: Address,
 }
 
 /// All tables of one process.
