Offers tell what a request disturbs, items in time go first, and a model of placement

Cause: a zone's placer may have no engine without streams left for a long prompt while another zone's has; in a burst, the order by due times let nearly all items end just beyond their time. Ruled out: one placer for all zones (better in the model, but the whole tier's requests through one process, most of them out of their zone).

Change: an offer holds the price of reading beside running streams (400 ms for each in place of 150), and two other zones are asked where it is above that of another zone; an item that can't be done in time any more waits behind those that can, by the learned time of runs.

--- a/alderhollow/src/balance/choice.rs
+++ b/alderhollow/src/balance/choice.rs
@@ -43,7 +43,7 @@
 /// ... and so much longer delays all of them by more.
 const NOTICED_WITHIN_MS: f64 = 100.0;
 /// What a stream that comes late costs.
-const LATE_STREAM_MS: f64 = 150.0;
+const LATE_STREAM_MS: f64 = 400.0;
 /// A placer lets so many times the slots be taken by those of the higher ranks, ...
 const QUEUE_FACTOR: f64 = 2.0;
 /// ... at this price for each that has to wait for a slot.
@@ -108,7 +108,7 @@
     pub(super) expected: Millis,
     /// Prompt tokens that it is expected to read.
     pub(super) unread_tokens: u64,
-    /// What is known to be ahead of the request there.
+    /// What is known to be ahead of the request there, and what it would cost the streams that run there.
     pub(super) wait_ms: Millis,
 }
 
@@ -177,7 +177,10 @@
         (None, None, Some((_, place))) => place,
         (None, None, None) => return Err(NoBackend::NoneReady),
     };
-    let wait_ms = pool.members.get(place).map_or(0.0, |member| wait_ahead(&common, member));
+    let wait_ms = pool.members.get(place).map_or(0.0, |member| {
+        let part_read = part_read(now, &preferred, &pool.sent_elsewhere, &need, place, member.id_hash);
+        wait_ahead(&common, member) + disturbance(&common, member, &need, part_read)
+    });
     let unread_tokens = note_sent(now, pool, &preferred, &need, place);
     Ok(Pick { place, expected, unread_tokens, wait_ms })
 }
--- a/alderhollow/src/balance/mod.rs
+++ b/alderhollow/src/balance/mod.rs
@@ -59,7 +59,7 @@
     pub attempt: u64,
     /// The backend.
     pub backend: Arc<Backend>,
-    /// What is known to be ahead of the request there.
+    /// What is known to be ahead of the request there, and what it would cost the streams that run there.
     pub wait_ms: Millis,
 }
 
--- a/alderhollow/src/exchange/mod.rs
+++ b/alderhollow/src/exchange/mod.rs
@@ -51,6 +51,9 @@
     started: Instant,
 }
 
+/// Besides the own zone, so many are asked where the own one has nothing good.
+const OTHER_ZONES_ASKED: usize = 2;
+
 /// A backend that a placer offered.
 struct Offer {
     zone: String,
@@ -192,7 +195,7 @@
         Ok(Attempt::new(self.clone(), choice, Some(told)))
     }
 
-    /// Asks the own zone's placer, and where much is ahead of the request there, another one; the better offer is kept.
+    /// Asks the own zone's placer, and where the request would wait or disturb there, others; the best offer is kept.
     ///
     /// # Errors
     /// None has room, with the time until it may be different; or none answered.
@@ -235,14 +238,13 @@
         Demand::of(wanted, except)
     }
 
-    /// Zones whose placers are asked, in this order: the own one, then another one by chance.
+    /// Zones whose placers are asked, in this order: the own one, then some others by chance.
     fn zones_to_ask(&self, placement: &Placement) -> Vec<String> {
         let mut zones = placement.client.zones();
         let own = zones.iter().position(|zone| *zone == placement.zone).map(|at| zones.swap_remove(at));
-        let count = zones.len() as u64;
-        let drawn = placement.client.draw_number().checked_rem(count).unwrap_or(0) as usize;
-        let other = (drawn < zones.len()).then(|| zones.swap_remove(drawn));
-        own.into_iter().chain(other).collect()
+        let drawn = placement.client.draw_number().checked_rem(zones.len() as u64).unwrap_or(0);
+        zones.rotate_left(drawn as usize);
+        own.into_iter().chain(zones.into_iter().take(OTHER_ZONES_ASKED)).collect()
     }
 
     /// Sends a request to the backend that was chosen and waits until its answer begins. Dropping the future ends the
--- a/alderhollow/src/placement/message.rs
+++ b/alderhollow/src/placement/message.rs
@@ -94,7 +94,8 @@
         /// Its id.
         #[n(0)]
         backend: String,
-        /// Milliseconds of what is known to be ahead of the request there.
+        /// Milliseconds of what is known to be ahead of the request there, and of what it would cost the streams that run
+        /// there.
         #[n(1)]
         wait_ms: f64,
     },
--- a/alderhollow/src/status/display.rs
+++ b/alderhollow/src/status/display.rs
@@ -73,6 +73,9 @@
         format_args!("{} in list {} of epoch {}", tables.backends, stamp.sequence, stamp.epoch),
     )?;
     line(f, "senders", tables.senders)?;
+    for placer in &tables.placers {
+        line(f, "placer", format_args!("{} at {} for zone {}", placer.node, placer.internal, placer.zone))?;
+    }
     if tables.groups.is_empty() {
         return line(f, "batch group", "none");
     }
--- a/alderhollow/src/status/message.rs
+++ b/alderhollow/src/status/message.rs
@@ -2,7 +2,7 @@
 
 use crate::distribution::message::{CoreView, Stamp};
 use alderhollow_model::identity::{DiskId, NodeInfo};
-use alderhollow_model::snapshot::GroupId;
+use alderhollow_model::snapshot::{GroupId, Placer};
 use minicbor::{Decode, Encode};
 
 /// A question to a process.
@@ -63,6 +63,9 @@
     /// The batch groups, by their numbers.
     #[n(7)]
     pub groups: Vec<TablesGroup>,
+    /// Who places requests at the backends of each zone.
+    #[cbor(n(8), default)]
+    pub placers: Vec<Placer>,
 }
 
 /// A batch group as the tables have it.
--- a/alderhollow/src/status/server.rs
+++ b/alderhollow/src/status/server.rs
@@ -61,6 +61,7 @@
             backends_stamp: Stamp { epoch, sequence },
             backends: snapshot.backends.backends.len() as u64,
             senders: snapshot.senders.nodes.len() as u64,
+            placers: snapshot.senders.placers.clone(),
             groups: control.numbered_groups().map(tables_group).collect(),
         }
     }
--- a/alderhollow/src/store/item_starts.rs
+++ b/alderhollow/src/store/item_starts.rs
@@ -1,8 +1,9 @@
-//! Which items start next: those due first, over all groups that this store leads.
+//! Which items start next: those due first that can still be done in time, over all groups that this store leads.
 
 use super::group_engine::GroupEngine;
 use super::node::StoreNode;
 use alderhollow_batch::api::ItemStart;
+use alderhollow_batch::work::Turn;
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap};
 use std::rc::Rc;
@@ -15,10 +16,10 @@
     pub item: ItemStart,
 }
 
-/// A group's place among those with ready items of a route: what is due first comes first.
+/// A group's place among those with ready items of a route, by the turn of its next item.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct DueGroup {
-    due_ms: i64,
+    turn: Turn,
     /// Place in the list of groups.
     index: usize,
 }
@@ -61,8 +62,8 @@
         room: usize,
     ) -> Vec<GroupItemStart> {
         let first_due = |index: usize| {
-            let due_ms = self.look(&groups[index], |engine, _| engine.first_due_ms(route))?;
-            Some(Reverse(DueGroup { due_ms, index }))
+            let turn = self.look(&groups[index], |engine, now_ms| engine.first_turn(now_ms, route))?;
+            Some(Reverse(DueGroup { turn, index }))
         };
         let mut order: BinaryHeap<Reverse<DueGroup>> = (0..groups.len()).filter_map(first_due).collect();
         let mut starts = Vec::new();
--- a/alderhollow/tests/inspection.rs
+++ b/alderhollow/tests/inspection.rs
@@ -7,7 +7,7 @@
 use alderhollow_batch::job::{Item, ItemRequest, ItemResult, JobId, NewJob, ResultState};
 use alderhollow_batch::records::Entry;
 use alderhollow_model::identity::{Address, DiskId, LifeId, NodeInfo, Role};
-use alderhollow_model::snapshot::GroupId;
+use alderhollow_model::snapshot::{GroupId, Placer};
 use alderhollow_storage::{FolderDisk, Journal};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -157,6 +157,11 @@
             backends_stamp: Stamp { epoch: 2, sequence: 6 },
             backends: 12,
             senders: 13,
+            placers: vec![Placer {
+                zone: "east".into(),
+                node: "machine-9".into(),
+                internal: address(9, 7660),
+            }],
             groups: vec![
                 TablesGroup { group: GroupId(0), epoch: 3, primary: DiskId(0x90) },
                 TablesGroup { group: GroupId(1), epoch: 7, primary: DiskId(0x91) },
--- a/alderhollow/tests/placement.rs
+++ b/alderhollow/tests/placement.rs
@@ -328,3 +328,21 @@
         prop_assert_eq!(minicbor::decode::<Report>(&bytes).expect("it can be read"), report);
     }
 }
+
+/// What goes over the wire for one request: `docs/CAPACITY.md` counts with these.
+#[test]
+fn one_request_costs_few_bytes() {
+    let prompt = Prompt {
+        parts: vec![(u64::MAX, 512), (u64::MAX, 4_870), (u64::MAX, 6_610)],
+        tokens_in: 11_992,
+        tokens_out: 391,
+    };
+    let demand = Demand::of(&wanted("dahu75a", Some(&prompt)), Vec::new()).expect("it has a prompt");
+    let attempt = AttemptId { sender: LifeId(u64::MAX), number: 100_000 };
+    let question = minicbor::to_vec(PlaceRequest { attempt, demand: demand.clone() }).expect("bytes").len();
+    let answer = Placement::At { backend: "i-7f3a91c2".to_string(), wait_ms: 12.5 };
+    let answer = minicbor::to_vec(answer).expect("bytes").len();
+    let ends = vec![Event::Began(100_000), Event::Ended(100_000, End::Served)];
+    let report = minicbor::to_vec(events(LifeId(u64::MAX), ends)).expect("bytes").len();
+    assert!(question <= 90 && answer <= 25 && report <= 35, "{question} {answer} {report}");
+}
--- a/batch/src/engine/runs.rs
+++ b/batch/src/engine/runs.rs
@@ -5,7 +5,7 @@
 use crate::api::{ItemStart, Output, Resume, RunEnd, RunId};
 use crate::job::{ItemResult, JobId, ResultState};
 use crate::records::Entry;
-use crate::work::ItemKey;
+use crate::work::{ItemKey, OverRun, Turn};
 
 /// Pause after a failed attempt; it grows with each one.
 const FAILURE_PAUSE_MS: u64 = 200;
@@ -22,12 +22,12 @@
         self.work.ready_routes().filter(|route| self.routes.contains_key(*route)).map(str::to_owned).collect()
     }
 
-    /// When the first of the ready items of a route is due, on the steady clock.
-    pub fn first_due_ms(&self, route: &str) -> Option<i64> {
-        self.work.first_due_ms(route)
+    /// The turn of the next of the ready items of a route, on the steady clock.
+    pub fn first_turn(&self, now_ms: u64, route: &str) -> Option<Turn> {
+        self.work.first_turn(route, now_ms)
     }
 
-    /// Items of a route to start now, at most `max` and what the congestion window leaves, those due first in front. They
+    /// Items of a route to start now, at most `max` and what the congestion window leaves, in the order of their turns. They
     /// count as running from now on; each must come back by [`Engine::run_ended`] unless it is cancelled.
     pub fn take_work(&mut self, now_ms: u64, route: &str, max: usize) -> Vec<ItemStart> {
         self.now_ms = now_ms;
@@ -39,7 +39,7 @@
         self.adapt_windows();
         let room = self.windows.runs.room(self.in_flight());
         while starts.len() < max.min(room) {
-            let Some(key) = self.work.first_ready(route).cloned() else { break };
+            let Some(key) = self.work.first_ready(route, now_ms).cloned() else { break };
             match self.start(&key) {
                 Some(start) => starts.push(start),
                 // Without a request there is nothing to run; it must not stand in the way of the others.
@@ -47,7 +47,7 @@
             }
         }
         self.windows.runs.note_begun(starts.len());
-        if starts.len() == room && room < max && self.work.first_ready(route).is_some() {
+        if starts.len() == room && room < max && self.work.first_ready(route, now_ms).is_some() {
             self.windows.runs.note_limit();
         }
         starts
@@ -59,7 +59,7 @@
         let item = job.accepted.items.get(key.item as usize)?;
         let request = item.request.clone()?;
         let terms = self.routes.get(&job.accepted.route)?;
-        let (run, open) = self.work.start(key)?;
+        let (run, open) = self.work.start(key, self.now_ms)?;
         Some(ItemStart {
             run,
             job: key.job.clone(),
@@ -78,7 +78,10 @@
     /// A run has ended. Runs that were cancelled are ignored.
     pub fn run_ended(&mut self, now_ms: u64, run: RunId, end: RunEnd) {
         self.now_ms = now_ms;
-        let Some(key) = self.work.end_run(run) else { return };
+        let Some(OverRun { item: key, lasted_ms }) = self.work.end_run(run, now_ms) else { return };
+        if matches!(end, RunEnd::Completed { .. }) {
+            self.work.note_completed(lasted_ms);
+        }
         match end {
             RunEnd::Completed { text } => self.list_one(key, ResultState::Completed, text),
             RunEnd::Rejected => self.list_one(key, ResultState::DeadLetter, String::new()),
--- a/batch/src/work.rs
+++ b/batch/src/work.rs
@@ -1,4 +1,5 @@
-//! Which items wait for a run, which run, and in what order they are due.
+//! Which items wait for a run, which run, and in what order they take their turns: those due first in front, but those that
+//! can't be done in time any more behind all that can.
 
 use crate::api::{Resume, RunId};
 use crate::job::{Job, JobId};
@@ -20,6 +21,34 @@
     item: ItemKey,
 }
 
+/// The turn of an item that waits: less comes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Turn {
+    /// Whether a run that began now would end after it is due.
+    pub is_too_late: bool,
+    /// When it is due.
+    pub due_ms: i64,
+}
+
+/// A run that is over.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OverRun {
+    /// Its item.
+    pub item: ItemKey,
+    /// How long it lasted.
+    pub lasted_ms: u64,
+}
+
+/// A run under way.
+#[derive(Debug)]
+struct Run {
+    item: ItemKey,
+    started_ms: u64,
+}
+
+/// Weight of a new run in the usual time of runs.
+const RUN_TIME_SAMPLE: f64 = 0.05;
+
 /// An item that pauses until a moment.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct PausedKey {
@@ -59,8 +88,10 @@
     jobs: HashMap<JobId, OpenJob>,
     ready: BTreeMap<String, BTreeSet<ReadyKey>>,
     paused: BTreeSet<PausedKey>,
-    runs: HashMap<RunId, ItemKey>,
+    runs: HashMap<RunId, Run>,
     newest_run: u64,
+    /// How long runs that completed an item lasted, on average of late; `None` before the first.
+    run_ms: Option<f64>,
 }
 
 impl WorkQueue {
@@ -99,14 +130,30 @@
         ready.insert(ReadyKey { due_ms: job.due_ms, item: key });
     }
 
-    /// The ready item of a route that is due first.
-    pub fn first_ready(&self, route: &str) -> Option<&ItemKey> {
-        self.ready.get(route)?.first().map(|ready| &ready.item)
+    /// The ready item of a route whose turn it is.
+    pub fn first_ready(&self, route: &str, now_ms: u64) -> Option<&ItemKey> {
+        self.first(route, now_ms).map(|(ready, _)| &ready.item)
+    }
+
+    /// The turn of that item.
+    pub fn first_turn(&self, route: &str, now_ms: u64) -> Option<Turn> {
+        self.first(route, now_ms).map(|(ready, is_too_late)| Turn { is_too_late, due_ms: ready.due_ms })
+    }
+
+    /// The ready item that is due first of those that a run can end in time, else of all.
+    fn first(&self, route: &str, now_ms: u64) -> Option<(&ReadyKey, bool)> {
+        let ready = self.ready.get(route)?;
+        let ends_ms = now_ms as i64 + self.run_ms.unwrap_or(0.0) as i64;
+        let soonest = ItemKey { job: JobId(String::new()), item: 0 };
+        let in_time = ready.range(ReadyKey { due_ms: ends_ms, item: soonest }..).next();
+        in_time.map(|ready| (ready, false)).or_else(|| Some((ready.first()?, true)))
     }
 
-    /// When the first of the ready items of a route is due.
-    pub fn first_due_ms(&self, route: &str) -> Option<i64> {
-        Some(self.ready.get(route)?.first()?.due_ms)
+    /// Learns from a run that completed its item.
+    pub fn note_completed(&mut self, lasted_ms: u64) {
+        let lasted = lasted_ms as f64;
+        let run_ms = self.run_ms.get_or_insert(lasted);
+        *run_ms += RUN_TIME_SAMPLE * (lasted - *run_ms);
     }
 
     /// Routes with ready items.
@@ -115,21 +162,22 @@
     }
 
     /// Starts a run of an item that is ready.
-    pub fn start(&mut self, key: &ItemKey) -> Option<(RunId, &OpenItem)> {
+    pub fn start(&mut self, key: &ItemKey, now_ms: u64) -> Option<(RunId, &OpenItem)> {
         let job = self.jobs.get_mut(&key.job)?;
         let item = job.items.get_mut(&key.item).filter(|item| item.phase == Phase::Ready)?;
         self.newest_run += 1;
         let run = RunId(self.newest_run);
         item.phase = Phase::Running(run);
-        self.runs.insert(run, key.clone());
+        self.runs.insert(run, Run { item: key.clone(), started_ms: now_ms });
         let ready = self.ready.get_mut(&job.route);
         ready.map(|ready| ready.remove(&ReadyKey { due_ms: job.due_ms, item: key.clone() }));
         Some((run, item))
     }
 
     /// A run is over: its item, which then pauses until [`WorkQueue::pause`] or [`WorkQueue::finish`] is called.
-    pub fn end_run(&mut self, run: RunId) -> Option<ItemKey> {
-        self.runs.remove(&run)
+    pub fn end_run(&mut self, run: RunId, now_ms: u64) -> Option<OverRun> {
+        let Run { item, started_ms } = self.runs.remove(&run)?;
+        Some(OverRun { item, lasted_ms: now_ms.saturating_sub(started_ms) })
     }
 
     /// An open item, to note what its run showed.
--- a/batch/tests/engine/runs.rs
+++ b/batch/tests/engine/runs.rs
@@ -178,3 +178,35 @@
     let starts = cluster.work(1, 1);
     assert_eq!(starts[0].due_ms, now_ms as i64 + 2_000);
 }
+
+/// Time until the results of the tests' jobs are due, as in their route's terms.
+fn run_target_ms() -> u64 {
+    terms().run_target_ms
+}
+
+#[test]
+fn an_item_that_cannot_be_done_in_time_any_more_waits_behind_those_that_can() {
+    const RUN_MS: u64 = 100;
+    let mut cluster = Cluster::active(2);
+    cluster.accept(1, job("first", 1, 10));
+    let run = cluster.work(1, 1)[0].run;
+    cluster.pass(RUN_MS, 1);
+    cluster.end_run(1, run, RunEnd::Completed { text: "t".to_owned() });
+    let mut hopeless = job("hopeless", 2, 10);
+    hopeless.age_ms = run_target_ms() - RUN_MS / 2;
+    cluster.accept(1, hopeless);
+    cluster.accept(1, job("young", 1, 10));
+    let mut urgent = job("urgent", 1, 10);
+    urgent.age_ms = run_target_ms() - 4 * RUN_MS;
+    cluster.accept(1, urgent);
+    assert_eq!(next_items(&mut cluster, 9), ["urgent-0", "young-0", "hopeless-0", "hopeless-1"]);
+}
+
+#[test]
+fn items_that_are_all_too_late_run_all_the_same() {
+    let mut cluster = Cluster::active(2);
+    let mut late = job("late", 2, 10);
+    late.age_ms = run_target_ms() + 1;
+    cluster.accept(1, late);
+    assert_eq!(next_items(&mut cluster, 9), ["late-0", "late-1"]);
+}
--- /dev/null
+++ b/placement-model/src/policy.rs
@@ -0,0 +1,233 @@
+//! Who chooses a backend, with what knowledge and how late. All choices are made by the program's own code.
+
+use crate::settings::Settings;
+use crate::traffic::Request;
+use alderhollow::balance::{Balancer, NoBackend, Outcome, Wanted};
+use alderhollow::placement::ledger::Ledger;
+use alderhollow::placement::message::{AttemptId, Demand, End, Event, PlaceRequest, Placement, Report};
+use alderhollow_model::backend::{Backend, BackendList, BackendState};
+use alderhollow_model::config::{Config, Engine as EngineConfig, Service};
+use alderhollow_model::identity::{Address, LifeId};
+use alderhollow_model::snapshot::{ControlView, Senders, Snapshot};
+use clap::ValueEnum;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+const SERVICE: &str = "engines";
+/// As the program's senders do: what another zone costs, and how many others are asked.
+const OTHER_ZONE_MS: f64 = 60.0;
+const OTHER_ZONES_ASKED: usize = 2;
+
+/// Ways to choose.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Policy {
+    /// Each sender knows its own attempts alone.
+    Blind,
+    /// A placer in each zone knows what its senders report, with their delays.
+    Zone,
+    /// One placer for all backends knows everything at once.
+    Informed,
+}
+
+impl Policy {
+    /// All of them.
+    pub const ALL: [Policy; 3] = [Policy::Blind, Policy::Zone, Policy::Informed];
+
+    /// Its name.
+    pub fn name(self) -> &'static str {
+        match self {
+            Policy::Blind => "blind",
+            Policy::Zone => "zone",
+            Policy::Informed => "informed",
+        }
+    }
+}
+
+/// Zone of a sender or of a backend, by its number.
+fn zone_name(index: usize) -> String {
+    format!("zone-{index}")
+}
+
+fn backend_name(index: usize) -> String {
+    format!("backend-{index:04}")
+}
+
+/// The tables that all choose by.
+fn tables(settings: &Settings, zones: usize) -> Snapshot {
+    let engines = &settings.engines;
+    let backend = |index: usize| Backend {
+        id: backend_name(index),
+        service: SERVICE.to_string(),
+        address: Address(SocketAddr::from(([10, 0, 0, 1], 8080))),
+        zone: zone_name(index % zones),
+        slots: engines.slots as u32,
+        state: BackendState::Ready,
+        cold_remaining_ms: 0,
+    };
+    let service = Service {
+        name: SERVICE.to_string(),
+        health_path: None,
+        max_conns: None,
+        cold_start_s: 0.0,
+        cold_per_s: 0.0,
+        engine: Some(EngineConfig {
+            slots: Some(engines.slots as u32),
+            kv_capacity_tokens: Some(engines.memory_tokens),
+            stride: None,
+        }),
+    };
+    let config = Config { services: vec![service], ..Config::default() };
+    let control = ControlView { config: Some(Arc::new(config)), ..ControlView::default() };
+    let count = settings.senders.doors + settings.senders.stores;
+    let nodes = (0..count).map(|sender| format!("sender-{sender:04}")).collect();
+    Snapshot {
+        control: Arc::new(control),
+        backends: Arc::new(BackendList {
+            epoch: 1,
+            sequence: 1,
+            backends: (0..engines.count).map(backend).collect(),
+        }),
+        backends_at_ms: 0,
+        senders: Arc::new(Senders { nodes, placers: Vec::new() }),
+        validated: true,
+    }
+}
+
+/// A report on its way to a placer.
+#[derive(Debug)]
+struct Pending {
+    due_ms: f64,
+    zone: usize,
+    report: Report,
+}
+
+/// The choosers of one run.
+#[derive(Debug)]
+enum Choosers {
+    Senders(Vec<Balancer>),
+    Placers { ledgers: Vec<Ledger>, zones: usize, delay_ms: f64, pending: Vec<Pending> },
+}
+
+/// Chooses backends for a run.
+#[derive(Debug)]
+pub struct Chooser {
+    choosers: Choosers,
+    /// By request: the balancer's number, or the zone of the placer.
+    attempts: BTreeMap<usize, (usize, u64)>,
+}
+
+impl Chooser {
+    /// The choosers of a policy.
+    pub fn new(policy: Policy, settings: &Settings) -> Chooser {
+        let all = settings.engines.zones;
+        let senders = settings.senders.doors + settings.senders.stores;
+        let choosers = match policy {
+            Policy::Blind => {
+                Choosers::Senders((0..senders).map(|sender| balancer(settings, sender)).collect())
+            }
+            Policy::Zone => placers(settings, all, settings.senders.report_delay_ms),
+            Policy::Informed => placers(settings, 1, 0.0),
+        };
+        Chooser { choosers, attempts: BTreeMap::new() }
+    }
+
+    /// A backend for a request; `None`: none has room now.
+    pub fn choose(&mut self, now: f64, index: usize, request: &Request, priority: u32) -> Option<usize> {
+        let prompt = &request.prompt;
+        let wanted = Wanted { service: SERVICE, prompt: Some(prompt), priority, tried: &[] };
+        match &mut self.choosers {
+            Choosers::Senders(balancers) => {
+                let choice = match balancers[request.sender].choose(now, &wanted) {
+                    Ok(choice) => choice,
+                    Err(NoBackend::NoneReady | NoBackend::AllFull { .. }) => return None,
+                };
+                self.attempts.insert(index, (request.sender, choice.attempt));
+                place_of(&choice.backend.id)
+            }
+            Choosers::Placers { ledgers, zones, pending, .. } => {
+                let attempt = AttemptId { sender: LifeId(request.sender as u64), number: index as u64 };
+                let question = PlaceRequest { attempt, demand: Demand::of(&wanted, Vec::new())? };
+                let own = request.sender % *zones;
+                let mut best: Option<(f64, usize, usize)> = None;
+                for step in 0..(*zones).min(1 + OTHER_ZONES_ASKED) {
+                    let zone = (own + step * (1 + index % 2)) % *zones;
+                    if best.is_some_and(|(wait_ms, ..)| wait_ms <= OTHER_ZONE_MS) {
+                        break;
+                    }
+                    let placement = ledgers[zone].place(now, &question);
+                    let Placement::At { backend, wait_ms } = placement else { continue };
+                    let Some(backend) = place_of(&backend) else { continue };
+                    let wait_ms = wait_ms + if zone == own { 0.0 } else { OTHER_ZONE_MS };
+                    let is_better = best.is_none_or(|(least, ..)| wait_ms < least);
+                    let offer = (wait_ms, zone, backend);
+                    let worse = if is_better { best.replace(offer) } else { Some(offer) };
+                    if let Some((_, zone, _)) = worse {
+                        pending.push(report(now, zone, request, Event::Ended(index as u64, End::Cancelled)));
+                    }
+                }
+                let (_, zone, backend) = best?;
+                self.attempts.insert(index, (zone, index as u64));
+                Some(backend)
+            }
+        }
+    }
+
+    /// The first event of a request came.
+    pub fn began(&mut self, now: f64, index: usize, request: &Request) {
+        let Some(&(place, attempt)) = self.attempts.get(&index) else { return };
+        match &mut self.choosers {
+            Choosers::Senders(balancers) => balancers[place].began(now, attempt),
+            Choosers::Placers { delay_ms, pending, .. } => {
+                pending.push(report(now + *delay_ms, place, request, Event::Began(attempt)));
+            }
+        }
+    }
+
+    /// A request ended.
+    pub fn ended(&mut self, now: f64, index: usize, request: &Request) {
+        let Some((place, attempt)) = self.attempts.remove(&index) else { return };
+        match &mut self.choosers {
+            Choosers::Senders(balancers) => balancers[place].ended(now, attempt, Outcome::Served),
+            Choosers::Placers { delay_ms, pending, .. } => {
+                pending.push(report(now + *delay_ms, place, request, Event::Ended(attempt, End::Served)));
+            }
+        }
+    }
+
+    /// Hands over the reports that have arrived by now.
+    pub fn deliver(&mut self, now: f64) {
+        let Choosers::Placers { ledgers, pending, .. } = &mut self.choosers else { return };
+        let (due, later) = std::mem::take(pending).into_iter().partition(|report| report.due_ms <= now);
+        *pending = later;
+        let due: Vec<Pending> = due;
+        for Pending { zone, report, .. } in due {
+            ledgers[zone].take_report(now, &report);
+        }
+    }
+}
+
+fn report(due_ms: f64, zone: usize, request: &Request, event: Event) -> Pending {
+    let sender = LifeId(request.sender as u64);
+    Pending { due_ms, zone, report: Report::Events { sender, events: vec![event] } }
+}
+
+fn balancer(settings: &Settings, sender: usize) -> Balancer {
+    let zone = zone_name(sender % settings.engines.zones);
+    let mut balancer = Balancer::new(&format!("sender-{sender:04}"), &zone, sender as u64 + 1);
+    balancer.update(0.0, &tables(settings, settings.engines.zones));
+    balancer
+}
+
+fn placers(settings: &Settings, zones: usize, delay_ms: f64) -> Choosers {
+    let ledger = |zone: usize| {
+        let mut ledger = Ledger::new("placer", &zone_name(zone), zone as u64 + 1);
+        ledger.update(0.0, &tables(settings, zones));
+        ledger
+    };
+    Choosers::Placers { ledgers: (0..zones).map(ledger).collect(), zones, delay_ms, pending: Vec::new() }
+}
+
+fn place_of(backend: &str) -> Option<usize> {
+    backend.rsplit('-').next()?.parse().ok()
+}
