A sender that dies says nothing of its backends

Cause, found in review: the placer ended the attempts of a sender that had fallen silent as cancelled, and an attempt that is cancelled while its backend is silent counts against the backend. After a kill of many doors, backends at which their requests waited would be taken for dark. Now such attempts are withdrawn without a judgement, and a silent sender is dropped after 2.2 s (3 s).

--- a/alderhollow/src/balance/health.rs
+++ b/alderhollow/src/balance/health.rs
@@ -131,6 +131,14 @@
         self.recover(record);
     }
 
+    /// An attempt is known no more, without an end.
+    pub(super) fn withdrawn(&mut self, attempt: u64) {
+        self.waiting.remove(&attempt);
+        if self.trial == Some(attempt) {
+            self.trial = None;
+        }
+    }
+
     /// Notes an end. `draw` is from 0 to 1.
     pub(super) fn ended(&mut self, now: Millis, record: AttemptRecord, outcome: Outcome, draw: f64) {
         let was_silent = self.silent_since(now).is_some_and(|since| record.started <= since);
--- a/alderhollow/src/balance/mod.rs
+++ b/alderhollow/src/balance/mod.rs
@@ -112,6 +112,17 @@
     began: bool,
 }
 
+impl Member {
+    /// Gives back what an attempt took.
+    fn release(&mut self, attempt: &Attempt) {
+        let load = &mut self.under_way;
+        load.attempts = load.attempts.saturating_sub(1);
+        load.live = load.live.saturating_sub(u32::from(attempt.is_live));
+        load.tokens = load.tokens.saturating_sub(attempt.tokens);
+        load.unread_tokens = load.unread_tokens.saturating_sub(attempt.unread_tokens);
+    }
+}
+
 impl Attempt {
     fn record(&self, attempt: u64) -> AttemptRecord {
         AttemptRecord { attempt, started: self.started, expected: self.expected, began: self.began }
@@ -298,6 +309,15 @@
         }
     }
 
+    /// Forgets an attempt of which nobody tells any more: that says nothing of the backend.
+    pub fn withdraw(&mut self, attempt: u64) {
+        let Some(under_way) = self.attempts.remove(&attempt) else { return };
+        let pool = self.table.pools.get_mut(&under_way.backend.service);
+        let Some(member) = pool.and_then(|pool| pool.member_mut(&under_way.backend.id)) else { return };
+        member.release(&under_way);
+        member.health.withdrawn(attempt);
+    }
+
     /// Notes how an attempt ended.
     pub fn ended(&mut self, now: Millis, attempt: u64, outcome: Outcome) {
         if outcome == Outcome::Served {
@@ -312,11 +332,7 @@
         let draw = self.rng.rand_float();
         let pool = self.table.pools.get_mut(&under_way.backend.service);
         let Some(member) = pool.and_then(|pool| pool.member_mut(id)) else { return };
-        let load = &mut member.under_way;
-        load.attempts = load.attempts.saturating_sub(1);
-        load.live = load.live.saturating_sub(u32::from(under_way.is_live));
-        load.tokens = load.tokens.saturating_sub(under_way.tokens);
-        load.unread_tokens = load.unread_tokens.saturating_sub(under_way.unread_tokens);
+        member.release(&under_way);
         member.health.ended(now, under_way.record(attempt), outcome, draw);
     }
 }
--- a/alderhollow/src/placement/ledger.rs
+++ b/alderhollow/src/placement/ledger.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 
 /// A sender that said nothing for so long is gone, and its attempts with it. Whole reports come more often.
-pub const SENDER_SILENCE_MS: Millis = 3_000.0;
+pub const SENDER_SILENCE_MS: Millis = 2_200.0;
 /// Between two looks for silent senders.
 const LOOK_INTERVAL_MS: Millis = 250.0;
 /// Most senders, and most attempts of one, that are kept: a bound on memory whatever is sent.
@@ -114,7 +114,7 @@
         let known = self.senders.get(&sender).map(|known| known.attempts.keys().copied().collect());
         let known: Vec<u64> = known.unwrap_or_default();
         for number in known.into_iter().filter(|number| *number <= newest && !is_told(*number)) {
-            self.end(now, sender, number, Outcome::Cancelled);
+            self.withdraw(sender, number);
         }
         for told in under_way {
             self.start(now, sender, told);
@@ -154,9 +154,12 @@
             true => known.attempts.pop_first().map(|(_, oldest)| oldest),
             false => None,
         };
-        for gone in replaced.into_iter().chain(oldest) {
-            self.balancer.ended(now, gone, Outcome::Cancelled);
-        }
+        replaced.into_iter().chain(oldest).for_each(|gone| self.balancer.withdraw(gone));
+    }
+
+    fn withdraw(&mut self, sender: LifeId, number: u64) {
+        let attempt = self.senders.get_mut(&sender).and_then(|known| known.attempts.remove(&number));
+        attempt.into_iter().for_each(|attempt| self.balancer.withdraw(attempt));
     }
 
     fn number_of(&self, sender: LifeId, number: u64) -> Option<u64> {
@@ -183,9 +186,7 @@
             self.senders.iter().filter(|(_, sender)| is_silent(sender)).map(|(life, _)| *life).collect();
         for life in silent {
             let attempts = self.senders.remove(&life).map(|sender| sender.attempts).unwrap_or_default();
-            for attempt in attempts.into_values() {
-                self.balancer.ended(now, attempt, Outcome::Cancelled);
-            }
+            attempts.into_values().for_each(|attempt| self.balancer.withdraw(attempt));
         }
     }
 }
--- a/alderhollow/tests/placement.rs
+++ b/alderhollow/tests/placement.rs
@@ -195,6 +195,21 @@
     assert_eq!(ledger.attempts(), 2);
 }
 
+#[test]
+fn a_sender_that_dies_says_nothing_of_its_backends() {
+    let mut ledger = ledger(2);
+    let waited_at: BTreeSet<String> =
+        (1..=2).map(|number| backend_of(place(&mut ledger, 0.0, FIRST, number, &demand(5_000)))).collect();
+    assert_eq!(waited_at.len(), 2);
+    let later = SENDER_SILENCE_MS + 300.0;
+    ledger.take_report(later, &events(SECOND, Vec::new()));
+    assert_eq!(ledger.attempts(), 0);
+    let used: BTreeSet<String> = (1..=4)
+        .map(|number| backend_of(place(&mut ledger, later + 1.0, SECOND, number, &demand(5_000))))
+        .collect();
+    assert_eq!(used, waited_at, "none of them is taken for dark");
+}
+
 #[test]
 fn a_placer_that_starts_anew_learns_what_runs_from_whole_reports() {
     let mut reports = Reports::new(FIRST);
