Tests draw ports without trying them out

The test opened a listener for a free port, closed it, started the program and took its operators' door for open once a connection came up. A listener that is closed lives on in a child that another thread of the test has forked and that has not executed its program yet: it accepts the connection, and resets it when the child goes on.

No check is changed.

--- a/alderhollow/tests/command_line.rs
+++ b/alderhollow/tests/command_line.rs
@@ -1,7 +1,7 @@
 //! The program's command line: exit status and words of `check` and of a start with wrong settings.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{Ipv4Addr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Command, Output, Stdio};
 
@@ -65,28 +65,30 @@
     assert!(text(&output.stderr).lines().count() > 3, "all findings at once: {}", text(&output.stderr));
 }
 
-fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address").port()
+/// Where a store tells its metrics.
+const METRICS_PORT: u16 = 9464;
+
+/// A loopback address of a test of this process: its ports are nobody else's, so that none has to be tried out.
+fn own_address(number: u8) -> Ipv4Addr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, number, high, low.max(1))
 }
 
 /// Settings of a store on loopback that finds no core; gives their file.
-fn loopback_store(name: &str) -> PathBuf {
+fn loopback_store(name: &str, address: Ipv4Addr) -> PathBuf {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::create_dir_all(&folder).expect("the folder for tests can be written");
     let settings = std::fs::read_to_string(fixture("store.toml")).expect("the fixture is there");
-    let ports = format!("[{0},{0}]", free_port());
     let settings = settings
-        .replace("10.9.2.15", "127.0.0.1")
+        .replace("10.9.2.15", &address.to_string())
         .replace("10.9.0.12:8146", "127.0.0.1:1")
-        .replace("[7000,7015]", &ports)
         .replace("/data/store", &folder.display().to_string());
     written(&format!("{name}.toml"), &settings)
 }
 
 #[test]
 fn a_store_takes_a_hangup_for_new_settings_and_lives_on() {
-    let path = loopback_store("hangup-store");
+    let path = loopback_store("hangup-store", own_address(1));
     let mut command = program();
     command.arg("store").env("ALDERHOLLOW_BOOT", &path).stderr(Stdio::piped());
     let mut store = command.spawn().expect("the program starts");
@@ -111,16 +113,16 @@
 
 #[test]
 fn a_store_tells_its_metrics_where_the_option_says() {
-    let path = loopback_store("metrics-store");
-    let port = free_port();
+    let address = own_address(2);
+    let path = loopback_store("metrics-store", address);
     let mut command = program();
-    command.arg("store").arg("--metrics").arg(format!("{port}/metrics"));
+    command.arg("store").arg("--metrics").arg(format!("{METRICS_PORT}/metrics"));
     let mut store =
         command.env("ALDERHOLLOW_BOOT", &path).stderr(Stdio::piped()).spawn().expect("the program starts");
     let mut lines = BufReader::new(store.stderr.take().expect("its log")).lines();
     let started = lines.by_ref().map_while(Result::ok).any(|line| line.contains("in zone south with disk"));
     assert!(started, "the process ended at its start");
-    let mut stream = TcpStream::connect(("127.0.0.1", port)).expect("it listens");
+    let mut stream = TcpStream::connect((address, METRICS_PORT)).expect("it listens");
     stream
         .write_all(b"GET /metrics HTTP/1.1\r\nhost: store\r\nconnection: close\r\n\r\n")
         .expect("a request");
@@ -134,8 +136,9 @@
 
 #[test]
 fn a_store_whose_metrics_port_is_taken_says_so_and_runs() {
-    let path = loopback_store("taken-port-store");
-    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = own_address(3);
+    let path = loopback_store("taken-port-store", address);
+    let taken = TcpListener::bind((address, 0)).expect("a port");
     let port = taken.local_addr().expect("an address").port();
     let mut command = program();
     command.arg("store").arg("--metrics").arg(format!("{port}/metrics"));
--- a/alderhollow/tests/inspection.rs
+++ b/alderhollow/tests/inspection.rs
@@ -115,7 +115,8 @@
 
 #[test]
 fn status_of_nobody_fails_and_says_what_to_check() {
-    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    // Nobody listens at this address. A port that was tried out may stay open for a moment in a child of another test.
+    let closed = std::net::SocketAddr::from(([127, 255, 0, 1], 9));
     let output = run("status", closed.to_string());
     assert_eq!(output.status.code(), Some(1), "{output:?}");
     let message = String::from_utf8_lossy(&output.stderr).replace(&closed.to_string(), "ADDRESS");
--- a/alderhollow/tests/tier_support/mod.rs
+++ b/alderhollow/tests/tier_support/mod.rs
@@ -16,7 +16,7 @@
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::future::Future;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::Duration;
@@ -35,6 +35,10 @@
 pub const HOST: &str = "shop.example";
 pub const SERVICE: &str = "model";
 const REGION: &str = "coast";
+/// A tier has a network of its own, so its ports are nobody else's. They lie below those that the system gives out by
+/// itself; none is tried out first, as a listener may live on for a moment in a child that another thread has forked.
+const PORTS: Ports = Ports { front: 10_000, ready: 10_001, control: 10_002, internal: [10_003, 10_003] };
+const PLATFORM_PORT: u16 = 10_004;
 const ZONES: [&str; 3] = ["east", "middle", "west"];
 
 /// One machine's place in a tier: a class and a number.
@@ -118,14 +122,11 @@
             page_size: 50,
         };
         let listed = backends.iter().map(Backend::listed).collect();
-        let platform_address = address(4, free_ports(ip(network, 4), 1)[0]);
+        let platform_address = address(4, PLATFORM_PORT);
         let platform = Platform::start(platform_address, PlatformList::new(list, listed)).await.unwrap();
-        let ports = free_ports(ip(network, SEEDS[0].host()), 4);
-        let ports =
-            Ports { front: ports[0], ready: ports[1], control: ports[2], internal: [ports[3], ports[3]] };
-        let seeds = SEEDS.map(|seed| address(seed.host(), ports.control)).to_vec();
+        let seeds = SEEDS.map(|seed| address(seed.host(), PORTS.control)).to_vec();
         let zones = ZONES.map(|zone| (zone.to_string(), REGION.to_string())).into();
-        let site = Site { ports, zones, seeds, platform: platform_address, first_start: true };
+        let site = Site { ports: PORTS, zones, seeds, platform: platform_address, first_start: true };
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
             .join(format!("processes-{number}-{}", std::process::id()));
         Tier {
@@ -382,12 +383,6 @@
     logs.find(|log| !log.exists()).expect("a number that is not used")
 }
 
-/// Ports that nobody uses at this address now.
-fn free_ports(ip: Ipv4Addr, count: usize) -> Vec<u16> {
-    let listeners: Vec<_> = (0..count).map(|_| TcpListener::bind((ip, 0)).unwrap()).collect();
-    listeners.iter().map(|listener| listener.local_addr().unwrap().port()).collect()
-}
-
 async fn start_backend(zone: &str, address: SocketAddr, pace: BackendPace) -> Backend {
     let settings = BackendSettings {
         id: format!("i-{zone}"),
--- a/lab/src/scripted.rs
+++ b/lab/src/scripted.rs
@@ -10,13 +10,24 @@
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU8, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::thread;
 use std::time::Duration;
 
 /// Nothing here takes that long unless it fails.
 pub const PATIENCE: Duration = Duration::from_secs(20);
+/// Ports from here up to the first that the system gives out by itself are [`unused_port`]'s.
+const FIRST_PORT: u16 = 10_000;
+
+/// A port that this process asks for but once. At an address of the caller's own nobody else has it.
+///
+/// It is not tried out: a listener that is opened and closed for that may live on in a child that another thread has
+/// forked and that has not executed its program yet. Who connects meanwhile is accepted, and reset a moment later.
+pub fn unused_port() -> u16 {
+    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
 
 /// One message of HTTP: its first line, its headers (names in lower case) and its body.
 pub struct Message {
@@ -175,7 +186,7 @@
 /// An address where nothing listens. Peers get their ports at 127.0.0.1, and none of them takes this one meanwhile.
 pub fn closed_port() -> SocketAddr {
     let nobody = Ipv4Addr::new(127, 255, 0, 1);
-    TcpListener::bind((nobody, 0)).and_then(|listener| listener.local_addr()).expect("a port")
+    SocketAddr::from((nobody, unused_port()))
 }
 
 /// A backend to which connections come up only once `open` is called: its backlog is full.
@@ -225,12 +236,12 @@
     let [high, low] = (std::process::id() as u16).to_be_bytes();
     // Other sockets of the system get their ports at 127.0.0.1: here nothing takes this one meanwhile.
     let own = Ipv4Addr::new(127, COUNT.fetch_add(1, Ordering::Relaxed), high, low.max(1));
-    let listen = TcpListener::bind((own, 0)).and_then(|listener| listener.local_addr()).expect("a port");
+    let listen = SocketAddr::from((own, unused_port()));
     let class = |name, semantics| {
         json!({"name": name, "semantics": semantics, "group": "all", "dedupWindow": 5000.0, "worth": 1.0,
                "slo": 1000.0, "deadline": 4000.0, "lateShare": 0.0, "stream": false})
     };
-    let admin = TcpListener::bind((own, 0)).and_then(|listener| listener.local_addr()).expect("a port");
+    let admin = SocketAddr::from((own, unused_port()));
     json!({
         "name": "n0", "listen": listen.to_string(), "admin_addr": admin.to_string(), "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -321,8 +332,7 @@
     }
     /// Starts a second process beside this one, and waits until it says yes.
     pub fn successor(&self) -> Front {
-        let admin = TcpListener::bind((self.admin.ip(), 0)).and_then(|listener| listener.local_addr());
-        let admin = admin.expect("a port");
+        let admin = SocketAddr::from((self.admin.ip(), unused_port()));
         let mut command = self.program.command(&self.config);
         let child = command.env("BALANCER_ADMIN_ADDR", admin.to_string()).spawn().expect("it starts");
         let (address, config, program) = (self.address, self.config.clone(), self.program);
--- a/tests/hand_over.rs
+++ b/tests/hand_over.rs
@@ -5,11 +5,11 @@
 use serde_json::{json, Value};
 use springusher_lab::process::{send_signal, wait_for};
 use springusher_lab::scripted::{
-    closed_port, config, hold, list, post, target, Client, Exchange, Peer, Program, PATIENCE,
+    closed_port, config, hold, list, post, target, unused_port, Client, Exchange, Peer, Program, PATIENCE,
 };
 use std::fs::File;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::os::fd::AsRawFd;
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
@@ -33,8 +33,7 @@
     /// A further one with this file and its folder, at an operators' door of its own.
     fn beside(file: &Path, config: &Value) -> Process {
         let address: SocketAddr = config["listen"].as_str().expect("an address").parse().expect("an address");
-        let admin = TcpListener::bind((address.ip(), 0)).and_then(|listener| listener.local_addr());
-        let admin = admin.expect("a port");
+        let admin = SocketAddr::from((address.ip(), unused_port()));
         let log = file.with_extension(format!("{}.log", admin.port()));
         let shared = file.with_extension("shared");
         std::fs::create_dir_all(&shared).expect("a folder");
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -12,11 +12,11 @@
 use springusher_fleet::ownership::wire::{Datagram, Kind};
 use springusher_lab::check::Summary;
 use springusher_lab::record::{Entry, Event, Life, Owner};
-use springusher_lab::scripted::{closed_port, config, list, target, Front, Peer, Program};
+use springusher_lab::scripted::{closed_port, config, list, target, unused_port, Front, Peer, Program};
 use stage::{carry, kept, SMALL};
 use std::fs::File;
 use std::io::{Read, Write};
-use std::net::{TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -404,12 +404,11 @@
     assert!(epochs.is_sorted() && epochs[2] > epochs[1], "{epochs:?}");
 }
 
-/// So many front doors that know each other, as configurations; the ports of the fleet are free just now.
+/// So many front doors that know each other, as configurations.
 fn several(count: usize, lease_ms: u64) -> Vec<Value> {
     let port = |config: &Value| {
-        let at: std::net::SocketAddr = config["listen"].as_str().expect("text").parse().expect("an address");
-        let socket = UdpSocket::bind((at.ip(), 0)).expect("a port");
-        socket.local_addr().expect("its address").to_string()
+        let at: SocketAddr = config["listen"].as_str().expect("text").parse().expect("an address");
+        SocketAddr::from((at.ip(), unused_port())).to_string()
     };
     // A backend that takes connections, as a process takes over once it has one.
     let backend = target("s-00000000", Peer::start().address, "ready");
--- a/tests/shards.rs
+++ b/tests/shards.rs
@@ -6,9 +6,9 @@
 
 use rustix::process::Signal;
 use serde_json::{json, Value};
-use springusher_lab::scripted::{closed_port, config, list, Front, Program};
+use springusher_lab::scripted::{closed_port, config, list, unused_port, Front, Program};
 use stage::{carry, kept, SMALL};
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::process::Stdio;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -23,8 +23,7 @@
     let mut all: Vec<Value> = (0..count).map(|_| config(closed_port(), list(&[]))).collect();
     let port = |config: &Value| {
         let at: SocketAddr = config["listen"].as_str().expect("text").parse().expect("an address");
-        let socket = UdpSocket::bind((at.ip(), 0)).expect("a port");
-        socket.local_addr().expect("its address").to_string()
+        SocketAddr::from((at.ip(), unused_port())).to_string()
     };
     let ports: Vec<String> = all.iter().map(port).collect();
     for (n, config) in all.iter_mut().enumerate() {
--- a/tests/view.rs
+++ b/tests/view.rs
@@ -5,9 +5,9 @@
 
 use serde_json::json;
 use springusher_lab::record::{Entry, Event, View};
-use springusher_lab::scripted::{closed_port, config, list, target, Front, Peer, Program};
+use springusher_lab::scripted::{closed_port, config, list, target, unused_port, Front, Peer, Program};
 use stage::{carry, kept, SMALL};
-use std::net::UdpSocket;
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -202,12 +202,11 @@
     assert!(views(&entries, again + 5 * SECOND, u64::MAX).iter().all(|(_, view)| view.roster == 5));
 }
 
-/// Two front doors that know each other, as configurations; the ports of the fleet are free just now.
+/// Two front doors that know each other, as configurations.
 fn two() -> [serde_json::Value; 2] {
     let port = |config: &serde_json::Value| {
-        let at: std::net::SocketAddr = config["listen"].as_str().expect("text").parse().expect("an address");
-        let socket = UdpSocket::bind((at.ip(), 0)).expect("a port");
-        socket.local_addr().expect("its address").to_string()
+        let at: SocketAddr = config["listen"].as_str().expect("text").parse().expect("an address");
+        SocketAddr::from((at.ip(), unused_port())).to_string()
     };
     // A backend that takes connections, as a process takes over once it has one.
     let backend = target("s-00000000", Peer::start().address, "ready");
