Placers learn how engines read, know who keeps a prefix, and spread items no more

Cause: a placer reckoned with 150 tokens a millisecond for every engine, of every size of prompt and at every deployment, took the first engine in rendezvous order to hold a prefix that it may never have been sent, and priced each attempt under way at 1.5 ms, which spread items over the engines that long prompts need free.

The order of zones asked and the choice among their offers is one module now, for senders and the placement model, which had it twice; the exchange's placing is split off from its sending. The model knows engines of three speeds.

Tests: placement (six new, each seen to fail without its piece but the bound on remembered prefixes), placement_offers, the model's two.

--- a/alderhollow/src/balance/affinity.rs
+++ b/alderhollow/src/balance/affinity.rs
@@ -41,6 +41,10 @@
 const READ_BY_OTHERS: f64 = 1.0;
 /// Of one that was sent the prefix lately, though it is not the first.
 const READ_BY_RECENT: f64 = 0.25;
+/// To a placer: of one that read the prefix lately, and of all others at the least. It prefers the first in order a little,
+/// as senders do who choose for themselves.
+const READ_BY_KNOWN: f64 = 0.0;
+const READ_BY_UNKNOWN: f64 = 0.9;
 
 impl Preferred {
     /// Considers a backend.
@@ -74,41 +78,68 @@
 /// How long a backend that was sent a prefix is taken to hold it.
 const KEPT_MS: Millis = 15_000.0;
 /// Most prefixes that are remembered.
-const MOST_PREFIXES: usize = 1024;
+const MOST_PREFIXES: usize = 4096;
+/// Shorter ones are read in no time, and are not remembered.
+const LEAST_TOKENS: u64 = 512;
 
-/// Prefixes that this process sent lately to others than the first in order, and where.
+/// Where the shared prefix of one request is likely to be kept.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Reuse<'a> {
+    pub(super) now: Millis,
+    pub(super) prefix: Option<SharedPrefix>,
+    pub(super) preferred: Preferred,
+    pub(super) sent: &'a SentPrefixes,
+    /// Whether all that the backends read is known here: then a prefix is kept where it was read, and only there.
+    pub(super) is_placer: bool,
+}
+
+impl Reuse<'_> {
+    /// Part of the prefix that the backend at `place` is expected to read again.
+    pub(super) fn part_read(&self, place: usize, id_hash: u64) -> f64 {
+        let Some(prefix) = self.prefix else { return READ_BY_FIRST };
+        let is_recent = self.sent.has(self.now, prefix, id_hash);
+        let by_order = self.preferred.part_read(place);
+        match (self.is_placer, is_recent) {
+            (true, true) => READ_BY_KNOWN,
+            (true, false) => by_order.max(READ_BY_UNKNOWN),
+            (false, true) => by_order.min(READ_BY_RECENT),
+            (false, false) => by_order,
+        }
+    }
+}
+
+/// Prefixes that backends were sent lately, and which. A placer notes all that were read; a sender notes those that it
+/// sends to others than the first in order.
 #[derive(Debug, Default)]
-pub(super) struct SentElsewhere {
+pub(super) struct SentPrefixes {
     /// By hash of the prefix: hashes of the backends' ids, and when.
     sent: BTreeMap<u64, Vec<(u64, Millis)>>,
 }
 
-impl SentElsewhere {
-    /// Notes that a backend was sent a prefix.
+impl SentPrefixes {
+    /// Notes that a backend was sent a prefix, or that its first event showed that it had read it.
     pub(super) fn note(&mut self, now: Millis, prefix: SharedPrefix, id_hash: u64) {
+        if prefix.tokens < LEAST_TOKENS {
+            return;
+        }
         if self.sent.len() >= MOST_PREFIXES && !self.sent.contains_key(&prefix.hash) {
             self.forget_old(now);
+            if self.sent.len() >= MOST_PREFIXES {
+                return;
+            }
         }
         let backends = self.sent.entry(prefix.hash).or_default();
         backends.retain(|(id, at)| *id != id_hash && now - at < KEPT_MS);
         backends.push((id_hash, now));
     }
 
-    /// Part of a prefix that a backend is expected to read again, at most `part_read`.
-    pub(super) fn part_read(&self, now: Millis, prefix: SharedPrefix, id_hash: u64, part_read: f64) -> f64 {
+    /// Whether a backend was sent a prefix lately.
+    fn has(&self, now: Millis, prefix: SharedPrefix, id_hash: u64) -> bool {
         let backends = self.sent.get(&prefix.hash).map_or(&[][..], Vec::as_slice);
-        let is_recent = backends.iter().any(|(id, at)| *id == id_hash && now - at < KEPT_MS);
-        if is_recent {
-            part_read.min(READ_BY_RECENT)
-        } else {
-            part_read
-        }
+        backends.iter().any(|(id, at)| *id == id_hash && now - at < KEPT_MS)
     }
 
     fn forget_old(&mut self, now: Millis) {
         self.sent.retain(|_, backends| backends.iter().any(|(_, at)| now - at < KEPT_MS));
-        if self.sent.len() >= MOST_PREFIXES {
-            self.sent.clear();
-        }
     }
 }
--- a/alderhollow/src/balance/backends.rs
+++ b/alderhollow/src/balance/backends.rs
@@ -1,9 +1,10 @@
 //! The table of backends: what the newest list says of each, and what this process has under way at it.
 
-use super::affinity::SentElsewhere;
+use super::affinity::SentPrefixes;
 use super::cold::{ColdBounds, SenderLists, StartLog};
 use super::hash::hash_name;
 use super::health::Health;
+use super::reading::{EngineSpeed, ReadingTimes};
 use super::Millis;
 use alderhollow_model::backend::{Backend, BackendState};
 use alderhollow_model::config::Service;
@@ -14,6 +15,8 @@
 const COLD_MARGIN_MS: Millis = 500.0;
 /// Beyond `cold-start-s`, after a zone was taken back: the backend may have turned cold shortly before.
 const TAKEN_BACK_MARGIN_MS: Millis = 1000.0;
+/// The longest pause that is in time where no route says one.
+const USUAL_GAP_AIM_MS: Millis = 300.0;
 /// Slots of a backend whose entry says none.
 const LEAST_SLOTS: u32 = 1;
 
@@ -26,6 +29,8 @@
     /// Tokens that running requests and cached parts share; `None`: not a model engine.
     pub(super) capacity_tokens: Option<u64>,
     engine_slots: Option<u32>,
+    /// The longest pause between two events that is in time on every route to the service.
+    pub(super) gap_aim_ms: Millis,
 }
 
 impl ServiceTerms {
@@ -35,7 +40,11 @@
     }
 
     /// The terms of a service; of one that is not configured, those of a plain service without bounds.
-    pub(super) fn of(service: Option<&Service>, bounds: ColdBounds) -> ServiceTerms {
+    pub(super) fn of(
+        service: Option<&Service>,
+        gap_aim_ms: Option<Millis>,
+        bounds: ColdBounds,
+    ) -> ServiceTerms {
         let engine = service.and_then(|service| service.engine.as_ref());
         let cold_per_s = service.map_or(0.0, |service| service.cold_per_s);
         ServiceTerms {
@@ -43,6 +52,7 @@
             cold_bound: (cold_per_s > 0.0).then(|| bounds.per_second(cold_per_s)),
             capacity_tokens: engine.map(|engine| engine.kv_capacity_tokens.unwrap_or(u64::MAX)),
             engine_slots: engine.and_then(|engine| engine.slots),
+            gap_aim_ms: gap_aim_ms.unwrap_or(USUAL_GAP_AIM_MS),
         }
     }
 }
@@ -56,8 +66,15 @@
     pub(super) live: u32,
     /// Tokens of these, in and out.
     pub(super) tokens: u64,
-    /// Prompt tokens that are still to be read, of attempts that have not begun.
-    pub(super) unread_tokens: u64,
+    /// Microseconds that reading the prompts takes, of attempts that have not begun.
+    pub(super) reading_us: u64,
+}
+
+impl UnderWay {
+    /// How long the prompts of attempts that have not begun take to be read.
+    pub(super) fn reading_ms(&self) -> Millis {
+        self.reading_us as f64 / 1000.0
+    }
 }
 
 /// One backend.
@@ -70,6 +87,7 @@
     pub(super) under_way: UnderWay,
     pub(super) health: Health,
     pub(super) starts: StartLog,
+    pub(super) speed: EngineSpeed,
     cold_until: Millis,
     /// The allowance while cold, and the generation of senders' lists that it was counted by.
     allowance: Option<(u64, usize)>,
@@ -85,6 +103,7 @@
             under_way: UnderWay::default(),
             health: Health::new(),
             starts: StartLog::default(),
+            speed: EngineSpeed::default(),
             cold_until: f64::NEG_INFINITY,
             allowance: None,
         }
@@ -136,8 +155,9 @@
     /// In the order of their ids.
     pub(super) members: Vec<Member>,
     pub(super) usual: UsualTimes,
+    pub(super) reading: ReadingTimes,
     pub(super) demand: Demand,
-    pub(super) sent_elsewhere: SentElsewhere,
+    pub(super) sent: SentPrefixes,
 }
 
 impl Pool {
@@ -146,15 +166,15 @@
             terms,
             members: Vec::new(),
             usual: UsualTimes::default(),
+            reading: ReadingTimes::default(),
             demand: Demand::default(),
-            sent_elsewhere: SentElsewhere::default(),
+            sent: SentPrefixes::default(),
         }
     }
 
     /// The member with an id.
     pub(super) fn member_mut(&mut self, id: &str) -> Option<&mut Member> {
-        let place = self.members.binary_search_by(|member| member.backend.id.as_str().cmp(id)).ok()?;
-        self.members.get_mut(place)
+        find_mut(&mut self.members, id)
     }
 
     /// The member with an id.
@@ -164,6 +184,12 @@
     }
 }
 
+/// The member with an id, of members in the order of their ids.
+pub(super) fn find_mut<'a>(members: &'a mut [Member], id: &str) -> Option<&'a mut Member> {
+    let place = members.binary_search_by(|member| member.backend.id.as_str().cmp(id)).ok()?;
+    members.get_mut(place)
+}
+
 /// Weight of a new answer in the usual times.
 const USUAL_SAMPLE: f64 = 0.05;
 /// What an answer is expected to take before any has come.
--- a/alderhollow/src/balance/choice.rs
+++ b/alderhollow/src/balance/choice.rs
@@ -1,21 +1,20 @@
 //! The choice among the backends of one service: which of them may take a request now, and what it would cost there.
 //! All costs are milliseconds of expected delay, or worth as much.
 
-use super::affinity::{Preferred, SentElsewhere, SharedPrefix};
+use super::affinity::{Preferred, Reuse, SharedPrefix};
 use super::backends::{Member, Pool, ServiceTerms};
 use super::cold::SenderLists;
 use super::health::Standing;
+use super::reading::ReadingTimes;
 use super::{Millis, NoBackend, Wanted};
 
-/// Prompt tokens that an engine reads in a millisecond, about: only the ratio to the other costs matters.
-const TOKENS_READ_PER_MS: f64 = 150.0;
-/// Reading a shared part again is priced besides the time that it takes.
-const READ_AGAIN_FACTOR: f64 = 2.0;
+/// Reading a shared part again is priced besides the time that it takes: as a part of that time.
+const READ_AGAIN_PRICE: f64 = 1.0;
 /// Sending to another zone: the bytes are priced.
 pub(crate) const OTHER_ZONE_ENGINE_MS: f64 = 60.0;
 /// At plain services, in usual times.
 const OTHER_ZONE_PLAIN: f64 = 0.25;
-/// What one own attempt under way at an engine delays the next one.
+/// What one own attempt under way at an engine counts for, to a sender that does not know the others'.
 const RUNNING_MS: f64 = 1.5;
 /// What a failed answer costs, and the share of failures that is passed over.
 const FAILURE_MS: f64 = 500.0;
@@ -38,10 +37,10 @@
 const WARM_EXTRA: f64 = 3.0;
 /// Shares of a backend's slots and memory that requests of the highest, the middle and low rank may fill.
 const FILL_BY_RANK: [f64; 3] = [1.0, 0.95, 0.85];
-/// Reading for so long delays no event by more than a pause may last, ...
-const UNNOTICED_READING_MS: f64 = 120.0;
-/// ... and so much longer delays all of them by more.
-const NOTICED_WITHIN_MS: f64 = 100.0;
+/// Reading for this part of the longest pause that is in time delays no event by more than that pause, ...
+const UNNOTICED_READING_PART: f64 = 0.7;
+/// ... and for this part more delays all of them by more.
+const NOTICED_WITHIN_PART: f64 = 1.0;
 /// What a stream that comes late costs.
 const LATE_STREAM_MS: f64 = 400.0;
 /// A placer lets so many times the slots be taken by those of the higher ranks, ...
@@ -61,7 +60,7 @@
     pub(super) tokens_in: u64,
     /// Tokens that it takes of a backend's memory, in and out.
     pub(super) tokens: u64,
-    prefix: Option<SharedPrefix>,
+    pub(super) prefix: Option<SharedPrefix>,
     priority: u32,
 }
 
@@ -129,6 +128,7 @@
     usual_ms: Millis,
     /// Whether all attempts at the backends are known here.
     is_placer: bool,
+    reading: ReadingTimes,
 }
 
 /// Picks a backend of a pool. `draw` gives numbers from 0 to 1.
@@ -144,7 +144,8 @@
     let common = Common { is_placer, ..Common::of(now, pool, senders) };
     let expected = pool.usual.expected(need.tokens_in);
     let preferred = preferred(pool, &need);
-    let Pool { members, sent_elsewhere, .. } = pool;
+    let Pool { members, sent, .. } = pool;
+    let reuse = Reuse { now, prefix: need.prefix, preferred, sent, is_placer };
     let mut best: Option<(f64, usize)> = None;
     let mut last_resort: Option<(Millis, usize)> = None;
     let mut room_at: Option<Millis> = None;
@@ -154,7 +155,7 @@
         }
         match admission(&common, member, &need, senders) {
             Admission::Open => {
-                let part_read = part_read(now, &preferred, sent_elsewhere, &need, place, member.id_hash);
+                let part_read = reuse.part_read(place, member.id_hash);
                 let cost = cost(&common, member, &need, part_read) + NOISE_MS * draw();
                 if best.is_none_or(|(least, _)| cost < least) {
                     best = Some((cost, place));
@@ -177,11 +178,11 @@
         (None, None, Some((_, place))) => place,
         (None, None, None) => return Err(NoBackend::NoneReady),
     };
-    let wait_ms = pool.members.get(place).map_or(0.0, |member| {
-        let part_read = part_read(now, &preferred, &pool.sent_elsewhere, &need, place, member.id_hash);
+    let wait_ms = members.get(place).map_or(0.0, |member| {
+        let part_read = reuse.part_read(place, member.id_hash);
         wait_ahead(&common, member) + disturbance(&common, member, &need, part_read)
     });
-    let unread_tokens = note_sent(now, pool, &preferred, &need, place);
+    let unread_tokens = note_sent(now, pool, preferred, &need, place, is_placer);
     Ok(Pick { place, expected, unread_tokens, wait_ms })
 }
 
@@ -201,41 +202,48 @@
     if !member.may_get_requests() || starts_spent(&common, member, &need, senders).is_some() {
         return None;
     }
-    pick_told(now, pool, wanted, backend)
+    pick_told(now, pool, wanted, backend, false)
 }
 
 /// A backend that was chosen elsewhere.
-pub(super) fn pick_told(now: Millis, pool: &mut Pool, wanted: &Wanted, backend: &str) -> Option<Pick> {
+pub(super) fn pick_told(
+    now: Millis,
+    pool: &mut Pool,
+    wanted: &Wanted,
+    backend: &str,
+    is_placer: bool,
+) -> Option<Pick> {
     let need = Need::of(wanted);
     let place = pool.members.iter().position(|member| member.backend.id == backend)?;
     let expected = pool.usual.expected(need.tokens_in);
     let preferred = preferred(pool, &need);
-    let unread_tokens = note_sent(now, pool, &preferred, &need, place);
+    let unread_tokens = note_sent(now, pool, preferred, &need, place, is_placer);
     Some(Pick { place, expected, unread_tokens, wait_ms: 0.0 })
 }
 
-/// Part of the shared prefix that a backend is expected to read again.
-fn part_read(
+/// Returns the prompt tokens that are to be read there. A sender remembers where the prefix goes; a placer does once it was
+/// read, as an offer may not be taken.
+fn note_sent(
     now: Millis,
-    preferred: &Preferred,
-    sent_elsewhere: &SentElsewhere,
+    pool: &mut Pool,
+    preferred: Preferred,
     need: &Need,
     place: usize,
-    id_hash: u64,
-) -> f64 {
-    let by_order = preferred.part_read(place);
-    need.prefix.map_or(0.0, |prefix| sent_elsewhere.part_read(now, prefix, id_hash, by_order))
-}
-
-/// Remembers where the prefix went, and returns the prompt tokens that are to be read there.
-fn note_sent(now: Millis, pool: &mut Pool, preferred: &Preferred, need: &Need, place: usize) -> u64 {
+    is_placer: bool,
+) -> u64 {
     let id_hash = pool.members.get(place).map_or(0, |member| member.id_hash);
-    let part_read = part_read(now, preferred, &pool.sent_elsewhere, need, place, id_hash);
-    if let (Some(prefix), true) = (need.prefix, part_read > 0.0) {
-        pool.sent_elsewhere.note(now, prefix, id_hash);
+    let reuse = Reuse { now, prefix: need.prefix, preferred, sent: &pool.sent, is_placer };
+    let part_read = reuse.part_read(place, id_hash);
+    if let (Some(prefix), true) = (need.prefix, part_read > 0.0 && !is_placer) {
+        pool.sent.note(now, prefix, id_hash);
     }
-    let read = need.tokens_in as f64 - shared_tokens(need) * (1.0 - part_read);
-    read.max(0.0) as u64
+    unread_tokens(need, part_read)
+}
+
+/// Prompt tokens that are to be read where this part of the shared prefix is.
+fn unread_tokens(need: &Need, part_read: f64) -> u64 {
+    let kept = shared_tokens(need) * (1.0 - part_read);
+    (need.tokens_in as f64 - kept).max(0.0) as u64
 }
 
 impl Common {
@@ -266,6 +274,7 @@
             most_starts,
             usual_ms: pool.usual.mean_ms(),
             is_placer: false,
+            reading: pool.reading,
         }
     }
 
@@ -352,16 +361,17 @@
     place_cost + slow + failing + burst_cost(common, member)
 }
 
-/// Reading comes first: what is ahead of the prompt, and what of the shared parts is not kept there.
+/// Reading comes first: what is ahead of the prompt, and what of it is not kept there.
 fn engine_cost(common: &Common, member: &Member, need: &Need, part_read: f64) -> f64 {
     let ahead = wait_ahead(common, member);
-    let shared = shared_tokens(need) * part_read * READ_AGAIN_FACTOR / TOKENS_READ_PER_MS;
-    let running = f64::from(member.under_way.attempts) * RUNNING_MS;
+    let reading = member.speed.reading(common.reading.expected(unread_tokens(need, part_read)));
+    let again = common.reading.expected((shared_tokens(need) * part_read) as u64) * READ_AGAIN_PRICE;
+    let running = if common.is_placer { 0.0 } else { f64::from(member.under_way.attempts) * RUNNING_MS };
     let zone = if member.own_zone { 0.0 } else { OTHER_ZONE_ENGINE_MS };
     let held = member.under_way.tokens as f64 + common.others * common.mean_tokens + need.tokens as f64;
     let capacity = common.terms.capacity_tokens.map_or(f64::INFINITY, |capacity| capacity as f64);
     let memory = if held > capacity { OUT_OF_MEMORY_MS } else { 0.0 };
-    ahead + shared + running + zone + memory + disturbance(common, member, need, part_read)
+    ahead + reading + again + running + zone + memory + disturbance(common, member, need, part_read)
 }
 
 /// What reading the prompt costs the streams that run there: while an engine reads, their events come late. Only a placer
@@ -370,17 +380,19 @@
     if !common.is_placer {
         return 0.0;
     }
-    let to_read = need.tokens_in as f64 - shared_tokens(need) * (1.0 - part_read);
-    let reading_ms = (member.under_way.unread_tokens as f64 + to_read) / TOKENS_READ_PER_MS;
-    let part_late = ((reading_ms - UNNOTICED_READING_MS) / NOTICED_WITHIN_MS).clamp(0.0, 1.0);
+    let to_read = unread_tokens(need, part_read);
+    let own_ms = member.speed.reading(common.reading.expected(to_read));
+    let reading_ms = member.under_way.reading_ms() + own_ms;
+    let gap_aim_ms = common.terms.gap_aim_ms;
+    let noticed_ms = reading_ms - gap_aim_ms * UNNOTICED_READING_PART;
+    let part_late = (noticed_ms / (gap_aim_ms * NOTICED_WITHIN_PART)).clamp(0.0, 1.0);
     f64::from(member.under_way.live) * part_late * LATE_STREAM_MS
 }
 
 /// What is known to be ahead of a request at an engine: prompts to be read, and places to become free.
 fn wait_ahead(common: &Common, member: &Member) -> Millis {
-    let unread = member.under_way.unread_tokens as f64 / TOKENS_READ_PER_MS;
     let queued = f64::from(member.under_way.attempts) + 1.0 - f64::from(member.slots(&common.terms));
-    unread + queued.max(0.0) * QUEUED_MS
+    member.under_way.reading_ms() + queued.max(0.0) * QUEUED_MS
 }
 
 /// The expected wait, with the other senders taken to have as much under way as this one has on average.
--- a/alderhollow/src/balance/mod.rs
+++ b/alderhollow/src/balance/mod.rs
@@ -4,6 +4,7 @@
 //! * `affinity`: who is likely to hold the shared parts of a prompt;
 //! * `cold`: what may be sent to a cold backend;
 //! * `health`: what the ends of attempts tell of a backend;
+//! * `reading`: how long engines take to read prompts;
 //! * `choice`: who may take a request, and what it would cost there.
 
 mod affinity;
@@ -12,13 +13,15 @@
 mod cold;
 pub(crate) mod hash;
 mod health;
+mod reading;
 
 pub(crate) use choice::OTHER_ZONE_ENGINE_MS;
 pub use cold::ColdBounds;
 
+use affinity::SharedPrefix;
 use alderhollow_model::backend::Backend;
 use alderhollow_model::snapshot::Snapshot;
-use backends::{BackendTable, Member, NewTables, ServiceTerms};
+use backends::{BackendTable, Member, NewTables, Pool, ServiceTerms};
 use cold::SenderLists;
 use health::{AttemptRecord, Standing};
 use oorandom::Rand64;
@@ -99,6 +102,16 @@
 /// A choice of a cold backend is void after this time: by then the allowance counts it no more.
 const COLD_CHOICE_VALID_MS: Millis = 100.0;
 
+/// What of an attempt's prompt was not read at its start.
+#[derive(Debug, Default, Clone, Copy)]
+struct Unread {
+    tokens: u64,
+    /// Microseconds that reading them was expected to take.
+    reading_us: u64,
+    /// Whether no other prompt and no want of slots was known to hold it up.
+    reads_at_once: bool,
+}
+
 /// An attempt that has not ended.
 #[derive(Debug)]
 struct Attempt {
@@ -107,7 +120,9 @@
     expected: Millis,
     tokens_in: u64,
     tokens: u64,
-    unread_tokens: u64,
+    unread: Unread,
+    /// The shared parts of its prompt, for a placer.
+    prefix: Option<SharedPrefix>,
     is_live: bool,
     began: bool,
 }
@@ -119,7 +134,7 @@
         load.attempts = load.attempts.saturating_sub(1);
         load.live = load.live.saturating_sub(u32::from(attempt.is_live));
         load.tokens = load.tokens.saturating_sub(attempt.tokens);
-        load.unread_tokens = load.unread_tokens.saturating_sub(attempt.unread_tokens);
+        load.reading_us = load.reading_us.saturating_sub(attempt.unread.reading_us);
     }
 }
 
@@ -175,12 +190,15 @@
         if !snapshot.senders.nodes.is_empty() && !self.is_placer {
             self.senders.update(now, &snapshot.senders.nodes);
         }
-        let services = snapshot.control.config.as_ref().map(|config| config.services_by_name());
+        let config = snapshot.control.config.as_ref();
+        let services = config.map(|config| config.services_by_name());
+        let gap_aims = config.map(|config| config.gap_aims_by_service());
         let bounds = self.cold_bounds;
         let is_placer = self.is_placer;
         let terms_of = |service: &str| {
             let configured = services.as_ref().and_then(|services| services.get(service).copied());
-            let terms = ServiceTerms::of(configured, bounds);
+            let gap_aim_ms = gap_aims.as_ref().and_then(|aims| aims.get(service).copied());
+            let terms = ServiceTerms::of(configured, gap_aim_ms, bounds);
             if is_placer {
                 terms.without_cold_bound()
             } else {
@@ -247,7 +265,7 @@
     /// Notes that a sender chose a backend for itself, whatever would have spoken against it here.
     pub fn note_choice(&mut self, now: Millis, wanted: &Wanted, backend: &str) -> Option<Choice> {
         let pool = self.table.pools.get_mut(wanted.service)?;
-        let pick = choice::pick_told(now, pool, wanted, backend)?;
+        let pick = choice::pick_told(now, pool, wanted, backend, self.is_placer)?;
         self.book(now, wanted, pick)
     }
 
@@ -269,10 +287,14 @@
         let member = pool.members.get_mut(pick.place)?;
         self.last_attempt += 1;
         let attempt = self.last_attempt;
+        let slots = member.slots(&pool.terms);
         member.under_way.attempts += 1;
         member.under_way.live += u32::from(!need.is_low_rank());
         member.under_way.tokens += need.tokens;
-        member.under_way.unread_tokens += pick.unread_tokens;
+        let reads_at_once = member.under_way.reading_us == 0 && member.under_way.attempts <= slots;
+        let reading_ms = member.speed.reading(pool.reading.expected(pick.unread_tokens));
+        let reading_us = (reading_ms * 1000.0) as u64;
+        member.under_way.reading_us += reading_us;
         member.health.started(now, attempt, pick.expected);
         if pool.terms.cold_bound.is_some() {
             member.starts.note(now);
@@ -284,7 +306,8 @@
             expected: pick.expected,
             tokens_in: need.tokens_in,
             tokens: need.tokens,
-            unread_tokens: pick.unread_tokens,
+            unread: Unread { tokens: pick.unread_tokens, reading_us, reads_at_once },
+            prefix: need.prefix.filter(|_| self.is_placer),
             is_live: !need.is_low_rank(),
             began: false,
         };
@@ -298,13 +321,21 @@
         if under_way.began {
             return;
         }
-        let unread = std::mem::take(&mut under_way.unread_tokens);
+        let unread = std::mem::take(&mut under_way.unread);
         let record = under_way.record(attempt);
         under_way.began = true;
         let Some(pool) = self.table.pools.get_mut(&under_way.backend.service) else { return };
         pool.usual.learn(now - under_way.started, under_way.tokens_in);
-        if let Some(member) = pool.member_mut(&under_way.backend.id) {
-            member.under_way.unread_tokens = member.under_way.unread_tokens.saturating_sub(unread);
+        let Pool { members, reading, sent, .. } = pool;
+        if let Some(member) = backends::find_mut(members, &under_way.backend.id) {
+            if unread.reads_at_once {
+                reading.learn(unread.tokens, now - under_way.started, &mut member.speed);
+            }
+            if let Some(prefix) = under_way.prefix {
+                sent.note(now, prefix, member.id_hash);
+            }
+            let load = &mut member.under_way;
+            load.reading_us = load.reading_us.saturating_sub(unread.reading_us);
             member.health.began(now, record);
         }
     }
--- a/alderhollow/src/exchange/mod.rs
+++ b/alderhollow/src/exchange/mod.rs
@@ -6,13 +6,13 @@
 pub mod events;
 pub mod outbound;
 pub mod patience;
+mod placing;
 pub mod pool;
 pub mod prompt;
 pub mod tables;
 
-use crate::balance::{Balancer, Millis, NoBackend, Outcome, Wanted, OTHER_ZONE_ENGINE_MS};
+use crate::balance::{Balancer, Millis, NoBackend, Outcome, Wanted};
 use crate::placement::client::PlacementClient;
-use crate::placement::message::{self, Demand};
 use crate::routing::ServicePicker;
 use crate::SnapshotReceiver;
 use alderhollow_model::config::Route;
@@ -23,6 +23,7 @@
 use hyper::Response;
 use outbound::Outbound;
 use patience::Patience;
+use placing::Placement;
 use pool::{Pool, Pooled};
 use springusher_dataplane::link::Failure;
 use std::cell::RefCell;
@@ -51,24 +52,6 @@
     started: Instant,
 }
 
-/// Besides the own zone, so many are asked where the own one has nothing good.
-const OTHER_ZONES_ASKED: usize = 2;
-
-/// A backend that a placer offered.
-struct Offer {
-    zone: String,
-    number: u64,
-    backend: String,
-    /// What is ahead of the request there, and the price of another zone.
-    wait_ms: Millis,
-}
-
-/// How this process asks for placements.
-struct Placement {
-    client: Rc<PlacementClient>,
-    zone: String,
-}
-
 impl Exchange {
     /// `started` is the zero of the process's steady clock, from which the balancer's times count.
     pub fn new(
@@ -171,82 +154,6 @@
         Ok(Attempt::new(self.clone(), choice, told))
     }
 
-    /// Chooses a backend: model engines by the placers of their zones, where they answer.
-    ///
-    /// # Errors
-    /// There is none that may get the request now.
-    pub async fn place(self: &Rc<Self>, wanted: &Wanted<'_>) -> Result<Attempt, NoBackend> {
-        let Some(placement) = &self.placement else { return self.choose(wanted) };
-        let Some(demand) = self.demand(wanted) else { return self.choose(wanted) };
-        let asked = self.ask_placers(placement, &demand).await;
-        let offer = match asked {
-            Ok(offer) => offer,
-            Err(Some(retry_after_ms)) => return Err(NoBackend::AllFull { retry_after_ms }),
-            Err(None) => return self.choose(wanted),
-        };
-        self.tables();
-        let choice = self.balancer.borrow_mut().choose_at(self.now(), wanted, &offer.backend);
-        let Some(choice) = choice else {
-            placement.client.unused(offer.number, &offer.zone);
-            return self.choose(wanted);
-        };
-        placement.client.started(offer.number, &offer.zone, &offer.backend, demand, true);
-        let told = Told { client: placement.client.clone(), number: offer.number };
-        Ok(Attempt::new(self.clone(), choice, Some(told)))
-    }
-
-    /// Asks the own zone's placer, and where the request would wait or disturb there, others; the best offer is kept.
-    ///
-    /// # Errors
-    /// None has room, with the time until it may be different; or none answered.
-    async fn ask_placers(&self, placement: &Placement, demand: &Demand) -> Result<Offer, Option<f64>> {
-        let mut best: Option<Offer> = None;
-        let mut retry_after_ms: Option<f64> = None;
-        for zone in self.zones_to_ask(placement) {
-            let number = placement.client.draw_number();
-            match placement.client.ask(&zone, number, demand).await {
-                Some(message::Placement::At { backend, wait_ms }) => {
-                    let other_zone_ms = if zone == placement.zone { 0.0 } else { OTHER_ZONE_ENGINE_MS };
-                    let offer = Offer { zone, number, backend, wait_ms: wait_ms + other_zone_ms };
-                    let is_better = best.as_ref().is_none_or(|best| offer.wait_ms < best.wait_ms);
-                    let worse = if is_better { best.replace(offer) } else { Some(offer) };
-                    if let Some(worse) = worse {
-                        placement.client.unused(worse.number, &worse.zone);
-                    }
-                }
-                Some(message::Placement::Full { retry_after_ms: pause }) => {
-                    retry_after_ms = Some(retry_after_ms.map_or(pause, |known: f64| known.min(pause)));
-                }
-                Some(message::Placement::NoneReady) => {}
-                None => break,
-            }
-            if best.as_ref().is_some_and(|best| best.wait_ms <= OTHER_ZONE_ENGINE_MS) {
-                break;
-            }
-        }
-        best.ok_or(retry_after_ms)
-    }
-
-    /// What is asked of a placer; `None` for requests that are not for a model engine.
-    fn demand(&self, wanted: &Wanted) -> Option<Demand> {
-        let balancer = self.balancer.borrow();
-        if !balancer.is_engine(wanted.service) {
-            return None;
-        }
-        let mut except = balancer.unhealthy(self.now(), wanted.service);
-        except.extend(wanted.tried.iter().cloned());
-        Demand::of(wanted, except)
-    }
-
-    /// Zones whose placers are asked, in this order: the own one, then some others by chance.
-    fn zones_to_ask(&self, placement: &Placement) -> Vec<String> {
-        let mut zones = placement.client.zones();
-        let own = zones.iter().position(|zone| *zone == placement.zone).map(|at| zones.swap_remove(at));
-        let drawn = placement.client.draw_number().checked_rem(zones.len() as u64).unwrap_or(0);
-        zones.rotate_left(drawn as usize);
-        own.into_iter().chain(zones.into_iter().take(OTHER_ZONES_ASKED)).collect()
-    }
-
     /// Sends a request to the backend that was chosen and waits until its answer begins. Dropping the future ends the
     /// attempt and its connection.
     ///
--- /dev/null
+++ b/alderhollow/src/exchange/placing.rs
@@ -0,0 +1,69 @@
+//! The choice of backends with the placers' help.
+
+use super::attempt::{Attempt, Told};
+use super::Exchange;
+use crate::balance::{NoBackend, Wanted};
+use crate::placement::client::PlacementClient;
+use crate::placement::message::Demand;
+use crate::placement::offers::{zones_to_ask, NoOffer, Offer, Offers};
+use std::rc::Rc;
+
+/// How a process asks for placements.
+pub(super) struct Placement {
+    pub(super) client: Rc<PlacementClient>,
+    pub(super) zone: String,
+}
+
+impl Exchange {
+    /// Chooses a backend: model engines by the placers of their zones, where they answer.
+    ///
+    /// # Errors
+    /// There is none that may get the request now.
+    pub async fn place(self: &Rc<Self>, wanted: &Wanted<'_>) -> Result<Attempt, NoBackend> {
+        let Some(placement) = &self.placement else { return self.choose(wanted) };
+        let Some(demand) = self.demand(wanted) else { return self.choose(wanted) };
+        let offer = match placement.ask(&demand).await {
+            Ok(offer) => offer,
+            Err(NoOffer::Full { retry_after_ms }) => return Err(NoBackend::AllFull { retry_after_ms }),
+            Err(NoOffer::NoAnswer) => return self.choose(wanted),
+        };
+        self.tables();
+        let choice = self.balancer.borrow_mut().choose_at(self.now(), wanted, &offer.backend);
+        let Some(choice) = choice else {
+            placement.client.unused(offer.number, &offer.zone);
+            return self.choose(wanted);
+        };
+        placement.client.started(offer.number, &offer.zone, &offer.backend, demand, true);
+        let told = Told { client: placement.client.clone(), number: offer.number };
+        Ok(Attempt::new(self.clone(), choice, Some(told)))
+    }
+
+    /// What is asked of a placer; `None` for requests that are not for a model engine.
+    pub(super) fn demand(&self, wanted: &Wanted) -> Option<Demand> {
+        let balancer = self.balancer.borrow();
+        if !balancer.is_engine(wanted.service) {
+            return None;
+        }
+        let mut except = balancer.unhealthy(self.now(), wanted.service);
+        except.extend(wanted.tried.iter().cloned());
+        Demand::of(wanted, except)
+    }
+}
+
+impl Placement {
+    /// Asks the own zone's placer, and where the request would wait or disturb there, others; the best offer is kept.
+    async fn ask(&self, demand: &Demand) -> Result<Offer, NoOffer> {
+        let mut offers = Offers::new(&self.zone);
+        for zone in zones_to_ask(self.client.zones(), &self.zone, self.client.draw_number()) {
+            let number = self.client.draw_number();
+            let Some(placement) = self.client.ask(&zone, number, demand).await else { break };
+            if let Some(unused) = offers.take(&zone, number, placement) {
+                self.client.unused(unused.number, &unused.zone);
+            }
+            if offers.is_enough() {
+                break;
+            }
+        }
+        offers.best()
+    }
+}
--- a/alderhollow/src/placement/mod.rs
+++ b/alderhollow/src/placement/mod.rs
@@ -12,11 +12,13 @@
 //! | [`message`] | what senders and placers say to each other |
 //! | [`ledger`] | a placer's view of all senders' attempts; no I/O |
 //! | [`server`] | serves a ledger on the internal port |
+//! | [`offers`] | which placers are asked, and which offer is kept; no I/O |
 //! | [`reports`] | what a sender tells each placer of its attempts; no I/O |
 //! | [`client`] | asks placers, and carries the reports |
 
 pub mod client;
 pub mod ledger;
 pub mod message;
+pub mod offers;
 pub mod reports;
 pub mod server;
--- a/alderhollow/tests/balance_support/mod.rs
+++ b/alderhollow/tests/balance_support/mod.rs
@@ -3,9 +3,10 @@
 
 use alderhollow::balance::{Balancer, ColdBounds, Millis, Prompt, Wanted};
 use alderhollow_model::backend::{Backend, BackendList, BackendState};
-use alderhollow_model::config::{Config, Engine, Service};
+use alderhollow_model::config::{Config, Engine, Route, Service};
 use alderhollow_model::identity::Address;
 use alderhollow_model::snapshot::{ControlView, Placer, Senders, Snapshot};
+use serde_json::json;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -25,6 +26,8 @@
     pub placers: Vec<Placer>,
     pub cold_per_s: f64,
     pub cold_start_s: f64,
+    /// Longest pause that is in time on the route to the engines.
+    pub gap_aim_ms: Option<f64>,
 }
 
 impl Tables {
@@ -37,6 +40,7 @@
             placers: Vec::new(),
             cold_per_s: 0.0,
             cold_start_s: 3.0,
+            gap_aim_ms: None,
         }
     }
 
@@ -44,6 +48,7 @@
     pub fn snapshot(&self, now: Millis) -> Snapshot {
         let config = Config {
             services: vec![self.service(ENGINES, true), self.service(PLAIN, false)],
+            routes: vec![self.route()],
             ..Config::default()
         };
         let control = ControlView {
@@ -69,6 +74,14 @@
         balancer
     }
 
+    fn route(&self) -> Route {
+        let route = json!({
+            "name": "stream", "hostname": "host.example", "path-prefix": "/stream/", "route-type": "streaming",
+            "service": ENGINES, "gap_aim_ms": self.gap_aim_ms,
+        });
+        serde_json::from_value(route).expect("a route")
+    }
+
     fn service(&self, name: &str, has_engine: bool) -> Service {
         let engine = Engine { slots: Some(64), kv_capacity_tokens: Some(600_000), stride: Some(17) };
         Service {
--- a/alderhollow/tests/placement.rs
+++ b/alderhollow/tests/placement.rs
@@ -91,6 +91,120 @@
     assert!(!streams.contains(&chosen), "{chosen} has a running stream");
 }
 
+/// Has a request of a sender read alone at one backend of the first `backends` and ended; it took so long to begin.
+fn read_alone(ledger: &mut Ledger, now: f64, number: u64, demand: &Demand, took_ms: f64) -> String {
+    let backend = backend_of(place(ledger, now, FIRST, number, demand));
+    ledger.take_report(now + took_ms, &events(FIRST, vec![Event::Began(number)]));
+    ledger.take_report(now + took_ms, &events(FIRST, vec![Event::Ended(number, End::Served)]));
+    backend
+}
+
+/// What a placer tells of what is ahead of a short request at its only backend, which reads a prompt of 20,000 tokens, after
+/// it has seen such prompts begin after so long.
+fn wait_behind_a_prompt(took_ms: f64) -> f64 {
+    let mut ledger = ledger(1);
+    for number in 1..=60 {
+        read_alone(&mut ledger, number as f64 * 5_000.0, number, &demand(20_000), took_ms);
+    }
+    let now = 400_000.0;
+    backend_of(place(&mut ledger, now, FIRST, 100, &demand(20_000)));
+    match place(&mut ledger, now, SECOND, 1, &demand(100)) {
+        Placement::At { wait_ms, .. } => wait_ms,
+        other => panic!("no backend: {other:?}"),
+    }
+}
+
+#[test]
+fn what_is_ahead_is_told_by_the_times_that_first_events_took() {
+    let (slow, fast) = (wait_behind_a_prompt(500.0), wait_behind_a_prompt(60.0));
+    assert!((400.0..=1_000.0).contains(&slow), "{slow}");
+    assert!((30.0..=75.0).contains(&fast), "{fast}");
+}
+
+#[test]
+fn the_longest_prompts_go_to_the_faster_engine() {
+    let mut ledger = ledger(2);
+    let is_slow = |backend: &str| backend.ends_with('0');
+    let mut now = 0.0;
+    for number in 1..=40 {
+        now += 5_000.0;
+        let other = if number % 2 == 0 { "i-engines-0" } else { "i-engines-3" };
+        let demand = Demand { except: vec![other.to_string()], ..demand(20_000) };
+        let took_ms = if is_slow(other) { 160.0 } else { 208.0 };
+        read_alone(&mut ledger, now, number, &demand, took_ms);
+    }
+    for number in 100..110 {
+        now += 5_000.0;
+        let backend = read_alone(&mut ledger, now, number, &demand(40_000), 400.0);
+        assert!(!is_slow(&backend), "{backend}");
+    }
+}
+
+#[test]
+fn reading_that_no_pause_shows_is_no_reason_to_go_elsewhere() {
+    // A backend reads 20,000 tokens in 133 ms before anything else is known.
+    let disturbance = |gap_aim_ms| {
+        let mut tables = Tables::new(ENGINES, ZONES.len(), 4);
+        tables.gap_aim_ms = Some(gap_aim_ms);
+        let mut ledger = Ledger::new("placer", ZONES[0], 7);
+        ledger.update(0.0, &tables.snapshot(0.0));
+        place(&mut ledger, 0.0, FIRST, 1, &demand(10));
+        ledger.take_report(20.0, &events(FIRST, vec![Event::Began(1)]));
+        match place(&mut ledger, 30.0, SECOND, 1, &demand(20_000)) {
+            Placement::At { wait_ms, .. } => wait_ms,
+            other => panic!("no backend: {other:?}"),
+        }
+    };
+    assert_eq!(disturbance(300.0), 0.0);
+    assert!(disturbance(100.0) > 100.0, "{}", disturbance(100.0));
+}
+
+/// A request whose shared part has 5,000 tokens.
+fn with_prefix(shared: u64) -> Demand {
+    let prompt = balance_support::prompt(shared, 1);
+    Demand::of(&wanted(ENGINES, Some(&prompt)), Vec::new()).expect("it has a prompt")
+}
+
+#[test]
+fn a_prefix_goes_where_it_was_read_whoever_sent_it_there() {
+    let mut ledger = ledger(4);
+    for shared in 0..40 {
+        let now = shared as f64 * 200.0;
+        let except = backend_of(place(&mut ledger, now, FIRST, 1, &with_prefix(shared)));
+        ledger.take_report(now, &events(FIRST, vec![Event::Ended(1, End::Cancelled)]));
+        // The second choice reads it: from then on it is the one that keeps it.
+        let demand = Demand { except: vec![except.clone()], ..with_prefix(shared) };
+        let reader = read_alone(&mut ledger, now, 2, &demand, 40.0);
+        assert_ne!(reader, except);
+        let next = backend_of(place(&mut ledger, now + 100.0, SECOND, 100 + shared, &with_prefix(shared)));
+        assert_eq!(next, reader);
+        ledger.take_report(now + 150.0, &events(SECOND, vec![Event::Ended(100 + shared, End::Served)]));
+    }
+}
+
+#[test]
+fn an_offer_that_was_not_taken_keeps_no_prefix() {
+    let mut ledger = ledger(2);
+    let offered = backend_of(place(&mut ledger, 0.0, FIRST, 1, &with_prefix(7)));
+    ledger.take_report(5.0, &events(FIRST, vec![Event::Ended(1, End::Cancelled)]));
+    // A little work there is enough to go elsewhere, as nobody keeps the prefix.
+    let other = if offered.ends_with('0') { "i-engines-3" } else { "i-engines-0" };
+    let elsewhere = Demand { except: vec![other.to_string()], ..demand(6_000) };
+    assert_eq!(backend_of(place(&mut ledger, 10.0, SECOND, 1, &elsewhere)), offered);
+    assert_eq!(backend_of(place(&mut ledger, 11.0, FIRST, 2, &with_prefix(7))), other);
+}
+
+#[test]
+fn more_prefixes_than_are_remembered_do_no_harm() {
+    let mut ledger = ledger(2);
+    for shared in 0..6_000 {
+        read_alone(&mut ledger, shared as f64, shared + 1, &with_prefix(shared), 0.5);
+    }
+    let known = read_alone(&mut ledger, 6_001.0, 7_001, &with_prefix(17), 0.5);
+    let again = read_alone(&mut ledger, 6_002.0, 7_002, &with_prefix(17), 0.5);
+    assert_eq!(known, again);
+}
+
 #[test]
 fn where_all_backends_read_long_prompts_a_request_still_gets_one() {
     let mut ledger = ledger(2);
--- /dev/null
+++ b/alderhollow/tests/placement_offers.rs
@@ -0,0 +1,65 @@
+//! Which placers a sender asks for one request, and which offer it keeps. No bench, no waiting.
+
+use alderhollow::placement::message::Placement;
+use alderhollow::placement::offers::{zones_to_ask, NoOffer, Offers};
+use proptest::prelude::*;
+use std::collections::BTreeSet;
+
+const OWN: &str = "zone-0";
+const OTHER: &str = "zone-1";
+
+fn at(backend: &str, wait_ms: f64) -> Placement {
+    Placement::At { backend: backend.to_string(), wait_ms }
+}
+
+#[test]
+fn a_good_offer_of_the_own_zone_is_enough() {
+    let mut offers = Offers::new(OWN);
+    assert!(!offers.is_enough());
+    assert_eq!(offers.take(OWN, 1, at("near", 20.0)), None);
+    assert!(offers.is_enough());
+    assert_eq!(offers.best().expect("an offer").backend, "near");
+}
+
+#[test]
+fn another_zone_must_be_better_by_its_price_and_the_worse_offer_is_given_back() {
+    let mut offers = Offers::new(OWN);
+    assert_eq!(offers.take(OWN, 1, at("near", 300.0)), None);
+    assert!(!offers.is_enough());
+    let unused = offers.take(OTHER, 2, at("a little better", 290.0)).expect("it is not worth the price");
+    assert_eq!((unused.zone.as_str(), unused.number), (OTHER, 2));
+    let unused = offers.take(OTHER, 3, at("free", 0.0)).expect("the first one is worse");
+    assert_eq!((unused.zone.as_str(), unused.number), (OWN, 1));
+    assert!(offers.is_enough());
+    assert_eq!(offers.best().expect("an offer").number, 3);
+}
+
+#[test]
+fn without_an_offer_the_soonest_hint_counts_and_silence_is_no_refusal() {
+    let mut offers = Offers::new(OWN);
+    offers.take(OWN, 1, Placement::Full { retry_after_ms: 80.0 });
+    offers.take(OTHER, 2, Placement::Full { retry_after_ms: 30.0 });
+    offers.take(OTHER, 3, Placement::NoneReady);
+    assert_eq!(offers.best(), Err(NoOffer::Full { retry_after_ms: 30.0 }));
+    let mut offers = Offers::new(OWN);
+    offers.take(OWN, 1, Placement::NoneReady);
+    assert_eq!(offers.best(), Err(NoOffer::NoAnswer));
+}
+
+proptest! {
+    #[test]
+    fn the_own_zone_is_asked_first_and_none_twice(count in 0_usize..8, own in 0_usize..10, draw in any::<u64>()) {
+        let zones: Vec<String> = (0..count).map(|zone| format!("zone-{zone}")).collect();
+        let own = format!("zone-{own}");
+        let asked = zones_to_ask(zones.clone(), &own, draw);
+        let distinct: BTreeSet<&String> = asked.iter().collect();
+        prop_assert_eq!(distinct.len(), asked.len());
+        prop_assert!(asked.iter().all(|zone| zones.contains(zone)));
+        if zones.contains(&own) {
+            prop_assert_eq!(asked.first(), Some(&own));
+        }
+        let others = asked.iter().filter(|zone| **zone != own).count();
+        let most = zones.iter().filter(|zone| **zone != own).count().min(2);
+        prop_assert_eq!(others, most);
+    }
+}
--- a/placement-model/src/engine.rs
+++ b/placement-model/src/engine.rs
@@ -40,6 +40,8 @@
 #[derive(Debug)]
 pub struct Engine {
     settings: Engines,
+    /// Factor on all times.
+    slowness: f64,
     running: Vec<Running>,
     queue: VecDeque<Running>,
     /// Kept prefixes: tokens, and when one was used last.
@@ -52,10 +54,11 @@
 }
 
 impl Engine {
-    /// An idle engine.
-    pub fn new(settings: Engines) -> Engine {
+    /// An idle engine, by its number.
+    pub fn new(settings: Engines, number: usize) -> Engine {
         Engine {
             settings,
+            slowness: settings.slowness[number % settings.slowness.len()],
             running: Vec::new(),
             queue: VecDeque::new(),
             kept: BTreeMap::new(),
@@ -164,6 +167,7 @@
             self.tokens_read += chunk;
         }
         let running = self.running.len() as f64;
-        self.settings.step_ms + running * self.settings.step_ms_per_request + reading_ms
+        let step_ms = self.settings.step_ms + running * self.settings.step_ms_per_request + reading_ms;
+        step_ms * self.slowness
     }
 }
--- a/placement-model/src/policy.rs
+++ b/placement-model/src/policy.rs
@@ -4,7 +4,8 @@
 use crate::traffic::Request;
 use alderhollow::balance::{Balancer, NoBackend, Outcome, Wanted};
 use alderhollow::placement::ledger::Ledger;
-use alderhollow::placement::message::{AttemptId, Demand, End, Event, PlaceRequest, Placement, Report};
+use alderhollow::placement::message::{AttemptId, Demand, End, Event, PlaceRequest, Report};
+use alderhollow::placement::offers::{zones_to_ask, Offers};
 use alderhollow_model::backend::{Backend, BackendList, BackendState};
 use alderhollow_model::config::{Config, Engine as EngineConfig, Service};
 use alderhollow_model::identity::{Address, LifeId};
@@ -15,9 +16,6 @@
 use std::sync::Arc;
 
 const SERVICE: &str = "engines";
-/// As the program's senders do: what another zone costs, and how many others are asked.
-const OTHER_ZONE_MS: f64 = 60.0;
-const OTHER_ZONES_ASKED: usize = 2;
 
 /// Ways to choose.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
@@ -148,25 +146,22 @@
             Choosers::Placers { ledgers, zones, pending, .. } => {
                 let attempt = AttemptId { sender: LifeId(request.sender as u64), number: index as u64 };
                 let question = PlaceRequest { attempt, demand: Demand::of(&wanted, Vec::new())? };
-                let own = request.sender % *zones;
-                let mut best: Option<(f64, usize, usize)> = None;
-                for step in 0..(*zones).min(1 + OTHER_ZONES_ASKED) {
-                    let zone = (own + step * (1 + index % 2)) % *zones;
-                    if best.is_some_and(|(wait_ms, ..)| wait_ms <= OTHER_ZONE_MS) {
-                        break;
-                    }
-                    let placement = ledgers[zone].place(now, &question);
-                    let Placement::At { backend, wait_ms } = placement else { continue };
-                    let Some(backend) = place_of(&backend) else { continue };
-                    let wait_ms = wait_ms + if zone == own { 0.0 } else { OTHER_ZONE_MS };
-                    let is_better = best.is_none_or(|(least, ..)| wait_ms < least);
-                    let offer = (wait_ms, zone, backend);
-                    let worse = if is_better { best.replace(offer) } else { Some(offer) };
-                    if let Some((_, zone, _)) = worse {
+                let own = zone_name(request.sender % *zones);
+                let mut offers = Offers::new(&own);
+                let all = (0..*zones).map(zone_name).collect();
+                for name in zones_to_ask(all, &own, index as u64) {
+                    let placement = ledgers.get_mut(place_of(&name)?)?.place(now, &question);
+                    if let Some(unused) = offers.take(&name, index as u64, placement) {
+                        let zone = place_of(&unused.zone)?;
                         pending.push(report(now, zone, request, Event::Ended(index as u64, End::Cancelled)));
                     }
+                    if offers.is_enough() {
+                        break;
+                    }
                 }
-                let (_, zone, backend) = best?;
+                let offer = offers.best().ok()?;
+                let zone = place_of(&offer.zone)?;
+                let backend = place_of(&offer.backend)?;
                 self.attempts.insert(index, (zone, index as u64));
                 Some(backend)
             }
@@ -228,6 +223,7 @@
     Choosers::Placers { ledgers: (0..zones).map(ledger).collect(), zones, delay_ms, pending: Vec::new() }
 }
 
-fn place_of(backend: &str) -> Option<usize> {
-    backend.rsplit('-').next()?.parse().ok()
+/// The number at the end of a name.
+fn place_of(name: &str) -> Option<usize> {
+    name.rsplit('-').next()?.parse().ok()
 }
--- a/placement-model/src/settings.rs
+++ b/placement-model/src/settings.rs
@@ -20,7 +20,7 @@
     pub classes: Vec<Class>,
 }
 
-/// The engines, all alike.
+/// The engines: alike but for their speeds.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Engines {
@@ -44,6 +44,13 @@
     pub step_ms_per_request: f64,
     /// Tokens of one event; the first event has one.
     pub tokens_per_event: u64,
+    /// Factors on all times, that of an engine by its number in turn.
+    #[serde(default = "all_alike")]
+    pub slowness: [f64; 3],
+}
+
+fn all_alike() -> [f64; 3] {
+    [1.0; 3]
 }
 
 /// The senders.
--- a/placement-model/src/simulation.rs
+++ b/placement-model/src/simulation.rs
@@ -51,7 +51,7 @@
     let mut run = Run {
         settings,
         chooser: Chooser::new(policy, settings),
-        engines: (0..settings.engines.count).map(|_| Engine::new(settings.engines)).collect(),
+        engines: (0..settings.engines.count).map(|number| Engine::new(settings.engines, number)).collect(),
         times: vec![Times::default(); requests.len()],
         waiting: Vec::new(),
         requests,
--- a/placement-model/tests/model.rs
+++ b/placement-model/tests/model.rs
@@ -24,7 +24,7 @@
 
 /// Runs an engine until nothing is left; the times of the requests, all of which come at 0.
 fn answer(requests: &[Request]) -> Vec<Times> {
-    let mut engine = Engine::new(settings().engines);
+    let mut engine = Engine::new(settings().engines, 0);
     let mut times = vec![Times::default(); requests.len()];
     for (index, request) in requests.iter().enumerate() {
         engine.add(0.0, index, request);
@@ -55,7 +55,7 @@
 
 #[test]
 fn a_shared_part_is_read_once() {
-    let mut engine = Engine::new(settings().engines);
+    let mut engine = Engine::new(settings().engines, 0);
     let mut times = vec![Times::default(); 2];
     engine.add(0.0, 0, &request(1, 5_000, 10, 1));
     engine.add(0.0, 1, &request(1, 5_000, 10, 1));
@@ -76,7 +76,7 @@
 
 #[test]
 fn progress_is_told_in_order() {
-    let mut engine = Engine::new(settings().engines);
+    let mut engine = Engine::new(settings().engines, 0);
     let mut times = vec![Times::default()];
     engine.add(0.0, 0, &request(1, 0, 10, 2));
     let mut progress = Vec::new();
@@ -123,3 +123,22 @@
     assert!(Settings::parse(&text).is_err());
     assert!(Settings::parse(&format!("{LOADED}\nunknown = 1")).is_err());
 }
+
+#[test]
+fn placers_learn_how_slowly_engines_read() {
+    let mut slow = Settings { seconds: 8.0, load: 0.4, ..settings() };
+    slow.engines.read_tokens_per_ms = 40.0;
+    let late = late(&play(&slow, Policy::Zone, 1), "short");
+    assert!(late < 0.015, "{late} of the short streams are late");
+}
+
+#[test]
+fn engines_of_three_speeds_serve_nearly_as_well_as_equal_ones() {
+    let mut equal = Settings { seconds: 8.0, load: 1.5, ..settings() };
+    equal.engines.slowness = [1.1, 1.1, 1.1];
+    let mut unequal = equal.clone();
+    unequal.engines.slowness = [1.0, 1.0, 1.3];
+    let late = |settings: &Settings| late(&play(settings, Policy::Zone, 1), "short");
+    let (equal, unequal) = (late(&equal), late(&unequal));
+    assert!(unequal < equal + 0.006, "{unequal} of the short streams late, {equal} with equal engines");
+}
