Placers learn no times from attempts that began before them; status tells the reason of a choice

Change: an attempt that a whole report tells of has no known start: its first event teaches neither the reading times nor the usual times nor the backend's slowness. A successor's own learning is bounded by a test: twelve long prompts, a fourth of them held up, to within a fifth.

--- a/alderhollow/src/balance/affinity.rs
+++ b/alderhollow/src/balance/affinity.rs
@@ -4,6 +4,9 @@
 use super::{Millis, Prompt};
 use std::collections::BTreeMap;
 
+#[cfg(test)]
+mod tests;
+
 /// The shared parts of a prompt: all but the last, which is the request's own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct SharedPrefix {
--- a/alderhollow/src/balance/backends.rs
+++ b/alderhollow/src/balance/backends.rs
@@ -250,11 +250,16 @@
 impl Demand {
     /// Notes a request and returns the rate.
     pub(super) fn note(&mut self, now: Millis) -> f64 {
-        let kept = (-(now - self.at).max(0.0) / DEMAND_MEMORY_MS).exp();
-        self.per_second = self.per_second * kept + 1000.0 / DEMAND_MEMORY_MS;
+        self.per_second = self.per_second(now) + 1000.0 / DEMAND_MEMORY_MS;
         self.at = now;
         self.per_second
     }
+
+    /// The rate at a moment.
+    pub(super) fn per_second(&self, now: Millis) -> f64 {
+        let kept = (-(now - self.at).max(0.0) / DEMAND_MEMORY_MS).exp();
+        self.per_second * kept
+    }
 }
 
 /// All pools.
--- a/alderhollow/src/balance/health.rs
+++ b/alderhollow/src/balance/health.rs
@@ -121,13 +121,15 @@
         self.waiting.insert(attempt, (now, expected));
     }
 
-    /// Notes the first sign of an answer.
-    pub(super) fn began(&mut self, now: Millis, record: AttemptRecord) {
+    /// Notes the first sign of an answer, and the time that it took where that is known.
+    pub(super) fn began(&mut self, now: Millis, record: AttemptRecord, took: Option<Millis>) {
         self.waiting.remove(&record.attempt);
         self.sign_at = now;
         self.fade(now);
-        let slowness = ((now - record.started) / record.expected.max(1.0)).min(MOST_SLOWNESS);
-        self.slowness += SLOWNESS_SAMPLE * (slowness - self.slowness);
+        if let Some(took) = took {
+            let slowness = (took / record.expected.max(1.0)).min(MOST_SLOWNESS);
+            self.slowness += SLOWNESS_SAMPLE * (slowness - self.slowness);
+        }
         self.recover(record);
     }
 
--- a/alderhollow/src/balance/mod.rs
+++ b/alderhollow/src/balance/mod.rs
@@ -5,25 +5,34 @@
 //! * `cold`: what may be sent to a cold backend;
 //! * `health`: what the ends of attempts tell of a backend;
 //! * `reading`: how long engines take to read prompts;
-//! * `choice`: who may take a request, and what it would cost there.
+//! * `need`: what a request needs;
+//! * `price`: what it would cost at a backend;
+//! * `choice`: who may take it, and which of these is the cheapest;
+//! * `explanation`: why.
 
 mod affinity;
 mod backends;
 mod choice;
 mod cold;
+mod explanation;
 pub(crate) mod hash;
 mod health;
+mod need;
+mod price;
 mod reading;
 
-pub(crate) use choice::OTHER_ZONE_ENGINE_MS;
 pub use cold::ColdBounds;
+pub use explanation::{Candidate, Explanation, Verdict};
+pub use price::Price;
+pub(crate) use price::OTHER_ZONE_ENGINE_MS;
 
 use affinity::SharedPrefix;
 use alderhollow_model::backend::Backend;
 use alderhollow_model::snapshot::Snapshot;
-use backends::{BackendTable, Member, NewTables, Pool, ServiceTerms};
+use backends::{BackendTable, Member, NewTables, Pool, ServiceTerms, UnderWay};
 use cold::SenderLists;
 use health::{AttemptRecord, Standing};
+use need::Need;
 use oorandom::Rand64;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -124,9 +133,18 @@
     /// The shared parts of its prompt, for a placer.
     prefix: Option<SharedPrefix>,
     is_live: bool,
+    /// Whether `started` is when it was sent, and not when this process heard of it.
+    is_start_known: bool,
     began: bool,
 }
 
+impl UnderWay {
+    /// A prompt was read, or will not be.
+    fn finish_reading(&mut self, unread: Unread) {
+        self.reading_us = self.reading_us.saturating_sub(unread.reading_us);
+    }
+}
+
 impl Member {
     /// Gives back what an attempt took.
     fn release(&mut self, attempt: &Attempt) {
@@ -134,7 +152,7 @@
         load.attempts = load.attempts.saturating_sub(1);
         load.live = load.live.saturating_sub(u32::from(attempt.is_live));
         load.tokens = load.tokens.saturating_sub(attempt.tokens);
-        load.reading_us = load.reading_us.saturating_sub(attempt.unread.reading_us);
+        load.finish_reading(attempt.unread);
     }
 }
 
@@ -254,6 +272,13 @@
         self.book(now, wanted, pick).ok_or(NoBackend::NoneReady)
     }
 
+    /// What [`Balancer::choose`] would weigh at this moment; `None` for a service that has no backend. Nothing is booked.
+    pub fn explain(&mut self, now: Millis, wanted: &Wanted) -> Option<Explanation> {
+        self.senders.expire(now);
+        let pool = self.table.pools.get_mut(wanted.service)?;
+        Some(choice::explain(now, pool, wanted, &self.senders, self.is_placer))
+    }
+
     /// Takes the backend that a placer chose, if this process may send to it now.
     pub fn choose_at(&mut self, now: Millis, wanted: &Wanted, backend: &str) -> Option<Choice> {
         self.senders.expire(now);
@@ -262,13 +287,41 @@
         self.book(now, wanted, pick)
     }
 
-    /// Notes that a sender chose a backend for itself, whatever would have spoken against it here.
+    /// Notes that a sender has just chosen a backend for itself, whatever would have spoken against it here.
     pub fn note_choice(&mut self, now: Millis, wanted: &Wanted, backend: &str) -> Option<Choice> {
         let pool = self.table.pools.get_mut(wanted.service)?;
         let pick = choice::pick_told(now, pool, wanted, backend, self.is_placer)?;
         self.book(now, wanted, pick)
     }
 
+    /// Notes an attempt that a sender began at some time before. Its first event tells nothing of the time that it took.
+    pub fn note_earlier_choice(
+        &mut self,
+        now: Millis,
+        wanted: &Wanted,
+        backend: &str,
+        has_begun: bool,
+    ) -> Option<Choice> {
+        let choice = self.note_choice(now, wanted, backend)?;
+        let under_way = self.attempts.get_mut(&choice.attempt)?;
+        under_way.is_start_known = false;
+        if has_begun {
+            self.began_before(choice.attempt);
+        }
+        Some(choice)
+    }
+
+    /// The first event of an attempt came at some time before it was heard of.
+    fn began_before(&mut self, attempt: u64) {
+        let Some(under_way) = self.attempts.get_mut(&attempt) else { return };
+        under_way.began = true;
+        let unread = std::mem::take(&mut under_way.unread);
+        let pool = self.table.pools.get_mut(&under_way.backend.service);
+        let Some(member) = pool.and_then(|pool| pool.member_mut(&under_way.backend.id)) else { return };
+        member.under_way.finish_reading(unread);
+        member.health.withdrawn(attempt);
+    }
+
     /// The backends of a service that this process finds down: it may be cut off from them alone.
     pub fn unhealthy(&self, now: Millis, service: &str) -> Vec<String> {
         let members = self.table.pools.get(service).map_or(&[][..], |pool| &pool.members);
@@ -283,7 +336,7 @@
 
     fn book(&mut self, now: Millis, wanted: &Wanted, pick: choice::Pick) -> Option<Choice> {
         let pool = self.table.pools.get_mut(wanted.service)?;
-        let need = choice::Need::of(wanted);
+        let need = Need::of(wanted);
         let member = pool.members.get_mut(pick.place)?;
         self.last_attempt += 1;
         let attempt = self.last_attempt;
@@ -309,6 +362,7 @@
             unread: Unread { tokens: pick.unread_tokens, reading_us, reads_at_once },
             prefix: need.prefix.filter(|_| self.is_placer),
             is_live: !need.is_low_rank(),
+            is_start_known: true,
             began: false,
         };
         self.attempts.insert(attempt, under_way);
@@ -325,19 +379,21 @@
         let record = under_way.record(attempt);
         under_way.began = true;
         let Some(pool) = self.table.pools.get_mut(&under_way.backend.service) else { return };
-        pool.usual.learn(now - under_way.started, under_way.tokens_in);
-        let Pool { members, reading, sent, .. } = pool;
-        if let Some(member) = backends::find_mut(members, &under_way.backend.id) {
-            if unread.reads_at_once {
-                reading.learn(unread.tokens, now - under_way.started, &mut member.speed);
-            }
-            if let Some(prefix) = under_way.prefix {
-                sent.note(now, prefix, member.id_hash);
-            }
-            let load = &mut member.under_way;
-            load.reading_us = load.reading_us.saturating_sub(unread.reading_us);
-            member.health.began(now, record);
+        let took = under_way.is_start_known.then_some(now - under_way.started);
+        let Pool { members, reading, sent, usual, .. } = pool;
+        if let Some(took) = took {
+            usual.learn(took, under_way.tokens_in);
+        }
+        let Some(member) = backends::find_mut(members, &under_way.backend.id) else { return };
+        match took {
+            Some(took) if unread.reads_at_once => reading.learn(unread.tokens, took, &mut member.speed),
+            _ => {}
+        }
+        if let Some(prefix) = under_way.prefix {
+            sent.note(now, prefix, member.id_hash);
         }
+        member.under_way.finish_reading(unread);
+        member.health.began(now, record, took);
     }
 
     /// Forgets an attempt of which nobody tells any more: that says nothing of the backend.
--- a/alderhollow/src/cli/mod.rs
+++ b/alderhollow/src/cli/mod.rs
@@ -13,7 +13,6 @@
 use alderhollow_storage::StorageError;
 use clap::{Args, Parser, Subcommand};
 use log::LevelFilter;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use thiserror::Error;
@@ -51,10 +50,7 @@
         folder: PathBuf,
     },
     /// Print what a process tells of itself.
-    Status {
-        /// Its internal address: its `ip` and the first of its `internal-ports`.
-        address: SocketAddr,
-    },
+    Status(status::Arguments),
 }
 
 /// Options of all roles.
@@ -133,7 +129,7 @@
         Command::Store(arguments) => run_role(Role::Store, command_line.log_level, arguments),
         Command::Check(arguments) => check::run(&arguments),
         Command::Inspect { folder } => inspect::run(&folder),
-        Command::Status { address } => status::run(address),
+        Command::Status(arguments) => status::run(&arguments),
     }
 }
 
--- a/alderhollow/src/door/clients.rs
+++ b/alderhollow/src/door/clients.rs
@@ -1,14 +1,11 @@
 //! Serves clients' requests at the front of a door.
 
-use crate::balance::{Balancer, ColdBounds};
 use crate::batch_api::endpoints::StoreEndpoints;
 use crate::distribution::validity::TableValidity;
-use crate::exchange::Exchange;
 use crate::front::phase::Phase;
 use crate::front::{Front, FrontSettings};
 use crate::node::{random_seed, Node};
 use crate::settings::Settings;
-use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -51,19 +48,7 @@
 /// The address can't be listened on.
 pub async fn serve(address: SocketAddr, settings: &Settings, node: &Node) -> io::Result<Clients> {
     let listener = TcpListener::bind(address).await?;
-    let mut balancer = Balancer::new(&settings.node, &settings.zone, random_seed());
-    balancer
-        .set_cold_bounds(ColdBounds { over: settings.bounds.cold_over, slack: settings.bounds.cold_slack });
-    let balancer = Rc::new(RefCell::new(balancer));
-    let client = node.placement_client();
-    let exchange = Exchange::with_placement(
-        node.clock.instant(0),
-        random_seed(),
-        node.snapshots.clone(),
-        balancer,
-        client,
-        &settings.zone,
-    );
+    let exchange = node.begin_exchanges(settings);
     let network = Rc::new(node.network.clone());
     let batch = StoreEndpoints::new(network, node.snapshots.clone(), node.clock, random_seed());
     let front = Front::new(front_settings(settings, node), exchange, Rc::new(batch));
--- a/alderhollow/src/exchange/placing.rs
+++ b/alderhollow/src/exchange/placing.rs
@@ -2,7 +2,7 @@
 
 use super::attempt::{Attempt, Told};
 use super::Exchange;
-use crate::balance::{NoBackend, Wanted};
+use crate::balance::{Explanation, NoBackend, Wanted};
 use crate::placement::client::PlacementClient;
 use crate::placement::message::Demand;
 use crate::placement::offers::{zones_to_ask, NoOffer, Offer, Offers};
@@ -38,6 +38,12 @@
         Ok(Attempt::new(self.clone(), choice, Some(told)))
     }
 
+    /// Why this process would choose which backend now, without a placer's help.
+    pub fn explain(&self, demand: &Demand) -> Option<Explanation> {
+        self.tables();
+        self.balancer.borrow_mut().explain(self.now(), &demand.wanted(&demand.prompt()))
+    }
+
     /// What is asked of a placer; `None` for requests that are not for a model engine.
     pub(super) fn demand(&self, wanted: &Wanted) -> Option<Demand> {
         let balancer = self.balancer.borrow();
--- a/alderhollow/src/node.rs
+++ b/alderhollow/src/node.rs
@@ -1,5 +1,6 @@
 //! What the processes of both roles have in common: their place in the tier, the internal port and the tables.
 
+use crate::balance::{Balancer, ColdBounds};
 use crate::clock::SteadyClock;
 use crate::control_state::view::decode_view;
 use crate::distribution::client::{PollClient, PollState};
@@ -8,6 +9,7 @@
 use crate::distribution::server::{Authority, DistributionHandler, Distributor, PublishedBackends};
 use crate::distribution::signal::ChangeSignal;
 use crate::distribution::tables::Tables;
+use crate::exchange::Exchange;
 use crate::internal::{server, Network, ServiceId, Services};
 use crate::placement::client::PlacementClient;
 use crate::placement::ledger::Ledger;
@@ -17,7 +19,7 @@
 use crate::SnapshotReceiver;
 use alderhollow_model::identity::{Address, DiskId, LifeId, NodeInfo, Role};
 use alderhollow_model::snapshot::ControlView;
-use std::cell::RefCell;
+use std::cell::{OnceCell, RefCell};
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
 use std::io;
@@ -41,6 +43,10 @@
     pub changes: ChangeSignal,
     /// The process's tables.
     pub snapshots: SnapshotReceiver,
+    /// Places requests at the backends of the process's zone, where it is the zone's placer.
+    pub placement: Rc<PlacementServer>,
+    /// The process's own exchanges with backends, once it has any.
+    pub exchange: Rc<OnceCell<Rc<Exchange>>>,
     tables: Rc<RefCell<Option<Tables>>>,
 }
 
@@ -49,6 +55,9 @@
     pub fn new(settings: &Settings) -> Node {
         let clock = SteadyClock::start();
         let tables = Tables::new(clock, read_view);
+        let snapshots = tables.subscribe();
+        let ledger = Ledger::new(&settings.node, &settings.zone, random_seed());
+        let placement = PlacementServer::new(ledger, snapshots.clone(), clock);
         let directory = Directory::default();
         directory.set_seeds(internal_seeds(settings));
         Node {
@@ -57,14 +66,29 @@
             directory,
             poll_state: PollState::default(),
             changes: ChangeSignal::new(),
-            snapshots: tables.subscribe(),
+            snapshots,
+            placement: Rc::new(placement),
+            exchange: Rc::default(),
             tables: Rc::new(RefCell::new(Some(tables))),
         }
     }
 
-    /// What asks the placers of the zones.
-    pub fn placement_client(&self) -> Rc<PlacementClient> {
-        PlacementClient::start(self.network.clone(), self.snapshots.clone(), LifeId(random_seed()))
+    /// The process's exchanges with backends, which it begins hereby. To be called in a `LocalSet`, once.
+    pub fn begin_exchanges(&self, settings: &Settings) -> Rc<Exchange> {
+        let bounds = &settings.bounds;
+        let mut balancer = Balancer::new(&settings.node, &settings.zone, random_seed());
+        balancer.set_cold_bounds(ColdBounds { over: bounds.cold_over, slack: bounds.cold_slack });
+        let snapshots = self.snapshots.clone();
+        let placers = PlacementClient::start(self.network.clone(), snapshots, LifeId(random_seed()));
+        let exchange = Exchange::with_placement(
+            self.clock.instant(0),
+            random_seed(),
+            self.snapshots.clone(),
+            Rc::new(RefCell::new(balancer)),
+            placers,
+            &settings.zone,
+        );
+        self.exchange.get_or_init(|| exchange).clone()
     }
 
     /// Serves the internal port and begins to poll for tables. `services` are the role's own, beside the distribution.
@@ -87,9 +111,7 @@
             senders: RefCell::default(),
             pollers: RefCell::default(),
         });
-        let ledger = Ledger::new(&info.node, &info.zone, random_seed());
-        let placement = PlacementServer::new(ledger, self.snapshots.clone(), self.clock);
-        services.register(ServiceId::Placement, Rc::new(placement));
+        services.register(ServiceId::Placement, self.placement.clone());
         services.register(ServiceId::Distribution, Rc::new(DistributionHandler(distributor.clone())));
         if distributor.authority.is_some() {
             let seeds = SeedReader::new(self, info.role);
--- a/alderhollow/src/placement/ledger.rs
+++ b/alderhollow/src/placement/ledger.rs
@@ -4,7 +4,7 @@
 //! is heard of again by its next whole report. A placer that starts anew knows nothing until the senders' next whole reports.
 
 use super::message::{AttemptId, Demand, Event, PlaceRequest, Placement, Report, UnderWay};
-use crate::balance::{Balancer, Millis, Outcome, Wanted};
+use crate::balance::{Balancer, Explanation, Millis, Outcome};
 use alderhollow_model::identity::LifeId;
 use alderhollow_model::snapshot::Snapshot;
 use std::collections::BTreeMap;
@@ -27,6 +27,15 @@
     attempts: BTreeMap<u64, u64>,
 }
 
+/// When an attempt began that a sender tells of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StartTime {
+    /// Some milliseconds ago: the sender tells of it as soon as it can.
+    JustNow,
+    /// At any time before: it stands in a whole report.
+    Earlier,
+}
+
 /// The view of one placer.
 #[derive(Debug)]
 pub struct Ledger {
@@ -64,7 +73,7 @@
             return Placement::NoneReady;
         }
         let prompt = request.demand.prompt();
-        let chosen = self.balancer.choose(now, &wanted(&request.demand, &prompt));
+        let chosen = self.balancer.choose(now, &request.demand.wanted(&prompt));
         match chosen {
             Ok(choice) => {
                 self.book(now, sender, number, choice.attempt);
@@ -74,6 +83,12 @@
         }
     }
 
+    /// What [`Ledger::place`] would weigh at this moment; `None` where the zone has no backend of the service.
+    pub fn explain(&mut self, now: Millis, demand: &Demand) -> Option<Explanation> {
+        self.drop_silent(now);
+        self.balancer.explain(now, &demand.wanted(&demand.prompt()))
+    }
+
     /// Takes in what a sender reports.
     pub fn take_report(&mut self, now: Millis, report: &Report) {
         self.drop_silent(now);
@@ -98,7 +113,7 @@
 
     fn take_event(&mut self, now: Millis, sender: LifeId, event: &Event) {
         match event {
-            Event::Started(under_way) => self.start(now, sender, under_way),
+            Event::Started(under_way) => self.start(now, sender, under_way, StartTime::JustNow),
             Event::Began(number) => {
                 if let Some(attempt) = self.number_of(sender, *number) {
                     self.balancer.began(now, attempt);
@@ -117,12 +132,12 @@
             self.withdraw(sender, number);
         }
         for told in under_way {
-            self.start(now, sender, told);
+            self.start(now, sender, told, StartTime::Earlier);
         }
     }
 
     /// Notes an attempt that the sender began; nothing if it is known.
-    fn start(&mut self, now: Millis, sender: LifeId, told: &UnderWay) {
+    fn start(&mut self, now: Millis, sender: LifeId, told: &UnderWay, start_time: StartTime) {
         if let Some(attempt) = self.number_of(sender, told.number) {
             if told.has_begun {
                 self.balancer.began(now, attempt);
@@ -130,13 +145,15 @@
             return;
         }
         let prompt = told.demand.prompt();
-        let Some(choice) = self.balancer.note_choice(now, &wanted(&told.demand, &prompt), &told.backend)
-        else {
-            return;
+        let wanted = told.demand.wanted(&prompt);
+        let choice = match start_time {
+            StartTime::JustNow => self.balancer.note_choice(now, &wanted, &told.backend),
+            StartTime::Earlier => {
+                self.balancer.note_earlier_choice(now, &wanted, &told.backend, told.has_begun)
+            }
         };
-        self.book(now, sender, told.number, choice.attempt);
-        if told.has_begun {
-            self.balancer.began(now, choice.attempt);
+        if let Some(choice) = choice {
+            self.book(now, sender, told.number, choice.attempt);
         }
     }
 
@@ -190,12 +207,3 @@
         }
     }
 }
-
-fn wanted<'a>(demand: &'a Demand, prompt: &'a crate::balance::Prompt) -> Wanted<'a> {
-    Wanted {
-        service: &demand.service,
-        prompt: Some(prompt),
-        priority: demand.priority,
-        tried: &demand.except,
-    }
-}
--- a/alderhollow/src/placement/message.rs
+++ b/alderhollow/src/placement/message.rs
@@ -64,6 +64,11 @@
         })
     }
 
+    /// The same as it is put to a balancer, with its prompt.
+    pub fn wanted<'a>(&'a self, prompt: &'a Prompt) -> Wanted<'a> {
+        Wanted { service: &self.service, prompt: Some(prompt), priority: self.priority, tried: &self.except }
+    }
+
     /// Its prompt.
     pub fn prompt(&self) -> Prompt {
         Prompt {
--- a/alderhollow/src/placement/server.rs
+++ b/alderhollow/src/placement/server.rs
@@ -1,7 +1,8 @@
 //! Serves a placer's ledger on the internal port of every process: any of them may be named placer at any time.
 
 use super::ledger::Ledger;
-use super::message::{PlaceRequest, Report};
+use super::message::{Demand, PlaceRequest, Report};
+use crate::balance::Explanation;
 use crate::clock::SteadyClock;
 use crate::internal::server::HandlerFuture;
 use crate::internal::{Handler, Refusal};
@@ -35,6 +36,11 @@
         act(&mut ledger, now)
     }
 
+    /// Why a request would go where it would go now, of the backends of this process's zone.
+    pub fn explain(&self, demand: &Demand) -> Option<Explanation> {
+        self.with_ledger(|ledger, now| ledger.explain(now, demand))
+    }
+
     fn place(&self, payload: &[u8]) -> Result<Vec<u8>, Refusal> {
         let request: PlaceRequest = minicbor::decode(payload).map_err(|_| Refusal::Malformed)?;
         let placement = self.with_ledger(|ledger, now| ledger.place(now, &request));
--- a/alderhollow/src/status/message.rs
+++ b/alderhollow/src/status/message.rs
@@ -1,16 +1,32 @@
 //! Messages of [`ServiceId::Status`](crate::internal::ServiceId).
 
+use crate::balance::Explanation;
 use crate::distribution::message::{CoreView, Stamp};
+use crate::placement::message::Demand;
 use alderhollow_model::identity::{DiskId, NodeInfo};
 use alderhollow_model::snapshot::{GroupId, Placer};
 use minicbor::{Decode, Encode};
 
 /// A question to a process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub enum Request {
-    /// All that it tells of itself.
+    /// All that it tells of itself. Answered by a [`StatusReport`].
     #[n(0)]
     Status,
+    /// Which backend a request would go to now, and why. Answered by a [`ChoiceReport`].
+    #[n(1)]
+    Choice(#[n(0)] Demand),
+}
+
+/// Which backends a process would choose for one request, and why. Nothing is booked for it.
+#[derive(Debug, Clone, Default, PartialEq, Encode, Decode)]
+pub struct ChoiceReport {
+    /// As the placer of its zone, from what all senders told it; `None` where the zone has no backend of the service.
+    #[n(0)]
+    pub as_placer: Option<Explanation>,
+    /// As a sender, from what it knows by itself; `None` where it sends nothing, or the service has no backend.
+    #[n(1)]
+    pub as_sender: Option<Explanation>,
 }
 
 /// What a process tells of itself.
--- a/alderhollow/src/status/mod.rs
+++ b/alderhollow/src/status/mod.rs
@@ -5,14 +5,17 @@
 //! | [`message`] | the question and its answer |
 //! | [`server`] | puts the answer together |
 //! | [`display`] | shows it as text |
+//! | [`choice_display`] | shows the reason of a choice as text |
 
+pub mod choice_display;
 pub mod display;
 pub mod message;
 pub mod server;
 
 use crate::internal::{CallError, Network, ServiceId};
 use crate::node::random_seed;
-use message::{Request, StatusReport};
+use crate::placement::message::Demand;
+use message::{ChoiceReport, Request, StatusReport};
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
@@ -36,12 +39,27 @@
     Unreadable(SocketAddr),
 }
 
-/// Asks the process at this internal address. To be called in a `LocalSet`.
+/// Asks the process at this internal address for its status. To be called in a `LocalSet`.
 ///
 /// # Errors
 /// It does not answer, or not in a form that can be read.
 pub async fn ask(address: SocketAddr) -> Result<StatusReport, StatusError> {
-    let request = minicbor::to_vec(Request::Status).map_err(|_| StatusError::Unreadable(address))?;
+    call(address, Request::Status).await
+}
+
+/// Asks the process at this internal address where it would send a request. To be called in a `LocalSet`.
+///
+/// # Errors
+/// It does not answer, or not in a form that can be read.
+pub async fn ask_choice(address: SocketAddr, demand: Demand) -> Result<ChoiceReport, StatusError> {
+    call(address, Request::Choice(demand)).await
+}
+
+async fn call<T>(address: SocketAddr, request: Request) -> Result<T, StatusError>
+where
+    T: for<'b> minicbor::Decode<'b, ()>,
+{
+    let request = minicbor::to_vec(request).map_err(|_| StatusError::Unreadable(address))?;
     let network = Network::new(random_seed());
     let answer = network
         .call(address, ServiceId::Status, request, ANSWER_TIMEOUT)
--- a/alderhollow/src/status/server.rs
+++ b/alderhollow/src/status/server.rs
@@ -1,8 +1,8 @@
 //! Puts a process's status together and serves it.
 
 use super::message::{
-    CoreRole, CoreStatus, Request, RouteTokens, StatusReport, StoreGroupStatus, StoreStatus, TablesGroup,
-    TablesStatus,
+    ChoiceReport, CoreRole, CoreStatus, Request, RouteTokens, StatusReport, StoreGroupStatus, StoreStatus,
+    TablesGroup, TablesStatus,
 };
 use crate::core::authority::ControlAuthority;
 use crate::distribution::message::Stamp;
@@ -10,6 +10,7 @@
 use crate::internal::server::HandlerFuture;
 use crate::internal::{Handler, Refusal};
 use crate::node::Node;
+use crate::placement::message::Demand;
 use crate::store::group_engine::GroupEngine;
 use crate::store::node::StoreNode;
 use alderhollow_coordination::replica::interface::Role;
@@ -48,6 +49,15 @@
         }
     }
 
+    /// Which backends the process would choose for a request at this moment, and why.
+    pub fn explain(&self, demand: &Demand) -> ChoiceReport {
+        let exchange = self.shared.exchange.get();
+        ChoiceReport {
+            as_placer: self.shared.placement.explain(demand),
+            as_sender: exchange.and_then(|exchange| exchange.explain(demand)),
+        }
+    }
+
     fn tables(&self, snapshot: &Snapshot) -> TablesStatus {
         let control = &snapshot.control;
         let now_ms = self.shared.clock.now_ms();
@@ -132,6 +142,9 @@
     fn request(&self, payload: Vec<u8>) -> HandlerFuture {
         let answer = match minicbor::decode(&payload) {
             Ok(Request::Status) => minicbor::to_vec(self.0.report()).map_err(|_| Refusal::Busy),
+            Ok(Request::Choice(demand)) => {
+                minicbor::to_vec(self.0.explain(&demand)).map_err(|_| Refusal::Busy)
+            }
             Err(_) => Err(Refusal::Malformed),
         };
         Box::pin(std::future::ready(answer))
--- a/alderhollow/src/store/role.rs
+++ b/alderhollow/src/store/role.rs
@@ -6,9 +6,7 @@
 use super::node::{NodeJournal, NodeParts, StoreNode};
 use super::replication::ReplicationHandler;
 use super::runs::Runs;
-use crate::balance::{Balancer, ColdBounds};
 use crate::distribution::client::PollState;
-use crate::exchange::Exchange;
 use crate::executor::Executor;
 use crate::internal::{ServiceId, Services};
 use crate::node::{node_info, random_seed, Node};
@@ -20,7 +18,6 @@
 use alderhollow_model::identity::{DiskId, Role};
 use alderhollow_model::snapshot::GroupId;
 use alderhollow_storage::{FolderDisk, Journal, Writer};
-use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
 use std::rc::Rc;
@@ -42,7 +39,7 @@
     let shared = Node::new(&settings);
     let (engines, disk, journal) = open_disk(&settings, &shared)?;
     let (journal, write_ends) = JournalQueue::new(Writer::start(journal)?, settings.limits.disk_mb);
-    let exchange = exchange(&settings, &shared);
+    let exchange = shared.begin_exchanges(&settings);
     let executor = Executor::new(shared.clock, exchange.clone());
     let parts = NodeParts {
         disk,
@@ -94,21 +91,6 @@
     Ok((engines, id, journal))
 }
 
-fn exchange(settings: &Settings, shared: &Node) -> Rc<Exchange> {
-    let mut balancer = Balancer::new(&settings.node, &settings.zone, random_seed());
-    balancer
-        .set_cold_bounds(ColdBounds { over: settings.bounds.cold_over, slack: settings.bounds.cold_slack });
-    let balancer = Rc::new(RefCell::new(balancer));
-    Exchange::with_placement(
-        shared.clock.instant(0),
-        random_seed(),
-        shared.snapshots.clone(),
-        balancer,
-        shared.placement_client(),
-        &settings.zone,
-    )
-}
-
 /// Waits for SIGTERM, then until this store leads no group any more.
 async fn ending(node: &Rc<StoreNode>, poll: &PollState, grace: Duration) -> io::Result<()> {
     terminated().await?;
--- /dev/null
+++ b/alderhollow/tests/choice_explanation.rs
@@ -0,0 +1,171 @@
+//! The reason of a choice, as `status --choice` tells it: it is the choice itself, and telling it changes nothing.
+
+mod balance_support;
+
+use alderhollow::balance::{Explanation, Prompt, Verdict};
+use alderhollow::placement::ledger::Ledger;
+use alderhollow::placement::message::{AttemptId, Demand, End, Event, PlaceRequest, Placement, Report};
+use alderhollow::status::message::{ChoiceReport, Request};
+use alderhollow_model::backend::BackendState;
+use alderhollow_model::identity::LifeId;
+use balance_support::{wanted, Tables, ENGINES, PLAIN, ZONES};
+use proptest::prelude::*;
+
+const SENDER: LifeId = LifeId(1);
+/// The random part of a price, by which equal backends share: a choice may cost so much more than the least.
+const NOISE_MS: f64 = 0.5;
+
+fn tables(backends: usize) -> Tables {
+    Tables::new(ENGINES, backends * ZONES.len(), 4)
+}
+
+fn ledger(tables: &Tables) -> Ledger {
+    let mut ledger = Ledger::new("placer", ZONES[0], 7);
+    ledger.update(0.0, &tables.snapshot(0.0));
+    ledger
+}
+
+fn demand(tokens_in: u32, priority: u32) -> Demand {
+    let prompt = Prompt { parts: Vec::new(), tokens_in, tokens_out: 300 };
+    let demand = Demand::of(&wanted(ENGINES, Some(&prompt)), Vec::new()).expect("it has a prompt");
+    Demand { priority, ..demand }
+}
+
+fn place(ledger: &mut Ledger, now: f64, number: u64, demand: &Demand) -> Placement {
+    let attempt = AttemptId { sender: SENDER, number };
+    ledger.place(now, &PlaceRequest { attempt, demand: demand.clone() })
+}
+
+fn explain(ledger: &mut Ledger, now: f64, demand: &Demand) -> Explanation {
+    ledger.explain(now, demand).expect("the zone has backends")
+}
+
+#[test]
+fn a_running_stream_is_named_as_the_reason_to_read_a_long_prompt_elsewhere() {
+    let mut ledger = ledger(&tables(2));
+    let Placement::At { backend: with_stream, .. } = place(&mut ledger, 0.0, 1, &demand(100, 0)) else {
+        panic!("no backend");
+    };
+    ledger.take_report(20.0, &Report::Events { sender: SENDER, events: vec![Event::Began(1)] });
+    let explanation = explain(&mut ledger, 30.0, &demand(80_000, 0));
+    let chosen = explanation.chosen().expect("one may take it");
+    assert_ne!(chosen.backend, with_stream);
+    assert_eq!(explanation.decisive_part(), Some("disturbance"));
+}
+
+#[test]
+fn every_backend_is_told_with_what_speaks_against_it() {
+    let mut tables = tables(4);
+    let ids: Vec<String> =
+        tables.backends.iter().filter(|b| b.zone == ZONES[0]).map(|b| b.id.clone()).collect();
+    let draining = tables.backends.iter_mut().find(|backend| backend.id == ids[0]).expect("it is listed");
+    draining.state = BackendState::Draining;
+    let mut ledger = ledger(&tables);
+    let only = |id: &String| ids.iter().filter(|other| *other != id).cloned().collect::<Vec<_>>();
+    // The second refuses a connection, the third is filled by items.
+    let at_second = Demand { except: only(&ids[1]), ..demand(100, 0) };
+    assert!(matches!(place(&mut ledger, 0.0, 1, &at_second), Placement::At { .. }));
+    ledger.take_report(
+        1.0,
+        &Report::Events { sender: SENDER, events: vec![Event::Ended(1, End::NoConnection)] },
+    );
+    let at_third = Demand { except: only(&ids[2]), ..demand(10, 2) };
+    (10..100).for_each(|number| drop(place(&mut ledger, 2.0, number, &at_third)));
+    let explanation = explain(&mut ledger, 3.0, &demand(10, 2));
+    let verdict = |id: &String| {
+        let candidate = explanation.candidates.iter().find(|candidate| candidate.backend == *id);
+        candidate.expect("each backend is told").verdict
+    };
+    assert_eq!(explanation.candidates.len(), ids.len());
+    assert_eq!(verdict(&ids[0]), Verdict::Withdrawn);
+    assert!(matches!(verdict(&ids[1]), Verdict::Unhealthy { .. }), "{:?}", verdict(&ids[1]));
+    assert!(matches!(verdict(&ids[2]), Verdict::Full { .. }), "{:?}", verdict(&ids[2]));
+    assert_eq!(verdict(&ids[3]), Verdict::Open);
+    assert_eq!(explanation.chosen().map(|chosen| &chosen.backend), Some(&ids[3]));
+}
+
+#[test]
+fn a_service_without_backends_has_no_explanation() {
+    let mut ledger = ledger(&tables(1));
+    assert_eq!(ledger.explain(0.0, &Demand { service: "nobody".to_string(), ..demand(10, 0) }), None);
+}
+
+#[test]
+fn a_sender_explains_plain_services_by_what_it_has_under_way() {
+    let mut balancer = Tables::new(PLAIN, 2, 1).balancer("node-0", ZONES[0], 0.0);
+    let busy = balancer.choose(0.0, &wanted(PLAIN, None)).expect("one is open").backend.id.clone();
+    let explanation = balancer.explain(1.0, &wanted(PLAIN, None)).expect("it has backends");
+    let price_at = |is_busy: bool| {
+        let found = explanation.candidates.iter().find(|candidate| (candidate.backend == busy) == is_busy);
+        found.expect("both are told").price.ahead_ms
+    };
+    assert!(price_at(true) > price_at(false), "{explanation:?}");
+}
+
+#[test]
+fn the_text_names_the_choice_and_every_part_of_the_prices() {
+    let mut ledger = ledger(&tables(2));
+    place(&mut ledger, 0.0, 1, &demand(100, 0));
+    ledger.take_report(20.0, &Report::Events { sender: SENDER, events: vec![Event::Began(1)] });
+    let as_placer = ledger.explain(30.0, &demand(80_000, 0));
+    insta::assert_snapshot!(ChoiceReport { as_placer, as_sender: None });
+}
+
+#[test]
+fn question_and_answer_survive_their_encoding() {
+    let question = Request::Choice(demand(5, 2));
+    let decoded: Request =
+        minicbor::decode(&minicbor::to_vec(&question).expect("it encodes")).expect("it decodes");
+    assert_eq!(decoded, question);
+    let mut ledger = ledger(&tables(3));
+    let report = ChoiceReport { as_placer: ledger.explain(0.0, &demand(5, 2)), as_sender: None };
+    let decoded: ChoiceReport =
+        minicbor::decode(&minicbor::to_vec(&report).expect("it encodes")).expect("it decodes");
+    assert_eq!(decoded, report);
+}
+
+/// One step at a placer: the tokens of a prompt, its rank, and whether it ends at once.
+fn steps() -> impl Strategy<Value = Vec<(u32, u32, bool)>> {
+    prop::collection::vec((1u32..40_000, 0u32..3, any::<bool>()), 1..60)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(96))]
+
+    /// Whatever is under way, the backend that a request gets is the one that the explanation names, up to the random part,
+    /// and asking changes no later choice.
+    #[test]
+    fn the_explanation_is_the_choice(steps in steps()) {
+        let tables = tables(5);
+        let (mut asked, mut silent) = (ledger(&tables), ledger(&tables));
+        for (number, (tokens, priority, ends)) in steps.into_iter().enumerate() {
+            let (now, number) = (number as f64 * 7.0, number as u64 + 1);
+            let demand = demand(tokens, priority);
+            let explanation = explain(&mut asked, now, &demand);
+            let placed = place(&mut asked, now, number, &demand);
+            prop_assert_eq!(&placed, &place(&mut silent, now, number, &demand));
+            match placed {
+                Placement::At { backend, .. } => {
+                    let best = explanation.chosen().expect("one may take it").price.total();
+                    let taken = explanation.candidates.iter().find(|candidate| candidate.backend == backend);
+                    let taken = taken.expect("it is a candidate");
+                    prop_assert!(taken.verdict == Verdict::Open);
+                    prop_assert!(taken.price.total() <= best + NOISE_MS, "{:?}", taken);
+                }
+                _ => prop_assert!(explanation.chosen().is_none(), "{:?}", explanation),
+            }
+            if ends {
+                let report = Report::Events { sender: SENDER, events: vec![Event::Ended(number, End::Served)] };
+                asked.take_report(now + 5.0, &report);
+                silent.take_report(now + 5.0, &report);
+            }
+        }
+    }
+
+    /// Bytes that nobody wrote are refused or read, and never more than that.
+    #[test]
+    fn any_bytes_are_a_question_or_none(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = minicbor::decode::<Request>(&bytes);
+        let _ = minicbor::decode::<ChoiceReport>(&bytes);
+    }
+}
--- a/alderhollow/tests/placement.rs
+++ b/alderhollow/tests/placement.rs
@@ -121,6 +121,59 @@
     assert!((30.0..=75.0).contains(&fast), "{fast}");
 }
 
+/// What a placer tells of what is ahead of a short request at its only backend, which reads an item of 20,000 tokens.
+fn wait_behind_an_item(ledger: &mut Ledger, now: f64) -> f64 {
+    backend_of(place(ledger, now, FIRST, 1_000, &item(20_000)));
+    match place(ledger, now, SECOND, 1_000, &demand(100)) {
+        Placement::At { wait_ms, .. } => wait_ms,
+        other => panic!("no backend: {other:?}"),
+    }
+}
+
+/// A whole report of one attempt, a prompt of 20,000 tokens at the only backend.
+fn whole_report(sequence: u64, has_begun: bool) -> Report {
+    let backend = "i-engines-0".to_string();
+    let told = UnderWay { number: 1, backend, demand: demand(20_000), has_begun };
+    Report::Whole { sender: FIRST, sequence, newest: 1, under_way: vec![told] }
+}
+
+#[test]
+fn a_successor_learns_no_times_from_attempts_that_began_before_it() {
+    let untaught = wait_behind_an_item(&mut ledger(1), 100.0);
+    // The whole report tells of an attempt that has begun, ...
+    let mut successor = ledger(1);
+    successor.take_report(0.0, &whole_report(1, true));
+    successor.take_report(50.0, &events(FIRST, vec![Event::Ended(1, End::Served)]));
+    assert_eq!(wait_behind_an_item(&mut successor, 100.0), untaught);
+    // ... or of one whose first event comes right after it.
+    for tells in [whole_report(2, true), events(FIRST, vec![Event::Began(1)])] {
+        let mut successor = ledger(1);
+        successor.take_report(0.0, &whole_report(1, false));
+        successor.take_report(1.0, &tells);
+        successor.take_report(50.0, &events(FIRST, vec![Event::Ended(1, End::Served)]));
+        assert_eq!(wait_behind_an_item(&mut successor, 100.0), untaught);
+    }
+}
+
+/// Long prompts that a placer without any knowledge has seen when it knows the engines' reading times to a fifth.
+const PROMPTS_TO_LEARN: u64 = 12;
+
+#[test]
+fn a_successor_learns_the_reading_times_within_a_few_long_prompts() {
+    for took_ms in [60.0, 133.0, 500.0] {
+        let mut successor = ledger(1);
+        for number in 1..=PROMPTS_TO_LEARN {
+            // Every fourth meets something else that holds it up.
+            let held_up = if number % 4 == 2 { 3.0 } else { 1.0 };
+            read_alone(&mut successor, number as f64 * 5_000.0, number, &demand(20_000), took_ms * held_up);
+        }
+        let wait_ms = wait_behind_an_item(&mut successor, 400_000.0);
+        let read_ms = took_ms - 10.0;
+        let is_near = (read_ms / 1.2..=read_ms * 1.2).contains(&wait_ms);
+        assert!(is_near, "{wait_ms} for {read_ms}");
+    }
+}
+
 #[test]
 fn the_longest_prompts_go_to_the_faster_engine() {
     let mut ledger = ledger(2);
--- a/alderhollow/tests/processes.rs
+++ b/alderhollow/tests/processes.rs
@@ -3,6 +3,7 @@
 
 mod tier_support;
 
+use alderhollow::placement::message::Demand;
 use alderhollow_standins::batch_client::{self, BatchJob, Item, ItemResult, ResultState};
 use alderhollow_standins::client;
 use alderhollow_standins::events::whole_text;
@@ -14,7 +15,9 @@
 use std::process::Command;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
-use tier_support::{configuration, stream_request, until, Place, Tier, GRACE, HOST, LIMIT, SEEDS, STORES};
+use tier_support::{
+    configuration, stream_request, until, Place, Tier, GRACE, HOST, LIMIT, SEEDS, SERVICE, STORES,
+};
 
 /// Held by the test that runs.
 static TURN: Mutex<()> = Mutex::new(());
@@ -82,6 +85,18 @@
             std::future::ready(runs)
         })
         .await;
+        let asked = Demand {
+            service: SERVICE.to_string(),
+            priority: 0,
+            tokens_in: 100,
+            tokens_out: 100,
+            parts: Vec::new(),
+            except: Vec::new(),
+        };
+        let choice = tier.choice(door, asked).await.expect("the door answers");
+        let as_sender = choice.as_sender.expect("the door sends to the service's backends");
+        assert_eq!(as_sender.candidates.len(), tier.backends.len(), "{as_sender:?}");
+        assert!(as_sender.chosen().is_some(), "{as_sender:?}");
         tier.process(door).terminate().unwrap();
         until("the door is not ready", || async { !tier.is_ready(door).await }).await;
         let answer = stream.await.unwrap().unwrap();
--- a/alderhollow/tests/tier_support/mod.rs
+++ b/alderhollow/tests/tier_support/mod.rs
@@ -3,8 +3,9 @@
 // Each file of tests uses a part of it.
 #![allow(dead_code)]
 
+use alderhollow::placement::message::Demand;
 use alderhollow::status;
-use alderhollow::status::message::StatusReport;
+use alderhollow::status::message::{ChoiceReport, StatusReport};
 use alderhollow_standins::backend::{Backend, BackendSettings};
 use alderhollow_standins::client::ClientRequest;
 use alderhollow_standins::operator::{Operator, Order, OrderAnswer};
@@ -274,6 +275,11 @@
         status::ask(self.internal(place)).await.ok()
     }
 
+    /// Where a process would send a request to the model's backends now, and why.
+    pub async fn choice(&self, place: Place, demand: Demand) -> Option<ChoiceReport> {
+        status::ask_choice(self.internal(place), demand).await.ok()
+    }
+
     /// The door that holds the core's lease.
     pub async fn core_primary(&self) -> Option<(Place, StatusReport)> {
         for place in self.processes.keys().filter(|place| matches!(place, Place::Door(_))) {
