Core: messages of an attempt are repeated after doubling pauses; a processor quota as a kind of stall

The simulation now has it: each machine handles so many inputs in a period, all machines' periods begin together. It found that a core can keep itself from an epoch: a primary that reconfigures sent Prepare to eight members every 100 ms whatever was still unread, ended the attempt after 400 ms and began another number, so that it read promises of attempts that were over; with twelve inputs a period one core of nine took 13.7 s to its next commit after all troubles had ended. Ruled out: false verdicts of death. Change: the pauses between an attempt's messages double (100 to 400 ms), and so does the time of an attempt after one whose time ran out (400 to 1,600 ms), until an epoch begins.

--- a/coordination/src/replica.rs
+++ b/coordination/src/replica.rs
@@ -66,6 +66,8 @@
     election_hold_until: Millis,
     /// The highest epoch number that it heard of.
     highest_seen: Epoch,
+    /// Attempts to begin an epoch whose time ran out, since the last epoch that this member began.
+    attempts_timed_out: u32,
     /// A newer record than its own does not name it.
     outside: bool,
     /// Its process is about to end.
@@ -116,6 +118,7 @@
             grant: None,
             election_hold_until: 0,
             highest_seen: durable.promised,
+            attempts_timed_out: 0,
             outside: false,
             leaving: false,
             leave_deadline: None,
--- a/coordination/src/replica/campaign.rs
+++ b/coordination/src/replica/campaign.rs
@@ -16,6 +16,8 @@
 const PRE_VOTE_MS: Millis = 150;
 /// A candidate that failed comes back after so long at least.
 const SETBACK_MS: Millis = 30;
+/// The time of an attempt, and the pauses between its messages, double so many times.
+const MOST_DOUBLINGS: u32 = 2;
 
 /// An attempt to begin an epoch.
 #[derive(Debug)]
@@ -41,8 +43,8 @@
 pub(super) struct Preparing {
     number: Epoch,
     purpose: Purpose,
-    started: Millis,
-    next_send: Millis,
+    ends_at: Millis,
+    resends: Resends,
     /// Since when the promises suffice; others may follow that make more replicas.
     enough_since: Option<Millis>,
     asked: BTreeMap<MemberId, Member>,
@@ -55,12 +57,38 @@
     pub record: EpochRecord,
     base: Base,
     state: StateCopy,
-    started: Millis,
-    next_send: Millis,
+    ends_at: Millis,
+    resends: Resends,
     told: BTreeSet<MemberId>,
     pub installed: BTreeSet<MemberId>,
 }
 
+/// When the messages of an attempt are sent again. The pauses double: members that are slow, or this one, must not be kept from
+/// what they have by repetitions of what they have.
+#[derive(Debug, Clone, Copy)]
+struct Resends {
+    next: Millis,
+    pause: Millis,
+    longest_pause: Millis,
+}
+
+impl Resends {
+    /// Due now, then after `first_pause`.
+    fn new(now: Millis, first_pause: Millis) -> Resends {
+        Resends { next: now, pause: first_pause, longest_pause: first_pause << MOST_DOUBLINGS }
+    }
+
+    /// Whether messages are due now; then the next ones are due after a longer pause.
+    fn take_due(&mut self, now: Millis) -> bool {
+        if now < self.next {
+            return false;
+        }
+        self.next = now + self.pause;
+        self.pause = (2 * self.pause).min(self.longest_pause);
+        true
+    }
+}
+
 /// Why an epoch is to begin.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Purpose {
@@ -79,11 +107,9 @@
             Campaign::PreVoting(pre_voting) => pre_voting.started + PRE_VOTE_MS,
             Campaign::Preparing(preparing) => {
                 let gathered = preparing.enough_since.map_or(Millis::MAX, |since| since + timings.gather_ms);
-                preparing.next_send.min(preparing.started + timings.attempt_ms).min(gathered)
-            }
-            Campaign::Installing(installing) => {
-                installing.next_send.min(installing.started + timings.attempt_ms)
+                preparing.resends.next.min(preparing.ends_at).min(gathered)
             }
+            Campaign::Installing(installing) => installing.resends.next.min(installing.ends_at),
         }
     }
 }
@@ -160,8 +186,8 @@
         let mut preparing = Preparing {
             number: self.highest_seen,
             purpose,
-            started: self.now,
-            next_send: self.now,
+            ends_at: self.now + self.attempt_ms(),
+            resends: Resends::new(self.now, self.settings.timings.resend_ms),
             enough_since: None,
             asked: BTreeMap::new(),
             promises: BTreeMap::new(),
@@ -201,7 +227,7 @@
         let others: Vec<Member> = others.cloned().collect();
         if !others.is_empty() {
             preparing.asked.extend(others.into_iter().map(|member| (member.id, member)));
-            preparing.next_send = self.now;
+            preparing.resends.next = self.now;
         }
         preparing.promises.insert(from.id, promise);
         if self.outside {
@@ -243,21 +269,23 @@
     fn go_on_after_new_members(&mut self) {
         let Some(Campaign::Installing(installing)) = &mut self.campaign else { return };
         if installing.recipients().iter().any(|member| !installing.told.contains(&member.id)) {
-            installing.next_send = self.now;
+            installing.resends.next = self.now;
             self.send_installs();
         }
     }
 
     /// Does what is due in a campaign: messages sent again, its end.
     pub(super) fn check_campaign(&mut self) {
-        let attempt_ms = self.settings.timings.attempt_ms;
         let ends_at = match &self.campaign {
             None => return,
             Some(Campaign::PreVoting(pre_voting)) => pre_voting.started + PRE_VOTE_MS,
-            Some(Campaign::Preparing(preparing)) => preparing.started + attempt_ms,
-            Some(Campaign::Installing(installing)) => installing.started + attempt_ms,
+            Some(Campaign::Preparing(preparing)) => preparing.ends_at,
+            Some(Campaign::Installing(installing)) => installing.ends_at,
         };
         if self.now >= ends_at {
+            if !matches!(self.campaign, Some(Campaign::PreVoting(_))) {
+                self.attempts_timed_out = self.attempts_timed_out.saturating_add(1);
+            }
             return self.fail_campaign();
         }
         self.send_prepares();
@@ -265,6 +293,11 @@
         self.check_promises();
     }
 
+    /// How long the next attempt may take: longer after each one whose time ran out, as its answers may be under way.
+    fn attempt_ms(&self) -> Millis {
+        self.settings.timings.attempt_ms << self.attempts_timed_out.min(MOST_DOUBLINGS)
+    }
+
     /// A campaign failed: a candidate comes back after a pause by chance; the primary plans anew.
     pub(super) fn fail_campaign(&mut self) {
         let failed = self.campaign.take();
@@ -300,12 +333,10 @@
     }
 
     fn send_prepares(&mut self) {
-        let resend_ms = self.settings.timings.resend_ms;
         let Some(Campaign::Preparing(preparing)) = &mut self.campaign else { return };
-        if self.now < preparing.next_send {
+        if !preparing.resends.take_due(self.now) {
             return;
         }
-        preparing.next_send = self.now + resend_ms;
         let prepare = Prepare {
             number: preparing.number,
             handed_over: match preparing.purpose {
@@ -385,8 +416,8 @@
             record,
             base,
             state,
-            started: self.now,
-            next_send: self.now,
+            ends_at: self.now + self.attempt_ms(),
+            resends: Resends::new(self.now, self.settings.timings.resend_ms),
             told: BTreeSet::new(),
             installed: BTreeSet::new(),
         })));
@@ -394,12 +425,10 @@
     }
 
     fn send_installs(&mut self) {
-        let resend_ms = self.settings.timings.resend_ms;
         let Some(Campaign::Installing(installing)) = &mut self.campaign else { return };
-        if self.now < installing.next_send {
+        if !installing.resends.take_due(self.now) {
             return;
         }
-        installing.next_send = self.now + resend_ms;
         let recipients = installing.recipients();
         let messages: Vec<Message> =
             recipients.iter().map(|member| installing.message_for(member.id)).collect();
--- a/coordination/src/replica/primary.rs
+++ b/coordination/src/replica/primary.rs
@@ -152,6 +152,7 @@
         let now = self.now;
         self.durable.commit_up_to(installing.version());
         self.succeeds = None;
+        self.attempts_timed_out = 0;
         let silence = self.settings.timings.replica_silence_ms;
         let mut primary = self.primary.take().unwrap_or_else(|| Primary::new(EpochRecord::default(), now));
         primary.record = installing.record;
--- a/coordination/tests/simulation/machine.rs
+++ b/coordination/tests/simulation/machine.rs
@@ -1,6 +1,7 @@
 //! A simulated machine: its disk, and the process on it.
 
 use crate::ledger::Ledger;
+use crate::world::Spending;
 use alderhollow_coordination::replica::interface::{Member, MemberId, Millis, Recovered, Token, Version};
 use alderhollow_coordination::replica::settings::{Settings, Timings};
 use alderhollow_coordination::replica::Replica;
@@ -35,6 +36,7 @@
     pub disk: Disk,
     pub process: Option<Process>,
     pub frozen_until: Millis,
+    pub spending: Spending,
     /// Removed for good.
     pub gone: bool,
     /// When the next process starts.
@@ -82,6 +84,7 @@
             disk: Disk::default(),
             process: None,
             frozen_until: 0,
+            spending: Spending::default(),
             gone: false,
             starts_at: None,
         }
--- a/coordination/tests/simulation/main.rs
+++ b/coordination/tests/simulation/main.rs
@@ -7,6 +7,7 @@
 mod machine;
 mod oracle;
 mod power;
+mod quota;
 mod scenarios;
 mod world;
 
--- a/coordination/tests/simulation/world.rs
+++ b/coordination/tests/simulation/world.rs
@@ -3,6 +3,9 @@
 mod clients;
 mod hosts;
 mod machines;
+mod processor;
+
+pub use processor::{Spending, PERIOD_MS};
 
 use crate::machine::Machine;
 use crate::oracle::Oracle;
@@ -69,6 +72,8 @@
     pub look_every: Millis,
     /// Clients send a request this often.
     pub request_every: Millis,
+    /// Inputs that a machine handles in each period of its processor quota; `None`: no quota.
+    inputs_per_period: Option<u64>,
     events: BTreeMap<(Millis, u64), Event>,
     event_count: u64,
     next_token: Token,
@@ -97,6 +102,7 @@
             acknowledged_at: Vec::new(),
             look_every: 10,
             request_every: 90,
+            inputs_per_period: None,
             events: BTreeMap::new(),
             event_count: 0,
             next_token: 0,
--- a/coordination/tests/simulation/world/hosts.rs
+++ b/coordination/tests/simulation/world/hosts.rs
@@ -20,6 +20,7 @@
             process.replica.handle(now, input, &mut outputs);
         }
         self.check(machine);
+        self.spend_processor(machine);
         for output in outputs {
             self.carry_out(machine, output);
         }
--- /dev/null
+++ b/coordination/tests/simulation/world/processor.rs
@@ -0,0 +1,35 @@
+//! Processor time as a quota: full speed until it is spent, then nothing for the rest of the period.
+
+use super::World;
+use alderhollow_coordination::replica::interface::Millis;
+
+/// A period of the quota. All machines' periods begin together, so that all fall silent together: the worst case.
+pub const PERIOD_MS: Millis = 100;
+
+/// What a machine has spent of its quota.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Spending {
+    period: Millis,
+    inputs: u64,
+}
+
+impl World {
+    /// From now on each machine handles so many inputs in a period. What comes beyond waits for the next one.
+    pub fn limit_processors(&mut self, inputs_per_period: u64) {
+        self.inputs_per_period = Some(inputs_per_period.max(1));
+    }
+
+    /// A machine has handled an input. Its clock runs on while it stands still.
+    pub(super) fn spend_processor(&mut self, number: usize) {
+        let Some(most) = self.inputs_per_period else { return };
+        let period = self.now / PERIOD_MS;
+        let machine = &mut self.machines[number];
+        if machine.spending.period != period {
+            machine.spending = Spending { period, inputs: 0 };
+        }
+        machine.spending.inputs += 1;
+        if machine.spending.inputs >= most {
+            machine.frozen_until = machine.frozen_until.max((period + 1) * PERIOD_MS);
+        }
+    }
+}
