--- a/alderhollow/standins/src/lib.rs
+++ b/alderhollow/standins/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod operator;
 pub mod platform;
 pub mod process;
+pub mod processor_quota;
 pub mod settings;
 
 /// Names of the headers that the tier's callers and backends use.
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -3,4 +3,5 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod monitoring;
 pub mod replica;
--- /dev/null
+++ b/coordination/tests/monitoring/main.rs
@@ -0,0 +1,254 @@
+//! Failure detection by rendezvous monitors: times to a verdict, false verdicts, bytes, at 12, 65 and 300 processes. With
+//! `--nocapture` each test prints what it measured.
+
+mod world;
+
+use alderhollow_coordination::monitoring::monitor::{Message, Monitor, Report, Timings};
+use alderhollow_coordination::monitoring::rendezvous::{monitors_of, subjects_of};
+use alderhollow_coordination::monitoring::verdicts::{Rules, Verdicts};
+use alderhollow_coordination::monitoring::{Millis, NodeNumber};
+use proptest::prelude::*;
+use std::collections::BTreeSet;
+use world::{Fault, World};
+
+/// Processes, and seeds that are played with so many.
+const SIZES: [(u32, u64); 3] = [(12, 60), (65, 20), (300, 3)];
+/// Processes, and seeds that are watched for false verdicts with so many.
+const WATCHED: [(u32, u64); 3] = [(12, 30), (65, 10), (300, 3)];
+/// Today's rule: silence towards the primary.
+const BY_SILENCE_MS: Millis = 3_000;
+const POLL_SLACK_MS: Millis = 450;
+
+/// Times from a fault to the verdict, over all seeds of a size, sorted.
+fn times(nodes: u32, seeds: u64, quota_ms: Option<Millis>, loss_percent: u64, fault: Fault) -> Vec<Millis> {
+    let time = |seed| {
+        let mut world = World::new(seed, nodes);
+        world.quota_ms = quota_ms;
+        world.loss_percent = loss_percent;
+        let pause = 2_000 + world.random(400);
+        world.run_for(pause);
+        let node = world.random(u64::from(nodes)) as NodeNumber;
+        world.faults.insert(node, fault);
+        world.time_to_verdict(node, BY_SILENCE_MS + POLL_SLACK_MS).expect("silence is enough in the end")
+    };
+    let mut times: Vec<Millis> = (0..seeds).map(time).collect();
+    times.sort_unstable();
+    times
+}
+
+fn shown(times: &[Millis]) -> (Millis, Millis) {
+    (times[times.len() / 2], times[times.len() - 1])
+}
+
+#[test]
+fn a_dead_process_is_known_sooner_than_by_its_silence() {
+    for (nodes, seeds) in SIZES {
+        for fault in [Fault::Crash, Fault::FreezeUntil(Millis::MAX), Fault::Mute] {
+            let (median, longest) = shown(&times(nodes, seeds, None, 0, fault));
+            println!("{nodes} processes, {fault:?}: {median} ms, {longest} ms at most");
+            assert!(longest <= 1_300, "{nodes} {fault:?}: {longest}");
+        }
+    }
+}
+
+#[test]
+fn under_a_processor_quota_and_at_a_tenth_of_loss_it_is_no_later_than_by_silence() {
+    for (nodes, seeds) in SIZES {
+        for (quota_ms, loss) in [(Some(6), 0), (None, 10), (Some(6), 10)] {
+            let (median, longest) = shown(&times(nodes, seeds, quota_ms, loss, Fault::Crash));
+            println!(
+                "{nodes} processes, quota {quota_ms:?}, loss {loss}%: {median} ms, {longest} ms at most"
+            );
+            assert!(longest <= BY_SILENCE_MS + POLL_SLACK_MS, "{nodes}: {longest}");
+        }
+    }
+}
+
+/// A process that hears nothing still polls: the primary hears it, and holds it for alive whatever its monitors say.
+#[test]
+fn a_process_that_the_primary_hears_is_never_held_for_dead() {
+    for (nodes, _) in SIZES {
+        let mut world = World::new(1, nodes);
+        world.run_for(1_000);
+        world.faults.insert(3, Fault::Deaf);
+        assert_eq!(world.time_to_verdict(3, 10_000), None);
+    }
+}
+
+#[test]
+fn nobody_is_held_for_dead_at_a_tenth_of_loss_or_under_a_quota() {
+    for (nodes, seeds) in WATCHED {
+        for (quota_ms, loss) in [(None, 10), (Some(6), 0), (Some(6), 10)] {
+            for seed in 0..seeds {
+                let mut world = World::new(seed, nodes);
+                world.quota_ms = quota_ms;
+                world.loss_percent = loss;
+                for _ in 0..100 {
+                    world.run_for(300);
+                    assert_eq!(
+                        world.verdicts.dead(world.now),
+                        [],
+                        "quota {quota_ms:?}, loss {loss}, seed {seed}"
+                    );
+                }
+            }
+        }
+    }
+}
+
+/// A bad link of one monitor convicts nobody: others probe in its place.
+#[test]
+fn a_cut_between_two_processes_is_no_death_of_either() {
+    for (nodes, _) in SIZES {
+        let all: Vec<NodeNumber> = (0..nodes).collect();
+        let mut world = World::new(2, nodes);
+        let monitor = monitors_of(0, &all, 3)[0];
+        world.cuts.extend([(monitor, 0), (0, monitor)]);
+        for _ in 0..100 {
+            world.run_for(100);
+            assert_eq!(world.verdicts.dead(world.now), []);
+        }
+    }
+}
+
+#[test]
+fn a_process_that_stood_still_accuses_nobody_at_its_wake_and_is_taken_back() {
+    let mut world = World::new(5, 12);
+    world.run_for(1_500);
+    let until = world.now + 4_000;
+    world.faults.insert(2, Fault::FreezeUntil(until));
+    assert!(world.time_to_verdict(2, 2_000).is_some());
+    world.run_for(4_000);
+    world.faults.clear();
+    for _ in 0..200 {
+        world.run_for(10);
+        let dead = world.verdicts.dead(world.now);
+        assert!(dead.iter().all(|node| *node == 2), "{dead:?}");
+    }
+    assert_eq!(world.verdicts.dead(world.now), []);
+}
+
+#[test]
+fn processes_that_come_and_go_are_monitored_by_the_new_list() {
+    let mut world = World::new(9, 12);
+    world.run_for(1_000);
+    let list: Vec<NodeNumber> = (1..14).collect();
+    world.set_nodes(&list);
+    world.run_for(2_000);
+    assert_eq!(world.verdicts.dead(world.now), []);
+    world.faults.insert(13, Fault::Crash);
+    let took = world.time_to_verdict(13, BY_SILENCE_MS).expect("a new process is monitored");
+    assert!(took <= 1_300, "{took}");
+}
+
+/// A process that goes and comes again and again is never dead for longer than a poll takes once it is back.
+#[test]
+fn a_process_that_flaps_is_alive_whenever_it_is_heard() {
+    let mut world = World::new(11, 12);
+    world.run_for(1_000);
+    for _ in 0..8 {
+        let until = world.now + 1_500;
+        world.faults.insert(4, Fault::FreezeUntil(until));
+        world.run_for(1_500);
+        world.faults.clear();
+        world.run_for(POLL_SLACK_MS);
+        assert_eq!(world.verdicts.dead(world.now), []);
+    }
+}
+
+#[test]
+fn a_processs_bytes_do_not_grow_with_the_number_of_processes() {
+    const SECONDS: u64 = 20;
+    for (nodes, _) in SIZES {
+        let mut world = World::new(3, nodes);
+        world.run_for(SECONDS * 1_000);
+        let mut bytes: Vec<u64> = world.sent_bytes.values().map(|bytes| bytes / SECONDS).collect();
+        bytes.sort_unstable();
+        let (median, most) = (bytes[bytes.len() / 2], bytes[bytes.len() - 1]);
+        println!("{nodes} processes: {median} bytes a second, {most} at most");
+        assert!(most < 1_200, "{nodes}: {most}");
+    }
+}
+
+/// Which process loses which monitor is one change for each place that the one who goes had.
+#[test]
+fn one_process_less_moves_few_monitors() {
+    let all: Vec<NodeNumber> = (0..65).collect();
+    let without: Vec<NodeNumber> = (0..64).collect();
+    for subject in 0..64 {
+        let before: BTreeSet<NodeNumber> = monitors_of(subject, &all, 3).into_iter().collect();
+        let after: BTreeSet<NodeNumber> = monitors_of(subject, &without, 3).into_iter().collect();
+        let moved = before.difference(&after).count();
+        assert_eq!(moved, usize::from(before.contains(&64)));
+    }
+}
+
+#[test]
+fn everybody_has_its_monitors_and_nobody_monitors_itself() {
+    for nodes in [1u32, 2, 3, 4, 12, 65] {
+        let all: Vec<NodeNumber> = (0..nodes).collect();
+        let places: usize = all.iter().map(|node| subjects_of(*node, &all, 3).len()).sum();
+        assert_eq!(places, all.len() * 3.min(all.len() - 1));
+        for node in &all {
+            let subjects = all.iter().filter(|subject| monitors_of(**subject, &all, 3).contains(node));
+            assert_eq!(subjects_of(*node, &all, 3), subjects.copied().collect::<Vec<_>>());
+        }
+        assert!(all.iter().all(|node| !subjects_of(*node, &all, 3).contains(node)));
+    }
+}
+
+#[test]
+fn late_doubled_and_foreign_words_change_nothing() {
+    let suspects = |sequence, suspected: &[NodeNumber]| Report {
+        sequence,
+        suspected: suspected.iter().copied().collect(),
+    };
+    let mut verdicts = Verdicts::new(Rules::default());
+    (0..4).for_each(|node| verdicts.heard(0, node, &Report::default()));
+    verdicts.heard(1_000, 0, &suspects(5, &[3]));
+    verdicts.heard(1_000, 1, &suspects(2, &[]));
+    verdicts.heard(1_000, 2, &suspects(1, &[]));
+    // One reporter, told twice, is one; a report that came late is none; one about an unknown process convicts nobody.
+    verdicts.heard(1_001, 0, &suspects(5, &[3]));
+    verdicts.heard(1_001, 1, &suspects(1, &[3]));
+    verdicts.heard(1_001, 2, &suspects(2, &[77]));
+    assert_eq!(verdicts.dead(1_100), []);
+    verdicts.heard(1_100, 1, &suspects(3, &[3]));
+    assert_eq!(verdicts.dead(1_100), [3]);
+    // Its own poll ends the verdict; a reporter that fell silent does not count.
+    verdicts.heard(1_200, 3, &Report::default());
+    assert_eq!(verdicts.dead(1_300), []);
+    verdicts.heard(2_400, 2, &suspects(3, &[]));
+    assert_eq!(verdicts.dead(2_400), []);
+}
+
+/// Messages as they may come from anywhere.
+fn message() -> impl Strategy<Value = Message> {
+    let numbers = (0u64..40, 0u32..20);
+    prop_oneof![
+        numbers.clone().prop_map(|(number, asker)| Message::Probe { number, asker }),
+        numbers.clone().prop_map(|(number, asker)| Message::Answer { number, asker }),
+        numbers.prop_map(|(number, subject)| Message::ProbeFor { subject, number }),
+    ]
+}
+
+proptest! {
+    /// Whatever comes from whomever, a monitor sends at most one message for one, suspects only whom it monitors, and
+    /// its memory does not grow.
+    #[test]
+    fn any_messages_are_borne(messages in prop::collection::vec((0u32..20, message(), 0u64..200), 0..200)) {
+        let all: Vec<NodeNumber> = (0..12).collect();
+        let mut monitor = Monitor::new(0, Timings::default());
+        monitor.set_nodes(0, &all);
+        let subjects = subjects_of(0, &all, 3);
+        let mut now = 0;
+        for (from, message, pause) in messages {
+            now += pause;
+            let mut sends = Vec::new();
+            monitor.receive(now, from, message, &mut sends);
+            prop_assert!(sends.len() <= 1);
+            monitor.wake(now, &mut sends);
+            prop_assert!(monitor.report().suspected.iter().all(|node| subjects.contains(node)));
+        }
+    }
+}
--- /dev/null
+++ b/coordination/tests/monitoring/world.rs
@@ -0,0 +1,224 @@
+//! Processes that monitor each other and poll a primary, in a simulated network. Each run depends on its seed alone.
+
+use alderhollow_coordination::monitoring::monitor::{Message, Monitor, Report, Timings};
+use alderhollow_coordination::monitoring::verdicts::{Rules, Verdicts};
+use alderhollow_coordination::monitoring::{Millis, NodeNumber};
+use oorandom::Rand64;
+use std::collections::{BTreeMap, BTreeSet};
+
+const POLL_EVERY_MS: Millis = 400;
+/// Bytes of a datagram's or frame's head, of a message, and of one suspected process in a poll.
+const HEAD_BYTES: u64 = 28;
+const MESSAGE_BYTES: u64 = 12;
+const SUSPECT_BYTES: u64 = 5;
+const QUOTA_PERIOD_MS: Millis = 100;
+
+/// What is wrong with one process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// It is gone.
+    Crash,
+    /// It stands still until a moment, and goes on then.
+    FreezeUntil(Millis),
+    /// Nothing that it sends arrives; it hears all.
+    Mute,
+    /// Nothing reaches it; all that it sends arrives.
+    Deaf,
+}
+
+enum Event {
+    Wake(NodeNumber),
+    Poll(NodeNumber),
+    Deliver { from: NodeNumber, to: NodeNumber, message: Message },
+    Report { from: NodeNumber, report: Report },
+}
+
+pub struct World {
+    pub now: Millis,
+    pub faults: BTreeMap<NodeNumber, Fault>,
+    /// From whom to whom nothing passes.
+    pub cuts: BTreeSet<(NodeNumber, NodeNumber)>,
+    pub loss_percent: u64,
+    /// Milliseconds at the start of each period in which all processes run; `None`: always.
+    pub quota_ms: Option<Millis>,
+    pub verdicts: Verdicts,
+    pub sent_bytes: BTreeMap<NodeNumber, u64>,
+    monitors: BTreeMap<NodeNumber, Monitor>,
+    /// When each is woken next.
+    wakes: BTreeMap<NodeNumber, Millis>,
+    events: BTreeMap<(Millis, u64), Event>,
+    event_count: u64,
+    chance: Rand64,
+}
+
+impl World {
+    pub fn new(seed: u64, nodes: u32) -> World {
+        let all: Vec<NodeNumber> = (0..nodes).collect();
+        let mut world = World {
+            now: 0,
+            faults: BTreeMap::new(),
+            cuts: BTreeSet::new(),
+            loss_percent: 0,
+            quota_ms: None,
+            verdicts: Verdicts::new(Rules::default()),
+            sent_bytes: BTreeMap::new(),
+            monitors: BTreeMap::new(),
+            wakes: BTreeMap::new(),
+            events: BTreeMap::new(),
+            event_count: 0,
+            chance: Rand64::new(u128::from(seed)),
+        };
+        for node in &all {
+            let mut monitor = Monitor::new(*node, Timings::default());
+            monitor.set_nodes(0, &all);
+            world.monitors.insert(*node, monitor);
+            let first = world.random(POLL_EVERY_MS);
+            world.schedule(first, Event::Poll(*node));
+            world.schedule_wake(*node);
+        }
+        world
+    }
+
+    pub fn random(&mut self, below: u64) -> u64 {
+        self.chance.rand_range(0..below)
+    }
+
+    pub fn run_for(&mut self, span: Millis) {
+        let end = self.now + span;
+        while let Some(entry) = self.events.first_entry() {
+            if entry.key().0 > end {
+                break;
+            }
+            let ((at, _), event) = entry.remove_entry();
+            self.now = self.now.max(at);
+            self.happen(event);
+        }
+        self.now = end;
+    }
+
+    /// Runs until a process is held for dead, and says how long that took; `None` if it is not within `limit`.
+    pub fn time_to_verdict(&mut self, node: NodeNumber, limit: Millis) -> Option<Millis> {
+        let begun = self.now;
+        while self.now < begun + limit {
+            self.run_for(10);
+            if self.verdicts.dead(self.now).contains(&node) {
+                return Some(self.now - begun);
+            }
+        }
+        None
+    }
+
+    /// All processes get a new list.
+    pub fn set_nodes(&mut self, nodes: &[NodeNumber]) {
+        let gone: Vec<NodeNumber> =
+            self.monitors.keys().filter(|node| !nodes.contains(node)).copied().collect();
+        for node in gone {
+            self.monitors.remove(&node);
+            self.verdicts.forget(node);
+        }
+        let now = self.now;
+        for node in nodes {
+            if !self.monitors.contains_key(node) {
+                self.monitors.insert(*node, Monitor::new(*node, Timings::default()));
+                self.schedule(now, Event::Poll(*node));
+            }
+        }
+        self.monitors.values_mut().for_each(|monitor| monitor.set_nodes(now, nodes));
+        nodes.iter().for_each(|node| self.schedule_wake(*node));
+    }
+
+    fn schedule(&mut self, at: Millis, event: Event) {
+        self.event_count += 1;
+        self.events.insert((at, self.event_count), event);
+    }
+
+    fn schedule_wake(&mut self, node: NodeNumber) {
+        if let Some(at) = self.monitors.get(&node).and_then(Monitor::next_wakeup) {
+            let at = at.max(self.now + 1);
+            let is_sooner = self.wakes.get(&node).is_none_or(|known| at < *known || *known <= self.now);
+            if is_sooner {
+                self.wakes.insert(node, at);
+                self.schedule(at, Event::Wake(node));
+            }
+        }
+    }
+
+    /// When a process that has something to do now can do it; `None`: never.
+    fn runs_at(&self, node: NodeNumber) -> Option<Millis> {
+        let within_quota = match self.quota_ms {
+            Some(quota_ms) if self.now % QUOTA_PERIOD_MS >= quota_ms => {
+                self.now - self.now % QUOTA_PERIOD_MS + QUOTA_PERIOD_MS
+            }
+            _ => self.now,
+        };
+        match self.faults.get(&node) {
+            Some(Fault::Crash) => None,
+            Some(Fault::FreezeUntil(until)) => Some(within_quota.max(*until)),
+            _ => Some(within_quota),
+        }
+    }
+
+    fn happen(&mut self, event: Event) {
+        let node = match &event {
+            Event::Wake(node) | Event::Poll(node) => *node,
+            Event::Deliver { to, .. } => *to,
+            Event::Report { from, report } => return self.verdicts.heard(self.now, *from, report),
+        };
+        if !self.monitors.contains_key(&node) {
+            return;
+        }
+        match self.runs_at(node) {
+            Some(at) if at > self.now => self.schedule(at, event),
+            Some(_) => self.act(node, event),
+            None => {}
+        }
+    }
+
+    fn act(&mut self, node: NodeNumber, event: Event) {
+        let now = self.now;
+        let Some(monitor) = self.monitors.get_mut(&node) else { return };
+        let mut sends = Vec::new();
+        let before = monitor.report().sequence;
+        match event {
+            Event::Wake(_) => monitor.wake(now, &mut sends),
+            Event::Deliver { from, message, .. } => monitor.receive(now, from, message, &mut sends),
+            Event::Poll(_) => {
+                self.poll(node);
+                return self.schedule(now + POLL_EVERY_MS, Event::Poll(node));
+            }
+            Event::Report { .. } => return,
+        }
+        let is_changed = monitor.report().sequence != before;
+        for (to, message) in sends {
+            self.transmit(node, to, message);
+        }
+        if is_changed {
+            self.poll(node);
+        }
+        self.schedule_wake(node);
+    }
+
+    fn poll(&mut self, node: NodeNumber) {
+        let Some(monitor) = self.monitors.get(&node) else { return };
+        let report = monitor.report();
+        *self.sent_bytes.entry(node).or_default() += report.suspected.len() as u64 * SUSPECT_BYTES;
+        // Polls go by TCP: what is lost comes later.
+        let is_lost = self.random(100) < self.loss_percent;
+        let delay = 1 + self.random(3) + if is_lost { 200 } else { 0 };
+        if self.faults.get(&node) != Some(&Fault::Mute) {
+            self.schedule(self.now + delay, Event::Report { from: node, report });
+        }
+    }
+
+    fn transmit(&mut self, from: NodeNumber, to: NodeNumber, message: Message) {
+        *self.sent_bytes.entry(from).or_default() += HEAD_BYTES + MESSAGE_BYTES;
+        let is_cut = self.cuts.contains(&(from, to));
+        let is_mute = self.faults.get(&from) == Some(&Fault::Mute);
+        let is_deaf = self.faults.get(&to) == Some(&Fault::Deaf);
+        if is_cut || is_mute || is_deaf || self.random(100) < self.loss_percent {
+            return;
+        }
+        let delay = 1 + self.random(3);
+        self.schedule(self.now + delay, Event::Deliver { from, to, message });
+    }
+}
