--- a/alderhollow/tests/front.rs
+++ b/alderhollow/tests/front.rs
@@ -129,6 +129,26 @@
     });
 }
 
+#[test]
+fn a_second_attempt_is_handed_what_is_left_of_the_time() {
+    run(async {
+        const LOST: Duration = Duration::from_millis(700);
+        let door = Door::start(2).await;
+        door.backends.script(vec![Step::Pause(LOST), Step::Reset]);
+        door.backends.script(served("ok"));
+        assert_eq!(ask(door.address, &request("/often/1", "", "x")).await.body, "ok");
+        let handed: Vec<u64> = door.backends.seen().iter().map(|seen| deadline_of(seen)).collect();
+        assert_eq!(handed.len(), 2);
+        assert!(handed[0] <= 2_500, "{handed:?}");
+        let left = handed[0] - LOST.as_millis() as u64;
+        assert!((left - 200..=left).contains(&handed[1]), "{handed:?}");
+    });
+}
+
+fn deadline_of(seen: &Seen) -> u64 {
+    seen.header("deadline-ms").expect("each attempt has one").parse().expect("a number")
+}
+
 #[test]
 fn what_was_not_executed_goes_to_another_backend() {
     run(async {
