--- a/alderhollow/tests/front.rs
+++ b/alderhollow/tests/front.rs
@@ -137,7 +137,7 @@
         door.backends.script(vec![Step::Pause(LOST), Step::Reset]);
         door.backends.script(served("ok"));
         assert_eq!(ask(door.address, &request("/often/1", "", "x")).await.body, "ok");
-        let handed: Vec<u64> = door.backends.seen().iter().map(|seen| deadline_of(seen)).collect();
+        let handed: Vec<u64> = door.backends.seen().iter().map(deadline_of).collect();
         assert_eq!(handed.len(), 2);
         assert!(handed[0] <= 2_500, "{handed:?}");
         let left = handed[0] - LOST.as_millis() as u64;
--- /dev/null
+++ b/alderhollow/tests/store/tier.rs
@@ -0,0 +1,315 @@
+//! Stores, a door's batch calls and a backend in one process.
+
+use crate::batch_backend::{BatchBackend, Reply};
+use crate::batch_tables::{backend, config, snapshot_of_groups};
+use alderhollow::balance::Balancer;
+use alderhollow::batch_api::endpoints::StoreEndpoints;
+use alderhollow::batch_api::{BatchCall, BatchEndpoints};
+use alderhollow::clock::SteadyClock;
+use alderhollow::distribution::client::PollState;
+use alderhollow::exchange::Exchange;
+use alderhollow::executor::Executor;
+use alderhollow::internal::{server, Network, ServiceId, Services};
+use alderhollow::store::calls::CallHandler;
+use alderhollow::store::journal_queue::JournalQueue;
+use alderhollow::store::journal_records::restore_engines;
+use alderhollow::store::node::{NodeJournal, NodeParts, StoreNode};
+use alderhollow::store::replication::ReplicationHandler;
+use alderhollow::store::runs::Runs;
+use alderhollow_model::identity::{Address, DiskId, LifeId, NodeInfo, Role};
+use alderhollow_model::snapshot::{BatchGroup, GroupId, GroupMember, Snapshot};
+use alderhollow_storage::{FaultDisk, Journal, Writer};
+use base64::prelude::{Engine as _, BASE64_STANDARD};
+use hyper::body::Bytes;
+use hyper::{Request, Response};
+use serde_json::{json, Value};
+use std::cell::RefCell;
+use std::future::Future;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+pub const DISK_BYTES: u64 = 64 * 1024 * 1024;
+/// Tokens of an item that [`Tier::hand_in`] makes.
+pub const ITEM_TOKENS: u64 = 100;
+/// Batch jobs are kept so long.
+pub const STATUS: Duration = Duration::from_secs(120);
+/// The core validates this process from here on.
+pub const FOR_EVER: u64 = u64::MAX / 2;
+
+pub struct Store {
+    pub member: GroupMember,
+    pub node: Rc<StoreNode>,
+    pub poll: PollState,
+    pub disk: FaultDisk,
+    pub tasks: Vec<AbortHandle>,
+}
+
+impl Store {
+    pub async fn start(number: u64, disk: FaultDisk, snapshots: watch::Receiver<Arc<Snapshot>>) -> Store {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let clock = SteadyClock::start();
+        let (journal, recovered) = Journal::open(&mut disk.clone(), number).expect("a journal");
+        let id = DiskId(recovered.identity);
+        let engines = restore_engines(id, clock.now_ms(), recovered.snapshot.as_deref(), &recovered.records)
+            .expect("jobs");
+        let (queue, ends) = JournalQueue::new(Writer::start(journal).expect("a writer"), Some(64));
+        let balancer = Rc::new(RefCell::new(Balancer::new("store", "a", number)));
+        let exchange = Exchange::new(clock.instant(0), number, snapshots.clone(), balancer);
+        let poll = PollState::default();
+        let node = Rc::new(StoreNode::new(NodeParts {
+            disk: id,
+            clock,
+            engines,
+            status: STATUS,
+            journal: queue,
+            runs: Runs::new(Executor::new(clock, exchange)),
+            network: Network::new(number),
+            poll: poll.clone(),
+            snapshots,
+        }));
+        let mut services = Services::default();
+        services.register(ServiceId::Batch, Rc::new(CallHandler(node.clone())));
+        services.register(ServiceId::Replication, Rc::new(ReplicationHandler(node.clone())));
+        let tasks = [
+            tokio::task::spawn_local(server::serve(listener, services)),
+            tokio::task::spawn_local(node.clone().run()),
+            tokio::task::spawn_local(NodeJournal(node.clone()).follow(ends)),
+        ];
+        let info = NodeInfo {
+            node: format!("store-{number}"),
+            role: Role::Store,
+            zone: "a".to_string(),
+            life: LifeId(number),
+            disk: Some(id),
+            internal: Address(address),
+            control: None,
+        };
+        let tasks = tasks.iter().map(|task| task.abort_handle()).collect();
+        Store { member: GroupMember { disk: id, node: info }, node, poll, disk, tasks }
+    }
+
+    /// The process ends.
+    pub fn stop(&self) {
+        self.tasks.iter().for_each(AbortHandle::abort);
+    }
+}
+
+/// A group as the core decides on it; stores by their places.
+#[derive(Clone, Copy)]
+pub struct Plan<'a> {
+    pub epoch: u64,
+    pub primary: usize,
+    pub members: &'a [usize],
+    pub learners: &'a [usize],
+}
+
+impl<'a> Plan<'a> {
+    /// Without learners.
+    pub fn new(epoch: u64, primary: usize, members: &'a [usize]) -> Plan<'a> {
+        Plan { epoch, primary, members, learners: &[] }
+    }
+}
+
+/// Three groups, each led by another store and with two members.
+pub const THREE_GROUPS: [Plan; 3] = [
+    Plan { epoch: 1, primary: 0, members: &[0, 1], learners: &[] },
+    Plan { epoch: 1, primary: 1, members: &[1, 2], learners: &[] },
+    Plan { epoch: 1, primary: 2, members: &[2, 0], learners: &[] },
+];
+
+pub struct Tier {
+    pub stores: Vec<Store>,
+    pub backend: BatchBackend,
+    pub endpoints: StoreEndpoints,
+    pub tables: watch::Sender<Arc<Snapshot>>,
+    pub quota: u64,
+}
+
+impl Tier {
+    pub async fn start(script: Vec<Reply>, quota: u64) -> Tier {
+        Tier::start_validated(script, quota, Some(FOR_EVER)).await
+    }
+
+    pub async fn start_validated(script: Vec<Reply>, quota: u64, validated_at: Option<u64>) -> Tier {
+        Tier::start_all(script, quota, validated_at, &[Plan::new(1, 0, &[0, 1, 2])]).await
+    }
+
+    pub async fn start_with(script: Vec<Reply>, quota: u64, plans: &[Plan<'_>]) -> Tier {
+        Tier::start_all(script, quota, Some(FOR_EVER), plans).await
+    }
+
+    pub async fn start_all(
+        script: Vec<Reply>,
+        quota: u64,
+        validated_at: Option<u64>,
+        plans: &[Plan<'_>],
+    ) -> Tier {
+        let backend = BatchBackend::start(script).await;
+        let (tables, snapshots) = watch::channel(Arc::<Snapshot>::default());
+        let mut stores = Vec::new();
+        for number in 1..=3 {
+            let store = Store::start(number, FaultDisk::new(DISK_BYTES, number), snapshots.clone()).await;
+            validated_at.into_iter().for_each(|at| store.poll.note_validated(at));
+            stores.push(store);
+        }
+        let endpoints = StoreEndpoints::new(Rc::new(Network::new(9)), snapshots, SteadyClock::start(), 9);
+        let tier = Tier { stores, backend, endpoints, tables, quota };
+        tier.set_groups(1, plans);
+        tier
+    }
+
+    /// The core decides on a group.
+    pub fn set_group(&self, epoch: u64, primary: usize, members: &[usize]) {
+        self.set_groups(epoch, &[Plan { epoch, primary, members, learners: &[] }]);
+    }
+
+    /// The core decides on all groups.
+    pub fn set_groups(&self, version: u64, plans: &[Plan]) {
+        let member = |index: &usize| self.stores[*index].member.clone();
+        let group = |plan: &Plan| BatchGroup {
+            epoch: plan.epoch,
+            primary: self.stores[plan.primary].member.disk,
+            members: plan.members.iter().map(member).collect(),
+            learners: plan.learners.iter().map(member).collect(),
+        };
+        let backends = vec![backend("i-1", self.backend.address)];
+        let groups = plans.iter().map(group).collect();
+        self.tables.send_replace(snapshot_of_groups(config(1, self.quota), backends, version, groups));
+    }
+
+    /// Three stores on these disks in place of the present ones, which have ended.
+    pub async fn restart_on(self, disks: Vec<FaultDisk>) -> Tier {
+        let (tables, snapshots) = watch::channel(Arc::<Snapshot>::default());
+        let mut stores = Vec::new();
+        for (number, disk) in disks.into_iter().enumerate() {
+            disk.restore_power();
+            let store = Store::start(number as u64 + 11, disk, snapshots.clone()).await;
+            store.poll.note_validated(FOR_EVER);
+            stores.push(store);
+        }
+        let endpoints = StoreEndpoints::new(Rc::new(Network::new(9)), snapshots, SteadyClock::start(), 9);
+        Tier { stores, backend: self.backend, endpoints, tables, quota: self.quota }
+    }
+
+    /// All stores lose their power.
+    pub fn lose_power(&self) -> Vec<FaultDisk> {
+        let lose = |store: &Store| {
+            store.stop();
+            store.disk.fail_power_after(0);
+            store.disk.clone()
+        };
+        self.stores.iter().map(lose).collect()
+    }
+
+    pub async fn call(&self, method: &str, path: &str, wait_ms: u64) -> Response<Bytes> {
+        let request = Request::builder().method(method).uri(path).header("Wait-Ms", wait_ms);
+        let request = request.body(Bytes::new()).expect("a request");
+        self.endpoints.serve(BatchCall { request, route: None, received_at: Instant::now() }).await
+    }
+
+    /// Hands a job in for a client that waits so long.
+    pub async fn hand_in(&self, id: &str, items: usize, deadline_ms: u64) -> Response<Bytes> {
+        self.hand_in_items(id, "i", items, deadline_ms).await
+    }
+
+    /// Hands a job in whose items' ids begin with a text.
+    pub async fn hand_in_items(
+        &self,
+        id: &str,
+        prefix: &str,
+        items: usize,
+        deadline_ms: u64,
+    ) -> Response<Bytes> {
+        let item = |index: usize| job_item(&format!("{prefix}{index}"), format!("body {index}").as_bytes());
+        let items: Vec<Value> = (0..items).map(item).collect();
+        self.hand_in_through(&self.endpoints, id, &items, deadline_ms).await
+    }
+
+    /// Hands a job in at a door.
+    pub async fn hand_in_through(
+        &self,
+        door: &StoreEndpoints,
+        id: &str,
+        items: &[Value],
+        deadline_ms: u64,
+    ) -> Response<Bytes> {
+        let request = Request::post("/b/1").header("Request-Id", id).header("Deadline-Ms", deadline_ms);
+        let request = request.body(Bytes::from(json!({ "requests": items }).to_string())).expect("a request");
+        let route = Some(Arc::new(config(1, self.quota).routes.remove(0)));
+        door.serve(BatchCall { request, route, received_at: Instant::now() }).await
+    }
+
+    pub async fn submit(&self, items: usize) -> u16 {
+        self.hand_in("j1", items, 4_000).await.status().as_u16()
+    }
+
+    /// All results, once there are as many as items.
+    pub async fn results(&self) -> Vec<Value> {
+        self.results_of("j1").await
+    }
+
+    /// All results of a job, once there are as many as items.
+    pub async fn results_of(&self, id: &str) -> Vec<Value> {
+        let mut all = Vec::new();
+        loop {
+            let path = format!("/alderhollow/lots/{id}?after={}", all.len());
+            let response = self.call("GET", &path, 1000).await;
+            if response.status() != 200 {
+                continue;
+            }
+            let answer: Value = serde_json::from_slice(response.body()).expect("JSON");
+            all.extend(answer["results"].as_array().expect("results").iter().cloned());
+            assert_eq!(answer["next-token"], all.len());
+            if answer["total"] == all.len() {
+                return all;
+            }
+        }
+    }
+
+    pub async fn status(&self, method: &str, path: &str) -> u16 {
+        self.call(method, path, 0).await.status().as_u16()
+    }
+}
+
+/// An item as a client hands it in.
+pub fn job_item(id: &str, body: &[u8]) -> Value {
+    let body = BASE64_STANDARD.encode(body);
+    json!({"id": id, "path": "/b/1", "headers": {"Model": "m"}, "body": body, "tokens": ITEM_TOKENS})
+}
+
+pub fn in_local_set(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+pub fn ids(results: &[Value]) -> Vec<String> {
+    let mut ids: Vec<_> =
+        results.iter().filter_map(|result| result["id"].as_str().map(str::to_string)).collect();
+    ids.sort();
+    ids
+}
+
+/// Whether a store may start items of any group.
+pub fn may_start(store: &Store) -> bool {
+    store.node.groups().iter().any(|group| store.node.may_start(group))
+}
+
+/// Ids of jobs that a group keeps, of so many groups.
+pub fn jobs_of_group(group: usize, of: usize, count: usize) -> Vec<String> {
+    let ids = (0..).map(|number| format!("job-{number}"));
+    ids.filter(|id| GroupId::of_key(id, of) == GroupId::at(group)).take(count).collect()
+}
+
+/// How many jobs a store keeps of each group of which it has anything.
+pub fn jobs_by_group(store: &Store) -> Vec<(u32, usize)> {
+    let jobs = |group: &Rc<alderhollow::store::group_engine::GroupEngine>| {
+        store.node.look(group, |engine, _| engine.jobs())
+    };
+    store.node.groups().iter().map(|group| (group.id.0, jobs(group))).collect()
+}
