Sight: why a process's tables are out of date

Cause: in the incident of a request to a draining backend, neither the log of the primary nor that of a gateway told where a list had been late. Change: the primary logs how long a reading took, a reading that it drops because the epoch moved on, and how many backends of a list drain; a process logs a gap of 1.5 s and more between two validated polls with what became of the polls, and counts the ends of its polls.

--- a/alderhollow/src/discovery/reader.rs
+++ b/alderhollow/src/discovery/reader.rs
@@ -5,11 +5,12 @@
 use crate::clock::SteadyClock;
 use crate::distribution::server::{Authority, PublishedBackends};
 use crate::distribution::signal::ChangeSignal;
-use alderhollow_model::backend::Backend;
+use alderhollow_model::backend::{Backend, BackendState};
 use oorandom::Rand32;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Interval between two reads. Each call to the platform has a price; a drain must reach all gateways within `drain-ms`,
 /// which is several seconds.
@@ -46,10 +47,16 @@
         let mut retry_delay = INITIAL_RETRY_DELAY;
         loop {
             let epoch = self.wait_for_lease().await;
+            let started = Instant::now();
             let pause = match self.platform.read(self.page_delay()).await {
                 Ok(backends) => {
                     retry_delay = INITIAL_RETRY_DELAY;
                     let is_empty = backends.is_empty();
+                    log::debug!(
+                        "read {} backends in {} ms",
+                        backends.len(),
+                        started.elapsed().as_millis()
+                    );
                     self.publish(epoch, backends, &mut versioner);
                     if is_empty {
                         EMPTY_LIST_READ_INTERVAL
@@ -80,14 +87,20 @@
 
     /// Publishes a list if it changed and this process is still primary of the epoch in which the read started.
     fn publish(&self, epoch: u64, backends: Vec<Backend>, versioner: &mut ListVersioner) {
-        if self.authority.leased_epoch() != Some(epoch) {
+        let leased_epoch = self.authority.leased_epoch();
+        if leased_epoch != Some(epoch) {
+            log::info!(
+                "dropped a list that was read in epoch {epoch}, now {leased_epoch:?}: {} backends",
+                backends.len()
+            );
             return;
         }
         let now_ms = self.clock.now_ms();
         if let Some(list) = versioner.update(epoch, backends, now_ms) {
             log::info!(
-                "backends: {} in list {} of epoch {epoch}",
+                "backends: {} ({} draining) in list {} of epoch {epoch}",
                 list.backends.len(),
+                draining(&list.backends),
                 list.sequence
             );
             self.published.send_replace(Some(PublishedBackends {
@@ -107,3 +120,8 @@
         log::warn!("{error}; the former backend list stays in use");
     }
 }
+
+fn draining(backends: &[Backend]) -> usize {
+    let is_draining = |backend: &&Backend| backend.state == BackendState::Draining;
+    backends.iter().filter(is_draining).count()
+}
--- a/alderhollow/src/distribution/client.rs
+++ b/alderhollow/src/distribution/client.rs
@@ -7,7 +7,10 @@
 use super::server::Distributor;
 use super::signal::ChangeSignal;
 use super::tables::Tables;
+use super::validation_gap::ValidationGap;
 use crate::clock::SteadyClock;
+use crate::metrics;
+use crate::metrics::distribution::PollEnd;
 use alderhollow_model::identity::NodeInfo;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -117,6 +120,7 @@
             polls,
             due,
             is_long_poll: false,
+            gap: ValidationGap::default(),
         }
         .run()
         .await;
@@ -186,6 +190,7 @@
     due: Due,
     /// Whether the newest poll is a long-poll, which a change of the reported state cancels.
     is_long_poll: bool,
+    gap: ValidationGap,
 }
 
 impl PollLoop {
@@ -204,6 +209,7 @@
             Step::ChooseProcess => self.schedule_next_poll(),
             Step::SendPoll(to) => self.send_poll(to, POLL_WAIT_MS),
             Step::TimeOut(overdue) => {
+                self.gap.on_unvalidated(PollEnd::Overdue);
                 self.client.directory.forget_primary(overdue);
                 self.discovery
                     .on_failure(overdue, self.client.directory.core_view().epoch);
@@ -286,6 +292,7 @@
         match result {
             Ok(Answer::Update(update)) => self.on_update(from, sent_at_ms, update),
             Ok(Answer::NotPrimary(view)) => {
+                self.gap.on_unvalidated(PollEnd::Redirected);
                 self.client.directory.forget_primary(from);
                 self.client.directory.update_members(&view);
                 self.discovery.on_redirect(
@@ -298,6 +305,7 @@
             Ok(Answer::Identity(..)) => self.on_failure(from),
             Err(error) => {
                 log::debug!("a poll of {from}: {error}");
+                self.gap.on_unvalidated(PollEnd::Failed);
                 self.client.directory.forget_primary(from);
                 self.on_failure(from);
             }
@@ -311,8 +319,10 @@
         if let Some(pollers) = &update.pollers {
             self.client.distributor.replace_pollers(pollers);
         }
+        let has_tables = !update.is_empty();
         match self.tables.apply(update) {
             Ok(_) => {
+                self.note_validation(sent_at_ms, has_tables);
                 if self.client.state.validated_since_ms().is_none() {
                     log::info!(
                         "received the first tables from the core's primary, {} ms after the start",
@@ -332,6 +342,29 @@
         }
     }
 
+    fn note_validation(&mut self, sent_at_ms: u64, has_tables: bool) {
+        let now_ms = self.client.clock.now_ms();
+        if has_tables {
+            let after = Duration::from_millis(now_ms.saturating_sub(sent_at_ms));
+            metrics::get().distribution.tables_received(after);
+            log::debug!(
+                "tables came after {} ms: {:?}",
+                after.as_millis(),
+                self.tables.versions()
+            );
+        }
+        if let Some(gap) = self.gap.on_validated(sent_at_ms, now_ms) {
+            let backends = self.tables.versions().backends;
+            log::info!(
+                "no primary validated the tables for {} ms ({}); now list {} of epoch {}",
+                gap.duration_ms,
+                gap.ends,
+                backends.sequence,
+                backends.epoch
+            );
+        }
+    }
+
     /// Handles a poll without an update. If another poll was sent since, that one continues.
     fn on_failure(&mut self, from: SocketAddr) {
         let is_newest = matches!(self.due.step, Step::TimeOut(polled) if polled == from);
--- a/alderhollow/src/distribution/mod.rs
+++ b/alderhollow/src/distribution/mod.rs
@@ -16,6 +16,7 @@
 //! | [`tables`] | the process's snapshot and its updates |
 //! | [`server`] | answers polls while this process has the lease |
 //! | [`primary_announcement`], [`pollers`] | the primary announces itself to processes that should poll it and do not |
+//! | [`validation_gap`] | what became of the polls since the last validated one; for the log and the metrics |
 //! | [`validity`] | whether the tables are recent enough to answer from |
 //! | [`signal`] | wakes pending polls on a change |
 //! | [`senders`] | the processes that polled within the last seconds |
@@ -34,4 +35,5 @@
 pub mod server;
 pub mod signal;
 pub mod tables;
+pub mod validation_gap;
 pub mod validity;
--- a/alderhollow/src/metrics/mod.rs
+++ b/alderhollow/src/metrics/mod.rs
@@ -10,6 +10,7 @@
 //! | [`internal`] | the network between the tier's processes |
 //! | [`store`] | batch jobs, their runs, their replication and the journal |
 //! | [`core`] | the core's member, and answers to polls |
+//! | [`distribution`] | polls of the core's primary |
 //! | [`placement`] | questions to placers, and their answers |
 //! | [`runs`] | the requests of runs to backends |
 //! | [`invariants`] | violations of what must always hold |
@@ -17,6 +18,7 @@
 
 pub mod batch_api;
 pub mod core;
+pub mod distribution;
 pub mod family;
 pub mod internal;
 pub mod invariants;
@@ -40,6 +42,8 @@
     pub store: store::StoreMetrics,
     /// The core's member, and answers to polls.
     pub core: core::CoreMetrics,
+    /// Polls of the core's primary.
+    pub distribution: distribution::DistributionMetrics,
     /// The requests of runs to backends.
     pub runs: runs::RunMetrics,
     /// Questions to placers, and their answers.
@@ -57,6 +61,7 @@
             internal: internal::InternalMetrics::new(&registrar),
             store: store::StoreMetrics::new(&registrar),
             core: core::CoreMetrics::new(&registrar),
+            distribution: distribution::DistributionMetrics::new(&registrar),
             runs: runs::RunMetrics::new(&registrar),
             placement: placement::PlacementMetrics::new(&registrar),
             invariants: invariants::InvariantMetrics::new(&registrar),
