--- a/alderhollow/standins/src/platform.rs
+++ b/alderhollow/standins/src/platform.rs
@@ -4,7 +4,7 @@
 use hyper::body::Bytes;
 use hyper::{Request, Response, StatusCode};
 use serde::Serialize;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -107,6 +107,7 @@
     versions: VecDeque<(Duration, Vec<Instance>)>,
     recent_calls: VecDeque<Duration>,
     calls: u64,
+    readings: u64,
 }
 
 const RATE_WINDOW: Duration = Duration::from_secs(1);
@@ -121,9 +122,15 @@
             versions,
             recent_calls: VecDeque::new(),
             calls: 0,
+            readings: 0,
         }
     }
 
+    /// Behaves like this from now on.
+    pub fn set(&mut self, settings: ListSettings) {
+        self.settings = settings;
+    }
+
     /// Changes the list; the change shows after the lag.
     pub fn change(&mut self, now: Duration, instances: Vec<Instance>) {
         self.versions
@@ -144,6 +151,7 @@
             return ListAnswer::TooMany;
         }
         self.recent_calls.push_back(now);
+        self.readings += u64::from(query.page_token.is_none());
         self.page(now, query)
     }
 
@@ -152,6 +160,11 @@
         self.calls
     }
 
+    /// Number of first pages that were given so far.
+    pub fn readings(&self) -> u64 {
+        self.readings
+    }
+
     fn page(&mut self, now: Duration, query: &ListQuery) -> ListAnswer {
         while self
             .versions
@@ -200,6 +213,7 @@
 pub struct Platform {
     server: Server,
     list: Rc<RefCell<PlatformList>>,
+    answer_delay: Rc<Cell<Duration>>,
     started: Instant,
 }
 
@@ -212,14 +226,21 @@
         let list = Rc::new(RefCell::new(list));
         let started = Instant::now();
         let served = list.clone();
+        let answer_delay = Rc::new(Cell::new(Duration::ZERO));
+        let delay = answer_delay.clone();
         let handler = move |request: Request<Bytes>| {
             let answer = answer_request(&mut served.borrow_mut(), started.elapsed(), &request);
-            std::future::ready(answer)
+            let delay = delay.get();
+            async move {
+                tokio::time::sleep(delay).await;
+                answer
+            }
         };
         let server = Server::start(address, handler).await?;
         Ok(Platform {
             server,
             list,
+            answer_delay,
             started,
         })
     }
@@ -236,10 +257,25 @@
             .change(self.started.elapsed(), instances);
     }
 
+    /// Has the list behave like this from now on.
+    pub fn set(&self, settings: ListSettings) {
+        self.list.borrow_mut().set(settings);
+    }
+
+    /// Delays each answer from now on; it tells the list as it was when the call came.
+    pub fn delay_answers(&self, delay: Duration) {
+        self.answer_delay.set(delay);
+    }
+
     /// Number of calls so far.
     pub fn calls(&self) -> u64 {
         self.list.borrow().calls()
     }
+
+    /// Number of first pages that were given so far.
+    pub fn readings(&self) -> u64 {
+        self.list.borrow().readings()
+    }
 }
 
 fn answer_request(
