Lists stay valid while the primary replaces its own epoch; drains are told page by page

Cause: the primary dropped a reading of the platform's list for each change of the core's epoch and withheld a published one until it was read anew, though it had been primary all the while. A reading was told only once it was whole, and the next began a pause after its end. The simulation of the core checks that nobody else was primary since that epoch.

--- a/alderhollow/src/core/authority.rs
+++ b/alderhollow/src/core/authority.rs
@@ -79,6 +79,10 @@
         self.core.leased_epoch()
     }
 
+    fn primary_since(&self) -> Option<u64> {
+        self.core.primary_since()
+    }
+
     fn control(&self) -> EncodedControl {
         let state = self.core.state();
         let mut encoded = self.encoded.borrow_mut();
--- a/alderhollow/src/core/driver.rs
+++ b/alderhollow/src/core/driver.rs
@@ -131,6 +131,14 @@
             .then(|| replica.epoch())
     }
 
+    /// The epoch in which this member became primary, without an interruption since, if it has the lease now.
+    pub fn primary_since(&self) -> Option<u64> {
+        let replica = self.replica.borrow();
+        replica
+            .primary_since()
+            .filter(|_| replica.holds_lease(self.clock.now_ms()))
+    }
+
     /// This member's role.
     pub fn role(&self) -> Role {
         self.replica.borrow().role()
--- a/alderhollow/src/discovery/changes.rs
+++ b/alderhollow/src/discovery/changes.rs
@@ -1,7 +1,8 @@
-//! Versions of the backend lists that a primary reads. A list that differs from the former one only by the progress of
+//! Versions of the backend lists that a primary reads, stamped with the epoch in which it became primary. A list that differs from the former one only by the progress of
 //! warm-up times gets no new version. No I/O and no clock.
 
-use alderhollow_model::backend::{Backend, BackendList};
+use alderhollow_model::backend::{Backend, BackendList, BackendState};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 /// Tolerances, in ms, within which two expected ends of a warm-up count as equal, as lists are read at irregular times. The
@@ -12,17 +13,20 @@
 /// The newest list of one reader, with its version.
 #[derive(Debug, Default)]
 pub struct ListVersioner {
-    current: Option<StampedList>,
+    current: Option<VersionedList>,
 }
 
-#[derive(Debug)]
-struct StampedList {
-    list: Rc<BackendList>,
-    read_at_ms: u64,
+/// A list and the time to which its remaining warm-up times refer.
+#[derive(Debug, Clone)]
+pub struct VersionedList {
+    /// The list.
+    pub list: Rc<BackendList>,
+    /// When it was read, in ms of the process's clock.
+    pub read_at_ms: u64,
 }
 
 impl ListVersioner {
-    /// Compares a list that was read in an epoch with the former one. Returns it with a new version if it changed.
+    /// Compares a list that a primary of this epoch read with the former one. Returns it with a new version if it changed.
     pub fn update(
         &mut self,
         epoch: u64,
@@ -45,15 +49,42 @@
             sequence,
             backends,
         });
-        self.current = Some(StampedList {
+        self.current = Some(VersionedList {
             list: list.clone(),
             read_at_ms: now_ms,
         });
         Some(list)
     }
+
+    /// Takes over from a page which backends have begun to drain. Returns the former list with their new state and a new
+    /// version if any has; all else that the page changes waits for the rest of the list.
+    pub fn mark_draining(&mut self, epoch: u64, page: &[Backend]) -> Option<VersionedList> {
+        let current = self
+            .current
+            .as_mut()
+            .filter(|current| current.list.epoch == epoch)?;
+        let draining: BTreeSet<&str> = page
+            .iter()
+            .filter(|backend| backend.state == BackendState::Draining)
+            .map(|backend| backend.id.as_str())
+            .collect();
+        let begins = |backend: &Backend| {
+            backend.state == BackendState::Ready && draining.contains(backend.id.as_str())
+        };
+        if !current.list.backends.iter().any(begins) {
+            return None;
+        }
+        let mut list = BackendList::clone(&current.list);
+        list.sequence += 1;
+        for backend in list.backends.iter_mut().filter(|backend| begins(backend)) {
+            backend.state = BackendState::Draining;
+        }
+        current.list = Rc::new(list);
+        Some(current.clone())
+    }
 }
 
-impl StampedList {
+impl VersionedList {
     fn is_same(&self, backends: &[Backend], now_ms: u64) -> bool {
         let elapsed = now_ms.saturating_sub(self.read_at_ms);
         self.list.backends.len() == backends.len()
--- a/alderhollow/src/discovery/platform.rs
+++ b/alderhollow/src/discovery/platform.rs
@@ -66,11 +66,16 @@
         }
     }
 
-    /// Reads all pages of the list. Waits `page_delay` between two pages, to stay below the platform's rate limit.
+    /// Reads all pages of the list. Waits `page_delay` between two pages, to stay below the platform's rate limit. Each page
+    /// is shown to `on_page` as soon as it is there.
     ///
     /// # Errors
     /// A page can't be requested or parsed, or there are too many pages.
-    pub async fn read(&mut self, page_delay: Duration) -> Result<Vec<Backend>, PlatformError> {
+    pub async fn read(
+        &mut self,
+        page_delay: Duration,
+        mut on_page: impl FnMut(&[Backend]),
+    ) -> Result<Vec<Backend>, PlatformError> {
         let mut backends = Vec::new();
         let mut token = None;
         for _ in 0..MAX_PAGES {
@@ -78,6 +83,7 @@
             for entry in &page.skipped {
                 log::warn!("skipped an invalid entry of the platform's list: {entry}");
             }
+            on_page(&page.backends);
             backends.extend(page.backends);
             token = page.next_token;
             if token.is_none() {
--- a/alderhollow/src/distribution/senders.rs
+++ b/alderhollow/src/distribution/senders.rs
@@ -9,7 +9,7 @@
 /// A process that has not polled for this long, in ms, is no longer a sender.
 pub const SENDER_TIMEOUT_MS: u64 = 3_000;
 
-/// The senders and placers of one primary's epoch.
+/// The senders and placers of one primary.
 #[derive(Debug, Default)]
 pub struct SenderTracker {
     polled_at_ms: BTreeMap<String, u64>,
@@ -18,7 +18,7 @@
 }
 
 impl SenderTracker {
-    /// A tracker for a new epoch. The senders of the former primary count as having just polled, so that the change of
+    /// A tracker for a new primary, stamped with the epoch in which it became primary. The senders of the former primary count as having just polled, so that the change of
     /// primary does not increase a sender's share of the allowance of a backend that is warming up.
     pub fn for_epoch(epoch: u64, known: &Senders, now_ms: u64) -> SenderTracker {
         let polled_at_ms = known
--- a/alderhollow/src/distribution/server.rs
+++ b/alderhollow/src/distribution/server.rs
@@ -29,6 +29,12 @@
 pub trait Authority {
     /// The epoch of which this process is the primary, if it has the lease now.
     fn leased_epoch(&self) -> Option<u64>;
+    /// The epoch in which this process became primary, without an interruption since, if it has the lease now. Tables that
+    /// the primary makes itself are stamped with it, as no other primary can have made newer ones since: a change of its
+    /// replicas, which begins an epoch, leaves them valid.
+    fn primary_since(&self) -> Option<u64> {
+        self.leased_epoch()
+    }
     /// The encoded view of the committed control state.
     fn control(&self) -> EncodedControl;
     /// Version of that view.
@@ -76,7 +82,7 @@
     pub changes: ChangeSignal,
     /// The process's clock.
     pub clock: SteadyClock,
-    /// Senders and placers of the epoch of which this process is the primary.
+    /// Senders and placers, stamped with the epoch in which this process became primary.
     pub senders: RefCell<SenderTracker>,
     /// Addresses that polled this process.
     pub pollers: RefCell<PollerTracker>,
@@ -135,14 +141,14 @@
         let mut changes = self.changes.subscribe();
         let mut is_recorded = false;
         loop {
-            let Some((authority, epoch)) = self.leased_authority() else {
+            let Some((authority, since_epoch)) = self.leased_authority() else {
                 return Answer::NotPrimary(self.core_view());
             };
             if !std::mem::replace(&mut is_recorded, true) {
-                self.record_poll(&poll, epoch);
+                self.record_poll(&poll, since_epoch);
                 authority.on_poll(&poll);
             }
-            let mut update = self.newer_than(&poll.versions, authority.as_ref(), epoch);
+            let mut update = self.newer_than(&poll.versions, authority.as_ref(), since_epoch);
             if poll.node.disk.is_some()
                 && poll.node.role.may_join_core()
                 && update.senders.is_some()
@@ -159,19 +165,19 @@
 
     fn leased_authority(&self) -> Option<(&Rc<dyn Authority>, u64)> {
         let authority = self.authority.as_ref()?;
-        let epoch = authority.leased_epoch()?;
-        Some((authority, epoch))
+        let since_epoch = authority.primary_since()?;
+        Some((authority, since_epoch))
     }
 
-    fn record_poll(&self, poll: &Poll, epoch: u64) {
+    fn record_poll(&self, poll: &Poll, since_epoch: u64) {
         let now_ms = self.clock.now_ms();
         self.pollers
             .borrow_mut()
             .on_poll(poll.node.internal.0, now_ms);
         let mut senders = self.senders.borrow_mut();
-        if senders.epoch() != epoch {
+        if senders.epoch() != since_epoch {
             let known = self.snapshots.borrow().senders.clone();
-            *senders = SenderTracker::for_epoch(epoch, &known, now_ms);
+            *senders = SenderTracker::for_epoch(since_epoch, &known, now_ms);
         }
         let changed = senders.on_poll(&self.node.node, poll, now_ms);
         drop(senders);
@@ -180,11 +186,16 @@
         }
     }
 
-    fn newer_than(&self, known: &TableVersions, authority: &dyn Authority, epoch: u64) -> Update {
+    fn newer_than(
+        &self,
+        known: &TableVersions,
+        authority: &dyn Authority,
+        since_epoch: u64,
+    ) -> Update {
         let mut update = Update {
             control: (authority.control_version() > known.control).then(|| authority.control()),
-            backends: self.newer_backends(known.backends, epoch),
-            senders: self.newer_senders(known.senders, epoch),
+            backends: self.newer_backends(known.backends, since_epoch),
+            senders: self.newer_senders(known.senders, since_epoch),
             core: None,
             pollers: None,
         };
@@ -194,8 +205,8 @@
         update
     }
 
-    /// The backend list, if it is newer and was read in this epoch. A list that this process read as primary of an earlier
-    /// epoch may be outdated.
+    /// The backend list, if it is newer and was read since this process became primary. One that it read before may be
+    /// outdated, as there may have been another primary in between.
     fn newer_backends(&self, known: Stamp, epoch: u64) -> Option<BackendList> {
         let published = self.backends.borrow();
         let published = published
--- a/alderhollow/tests/discovery.rs
+++ b/alderhollow/tests/discovery.rs
@@ -114,6 +114,43 @@
     assert_eq!(list.version(), (5, 1));
 }
 
+fn draining(id: &str) -> Backend {
+    Backend {
+        state: BackendState::Draining,
+        ..backend(id, 0)
+    }
+}
+
+#[test]
+fn a_drain_on_one_page_is_published_before_the_other_pages() {
+    let mut versioner = ListVersioner::default();
+    versioner.update(3, vec![backend("a", 0), backend("b", 900)], 1_000);
+    let marked = versioner
+        .mark_draining(3, &[draining("a"), backend("new", 0)])
+        .expect("a drain");
+    assert_eq!(marked.list.version(), (3, 2));
+    assert_eq!(marked.list.backends, [draining("a"), backend("b", 900)]);
+    assert_eq!(marked.read_at_ms, 1_000, "warm-ups count from the reading");
+    assert!(versioner.mark_draining(3, &[draining("a")]).is_none());
+    let whole = versioner
+        .update(
+            3,
+            vec![draining("a"), backend("b", 200), backend("new", 0)],
+            1_700,
+        )
+        .expect("a new backend");
+    assert_eq!(whole.version(), (3, 3));
+}
+
+#[test]
+fn a_page_read_by_another_primary_marks_nothing() {
+    let mut versioner = ListVersioner::default();
+    assert!(versioner.mark_draining(3, &[draining("a")]).is_none());
+    versioner.update(3, vec![backend("a", 0)], 1_000);
+    assert!(versioner.mark_draining(5, &[draining("a")]).is_none());
+    assert!(versioner.mark_draining(3, &[draining("b")]).is_none());
+}
+
 proptest! {
     #[test]
     fn arbitrary_bodies_never_panic(body in prop::collection::vec(any::<u8>(), 0..300)) {
--- a/coordination/src/replica.rs
+++ b/coordination/src/replica.rs
@@ -209,6 +209,13 @@
             .map_or(known, |primary| primary.record.number)
     }
 
+    /// On the primary: the epoch in which it became primary. It stays the same while the primary replaces its own record, and
+    /// no other member was primary since: a record follows only the newest active one (`campaign`), and a reconfiguration only
+    /// one of its own.
+    pub fn primary_since(&self) -> Option<Epoch> {
+        self.primary.as_ref().map(|primary| primary.first_epoch)
+    }
+
     /// The role of this member.
     pub fn role(&self) -> Role {
         if self.primary.is_some() {
--- a/coordination/src/replica/primary.rs
+++ b/coordination/src/replica/primary.rs
@@ -23,6 +23,8 @@
 pub(super) struct Primary {
     /// The active record.
     pub record: EpochRecord,
+    /// Number of the first record that this member, without an interruption, has been the primary of.
+    pub first_epoch: Epoch,
     /// When the record became active.
     pub activated_at: Millis,
     /// Observed state of the members, by identity.
@@ -124,6 +126,7 @@
 impl Primary {
     fn new(record: EpochRecord, now: Millis) -> Self {
         Primary {
+            first_epoch: record.number,
             record,
             activated_at: now,
             peers: BTreeMap::new(),
@@ -168,7 +171,7 @@
         let mut primary = self
             .primary
             .take()
-            .unwrap_or_else(|| Primary::new(EpochRecord::default(), now));
+            .unwrap_or_else(|| Primary::new(installing.record.clone(), now));
         primary.record = installing.record;
         primary.activated_at = now;
         primary.next_heartbeat = now;
--- a/coordination/tests/simulation/cluster.rs
+++ b/coordination/tests/simulation/cluster.rs
@@ -314,7 +314,13 @@
             .iter()
             .filter(|machine| machine.holds_lease(now));
         let holders = holders.filter_map(|machine| machine.process.as_ref());
-        let versions: Vec<_> = holders.map(|process| process.replica.version()).collect();
+        let holders: Vec<_> = holders.map(|process| &process.replica).collect();
+        for replica in &holders {
+            let since = replica.primary_since().expect("the holder is primary");
+            self.oracle
+                .check_uninterrupted(since, replica.epoch(), replica.member().id);
+        }
+        let versions: Vec<_> = holders.iter().map(|replica| replica.version()).collect();
         self.oracle.check_lease_holders(&versions);
     }
 
--- a/coordination/tests/simulation/oracle.rs
+++ b/coordination/tests/simulation/oracle.rs
@@ -93,6 +93,16 @@
         assert_eq!(first, member, "two primaries of epoch {epoch}");
     }
 
+    /// Checks that nobody else was primary since the epoch in which a lease holder says that it became primary.
+    pub(crate) fn check_uninterrupted(&self, since: Epoch, epoch: Epoch, member: MemberId) {
+        assert!(since <= epoch, "primary of {epoch} since {since}");
+        let other = self
+            .primaries
+            .range(since..=epoch)
+            .find(|(_, primary)| **primary != member);
+        assert_eq!(other, None, "{member} is primary since {since}");
+    }
+
     pub(crate) fn check_lease_holders(&self, versions: &[Version]) {
         assert!(
             versions.len() <= 1,
