Distribution: differences in place of complete tables

Cause: each change of the control state (20 to 30 KB at 300 processes), of the backend list (16 to 20 KB) and of the senders (6 KB) went whole to every process. The primary's link was busy for 0.3 to 0.8 s each time, and its heartbeats, its readings of the platform's list and other answers waited behind it: epochs followed each other, polls ran into their time-out and were sent again. Change: a poll says that it takes differences and which control state it holds (a digest, as builds may encode a version differently). The primary keeps the last versions and answers with the entries that differ, for the control state with an LZ4 block that has the held version as dictionary (lz4_flex, safe features). Without a known base it sends complete tables as before; so it does to earlier builds, and after a difference that could not be applied. New fields are optional; recorded bytes are unchanged, two lines are new.

--- a/alderhollow/examples/scale-run/hollow.rs
+++ b/alderhollow/examples/scale-run/hollow.rs
@@ -177,6 +177,7 @@
         wait_ms: POLL_WAIT_MS,
         leaving: false,
         batch_status: Vec::new().into(),
+        held: None,
     };
     let request = minicbor::to_vec(Request::Poll(Box::new(poll))).ok()?;
     let sent = request.len();
--- a/alderhollow/src/distribution/client.rs
+++ b/alderhollow/src/distribution/client.rs
@@ -121,6 +121,7 @@
             due,
             is_long_poll: false,
             gap: ValidationGap::default(),
+            needs_complete_tables: false,
         }
         .run()
         .await;
@@ -191,6 +192,8 @@
     /// Whether the newest poll is a long-poll, which a change of the reported state cancels.
     is_long_poll: bool,
     gap: ValidationGap,
+    /// Whether an update could not be applied: the next one must not build on the current tables.
+    needs_complete_tables: bool,
 }
 
 impl PollLoop {
@@ -263,6 +266,7 @@
             wait_ms,
             leaving: client.state.shared.leaving.get(),
             batch_status: client.state.shared.batch_status.borrow().clone().into(),
+            held: (!self.needs_complete_tables).then(|| self.tables.held()),
         };
         self.polls.spawn_local(async move {
             let result = client.poll(to, poll).await;
@@ -320,7 +324,9 @@
             self.client.distributor.replace_pollers(pollers);
         }
         let has_tables = !update.is_empty();
-        match self.tables.apply(update) {
+        let result = self.tables.apply(update);
+        self.needs_complete_tables = result.is_err();
+        match result {
             Ok(_) => {
                 self.note_validation(sent_at_ms, has_tables);
                 if self.client.state.validated_since_ms().is_none() {
--- a/alderhollow/src/distribution/message.rs
+++ b/alderhollow/src/distribution/message.rs
@@ -1,6 +1,7 @@
 //! Messages of [`ServiceId::Distribution`](crate::internal::ServiceId), encoded as CBOR (`minicbor`). Indexes never change;
 //! new fields are optional.
 
+use super::difference::{BackendsDifference, ControlDifference, SendersDifference};
 use alderhollow_model::backend::BackendList;
 use alderhollow_model::identity::{Address, DiskId, NodeInfo};
 use alderhollow_model::snapshot::Senders;
@@ -36,6 +37,17 @@
     /// A store's encoded report on its batch groups; empty from other roles.
     #[n(4)]
     pub batch_status: ByteVec,
+    /// What answers with differences may build on; absent from a process that takes complete tables only.
+    #[n(5)]
+    pub held: Option<HeldTables>,
+}
+
+/// What a process holds besides what its versions say.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Encode, Decode)]
+pub struct HeldTables {
+    /// Digest of the encoded control state.
+    #[n(0)]
+    pub control_digest: u64,
 }
 
 /// The versions of a process's tables.
@@ -63,6 +75,14 @@
     pub sequence: u64,
 }
 
+impl Stamp {
+    /// Version of a backend list.
+    pub fn of(list: &BackendList) -> Stamp {
+        let (epoch, sequence) = list.version();
+        Stamp { epoch, sequence }
+    }
+}
+
 /// The answer to a request.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
 pub enum Answer {
@@ -96,12 +116,37 @@
     /// can announce itself to them.
     #[n(5)]
     pub pollers: Option<Vec<Address>>,
+    /// Differences in place of complete tables.
+    #[n(6)]
+    pub differences: Option<Box<Differences>>,
+}
+
+/// Differences to the tables that the poll names, each in place of the complete table in [`Update`].
+#[derive(Debug, Clone, Default, PartialEq, Encode, Decode)]
+pub struct Differences {
+    /// The control state.
+    #[n(0)]
+    pub control: Option<ControlDifference>,
+    /// The backends.
+    #[n(1)]
+    pub backends: Option<BackendsDifference>,
+    /// The senders.
+    #[n(2)]
+    pub senders: Option<SendersDifference>,
 }
 
 impl Update {
     /// Whether there is no newer table.
     pub fn is_empty(&self) -> bool {
-        self.control.is_none() && self.backends.is_none() && self.senders.is_none()
+        let is_without_tables =
+            self.control.is_none() && self.backends.is_none() && self.senders.is_none();
+        is_without_tables && self.differences.is_none()
+    }
+
+    /// Whether it brings newer senders.
+    pub fn has_senders(&self) -> bool {
+        let differences = self.differences.as_ref();
+        self.senders.is_some() || differences.is_some_and(|given| given.senders.is_some())
     }
 }
 
--- a/alderhollow/src/distribution/mod.rs
+++ b/alderhollow/src/distribution/mod.rs
@@ -10,6 +10,7 @@
 //! | --- | --- |
 //! | [`message`], [`link`] | messages, and the transport that carries them |
 //! | [`identify`] | queries a process for its identity |
+//! | [`difference`], [`history`] | differences between versions of a table, and the versions that a primary makes them from |
 //! | [`directory`] | what a process knows of the core's members and passes on to others |
 //! | [`primary_discovery`] | state machine that chooses the process to poll next |
 //! | [`client`] | the polls of a process |
@@ -23,7 +24,9 @@
 //! | [`placers`] | assignment of placers to zones |
 
 pub mod client;
+pub mod difference;
 pub mod directory;
+pub mod history;
 pub mod identify;
 pub mod link;
 pub mod message;
--- a/alderhollow/src/distribution/server.rs
+++ b/alderhollow/src/distribution/server.rs
@@ -1,9 +1,9 @@
 //! Answers polls: with the newer tables while this process is the primary and has the lease, otherwise with a redirect.
 
 use super::directory::Directory;
+use super::history::TableHistory;
 use super::message::{
-    Answer, CoreView, EncodedControl, Notice, Poll, Request, Stamp, StampedSenders, TableVersions,
-    Update,
+    Answer, CoreView, Differences, EncodedControl, Notice, Poll, Request, Stamp, Update,
 };
 use super::pollers::PollerTracker;
 use super::senders::SenderTracker;
@@ -86,6 +86,8 @@
     pub senders: RefCell<SenderTracker>,
     /// Addresses that polled this process.
     pub pollers: RefCell<PollerTracker>,
+    /// Tables that this process distributed as the primary.
+    pub history: RefCell<TableHistory>,
 }
 
 impl Distributor {
@@ -148,11 +150,8 @@
                 self.record_poll(&poll, since_epoch);
                 authority.on_poll(&poll);
             }
-            let mut update = self.newer_than(&poll.versions, authority.as_ref(), since_epoch);
-            if poll.node.disk.is_some()
-                && poll.node.role.may_join_core()
-                && update.senders.is_some()
-            {
+            let mut update = self.newer_than(&poll, authority.as_ref(), since_epoch);
+            if poll.node.disk.is_some() && poll.node.role.may_join_core() && update.has_senders() {
                 let pollers = self.pollers.borrow().addresses();
                 update.pollers = Some(pollers.into_iter().map(Address).collect());
             }
@@ -176,6 +175,9 @@
             .on_poll(poll.node.internal.0, now_ms);
         let mut senders = self.senders.borrow_mut();
         if senders.epoch() != since_epoch {
+            // Processes that followed the former primary hold the list that this one held.
+            let list = BackendList::clone(&self.snapshots.borrow().backends);
+            self.history.borrow_mut().record_backends(&Rc::new(list));
             let known = self.snapshots.borrow().senders.clone();
             *senders = SenderTracker::for_epoch(since_epoch, &known, now_ms);
         }
@@ -186,40 +188,102 @@
         }
     }
 
-    fn newer_than(
-        &self,
-        known: &TableVersions,
-        authority: &dyn Authority,
-        since_epoch: u64,
-    ) -> Update {
-        let mut update = Update {
-            control: (authority.control_version() > known.control).then(|| authority.control()),
-            backends: self.newer_backends(known.backends, since_epoch),
-            senders: self.newer_senders(known.senders, since_epoch),
-            core: None,
-            pollers: None,
-        };
+    /// What is newer than the tables of a process that polls. A process that takes differences gets them wherever this
+    /// primary knows the table that it holds.
+    fn newer_than(&self, poll: &Poll, authority: &dyn Authority, since_epoch: u64) -> Update {
+        let mut update = Update::default();
+        let mut differences = Differences::default();
+        self.add_control(poll, authority, &mut update, &mut differences);
+        self.add_backends(poll, since_epoch, &mut update, &mut differences);
+        self.add_senders(poll, since_epoch, &mut update, &mut differences);
+        if differences != Differences::default() {
+            update.differences = Some(Box::new(differences));
+        }
         if !update.is_empty() {
             update.core = Some(authority.core_view());
         }
         update
     }
 
-    /// The backend list, if it is newer and was read since this process became primary. One that it read before may be
+    fn add_control(
+        &self,
+        poll: &Poll,
+        authority: &dyn Authority,
+        update: &mut Update,
+        differences: &mut Differences,
+    ) {
+        let version = authority.control_version();
+        let mut history = self.history.borrow_mut();
+        if history.control_version() != version {
+            history.record_control(authority.control());
+        }
+        let known = poll.versions.control;
+        if version <= known {
+            return;
+        }
+        differences.control = poll
+            .held
+            .and_then(|held| history.control_difference(known, held));
+        if differences.control.is_none() {
+            update.control = Some(authority.control());
+        }
+    }
+
+    /// Adds the backend list, if it is newer and was read since this process became primary. One that it read before may be
     /// outdated, as there may have been another primary in between.
-    fn newer_backends(&self, known: Stamp, epoch: u64) -> Option<BackendList> {
+    fn add_backends(
+        &self,
+        poll: &Poll,
+        since_epoch: u64,
+        update: &mut Update,
+        differences: &mut Differences,
+    ) {
         let published = self.backends.borrow();
-        let published = published
+        let Some(published) = published
             .as_ref()
-            .filter(|published| published.list.epoch == epoch)?;
-        let sequence = published.list.sequence;
-        (Stamp { epoch, sequence } > known).then(|| published.aged(self.clock.now_ms()))
+            .filter(|published| published.list.epoch == since_epoch)
+        else {
+            return;
+        };
+        let mut history = self.history.borrow_mut();
+        history.record_backends(&published.list);
+        let known = poll.versions.backends;
+        if Stamp::of(&published.list) <= known {
+            return;
+        }
+        let list = published.aged(self.clock.now_ms());
+        differences.backends = poll
+            .held
+            .and_then(|_| history.backends_difference(known, &list));
+        if differences.backends.is_none() {
+            update.backends = Some(list);
+        }
     }
 
-    fn newer_senders(&self, known: Stamp, epoch: u64) -> Option<StampedSenders> {
+    fn add_senders(
+        &self,
+        poll: &Poll,
+        since_epoch: u64,
+        update: &mut Update,
+        differences: &mut Differences,
+    ) {
         let senders = self.senders.borrow();
         let current = senders.current();
-        (senders.epoch() == epoch && current.stamp > known).then(|| current.clone())
+        if senders.epoch() != since_epoch {
+            return;
+        }
+        let mut history = self.history.borrow_mut();
+        history.record_senders(current);
+        let known = poll.versions.senders;
+        if current.stamp <= known {
+            return;
+        }
+        differences.senders = poll
+            .held
+            .and_then(|_| history.senders_difference(known, current));
+        if differences.senders.is_none() {
+            update.senders = Some(current.clone());
+        }
     }
 
     /// Handles a notice of another process.
--- a/alderhollow/src/node.rs
+++ b/alderhollow/src/node.rs
@@ -117,6 +117,7 @@
             clock: self.clock,
             senders: RefCell::default(),
             pollers: RefCell::default(),
+            history: RefCell::default(),
         });
         services.register(ServiceId::Placement, self.placement.clone());
         services.register(
--- a/alderhollow/tests/compatibility.rs
+++ b/alderhollow/tests/compatibility.rs
@@ -13,9 +13,13 @@
 use alderhollow::control_state::view::{decode_view, encode_view};
 use alderhollow::control_state::{codec, ControlState};
 use alderhollow::core::contact::Contact;
+use alderhollow::distribution::difference::{
+    BackendsDifference, ControlDifference, SendersDifference,
+};
 use alderhollow::distribution::message as distribution;
 use alderhollow::distribution::message::{
-    CoreMember, CoreView, EncodedControl, Poll, Stamp, StampedSenders, TableVersions, Update,
+    CoreMember, CoreView, Differences, EncodedControl, HeldTables, Poll, Stamp, StampedSenders,
+    TableVersions, Update,
 };
 use alderhollow::internal::frame::{Frame, FrameKind};
 use alderhollow::internal::ServiceId;
@@ -154,24 +158,59 @@
     }
 }
 
-#[test]
-fn distribution_messages_encode_and_decode_as_recorded() {
-    let mut recorded = fixture("distribution.txt");
-    let stamp = Stamp {
-        epoch: 2,
-        sequence: 6,
-    };
-    let poll = Poll {
+const STAMP: Stamp = Stamp {
+    epoch: 2,
+    sequence: 6,
+};
+
+fn recorded_poll() -> Poll {
+    Poll {
         node: node(1, Role::Gateway),
         versions: TableVersions {
             control: 5,
-            backends: stamp,
-            senders: stamp,
+            backends: STAMP,
+            senders: STAMP,
         },
         wait_ms: 900,
         leaving: true,
         batch_status: vec![1, 2].into(),
-    };
+        held: None,
+    }
+}
+
+fn differences() -> Differences {
+    Differences {
+        control: Some(ControlDifference {
+            base: 5,
+            version: 6,
+            length: 3,
+            block: vec![0x30, 1, 2, 3].into(),
+        }),
+        backends: Some(BackendsDifference {
+            base: STAMP,
+            stamp: Stamp {
+                sequence: 7,
+                ..STAMP
+            },
+            changed: backends().backends,
+            removed: vec!["i-gone".into()],
+        }),
+        senders: Some(SendersDifference {
+            base: STAMP,
+            stamp: Stamp {
+                sequence: 8,
+                ..STAMP
+            },
+            added: vec!["edge-3".into()],
+            removed: vec!["edge-4".into()],
+            placers: senders().placers,
+        }),
+    }
+}
+
+#[test]
+fn distribution_messages_encode_and_decode_as_recorded() {
+    let mut recorded = fixture("distribution.txt");
     let update = Update {
         control: Some(EncodedControl {
             version: 5,
@@ -179,11 +218,12 @@
         }),
         backends: Some(backends()),
         senders: Some(StampedSenders {
-            stamp,
+            stamp: STAMP,
             senders: senders(),
         }),
         core: Some(core_view()),
         pollers: Some(vec![address(3)]),
+        ..Update::default()
     };
     check(
         &mut recorded,
@@ -193,7 +233,7 @@
     check(
         &mut recorded,
         "request_poll",
-        &distribution::Request::Poll(Box::new(poll)),
+        &distribution::Request::Poll(Box::new(recorded_poll())),
     );
     check(
         &mut recorded,
@@ -210,6 +250,22 @@
         "answer_empty_update",
         &distribution::Answer::Update(Update::default()),
     );
+    check(
+        &mut recorded,
+        "request_poll_with_held_tables",
+        &distribution::Request::Poll(Box::new(Poll {
+            held: Some(HeldTables { control_digest: 7 }),
+            ..recorded_poll()
+        })),
+    );
+    check(
+        &mut recorded,
+        "answer_update_with_differences",
+        &distribution::Answer::Update(Update {
+            differences: Some(Box::new(differences())),
+            ..Update::default()
+        }),
+    );
     check(
         &mut recorded,
         "answer_not_primary",
--- a/alderhollow/tests/core_discovery/world.rs
+++ b/alderhollow/tests/core_discovery/world.rs
@@ -590,6 +590,7 @@
             clock,
             senders: RefCell::default(),
             pollers: RefCell::default(),
+            history: RefCell::default(),
         });
         let link = Rc::new(Link {
             shared: shared.clone(),
--- a/alderhollow/tests/distribution.rs
+++ b/alderhollow/tests/distribution.rs
@@ -117,8 +117,7 @@
         control,
         backends,
         senders,
-        core: None,
-        pollers: None,
+        ..Update::default()
     })
 }
 
@@ -232,6 +231,7 @@
         clock,
         senders: RefCell::default(),
         pollers: RefCell::default(),
+        history: RefCell::default(),
     });
     Primary {
         authority,
@@ -248,6 +248,7 @@
         wait_ms: 400,
         leaving: false,
         batch_status: Vec::new().into(),
+        held: None,
     }
 }
 
--- a/alderhollow/tests/poll_client.rs
+++ b/alderhollow/tests/poll_client.rs
@@ -118,6 +118,7 @@
         clock,
         senders: RefCell::default(),
         pollers: RefCell::default(),
+        history: RefCell::default(),
     });
     let state = PollState::default();
     let client = PollClient {
