Connections between processes: attempts that time out get longer

Change: the attempt's time doubles with each time-out up to 1.6 s; what an attempt waits for and pauses is a state machine of its own (internal/reconnect). Measured: internal, core_discovery, poll_client and the module's tests pass.

--- a/alderhollow/src/discovery/reader.rs
+++ b/alderhollow/src/discovery/reader.rs
@@ -42,17 +42,18 @@
 impl Reader {
     /// Reads until the future is dropped. `seed` determines the random part of the backoff.
     pub async fn run(mut self, seed: u64) {
+        let publisher = self.publisher();
         let mut versioner = ListVersioner::default();
         let mut random = Rand32::new(seed);
         let mut retry_delay = INITIAL_RETRY_DELAY;
         loop {
             let epoch = self.wait_for_lease().await;
             let started = Instant::now();
-            let next = match self.read(epoch, &mut versioner).await {
+            let next = match self.read(epoch, &publisher, &mut versioner).await {
                 Ok(backends) => {
                     retry_delay = INITIAL_RETRY_DELAY;
                     let is_empty = backends.is_empty();
-                    self.publish_all(epoch, backends, &mut versioner);
+                    publisher.publish_all(epoch, backends, &mut versioner);
                     self.next_reading(started, is_empty)
                 }
                 Err(error) => {
@@ -82,11 +83,11 @@
     async fn read(
         &mut self,
         epoch: u64,
+        publisher: &Publisher,
         versioner: &mut ListVersioner,
     ) -> Result<Vec<Backend>, PlatformError> {
         let started = Instant::now();
         let page_delay = self.page_delay();
-        let publisher = self.publisher();
         let on_page = |page: &[Backend]| publisher.publish_drains(epoch, page, versioner);
         let backends = self.platform.read(page_delay, on_page).await?;
         log::debug!(
@@ -108,10 +109,6 @@
         (started + interval).max(Instant::now() + self.page_delay())
     }
 
-    fn publish_all(&self, epoch: u64, backends: Vec<Backend>, versioner: &mut ListVersioner) {
-        self.publisher().publish_all(epoch, backends, versioner);
-    }
-
     fn publisher(&self) -> Publisher {
         Publisher {
             authority: self.authority.clone(),
--- a/alderhollow/src/internal/client.rs
+++ b/alderhollow/src/internal/client.rs
@@ -1,6 +1,7 @@
 //! Calls and notices to the tier's other processes, over one connection to each.
 
 use super::frame::{Frame, FrameKind, Refusal, ServiceId, MAX_PAYLOAD_BYTES};
+use super::reconnect::{Failure, Reconnect};
 use super::send_queue::{
     send_queue, NotQueued, Outgoing, PendingCall, QueuedFrames, SendQueue, MAX_QUEUED_FRAMES,
 };
@@ -19,11 +20,6 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-/// Longest time for a connection to come up.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Pause after the first failed connection; it doubles up to the longest one, and half of it is drawn.
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// A connection that nothing was sent on for so long is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 const READ_BUFFER_BYTES: usize = 8 * 1024;
@@ -75,7 +71,7 @@
 #[derive(Default)]
 struct Peer {
     queue: Option<SendQueue>,
-    failures: u32,
+    reconnect: Reconnect,
     not_before: Option<Instant>,
 }
 
@@ -173,58 +169,66 @@
         }
         let (sender, receiver) = send_queue();
         peer.queue = Some(sender.clone());
+        let timeout = peer.reconnect.timeout();
         let network = self.clone();
-        tokio::task::spawn_local(async move { network.run_connection(to, receiver).await });
+        tokio::task::spawn_local(async move {
+            network.run_connection(to, receiver, timeout).await;
+        });
         Some(sender)
     }
 
-    async fn run_connection(&self, to: SocketAddr, queue: QueuedFrames) {
+    async fn run_connection(&self, to: SocketAddr, queue: QueuedFrames, timeout: Duration) {
         metrics::get().internal.connecting();
-        match tokio::time::timeout(CONNECT_TIMEOUT, connect(to)).await {
+        match tokio::time::timeout(timeout, connect(to)).await {
             Ok(Ok(stream)) => {
                 self.note_connected(to);
                 exchange(stream, queue).await;
-                self.note_ended(to, FIRST_PAUSE);
+                self.note_ended(to);
             }
             Ok(Err(error)) => {
                 log::debug!("can't connect to {to}: {error}");
-                self.note_failure(to);
+                self.note_failure(to, Failure::Rejected);
             }
             Err(_) => {
                 log::debug!("can't connect to {to} in time");
-                self.note_failure(to);
+                self.note_failure(to, Failure::TimedOut);
             }
         }
     }
 
     fn note_connected(&self, to: SocketAddr) {
         if let Some(peer) = self.shared.peers.borrow_mut().get_mut(&to) {
-            peer.failures = 0;
+            peer.reconnect.on_connected();
         }
     }
 
-    fn note_failure(&self, to: SocketAddr) {
+    fn note_failure(&self, to: SocketAddr, failure: Failure) {
         metrics::get().internal.connection_failed();
-        let failures = match self.shared.peers.borrow_mut().get_mut(&to) {
-            Some(peer) => {
-                peer.failures = peer.failures.saturating_add(1);
-                peer.failures
-            }
-            None => 1,
-        };
-        let pause = FIRST_PAUSE
-            .saturating_mul(1 << failures.min(8).saturating_sub(1))
-            .min(LONGEST_PAUSE);
-        self.note_ended(to, pause);
+        let drawn = self.draw();
+        if let Some(peer) = self.shared.peers.borrow_mut().get_mut(&to) {
+            let pause = peer.reconnect.on_failure(failure, drawn);
+            peer.rest(pause);
+        }
     }
 
-    fn note_ended(&self, to: SocketAddr, pause: Duration) {
-        let drawn = self.shared.random.borrow_mut().rand_float();
+    fn note_ended(&self, to: SocketAddr) {
+        let pause = Reconnect::pause_after_use(self.draw());
         if let Some(peer) = self.shared.peers.borrow_mut().get_mut(&to) {
-            peer.queue = None;
-            peer.not_before = Some(Instant::now() + pause.mul_f32(0.5 + 0.5 * drawn));
+            peer.rest(pause);
         }
     }
+
+    fn draw(&self) -> f32 {
+        self.shared.random.borrow_mut().rand_float()
+    }
+}
+
+impl Peer {
+    /// Tries no connection for a while.
+    fn rest(&mut self, pause: Duration) {
+        self.queue = None;
+        self.not_before = Some(Instant::now() + pause);
+    }
 }
 
 /// A frame found no place in its peer's queue, or the connection had just ended.
--- a/alderhollow/src/internal/mod.rs
+++ b/alderhollow/src/internal/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod client;
 pub mod frame;
+mod reconnect;
 mod send_queue;
 pub mod server;
 mod socket;
