--- a/alderhollow/standins/src/platform.rs
+++ b/alderhollow/standins/src/platform.rs
@@ -131,10 +131,12 @@
         self.settings = settings;
     }
 
-    /// Changes the list; the change shows after the lag.
-    pub fn change(&mut self, now: Duration, instances: Vec<Instance>) {
-        self.versions
-            .push_back((now + self.settings.lag, instances));
+    /// Changes the list; the change shows after the lag, and not before an earlier one. Returns when it shows.
+    pub fn change(&mut self, now: Duration, instances: Vec<Instance>) -> Duration {
+        let former = self.versions.back().map_or(now, |(shows_at, _)| *shows_at);
+        let shows_at = former.max(now + self.settings.lag);
+        self.versions.push_back((shows_at, instances));
+        shows_at
     }
 
     /// Answers a call.
@@ -250,11 +252,10 @@
         self.server.address()
     }
 
-    /// Changes the list; the change shows after the lag.
-    pub fn change(&self, instances: Vec<Instance>) {
-        self.list
-            .borrow_mut()
-            .change(self.started.elapsed(), instances);
+    /// Changes the list; the change shows after the lag, and not before an earlier one. Returns when it shows.
+    pub fn change(&self, instances: Vec<Instance>) -> Instant {
+        let now = self.started.elapsed();
+        self.started + self.list.borrow_mut().change(now, instances)
     }
 
     /// Has the list behave like this from now on.
--- a/alderhollow/tests/tier_support/mod.rs
+++ b/alderhollow/tests/tier_support/mod.rs
@@ -56,6 +56,10 @@
     Store(u8),
 }
 
+/// Gateways without a disk from this number on have the hosts behind all others.
+const FIRST_FAR_GATEWAY: u8 = 5;
+const FAR_GATEWAYS_HOST: u8 = 100;
+
 /// The gateways whose addresses are the seeds.
 pub(crate) const SEEDS: [Place; 3] = [Place::Gateway(0), Place::Gateway(1), Place::Gateway(2)];
 pub(crate) const STORES: [Place; 3] = [Place::Store(0), Place::Store(1), Place::Store(2)];
@@ -64,7 +68,8 @@
     fn host(self) -> u8 {
         match self {
             Place::Gateway(number) => 11 + number,
-            Place::DisklessGateway(number) => 16 + number,
+            Place::DisklessGateway(number) if number < FIRST_FAR_GATEWAY => 16 + number,
+            Place::DisklessGateway(number) => FAR_GATEWAYS_HOST + (number - FIRST_FAR_GATEWAY),
             Place::Store(number) => 21 + number,
         }
     }
