Review, case 1: a batch job above 16 MiB is never copied to an empty store

Cause: a script shows that accepted and read batch jobs are lost for good (LOST) when the three stores lose their disks one after the other, each alone and for less than what is to be borne. A whole job travels in one entry, and a payload above the largest frame is dropped without a word, so that an empty store never gets in sync with that job's group; the short jobs in that group are lost with it.

--- a/review/stage.py
+++ b/review/stage.py
@@ -134,24 +134,27 @@
         await self.reply(writer, 200, [("Content-Type", "application/json")], page)
 
 
-def event_data(request_id, number):
-    return f"{request_id} piece {number}"
+def event_data(request_id, number, size=0):
+    return f"{request_id} piece {number}".ljust(size, ".")
 
 
-def whole_text(request_id, events):
-    return "\n".join(event_data(request_id, number) for number in range(1, events + 1))
+def whole_text(request_id, events, size=0):
+    return "\n".join(event_data(request_id, number, size) for number in range(1, events + 1))
 
 
 class Backend(Server):
     """A sound model backend with one version of weights at a time."""
 
     def __init__(self, address, zone, record, event_pause_s=0.02, slots=64):
+        """An event holds 20 tokens; `event_bytes` is the least length of its data, `burst` the events sent at once."""
         super().__init__(address)
         self.id = "i-" + hex_id()[:8]
         self.zone = zone
         self.record = record
         self.event_pause_s = event_pause_s
         self.slots = slots
+        self.event_bytes = 0
+        self.burst = 1
         self.weights = 1
         self.running = 0
         self.arrivals = []
@@ -202,12 +205,15 @@
         head += [f"{name}: {value}" for name, value in own]
         head += [f"Response-Seal: {self.id}.{request_id}"]
         writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
-        for number in range(first, events + 1):
-            await asyncio.sleep(self.event_pause_s)
+        for start in range(first, events + 1, self.burst):
+            await asyncio.sleep(self.event_pause_s * self.burst)
             if reader.at_eof() or writer.is_closing():
                 raise ConnectionError
-            event = f"id: {number}\ndata: {event_data(request_id, number)}\n\n".encode()
-            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            piece = b""
+            for number in range(start, min(start + self.burst, events + 1)):
+                data = event_data(request_id, number, self.event_bytes)
+                piece += f"id: {number}\ndata: {data}\n\n".encode()
+            writer.write(f"{len(piece):x}\r\n".encode() + piece + b"\r\n")
             await writer.drain()
         writer.write(b"0\r\n\r\n")
         await writer.drain()
@@ -265,8 +271,9 @@
 class Stage:
     """The deployment."""
 
-    def __init__(self, record, backends_a_zone=3):
+    def __init__(self, record, backends_a_zone=3, max_queued_tokens=1_700_000):
         self.record = record
+        self.max_queued_tokens = max_queued_tokens
         self.folder = tempfile.mkdtemp(prefix="alderhollow-review-")
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
             self.roles = tomllib.load(file)["roles"]
@@ -383,7 +390,7 @@
         self.record.write(f"process {node} started: {definition['run']}")
 
     async def put_first_config(self):
-        body = json.dumps(first_config()).encode()
+        body = json.dumps(first_config(self.max_queued_tokens)).encode()
         await self.order("PUT", "/alderhollow/config", 0, body, 20)
 
     async def order(self, method, target, if_match, body, patience_s):
@@ -460,12 +467,23 @@
         else:
             print(self.folder, file=sys.stderr)
 
+    async def lose_disk(self, node, down_s):
+        """The machine's process is killed and its disk is lost; it starts again at its address with an empty folder."""
+        process = self.processes[node]
+        process.kill()
+        process.wait()
+        shutil.rmtree(os.path.join(self.folder, "data", node))
+        self.record.write(f"process {node} is killed and its disk is lost")
+        await asyncio.sleep(down_s)
+        zone = node.removeprefix("storage-").removesuffix("-1")
+        self.start_process("store", node, zone, 21 + ZONES.index(zone), 650)
+
     def ended(self):
         """Processes that have ended by themselves."""
         return [node for node, process in self.processes.items() if process.poll() is not None]
 
 
-def first_config():
+def first_config(max_queued_tokens):
     stream = {
         "name": "r-9n73hh2", "hostname": HOST, "path-prefix": STREAMS, "route-type": "streaming", "timeout-ms": 5000,
         "target-latency-ms": 250, "priority": 0, "service": ENGINE, "max-attempts": 2, "sticky": True,
@@ -474,7 +492,7 @@
     lots = {
         "name": "r-lots", "hostname": HOST, "path-prefix": LOTS, "route-type": "batch", "target-latency-ms": 400,
         "priority": 2, "service": ENGINE, "max-attempts": 3, "sticky": True, "run-target-ms": 10000,
-        "retention-s": 60.0, "max-queued-tokens": 1700000,
+        "retention-s": 60.0, "max-queued-tokens": max_queued_tokens,
     }
     service = {
         "name": ENGINE, "health-path": "/healthz", "max-conns": 380, "protocol": "h1", "tls": False,
@@ -488,14 +506,14 @@
     return {"config-version": 1, "routes": [stream, lots], "services": [service], "limits": limits}
 
 
-def main(play):
+def main(play, **deployment):
     """Plays a case: exits with 0 if the rule held, 1 if it was broken, 2 if the case could not run."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
-        stage = Stage(record)
+        stage = Stage(record, **deployment)
         try:
             await stage.start()
             await stage.wait_until_ready()
@@ -506,6 +524,8 @@
         finally:
             stage.stop()
 
+    # A case that is told to end still ends the processes that it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(run())
     except (CannotRun, OSError, asyncio.TimeoutError) as error:
