Review, case 3: items that cannot run stop those of all later routes

Cause: a script shows that accepted batch jobs of a service with idle backends are not run (LOST) while items wait for another service, all of whose backends lie in an evacuated zone. One bucket of starts serves the routes in the order of their names, and each item that ends as "not run" uses up a start.

--- a/review/stage.py
+++ b/review/stage.py
@@ -152,6 +152,7 @@
         self.zone = zone
         self.record = record
         self.event_pause_s = event_pause_s
+        self.service = ENGINE
         self.slots = slots
         self.event_bytes = 0
         self.burst = 1
@@ -162,7 +163,7 @@
 
     def listed(self):
         return {
-            "id": self.id, "service": ENGINE, "address": f"{self.address[0]}:{self.address[1]}",
+            "id": self.id, "service": self.service, "address": f"{self.address[0]}:{self.address[1]}",
             "zone": self.zone, "config-version": "v1", "slots": self.slots, "state": "ready",
             "cold-remaining-ms": 0, "stage": "both",
             "models": [{"name": "m", "config-version": self.weights, "adapters": []}],
@@ -245,8 +246,9 @@
 class Lot:
     """A batch job of one client."""
 
-    def __init__(self, items, events=10, headers=None):
+    def __init__(self, items, events=10, headers=None, prefix=LOTS):
         self.id = hex_id()
+        self.prefix = prefix
         self.events = events
         self.results = []
         self.total = None
@@ -256,7 +258,7 @@
             own = {"Model": "m", "Token-Usage": f"1200,{events * 20}", "Prompt-Prefix": f"{hex_id()}:432,{hex_id()}:768"}
             own.update(headers or {})
             self.items.append({
-                "id": hex_id(), "path": f"{LOTS}{hex_id()[:6]}", "headers": own,
+                "id": hex_id(), "path": f"{prefix}{hex_id()[:6]}", "headers": own,
                 "body": base64.b64encode(os.urandom(600)).decode(), "tokens": 1200 + events * 20,
             })
 
@@ -273,7 +275,7 @@
 
     def __init__(self, record, backends_a_zone=3, max_queued_tokens=1_700_000):
         self.record = record
-        self.max_queued_tokens = max_queued_tokens
+        self.config = first_config(max_queued_tokens)
         self.folder = tempfile.mkdtemp(prefix="alderhollow-review-")
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
             self.roles = tomllib.load(file)["roles"]
@@ -390,13 +392,13 @@
         self.record.write(f"process {node} started: {definition['run']}")
 
     async def put_first_config(self):
-        body = json.dumps(first_config(self.max_queued_tokens)).encode()
+        body = json.dumps(self.config).encode()
         await self.order("PUT", "/alderhollow/config", 0, body, 20)
 
     async def order(self, method, target, if_match, body, patience_s):
         """Sends an operator's call, unchanged, to one gateway after another until one acknowledges it."""
         until = time.monotonic() + patience_s
-        headers = [("Content-Type", "application/json"), ("If-Match", if_match)]
+        headers = [("Content-Type", "application/json")] + ([("If-Match", if_match)] if body else [])
         while time.monotonic() < until:
             for address in self.gateways("control"):
                 status, answered, _ = await call(address, method, target, headers, body, 1.0)
@@ -404,7 +406,7 @@
                     host, port = answered["location"].split("/")[2].split(":")
                     status, _, _ = await call((host, int(port)), method, target, headers, body, 1.0)
                 if status == 200:
-                    self.record.write(f"operator: {method} {target} on top of {if_match} is acknowledged")
+                    self.record.write(f"operator: {method} {target} is acknowledged")
                     return
             await asyncio.sleep(0.2)
         raise CannotRun(f"{method} {target} was never acknowledged")
@@ -422,7 +424,7 @@
         headers = [("Host", HOST), ("Request-Id", lot.id), ("Content-Type", "application/json"), ("Deadline-Ms", 4000)]
         for number in range(tries):
             address = self.gateways("front")[number % 3]
-            status, _, _ = await call(address, "POST", LOTS + lot.id[:6], headers, lot.document())
+            status, _, _ = await call(address, "POST", lot.prefix + lot.id[:6], headers, lot.document())
             self.record.write(f"batch job {lot.id} of {len(lot.items)} items sent to {address[0]}: {status}")
             if status == 202:
                 lot.accepted_at = self.record.now()
@@ -506,7 +508,7 @@
     return {"config-version": 1, "routes": [stream, lots], "services": [service], "limits": limits}
 
 
-def main(play, **deployment):
+def main(play, prepare=lambda stage: None, **deployment):
     """Plays a case: exits with 0 if the rule held, 1 if it was broken, 2 if the case could not run."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     record = Record(os.path.join(folder, "record.txt"))
@@ -514,6 +516,7 @@
 
     async def run():
         stage = Stage(record, **deployment)
+        prepare(stage)
         try:
             await stage.start()
             await stage.wait_until_ready()
