--- a/review/stage.py
+++ b/review/stage.py
@@ -282,6 +282,7 @@
         self.net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         self.ports = self.free_ports()
         self.processes = {}
+        self.disks = {}
         self.first_start = True
         self.backends = []
         for number in range(3 * backends_a_zone):
@@ -329,7 +330,7 @@
     def start_process(self, role, node, zone, last, disk_mb):
         definition = self.roles[role]
         ip = self.address(last)
-        data = os.path.join(self.folder, "data", node)
+        data = os.path.join(self.folder, "data", f"{node}-{self.disks.get(node, 1)}")
         os.makedirs(data, exist_ok=True)
         listen = ""
         if role == "door":
@@ -470,11 +471,11 @@
             print(self.folder, file=sys.stderr)
 
     async def lose_disk(self, node, down_s):
-        """The machine's process is killed and its disk is lost; it starts again at its address with an empty folder."""
+        """The machine's process is killed and its disk is lost; it starts again at its address with another, empty folder."""
         process = self.processes[node]
         process.kill()
         process.wait()
-        shutil.rmtree(os.path.join(self.folder, "data", node))
+        self.disks[node] = self.disks.get(node, 1) + 1
         self.record.write(f"process {node} is killed and its disk is lost")
         await asyncio.sleep(down_s)
         zone = node.removeprefix("storage-").removesuffix("-1")
