--- a/batch/src/engine.rs
+++ b/batch/src/engine.rs
@@ -248,6 +248,11 @@
         self.work.load()
     }
 
+    /// Number of items of a route that wait for a run.
+    pub fn waiting_items(&self, route: &str) -> usize {
+        self.work.waiting_items(route)
+    }
+
     /// Number of stored jobs.
     pub fn jobs(&self) -> usize {
         self.node.state().jobs.len()
--- a/batch/src/work.rs
+++ b/batch/src/work.rs
@@ -83,11 +83,33 @@
     items: BTreeMap<u32, OpenItem>,
 }
 
+/// The open items of one route.
+#[derive(Debug, Default)]
+struct RouteQueue {
+    ready: BTreeSet<ReadyKey>,
+    /// Number of items in backoff.
+    in_backoff: usize,
+    /// Number of items that are running.
+    running: usize,
+}
+
+impl RouteQueue {
+    /// Number of items that wait for a run.
+    fn waiting(&self) -> usize {
+        self.ready.len() + self.in_backoff
+    }
+
+    fn is_empty(&self) -> bool {
+        self.waiting() + self.running == 0
+    }
+}
+
 /// All open items, by job and by state.
 #[derive(Debug, Default)]
 pub struct WorkQueue {
     jobs: HashMap<JobId, OpenJob>,
-    ready: BTreeMap<String, BTreeSet<ReadyKey>>,
+    /// The routes with open items.
+    routes: BTreeMap<String, RouteQueue>,
     in_backoff: BTreeSet<BackoffKey>,
     runs: HashMap<RunId, Run>,
     newest_run: u64,
@@ -103,10 +125,10 @@
             return;
         }
         let route = job.accepted.route.clone();
-        let ready = self.ready.entry(route.clone()).or_default();
+        let queue = self.routes.entry(route.clone()).or_default();
         let mut items = BTreeMap::new();
         for item in (0..job.accepted.items.len() as u32).filter(|item| !job.is_listed(*item)) {
-            ready.insert(ReadyKey {
+            queue.ready.insert(ReadyKey {
                 due_ms,
                 item: ItemKey {
                     job: id.clone(),
@@ -122,15 +144,23 @@
                 },
             );
         }
-        if !items.is_empty() {
-            self.jobs.insert(
-                id.clone(),
-                OpenJob {
-                    route,
-                    due_ms,
-                    items,
-                },
-            );
+        if items.is_empty() {
+            self.remove_route_if_empty(&route);
+            return;
+        }
+        self.jobs.insert(
+            id.clone(),
+            OpenJob {
+                route,
+                due_ms,
+                items,
+            },
+        );
+    }
+
+    fn remove_route_if_empty(&mut self, route: &str) {
+        if self.routes.get(route).is_some_and(RouteQueue::is_empty) {
+            self.routes.remove(route);
         }
     }
 
@@ -155,9 +185,12 @@
         let Some(item) = job.items.get_mut(&key.item) else {
             return;
         };
+        let queue = self.routes.entry(job.route.clone()).or_default();
+        if matches!(item.phase, Phase::Backoff { .. }) {
+            queue.in_backoff = queue.in_backoff.saturating_sub(1);
+        }
         item.phase = Phase::Ready;
-        let ready = self.ready.entry(job.route.clone()).or_default();
-        ready.insert(ReadyKey {
+        queue.ready.insert(ReadyKey {
             due_ms: job.due_ms,
             item: key,
         });
@@ -179,7 +212,7 @@
     /// The ready item with the earliest due time among those that can complete in time, or among all if there is none;
     /// with whether it is too late.
     fn first(&self, route: &str, now_ms: u64) -> Option<(&ReadyKey, bool)> {
-        let ready = self.ready.get(route)?;
+        let ready = &self.routes.get(route)?.ready;
         let ends_ms = now_ms as i64 + self.run_ms.unwrap_or(0.0) as i64;
         let soonest = ItemKey {
             job: JobId(String::new()),
@@ -207,9 +240,9 @@
 
     /// Routes with ready items.
     pub fn ready_routes(&self) -> impl Iterator<Item = &str> {
-        self.ready
+        self.routes
             .iter()
-            .filter(|(_, ready)| !ready.is_empty())
+            .filter(|(_, queue)| !queue.ready.is_empty())
             .map(|(route, _)| route.as_str())
     }
 
@@ -230,25 +263,33 @@
                 started_ms: now_ms,
             },
         );
-        let ready = self.ready.get_mut(&job.route);
-        ready.map(|ready| {
-            ready.remove(&ReadyKey {
-                due_ms: job.due_ms,
-                item: key.clone(),
-            })
+        let queue = self.routes.entry(job.route.clone()).or_default();
+        queue.ready.remove(&ReadyKey {
+            due_ms: job.due_ms,
+            item: key.clone(),
         });
+        queue.running += 1;
         Some((run, item))
     }
 
     /// Removes a run that ended. The caller must then call [`WorkQueue::back_off`] or [`WorkQueue::finish`] for its item.
     pub fn end_run(&mut self, run: RunId, now_ms: u64) -> Option<EndedRun> {
         let Run { item, started_ms } = self.runs.remove(&run)?;
+        self.count_ended_run(&item.job);
         Some(EndedRun {
             item,
             lasted_ms: now_ms.saturating_sub(started_ms),
         })
     }
 
+    fn count_ended_run(&mut self, job: &JobId) {
+        let route = self.jobs.get(job).map(|job| job.route.as_str());
+        let queue = route.and_then(|route| self.routes.get_mut(route));
+        if let Some(queue) = queue {
+            queue.running = queue.running.saturating_sub(1);
+        }
+    }
+
     /// An open item, to update its failures or its resume position.
     pub fn item_mut(&mut self, key: &ItemKey) -> Option<&mut OpenItem> {
         self.jobs.get_mut(&key.job)?.items.get_mut(&key.item)
@@ -256,13 +297,18 @@
 
     /// Puts an item whose run has ended into backoff until `until_ms`.
     pub fn back_off(&mut self, key: ItemKey, until_ms: u64) {
-        if let Some(item) = self.item_mut(&key) {
-            item.phase = Phase::Backoff { until_ms };
-            self.in_backoff.insert(BackoffKey {
-                until_ms,
-                item: key,
-            });
-        }
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let Some(item) = job.items.get_mut(&key.item) else {
+            return;
+        };
+        item.phase = Phase::Backoff { until_ms };
+        self.routes.entry(job.route.clone()).or_default().in_backoff += 1;
+        self.in_backoff.insert(BackoffKey {
+            until_ms,
+            item: key,
+        });
     }
 
     /// Removes an item that is done. Returns its run if one is in progress.
@@ -273,26 +319,30 @@
         if job.items.is_empty() {
             self.jobs.remove(&key.job);
         }
-        match item.phase {
+        let queue = self.routes.entry(route.clone()).or_default();
+        let run = match item.phase {
             Phase::Ready => {
-                let ready = self.ready.get_mut(&route);
-                ready.map(|ready| {
-                    ready.remove(&ReadyKey {
-                        due_ms,
-                        item: key.clone(),
-                    })
+                queue.ready.remove(&ReadyKey {
+                    due_ms,
+                    item: key.clone(),
                 });
                 None
             }
             Phase::Backoff { until_ms } => {
+                queue.in_backoff = queue.in_backoff.saturating_sub(1);
                 self.in_backoff.remove(&BackoffKey {
                     until_ms,
                     item: key.clone(),
                 });
                 None
             }
-            Phase::Running(run) => self.runs.remove(&run).map(|_| run),
-        }
+            Phase::Running(run) => self.runs.remove(&run).map(|_| {
+                queue.running = queue.running.saturating_sub(1);
+                run
+            }),
+        };
+        self.remove_route_if_empty(&route);
+        run
     }
 
     /// Open items of a job.
@@ -321,15 +371,20 @@
     pub fn clear(&mut self) -> Vec<RunId> {
         let runs = self.runs.drain().map(|(run, _)| run).collect();
         self.jobs.clear();
-        self.ready.clear();
+        self.routes.clear();
         self.in_backoff.clear();
         runs
     }
 
     /// Number of waiting items, including those in backoff, and of running items.
     pub fn load(&self) -> (usize, usize) {
-        let ready: usize = self.ready.values().map(BTreeSet::len).sum();
-        (ready + self.in_backoff.len(), self.runs.len())
+        let waiting = self.routes.values().map(RouteQueue::waiting).sum();
+        (waiting, self.runs.len())
+    }
+
+    /// Number of waiting items of a route, including those in backoff.
+    pub fn waiting_items(&self, route: &str) -> usize {
+        self.routes.get(route).map_or(0, RouteQueue::waiting)
     }
 
     /// End of the next backoff.
