--- a/alderhollow/src/balance/mod.rs
+++ b/alderhollow/src/balance/mod.rs
@@ -395,6 +395,12 @@
             .collect()
     }
 
+    /// Whether a service has a backend that accepts requests, at capacity or not.
+    pub fn has_backend(&self, service: &str) -> bool {
+        let pool = self.table.pools.get(service);
+        pool.is_some_and(|pool| pool.members.iter().any(Member::may_get_requests))
+    }
+
     /// Whether the service's backends are model engines.
     pub fn is_engine(&self, service: &str) -> bool {
         self.table
--- a/alderhollow/src/exchange/mod.rs
+++ b/alderhollow/src/exchange/mod.rs
@@ -148,6 +148,23 @@
         self.services.borrow_mut().pick(route)
     }
 
+    /// Picks one of the route's services that `is_available` admits, by weight.
+    pub fn pick_available_service(
+        &self,
+        route: &Route,
+        is_available: impl Fn(&str) -> bool,
+    ) -> Option<String> {
+        self.services
+            .borrow_mut()
+            .pick_available(route, is_available)
+    }
+
+    /// Whether a service has a backend that accepts requests, at capacity or not.
+    pub fn has_backend(&self, service: &str) -> bool {
+        self.tables();
+        self.balancer.borrow().has_backend(service)
+    }
+
     /// Chooses a backend from local knowledge only, without asking a placer.
     ///
     /// # Errors
--- a/alderhollow/src/executor/mod.rs
+++ b/alderhollow/src/executor/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! | module | purpose |
 //! | --- | --- |
-//! | [`pacing`] | limits how many items may start |
+//! | [`pacing`] | limits how many items of a service may start |
+//! | [`start_scheduler`] | decides where and whether a route's next item starts |
 //! | [`outbound`] | builds the request of an item |
 //! | [`attempt`] | interprets a backend's response |
 //! | [`events`] | parses the events of a response |
@@ -11,6 +12,7 @@
 pub mod events;
 pub mod outbound;
 pub mod pacing;
+pub mod start_scheduler;
 
 use crate::balance::{Millis, NoBackend, SelectionRequest};
 use crate::clock::SteadyClock;
@@ -21,8 +23,10 @@
 use alderhollow_model::config::Route;
 use alderhollow_model::snapshot::Snapshot;
 use attempt::FIRST_EVENT_TIMEOUT;
-use pacing::{LedShare, Pacer};
+use pacing::LedShare;
+use start_scheduler::{Admission, RunPermit, Services, StartScheduler};
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -48,8 +52,8 @@
 struct Shared {
     clock: SteadyClock,
     exchange: Rc<Exchange>,
-    pacer: RefCell<Pacer>,
-    /// The snapshot last applied to the pacer.
+    scheduler: RefCell<StartScheduler>,
+    /// The snapshot last applied to the scheduler.
     applied_snapshot: RefCell<Option<Arc<Snapshot>>>,
 }
 
@@ -59,7 +63,7 @@
         let shared = Shared {
             clock,
             exchange,
-            pacer: RefCell::default(),
+            scheduler: RefCell::default(),
             applied_snapshot: RefCell::default(),
         };
         Executor {
@@ -67,26 +71,37 @@
         }
     }
 
-    /// How many items may start now, given the share of groups that this process leads and the number of waiting and
-    /// running items.
-    pub fn startable_items(&self, share: LedShare, waiting: usize, running: usize) -> usize {
-        let snapshot = self.shared.exchange.tables().snapshot.clone();
+    /// Begins a round of starts, given the share of groups that this process leads and the waiting items of each route
+    /// with ready items. Returns the number of items whose route has no backend.
+    pub fn begin_round(&self, share: LedShare, waiting: &BTreeMap<String, usize>) -> usize {
+        let tables = self.shared.exchange.tables();
         let mut applied_snapshot = self.shared.applied_snapshot.borrow_mut();
-        let mut pacer = self.shared.pacer.borrow_mut();
+        let mut scheduler = self.shared.scheduler.borrow_mut();
         if !applied_snapshot
             .as_ref()
-            .is_some_and(|applied| Arc::ptr_eq(applied, &snapshot))
+            .is_some_and(|applied| Arc::ptr_eq(applied, &tables.snapshot))
         {
-            pacer.update(&snapshot);
-            *applied_snapshot = Some(snapshot);
+            scheduler.update(&tables.snapshot, tables.config().map(Arc::as_ref));
+            *applied_snapshot = Some(tables.snapshot.clone());
         }
-        pacer.set_share(share);
-        pacer.startable_items(self.shared.clock.now_ms() as Millis, waiting, running)
+        let now = self.shared.clock.now_ms() as Millis;
+        scheduler.begin_round(now, share, waiting, &*self.shared.exchange)
+    }
+
+    /// Admits the route's next item if it may start in this round.
+    pub fn admit(&self, route: &str) -> Option<Admission> {
+        let mut scheduler = self.shared.scheduler.borrow_mut();
+        scheduler.admit(route, &*self.shared.exchange)
+    }
+
+    /// Records the start of an admitted item.
+    pub fn start(&self, admission: Admission) -> RunPermit {
+        self.shared.scheduler.borrow_mut().start(admission)
     }
 
-    /// Records that `count` items are being started.
-    pub fn record_starts(&self, count: usize) {
-        self.shared.pacer.borrow_mut().record_starts(count);
+    /// Whether any of the route's services had a backend at the beginning of the round.
+    pub fn has_backend(&self, route: &str) -> bool {
+        self.shared.scheduler.borrow().has_backend(route)
     }
 
     /// Runs an item at one backend. Dropping the future closes the connection.
@@ -96,13 +111,24 @@
 
     /// Like [`Executor::run`]; `permission` is checked right before the request is written.
     pub async fn run_permitted(&self, item: &ItemStart, permission: Permission<'_>) -> RunEnd {
+        let route = self.route(&item.route);
+        match route.and_then(|route| self.shared.exchange.pick_service(&route)) {
+            Some(service) => self.run_at_service(item, &service, permission).await,
+            None => not_run(RETRY_NONE_READY_MS),
+        }
+    }
+
+    /// Runs an item at a backend of this service; `permission` is checked right before the request is written.
+    pub async fn run_at_service(
+        &self,
+        item: &ItemStart,
+        service: &str,
+        permission: Permission<'_>,
+    ) -> RunEnd {
         let exchange = &self.shared.exchange;
         let Some(route) = self.route(&item.route) else {
             return not_run(RETRY_NONE_READY_MS);
         };
-        let Some(service) = exchange.pick_service(&route) else {
-            return not_run(RETRY_NONE_READY_MS);
-        };
         let outbound = match outbound::of_item(item) {
             Ok(outbound) => outbound,
             Err(error) => {
@@ -112,7 +138,7 @@
         };
         let prompt = prompt::read(outbound.headers());
         let wanted = SelectionRequest {
-            service: &service,
+            service,
             prompt: prompt.as_ref(),
             priority: route.priority,
             tried: &[],
@@ -160,6 +186,16 @@
     }
 }
 
+impl Services for Exchange {
+    fn has_backend(&self, service: &str) -> bool {
+        Exchange::has_backend(self, service)
+    }
+
+    fn pick(&self, route: &Route, is_available: &dyn Fn(&str) -> bool) -> Option<String> {
+        self.pick_available_service(route, is_available)
+    }
+}
+
 /// Abandons a silent backend even if no other is known: the item rather waits for its next attempt.
 struct AlwaysAbandon;
 
--- a/alderhollow/src/executor/pacing.rs
+++ b/alderhollow/src/executor/pacing.rs
@@ -1,14 +1,15 @@
-//! Limits how many items run at once, to leave capacity for clients' streams, and how many start per second.
+//! Limits how many items of one service run at once, to leave capacity for clients' streams, and how many start per
+//! second.
 
 use crate::balance::Millis;
 use alderhollow_model::backend::BackendState;
-use alderhollow_model::config::RouteType;
+use alderhollow_model::config::{Route, RouteType};
 use alderhollow_model::snapshot::Snapshot;
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
-/// Share of the slots of the batch routes' backends that the items of all groups may use.
+/// Share of the slots of a service's backends that the items of all groups may use.
 const SLOT_SHARE: f64 = 0.8;
-/// Items that one process may run regardless of the number of slots.
+/// Items that one process may run at a service regardless of the number of slots.
 const MIN_RUNNING: usize = 4;
 /// Slots of a backend that is listed without a number of slots.
 const DEFAULT_SLOTS: u32 = 16;
@@ -51,10 +52,10 @@
     }
 }
 
-/// Token bucket that limits starts of items, with a bound on running items.
-#[derive(Debug, Default)]
+/// Token bucket that limits starts of items at one service, with a bound on running items.
+#[derive(Debug)]
 pub struct Pacer {
-    /// Slots of all backends of batch routes.
+    /// Slots of the service's backends.
     slots: u64,
     share: LedShare,
     max_running: usize,
@@ -63,10 +64,25 @@
 }
 
 impl Pacer {
-    /// Applies a new snapshot.
-    pub fn update(&mut self, snapshot: &Snapshot) {
-        self.slots = slots_of_batch_services(snapshot);
-        self.update_max_running();
+    /// A pacer of a service whose backends have this many slots.
+    pub fn new(slots: u64) -> Pacer {
+        let mut pacer = Pacer {
+            slots,
+            share: LedShare::WHOLE,
+            max_running: 0,
+            start_tokens: 0.0,
+            refilled_at: None,
+        };
+        pacer.update_max_running();
+        pacer
+    }
+
+    /// Sets the slots of the service's backends that can take items now.
+    pub fn set_slots(&mut self, slots: u64) {
+        if self.slots != slots {
+            self.slots = slots;
+            self.update_max_running();
+        }
     }
 
     /// Sets the share of groups that this process leads.
@@ -82,6 +98,11 @@
         self.max_running = (max_running as usize).max(MIN_RUNNING);
     }
 
+    /// Whether a further item may run beside `running` ones.
+    pub fn may_run_more(&self, running: usize) -> bool {
+        running < self.max_running
+    }
+
     /// How many items may start now, given the number of waiting and running ones.
     pub fn startable_items(&mut self, now: Millis, waiting: usize, running: usize) -> usize {
         let max_running = self.max_running as f64;
@@ -102,32 +123,31 @@
     }
 }
 
-/// Slots of all backends that can take items of a batch route now.
-fn slots_of_batch_services(snapshot: &Snapshot) -> u64 {
+/// For each service of a batch route: the slots of its backends that can take items now.
+pub fn slots_of_batch_services(snapshot: &Snapshot) -> BTreeMap<String, u64> {
     let Some(config) = &snapshot.control.config else {
-        return 0;
+        return BTreeMap::new();
     };
-    let services: BTreeSet<String> = config
+    let mut slots: BTreeMap<String, u64> = config
         .routes
         .iter()
         .filter(|route| route.route_type == RouteType::Batch)
-        .flat_map(|route| route.services())
-        .map(|part| part.service)
+        .flat_map(Route::services)
+        .map(|part| (part.service, 0))
         .collect();
     let ready = snapshot.backends.backends.iter().filter(|backend| {
-        backend.state == BackendState::Ready
-            && services.contains(&backend.service)
-            && !snapshot.control.evacuated.contains(&backend.zone)
+        backend.state == BackendState::Ready && !snapshot.control.evacuated.contains(&backend.zone)
     });
-    ready
-        .map(|backend| {
-            u64::from(if backend.slots == 0 {
+    for backend in ready {
+        if let Some(slots) = slots.get_mut(&backend.service) {
+            *slots += u64::from(if backend.slots == 0 {
                 DEFAULT_SLOTS
             } else {
                 backend.slots
-            })
-        })
-        .sum()
+            });
+        }
+    }
+    slots
 }
 
 #[cfg(test)]
--- a/alderhollow/src/executor/pacing/tests.rs
+++ b/alderhollow/src/executor/pacing/tests.rs
@@ -53,15 +53,22 @@
 
 #[test]
 fn only_slots_of_available_backends_count() {
-    assert_eq!(slots_of_batch_services(&tables(4, "")), 3 * 64);
-    assert_eq!(slots_of_batch_services(&tables(4, "even")), 64);
-    assert_eq!(slots_of_batch_services(&Snapshot::default()), 0);
+    let slots = |snapshot| Vec::from_iter(slots_of_batch_services(&snapshot));
+    let of_s = |slots: u64| vec![("s".to_string(), slots)];
+    assert_eq!(slots(tables(4, "")), of_s(3 * 64));
+    assert_eq!(slots(tables(4, "even")), of_s(64));
+    assert_eq!(slots(tables(0, "")), of_s(0));
+    assert_eq!(slots(Snapshot::default()), []);
+}
+
+/// The pacer of the batch route's service with these tables.
+fn pacer_of(snapshot: &Snapshot) -> Pacer {
+    Pacer::new(slots_of_batch_services(snapshot).values().sum())
 }
 
 #[test]
 fn starts_are_gradual_and_limited() {
-    let mut pacer = Pacer::default();
-    pacer.update(&tables(4, ""));
+    let mut pacer = pacer_of(&tables(4, ""));
     let mut running = 0;
     let mut max_at_once = 0;
     for tick in 0..2_000 {
@@ -77,8 +84,7 @@
 
 #[test]
 fn without_tables_the_minimum_may_run() {
-    let mut pacer = Pacer::default();
-    pacer.update(&Snapshot::default());
+    let mut pacer = pacer_of(&Snapshot::default());
     let mut running = 0;
     for tick in 0..10_000 {
         let room = pacer.startable_items(f64::from(tick) * 10.0, 1_000, running);
@@ -90,8 +96,7 @@
 
 #[test]
 fn starts_are_spread_over_the_start_period() {
-    let mut pacer = Pacer::default();
-    pacer.update(&tables(4, ""));
+    let mut pacer = pacer_of(&tables(4, ""));
     let (mut waiting, mut max_at_once, mut ticks) = (60, 0, 0);
     while waiting > 0 {
         ticks += 1;
@@ -108,8 +113,7 @@
 
 /// Number of running items and largest burst of starts of a process with this share of the groups.
 fn run_all(share: LedShare) -> (usize, usize) {
-    let mut pacer = Pacer::default();
-    pacer.update(&tables(4, ""));
+    let mut pacer = pacer_of(&tables(4, ""));
     pacer.set_share(share);
     let (mut running, mut max_at_once) = (0, 0);
     for tick in 0..4_000 {
@@ -144,8 +148,7 @@
 #[test]
 fn starts_per_second_are_proportional_to_the_share() {
     let starts_in_4_s = |share: LedShare| {
-        let mut pacer = Pacer::default();
-        pacer.update(&tables(4, ""));
+        let mut pacer = pacer_of(&tables(4, ""));
         pacer.set_share(share);
         let mut starts = 0;
         for tick in 0..=400 {
@@ -161,14 +164,13 @@
 
 #[test]
 fn a_changed_share_applies_immediately() {
-    let mut pacer = Pacer::default();
-    pacer.update(&tables(4, ""));
+    let mut pacer = pacer_of(&tables(4, ""));
     pacer.set_share(LedShare { led: 1, all: 3 });
     pacer.startable_items(0.0, 1_000, 0);
     assert_eq!(pacer.startable_items(1_000.0, 1_000, 51), 0);
     pacer.set_share(LedShare { led: 2, all: 3 });
     assert!(pacer.startable_items(2_000.0, 1_000, 51) > 0);
-    pacer.update(&tables(4, "even"));
+    pacer.set_slots(slots_of_batch_services(&tables(4, "even"))["s"]);
     assert_eq!(
         pacer.startable_items(3_000.0, 1_000, 34),
         0,
--- a/alderhollow/src/metrics/store.rs
+++ b/alderhollow/src/metrics/store.rs
@@ -28,6 +28,10 @@
     name: "alderhollow_store_items_running",
     help: "Items with a run under way",
 };
+const ITEMS_WITHOUT_BACKEND: Description = Description {
+    name: "alderhollow_store_items_without_backend",
+    help: "Waiting items whose services have no backend that accepts requests",
+};
 const RUNS_STARTED: Description = Description {
     name: "alderhollow_store_runs_started_total",
     help: "Runs of items that were started",
@@ -243,6 +247,7 @@
     items_listed: Counter,
     items_waiting: Gauge,
     items_running: Gauge,
+    items_without_backend: Gauge,
     runs_started: Counter,
     run_ends: CounterFamily<RunEndKind>,
     reads: Counter,
@@ -273,6 +278,7 @@
             items_listed: registrar.counter(&ITEMS_LISTED),
             items_waiting: registrar.gauge(&ITEMS_WAITING),
             items_running: registrar.gauge(&ITEMS_RUNNING),
+            items_without_backend: registrar.gauge(&ITEMS_WITHOUT_BACKEND),
             runs_started: registrar.counter(&RUNS_STARTED),
             run_ends: registrar.counters(&RUN_ENDS),
             reads: registrar.counter(&READS),
@@ -317,6 +323,11 @@
         self.items_running.set(running as u64);
     }
 
+    /// Waiting items whose services have no backend.
+    pub fn items_without_backend(&self, items: usize) {
+        self.items_without_backend.set(items as u64);
+    }
+
     /// Runs were started.
     pub fn runs_started(&self, count: usize) {
         self.runs_started.add(count as u64);
--- a/alderhollow/src/routing.rs
+++ b/alderhollow/src/routing.rs
@@ -1,7 +1,7 @@
 //! Which route a request takes, and which of the route's services.
 
 use crate::balance::hash::hash_name;
-use alderhollow_model::config::{Config, Route};
+use alderhollow_model::config::{Config, Route, WeightedService};
 use oorandom::Rand64;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -62,7 +62,11 @@
 
 /// The service that a draw from 0 to 1 falls on, by the route's weights.
 pub fn pick_service(route: &Route, draw: f64) -> Option<String> {
-    let services = route.services();
+    pick_weighted(route.services(), draw)
+}
+
+/// The service that a draw from 0 to 1 falls on, by these weights.
+fn pick_weighted(services: Vec<WeightedService>, draw: f64) -> Option<String> {
     let total: f64 = services.iter().map(|part| part.weight.max(0.0)).sum();
     let mut left = draw * total;
     for part in &services {
@@ -111,6 +115,20 @@
         pick_service(route, self.draw(&route.name))
     }
 
+    /// Like [`ServicePicker::pick`], by the weights of the services that `is_available` admits.
+    pub fn pick_available(
+        &mut self,
+        route: &Route,
+        is_available: impl Fn(&str) -> bool,
+    ) -> Option<String> {
+        let mut services = route.services();
+        services.retain(|part| part.weight > 0.0 && is_available(&part.service));
+        if services.is_empty() {
+            return None;
+        }
+        pick_weighted(services, self.draw(&route.name))
+    }
+
     /// Forgets the routes that a configuration lacks.
     pub fn keep_routes_of(&mut self, config: &Config) {
         let names: BTreeSet<&str> = config
--- a/alderhollow/src/store/item_starts.rs
+++ b/alderhollow/src/store/item_starts.rs
@@ -1,12 +1,12 @@
 //! Selects the items to run next, across all groups that this store leads: those with the earliest deadline that can still
-//! be met.
+//! be met, among the routes whose service can start an item now.
 
 use super::group_engine::GroupEngine;
 use super::node::StoreNode;
 use alderhollow_batch::api::ItemStart;
 use alderhollow_batch::work::Turn;
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::rc::Rc;
 
 /// An item to run, with its group.
@@ -17,83 +17,92 @@
     pub item: ItemStart,
 }
 
-/// A group with ready items of a route, ordered by the turn of its next item.
+/// The ready items of a route in one group.
+struct ReadyItems {
+    group: Rc<GroupEngine>,
+    route: String,
+}
+
+/// A candidate for the next start, ordered by the turn of its next item.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct DueGroup {
+struct Candidate {
     turn: Turn,
-    /// Index in the list of groups.
+    /// Index in the list of ready items.
     index: usize,
 }
 
 impl StoreNode {
-    /// Starts items while there is capacity. Returns whether any route had waiting items.
+    /// Starts items while there is capacity. Returns whether items wait that may start soon.
     pub(super) fn start_items(self: &Rc<Self>) -> bool {
-        let groups: Vec<Rc<GroupEngine>> = self
-            .groups()
-            .into_iter()
-            .filter(|group| group.has_work())
-            .collect();
-        let routes = self.routes_with_work(&groups);
-        for route in &routes {
-            let max_items = self
-                .runs
-                .startable_items(self.led_share(), self.waiting_items());
-            if max_items == 0 {
-                break;
-            }
-            let starts = self.take_earliest_due(&groups, route, max_items);
-            self.runs.start(self, starts);
-        }
-        !routes.is_empty()
+        let ready = self.ready_items();
+        let waiting = self.waiting_by_route(&ready);
+        self.runs.begin_round(self.led_share(), &waiting);
+        self.start_in_order(&ready);
+        waiting.keys().any(|route| self.runs.has_backend(route))
     }
 
-    /// Returns the routes with waiting items in any of the groups.
-    fn routes_with_work(self: &Rc<Self>, groups: &[Rc<GroupEngine>]) -> BTreeSet<String> {
-        let routes = |group: &Rc<GroupEngine>| {
-            self.with_group(group, |engine, now_ms| engine.routes_with_work(now_ms))
-        };
-        groups.iter().flat_map(routes).collect()
+    /// Returns the routes with ready items in each of the groups.
+    fn ready_items(self: &Rc<Self>) -> Vec<ReadyItems> {
+        let mut ready = Vec::new();
+        for group in self.groups().into_iter().filter(|group| group.has_work()) {
+            let routes = self.with_group(&group, |engine, now_ms| engine.routes_with_work(now_ms));
+            ready.extend(routes.into_iter().map(|route| ReadyItems {
+                group: group.clone(),
+                route,
+            }));
+        }
+        ready
     }
 
-    /// Returns the number of waiting items in all groups.
-    fn waiting_items(&self) -> usize {
-        self.groups()
-            .iter()
-            .map(|group| self.read_group(group, |engine, _| engine.load().0))
-            .sum()
+    /// Returns the number of waiting items in all groups, for each route with ready items.
+    fn waiting_by_route(&self, ready: &[ReadyItems]) -> BTreeMap<String, usize> {
+        let groups = self.groups();
+        let routes: BTreeSet<&String> = ready.iter().map(|ready| &ready.route).collect();
+        let waiting_items = |route: &str| {
+            let in_group = |group: &Rc<GroupEngine>| {
+                self.read_group(group, |engine, _| engine.waiting_items(route))
+            };
+            groups.iter().map(in_group).sum()
+        };
+        routes
+            .into_iter()
+            .map(|route| (route.clone(), waiting_items(route)))
+            .collect()
     }
 
-    /// Takes up to `max_items` items of a route, earliest due first.
-    fn take_earliest_due(
-        self: &Rc<Self>,
-        groups: &[Rc<GroupEngine>],
-        route: &str,
-        max_items: usize,
-    ) -> Vec<GroupItemStart> {
-        let due_group = |index: usize| {
-            let turn = self.read_group(&groups[index], |engine, now_ms| {
-                engine.first_turn(now_ms, route)
-            })?;
-            Some(Reverse(DueGroup { turn, index }))
-        };
-        let mut due_groups: BinaryHeap<Reverse<DueGroup>> =
-            (0..groups.len()).filter_map(due_group).collect();
-        let mut starts = Vec::new();
-        while starts.len() < max_items {
-            let Some(Reverse(DueGroup { index, .. })) = due_groups.pop() else {
-                break;
+    /// Starts items in the order of their turns. A route that may not start an item now is passed over.
+    fn start_in_order(self: &Rc<Self>, ready: &[ReadyItems]) {
+        let mut passed_over: BTreeSet<&str> = BTreeSet::new();
+        let mut candidates: BinaryHeap<Reverse<Candidate>> = (0..ready.len())
+            .filter_map(|index| self.candidate(ready, index))
+            .collect();
+        while let Some(Reverse(Candidate { index, .. })) = candidates.pop() {
+            let Some(ReadyItems { group, route }) = ready.get(index) else {
+                continue;
+            };
+            if passed_over.contains(route.as_str()) {
+                continue;
+            }
+            let Some(admission) = self.runs.admit(route) else {
+                passed_over.insert(route);
+                continue;
             };
-            let group = &groups[index];
             let items = self.with_group(group, |engine, now_ms| engine.take_work(now_ms, route, 1));
             // A group that returns nothing is no longer a validated primary: it is retried at the next tick.
-            if !items.is_empty() {
-                due_groups.extend(due_group(index));
-            }
-            starts.extend(items.into_iter().map(|item| GroupItemStart {
-                group: group.clone(),
-                item,
-            }));
+            let Some(item) = items.into_iter().next() else {
+                continue;
+            };
+            let group = group.clone();
+            self.runs
+                .start(self, admission, GroupItemStart { group, item });
+            candidates.extend(self.candidate(ready, index));
         }
-        starts
+    }
+
+    /// Returns the candidate for the next start among these ready items.
+    fn candidate(&self, ready: &[ReadyItems], index: usize) -> Option<Reverse<Candidate>> {
+        let ReadyItems { group, route } = ready.get(index)?;
+        let turn = self.read_group(group, |engine, now_ms| engine.first_turn(now_ms, route))?;
+        Some(Reverse(Candidate { turn, index }))
     }
 }
--- a/alderhollow/src/store/runs.rs
+++ b/alderhollow/src/store/runs.rs
@@ -3,6 +3,7 @@
 use super::item_starts::GroupItemStart;
 use super::node::StoreNode;
 use crate::executor::pacing::LedShare;
+use crate::executor::start_scheduler::{Admission, RunPermit};
 use crate::executor::Executor;
 use crate::metrics;
 use crate::metrics::store::RunEndKind;
@@ -50,25 +51,34 @@
         }
     }
 
-    /// Returns how many items may start now, given the share of the groups that the store leads and the waiting items.
-    pub fn startable_items(&self, share: LedShare, waiting_items: usize) -> usize {
-        self.executor
-            .startable_items(share, waiting_items, self.running.borrow().len())
+    /// Begins a round of starts, given the share of the groups that the store leads and the waiting items of each route
+    /// with ready items.
+    pub fn begin_round(&self, share: LedShare, waiting: &BTreeMap<String, usize>) {
+        let without_backend = self.executor.begin_round(share, waiting);
+        metrics::get().store.items_without_backend(without_backend);
     }
 
-    /// Starts items.
-    pub fn start(&self, node: &Rc<StoreNode>, starts: Vec<GroupItemStart>) {
-        self.executor.record_starts(starts.len());
-        metrics::get().store.runs_started(starts.len());
-        for start in starts {
-            let key = RunKey {
-                group: start.group.id,
-                run: start.item.run,
-            };
-            let task =
-                tokio::task::spawn_local(run_item(node.clone(), self.executor.clone(), start));
-            self.running.borrow_mut().insert(key, task.abort_handle());
-        }
+    /// Admits the route's next item if it may start in this round.
+    pub fn admit(&self, route: &str) -> Option<Admission> {
+        self.executor.admit(route)
+    }
+
+    /// Whether any of the route's services had a backend at the beginning of the round.
+    pub fn has_backend(&self, route: &str) -> bool {
+        self.executor.has_backend(route)
+    }
+
+    /// Starts an admitted item.
+    pub fn start(&self, node: &Rc<StoreNode>, admission: Admission, start: GroupItemStart) {
+        let key = RunKey {
+            group: start.group.id,
+            run: start.item.run,
+        };
+        let permit = self.executor.start(admission);
+        metrics::get().store.runs_started(1);
+        let run = run_item(node.clone(), self.executor.clone(), start, permit);
+        let task = tokio::task::spawn_local(run);
+        self.running.borrow_mut().insert(key, task.abort_handle());
     }
 
     /// Aborts a run, which closes its connection.
@@ -97,11 +107,17 @@
     }
 }
 
-async fn run_item(node: Rc<StoreNode>, executor: Executor, start: GroupItemStart) {
+async fn run_item(
+    node: Rc<StoreNode>,
+    executor: Executor,
+    start: GroupItemStart,
+    permit: RunPermit,
+) {
     let GroupItemStart { group, item } = start;
     let end = executor
-        .run_permitted(&item, &|| node.may_start(&group))
+        .run_at_service(&item, permit.service(), &|| node.may_start(&group))
         .await;
+    drop(permit);
     node.runs.record_end(
         RunKey {
             group: group.id,
--- a/alderhollow/tests/store/main.rs
+++ b/alderhollow/tests/store/main.rs
@@ -6,6 +6,7 @@
 //! | `jobs` | a single group: jobs, items, deletion, losses of power |
 //! | `groups` | several groups spread over the stores |
 //! | `quota` | the limit of a route, shared between groups |
+//! | `waiting_items` | items that cannot run beside items that can |
 
 #[path = "../support/batch_backend.rs"]
 mod batch_backend;
@@ -15,3 +16,4 @@
 mod jobs;
 mod quota;
 mod tier;
+mod waiting_items;
--- a/alderhollow/tests/store/tier.rs
+++ b/alderhollow/tests/store/tier.rs
@@ -16,6 +16,7 @@
 use alderhollow::store::node::{NodeJournal, NodeParts, StoreNode};
 use alderhollow::store::replication::ReplicationHandler;
 use alderhollow::store::runs::Runs;
+use alderhollow_model::config::{Config, Route};
 use alderhollow_model::identity::{Address, DiskId, Incarnation, NodeInfo, Role};
 use alderhollow_model::snapshot::{BatchGroup, GroupId, GroupMember, Snapshot};
 use alderhollow_storage::{FaultDisk, Journal, Writer};
@@ -252,6 +253,11 @@
 
     /// Publishes tables with these groups.
     pub(crate) fn set_groups(&self, version: u64, plans: &[GroupPlan]) {
+        self.publish(config(1, self.quota), version, plans);
+    }
+
+    /// Publishes tables with a configuration and these groups.
+    pub(crate) fn publish(&self, config: Config, version: u64, plans: &[GroupPlan]) {
         let member = |index: &usize| self.stores[*index].member.clone();
         let group = |plan: &GroupPlan| BatchGroup {
             epoch: plan.epoch,
@@ -261,12 +267,8 @@
         };
         let backends = vec![backend("i-1", self.backend.address)];
         let groups = plans.iter().map(group).collect();
-        self.tables.send_replace(snapshot_of_groups(
-            config(1, self.quota),
-            backends,
-            version,
-            groups,
-        ));
+        self.tables
+            .send_replace(snapshot_of_groups(config, backends, version, groups));
     }
 
     /// Starts new stores on these disks, in place of the current ones, which have been stopped.
@@ -352,20 +354,8 @@
         items: &[Value],
         deadline_ms: u64,
     ) -> Response<Bytes> {
-        let request = Request::post("/b/1")
-            .header("Request-Id", id)
-            .header("Deadline-Ms", deadline_ms);
-        let request = request
-            .body(Bytes::from(json!({ "requests": items }).to_string()))
-            .expect("a request");
-        let route = Some(Arc::new(config(1, self.quota).routes.remove(0)));
-        gateway
-            .serve(BatchCall {
-                request,
-                route,
-                received_at: Instant::now(),
-            })
-            .await
+        let route = config(1, self.quota).routes.remove(0);
+        submit_to_route(gateway, route, id, items, deadline_ms).await
     }
 
     pub(crate) async fn submit(&self, items: usize) -> u16 {
@@ -406,6 +396,29 @@
     }
 }
 
+/// Submits a job of a route at a gateway.
+pub(crate) async fn submit_to_route(
+    gateway: &StoreEndpoints,
+    route: Route,
+    id: &str,
+    items: &[Value],
+    deadline_ms: u64,
+) -> Response<Bytes> {
+    let request = Request::post("/b/1")
+        .header("Request-Id", id)
+        .header("Deadline-Ms", deadline_ms);
+    let request = request
+        .body(Bytes::from(json!({ "requests": items }).to_string()))
+        .expect("a request");
+    gateway
+        .serve(BatchCall {
+            request,
+            route: Some(Arc::new(route)),
+            received_at: Instant::now(),
+        })
+        .await
+}
+
 /// Creates an item as a client submits it.
 pub(crate) fn job_item(id: &str, body: &[u8]) -> Value {
     let body = BASE64_STANDARD.encode(body);
