--- a/alderhollow/src/balance/mod.rs
+++ b/alderhollow/src/balance/mod.rs
@@ -401,6 +401,14 @@
         pool.is_some_and(|pool| pool.members.iter().any(Member::may_get_requests))
     }
 
+    /// Whether a prompt alone needs more memory than the service's backends have, by the service's configuration. They
+    /// decline such a request even when idle.
+    pub fn is_too_large(&self, service: &str, prompt: &Prompt) -> bool {
+        let pool = self.table.pools.get(service);
+        let capacity = pool.and_then(|pool| pool.params.capacity_tokens);
+        capacity.is_some_and(|capacity| u64::from(prompt.tokens_in) > capacity)
+    }
+
     /// Whether the service's backends are model engines.
     pub fn is_engine(&self, service: &str) -> bool {
         self.table
@@ -528,11 +536,20 @@
             return;
         }
         let random = self.rng.rand_float();
-        let pool = self.table.pools.get_mut(&entry.backend.service);
-        let Some(member) = pool.and_then(|pool| pool.member_mut(id)) else {
+        let Some(pool) = self.table.pools.get_mut(&entry.backend.service) else {
+            return;
+        };
+        let capacity = pool.params.capacity_tokens;
+        let Some(member) = pool.member_mut(id) else {
             return;
         };
         member.release(&entry);
+        if outcome == Outcome::Declined && capacity.is_some_and(|capacity| entry.tokens > capacity)
+        {
+            // The backend declines what exceeds its memory as if it were full; that says nothing about other requests.
+            member.health.forget_attempt(attempt);
+            return;
+        }
         member
             .health
             .ended(now, entry.record(attempt), outcome, random);
--- a/alderhollow/src/exchange/mod.rs
+++ b/alderhollow/src/exchange/mod.rs
@@ -11,7 +11,7 @@
 pub mod tables;
 pub mod wait_limits;
 
-use crate::balance::{Balancer, Millis, NoBackend, Outcome, SelectionRequest};
+use crate::balance::{Balancer, Millis, NoBackend, Outcome, Prompt, SelectionRequest};
 use crate::placement::client::PlacementClient;
 use crate::routing::ServicePicker;
 use crate::SnapshotReceiver;
@@ -165,6 +165,12 @@
         self.balancer.borrow().has_backend(service)
     }
 
+    /// Whether a prompt alone needs more memory than the service's backends have.
+    pub fn is_too_large(&self, service: &str, prompt: &Prompt) -> bool {
+        self.tables();
+        self.balancer.borrow().is_too_large(service, prompt)
+    }
+
     /// Chooses a backend from local knowledge only, without asking a placer.
     ///
     /// # Errors
--- a/alderhollow/src/executor/mod.rs
+++ b/alderhollow/src/executor/mod.rs
@@ -34,6 +34,8 @@
 
 /// Retry delay when no backend can take the item.
 const RETRY_NONE_READY_MS: u64 = 200;
+/// Retry delay of an item whose prompt exceeds the memory of its service's backends: only new tables can change that.
+const RETRY_TOO_LARGE_MS: u64 = 5_000;
 /// Retry delay of an item for which no request can be built; only an older version accepted such items.
 const RETRY_UNSENDABLE_MS: u64 = 5_000;
 // Bounds on the retry delay when all backends are full.
@@ -94,6 +96,12 @@
         scheduler.admit(route, &*self.shared.exchange)
     }
 
+    /// Whether an item's prompt needs more memory than the backends of a service have.
+    pub fn is_too_large(&self, item: &ItemStart, service: &str) -> bool {
+        let prompt = prompt::read(&outbound::prompt_headers(item));
+        prompt.is_some_and(|prompt| self.shared.exchange.is_too_large(service, &prompt))
+    }
+
     /// Records the start of an admitted item.
     pub fn start(&self, admission: Admission) -> RunPermit {
         self.shared.scheduler.borrow_mut().start(admission)
@@ -205,6 +213,11 @@
     }
 }
 
+/// How a run ends whose prompt exceeds the memory of its service's backends.
+pub fn too_large() -> RunEnd {
+    not_run(RETRY_TOO_LARGE_MS)
+}
+
 fn not_run(retry_after_ms: u64) -> RunEnd {
     RunEnd::NotRun { retry_after_ms }
 }
--- a/alderhollow/src/executor/outbound.rs
+++ b/alderhollow/src/executor/outbound.rs
@@ -3,6 +3,7 @@
 use crate::exchange::outbound::{
     Outbound, OutboundError, DEADLINE_MS, LAST_EVENT_ID, REQUEST_ID, TARGET_INSTANCE,
 };
+use crate::exchange::prompt::{PROMPT_PREFIX, TOKEN_USAGE};
 use alderhollow_batch::api::ItemStart;
 use http::uri::PathAndQuery;
 use hyper::body::Bytes;
@@ -19,6 +20,9 @@
     LAST_EVENT_ID,
 ];
 
+/// Headers that describe a prompt.
+const PROMPT_HEADERS: [HeaderName; 2] = [PROMPT_PREFIX, TOKEN_USAGE];
+
 /// Why no request can be built for an item. Jobs are already validated on submission.
 #[derive(Debug, thiserror::Error)]
 pub enum ItemError {
@@ -54,6 +58,21 @@
     )?)
 }
 
+/// The headers of an item that describe its prompt.
+pub fn prompt_headers(item: &ItemStart) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for header in &item.request.headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let Some(name) = name.ok().filter(|name| PROMPT_HEADERS.contains(name)) else {
+            continue;
+        };
+        if let Ok(value) = header_value(&header.value) {
+            headers.append(name, value);
+        }
+    }
+    headers
+}
+
 fn header_value(text: &str) -> Result<HeaderValue, http::Error> {
     Ok(HeaderValue::from_str(text)?)
 }
--- a/alderhollow/src/metrics/store.rs
+++ b/alderhollow/src/metrics/store.rs
@@ -32,6 +32,10 @@
     name: "alderhollow_store_items_without_backend",
     help: "Waiting items whose services have no backend that accepts requests",
 };
+const ITEMS_TOO_LARGE: Description = Description {
+    name: "alderhollow_store_items_too_large_total",
+    help: "Times that an item was put off because it needs more memory than its service's backends have",
+};
 const RUNS_STARTED: Description = Description {
     name: "alderhollow_store_runs_started_total",
     help: "Runs of items that were started",
@@ -248,6 +252,7 @@
     items_waiting: Gauge,
     items_running: Gauge,
     items_without_backend: Gauge,
+    items_too_large: Counter,
     runs_started: Counter,
     run_ends: CounterFamily<RunEndKind>,
     reads: Counter,
@@ -279,6 +284,7 @@
             items_waiting: registrar.gauge(&ITEMS_WAITING),
             items_running: registrar.gauge(&ITEMS_RUNNING),
             items_without_backend: registrar.gauge(&ITEMS_WITHOUT_BACKEND),
+            items_too_large: registrar.counter(&ITEMS_TOO_LARGE),
             runs_started: registrar.counter(&RUNS_STARTED),
             run_ends: registrar.counters(&RUN_ENDS),
             reads: registrar.counter(&READS),
@@ -328,6 +334,11 @@
         self.items_without_backend.set(items as u64);
     }
 
+    /// An item was put off because no backend has the memory for it.
+    pub fn item_too_large(&self) {
+        self.items_too_large.increment();
+    }
+
     /// Runs were started.
     pub fn runs_started(&self, count: usize) {
         self.runs_started.add(count as u64);
--- a/alderhollow/src/store/item_starts.rs
+++ b/alderhollow/src/store/item_starts.rs
@@ -3,12 +3,17 @@
 
 use super::group_engine::GroupEngine;
 use super::node::StoreNode;
-use alderhollow_batch::api::ItemStart;
+use crate::executor;
+use crate::metrics;
+use alderhollow_batch::api::{ItemStart, RunId};
 use alderhollow_batch::work::Turn;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::rc::Rc;
 
+/// Items that are put off in one round because no backend has the memory for them, so that a round ends soon.
+const MAX_TOO_LARGE_PER_ROUND: usize = 256;
+
 /// An item to run, with its group.
 pub struct GroupItemStart {
     /// The group.
@@ -72,6 +77,7 @@
 
     /// Starts items in the order of their turns. A route that may not start an item now is passed over.
     fn start_in_order(self: &Rc<Self>, ready: &[ReadyItems]) {
+        let mut too_large = 0;
         let mut passed_over: BTreeSet<&str> = BTreeSet::new();
         let mut candidates: BinaryHeap<Reverse<Candidate>> = (0..ready.len())
             .filter_map(|index| self.candidate(ready, index))
@@ -92,13 +98,28 @@
             let Some(item) = items.into_iter().next() else {
                 continue;
             };
-            let group = group.clone();
-            self.runs
-                .start(self, admission, GroupItemStart { group, item });
-            candidates.extend(self.candidate(ready, index));
+            if self.runs.is_too_large(&admission, &item) {
+                self.postpone_too_large(group, item.run);
+                too_large += 1;
+            } else {
+                let group = group.clone();
+                self.runs
+                    .start(self, admission, GroupItemStart { group, item });
+            }
+            if too_large < MAX_TOO_LARGE_PER_ROUND {
+                candidates.extend(self.candidate(ready, index));
+            }
         }
     }
 
+    /// Puts off an item that no backend has the memory for, without a start.
+    fn postpone_too_large(&self, group: &GroupEngine, run: RunId) {
+        metrics::get().store.item_too_large();
+        self.with_group(group, |engine, now_ms| {
+            engine.run_ended(now_ms, run, executor::too_large());
+        });
+    }
+
     /// Returns the candidate for the next start among these ready items.
     fn candidate(&self, ready: &[ReadyItems], index: usize) -> Option<Reverse<Candidate>> {
         let ReadyItems { group, route } = ready.get(index)?;
--- a/alderhollow/src/store/runs.rs
+++ b/alderhollow/src/store/runs.rs
@@ -7,7 +7,7 @@
 use crate::executor::Executor;
 use crate::metrics;
 use crate::metrics::store::RunEndKind;
-use alderhollow_batch::api::{RunEnd, RunId};
+use alderhollow_batch::api::{ItemStart, RunEnd, RunId};
 use alderhollow_model::snapshot::GroupId;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -68,6 +68,11 @@
         self.executor.has_backend(route)
     }
 
+    /// Whether an admitted item needs more memory than the backends of its service have.
+    pub fn is_too_large(&self, admission: &Admission, item: &ItemStart) -> bool {
+        self.executor.is_too_large(item, &admission.service)
+    }
+
     /// Starts an admitted item.
     pub fn start(&self, node: &Rc<StoreNode>, admission: Admission, start: GroupItemStart) {
         let key = RunKey {
--- a/alderhollow/tests/balance_choice.rs
+++ b/alderhollow/tests/balance_choice.rs
@@ -3,7 +3,7 @@
 
 mod balance_support;
 
-use alderhollow::balance::{Balancer, NoBackend, Outcome, SelectionRequest};
+use alderhollow::balance::{Balancer, NoBackend, Outcome, Prompt, SelectionRequest};
 use alderhollow_model::backend::BackendState;
 use balance_support::{
     backend, node_name, prompt, selection_request, Tables, ENGINES, PLAIN, ZONES,
@@ -345,3 +345,28 @@
         Some(NoBackend::NoneReady)
     );
 }
+
+/// Guards against a request that no backend can hold making idle backends count as full for all others.
+#[test]
+fn a_decline_of_a_request_larger_than_memory_leaves_the_backend_open_for_others() {
+    let tables = Tables::new(ENGINES, 1, 1);
+    let mut balancer = tables.balancer(&node_name(0), ZONES[0], 0.0);
+    let too_large = Prompt {
+        tokens_in: 600_001,
+        ..Prompt::default()
+    };
+    let small = Prompt {
+        tokens_in: 1_000,
+        ..Prompt::default()
+    };
+    let choice = balancer
+        .choose(0.0, &selection_request(ENGINES, Some(&too_large)))
+        .expect("an idle backend is tried");
+    balancer.ended(1.0, choice.attempt, Outcome::Declined);
+    let choice = balancer
+        .choose(2.0, &selection_request(ENGINES, Some(&small)))
+        .expect("the backend is not full");
+    balancer.ended(3.0, choice.attempt, Outcome::Declined);
+    let answer = balancer.choose(4.0, &selection_request(ENGINES, Some(&small)));
+    assert!(matches!(answer, Err(NoBackend::AllFull { .. })));
+}
--- a/alderhollow/tests/support/batch_backend.rs
+++ b/alderhollow/tests/support/batch_backend.rs
@@ -2,7 +2,7 @@
 // Each test file uses a part of this.
 #![allow(dead_code)]
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -51,6 +51,13 @@
         let found = pairs.find(|(key, _)| key.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.trim().to_string())
     }
+
+    /// Input and output tokens, by `Token-Usage`.
+    fn tokens(&self) -> u64 {
+        let usage = self.header("token-usage").unwrap_or_default();
+        let counts = usage.split(',').map(|count| count.trim().parse::<u64>());
+        counts.filter_map(Result::ok).sum()
+    }
 }
 
 /// Data of the events of each item.
@@ -75,6 +82,8 @@
 
 #[derive(Default)]
 struct Shared {
+    /// Tokens of the largest request that it takes; `None` without a limit.
+    max_tokens: Cell<Option<u64>>,
     script: RefCell<VecDeque<Reply>>,
     requests: RefCell<Vec<Request>>,
     closed: RefCell<usize>,
@@ -106,6 +115,11 @@
         BatchBackend { address, shared }
     }
 
+    /// Declines requests of more tokens from now on.
+    pub(crate) fn set_max_tokens(&self, tokens: u64) {
+        self.shared.max_tokens.set(Some(tokens));
+    }
+
     pub(crate) fn requests(&self) -> Vec<Request> {
         self.shared.requests.borrow().clone()
     }
@@ -137,16 +151,20 @@
     let mut bytes = Vec::new();
     while let Some(request) = read_request(&mut stream, &mut bytes).await {
         let id = request.header("request-id").unwrap_or_default();
+        let tokens = request.tokens();
         let first = request
             .header("last-event-id")
             .and_then(|id| id.parse().ok())
             .map_or(1, |id: usize| id + 1);
         shared.requests.borrow_mut().push(request);
-        let reply = shared
-            .script
-            .borrow_mut()
-            .pop_front()
-            .unwrap_or(Reply::Whole);
+        let is_too_large = shared.max_tokens.get().is_some_and(|max| tokens > max);
+        let reply = match is_too_large {
+            true => Reply::NotExecuted,
+            false => {
+                let next = shared.script.borrow_mut().pop_front();
+                next.unwrap_or(Reply::Whole)
+            }
+        };
         shared.changed.notify_waiters();
         let stays = answer(&mut stream, &reply, &id, first, &shared).await;
         if !stays {
