--- a/alderhollow/src/store/group_engine.rs
+++ b/alderhollow/src/store/group_engine.rs
@@ -14,7 +14,7 @@
 use alderhollow_model::identity::DiskId;
 use alderhollow_model::snapshot::{BatchGroup, GroupId};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// Maximum interval between ticks of a group that this store leads: its report changes with time alone.
@@ -91,6 +91,11 @@
         self.engine.borrow_mut().set_validated_until(until_ms);
     }
 
+    /// Sets the routes whose items cannot start now, because their services have no backend.
+    pub(super) fn set_stranded_routes(&self, routes: &BTreeSet<String>) {
+        self.engine.borrow_mut().set_stranded_routes(routes);
+    }
+
     /// Sets the batch routes of the newest configuration.
     pub(super) fn set_routes(
         &self,
--- a/alderhollow/src/store/item_starts.rs
+++ b/alderhollow/src/store/item_starts.rs
@@ -42,8 +42,14 @@
         let ready = self.ready_items();
         let waiting = self.waiting_by_route(&ready);
         self.runs.begin_round(self.led_share(), &waiting);
+        let (startable, stranded): (BTreeSet<String>, BTreeSet<String>) = waiting
+            .into_keys()
+            .partition(|route| self.runs.has_backend(route));
+        for ReadyItems { group, .. } in &ready {
+            group.set_stranded_routes(&stranded);
+        }
         self.start_in_order(&ready);
-        waiting.keys().any(|route| self.runs.has_backend(route))
+        !startable.is_empty()
     }
 
     /// Returns the routes with ready items in each of the groups.
--- a/batch/src/engine.rs
+++ b/batch/src/engine.rs
@@ -27,7 +27,7 @@
 use alderhollow_model::snapshot::BatchGroup;
 use commits::{Commit, JobView};
 use overload::Windows;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
 /// Default for [`Engine::set_status_ms`].
@@ -49,6 +49,8 @@
     quota_limits: BTreeMap<String, u64>,
     token_counts: TokenCounts,
     work: WorkQueue,
+    /// Routes whose items cannot start, whatever the windows allow.
+    stranded_routes: BTreeSet<String>,
     /// Committed state of each job; maintained only by an active primary.
     views: HashMap<JobId, JobView>,
     /// Uncommitted records in order of their index.
@@ -92,6 +94,7 @@
             quota_limits: BTreeMap::new(),
             token_counts: TokenCounts::default(),
             work: WorkQueue::default(),
+            stranded_routes: BTreeSet::new(),
             views: HashMap::new(),
             commits: VecDeque::new(),
             pending_bytes: 0,
@@ -144,6 +147,14 @@
         };
     }
 
+    /// Sets the routes whose items cannot start now, because their services have no backend. Their items do not count as
+    /// waiting for a congestion window.
+    pub fn set_stranded_routes(&mut self, routes: &BTreeSet<String>) {
+        if self.stranded_routes != *routes {
+            self.stranded_routes.clone_from(routes);
+        }
+    }
+
     /// Sets how long a job remains readable after it was first sent.
     pub fn set_status_ms(&mut self, status_ms: u64) {
         self.status_ms = status_ms;
--- a/batch/src/engine/overload.rs
+++ b/batch/src/engine/overload.rs
@@ -110,8 +110,14 @@
 
     /// Whether commits have been late and at least as many items wait for a run as the window allows.
     fn items_wait_for_window(&self) -> bool {
-        let (waiting, _) = self.work.load();
-        self.windows.runs.has_shrunk() && waiting >= self.windows.runs.size()
+        let startable = self.startable_routes().map(|(_, waiting)| waiting);
+        self.windows.runs.has_shrunk() && startable.sum::<usize>() >= self.windows.runs.size()
+    }
+
+    /// Routes with waiting items that may start, and the number of these.
+    fn startable_routes(&self) -> impl Iterator<Item = (&str, usize)> {
+        let waiting = self.work.waiting_routes();
+        waiting.filter(|(route, _)| !self.stranded_routes.contains(*route))
     }
 }
 
--- a/batch/src/work.rs
+++ b/batch/src/work.rs
@@ -387,6 +387,14 @@
         self.routes.get(route).map_or(0, RouteQueue::waiting)
     }
 
+    /// Routes with waiting items, and their number.
+    pub fn waiting_routes(&self) -> impl Iterator<Item = (&str, usize)> {
+        self.routes
+            .iter()
+            .map(|(route, queue)| (route.as_str(), queue.waiting()))
+            .filter(|(_, waiting)| *waiting > 0)
+    }
+
     /// End of the next backoff.
     pub fn next_wake_ms(&self) -> Option<u64> {
         self.in_backoff
--- a/batch/tests/engine/overload.rs
+++ b/batch/tests/engine/overload.rs
@@ -1,7 +1,38 @@
 //! Admission of jobs and starts of items while records wait for the members' disks.
 
-use crate::cluster::{job, Cluster};
+use crate::cluster::{job, terms, Cluster, ROUTE};
 use alderhollow_batch::api::{RunEnd, SubmitOutcome};
+use alderhollow_batch::job::NewJob;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A second route.
+const OTHER_ROUTE: &str = "other";
+
+/// A cluster with two routes, whose window of runs has shrunk to its minimum of 32.
+fn cluster_with_small_window() -> Cluster {
+    let mut cluster = Cluster::active(2);
+    let now_ms = cluster.now_ms;
+    let routes = [ROUTE, OTHER_ROUTE].map(|route| (route.to_owned(), terms()));
+    cluster
+        .engine(1)
+        .set_routes(now_ms, 2, BTreeMap::from(routes));
+    cluster.accept(1, job("first", 40, 1));
+    cluster.stores.get_mut(&2).expect("a store").holds_writes = true;
+    assert_eq!(run(&mut cluster, 40), 40);
+    cluster.pass(300, 1);
+    assert_eq!(run(&mut cluster, 1), 0, "commits are late");
+    cluster.stores.get_mut(&2).expect("a store").holds_writes = false;
+    cluster.release_writes(2);
+    cluster.run_until_idle();
+    cluster
+}
+
+fn job_of_other_route(id: &str, items: usize) -> NewJob {
+    NewJob {
+        route: OTHER_ROUTE.to_owned(),
+        ..job(id, items, 1)
+    }
+}
 
 /// Runs up to `max` items and completes them; returns their number.
 fn run(cluster: &mut Cluster, max: usize) -> usize {
@@ -91,3 +122,20 @@
         "three quarters of what was in flight"
     );
 }
+
+/// Guards against items without a backend making the store refuse jobs of other routes.
+#[test]
+fn items_of_stranded_routes_do_not_count_as_waiting_for_the_window() {
+    let mut cluster = cluster_with_small_window();
+    cluster.accept(1, job_of_other_route("stranded", 200));
+    cluster.stores.get_mut(&2).expect("a store").holds_writes = true;
+    assert!(is_taken(&mut cluster, "pending"));
+    cluster.pass(200, 1);
+    assert!(
+        !is_taken(&mut cluster, "refused"),
+        "a window of items waits"
+    );
+    let stranded = BTreeSet::from([OTHER_ROUTE.to_owned()]);
+    cluster.engine(1).set_stranded_routes(&stranded);
+    assert!(is_taken(&mut cluster, "taken"));
+}
