--- a/batch/src/engine/overload.rs
+++ b/batch/src/engine/overload.rs
@@ -26,6 +26,9 @@
 const INITIAL_WINDOW_ITEMS: usize = 2_048;
 /// Minimum size of the window of runs, in items, so that slow disks alone do not delay a light load.
 const MIN_WINDOW_ITEMS: usize = 32;
+/// While several routes have waiting items, one may hold this multiple of what stays free of the window of runs: alone,
+/// four fifths.
+const MAX_HELD_PER_FREE: usize = 4;
 /// Initial size of the window of new jobs, in bytes.
 const INITIAL_WINDOW_JOB_BYTES: usize = 16 << 20;
 /// Minimum size of the window of new jobs, in bytes.
@@ -119,6 +122,19 @@
         let waiting = self.work.waiting_routes();
         waiting.filter(|(route, _)| !self.stranded_routes.contains(*route))
     }
+
+    /// Number of items of a route that the window of runs allows to start now.
+    ///
+    /// While items of other routes wait, a route may hold only [`MAX_HELD_PER_FREE`] times what stays free, so that items
+    /// which do not end, at backends that never answer, cannot use up the window for all routes.
+    pub(super) fn available_runs(&self, route: &str) -> usize {
+        let free = self.windows.runs.available(self.in_flight());
+        if self.startable_routes().all(|(other, _)| other == route) {
+            return free;
+        }
+        let held = self.work.running_items(route);
+        free.saturating_mul(MAX_HELD_PER_FREE).saturating_sub(held) / (MAX_HELD_PER_FREE + 1)
+    }
 }
 
 /// Classifies a commit delay by the bound from which it counts as late.
--- a/batch/src/engine/runs.rs
+++ b/batch/src/engine/runs.rs
@@ -45,7 +45,7 @@
             return starts;
         }
         self.adapt_windows();
-        let available = self.windows.runs.available(self.in_flight());
+        let available = self.available_runs(route);
         while starts.len() < max.min(available) {
             let Some(key) = self.work.first_ready(route, now_ms).cloned() else {
                 break;
--- a/batch/src/work.rs
+++ b/batch/src/work.rs
@@ -387,6 +387,11 @@
         self.routes.get(route).map_or(0, RouteQueue::waiting)
     }
 
+    /// Number of running items of a route.
+    pub fn running_items(&self, route: &str) -> usize {
+        self.routes.get(route).map_or(0, |queue| queue.running)
+    }
+
     /// Routes with waiting items, and their number.
     pub fn waiting_routes(&self) -> impl Iterator<Item = (&str, usize)> {
         self.routes
--- a/batch/tests/engine/overload.rs
+++ b/batch/tests/engine/overload.rs
@@ -123,6 +123,27 @@
     );
 }
 
+/// Guards against items that never end at one route's backends using up the window of runs for all routes.
+#[test]
+fn running_items_of_one_route_leave_part_of_the_window_to_others() {
+    let mut cluster = cluster_with_small_window();
+    cluster.accept(1, job("silent", 200, 1));
+    cluster.accept(1, job_of_other_route("other", 10));
+    let now_ms = cluster.now_ms;
+    let held = cluster.work(1, 200).len();
+    let started = cluster.engine(1).take_work(now_ms, OTHER_ROUTE, 10).len();
+    assert!((20..32).contains(&held), "{held} of the window of 32");
+    assert!(started >= 4, "{started} of the other route");
+    assert!(held + started <= 32);
+}
+
+#[test]
+fn one_route_alone_may_use_the_whole_window() {
+    let mut cluster = cluster_with_small_window();
+    cluster.accept(1, job("only", 200, 1));
+    assert_eq!(cluster.work(1, 200).len(), 32);
+}
+
 /// Guards against items without a backend making the store refuse jobs of other routes.
 #[test]
 fn items_of_stranded_routes_do_not_count_as_waiting_for_the_window() {
