--- a/alderhollow/tests/store/waiting_items.rs
+++ b/alderhollow/tests/store/waiting_items.rs
@@ -55,7 +55,7 @@
     items
 }
 
-/// Guards against review/3: items of a service without backends used up the starts of all routes with later names.
+/// Guards against items of a service without backends using up the starts of all routes with later names.
 #[test]
 fn items_that_wait_for_a_backend_do_not_delay_those_of_other_routes() {
     run_in_local_set(async {
