--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A finished batch job of more than 16 MB of results, then two stores that lose their disks one after the other."""
+"""A surplus answer of 500 that comes in the place where the next answer is due."""
 
 import asyncio
 import os
@@ -7,53 +7,80 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "tier2"))
 import tier as t
 
-ITEMS, EVENTS, EVENT_BYTES = 200, 40, 2300
-TOKENS_IN, TOKENS_OUT = 1200, 20000
-CATCH_UP_S = 5.6
+USUAL_JOBS, ITEMS, MAX_ATTEMPTS, EVENTS = 2, 200, 3, 8
+# Batch jobs of one item each are sent until so many have failed: an item that comes to the first of three backends (a
+# share of 0.33) fails in its first two runs with 500, and succeeds in its third. With the disruption this backend sends
+# the first of the two answers once more, as a surplus answer: 10 of more than 400 answers (0.03).
+FAILING_JOBS = 10
+GARBLING = 1
 
 
 class Model(t.Backend):
+    fails = False
+    garbles = False
+    failing = set()
+    runs = {}
+    answers = 0
+    surplus_sent = 0
+
     async def handle(self, connection, message):
         ident = message.headers["request-id"]
-        after = int(message.headers.get("last-event-id", 0))
+        run = Model.runs[ident] = Model.runs.get(ident, 0) + 1
+        if run == 1 and ident.startswith("f") and self.fails:
+            Model.failing.add(ident)
+        failing = ident in Model.failing and run <= 2
+        for answer in connection.surplus:
+            Model.surplus_sent += 1
+            self.record(f"backend {self.ident}: sends the surplus answer again, before the answer to {ident}")
+            connection.writer.write(answer)
+        connection.surplus.clear()
+        Model.answers += 1
+        if failing:
+            # The work takes a while before it fails, as work of a model does.
+            await asyncio.sleep(0.05 if run == 1 else 0.7)
+            answer = (f"HTTP/1.1 500 Internal Server Error\r\nRequest-Id: {ident}\r\nResponse-Seal: {self.seal()}\r\n"
+                      "Content-Length: 0\r\n\r\n").encode()
+            self.record(f"backend {self.ident}: item {ident} run {run}: 500")
+            connection.writer.write(answer)
+            if self.garbles and run == 1:
+                connection.surplus.append(answer)
+            return
         connection.begin_stream(ident, self.seal())
-        for number in range(after + 1, EVENTS + 1):
-            data = f"{ident}.{number}.".ljust(EVENT_BYTES, "abcdefghij "[number % 11])
-            connection.chunk(t.event(number, data))
+        for number in range(int(message.headers.get("last-event-id", 0)) + 1, EVENTS + 1):
+            connection.chunk(t.event(number, f"{ident}.{number}"))
             await connection.writer.drain()
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(0.02)
         connection.end_stream()
-        await connection.writer.drain()
-        self.record(f"backend {self.ident}: item {ident} run from event {after + 1} to its end")
+        self.record(f"backend {self.ident}: item {ident} run {run}: 200, whole")
 
 
 async def run(tier, record, trouble):
-    backends = t.nine_backends(Model, tier, record, "llm", 64)
-    route = t.batch_route("llm", **{"max-queued-tokens": 0})
-    await tier.start(backends, [route], [t.engine_service("llm")])
-    job = t.hex_id()
-    items = [t.item(f"{job}{n:04x}", TOKENS_IN, TOKENS_OUT) for n in range(ITEMS)]
-    if not await t.submit(tier, job, items, 20):
-        raise t.CannotRun("the batch job was not accepted")
-    results, total = await t.read_all(tier, job, 40)
-    size = sum(len(r["text"]) for r in results)
-    record.say(f"read {len(results)} of {total} results, {size} bytes of text")
-    if len(results) != ITEMS:
-        raise t.CannotRun("the batch job did not finish")
-    if trouble:
-        primary, (first, _) = tier.group_of_single_job()
-        for store in (first, primary):
-            store.kill()
-            store.lose_disk()
-            await asyncio.sleep(1)
-            store.start(False)
-            await asyncio.sleep(CATCH_UP_S + 6)
-            for other in tier.stores:
-                record(f"status of {other.name}:\n{tier.status(other)}")
-    again, _ = await t.read_all(tier, job, 30)
-    same = [(r["id"], r["state"], r["text"]) for r in again] == [(r["id"], r["state"], r["text"]) for r in results]
-    record.say(f"read again for 30 s: {len(again)} of {ITEMS} results, same as before: {same}")
-    return not same
+    backends = [Model(record, f"i-{z}", "llm", z, (f"{tier.prefix}.{31 + i}", tier.base + 1)) for i, z in enumerate(t.ZONES)]
+    for backend in backends[:GARBLING]:
+        backend.fails = True
+        backend.garbles = trouble
+    await tier.start(backends, [t.batch_route("llm", **{"max-attempts": MAX_ATTEMPTS})], [t.engine_service("llm")])
+    for _ in range(USUAL_JOBS):
+        usual = "a" + t.hex_id()[1:]
+        if not await t.submit(tier, usual, [t.item(f"{usual}{n:04x}", 1200, 400) for n in range(ITEMS)], 20):
+            raise t.CannotRun("a batch job was not accepted")
+        results, _ = await t.read_all(tier, usual, 40)
+        if len(results) != ITEMS:
+            raise t.CannotRun("a batch job did not finish")
+    dead = []
+    while len(Model.failing) < FAILING_JOBS and len(Model.runs) < USUAL_JOBS * ITEMS + 60:
+        job = "f" + t.hex_id()[1:]
+        if not await t.submit(tier, job, [t.item(f"{job}0000", 1200, 400)], 20):
+            raise t.CannotRun("a batch job was not accepted")
+        results, _ = await t.read_all(tier, job, 15)
+        if len(results) != 1:
+            raise t.CannotRun("a batch job did not finish")
+        dead += [r["id"] for r in results if r["state"] != "completed"]
+        await asyncio.sleep(0.3)
+    record.say(f"{len(Model.failing)} items failed twice: {len(dead)} dead; {Model.answers} answers, {Model.surplus_sent} surplus")
+    for ident in dead:
+        record.say(f"item {ident}: dead_letter, {Model.runs[ident]} runs, of which 2 were answered with 500, the third with 200")
+    return bool(dead)
 
 
 t.main(os.path.dirname(os.path.abspath(__file__)), run)
--- a/review/tier2/tier.py
+++ b/review/tier2/tier.py
@@ -440,28 +440,6 @@
             await asyncio.sleep(0.2)
         return False
 
-    def status(self, process):
-        """What a process tells of itself (`alderhollow status`)."""
-        done = subprocess.run(
-            [self.commands["door"][0], "status", process.internal], capture_output=True, timeout=10, check=False)
-        return done.stdout.decode() + done.stderr.decode()
-
-    def group_of_single_job(self):
-        """The stores of the batch group that holds the only batch job: (its primary, its other members)."""
-        primary, others = None, []
-        for store in self.stores:
-            text = self.status(store)
-            self.record(f"status of {store.name}:\n{text}")
-            held = [line.split()[2] for line in text.splitlines() if re.fullmatch(r"batch jobs +\d+: 1", line)]
-            for group in held:
-                if re.search(rf"^store group +{group} primary", text, re.M):
-                    primary = store
-                else:
-                    others.append(store)
-        if primary is None or len(others) != 2:
-            raise CannotRun("the batch group of the job was not found")
-        return primary, others
-
     def stop(self):
         for process in self.processes:
             if process.child and process.child.poll() is None:
