Count 421 responses by the reason that the evidence shows

Cause: nothing in the logs or metrics told why a backend answered 421. The protocol gives two reasons: Target-Instance names another incarnation, or the weights differ from Expect-Version.

Change: alderhollow_backend_misdirected_total{reason}, and a debug line with the expected and the shown version. The reason rests on what was sent, on Instance-Id and Versions of the response, and on whether the connection has run a request of this instance before. No behaviour changes: each 421 still removes the backend.

--- a/alderhollow/src/balance/mod.rs
+++ b/alderhollow/src/balance/mod.rs
@@ -9,6 +9,7 @@
 //! * `requirements`: the resources that a request needs;
 //! * `cost`: the cost of a request at a backend;
 //! * `choice`: filters the eligible backends and selects the cheapest;
+//! * `weights`: versions of model weights that requests expect;
 //! * `explanation`: the reasons for a selection.
 
 mod affinity;
@@ -21,11 +22,13 @@
 mod health;
 mod prefill;
 mod requirements;
+mod weights;
 
 pub use cold::ColdBounds;
 pub use cost::Cost;
 pub(crate) use cost::CROSS_ZONE_ENGINE_COST_MS;
 pub use explanation::{Candidate, Explanation, Verdict};
+pub use weights::{ExpectedWeights, WeightsVersion};
 
 use affinity::SharedPrefix;
 use alderhollow_model::backend::Backend;
--- a/alderhollow/src/exchange/mod.rs
+++ b/alderhollow/src/exchange/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod attempt;
 pub mod events;
+mod misdirected;
 pub mod outbound;
 mod placing;
 pub mod pool;
@@ -10,8 +11,11 @@
 pub mod response;
 pub mod tables;
 pub mod wait_limits;
+pub mod weights;
 
 use crate::balance::{Balancer, Millis, NoBackend, Outcome, Prompt, SelectionRequest};
+use crate::metrics;
+use crate::metrics::backends::MisdirectionReason;
 use crate::placement::client::PlacementClient;
 use crate::routing::ServicePicker;
 use crate::SnapshotReceiver;
@@ -21,6 +25,7 @@
 use attempt::{Attempt, PlacerReport};
 use hyper::body::Incoming;
 use hyper::Response;
+use misdirected::{MisdirectedRequest, Misdirection};
 use outbound::Outbound;
 use placing::Placement;
 use pool::{Pool, Pooled};
@@ -244,6 +249,7 @@
         };
         match classify(&response, outbound, &pooled) {
             Verdict::Ran => {
+                pooled.confirm_instance();
                 pooled.apply_keep_alive(response.headers());
                 Ok(BackendResponse::new(response, pooled, attempt))
             }
@@ -345,8 +351,42 @@
     };
     match (id_matches, wrong_instance, declined) {
         (false, ..) => Verdict::Mismatched,
-        (true, true, _) => Verdict::WrongInstance,
+        (true, true, _) => {
+            count_misdirected(response, outbound, pooled);
+            Verdict::WrongInstance
+        }
         (true, false, true) => Verdict::Declined,
         (true, false, false) => Verdict::Ran,
     }
 }
+
+/// Counts a 421 by the reason that the evidence shows.
+fn count_misdirected(response: &Response<Incoming>, outbound: &Outbound, pooled: &Pooled) {
+    let request = MisdirectedRequest {
+        instance: pooled.backend_id(),
+        is_instance_confirmed: pooled.is_instance_confirmed(),
+        expected: outbound.expected_weights(),
+    };
+    let reason = request.reason(response.headers());
+    metrics::get()
+        .backends
+        .misdirected(MisdirectionReason::from(reason));
+    if let Misdirection::OtherWeights { shown } = reason {
+        log::debug!(
+            "backend {} declined {:?}: expected {:?}, shown {shown:?}",
+            pooled.backend_id(),
+            outbound.request_id(),
+            outbound.expected_weights()
+        );
+    }
+}
+
+impl From<Misdirection> for MisdirectionReason {
+    fn from(reason: Misdirection) -> MisdirectionReason {
+        match reason {
+            Misdirection::OtherInstance => MisdirectionReason::OtherInstance,
+            Misdirection::OtherWeights { .. } => MisdirectionReason::OtherWeights,
+            Misdirection::Unexplained => MisdirectionReason::Unexplained,
+        }
+    }
+}
--- a/alderhollow/src/exchange/outbound.rs
+++ b/alderhollow/src/exchange/outbound.rs
@@ -1,5 +1,7 @@
 //! Requests to backends.
 
+use super::weights;
+use crate::balance::ExpectedWeights;
 use alderhollow_dataplane::flow::Upload;
 use alderhollow_dataplane::headers::pass_on;
 use hyper::body::Bytes;
@@ -41,6 +43,7 @@
     headers: HeaderMap,
     body: Bytes,
     request_id: HeaderValue,
+    expected_weights: Option<ExpectedWeights>,
 }
 
 impl Outbound {
@@ -60,12 +63,14 @@
             .ok_or(OutboundError::NoRequestId)?;
         let target = uri.path_and_query().cloned().ok_or(OutboundError::NoPath)?;
         let headers = pass_on(headers, &[]);
+        let expected_weights = weights::expected(&headers);
         Ok(Outbound {
             method,
             target: target.into(),
             headers,
             body,
             request_id,
+            expected_weights,
         })
     }
 
@@ -79,6 +84,11 @@
         &self.headers
     }
 
+    /// The version of the weights that the request expects.
+    pub fn expected_weights(&self) -> Option<ExpectedWeights> {
+        self.expected_weights
+    }
+
     /// Id of the last event that the client has received.
     pub fn last_event_id(&self) -> Option<u64> {
         self.headers
--- a/alderhollow/src/exchange/pool.rs
+++ b/alderhollow/src/exchange/pool.rs
@@ -40,6 +40,7 @@
     idle_since: Instant,
     idle_timeout: Duration,
     exchanges: u32,
+    is_instance_confirmed: bool,
     _open_guard: OpenGuard,
 }
 
@@ -49,6 +50,16 @@
         self.exchanges == 0
     }
 
+    /// Records that the backend has run a request that named its instance.
+    pub fn confirm_instance(&mut self) {
+        self.is_instance_confirmed = true;
+    }
+
+    /// Whether the instance at the other end has run a request that named it.
+    pub fn is_instance_confirmed(&self) -> bool {
+        self.is_instance_confirmed
+    }
+
     /// Id of the connected backend.
     pub fn backend_id(&self) -> &str {
         &self.backend
@@ -141,6 +152,7 @@
                 idle_since: Instant::now(),
                 idle_timeout: DEFAULT_IDLE_TIMEOUT,
                 exchanges: 0,
+                is_instance_confirmed: false,
                 _open_guard: open,
             }),
             Ok(Err(_)) | Err(_) => Err(Outcome::NoConnection),
--- a/alderhollow/src/metrics/mod.rs
+++ b/alderhollow/src/metrics/mod.rs
@@ -6,6 +6,7 @@
 //! | part | holds |
 //! | --- | --- |
 //! | [`family`] | counters, gauges and histograms with labels of known values |
+//! | [`backends`] | what backends say about themselves and their weights |
 //! | [`batch_api`] | the gateways' batch interface |
 //! | [`internal`] | the network between the tier's processes |
 //! | [`store`] | batch jobs, their runs, their replication and the journal |
@@ -16,6 +17,7 @@
 //! | [`invariants`] | violations of what must always hold |
 //! | [`listener`] | answers `GET` with the text |
 
+pub mod backends;
 pub mod batch_api;
 pub mod core;
 pub mod distribution;
@@ -34,6 +36,8 @@
 /// All metrics of a process.
 pub struct Metrics {
     registry: Registry,
+    /// What backends say about themselves and their weights.
+    pub backends: backends::BackendMetrics,
     /// The gateways' batch interface.
     pub batch_api: batch_api::BatchApiMetrics,
     /// The network between the tier's processes.
@@ -57,6 +61,7 @@
         let registry = Registry::new();
         let registrar = Registrar::new(&registry);
         Metrics {
+            backends: backends::BackendMetrics::new(&registrar),
             batch_api: batch_api::BatchApiMetrics::new(&registrar),
             internal: internal::InternalMetrics::new(&registrar),
             store: store::StoreMetrics::new(&registrar),
