Let a store postpone items that no backend can run now

Cause: an item that was put off without a start went into backoff like one that was sent. It counted as waiting for a run, so 200 such items made a group refuse the jobs of others once commits took 125 ms, though no window of runs could help them; and each look at one counted as a start, which ended rounds of the window early.

Change: RunEnd::Postponed. Until its time the item is open but waits for no run, and its start is taken back from the window.

The new test fails if the item goes into backoff instead: postponed_items_do_not_count_as_waiting_for_the_window (the window of 32 waits, the job is refused; the test beside it shows that state for items that are ready).

--- a/alderhollow/src/metrics/store.rs
+++ b/alderhollow/src/metrics/store.rs
@@ -177,7 +177,7 @@
             RunEnd::Completed { .. } => RunEndKind::Completed,
             RunEnd::Rejected => RunEndKind::Rejected,
             RunEnd::Failed => RunEndKind::Failed,
-            RunEnd::NotRun { .. } => RunEndKind::NotRun,
+            RunEnd::NotRun { .. } | RunEnd::Postponed { .. } => RunEndKind::NotRun,
             RunEnd::Interrupted { .. } => RunEndKind::Cut,
         }
     }
--- a/batch/src/api.rs
+++ b/batch/src/api.rs
@@ -238,6 +238,12 @@
         /// Delay before the next attempt, in milliseconds.
         retry_after_ms: u64,
     },
+    /// No backend can run the item now, and it was not sent to any. Until the delay has passed it counts neither as waiting
+    /// for a run nor towards the windows.
+    Postponed {
+        /// Delay before the next check, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// The stream was interrupted, or it is unknown whether the backend executed the item. This is not counted as a
     /// failed attempt.
     Interrupted {
--- a/batch/src/congestion.rs
+++ b/batch/src/congestion.rs
@@ -68,6 +68,11 @@
         self.started += amount as u64;
     }
 
+    /// Takes back a start that put no load on anything.
+    pub fn withdraw_start(&mut self) {
+        self.started = self.started.saturating_sub(1);
+    }
+
     /// Records that work had to wait for the window.
     pub fn record_limited(&mut self) {
         self.limits = true;
--- a/batch/src/engine.rs
+++ b/batch/src/engine.rs
@@ -254,7 +254,7 @@
         }
     }
 
-    /// Number of items that wait for a run, and of items that are running.
+    /// Number of items that wait for a run or are postponed, and of items that are running.
     pub fn load(&self) -> (usize, usize) {
         self.work.load()
     }
--- a/batch/src/engine/runs.rs
+++ b/batch/src/engine/runs.rs
@@ -110,6 +110,10 @@
             RunEnd::Rejected => self.append_result(&key, ResultState::DeadLetter, String::new()),
             RunEnd::Failed => self.attempt_failed(key),
             RunEnd::NotRun { retry_after_ms } => self.work.back_off(key, now_ms + retry_after_ms),
+            RunEnd::Postponed { retry_after_ms } => {
+                self.windows.runs.withdraw_start();
+                self.work.postpone(key, now_ms + retry_after_ms);
+            }
             RunEnd::Interrupted {
                 resume,
                 retry_after_ms,
--- a/batch/src/work.rs
+++ b/batch/src/work.rs
@@ -1,4 +1,8 @@
-//! Scheduler queue of the items that are not done: ready, in backoff, or running. Owned by the engine of the primary.
+//! Scheduler queue of the items that are not done: ready, in backoff, postponed, or running. Owned by the engine of the
+//! primary.
+//!
+//! An item in backoff waits for its turn like a ready one. A postponed item cannot run, whatever turn it gets, so it does
+//! not count as waiting for a run.
 //!
 //! Items run in order of their due time. Items that cannot complete in time any longer come after all that can.
 
@@ -50,7 +54,7 @@
 /// Weight of a new sample in the moving average of run durations.
 const RUN_TIME_SAMPLE: f64 = 0.05;
 
-/// Key of an item in backoff, ordered by the end of the backoff.
+/// Key of an item in backoff or postponed, ordered by the end of that time.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct BackoffKey {
     until_ms: u64,
@@ -62,6 +66,7 @@
 enum Phase {
     Ready,
     Backoff { until_ms: u64 },
+    Postponed { until_ms: u64 },
     Running(RunId),
 }
 
@@ -89,6 +94,8 @@
     ready: BTreeSet<ReadyKey>,
     /// Number of items in backoff.
     in_backoff: usize,
+    /// Number of postponed items.
+    postponed: usize,
     /// Number of items that are running.
     running: usize,
 }
@@ -100,7 +107,7 @@
     }
 
     fn is_empty(&self) -> bool {
-        self.waiting() + self.running == 0
+        self.waiting() + self.postponed + self.running == 0
     }
 }
 
@@ -110,6 +117,7 @@
     jobs: HashMap<JobId, OpenJob>,
     /// The routes with open items.
     routes: BTreeMap<String, RouteQueue>,
+    /// Items in backoff, and postponed ones.
     in_backoff: BTreeSet<BackoffKey>,
     runs: HashMap<RunId, Run>,
     newest_run: u64,
@@ -164,7 +172,7 @@
         }
     }
 
-    /// Makes the items ready whose backoff has ended.
+    /// Makes the items ready whose backoff or postponement has ended.
     pub fn wake(&mut self, now_ms: u64) {
         while let Some(in_backoff) = self
             .in_backoff
@@ -186,8 +194,10 @@
             return;
         };
         let queue = self.routes.entry(job.route.clone()).or_default();
-        if matches!(item.phase, Phase::Backoff { .. }) {
-            queue.in_backoff = queue.in_backoff.saturating_sub(1);
+        match item.phase {
+            Phase::Backoff { .. } => queue.in_backoff = queue.in_backoff.saturating_sub(1),
+            Phase::Postponed { .. } => queue.postponed = queue.postponed.saturating_sub(1),
+            Phase::Ready | Phase::Running(_) => {}
         }
         item.phase = Phase::Ready;
         queue.ready.insert(ReadyKey {
@@ -272,7 +282,8 @@
         Some((run, item))
     }
 
-    /// Removes a run that ended. The caller must then call [`WorkQueue::back_off`] or [`WorkQueue::finish`] for its item.
+    /// Removes a run that ended. The caller must then call [`WorkQueue::back_off`], [`WorkQueue::postpone`] or
+    /// [`WorkQueue::finish`] for its item.
     pub fn end_run(&mut self, run: RunId, now_ms: u64) -> Option<EndedRun> {
         let Run { item, started_ms } = self.runs.remove(&run)?;
         self.count_ended_run(&item.job);
@@ -297,18 +308,33 @@
 
     /// Puts an item whose run has ended into backoff until `until_ms`.
     pub fn back_off(&mut self, key: ItemKey, until_ms: u64) {
-        let Some(job) = self.jobs.get_mut(&key.job) else {
-            return;
-        };
-        let Some(item) = job.items.get_mut(&key.item) else {
-            return;
-        };
-        item.phase = Phase::Backoff { until_ms };
-        self.routes.entry(job.route.clone()).or_default().in_backoff += 1;
+        if let Some(queue) = self.set_delayed(key, until_ms, Phase::Backoff { until_ms }) {
+            queue.in_backoff += 1;
+        }
+    }
+
+    /// Postpones an item whose run was not sent to any backend until `until_ms`.
+    pub fn postpone(&mut self, key: ItemKey, until_ms: u64) {
+        if let Some(queue) = self.set_delayed(key, until_ms, Phase::Postponed { until_ms }) {
+            queue.postponed += 1;
+        }
+    }
+
+    /// Sets the phase of an item that becomes ready at `until_ms`. Returns the queue of its route.
+    fn set_delayed(
+        &mut self,
+        key: ItemKey,
+        until_ms: u64,
+        phase: Phase,
+    ) -> Option<&mut RouteQueue> {
+        let job = self.jobs.get_mut(&key.job)?;
+        job.items.get_mut(&key.item)?.phase = phase;
+        let queue = self.routes.entry(job.route.clone()).or_default();
         self.in_backoff.insert(BackoffKey {
             until_ms,
             item: key,
         });
+        Some(queue)
     }
 
     /// Removes an item that is done. Returns its run if one is in progress.
@@ -336,6 +362,14 @@
                 });
                 None
             }
+            Phase::Postponed { until_ms } => {
+                queue.postponed = queue.postponed.saturating_sub(1);
+                self.in_backoff.remove(&BackoffKey {
+                    until_ms,
+                    item: key.clone(),
+                });
+                None
+            }
             Phase::Running(run) => self.runs.remove(&run).map(|_| {
                 queue.running = queue.running.saturating_sub(1);
                 run
@@ -376,9 +410,10 @@
         runs
     }
 
-    /// Number of waiting items, including those in backoff, and of running items.
+    /// Number of items that are not running, including those in backoff and postponed ones, and of running items.
     pub fn load(&self) -> (usize, usize) {
-        let waiting = self.routes.values().map(RouteQueue::waiting).sum();
+        let queues = self.routes.values();
+        let waiting = queues.map(|queue| queue.waiting() + queue.postponed).sum();
         (waiting, self.runs.len())
     }
 
--- a/batch/tests/engine/overload.rs
+++ b/batch/tests/engine/overload.rs
@@ -160,3 +160,28 @@
     cluster.engine(1).set_stranded_routes(&stranded);
     assert!(is_taken(&mut cluster, "taken"));
 }
+
+/// Guards against items that no backend can run making the store refuse jobs of others.
+#[test]
+fn postponed_items_do_not_count_as_waiting_for_the_window() {
+    let mut cluster = cluster_with_small_window();
+    cluster.accept(1, job_of_other_route("for-later-weights", 200));
+    loop {
+        let now_ms = cluster.now_ms;
+        let starts = cluster.engine(1).take_work(now_ms, OTHER_ROUTE, 32);
+        if starts.is_empty() {
+            break;
+        }
+        for start in starts {
+            let end = RunEnd::Postponed {
+                retry_after_ms: 10_000,
+            };
+            cluster.end_run(1, start.run, end);
+        }
+    }
+    assert_eq!(cluster.engine(1).load().0, 200, "they are not forgotten");
+    cluster.stores.get_mut(&2).expect("a store").holds_writes = true;
+    assert!(is_taken(&mut cluster, "pending"));
+    cluster.pass(200, 1);
+    assert!(is_taken(&mut cluster, "taken"));
+}
--- a/batch/tests/simulation/oracle.rs
+++ b/batch/tests/simulation/oracle.rs
@@ -114,7 +114,7 @@
             RunEnd::Completed { .. } => item.finished = true,
             RunEnd::Rejected => item.rejected = true,
             RunEnd::Failed => item.failures += 1,
-            RunEnd::NotRun { .. } | RunEnd::Interrupted { .. } => {}
+            RunEnd::NotRun { .. } | RunEnd::Postponed { .. } | RunEnd::Interrupted { .. } => {}
         }
     }
 
--- a/batch/tests/simulation/processes.rs
+++ b/batch/tests/simulation/processes.rs
@@ -304,7 +304,7 @@
             return;
         }
         let end = backends::run(&start, &mut self.random);
-        if !matches!(end, RunEnd::NotRun { .. }) {
+        if !matches!(end, RunEnd::NotRun { .. } | RunEnd::Postponed { .. }) {
             self.oracle.run_begins(self.now_ms, &start.job);
         }
         let took_ms = self.random.rand_range(20..600);
