--- a/alderhollow/src/balance/backends.rs
+++ b/alderhollow/src/balance/backends.rs
@@ -5,6 +5,7 @@
 use super::hash::hash_name;
 use super::health::Health;
 use super::prefill::{EngineSpeed, PrefillTimes};
+use super::weights::BackendWeights;
 use super::Millis;
 use alderhollow_model::backend::{Backend, BackendState};
 use alderhollow_model::config::Service;
@@ -89,6 +90,7 @@
     pub(super) evacuated: bool,
     pub(super) in_flight: InFlight,
     pub(super) health: Health,
+    pub(super) weights: BackendWeights,
     pub(super) starts: StartLog,
     pub(super) speed: EngineSpeed,
     cold_until: Millis,
@@ -105,6 +107,7 @@
             evacuated: false,
             in_flight: InFlight::default(),
             health: Health::new(),
+            weights: BackendWeights::default(),
             starts: StartLog::default(),
             speed: EngineSpeed::default(),
             cold_until: f64::NEG_INFINITY,
@@ -286,8 +289,6 @@
     pub(super) pools: BTreeMap<String, Pool>,
     service_of: BTreeMap<String, String>,
     evacuated: BTreeSet<String>,
-    /// Instances that no longer exist, as reported by a 421 response.
-    removed: BTreeSet<String>,
     has_list: bool,
 }
 
@@ -311,15 +312,9 @@
         self.member(id).is_some_and(Member::may_get_requests)
     }
 
-    /// Removes an instance for the remaining lifetime of this process.
-    pub(super) fn remove_instance(&mut self, id: &str) {
-        self.removed.insert(id.to_string());
-        let Some(service) = self.service_of.remove(id) else {
-            return;
-        };
-        if let Some(pool) = self.pools.get_mut(&service) {
-            pool.members.retain(|member| member.backend.id != id);
-        }
+    /// Finds a pool member by backend id.
+    pub(super) fn member_mut(&mut self, id: &str) -> Option<&mut Member> {
+        self.pools.get_mut(self.service_of.get(id)?)?.member_mut(id)
     }
 
     /// Applies newer tables.
@@ -331,9 +326,6 @@
     ) {
         let mut known = self.take_members();
         for backend in tables.backends {
-            if self.removed.contains(&backend.id) {
-                continue;
-            }
             let params = params_of(&backend.service);
             let member = match known.remove(&backend.id) {
                 Some(member) if member.backend.service == backend.service => member,
--- a/alderhollow/src/balance/choice.rs
+++ b/alderhollow/src/balance/choice.rs
@@ -7,7 +7,8 @@
 use super::explanation::{Candidate, Explanation, Verdict};
 use super::health::HealthState;
 use super::requirements::Requirements;
-use super::{Millis, NoBackend, SelectionRequest};
+use super::weights::WeightsMatch;
+use super::{ExpectedWeights, Millis, NoBackend, SelectionRequest};
 
 /// Random component of the cost, in milliseconds, which spreads load across equal backends.
 const TIE_BREAK_NOISE_MS: f64 = 0.5;
@@ -25,6 +26,8 @@
     Unhealthy(Millis),
     /// At capacity until the given time.
     Full(Millis),
+    /// Another instance has answered at its address. Not to be tried before the given time.
+    OtherInstance(Millis),
 }
 
 /// A selected backend.
@@ -69,10 +72,17 @@
     let mut best: Option<(f64, usize)> = None;
     let mut last_resort: Option<(Millis, usize)> = None;
     let mut earliest_room: Option<Millis> = None;
+    let mut earliest_weights: Option<Millis> = None;
+    let mut earliest_instance: Option<Millis> = None;
+    let weights = WeightsFilter::new(now, members, request);
     for (index, member) in members.iter_mut().enumerate() {
         if !member.may_get_requests() || request.tried.contains(&member.backend.id) {
             continue;
         }
+        if let WeightsVerdict::Excluded(until) = weights.verdict(now, member) {
+            earliest_weights = earliest(earliest_weights, until);
+            continue;
+        }
         match admission(&state, member, &requirements, senders) {
             Admission::Open => {
                 let uncached_fraction = reuse.uncached_fraction(index, member.id_hash);
@@ -87,19 +97,20 @@
                     last_resort = Some((until, index));
                 }
             }
-            Admission::Full(until) => {
-                earliest_room = Some(earliest_room.map_or(until, |soonest| soonest.min(until)));
+            Admission::Full(until) => earliest_room = earliest(earliest_room, until),
+            Admission::OtherInstance(until) => {
+                earliest_instance = earliest(earliest_instance, until);
             }
         }
     }
     let index = match (best, earliest_room, last_resort) {
         (Some((_, index)), _, _) => index,
         (None, Some(until), _) => {
-            let retry_after_ms = (until - now).clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
+            let retry_after_ms = retry_after_ms(now, until);
             return Err(NoBackend::AllFull { retry_after_ms });
         }
         (None, None, Some((_, index))) => index,
-        (None, None, None) => return Err(NoBackend::NoneReady),
+        (None, None, None) => return Err(none_admitted(now, earliest_weights, earliest_instance)),
     };
     let wait_ms = members.get(index).map_or(0.0, |member| {
         let uncached_fraction = reuse.uncached_fraction(index, member.id_hash);
@@ -116,6 +127,82 @@
     })
 }
 
+/// Which backends may run a request, according to the version of the weights that it expects.
+#[derive(Debug, Clone, Copy)]
+struct WeightsFilter {
+    expected: Option<ExpectedWeights>,
+    /// Whether a backend that may be selected has shown the version: then only such backends are.
+    any_matching: bool,
+}
+
+/// Whether a backend may run a request, according to its weights.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum WeightsVerdict {
+    Admitted,
+    /// Not to be tried before this time.
+    Excluded(Millis),
+}
+
+impl WeightsFilter {
+    fn new(now: Millis, members: &[Member], request: &SelectionRequest) -> WeightsFilter {
+        let expected = request.expected_weights;
+        let any_matching = expected.is_some_and(|expected| {
+            members.iter().any(|member| {
+                member.may_get_requests()
+                    && !request.tried.contains(&member.backend.id)
+                    && member.weights.match_of(now, expected) == WeightsMatch::Matching
+                    && matches!(
+                        member.health.state(now),
+                        HealthState::Healthy | HealthState::HalfOpen
+                    )
+            })
+        });
+        WeightsFilter {
+            expected,
+            any_matching,
+        }
+    }
+
+    fn verdict(self, now: Millis, member: &Member) -> WeightsVerdict {
+        let Some(expected) = self.expected else {
+            return WeightsVerdict::Admitted;
+        };
+        match member.weights.match_of(now, expected) {
+            WeightsMatch::Other(until) => WeightsVerdict::Excluded(until),
+            WeightsMatch::Unknown | WeightsMatch::HalfOpen if self.any_matching => {
+                WeightsVerdict::Excluded(now)
+            }
+            WeightsMatch::Matching | WeightsMatch::Unknown | WeightsMatch::HalfOpen => {
+                WeightsVerdict::Admitted
+            }
+        }
+    }
+}
+
+/// The reason why no backend can be selected where none is at capacity.
+fn none_admitted(
+    now: Millis,
+    earliest_weights: Option<Millis>,
+    earliest_instance: Option<Millis>,
+) -> NoBackend {
+    if let Some(until) = earliest_weights {
+        return NoBackend::OtherWeights {
+            retry_after_ms: retry_after_ms(now, until),
+        };
+    }
+    earliest_instance.map_or(NoBackend::NoneReady, |until| NoBackend::AllFull {
+        retry_after_ms: retry_after_ms(now, until),
+    })
+}
+
+fn retry_after_ms(now: Millis, until: Millis) -> Millis {
+    (until - now).clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
+}
+
+fn earliest(known: Option<Millis>, until: Millis) -> Option<Millis> {
+    Some(known.map_or(until, |soonest| soonest.min(until)))
+}
+
 /// Explains what [`pick`] would select now, without changing any state.
 pub(super) fn explain(
     now: Millis,
@@ -145,7 +232,7 @@
         let verdict = match admission(&state, member, &requirements, senders) {
             _ if !member.may_get_requests() => Verdict::Withdrawn,
             Admission::Open => Verdict::Open,
-            Admission::Unhealthy(until) => Verdict::Unhealthy {
+            Admission::Unhealthy(until) | Admission::OtherInstance(until) => Verdict::Unhealthy {
                 for_ms: (until - now).max(0.0),
             },
             Admission::Full(until) => Verdict::Full {
@@ -181,8 +268,14 @@
         .iter()
         .position(|member| member.backend.id == backend)?;
     let member = pool.members.get_mut(index)?;
+    let weights = WeightsFilter {
+        expected: request.expected_weights,
+        any_matching: false,
+    };
     if !member.may_get_requests()
         || start_limited_until(&state, member, &requirements, senders).is_some()
+        || weights.verdict(now, member) != WeightsVerdict::Admitted
+        || matches!(member.health.state(now), HealthState::OtherInstance(_))
     {
         return None;
     }
@@ -263,6 +356,7 @@
     }
     match member.health.state(state.now) {
         HealthState::Ejected(until) => return Admission::Unhealthy(until),
+        HealthState::OtherInstance(until) => return Admission::OtherInstance(until),
         HealthState::Healthy | HealthState::HalfOpen => {}
     }
     let full_until = member.health.full_until(requirements.is_low_priority());
--- a/alderhollow/src/balance/health.rs
+++ b/alderhollow/src/balance/health.rs
@@ -1,5 +1,8 @@
 //! Passive health checks of one backend: availability, slowness and failure rate, derived from the outcomes of
 //! attempts. There are no active probes; when a backoff expires, one request serves as the probe.
+//!
+//! A backend at whose address another instance answered (421) is ejected too, and gets no requests as a last resort
+//! either. It returns when it runs a request that names it.
 
 use super::{Millis, Outcome};
 use std::collections::BTreeMap;
@@ -36,6 +39,8 @@
     HalfOpen,
     /// No requests until this time, unless all backends are ejected.
     Ejected(Millis),
+    /// No requests until this time: another instance answered at the address.
+    OtherInstance(Millis),
 }
 
 /// Data of an attempt that the health checks use.
@@ -54,6 +59,8 @@
     failed_at: Millis,
     ejected_until: Millis,
     probe: Option<u64>,
+    /// Whether the last attempt that showed an instance was answered by another one.
+    is_other_instance: bool,
     declines: u32,
     full_until: Millis,
     full_backoff: Millis,
@@ -73,6 +80,7 @@
             failed_at: f64::NEG_INFINITY,
             ejected_until: f64::NEG_INFINITY,
             probe: None,
+            is_other_instance: false,
             declines: 0,
             full_until: f64::NEG_INFINITY,
             full_backoff: 0.0,
@@ -86,20 +94,29 @@
 
     /// The current health state.
     pub(super) fn state(&self, now: Millis) -> HealthState {
-        if let Some(since) = self.unresponsive_since(now) {
-            return HealthState::Ejected(since + MAX_BACKOFF_MS);
-        }
-        if self.failures == 0 {
-            HealthState::Healthy
+        let until = if let Some(since) = self.unresponsive_since(now) {
+            since + MAX_BACKOFF_MS
+        } else if self.failures == 0 {
+            return HealthState::Healthy;
         } else if now < self.ejected_until {
-            HealthState::Ejected(self.ejected_until)
+            self.ejected_until
         } else if self.probe.is_some() {
-            HealthState::Ejected(now + INITIAL_BACKOFF_MS)
+            now + INITIAL_BACKOFF_MS
+        } else {
+            return HealthState::HalfOpen;
+        };
+        if self.is_other_instance {
+            HealthState::OtherInstance(until)
         } else {
-            HealthState::HalfOpen
+            HealthState::Ejected(until)
         }
     }
 
+    /// Whether another instance answered at the address, and the backend has not shown itself since.
+    pub(super) fn is_other_instance(&self) -> bool {
+        self.is_other_instance
+    }
+
     /// Since when the backend is unresponsive, if it is. Only attempts that started after the last response count.
     fn unresponsive_since(&self, now: Millis) -> Option<Millis> {
         let (started, expected) = *self
@@ -193,7 +210,11 @@
             Outcome::Cancelled if was_unresponsive && !record.response_started => {
                 self.failed(now, record, INITIAL_TIMEOUT_BACKOFF_MS, random);
             }
-            Outcome::Cancelled | Outcome::OtherInstance => {}
+            Outcome::OtherInstance => {
+                self.is_other_instance |= !self.is_same_failure(record);
+                self.failed(now, record, INITIAL_BACKOFF_MS, random);
+            }
+            Outcome::Cancelled | Outcome::OtherWeights => {}
         }
     }
 
@@ -209,7 +230,10 @@
 
     fn declined(&mut self, now: Millis, record: AttemptRecord, random: f64) {
         self.last_response_at = now;
-        self.recover(record);
+        // An instance at capacity may decline before it compares the instance that is named.
+        if !self.is_other_instance {
+            self.recover(record);
+        }
         if record.started < self.full_until - self.full_backoff {
             return;
         }
@@ -242,6 +266,7 @@
         if record.started > self.failed_at {
             self.failures = 0;
             self.probe = None;
+            self.is_other_instance = false;
         }
     }
 
@@ -263,7 +288,12 @@
 }
 
 /// Exponential backoff with jitter.
-fn backoff(first: Millis, longest: Millis, previous_failures: u32, random: f64) -> Millis {
+pub(super) fn backoff(
+    first: Millis,
+    longest: Millis,
+    previous_failures: u32,
+    random: f64,
+) -> Millis {
     let doubled = first * f64::from(1u32 << previous_failures.min(10));
     doubled.min(longest) * (1.0 + BACKOFF_JITTER * (random - 0.5))
 }
--- a/alderhollow/src/balance/mod.rs
+++ b/alderhollow/src/balance/mod.rs
@@ -6,13 +6,14 @@
 //! * `cold`: rate limits for cold backends;
 //! * `health`: passive health checks from the outcomes of attempts;
 //! * `prefill`: estimated prefill times of model engines;
+//! * `weights`, `awaited_weights`: versions of model weights, for requests that expect one;
 //! * `requirements`: the resources that a request needs;
 //! * `cost`: the cost of a request at a backend;
 //! * `choice`: filters the eligible backends and selects the cheapest;
-//! * `weights`: versions of model weights that requests expect;
 //! * `explanation`: the reasons for a selection.
 
 mod affinity;
+mod awaited_weights;
 mod backends;
 mod choice;
 mod cold;
@@ -24,11 +25,12 @@
 mod requirements;
 mod weights;
 
+pub use awaited_weights::ReportRequest;
 pub use cold::ColdBounds;
 pub use cost::Cost;
 pub(crate) use cost::CROSS_ZONE_ENGINE_COST_MS;
 pub use explanation::{Candidate, Explanation, Verdict};
-pub use weights::{ExpectedWeights, WeightsVersion};
+pub use weights::{ExpectedWeights, WeightsSource, WeightsVersion};
 
 use affinity::SharedPrefix;
 use alderhollow_model::backend::Backend;
@@ -66,6 +68,8 @@
     pub priority: u32,
     /// Ids of backends that this request has already been sent to.
     pub tried: &'a [String],
+    /// The version that the weights of its model must have, if the request expects one.
+    pub expected_weights: Option<ExpectedWeights>,
 }
 
 /// A selected backend. The host must call [`Balancer::ended`] once for each choice.
@@ -89,6 +93,34 @@
         /// Milliseconds until capacity may be available.
         retry_after_ms: f64,
     },
+    /// No backend has the expected version of the weights.
+    OtherWeights {
+        /// Milliseconds until a backend may be tried again.
+        retry_after_ms: f64,
+    },
+}
+
+/// Whether a request that expects a version of the weights may be sent to a backend of a service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum WeightsAvailability {
+    /// A backend has the version, or may have it.
+    Available,
+    /// Only backends that had another version some time ago: one request may try.
+    OnTrial,
+    /// No backend has it.
+    Missing {
+        /// Milliseconds until a backend may be tried again.
+        retry_after_ms: f64,
+    },
+}
+
+/// A change of the verdict on the instance at a backend's address.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum InstanceChange {
+    /// Another instance answered: the backend gets no requests until its backoff has ended.
+    Excluded(Arc<Backend>),
+    /// The backend ran a request again.
+    Returned(Arc<Backend>),
 }
 
 /// How an attempt ended, from the backend's point of view.
@@ -100,8 +132,10 @@
     Failed,
     /// The backend rejected the request without executing it (at capacity, `Not-Executed`).
     Declined,
-    /// Another instance now has this address (421).
+    /// Another instance answered at this address (421).
     OtherInstance,
+    /// The weights differ from the version that the request expects (421).
+    OtherWeights,
     /// The connection could not be established.
     NoConnection,
     /// The connection broke, or the response was invalid, after the request was sent.
@@ -185,6 +219,10 @@
     table: BackendTable,
     attempts: BTreeMap<u64, Attempt>,
     last_attempt: u64,
+    /// Services that lack an expected version of the weights, and when it was wanted last.
+    awaited_weights: BTreeMap<String, Millis>,
+    report_requested_at: Millis,
+    instance_changes: Vec<InstanceChange>,
 }
 
 impl Balancer {
@@ -199,6 +237,9 @@
             table: BackendTable::default(),
             attempts: BTreeMap::new(),
             last_attempt: 0,
+            awaited_weights: BTreeMap::new(),
+            report_requested_at: f64::NEG_INFINITY,
+            instance_changes: Vec::new(),
         }
     }
 
@@ -291,6 +332,9 @@
     /// Returns the reason if no backend can be selected.
     pub fn choose(&mut self, now: Millis, request: &SelectionRequest) -> Result<Choice, NoBackend> {
         self.senders.expire(now);
+        if let Some(expected) = request.expected_weights {
+            self.note_awaited_weights(now, request.service, expected);
+        }
         let rng = &mut self.rng;
         let pool = self
             .table
@@ -389,8 +433,13 @@
             .pools
             .get(service)
             .map_or(&[][..], |pool| &pool.members);
-        let is_ejected =
-            |member: &&Member| matches!(member.health.state(now), HealthState::Ejected(_));
+        let is_ejected = |member: &&Member| {
+            let state = member.health.state(now);
+            matches!(
+                state,
+                HealthState::Ejected(_) | HealthState::OtherInstance(_)
+            )
+        };
         members
             .iter()
             .filter(is_ejected)
@@ -443,6 +492,9 @@
         let prefill_us = (prefill_ms * 1000.0) as u64;
         member.in_flight.prefill_us += prefill_us;
         member.health.started(now, attempt, pick.expected);
+        if let Some(expected) = request.expected_weights {
+            member.weights.start_trial(now, expected);
+        }
         if pool.params.cold_bound.is_some() {
             member.starts.record(now);
         }
@@ -509,7 +561,12 @@
             prefix_locations.record(now, prefix, member.id_hash);
         }
         member.in_flight.finish_prefill(uncached);
+        let was_other_instance = member.health.is_other_instance();
         member.health.response_started(now, record, elapsed);
+        if was_other_instance && !member.health.is_other_instance() {
+            let returned = InstanceChange::Returned(member.backend.clone());
+            self.instance_changes.push(returned);
+        }
     }
 
     /// Removes an attempt that is no longer reported, without affecting the health of its backend.
@@ -534,10 +591,6 @@
             return;
         };
         let id = &entry.backend.id;
-        if outcome == Outcome::OtherInstance {
-            self.table.remove_instance(id);
-            return;
-        }
         let random = self.rng.rand_float();
         let Some(pool) = self.table.pools.get_mut(&entry.backend.service) else {
             return;
@@ -547,14 +600,28 @@
             return;
         };
         member.release(&entry);
-        if outcome == Outcome::Declined && capacity.is_some_and(|capacity| entry.tokens > capacity)
-        {
-            // The backend declines what exceeds its memory as if it were full; that says nothing about other requests.
+        // The backend declines what exceeds its memory as if it were full.
+        let exceeds_memory = outcome == Outcome::Declined
+            && capacity.is_some_and(|capacity| entry.tokens > capacity);
+        if exceeds_memory || outcome == Outcome::OtherWeights {
+            // That says nothing about other requests.
             member.health.forget_attempt(attempt);
             return;
         }
+        let was_other_instance = member.health.is_other_instance();
         member
             .health
             .ended(now, entry.record(attempt), outcome, random);
+        let change = match (was_other_instance, member.health.is_other_instance()) {
+            (false, true) => InstanceChange::Excluded(member.backend.clone()),
+            (true, false) => InstanceChange::Returned(member.backend.clone()),
+            _ => return,
+        };
+        self.instance_changes.push(change);
+    }
+
+    /// Takes the changes of verdicts on instances since the last call.
+    pub fn take_instance_changes(&mut self) -> Vec<InstanceChange> {
+        std::mem::take(&mut self.instance_changes)
     }
 }
--- a/alderhollow/src/exchange/attempt.rs
+++ b/alderhollow/src/exchange/attempt.rs
@@ -47,6 +47,7 @@
             .balancer
             .borrow_mut()
             .response_started(now, self.choice.attempt);
+        self.exchange.report_instance_changes();
         if let Some(placer_report) = &self.placer_report {
             placer_report.client.response_started(placer_report.number);
         }
@@ -72,6 +73,7 @@
             .balancer
             .borrow_mut()
             .ended(now, self.choice.attempt, outcome);
+        self.exchange.report_instance_changes();
         if let Some(placer_report) = &self.placer_report {
             placer_report
                 .client
--- a/alderhollow/src/exchange/mod.rs
+++ b/alderhollow/src/exchange/mod.rs
@@ -10,12 +10,16 @@
 pub mod prompt;
 pub mod response;
 pub mod tables;
+mod verdict;
 pub mod wait_limits;
 pub mod weights;
+mod weights_reports;
 
-use crate::balance::{Balancer, Millis, NoBackend, Outcome, Prompt, SelectionRequest};
+use crate::balance::{
+    Balancer, ExpectedWeights, InstanceChange, Millis, NoBackend, Outcome, Prompt,
+    SelectionRequest, WeightsAvailability, WeightsSource,
+};
 use crate::metrics;
-use crate::metrics::backends::MisdirectionReason;
 use crate::placement::client::PlacementClient;
 use crate::routing::ServicePicker;
 use crate::SnapshotReceiver;
@@ -23,18 +27,18 @@
 use alderhollow_model::config::Route;
 use alderhollow_model::snapshot::Snapshot;
 use attempt::{Attempt, PlacerReport};
-use hyper::body::Incoming;
-use hyper::Response;
-use misdirected::{MisdirectedRequest, Misdirection};
+use hyper::header::HeaderMap;
 use outbound::Outbound;
 use placing::Placement;
 use pool::{Pool, Pooled};
 use response::BackendResponse;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tables::Tables;
+use tokio::sync::Notify;
 use tokio::task::yield_now;
 use tokio::time::Instant;
+use verdict::Verdict;
 use wait_limits::WaitLimits;
 
 /// Why an attempt brought no response from a backend that ran the request.
@@ -55,6 +59,10 @@
     services: RefCell<ServicePicker>,
     placement: Option<Placement>,
     started: Instant,
+    /// Whether any request has expected a version of the weights. Until then versions are not recorded.
+    follows_weights: Cell<bool>,
+    /// Notified when a request waits for a version of the weights.
+    weights_awaited: Notify,
 }
 
 impl Exchange {
@@ -100,6 +108,8 @@
             services: RefCell::new(ServicePicker::new(seed)),
             placement,
             started,
+            follows_weights: Cell::new(false),
+            weights_awaited: Notify::new(),
         };
         exchange
             .balancer
@@ -176,13 +186,34 @@
         self.balancer.borrow().is_too_large(service, prompt)
     }
 
+    /// Whether a request that expects a version of the weights may be sent to a backend of a service now.
+    pub fn weights_availability(
+        &self,
+        service: &str,
+        expected: ExpectedWeights,
+    ) -> WeightsAvailability {
+        self.tables();
+        let availability =
+            self.balancer
+                .borrow_mut()
+                .weights_availability(self.now(), service, expected);
+        if availability != WeightsAvailability::Available {
+            self.weights_awaited.notify_waiters();
+        }
+        availability
+    }
+
     /// Chooses a backend from local knowledge only, without asking a placer.
     ///
     /// # Errors
     /// No backend can take the request now.
     pub fn choose(self: &Rc<Self>, wanted: &SelectionRequest) -> Result<Attempt, NoBackend> {
         self.tables();
-        let choice = self.balancer.borrow_mut().choose(self.now(), wanted)?;
+        let chosen = self.balancer.borrow_mut().choose(self.now(), wanted);
+        if matches!(chosen, Err(NoBackend::OtherWeights { .. })) {
+            self.weights_awaited.notify_waiters();
+        }
+        let choice = chosen?;
         let placer_report = self.placement.as_ref().and_then(|placement| {
             let demand = self.demand(wanted)?;
             let client = placement.client.clone();
@@ -228,6 +259,9 @@
         resume_after: Option<u64>,
         limits: &WaitLimits<'_>,
     ) -> Result<BackendResponse, (Attempt, SendError)> {
+        if outbound.expected_weights().is_some() {
+            self.follows_weights.set(true);
+        }
         let mut pooled = match self.connection(&attempt, limits).await {
             Ok(pooled) => pooled,
             Err(outcome) => return Err((attempt, SendError::NotRun(outcome))),
@@ -247,10 +281,12 @@
             }
             None => return Err((attempt, SendError::NotRun(Outcome::TimedOut))),
         };
-        match classify(&response, outbound, &pooled) {
+        let verdict = verdict::classify(&response, outbound, &pooled);
+        match verdict {
             Verdict::Ran => {
-                pooled.confirm_instance();
                 pooled.apply_keep_alive(response.headers());
+                pooled.confirm_instance();
+                self.record_shown_weights(&attempt, outbound, response.headers());
                 Ok(BackendResponse::new(response, pooled, attempt))
             }
             Verdict::Declined => {
@@ -258,7 +294,16 @@
                 self.pool.drain(pooled, response.into_body()).await;
                 Err((attempt, SendError::NotRun(Outcome::Declined)))
             }
-            Verdict::WrongInstance => Err((attempt, SendError::NotRun(Outcome::OtherInstance))),
+            Verdict::OtherWeights { expected, shown } => {
+                let id = &attempt.backend().id;
+                self.balancer
+                    .borrow_mut()
+                    .refuse_weights(self.now(), id, expected, shown);
+                pooled.apply_keep_alive(response.headers());
+                self.pool.drain(pooled, response.into_body()).await;
+                Err((attempt, SendError::NotRun(Outcome::OtherWeights)))
+            }
+            Verdict::OtherInstance => Err((attempt, SendError::NotRun(Outcome::OtherInstance))),
             Verdict::Mismatched => Err((attempt, SendError::MayHaveRun(Outcome::Broken))),
         }
     }
@@ -310,83 +355,55 @@
         tokio::select! {
             () = follow_snapshots => {}
             () = self.pool.sweep() => {}
+            () = self.follow_weights_reports() => {}
         }
     }
 
-    fn now(&self) -> Millis {
-        self.started.elapsed().as_secs_f64() * 1000.0
-    }
-
-    /// Returns a connection to the pool after its response was read to the end.
-    async fn release(&self, pooled: Pooled) {
-        if self.may_send(pooled.backend_id()) {
-            self.pool.put_idle(pooled).await;
+    /// Records the version of the weights that ran a request.
+    fn record_shown_weights(&self, attempt: &Attempt, outbound: &Outbound, response: &HeaderMap) {
+        if !self.follows_weights.get() {
+            return;
+        }
+        if let Some(version) = weights::shown_version(response) {
+            self.balancer.borrow_mut().show_weights(
+                self.now(),
+                &attempt.backend().id,
+                weights::model(outbound.headers()),
+                version,
+                WeightsSource::Response,
+            );
         }
     }
-}
-
-/// What the head of a response says about the request.
-#[derive(Debug, PartialEq, Eq)]
-enum Verdict {
-    /// The backend has run it or is running it.
-    Ran,
-    /// The backend has not run it.
-    Declined,
-    /// Another instance answers at this address, and it has not run the request.
-    WrongInstance,
-    /// The response belongs to another request or to none.
-    Mismatched,
-}
 
-/// Classifies a response by its head (PROTOCOL.md, *Backends*). Only `Request-Id` tells a surplus response to an earlier
-/// request from the response to this one. On a new connection nothing can be left over, so a backend that declines may
-/// omit the id.
-fn classify(response: &Response<Incoming>, outbound: &Outbound, pooled: &Pooled) -> Verdict {
-    let headers = response.headers();
-    let wrong_instance = response.status() == hyper::StatusCode::MISDIRECTED_REQUEST;
-    let declined = headers.contains_key(outbound::NOT_EXECUTED) || wrong_instance;
-    let id_matches = match headers.get(outbound::REQUEST_ID) {
-        Some(id) => id == outbound.request_id(),
-        None => declined && pooled.is_new(),
-    };
-    match (id_matches, wrong_instance, declined) {
-        (false, ..) => Verdict::Mismatched,
-        (true, true, _) => {
-            count_misdirected(response, outbound, pooled);
-            Verdict::WrongInstance
+    /// Logs and counts what an attempt has changed in the verdicts on instances.
+    fn report_instance_changes(&self) {
+        let changes = self.balancer.borrow_mut().take_instance_changes();
+        for change in changes {
+            match change {
+                InstanceChange::Excluded(backend) => {
+                    metrics::get().backends.excluded();
+                    log::warn!(
+                        "another instance than backend {} answers at {}: it gets a request again after a backoff",
+                        backend.id,
+                        backend.address.0
+                    );
+                }
+                InstanceChange::Returned(backend) => {
+                    metrics::get().backends.returned();
+                    log::info!("backend {} runs requests again", backend.id);
+                }
+            }
         }
-        (true, false, true) => Verdict::Declined,
-        (true, false, false) => Verdict::Ran,
     }
-}
 
-/// Counts a 421 by the reason that the evidence shows.
-fn count_misdirected(response: &Response<Incoming>, outbound: &Outbound, pooled: &Pooled) {
-    let request = MisdirectedRequest {
-        instance: pooled.backend_id(),
-        is_instance_confirmed: pooled.is_instance_confirmed(),
-        expected: outbound.expected_weights(),
-    };
-    let reason = request.reason(response.headers());
-    metrics::get()
-        .backends
-        .misdirected(MisdirectionReason::from(reason));
-    if let Misdirection::OtherWeights { shown } = reason {
-        log::debug!(
-            "backend {} declined {:?}: expected {:?}, shown {shown:?}",
-            pooled.backend_id(),
-            outbound.request_id(),
-            outbound.expected_weights()
-        );
+    fn now(&self) -> Millis {
+        self.started.elapsed().as_secs_f64() * 1000.0
     }
-}
 
-impl From<Misdirection> for MisdirectionReason {
-    fn from(reason: Misdirection) -> MisdirectionReason {
-        match reason {
-            Misdirection::OtherInstance => MisdirectionReason::OtherInstance,
-            Misdirection::OtherWeights { .. } => MisdirectionReason::OtherWeights,
-            Misdirection::Unexplained => MisdirectionReason::Unexplained,
+    /// Returns a connection to the pool after its response was read to the end.
+    async fn release(&self, pooled: Pooled) {
+        if self.may_send(pooled.backend_id()) {
+            self.pool.put_idle(pooled).await;
         }
     }
 }
--- a/alderhollow/src/exchange/placing.rs
+++ b/alderhollow/src/exchange/placing.rs
@@ -2,7 +2,7 @@
 
 use super::attempt::{Attempt, PlacerReport};
 use super::Exchange;
-use crate::balance::{Explanation, NoBackend, SelectionRequest};
+use crate::balance::{Explanation, NoBackend, SelectionRequest, WeightsAvailability};
 use crate::placement::client::PlacementClient;
 use crate::placement::message::Demand;
 use crate::placement::offers::{zones_to_ask, NoOffer, Offer, Offers};
@@ -26,6 +26,12 @@
         let Some(placement) = &self.placement else {
             return self.choose(wanted);
         };
+        if let Some(expected) = wanted.expected_weights {
+            let availability = self.weights_availability(wanted.service, expected);
+            if matches!(availability, WeightsAvailability::Missing { .. }) {
+                return self.choose(wanted);
+            }
+        }
         let Some(demand) = self.demand(wanted) else {
             return self.choose(wanted);
         };
@@ -71,6 +77,7 @@
         }
         let mut except = balancer.unhealthy(self.now(), wanted.service);
         except.extend(wanted.tried.iter().cloned());
+        except.extend(balancer.excluded_by_weights(self.now(), wanted));
         Demand::of(wanted, except)
     }
 }
--- a/alderhollow/src/executor/attempt.rs
+++ b/alderhollow/src/executor/attempt.rs
@@ -27,7 +27,7 @@
 /// Result of an attempt without a response.
 pub fn on_send_error(item: &ItemStart, error: SendError) -> RunEnd {
     match error {
-        SendError::NotRun(Outcome::Declined | Outcome::Cancelled) => {
+        SendError::NotRun(Outcome::Declined | Outcome::OtherWeights | Outcome::Cancelled) => {
             not_run(RETRY_AFTER_DECLINED_MS)
         }
         SendError::NotRun(_) => not_run(RETRY_AFTER_NO_CONNECTION_MS),
--- a/alderhollow/src/executor/mod.rs
+++ b/alderhollow/src/executor/mod.rs
@@ -5,6 +5,7 @@
 //! | [`pacing`] | limits how many items of a service may start |
 //! | [`start_scheduler`] | decides where and whether a route's next item starts |
 //! | [`outbound`] | builds the request of an item |
+//! | [`postponement`] | paces the checks of items that wait for weights |
 //! | [`attempt`] | interprets a backend's response |
 //! | [`events`] | parses the events of a response |
 
@@ -12,18 +13,20 @@
 pub mod events;
 pub mod outbound;
 pub mod pacing;
+pub mod postponement;
 pub mod start_scheduler;
 
-use crate::balance::{Millis, NoBackend, SelectionRequest};
+use crate::balance::{Millis, NoBackend, SelectionRequest, WeightsAvailability};
 use crate::clock::SteadyClock;
 use crate::exchange::wait_limits::{Alternatives, Permission, WaitLimits};
-use crate::exchange::{prompt, Exchange};
+use crate::exchange::{prompt, weights, Exchange};
 use crate::metrics;
 use alderhollow_batch::api::{ItemStart, RunEnd};
 use alderhollow_model::config::Route;
 use alderhollow_model::snapshot::Snapshot;
 use attempt::FIRST_EVENT_TIMEOUT;
 use pacing::LedShare;
+use postponement::{AwaitedWeights, WeightsChecks};
 use start_scheduler::{Admission, RunPermit, Services, StartScheduler};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -55,6 +58,7 @@
     clock: SteadyClock,
     exchange: Rc<Exchange>,
     scheduler: RefCell<StartScheduler>,
+    weights_checks: RefCell<WeightsChecks>,
     /// The snapshot last applied to the scheduler.
     applied_snapshot: RefCell<Option<Arc<Snapshot>>>,
 }
@@ -66,6 +70,7 @@
             clock,
             exchange,
             scheduler: RefCell::default(),
+            weights_checks: RefCell::default(),
             applied_snapshot: RefCell::default(),
         };
         Executor {
@@ -96,10 +101,39 @@
         scheduler.admit(route, &*self.shared.exchange)
     }
 
-    /// Whether an item's prompt needs more memory than the backends of a service have.
-    pub fn is_too_large(&self, item: &ItemStart, service: &str) -> bool {
-        let prompt = prompt::read(&outbound::prompt_headers(item));
-        prompt.is_some_and(|prompt| self.shared.exchange.is_too_large(service, &prompt))
+    /// Why an admitted item cannot run now, although its service has backends; `None` if it can.
+    pub fn postponement(&self, item: &ItemStart, service: &str) -> Option<Postponement> {
+        let headers = outbound::selection_headers(item);
+        let exchange = &self.shared.exchange;
+        let prompt = prompt::read(&headers);
+        if prompt.is_some_and(|prompt| exchange.is_too_large(service, &prompt)) {
+            return Some(Postponement {
+                reason: PostponementReason::TooLarge,
+                retry_after_ms: RETRY_TOO_LARGE_MS,
+            });
+        }
+        let expected = weights::expected(&headers)?;
+        let availability = exchange.weights_availability(service, expected);
+        let awaited = AwaitedWeights {
+            service: service.to_string(),
+            expected,
+        };
+        let now = self.shared.clock.now_ms() as Millis;
+        let mut checks = self.shared.weights_checks.borrow_mut();
+        let may_start = match availability {
+            WeightsAvailability::Available => true,
+            WeightsAvailability::OnTrial => checks.may_try(now, &awaited),
+            WeightsAvailability::Missing { .. } => false,
+        };
+        (!may_start).then(|| Postponement {
+            reason: PostponementReason::OtherWeights,
+            retry_after_ms: checks.next_check_after_ms(now, awaited),
+        })
+    }
+
+    /// Gives up an admission: the route's next item may go to another of its services.
+    pub fn forgo(&self, admission: &Admission) {
+        self.shared.scheduler.borrow_mut().forgo(admission);
     }
 
     /// Records the start of an admitted item.
@@ -150,11 +184,14 @@
             prompt: prompt.as_ref(),
             priority: route.priority,
             tried: &[],
+            expected_weights: outbound.expected_weights(),
         };
         let attempt = match exchange.place(&wanted).await {
             Ok(attempt) => attempt,
             Err(NoBackend::NoneReady) => return not_run(RETRY_NONE_READY_MS),
-            Err(NoBackend::AllFull { retry_after_ms }) => {
+            Err(
+                NoBackend::AllFull { retry_after_ms } | NoBackend::OtherWeights { retry_after_ms },
+            ) => {
                 return not_run(
                     retry_after_ms.clamp(MIN_RETRY_ALL_FULL_MS, MAX_RETRY_ALL_FULL_MS) as u64,
                 );
@@ -213,9 +250,22 @@
     }
 }
 
-/// How a run ends whose prompt exceeds the memory of its service's backends.
-pub fn too_large() -> RunEnd {
-    not_run(RETRY_TOO_LARGE_MS)
+/// Why an item cannot run although its service has backends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PostponementReason {
+    /// Its prompt exceeds the memory of the backends.
+    TooLarge,
+    /// No backend has the version of the weights that it expects.
+    OtherWeights,
+}
+
+/// An item that cannot run now. It uses neither a start nor a window of runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Postponement {
+    /// The reason.
+    pub reason: PostponementReason,
+    /// When to check again, in milliseconds.
+    pub retry_after_ms: u64,
 }
 
 fn not_run(retry_after_ms: u64) -> RunEnd {
--- a/alderhollow/src/executor/outbound.rs
+++ b/alderhollow/src/executor/outbound.rs
@@ -4,6 +4,7 @@
     Outbound, OutboundError, DEADLINE_MS, LAST_EVENT_ID, REQUEST_ID, TARGET_INSTANCE,
 };
 use crate::exchange::prompt::{PROMPT_PREFIX, TOKEN_USAGE};
+use crate::exchange::weights::{EXPECT_VERSION, MODEL};
 use alderhollow_batch::api::ItemStart;
 use http::uri::PathAndQuery;
 use hyper::body::Bytes;
@@ -20,8 +21,8 @@
     LAST_EVENT_ID,
 ];
 
-/// Headers that describe a prompt.
-const PROMPT_HEADERS: [HeaderName; 2] = [PROMPT_PREFIX, TOKEN_USAGE];
+/// Headers that determine which backends can run an item.
+const SELECTION_HEADERS: [HeaderName; 4] = [PROMPT_PREFIX, TOKEN_USAGE, MODEL, EXPECT_VERSION];
 
 /// Why no request can be built for an item. Jobs are already validated on submission.
 #[derive(Debug, thiserror::Error)]
@@ -58,12 +59,12 @@
     )?)
 }
 
-/// The headers of an item that describe its prompt.
-pub fn prompt_headers(item: &ItemStart) -> HeaderMap {
+/// The headers of an item that determine which backends can run it.
+pub fn selection_headers(item: &ItemStart) -> HeaderMap {
     let mut headers = HeaderMap::new();
     for header in &item.request.headers {
         let name = HeaderName::from_bytes(header.name.as_bytes());
-        let Some(name) = name.ok().filter(|name| PROMPT_HEADERS.contains(name)) else {
+        let Some(name) = name.ok().filter(|name| SELECTION_HEADERS.contains(name)) else {
             continue;
         };
         if let Ok(value) = header_value(&header.value) {
--- a/alderhollow/src/executor/start_scheduler.rs
+++ b/alderhollow/src/executor/start_scheduler.rs
@@ -168,6 +168,11 @@
         RunPermit::new(service, &limits.running)
     }
 
+    /// Gives up the pick of an admission whose item does not start, so that the next item may go to another service.
+    pub fn forgo(&mut self, admission: &Admission) {
+        self.picked_services.remove(&admission.route);
+    }
+
     /// Whether any of the route's services has a backend.
     pub fn has_backend(&self, route: &str) -> bool {
         let Some(route) = self.routes.get(route) else {
--- a/alderhollow/src/executor/start_scheduler/tests.rs
+++ b/alderhollow/src/executor/start_scheduler/tests.rs
@@ -213,3 +213,27 @@
     );
     assert_eq!(scheduler.admit("gone", &services), None);
 }
+
+/// Guards against a route staying at a service that cannot run its items while another of its services can.
+#[test]
+fn an_admission_that_is_given_up_goes_to_another_service_in_time() {
+    let services = FakeServices::with(&["one", "two"]);
+    let mut scheduler = scheduler();
+    let items = waiting(&[(SPLIT, 10)]);
+    for tick in 0..100 {
+        scheduler.begin_round(
+            f64::from(tick) * TICK_MS,
+            LedShare::WHOLE,
+            &items,
+            &services,
+        );
+        let Some(admission) = scheduler.admit(SPLIT, &services) else {
+            continue;
+        };
+        if admission.service == "two" {
+            return;
+        }
+        scheduler.forgo(&admission);
+    }
+    panic!("all admissions went to one service");
+}
--- a/alderhollow/src/http_server/attempts.rs
+++ b/alderhollow/src/http_server/attempts.rs
@@ -20,6 +20,9 @@
 
 /// Number of backends that may decline a request before its client is told to retry later.
 const MAX_DECLINED: u32 = 4;
+/// The same for backends whose weights have another version than the request expects: they answer at once, and a part of
+/// the backends may have the version.
+const MAX_OTHER_WEIGHTS: u32 = 8;
 /// A backend that sends nothing for this multiple of the route's target latency, and for at least
 /// `MIN_STALL_TIMEOUT`, is replaced by another one.
 const STALL_TARGET_FACTOR: f64 = 3.0;
@@ -107,6 +110,7 @@
     /// Backends that the request was sent to.
     tried: Vec<String>,
     declined: u32,
+    other_weights: u32,
     /// Number of backends that may have run the request.
     may_have_run: u32,
     /// The attempt reserved to replace a stalled backend.
@@ -121,6 +125,7 @@
             request,
             tried: Vec::new(),
             declined: 0,
+            other_weights: 0,
             may_have_run: 0,
             reserved: RefCell::new(None),
         }
@@ -171,10 +176,9 @@
             };
             match sent {
                 Ok(response) => return Ok(response),
-                Err(SendError::NotRun(_)) => {
+                Err(SendError::NotRun(outcome)) => {
                     self.may_have_run -= 1;
-                    self.declined += 1;
-                    if self.declined >= MAX_DECLINED {
+                    if self.was_declined_too_often(outcome) {
                         return Err(self.failure());
                     }
                 }
@@ -184,6 +188,16 @@
         }
     }
 
+    /// Counts a backend that has not run the request. Returns whether no further one is asked.
+    fn was_declined_too_often(&mut self, outcome: Outcome) -> bool {
+        let (count, limit) = match outcome {
+            Outcome::OtherWeights => (&mut self.other_weights, MAX_OTHER_WEIGHTS),
+            _ => (&mut self.declined, MAX_DECLINED),
+        };
+        *count += 1;
+        *count >= limit
+    }
+
     /// Chooses the next backend; waits for capacity while the client can still be served in time.
     async fn next_attempt(&self) -> Result<Attempt, RequestFailure> {
         if let Some(reserved) = self.reserved.take() {
@@ -196,10 +210,11 @@
             let wait = match self.exchange.place(&self.selection_request()).await {
                 Ok(attempt) => return Ok(attempt),
                 Err(NoBackend::NoneReady) => return Err(self.failure()),
-                Err(NoBackend::AllFull { retry_after_ms }) => {
-                    Duration::try_from_secs_f64(retry_after_ms / 1000.0)
-                        .unwrap_or(DEFAULT_RETRY_AFTER)
-                }
+                Err(
+                    NoBackend::AllFull { retry_after_ms }
+                    | NoBackend::OtherWeights { retry_after_ms },
+                ) => Duration::try_from_secs_f64(retry_after_ms / 1000.0)
+                    .unwrap_or(DEFAULT_RETRY_AFTER),
             };
             let reject_at = self.request.received_at
                 + self
@@ -223,6 +238,7 @@
             prompt: self.request.prompt.as_ref(),
             priority: self.request.route.priority,
             tried: &self.tried,
+            expected_weights: self.request.outbound.expected_weights(),
         }
     }
 
--- a/alderhollow/src/metrics/backends.rs
+++ b/alderhollow/src/metrics/backends.rs
@@ -1,11 +1,24 @@
 //! Metrics of what backends say about themselves and their weights.
 
-use super::family::{label, CounterFamily, Description, Registrar};
+use super::family::{label, Counter, CounterFamily, Description, Registrar};
 
 const MISDIRECTED: Description = Description {
     name: "alderhollow_backend_misdirected_total",
     help: "Responses with status 421, by the reason that the evidence shows",
 };
+const EXCLUSIONS: Description = Description {
+    name: "alderhollow_backend_exclusions_total",
+    help: "Backends that get no requests for a time, because another instance answered at their address",
+};
+const RETURNS: Description = Description {
+    name: "alderhollow_backend_returns_total",
+    help: "Excluded backends that answered as themselves again",
+};
+const WEIGHTS_REPORTS: Description = Description {
+    name: "alderhollow_backend_weights_reports_total",
+    help: "Reports that were requested from backends, because requests wait for a version of the weights",
+};
+
 label! {
     /// The reason for a 421.
     MisdirectionReason named "reason" {
@@ -18,15 +31,31 @@
     }
 }
 
+label! {
+    /// The result of a request for a report.
+    ReportResult named "result" {
+        /// It names versions of weights.
+        Read => "read",
+        /// None came in time, or it names no versions.
+        Missing => "missing",
+    }
+}
+
 /// Metrics of backends.
 pub struct BackendMetrics {
     misdirected: CounterFamily<MisdirectionReason>,
+    exclusions: Counter,
+    returns: Counter,
+    weights_reports: CounterFamily<ReportResult>,
 }
 
 impl BackendMetrics {
     pub(super) fn new(registrar: &Registrar) -> BackendMetrics {
         BackendMetrics {
             misdirected: registrar.counters(&MISDIRECTED),
+            exclusions: registrar.counter(&EXCLUSIONS),
+            returns: registrar.counter(&RETURNS),
+            weights_reports: registrar.counters(&WEIGHTS_REPORTS),
         }
     }
 
@@ -34,4 +63,19 @@
     pub fn misdirected(&self, reason: MisdirectionReason) {
         self.misdirected.of(reason).add(1);
     }
+
+    /// Another instance answered at a backend's address.
+    pub fn excluded(&self) {
+        self.exclusions.add(1);
+    }
+
+    /// An excluded backend answered as itself again.
+    pub fn returned(&self) {
+        self.returns.add(1);
+    }
+
+    /// A report of a backend was requested.
+    pub fn weights_report(&self, result: ReportResult) {
+        self.weights_reports.of(result).add(1);
+    }
 }
--- a/alderhollow/src/metrics/store.rs
+++ b/alderhollow/src/metrics/store.rs
@@ -36,6 +36,10 @@
     name: "alderhollow_store_items_too_large_total",
     help: "Times that an item was put off because it needs more memory than its service's backends have",
 };
+const ITEMS_WITHOUT_WEIGHTS: Description = Description {
+    name: "alderhollow_store_items_without_weights_total",
+    help: "Times that an item was put off because no backend has the version of the weights that it expects",
+};
 const RUNS_STARTED: Description = Description {
     name: "alderhollow_store_runs_started_total",
     help: "Runs of items that were started",
@@ -253,6 +257,7 @@
     items_running: Gauge,
     items_without_backend: Gauge,
     items_too_large: Counter,
+    items_without_weights: Counter,
     runs_started: Counter,
     run_ends: CounterFamily<RunEndKind>,
     reads: Counter,
@@ -285,6 +290,7 @@
             items_running: registrar.gauge(&ITEMS_RUNNING),
             items_without_backend: registrar.gauge(&ITEMS_WITHOUT_BACKEND),
             items_too_large: registrar.counter(&ITEMS_TOO_LARGE),
+            items_without_weights: registrar.counter(&ITEMS_WITHOUT_WEIGHTS),
             runs_started: registrar.counter(&RUNS_STARTED),
             run_ends: registrar.counters(&RUN_ENDS),
             reads: registrar.counter(&READS),
@@ -339,6 +345,11 @@
         self.items_too_large.increment();
     }
 
+    /// An item was put off because no backend has the version of the weights that it expects.
+    pub fn item_without_weights(&self) {
+        self.items_without_weights.increment();
+    }
+
     /// Runs were started.
     pub fn runs_started(&self, count: usize) {
         self.runs_started.add(count as u64);
--- a/alderhollow/src/placement/ledger.rs
+++ b/alderhollow/src/placement/ledger.rs
@@ -141,7 +141,10 @@
                     self.balancer.response_started(now, attempt);
                 }
             }
-            Event::Ended(number, end) => self.end(now, sender, *number, Outcome::from(*end)),
+            Event::Ended(number, end) => match end.outcome() {
+                Some(outcome) => self.end(now, sender, *number, outcome),
+                None => self.withdraw(sender, *number),
+            },
         }
     }
 
--- a/alderhollow/src/placement/message.rs
+++ b/alderhollow/src/placement/message.rs
@@ -71,6 +71,7 @@
             prompt: Some(prompt),
             priority: self.priority,
             tried: &self.excluded_backends,
+            expected_weights: None,
         }
     }
 
@@ -128,13 +129,16 @@
 impl From<NoBackend> for Placement {
     fn from(error: NoBackend) -> Placement {
         match error {
-            NoBackend::NoneReady => Placement::NoneReady,
+            NoBackend::NoneReady | NoBackend::OtherWeights { .. } => Placement::NoneReady,
             NoBackend::AllFull { retry_after_ms } => Placement::Full { retry_after_ms },
         }
     }
 }
 
-/// The encoded form of [`Outcome`].
+/// What a sender reports of an [`Outcome`].
+///
+/// A 421 is evidence for its sender only, which tells a placer with each demand which backends it excludes. It is
+/// reported as [`End::Cancelled`]: placers of earlier versions exclude a backend for good after [`End::OtherInstance`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
 #[cbor(index_only)]
 pub enum End {
@@ -147,7 +151,7 @@
     /// See [`Outcome::Declined`].
     #[n(2)]
     Declined,
-    /// See [`Outcome::OtherInstance`].
+    /// A 421, whatever its reason. Only senders of earlier versions report it.
     #[n(3)]
     OtherInstance,
     /// See [`Outcome::NoConnection`].
@@ -170,26 +174,26 @@
             Outcome::Served => End::Served,
             Outcome::Failed => End::Failed,
             Outcome::Declined => End::Declined,
-            Outcome::OtherInstance => End::OtherInstance,
             Outcome::NoConnection => End::NoConnection,
             Outcome::Broken => End::Broken,
             Outcome::TimedOut => End::TimedOut,
-            Outcome::Cancelled => End::Cancelled,
+            Outcome::Cancelled | Outcome::OtherInstance | Outcome::OtherWeights => End::Cancelled,
         }
     }
 }
 
-impl From<End> for Outcome {
-    fn from(end: End) -> Outcome {
-        match end {
-            End::Served => Outcome::Served,
-            End::Failed => Outcome::Failed,
-            End::Declined => Outcome::Declined,
-            End::OtherInstance => Outcome::OtherInstance,
-            End::NoConnection => Outcome::NoConnection,
-            End::Broken => Outcome::Broken,
-            End::TimedOut => Outcome::TimedOut,
-            End::Cancelled => Outcome::Cancelled,
+impl End {
+    /// The outcome for a placer; `None` if the end says nothing that holds for other senders.
+    pub fn outcome(self) -> Option<Outcome> {
+        match self {
+            End::Served => Some(Outcome::Served),
+            End::Failed => Some(Outcome::Failed),
+            End::Declined => Some(Outcome::Declined),
+            End::OtherInstance => None,
+            End::NoConnection => Some(Outcome::NoConnection),
+            End::Broken => Some(Outcome::Broken),
+            End::TimedOut => Some(Outcome::TimedOut),
+            End::Cancelled => Some(Outcome::Cancelled),
         }
     }
 }
--- a/alderhollow/src/store/item_starts.rs
+++ b/alderhollow/src/store/item_starts.rs
@@ -3,16 +3,16 @@
 
 use super::group_engine::GroupEngine;
 use super::node::StoreNode;
-use crate::executor;
+use crate::executor::{Postponement, PostponementReason};
 use crate::metrics;
-use alderhollow_batch::api::{ItemStart, RunId};
+use alderhollow_batch::api::{ItemStart, RunEnd, RunId};
 use alderhollow_batch::work::Turn;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::rc::Rc;
 
-/// Items that are put off in one round because no backend has the memory for them, so that a round ends soon.
-const MAX_TOO_LARGE_PER_ROUND: usize = 256;
+/// Items that are postponed in one round, so that a round ends soon.
+const MAX_POSTPONED_PER_ROUND: usize = 256;
 
 /// An item to run, with its group.
 pub struct GroupItemStart {
@@ -83,7 +83,7 @@
 
     /// Starts items in the order of their turns. A route that may not start an item now is passed over.
     fn start_in_order(self: &Rc<Self>, ready: &[ReadyItems]) {
-        let mut too_large = 0;
+        let mut postponed = 0;
         let mut passed_over: BTreeSet<&str> = BTreeSet::new();
         let mut candidates: BinaryHeap<Reverse<Candidate>> = (0..ready.len())
             .filter_map(|index| self.candidate(ready, index))
@@ -104,26 +104,32 @@
             let Some(item) = items.into_iter().next() else {
                 continue;
             };
-            if self.runs.is_too_large(&admission, &item) {
-                self.postpone_too_large(group, item.run);
-                too_large += 1;
+            if let Some(postponement) = self.runs.postponement(&admission, &item) {
+                self.postpone(group, item.run, postponement);
+                postponed += 1;
             } else {
                 let group = group.clone();
                 self.runs
                     .start(self, admission, GroupItemStart { group, item });
             }
-            if too_large < MAX_TOO_LARGE_PER_ROUND {
+            if postponed < MAX_POSTPONED_PER_ROUND {
                 candidates.extend(self.candidate(ready, index));
             }
         }
     }
 
-    /// Puts off an item that no backend has the memory for, without a start.
-    fn postpone_too_large(&self, group: &GroupEngine, run: RunId) {
-        metrics::get().store.item_too_large();
-        self.with_group(group, |engine, now_ms| {
-            engine.run_ended(now_ms, run, executor::too_large());
-        });
+    /// Postpones an item that no backend can run now, without a start.
+    fn postpone(&self, group: &GroupEngine, run: RunId, postponement: Postponement) {
+        let Postponement {
+            reason,
+            retry_after_ms,
+        } = postponement;
+        match reason {
+            PostponementReason::TooLarge => metrics::get().store.item_too_large(),
+            PostponementReason::OtherWeights => metrics::get().store.item_without_weights(),
+        }
+        let end = RunEnd::Postponed { retry_after_ms };
+        self.with_group(group, |engine, now_ms| engine.run_ended(now_ms, run, end));
     }
 
     /// Returns the candidate for the next start among these ready items.
--- a/alderhollow/src/store/runs.rs
+++ b/alderhollow/src/store/runs.rs
@@ -4,7 +4,7 @@
 use super::node::StoreNode;
 use crate::executor::pacing::LedShare;
 use crate::executor::start_scheduler::{Admission, RunPermit};
-use crate::executor::Executor;
+use crate::executor::{Executor, Postponement};
 use crate::metrics;
 use crate::metrics::store::RunEndKind;
 use alderhollow_batch::api::{ItemStart, RunEnd, RunId};
@@ -68,9 +68,11 @@
         self.executor.has_backend(route)
     }
 
-    /// Whether an admitted item needs more memory than the backends of its service have.
-    pub fn is_too_large(&self, admission: &Admission, item: &ItemStart) -> bool {
-        self.executor.is_too_large(item, &admission.service)
+    /// Why an admitted item cannot run now. Its admission is then given up.
+    pub fn postponement(&self, admission: &Admission, item: &ItemStart) -> Option<Postponement> {
+        let postponement = self.executor.postponement(item, &admission.service)?;
+        self.executor.forgo(admission);
+        Some(postponement)
     }
 
     /// Starts an admitted item.
--- a/alderhollow/tests/balance_support/mod.rs
+++ b/alderhollow/tests/balance_support/mod.rs
@@ -149,5 +149,6 @@
         prompt,
         priority: 0,
         tried: &[],
+        expected_weights: None,
     }
 }
--- a/alderhollow/tests/executor.rs
+++ b/alderhollow/tests/executor.rs
@@ -234,6 +234,48 @@
     });
 }
 
+/// Guards against a backend being given up because its weights are not those that one item expects.
+#[test]
+fn a_backend_with_other_weights_runs_the_next_item_that_expects_none() {
+    in_local_set(async {
+        let setup = setup(vec![]).await;
+        setup.backend.set_weights(1);
+        let mut early = item(None);
+        early.request.headers.push(Header {
+            name: "Expect-Version".to_string(),
+            value: "2".to_string(),
+        });
+        for _ in 0..10 {
+            let end = setup.executor.run(&early).await;
+            assert!(matches!(end, RunEnd::NotRun { .. }), "{end:?}");
+        }
+        assert_eq!(setup.backend.requests().len(), 1);
+        let end = setup.executor.run(&item(None)).await;
+        assert_eq!(end, RunEnd::Completed { text: whole_text() });
+    });
+}
+
+/// Guards against a 421 being a verdict without an end: the instance shows itself when it is asked again.
+#[test]
+fn a_backend_after_another_instance_is_asked_again_and_returns() {
+    in_local_set(async {
+        let setup = setup(vec![Reply::OtherInstance, Reply::OtherInstance]).await;
+        let deadline = tokio::time::Instant::now() + std::time::Duration::from_secs(4);
+        let mut end = setup.executor.run(&item(None)).await;
+        while end != (RunEnd::Completed { text: whole_text() }) {
+            assert!(matches!(end, RunEnd::NotRun { .. }), "{end:?}");
+            assert!(tokio::time::Instant::now() < deadline, "not asked again");
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            end = setup.executor.run(&item(None)).await;
+        }
+        assert_eq!(
+            setup.backend.requests().len(),
+            3,
+            "it was asked without a backoff"
+        );
+    });
+}
+
 #[test]
 fn nothing_is_sent_to_a_draining_backend_or_for_a_removed_route() {
     in_local_set(async {
--- a/alderhollow/tests/http_server.rs
+++ b/alderhollow/tests/http_server.rs
@@ -284,6 +284,56 @@
     });
 }
 
+/// Guards against a gateway giving up all backends for all clients because their weights are not those that one client
+/// expects.
+#[test]
+fn backends_with_other_weights_serve_clients_that_expect_none() {
+    run(async {
+        let gateway = Gateway::start(2).await;
+        let other_weights = || {
+            let headers = "Not-Executed: 1\r\nVersions: 1\r\n";
+            answer("421 Misdirected Request", headers, "")
+        };
+        gateway.backends.script(other_weights());
+        gateway.backends.script(other_weights());
+        let early = request("/tokens/1", "Model: m\r\nExpect-Version: 2\r\n", "x");
+        for _ in 0..5 {
+            let reply = ask(gateway.address, &early).await;
+            assert_eq!(reply.status, 503);
+            assert!(reply.header("retry-after").is_some());
+        }
+        assert_eq!(gateway.backends.seen().len(), 2, "asked again and again");
+        for _ in 0..5 {
+            gateway.backends.script(served("ok"));
+            let plain = request("/once/1", "Model: m\r\n", "x");
+            assert_eq!(ask(gateway.address, &plain).await.status, 200);
+        }
+        tokio::time::sleep(Duration::from_secs(6)).await;
+        gateway.backends.script(served("late"));
+        assert_eq!(ask(gateway.address, &early).await.body, "late");
+    });
+}
+
+/// Guards against a 421 without an end: the instance is asked again, and only where it is named.
+#[test]
+fn an_instance_that_answered_421_is_asked_again_by_its_name() {
+    run(async {
+        let gateway = Gateway::start(1).await;
+        gateway
+            .backends
+            .script(answer("421 Misdirected Request", "", ""));
+        let plain = request("/once/1", "", "x");
+        assert_eq!(ask(gateway.address, &plain).await.status, 503);
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        gateway.backends.script(served("ok"));
+        assert_eq!(ask(gateway.address, &plain).await.status, 200);
+        let seen = gateway.backends.seen();
+        assert!(seen
+            .iter()
+            .all(|seen| seen.header("target-instance").as_deref() == Some("b0")));
+    });
+}
+
 #[test]
 fn an_answer_to_another_request_is_none() {
     run(async {
@@ -526,6 +576,7 @@
             prompt: None,
             priority: 0,
             tried: &[],
+            expected_weights: None,
         };
         let mut headers = HeaderMap::new();
         headers.insert("request-id", HeaderValue::from_static("r1"));
--- a/alderhollow/tests/placement.rs
+++ b/alderhollow/tests/placement.rs
@@ -3,7 +3,7 @@
 
 mod balance_support;
 
-use alderhollow::balance::Prompt;
+use alderhollow::balance::{Outcome, Prompt};
 use alderhollow::exchange::Exchange;
 use alderhollow::internal::Network;
 use alderhollow::placement::client::PlacementClient;
@@ -457,6 +457,37 @@
     );
 }
 
+/// Guards against one sender's 421 excluding a backend for all senders: what senders of earlier versions report as another
+/// instance may be other weights.
+#[test]
+fn a_421_that_a_sender_reports_excludes_no_backend() {
+    let mut placer = ledger(3);
+    let demand = demand(500);
+    for number in 0..30 {
+        place(&mut placer, 0.0, FIRST, number, &demand);
+        let events = vec![Event::Ended(number, End::OtherInstance)];
+        placer.apply_report(
+            1.0,
+            &Report::Events {
+                sender: FIRST,
+                events,
+            },
+        );
+    }
+    assert_eq!(placer.attempts(), 0);
+    let used: BTreeSet<String> = (0..30)
+        .map(|number| backend_of(place(&mut placer, 2.0, SECOND, number, &demand)))
+        .collect();
+    assert_eq!(used.len(), 3);
+}
+
+#[test]
+fn a_421_is_not_reported_as_a_verdict() {
+    for outcome in [Outcome::OtherInstance, Outcome::OtherWeights] {
+        assert_eq!(End::from(outcome), End::Cancelled);
+    }
+}
+
 #[test]
 fn a_snapshot_corrects_lost_events() {
     let mut ledger = ledger(2);
--- a/alderhollow/tests/support/backend.rs
+++ b/alderhollow/tests/support/backend.rs
@@ -86,6 +86,11 @@
     async fn serve(self, id: String, mut stream: TcpStream) {
         let mut buffer = Vec::new();
         while let Some(seen) = read_request(&mut stream, &mut buffer, &id).await {
+            if seen.head.starts_with("GET /alderhollow/report ") {
+                let none = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+                let _ = stream.write_all(none.as_bytes()).await;
+                return;
+            }
             let request_id = seen.header("request-id").unwrap_or_default();
             self.seen.borrow_mut().push(seen);
             let steps = self
--- a/placement-model/src/policy.rs
+++ b/placement-model/src/policy.rs
@@ -165,12 +165,17 @@
             prompt: Some(prompt),
             priority,
             tried: &[],
+            expected_weights: None,
         };
         match &mut self.choosers {
             Choosers::Senders(balancers) => {
                 let choice = match balancers[request.sender].choose(now, &wanted) {
                     Ok(choice) => choice,
-                    Err(NoBackend::NoneReady | NoBackend::AllFull { .. }) => return None,
+                    Err(
+                        NoBackend::NoneReady
+                        | NoBackend::AllFull { .. }
+                        | NoBackend::OtherWeights { .. },
+                    ) => return None,
                 };
                 self.attempts
                     .insert(index, (request.sender, choice.attempt));
