Name the set of delayed items for what it holds, and count their ends in one place

Cause: with postponed items the set in_backoff held both kinds, and the count of a kind was taken back in two places.

Change: WorkQueue::delayed, DelayKey, RouteQueue::count_end_of_delay. No behaviour changes.

Measured: batch/tests/engine, 75 passed, as before.

--- a/batch/src/work.rs
+++ b/batch/src/work.rs
@@ -56,7 +56,7 @@
 
 /// Key of an item in backoff or postponed, ordered by the end of that time.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct BackoffKey {
+struct DelayKey {
     until_ms: u64,
     item: ItemKey,
 }
@@ -106,6 +106,15 @@
         self.ready.len() + self.in_backoff
     }
 
+    /// Counts an item that leaves this phase.
+    fn count_end_of_delay(&mut self, phase: Phase) {
+        match phase {
+            Phase::Backoff { .. } => self.in_backoff = self.in_backoff.saturating_sub(1),
+            Phase::Postponed { .. } => self.postponed = self.postponed.saturating_sub(1),
+            Phase::Ready | Phase::Running(_) => {}
+        }
+    }
+
     fn is_empty(&self) -> bool {
         self.waiting() + self.postponed + self.running == 0
     }
@@ -118,7 +127,7 @@
     /// The routes with open items.
     routes: BTreeMap<String, RouteQueue>,
     /// Items in backoff, and postponed ones.
-    in_backoff: BTreeSet<BackoffKey>,
+    delayed: BTreeSet<DelayKey>,
     runs: HashMap<RunId, Run>,
     newest_run: u64,
     /// Moving average of the duration of completed runs in milliseconds; `None` before the first.
@@ -174,14 +183,14 @@
 
     /// Makes the items ready whose backoff or postponement has ended.
     pub fn wake(&mut self, now_ms: u64) {
-        while let Some(in_backoff) = self
-            .in_backoff
+        while let Some(delay) = self
+            .delayed
             .first()
-            .filter(|in_backoff| in_backoff.until_ms <= now_ms)
+            .filter(|delay| delay.until_ms <= now_ms)
             .cloned()
         {
-            self.in_backoff.remove(&in_backoff);
-            self.set_ready(in_backoff.item);
+            self.delayed.remove(&delay);
+            self.set_ready(delay.item);
         }
     }
 
@@ -194,11 +203,7 @@
             return;
         };
         let queue = self.routes.entry(job.route.clone()).or_default();
-        match item.phase {
-            Phase::Backoff { .. } => queue.in_backoff = queue.in_backoff.saturating_sub(1),
-            Phase::Postponed { .. } => queue.postponed = queue.postponed.saturating_sub(1),
-            Phase::Ready | Phase::Running(_) => {}
-        }
+        queue.count_end_of_delay(item.phase);
         item.phase = Phase::Ready;
         queue.ready.insert(ReadyKey {
             due_ms: job.due_ms,
@@ -330,7 +335,7 @@
         let job = self.jobs.get_mut(&key.job)?;
         job.items.get_mut(&key.item)?.phase = phase;
         let queue = self.routes.entry(job.route.clone()).or_default();
-        self.in_backoff.insert(BackoffKey {
+        self.delayed.insert(DelayKey {
             until_ms,
             item: key,
         });
@@ -354,17 +359,9 @@
                 });
                 None
             }
-            Phase::Backoff { until_ms } => {
-                queue.in_backoff = queue.in_backoff.saturating_sub(1);
-                self.in_backoff.remove(&BackoffKey {
-                    until_ms,
-                    item: key.clone(),
-                });
-                None
-            }
-            Phase::Postponed { until_ms } => {
-                queue.postponed = queue.postponed.saturating_sub(1);
-                self.in_backoff.remove(&BackoffKey {
+            Phase::Backoff { until_ms } | Phase::Postponed { until_ms } => {
+                queue.count_end_of_delay(item.phase);
+                self.delayed.remove(&DelayKey {
                     until_ms,
                     item: key.clone(),
                 });
@@ -406,7 +403,7 @@
         let runs = self.runs.drain().map(|(run, _)| run).collect();
         self.jobs.clear();
         self.routes.clear();
-        self.in_backoff.clear();
+        self.delayed.clear();
         runs
     }
 
@@ -435,10 +432,8 @@
             .filter(|(_, waiting)| *waiting > 0)
     }
 
-    /// End of the next backoff.
+    /// End of the next backoff or postponement.
     pub fn next_wake_ms(&self) -> Option<u64> {
-        self.in_backoff
-            .first()
-            .map(|in_backoff| in_backoff.until_ms)
+        self.delayed.first().map(|delay| delay.until_ms)
     }
 }
