--- a/alderhollow/src/executor/postponement.rs
+++ b/alderhollow/src/executor/postponement.rs
@@ -1,7 +1,7 @@
 //! Paces the checks of items that wait for a version of model weights. No I/O and no clock.
 //!
 //! Invariant: however many items wait for a version, they are checked one after another, at most once per
-//! [`CHECK_SPACING_MS`]; and items that try whether a backend has the version by now do so one at a time.
+//! `CHECK_SPACING_MS`; and items that try whether a backend has the version by now do so one at a time.
 
 use crate::balance::{ExpectedWeights, Millis};
 use std::collections::BTreeMap;
