Let the jobs of the test of deadlines differ by a millisecond

A job's deadline follows from the millisecond in which it was accepted. The test submits a second job as soon as the first one is acknowledged. Where both are accepted within one millisecond their deadlines are equal, and the group with the lower number runs first, which is the later job in the second half of the test. Equal deadlines have no order, so the check was wrong, not the order.

Change: the second job is submitted a millisecond later. The assertion stays as it was.

--- a/alderhollow/tests/store/groups.rs
+++ b/alderhollow/tests/store/groups.rs
@@ -12,10 +12,14 @@
 use alderhollow_storage::{FaultDisk, Journal};
 use serde_json::json;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::watch;
 
 use crate::tier::*;
 
+/// Jobs that are accepted this long apart have different deadlines.
+const DEADLINE_RESOLUTION: Duration = Duration::from_millis(1);
+
 /// Submits two jobs to each group and reads their results.
 async fn submit_and_read_in_all_groups(tier: &Tier, count: usize) {
     for group in 0..count {
@@ -402,6 +406,8 @@
                 tier.submit_items(early, "early-", 16, 4_000).await.status(),
                 202
             );
+            // Deadlines have a resolution of a millisecond, and equal ones have no order.
+            tokio::time::sleep(DEADLINE_RESOLUTION).await;
             assert_eq!(
                 tier.submit_items(late, "late-", 4, 4_000).await.status(),
                 202
