Ask backends again that declined a stream before its last events

What callers saw: a stream on a resumable route ended incomplete though a backend was idle, because that backend had declined the request, or had broken off, earlier in the same stream.

Cause: the list of backends that a request was sent to, and the counts of declines, were kept until the response ended. A decline is a statement about one moment, and it had no end.

Change: when the response progresses by an event, only the backend that sends it counts as tried, and the counts begin anew. max-attempts bounds the backends that run the request as before.

Measured: a_backend_that_declined_before_the_last_events_may_resume_the_stream fails without the change (events 1 to 3, incomplete) and passes with it; alderhollow/tests/streams.rs, 11 passed.

--- a/alderhollow/src/http_server/attempts.rs
+++ b/alderhollow/src/http_server/attempts.rs
@@ -107,7 +107,7 @@
 pub(super) struct Attempts {
     exchange: Rc<Exchange>,
     request: Rc<PendingRequest>,
-    /// Backends that the request was sent to.
+    /// Backends that the request was sent to since its response last progressed, and the one that responds.
     tried: Vec<String>,
     declined: u32,
     other_weights: u32,
@@ -188,6 +188,16 @@
         }
     }
 
+    /// Records that the backend tried last has sent further events. If it fails later, other backends may be asked
+    /// again: that they declined or failed before says nothing about then.
+    pub(super) fn response_progressed(&mut self) {
+        let responding = self.tried.pop();
+        self.tried.clear();
+        self.tried.extend(responding);
+        self.declined = 0;
+        self.other_weights = 0;
+    }
+
     /// Counts a backend that has not run the request. Returns whether no further one is asked.
     fn was_declined_too_often(&mut self, outcome: Outcome) -> bool {
         let (count, limit) = match outcome {
--- a/alderhollow/src/http_server/stream.rs
+++ b/alderhollow/src/http_server/stream.rs
@@ -53,6 +53,9 @@
         let failure = match next {
             Ok(Some(chunk)) => match splitter.push(chunk) {
                 Ok(events) => {
+                    if !events.is_empty() {
+                        attempts.response_progressed();
+                    }
                     slot.put(events).await;
                     None
                 }
--- a/alderhollow/tests/streams.rs
+++ b/alderhollow/tests/streams.rs
@@ -79,6 +79,27 @@
     });
 }
 
+/// Guards against a stream that ends early because each of its backends once declined it or broke off: what one answered
+/// before the last events says nothing about the next resumption.
+#[test]
+fn a_backend_that_declined_before_the_last_events_may_resume_the_stream() {
+    run(async {
+        let gateway = Gateway::start(2).await;
+        let backoff = Step::Pause(Duration::from_millis(200));
+        let declined_and_closed = [declined(), vec![Step::Close]].concat();
+        gateway.backends.script(declined_and_closed);
+        gateway
+            .backends
+            .script(stream(1..=3, vec![backoff, Step::Close]));
+        gateway.backends.script(stream(4..=9, vec![last_chunk()]));
+        let reply = ask(gateway.address, &request("/tokens/1", "", "x")).await;
+        assert_eq!((reply.whole, reply.body), (true, events(1..=9)));
+        let seen = gateway.backends.seen();
+        assert_eq!(seen[2].backend, seen[0].backend);
+        assert_ne!(seen[1].backend, seen[0].backend);
+    });
+}
+
 #[test]
 fn a_stream_that_no_backend_resumes_ends_incomplete() {
     run(async {
