Send no request without the name of its instance

What callers would see: a request to a backend whose id no header can carry went to its address without Target-Instance, so whoever has the address by now runs it. No such id has been seen in a list.

Cause: the header was left out where it could not be built.

Change: the reader of the list skips the entry with a clear reason, the balancer gives such a backend of an older reader's list no requests, and the exchange builds no request without the header.

Measured: a_backend_whose_id_no_request_can_name_gets_none fails without the change (the request reaches the backend, 502) and passes with it; alderhollow/tests/http_server.rs 27 and discovery.rs 11 passed.

--- a/alderhollow/src/balance/backends.rs
+++ b/alderhollow/src/balance/backends.rs
@@ -87,6 +87,7 @@
     pub(super) backend: Arc<Backend>,
     pub(super) id_hash: u64,
     pub(super) own_zone: bool,
+    can_be_named: bool,
     pub(super) evacuated: bool,
     pub(super) in_flight: InFlight,
     pub(super) health: Health,
@@ -102,6 +103,7 @@
     fn new(backend: Arc<Backend>, own_zone: bool) -> Member {
         Member {
             id_hash: hash_name(&backend.id),
+            can_be_named: backend.can_be_named(),
             backend,
             own_zone,
             evacuated: false,
@@ -115,9 +117,9 @@
         }
     }
 
-    /// Whether the backend is ready and its zone not evacuated.
+    /// Whether the backend is ready, can be named, and is not in an evacuated zone.
     pub(super) fn may_get_requests(&self) -> bool {
-        self.backend.state == BackendState::Ready && !self.evacuated
+        self.backend.state == BackendState::Ready && self.can_be_named && !self.evacuated
     }
 
     /// Number of requests that it processes concurrently.
--- a/alderhollow/src/discovery/listing.rs
+++ b/alderhollow/src/discovery/listing.rs
@@ -82,7 +82,7 @@
         .address
         .parse()
         .map_err(|_| format!("{:?} is no address, in {entry}", raw.address))?;
-    Ok(Backend {
+    let backend = Backend {
         id: raw.id,
         service: raw.service,
         address: Address(address),
@@ -93,7 +93,15 @@
             RawState::Draining => BackendState::Draining,
         },
         cold_remaining_ms: round_up(raw.cold_remaining_ms),
-    })
+    };
+    if backend.can_be_named() {
+        Ok(backend)
+    } else {
+        Err(format!(
+            "the id {:?} cannot be sent in a header (printable ASCII characters only), in {entry}",
+            backend.id
+        ))
+    }
 }
 
 /// Rounds up to an integer; negative numbers and NaN become 0.
--- a/alderhollow/src/exchange/mod.rs
+++ b/alderhollow/src/exchange/mod.rs
@@ -268,6 +268,9 @@
         };
         // There is no await point between the checks in `connection` and the first byte written, so they still hold.
         let request = outbound.request(&attempt.backend().id, resume_after, limits.deadline);
+        let Ok(request) = request else {
+            return Err((attempt, SendError::NotRun(Outcome::Cancelled)));
+        };
         let response = match limits.wait(pooled.link.send(request)).await {
             Some(Ok(response)) => response,
             Some(Err(Failure::Unsent)) => {
--- a/alderhollow/src/exchange/outbound.rs
+++ b/alderhollow/src/exchange/outbound.rs
@@ -32,6 +32,9 @@
     /// The request target is not a path.
     #[error("the request has no path")]
     NoPath,
+    /// Without the instance's name, whoever has its address would run the request.
+    #[error("the backend's id cannot be sent in a header")]
+    UnnamedInstance,
 }
 
 /// A request that can be sent to several backends in turn. Method, path, query, body and `Request-Id` are forwarded
@@ -101,12 +104,17 @@
     }
 
     /// Builds the request for one backend, to be written immediately.
+    ///
+    /// # Errors
+    /// The instance cannot be named.
     pub(super) fn request(
         &self,
         instance: &str,
         resume_after: Option<u64>,
         deadline: Instant,
-    ) -> Request<Upload> {
+    ) -> Result<Request<Upload>, OutboundError> {
+        let instance =
+            HeaderValue::from_str(instance).map_err(|_| OutboundError::UnnamedInstance)?;
         let mut request = Request::new(Upload::new(self.body.clone(), None));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.target.clone();
@@ -118,15 +126,11 @@
             DEADLINE_MS,
             HeaderValue::from(u64::try_from(remaining_ms).unwrap_or(u64::MAX).max(1)),
         );
-        // An id that is not a valid header value belongs to no backend; without the header the backend at the address
-        // decides whether to run the request.
-        if let Ok(instance) = HeaderValue::from_str(instance) {
-            headers.insert(TARGET_INSTANCE, instance);
-        }
+        headers.insert(TARGET_INSTANCE, instance);
         if let Some(id) = resume_after {
             headers.insert(LAST_EVENT_ID, HeaderValue::from(id));
         }
         *request.headers_mut() = headers;
-        request
+        Ok(request)
     }
 }
--- a/alderhollow/tests/discovery.rs
+++ b/alderhollow/tests/discovery.rs
@@ -36,10 +36,11 @@
         {"service":"a","address":"nowhere","zone":"z","slots":6,"state":"ready","cold-remaining-ms":0,"id":"i-1"},
         {"service":"a","address":"10.1.1.1:80","zone":"z","slots":6,"state":"asleep","cold-remaining-ms":0,"id":"i-2"},
         7,
+        {"service":"a","address":"10.1.1.1:82","zone":"z","slots":6,"state":"ready","cold-remaining-ms":0,"id":"i\n4"},
         {"service":"a","address":"10.1.1.1:81","zone":"z","slots":6.0,"state":"draining","cold-remaining-ms":12.5,"id":"i-3"}
         ],"next-token":null}"#;
     let page = Page::parse(body).expect("a page");
-    assert_eq!(page.skipped.len(), 3);
+    assert_eq!(page.skipped.len(), 4);
     assert_eq!(page.backends.len(), 1);
     assert_eq!(page.backends[0].state, BackendState::Draining);
     assert_eq!(page.backends[0].cold_remaining_ms, 13);
--- a/alderhollow/tests/http_server.rs
+++ b/alderhollow/tests/http_server.rs
@@ -334,6 +334,20 @@
     });
 }
 
+/// Guards against requests without `Target-Instance`: whoever has the backend's address by now would run them.
+#[test]
+fn a_backend_whose_id_no_request_can_name_gets_none() {
+    run(async {
+        for id in ["b-\u{fc}", "b\n0", ""] {
+            let gateway = Gateway::start(1).await;
+            gateway.list(|list| list[0].id = id.into());
+            let reply = ask(gateway.address, &request("/often/1", "", "x")).await;
+            assert_eq!(reply.status, 503, "{id:?}");
+            assert!(gateway.backends.seen().is_empty());
+        }
+    });
+}
+
 #[test]
 fn an_answer_to_another_request_is_none() {
     run(async {
--- a/model/src/backend.rs
+++ b/model/src/backend.rs
@@ -41,6 +41,15 @@
     pub cold_remaining_ms: u64,
 }
 
+impl Backend {
+    /// Whether a request can name the backend in its header `Target-Instance`. Without that name, whoever has the
+    /// address by now would run the request.
+    pub fn can_be_named(&self) -> bool {
+        let is_printable = |byte: u8| byte == b' ' || byte.is_ascii_graphic();
+        !self.id.is_empty() && self.id.trim() == self.id && self.id.bytes().all(is_printable)
+    }
+}
+
 /// The endpoint list as a primary read it. Lists are ordered by [`BackendList::version`].
 #[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
 pub struct BackendList {
