End the ejection of a backend whose request or probe stays silent

What callers would see: while one request to a backend got no response, for up to its timeout-ms, its gateway sent that backend nothing else, though the backend may have been sound.

Cause: an unresponsive backend was ejected until a response came, and as it got no requests none could come. The end of the ejection was reported and never compared with the clock. A probe without a response kept other probes back in the same way.

Change: after 5 s the backend is half-open, and a probe holds others back for 5 s. A probe that is cancelled after a response was due counts as a failure, so that probes do not follow each other without a pause.

Measured: three tests of alderhollow/tests/balance_health.rs fail without the change and pass with it; the other tests of the balancer, of placement and of placers pass.

--- a/alderhollow/src/balance/health.rs
+++ b/alderhollow/src/balance/health.rs
@@ -1,5 +1,6 @@
 //! Passive health checks of one backend: availability, slowness and failure rate, derived from the outcomes of
-//! attempts. There are no active probes; when a backoff expires, one request serves as the probe.
+//! attempts. There are no active probes; when a backoff expires, one request serves as the probe. That holds for a
+//! backend with requests that wait without a response, too, however long they wait.
 //!
 //! A backend at whose address another instance answered (421) is ejected too, and gets no requests as a last resort
 //! either. It returns when it runs a request that names it.
@@ -43,6 +44,13 @@
     OtherInstance(Millis),
 }
 
+/// The request that probes an ejected backend.
+#[derive(Debug, Clone, Copy)]
+struct Probe {
+    attempt: u64,
+    started: Millis,
+}
+
 /// Data of an attempt that the health checks use.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct AttemptRecord {
@@ -58,7 +66,7 @@
     failures: u32,
     failed_at: Millis,
     ejected_until: Millis,
-    probe: Option<u64>,
+    probe: Option<Probe>,
     /// Whether the last attempt that showed an instance was answered by another one.
     is_other_instance: bool,
     declines: u32,
@@ -94,13 +102,16 @@
 
     /// The current health state.
     pub(super) fn state(&self, now: Millis) -> HealthState {
-        let until = if let Some(since) = self.unresponsive_since(now) {
-            since + MAX_BACKOFF_MS
-        } else if self.failures == 0 {
+        let unresponsive_since = self.unresponsive_since(now);
+        if self.failures == 0 && unresponsive_since.is_none() {
             return HealthState::Healthy;
-        } else if now < self.ejected_until {
-            self.ejected_until
-        } else if self.probe.is_some() {
+        }
+        let unresponsive_until =
+            unresponsive_since.map_or(f64::NEG_INFINITY, |since| since + MAX_BACKOFF_MS);
+        let ejected_until = self.ejected_until.max(unresponsive_until);
+        let until = if now < ejected_until {
+            ejected_until
+        } else if self.is_probing(now) {
             now + INITIAL_BACKOFF_MS
         } else {
             return HealthState::HalfOpen;
@@ -123,7 +134,7 @@
             .waiting
             .values()
             .find(|(started, _)| *started >= self.last_response_at)?;
-        let timeout = UNRESPONSIVE_FACTOR * expected + UNRESPONSIVE_MARGIN_MS;
+        let timeout = unresponsive_timeout(expected);
         let factor = if self.waiting.len() >= UNRESPONSIVE_ATTEMPTS {
             0.5
         } else {
@@ -132,6 +143,25 @@
         (now - started > timeout * factor).then_some(started)
     }
 
+    /// Whether a probe is in flight whose response is still awaited. One that waits for longer is not waited for.
+    fn is_probing(&self, now: Millis) -> bool {
+        let in_flight = |probe: Probe| now - probe.started < MAX_BACKOFF_MS;
+        self.probe.is_some_and(in_flight)
+    }
+
+    /// Whether this attempt probes the backend and has waited too long for a response.
+    fn is_overdue_probe(&self, now: Millis, record: AttemptRecord) -> bool {
+        let waited = now - record.started;
+        let is_probe = self
+            .probe
+            .is_some_and(|probe| probe.attempt == record.attempt);
+        is_probe && waited > unresponsive_timeout(record.expected)
+    }
+
+    fn end_probe(&mut self, attempt: u64) {
+        self.probe = self.probe.filter(|probe| probe.attempt != attempt);
+    }
+
     /// Until when the backend is at capacity. Low-priority requests wait one backoff longer.
     pub(super) fn full_until(&self, low_priority: bool) -> Millis {
         self.full_until + if low_priority { self.full_backoff } else { 0.0 }
@@ -139,8 +169,11 @@
 
     /// Records the start of an attempt.
     pub(super) fn started(&mut self, now: Millis, attempt: u64, expected: Millis) {
-        if self.failures > 0 {
-            self.probe = Some(attempt);
+        if self.failures > 0 || self.unresponsive_since(now).is_some() {
+            self.probe = Some(Probe {
+                attempt,
+                started: now,
+            });
         }
         self.waiting.insert(attempt, (now, expected));
     }
@@ -165,9 +198,7 @@
     /// Removes an attempt whose outcome is unknown.
     pub(super) fn forget_attempt(&mut self, attempt: u64) {
         self.waiting.remove(&attempt);
-        if self.probe == Some(attempt) {
-            self.probe = None;
-        }
+        self.end_probe(attempt);
     }
 
     /// Records the outcome of an attempt. `random` is from 0 to 1.
@@ -178,13 +209,11 @@
         outcome: Outcome,
         random: f64,
     ) {
-        let was_unresponsive = self
+        let was_silent = self
             .unresponsive_since(now)
-            .is_some_and(|since| record.started <= since);
+            .is_some_and(|since| record.started <= since || self.is_overdue_probe(now, record));
         self.waiting.remove(&record.attempt);
-        if self.probe == Some(record.attempt) {
-            self.probe = None;
-        }
+        self.end_probe(record.attempt);
         match outcome {
             Outcome::Served => {
                 self.last_response_at = now;
@@ -207,7 +236,7 @@
             }
             Outcome::TimedOut if record.response_started => self.record_failure_sample(now, 1.0),
             Outcome::TimedOut => self.failed(now, record, INITIAL_TIMEOUT_BACKOFF_MS, random),
-            Outcome::Cancelled if was_unresponsive && !record.response_started => {
+            Outcome::Cancelled if was_silent && !record.response_started => {
                 self.failed(now, record, INITIAL_TIMEOUT_BACKOFF_MS, random);
             }
             Outcome::OtherInstance => {
@@ -287,6 +316,11 @@
     }
 }
 
+/// How long an attempt may wait for a response before its backend counts as unresponsive.
+fn unresponsive_timeout(expected: Millis) -> Millis {
+    UNRESPONSIVE_FACTOR * expected + UNRESPONSIVE_MARGIN_MS
+}
+
 /// Exponential backoff with jitter.
 pub(super) fn backoff(
     first: Millis,
--- a/alderhollow/tests/balance_health.rs
+++ b/alderhollow/tests/balance_health.rs
@@ -232,6 +232,86 @@
     assert_eq!(balancer_with_preferred_backend, 1);
 }
 
+/// Guards against a backend that stays ejected for as long as one request to it gets no response.
+#[test]
+fn an_unresponsive_backend_is_probed_while_its_silent_request_lasts() {
+    let (mut balancer, prompt, preferred) = balancer_with_preferred_backend();
+    let silent = balancer
+        .choose(3000.0, &selection_request(ENGINES, Some(&prompt)))
+        .expect("all backends are healthy");
+    assert_eq!(silent.backend.id, preferred);
+    let mut requests_between = |from: Millis, to: Millis| {
+        simulate(
+            &mut balancer,
+            from,
+            to,
+            &prompt,
+            &preferred,
+            Behaviour::Healthy,
+        )
+    };
+    assert_eq!(requests_between(4000.0, 7900.0), 0);
+    assert!(requests_between(8100.0, 10_000.0) > 80);
+}
+
+/// Guards against a backend that stays ejected for as long as its probe gets no response.
+#[test]
+fn a_backend_is_probed_again_while_a_silent_probe_lasts() {
+    let (mut balancer, prompt, preferred) = balancer_with_preferred_backend();
+    let failed = balancer
+        .choose(3000.0, &selection_request(ENGINES, Some(&prompt)))
+        .expect("all backends are healthy");
+    let mut probe = None;
+    balancer.ended(3001.0, failed.attempt, Outcome::NoConnection);
+    for now in [3600.0, 3700.0, 3800.0] {
+        let choice = balancer
+            .choose(now, &selection_request(ENGINES, Some(&prompt)))
+            .expect("other backends are healthy");
+        if choice.backend.id == preferred {
+            assert!(probe.replace(choice).is_none(), "one probe at a time");
+        } else {
+            balancer.ended(now + RESPONSE_MS, choice.attempt, Outcome::Served);
+        }
+    }
+    assert!(probe.is_some(), "the probe never ends");
+    let mut requests_between = |from: Millis, to: Millis| {
+        simulate(
+            &mut balancer,
+            from,
+            to,
+            &prompt,
+            &preferred,
+            Behaviour::Healthy,
+        )
+    };
+    assert_eq!(requests_between(4000.0, 8500.0), 0);
+    assert!(requests_between(9000.0, 10_000.0) > 40);
+}
+
+/// Guards against probes that follow each other without a pause where clients give up before a response.
+#[test]
+fn a_probe_without_a_response_that_is_cancelled_counts_as_a_failure() {
+    let (mut balancer, prompt, preferred) = balancer_with_preferred_backend();
+    let mut is_chosen = |now: Millis| {
+        let choice = balancer
+            .choose(now, &selection_request(ENGINES, Some(&prompt)))
+            .expect("other backends are healthy");
+        let is_preferred = choice.backend.id == preferred;
+        let probe_ends = match is_preferred {
+            true if now < 4000.0 => return is_preferred,
+            true => (now + 1500.0, Outcome::Cancelled),
+            false => (now + RESPONSE_MS, Outcome::Served),
+        };
+        balancer.ended(probe_ends.0, choice.attempt, probe_ends.1);
+        is_preferred
+    };
+    assert!(is_chosen(3000.0));
+    assert!(is_chosen(8100.0), "a probe");
+    assert!(!is_chosen(9700.0), "the probe got no response");
+    assert!(!is_chosen(10_500.0));
+    assert!(is_chosen(12_000.0), "the next probe");
+}
+
 #[test]
 fn a_backend_is_selected_even_if_all_are_ejected() {
     let tables = Tables::new(PLAIN, 3, 4);
