Eject a backend for a zone only once two senders report a failure

What callers would see: a gateway or store that reaches the placer of a zone but not its backends, or that is out of descriptors, had one backend after another ejected for all senders of the zone, for 0.3 to 5 s at a time.

Cause: a placer took each failure that a sender reported, and each attempt that waited, for the backend's fault. It has a second reading, the sender's fault, and it was passed on to all other senders as a fact.

Change: what other processes report counts once a second sender reports a failure within 5 s, or waits as well, without a response in between. What a process has seen itself counts at once, as before, and the sender's own verdict reaches the placer with its demands, as before. Messages are unchanged.

--- a/alderhollow/src/balance/health.rs
+++ b/alderhollow/src/balance/health.rs
@@ -2,10 +2,15 @@
 //! attempts. There are no active probes; when a backoff expires, one request serves as the probe. That holds for a
 //! backend with requests that wait without a response, too, however long they wait.
 //!
+//! A failed connection or a missing response has two readings: the backend is at fault, or its sender is cut off. A
+//! process knows only its own view of the backends that it sends to. What it learns of other senders' attempts counts
+//! as the backend's fault once a second sender reports it.
+//!
 //! A backend at whose address another instance answered (421) is ejected too, and gets no requests as a last resort
 //! either. It returns when it runs a request that names it.
 
 use super::{Millis, Outcome};
+use alderhollow_model::identity::Incarnation;
 use std::collections::BTreeMap;
 
 /// Initial and maximum backoff after a failed connection or a broken response; each further failure doubles it.
@@ -51,10 +56,27 @@
     started: Millis,
 }
 
+/// An attempt without a response.
+#[derive(Debug, Clone, Copy)]
+struct WaitingAttempt {
+    started: Millis,
+    expected: Millis,
+    sender: Option<Incarnation>,
+}
+
+/// A failure that only one other sender has reported.
+#[derive(Debug, Clone, Copy)]
+struct Suspicion {
+    sender: Incarnation,
+    at: Millis,
+}
+
 /// Data of an attempt that the health checks use.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct AttemptRecord {
     pub(super) attempt: u64,
+    /// The process that sent it; `None`: this one.
+    pub(super) sender: Option<Incarnation>,
     pub(super) started: Millis,
     /// Expected time to the first event.
     pub(super) expected: Millis,
@@ -64,6 +86,7 @@
 #[derive(Debug)]
 pub(super) struct Health {
     failures: u32,
+    suspicion: Option<Suspicion>,
     failed_at: Millis,
     ejected_until: Millis,
     probe: Option<Probe>,
@@ -73,8 +96,8 @@
     full_until: Millis,
     full_backoff: Millis,
     last_response_at: Millis,
-    /// Start and expected time of the attempts without a response, in order of their start.
-    waiting: BTreeMap<u64, (Millis, Millis)>,
+    /// The attempts without a response, in order of their start.
+    waiting: BTreeMap<u64, WaitingAttempt>,
     slowness: f64,
     failure_share: f64,
     averages_updated_at: Millis,
@@ -85,6 +108,7 @@
     pub(super) fn new() -> Health {
         Health {
             failures: 0,
+            suspicion: None,
             failed_at: f64::NEG_INFINITY,
             ejected_until: f64::NEG_INFINITY,
             probe: None,
@@ -128,12 +152,21 @@
         self.is_other_instance
     }
 
-    /// Since when the backend is unresponsive, if it is. Only attempts that started after the last response count.
+    /// Since when the backend is unresponsive, if it is. Only attempts that started after the last response count, and
+    /// those of other processes only if two of them wait.
     fn unresponsive_since(&self, now: Millis) -> Option<Millis> {
-        let (started, expected) = *self
+        let mut unanswered = self
             .waiting
             .values()
-            .find(|(started, _)| *started >= self.last_response_at)?;
+            .filter(|waiting| waiting.started >= self.last_response_at);
+        let first = unanswered.next()?;
+        let decisive = match first.sender {
+            None => first,
+            Some(_) => unanswered.find(|waiting| waiting.sender != first.sender)?,
+        };
+        let WaitingAttempt {
+            started, expected, ..
+        } = *decisive;
         let timeout = unresponsive_timeout(expected);
         let factor = if self.waiting.len() >= UNRESPONSIVE_ATTEMPTS {
             0.5
@@ -168,14 +201,23 @@
     }
 
     /// Records the start of an attempt.
-    pub(super) fn started(&mut self, now: Millis, attempt: u64, expected: Millis) {
-        if self.failures > 0 || self.unresponsive_since(now).is_some() {
-            self.probe = Some(Probe {
-                attempt,
-                started: now,
-            });
+    pub(super) fn started(&mut self, record: AttemptRecord) {
+        let AttemptRecord {
+            attempt,
+            sender,
+            started,
+            expected,
+            ..
+        } = record;
+        if self.failures > 0 || self.unresponsive_since(started).is_some() {
+            self.probe = Some(Probe { attempt, started });
         }
-        self.waiting.insert(attempt, (now, expected));
+        let waiting = WaitingAttempt {
+            started,
+            expected,
+            sender,
+        };
+        self.waiting.insert(attempt, waiting);
     }
 
     /// Records the first response event, and the time to it if known.
@@ -227,15 +269,18 @@
                 self.recover(record);
             }
             Outcome::Declined => self.declined(now, record, random),
-            Outcome::NoConnection => self.failed(now, record, INITIAL_BACKOFF_MS, random),
+            Outcome::NoConnection => {
+                self.failed(now, record, INITIAL_BACKOFF_MS, random);
+            }
             Outcome::Broken => {
-                if !self.is_same_failure(record) {
+                if self.failed(now, record, INITIAL_BACKOFF_MS, random) {
                     self.record_failure_sample(now, 1.0);
                 }
-                self.failed(now, record, INITIAL_BACKOFF_MS, random);
             }
             Outcome::TimedOut if record.response_started => self.record_failure_sample(now, 1.0),
-            Outcome::TimedOut => self.failed(now, record, INITIAL_TIMEOUT_BACKOFF_MS, random),
+            Outcome::TimedOut => {
+                self.failed(now, record, INITIAL_TIMEOUT_BACKOFF_MS, random);
+            }
             Outcome::Cancelled if was_silent && !record.response_started => {
                 self.failed(now, record, INITIAL_TIMEOUT_BACKOFF_MS, random);
             }
@@ -276,13 +321,38 @@
         self.full_until = now + self.full_backoff;
     }
 
-    fn failed(&mut self, now: Millis, record: AttemptRecord, initial_backoff: Millis, random: f64) {
-        if self.is_same_failure(record) {
-            return;
+    /// Records a failure. Returns whether it counts: it is neither part of the last one nor a mere suspicion.
+    fn failed(
+        &mut self,
+        now: Millis,
+        record: AttemptRecord,
+        initial_backoff: Millis,
+        random: f64,
+    ) -> bool {
+        if self.is_same_failure(record) || !self.is_confirmed(now, record) {
+            return false;
         }
         self.ejected_until = now + backoff(initial_backoff, MAX_BACKOFF_MS, self.failures, random);
         self.failures = self.failures.saturating_add(1);
         self.failed_at = now;
+        self.suspicion = None;
+        true
+    }
+
+    /// Whether a failure is more than one other sender's word. A failure of an ejected backend confirms the ejection.
+    /// The first failure that one sender reports is kept, so that a second sender confirms it.
+    fn is_confirmed(&mut self, now: Millis, record: AttemptRecord) -> bool {
+        let Some(sender) = record.sender else {
+            return true;
+        };
+        let by_another = |suspicion: Suspicion| {
+            suspicion.sender != sender && now - suspicion.at <= MAX_BACKOFF_MS
+        };
+        if self.failures > 0 || self.suspicion.is_some_and(by_another) {
+            return true;
+        }
+        self.suspicion = Some(Suspicion { sender, at: now });
+        false
     }
 
     /// Attempts that were in flight together when the backend failed count as one failure.
@@ -290,8 +360,12 @@
         self.failures > 0 && record.started <= self.failed_at
     }
 
-    /// A response to an attempt that started after the last failure ends the outage.
+    /// A response to an attempt that started after the last failure ends the outage, and one that started after a
+    /// suspicion ends that.
     fn recover(&mut self, record: AttemptRecord) {
+        self.suspicion = self
+            .suspicion
+            .filter(|suspicion| record.started <= suspicion.at);
         if record.started > self.failed_at {
             self.failures = 0;
             self.probe = None;
--- a/alderhollow/src/balance/mod.rs
+++ b/alderhollow/src/balance/mod.rs
@@ -34,6 +34,7 @@
 
 use affinity::SharedPrefix;
 use alderhollow_model::backend::Backend;
+use alderhollow_model::identity::Incarnation;
 use alderhollow_model::snapshot::Snapshot;
 use backends::{BackendTable, InFlight, Member, NewTables, Pool, ServiceParams};
 use cold::SenderLists;
@@ -70,6 +71,8 @@
     pub tried: &'a [String],
     /// The version that the weights of its model must have, if the request expects one.
     pub expected_weights: Option<ExpectedWeights>,
+    /// The process that sends it; `None`: this one.
+    pub sender: Option<Incarnation>,
 }
 
 /// A selected backend. The host must call [`Balancer::ended`] once for each choice.
@@ -163,6 +166,7 @@
 #[derive(Debug)]
 struct Attempt {
     backend: Arc<Backend>,
+    sender: Option<Incarnation>,
     started: Millis,
     expected: Millis,
     tokens_in: u64,
@@ -200,6 +204,7 @@
     fn record(&self, attempt: u64) -> AttemptRecord {
         AttemptRecord {
             attempt,
+            sender: self.sender,
             started: self.started,
             expected: self.expected,
             response_started: self.response_started,
@@ -491,7 +496,6 @@
             .prefill(pool.prefill.expected(pick.uncached_tokens));
         let prefill_us = (prefill_ms * 1000.0) as u64;
         member.in_flight.prefill_us += prefill_us;
-        member.health.started(now, attempt, pick.expected);
         if let Some(expected) = request.expected_weights {
             member.weights.start_trial(now, expected);
         }
@@ -501,6 +505,7 @@
         let backend = member.backend.clone();
         let entry = Attempt {
             backend: backend.clone(),
+            sender: request.sender,
             started: now,
             expected: pick.expected,
             tokens_in: requirements.tokens_in,
@@ -515,6 +520,7 @@
             is_start_known: true,
             response_started: false,
         };
+        member.health.started(entry.record(attempt));
         self.attempts.insert(attempt, entry);
         Some(Choice {
             attempt,
--- a/alderhollow/src/executor/mod.rs
+++ b/alderhollow/src/executor/mod.rs
@@ -185,6 +185,7 @@
             priority: route.priority,
             tried: &[],
             expected_weights: outbound.expected_weights(),
+            sender: None,
         };
         let attempt = match exchange.place(&wanted).await {
             Ok(attempt) => attempt,
--- a/alderhollow/src/http_server/attempts.rs
+++ b/alderhollow/src/http_server/attempts.rs
@@ -249,6 +249,7 @@
             priority: self.request.route.priority,
             tried: &self.tried,
             expected_weights: self.request.outbound.expected_weights(),
+            sender: None,
         }
     }
 
--- a/alderhollow/src/placement/ledger.rs
+++ b/alderhollow/src/placement/ledger.rs
@@ -1,11 +1,14 @@
 //! A placer's view of all senders' attempts at the backends of its zone. No I/O and no clock.
 //!
+//! A sender that cannot reach a backend may itself be cut off. It excludes the backend in its demands; for the other
+//! senders the backend is ejected once a second one reports a failure.
+//!
 //! The attempts of a sender that disappears are removed after [`SENDER_TIMEOUT_MS`]. A partitioned sender selects
 //! backends by itself, and its next snapshot restores its attempts. A placer that restarts knows no attempts until the
 //! senders' next snapshots.
 
 use super::message::{AttemptId, AttemptInfo, Demand, Event, PlaceRequest, Placement, Report};
-use crate::balance::{Balancer, Explanation, Millis, Outcome};
+use crate::balance::{Balancer, Explanation, Millis, Outcome, Prompt, SelectionRequest};
 use alderhollow_model::identity::Incarnation;
 use alderhollow_model::snapshot::Snapshot;
 use std::collections::BTreeMap;
@@ -38,6 +41,18 @@
     Earlier,
 }
 
+/// The request of a sender as the balancer counts it: its end is that sender's view of the backend.
+fn selection_request<'a>(
+    sender: Incarnation,
+    demand: &'a Demand,
+    prompt: &'a Prompt,
+) -> SelectionRequest<'a> {
+    SelectionRequest {
+        sender: Some(sender),
+        ..demand.selection_request(prompt)
+    }
+}
+
 /// The state of one placer.
 #[derive(Debug)]
 pub struct Ledger {
@@ -82,9 +97,8 @@
             return Placement::NoneReady;
         }
         let prompt = request.demand.prompt();
-        let chosen = self
-            .balancer
-            .choose(now, &request.demand.selection_request(&prompt));
+        let wanted = selection_request(sender, &request.demand, &prompt);
+        let chosen = self.balancer.choose(now, &wanted);
         match chosen {
             Ok(choice) => {
                 self.record_attempt(now, sender, number, choice.attempt);
@@ -189,7 +203,7 @@
             return;
         }
         let prompt = info.demand.prompt();
-        let selection = info.demand.selection_request(&prompt);
+        let selection = selection_request(sender, &info.demand, &prompt);
         let choice = match start_time {
             StartTime::JustNow => self.balancer.record_choice(now, &selection, &info.backend),
             StartTime::Earlier => self.balancer.record_earlier_choice(
--- a/alderhollow/src/placement/message.rs
+++ b/alderhollow/src/placement/message.rs
@@ -72,6 +72,7 @@
             priority: self.priority,
             tried: &self.excluded_backends,
             expected_weights: None,
+            sender: None,
         }
     }
 
--- a/alderhollow/tests/balance_support/mod.rs
+++ b/alderhollow/tests/balance_support/mod.rs
@@ -150,5 +150,6 @@
         priority: 0,
         tried: &[],
         expected_weights: None,
+        sender: None,
     }
 }
--- a/alderhollow/tests/balance_weights.rs
+++ b/alderhollow/tests/balance_weights.rs
@@ -23,6 +23,7 @@
 fn for_version(version: u64) -> SelectionRequest<'static> {
     SelectionRequest {
         expected_weights: Some(expected(version)),
+        sender: None,
         ..selection_request(ENGINES, None)
     }
 }
--- a/alderhollow/tests/http_server.rs
+++ b/alderhollow/tests/http_server.rs
@@ -591,6 +591,7 @@
             priority: 0,
             tried: &[],
             expected_weights: None,
+            sender: None,
         };
         let mut headers = HeaderMap::new();
         headers.insert("request-id", HeaderValue::from_static("r1"));
--- a/placement-model/src/policy.rs
+++ b/placement-model/src/policy.rs
@@ -166,6 +166,7 @@
             priority,
             tried: &[],
             expected_weights: None,
+            sender: None,
         };
         match &mut self.choosers {
             Choosers::Senders(balancers) => {
