Take the start at a cold backend back when it answers 421

What callers would see: requests for weights that a cold backend does not have used up this gateway's starts there, so that for a second it sent that backend nothing else.

Cause: a start was counted when a backend was chosen and never taken back, though requests that get 421 don't count toward the bound of a cold backend.

Change: a 421 of either kind removes its start from the log. Until the response it counts.

Measured: requests_answered_with_421_take_no_starts_from_others fails without the change (0 of 6 starts left) and passes with it; alderhollow/tests/balance_cold.rs has 13 passed.

--- a/alderhollow/src/balance/cold.rs
+++ b/alderhollow/src/balance/cold.rs
@@ -198,6 +198,12 @@
         self.starts.push_back(now);
     }
 
+    /// Removes the record of a start at this time.
+    pub(super) fn withdraw(&mut self, started: Millis) {
+        let recorded = self.starts.iter().rposition(|start| *start == started);
+        recorded.and_then(|index| self.starts.remove(index));
+    }
+
     /// Number of starts within the window that ends at `now`.
     pub(super) fn count(&mut self, now: Millis) -> usize {
         while self
--- a/alderhollow/src/balance/mod.rs
+++ b/alderhollow/src/balance/mod.rs
@@ -606,6 +606,10 @@
             return;
         };
         member.release(&entry);
+        if matches!(outcome, Outcome::OtherWeights | Outcome::OtherInstance) {
+            // A cold backend bears any number of requests that it answers with 421.
+            member.starts.withdraw(entry.started);
+        }
         // The backend declines what exceeds its memory as if it were full.
         let exceeds_memory = outcome == Outcome::Declined
             && capacity.is_some_and(|capacity| entry.tokens > capacity);
--- a/alderhollow/tests/balance_cold.rs
+++ b/alderhollow/tests/balance_cold.rs
@@ -2,7 +2,7 @@
 
 mod balance_support;
 
-use alderhollow::balance::{Balancer, Millis, NoBackend, Outcome};
+use alderhollow::balance::{Balancer, Choice, Millis, NoBackend, Outcome};
 use balance_support::{
     backend, node_name, selection_request, Tables, COLD_BOUNDS, ENGINES, PLAIN, ZONES,
 };
@@ -250,6 +250,34 @@
         .is_ok());
 }
 
+/// Guards against requests for weights that a cold backend does not have taking the starts of others there.
+#[test]
+fn requests_answered_with_421_take_no_starts_from_others() {
+    let tables = cold_tables(1, 1, 10.0);
+    let served_at = |sender: &mut Balancer, now: Millis| {
+        let mut starts = Starts::new();
+        start_all(sender, now, 1_000, &mut starts);
+        max_starts_per_second(&starts)
+    };
+    let mut unused = tables.balancer(&node_name(0), ZONES[0], 0.0);
+    let allowed = served_at(&mut unused, 3400.0);
+    assert!(allowed > 1);
+    for outcome in [Outcome::OtherWeights, Outcome::OtherInstance] {
+        let mut sender = tables.balancer(&node_name(0), ZONES[0], 0.0);
+        let choose = |_| {
+            sender
+                .choose(3000.0, &selection_request(ENGINES, None))
+                .ok()
+        };
+        let misdirected: Vec<Choice> = (0..1_000).map_while(choose).collect();
+        assert_eq!(misdirected.len(), allowed, "they count until their answers");
+        for choice in misdirected {
+            sender.ended(3001.0, choice.attempt, outcome);
+        }
+        assert_eq!(served_at(&mut sender, 3400.0), allowed, "{outcome:?}");
+    }
+}
+
 #[test]
 fn a_choice_of_a_cold_backend_expires() {
     let mut tables = Tables::new(ENGINES, 1, 1);
