Do not count a reached connection limit as a response of the backend

What callers would see: a backend that hangs gets requests again as soon as the requests that wait there hold all connections that this process may have to it; and as the placer is told, so it does from all senders of its zone.

Cause: the reached limit was reported with the outcome of a backend that declines. A decline ends an ejection and shows that the backend responds, but here it was never asked.

Change: an outcome of its own, which passes the backend over for the same backoff and says nothing else. A placer takes a reported decline in the same way, because earlier versions and this one report both as one kind of end.

Measured: two tests fail without the change and pass with it (balance_health 12, placement 34 passed); the tests of the balancer, the executor, the gateway's front, streams and kept connections pass.

--- a/alderhollow/src/balance/health.rs
+++ b/alderhollow/src/balance/health.rs
@@ -269,6 +269,7 @@
                 self.recover(record);
             }
             Outcome::Declined => self.declined(now, record, random),
+            Outcome::ConnectionLimit => self.back_off_full(now, record, random),
             Outcome::NoConnection => {
                 self.failed(now, record, INITIAL_BACKOFF_MS, random);
             }
@@ -303,11 +304,19 @@
     }
 
     fn declined(&mut self, now: Millis, record: AttemptRecord, random: f64) {
-        self.last_response_at = now;
-        // An instance at capacity may decline before it compares the instance that is named.
-        if !self.is_other_instance {
-            self.recover(record);
+        // Another sender reports a reached connection limit in the same way, and then the backend has said nothing.
+        if record.sender.is_none() {
+            self.last_response_at = now;
+            // An instance at capacity may decline before it compares the instance that is named.
+            if !self.is_other_instance {
+                self.recover(record);
+            }
         }
+        self.back_off_full(now, record, random);
+    }
+
+    /// Counts the backend as at capacity for a backoff.
+    fn back_off_full(&mut self, now: Millis, record: AttemptRecord, random: f64) {
         if record.started < self.full_until - self.full_backoff {
             return;
         }
--- a/alderhollow/src/balance/mod.rs
+++ b/alderhollow/src/balance/mod.rs
@@ -135,6 +135,8 @@
     Failed,
     /// The backend rejected the request without executing it (at capacity, `Not-Executed`).
     Declined,
+    /// This process has as many connections to the backend as it may have. The backend was not asked.
+    ConnectionLimit,
     /// Another instance answered at this address (421).
     OtherInstance,
     /// The weights differ from the version that the request expects (421).
--- a/alderhollow/src/exchange/pool.rs
+++ b/alderhollow/src/exchange/pool.rs
@@ -135,7 +135,7 @@
             let mut backends = self.backends.borrow_mut();
             let connections = backends.entry(backend.id.clone()).or_default();
             if connections.open.get() >= max_connections {
-                return Err(Outcome::Declined);
+                return Err(Outcome::ConnectionLimit);
             }
             OpenGuard::new(&connections.open)
         };
--- a/alderhollow/src/executor/attempt.rs
+++ b/alderhollow/src/executor/attempt.rs
@@ -27,9 +27,12 @@
 /// Result of an attempt without a response.
 pub fn on_send_error(item: &ItemStart, error: SendError) -> RunEnd {
     match error {
-        SendError::NotRun(Outcome::Declined | Outcome::OtherWeights | Outcome::Cancelled) => {
-            not_run(RETRY_AFTER_DECLINED_MS)
-        }
+        SendError::NotRun(
+            Outcome::Declined
+            | Outcome::ConnectionLimit
+            | Outcome::OtherWeights
+            | Outcome::Cancelled,
+        ) => not_run(RETRY_AFTER_DECLINED_MS),
         SendError::NotRun(_) => not_run(RETRY_AFTER_NO_CONNECTION_MS),
         SendError::MayHaveRun(_) => interrupted(item, RETRY_AFTER_INTERRUPTED_MS),
     }
--- a/alderhollow/src/placement/message.rs
+++ b/alderhollow/src/placement/message.rs
@@ -149,7 +149,7 @@
     /// See [`Outcome::Failed`].
     #[n(1)]
     Failed,
-    /// See [`Outcome::Declined`].
+    /// See [`Outcome::Declined`]; also [`Outcome::ConnectionLimit`].
     #[n(2)]
     Declined,
     /// A 421, whatever its reason. Only senders of earlier versions report it.
@@ -174,7 +174,7 @@
         match outcome {
             Outcome::Served => End::Served,
             Outcome::Failed => End::Failed,
-            Outcome::Declined => End::Declined,
+            Outcome::Declined | Outcome::ConnectionLimit => End::Declined,
             Outcome::NoConnection => End::NoConnection,
             Outcome::Broken => End::Broken,
             Outcome::TimedOut => End::TimedOut,
--- a/alderhollow/tests/balance_health.rs
+++ b/alderhollow/tests/balance_health.rs
@@ -254,6 +254,27 @@
     assert!(requests_between(8100.0, 10_000.0) > 80);
 }
 
+/// Guards against a silent backend that counts as responsive because this process has no connection left for it: the
+/// silent requests hold them all.
+#[test]
+fn a_reached_connection_limit_is_no_response_of_the_backend() {
+    let (mut balancer, prompt, preferred) = balancer_with_preferred_backend();
+    let wanted = selection_request(ENGINES, Some(&prompt));
+    let choose = |balancer: &mut Balancer, now: Millis| {
+        balancer.choose(now, &wanted).expect("a healthy backend")
+    };
+    for _ in 0..2 {
+        assert_eq!(choose(&mut balancer, 3000.0).backend.id, preferred);
+    }
+    let limited = choose(&mut balancer, 3100.0);
+    assert_eq!(limited.backend.id, preferred);
+    balancer.ended(3100.0, limited.attempt, Outcome::ConnectionLimit);
+    let used: Vec<String> = (0..10)
+        .map(|_| choose(&mut balancer, 4000.0).backend.id.clone())
+        .collect();
+    assert!(!used.contains(&preferred), "{used:?}");
+}
+
 /// Guards against a backend that stays ejected for as long as its probe gets no response.
 #[test]
 fn a_backend_is_probed_again_while_a_silent_probe_lasts() {
--- a/alderhollow/tests/placement.rs
+++ b/alderhollow/tests/placement.rs
@@ -540,6 +540,21 @@
     assert_eq!(unhealthy(&mut placer, 2_000.0), [backend]);
 }
 
+/// Guards against a backend that counts as responsive because a sender has no connection left for it, which senders
+/// report like a backend that declines.
+#[test]
+fn a_reported_decline_is_no_sign_that_a_backend_responds() {
+    let backend = "i-engines-0";
+    let mut placer = ledger(3);
+    for sender in [FIRST, SECOND] {
+        let started = (1..=4).map(|number| Event::Started(attempt_at(number, backend)));
+        placer.apply_report(0.0, &events(sender, started.collect()));
+    }
+    report_attempt(&mut placer, 1_000.0, THIRD, 1, backend, End::Declined);
+    assert_eq!(unhealthy(&mut placer, 2_000.0), [backend]);
+    assert_eq!(End::from(Outcome::ConnectionLimit), End::Declined);
+}
+
 /// Guards against a single cut-off sender taking backends from a fleet: twenty senders, of which one fails everywhere.
 #[test]
 fn a_cut_off_sender_takes_no_backend_from_the_others() {
