Move an attempt in flight to a module of its own

Change: Attempt, UncachedPrompt and what they do to a member's load are in balance/attempt.rs. Nothing else changes.

--- a/alderhollow/src/balance/mod.rs
+++ b/alderhollow/src/balance/mod.rs
@@ -1,6 +1,7 @@
 //! Load balancing: selects the backend for each request. Sans I/O: the host passes in the time, the tables and the
 //! outcomes of attempts.
 //!
+//! * `attempt`: an attempt in flight, and the resources that it holds at its backend;
 //! * `backends`: the backend table, with the in-flight load of this process;
 //! * `affinity`: which backends are likely to have the shared prefix of a prompt cached;
 //! * `cold`: rate limits for cold backends;
@@ -13,6 +14,7 @@
 //! * `explanation`: the reasons for a selection.
 
 mod affinity;
+mod attempt;
 mod awaited_weights;
 mod backends;
 mod choice;
@@ -32,13 +34,13 @@
 pub use explanation::{Candidate, Explanation, Verdict};
 pub use weights::{ExpectedWeights, WeightsSource, WeightsVersion};
 
-use affinity::SharedPrefix;
 use alderhollow_model::backend::Backend;
 use alderhollow_model::identity::Incarnation;
 use alderhollow_model::snapshot::Snapshot;
-use backends::{BackendTable, InFlight, Member, NewTables, Pool, ServiceParams};
+use attempt::{Attempt, UncachedPrompt};
+use backends::{BackendTable, Member, NewTables, Pool, ServiceParams};
 use cold::SenderLists;
-use health::{AttemptRecord, HealthState};
+use health::HealthState;
 use oorandom::Rand64;
 use requirements::Requirements;
 use std::collections::BTreeMap;
@@ -154,66 +156,6 @@
 /// A choice of a cold backend expires after this time, because the rate limit no longer counts it.
 const COLD_CHOICE_TTL_MS: Millis = 100.0;
 
-/// The part of an attempt's prompt that was not cached when the attempt started.
-#[derive(Debug, Default, Clone, Copy)]
-struct UncachedPrompt {
-    tokens: u64,
-    /// Expected prefill time of these tokens, in microseconds.
-    prefill_us: u64,
-    /// Whether a slot was free and no other prefill was known to be queued.
-    starts_immediately: bool,
-}
-
-/// An attempt in flight.
-#[derive(Debug)]
-struct Attempt {
-    backend: Arc<Backend>,
-    sender: Option<Incarnation>,
-    started: Millis,
-    expected: Millis,
-    tokens_in: u64,
-    tokens: u64,
-    uncached: UncachedPrompt,
-    /// The shared prefix of its prompt. Set only in a placer.
-    prefix: Option<SharedPrefix>,
-    is_interactive: bool,
-    /// Whether `started` is the time of sending, rather than the time when this process learned of the attempt.
-    is_start_known: bool,
-    response_started: bool,
-}
-
-impl InFlight {
-    /// Removes a prompt from the pending prefill work, because it was processed or never will be.
-    fn finish_prefill(&mut self, uncached: UncachedPrompt) {
-        self.prefill_us = self.prefill_us.saturating_sub(uncached.prefill_us);
-    }
-}
-
-impl Member {
-    /// Releases the resources that an attempt held.
-    fn release(&mut self, attempt: &Attempt) {
-        let load = &mut self.in_flight;
-        load.attempts = load.attempts.saturating_sub(1);
-        load.interactive = load
-            .interactive
-            .saturating_sub(u32::from(attempt.is_interactive));
-        load.tokens = load.tokens.saturating_sub(attempt.tokens);
-        load.finish_prefill(attempt.uncached);
-    }
-}
-
-impl Attempt {
-    fn record(&self, attempt: u64) -> AttemptRecord {
-        AttemptRecord {
-            attempt,
-            sender: self.sender,
-            started: self.started,
-            expected: self.expected,
-            response_started: self.response_started,
-        }
-    }
-}
-
 /// Selects backends for one process.
 #[derive(Debug)]
 pub struct Balancer {
