Move the averages of a backend's responses out of its health checks

Change: balance/quality.rs has the averages of slowness and failures with their decay. Nothing else changes.

--- a/alderhollow/src/balance/health.rs
+++ b/alderhollow/src/balance/health.rs
@@ -9,6 +9,7 @@
 //! A backend at whose address another instance answered (421) is ejected too, and gets no requests as a last resort
 //! either. It returns when it runs a request that names it.
 
+use super::quality::ResponseQuality;
 use super::{Millis, Outcome};
 use alderhollow_model::identity::Incarnation;
 use std::collections::BTreeMap;
@@ -29,12 +30,6 @@
 const UNRESPONSIVE_MARGIN_MS: Millis = 200.0;
 /// With this many attempts waiting and no response since, half of that timeout applies.
 const UNRESPONSIVE_ATTEMPTS: usize = 3;
-/// Weights of a new sample in the averages of slowness and failures, and the time constant of their decay.
-const SLOWNESS_WEIGHT: f64 = 0.1;
-const FAILURE_WEIGHT: f64 = 0.1;
-const AVERAGE_DECAY_MS: Millis = 8000.0;
-/// Maximum slowness of one sample, as a multiple of the expected time.
-const MAX_SLOWNESS: f64 = 5.0;
 
 /// Whether a backend may get a request, according to its health.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -98,9 +93,7 @@
     last_response_at: Millis,
     /// The attempts without a response, in order of their start.
     waiting: BTreeMap<u64, WaitingAttempt>,
-    slowness: f64,
-    failure_share: f64,
-    averages_updated_at: Millis,
+    quality: ResponseQuality,
 }
 
 impl Health {
@@ -118,9 +111,7 @@
             full_backoff: 0.0,
             last_response_at: f64::NEG_INFINITY,
             waiting: BTreeMap::new(),
-            slowness: 1.0,
-            failure_share: 0.0,
-            averages_updated_at: 0.0,
+            quality: ResponseQuality::new(),
         }
     }
 
@@ -229,11 +220,8 @@
     ) {
         self.waiting.remove(&record.attempt);
         self.last_response_at = now;
-        self.decay_averages(now);
-        if let Some(elapsed) = elapsed {
-            let slowness = (elapsed / record.expected.max(1.0)).min(MAX_SLOWNESS);
-            self.slowness += SLOWNESS_WEIGHT * (slowness - self.slowness);
-        }
+        self.quality
+            .add_response_time(now, elapsed, record.expected);
         self.recover(record);
     }
 
@@ -259,13 +247,13 @@
         match outcome {
             Outcome::Served => {
                 self.last_response_at = now;
-                self.record_failure_sample(now, 0.0);
+                self.quality.add_failure_sample(now, 0.0);
                 self.recover(record);
                 self.declines = 0;
             }
             Outcome::Failed => {
                 self.last_response_at = now;
-                self.record_failure_sample(now, 1.0);
+                self.quality.add_failure_sample(now, 1.0);
                 self.recover(record);
             }
             Outcome::Declined => self.declined(now, record, random),
@@ -275,10 +263,12 @@
             }
             Outcome::Broken => {
                 if self.failed(now, record, INITIAL_BACKOFF_MS, random) {
-                    self.record_failure_sample(now, 1.0);
+                    self.quality.add_failure_sample(now, 1.0);
                 }
             }
-            Outcome::TimedOut if record.response_started => self.record_failure_sample(now, 1.0),
+            Outcome::TimedOut if record.response_started => {
+                self.quality.add_failure_sample(now, 1.0)
+            }
             Outcome::TimedOut => {
                 self.failed(now, record, INITIAL_TIMEOUT_BACKOFF_MS, random);
             }
@@ -295,12 +285,12 @@
 
     /// Moving average of the response times relative to the expected times; 1 means as expected.
     pub(super) fn slowness(&self, now: Millis) -> f64 {
-        1.0 + (self.slowness - 1.0) * self.decay(now)
+        self.quality.slowness(now)
     }
 
     /// Moving average of the share of failed responses.
     pub(super) fn failure_share(&self, now: Millis) -> f64 {
-        self.failure_share * self.decay(now)
+        self.quality.failure_share(now)
     }
 
     fn declined(&mut self, now: Millis, record: AttemptRecord, random: f64) {
@@ -381,22 +371,6 @@
             self.is_other_instance = false;
         }
     }
-
-    fn record_failure_sample(&mut self, now: Millis, sample: f64) {
-        self.decay_averages(now);
-        self.failure_share += FAILURE_WEIGHT * (sample - self.failure_share);
-    }
-
-    fn decay_averages(&mut self, now: Millis) {
-        let decay = self.decay(now);
-        self.slowness = 1.0 + (self.slowness - 1.0) * decay;
-        self.failure_share *= decay;
-        self.averages_updated_at = now;
-    }
-
-    fn decay(&self, now: Millis) -> f64 {
-        (-(now - self.averages_updated_at).max(0.0) / AVERAGE_DECAY_MS).exp()
-    }
 }
 
 /// How long an attempt may wait for a response before its backend counts as unresponsive.
--- a/alderhollow/src/balance/mod.rs
+++ b/alderhollow/src/balance/mod.rs
@@ -6,6 +6,7 @@
 //! * `affinity`: which backends are likely to have the shared prefix of a prompt cached;
 //! * `cold`: rate limits for cold backends;
 //! * `health`: passive health checks from the outcomes of attempts;
+//! * `quality`: moving averages of a backend's response times and failures;
 //! * `prefill`: estimated prefill times of model engines;
 //! * `weights`, `awaited_weights`: versions of model weights, for requests that expect one;
 //! * `requirements`: the resources that a request needs;
@@ -24,6 +25,7 @@
 pub(crate) mod hash;
 mod health;
 mod prefill;
+mod quality;
 mod requirements;
 mod weights;
 
