Keep a backend ejected that is silent to two senders when one gives up

Cause: where two senders wait without a response, a placer ejects the backend. When the client of one of these requests gave up, its end was taken as the first sender's word again, and the backend counted as healthy until a further failure.

Change: the end of an attempt at a backend that is already known to be silent ejects it for a backoff. Besides, a semicolon that the linter misses since the averages have a module of their own.

Measured: a_backend_silent_to_two_senders_stays_ejected_when_one_of_them_gives_up fails without the change and passes with it; placement 35, balance_health 12, balance_choice 13, balance_weights 9, placers 3 passed; clippy of the package passes.

--- a/alderhollow/src/balance/health.rs
+++ b/alderhollow/src/balance/health.rs
@@ -267,12 +267,12 @@
                 }
             }
             Outcome::TimedOut if record.response_started => {
-                self.quality.add_failure_sample(now, 1.0)
+                self.quality.add_failure_sample(now, 1.0);
             }
-            Outcome::TimedOut => {
-                self.failed(now, record, INITIAL_TIMEOUT_BACKOFF_MS, random);
+            Outcome::TimedOut | Outcome::Cancelled if was_silent && !record.response_started => {
+                self.eject(now, record, INITIAL_TIMEOUT_BACKOFF_MS, random);
             }
-            Outcome::Cancelled if was_silent && !record.response_started => {
+            Outcome::TimedOut => {
                 self.failed(now, record, INITIAL_TIMEOUT_BACKOFF_MS, random);
             }
             Outcome::OtherInstance => {
@@ -331,11 +331,19 @@
         if self.is_same_failure(record) || !self.is_confirmed(now, record) {
             return false;
         }
+        self.eject(now, record, initial_backoff, random);
+        true
+    }
+
+    /// Ejects the backend for a backoff, unless the failure is part of the last one.
+    fn eject(&mut self, now: Millis, record: AttemptRecord, initial_backoff: Millis, random: f64) {
+        if self.is_same_failure(record) {
+            return;
+        }
         self.ejected_until = now + backoff(initial_backoff, MAX_BACKOFF_MS, self.failures, random);
         self.failures = self.failures.saturating_add(1);
         self.failed_at = now;
         self.suspicion = None;
-        true
     }
 
     /// Whether a failure is more than one other sender's word. A failure of an ejected backend confirms the ejection.
--- a/alderhollow/tests/placement.rs
+++ b/alderhollow/tests/placement.rs
@@ -540,6 +540,21 @@
     assert_eq!(unhealthy(&mut placer, 2_000.0), [backend]);
 }
 
+/// Guards against a silent backend that counts as healthy again once the client of one of its requests gives up.
+#[test]
+fn a_backend_silent_to_two_senders_stays_ejected_when_one_of_them_gives_up() {
+    let backend = "i-engines-0";
+    let mut placer = ledger(3);
+    for sender in [FIRST, SECOND] {
+        let started = Event::Started(attempt_at(1, backend));
+        placer.apply_report(0.0, &events(sender, vec![started]));
+    }
+    assert_eq!(unhealthy(&mut placer, 2_000.0), [backend]);
+    let given_up = Event::Ended(1, End::Cancelled);
+    placer.apply_report(2_000.0, &events(FIRST, vec![given_up]));
+    assert_eq!(unhealthy(&mut placer, 2_001.0), [backend]);
+}
+
 /// Guards against a backend that counts as responsive because a sender has no connection left for it, which senders
 /// report like a backend that declines.
 #[test]
