Let two senders fail in the test of a choice's explanation

Cause: every_backend_is_listed_with_its_verdict made a backend unhealthy by one sender's failed connection, which ejects none any more.

Change: two senders fail there. What the test asks for is unchanged.

--- a/alderhollow/tests/choice_explanation.rs
+++ b/alderhollow/tests/choice_explanation.rs
@@ -14,6 +14,7 @@
 use proptest::prelude::*;
 
 const SENDER: Incarnation = Incarnation(1);
+const SECOND_SENDER: Incarnation = Incarnation(2);
 /// The random component of the cost: the selected backend may cost up to this much more than the cheapest.
 const NOISE_MS: f64 = 0.5;
 
@@ -39,10 +40,17 @@
 }
 
 fn place(ledger: &mut Ledger, now: f64, number: u64, demand: &Demand) -> Placement {
-    let attempt = AttemptId {
-        sender: SENDER,
-        number,
-    };
+    place_for(SENDER, ledger, now, number, demand)
+}
+
+fn place_for(
+    sender: Incarnation,
+    ledger: &mut Ledger,
+    now: f64,
+    number: u64,
+    demand: &Demand,
+) -> Placement {
+    let attempt = AttemptId { sender, number };
     ledger.place(
         now,
         &PlaceRequest {
@@ -101,22 +109,25 @@
             .cloned()
             .collect::<Vec<_>>()
     };
-    // The second backend refuses a connection, and the third is filled with batch items.
+    // The second backend refuses a connection of two senders, and the third is filled with batch items.
     let at_second = Demand {
         excluded_backends: only(&ids[1]),
         ..demand(100, 0)
     };
-    assert!(matches!(
-        place(&mut ledger, 0.0, 1, &at_second),
-        Placement::At { .. }
-    ));
-    ledger.apply_report(
-        1.0,
-        &Report::Events {
-            sender: SENDER,
-            events: vec![Event::Ended(1, End::NoConnection)],
-        },
-    );
+    for sender in [SENDER, SECOND_SENDER] {
+        assert!(matches!(
+            place_for(sender, &mut ledger, 0.0, 1, &at_second),
+            Placement::At { .. }
+        ));
+        let refused = Event::Ended(1, End::NoConnection);
+        ledger.apply_report(
+            1.0,
+            &Report::Events {
+                sender,
+                events: vec![refused],
+            },
+        );
+    }
     let at_third = Demand {
         excluded_backends: only(&ids[2]),
         ..demand(10, 2)
