Let a primary be replaced where nothing else balances the stores of a zone

A member that leaves is never the primary, and the store with the most groups led each group that the one with the fewest could join. Leading was balanced, so nothing moved any more.

Change: where no other replacement is a gain, the member with the fewest primaries succeeds the primary in the epoch in which the other store becomes a learner, and the former primary leaves. Groups are founded as before.

Measured: a_store_gives_up_groups_that_it_leads_to_one_with_fewer_memberships is such a placement. Before the change: "memberships in z1: [5, 4, 4, 3]".

--- a/alderhollow/src/control_state/group_policy/rebalancing.rs
+++ b/alderhollow/src/control_state/group_policy/rebalancing.rs
@@ -1,9 +1,12 @@
 //! Rebalancing: moves groups, one at a time, towards stores with less load, such as stores that came back or were added.
 //!
-//! It terminates. A transfer of primaries lowers the sum of the squares of the stores' primary counts and changes no
-//! membership. A change of a member changes no primary; it lowers the zone imbalance, or keeps it and lowers the sum of the
-//! squares of the stores' membership counts. These sums are integers ordered by rank, and none rises unless one of higher
-//! rank falls.
+//! It terminates. A change of a member lowers the zone imbalance, or keeps it and lowers the sum of the squares of the
+//! stores' membership counts. It may move the group's primary. A transfer of primaries lowers the sum of the squares of the
+//! stores' primary counts and changes no membership. These sums are integers ordered by rank, and none rises unless one of
+//! higher rank falls.
+//!
+//! It ends balanced. Of two stores in one zone that differ by two or more memberships, the one with fewer can join a group
+//! of the other, and then a member with at least as many memberships as the other leaves, the group's primary included.
 
 use super::placement::{disks_of, surplus_member, zone_imbalance, StoreLoads};
 use super::store_health::{cannot_serve, StoreHealth};
@@ -87,13 +90,17 @@
     if !primary_transfers.is_empty() {
         return Some(Request::ChangeGroups(primary_transfers));
     }
-    let change = member_change(&groups, &health.usable())?;
+    let stores = health.usable();
+    let change =
+        member_change(&groups, &stores).or_else(|| primary_replacement(&groups, &stores))?;
     Some(Request::ChangeGroups(vec![change.begin(&groups)?]))
 }
 
 /// Replacement of a group's member by another store.
 struct MemberChange {
     group_index: usize,
+    /// Primary of the group from the change on.
+    primary: DiskId,
     joins: GroupMember,
     leaves: DiskId,
     /// Improvement of the balance.
@@ -104,6 +111,7 @@
     /// Adds the store as a learner. Once it is a member, the group has one too many and the other member is removed.
     fn begin(self, groups: &[BatchGroup]) -> Option<GroupChange> {
         let mut next = groups.get(self.group_index)?.clone();
+        next.primary = self.primary;
         next.learners.push(self.joins);
         Some(replace(self.group_index, next))
     }
@@ -111,6 +119,7 @@
     /// Replaces the member directly, for groups without data.
     fn complete(self, groups: &mut [BatchGroup]) {
         if let Some(group) = groups.get_mut(self.group_index) {
+            group.primary = self.primary;
             group.members.retain(|member| member.disk != self.leaves);
             group.members.push(self.joins);
         }
@@ -126,21 +135,47 @@
     memberships: usize,
 }
 
-/// Replaces members until no replacement improves the balance.
+/// Replaces members until no replacement improves the balance. No primary moves.
 pub fn balance_memberships(groups: &mut [BatchGroup], stores: &[GroupMember]) {
     while let Some(change) = member_change(groups, stores) {
         change.complete(groups);
     }
 }
 
-/// The best replacement of a member, if one is an improvement; the first of equal ones.
+/// The best replacement of a member that is not the primary, if one is an improvement; the first of equal ones.
 fn member_change(groups: &[BatchGroup], stores: &[GroupMember]) -> Option<MemberChange> {
     let loads = StoreLoads::of(groups);
+    best_change(groups, stores, &loads, |group| Some(group.primary))
+}
+
+/// The best replacement of a primary, which another member succeeds, if one is an improvement; the first of equal ones.
+fn primary_replacement(groups: &[BatchGroup], stores: &[GroupMember]) -> Option<MemberChange> {
+    let loads = StoreLoads::of(groups);
+    best_change(groups, stores, &loads, |group| successor(group, &loads))
+}
+
+/// The member that succeeds a group's primary: the one with the fewest primaries.
+fn successor(group: &BatchGroup, loads: &StoreLoads) -> Option<DiskId> {
+    let others = group.members.iter().map(|member| member.disk);
+    others
+        .filter(|disk| *disk != group.primary)
+        .min_by_key(|disk| (loads.leads(*disk), *disk))
+}
+
+fn best_change(
+    groups: &[BatchGroup],
+    stores: &[GroupMember],
+    loads: &StoreLoads,
+    next_primary: impl Fn(&BatchGroup) -> Option<DiskId>,
+) -> Option<MemberChange> {
     let mut best: Option<MemberChange> = None;
     for (group_index, group) in groups.iter().enumerate() {
+        let Some(primary) = next_primary(group) else {
+            continue;
+        };
         let taken = disks_of(group);
         for store in stores.iter().filter(|store| !taken.contains(&store.disk)) {
-            let change = change_in_group(group_index, group, store, &loads);
+            let change = change_in_group(group_index, group, primary, store, loads);
             let Some(change) = change else { continue };
             if best.as_ref().is_none_or(|best| change.gain > best.gain) {
                 best = Some(change);
@@ -151,18 +186,21 @@
 }
 
 /// The replacement that results from a store joining a group, if it is an improvement. The leaving member is chosen by the
-/// same rule that applies once the store has joined, so the outcome is as planned.
+/// same rule that applies once the store has joined, so the outcome is as planned. With another primary than the present
+/// one it is an improvement only if the present one leaves.
 fn change_in_group(
     group_index: usize,
     group: &BatchGroup,
+    primary: DiskId,
     joins: &GroupMember,
     loads: &StoreLoads,
 ) -> Option<MemberChange> {
     let mut members = group.members.clone();
     members.push(joins.clone());
     let memberships = |disk: DiskId| loads.memberships(disk) + usize::from(disk == joins.disk);
-    let leaves = surplus_member(&members, group.primary, memberships)?;
-    if leaves == joins.disk {
+    let leaves = surplus_member(&members, primary, memberships)?;
+    let replaces_primary = primary != group.primary;
+    if leaves == joins.disk || (replaces_primary && leaves != group.primary) {
         return None;
     }
     members.retain(|member| member.disk != leaves);
@@ -174,6 +212,7 @@
     let gain = Gain { zones, memberships };
     is_improvement.then(|| MemberChange {
         group_index,
+        primary,
         joins: joins.clone(),
         leaves,
         gain,
--- a/alderhollow/tests/group_balance.rs
+++ b/alderhollow/tests/group_balance.rs
@@ -414,6 +414,29 @@
     }
 }
 
+/// Guards against memberships that stay uneven because the store with the most leads each group that another one could join.
+#[test]
+fn a_store_gives_up_groups_that_it_leads_to_one_with_fewer_memberships() {
+    let mut view = view(&[1, 4], 1);
+    let members_by_group = [
+        [1, 0, 2],
+        [1, 0, 3],
+        [0, 1, 4],
+        [4, 0, 1],
+        [4, 0, 1],
+        [0, 2, 3],
+        [2, 0, 3],
+        [3, 0, 2],
+    ]
+    .map(Vec::from);
+    let mut state = state_with_groups(&view, &members_by_group);
+    let before = [1, 2, 3, 4].map(|store| memberships(&state, disk_of(&view.stores[store])));
+    assert_eq!(before, [5, 4, 4, 3]);
+
+    run_until_stable(&mut state, &mut view);
+    assert_balanced(&state, &view);
+}
+
 /// A view with groups of four members over this many stores, with realistic disk ids and incarnations.
 fn control_view(group_count: u64, store_count: u64) -> ControlView {
     let member = |at: u64| {
