Do not take the end of a request's own time for a failure of its backend

Callers saw: one client whose requests have too little time (Deadline-Ms 40 where a response takes 200 ms) makes its gateway eject each backend that they reach, for 1.5 s to 5 s, and two such senders eject it for their zone. Others crowd at the backends that are left and get 503 once these are full.

Cause: the end of a request's own time and the silence of a backend were one outcome, TimedOut, and a connection that was not open by then counted as NoConnection. Both have a second reading: the client left too little time.

Change: WaitLimits tells which limit was reached. DeadlineExceeded counts as a timeout only if the response had begun, if the backend counts as unresponsive anyway, or if such requests have together waited long enough since its last response. Placers are told a timeout only if it counts at the sender; no message changes.

Measured: a_client_without_time_ejects_no_backend_for_others (three requests of 40 ms at two silent backends) failed before with left: ["b0", "b1"], right: [], and passes now; a silent backend is still ejected, by the sum of what such requests waited (requests_with_little_time_eject_a_silent_backend_together). The tests of balance, placement, gateway, streams and executor pass.

--- a/alderhollow/src/balance/health.rs
+++ b/alderhollow/src/balance/health.rs
@@ -6,6 +6,9 @@
 //! process knows only its own view of the backends that it sends to. What it learns of other senders' attempts counts
 //! as the backend's fault once a second sender reports it.
 //!
+//! A request whose own time is over before a response says little: its client may have left it less than the backend
+//! needs. Only the time that such requests have waited together since the last response counts.
+//!
 //! A backend at whose address another instance answered (421) is ejected too, and gets no requests as a last resort
 //! either. It returns when it runs a request that names it.
 
@@ -91,6 +94,9 @@
     full_until: Millis,
     full_backoff: Millis,
     last_response_at: Millis,
+    /// For how long requests whose own time was over have waited since the last response, and until when that counts.
+    unanswered_ms: Millis,
+    unanswered_until: Millis,
     /// The attempts without a response, in order of their start.
     waiting: BTreeMap<u64, WaitingAttempt>,
     quality: ResponseQuality,
@@ -110,6 +116,8 @@
             full_until: f64::NEG_INFINITY,
             full_backoff: 0.0,
             last_response_at: f64::NEG_INFINITY,
+            unanswered_ms: 0.0,
+            unanswered_until: f64::NEG_INFINITY,
             waiting: BTreeMap::new(),
             quality: ResponseQuality::new(),
         }
@@ -219,7 +227,7 @@
         elapsed: Option<Millis>,
     ) {
         self.waiting.remove(&record.attempt);
-        self.last_response_at = now;
+        self.note_response(now);
         self.quality
             .add_response_time(now, elapsed, record.expected);
         self.recover(record);
@@ -231,28 +239,54 @@
         self.end_probe(attempt);
     }
 
-    /// Records the outcome of an attempt. `random` is from 0 to 1.
+    fn note_response(&mut self, now: Millis) {
+        self.last_response_at = now;
+        self.unanswered_ms = 0.0;
+    }
+
+    /// Whether a backend that did not complete a response within the request's time has had enough of it: its response
+    /// had begun, or such requests have waited long enough together since its last response.
+    fn had_enough_time(&mut self, now: Millis, record: AttemptRecord) -> bool {
+        if record.response_started {
+            return true;
+        }
+        let waited_from = record
+            .started
+            .max(self.last_response_at)
+            .max(self.unanswered_until);
+        self.unanswered_ms += (now - waited_from).max(0.0);
+        self.unanswered_until = now;
+        self.unanswered_ms > unresponsive_timeout(record.expected)
+    }
+
+    /// Records the outcome of an attempt and returns what it says about the backend. `random` is from 0 to 1.
     pub(super) fn ended(
         &mut self,
         now: Millis,
         record: AttemptRecord,
         outcome: Outcome,
         random: f64,
-    ) {
+    ) -> Outcome {
         let was_silent = self
             .unresponsive_since(now)
             .is_some_and(|since| record.started <= since || self.is_overdue_probe(now, record));
+        let outcome = match outcome {
+            Outcome::DeadlineExceeded if was_silent || self.had_enough_time(now, record) => {
+                Outcome::TimedOut
+            }
+            outcome => outcome,
+        };
         self.waiting.remove(&record.attempt);
         self.end_probe(record.attempt);
         match outcome {
             Outcome::Served => {
-                self.last_response_at = now;
+                self.note_response(now);
                 self.quality.add_failure_sample(now, 0.0);
                 self.recover(record);
                 self.declines = 0;
             }
             Outcome::Failed => {
-                self.last_response_at = now;
+                self.note_response(now);
                 self.quality.add_failure_sample(now, 1.0);
                 self.recover(record);
             }
@@ -279,8 +313,9 @@
                 self.is_other_instance |= !self.is_same_failure(record);
                 self.failed(now, record, INITIAL_BACKOFF_MS, random);
             }
-            Outcome::Cancelled | Outcome::OtherWeights => {}
+            Outcome::Cancelled | Outcome::DeadlineExceeded | Outcome::OtherWeights => {}
         }
+        outcome
     }
 
     /// Moving average of the response times relative to the expected times; 1 means as expected.
@@ -296,7 +331,7 @@
     fn declined(&mut self, now: Millis, record: AttemptRecord, random: f64) {
         // Another sender reports a reached connection limit in the same way, and then the backend has said nothing.
         if record.sender.is_none() {
-            self.last_response_at = now;
+            self.note_response(now);
             // An instance at capacity may decline before it compares the instance that is named.
             if !self.is_other_instance {
                 self.recover(record);
--- a/alderhollow/src/balance/mod.rs
+++ b/alderhollow/src/balance/mod.rs
@@ -151,6 +151,8 @@
     Broken,
     /// The backend sent no response before the timeout.
     TimedOut,
+    /// The time of the request was over before the backend had responded. The client may have left it too little.
+    DeadlineExceeded,
     /// The client cancelled the request, or it was never sent.
     Cancelled,
 }
@@ -534,22 +536,23 @@
         member.health.forget_attempt(attempt);
     }
 
-    /// Records the outcome of an attempt.
-    pub fn ended(&mut self, now: Millis, attempt: u64, outcome: Outcome) {
+    /// Records the outcome of an attempt. Returns what counts for the backend: an exceeded deadline is a timeout only if
+    /// the backend had enough time.
+    pub fn ended(&mut self, now: Millis, attempt: u64, outcome: Outcome) -> Outcome {
         if outcome == Outcome::Served {
             self.response_started(now, attempt);
         }
         let Some(entry) = self.attempts.remove(&attempt) else {
-            return;
+            return outcome;
         };
         let id = &entry.backend.id;
         let random = self.rng.rand_float();
         let Some(pool) = self.table.pools.get_mut(&entry.backend.service) else {
-            return;
+            return outcome;
         };
         let capacity = pool.params.capacity_tokens;
         let Some(member) = pool.member_mut(id) else {
-            return;
+            return outcome;
         };
         member.release(&entry);
         if matches!(outcome, Outcome::OtherWeights | Outcome::OtherInstance) {
@@ -562,18 +565,19 @@
         if exceeds_memory || outcome == Outcome::OtherWeights {
             // That says nothing about other requests.
             member.health.forget_attempt(attempt);
-            return;
+            return outcome;
         }
         let was_other_instance = member.health.is_other_instance();
-        member
+        let outcome = member
             .health
             .ended(now, entry.record(attempt), outcome, random);
         let change = match (was_other_instance, member.health.is_other_instance()) {
             (false, true) => InstanceChange::Excluded(member.backend.clone()),
             (true, false) => InstanceChange::Returned(member.backend.clone()),
-            _ => return,
+            _ => return outcome,
         };
         self.instance_changes.push(change);
+        outcome
     }
 
     /// Takes the changes of verdicts on instances since the last call.
--- a/alderhollow/src/exchange/attempt.rs
+++ b/alderhollow/src/exchange/attempt.rs
@@ -69,7 +69,8 @@
     fn report_end(&mut self, outcome: Outcome) {
         self.ended = true;
         let now = self.exchange.now();
-        self.exchange
+        let outcome = self
+            .exchange
             .balancer
             .borrow_mut()
             .ended(now, self.choice.attempt, outcome);
--- a/alderhollow/src/exchange/mod.rs
+++ b/alderhollow/src/exchange/mod.rs
@@ -272,17 +272,17 @@
             return Err((attempt, SendError::NotRun(Outcome::Cancelled)));
         };
         let response = match limits.wait(pooled.link.send(request)).await {
-            Some(Ok(response)) => response,
-            Some(Err(Failure::Unsent)) => {
+            Ok(Ok(response)) => response,
+            Ok(Err(Failure::Unsent)) => {
                 return Err((attempt, SendError::NotRun(Outcome::NoConnection)))
             }
-            Some(Err(Failure::Broken(_))) => {
+            Ok(Err(Failure::Broken(_))) => {
                 return Err((attempt, SendError::MayHaveRun(Outcome::Broken)))
             }
-            None if pooled.link.is_written() => {
-                return Err((attempt, SendError::MayHaveRun(Outcome::TimedOut)))
+            Err(limit) if pooled.link.is_written() => {
+                return Err((attempt, SendError::MayHaveRun(limit.into())))
             }
-            None => return Err((attempt, SendError::NotRun(Outcome::TimedOut))),
+            Err(limit) => return Err((attempt, SendError::NotRun(limit.into()))),
         };
         let verdict = verdict::classify(&response, outbound, &pooled);
         match verdict {
--- a/alderhollow/src/exchange/pool.rs
+++ b/alderhollow/src/exchange/pool.rs
@@ -155,6 +155,7 @@
                 is_instance_confirmed: false,
                 _open_guard: open,
             }),
+            Err(_) if connect_deadline == deadline => Err(Outcome::DeadlineExceeded),
             Ok(Err(_)) | Err(_) => Err(Outcome::NoConnection),
         }
     }
--- a/alderhollow/src/exchange/wait_limits.rs
+++ b/alderhollow/src/exchange/wait_limits.rs
@@ -1,5 +1,6 @@
 //! Limits on waiting for a backend.
 
+use crate::balance::Outcome;
 use std::future::Future;
 use std::pin::pin;
 use std::time::Duration;
@@ -14,6 +15,24 @@
 /// Whether the request may be written at this moment.
 pub type Permission<'a> = &'a dyn Fn() -> bool;
 
+/// The limit that ended a wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReachedLimit {
+    /// The backend was silent for too long, and another one is available.
+    Silence,
+    /// The time of the request is over.
+    Deadline,
+}
+
+impl From<ReachedLimit> for Outcome {
+    fn from(limit: ReachedLimit) -> Outcome {
+        match limit {
+            ReachedLimit::Silence => Outcome::TimedOut,
+            ReachedLimit::Deadline => Outcome::DeadlineExceeded,
+        }
+    }
+}
+
 /// Limits on waiting for one backend.
 #[derive(Clone, Copy)]
 pub struct WaitLimits<'a> {
@@ -40,18 +59,22 @@
         self.permission.is_none_or(|permission| permission())
     }
 
-    /// Waits for `work`; `None` if a limit was reached first.
-    pub async fn wait<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+    /// Waits for `work`.
+    ///
+    /// # Errors
+    /// A limit was reached first.
+    pub async fn wait<T>(&self, work: impl Future<Output = T>) -> Result<T, ReachedLimit> {
         let mut work = pin!(work);
         if let Some((silence, alternatives)) = self.silence {
             let silent_until = (Instant::now() + silence).min(self.deadline);
             if let Ok(done) = timeout_at(silent_until, work.as_mut()).await {
-                return Some(done);
+                return Ok(done);
             }
             if silent_until < self.deadline && alternatives.has_other() {
-                return None;
+                return Err(ReachedLimit::Silence);
             }
         }
-        timeout_at(self.deadline, work).await.ok()
+        let done = timeout_at(self.deadline, work).await;
+        done.map_err(|_| ReachedLimit::Deadline)
     }
 }
--- a/alderhollow/src/exchange/weights_reports.rs
+++ b/alderhollow/src/exchange/weights_reports.rs
@@ -121,7 +121,7 @@
         let response = limits
             .wait(pooled.link.send(report_request(backend)))
             .await
-            .ok_or(ReportError::TimedOut)?
+            .map_err(|_| ReportError::TimedOut)?
             .map_err(|_| ReportError::Broken)?;
         if response.status() != StatusCode::OK {
             return Err(ReportError::Status(response.status()));
@@ -129,7 +129,7 @@
         let body = limits
             .wait(read_body(&mut pooled, response))
             .await
-            .ok_or(ReportError::TimedOut)??;
+            .map_err(|_| ReportError::TimedOut)??;
         Ok(serde_json::from_slice(&body)?)
     }
 }
--- a/alderhollow/src/http_server/attempts.rs
+++ b/alderhollow/src/http_server/attempts.rs
@@ -267,10 +267,10 @@
             Wait::Rest => WaitLimits::until(deadline),
         };
         match wait_limits.wait(response.next_chunk()).await {
-            Some(Some(Ok(chunk))) => Ok(Some(chunk)),
-            Some(None) => Ok(None),
-            Some(Some(Err(_))) => Err(Outcome::Broken),
-            None => Err(Outcome::TimedOut),
+            Ok(Some(Ok(chunk))) => Ok(Some(chunk)),
+            Ok(None) => Ok(None),
+            Ok(Some(Err(_))) => Err(Outcome::Broken),
+            Err(limit) => Err(limit.into()),
         }
     }
 
--- a/alderhollow/src/placement/message.rs
+++ b/alderhollow/src/placement/message.rs
@@ -164,7 +164,7 @@
     /// See [`Outcome::TimedOut`].
     #[n(6)]
     TimedOut,
-    /// See [`Outcome::Cancelled`].
+    /// See [`Outcome::Cancelled`]; also [`Outcome::DeadlineExceeded`].
     #[n(7)]
     Cancelled,
 }
@@ -178,7 +178,10 @@
             Outcome::NoConnection => End::NoConnection,
             Outcome::Broken => End::Broken,
             Outcome::TimedOut => End::TimedOut,
-            Outcome::Cancelled | Outcome::OtherInstance | Outcome::OtherWeights => End::Cancelled,
+            Outcome::Cancelled
+            | Outcome::DeadlineExceeded
+            | Outcome::OtherInstance
+            | Outcome::OtherWeights => End::Cancelled,
         }
     }
 }
--- a/alderhollow/tests/balance_choice.rs
+++ b/alderhollow/tests/balance_choice.rs
@@ -36,6 +36,7 @@
         Just(Outcome::NoConnection),
         Just(Outcome::Broken),
         Just(Outcome::TimedOut),
+        Just(Outcome::DeadlineExceeded),
         Just(Outcome::Cancelled),
     ]
 }
--- a/alderhollow/tests/balance_health.rs
+++ b/alderhollow/tests/balance_health.rs
@@ -309,6 +309,39 @@
     assert!(requests_between(9000.0, 10_000.0) > 40);
 }
 
+/// Guards against a client whose requests have too little time, and for which every backend is ejected in turn.
+#[test]
+fn requests_with_too_little_time_eject_no_backend_that_responds_to_others() {
+    let tables = Tables::new(PLAIN, 3, 1);
+    let mut balancer = tables.balancer(&node_name(0), ZONES[0], 0.0);
+    let wanted = selection_request(PLAIN, None);
+    for round in 0..500 {
+        let now = Millis::from(round) * STEP_MS;
+        let short = balancer.choose(now, &wanted).expect("a backend");
+        let ordinary = balancer.choose(now, &wanted).expect("a backend");
+        balancer.ended(now + 5.0, short.attempt, Outcome::DeadlineExceeded);
+        balancer.ended(now + 15.0, ordinary.attempt, Outcome::Served);
+        assert_eq!(balancer.unhealthy(now + 15.0, PLAIN), Vec::<String>::new());
+    }
+}
+
+/// Guards against a silent backend that is never ejected because no request has the time to find out.
+#[test]
+fn requests_with_little_time_eject_a_silent_backend_together() {
+    let tables = Tables::new(PLAIN, 1, 1);
+    let mut balancer = tables.balancer(&node_name(0), ZONES[0], 0.0);
+    let wanted = selection_request(PLAIN, None);
+    let mut outcomes = Vec::new();
+    for round in 0..10 {
+        let now = Millis::from(round) * 100.0;
+        let choice = balancer.choose(now, &wanted).expect("a backend");
+        outcomes.push(balancer.ended(now + 60.0, choice.attempt, Outcome::DeadlineExceeded));
+    }
+    assert_eq!(outcomes.first(), Some(&Outcome::DeadlineExceeded));
+    assert_eq!(outcomes.last(), Some(&Outcome::TimedOut));
+    assert_eq!(balancer.unhealthy(960.0, PLAIN).len(), 1);
+}
+
 /// Guards against probes that follow each other without a pause where clients give up before a response.
 #[test]
 fn a_probe_without_a_response_that_is_cancelled_counts_as_a_failure() {
--- a/alderhollow/tests/http_server.rs
+++ b/alderhollow/tests/http_server.rs
@@ -716,6 +716,21 @@
     });
 }
 
+/// Guards against backends that count as failed for all clients because one client gives its requests too little time.
+#[test]
+fn a_client_without_time_ejects_no_backend_for_others() {
+    run(async {
+        let gateway = Gateway::start(2).await;
+        let without_time =
+            request("/once/1", "", "x").replace("Deadline-Ms: 2500", "Deadline-Ms: 40");
+        for _ in 0..3 {
+            gateway.backends.script(vec![Step::Hang]);
+            assert_eq!(ask(gateway.address, &without_time).await.status, 504);
+        }
+        assert_eq!(gateway.unhealthy(), Vec::<String>::new());
+    });
+}
+
 #[test]
 fn a_client_that_reads_no_more_holds_no_backend_beyond_its_deadline() {
     run(async {
--- a/alderhollow/tests/support/gateway.rs
+++ b/alderhollow/tests/support/gateway.rs
@@ -52,6 +52,8 @@
     pub address: SocketAddr,
     pub backends: Backends,
     pub exchange: Rc<Exchange>,
+    balancer: Rc<RefCell<Balancer>>,
+    started: Instant,
     pub phase: watch::Sender<Phase>,
     pub snapshots: watch::Sender<Arc<Snapshot>>,
     pub running: JoinHandle<()>,
@@ -74,7 +76,8 @@
         }
         let (snapshots, receiver) = watch::channel(Arc::new(snapshot(list, true)));
         let balancer = Rc::new(RefCell::new(Balancer::new("door-1", "z1", 7)));
-        let exchange = Exchange::new(Instant::now(), 7, receiver, balancer);
+        let started = Instant::now();
+        let exchange = Exchange::new(started, 7, receiver, balancer.clone());
         let settings = FrontSettings {
             grace: GRACE,
             max_connections: 100,
@@ -92,6 +95,8 @@
             address,
             backends,
             exchange,
+            balancer,
+            started,
             phase,
             snapshots,
             running,
@@ -105,6 +110,12 @@
         self.snapshots.send_replace(Arc::new(snapshot(list, true)));
     }
 
+    /// The backends that get requests only after a backoff.
+    pub(crate) fn unhealthy(&self) -> Vec<String> {
+        let now_ms = self.started.elapsed().as_secs_f64() * 1000.0;
+        self.balancer.borrow().unhealthy(now_ms, "plain")
+    }
+
     pub(crate) fn drain_all(&self) {
         self.list(|list| {
             list.iter_mut()
