Do not take a connection that the system refuses for a failure of the backend

Callers would see: a process that has no descriptor, local port or socket memory left for a moment ejects each backend that it tries, for 0.3 s to 5 s, and has none left when there is room again. Neither the log nor a metric said why.

Cause: Pool::connect took each error of the system for a backend that cannot be reached.

Change: the errors that concern this process alone are taken like a reached connection limit. They are counted (alderhollow_backend_connections_refused_total). rustix, which the workspace uses already, names the errors.

Measured: a_process_without_descriptors_ejects_no_backend lowers the process's limit of open files. Without the new arm it fails with left: ["b0"], right: []; it passes with it.

--- a/alderhollow/src/balance/mod.rs
+++ b/alderhollow/src/balance/mod.rs
@@ -139,7 +139,8 @@
     Failed,
     /// The backend rejected the request without executing it (at capacity, `Not-Executed`).
     Declined,
-    /// This process has as many connections to the backend as it may have. The backend was not asked.
+    /// This process can open no further connection to the backend: it has as many as it may have, or the system has no
+    /// descriptor, port or memory left for one. The backend was not asked.
     ConnectionLimit,
     /// Another instance answered at this address (421).
     OtherInstance,
--- a/alderhollow/src/exchange/pool.rs
+++ b/alderhollow/src/exchange/pool.rs
@@ -2,13 +2,16 @@
 //! connection of its predecessor.
 
 use crate::balance::Outcome;
+use crate::metrics;
 use alderhollow_dataplane::headers::keep_alive;
 use alderhollow_dataplane::link::Link;
 use alderhollow_model::backend::Backend;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
+use rustix::io::Errno;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::io;
 use std::rc::Rc;
 use std::task::{Context, Waker};
 use std::time::Duration;
@@ -155,6 +158,11 @@
                 is_instance_confirmed: false,
                 _open_guard: open,
             }),
+            Ok(Err(error)) if is_refused_by_system(&error) => {
+                metrics::get().backends.connection_refused_by_system();
+                log::debug!("the system refuses a connection to {}: {error}", backend.id);
+                Err(Outcome::ConnectionLimit)
+            }
             Err(_) if connect_deadline == deadline => Err(Outcome::DeadlineExceeded),
             Ok(Err(_)) | Err(_) => Err(Outcome::NoConnection),
         }
@@ -216,3 +224,21 @@
         any_idle
     }
 }
+
+/// Whether the system refuses this process another connection: no descriptor, port or memory is left for it.
+fn is_refused_by_system(error: &io::Error) -> bool {
+    matches!(
+        Errno::from_io_error(error),
+        Some(
+            Errno::MFILE
+                | Errno::NFILE
+                | Errno::ADDRNOTAVAIL
+                | Errno::AGAIN
+                | Errno::NOBUFS
+                | Errno::NOMEM
+        )
+    )
+}
+
+#[cfg(test)]
+mod tests;
--- a/alderhollow/src/metrics/backends.rs
+++ b/alderhollow/src/metrics/backends.rs
@@ -18,6 +18,10 @@
     name: "alderhollow_backend_weights_reports_total",
     help: "Reports that were requested from backends, because requests wait for a version of the weights",
 };
+const CONNECTIONS_REFUSED: Description = Description {
+    name: "alderhollow_backend_connections_refused_total",
+    help: "Connections to backends that the system refused to this process: no descriptor, port or memory was left",
+};
 
 label! {
     /// The reason for a 421.
@@ -47,6 +51,7 @@
     exclusions: Counter,
     returns: Counter,
     weights_reports: CounterFamily<ReportResult>,
+    connections_refused: Counter,
 }
 
 impl BackendMetrics {
@@ -56,6 +61,7 @@
             exclusions: registrar.counter(&EXCLUSIONS),
             returns: registrar.counter(&RETURNS),
             weights_reports: registrar.counters(&WEIGHTS_REPORTS),
+            connections_refused: registrar.counter(&CONNECTIONS_REFUSED),
         }
     }
 
@@ -78,4 +84,9 @@
     pub fn weights_report(&self, result: ReportResult) {
         self.weights_reports.of(result).add(1);
     }
+
+    /// The system refused this process a connection.
+    pub fn connection_refused_by_system(&self) {
+        self.connections_refused.add(1);
+    }
 }
