Do not eject a backend for a request that takes long while it responds to others

Callers would see: on a route whose requests may run again, a request that takes long at any backend goes on at another one, and each backend that it reaches is ejected at that gateway for 1.5 s and more.

Cause: the silence towards one request was taken for a silence of the backend. Responses to others in that time tell the second reading.

Change: such a silence ejects only if the backend has responded to nobody for four times the expected time and 200 ms, as it is for requests whose own time is over. Otherwise it counts as a failed response in the backend's average.

Measured: requests_that_take_long_eject_no_backend_that_responds_to_others failed before with left: ["i-plain-0"], right: [], and passes now.

--- a/alderhollow/src/balance/health.rs
+++ b/alderhollow/src/balance/health.rs
@@ -6,8 +6,9 @@
 //! process knows only its own view of the backends that it sends to. What it learns of other senders' attempts counts
 //! as the backend's fault once a second sender reports it.
 //!
-//! A request whose own time is over before a response says little: its client may have left it less than the backend
-//! needs. Only the time that such requests have waited together since the last response counts.
+//! A request that ends without a response says little by itself: its client may have left it less time than the backend
+//! needs, or it takes long at any backend. Only the time that such requests have waited together since the last response
+//! counts.
 //!
 //! A backend at whose address another instance answered (421) is ejected too, and gets no requests as a last resort
 //! either. It returns when it runs a request that names it.
@@ -270,10 +271,14 @@
         let was_silent = self
             .unresponsive_since(now)
             .is_some_and(|since| record.started <= since || self.is_overdue_probe(now, record));
-        let outcome = match outcome {
-            Outcome::DeadlineExceeded if was_silent || self.had_enough_time(now, record) => {
-                Outcome::TimedOut
+        let had_enough_time = match outcome {
+            Outcome::TimedOut | Outcome::DeadlineExceeded => {
+                self.had_enough_time(now, record) || was_silent
             }
+            _ => true,
+        };
+        let outcome = match outcome {
+            Outcome::DeadlineExceeded if had_enough_time => Outcome::TimedOut,
             outcome => outcome,
         };
         self.waiting.remove(&record.attempt);
@@ -300,7 +305,8 @@
                     self.quality.add_failure_sample(now, 1.0);
                 }
             }
-            Outcome::TimedOut if record.response_started => {
+            // The request may take long at any backend, while this one responds to others.
+            Outcome::TimedOut if record.response_started || !had_enough_time => {
                 self.quality.add_failure_sample(now, 1.0);
             }
             Outcome::TimedOut | Outcome::Cancelled if was_silent && !record.response_started => {
--- a/alderhollow/tests/balance_health.rs
+++ b/alderhollow/tests/balance_health.rs
@@ -325,6 +325,28 @@
     }
 }
 
+/// Guards against requests that take long at any backend, and for which each one is ejected while it responds to others.
+#[test]
+fn requests_that_take_long_eject_no_backend_that_responds_to_others() {
+    let tables = Tables::new(PLAIN, 1, 1);
+    let mut balancer = tables.balancer(&node_name(0), ZONES[0], 0.0);
+    let wanted = selection_request(PLAIN, None);
+    for round in 0..20 {
+        let began = Millis::from(round) * 1000.0;
+        let long = balancer.choose(began, &wanted).expect("a backend");
+        for other in 0..6 {
+            let now = began + Millis::from(other) * 100.0;
+            let choice = balancer.choose(now, &wanted).expect("a backend");
+            balancer.ended(now + RESPONSE_MS, choice.attempt, Outcome::Served);
+        }
+        balancer.ended(began + 700.0, long.attempt, Outcome::TimedOut);
+        assert_eq!(
+            balancer.unhealthy(began + 700.0, PLAIN),
+            Vec::<String>::new()
+        );
+    }
+}
+
 /// Guards against a silent backend that is never ejected because no request has the time to find out.
 #[test]
 fn requests_with_little_time_eject_a_silent_backend_together() {
