Name the HTTP server of a gateway and its phase of draining by the field's words

Change: names only: Server, ServerSettings, Phase::Draining. Settings, metrics and log lines keep theirs.

--- a/alderhollow/src/gateway/clients.rs
+++ b/alderhollow/src/gateway/clients.rs
@@ -3,7 +3,7 @@
 use crate::batch_api::endpoints::StoreEndpoints;
 use crate::distribution::validity::TableValidity;
 use crate::http_server::phase::Phase;
-use crate::http_server::{Front, FrontSettings};
+use crate::http_server::{Server, ServerSettings};
 use crate::node::{random_seed, Node};
 use crate::settings::Settings;
 use std::io;
@@ -33,7 +33,7 @@
 impl ClientServer {
     /// Starts to drain client connections.
     pub(super) fn start_drain(&self) {
-        self.phase.send_replace(Phase::Leaving);
+        self.phase.send_replace(Phase::Draining);
     }
 
     /// Waits until all client connections are drained or the grace period ends.
@@ -55,13 +55,13 @@
     let exchange = node.begin_exchanges(settings);
     let network = Rc::new(node.network.clone());
     let batch = StoreEndpoints::new(network, node.snapshots.clone(), node.clock, random_seed());
-    let server = Front::new(server_settings(settings, node), exchange, Rc::new(batch));
+    let server = Server::new(server_settings(settings, node), exchange, Rc::new(batch));
     let (phase, phase_receiver) = watch::channel(Phase::Running);
     let server = tokio::task::spawn_local(server.run(listener, phase_receiver));
     Ok(ClientServer { phase, server })
 }
 
-fn server_settings(settings: &Settings, node: &Node) -> FrontSettings {
+fn server_settings(settings: &Settings, node: &Node) -> ServerSettings {
     let poll_state = node.poll_state.clone();
     let descriptors = settings.limits.max_fds.unwrap_or(DEFAULT_MAX_FDS);
     let connections = descriptors
@@ -70,7 +70,7 @@
         / CLIENT_DESCRIPTOR_DIVISOR;
     let body_bytes =
         settings.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * BYTES_PER_MB / BODY_MEMORY_DIVISOR;
-    FrontSettings {
+    ServerSettings {
         grace: settings.bounds.grace,
         max_connections: usize::try_from(connections).unwrap_or(usize::MAX),
         body_bytes: usize::try_from(body_bytes).unwrap_or(usize::MAX),
--- a/alderhollow/src/http_server/client.rs
+++ b/alderhollow/src/http_server/client.rs
@@ -3,7 +3,7 @@
 use super::body::ResponseBody;
 use super::phase::Phase;
 use super::write_deadline::WriteDeadline;
-use super::Front;
+use super::Server;
 use alderhollow_dataplane::activity::{ConnectionActivity, Times};
 use alderhollow_dataplane::connection;
 use hyper::body::Incoming;
@@ -25,10 +25,14 @@
 const SHUTDOWN_FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// Serves a client connection until it closes.
-pub(super) async fn serve(front: Rc<Front>, stream: TcpStream, mut phase: watch::Receiver<Phase>) {
+pub(super) async fn serve(
+    server: Rc<Server>,
+    stream: TcpStream,
+    mut phase: watch::Receiver<Phase>,
+) {
     let _ = stream.set_nodelay(true);
     let stream = Rc::new(stream);
-    let limits = front.limits();
+    let limits = server.limits();
     let idle = Duration::from_millis(limits.idle_timeout_ms);
     if !receives_first_byte(&stream, idle, phase.clone()).await {
         return;
@@ -39,12 +43,12 @@
     });
     let write_deadline = Rc::new(WriteDeadline::default());
     let service = service_fn(|request: Request<Incoming>| {
-        let (front, activity, write_deadline) =
-            (front.clone(), activity.clone(), write_deadline.clone());
+        let (server, activity, write_deadline) =
+            (server.clone(), activity.clone(), write_deadline.clone());
         let in_progress = activity.asked();
         // Boxed so that idle connections do not reserve memory for this future.
         Box::pin(async move {
-            let mut response = front.respond(request).await;
+            let mut response = server.respond(request).await;
             if activity.is_closing() {
                 set_connection_close(&mut response);
             }
--- a/alderhollow/src/http_server/mod.rs
+++ b/alderhollow/src/http_server/mod.rs
@@ -55,7 +55,7 @@
 
 /// Settings of an HTTP server that depend on its machine.
 #[derive(Debug, Clone)]
-pub struct FrontSettings {
+pub struct ServerSettings {
     /// Time from the termination signal until the process is killed (`grace-s`).
     pub grace: Duration,
     /// Maximum number of concurrent client connections.
@@ -67,8 +67,8 @@
 }
 
 /// The HTTP server of a gateway.
-pub struct Front {
-    settings: FrontSettings,
+pub struct Server {
+    settings: ServerSettings,
     exchange: Rc<Exchange>,
     batch: Rc<dyn BatchEndpoints>,
     body_budget: Rc<BodyBudget>,
@@ -76,16 +76,16 @@
     started_at: Instant,
 }
 
-impl Front {
+impl Server {
     /// Creates a server that sends requests through `exchange` and batch API calls to `batch`.
     pub fn new(
-        settings: FrontSettings,
+        settings: ServerSettings,
         exchange: Rc<Exchange>,
         batch: Rc<dyn BatchEndpoints>,
-    ) -> Rc<Front> {
+    ) -> Rc<Server> {
         let body_budget = BodyBudget::new(settings.body_bytes);
         let drain_deadline = DrainDeadline::default();
-        Rc::new(Front {
+        Rc::new(Server {
             settings,
             exchange,
             batch,
--- a/alderhollow/src/http_server/phase.rs
+++ b/alderhollow/src/http_server/phase.rs
@@ -6,7 +6,7 @@
     /// Clients are served normally.
     Running,
     /// The process is shutting down and no longer ready: new connections are still served, then closed.
-    Leaving,
+    Draining,
     /// No further connections are accepted.
     Ending,
 }
--- a/alderhollow/tests/http_server.rs
+++ b/alderhollow/tests/http_server.rs
@@ -1,4 +1,4 @@
-//! The front of a gateway: requests, answers, and what becomes of them when backends fail.
+//! The HTTP server of a gateway: requests, answers, and what becomes of them when backends fail.
 
 mod support;
 
--- a/alderhollow/tests/kept_connections.rs
+++ b/alderhollow/tests/kept_connections.rs
@@ -168,7 +168,7 @@
             let at = begun + Duration::from_millis(20);
             let leave = async {
                 tokio::time::sleep_until(at).await;
-                gateway.phase.send_replace(Phase::Leaving);
+                gateway.phase.send_replace(Phase::Draining);
             };
             let id = format!("leave{by_ms}");
             gateway.backends.script(served("second"));
@@ -239,7 +239,7 @@
         while !is_forwarded(&gateway, "before") {
             tokio::task::yield_now().await;
         }
-        gateway.phase.send_replace(Phase::Leaving);
+        gateway.phase.send_replace(Phase::Draining);
         assert!(answered_if_forwarded(&gateway, &mut client, "before").await);
         answered_if_forwarded(&gateway, &mut client, "behind").await;
     });
@@ -273,7 +273,7 @@
             tokio::task::yield_now().await;
         }
         let began = Instant::now();
-        gateway.phase.send_replace(Phase::Leaving);
+        gateway.phase.send_replace(Phase::Draining);
         let reply = client.reply().await.expect("a response of the gateway");
         assert_eq!(
             (reply.status, reply.header("connection").as_deref()),
--- a/alderhollow/tests/leaving.rs
+++ b/alderhollow/tests/leaving.rs
@@ -1,4 +1,4 @@
-//! How the front of a gateway ends.
+//! How the HTTP server of a gateway ends.
 
 mod support;
 
@@ -32,7 +32,7 @@
         half.write(&text[..30]).await;
         sleep(Duration::from_millis(20)).await;
 
-        gateway.phase.send_replace(Phase::Leaving);
+        gateway.phase.send_replace(Phase::Draining);
         assert!(idle.ends().await);
         gateway.backends.script(served("half"));
         half.write(&text[30..]).await;
@@ -52,7 +52,7 @@
     run(async {
         let gateway = Gateway::start(1).await;
         let began = Instant::now();
-        gateway.phase.send_replace(Phase::Leaving);
+        gateway.phase.send_replace(Phase::Draining);
         sleep(Duration::from_millis(2000)).await;
         gateway.backends.script(served("late"));
         let reply = ask(gateway.address, &request("/once/late", "", "x")).await;
@@ -85,7 +85,7 @@
         client.write(&request).await;
         client.read_until(&event(3)).await;
         let began = Instant::now();
-        gateway.phase.send_replace(Phase::Leaving);
+        gateway.phase.send_replace(Phase::Draining);
         gateway.running.await.expect("it ends");
         assert!(began.elapsed() <= GRACE, "{:?}", began.elapsed());
         assert!(!client.reply().await.expect("what came").whole);
--- a/alderhollow/tests/support/gateway.rs
+++ b/alderhollow/tests/support/gateway.rs
@@ -1,4 +1,4 @@
-//! A gateway's front over emulated backends.
+//! The HTTP server of a gateway over emulated backends.
 
 use super::backend::Backends;
 use alderhollow::balance::Balancer;
@@ -6,7 +6,7 @@
 use alderhollow::distribution::validity::TableValidity;
 use alderhollow::exchange::Exchange;
 use alderhollow::http_server::phase::Phase;
-use alderhollow::http_server::{Front, FrontSettings};
+use alderhollow::http_server::{Server, ServerSettings};
 use alderhollow_model::backend::{Backend, BackendList, BackendState};
 use alderhollow_model::config::Config;
 use alderhollow_model::identity::Address;
@@ -78,19 +78,19 @@
         let balancer = Rc::new(RefCell::new(Balancer::new("door-1", "z1", 7)));
         let started = Instant::now();
         let exchange = Exchange::new(started, 7, receiver, balancer.clone());
-        let settings = FrontSettings {
+        let settings = ServerSettings {
             grace: GRACE,
             max_connections: 100,
             body_bytes: 1 << 20,
             validity,
         };
-        let front = Front::new(settings, exchange.clone(), Rc::new(NoStores));
+        let server = Server::new(settings, exchange.clone(), Rc::new(NoStores));
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
             .await
             .expect("a free port");
         let address = listener.local_addr().expect("an address");
         let (phase, following) = watch::channel(Phase::Running);
-        let running = spawn_local(front.run(listener, following));
+        let running = spawn_local(server.run(listener, following));
         Gateway {
             address,
             backends,
