Share what two tests send to a backend directly

Cause: the test without descriptors repeated the request of another one.

Change: two functions of the tests' support.

--- a/alderhollow/tests/descriptor_limit.rs
+++ b/alderhollow/tests/descriptor_limit.rs
@@ -2,15 +2,12 @@
 
 mod support;
 
-use alderhollow::balance::{Outcome, SelectionRequest};
-use alderhollow::exchange::outbound::Outbound;
+use alderhollow::balance::Outcome;
 use alderhollow::exchange::wait_limits::WaitLimits;
 use alderhollow::exchange::SendError;
-use hyper::header::{HeaderMap, HeaderValue};
-use hyper::Method;
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
 use std::time::Duration;
-use support::gateway::Gateway;
+use support::gateway::{outbound, selection, Gateway};
 use support::run;
 use tokio::time::Instant;
 
@@ -19,20 +16,8 @@
 fn a_process_without_descriptors_ejects_no_backend() {
     run(async {
         let gateway = Gateway::start(1).await;
-        let wanted = SelectionRequest {
-            service: "plain",
-            prompt: None,
-            priority: 0,
-            tried: &[],
-            expected_weights: None,
-            sender: None,
-        };
-        let mut headers = HeaderMap::new();
-        headers.insert("request-id", HeaderValue::from_static("r1"));
-        let uri = "/once/1".parse().expect("a path");
-        let outbound =
-            Outbound::new(Method::POST, &uri, headers, Default::default()).expect("a request");
-        let attempt = gateway.exchange.choose(&wanted).expect("a backend");
+        let outbound = outbound("/once/1");
+        let attempt = gateway.exchange.choose(&selection()).expect("a backend");
         let limits = WaitLimits::until(Instant::now() + Duration::from_secs(1));
 
         let allowed = getrlimit(Resource::Nofile);
--- a/alderhollow/tests/http_server.rs
+++ b/alderhollow/tests/http_server.rs
@@ -578,26 +578,12 @@
 #[test]
 fn a_backend_that_drains_between_the_choice_and_the_first_byte_gets_nothing() {
     run(async {
-        use alderhollow::balance::{Outcome, SelectionRequest};
-        use alderhollow::exchange::outbound::Outbound;
+        use alderhollow::balance::Outcome;
         use alderhollow::exchange::wait_limits::WaitLimits;
         use alderhollow::exchange::SendError;
-        use hyper::header::{HeaderMap, HeaderValue};
 
         let gateway = Gateway::start(1).await;
-        let wanted = SelectionRequest {
-            service: "plain",
-            prompt: None,
-            priority: 0,
-            tried: &[],
-            expected_weights: None,
-            sender: None,
-        };
-        let mut headers = HeaderMap::new();
-        headers.insert("request-id", HeaderValue::from_static("r1"));
-        let uri = "/once/1".parse().expect("a path");
-        let outbound = Outbound::new(hyper::Method::POST, &uri, headers, Default::default())
-            .expect("a request");
+        let outbound = outbound("/once/1");
         // Once over a connection that is opened for it, once over one that has rested.
         for warm in [false, true] {
             if warm {
@@ -616,7 +602,7 @@
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
             let before = gateway.backends.seen().len();
-            let attempt = gateway.exchange.choose(&wanted).expect("a backend");
+            let attempt = gateway.exchange.choose(&selection()).expect("a backend");
             let patience = WaitLimits::until(tokio::time::Instant::now() + Duration::from_secs(1));
             if warm {
                 gateway.drain_all();
--- a/alderhollow/tests/support/gateway.rs
+++ b/alderhollow/tests/support/gateway.rs
@@ -1,9 +1,10 @@
 //! The HTTP server of a gateway over emulated backends.
 
 use super::backend::Backends;
-use alderhollow::balance::Balancer;
+use alderhollow::balance::{Balancer, SelectionRequest};
 use alderhollow::batch_api::{unavailable, BatchCall, BatchEndpoints, BatchResponseFuture};
 use alderhollow::distribution::validity::TableValidity;
+use alderhollow::exchange::outbound::Outbound;
 use alderhollow::exchange::Exchange;
 use alderhollow::http_server::phase::Phase;
 use alderhollow::http_server::{Server, ServerSettings};
@@ -11,6 +12,9 @@
 use alderhollow_model::config::Config;
 use alderhollow_model::identity::Address;
 use alderhollow_model::snapshot::{ControlView, Snapshot};
+use hyper::body::Bytes;
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Method, Uri};
 use std::cell::RefCell;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -162,3 +166,23 @@
          Content-Length: {length}\r\n\r\n{body}"
     )
 }
+
+/// What a request for `/once/` needs of a backend.
+pub(crate) fn selection() -> SelectionRequest<'static> {
+    SelectionRequest {
+        service: "plain",
+        prompt: None,
+        priority: 0,
+        tried: &[],
+        expected_weights: None,
+        sender: None,
+    }
+}
+
+/// A request to a backend with the id `r1` and no body.
+pub(crate) fn outbound(path: &'static str) -> Outbound {
+    let mut headers = HeaderMap::new();
+    headers.insert("request-id", HeaderValue::from_static("r1"));
+    let uri = Uri::from_static(path);
+    Outbound::new(Method::POST, &uri, headers, Bytes::new()).expect("a request")
+}
