Pass the workspace's build where the outcome of an attempt is not used

Cause: Balancer::ended returns the outcome since, and a match in placement-model has two types from then on.

Change: one arm is a block.

--- a/placement-model/src/policy.rs
+++ b/placement-model/src/policy.rs
@@ -249,7 +249,9 @@
             return;
         };
         match &mut self.choosers {
-            Choosers::Senders(balancers) => balancers[place].ended(now, attempt, Outcome::Served),
+            Choosers::Senders(balancers) => {
+                balancers[place].ended(now, attempt, Outcome::Served);
+            }
             Choosers::Placers {
                 delay_ms, pending, ..
             } => {
