Look for a version of weights elsewhere while its only backend is ejected

Cause: a backend that had shown the expected version counted as having it however its health was. While it was ejected, a sender's demands to placers still excluded all backends whose weights were unknown, and no reports were requested, so that the version was found at the others by tries alone, up to 5 s late. Which backends the version excludes stood twice, in the choice and in the demand, and only the choice looked at health.

Change: one filter for both; a version counts as present only at a backend that may be selected.

Measured: a_version_that_only_an_ejected_backend_has_shown_is_looked_for_at_the_others fails before the change (8 of 9 backends excluded) and passes after it; the other tests of the file pass.

--- a/alderhollow/src/balance/awaited_weights.rs
+++ b/alderhollow/src/balance/awaited_weights.rs
@@ -2,6 +2,7 @@
 //! report is requested next while no backend is known to have the version.
 
 use super::backends::Member;
+use super::choice;
 use super::health::HealthState;
 use super::weights::{WeightsMatch, WeightsSource, WeightsVersion};
 use super::{Balancer, ExpectedWeights, Millis, SelectionRequest, WeightsAvailability};
@@ -91,25 +92,9 @@
 
     /// The backends that a request must not be sent to because of the version that it expects.
     pub fn excluded_by_weights(&self, now: Millis, request: &SelectionRequest) -> Vec<String> {
-        let Some(expected) = request.expected_weights else {
-            return Vec::new();
-        };
-        let matches: Vec<(&Member, WeightsMatch)> = self
-            .ready_members(request.service)
-            .map(|member| (member, member.weights.match_of(now, expected)))
-            .collect();
-        let any_matching = matches
-            .iter()
-            .any(|(_, found)| *found == WeightsMatch::Matching);
-        let is_excluded = |found: WeightsMatch| match found {
-            WeightsMatch::Matching => false,
-            WeightsMatch::Unknown | WeightsMatch::HalfOpen => any_matching,
-            WeightsMatch::Other(_) => true,
-        };
-        let excluded = matches.into_iter().filter(|(_, found)| is_excluded(*found));
-        excluded
-            .map(|(member, _)| member.backend.id.clone())
-            .collect()
+        let pool = self.table.pools.get(request.service);
+        pool.map(|pool| choice::excluded_by_weights(now, pool, request))
+            .unwrap_or_default()
     }
 
     /// The backend whose report is to be requested next: the one that was asked least recently, among those of the
@@ -146,17 +131,15 @@
         }
     }
 
-    /// Notes that a service lacks a version, if no backend is known to have it.
+    /// Notes that a service lacks a version, if no backend that may be selected is known to have it.
     pub(super) fn note_awaited_weights(
         &mut self,
         now: Millis,
         service: &str,
         expected: ExpectedWeights,
     ) {
-        let is_matching =
-            |member: &Member| member.weights.match_of(now, expected) == WeightsMatch::Matching;
-        let any_matching = self.ready_members(service).any(is_matching);
-        if !any_matching {
+        let has_it = |member: &Member| member.may_run_with(now, expected);
+        if !self.ready_members(service).any(has_it) {
             self.awaited_weights.insert(service.to_string(), now);
         }
     }
--- a/alderhollow/src/balance/backends.rs
+++ b/alderhollow/src/balance/backends.rs
@@ -3,9 +3,9 @@
 use super::affinity::PrefixLocations;
 use super::cold::{ColdBounds, SenderLists, StartLog};
 use super::hash::hash_name;
-use super::health::Health;
+use super::health::{Health, HealthState};
 use super::prefill::{EngineSpeed, PrefillTimes};
-use super::weights::BackendWeights;
+use super::weights::{BackendWeights, ExpectedWeights, WeightsMatch};
 use super::Millis;
 use alderhollow_model::backend::{Backend, BackendState};
 use alderhollow_model::config::Service;
@@ -122,6 +122,16 @@
         self.backend.state == BackendState::Ready && self.can_be_named && !self.evacuated
     }
 
+    /// Whether it is known to have the expected weights, and may be selected for them.
+    pub(super) fn may_run_with(&self, now: Millis, expected: ExpectedWeights) -> bool {
+        self.may_get_requests()
+            && self.weights.match_of(now, expected) == WeightsMatch::Matching
+            && matches!(
+                self.health.state(now),
+                HealthState::Healthy | HealthState::HalfOpen
+            )
+    }
+
     /// Number of requests that it processes concurrently.
     pub(super) fn slots(&self, params: &ServiceParams) -> u32 {
         let listed = if self.backend.slots > 0 {
--- a/alderhollow/src/balance/choice.rs
+++ b/alderhollow/src/balance/choice.rs
@@ -127,6 +127,18 @@
     })
 }
 
+/// Ids of the backends of a pool that a request must not be sent to because of the version that it expects.
+pub(super) fn excluded_by_weights(
+    now: Millis,
+    pool: &Pool,
+    request: &SelectionRequest,
+) -> Vec<String> {
+    let weights = WeightsFilter::new(now, &pool.members, request);
+    let is_excluded = |member: &&Member| weights.verdict(now, member) != WeightsVerdict::Admitted;
+    let excluded = pool.members.iter().filter(is_excluded);
+    excluded.map(|member| member.backend.id.clone()).collect()
+}
+
 /// Which backends may run a request, according to the version of the weights that it expects.
 #[derive(Debug, Clone, Copy)]
 struct WeightsFilter {
@@ -147,15 +159,10 @@
     fn new(now: Millis, members: &[Member], request: &SelectionRequest) -> WeightsFilter {
         let expected = request.expected_weights;
         let any_matching = expected.is_some_and(|expected| {
-            members.iter().any(|member| {
-                member.may_get_requests()
-                    && !request.tried.contains(&member.backend.id)
-                    && member.weights.match_of(now, expected) == WeightsMatch::Matching
-                    && matches!(
-                        member.health.state(now),
-                        HealthState::Healthy | HealthState::HalfOpen
-                    )
-            })
+            let mut untried = members
+                .iter()
+                .filter(|member| !request.tried.contains(&member.backend.id));
+            untried.any(|member| member.may_run_with(now, expected))
         });
         WeightsFilter {
             expected,
--- a/alderhollow/tests/balance_weights.rs
+++ b/alderhollow/tests/balance_weights.rs
@@ -192,6 +192,40 @@
     assert_eq!(fleet.balancer.next_report(fleet.now), ReportRequest::None);
 }
 
+/// Guards against the other backends being passed over for a version while the only one that has shown it is ejected.
+#[test]
+fn a_version_that_only_an_ejected_backend_has_shown_is_looked_for_at_the_others() {
+    let mut fleet = Fleet::new(1);
+    let request = for_version(2);
+    fleet.declined(&request);
+    let id = fleet.tables.backends[0].id.clone();
+    let (version, source) = (WeightsVersion::Number(2), WeightsSource::Report);
+    fleet
+        .balancer
+        .show_weights(fleet.now, &id, MODEL, version, source);
+    let excluded = fleet.balancer.excluded_by_weights(fleet.now, &request);
+    assert_eq!(excluded.len(), BACKENDS - 1);
+    fleet.now += 6_000.0;
+    assert_eq!(fleet.balancer.next_report(fleet.now), ReportRequest::None);
+
+    let choice = fleet
+        .balancer
+        .choose(fleet.now, &request)
+        .expect("it has the version");
+    assert_eq!(choice.backend.id, id);
+    fleet.end(&choice, Outcome::NoConnection);
+    let excluded = fleet.balancer.excluded_by_weights(fleet.now, &request);
+    assert_eq!(excluded, Vec::<String>::new());
+    let availability = fleet
+        .balancer
+        .weights_availability(fleet.now, ENGINES, expected(2));
+    assert_eq!(availability, WeightsAvailability::OnTrial);
+    assert!(matches!(
+        fleet.balancer.next_report(fleet.now),
+        ReportRequest::Now(_)
+    ));
+}
+
 /// Guards against a backend being given up for the life of the process after one 421.
 #[test]
 fn every_backend_after_another_instance_is_asked_again_one_request_at_a_time_and_returns() {
