Let the senders of a large fleet share the requests for reports

Cause: each process that awaits a version of weights requested up to 40 reports a second, however many others did the same, and all of them asked the same backend first.

Change: the interval grows with the number of senders (2.5 ms for each, at least 25 ms), and each process asks in an order of its own.

Up to ten senders nothing changes.

--- a/alderhollow/src/balance/awaited_weights.rs
+++ b/alderhollow/src/balance/awaited_weights.rs
@@ -11,8 +11,10 @@
 
 /// Reports are requested for this long after a request has expected a version that no backend is known to have.
 const AWAITED_TTL_MS: Millis = 5000.0;
-/// Minimum interval between two requests for reports by this process.
+/// Minimum interval between two requests for reports by this process, and the same in a fleet in which all senders request
+/// reports: the fleet's interval times their number.
 const REPORT_SPACING_MS: Millis = 25.0;
+const FLEET_REPORT_SPACING_MS: Millis = 2.5;
 
 /// The next request for a report.
 #[derive(Debug, Clone, PartialEq)]
@@ -102,21 +104,13 @@
     pub fn next_report(&mut self, now: Millis) -> ReportRequest {
         self.awaited_weights
             .retain(|_, wanted_at| now - *wanted_at <= AWAITED_TTL_MS);
-        let services: Vec<String> = self.awaited_weights.keys().cloned().collect();
-        let members = services
-            .iter()
-            .flat_map(|service| self.ready_members(service));
-        let due = members
-            .map(|member| (member.weights.report_due_at(), &member.backend))
-            .min_by(|(one, _), (other, _)| one.total_cmp(other));
-        let Some((due_at, backend)) = due else {
+        let Some((due_at, backend)) = self.earliest_report() else {
             return ReportRequest::None;
         };
-        let due_at = due_at.max(self.report_requested_at + REPORT_SPACING_MS);
+        let due_at = due_at.max(self.report_requested_at + self.report_spacing_ms());
         if now < due_at {
             return ReportRequest::In(due_at - now);
         }
-        let backend = backend.clone();
         self.report_requested_at = now;
         if let Some(member) = self.table.member_mut(&backend.id) {
             member.weights.report_requested(now);
@@ -124,6 +118,29 @@
         ReportRequest::Now(backend)
     }
 
+    /// The backend whose report is due first, and when. Of several, the one that this process ranks first: processes
+    /// that await the same version ask different backends at a time.
+    fn earliest_report(&self) -> Option<(Millis, Arc<Backend>)> {
+        let services = self.awaited_weights.keys();
+        let members = services.flat_map(|service| self.ready_members(service));
+        let due = members.map(|member| {
+            let rank = self.senders.rank_of_backend(member.id_hash);
+            (member.weights.report_due_at(), rank, &member.backend)
+        });
+        let (due_at, _, backend) =
+            due.min_by(|(due_at, rank, _), (other_due_at, other_rank, _)| {
+                due_at.total_cmp(other_due_at).then(rank.cmp(other_rank))
+            })?;
+        Some((due_at, backend.clone()))
+    }
+
+    /// The interval between two requests for reports by this process. Backends get as many from all processes together in
+    /// a large fleet as in one of a few processes.
+    fn report_spacing_ms(&self) -> Millis {
+        let senders = self.senders.count() as f64;
+        REPORT_SPACING_MS.max(FLEET_REPORT_SPACING_MS * senders)
+    }
+
     /// Records that a backend's report was read.
     pub fn report_read(&mut self, backend: &str) {
         if let Some(member) = self.table.member_mut(backend) {
--- a/alderhollow/src/balance/cold.rs
+++ b/alderhollow/src/balance/cold.rs
@@ -174,6 +174,11 @@
         self.current.0.len().max(1)
     }
 
+    /// The place of a backend in this process's own order of backends.
+    pub(super) fn rank_of_backend(&self, backend: u64) -> u64 {
+        mix(self.own, backend)
+    }
+
     /// Number of starts that this process may make at a cold backend within the window: the minimum over all lists in
     /// use.
     pub(super) fn allowance(&self, backend: u64, bound: f64, backends: usize) -> usize {
--- a/alderhollow/tests/balance_weights.rs
+++ b/alderhollow/tests/balance_weights.rs
@@ -226,6 +226,35 @@
     ));
 }
 
+/// Guards against hundreds of senders that await one version asking each backend for hundreds of reports a second, and
+/// all of them the same backend at a time.
+#[test]
+fn senders_of_a_large_fleet_share_the_reports_of_the_backends() {
+    const SENDERS: usize = 300;
+    const SECONDS: usize = 4;
+    const MAX_REPORTS_PER_S: usize = 500;
+    let tables = Tables::new(ENGINES, BACKENDS, SENDERS);
+    let mut asked: BTreeMap<String, usize> = BTreeMap::new();
+    for index in 0..SENDERS {
+        let mut balancer = tables.balancer(&node_name(index), ZONES[0], 0.0);
+        balancer.weights_availability(0.0, ENGINES, expected(2));
+        let mut now = 0.0;
+        while now < SECONDS as f64 * 1_000.0 {
+            match balancer.next_report(now) {
+                ReportRequest::Now(backend) => *asked.entry(backend.id.clone()).or_default() += 1,
+                ReportRequest::In(ms) => now += ms,
+                ReportRequest::None => panic!("a version is awaited"),
+            }
+        }
+    }
+    let total: usize = asked.values().sum();
+    assert!(total >= SECONDS * SENDERS, "{total}");
+    assert!(total <= SECONDS * MAX_REPORTS_PER_S, "{total}");
+    assert_eq!(asked.len(), BACKENDS);
+    let most = asked.values().max().copied().unwrap_or(0);
+    assert!(most <= 2 * total / BACKENDS, "{asked:?}");
+}
+
 /// Guards against a backend being given up for the life of the process after one 421.
 #[test]
 fn every_backend_after_another_instance_is_asked_again_one_request_at_a_time_and_returns() {
