Do not pass a sender's own connection limit on to others by its placer

Cause: a sender that could open no further connection to a backend reported a decline, and its zone's placer passed the backend over for all senders for 25 to 400 ms. The limit is the sender's own share of the backend's connections, and in a large fleet it is small: a verdict on a server that rests on what the server has not said, passed on as a fact.

Change: placers are told nothing. The sender's demands exclude the backend for the backoff, as they do with backends that it cannot reach. Messages are unchanged, and what senders of earlier versions report has the effect that it had. a_reported_decline_is_no_sign_that_a_backend_responds asserted the former report; it now checks both reports.

Measured: a_connection_limit_that_one_sender_reached_keeps_no_backend_from_others fails before the change ("no backend: Full") and passes after it.

--- a/alderhollow/src/balance/health.rs
+++ b/alderhollow/src/balance/health.rs
@@ -94,6 +94,8 @@
     declines: u32,
     full_until: Millis,
     full_backoff: Millis,
+    /// Until when this process opens no connection to it, because it reached its own limit.
+    connection_limited_until: Millis,
     last_response_at: Millis,
     /// For how long requests whose own time was over have waited since the last response, and until when that counts.
     unanswered_ms: Millis,
@@ -116,6 +118,7 @@
             declines: 0,
             full_until: f64::NEG_INFINITY,
             full_backoff: 0.0,
+            connection_limited_until: f64::NEG_INFINITY,
             last_response_at: f64::NEG_INFINITY,
             unanswered_ms: 0.0,
             unanswered_until: f64::NEG_INFINITY,
@@ -200,6 +203,11 @@
         self.full_until + if low_priority { self.full_backoff } else { 0.0 }
     }
 
+    /// Whether this process recently reached its own limit of connections to the backend.
+    pub(super) fn is_connection_limited(&self, now: Millis) -> bool {
+        now < self.connection_limited_until
+    }
+
     /// Records the start of an attempt.
     pub(super) fn started(&mut self, record: AttemptRecord) {
         let AttemptRecord {
@@ -296,7 +304,10 @@
                 self.recover(record);
             }
             Outcome::Declined => self.declined(now, record, random),
-            Outcome::ConnectionLimit => self.back_off_full(now, record, random),
+            Outcome::ConnectionLimit => {
+                self.back_off_full(now, record, random);
+                self.connection_limited_until = self.full_until;
+            }
             Outcome::NoConnection => {
                 self.failed(now, record, INITIAL_BACKOFF_MS, random);
             }
--- a/alderhollow/src/balance/mod.rs
+++ b/alderhollow/src/balance/mod.rs
@@ -382,23 +382,26 @@
     /// The backends of a service that this process considers unhealthy. Only this process may have lost contact with
     /// them.
     pub fn unhealthy(&self, now: Millis, service: &str) -> Vec<String> {
-        let members = self
-            .table
-            .pools
-            .get(service)
-            .map_or(&[][..], |pool| &pool.members);
-        let is_ejected = |member: &&Member| {
-            let state = member.health.state(now);
+        self.members_where(service, |member| {
             matches!(
-                state,
+                member.health.state(now),
                 HealthState::Ejected(_) | HealthState::OtherInstance(_)
             )
-        };
-        members
-            .iter()
-            .filter(is_ejected)
-            .map(|member| member.backend.id.clone())
-            .collect()
+        })
+    }
+
+    /// The backends of a service to which this process recently could open no further connection. Others may have some
+    /// left.
+    pub fn connection_limited(&self, now: Millis, service: &str) -> Vec<String> {
+        self.members_where(service, |member| member.health.is_connection_limited(now))
+    }
+
+    /// Ids of the backends of a service that meet a condition.
+    fn members_where(&self, service: &str, condition: impl Fn(&Member) -> bool) -> Vec<String> {
+        let pool = self.table.pools.get(service);
+        let members = pool.map_or(&[][..], |pool| &pool.members);
+        let met = members.iter().filter(|member| condition(member));
+        met.map(|member| member.backend.id.clone()).collect()
     }
 
     /// Whether a service has a backend that accepts requests, at capacity or not.
--- a/alderhollow/src/exchange/placing.rs
+++ b/alderhollow/src/exchange/placing.rs
@@ -75,9 +75,11 @@
         if !balancer.is_engine(wanted.service) {
             return None;
         }
-        let mut except = balancer.unhealthy(self.now(), wanted.service);
+        let now = self.now();
+        let mut except = balancer.unhealthy(now, wanted.service);
+        except.extend(balancer.connection_limited(now, wanted.service));
+        except.extend(balancer.excluded_by_weights(now, wanted));
         except.extend(wanted.tried.iter().cloned());
-        except.extend(balancer.excluded_by_weights(self.now(), wanted));
         Demand::of(wanted, except)
     }
 }
--- a/alderhollow/src/placement/message.rs
+++ b/alderhollow/src/placement/message.rs
@@ -138,8 +138,9 @@
 
 /// What a sender reports of an [`Outcome`].
 ///
-/// A 421 is evidence for its sender only, which tells a placer with each demand which backends it excludes. It is
-/// reported as [`End::Cancelled`]: placers of earlier versions exclude a backend for good after [`End::OtherInstance`].
+/// A 421 and a reached connection limit are evidence for their sender only, which tells a placer with each demand which
+/// backends it excludes. They are reported as [`End::Cancelled`]: placers of earlier versions exclude a backend for good
+/// after [`End::OtherInstance`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
 #[cbor(index_only)]
 pub enum End {
@@ -149,7 +150,7 @@
     /// See [`Outcome::Failed`].
     #[n(1)]
     Failed,
-    /// See [`Outcome::Declined`]; also [`Outcome::ConnectionLimit`].
+    /// See [`Outcome::Declined`]. Senders of earlier versions report [`Outcome::ConnectionLimit`] in the same way.
     #[n(2)]
     Declined,
     /// A 421, whatever its reason. Only senders of earlier versions report it.
@@ -164,7 +165,7 @@
     /// See [`Outcome::TimedOut`].
     #[n(6)]
     TimedOut,
-    /// See [`Outcome::Cancelled`]; also [`Outcome::DeadlineExceeded`].
+    /// See [`Outcome::Cancelled`]; also what says nothing that holds for other senders.
     #[n(7)]
     Cancelled,
 }
@@ -174,11 +175,12 @@
         match outcome {
             Outcome::Served => End::Served,
             Outcome::Failed => End::Failed,
-            Outcome::Declined | Outcome::ConnectionLimit => End::Declined,
+            Outcome::Declined => End::Declined,
             Outcome::NoConnection => End::NoConnection,
             Outcome::Broken => End::Broken,
             Outcome::TimedOut => End::TimedOut,
             Outcome::Cancelled
+            | Outcome::ConnectionLimit
             | Outcome::DeadlineExceeded
             | Outcome::OtherInstance
             | Outcome::OtherWeights => End::Cancelled,
