Leave memory for bodies to other routes where one route's requests wait

Cause: buffered bodies had one budget for all requests of a gateway, held until each request ends. Requests of one route that wait for silent backends, for capacity or for a version of weights took it whole, and every other request with a body got 503.

Change: a route holds at most four times what is free of the budget (a dynamic threshold), in a module of its own.

Measured: a_route_with_silent_backends_leaves_memory_for_bodies_of_others, over sockets, fails before the change (four of four bodies held) and passes after it: three are held, the fourth is refused, and another route's request is served.

--- a/alderhollow/src/http_server/intake.rs
+++ b/alderhollow/src/http_server/intake.rs
@@ -1,6 +1,7 @@
 //! Reads and buffers a client's request within the configured limits.
 
 use super::body::ResponseBody;
+use super::body_budget::BodyReservation;
 use super::replies;
 use alderhollow_model::config::Limits;
 use http_body_util::BodyExt;
@@ -8,8 +9,6 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
-use std::cell::Cell;
-use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::time::timeout;
@@ -34,7 +33,7 @@
     /// The client sent no further body data in time.
     #[error("timed out while reading the request body")]
     Stalled,
-    /// Bodies of other requests use up the memory budget.
+    /// Bodies of other requests use up the memory budget, or the part of it that is left to the route.
     #[error("no memory budget remaining for the request body")]
     BudgetExhausted,
 }
@@ -56,42 +55,6 @@
     }
 }
 
-/// Memory budget in bytes that the buffered bodies of all requests share.
-pub(super) struct BodyBudget(Cell<usize>);
-
-impl BodyBudget {
-    /// A budget of `bytes`.
-    pub(super) fn new(bytes: usize) -> Rc<BodyBudget> {
-        Rc::new(BodyBudget(Cell::new(bytes)))
-    }
-}
-
-/// A share of the budget, released on drop.
-struct BodyReservation {
-    budget: Rc<BodyBudget>,
-    bytes: usize,
-}
-
-impl BodyReservation {
-    fn reserve(&mut self, bytes: usize) -> Result<(), RequestReadError> {
-        let remaining = self
-            .budget
-            .0
-            .get()
-            .checked_sub(bytes)
-            .ok_or(RequestReadError::BudgetExhausted)?;
-        self.budget.0.set(remaining);
-        self.bytes += bytes;
-        Ok(())
-    }
-}
-
-impl Drop for BodyReservation {
-    fn drop(&mut self) {
-        self.budget.0.set(self.budget.0.get() + self.bytes);
-    }
-}
-
 /// A fully buffered request body.
 pub(super) struct BufferedBody {
     /// The content of the body.
@@ -137,17 +100,13 @@
 /// Reads and buffers a whole body.
 ///
 /// # Errors
-/// The body is malformed, incomplete, stalled, too large or exceeds the memory budget.
+/// The body is malformed, incomplete, stalled, too large or exceeds its route's part of the memory budget.
 pub(super) async fn read_body(
     mut body: Incoming,
     limits: &Limits,
-    budget: &Rc<BodyBudget>,
+    mut reservation: BodyReservation,
 ) -> Result<BufferedBody, RequestReadError> {
     let read_timeout = Duration::from_millis(limits.header_timeout_ms);
-    let mut reservation = BodyReservation {
-        budget: budget.clone(),
-        bytes: 0,
-    };
     let mut chunks: Vec<Bytes> = Vec::new();
     while !body.is_end_stream() {
         let frame = match timeout(read_timeout, body.frame()).await {
@@ -160,10 +119,12 @@
         let Ok(chunk) = frame.into_data() else {
             continue;
         };
-        if (reservation.bytes + chunk.len()) as u64 > limits.max_body_bytes {
+        if (reservation.bytes() + chunk.len()) as u64 > limits.max_body_bytes {
             return Err(RequestReadError::BodyTooLarge);
         }
-        reservation.reserve(chunk.len())?;
+        if !reservation.reserve(chunk.len()) {
+            return Err(RequestReadError::BudgetExhausted);
+        }
         chunks.push(chunk);
     }
     let bytes = if chunks.len() == 1 {
--- a/alderhollow/src/http_server/mod.rs
+++ b/alderhollow/src/http_server/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempts;
 pub mod body;
+mod body_budget;
 mod client;
 mod drain_deadline;
 mod intake;
@@ -20,12 +21,13 @@
 use alderhollow_model::config::{Limits, Route, RouteType};
 use attempts::{PendingRequest, RequestFailure};
 use body::ResponseBody;
+use body_budget::BodyBudget;
 use drain_deadline::DrainDeadline;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
-use intake::{BodyBudget, BufferedBody};
+use intake::BufferedBody;
 use phase::Phase;
 use std::pin::pin;
 use std::rc::Rc;
@@ -160,7 +162,11 @@
         if let Err(error) = intake::check_head(&head, &body, &limits) {
             return error.reply();
         }
-        let body = match intake::read_body(body, &limits, &self.body_budget).await {
+        let route = find_route(&self.exchange.tables(), &head);
+        let reservation = self
+            .body_budget
+            .reservation(route.as_ref().map_or("", |route| &route.name));
+        let body = match intake::read_body(body, &limits, reservation).await {
             Ok(body) => body,
             Err(error) => return error.reply(),
         };
--- a/alderhollow/tests/http_server.rs
+++ b/alderhollow/tests/http_server.rs
@@ -5,6 +5,7 @@
 use alderhollow::clock::SteadyClock;
 use alderhollow::distribution::client::PollState;
 use alderhollow::distribution::validity::TableValidity;
+use alderhollow::http_server::ServerSettings;
 use alderhollow_model::snapshot::ControlView;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use support::client::{ask, Client};
 use support::gateway::*;
 use support::run;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 #[test]
@@ -702,6 +704,34 @@
     });
 }
 
+/// Guards against requests whose backends are silent holding the memory that requests of other routes need.
+#[test]
+fn a_route_with_silent_backends_leaves_memory_for_bodies_of_others() {
+    const BODY: usize = 5_000;
+    run(async {
+        let settings = ServerSettings {
+            grace: GRACE,
+            max_connections: 100,
+            body_bytes: 4 * BODY,
+            validity: None,
+        };
+        let gateway = Gateway::start_with_settings(3, settings).await;
+        let large = request("/once/1", "", &"x".repeat(BODY));
+        for _ in 0..4 {
+            gateway.backends.script(vec![Step::Hang]);
+            let (address, large) = (gateway.address, large.clone());
+            spawn_local(async move { ask(address, &large).await });
+        }
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(gateway.backends.seen().len(), 3);
+        gateway.backends.drop_scripts();
+        assert_eq!(ask(gateway.address, &large).await.status, 503);
+        gateway.backends.script(served("ok"));
+        let small = request("/often/1", "", &"x".repeat(BODY / 5));
+        assert_eq!(ask(gateway.address, &small).await.status, 200);
+    });
+}
+
 /// Guards against backends that count as failed for all clients because one client gives its requests too little time.
 #[test]
 fn a_client_without_time_ejects_no_backend_for_others() {
--- a/alderhollow/tests/support/gateway.rs
+++ b/alderhollow/tests/support/gateway.rs
@@ -71,6 +71,17 @@
 
     /// The same, where only tables with this validity are the newest.
     pub(crate) async fn start_with(count: usize, validity: Option<TableValidity>) -> Gateway {
+        let settings = ServerSettings {
+            grace: GRACE,
+            max_connections: 100,
+            body_bytes: 1 << 20,
+            validity,
+        };
+        Gateway::start_with_settings(count, settings).await
+    }
+
+    /// The same with settings of its own.
+    pub(crate) async fn start_with_settings(count: usize, settings: ServerSettings) -> Gateway {
         let backends = Backends::default();
         let mut list = Vec::new();
         for number in 0..count {
@@ -82,12 +93,6 @@
         let balancer = Rc::new(RefCell::new(Balancer::new("door-1", "z1", 7)));
         let started = Instant::now();
         let exchange = Exchange::new(started, 7, receiver, balancer.clone());
-        let settings = ServerSettings {
-            grace: GRACE,
-            max_connections: 100,
-            body_bytes: 1 << 20,
-            validity,
-        };
         let server = Server::new(settings, exchange.clone(), Rc::new(NoStores));
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
             .await
