Keep the backoff of each awaited version where a 421 shows no version

Cause: a backend's record of a model held one fact. A 421 without Versions replaced what the backend had shown before, and the refusals of two awaited versions replaced each other, so that neither had a backoff: each request for either went to backends that had just declined it. An item that was declined also came back before the others were checked, and took their tries.

Change: a backend may have shown of several versions that it has not got them; a 421 without a version keeps the version that it has shown; backoffs go on where the fact goes on. A declined item waits for 500 ms, so that items take turns in trying.

--- a/alderhollow/src/balance/weights.rs
+++ b/alderhollow/src/balance/weights.rs
@@ -67,7 +67,8 @@
     Other(Millis),
 }
 
-/// What a backend showed last about one model.
+/// What a backend showed about one model. It shows one version; if it shows none, it may show of several that it has not
+/// got them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Shown {
     Version(WeightsVersion),
@@ -75,12 +76,42 @@
     NotVersion(WeightsVersion),
 }
 
+impl Shown {
+    /// Whether it says that the backend has not got this version.
+    fn excludes(self, version: WeightsVersion) -> bool {
+        match self {
+            Shown::Version(shown) => shown != version,
+            Shown::NotVersion(missing) => missing == version,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Record {
     model: u64,
     shown: Shown,
+    hold: Hold,
+}
+
+/// For how long a record excludes the backend.
+#[derive(Debug, Clone, Copy)]
+struct Hold {
     refusals: u32,
-    held_until: Millis,
+    until: Millis,
+}
+
+impl Hold {
+    const NONE: Hold = Hold {
+        refusals: 0,
+        until: f64::NEG_INFINITY,
+    };
+
+    fn longer(self, other: Hold) -> Hold {
+        Hold {
+            refusals: self.refusals.max(other.refusals),
+            until: self.until.max(other.until),
+        }
+    }
 }
 
 /// What is known of the weights at one backend.
@@ -95,18 +126,18 @@
 impl BackendWeights {
     /// Whether the backend can run a request that expects this version.
     pub(super) fn match_of(&self, now: Millis, expected: ExpectedWeights) -> WeightsMatch {
-        let record = self
+        let mut records = self
             .records
             .iter()
-            .find(|record| record.model == expected.model);
-        let Some(record) = record else {
-            return WeightsMatch::Unknown;
-        };
-        match record.shown {
-            Shown::Version(version) if version == expected.version => WeightsMatch::Matching,
-            Shown::NotVersion(version) if version != expected.version => WeightsMatch::Unknown,
-            _ if now < record.held_until => WeightsMatch::Other(record.held_until),
-            _ => WeightsMatch::HalfOpen,
+            .filter(|record| record.model == expected.model);
+        let is_shown = Shown::Version(expected.version);
+        if records.clone().any(|record| record.shown == is_shown) {
+            return WeightsMatch::Matching;
+        }
+        match records.find(|record| record.shown.excludes(expected.version)) {
+            None => WeightsMatch::Unknown,
+            Some(record) if now < record.hold.until => WeightsMatch::Other(record.hold.until),
+            Some(_) => WeightsMatch::HalfOpen,
         }
     }
 
@@ -122,18 +153,10 @@
             WeightsSource::Response => INITIAL_HOLD_MS,
             WeightsSource::Report => MAX_HOLD_MS,
         };
-        let previous = self.take(model);
         let shown = Shown::Version(version);
-        let unchanged = previous.filter(|record| record.shown == shown);
-        let (refusals, held_until) = unchanged.map_or((0, f64::NEG_INFINITY), |record| {
-            (record.refusals, record.held_until)
-        });
-        self.put(Record {
-            model,
-            shown,
-            refusals,
-            held_until: held_until.max(now + hold),
-        });
+        let previous = self.replace(model, shown);
+        let until = previous.until.max(now + hold);
+        self.put(model, shown, Hold { until, ..previous });
     }
 
     /// Records that the backend declined a request because of its weights. `random` is from 0 to 1.
@@ -144,21 +167,21 @@
         shown: Option<WeightsVersion>,
         random: f64,
     ) {
-        let shown = match shown {
+        let known = shown.or_else(|| self.version(expected.model));
+        let shown = match known {
             Some(version) if version != expected.version => Shown::Version(version),
             _ => Shown::NotVersion(expected.version),
         };
-        let previous = self.take(expected.model);
-        let refusals = previous
-            .filter(|record| record.shown == shown)
-            .map_or(0, |record| record.refusals);
-        let hold = backoff(INITIAL_HOLD_MS, MAX_HOLD_MS, refusals, random);
-        self.put(Record {
-            model: expected.model,
+        let previous = self.replace(expected.model, shown);
+        let hold = backoff(INITIAL_HOLD_MS, MAX_HOLD_MS, previous.refusals, random);
+        self.put(
+            expected.model,
             shown,
-            refusals: refusals.saturating_add(1),
-            held_until: now + hold,
-        });
+            Hold {
+                refusals: previous.refusals.saturating_add(1),
+                until: now + hold,
+            },
+        );
     }
 
     /// Records that a request which expects a version was sent. While its response is due, no other one tries.
@@ -166,9 +189,11 @@
         if self.match_of(now, expected) != WeightsMatch::HalfOpen {
             return;
         }
-        let mut records = self.records.iter_mut();
-        if let Some(record) = records.find(|record| record.model == expected.model) {
-            record.held_until = now + INITIAL_HOLD_MS;
+        let record = self.records.iter_mut().find(|record| {
+            record.model == expected.model && record.shown.excludes(expected.version)
+        });
+        if let Some(record) = record {
+            record.hold.until = now + INITIAL_HOLD_MS;
         }
     }
 
@@ -196,18 +221,40 @@
         self.report_failures = 0;
     }
 
-    fn take(&mut self, model: u64) -> Option<Record> {
-        let index = self
-            .records
-            .iter()
-            .position(|record| record.model == model)?;
-        Some(self.records.remove(index))
+    /// The version that the backend showed last.
+    fn version(&self, model: u64) -> Option<WeightsVersion> {
+        self.records.iter().find_map(|record| match record.shown {
+            Shown::Version(version) if record.model == model => Some(version),
+            _ => None,
+        })
+    }
+
+    /// Removes what a newer response of the backend replaces. Returns how long it has excluded the backend from requests
+    /// that the new record excludes, too.
+    fn replace(&mut self, model: u64, newer: Shown) -> Hold {
+        let mut hold = Hold::NONE;
+        self.records.retain(|record| {
+            let is_replaced = match (record.shown, newer) {
+                _ if record.model != model => false,
+                (Shown::NotVersion(one), Shown::NotVersion(other)) => one == other,
+                _ => true,
+            };
+            let goes_on = match (record.shown, newer) {
+                (Shown::NotVersion(missing), Shown::Version(version)) => missing != version,
+                (former, newer) => former == newer,
+            };
+            if is_replaced && goes_on {
+                hold = hold.longer(record.hold);
+            }
+            !is_replaced
+        });
+        hold
     }
 
-    fn put(&mut self, record: Record) {
+    fn put(&mut self, model: u64, shown: Shown, hold: Hold) {
         if self.records.len() >= MAX_RECORDS {
             self.records.remove(0);
         }
-        self.records.push(record);
+        self.records.push(Record { model, shown, hold });
     }
 }
--- a/alderhollow/src/executor/attempt.rs
+++ b/alderhollow/src/executor/attempt.rs
@@ -20,6 +20,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
 // Delays before the next attempt.
 const RETRY_AFTER_DECLINED_MS: u64 = 120;
+/// Longer than most items wait for their next check, so that the items which wait for a version take turns in trying.
+const RETRY_AFTER_OTHER_WEIGHTS_MS: u64 = 500;
 const RETRY_AFTER_NO_CONNECTION_MS: u64 = 60;
 const RETRY_AFTER_INTERRUPTED_MS: u64 = 20;
 const RETRY_AFTER_UNEXPECTED_STATUS_MS: u64 = 200;
@@ -27,12 +29,10 @@
 /// Result of an attempt without a response.
 pub fn on_send_error(item: &ItemStart, error: SendError) -> RunEnd {
     match error {
-        SendError::NotRun(
-            Outcome::Declined
-            | Outcome::ConnectionLimit
-            | Outcome::OtherWeights
-            | Outcome::Cancelled,
-        ) => not_run(RETRY_AFTER_DECLINED_MS),
+        SendError::NotRun(Outcome::Declined | Outcome::ConnectionLimit | Outcome::Cancelled) => {
+            not_run(RETRY_AFTER_DECLINED_MS)
+        }
+        SendError::NotRun(Outcome::OtherWeights) => not_run(RETRY_AFTER_OTHER_WEIGHTS_MS),
         SendError::NotRun(_) => not_run(RETRY_AFTER_NO_CONNECTION_MS),
         SendError::MayHaveRun(_) => interrupted(item, RETRY_AFTER_INTERRUPTED_MS),
     }
--- a/alderhollow/tests/balance_weights.rs
+++ b/alderhollow/tests/balance_weights.rs
@@ -192,6 +192,58 @@
     assert_eq!(fleet.balancer.next_report(fleet.now), ReportRequest::None);
 }
 
+/// Guards against requests for two versions that start each other's backoff again at backends which answer 421 without a
+/// version.
+#[test]
+fn two_versions_that_never_come_are_tried_with_backoff_where_no_version_is_shown() {
+    let mut fleet = Fleet::new(1);
+    let mut declined = 0;
+    while fleet.now < 60_000.0 {
+        for version in [2, 99] {
+            while let Ok(choice) = fleet.balancer.choose(fleet.now, &for_version(version)) {
+                let (now, id) = (fleet.now, &choice.backend.id);
+                let balancer = &mut fleet.balancer;
+                balancer.refuse_weights(now, id, expected(version), None);
+                balancer.ended(now, choice.attempt, Outcome::OtherWeights);
+                declined += 1;
+            }
+        }
+        // A request for no version shows nothing of the weights either.
+        let request = selection_request(ENGINES, None);
+        let choice = fleet
+            .balancer
+            .choose(fleet.now, &request)
+            .expect("a backend");
+        fleet.end(&choice, Outcome::Served);
+        fleet.now += 50.0;
+    }
+    // Five doublings to 5 s, then one each 4.25 s or more, of either version at each backend.
+    assert!(declined <= 2 * BACKENDS * 20, "{declined} in a minute");
+}
+
+/// Guards against a version that a backend shows being forgotten because it answers 421 without one.
+#[test]
+fn a_421_without_a_version_does_not_take_back_the_version_that_a_backend_has_shown() {
+    let mut fleet = Fleet::new(1);
+    assert!(fleet.send(&for_version(1)).expect("a backend").1);
+    fleet.now += 400.0;
+    for _ in 0..BACKENDS {
+        let request = for_version(2);
+        let Ok(choice) = fleet.balancer.choose(fleet.now, &request) else {
+            break;
+        };
+        fleet
+            .balancer
+            .refuse_weights(fleet.now, &choice.backend.id, expected(2), None);
+        fleet.end(&choice, Outcome::OtherWeights);
+    }
+    let excluded = fleet
+        .balancer
+        .excluded_by_weights(fleet.now, &for_version(1));
+    assert_eq!(excluded.len(), BACKENDS - 1);
+    assert!(fleet.send(&for_version(1)).expect("a backend").1);
+}
+
 /// Guards against the other backends being passed over for a version while the only one that has shown it is ejected.
 #[test]
 fn a_version_that_only_an_ejected_backend_has_shown_is_looked_for_at_the_others() {
