Take any body that fits the memory for bodies where it is its route's only one

Cause: the bound of a route's part of the memory held for its only request, too, so that a body above four fifths of the memory was refused however often it was sent.

Change: a route's only request may have all that is free.

--- a/alderhollow/src/http_server/body_budget.rs
+++ b/alderhollow/src/http_server/body_budget.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// A route holds at most this multiple of the free bytes.
+/// A route with several requests holds at most this multiple of the free bytes.
 const MAX_MULTIPLE_OF_FREE: usize = 4;
 
 /// A budget in bytes.
@@ -37,18 +37,21 @@
         }
     }
 
-    /// Takes bytes for a route. Returns whether it may have them.
-    fn take(&self, route: &str, bytes: usize) -> bool {
+    /// Takes bytes for a route, for a request that already holds `own` bytes. Returns whether it may have them. A route's
+    /// only request may have all that is free, so that every body that fits the budget is taken at some time.
+    fn take(&self, route: &str, own: usize, bytes: usize) -> bool {
         let Some(free) = self.free.get().checked_sub(bytes) else {
             return false;
         };
         let mut held = self.held.borrow_mut();
-        let held_then = held.get(route).copied().unwrap_or(0) + bytes;
-        if held_then > free.saturating_mul(MAX_MULTIPLE_OF_FREE) {
+        let held_before = held.get(route).copied().unwrap_or(0);
+        let held_after = held_before + bytes;
+        let is_only_request = held_before == own;
+        if !is_only_request && held_after > free.saturating_mul(MAX_MULTIPLE_OF_FREE) {
             return false;
         }
         self.free.set(free);
-        held.insert(route.to_string(), held_then);
+        held.insert(route.to_string(), held_after);
         true
     }
 
@@ -81,7 +84,7 @@
 
     /// Reserves further bytes. Returns whether the route may have them.
     pub(super) fn reserve(&mut self, bytes: usize) -> bool {
-        let is_taken = self.budget.take(&self.route, bytes);
+        let is_taken = self.budget.take(&self.route, self.bytes, bytes);
         if is_taken {
             self.bytes += bytes;
         }
