--- a/alderhollow/tests/balance_weights.rs
+++ b/alderhollow/tests/balance_weights.rs
@@ -81,6 +81,17 @@
         self.balancer.ended(self.now, choice.attempt, outcome);
     }
 
+    /// Lets another instance answer at each address. Returns how many requests were sent.
+    fn exclude_all_instances(&mut self) -> usize {
+        let request = selection_request(ENGINES, None);
+        let mut asked = 0;
+        while let Ok(choice) = self.balancer.choose(self.now, &request) {
+            self.end(&choice, Outcome::OtherInstance);
+            asked += 1;
+        }
+        asked
+    }
+
     /// Requests until no backend may be tried. Returns how many were declined.
     fn declined(&mut self, request: &SelectionRequest) -> usize {
         (0..)
@@ -312,12 +323,7 @@
 fn every_backend_after_another_instance_is_asked_again_one_request_at_a_time_and_returns() {
     let mut fleet = Fleet::new(1);
     let request = selection_request(ENGINES, None);
-    let mut asked = 0;
-    while let Ok(choice) = fleet.balancer.choose(fleet.now, &request) {
-        fleet.end(&choice, Outcome::OtherInstance);
-        asked += 1;
-    }
-    assert_eq!(asked, BACKENDS);
+    assert_eq!(fleet.exclude_all_instances(), BACKENDS);
     let excluded = fleet.balancer.take_instance_changes();
     assert_eq!(excluded.len(), BACKENDS);
     assert!(excluded
@@ -368,9 +374,7 @@
 fn a_full_backend_does_not_show_its_instance() {
     let mut fleet = Fleet::new(1);
     let request = selection_request(ENGINES, None);
-    while let Ok(choice) = fleet.balancer.choose(fleet.now, &request) {
-        fleet.end(&choice, Outcome::OtherInstance);
-    }
+    fleet.exclude_all_instances();
     fleet.balancer.take_instance_changes();
     fleet.now += 400.0;
     let choice = fleet.balancer.choose(fleet.now, &request).expect("a trial");
@@ -383,9 +387,7 @@
 fn a_request_for_a_version_does_not_end_the_exclusion_of_an_instance() {
     let mut fleet = Fleet::new(1);
     let request = selection_request(ENGINES, None);
-    while let Ok(choice) = fleet.balancer.choose(fleet.now, &request) {
-        fleet.end(&choice, Outcome::OtherInstance);
-    }
+    fleet.exclude_all_instances();
     fleet.balancer.take_instance_changes();
     fleet.now += 400.0;
     assert_eq!(fleet.declined(&for_version(2)), BACKENDS);
