Conclude that a request has not run from evidence only

`Link::send` reported each failure before the last byte of a request as "it never ran". The tier's protocol states that only by `Not-Executed` and 421: a backend may begin before a long body is in.

Evidence: a short request that was reset got 502 on the code before, so neither the retry of a request that may have run nor the client's retry was the cause; the case shows one id at two backends, and needs a body longer than the buffers between them.

Change: `Written` tells whether nothing, a part or all of a request was accepted by the system; a write that fails has written nothing. `Evidence` adds the decline by the request's id, also on a new connection, where an answer without the id was enough before. Retries, the answer at the deadline and the ends of items ask `Evidence::may_have_run`. Metric: `alderhollow_backend_unserved_attempts_total`. The gateway in service decides as before, now at the place where its own protocol matters: "A backend begins a request when the request's last byte has come".

The test `a_request_has_not_run_unless_its_last_byte_was_written` stated the wrong conclusion. Three tests replace it, which hold the same resets to nothing, partly and wholly written.

Result: four of the eight tests in `unanswered_requests` fail on the code before: (200, 2) in place of (502, 1) for a reset within the body, (503, 3) for (502, 2) where the attempts are used up, 503 for 504 at the deadline, (200, 2) for a decline without the id.

--- a/alderhollow/src/exchange/mod.rs
+++ b/alderhollow/src/exchange/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod attempt;
 pub mod events;
+pub mod evidence;
 mod misdirected;
 pub mod outbound;
 mod placing;
@@ -23,10 +24,10 @@
 use crate::placement::client::PlacementClient;
 use crate::routing::ServicePicker;
 use crate::SnapshotReceiver;
-use alderhollow_dataplane::link::Failure;
 use alderhollow_model::config::Route;
 use alderhollow_model::snapshot::Snapshot;
 use attempt::{Attempt, PlacerReport};
+use evidence::SendError;
 use hyper::header::HeaderMap;
 use outbound::Outbound;
 use placing::Placement;
@@ -41,15 +42,6 @@
 use verdict::Verdict;
 use wait_limits::WaitLimits;
 
-/// Why an attempt brought no response from a backend that ran the request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SendError {
-    /// The backend has not run the request and will not run it.
-    NotRun(Outcome),
-    /// The request was written completely, and whether it ran is unknown.
-    MayHaveRun(Outcome),
-}
-
 /// Sends all requests of one process to backends.
 pub struct Exchange {
     balancer: Rc<RefCell<Balancer>>,
@@ -244,10 +236,10 @@
     ) -> Result<BackendResponse, SendError> {
         match self.try_send(attempt, outbound, resume_after, limits).await {
             Ok(answer) => Ok(answer),
-            Err((attempt, unanswered)) => {
-                let (SendError::NotRun(outcome) | SendError::MayHaveRun(outcome)) = unanswered;
-                attempt.end(outcome);
-                Err(unanswered)
+            Err((attempt, error)) => {
+                attempt.end(error.outcome);
+                metrics::get().backends.unserved(error.evidence.into());
+                Err(error)
             }
         }
     }
@@ -264,25 +256,20 @@
         }
         let mut pooled = match self.connection(&attempt, limits).await {
             Ok(pooled) => pooled,
-            Err(outcome) => return Err((attempt, SendError::NotRun(outcome))),
+            Err(outcome) => return Err((attempt, SendError::not_written(outcome))),
         };
         // There is no await point between the checks in `connection` and the first byte written, so they still hold.
         let request = outbound.request(&attempt.backend().id, resume_after, limits.deadline);
         let Ok(request) = request else {
-            return Err((attempt, SendError::NotRun(Outcome::Cancelled)));
+            return Err((attempt, SendError::not_written(Outcome::Cancelled)));
         };
         let response = match limits.wait(pooled.link.send(request)).await {
             Ok(Ok(response)) => response,
-            Ok(Err(Failure::Unsent)) => {
-                return Err((attempt, SendError::NotRun(Outcome::NoConnection)))
-            }
-            Ok(Err(Failure::Broken(_))) => {
-                return Err((attempt, SendError::MayHaveRun(Outcome::Broken)))
+            Ok(Err(failure)) => return Err((attempt, SendError::broken(failure.written))),
+            Err(limit) => {
+                let written = pooled.link.written();
+                return Err((attempt, SendError::unanswered(written, limit.into())));
             }
-            Err(limit) if pooled.link.is_written() => {
-                return Err((attempt, SendError::MayHaveRun(limit.into())))
-            }
-            Err(limit) => return Err((attempt, SendError::NotRun(limit.into()))),
         };
         let verdict = verdict::classify(&response, outbound, &pooled);
         match verdict {
@@ -295,7 +282,7 @@
             Verdict::Declined => {
                 pooled.apply_keep_alive(response.headers());
                 self.pool.drain(pooled, response.into_body()).await;
-                Err((attempt, SendError::NotRun(Outcome::Declined)))
+                Err((attempt, SendError::declined(Outcome::Declined)))
             }
             Verdict::OtherWeights { expected, shown } => {
                 let id = &attempt.backend().id;
@@ -304,10 +291,13 @@
                     .refuse_weights(self.now(), id, expected, shown);
                 pooled.apply_keep_alive(response.headers());
                 self.pool.drain(pooled, response.into_body()).await;
-                Err((attempt, SendError::NotRun(Outcome::OtherWeights)))
+                Err((attempt, SendError::declined(Outcome::OtherWeights)))
+            }
+            Verdict::OtherInstance => Err((attempt, SendError::declined(Outcome::OtherInstance))),
+            Verdict::Mismatched => {
+                let written = pooled.link.written();
+                Err((attempt, SendError::unanswered(written, Outcome::Broken)))
             }
-            Verdict::OtherInstance => Err((attempt, SendError::NotRun(Outcome::OtherInstance))),
-            Verdict::Mismatched => Err((attempt, SendError::MayHaveRun(Outcome::Broken))),
         }
     }
 
--- a/alderhollow/src/exchange/verdict.rs
+++ b/alderhollow/src/exchange/verdict.rs
@@ -30,7 +30,7 @@
 }
 
 /// Classifies a response. Only `Request-Id` tells a surplus response to an earlier request from the response to this
-/// one. On a new connection nothing can be left over, so a backend that declines may omit the id.
+/// one.
 pub(super) fn classify(
     response: &Response<Incoming>,
     outbound: &Outbound,
@@ -39,10 +39,7 @@
     let headers = response.headers();
     let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
     let declined = headers.contains_key(outbound::NOT_EXECUTED) || is_misdirected;
-    let id_matches = match headers.get(outbound::REQUEST_ID) {
-        Some(id) => id == outbound.request_id(),
-        None => declined && pooled.is_new(),
-    };
+    let id_matches = headers.get(outbound::REQUEST_ID) == Some(outbound.request_id());
     match (id_matches, is_misdirected, declined) {
         (false, ..) => Verdict::Mismatched,
         (true, true, _) => misdirected(response, outbound, pooled),
--- a/alderhollow/src/executor/attempt.rs
+++ b/alderhollow/src/executor/attempt.rs
@@ -2,8 +2,8 @@
 
 use super::events::{EventReader, Transcript};
 use crate::balance::Outcome;
+use crate::exchange::evidence::SendError;
 use crate::exchange::response::{BackendResponse, IncompleteResponse};
-use crate::exchange::SendError;
 use crate::metrics;
 use alderhollow_batch::api::{ItemStart, Resume, RunEnd};
 use hyper::body::Bytes;
@@ -28,13 +28,15 @@
 
 /// Result of an attempt without a response.
 pub fn on_send_error(item: &ItemStart, error: SendError) -> RunEnd {
-    match error {
-        SendError::NotRun(Outcome::Declined | Outcome::ConnectionLimit | Outcome::Cancelled) => {
+    if error.evidence.may_have_run() {
+        return interrupted(item, RETRY_AFTER_INTERRUPTED_MS);
+    }
+    match error.outcome {
+        Outcome::Declined | Outcome::ConnectionLimit | Outcome::Cancelled => {
             not_run(RETRY_AFTER_DECLINED_MS)
         }
-        SendError::NotRun(Outcome::OtherWeights) => not_run(RETRY_AFTER_OTHER_WEIGHTS_MS),
-        SendError::NotRun(_) => not_run(RETRY_AFTER_NO_CONNECTION_MS),
-        SendError::MayHaveRun(_) => interrupted(item, RETRY_AFTER_INTERRUPTED_MS),
+        Outcome::OtherWeights => not_run(RETRY_AFTER_OTHER_WEIGHTS_MS),
+        _ => not_run(RETRY_AFTER_NO_CONNECTION_MS),
     }
 }
 
--- a/alderhollow/src/http_server/attempts.rs
+++ b/alderhollow/src/http_server/attempts.rs
@@ -8,7 +8,7 @@
 use crate::exchange::outbound::Outbound;
 use crate::exchange::response::BackendResponse;
 use crate::exchange::wait_limits::{Alternatives, WaitLimits};
-use crate::exchange::{Exchange, SendError};
+use crate::exchange::Exchange;
 use alderhollow_model::config::Route;
 use hyper::body::Bytes;
 use hyper::{Response, StatusCode};
@@ -176,14 +176,17 @@
             };
             match sent {
                 Ok(response) => return Ok(response),
-                Err(SendError::NotRun(outcome)) => {
+                Err(error) if error.evidence.may_have_run() => {
+                    if !self.may_run_again() {
+                        return Err(self.failure());
+                    }
+                }
+                Err(error) => {
                     self.may_have_run -= 1;
-                    if self.was_declined_too_often(outcome) {
+                    if self.was_declined_too_often(error.outcome) {
                         return Err(self.failure());
                     }
                 }
-                Err(SendError::MayHaveRun(_)) if self.may_run_again() => {}
-                Err(SendError::MayHaveRun(_)) => return Err(self.failure()),
             }
         }
     }
--- a/alderhollow/src/metrics/backends.rs
+++ b/alderhollow/src/metrics/backends.rs
@@ -22,6 +22,24 @@
     name: "alderhollow_backend_connections_refused_total",
     help: "Connections to backends that the system refused to this process: no descriptor, port or memory was left",
 };
+const UNSERVED: Description = Description {
+    name: "alderhollow_backend_unserved_attempts_total",
+    help: "Attempts at a backend that brought no response of one that ran the request, by what is known of the request",
+};
+
+label! {
+    /// What is known of a request that was not served by an attempt.
+    UnservedEvidence named "evidence" {
+        /// No byte was written: it has not run.
+        NothingWritten => "nothing_written",
+        /// A part was written: it may have run.
+        PartlyWritten => "partly_written",
+        /// All was written: it may have run.
+        WhollyWritten => "wholly_written",
+        /// The backend declined it: it has not run.
+        Declined => "declined",
+    }
+}
 
 label! {
     /// The reason for a 421.
@@ -52,6 +70,7 @@
     returns: Counter,
     weights_reports: CounterFamily<ReportResult>,
     connections_refused: Counter,
+    unserved: CounterFamily<UnservedEvidence>,
 }
 
 impl BackendMetrics {
@@ -62,6 +81,7 @@
             returns: registrar.counter(&RETURNS),
             weights_reports: registrar.counters(&WEIGHTS_REPORTS),
             connections_refused: registrar.counter(&CONNECTIONS_REFUSED),
+            unserved: registrar.counters(&UNSERVED),
         }
     }
 
@@ -85,6 +105,11 @@
         self.weights_reports.of(result).add(1);
     }
 
+    /// An attempt brought no response of a backend that ran the request.
+    pub fn unserved(&self, evidence: UnservedEvidence) {
+        self.unserved.of(evidence).add(1);
+    }
+
     /// The system refused this process a connection.
     pub fn connection_refused_by_system(&self) {
         self.connections_refused.add(1);
--- a/alderhollow/standins/src/lib.rs
+++ b/alderhollow/standins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod platform;
 pub mod process;
 pub mod processor_quota;
+pub mod raw_request;
 pub mod settings;
 
 /// Names of the headers that the tier's callers and backends use.
--- a/alderhollow/tests/descriptor_limit.rs
+++ b/alderhollow/tests/descriptor_limit.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use alderhollow::balance::Outcome;
+use alderhollow::exchange::evidence::{Evidence, SendError};
 use alderhollow::exchange::wait_limits::WaitLimits;
-use alderhollow::exchange::SendError;
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
 use std::time::Duration;
 use support::gateway::{outbound, selection, Gateway};
@@ -33,7 +33,10 @@
         setrlimit(Resource::Nofile, allowed).expect("the former limit");
 
         assert_eq!(gateway.unhealthy(), Vec::<String>::new());
-        let outcome = SendError::NotRun(Outcome::ConnectionLimit);
+        let outcome = SendError {
+            evidence: Evidence::NothingWritten,
+            outcome: Outcome::ConnectionLimit,
+        };
         assert_eq!(sent.err(), Some(outcome));
     });
 }
--- a/alderhollow/tests/early_answers.rs
+++ b/alderhollow/tests/early_answers.rs
@@ -3,14 +3,10 @@
 
 mod support;
 
-use alderhollow_model::config::Config;
-use alderhollow_model::identity::Address;
-use alderhollow_model::snapshot::{ControlView, Snapshot};
 use socket2::SockRef;
 use std::cell::RefCell;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
-use std::sync::Arc;
 use support::client::{ask, Client};
 use support::gateway::*;
 use support::run;
@@ -76,33 +72,11 @@
     }
 }
 
-/// A gateway with only this backend that accepts long bodies.
-async fn gateway(backend: SocketAddr) -> Gateway {
-    let gateway = Gateway::start(0).await;
-    let initial = snapshot(
-        vec![support::gateway::backend("b0", Address(backend))],
-        true,
-    );
-    let config = initial.control.config.as_ref().expect("a configuration");
-    let mut config = Config::clone(config);
-    config.limits.max_body_bytes = MAX_BODY_BYTES;
-    let control = ControlView {
-        version: 2,
-        config: Some(Arc::new(config)),
-        ..Default::default()
-    };
-    gateway.snapshots.send_replace(Arc::new(Snapshot {
-        control: Arc::new(control),
-        ..initial
-    }));
-    gateway
-}
-
 #[test]
 fn a_connection_with_an_unfinished_body_carries_no_other_request() {
     run(async {
         let backend = EarlyBackend::default();
-        let gateway = gateway(backend.start().await).await;
+        let gateway = Gateway::start_over(vec![backend.start().await], MAX_BODY_BYTES).await;
         let body: String = (0..BODY_BYTES)
             .map(|index| char::from(b'a' + (index % 23) as u8))
             .collect();
--- a/alderhollow/tests/http_server.rs
+++ b/alderhollow/tests/http_server.rs
@@ -581,8 +581,8 @@
 fn a_backend_that_drains_between_the_choice_and_the_first_byte_gets_nothing() {
     run(async {
         use alderhollow::balance::Outcome;
+        use alderhollow::exchange::evidence::{Evidence, SendError};
         use alderhollow::exchange::wait_limits::WaitLimits;
-        use alderhollow::exchange::SendError;
 
         let gateway = Gateway::start(1).await;
         let outbound = outbound("/once/1");
@@ -613,7 +613,11 @@
                 gateway.exchange.send(attempt, &outbound, None, &patience),
                 async { gateway.drain_all() }
             );
-            assert_eq!(sent.err(), Some(SendError::NotRun(Outcome::Cancelled)));
+            let not_written = SendError {
+                evidence: Evidence::NothingWritten,
+                outcome: Outcome::Cancelled,
+            };
+            assert_eq!(sent.err(), Some(not_written));
             assert_eq!(gateway.backends.seen().len(), before);
         }
     });
--- a/alderhollow/tests/support/gateway.rs
+++ b/alderhollow/tests/support/gateway.rs
@@ -42,6 +42,8 @@
  "limits":{"max-header-bytes":2000,"max-body-bytes":5000,"header-timeout-ms":3000,"idle-timeout-ms":15000}}"#;
 
 pub(crate) const GRACE: Duration = Duration::from_secs(8);
+/// Largest bodies that a gateway over a test's own backends may hold at a time.
+const BODIES_IN_MEMORY: usize = 32;
 
 /// Endpoints without stores: each call gets 503.
 struct NoStores;
@@ -112,6 +114,35 @@
         }
     }
 
+    /// A gateway over backends of the test's own, that takes bodies of so many bytes.
+    pub(crate) async fn start_over(backends: Vec<SocketAddr>, max_body_bytes: u64) -> Gateway {
+        let settings = ServerSettings {
+            grace: GRACE,
+            max_connections: 100,
+            body_bytes: BODIES_IN_MEMORY * max_body_bytes as usize,
+            validity: None,
+        };
+        let gateway = Gateway::start_with_settings(0, settings).await;
+        let numbered = backends.into_iter().enumerate();
+        let list = numbered
+            .map(|(number, address)| backend(&format!("b{number}"), Address(address)))
+            .collect();
+        let initial = snapshot(list, true);
+        let config = initial.control.config.as_ref().expect("a configuration");
+        let mut config = Config::clone(config);
+        config.limits.max_body_bytes = max_body_bytes;
+        let control = ControlView {
+            version: 2,
+            config: Some(Arc::new(config)),
+            ..Default::default()
+        };
+        gateway.snapshots.send_replace(Arc::new(Snapshot {
+            control: Arc::new(control),
+            ..initial
+        }));
+        gateway
+    }
+
     /// Changes the list of backends.
     pub(crate) fn list(&self, change: impl Fn(&mut Vec<Backend>)) {
         let mut list = self.snapshots.borrow().backends.backends.clone();
--- a/dataplane/src/lib.rs
+++ b/dataplane/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod flow;
 pub mod headers;
 pub mod link;
+pub mod progress;
--- a/dataplane/src/link.rs
+++ b/dataplane/src/link.rs
@@ -2,8 +2,9 @@
 //! dropping it has closed the socket.
 
 use crate::flow::Upload;
+use crate::progress::{Progress, TrackedBody, Written};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Request, Response};
@@ -18,6 +19,7 @@
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
+use thiserror::Error;
 use tokio::net::{TcpSocket, TcpStream};
 
 /// What is read ahead of its reader, or written ahead of it, on one connection by the program.
@@ -25,32 +27,22 @@
 /// The same by the system.
 pub const KERNEL_BUFFER: u32 = 64 * 1024;
 
-/// Why an exchange brought no whole answer.
-#[derive(Debug, PartialEq, Eq)]
-pub enum Failure {
-    /// The request's last byte was not written: it never ran.
-    Unsent,
-    /// The connection broke, or the answer is not one of HTTP, after that; and what was wrong, for the log.
-    Broken(String),
+/// An exchange brought no complete answer: its connection broke, or the answer is not one of HTTP.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{problem}")]
+pub struct Failure {
+    /// How much of the request was written before.
+    pub written: Written,
+    /// What was wrong, for the log.
+    pub problem: String,
 }
 
-/// The requests that a connection has written whole.
-#[derive(Default)]
-struct Progress {
-    /// Where they are counted.
-    written: Rc<Cell<u64>>,
-    /// Whether a request is being written, has begun to be, and has all gone to the connection.
-    writing: Cell<bool>,
-    begun: Cell<bool>,
-    all_there: Cell<bool>,
-    /// Whether the next read asks the system first.
-    asks_system: Cell<bool>,
-}
-
-/// The connection's socket, which tells when a request's last byte has gone out.
+/// The connection's socket, which records how far a request was written.
 struct Socket {
     stream: TokioIo<TcpStream>,
     progress: Rc<Progress>,
+    /// Whether the next read asks the system first.
+    asks_system: Rc<Cell<bool>>,
 }
 
 impl Read for Socket {
@@ -59,7 +51,7 @@
         context: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.progress.asks_system.take() && !is_silent(self.stream.inner()) {
+        if self.asks_system.take() && !is_silent(self.stream.inner()) {
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
         Pin::new(&mut self.stream).poll_read(context, buffer)
@@ -78,18 +70,18 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write(context, bytes));
-        self.progress.begun.set(true);
-        Poll::Ready(written)
+        let count = ready!(Pin::new(&mut self.stream).poll_write(context, bytes))?;
+        self.progress.on_written(count);
+        Poll::Ready(Ok(count))
     }
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, slices));
-        self.progress.begun.set(true);
-        Poll::Ready(written)
+        let count = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, slices))?;
+        self.progress.on_written(count);
+        Poll::Ready(Ok(count))
     }
     fn is_write_vectored(&self) -> bool {
         self.stream.is_write_vectored()
@@ -97,11 +89,7 @@
     /// hyper flushes once its own buffer is written out.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.stream).poll_flush(context))?;
-        let progress = &self.progress;
-        if progress.writing.get() && progress.begun.get() && progress.all_there.get() {
-            progress.writing.set(false);
-            progress.written.set(progress.written.get() + 1);
-        }
+        self.progress.on_flushed();
         Poll::Ready(Ok(()))
     }
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -109,42 +97,16 @@
     }
 }
 
-/// A request's body that tells when all of it has gone to the connection.
-struct Tracked {
-    body: Upload,
-    progress: Rc<Progress>,
-}
-
-impl Body for Tracked {
-    type Data = Bytes;
-    type Error = hyper::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
-        if frame.is_none() || self.body.is_end_stream() {
-            self.progress.all_there.set(true);
-        }
-        Poll::Ready(frame)
-    }
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
-type Running = Box<Connection<Socket, Tracked>>;
+type Running = Box<Connection<Socket, TrackedBody>>;
 
 /// One connection, which carries one exchange at a time.
 pub struct Link {
-    sender: SendRequest<Tracked>,
+    sender: SendRequest<TrackedBody>,
     /// `None` once it is over. It is large, and links are moved about.
     connection: Option<Running>,
     progress: Rc<Progress>,
+    /// Whether the next read asks the system first.
+    asks_system: Rc<Cell<bool>>,
 }
 
 impl Link {
@@ -178,13 +140,12 @@
         }
         let stream = socket.connect(address).await?;
         stream.set_nodelay(true)?;
-        let progress = Rc::new(Progress {
-            written,
-            ..Progress::default()
-        });
+        let progress = Rc::new(Progress::new(written));
+        let asks_system = Rc::new(Cell::new(false));
         let socket = Socket {
             stream: TokioIo::new(stream),
             progress: progress.clone(),
+            asks_system: asks_system.clone(),
         };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER)
@@ -195,36 +156,33 @@
             sender,
             connection: Some(Box::new(connection)),
             progress,
+            asks_system,
         })
     }
 
     /// Sends one request and waits until its answer begins.
     ///
     /// # Errors
-    /// The connection broke before the answer began.
+    /// The connection broke before the answer began; the error tells how much of the request was written.
     pub async fn send(&mut self, request: Request<Upload>) -> Result<Response<Incoming>, Failure> {
         let Link {
             sender,
             connection,
             progress,
+            ..
         } = self;
-        progress.begun.set(false);
-        progress.all_there.set(request.body().is_end_stream());
-        progress.writing.set(true);
-        let request = request.map(|body| Tracked {
-            body,
-            progress: progress.clone(),
-        });
+        progress.begin(request.body().is_end_stream());
+        let request = request.map(|body| TrackedBody::new(body, progress.clone()));
         let answer = drive(connection, sender.try_send_request(request)).await;
-        answer.map_err(|error| match progress.writing.get() {
-            true => Failure::Unsent,
-            false => Failure::Broken(error.error().to_string()),
+        answer.map_err(|error| Failure {
+            written: progress.written(),
+            problem: error.error().to_string(),
         })
     }
 
-    /// Whether the last byte of the request that was sent last has gone out. Until then it has not run.
-    pub fn is_written(&self) -> bool {
-        !self.progress.writing.get()
+    /// How much of the request that was sent last was written.
+    pub fn written(&self) -> Written {
+        self.progress.written()
     }
 
     /// The next piece of an answer that has begun; `None` at its end.
@@ -237,7 +195,12 @@
                         return Some(Ok(data));
                     }
                 }
-                Err(error) => return Some(Err(Failure::Broken(error.to_string()))),
+                Err(error) => {
+                    return Some(Err(Failure {
+                        written: self.written(),
+                        problem: error.to_string(),
+                    }))
+                }
             }
         }
     }
@@ -252,9 +215,9 @@
     /// in since the reactor last looked, be it the process that stood still or the timer that was served first: a
     /// read that waits for the reactor's word misses it.
     pub async fn is_silent(&mut self) -> bool {
-        self.progress.asks_system.set(true);
+        self.asks_system.set(true);
         let usable = self.is_usable().await;
-        self.progress.asks_system.set(false);
+        self.asks_system.set(false);
         usable
     }
 
--- a/quota-gateway/src/bin/quota-gateway/backends/attempts.rs
+++ b/quota-gateway/src/bin/quota-gateway/backends/attempts.rs
@@ -5,6 +5,7 @@
 use crate::clients::connections;
 use alderhollow_dataplane::flow::{flow, Flow, Upload};
 use alderhollow_dataplane::link::Failure;
+use alderhollow_dataplane::progress::Written;
 use gateway_cluster::sessions::evidence;
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
@@ -255,11 +256,18 @@
             .await
         {
             Ok(end) => end,
-            Err(Failure::Unsent) => {
+            // Here a backend begins a request only when its last byte has come.
+            Err(Failure {
+                written: Written::Nothing | Written::Partly,
+                ..
+            }) => {
                 self.pool.take_back(id, &mut pooled);
                 return Outcome::NoConnection.into();
             }
-            Err(Failure::Broken(problem)) => {
+            Err(Failure {
+                written: Written::Wholly,
+                problem,
+            }) => {
                 let tally = &mut *self.pool.tally.borrow_mut();
                 *if pooled.used == 0 {
                     &mut tally.broken_new
@@ -393,7 +401,10 @@
 }
 
 fn stalled() -> Result<Bytes, Failure> {
-    Err(Failure::Broken("nothing more came".into()))
+    Err(Failure {
+        written: Written::Wholly,
+        problem: "nothing more came".into(),
+    })
 }
 
 /// What an answer's head says of the customer's use.
