Never send two attempts of one request on one connection

An attempt of an item has the item's id, as the tier's protocol asks for. After a 500 its connection went back into the pool, and the next attempt could get it: there the second copy of the first answer stood in the place of its own, with the right id, and from then on each answer was one attempt late.

Change: a connection remembers the ids of requests that may be sent again (declined, failed, and items always) and carries no further attempt of them; after 1,000 it is closed. On another connection the id can only be that of the attempt's own answer. Requests of clients that were served are forgotten, so their connections are kept as before. Metric: `alderhollow_backend_connections_passed_over_total`.

The soak draws backends that answer 500 twice; it compares dead letters with what the backends ran.

Result: three tests of `executor` fail on the code before: a surplus 500 counts as the answer to the next attempt, [Failed, Failed, Rejected, Rejected] for [Failed, Failed, Rejected, Completed], and a surplus decline as that of the next attempt.

--- a/alderhollow/src/exchange/mod.rs
+++ b/alderhollow/src/exchange/mod.rs
@@ -2,6 +2,7 @@
 //! and classifies the response. Callers decide what the outcome of an attempt means for a client or a batch item.
 
 pub mod attempt;
+mod carried_requests;
 pub mod events;
 pub mod evidence;
 mod misdirected;
@@ -28,7 +29,7 @@
 use alderhollow_model::snapshot::Snapshot;
 use attempt::{Attempt, PlacerReport};
 use evidence::SendError;
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderValue};
 use outbound::Outbound;
 use placing::Placement;
 use pool::{Pool, Pooled};
@@ -254,7 +255,8 @@
         if outbound.expected_weights().is_some() {
             self.follows_weights.set(true);
         }
-        let mut pooled = match self.connection(&attempt, limits).await {
+        let request_id = outbound.request_id();
+        let mut pooled = match self.connection(&attempt, request_id, limits).await {
             Ok(pooled) => pooled,
             Err(outcome) => return Err((attempt, SendError::not_written(outcome))),
         };
@@ -263,6 +265,7 @@
         let Ok(request) = request else {
             return Err((attempt, SendError::not_written(Outcome::Cancelled)));
         };
+        pooled.record_request(request_id);
         let response = match limits.wait(pooled.link.send(request)).await {
             Ok(Ok(response)) => response,
             Ok(Err(failure)) => return Err((attempt, SendError::broken(failure.written))),
@@ -277,7 +280,7 @@
                 pooled.apply_keep_alive(response.headers());
                 pooled.confirm_instance();
                 self.record_shown_weights(&attempt, outbound, response.headers());
-                Ok(BackendResponse::new(response, pooled, attempt))
+                Ok(BackendResponse::new(response, outbound, pooled, attempt))
             }
             Verdict::Declined => {
                 pooled.apply_keep_alive(response.headers());
@@ -301,16 +304,18 @@
         }
     }
 
-    /// Returns a connection without unexpected input, to a backend that can take the request at this moment.
+    /// Returns a connection without unexpected input, to a backend that can take the request at this moment. It has not
+    /// carried an earlier attempt of the request.
     async fn connection(
         &self,
         attempt: &Attempt,
+        request_id: &HeaderValue,
         limits: &WaitLimits<'_>,
     ) -> Result<Pooled, Outcome> {
         let deadline = limits.deadline;
         let backend = attempt.backend();
         loop {
-            let mut pooled = match self.pool.take_idle(&backend.id) {
+            let mut pooled = match self.pool.take_idle(&backend.id, request_id) {
                 Some(pooled) => pooled,
                 None => {
                     let max_connections = self.tables().connections(&backend.service);
--- a/alderhollow/src/exchange/outbound.rs
+++ b/alderhollow/src/exchange/outbound.rs
@@ -47,6 +47,7 @@
     body: Bytes,
     request_id: HeaderValue,
     expected_weights: Option<ExpectedWeights>,
+    may_recur: bool,
 }
 
 impl Outbound {
@@ -74,9 +75,23 @@
             body,
             request_id,
             expected_weights,
+            may_recur: false,
         })
     }
 
+    /// The same for a request that may be sent again after it was served, like an item whose result was not recorded.
+    pub fn recurring(self) -> Outbound {
+        Outbound {
+            may_recur: true,
+            ..self
+        }
+    }
+
+    /// Whether it may be sent again after it was served.
+    pub(super) fn may_recur(&self) -> bool {
+        self.may_recur
+    }
+
     /// The id that the response has to repeat.
     pub fn request_id(&self) -> &HeaderValue {
         &self.request_id
--- a/alderhollow/src/exchange/pool.rs
+++ b/alderhollow/src/exchange/pool.rs
@@ -1,13 +1,14 @@
 //! Pool of connections to backends, keyed by the backend's id. A restarted backend has a new id, so it never gets a
 //! connection of its predecessor.
 
+use super::carried_requests::CarriedRequests;
 use crate::balance::Outcome;
 use crate::metrics;
 use alderhollow_dataplane::headers::keep_alive;
 use alderhollow_dataplane::link::Link;
 use alderhollow_model::backend::Backend;
 use hyper::body::Incoming;
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderValue};
 use rustix::io::Errno;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -42,7 +43,9 @@
     /// When it last became idle.
     idle_since: Instant,
     idle_timeout: Duration,
-    exchanges: u32,
+    /// Whether the response to an earlier request was read from it.
+    is_used: bool,
+    carried: CarriedRequests,
     is_instance_confirmed: bool,
     _open_guard: OpenGuard,
 }
@@ -50,7 +53,17 @@
 impl Pooled {
     /// Whether it has not carried an exchange yet.
     pub fn is_new(&self) -> bool {
-        self.exchanges == 0
+        !self.is_used
+    }
+
+    /// Records a request that is about to be written.
+    pub fn record_request(&mut self, request_id: &HeaderValue) {
+        self.carried.record(request_id);
+    }
+
+    /// Records that the last request has its final response and is not sent again.
+    pub fn forget_last_request(&mut self) {
+        self.carried.forget_last();
     }
 
     /// Records that the backend has run a request that named its instance.
@@ -113,15 +126,20 @@
 }
 
 impl Pool {
-    /// Takes the most recently used idle connection that is past `REUSE_DELAY`.
-    pub fn take_idle(&self, backend: &str) -> Option<Pooled> {
+    /// Takes the most recently used idle connection that is past `REUSE_DELAY` and has not carried an earlier attempt of
+    /// the request with this id.
+    pub fn take_idle(&self, backend: &str, request_id: &HeaderValue) -> Option<Pooled> {
         let mut backends = self.backends.borrow_mut();
         let idle = &mut backends.get_mut(backend)?.idle;
         idle.retain(|pooled| !pooled.is_expired());
-        let index = idle
-            .iter()
-            .rposition(|pooled| pooled.idle_since.elapsed() >= REUSE_DELAY)?;
-        Some(idle.remove(index))
+        let is_rested = |pooled: &Pooled| pooled.idle_since.elapsed() >= REUSE_DELAY;
+        let newest = idle.iter().rposition(is_rested)?;
+        let may_carry = |pooled: &Pooled| is_rested(pooled) && !pooled.carried.contains(request_id);
+        let chosen = idle.iter().rposition(may_carry);
+        if chosen != Some(newest) {
+            metrics::get().backends.connection_passed_over();
+        }
+        Some(idle.remove(chosen?))
     }
 
     /// Opens a connection, unless `max_connections` are open.
@@ -154,7 +172,8 @@
                 backend: backend.id.clone(),
                 idle_since: Instant::now(),
                 idle_timeout: DEFAULT_IDLE_TIMEOUT,
-                exchanges: 0,
+                is_used: false,
+                carried: CarriedRequests::default(),
                 is_instance_confirmed: false,
                 _open_guard: open,
             }),
@@ -171,8 +190,9 @@
     /// Puts a connection whose last response was read to the end back into the pool.
     pub async fn put_idle(&self, mut pooled: Pooled) {
         pooled.idle_since = Instant::now();
-        pooled.exchanges = pooled.exchanges.saturating_add(1);
-        if pooled.idle_timeout.is_zero() || !pooled.link.is_usable().await {
+        pooled.is_used = true;
+        let may_be_reused = !pooled.idle_timeout.is_zero() && !pooled.carried.is_full();
+        if !may_be_reused || !pooled.link.is_usable().await {
             return;
         }
         if let Some(connections) = self.backends.borrow_mut().get_mut(&pooled.backend) {
--- a/alderhollow/src/exchange/response.rs
+++ b/alderhollow/src/exchange/response.rs
@@ -1,7 +1,7 @@
 //! Responses of backends whose head has arrived.
 
 use super::attempt::Attempt;
-use super::outbound::RESPONSE_SEAL;
+use super::outbound::{Outbound, RESPONSE_SEAL};
 use super::pool::Pooled;
 use crate::balance::Outcome;
 use alderhollow_dataplane::headers::pass_on;
@@ -30,6 +30,8 @@
     body: Incoming,
     /// Whether the framing distinguishes the end of the body from a lost connection.
     delimited: bool,
+    /// Whether its request may be sent again after it was served.
+    may_recur: bool,
     pooled: Pooled,
     attempt: Attempt,
 }
@@ -37,6 +39,7 @@
 impl BackendResponse {
     pub(super) fn new(
         response: Response<Incoming>,
+        outbound: &Outbound,
         pooled: Pooled,
         attempt: Attempt,
     ) -> BackendResponse {
@@ -50,6 +53,7 @@
             headers,
             body,
             delimited,
+            may_recur: outbound.may_recur(),
             pooled,
             attempt,
         }
@@ -104,8 +108,14 @@
     /// Ends the attempt and returns the connection to the pool. The body must have been read to the end.
     pub async fn finish(self, outcome: Outcome) {
         let BackendResponse {
-            pooled, attempt, ..
+            may_recur,
+            mut pooled,
+            attempt,
+            ..
         } = self;
+        if outcome == Outcome::Served && !may_recur {
+            pooled.forget_last_request();
+        }
         let exchange = attempt.exchange();
         attempt.end(outcome);
         exchange.release(pooled).await;
--- a/alderhollow/src/exchange/verdict.rs
+++ b/alderhollow/src/exchange/verdict.rs
@@ -30,7 +30,7 @@
 }
 
 /// Classifies a response. Only `Request-Id` tells a surplus response to an earlier request from the response to this
-/// one.
+/// one, and no connection carries two attempts of one request.
 pub(super) fn classify(
     response: &Response<Incoming>,
     outbound: &Outbound,
--- a/alderhollow/src/executor/outbound.rs
+++ b/alderhollow/src/executor/outbound.rs
@@ -51,12 +51,8 @@
     headers.insert(HOST, header_value(&item.host)?);
     headers.insert(REQUEST_ID, header_value(&item.item_id)?);
     let body = Bytes::copy_from_slice(&item.request.body);
-    Ok(Outbound::new(
-        Method::POST,
-        &Uri::from(path),
-        headers,
-        body,
-    )?)
+    let outbound = Outbound::new(Method::POST, &Uri::from(path), headers, body)?;
+    Ok(outbound.recurring())
 }
 
 /// The headers of an item that determine which backends can run it.
--- a/alderhollow/src/http_server/relay.rs
+++ b/alderhollow/src/http_server/relay.rs
@@ -31,7 +31,7 @@
 enum Received {
     Complete(BufferedResponse),
     /// A response that exceeds the buffer, with the chunks received so far.
-    Partial(BackendResponse, Vec<Bytes>),
+    Partial(Box<BackendResponse>, Vec<Bytes>),
     /// The response is incomplete, or must not be forwarded.
     Unusable,
 }
@@ -53,7 +53,7 @@
         };
         match receive(&attempts, backend_response).await {
             Received::Partial(backend_response, chunks) => {
-                return streaming_response(attempts, backend_response, chunks)
+                return streaming_response(attempts, *backend_response, chunks)
             }
             Received::Complete(received)
                 if received.status.is_server_error() && attempts.may_run_again() =>
@@ -92,7 +92,7 @@
                 chunks.push(chunk);
                 if size > max_size {
                     backend_response.began();
-                    return Received::Partial(backend_response, chunks);
+                    return Received::Partial(Box::new(backend_response), chunks);
                 }
             }
             Ok(None) => return complete(attempts, backend_response, chunks).await,
--- a/alderhollow/src/metrics/backends.rs
+++ b/alderhollow/src/metrics/backends.rs
@@ -26,6 +26,10 @@
     name: "alderhollow_backend_unserved_attempts_total",
     help: "Attempts at a backend that brought no response of one that ran the request, by what is known of the request",
 };
+const PASSED_OVER: Description = Description {
+    name: "alderhollow_backend_connections_passed_over_total",
+    help: "Idle connections that were not used for a request, as they had carried an earlier attempt of it",
+};
 
 label! {
     /// What is known of a request that was not served by an attempt.
@@ -71,6 +75,7 @@
     weights_reports: CounterFamily<ReportResult>,
     connections_refused: Counter,
     unserved: CounterFamily<UnservedEvidence>,
+    passed_over: Counter,
 }
 
 impl BackendMetrics {
@@ -82,6 +87,7 @@
             weights_reports: registrar.counters(&WEIGHTS_REPORTS),
             connections_refused: registrar.counter(&CONNECTIONS_REFUSED),
             unserved: registrar.counters(&UNSERVED),
+            passed_over: registrar.counter(&PASSED_OVER),
         }
     }
 
@@ -110,6 +116,11 @@
         self.unserved.of(evidence).add(1);
     }
 
+    /// An idle connection was not used for a request, as it had carried an earlier attempt of it.
+    pub fn connection_passed_over(&self) {
+        self.passed_over.add(1);
+    }
+
     /// The system refused this process a connection.
     pub fn connection_refused_by_system(&self) {
         self.connections_refused.add(1);
--- a/alderhollow/standins/src/backend.rs
+++ b/alderhollow/standins/src/backend.rs
@@ -42,6 +42,8 @@
     Refuse,
     /// Runs it and answers 500.
     Fail,
+    /// The same; the next request on its connection gets this answer once more, before its own.
+    FailTwice,
     /// Answers 422: this request can never be done.
     Reject,
 }
--- a/alderhollow/standins/src/backend/answer.rs
+++ b/alderhollow/standins/src/backend/answer.rs
@@ -3,7 +3,7 @@
 use super::{Fault, Run, State};
 use crate::events;
 use crate::header;
-use crate::http::{Piece, ServerBody};
+use crate::http::{Piece, ServerBody, SurplusAnswer};
 use crate::platform::{json, status_only};
 use hyper::body::Bytes;
 use hyper::header::HeaderValue;
@@ -124,6 +124,7 @@
     let work = Work::begin(state, request, request_id);
     match fault {
         Some(Fault::Fail) => work.end_with(StatusCode::INTERNAL_SERVER_ERROR),
+        Some(Fault::FailTwice) => work.fail_twice(),
         Some(Fault::Reject) => work.end_with(StatusCode::UNPROCESSABLE_ENTITY),
         fault => work.stream(fault, event_count(request)),
     }
@@ -202,6 +203,21 @@
         answer
     }
 
+    /// Answers 500; the answer comes once more in the place of the next one.
+    fn fail_twice(self) -> Response<ServerBody> {
+        let (request_id, seal) = (self.request_id.clone(), self.seal());
+        let mut answer = self.end_with(StatusCode::INTERNAL_SERVER_ERROR);
+        let surplus = format!(
+            "HTTP/1.1 500 Internal Server Error\r\n{}: {request_id}\r\n{}: {seal}\r\ncontent-length: 0\r\n\r\n",
+            header::REQUEST_ID,
+            header::RESPONSE_SEAL,
+        );
+        answer
+            .extensions_mut()
+            .insert(SurplusAnswer(surplus.into()));
+        answer
+    }
+
     fn stream(self, fault: Option<Fault>, count: u64) -> Response<ServerBody> {
         let (sender, receiver) = mpsc::channel(STREAM_BUFFER);
         let mut answer = Response::new(ServerBody::Stream(receiver));
--- a/alderhollow/standins/src/http.rs
+++ b/alderhollow/standins/src/http.rs
@@ -4,8 +4,10 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::future::Future;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -65,6 +67,10 @@
     }
 }
 
+/// An extension of an answer: bytes that its connection gets once more, before the answer to the next request.
+#[derive(Debug, Clone)]
+pub struct SurplusAnswer(pub Bytes);
+
 /// A [`ServerBody`] that can have its connection cut.
 struct ConnectionBody {
     body: ServerBody,
@@ -168,14 +174,20 @@
 {
     // Without it small pieces wait; an error leaves them waiting.
     let _ = stream.set_nodelay(true);
+    let Ok((stream, surplus)) = SurplusWriter::split(stream) else {
+        return;
+    };
+    let surplus = Rc::new(surplus);
     let cut = Rc::new(Notify::new());
     let cut_of_bodies = cut.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        let (handler, cut) = (handler.clone(), cut_of_bodies.clone());
+        let (handler, cut, surplus) = (handler.clone(), cut_of_bodies.clone(), surplus.clone());
         async move {
             let (head, body) = request.into_parts();
             let body = body.collect().await?.to_bytes();
-            let answer = handler(Request::from_parts(head, body)).await;
+            surplus.write_pending();
+            let mut answer = handler(Request::from_parts(head, body)).await;
+            surplus.keep(answer.extensions_mut().remove());
             Ok::<_, hyper::Error>(answer.map(|body| ConnectionBody { body, cut }))
         }
     });
@@ -189,6 +201,34 @@
     }
 }
 
+/// Writes surplus answers to a connection between the answers that its server writes.
+struct SurplusWriter {
+    stream: std::net::TcpStream,
+    pending: RefCell<Option<SurplusAnswer>>,
+}
+
+impl SurplusWriter {
+    fn split(stream: TcpStream) -> std::io::Result<(TcpStream, SurplusWriter)> {
+        let stream = stream.into_std()?;
+        let writer = SurplusWriter {
+            stream: stream.try_clone()?,
+            pending: RefCell::default(),
+        };
+        Ok((TcpStream::from_std(stream)?, writer))
+    }
+
+    fn keep(&self, surplus: Option<SurplusAnswer>) {
+        self.pending.replace(surplus);
+    }
+
+    /// Writes what is pending. A peer that reads nothing misses it.
+    fn write_pending(&self) {
+        if let Some(SurplusAnswer(bytes)) = self.pending.take() {
+            let _ = (&self.stream).write_all(&bytes);
+        }
+    }
+}
+
 /// Sends `request` on a new connection and waits at most `patience` for the answer's head.
 ///
 /// # Errors
--- a/alderhollow/tests/executor.rs
+++ b/alderhollow/tests/executor.rs
@@ -223,6 +223,73 @@
     });
 }
 
+/// Guards against a response that a backend sends twice being counted as the result of two attempts.
+#[test]
+fn a_surplus_500_is_not_the_response_to_the_next_attempt() {
+    in_local_set(async {
+        let setup = setup(vec![Reply::StatusTwice(500), Reply::Whole]).await;
+        assert_eq!(setup.executor.run(&item(None)).await, RunEnd::Failed);
+        rest_connections().await;
+        let end = setup.executor.run(&item(None)).await;
+        assert_eq!(end, RunEnd::Completed { text: whole_text() });
+    });
+}
+
+/// Guards against two of three runs that failed being counted as three, as each answer is taken for that of the next run.
+#[test]
+fn surplus_500s_do_not_shift_the_results_of_later_attempts() {
+    in_local_set(async {
+        let script = [500, 500, 422].map(Reply::StatusTwice);
+        let setup = setup(script.into_iter().chain([Reply::Whole]).collect()).await;
+        let mut ends = Vec::new();
+        for _ in 0..4 {
+            ends.push(setup.executor.run(&item(None)).await);
+            rest_connections().await;
+        }
+        let whole = RunEnd::Completed { text: whole_text() };
+        assert_eq!(
+            ends,
+            [RunEnd::Failed, RunEnd::Failed, RunEnd::Rejected, whole]
+        );
+    });
+}
+
+/// Guards against a decline that a backend sends twice as evidence that the next attempt has not run.
+#[test]
+fn a_surplus_decline_is_no_evidence_on_the_next_attempt() {
+    in_local_set(async {
+        let setup = setup(vec![Reply::NotExecutedTwice, Reply::Whole]).await;
+        let end = setup.executor.run(&item(None)).await;
+        assert!(matches!(end, RunEnd::NotRun { .. }), "{end:?}");
+        // Longer than the backoff after a decline.
+        tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+        let end = setup.executor.run(&item(None)).await;
+        assert_eq!(end, RunEnd::Completed { text: whole_text() });
+    });
+}
+
+/// The surplus response to one item is due in the place of another one's, which may have run.
+#[test]
+fn a_surplus_500_interrupts_another_item_without_a_failed_attempt() {
+    in_local_set(async {
+        let setup = setup(vec![Reply::StatusTwice(500), Reply::Whole]).await;
+        assert_eq!(setup.executor.run(&item(None)).await, RunEnd::Failed);
+        rest_connections().await;
+        let mut other = item(None);
+        other.item_id = "i2".to_string();
+        let end = setup.executor.run(&other).await;
+        assert!(
+            matches!(end, RunEnd::Interrupted { resume: None, .. }),
+            "{end:?}"
+        );
+    });
+}
+
+/// Waits until a connection may be used again.
+async fn rest_connections() {
+    tokio::time::sleep(std::time::Duration::from_millis(40)).await;
+}
+
 #[test]
 fn a_response_of_another_instance_means_not_run() {
     in_local_set(async {
--- a/alderhollow/tests/soak/troubles.rs
+++ b/alderhollow/tests/soak/troubles.rs
@@ -143,11 +143,12 @@
 
 fn draw_faults(random: &mut Rand64) -> Vec<Fault> {
     let count = random.rand_range(1..MOST_FAULTS);
-    let draw = |_| match random.rand_range(0..6) {
+    let draw = |_| match random.rand_range(0..7) {
         0..=1 => Fault::CutAfter(1),
         2 => Fault::SilentAfter(1),
         3 => Fault::Refuse,
         4 => Fault::Fail,
+        5 => Fault::FailTwice,
         _ => Fault::Reject,
     };
     (0..count).map(draw).collect()
--- a/alderhollow/tests/support/batch_backend.rs
+++ b/alderhollow/tests/support/batch_backend.rs
@@ -25,8 +25,12 @@
     FromTheStart,
     /// A status without events.
     Status(u16),
+    /// The same; the next request on its connection gets this answer once more, before its own.
+    StatusTwice(u16),
     /// 503 with `Not-Executed`.
     NotExecuted,
+    /// The same; the next request on its connection gets this answer once more, before its own.
+    NotExecutedTwice,
     /// 421 of another instance.
     OtherInstance,
     /// 421 of weights of this version.
@@ -158,6 +162,7 @@
 
 async fn serve(mut stream: TcpStream, shared: Rc<Shared>) {
     let mut bytes = Vec::new();
+    let mut surplus: Option<(Reply, String)> = None;
     while let Some(request) = read_request(&mut stream, &mut bytes).await {
         let weights = shared.weights.get();
         if request.head.starts_with("GET /alderhollow/report ") {
@@ -187,6 +192,12 @@
             }
         };
         shared.changed.notify_waiters();
+        if let Some((earlier, earlier_id)) = surplus.take() {
+            answer(&mut stream, &earlier, &earlier_id, 1, &shared).await;
+        }
+        if matches!(reply, Reply::StatusTwice(_) | Reply::NotExecutedTwice) {
+            surplus = Some((reply.clone(), id.clone()));
+        }
         let stays = answer(&mut stream, &reply, &id, first, &shared).await;
         if !stays {
             return;
@@ -260,12 +271,12 @@
                 chunks(&events)
             )
         }
-        Reply::Status(status) => {
+        Reply::Status(status) | Reply::StatusTwice(status) => {
             format!(
                 "HTTP/1.1 {status} Status\r\nRequest-Id: {id}\r\n{seal}Content-Length: 2\r\n\r\nno"
             )
         }
-        Reply::NotExecuted => {
+        Reply::NotExecuted | Reply::NotExecutedTwice => {
             format!("HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
         }
         Reply::OtherInstance => {
