Withhold a status that promises too much at any length

Found again by asking where it is concluded without evidence that a request has not run: `relay::complete` checked the status, but only responses that fit the buffer came there.

Change: `relay::receive` decides by the head whether a response may be forwarded, before any byte of its body is read.

Result: `a_status_that_promises_too_much_is_withheld_at_any_length` (status, length, framing, `Not-Executed` and route type as a table) fails on the code before, 408 in place of 502 at the first long body, and passes now.

--- a/alderhollow/src/http_server/relay.rs
+++ b/alderhollow/src/http_server/relay.rs
@@ -69,12 +69,13 @@
     }
 }
 
-/// Reads a response until it ends or exceeds the buffer.
+/// Reads a response until it ends or exceeds the buffer. Its head alone decides whether it may be forwarded.
 async fn receive(attempts: &Attempts, mut backend_response: BackendResponse) -> Received {
     if !backend_response.is_valid() {
         backend_response.abandon(Outcome::Broken);
         return Received::Unusable;
     }
+    let may_forward = may_forward(attempts, backend_response.status);
     let is_stream = backend_response.is_event_stream();
     if !is_stream {
         backend_response.began();
@@ -90,12 +91,22 @@
             Ok(Some(chunk)) => {
                 size += chunk.len();
                 chunks.push(chunk);
+                if size > max_size && !may_forward {
+                    let outcome = outcome_of(backend_response.status);
+                    backend_response.abandon(outcome);
+                    return Received::Unusable;
+                }
                 if size > max_size {
                     backend_response.began();
                     return Received::Partial(Box::new(backend_response), chunks);
                 }
             }
-            Ok(None) => return complete(attempts, backend_response, chunks).await,
+            Ok(None) if may_forward => return complete(backend_response, chunks).await,
+            Ok(None) => {
+                let outcome = outcome_of(backend_response.status);
+                backend_response.finish(outcome).await;
+                return Received::Unusable;
+            }
             Err(outcome) => {
                 backend_response.abandon(outcome);
                 return Received::Unusable;
@@ -105,24 +116,10 @@
 }
 
 /// Completes a response that has ended properly.
-async fn complete(
-    attempts: &Attempts,
-    mut backend_response: BackendResponse,
-    chunks: Vec<Bytes>,
-) -> Received {
+async fn complete(mut backend_response: BackendResponse, chunks: Vec<Bytes>) -> Received {
     let status = backend_response.status;
     let headers = std::mem::take(&mut backend_response.headers);
-    backend_response
-        .finish(if status.is_server_error() {
-            Outcome::Failed
-        } else {
-            Outcome::Served
-        })
-        .await;
-    // Forwarding this status would promise that the request has not run, which the backend did not say.
-    if promises_not_run(status) && !attempts.request().route.may_repeat() {
-        return Received::Unusable;
-    }
+    backend_response.finish(outcome_of(status)).await;
     Received::Complete(BufferedResponse {
         status,
         headers,
@@ -130,6 +127,21 @@
     })
 }
 
+/// What a complete response with this status says of its backend.
+fn outcome_of(status: StatusCode) -> Outcome {
+    if status.is_server_error() {
+        Outcome::Failed
+    } else {
+        Outcome::Served
+    }
+}
+
+/// Whether the status may reach the client. One that promises that the request has not run may not, unless the request
+/// may be repeated anyway: the backend did not say so.
+fn may_forward(attempts: &Attempts, status: StatusCode) -> bool {
+    !promises_not_run(status) || attempts.request().route.may_repeat()
+}
+
 /// Whether the status promises the client that its request has not run.
 fn promises_not_run(status: StatusCode) -> bool {
     matches!(
--- a/alderhollow/tests/http_server.rs
+++ b/alderhollow/tests/http_server.rs
@@ -623,6 +623,58 @@
     });
 }
 
+/// Guards against a long 503 of a backend that reaches the client as a promise that its request has not run.
+#[test]
+fn a_status_that_promises_too_much_is_withheld_at_any_length() {
+    run(async {
+        let buffered = 64 * 1024;
+        for status in ["408 Timeout", "429 Too Many", "503 Unavailable"] {
+            let number: u16 = status[..3].parse().expect("a status");
+            for path in ["/once/1", "/talk/1"] {
+                for length in [0, buffered, buffered + 1, 200_000] {
+                    let case = format!("{status}, {path}, {length} bytes");
+                    let body = "n".repeat(length);
+                    let gateway = Gateway::start(1).await;
+                    let plain = answer(status, "Response-Seal: s1\r\n", &body);
+                    gateway.backends.script(plain);
+                    let reply = ask(gateway.address, &request(path, "", "x")).await;
+                    assert_eq!(reply.status, 502, "{case}");
+                    gateway.backends.script(in_chunks(status, &body));
+                    let reply = ask(gateway.address, &request(path, "", "x")).await;
+                    assert_eq!(reply.status, 502, "{case}, in chunks");
+                }
+            }
+            // A request that may run again is told what its backend said.
+            for length in [0, 200_000] {
+                let gateway = Gateway::start(1).await;
+                let plain = answer(status, "Response-Seal: s1\r\n", &"n".repeat(length));
+                gateway.backends.script(plain);
+                let reply = ask(gateway.address, &request("/often/1", "", "x")).await;
+                assert_eq!((reply.status, reply.body.len()), (number, length));
+            }
+            // With `Not-Executed` the promise is the backend's own.
+            let gateway = Gateway::start(1).await;
+            gateway
+                .backends
+                .script(answer(status, "Not-Executed: 1\r\n", ""));
+            let reply = ask(gateway.address, &request("/once/1", "", "x")).await;
+            assert_eq!(reply.status, 503, "{status}");
+        }
+    });
+}
+
+/// An answer whose length only its chunks tell.
+fn in_chunks(status: &str, body: &str) -> Vec<Step> {
+    let head = format!(
+        "HTTP/1.1 {status}\r\nRequest-Id: {{id}}\r\nResponse-Seal: s1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    let data = match body.is_empty() {
+        true => String::new(),
+        false => format!("{:x}\r\n{body}\r\n", body.len()),
+    };
+    vec![Step::Write(format!("{head}{data}0\r\n\r\n"))]
+}
+
 #[test]
 fn a_new_start_of_a_backend_gets_a_new_connection() {
     run(async {
