--- a/alderhollow/standins/src/lib.rs
+++ b/alderhollow/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod batch_client;
 pub mod client;
 pub mod events;
+pub mod failing_backend;
 pub mod http;
 pub mod operator;
 pub mod platform;
