Name the buffers, the chunks and the parts of a connection by the field's words

Change: names and documentation only: `BUFFER_BYTES`, `SOCKET_BUFFER_BYTES`, `next_chunk`, `HttpConnection`.

--- a/alderhollow/src/exchange/pool.rs
+++ b/alderhollow/src/exchange/pool.rs
@@ -204,7 +204,7 @@
     /// Reads the short body of a declining response and puts the connection back into the pool.
     pub async fn drain(&self, mut pooled: Pooled, mut body: Incoming) {
         let read_to_end = async {
-            while let Some(chunk) = pooled.link.piece(&mut body).await {
+            while let Some(chunk) = pooled.link.next_chunk(&mut body).await {
                 if chunk.is_err() {
                     return false;
                 }
--- a/alderhollow/src/exchange/response.rs
+++ b/alderhollow/src/exchange/response.rs
@@ -89,7 +89,7 @@
 
     /// Reads the next chunk of the body; `None` at its regular end.
     pub async fn next_chunk(&mut self) -> Option<Result<Bytes, IncompleteResponse>> {
-        match self.pooled.link.piece(&mut self.body).await {
+        match self.pooled.link.next_chunk(&mut self.body).await {
             Some(chunk) => Some(chunk.map_err(|_| IncompleteResponse)),
             None if self.delimited => None,
             None => Some(Err(IncompleteResponse)),
--- a/alderhollow/src/exchange/weights_reports.rs
+++ b/alderhollow/src/exchange/weights_reports.rs
@@ -151,7 +151,7 @@
 ) -> Result<Vec<u8>, ReportError> {
     let mut body = response.into_body();
     let mut bytes = Vec::new();
-    while let Some(chunk) = pooled.link.piece(&mut body).await {
+    while let Some(chunk) = pooled.link.next_chunk(&mut body).await {
         bytes.extend_from_slice(&chunk.map_err(|_| ReportError::Broken)?);
         if bytes.len() > MAX_REPORT_BYTES {
             return Err(ReportError::TooLarge);
--- a/dataplane/src/connection/tests.rs
+++ b/dataplane/src/connection/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::activity::Times;
-use crate::link::BUFFER;
+use crate::link::BUFFER_BYTES;
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::service::service_fn;
@@ -64,7 +64,7 @@
             Ok::<_, Infallible>(response)
         }
     });
-    drive(stream, &activity, BUFFER, service, close).await;
+    drive(stream, &activity, BUFFER_BYTES, service, close).await;
     super::close(stream).await;
 }
 
--- a/dataplane/src/link.rs
+++ b/dataplane/src/link.rs
@@ -22,10 +22,10 @@
 use thiserror::Error;
 use tokio::net::{TcpSocket, TcpStream};
 
-/// What is read ahead of its reader, or written ahead of it, on one connection by the program.
-pub const BUFFER: usize = 32 * 1024;
-/// The same by the system.
-pub const KERNEL_BUFFER: u32 = 64 * 1024;
+/// Size of the program's read and write buffers of one connection, in bytes.
+pub const BUFFER_BYTES: usize = 32 * 1024;
+/// Size of the system's send and receive buffers of one connection, in bytes.
+pub const SOCKET_BUFFER_BYTES: u32 = 64 * 1024;
 
 /// An exchange brought no complete answer: its connection broke, or the answer is not one of HTTP.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -97,13 +97,13 @@
     }
 }
 
-type Running = Box<Connection<Socket, TrackedBody>>;
+type HttpConnection = Box<Connection<Socket, TrackedBody>>;
 
 /// One connection, which carries one exchange at a time.
 pub struct Link {
     sender: SendRequest<TrackedBody>,
-    /// `None` once it is over. It is large, and links are moved about.
-    connection: Option<Running>,
+    /// `None` once the connection has ended. Boxed, as it is large and links are moved.
+    connection: Option<HttpConnection>,
     progress: Rc<Progress>,
     /// Whether the next read asks the system first.
     asks_system: Rc<Cell<bool>>,
@@ -133,8 +133,8 @@
         } else {
             TcpSocket::new_v6()
         }?;
-        socket.set_recv_buffer_size(KERNEL_BUFFER)?;
-        socket.set_send_buffer_size(KERNEL_BUFFER)?;
+        socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES)?;
+        socket.set_send_buffer_size(SOCKET_BUFFER_BYTES)?;
         if unconfirmed.is_some() {
             SockRef::from(&socket).set_tcp_user_timeout(unconfirmed)?;
         }
@@ -148,7 +148,7 @@
             asks_system: asks_system.clone(),
         };
         let (sender, connection) = http1::Builder::new()
-            .max_buf_size(BUFFER)
+            .max_buf_size(BUFFER_BYTES)
             .handshake(socket)
             .await
             .map_err(io::Error::other)?;
@@ -185,8 +185,11 @@
         self.progress.written()
     }
 
-    /// The next piece of an answer that has begun; `None` at its end.
-    pub async fn piece(&mut self, body: &mut Incoming) -> Option<Result<Bytes, Failure>> {
+    /// The next chunk of the body of an answer that has begun; `None` at its end.
+    ///
+    /// # Errors
+    /// The connection broke, or what came is no HTTP.
+    pub async fn next_chunk(&mut self, body: &mut Incoming) -> Option<Result<Bytes, Failure>> {
         loop {
             match drive(&mut self.connection, body.frame()).await? {
                 Ok(frame) => {
@@ -233,7 +236,7 @@
 }
 
 /// Waits for `work`, which the connection has to be driven for.
-async fn drive<T>(connection: &mut Option<Running>, work: impl Future<Output = T>) -> T {
+async fn drive<T>(connection: &mut Option<HttpConnection>, work: impl Future<Output = T>) -> T {
     let mut work = pin!(work);
     poll_fn(|context| {
         if let Some(running) = connection {
--- a/quota-gateway/src/bin/quota-gateway/backends/attempts.rs
+++ b/quota-gateway/src/bin/quota-gateway/backends/attempts.rs
@@ -315,9 +315,9 @@
         let hold = Instant::now() + HOLD;
         while length.is_none_or(|length| length <= BODY_LIMIT as u64) && size <= BODY_LIMIT {
             let piece = if served && length.is_some() {
-                link.piece(&mut body).await
+                link.next_chunk(&mut body).await
             } else {
-                match timeout_at(hold, link.piece(&mut body)).await {
+                match timeout_at(hold, link.next_chunk(&mut body)).await {
                     Ok(piece) => piece,
                     Err(_) => break,
                 }
@@ -353,7 +353,7 @@
             for piece in gathered {
                 source.send(piece).await.map_err(|_| Outcome::Cancelled)?;
             }
-            while let Some(piece) = timeout(STALL, link.piece(&mut body))
+            while let Some(piece) = timeout(STALL, link.next_chunk(&mut body))
                 .await
                 .unwrap_or(Some(stalled()))
             {
--- a/quota-gateway/src/bin/quota-gateway/backends/discovery.rs
+++ b/quota-gateway/src/bin/quota-gateway/backends/discovery.rs
@@ -380,7 +380,7 @@
             return Err(Problem::Unanswered);
         };
         let mut bytes = Vec::new();
-        while let Some(piece) = open.piece(&mut body).await {
+        while let Some(piece) = open.next_chunk(&mut body).await {
             bytes.extend_from_slice(&piece.map_err(|_| Problem::Unanswered)?);
             if bytes.len() > LIST_LIMIT {
                 return Err(Problem::Unanswered);
--- a/quota-gateway/src/bin/quota-gateway/clients/connections.rs
+++ b/quota-gateway/src/bin/quota-gateway/clients/connections.rs
@@ -8,7 +8,7 @@
 use alderhollow_dataplane::activity::{ConnectionActivity, Times};
 use alderhollow_dataplane::connection;
 use alderhollow_dataplane::flow::{whole, Outgoing};
-use alderhollow_dataplane::link::BUFFER;
+use alderhollow_dataplane::link::BUFFER_BYTES;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -195,7 +195,7 @@
                 _ = shed.changed() => {}
             }
         };
-        connection::drive(&stream, &activity, BUFFER, service, close).await;
+        connection::drive(&stream, &activity, BUFFER_BYTES, service, close).await;
     }
     if !activity.has_ended() {
         tokio::select! {
--- a/quota-gateway/src/bin/quota-gateway/life/handover.rs
+++ b/quota-gateway/src/bin/quota-gateway/life/handover.rs
@@ -8,7 +8,7 @@
 use crate::door::Door;
 use crate::errors::text;
 use crate::life::config::Names;
-use alderhollow_dataplane::link::KERNEL_BUFFER;
+use alderhollow_dataplane::link::SOCKET_BUFFER_BYTES;
 use quota_gateway::{CustomerId, HandoverState};
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
@@ -143,8 +143,8 @@
     socket.set_reuse_address(true)?;
     socket.set_reuse_port(true)?;
     // The connections that it accepts take these over.
-    socket.set_send_buffer_size(KERNEL_BUFFER as usize)?;
-    socket.set_recv_buffer_size(KERNEL_BUFFER as usize)?;
+    socket.set_send_buffer_size(SOCKET_BUFFER_BYTES as usize)?;
+    socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES as usize)?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
     socket.set_nonblocking(true)?;
