--- a/alderhollow/tests/streams.rs
+++ b/alderhollow/tests/streams.rs
@@ -100,6 +100,25 @@
     });
 }
 
+/// Guards against a surplus answer to the first attempt being taken for the answer to the one that resumes the stream.
+#[test]
+fn a_stream_that_returns_to_a_backend_uses_another_connection() {
+    run(async {
+        let gateway = Gateway::start(2).await;
+        let backoff = Step::Pause(Duration::from_millis(200));
+        gateway.backends.script(declined());
+        gateway
+            .backends
+            .script(stream(1..=3, vec![backoff, Step::Close]));
+        gateway.backends.script(stream(4..=9, vec![last_chunk()]));
+        let reply = ask(gateway.address, &request("/tokens/1", "", "x")).await;
+        let seen = gateway.backends.seen();
+        assert_eq!(seen[2].backend, seen[0].backend);
+        assert_eq!(gateway.backends.accepted.get(), 3);
+        assert_eq!((reply.whole, reply.body), (true, events(1..=9)));
+    });
+}
+
 #[test]
 fn a_stream_that_no_backend_resumes_ends_incomplete() {
     run(async {
