Hold that the gateway in service takes a partly written request for one that never ran

Cause: the decision moved from the connection to the gateway, and only the connection's tests had held it. Change: a test with a request that is reset before and after its last byte.

--- a/quota-gateway/src/bin/quota-gateway/backends/attempts/tests.rs
+++ b/quota-gateway/src/bin/quota-gateway/backends/attempts/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::backends::sessions::{Attempt, Hold, Sessions};
 use http_body_util::BodyExt;
+use socket2::SockRef;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::task::{Context, Waker};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -198,6 +199,35 @@
         "{outcome:?}, {bytes} bytes"
     );
 }
+
+/// Here a backend begins a request when its last byte has come: until then the request can go to another one.
+#[tokio::test]
+async fn an_attempt_that_is_reset_before_its_last_byte_never_ran() {
+    // More than the buffers of both sides hold, and what one write takes.
+    for (size, outcome) in [(32 << 20, Outcome::NoConnection), (1, Outcome::Reset)] {
+        let (listener, address) = listen().await;
+        let backends = backends(address);
+        let mut order = order(Duration::from_secs(9));
+        let message = Rc::get_mut(&mut order.message).expect("it is not shared");
+        message.method = Method::POST;
+        message.body = Bytes::from(vec![b'x'; size]);
+        let backend = async {
+            let (mut stream, _) = listener.accept().await.expect("it comes up");
+            let mut read = Vec::new();
+            while !read.contains(&b'x') {
+                stream.read_buf(&mut read).await.expect("there is more");
+            }
+            SockRef::from(&stream)
+                .set_linger(Some(Duration::ZERO))
+                .expect("an option");
+        };
+        let attempt = backends.attempt(&order, std::future::pending::<()>(), || true, |_, _| {});
+        let (end, ()) = tokio::join!(attempt, backend);
+        assert_eq!(end.outcome, outcome, "{size} bytes");
+        assert_eq!(end.outcome.never_ran(), size > 1);
+    }
+}
+
 /// How a backend ends what it has said.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Close {
