Take an early answer that breaks off for a reset in the gateway in service

Cause: since a failure within an answer carried how much of the request was written, as one without an answer did, and the gateway in service took both for "never ran" where the last byte was not written. A backend that answers 200 before that and breaks off has had the request; a further attempt could have run it twice.

Change: `Link::next_chunk` fails with `BrokenAnswer`, `Link::send` with `Failure`; `ReceiveError::never_ran` holds for the second alone.

Result: `an_early_answer_that_breaks_off_is_a_reset` fails on the code before (NoConnection in place of Reset) and passes now.

--- a/dataplane/src/link.rs
+++ b/dataplane/src/link.rs
@@ -27,7 +27,7 @@
 /// Size of the system's send and receive buffers of one connection, in bytes.
 pub const SOCKET_BUFFER_BYTES: u32 = 64 * 1024;
 
-/// An exchange brought no complete answer: its connection broke, or the answer is not one of HTTP.
+/// An exchange brought no answer: its connection broke, or what came is no HTTP.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 #[error("{problem}")]
 pub struct Failure {
@@ -37,6 +37,15 @@
     pub problem: String,
 }
 
+/// An answer ended early, or what came of it is no HTTP. As it had begun, the peer has had the request, however much of
+/// it was written.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{problem}")]
+pub struct BrokenAnswer {
+    /// What was wrong, for the log.
+    pub problem: String,
+}
+
 /// The connection's socket, which records how far a request was written.
 struct Socket {
     stream: TokioIo<TcpStream>,
@@ -189,7 +198,7 @@
     ///
     /// # Errors
     /// The connection broke, or what came is no HTTP.
-    pub async fn next_chunk(&mut self, body: &mut Incoming) -> Option<Result<Bytes, Failure>> {
+    pub async fn next_chunk(&mut self, body: &mut Incoming) -> Option<Result<Bytes, BrokenAnswer>> {
         loop {
             match drive(&mut self.connection, body.frame()).await? {
                 Ok(frame) => {
@@ -199,10 +208,8 @@
                     }
                 }
                 Err(error) => {
-                    return Some(Err(Failure {
-                        written: self.written(),
-                        problem: error.to_string(),
-                    }))
+                    let problem = error.to_string();
+                    return Some(Err(BrokenAnswer { problem }));
                 }
             }
         }
--- a/quota-gateway/src/bin/quota-gateway/backends/attempts.rs
+++ b/quota-gateway/src/bin/quota-gateway/backends/attempts.rs
@@ -4,7 +4,7 @@
 use crate::backends::sessions::Sent;
 use crate::clients::connections;
 use alderhollow_dataplane::flow::{flow, Flow, Upload};
-use alderhollow_dataplane::link::Failure;
+use alderhollow_dataplane::link::{BrokenAnswer, Failure};
 use alderhollow_dataplane::progress::Written;
 use gateway_cluster::sessions::evidence;
 use hyper::body::{Body, Bytes, Incoming};
@@ -100,6 +100,31 @@
     }
 }
 
+/// Why an attempt whose request was sent brought no complete answer.
+#[derive(Debug, thiserror::Error)]
+enum ReceiveError {
+    /// No answer began.
+    #[error(transparent)]
+    Unanswered(#[from] Failure),
+    /// The answer broke off.
+    #[error(transparent)]
+    Broken(#[from] BrokenAnswer),
+}
+
+impl ReceiveError {
+    /// Whether the request surely never ran: here a backend begins one only when its last byte has come. An answer that
+    /// has begun shows that this backend did not wait for it.
+    fn never_ran(&self) -> bool {
+        matches!(
+            self,
+            ReceiveError::Unanswered(Failure {
+                written: Written::Nothing | Written::Partly,
+                ..
+            })
+        )
+    }
+}
+
 pub(crate) struct Backends {
     pub pool: Pool,
     /// Bytes of `ahead` that are not this process's any more.
@@ -256,18 +281,11 @@
             .await
         {
             Ok(end) => end,
-            // Here a backend begins a request only when its last byte has come.
-            Err(Failure {
-                written: Written::Nothing | Written::Partly,
-                ..
-            }) => {
+            Err(error) if error.never_ran() => {
                 self.pool.take_back(id, &mut pooled);
                 return Outcome::NoConnection.into();
             }
-            Err(Failure {
-                written: Written::Wholly,
-                problem,
-            }) => {
+            Err(problem) => {
                 let tally = &mut *self.pool.tally.borrow_mut();
                 *if pooled.used == 0 {
                     &mut tally.broken_new
@@ -304,7 +322,7 @@
         wanted: impl Fn() -> bool,
         begin: impl FnOnce(Response<Flow>, &End),
         begun: &Cell<bool>,
-    ) -> Result<End, Failure> {
+    ) -> Result<End, ReceiveError> {
         let (head, mut body) = pooled.link.send(request).await?.into_parts();
         pooled.heed(&head.headers);
         let link = &mut pooled.link;
@@ -400,9 +418,8 @@
     }
 }
 
-fn stalled() -> Result<Bytes, Failure> {
-    Err(Failure {
-        written: Written::Wholly,
+fn stalled() -> Result<Bytes, BrokenAnswer> {
+    Err(BrokenAnswer {
         problem: "nothing more came".into(),
     })
 }
--- a/quota-gateway/src/bin/quota-gateway/backends/attempts/tests.rs
+++ b/quota-gateway/src/bin/quota-gateway/backends/attempts/tests.rs
@@ -228,6 +228,32 @@
     }
 }
 
+/// Guards against an answer that breaks off before the request's last byte was written being taken for no answer at all: the
+/// request may run a second time then.
+#[tokio::test]
+async fn an_early_answer_that_breaks_off_is_a_reset() {
+    let (listener, address) = listen().await;
+    let backends = backends(address);
+    let mut order = order(Duration::from_secs(9));
+    let message = Rc::get_mut(&mut order.message).expect("it is not shared");
+    message.method = Method::POST;
+    message.body = Bytes::from(vec![b'x'; 32 << 20]);
+    let backend = async {
+        let (mut stream, _) = listener.accept().await.expect("it comes up");
+        let mut read = Vec::new();
+        while !read.contains(&b'x') {
+            stream.read_buf(&mut read).await.expect("there is more");
+        }
+        let half = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok";
+        stream.write_all(half).await.expect("a reader");
+        // The reset must not overtake what was written.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
+    let attempt = backends.attempt(&order, std::future::pending::<()>(), || true, |_, _| {});
+    let (end, ()) = tokio::join!(attempt, backend);
+    assert_eq!(end.outcome, Outcome::Reset);
+}
+
 /// How a backend ends what it has said.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Close {
