Type a failed exchange where exchanges are made

Cause: put `ReceiveError` into the gateway in service. Each error type of that program stands on the operators' page and ends with an advice; this one is none of these, as it only says in which of two ways an exchange of the data plane failed. The test `no_type_of_errors_is_left_out_of_the_walk` failed for it.

Change: the type is `ExchangeError` and stands beside its two cases in dataplane/src/link.rs. What the gateway in service concludes from it stays in attempts.rs. Behaviour is unchanged.

--- a/dataplane/src/link.rs
+++ b/dataplane/src/link.rs
@@ -46,6 +46,17 @@
     pub problem: String,
 }
 
+/// Why an exchange brought no complete answer.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum ExchangeError {
+    /// No answer began.
+    #[error(transparent)]
+    Unanswered(#[from] Failure),
+    /// An answer began and broke off.
+    #[error(transparent)]
+    Broken(#[from] BrokenAnswer),
+}
+
 /// The connection's socket, which records how far a request was written.
 struct Socket {
     stream: TokioIo<TcpStream>,
--- a/quota-gateway/src/bin/quota-gateway/backends/attempts.rs
+++ b/quota-gateway/src/bin/quota-gateway/backends/attempts.rs
@@ -4,7 +4,7 @@
 use crate::backends::sessions::Sent;
 use crate::clients::connections;
 use alderhollow_dataplane::flow::{flow, Flow, Upload};
-use alderhollow_dataplane::link::{BrokenAnswer, Failure};
+use alderhollow_dataplane::link::{BrokenAnswer, ExchangeError, Failure};
 use alderhollow_dataplane::progress::Written;
 use gateway_cluster::sessions::evidence;
 use hyper::body::{Body, Bytes, Incoming};
@@ -100,29 +100,16 @@
     }
 }
 
-/// Why an attempt whose request was sent brought no complete answer.
-#[derive(Debug, thiserror::Error)]
-enum ReceiveError {
-    /// No answer began.
-    #[error(transparent)]
-    Unanswered(#[from] Failure),
-    /// The answer broke off.
-    #[error(transparent)]
-    Broken(#[from] BrokenAnswer),
-}
-
-impl ReceiveError {
-    /// Whether the request surely never ran: here a backend begins one only when its last byte has come. An answer that
-    /// has begun shows that this backend did not wait for it.
-    fn never_ran(&self) -> bool {
-        matches!(
-            self,
-            ReceiveError::Unanswered(Failure {
-                written: Written::Nothing | Written::Partly,
-                ..
-            })
-        )
-    }
+/// Whether the request of a failed exchange surely never ran: here a backend begins one only when its last byte has
+/// come. An answer that has begun shows that this backend did not wait for it.
+fn never_ran(error: &ExchangeError) -> bool {
+    matches!(
+        error,
+        ExchangeError::Unanswered(Failure {
+            written: Written::Nothing | Written::Partly,
+            ..
+        })
+    )
 }
 
 pub(crate) struct Backends {
@@ -281,7 +268,7 @@
             .await
         {
             Ok(end) => end,
-            Err(error) if error.never_ran() => {
+            Err(error) if never_ran(&error) => {
                 self.pool.take_back(id, &mut pooled);
                 return Outcome::NoConnection.into();
             }
@@ -322,7 +309,7 @@
         wanted: impl Fn() -> bool,
         begin: impl FnOnce(Response<Flow>, &End),
         begun: &Cell<bool>,
-    ) -> Result<End, ReceiveError> {
+    ) -> Result<End, ExchangeError> {
         let (head, mut body) = pooled.link.send(request).await?.into_parts();
         pooled.heed(&head.headers);
         let link = &mut pooled.link;
