Count a backend's silence from the last byte that it was sent

Callers saw a repeatable request sent to a second backend, and the first one counted as failed, while the first still took a long body in: the silence limit began when the request began to be written.

A connection now records when the system last accepted a byte of the request, and the limit begins there. A backend that takes nothing in any more is replaced as before.

--- a/alderhollow/src/exchange/mod.rs
+++ b/alderhollow/src/exchange/mod.rs
@@ -266,7 +266,9 @@
             return Err((attempt, SendError::not_written(Outcome::Cancelled)));
         };
         pooled.record_request(request_id);
-        let response = match limits.wait(pooled.link.send(request)).await {
+        let progress = pooled.link.write_progress();
+        let sending = pooled.link.send(request);
+        let response = match limits.wait_for_response(&progress, sending).await {
             Ok(Ok(response)) => response,
             Ok(Err(failure)) => return Err((attempt, SendError::broken(failure.written))),
             Err(limit) => {
--- a/alderhollow/src/exchange/wait_limits.rs
+++ b/alderhollow/src/exchange/wait_limits.rs
@@ -1,6 +1,7 @@
 //! Limits on waiting for a backend.
 
 use crate::balance::Outcome;
+use alderhollow_dataplane::progress::WriteProgress;
 use std::future::Future;
 use std::pin::pin;
 use std::time::Duration;
@@ -38,7 +39,8 @@
 pub struct WaitLimits<'a> {
     /// End of all waiting.
     pub deadline: Instant,
-    /// A backend that is silent for this long is abandoned if another one is available.
+    /// A backend that is silent for this long is abandoned if another one is available. While it takes the request in, it
+    /// is not silent.
     pub silence: Option<(Duration, &'a dyn Alternatives)>,
     /// Checked right before the request is written; `None` permits it.
     pub permission: Option<Permission<'a>>,
@@ -64,11 +66,40 @@
     /// # Errors
     /// A limit was reached first.
     pub async fn wait<T>(&self, work: impl Future<Output = T>) -> Result<T, ReachedLimit> {
+        self.wait_after(|| None, work).await
+    }
+
+    /// Waits for `work`, the response to a request that is being written: the silence begins with the last byte that was
+    /// written.
+    ///
+    /// # Errors
+    /// A limit was reached first.
+    pub async fn wait_for_response<T>(
+        &self,
+        progress: &WriteProgress,
+        work: impl Future<Output = T>,
+    ) -> Result<T, ReachedLimit> {
+        self.wait_after(|| progress.last_written_at(), work).await
+    }
+
+    /// Waits for `work`; the silence begins with the call, or with the backend's last sign of progress after it.
+    async fn wait_after<T>(
+        &self,
+        last_progress_at: impl Fn() -> Option<Instant>,
+        work: impl Future<Output = T>,
+    ) -> Result<T, ReachedLimit> {
         let mut work = pin!(work);
         if let Some((silence, alternatives)) = self.silence {
-            let silent_until = (Instant::now() + silence).min(self.deadline);
-            if let Ok(done) = timeout_at(silent_until, work.as_mut()).await {
-                return Ok(done);
+            let mut silent_until = (Instant::now() + silence).min(self.deadline);
+            loop {
+                if let Ok(done) = timeout_at(silent_until, work.as_mut()).await {
+                    return Ok(done);
+                }
+                let extended_until = last_progress_at().map(|at| (at + silence).min(self.deadline));
+                match extended_until.filter(|until| silent_until < *until) {
+                    Some(until) => silent_until = until,
+                    None => break,
+                }
             }
             if silent_until < self.deadline && alternatives.has_other() {
                 return Err(ReachedLimit::Silence);
--- a/dataplane/src/link.rs
+++ b/dataplane/src/link.rs
@@ -2,7 +2,7 @@
 //! dropping it has closed the socket.
 
 use crate::flow::Upload;
-use crate::progress::{Progress, TrackedBody, Written};
+use crate::progress::{Progress, TrackedBody, WriteProgress, Written};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
@@ -205,6 +205,11 @@
         self.progress.written()
     }
 
+    /// Tells how far a request was written, also while it is being sent.
+    pub fn write_progress(&self) -> WriteProgress {
+        WriteProgress::of(&self.progress)
+    }
+
     /// The next chunk of the body of an answer that has begun; `None` at its end.
     ///
     /// # Errors
--- a/dataplane/src/progress.rs
+++ b/dataplane/src/progress.rs
@@ -6,6 +6,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
+use tokio::time::Instant;
 
 /// How much of a request the system has accepted for its connection: the evidence of whether the peer can have it.
 /// Whether a peer begins before a request is complete is for its protocol to say.
@@ -28,6 +29,8 @@
     written: Cell<Written>,
     /// Whether the connection has taken the current request's whole body, written or not.
     is_body_taken: Cell<bool>,
+    /// When the last byte of the current request was written so far.
+    last_written_at: Cell<Option<Instant>>,
 }
 
 impl Progress {
@@ -37,6 +40,7 @@
             requests_written,
             written: Cell::default(),
             is_body_taken: Cell::default(),
+            last_written_at: Cell::default(),
         }
     }
 
@@ -49,11 +53,16 @@
     pub(crate) fn begin(&self, is_body_empty: bool) {
         self.written.set(Written::Nothing);
         self.is_body_taken.set(is_body_empty);
+        self.last_written_at.set(None);
     }
 
     /// The system has accepted so many bytes.
     pub(crate) fn on_written(&self, count: usize) {
-        if count > 0 && self.written.get() == Written::Nothing {
+        if count == 0 {
+            return;
+        }
+        self.last_written_at.set(Some(Instant::now()));
+        if self.written.get() == Written::Nothing {
             self.written.set(Written::Partly);
         }
     }
@@ -67,6 +76,22 @@
     }
 }
 
+/// Reads how far a connection's current request was written while the connection is in use.
+#[derive(Clone)]
+pub struct WriteProgress(Rc<Progress>);
+
+impl WriteProgress {
+    /// The progress that this connection records.
+    pub(crate) fn of(progress: &Rc<Progress>) -> WriteProgress {
+        WriteProgress(progress.clone())
+    }
+
+    /// When the system last accepted a byte of the request; `None` before the first one.
+    pub fn last_written_at(&self) -> Option<Instant> {
+        self.0.last_written_at.get()
+    }
+}
+
 /// A request's body that records when the connection has taken all of it.
 pub(crate) struct TrackedBody {
     body: Upload,
