Take a decline for evidence only once its response is complete

A backend that had run a non-idempotent request and then sent a part of a response with Not-Executed, or a part of a 421, made the gateway send the request to a second backend: the request ran twice.

The verdict was drawn from the head, and the body was read only to use the connection again. PROTOCOL.md, Backends: a backend in trouble may cut an answer off, "Such bytes belong to no request". A decline is now read to its end first; a truncated one leaves a request that may have run, and says nothing of an instance or of its weights. A body without a length ends with its connection.

a_truncated_decline_does_not_show_that_a_request_has_not_run failed before (200 from a second backend, where 502 is due).

--- a/alderhollow/src/exchange/mod.rs
+++ b/alderhollow/src/exchange/mod.rs
@@ -29,7 +29,9 @@
 use alderhollow_model::snapshot::Snapshot;
 use attempt::{Attempt, PlacerReport};
 use evidence::SendError;
+use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue};
+use hyper::Response;
 use outbound::Outbound;
 use placing::Placement;
 use pool::{Pool, Pooled};
@@ -40,7 +42,7 @@
 use tokio::sync::Notify;
 use tokio::task::yield_now;
 use tokio::time::Instant;
-use verdict::Verdict;
+use verdict::{DeclineReason, Verdict};
 use wait_limits::WaitLimits;
 
 /// Sends all requests of one process to backends.
@@ -284,26 +286,48 @@
                 self.record_shown_weights(&attempt, outbound, response.headers());
                 Ok(BackendResponse::new(response, outbound, pooled, attempt))
             }
-            Verdict::Declined => {
-                pooled.apply_keep_alive(response.headers());
-                self.pool.drain(pooled, response.into_body()).await;
-                Err((attempt, SendError::declined(Outcome::Declined)))
+            Verdict::Declined(reason) => {
+                let error = self
+                    .on_decline(reason, &attempt, pooled, response, limits)
+                    .await;
+                Err((attempt, error))
+            }
+            Verdict::Mismatched => {
+                let written = pooled.link.written();
+                Err((attempt, SendError::unanswered(written, Outcome::Broken)))
             }
-            Verdict::OtherWeights { expected, shown } => {
+        }
+    }
+
+    /// Handles a response that declines the request. It is evidence only once it is complete: the bytes of a truncated
+    /// response belong to no request.
+    async fn on_decline(
+        &self,
+        reason: DeclineReason,
+        attempt: &Attempt,
+        mut pooled: Pooled,
+        response: Response<Incoming>,
+        limits: &WaitLimits<'_>,
+    ) -> SendError {
+        pooled.apply_keep_alive(response.headers());
+        let read_to_end = pooled.skip_body(response.into_body());
+        match limits.wait(read_to_end).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return SendError::broken(pooled.link.written()),
+            Err(limit) => return SendError::unanswered(pooled.link.written(), limit.into()),
+        }
+        match reason {
+            DeclineReason::OtherInstance => return SendError::declined(Outcome::OtherInstance),
+            DeclineReason::OtherWeights { expected, shown } => {
                 let id = &attempt.backend().id;
                 self.balancer
                     .borrow_mut()
                     .refuse_weights(self.now(), id, expected, shown);
-                pooled.apply_keep_alive(response.headers());
-                self.pool.drain(pooled, response.into_body()).await;
-                Err((attempt, SendError::declined(Outcome::OtherWeights)))
-            }
-            Verdict::OtherInstance => Err((attempt, SendError::declined(Outcome::OtherInstance))),
-            Verdict::Mismatched => {
-                let written = pooled.link.written();
-                Err((attempt, SendError::unanswered(written, Outcome::Broken)))
             }
+            DeclineReason::Unspecified => {}
         }
+        self.pool.put_idle(pooled).await;
+        SendError::declined(reason.outcome())
     }
 
     /// Returns a connection without unexpected input, to a backend that can take the request at this moment. It has not
--- a/alderhollow/src/exchange/pool.rs
+++ b/alderhollow/src/exchange/pool.rs
@@ -5,7 +5,7 @@
 use crate::balance::Outcome;
 use crate::metrics;
 use alderhollow_dataplane::headers::keep_alive;
-use alderhollow_dataplane::link::Link;
+use alderhollow_dataplane::link::{BrokenAnswer, Link};
 use alderhollow_model::backend::Backend;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue};
@@ -17,7 +17,7 @@
 use std::task::{Context, Waker};
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 
 /// Limit on connecting: an unreachable machine neither accepts nor refuses.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -30,8 +30,6 @@
 /// Delay before a connection is reused: a faulty backend may write its response again some milliseconds later, and
 /// the next request would read that in place of its own response.
 const REUSE_DELAY: Duration = Duration::from_millis(20);
-/// Limit on reading the body of a declining response in order to reuse its connection.
-const DRAIN_TIMEOUT: Duration = Duration::from_millis(20);
 /// Interval between checks of idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -81,6 +79,17 @@
         &self.backend
     }
 
+    /// Reads a response's body to its end. A body without a length ends with its connection, unless that is reset.
+    ///
+    /// # Errors
+    /// The body is truncated.
+    pub async fn skip_body(&mut self, mut body: Incoming) -> Result<(), BrokenAnswer> {
+        while let Some(chunk) = self.link.next_chunk(&mut body).await {
+            chunk?;
+        }
+        Ok(())
+    }
+
     /// Lowers the idle timeout to what the response's `Keep-Alive` header allows.
     pub fn apply_keep_alive(&mut self, headers: &HeaderMap) {
         if let Some(timeout) = keep_alive(headers) {
@@ -201,21 +210,6 @@
         }
     }
 
-    /// Reads the short body of a declining response and puts the connection back into the pool.
-    pub async fn drain(&self, mut pooled: Pooled, mut body: Incoming) {
-        let read_to_end = async {
-            while let Some(chunk) = pooled.link.next_chunk(&mut body).await {
-                if chunk.is_err() {
-                    return false;
-                }
-            }
-            true
-        };
-        if timeout(DRAIN_TIMEOUT, read_to_end).await.unwrap_or(false) {
-            self.put_idle(pooled).await;
-        }
-    }
-
     /// Removes the backends that `keep` rejects and closes their idle connections.
     pub fn retain(&self, keep: impl Fn(&str) -> bool) {
         self.backends.borrow_mut().retain(|id, _| keep(id));
--- a/alderhollow/src/exchange/verdict.rs
+++ b/alderhollow/src/exchange/verdict.rs
@@ -3,7 +3,7 @@
 use super::misdirected::{MisdirectedRequest, Misdirection};
 use super::outbound::{self, Outbound};
 use super::pool::Pooled;
-use crate::balance::{ExpectedWeights, WeightsVersion};
+use crate::balance::{ExpectedWeights, Outcome, WeightsVersion};
 use crate::metrics;
 use crate::metrics::backends::MisdirectionReason;
 use hyper::body::Incoming;
@@ -15,18 +15,36 @@
     /// The backend has run it or is running it.
     Ran,
     /// The backend has not run it.
-    Declined,
-    /// Another instance answers at this address, and it has not run the request.
+    Declined(DeclineReason),
+    /// The response belongs to another request or to none.
+    Mismatched,
+}
+
+/// Why a backend has not run a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum DeclineReason {
+    /// It is full, the request's time is over, or it does not say.
+    Unspecified,
+    /// Another instance answers at this address.
     OtherInstance,
-    /// The weights differ from the version that the request expects, and it has not run.
+    /// The weights differ from the version that the request expects.
     OtherWeights {
         /// The version that the request expects.
         expected: ExpectedWeights,
         /// The version of the backend's weights, if the response tells it.
         shown: Option<WeightsVersion>,
     },
-    /// The response belongs to another request or to none.
-    Mismatched,
+}
+
+impl DeclineReason {
+    /// What the decline says of its backend.
+    pub(super) fn outcome(self) -> Outcome {
+        match self {
+            DeclineReason::Unspecified => Outcome::Declined,
+            DeclineReason::OtherInstance => Outcome::OtherInstance,
+            DeclineReason::OtherWeights { .. } => Outcome::OtherWeights,
+        }
+    }
 }
 
 /// Classifies a response. Only `Request-Id` tells a surplus response to an earlier request from the response to this
@@ -42,14 +60,18 @@
     let id_matches = headers.get(outbound::REQUEST_ID) == Some(outbound.request_id());
     match (id_matches, is_misdirected, declined) {
         (false, ..) => Verdict::Mismatched,
-        (true, true, _) => misdirected(response, outbound, pooled),
-        (true, false, true) => Verdict::Declined,
+        (true, true, _) => Verdict::Declined(misdirected(response, outbound, pooled)),
+        (true, false, true) => Verdict::Declined(DeclineReason::Unspecified),
         (true, false, false) => Verdict::Ran,
     }
 }
 
 /// Classifies a 421.
-fn misdirected(response: &Response<Incoming>, outbound: &Outbound, pooled: &Pooled) -> Verdict {
+fn misdirected(
+    response: &Response<Incoming>,
+    outbound: &Outbound,
+    pooled: &Pooled,
+) -> DeclineReason {
     let expected = outbound.expected_weights();
     let request = MisdirectedRequest {
         instance: pooled.backend_id(),
@@ -66,12 +88,12 @@
         outbound.request_id()
     );
     match (reason, expected) {
-        (Misdirection::OtherInstance, _) => Verdict::OtherInstance,
+        (Misdirection::OtherInstance, _) => DeclineReason::OtherInstance,
         (Misdirection::OtherWeights { shown }, Some(expected)) => {
-            Verdict::OtherWeights { expected, shown }
+            DeclineReason::OtherWeights { expected, shown }
         }
         (Misdirection::OtherWeights { .. }, None) | (Misdirection::Unexplained, _) => {
-            Verdict::Declined
+            DeclineReason::Unspecified
         }
     }
 }
--- a/alderhollow/tests/unanswered_requests.rs
+++ b/alderhollow/tests/unanswered_requests.rs
@@ -35,6 +35,12 @@
     "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 const DECLINED_BY_OTHER_ID: &str =
     "HTTP/1.1 503 Full\r\nRequest-Id: r0\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+const TRUNCATED_DECLINES: [&str; 2] = [
+    "HTTP/1.1 503 Full\r\nRequest-Id: r1\r\nNot-Executed: 1\r\nContent-Length: 9\r\n\r\nfull",
+    "HTTP/1.1 421 No\r\nRequest-Id: r1\r\nInstance-Id: i-x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n",
+];
+const DECLINED_UNTIL_CLOSE: &str =
+    "HTTP/1.1 503 Full\r\nRequest-Id: r1\r\nNot-Executed: 1\r\nConnection: close\r\n\r\nfull";
 const HALF_SERVED: &str =
     "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s1\r\nContent-Length: 9\r\n\r\nhalf";
 
@@ -228,6 +234,30 @@
     });
 }
 
+/// Guards against a request that runs at two backends: the first one ran it, and sent a part of a decline. Such bytes belong
+/// to no request.
+#[test]
+fn a_truncated_decline_does_not_show_that_a_request_has_not_run() {
+    run(async {
+        for decline in TRUNCATED_DECLINES {
+            for body_bytes in [PART_BYTES, BODY_BYTES] {
+                let script = [(body_bytes, Behavior::AnswerAndReset(decline))];
+                let (reply, begun) = ask_with_script("/once/1", script).await;
+                assert_eq!((reply.status, begun), (502, 1), "{decline}");
+            }
+        }
+    });
+}
+
+#[test]
+fn a_decline_without_a_length_ends_with_its_connection() {
+    run(async {
+        let script = [(BODY_BYTES, Behavior::AnswerAndReset(DECLINED_UNTIL_CLOSE))];
+        let (reply, begun) = ask_with_script("/once/1", script).await;
+        assert_eq!((reply.status, begun), (200, 2));
+    });
+}
+
 /// Guards against a backend being taken for silent while it takes a long body in: the silence limit of this route is 900 ms,
 /// and the body takes 1.5 s.
 #[test]
