Take a 500 or 422 for the end of an item's run only when it is complete

An item whose backend sent a part of a 500 counted a failed attempt: one truncated and two whole answers of 500 made it a dead letter where max-attempts is 3. A part of a 422 ended an item at once.

The status was taken from the head, whatever became of the body. Now a truncated error interrupts the run. As an interrupted run is no attempt, what fails in this way for good would be repeated without a bound: after five interrupted runs in a row without a further event the delay doubles each time, to 5 s, until the item's retention ends.

Failed before: a_truncated_error_response_is_no_verdict_on_an_item.

--- a/alderhollow/src/exchange/response.rs
+++ b/alderhollow/src/exchange/response.rs
@@ -87,15 +87,22 @@
         self.attempt.began();
     }
 
-    /// Reads the next chunk of the body; `None` at its regular end.
+    /// Reads the next chunk of the body; `None` at its regular end. The end of a body without a length cannot be told from
+    /// a truncation, and is an error.
     pub async fn next_chunk(&mut self) -> Option<Result<Bytes, IncompleteResponse>> {
-        match self.pooled.link.next_chunk(&mut self.body).await {
-            Some(chunk) => Some(chunk.map_err(|_| IncompleteResponse)),
-            None if self.delimited => None,
-            None => Some(Err(IncompleteResponse)),
+        match self.next_chunk_until_close().await {
+            None if !self.delimited => Some(Err(IncompleteResponse)),
+            chunk => chunk,
         }
     }
 
+    /// Reads the next chunk of the body; `None` at its regular end. A body without a length ends with its connection,
+    /// unless that is reset.
+    pub async fn next_chunk_until_close(&mut self) -> Option<Result<Bytes, IncompleteResponse>> {
+        let chunk = self.pooled.link.next_chunk(&mut self.body).await?;
+        Some(chunk.map_err(|_| IncompleteResponse))
+    }
+
     /// Polls [`BackendResponse::next_chunk`] once; `None` if it is pending. The task is not woken when data arrives.
     pub fn try_next_chunk(&mut self) -> Option<Option<Result<Bytes, IncompleteResponse>>> {
         let mut context = Context::from_waker(Waker::noop());
--- a/alderhollow/src/executor/attempt.rs
+++ b/alderhollow/src/executor/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::body::Bytes;
 use hyper::StatusCode;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{timeout, Instant};
 
 /// A backend that sends no event for this long is abandoned. Before the first event it may still be processing the
 /// prompt or queueing the request.
@@ -25,6 +25,7 @@
 const RETRY_AFTER_NO_CONNECTION_MS: u64 = 60;
 const RETRY_AFTER_INTERRUPTED_MS: u64 = 20;
 const RETRY_AFTER_UNEXPECTED_STATUS_MS: u64 = 200;
+const RETRY_AFTER_TRUNCATED_ERROR_MS: u64 = 200;
 
 /// Result of an attempt without a response.
 pub fn on_send_error(item: &ItemStart, error: SendError) -> RunEnd {
@@ -45,12 +46,10 @@
     match response.status {
         StatusCode::OK if response.is_valid() => read_events(item, response).await,
         StatusCode::INTERNAL_SERVER_ERROR => {
-            finish_error_response(response, Outcome::Failed).await;
-            RunEnd::Failed
+            finish_error_response(item, response, Outcome::Failed, RunEnd::Failed).await
         }
         StatusCode::UNPROCESSABLE_ENTITY => {
-            finish_error_response(response, Outcome::Served).await;
-            RunEnd::Rejected
+            finish_error_response(item, response, Outcome::Served, RunEnd::Rejected).await
         }
         status => {
             log::warn!(
@@ -70,7 +69,7 @@
     let mut has_started = false;
     let outcome = loop {
         let chunk = match has_started {
-            false => tokio::time::timeout(FIRST_EVENT_TIMEOUT, response.next_chunk())
+            false => timeout(FIRST_EVENT_TIMEOUT, response.next_chunk())
                 .await
                 .ok(),
             true => poll_chunk(&mut response).await,
@@ -120,14 +119,30 @@
     }
 }
 
-/// Reads the rest of an error response so that its connection can be reused.
-async fn finish_error_response(mut response: BackendResponse, outcome: Outcome) {
+/// Reads the rest of an error response, which ends the run with `end` only if it is complete: the bytes of a truncated
+/// response belong to no request.
+async fn finish_error_response(
+    item: &ItemStart,
+    mut response: BackendResponse,
+    outcome: Outcome,
+    end: RunEnd,
+) -> RunEnd {
     loop {
-        match tokio::time::timeout(NEXT_EVENT_TIMEOUT, response.next_chunk()).await {
-            Ok(Some(Ok(chunk))) => metrics::get().runs.received(chunk.len()),
-            Ok(None) => return response.finish(outcome).await,
-            Ok(Some(Err(_))) | Err(_) => return response.abandon(outcome),
-        }
+        let chunk = timeout(NEXT_EVENT_TIMEOUT, response.next_chunk_until_close()).await;
+        let outcome_of_truncated = match chunk {
+            Ok(Some(Ok(chunk))) => {
+                metrics::get().runs.received(chunk.len());
+                continue;
+            }
+            Ok(None) => {
+                response.finish(outcome).await;
+                return end;
+            }
+            Ok(Some(Err(IncompleteResponse))) => Outcome::Broken,
+            Err(_) => Outcome::TimedOut,
+        };
+        response.abandon(outcome_of_truncated);
+        return interrupted(item, RETRY_AFTER_TRUNCATED_ERROR_MS);
     }
 }
 
--- a/alderhollow/tests/executor.rs
+++ b/alderhollow/tests/executor.rs
@@ -223,6 +223,32 @@
     });
 }
 
+/// Guards against an item that is given up for an error that its backend did not finish: bytes of a truncated response
+/// belong to no request.
+#[test]
+fn a_truncated_error_response_is_no_verdict_on_an_item() {
+    in_local_set(async {
+        for status in [500, 422] {
+            let setup = setup(vec![Reply::TruncatedStatus(status)]).await;
+            let end = setup.executor.run(&item(None)).await;
+            assert!(
+                matches!(end, RunEnd::Interrupted { resume: None, .. }),
+                "{status}: {end:?}"
+            );
+        }
+    });
+}
+
+#[test]
+fn an_error_response_without_a_length_ends_with_its_connection() {
+    in_local_set(async {
+        for (status, expected) in [(500, RunEnd::Failed), (422, RunEnd::Rejected)] {
+            let setup = setup(vec![Reply::UndelimitedStatus(status)]).await;
+            assert_eq!(setup.executor.run(&item(None)).await, expected, "{status}");
+        }
+    });
+}
+
 /// Guards against a response that a backend sends twice being counted as the result of two attempts.
 #[test]
 fn a_surplus_500_is_not_the_response_to_the_next_attempt() {
--- a/alderhollow/tests/support/batch_backend.rs
+++ b/alderhollow/tests/support/batch_backend.rs
@@ -27,6 +27,10 @@
     Status(u16),
     /// The same; the next request on its connection gets this answer once more, before its own.
     StatusTwice(u16),
+    /// A status with a part of its body, then the end of the connection.
+    TruncatedStatus(u16),
+    /// A status whose body ends with the connection.
+    UndelimitedStatus(u16),
     /// 503 with `Not-Executed`.
     NotExecuted,
     /// The same; the next request on its connection gets this answer once more, before its own.
@@ -276,6 +280,16 @@
                 "HTTP/1.1 {status} Status\r\nRequest-Id: {id}\r\n{seal}Content-Length: 2\r\n\r\nno"
             )
         }
+        Reply::TruncatedStatus(status) => {
+            format!(
+                "HTTP/1.1 {status} Status\r\nRequest-Id: {id}\r\n{seal}Content-Length: 10\r\n\r\nno "
+            )
+        }
+        Reply::UndelimitedStatus(status) => {
+            format!(
+                "HTTP/1.1 {status} Status\r\nRequest-Id: {id}\r\n{seal}Connection: close\r\n\r\nno"
+            )
+        }
         Reply::NotExecuted | Reply::NotExecutedTwice => {
             format!("HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
         }
@@ -300,7 +314,13 @@
     if stream.write_all(text.as_bytes()).await.is_err() {
         return false;
     }
-    !matches!(reply, Reply::CutAfter(_) | Reply::Undelimited)
+    !matches!(
+        reply,
+        Reply::CutAfter(_)
+            | Reply::Undelimited
+            | Reply::TruncatedStatus(_)
+            | Reply::UndelimitedStatus(_)
+    )
 }
 
 /// The whole text in chunks, and their end.
--- a/batch/src/engine/runs.rs
+++ b/batch/src/engine/runs.rs
@@ -12,6 +12,11 @@
 
 /// Backoff after a failed attempt, multiplied by the number of failures.
 const FAILURE_BACKOFF_MS: u64 = 200;
+/// Interrupted runs in a row, without a further event, that are repeated after the delay that their end asks for. Each
+/// further one doubles the delay.
+const INTERRUPTIONS_BEFORE_BACKOFF: u32 = 5;
+/// Longest delay after an interrupted run, in milliseconds, unless its end asks for a longer one.
+const MAX_INTERRUPTION_BACKOFF_MS: u64 = 5_000;
 /// Margin added to an age limit before an item is abandoned or a job forgotten, for rounding of clocks.
 const AGE_MARGIN_MS: u64 = 100;
 
@@ -118,8 +123,9 @@
                 resume,
                 retry_after_ms,
             } => {
-                self.record_resume(&key, resume);
-                self.work.back_off(key, now_ms + retry_after_ms);
+                let interruptions = self.record_interruption(&key, resume);
+                let delay_ms = interruption_backoff_ms(retry_after_ms, interruptions);
+                self.work.back_off(key, now_ms + delay_ms);
             }
         }
     }
@@ -141,15 +147,20 @@
             .back_off(key, self.now_ms + FAILURE_BACKOFF_MS * u64::from(failures));
     }
 
-    /// Records the furthest resume position of an item's runs.
-    fn record_resume(&mut self, key: &ItemKey, resume: Option<Resume>) {
+    /// Records the furthest resume position of an item's runs. Returns the number of interrupted runs in a row that have
+    /// not moved it.
+    fn record_interruption(&mut self, key: &ItemKey, resume: Option<Resume>) -> u32 {
         let Some(item) = self.work.item_mut(key) else {
-            return;
+            return 0;
         };
         let reached = |resume: &Option<Resume>| resume.as_ref().map(|resume| resume.last_event_id);
         if reached(&resume) > reached(&item.resume) {
             item.resume = resume;
+            item.interruptions = 0;
+        } else {
+            item.interruptions = item.interruptions.saturating_add(1);
         }
+        item.interruptions
     }
 
     /// Appends the result of one item.
@@ -252,3 +263,11 @@
         self.outputs.extend(runs.into_iter().map(Output::CancelRun));
     }
 }
+
+/// Delay before the next run of an item after so many interrupted ones: what cannot succeed is repeated ever more rarely
+/// until its retention ends.
+fn interruption_backoff_ms(retry_after_ms: u64, interruptions: u32) -> u64 {
+    let doublings = interruptions.saturating_sub(INTERRUPTIONS_BEFORE_BACKOFF);
+    let delay_ms = retry_after_ms.saturating_mul(2u64.saturating_pow(doublings));
+    delay_ms.min(MAX_INTERRUPTION_BACKOFF_MS.max(retry_after_ms))
+}
--- a/batch/src/work.rs
+++ b/batch/src/work.rs
@@ -76,6 +76,8 @@
     phase: Phase,
     /// Number of failed attempts (answers of 500) so far.
     pub failures: u32,
+    /// Number of interrupted runs in a row that brought no further event.
+    pub interruptions: u32,
     /// Furthest resume position of its interrupted runs.
     pub resume: Option<Resume>,
 }
@@ -157,6 +159,7 @@
                 OpenItem {
                     phase: Phase::Ready,
                     failures: 0,
+                    interruptions: 0,
                     resume: None,
                 },
             );
--- a/batch/tests/engine/runs.rs
+++ b/batch/tests/engine/runs.rs
@@ -130,6 +130,50 @@
     assert_eq!(met, expected);
 }
 
+/// Starts of the only item within `duration_ms`, if each of its runs is interrupted at the position that `resume` gives.
+fn starts_of_interrupted_item(
+    cluster: &mut Cluster,
+    duration_ms: u64,
+    resume: impl Fn(u64) -> Option<Resume>,
+) -> u64 {
+    let mut starts = 0;
+    for _ in 0..duration_ms / 10 {
+        for start in cluster.work(1, 1) {
+            starts += 1;
+            let end = RunEnd::Interrupted {
+                resume: resume(starts),
+                retry_after_ms: 20,
+            };
+            cluster.end_run(1, start.run, end);
+        }
+        cluster.pass(10, 1);
+    }
+    starts
+}
+
+/// Guards against an item that is repeated without a bound, as none of its runs counts as an attempt.
+#[test]
+fn an_item_that_never_gets_further_is_repeated_ever_more_rarely() {
+    let mut cluster = Cluster::active(2);
+    cluster.accept(1, job("a", 1, 10));
+    let starts = starts_of_interrupted_item(&mut cluster, 9_000, |_| None);
+    assert!((10..=20).contains(&starts), "{starts}");
+}
+
+#[test]
+fn an_item_that_gets_further_is_repeated_soon() {
+    let mut cluster = Cluster::active(2);
+    cluster.accept(1, job("a", 1, 10));
+    let resume = |last_event_id| {
+        Some(Resume {
+            last_event_id,
+            text: "x".to_owned(),
+        })
+    };
+    let starts = starts_of_interrupted_item(&mut cluster, 3_000, resume);
+    assert!(starts >= 90, "{starts}");
+}
+
 #[test]
 fn an_item_is_abandoned_after_its_retention_and_not_before() {
     let mut cluster = Cluster::active(2);
