--- a/alderhollow/src/cli/mod.rs
+++ b/alderhollow/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod inspect;
+mod program;
 mod status;
 
 use crate::metrics::listener::{self, MetricsPlace};
@@ -13,6 +14,7 @@
 use alderhollow_storage::StorageError;
 use clap::{Args, Parser, Subcommand};
 use log::LevelFilter;
+use program::ProgramFile;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use thiserror::Error;
@@ -145,6 +147,10 @@
             .or(settings.log_level)
             .unwrap_or(logging::DEFAULT_LEVEL),
     )?;
+    match ProgramFile::of_this_process() {
+        Ok(program) => log::info!("{program}"),
+        Err(error) => log::warn!("the program's file can't be read: {error}"),
+    }
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
--- a/alderhollow/tests/command_line.rs
+++ b/alderhollow/tests/command_line.rs
@@ -129,6 +129,7 @@
             .expect("kill runs");
         assert!(status.success());
     };
+    wait_for("alderhollow 0.1.0: ");
     wait_for("in zone south with disk");
     signal("-HUP");
     wait_for("the settings are read again");
