--- a/alderhollow/standins/src/raw_request.rs
+++ b/alderhollow/standins/src/raw_request.rs
@@ -13,6 +13,8 @@
     pub id: String,
     /// Length of its body in bytes, as the head announces it.
     pub body_length: usize,
+    /// Id of the last event that the caller has of a stream.
+    pub last_event_id: Option<u64>,
 }
 
 impl RequestHead {
@@ -38,6 +40,7 @@
         Some(RequestHead {
             id: header_value(head, header::REQUEST_ID)?.to_string(),
             body_length: length.unwrap_or(Ok(0)).ok()?,
+            last_event_id: header_value(head, header::LAST_EVENT_ID).and_then(|id| id.parse().ok()),
         })
     }
 }
--- a/alderhollow/tests/request_soak.rs
+++ b/alderhollow/tests/request_soak.rs
@@ -1,5 +1,6 @@
 //! A gateway between clients and backends that fail in all ways that leave it open whether a request has run: connections
-//! that are reset before, within and after a body of up to 4 MB, responses that come early, late, twice or not at all.
+//! that end before, within and after a body of up to 4 MB, responses that come early, late, truncated, in pieces, several
+//! times or not at all.
 //! What clients were answered is compared with what the backends ran. All is drawn from a seed, though the timing differs
 //! from run to run.
 //!
@@ -14,7 +15,7 @@
 mod record;
 mod support;
 
-use alderhollow_standins::failing_backend::FailingBackend;
+use alderhollow_standins::failing_backend::{FailingBackend, Workload};
 use oorandom::Rand64;
 use plan::Plan;
 use record::{Answer, Record, RouteKind};
@@ -69,7 +70,7 @@
     let mut addresses = Vec::new();
     for number in 0..BACKENDS {
         let random = Rand64::new(u128::from(seed) << 8 | u128::from(number));
-        let backend = FailingBackend::new(random, record.clone());
+        let backend = FailingBackend::new(random, Workload::Requests, record.clone());
         addresses.push(backend.start().await.expect("a free port"));
         backends.push(backend);
     }
