Hold that the late copy of a 500 answers no other request

The copy of a 500 that has gone to its client stands in the place of the next request's answer on a kept connection. By its id it is no answer; the next request may have run and gets 502 where its route allows no repeat. The test passes on the code before, too: it decides what was only suspected.

--- a/alderhollow/tests/http_server.rs
+++ b/alderhollow/tests/http_server.rs
@@ -403,6 +403,25 @@
     });
 }
 
+/// The copy of a 500 that has gone to its client comes in the place where the next answer is due. That request may have run.
+#[test]
+fn a_late_copy_of_a_500_is_no_answer_to_the_next_request() {
+    run(async {
+        let gateway = Gateway::start(1).await;
+        let failed =
+            "HTTP/1.1 500 Failed\r\nRequest-Id: r1\r\nResponse-Seal: s\r\nContent-Length: 0\r\n\r\n";
+        gateway.backends.script(vec![Step::Write(failed.into())]);
+        let first = ask(gateway.address, &request("/once/1", "", "x")).await;
+        assert_eq!(first.status, 500);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        gateway.backends.script(vec![Step::Write(failed.into())]);
+        let next = request("/once/2", "", "x").replace("Request-Id: r1", "Request-Id: r2");
+        assert_eq!(ask(gateway.address, &next).await.status, 502);
+        assert_eq!(gateway.backends.accepted.get(), 1, "connections");
+        assert_eq!(gateway.backends.seen().len(), 2, "requests");
+    });
+}
+
 #[test]
 fn a_connection_that_has_rested_is_used_again_unless_the_backend_closes_it() {
     run(async {
