--- a/alderhollow/tests/unanswered_requests.rs
+++ b/alderhollow/tests/unanswered_requests.rs
@@ -129,7 +129,7 @@
             // The answer is read before the reset overtakes it.
             Behavior::AnswerAndReset(_) => tokio::time::sleep(Duration::from_millis(100)).await,
             Behavior::Answer(_) | Behavior::Stall | Behavior::ServeSlowly(_) => {
-                std::future::pending().await
+                std::future::pending::<()>().await;
             }
         }
     }
