--- a/quota-gateway/src/bin/quota-gateway/backends/attempts.rs
+++ b/quota-gateway/src/bin/quota-gateway/backends/attempts.rs
@@ -294,8 +294,7 @@
         if end.outcome.never_ran() {
             self.pool.take_back(id, &mut pooled);
         }
-        // A backend at fault may send its error once more, and an answer has no id to tell that from the next one.
-        if end.outcome != Outcome::Error && pooled.link.is_usable().await {
+        if pooled.link.is_usable().await {
             self.pool.park(id, pooled);
         }
         end
