Refuse responses that are not well-formed

What callers saw: a backend's answer whose head was damaged where it tells the length of its body reached the client as a complete answer with the backend's seal, and with a body that was not the backend's: chunk sizes as part of the text, a body that is decoded once where two codings are stated, a stream that ends at the length of a second framing. A status of 101 or 600 to 999 and a damaged extension of a chunk reached the client, too. A damaged 503 or 421 was believed to show that a request has not run, and a damaged 200 completed an item of a batch job.

Cause: BackendResponse took any Transfer-Encoding for a framing that tells its own end, while the HTTP library reads until the connection closes where the last coding is not `chunked`; nobody looked at the range of the status; the gateway in service had the same gap. What was damaged was seen by nobody once the field had been taken out.

Change: each byte that a peer sends on a Link passes one state machine, ResponseCheck, before the HTTP library reads it. It holds the grammar of RFC 9112 for the status line, fields, framing, chunks and trailers. A malformed response ends the exchange as a truncated one does: the request may have run, its connection is closed, a request that may be repeated goes to another backend. Each one is counted by the rule that it breaks and logged with its backend. The check is the same for requests, streams, items, reports and the gateway in service. A bare line feed is refused: RFC 9112, 2.2 allows that, and two readers that differ on it see two responses.

--- a/alderhollow/src/exchange/mod.rs
+++ b/alderhollow/src/exchange/mod.rs
@@ -269,10 +269,10 @@
         };
         pooled.record_request(request_id);
         let progress = pooled.link.write_progress();
-        let sending = pooled.link.send(request);
+        let sending = pooled.send(request);
         let response = match limits.wait_for_response(&progress, sending).await {
             Ok(Ok(response)) => response,
-            Ok(Err(failure)) => return Err((attempt, SendError::broken(failure.written))),
+            Ok(Err(_)) => return Err((attempt, SendError::broken(pooled.link.written()))),
             Err(limit) => {
                 let written = pooled.link.written();
                 return Err((attempt, SendError::unanswered(written, limit.into())));
--- a/alderhollow/src/exchange/pool.rs
+++ b/alderhollow/src/exchange/pool.rs
@@ -4,11 +4,14 @@
 use super::carried_requests::CarriedRequests;
 use crate::balance::Outcome;
 use crate::metrics;
+use crate::metrics::backends::MalformedRule;
+use alderhollow_dataplane::flow::Upload;
 use alderhollow_dataplane::headers::keep_alive;
-use alderhollow_dataplane::link::{BrokenAnswer, Link};
+use alderhollow_dataplane::link::{BrokenAnswer, ExchangeError, Link};
 use alderhollow_model::backend::Backend;
-use hyper::body::Incoming;
+use hyper::body::{Bytes, Incoming};
 use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Request, Response};
 use rustix::io::Errno;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -79,12 +82,50 @@
         &self.backend
     }
 
+    /// Sends one request and waits until its response begins.
+    ///
+    /// # Errors
+    /// No response began, or its head is truncated or malformed.
+    pub async fn send(
+        &mut self,
+        request: Request<Upload>,
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        let response = self.link.send(request).await;
+        response.inspect_err(|error| {
+            if let ExchangeError::Broken(broken) = error {
+                self.report_broken(broken);
+            }
+        })
+    }
+
+    /// Reads the next chunk of a response's body; `None` at its end.
+    ///
+    /// # Errors
+    /// The body is truncated or malformed.
+    pub async fn next_chunk(&mut self, body: &mut Incoming) -> Option<Result<Bytes, BrokenAnswer>> {
+        let chunk = self.link.next_chunk(body).await?;
+        Some(chunk.inspect_err(|broken| self.report_broken(broken)))
+    }
+
+    /// Counts and logs a malformed response.
+    fn report_broken(&self, broken: &BrokenAnswer) {
+        if let BrokenAnswer::Malformed(malformed) = broken {
+            metrics::get()
+                .backends
+                .malformed_response(MalformedRule::from(*malformed));
+            log::warn!(
+                "refused a malformed response of backend {}: {malformed}",
+                self.backend
+            );
+        }
+    }
+
     /// Reads a response's body to its end. A body without a length ends with its connection, unless that is reset.
     ///
     /// # Errors
-    /// The body is truncated.
+    /// The body is truncated or malformed.
     pub async fn skip_body(&mut self, mut body: Incoming) -> Result<(), BrokenAnswer> {
-        while let Some(chunk) = self.link.next_chunk(&mut body).await {
+        while let Some(chunk) = self.next_chunk(&mut body).await {
             chunk?;
         }
         Ok(())
--- a/alderhollow/src/exchange/response.rs
+++ b/alderhollow/src/exchange/response.rs
@@ -15,7 +15,7 @@
 
 const EVENT_STREAM: &str = "text/event-stream";
 
-/// The response ended prematurely.
+/// The response ended prematurely, or is malformed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 #[error("the backend's response is incomplete")]
 pub struct IncompleteResponse;
@@ -99,7 +99,7 @@
     /// Reads the next chunk of the body; `None` at its regular end. A body without a length ends with its connection,
     /// unless that is reset.
     pub async fn next_chunk_until_close(&mut self) -> Option<Result<Bytes, IncompleteResponse>> {
-        let chunk = self.pooled.link.next_chunk(&mut self.body).await?;
+        let chunk = self.pooled.next_chunk(&mut self.body).await?;
         Some(chunk.map_err(|_| IncompleteResponse))
     }
 
--- a/alderhollow/src/exchange/weights_reports.rs
+++ b/alderhollow/src/exchange/weights_reports.rs
@@ -119,7 +119,7 @@
             .map_err(|_| ReportError::NoConnection)?;
         let limits = WaitLimits::until(deadline);
         let response = limits
-            .wait(pooled.link.send(report_request(backend)))
+            .wait(pooled.send(report_request(backend)))
             .await
             .map_err(|_| ReportError::TimedOut)?
             .map_err(|_| ReportError::Broken)?;
@@ -151,7 +151,7 @@
 ) -> Result<Vec<u8>, ReportError> {
     let mut body = response.into_body();
     let mut bytes = Vec::new();
-    while let Some(chunk) = pooled.link.next_chunk(&mut body).await {
+    while let Some(chunk) = pooled.next_chunk(&mut body).await {
         bytes.extend_from_slice(&chunk.map_err(|_| ReportError::Broken)?);
         if bytes.len() > MAX_REPORT_BYTES {
             return Err(ReportError::TooLarge);
@@ -159,3 +159,6 @@
     }
     Ok(bytes)
 }
+
+#[cfg(test)]
+mod tests;
--- a/alderhollow/src/metrics/backends.rs
+++ b/alderhollow/src/metrics/backends.rs
@@ -1,6 +1,7 @@
 //! Metrics of what backends say about themselves and their weights.
 
 use super::family::{label, Counter, CounterFamily, Description, Registrar};
+use alderhollow_dataplane::malformed::MalformedResponse;
 
 const MISDIRECTED: Description = Description {
     name: "alderhollow_backend_misdirected_total",
@@ -26,6 +27,10 @@
     name: "alderhollow_backend_unserved_attempts_total",
     help: "Attempts at a backend that brought no response of one that ran the request, by what is known of the request",
 };
+const MALFORMED: Description = Description {
+    name: "alderhollow_backend_malformed_responses_total",
+    help: "Responses of backends that were refused as malformed, by the rule that they break",
+};
 const PASSED_OVER: Description = Description {
     name: "alderhollow_backend_connections_passed_over_total",
     help: "Idle connections that were not used for a request, as they had carried an earlier attempt of it",
@@ -57,6 +62,46 @@
     }
 }
 
+label! {
+    /// The part of a response that breaks a rule.
+    MalformedRule named "rule" {
+        /// A line does not end with CR LF.
+        LineEnd => "line_end",
+        /// The status line or the status.
+        Status => "status",
+        /// A line of the head is no field, or the head is too large.
+        Field => "field",
+        /// `Content-Length` or `Transfer-Encoding`.
+        Framing => "framing",
+        /// A chunk or the trailer section.
+        Chunk => "chunk",
+        /// A part of a line, before the line was complete.
+        Unreadable => "unreadable",
+    }
+}
+
+impl From<MalformedResponse> for MalformedRule {
+    fn from(malformed: MalformedResponse) -> MalformedRule {
+        match malformed {
+            MalformedResponse::LineEnd => MalformedRule::LineEnd,
+            MalformedResponse::StatusLine | MalformedResponse::Status(_) => MalformedRule::Status,
+            MalformedResponse::FieldName
+            | MalformedResponse::FieldValue
+            | MalformedResponse::TooManyFields
+            | MalformedResponse::HeadTooLarge => MalformedRule::Field,
+            MalformedResponse::ContentLength
+            | MalformedResponse::TransferEncoding
+            | MalformedResponse::ConflictingLengths
+            | MalformedResponse::UnexpectedBody(_) => MalformedRule::Framing,
+            MalformedResponse::ChunkSize
+            | MalformedResponse::ChunkExtension
+            | MalformedResponse::ChunkEnd
+            | MalformedResponse::Trailer => MalformedRule::Chunk,
+            MalformedResponse::Unreadable => MalformedRule::Unreadable,
+        }
+    }
+}
+
 label! {
     /// The result of a request for a report.
     ReportResult named "result" {
@@ -75,6 +120,7 @@
     weights_reports: CounterFamily<ReportResult>,
     connections_refused: Counter,
     unserved: CounterFamily<UnservedEvidence>,
+    malformed: CounterFamily<MalformedRule>,
     passed_over: Counter,
 }
 
@@ -87,6 +133,7 @@
             weights_reports: registrar.counters(&WEIGHTS_REPORTS),
             connections_refused: registrar.counter(&CONNECTIONS_REFUSED),
             unserved: registrar.counters(&UNSERVED),
+            malformed: registrar.counters(&MALFORMED),
             passed_over: registrar.counter(&PASSED_OVER),
         }
     }
@@ -116,6 +163,11 @@
         self.unserved.of(evidence).add(1);
     }
 
+    /// A malformed response was refused.
+    pub fn malformed_response(&self, rule: MalformedRule) {
+        self.malformed.of(rule).add(1);
+    }
+
     /// An idle connection was not used for a request, as it had carried an earlier attempt of it.
     pub fn connection_passed_over(&self) {
         self.passed_over.add(1);
--- a/alderhollow/tests/executor.rs
+++ b/alderhollow/tests/executor.rs
@@ -249,6 +249,57 @@
     });
 }
 
+/// Malformed heads with this first line, whose body is a complete stream of events.
+fn malformed(status_line: &str) -> Vec<Reply> {
+    let head = |fields: &str| {
+        Reply::Raw(format!(
+            "{status_line}\r\nContent-Type: text/event-stream\r\nRequest-Id: {{id}}\r\n{{seal}}{fields}\r\n\r\n{{events}}"
+        ))
+    };
+    vec![
+        head("Transfer-Encoding: chunkd"),
+        head("Transfer-Encoding: gzip, chunked"),
+        head("Transfer-Encoding: chunked, chunked"),
+        head("Transfer-Encoding: chunked\r\nContent-Length: 3"),
+        head("no field\r\nTransfer-Encoding: chunked"),
+        head("in side: x\r\nTransfer-Encoding: chunked"),
+        head("control\u{1}byte: x\r\nTransfer-Encoding: chunked"),
+    ]
+}
+
+async fn assert_interrupted(reply: Reply) {
+    let setup = setup(vec![reply.clone()]).await;
+    let end = setup.executor.run(&item(None)).await;
+    assert!(
+        matches!(end, RunEnd::Interrupted { resume: None, .. }),
+        "{reply:?}: {end:?}"
+    );
+}
+
+/// Guards against chunk sizes in an item's text, and against an item that is given up for a damaged response.
+#[test]
+fn a_malformed_response_is_no_verdict_on_an_item() {
+    in_local_set(async {
+        for status in [
+            "200 OK", "500 Oh", "422 No", "000 Odd", "101 Odd", "600 Odd",
+        ] {
+            for reply in malformed(&format!("HTTP/1.1 {status}")) {
+                assert_interrupted(reply).await;
+            }
+        }
+    });
+}
+
+/// Guards against an item that runs at two backends at a time: it may have run at the one that seems to decline it.
+#[test]
+fn a_malformed_decline_does_not_show_that_an_item_has_not_run() {
+    in_local_set(async {
+        for reply in malformed("HTTP/1.1 503 Full\r\nNot-Executed: 1") {
+            assert_interrupted(reply).await;
+        }
+    });
+}
+
 /// Guards against a response that a backend sends twice being counted as the result of two attempts.
 #[test]
 fn a_surplus_500_is_not_the_response_to_the_next_attempt() {
--- a/alderhollow/tests/support/batch_backend.rs
+++ b/alderhollow/tests/support/batch_backend.rs
@@ -41,6 +41,8 @@
     OtherWeights(u64),
     /// An answer to another request.
     Surplus,
+    /// A head with `{events}` in place of its body, as it is, then the end of the connection.
+    Raw(String),
     /// The connection closes without an answer.
     Reset,
     /// Nothing, ever.
@@ -302,6 +304,10 @@
         Reply::Surplus => {
             format!("{stream_head}Request-Id: other\r\n{seal}Content-Length: 0\r\n\r\n")
         }
+        Reply::Raw(text) => text
+            .replace("{id}", id)
+            .replace("{seal}", seal)
+            .replace("{events}", &chunks(&events)),
         Reply::Reset => return false,
         Reply::Silence => {
             let mut rest = Vec::new();
@@ -320,6 +326,7 @@
             | Reply::Undelimited
             | Reply::TruncatedStatus(_)
             | Reply::UndelimitedStatus(_)
+            | Reply::Raw(_)
     )
 }
 
--- a/dataplane/src/lib.rs
+++ b/dataplane/src/lib.rs
@@ -7,4 +7,6 @@
 pub mod flow;
 pub mod headers;
 pub mod link;
+pub mod malformed;
 pub mod progress;
+pub mod response_check;
--- a/dataplane/src/link.rs
+++ b/dataplane/src/link.rs
@@ -1,16 +1,21 @@
 //! One HTTP/1.1 connection to a peer. Whoever holds it drives it: no task of its own stands behind it, so
 //! dropping it has closed the socket.
+//!
+//! Each byte that the peer sends passes through a [`ResponseCheck`] before the HTTP library reads it. A malformed response
+//! ends the connection as a truncated one does, and nothing of it is returned.
 
 use crate::flow::Upload;
+use crate::malformed::MalformedResponse;
 use crate::progress::{Progress, TrackedBody, WriteProgress, Written};
+use crate::response_check::ResponseCheck;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
-use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::error::Error as _;
 use std::future::{poll_fn, Future};
 use std::io;
 use std::mem::MaybeUninit;
@@ -20,6 +25,7 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpSocket, TcpStream};
 
 /// Size of the program's read and write buffers of one connection, in bytes.
@@ -27,7 +33,7 @@
 /// Size of the system's send and receive buffers of one connection, in bytes.
 pub const SOCKET_BUFFER_BYTES: u32 = 64 * 1024;
 
-/// An exchange brought no answer: its connection broke, or what came is no HTTP.
+/// An exchange brought no answer: its connection broke before one began.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 #[error("{problem}")]
 pub struct Failure {
@@ -37,13 +43,18 @@
     pub problem: String,
 }
 
-/// An answer ended early, or what came of it is no HTTP. As it had begun, the peer has had the request, however much of
-/// it was written.
+/// An answer that had begun is not whole. The peer has had the request, however much of it was written.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
-#[error("{problem}")]
-pub struct BrokenAnswer {
-    /// What was wrong, for the log.
-    pub problem: String,
+pub enum BrokenAnswer {
+    /// It ended early.
+    #[error("{problem}")]
+    Truncated {
+        /// What was wrong, for the log.
+        problem: String,
+    },
+    /// What came is no response.
+    #[error(transparent)]
+    Malformed(#[from] MalformedResponse),
 }
 
 /// Why an exchange brought no complete answer.
@@ -57,24 +68,29 @@
     Broken(#[from] BrokenAnswer),
 }
 
-/// The connection's socket, which records how far a request was written.
+/// The connection's socket, which records how far a request was written and checks what is read.
 struct Socket {
-    stream: TokioIo<TcpStream>,
+    stream: TcpStream,
     progress: Rc<Progress>,
+    check: Rc<RefCell<ResponseCheck>>,
     /// Whether the next read asks the system first.
     asks_system: Rc<Cell<bool>>,
 }
 
-impl Read for Socket {
+impl AsyncRead for Socket {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
+        buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.asks_system.take() && !is_silent(self.stream.inner()) {
+        if self.asks_system.take() && !is_silent(&self.stream) {
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let filled_before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let received = buffer.filled().get(filled_before..).unwrap_or_default();
+        let checked = self.check.borrow_mut().on_received(received);
+        Poll::Ready(checked.map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error)))
     }
 }
 
@@ -84,7 +100,7 @@
     peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
 }
 
-impl Write for Socket {
+impl AsyncWrite for Socket {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -117,7 +133,20 @@
     }
 }
 
-type HttpConnection = Box<Connection<Socket, TrackedBody>>;
+/// Whether the HTTP library could not read what came, rather than that the connection broke.
+fn is_unreadable(error: &hyper::Error) -> bool {
+    let io_error = error
+        .source()
+        .and_then(|source| source.downcast_ref::<io::Error>());
+    let kind = io_error.map(io::Error::kind);
+    error.is_parse()
+        || matches!(
+            kind,
+            Some(io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData)
+        )
+}
+
+type HttpConnection = Box<Connection<TokioIo<Socket>, TrackedBody>>;
 
 /// One connection, which carries one exchange at a time.
 pub struct Link {
@@ -125,6 +154,7 @@
     /// `None` once the connection has ended. Boxed, as it is large and links are moved.
     connection: Option<HttpConnection>,
     progress: Rc<Progress>,
+    check: Rc<RefCell<ResponseCheck>>,
     /// Whether the next read asks the system first.
     asks_system: Rc<Cell<bool>>,
 }
@@ -161,21 +191,24 @@
         let stream = socket.connect(address).await?;
         stream.set_nodelay(true)?;
         let progress = Rc::new(Progress::new(written));
+        let check = Rc::new(RefCell::new(ResponseCheck::default()));
         let asks_system = Rc::new(Cell::new(false));
         let socket = Socket {
-            stream: TokioIo::new(stream),
+            stream,
             progress: progress.clone(),
+            check: check.clone(),
             asks_system: asks_system.clone(),
         };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
-            .handshake(socket)
+            .handshake(TokioIo::new(socket))
             .await
             .map_err(io::Error::other)?;
         Ok(Link {
             sender,
             connection: Some(Box::new(connection)),
             progress,
+            check,
             asks_system,
         })
     }
@@ -183,21 +216,51 @@
     /// Sends one request and waits until its answer begins.
     ///
     /// # Errors
-    /// The connection broke before the answer began; the error tells how much of the request was written.
-    pub async fn send(&mut self, request: Request<Upload>) -> Result<Response<Incoming>, Failure> {
+    /// The connection broke before the answer began, and the error tells how much of the request was written; or the
+    /// answer's head is truncated or malformed.
+    pub async fn send(
+        &mut self,
+        request: Request<Upload>,
+    ) -> Result<Response<Incoming>, ExchangeError> {
         let Link {
             sender,
             connection,
             progress,
+            check,
             ..
         } = self;
+        check.borrow_mut().on_request(request.method());
         progress.begin(request.body().is_end_stream());
         let request = request.map(|body| TrackedBody::new(body, progress.clone()));
         let answer = drive(connection, sender.try_send_request(request)).await;
-        answer.map_err(|error| Failure {
-            written: progress.written(),
-            problem: error.error().to_string(),
-        })
+        answer.map_err(|error| self.exchange_error(error.error()))
+    }
+
+    /// What the failure of an exchange, as the HTTP library tells it, says of its answer.
+    fn exchange_error(&self, error: &hyper::Error) -> ExchangeError {
+        if let Some(malformed) = self.malformed(error) {
+            return BrokenAnswer::from(malformed).into();
+        }
+        let failure = Failure {
+            written: self.progress.written(),
+            problem: error.to_string(),
+        };
+        failure.into()
+    }
+
+    fn broken_answer(&self, error: &hyper::Error) -> BrokenAnswer {
+        match self.malformed(error) {
+            Some(malformed) => malformed.into(),
+            None => BrokenAnswer::Truncated {
+                problem: error.to_string(),
+            },
+        }
+    }
+
+    /// The rule that the answer breaks, if that is why the exchange has failed.
+    fn malformed(&self, error: &hyper::Error) -> Option<MalformedResponse> {
+        let found = self.check.borrow().malformed();
+        found.or_else(|| is_unreadable(error).then_some(MalformedResponse::Unreadable))
     }
 
     /// How much of the request that was sent last was written.
@@ -213,7 +276,7 @@
     /// The next chunk of the body of an answer that has begun; `None` at its end.
     ///
     /// # Errors
-    /// The connection broke, or what came is no HTTP.
+    /// The body is truncated or malformed.
     pub async fn next_chunk(&mut self, body: &mut Incoming) -> Option<Result<Bytes, BrokenAnswer>> {
         loop {
             match drive(&mut self.connection, body.frame()).await? {
@@ -223,10 +286,7 @@
                         return Some(Ok(data));
                     }
                 }
-                Err(error) => {
-                    let problem = error.to_string();
-                    return Some(Err(BrokenAnswer { problem }));
-                }
+                Err(error) => return Some(Err(self.broken_answer(&error))),
             }
         }
     }
@@ -254,7 +314,7 @@
                 self.connection = None;
             }
         }
-        self.connection.is_some() && self.sender.is_ready()
+        self.connection.is_some() && self.sender.is_ready() && self.check.borrow().is_clean()
     }
 }
 
--- a/dataplane/src/link/tests.rs
+++ b/dataplane/src/link/tests.rs
@@ -1,11 +1,18 @@
 use super::*;
 use std::net::Ipv4Addr;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
 /// More than the buffers of both sides hold.
 const LONG: usize = 32 << 20;
 
+fn unanswered(answer: Result<Response<Incoming>, ExchangeError>) -> Failure {
+    match answer {
+        Err(ExchangeError::Unanswered(failure)) => failure,
+        other => panic!("an answer has begun: {other:?}"),
+    }
+}
+
 /// How much of a request with a body of `size` bytes was written to a peer that resets the connection once `reads` holds
 /// for what it has read.
 async fn written_before_reset(reads: impl Fn(&[u8]) -> bool, size: usize) -> Written {
@@ -32,7 +39,7 @@
         link.send(Request::post("/").body(body).expect("a request")),
         peer
     );
-    let failure = answer.expect_err("there is no answer");
+    let failure = unanswered(answer);
     assert_eq!(
         written.get(),
         u64::from(failure.written == Written::Wholly),
@@ -89,7 +96,139 @@
         drop(peer);
         let body = Upload::new(Bytes::from(vec![b'x'; size]), None);
         let request = Request::post("/").body(body).expect("a request");
-        let failure = link.send(request).await.expect_err("there is no answer");
+        let failure = unanswered(link.send(request).await);
         assert_eq!(failure.written, Written::Nothing, "{size}");
     }
 }
+
+/// A peer that answers the first request with `answer` and keeps the connection; tells when the other side has closed it.
+async fn answer_and_wait_for_close(listener: TcpListener, answer: &[u8]) {
+    let (mut stream, _) = listener.accept().await.expect("it comes up");
+    let mut request = Vec::new();
+    while !request.ends_with(b"\r\n\r\n") {
+        stream.read_buf(&mut request).await.expect("a request");
+    }
+    stream.write_all(answer).await.expect("a reader");
+    while matches!(stream.read_buf(&mut request).await, Ok(1..)) {}
+}
+
+/// Sends a request and reads its answer's body; the link is dropped behind it.
+async fn exchange(address: SocketAddr) -> (Result<Vec<u8>, ExchangeError>, bool) {
+    let mut link = Link::open(address, Rc::default())
+        .await
+        .expect("it comes up");
+    let body = Upload::new(Bytes::new(), None);
+    let request = Request::get("/").body(body).expect("a request");
+    let mut body = match link.send(request).await {
+        Ok(answer) => answer.into_body(),
+        Err(error) => return (Err(error), link.is_usable().await),
+    };
+    let mut read = Vec::new();
+    while let Some(chunk) = link.next_chunk(&mut body).await {
+        match chunk {
+            Ok(chunk) => read.extend_from_slice(&chunk),
+            Err(broken) => return (Err(broken.into()), link.is_usable().await),
+        }
+    }
+    (Ok(read), link.is_usable().await)
+}
+
+/// Guards against a damaged answer being taken for a whole one with another body, and against its rest being read as the
+/// answer to the next request.
+#[tokio::test]
+async fn a_malformed_answer_is_broken_and_ends_its_connection() {
+    use MalformedResponse::{
+        ChunkExtension, ConflictingLengths, FieldName, LineEnd, Status, TransferEncoding,
+    };
+    let chunks = "2\r\nok\r\n0\r\n\r\n";
+    for (answer, rule) in [
+        (
+            format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunkd\r\n\r\n{chunks}"),
+            TransferEncoding,
+        ),
+        (
+            format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n{chunks}"),
+            TransferEncoding,
+        ),
+        (
+            format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n{chunks}"),
+            ConflictingLengths,
+        ),
+        (
+            "HTTP/1.1 200 OK\r\nno field\r\nContent-Length: 2\r\n\r\nok".into(),
+            FieldName,
+        ),
+        (
+            "HTTP/1.1 200 OK\r\nin side: x\r\nContent-Length: 2\r\n\r\nok".into(),
+            FieldName,
+        ),
+        (
+            "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok".into(),
+            Status(0),
+        ),
+        (
+            "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nok".into(),
+            Status(600),
+        ),
+        (
+            "HTTP/1.1 101 Switching\r\n\r\n".into(),
+            Status(101),
+        ),
+        (
+            "HTTP/1.1 200 OK\nContent-Length: 2\r\n\r\nok".into(),
+            LineEnd,
+        ),
+        (
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;a\u{1}\r\nok\r\n0\r\n\r\n".into(),
+            ChunkExtension,
+        ),
+    ] {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+            .await
+            .expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let peer = answer_and_wait_for_close(listener, answer.as_bytes());
+        let ((read, is_usable), ()) = tokio::join!(exchange(address), peer);
+        let malformed = ExchangeError::Broken(BrokenAnswer::Malformed(rule));
+        assert_eq!((read, is_usable), (Err(malformed), false), "{answer:?}");
+    }
+}
+
+/// Guards against a request that waits for the rest of a line which is known to be none.
+#[tokio::test]
+async fn a_malformed_part_of_a_line_is_not_awaited_to_its_end() {
+    for answer in [
+        "HTTP/1.1 200 OK\r\nin side: x\r\n",
+        "HTTP/1.1 2x",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\nz",
+    ] {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+            .await
+            .expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let peer = answer_and_wait_for_close(listener, answer.as_bytes());
+        let ((read, is_usable), ()) = tokio::join!(exchange(address), peer);
+        let malformed =
+            ExchangeError::Broken(BrokenAnswer::Malformed(MalformedResponse::Unreadable));
+        assert_eq!((read, is_usable), (Err(malformed), false), "{answer:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_well_formed_answer_leaves_a_usable_connection_and_surplus_bytes_do_not() {
+    for (answer, is_usable) in [
+        ("HTTP/1.1 200\r\ncontent-length: 2\r\n\r\nok", true),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true),
+        ("HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokay", false),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false),
+    ] {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+            .await
+            .expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let peer = answer_and_wait_for_close(listener, answer.as_bytes());
+        let (exchanged, ()) = tokio::join!(exchange(address), peer);
+        assert_eq!(exchanged, (Ok(b"ok".to_vec()), is_usable), "{answer:?}");
+    }
+}
--- a/quota-gateway/src/bin/quota-gateway/backends/attempts.rs
+++ b/quota-gateway/src/bin/quota-gateway/backends/attempts.rs
@@ -274,6 +274,9 @@
             }
             Err(problem) => {
                 let tally = &mut *self.pool.tally.borrow_mut();
+                if let ExchangeError::Broken(BrokenAnswer::Malformed(_)) = problem {
+                    tally.malformed += 1;
+                }
                 *if pooled.used == 0 {
                     &mut tally.broken_new
                 } else {
@@ -312,6 +315,7 @@
     ) -> Result<End, ExchangeError> {
         let (head, mut body) = pooled.link.send(request).await?.into_parts();
         pooled.heed(&head.headers);
+        let address = pooled.address;
         let link = &mut pooled.link;
         let length = body.size_hint().exact();
         let served = head.status == StatusCode::OK;
@@ -362,7 +366,10 @@
                 .await
                 .unwrap_or(Some(stalled()))
             {
-                let piece = piece.map_err(|_| Outcome::Reset)?;
+                let piece = piece.map_err(|broken| {
+                    self.pool.record_broken_body(address, &broken);
+                    Outcome::Reset
+                })?;
                 match timeout(STALL, source.send(piece)).await {
                     Ok(Ok(())) => {}
                     _ => return Err(Outcome::Cancelled),
@@ -406,7 +413,7 @@
 }
 
 fn stalled() -> Result<Bytes, BrokenAnswer> {
-    Err(BrokenAnswer {
+    Err(BrokenAnswer::Truncated {
         problem: "nothing more came".into(),
     })
 }
--- a/quota-gateway/src/bin/quota-gateway/backends/attempts/tests.rs
+++ b/quota-gateway/src/bin/quota-gateway/backends/attempts/tests.rs
@@ -254,6 +254,41 @@
     assert_eq!(end.outcome, Outcome::Reset);
 }
 
+/// Guards against a damaged answer that reaches a client as a whole one, and against a refusal in one being believed.
+#[tokio::test]
+async fn a_malformed_answer_is_a_reset_and_its_connection_is_closed() {
+    for answer in [
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunkd\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: 1\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2;a\u{1}\r\nok\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nno field\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nin side: x\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\ncontrol\u{1}byte: x\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 000 OK\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 700 OK\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 503 Full\r\nx-not-run: 1\r\ntransfer-encoding: chunkd\r\n\r\n",
+        "HTTP/1.1 503 Full\r\nx-not-run: 1\r\ntransfer-encoding: chunked, chunked\r\n\r\n0\r\n\r\n",
+    ] {
+        let (listener, address) = listen().await;
+        let backends = backends(address);
+        let order = order(Duration::from_secs(9));
+        let begin = |_, _: &End| panic!("it reached the client: {answer:?}");
+        let end = tokio::select! {
+            end = backends.attempt(&order, std::future::pending::<()>(), || true, begin) => end,
+            () = backend(listener, Some(answer)) => unreachable!("a backend never ends"),
+        };
+        assert_eq!(end.outcome, Outcome::Reset, "{answer:?}");
+        assert!(end.answer.is_none(), "{answer:?}");
+        assert_eq!(backends.pool.connections(), (0, 0), "{answer:?}");
+        let tally = backends.pool.tally.take();
+        assert_eq!((tally.malformed, tally.broken_new), (1, 1), "{answer:?}");
+        assert!(tally.last_broken.contains(&address.to_string()));
+    }
+}
+
 /// How a backend ends what it has said.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Close {
--- a/quota-gateway/src/bin/quota-gateway/backends/pool.rs
+++ b/quota-gateway/src/bin/quota-gateway/backends/pool.rs
@@ -2,7 +2,7 @@
 
 use crate::backends::sessions::{Hold, Seen, Sessions, Watched, RUN_GAP};
 use crate::operators::cost::{Gauge, Held};
-use alderhollow_dataplane::link::Link;
+use alderhollow_dataplane::link::{BrokenAnswer, Link};
 use gateway_cluster::sessions::evidence::{ConnectionUse, Outcome};
 use hyper::header::HeaderMap;
 use oorandom::Rand32;
@@ -45,6 +45,7 @@
 /// A connection.
 pub(crate) struct Pooled {
     pub link: Link,
+    pub address: SocketAddr,
     pub since: Instant,
     /// The life of its backend that it was opened in. No two have the same number, at whatever address.
     life: u64,
@@ -106,12 +107,14 @@
     /// Broken exchanges on a new connection, and on one that had carried others before.
     pub broken_new: u32,
     pub broken_used: u32,
+    /// Answers that were refused as malformed.
+    pub malformed: u32,
     pub last_broken: String,
 }
 
 impl Tally {
     fn has_failures(&self) -> bool {
-        self.unopened + self.broken_new + self.broken_used > 0
+        self.unopened + self.broken_new + self.broken_used + self.malformed > 0
     }
 }
 
@@ -356,6 +359,7 @@
             unopened,
             broken_new,
             broken_used,
+            malformed,
             last_broken,
         } = self.tally.take();
         warn!(
@@ -365,12 +369,23 @@
             unopened,
             broken_new,
             broken_used,
+            malformed,
             last_broken,
             "connections to backends: {exchanges} exchanges, {opened} opened, {unopened} not opened, broken \
-             {broken_new} new and {broken_used} used before, the last {last_broken}"
+             {broken_new} new and {broken_used} used before, {malformed} malformed answers, the last {last_broken}"
         );
     }
 
+    /// Counts an answer that had begun to reach its client and is malformed.
+    pub(crate) fn record_broken_body(&self, address: SocketAddr, broken: &BrokenAnswer) {
+        if let BrokenAnswer::Malformed(malformed) = broken {
+            let tally = &mut *self.tally.borrow_mut();
+            tally.malformed += 1;
+            tally.last_broken = format!("to {address}: {malformed}");
+            self.stir();
+        }
+    }
+
     /// Where a backend is that takes new requests.
     pub(crate) fn ready_at(&self, id: ServerId) -> Option<Place> {
         if self.out.borrow().contains(&id) {
@@ -617,6 +632,7 @@
             .mul_f32(1.0 - JITTER * self.rng.borrow_mut().rand_float());
         Some(Pooled {
             link: link?,
+            address: place.address,
             since: Instant::now(),
             life: place.generation,
             keep,
