Read the platform's list over the checked connection

What was seen: by a test, not by the operators. The reader of the platform's list takes a damaged answer for a list: one with `Transfer-Encoding: chunkd` and a page without backends replaces the list by an empty one.

Cause: the reader had an HTTP client of its own beside Link, so what Link refuses passed there.

Change: the reader uses Link; its own client is gone. A malformed answer is an error that names the rule, as a broken connection is: the former list stays, the connection is closed, and the next reading begins after the usual backoff. An answer that is too large and one that is not whole are told apart now.

Evidence: a_malformed_answer_is_no_list_and_its_connection_is_not_used_again fails on (`Ok([])`) and passes now, with the other tests of discovery, drain and control_plane.

--- a/alderhollow/src/discovery/platform.rs
+++ b/alderhollow/src/discovery/platform.rs
@@ -1,16 +1,15 @@
 //! HTTP client of the platform: requests its list of backends, page by page, over one connection.
 
 use super::listing::{ListingError, Page};
+use alderhollow_dataplane::flow::Upload;
+use alderhollow_dataplane::link::{BrokenAnswer, ExchangeError, Link};
 use alderhollow_model::backend::Backend;
 use http::{header, Request, StatusCode};
-use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
-use hyper::body::Bytes;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
+use hyper::body::{Bytes, Incoming};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::net::TcpStream;
 
 /// Time-out for one page, including the connection.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -25,15 +24,18 @@
     /// Connecting to the platform failed.
     #[error("the platform can't be reached: {0}")]
     Connect(#[from] std::io::Error),
-    /// The connection broke.
-    #[error("the connection to the platform broke: {0}")]
-    Exchange(#[from] hyper::Error),
+    /// The connection broke, or the answer is malformed.
+    #[error("the platform sent no whole answer: {0}")]
+    Exchange(#[from] ExchangeError),
     /// The request could not be built.
     #[error("can't build a request from the platform's page token: {0}")]
     Request(#[from] http::Error),
-    /// The body is incomplete or too large.
-    #[error("the platform's answer is incomplete or too large")]
-    Body,
+    /// The body is incomplete or malformed.
+    #[error("the platform's answer is not whole: {0}")]
+    Body(#[from] BrokenAnswer),
+    /// The body is too large.
+    #[error("the platform's answer has more than {MAX_PAGE_BYTES} bytes")]
+    TooLarge,
     /// No answer within the time-out.
     #[error("the platform did not answer in time")]
     TimedOut,
@@ -54,7 +56,7 @@
 /// Client of the platform. It reconnects when needed.
 pub struct Platform {
     address: SocketAddr,
-    connection: Option<SendRequest<Empty<Bytes>>>,
+    connection: Option<Link>,
 }
 
 impl Platform {
@@ -115,49 +117,40 @@
         };
         let request = Request::get(path)
             .header(header::HOST, self.address.to_string())
-            .body(Empty::<Bytes>::new())?;
-        let answer = self.connection().await?.send_request(request).await?;
-        let status = answer.status();
-        let body = Limited::new(answer.into_body(), MAX_PAGE_BYTES)
-            .collect()
-            .await;
-        let body = body.map_err(|error| body_error(error.as_ref()))?.to_bytes();
-        match status {
+            .body(Upload::new(Bytes::new(), None))?;
+        let link = self.connection().await?;
+        let (head, body) = link.send(request).await?.into_parts();
+        let body = read_body(link, body).await?;
+        match head.status {
             StatusCode::OK => Ok(Page::parse(&body)?),
             StatusCode::TOO_MANY_REQUESTS => Err(PlatformError::OverRate),
             status => Err(PlatformError::Status(status)),
         }
     }
 
-    async fn connection(&mut self) -> Result<&mut SendRequest<Empty<Bytes>>, PlatformError> {
-        let connection = match self.connection.take() {
-            Some(mut connection) => match connection.ready().await {
-                Ok(()) => connection,
-                Err(_) => connect(self.address).await?,
-            },
-            None => connect(self.address).await?,
+    /// The open connection, or a new one where it was closed.
+    async fn connection(&mut self) -> Result<&mut Link, PlatformError> {
+        let open = match self.connection.take() {
+            Some(mut link) => link.is_silent().await.then_some(link),
+            None => None,
         };
-        Ok(self.connection.insert(connection))
+        let link = match open {
+            Some(link) => link,
+            None => Link::open(self.address, Rc::default()).await?,
+        };
+        Ok(self.connection.insert(link))
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<SendRequest<Empty<Bytes>>, PlatformError> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    tokio::task::spawn_local(async move {
-        if let Err(error) = connection.await {
-            log::debug!("the connection to the platform failed: {error}");
+async fn read_body(link: &mut Link, mut body: Incoming) -> Result<Vec<u8>, PlatformError> {
+    let mut bytes = Vec::new();
+    while let Some(chunk) = link.next_chunk(&mut body).await {
+        bytes.extend_from_slice(&chunk?);
+        if bytes.len() > MAX_PAGE_BYTES {
+            return Err(PlatformError::TooLarge);
         }
-    });
-    Ok(sender)
-}
-
-fn body_error(error: &(dyn std::error::Error + Send + Sync + 'static)) -> PlatformError {
-    if !error.is::<LengthLimitError>() {
-        log::debug!("reading the platform's answer failed: {error}");
     }
-    PlatformError::Body
+    Ok(bytes)
 }
 
 /// Percent-encodes all but unreserved characters, for a value in a query.
--- a/alderhollow/tests/discovery.rs
+++ b/alderhollow/tests/discovery.rs
@@ -2,10 +2,16 @@
 
 use alderhollow::discovery::changes::ListVersioner;
 use alderhollow::discovery::listing::Page;
-use alderhollow::discovery::platform::percent_encode;
+use alderhollow::discovery::platform::{percent_encode, Platform, PlatformError};
+use alderhollow_dataplane::link::{BrokenAnswer, ExchangeError};
 use alderhollow_model::backend::{Backend, BackendState};
 use alderhollow_model::identity::Address;
 use proptest::prelude::*;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
 
 fn backend(id: &str, cold_remaining_ms: u64) -> Backend {
     Backend {
@@ -175,3 +181,61 @@
         }
     }
 }
+
+/// A platform that answers each connection's first request with the next of these texts and closes it.
+async fn platform(answers: Vec<String>) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+        .await
+        .expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    tokio::task::spawn_local(async move {
+        for answer in answers {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut request = Vec::new();
+            while !request.ends_with(b"\r\n\r\n") {
+                stream.read_buf(&mut request).await.expect("a request");
+            }
+            stream.write_all(answer.as_bytes()).await.expect("a reader");
+        }
+    });
+    address
+}
+
+/// Guards against a damaged answer replacing the list: what the body is cannot be told without its framing.
+#[tokio::test]
+async fn a_malformed_answer_is_no_list_and_its_connection_is_not_used_again() {
+    let page = r#"{"instances":[],"next-token":null}"#;
+    let length = page.len();
+    let chunked = format!("{length:x}\r\n{page}\r\n0\r\n\r\n");
+    let sound = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n{chunked}");
+    for malformed in [
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunkd\r\n\r\n{page}"),
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n{chunked}"),
+        format!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n{chunked}"
+        ),
+        format!("HTTP/1.1 200 OK\r\nno field\r\nContent-Length: {length}\r\n\r\n{page}"),
+        format!("HTTP/1.1 200 OK\r\nCon tent: x\r\nContent-Length: {length}\r\n\r\n{page}"),
+        format!("HTTP/1.1 000 OK\r\nContent-Length: {length}\r\n\r\n{page}"),
+        format!("HTTP/1.1 429 Slow\r\nTransfer-Encoding: chunkd\r\n\r\n{page}"),
+    ] {
+        let answers = vec![malformed.clone(), sound.clone()];
+        let read_twice = async {
+            let mut platform = Platform::new(platform(answers).await);
+            let first = platform.read(Duration::ZERO, |_| panic!("a page")).await;
+            let second = platform.read(Duration::ZERO, |_| {}).await;
+            (first, second)
+        };
+        let (first, second) = LocalSet::new().run_until(read_twice).await;
+        assert!(
+            matches!(
+                first,
+                Err(PlatformError::Exchange(ExchangeError::Broken(
+                    BrokenAnswer::Malformed(_)
+                )))
+            ),
+            "{malformed:?}: {first:?}"
+        );
+        assert_eq!(second.expect("the next list"), []);
+    }
+}
