Take a truncated head for an answer that has begun

What was seen: by a test. A backend of the gateway in service that has read a part of a long request, sends the first bytes of an answer and ends the connection counts as one that never got the request: the request goes to another backend, and its customer's use is given back, though the first backend may have run it.

Cause: Link::send returned the same error for a connection that broke before any answer and for one that broke within an answer's head, so the rule of the gateway in service, that an answer which has begun shows that its backend did not wait for the request's end, held from the body on only.

Change: ResponseCheck tells whether a byte of the final head has arrived; from then on a failure is a broken answer. An interim answer that is complete shows nothing of that kind.

--- a/dataplane/src/link.rs
+++ b/dataplane/src/link.rs
@@ -238,8 +238,8 @@
 
     /// What the failure of an exchange, as the HTTP library tells it, says of its answer.
     fn exchange_error(&self, error: &hyper::Error) -> ExchangeError {
-        if let Some(malformed) = self.malformed(error) {
-            return BrokenAnswer::from(malformed).into();
+        if self.check.borrow().has_begun() {
+            return self.broken_answer(error).into();
         }
         let failure = Failure {
             written: self.progress.written(),
--- a/dataplane/src/response_check/lines.rs
+++ b/dataplane/src/response_check/lines.rs
@@ -52,6 +52,11 @@
         &self.bytes
     }
 
+    /// Whether no byte of a line has arrived.
+    pub(super) fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
     /// Drops all lines.
     pub(super) fn clear(&mut self) {
         *self = LineBuffer::default();
--- a/dataplane/src/response_check/mod.rs
+++ b/dataplane/src/response_check/mod.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    /// Whether a byte of the final response to the last request has arrived.
+    pub fn has_begun(&self) -> bool {
+        !matches!(&self.part, Part::Head(lines) if lines.is_empty())
+    }
+
     /// Whether the connection can carry another request: each response is complete, and nothing else has arrived.
     pub fn is_clean(&self) -> bool {
         matches!(self.part, Part::None) && !self.has_surplus
--- a/dataplane/src/response_check/tests.rs
+++ b/dataplane/src/response_check/tests.rs
@@ -42,7 +42,7 @@
     let (result, check) = check_response(method, response);
     let text = String::from_utf8_lossy(response);
     assert_eq!(result, Ok(()), "{text}");
-    assert!(check.is_clean(), "not complete: {text}");
+    assert!(check.has_begun() && check.is_clean(), "{text}");
 }
 
 #[test]
@@ -336,6 +336,21 @@
     }
 }
 
+/// An interim response does not show that the peer has begun with the request.
+#[test]
+fn a_response_begins_with_the_first_byte_of_its_final_head() {
+    let interim: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+    for (pieces, has_begun) in [
+        (&[][..], false),
+        (&[interim][..], false),
+        (&[b"H".as_slice()][..], true),
+        (&[interim, b"H".as_slice()][..], true),
+    ] {
+        let (result, check) = check_pieces(&Method::POST, pieces.iter().copied());
+        assert_eq!((result, check.has_begun()), (Ok(()), has_begun));
+    }
+}
+
 #[test]
 fn bytes_after_a_response_leave_a_connection_that_carries_no_other_request() {
     let response = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokay";
--- a/quota-gateway/src/bin/quota-gateway/backends/attempts/tests.rs
+++ b/quota-gateway/src/bin/quota-gateway/backends/attempts/tests.rs
@@ -232,6 +232,22 @@
 /// request may run a second time then.
 #[tokio::test]
 async fn an_early_answer_that_breaks_off_is_a_reset() {
+    for half in [
+        "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\ncontent-le",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Full\r\nx-not-run: 1\r\n",
+        "HTTP/1.1 200 OK\r\nno field\r\ncontent-length: 2\r\n\r\nok",
+    ] {
+        assert_eq!(
+            outcome_of_early_answer(half).await,
+            Outcome::Reset,
+            "{half:?}"
+        );
+    }
+}
+
+/// The outcome of a long request whose backend answers so while it reads the body, and ends the connection.
+async fn outcome_of_early_answer(half: &str) -> Outcome {
     let (listener, address) = listen().await;
     let backends = backends(address);
     let mut order = order(Duration::from_secs(9));
@@ -244,14 +260,13 @@
         while !read.contains(&b'x') {
             stream.read_buf(&mut read).await.expect("there is more");
         }
-        let half = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok";
-        stream.write_all(half).await.expect("a reader");
+        stream.write_all(half.as_bytes()).await.expect("a reader");
         // The reset must not overtake what was written.
         tokio::time::sleep(Duration::from_millis(50)).await;
     };
     let attempt = backends.attempt(&order, std::future::pending::<()>(), || true, |_, _| {});
     let (end, ()) = tokio::join!(attempt, backend);
-    assert_eq!(end.outcome, Outcome::Reset);
+    end.outcome
 }
 
 /// Guards against a damaged answer that reaches a client as a whole one, and against a refusal in one being believed.
