Draw damaged heads in the soaks, and test damaged calls between processes

Change: a failing backend also answers with a damaged head: another transfer coding, two framings, a status of 000 or 777, a line that is no field, a blank and a control byte in a name, a bare line feed; the connection stays, closes or is reset. request_soak refuses statuses that are none.

--- a/alderhollow/standins/src/failing_backend/mod.rs
+++ b/alderhollow/standins/src/failing_backend/mod.rs
@@ -1,7 +1,8 @@
 //! Backends that fail, as a seed draws it, at any point of a request: before, within and after its body and its answer.
-//! Answers come early, late, truncated, in pieces, several times or not at all.
+//! Answers come early, late, truncated, malformed, in pieces, several times or not at all.
 
 mod answer;
+mod damage;
 mod plan;
 
 pub use answer::{answer_to, EVENTS};
@@ -171,6 +172,14 @@
         let (kind, truncated) = match plan.conclusion {
             Conclusion::Answer(kind) => (kind, None),
             Conclusion::TruncatedAnswer(kind, closing) => (kind, Some(closing)),
+            Conclusion::MalformedAnswer(kind, damage, closing) => {
+                let answer = answer::encode(kind, plan.framing, head, self.workload);
+                let damaged = damage.apply(&answer);
+                connection
+                    .write_in_pieces(damaged.as_bytes(), plan.pieces)
+                    .await?;
+                return closing.map_or(Ok(()), Err);
+            }
             Conclusion::Break(..) | Conclusion::Stall => return Ok(()),
         };
         let bytes = answer::encode(kind, plan.framing, head, self.workload).into_bytes();
--- a/alderhollow/standins/src/failing_backend/plan.rs
+++ b/alderhollow/standins/src/failing_backend/plan.rs
@@ -1,5 +1,6 @@
 //! What a failing backend does with one request, drawn from a seed.
 
+use super::damage::Damage;
 use oorandom::Rand64;
 
 /// Longest time between an answer and its late copy, in milliseconds: within it a caller may use the connection again.
@@ -75,6 +76,8 @@
     Answer(AnswerKind),
     /// With a part of an answer to a request that has run.
     TruncatedAnswer(AnswerKind, Closing),
+    /// With a malformed answer to a request that has run. Without a closing the connection stays open.
+    MalformedAnswer(AnswerKind, Damage, Option<Closing>),
     /// Without an answer.
     Break(BreakPoint, Closing),
     /// The backend begins on a part of the body and does nothing more.
@@ -180,12 +183,18 @@
 
 impl Conclusion {
     fn draw(random: &mut Rand64, workload: Workload) -> Conclusion {
-        match (random.rand_range(0..20), workload) {
+        match (random.rand_range(0..23), workload) {
             (0..=10, _) => Conclusion::Answer(AnswerKind::draw(random, workload)),
             (11..=14, _) => {
                 let kind = AnswerKind::draw(random, workload);
                 Conclusion::TruncatedAnswer(kind, Closing::draw(random))
             }
+            (20..=22, _) => {
+                let kind = AnswerKind::draw(random, workload);
+                let stays = random.rand_range(0..2) == 0;
+                let closing = (!stays).then(|| Closing::draw(random));
+                Conclusion::MalformedAnswer(kind, Damage::draw(random), closing)
+            }
             (19, Workload::Requests) => Conclusion::Stall,
             _ => Conclusion::Break(BreakPoint::draw(random), Closing::draw(random)),
         }
--- a/alderhollow/tests/internal.rs
+++ b/alderhollow/tests/internal.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::task::LocalSet;
@@ -330,3 +330,38 @@
         }
     });
 }
+
+/// Takes one connection and a short call, answers with these bytes, and waits until the caller closes the connection.
+async fn answer_with(listener: &TcpListener, answer: &[u8]) {
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    let mut call = vec![0; SHORT_FRAME_BYTES];
+    stream.read_exact(&mut call).await.expect("a call");
+    stream.write_all(answer).await.expect("a reader");
+    while matches!(stream.read(&mut call).await, Ok(1..)) {}
+}
+
+/// Guards against a damaged answer of a peer being taken for an answer, or for the promise that a call was not served.
+#[test]
+fn a_malformed_answer_to_a_call_is_none_and_ends_its_connection() {
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let network = Network::new(3);
+        let mut refused = Vec::new();
+        Frame {
+            kind: FrameKind::Refused,
+            service: Some(ServiceId::Batch),
+            call: 1,
+            payload: vec![Refusal::Busy.code()],
+        }
+        .encode(&mut refused);
+        // The length, the version, the kind.
+        for (at, byte) in [(0, 0xff), (3, 10), (4, 0), (5, 0), (5, 9)] {
+            let mut damaged = refused.clone();
+            damaged[at] = byte;
+            let call = call_when_reachable(&network, address, b"first");
+            let (error, ()) = tokio::join!(call, answer_with(&listener, &damaged));
+            assert!(!error.surely_not_served(), "{damaged:?}: {error:?}");
+        }
+    });
+}
--- a/alderhollow/tests/request_soak.rs
+++ b/alderhollow/tests/request_soak.rs
@@ -1,6 +1,6 @@
 //! A gateway between clients and backends that fail in all ways that leave it open whether a request has run: connections
-//! that end before, within and after a body of up to 4 MB, responses that come early, late, truncated, in pieces, several
-//! times or not at all.
+//! that end before, within and after a body of up to 4 MB, responses that come early, late, truncated, malformed, in pieces,
+//! several times or not at all.
 //! What clients were answered is compared with what the backends ran. All is drawn from a seed, though the timing differs
 //! from run to run.
 //!
--- a/alderhollow/tests/request_soak/record.rs
+++ b/alderhollow/tests/request_soak/record.rs
@@ -7,6 +7,8 @@
 /// Statuses that promise that a request has not run and will not.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 const OK: u16 = 200;
+/// The statuses that can answer a request.
+const STATUSES: std::ops::RangeInclusive<u16> = 200..=599;
 /// `max-attempts` of the idempotent route.
 const MAX_ATTEMPTS: usize = 2;
 
@@ -135,6 +137,9 @@
             return Some(format!("{id} ran {} times, {max_runs} allowed", self.runs));
         }
         let answer = self.answer.as_ref()?;
+        if !STATUSES.contains(&answer.status) {
+            return Some(format!("{id} was answered {:03}", answer.status));
+        }
         let is_promise = PROMISES.contains(&answer.status);
         if is_promise && self.runs > 0 && self.kind == RouteKind::NonIdempotent {
             return Some(format!("{id} ran, but was answered {}", answer.status));
