Rename BrokenAnswer to BrokenResponse

Change: the name of the type and of its constructor in Link, and the prose of link.rs. No behaviour changes.

--- a/alderhollow/src/discovery/platform.rs
+++ b/alderhollow/src/discovery/platform.rs
@@ -2,7 +2,7 @@
 
 use super::listing::{ListingError, Page};
 use alderhollow_dataplane::flow::Upload;
-use alderhollow_dataplane::link::{BrokenAnswer, ExchangeError, Link};
+use alderhollow_dataplane::link::{BrokenResponse, ExchangeError, Link};
 use alderhollow_model::backend::Backend;
 use http::{header, Request, StatusCode};
 use hyper::body::{Bytes, Incoming};
@@ -32,7 +32,7 @@
     Request(#[from] http::Error),
     /// The body is incomplete or malformed.
     #[error("the platform's answer is not whole: {0}")]
-    Body(#[from] BrokenAnswer),
+    Body(#[from] BrokenResponse),
     /// The body is too large.
     #[error("the platform's answer has more than {MAX_PAGE_BYTES} bytes")]
     TooLarge,
--- a/alderhollow/src/exchange/pool.rs
+++ b/alderhollow/src/exchange/pool.rs
@@ -7,7 +7,7 @@
 use crate::metrics::backends::MalformedRule;
 use alderhollow_dataplane::flow::Upload;
 use alderhollow_dataplane::headers::keep_alive;
-use alderhollow_dataplane::link::{BrokenAnswer, ExchangeError, Link};
+use alderhollow_dataplane::link::{BrokenResponse, ExchangeError, Link};
 use alderhollow_model::backend::Backend;
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{HeaderMap, HeaderValue};
@@ -102,14 +102,17 @@
     ///
     /// # Errors
     /// The body is truncated or malformed.
-    pub async fn next_chunk(&mut self, body: &mut Incoming) -> Option<Result<Bytes, BrokenAnswer>> {
+    pub async fn next_chunk(
+        &mut self,
+        body: &mut Incoming,
+    ) -> Option<Result<Bytes, BrokenResponse>> {
         let chunk = self.link.next_chunk(body).await?;
         Some(chunk.inspect_err(|broken| self.report_broken(broken)))
     }
 
     /// Counts and logs a malformed response.
-    fn report_broken(&self, broken: &BrokenAnswer) {
-        if let BrokenAnswer::Malformed(malformed) = broken {
+    fn report_broken(&self, broken: &BrokenResponse) {
+        if let BrokenResponse::Malformed(malformed) = broken {
             metrics::get()
                 .backends
                 .malformed_response(MalformedRule::from(*malformed));
@@ -124,7 +127,7 @@
     ///
     /// # Errors
     /// The body is truncated or malformed.
-    pub async fn skip_body(&mut self, mut body: Incoming) -> Result<(), BrokenAnswer> {
+    pub async fn skip_body(&mut self, mut body: Incoming) -> Result<(), BrokenResponse> {
         while let Some(chunk) = self.next_chunk(&mut body).await {
             chunk?;
         }
--- a/alderhollow/tests/discovery.rs
+++ b/alderhollow/tests/discovery.rs
@@ -3,7 +3,7 @@
 use alderhollow::discovery::changes::ListVersioner;
 use alderhollow::discovery::listing::Page;
 use alderhollow::discovery::platform::{percent_encode, Platform, PlatformError};
-use alderhollow_dataplane::link::{BrokenAnswer, ExchangeError};
+use alderhollow_dataplane::link::{BrokenResponse, ExchangeError};
 use alderhollow_model::backend::{Backend, BackendState};
 use alderhollow_model::identity::Address;
 use proptest::prelude::*;
@@ -231,7 +231,7 @@
             matches!(
                 first,
                 Err(PlatformError::Exchange(ExchangeError::Broken(
-                    BrokenAnswer::Malformed(_)
+                    BrokenResponse::Malformed(_)
                 )))
             ),
             "{malformed:?}: {first:?}"
--- a/dataplane/src/link.rs
+++ b/dataplane/src/link.rs
@@ -33,7 +33,7 @@
 /// Size of the system's send and receive buffers of one connection, in bytes.
 pub const SOCKET_BUFFER_BYTES: u32 = 64 * 1024;
 
-/// An exchange brought no answer: its connection broke before one began.
+/// An exchange brought no response: its connection broke before one began.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 #[error("{problem}")]
 pub struct Failure {
@@ -43,9 +43,9 @@
     pub problem: String,
 }
 
-/// An answer that had begun is not whole. The peer has had the request, however much of it was written.
+/// A response that had begun is not complete. The peer has had the request, however much of it was written.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
-pub enum BrokenAnswer {
+pub enum BrokenResponse {
     /// It ended early.
     #[error("{problem}")]
     Truncated {
@@ -57,15 +57,15 @@
     Malformed(#[from] MalformedResponse),
 }
 
-/// Why an exchange brought no complete answer.
+/// Why an exchange brought no complete response.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum ExchangeError {
-    /// No answer began.
+    /// No response began.
     #[error(transparent)]
     Unanswered(#[from] Failure),
-    /// An answer began and broke off.
+    /// A response began and is truncated or malformed.
     #[error(transparent)]
-    Broken(#[from] BrokenAnswer),
+    Broken(#[from] BrokenResponse),
 }
 
 /// The connection's socket, which records how far a request was written and checks what is read.
@@ -213,11 +213,11 @@
         })
     }
 
-    /// Sends one request and waits until its answer begins.
+    /// Sends one request and waits until its response begins.
     ///
     /// # Errors
-    /// The connection broke before the answer began, and the error tells how much of the request was written; or the
-    /// answer's head is truncated or malformed.
+    /// The connection broke before the response began, and the error tells how much of the request was written; or the
+    /// response's head is truncated or malformed.
     pub async fn send(
         &mut self,
         request: Request<Upload>,
@@ -232,14 +232,14 @@
         check.borrow_mut().on_request(request.method());
         progress.begin(request.body().is_end_stream());
         let request = request.map(|body| TrackedBody::new(body, progress.clone()));
-        let answer = drive(connection, sender.try_send_request(request)).await;
-        answer.map_err(|error| self.exchange_error(error.error()))
+        let response = drive(connection, sender.try_send_request(request)).await;
+        response.map_err(|error| self.exchange_error(error.error()))
     }
 
-    /// What the failure of an exchange, as the HTTP library tells it, says of its answer.
+    /// What the failure of an exchange, as the HTTP library tells it, says of its response.
     fn exchange_error(&self, error: &hyper::Error) -> ExchangeError {
         if self.check.borrow().has_begun() {
-            return self.broken_answer(error).into();
+            return self.broken_response(error).into();
         }
         let failure = Failure {
             written: self.progress.written(),
@@ -248,16 +248,16 @@
         failure.into()
     }
 
-    fn broken_answer(&self, error: &hyper::Error) -> BrokenAnswer {
+    fn broken_response(&self, error: &hyper::Error) -> BrokenResponse {
         match self.malformed(error) {
             Some(malformed) => malformed.into(),
-            None => BrokenAnswer::Truncated {
+            None => BrokenResponse::Truncated {
                 problem: error.to_string(),
             },
         }
     }
 
-    /// The rule that the answer breaks, if that is why the exchange has failed.
+    /// The rule that the response breaks, if that is why the exchange has failed.
     fn malformed(&self, error: &hyper::Error) -> Option<MalformedResponse> {
         let found = self.check.borrow().malformed();
         found.or_else(|| is_unreadable(error).then_some(MalformedResponse::Unreadable))
@@ -273,11 +273,14 @@
         WriteProgress::of(&self.progress)
     }
 
-    /// The next chunk of the body of an answer that has begun; `None` at its end.
+    /// The next chunk of the body of a response that has begun; `None` at its end.
     ///
     /// # Errors
     /// The body is truncated or malformed.
-    pub async fn next_chunk(&mut self, body: &mut Incoming) -> Option<Result<Bytes, BrokenAnswer>> {
+    pub async fn next_chunk(
+        &mut self,
+        body: &mut Incoming,
+    ) -> Option<Result<Bytes, BrokenResponse>> {
         loop {
             match drive(&mut self.connection, body.frame()).await? {
                 Ok(frame) => {
@@ -286,7 +289,7 @@
                         return Some(Ok(data));
                     }
                 }
-                Err(error) => return Some(Err(self.broken_answer(&error))),
+                Err(error) => return Some(Err(self.broken_response(&error))),
             }
         }
     }
--- a/dataplane/src/link/tests.rs
+++ b/dataplane/src/link/tests.rs
@@ -189,7 +189,7 @@
         let address = listener.local_addr().expect("an address");
         let peer = answer_and_wait_for_close(listener, answer.as_bytes());
         let ((read, is_usable), ()) = tokio::join!(exchange(address), peer);
-        let malformed = ExchangeError::Broken(BrokenAnswer::Malformed(rule));
+        let malformed = ExchangeError::Broken(BrokenResponse::Malformed(rule));
         assert_eq!((read, is_usable), (Err(malformed), false), "{answer:?}");
     }
 }
@@ -209,7 +209,7 @@
         let peer = answer_and_wait_for_close(listener, answer.as_bytes());
         let ((read, is_usable), ()) = tokio::join!(exchange(address), peer);
         let malformed =
-            ExchangeError::Broken(BrokenAnswer::Malformed(MalformedResponse::Unreadable));
+            ExchangeError::Broken(BrokenResponse::Malformed(MalformedResponse::Unreadable));
         assert_eq!((read, is_usable), (Err(malformed), false), "{answer:?}");
     }
 }
--- a/quota-gateway/src/bin/quota-gateway/backends/attempts.rs
+++ b/quota-gateway/src/bin/quota-gateway/backends/attempts.rs
@@ -4,7 +4,7 @@
 use crate::backends::sessions::Sent;
 use crate::clients::connections;
 use alderhollow_dataplane::flow::{flow, Flow, Upload};
-use alderhollow_dataplane::link::{BrokenAnswer, ExchangeError, Failure};
+use alderhollow_dataplane::link::{BrokenResponse, ExchangeError, Failure};
 use alderhollow_dataplane::progress::Written;
 use gateway_cluster::sessions::evidence;
 use hyper::body::{Body, Bytes, Incoming};
@@ -274,7 +274,7 @@
             }
             Err(problem) => {
                 let tally = &mut *self.pool.tally.borrow_mut();
-                if let ExchangeError::Broken(BrokenAnswer::Malformed(_)) = problem {
+                if let ExchangeError::Broken(BrokenResponse::Malformed(_)) = problem {
                     tally.malformed += 1;
                 }
                 *if pooled.used == 0 {
@@ -412,8 +412,8 @@
     }
 }
 
-fn stalled() -> Result<Bytes, BrokenAnswer> {
-    Err(BrokenAnswer::Truncated {
+fn stalled() -> Result<Bytes, BrokenResponse> {
+    Err(BrokenResponse::Truncated {
         problem: "nothing more came".into(),
     })
 }
--- a/quota-gateway/src/bin/quota-gateway/backends/pool.rs
+++ b/quota-gateway/src/bin/quota-gateway/backends/pool.rs
@@ -2,7 +2,7 @@
 
 use crate::backends::sessions::{Hold, Seen, Sessions, Watched, RUN_GAP};
 use crate::operators::cost::{Gauge, Held};
-use alderhollow_dataplane::link::{BrokenAnswer, Link};
+use alderhollow_dataplane::link::{BrokenResponse, Link};
 use gateway_cluster::sessions::evidence::{ConnectionUse, Outcome};
 use hyper::header::HeaderMap;
 use oorandom::Rand32;
@@ -377,8 +377,8 @@
     }
 
     /// Counts an answer that had begun to reach its client and is malformed.
-    pub(crate) fn record_broken_body(&self, address: SocketAddr, broken: &BrokenAnswer) {
-        if let BrokenAnswer::Malformed(malformed) = broken {
+    pub(crate) fn record_broken_body(&self, address: SocketAddr, broken: &BrokenResponse) {
+        if let BrokenResponse::Malformed(malformed) = broken {
             let tally = &mut *self.tally.borrow_mut();
             tally.malformed += 1;
             tally.last_broken = format!("to {address}: {malformed}");
