--- a/dataplane/src/link/tests.rs
+++ b/dataplane/src/link/tests.rs
@@ -112,25 +112,33 @@
     while matches!(stream.read_buf(&mut request).await, Ok(1..)) {}
 }
 
-/// Sends a request and reads its answer's body; the link is dropped behind it.
-async fn exchange(address: SocketAddr) -> (Result<Vec<u8>, ExchangeError>, bool) {
-    let mut link = Link::open(address, Rc::default())
+/// What an exchange with a peer that sends this answer brings, and whether its connection is usable then. The peer sees
+/// that the connection is closed afterwards.
+async fn exchange_with(answer: &str) -> (Result<Vec<u8>, ExchangeError>, bool) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
         .await
-        .expect("it comes up");
+        .expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let exchange = async {
+        let mut link = Link::open(address, Rc::default())
+            .await
+            .expect("it comes up");
+        let body = read_answer(&mut link).await;
+        (body, link.is_usable().await)
+    };
+    let peer = answer_and_wait_for_close(listener, answer.as_bytes());
+    tokio::join!(exchange, peer).0
+}
+
+async fn read_answer(link: &mut Link) -> Result<Vec<u8>, ExchangeError> {
     let body = Upload::new(Bytes::new(), None);
     let request = Request::get("/").body(body).expect("a request");
-    let mut body = match link.send(request).await {
-        Ok(answer) => answer.into_body(),
-        Err(error) => return (Err(error), link.is_usable().await),
-    };
+    let mut body = link.send(request).await?.into_body();
     let mut read = Vec::new();
     while let Some(chunk) = link.next_chunk(&mut body).await {
-        match chunk {
-            Ok(chunk) => read.extend_from_slice(&chunk),
-            Err(broken) => return (Err(broken.into()), link.is_usable().await),
-        }
+        read.extend_from_slice(&chunk?);
     }
-    (Ok(read), link.is_usable().await)
+    Ok(read)
 }
 
 /// Guards against a damaged answer being taken for a whole one with another body, and against its rest being read as the
@@ -183,14 +191,8 @@
             ChunkExtension,
         ),
     ] {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
-            .await
-            .expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        let peer = answer_and_wait_for_close(listener, answer.as_bytes());
-        let ((read, is_usable), ()) = tokio::join!(exchange(address), peer);
         let malformed = ExchangeError::Broken(BrokenResponse::Malformed(rule));
-        assert_eq!((read, is_usable), (Err(malformed), false), "{answer:?}");
+        assert_eq!(exchange_with(&answer).await, (Err(malformed), false), "{answer:?}");
     }
 }
 
@@ -202,15 +204,13 @@
         "HTTP/1.1 2x",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\nz",
     ] {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
-            .await
-            .expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        let peer = answer_and_wait_for_close(listener, answer.as_bytes());
-        let ((read, is_usable), ()) = tokio::join!(exchange(address), peer);
         let malformed =
             ExchangeError::Broken(BrokenResponse::Malformed(MalformedResponse::Unreadable));
-        assert_eq!((read, is_usable), (Err(malformed), false), "{answer:?}");
+        assert_eq!(
+            exchange_with(answer).await,
+            (Err(malformed), false),
+            "{answer:?}"
+        );
     }
 }
 
@@ -223,12 +223,6 @@
         ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokay", false),
         ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false),
     ] {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
-            .await
-            .expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        let peer = answer_and_wait_for_close(listener, answer.as_bytes());
-        let (exchanged, ()) = tokio::join!(exchange(address), peer);
-        assert_eq!(exchanged, (Ok(b"ok".to_vec()), is_usable), "{answer:?}");
+        assert_eq!(exchange_with(answer).await, (Ok(b"ok".to_vec()), is_usable), "{answer:?}");
     }
 }
